--- /dev/null
+++ b/packages/standins/src/balsamloom_standins/fleet.py
@@ -0,0 +1,133 @@
+"""Starts and ends real processes for tests and demonstrations."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Sequence
+from typing import Any
+
+STOP_TIMEOUT_S = 10
+COMMANDS = pathlib.Path(sys.executable).parent
+
+
+class Running:
+    """A started process with the address that it printed.
+
+    :param name: name for messages.
+    :param command: program and arguments.
+    :param log_path: file that takes standard error.
+    """
+
+    def __init__(
+        self, name: str, command: Sequence[str], log_path: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.log_path = log_path
+        with log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                command, stdout=subprocess.PIPE, stderr=log, text=True
+            )
+        assert self._process.stdout is not None
+        line = self._process.stdout.readline()
+        if not line:
+            detail = log_path.read_text(encoding="utf-8")[-2000:]
+            raise RuntimeError(f"{name} did not start: {detail}")
+        self.address: str = json.loads(line)["address"]
+
+    @property
+    def pid(self) -> int:
+        """Return the process identifier."""
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._process.poll() is None
+
+    def kill(self) -> None:
+        """End the process at once, as a crash would."""
+        self._process.kill()
+        self._process.wait()
+
+    def pause(self) -> None:
+        """Stop the process from being scheduled."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self._process.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask for a graceful shutdown, without waiting."""
+        self._process.terminate()
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait for the end and return the exit status."""
+        return self._process.wait(timeout_s)
+
+    def stop(self) -> None:
+        """Ask for a graceful shutdown and kill after the timeout."""
+        if self.is_running:
+            self._process.terminate()
+            try:
+                self._process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                self.kill()
+
+
+class Fleet:
+    """Processes of one test or demonstration; a context manager."""
+
+    def __init__(self) -> None:
+        self._directory = tempfile.TemporaryDirectory(prefix="balsamloom-")
+        self.path = pathlib.Path(self._directory.name)
+        self.processes: list[Running] = []
+
+    def __enter__(self) -> Fleet:
+        """Return the fleet."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """End every process."""
+        self.stop()
+
+    def standin(self, kind: str, *options: str) -> Running:
+        """Start a stand-in.
+
+        :param kind: subcommand of ``balsamloom-standin``.
+        :param options: further command-line options.
+        """
+        command = [str(COMMANDS / "balsamloom-standin"), kind, *options]
+        return self._start(f"{kind}-{len(self.processes)}", command)
+
+    def entry(self, name: str, settings: dict[str, Any]) -> Running:
+        """Start an entry process.
+
+        :param name: name of the entry process.
+        :param settings: settings besides the name.
+        """
+        path = self.path / f"{name}.json"
+        document = {
+            "name": name,
+            "http_address": "127.0.0.1:0",
+            **settings,
+        }
+        path.write_text(json.dumps(document), encoding="utf-8")
+        command = [str(COMMANDS / "balsamloom-entry"), "--settings", str(path)]
+        return self._start(name, command)
+
+    def stop(self) -> None:
+        """End every process and remove the files."""
+        for running in reversed(self.processes):
+            running.stop()
+        self._directory.cleanup()
+
+    def _start(self, name: str, command: Sequence[str]) -> Running:
+        running = Running(name, command, self.path / f"{name}.log")
+        self.processes.append(running)
+        return running
--- /dev/null
+++ b/packages/state/src/balsamloom_state/segments.py
@@ -0,0 +1,93 @@
+"""Encoding of journal segments: compressed records with a checksum."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Sequence
+
+from google.protobuf import message
+
+from balsamloom_core import errors, results
+from balsamloom_state import records_pb2
+
+
+class DamagedSegment(errors.BalsamloomError):
+    """A segment fails its length or checksum."""
+
+    def __init__(self, key: str, cause: str) -> None:
+        super().__init__(
+            results.ResultCode.DAMAGED_MESSAGE, f"segment {key}: {cause}"
+        )
+        self.key = key
+
+
+def pack_batch(records: Sequence[records_pb2.Record]) -> bytes:
+    """Return records as one compressed batch.
+
+    :param records: records in order.
+    """
+    batch = records_pb2.RecordBatch(records=records)
+    return zlib.compress(batch.SerializeToString(), 1)
+
+
+def encode(
+    records: Sequence[records_pb2.Record], writer_id: str, nonce: str
+) -> bytes:
+    """Return the value of a segment.
+
+    :param records: records in order.
+    :param writer_id: member that writes the segment.
+    :param nonce: value that tells this write from any other.
+    """
+    body = pack_batch(records)
+    segment = records_pb2.Segment(
+        nonce=nonce,
+        writer_id=writer_id,
+        crc32=zlib.crc32(body),
+        size_bytes=len(body),
+        compressed_batch=body,
+    )
+    return segment.SerializeToString()
+
+
+def encode_seal(writer_id: str, nonce: str) -> bytes:
+    """Return the value of a seal, which ends a journal.
+
+    :param writer_id: member that seals.
+    :param nonce: value that tells this write from any other.
+    """
+    segment = records_pb2.Segment(
+        nonce=nonce, writer_id=writer_id, is_seal=True
+    )
+    return segment.SerializeToString()
+
+
+def decode(key: str, value: bytes) -> records_pb2.Segment:
+    """Return a segment after checking it.
+
+    :param key: key that the value was read from, for the error.
+    :param value: bytes read from the store.
+    :raises DamagedSegment: if length or checksum differ.
+    """
+    segment = records_pb2.Segment()
+    try:
+        segment.ParseFromString(value)
+    except message.DecodeError as error:
+        raise DamagedSegment(key, f"cannot be read: {error}") from error
+    if len(segment.compressed_batch) != segment.size_bytes:
+        raise DamagedSegment(key, "length differs")
+    if zlib.crc32(segment.compressed_batch) != segment.crc32:
+        raise DamagedSegment(key, "checksum differs")
+    return segment
+
+
+def records_of(segment: records_pb2.Segment) -> list[records_pb2.Record]:
+    """Return the records of a checked segment.
+
+    :param segment: segment from :func:`decode`.
+    """
+    if segment.is_seal or not segment.compressed_batch:
+        return []
+    batch = records_pb2.RecordBatch()
+    batch.ParseFromString(zlib.decompress(segment.compressed_batch))
+    return list(batch.records)
