Complete the clients of the platform's services

A read of the key-value service failed when the service had closed the kept connection, and a watch that ended went back to the connection pool with unread events.

Answers other than 200 carry a result code: a draining engine is NO_BACKEND_SERVER, 429 and 503 are OVERLOADED, silence is BACKEND_TIMEOUT. Reads of the store are repeated on a broken connection, writes are not. Tool calls use a new connection each, since a kept one that breaks makes a call's outcome unknown; 502 to 504 are unknown unless the service itself says "not_run".

The HTTP classes keep the names Engine and ToolService because the entry package uses them; the protocols are ModelEngine and ToolRunner.

--- a/packages/platform/src/balsamloom_platform/engines.py
+++ b/packages/platform/src/balsamloom_platform/engines.py
@@ -1,16 +1,24 @@
-"""Model engines: streamed chat completions, load reports, holds and orders."""
+"""Model engines: streamed chat completions, load reports, holds and orders.
+
+:class:`ModelEngine` is the interface; :class:`Engine` speaks HTTP.
+"""
 
 from __future__ import annotations
 
+import contextlib
 import json
-from collections.abc import Iterator
-from typing import Any, NamedTuple
+from collections.abc import Iterator, Sequence
+from typing import Any, NamedTuple, Protocol
 
 import sseclient
 import urllib3
 
 from balsamloom_core import errors, results
 
+DEFAULT_TIMEOUT_MS = 2_000
+MS_PER_S = 1000
+READ_SIZE_BYTES = 65536
+
 _EVENT_END = b"\n\n"
 
 
@@ -19,13 +27,19 @@
 
     :param code: result code.
     :param message: cause.
-    :param was_sent: whether the request may have reached the engine.
+    :param was_sent: whether the engine may have worked on the request.
+    :param retry_after_ms: time after which the engine takes new work, if it
+        said so.
     """
 
     def __init__(
-        self, code: results.ResultCode, message: str, was_sent: bool
+        self,
+        code: results.ResultCode,
+        message: str,
+        was_sent: bool,
+        retry_after_ms: int | None = None,
     ) -> None:
-        super().__init__(code, message)
+        super().__init__(code, message, retry_after_ms)
         self.was_sent = was_sent
 
 
@@ -35,8 +49,117 @@
     body: dict[str, Any]
 
 
+class LoadReport(NamedTuple):
+    """Load of an engine, as of ``age_ms`` before the answer."""
+
+    running: int
+    waiting: int
+    tokens_per_s: float
+    is_draining: bool
+    age_ms: float
+
+
+class Hold(NamedTuple):
+    """Engine memory held under one tag."""
+
+    tag: str
+    size_bytes: int
+    is_running: bool
+
+
+class CacheEvent(NamedTuple):
+    """A change of an engine's prefix cache; ``kind`` is stored|evicted."""
+
+    number: int
+    kind: str
+    block: str
+    tokens: int
+
+
+class Order(NamedTuple):
+    """An order; ``kind`` is load_model, load_adapter or set_role."""
+
+    kind: str
+    value: str
+
+
+class AppliedOrder(NamedTuple):
+    """An order that an engine has applied."""
+
+    order: Order
+    fence: int
+    sender: str
+
+
+class OrderState(NamedTuple):
+    """Orders in the order they were applied, and what is in force."""
+
+    applied: list[AppliedOrder]
+    in_force: dict[str, str]
+
+
+class Stream(Protocol):
+    """An open answer of a model engine."""
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the engine's closing event was seen."""
+
+    def batches(self) -> Iterator[list[Chunk]]:
+        """Yield chunks as they arrive."""
+
+    def close(self) -> None:
+        """Cancel the request."""
+
+
+class ModelEngine(Protocol):
+    """What balsamloom needs of a model engine."""
+
+    def chat(
+        self,
+        body: dict[str, Any],
+        tag: str,
+        connect_timeout_ms: int,
+        read_timeout_ms: int,
+    ) -> Stream:
+        """Start a streamed chat completion."""
+
+    def load(self, timeout_ms: int = DEFAULT_TIMEOUT_MS) -> LoadReport:
+        """Read the load report."""
+
+    def holds(self, timeout_ms: int = DEFAULT_TIMEOUT_MS) -> list[Hold]:
+        """Read the memory held."""
+
+    def release(
+        self, tags: Sequence[str], timeout_ms: int = DEFAULT_TIMEOUT_MS
+    ) -> int:
+        """Release memory and return the number of holds released."""
+
+    def cancel(
+        self, tag_prefix: str, timeout_ms: int = DEFAULT_TIMEOUT_MS
+    ) -> int:
+        """Cancel requests and return their number."""
+
+    def cache_events(
+        self, after: int, timeout_ms: int = DEFAULT_TIMEOUT_MS
+    ) -> list[CacheEvent]:
+        """Read cache events with a higher number."""
+
+    def send_order(
+        self,
+        order: Order,
+        fence: int,
+        sender: str = "",
+        timeout_ms: int = DEFAULT_TIMEOUT_MS,
+    ) -> bool:
+        """Send an order; false if its fencing number was rejected."""
+
+    def orders(self, timeout_ms: int = DEFAULT_TIMEOUT_MS) -> OrderState:
+        """Read back the orders applied."""
+
+
 class ChatStream:
-    """An open answer of a model engine.
+    """An open answer of a model engine over HTTP.
 
     :param response: response whose body has not been read.
     """
@@ -49,14 +172,14 @@
         """Yield the chunks of each read from the network together.
 
         Nothing waits for more chunks than have arrived. :attr:`is_whole` is
-        set when
-        the engine's closing ``[DONE]`` was seen.
+        set when the engine's closing ``[DONE]`` was seen.
 
-        :raises EngineError: if the connection breaks.
+        :raises EngineError: if the connection breaks or the engine is silent
+            for longer than the read timeout.
         """
         pending = b""
         try:
-            while raw := self._response.read1(65536):
+            while raw := self._response.read1(READ_SIZE_BYTES):
                 head, separator, pending = (pending + raw).rpartition(
                     _EVENT_END
                 )
@@ -64,8 +187,15 @@
                 if chunks:
                     yield chunks
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            code = results.ResultCode.BACKEND_ERROR
-            raise EngineError(code, f"stream broke: {error}", True) from error
+            # A break after the closing event loses nothing.
+            if not self.is_whole:
+                raise _broken(error) from error
+        except ValueError as error:
+            raise EngineError(
+                results.ResultCode.DAMAGED_MESSAGE,
+                f"stream has a damaged chunk: {error}",
+                True,
+            ) from error
 
     def close(self) -> None:
         """Close the connection, which cancels the request at the engine."""
@@ -82,7 +212,7 @@
 
 
 class Engine:
-    """Client of one model engine.
+    """HTTP client of one model engine.
 
     :param address: ``host:port``.
     :param pool: connection pool shared by all clients of the process.
@@ -108,44 +238,247 @@
         :raises EngineError: if the engine does not accept the request.
         """
         timeout = urllib3.Timeout(
-            connect=connect_timeout_ms / 1000, read=read_timeout_ms / 1000
+            connect=connect_timeout_ms / MS_PER_S,
+            read=read_timeout_ms / MS_PER_S,
         )
         response = self._request(
-            "/v1/chat/completions", {**body, "stream": True}, tag, timeout
+            "POST",
+            "/v1/chat/completions",
+            {**body, "stream": True},
+            timeout,
+            tag,
+            preload=False,
         )
         if response.status != 200:
-            message = (
-                f"engine answered {response.status}: {response.read()[:200]!r}"
-            )
-            raise EngineError(results.ResultCode.BACKEND_ERROR, message, False)
+            raise _refusal(response)
         return ChatStream(response)
 
+    def load(self, timeout_ms: int = DEFAULT_TIMEOUT_MS) -> LoadReport:
+        """Read the load report.
+
+        :param timeout_ms: longest wait for the answer.
+        :raises EngineError: if there is no answer.
+        """
+        answer = self._json("GET", "/load", None, timeout_ms)
+        with _decoding():
+            return LoadReport(
+                int(answer["running"]),
+                int(answer.get("waiting", 0)),
+                float(answer.get("tokens_per_s", 0)),
+                answer.get("state") == "draining",
+                float(answer.get("age_ms", 0)),
+            )
+
+    def holds(self, timeout_ms: int = DEFAULT_TIMEOUT_MS) -> list[Hold]:
+        """Read the memory held.
+
+        :param timeout_ms: longest wait for the answer.
+        :raises EngineError: if there is no answer.
+        """
+        answer = self._json("GET", "/holds", None, timeout_ms)
+        with _decoding():
+            return [
+                Hold(
+                    hold["tag"],
+                    int(hold["bytes"]),
+                    bool(hold.get("is_running", False)),
+                )
+                for hold in answer["holds"]
+            ]
+
+    def release(
+        self, tags: Sequence[str], timeout_ms: int = DEFAULT_TIMEOUT_MS
+    ) -> int:
+        """Release memory and return the number of holds released.
+
+        :param tags: tags of the holds; a request under way keeps its memory.
+        :param timeout_ms: longest wait for the answer.
+        :raises EngineError: if there is no answer.
+        """
+        answer = self._json(
+            "POST", "/holds/release", {"tags": list(tags)}, timeout_ms
+        )
+        with _decoding():
+            return int(answer["released"])
+
+    def cancel(
+        self, tag_prefix: str, timeout_ms: int = DEFAULT_TIMEOUT_MS
+    ) -> int:
+        """Cancel requests and return their number.
+
+        :param tag_prefix: common start of the requests' tags.
+        :param timeout_ms: longest wait for the answer.
+        :raises EngineError: if there is no answer.
+        """
+        body = {"tag_prefix": tag_prefix}
+        answer = self._json("POST", "/v1/cancel", body, timeout_ms)
+        with _decoding():
+            return int(answer["cancelled"])
+
+    def cache_events(
+        self, after: int, timeout_ms: int = DEFAULT_TIMEOUT_MS
+    ) -> list[CacheEvent]:
+        """Read cache events; they come late and with gaps.
+
+        :param after: highest number known.
+        :param timeout_ms: longest wait for the answer.
+        :raises EngineError: if there is no answer.
+        """
+        path = f"/cache/events?after={after}"
+        answer = self._json("GET", path, None, timeout_ms)
+        with _decoding():
+            return [
+                CacheEvent(
+                    int(event["number"]),
+                    event["kind"],
+                    event["block"],
+                    int(event["tokens"]),
+                )
+                for event in answer["events"]
+            ]
+
+    def send_order(
+        self,
+        order: Order,
+        fence: int,
+        sender: str = "",
+        timeout_ms: int = DEFAULT_TIMEOUT_MS,
+    ) -> bool:
+        """Send an order; false if its fencing number was rejected.
+
+        :param order: what the engine has to do.
+        :param fence: fencing number of the controller.
+        :param sender: controller, for the engine's record.
+        :param timeout_ms: longest wait for the answer.
+        :raises EngineError: if there is no answer; with ``was_sent`` the
+            order may have been applied.
+        """
+        body = {**order._asdict(), "fence": fence, "sender": sender}
+        response = self._request(
+            "POST", "/orders", body, _total(timeout_ms), preload=True
+        )
+        if response.status == 409:
+            return False
+        if response.status != 200:
+            raise _refusal(response)
+        return True
+
+    def orders(self, timeout_ms: int = DEFAULT_TIMEOUT_MS) -> OrderState:
+        """Read back the orders applied.
+
+        :param timeout_ms: longest wait for the answer.
+        :raises EngineError: if there is no answer.
+        """
+        answer = self._json("GET", "/orders", None, timeout_ms)
+        with _decoding():
+            applied = [
+                AppliedOrder(
+                    Order(entry["kind"], entry["value"]),
+                    int(entry["fence"]),
+                    entry.get("sender", ""),
+                )
+                for entry in answer["applied"]
+            ]
+            return OrderState(applied, dict(answer["in_force"]))
+
+    def _json(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        timeout_ms: int,
+    ) -> dict[str, Any]:
+        response = self._request(
+            method, path, body, _total(timeout_ms), preload=True
+        )
+        if response.status != 200:
+            raise _refusal(response)
+        with _decoding():
+            answer: dict[str, Any] = response.json()
+            return answer
+
     def _request(
         self,
+        method: str,
         path: str,
-        body: dict[str, Any],
-        tag: str,
+        body: dict[str, Any] | None,
         timeout: urllib3.Timeout,
+        tag: str = "",
+        preload: bool = True,
     ) -> urllib3.BaseHTTPResponse:
         try:
             return self._pool.request(
-                "POST",
+                method,
                 self._base + path,
                 json=body,
-                headers={"X-Request-Tag": tag},
+                headers={"X-Request-Tag": tag} if tag else {},
                 timeout=timeout,
-                preload_content=False,
+                preload_content=preload,
                 retries=False,
             )
-        except urllib3.exceptions.NewConnectionError as error:
-            raise EngineError(
-                results.ResultCode.NOT_SENT, str(error), False
-            ) from error
-        except urllib3.exceptions.ConnectTimeoutError as error:
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
             raise EngineError(
                 results.ResultCode.NOT_SENT, str(error), False
             ) from error
         except urllib3.exceptions.HTTPError as error:
-            raise EngineError(
-                results.ResultCode.BACKEND_ERROR, str(error), True
-            ) from error
+            raise _broken(error) from error
+
+
+@contextlib.contextmanager
+def _decoding() -> Iterator[None]:
+    """Turn a damaged answer into an :class:`EngineError`."""
+    try:
+        yield
+    except (ValueError, KeyError, TypeError) as error:
+        raise EngineError(
+            results.ResultCode.DAMAGED_MESSAGE,
+            f"damaged answer: {error!r}",
+            True,
+        ) from error
+
+
+def _total(timeout_ms: int) -> urllib3.Timeout:
+    return urllib3.Timeout(total=timeout_ms / MS_PER_S)
+
+
+def _broken(error: Exception) -> EngineError:
+    if isinstance(error, urllib3.exceptions.ReadTimeoutError | TimeoutError):
+        code = results.ResultCode.BACKEND_TIMEOUT
+        return EngineError(code, f"no answer in time: {error}", True)
+    code = results.ResultCode.BACKEND_ERROR
+    return EngineError(code, f"connection broke: {error}", True)
+
+
+def _refusal(response: urllib3.BaseHTTPResponse) -> EngineError:
+    """Return the error for a status other than 200."""
+    try:
+        raw = response.data
+    except (urllib3.exceptions.HTTPError, OSError):
+        raw = b""
+    message = f"engine answered {response.status}: {raw[:200]!r}"
+    retry_after_ms = _retry_after_ms(response)
+    if response.status == 503 and _error_code(raw) == "draining":
+        code = results.ResultCode.NO_BACKEND_SERVER
+        return EngineError(code, message, False, retry_after_ms)
+    if response.status in (429, 503):
+        code = results.ResultCode.OVERLOADED
+        return EngineError(code, message, False, retry_after_ms)
+    code = results.ResultCode.BACKEND_ERROR
+    return EngineError(code, message, response.status >= 500)
+
+
+def _error_code(raw: bytes) -> str:
+    try:
+        return str(json.loads(raw)["error"]["code"])
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
+def _retry_after_ms(response: urllib3.BaseHTTPResponse) -> int | None:
+    try:
+        return int(float(response.headers["Retry-After"]) * MS_PER_S)
+    except (KeyError, ValueError):
+        return None
--- a/packages/platform/src/balsamloom_platform/store.py
+++ b/packages/platform/src/balsamloom_platform/store.py
@@ -2,8 +2,7 @@
 
 :class:`Store` is the interface; :class:`EtcdGateway` speaks the published
 JSON-over-HTTP gateway of the etcd v3 API. Keys are text, values are bytes of
-at
-most :data:`MAX_VALUE_BYTES`.
+at most :data:`MAX_VALUE_BYTES`.
 """
 
 from __future__ import annotations
@@ -11,6 +10,7 @@
 import base64
 import dataclasses
 import json
+import time
 from collections.abc import Iterator, Sequence
 from typing import Any, NamedTuple, Protocol
 
@@ -20,6 +20,8 @@
 
 MAX_VALUE_BYTES = 1_000_000
 DEFAULT_TIMEOUT_MS = 2_000
+READ_TRIES = 3
+MIN_TIMEOUT_S = 0.001
 
 
 class StoreUnavailable(errors.BalsamloomError):
@@ -258,6 +260,7 @@
         timeout = urllib3.Timeout(
             connect=DEFAULT_TIMEOUT_MS / 1000, read=timeout_ms / 1000
         )
+        response: urllib3.BaseHTTPResponse | None = None
         try:
             response = self._pool.request(
                 "POST",
@@ -266,11 +269,19 @@
                 timeout=timeout,
                 preload_content=False,
             )
+            if response.status != 200:
+                message = f"watch: status {response.status}"
+                raise StoreUnavailable(message, False)
             yield from _watch_lines(response)
         except urllib3.exceptions.ReadTimeoutError:
             return
-        except urllib3.exceptions.HTTPError as error:
-            raise StoreUnavailable(f"watch: {error}", False) from error
+        except (urllib3.exceptions.HTTPError, ValueError, KeyError) as error:
+            raise StoreUnavailable(f"watch: {error!r}", False) from error
+        finally:
+            # An unread watch must not go back to the pool: the next request
+            # on its connection would read events instead of its answer.
+            if response is not None:
+                response.close()
 
     def grant_lease(self, ttl_ms: int) -> int:
         """Return the identifier of a new lease.
@@ -311,15 +322,7 @@
     def _call(
         self, path: str, body: dict[str, Any], timeout_ms: int, writes: bool
     ) -> dict[str, Any]:
-        timeout = urllib3.Timeout(total=timeout_ms / 1000)
-        try:
-            response = self._pool.request(
-                "POST", f"{self._base}/v3/{path}", json=body, timeout=timeout
-            )
-        except urllib3.exceptions.NewConnectionError as error:
-            raise StoreUnavailable(f"{path}: {error}", False) from error
-        except urllib3.exceptions.HTTPError as error:
-            raise StoreUnavailable(f"{path}: {error}", writes) from error
+        response = self._send(path, body, timeout_ms, writes)
         if response.status != 200:
             message = f"{path}: status {response.status}"
             raise StoreUnavailable(message, writes and response.status >= 500)
@@ -331,16 +334,51 @@
             ) from error
         return answer
 
+    def _send(
+        self, path: str, body: dict[str, Any], timeout_ms: int, writes: bool
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request; a read is sent again if its connection broke.
+
+        The service may close a kept connection while the request is on its
+        way. A read can then be repeated; a write may have been applied.
+        """
+        end_s = time.monotonic() + timeout_ms / 1000
+        tries_left = 1 if writes else READ_TRIES
+        while True:
+            tries_left -= 1
+            left_s = max(end_s - time.monotonic(), MIN_TIMEOUT_S)
+            try:
+                return self._pool.request(
+                    "POST",
+                    f"{self._base}/v3/{path}",
+                    json=body,
+                    timeout=urllib3.Timeout(total=left_s),
+                )
+            except (
+                urllib3.exceptions.NewConnectionError,
+                urllib3.exceptions.ConnectTimeoutError,
+            ) as error:
+                raise StoreUnavailable(f"{path}: {error}", False) from error
+            except urllib3.exceptions.ProtocolError as error:
+                if tries_left == 0 or time.monotonic() >= end_s:
+                    raise StoreUnavailable(
+                        f"{path}: {error}", writes
+                    ) from error
+            except urllib3.exceptions.HTTPError as error:
+                raise StoreUnavailable(f"{path}: {error}", writes) from error
+
 
 def _watch_lines(response: urllib3.BaseHTTPResponse) -> Iterator[list[Change]]:
     pending = b""
     for chunk in response.stream(65536):
         *lines, pending = (pending + chunk).split(b"\n")
         for line in lines:
-            changes = [
-                _change(entry)
-                for entry in json.loads(line)["result"].get("events", [])
-            ]
+            result = json.loads(line)["result"]
+            if result.get("canceled"):
+                revision = result.get("compact_revision", "unknown")
+                message = f"watch: cancelled, oldest revision is {revision}"
+                raise StoreUnavailable(message, False)
+            changes = [_change(entry) for entry in result.get("events", [])]
             if changes:
                 yield changes
 
--- a/packages/platform/src/balsamloom_platform/tools.py
+++ b/packages/platform/src/balsamloom_platform/tools.py
@@ -1,24 +1,56 @@
-"""Tool services and plain services: one JSON request, one JSON answer."""
+"""Tool services and plain services: one JSON request, one JSON answer.
+
+:class:`ToolRunner` is the interface; :class:`ToolService` speaks HTTP.
+"""
 
 from __future__ import annotations
 
-from typing import Any
+import json
+from typing import Any, Protocol
 
 import urllib3
 
 from balsamloom_core import outcomes, results
 
+MS_PER_S = 1000
+
+# A service behind a gateway may still be running after these answers.
+_UNDECIDED_STATUSES = (502, 503, 504)
+
+
+class ToolRunner(Protocol):
+    """What balsamloom needs of a tool service."""
+
+    def call(
+        self,
+        service: str,
+        operation: str,
+        body: dict[str, Any],
+        key: str,
+        timeout_ms: int,
+        program_id: str = "",
+    ) -> outcomes.Outcome:
+        """Run one operation, once."""
+
 
 class ToolService:
-    """Client of one tool service.
+    """HTTP client of one tool service.
+
+    Each call uses a new connection. A kept connection that the service
+    closes while the request is on its way would make the outcome unknown,
+    and an unknown outcome holds up the program.
 
     :param address: ``host:port``.
-    :param pool: connection pool shared by all clients of the process.
+    :param pool: connection pool whose connection options are used.
     """
 
     def __init__(self, address: str, pool: urllib3.PoolManager) -> None:
         self._base = f"http://{address}"
-        self._pool = pool
+        self._options = {
+            name: value
+            for name, value in pool.connection_pool_kw.items()
+            if name in ("source_address", "socket_options")
+        }
 
     def call(
         self,
@@ -27,6 +59,7 @@
         body: dict[str, Any],
         key: str,
         timeout_ms: int,
+        program_id: str = "",
     ) -> outcomes.Outcome:
         """Run one operation, once.
 
@@ -35,30 +68,67 @@
         :param body: JSON body.
         :param key: idempotency key, for the service's own records.
         :param timeout_ms: longest wait for the answer.
-        :return: ``NotRun`` only if no byte was sent.
+        :param program_id: program of the call, for the service's records.
+        :return: ``NotRun`` only if no byte was sent or the service says so.
         """
-        url = f"{self._base}/{service}/{operation}"
-        timeout = urllib3.Timeout(total=timeout_ms / 1000)
+        headers = {"Idempotency-Key": key, "Connection": "close"}
+        if program_id:
+            headers["X-Program-Id"] = program_id
         try:
-            response = self._pool.request(
-                "POST",
-                url,
-                json=body,
-                headers={"Idempotency-Key": key},
-                timeout=timeout,
-                retries=False,
+            response = self._send(
+                f"/{service}/{operation}", body, headers, timeout_ms
             )
-            answer = response.json() if response.status == 200 else {}
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as error:
             return outcomes.NotRun(results.ResultCode.NOT_SENT, str(error))
-        except urllib3.exceptions.HTTPError as error:
+        except (urllib3.exceptions.HTTPError, OSError) as error:
             return outcomes.Unknown(f"no answer from {service}: {error}")
-        except ValueError as error:
-            return outcomes.Unknown(f"damaged answer from {service}: {error}")
-        if response.status != 200:
-            message = f"{service} answered {response.status}"
-            return outcomes.Failed(results.ResultCode.BACKEND_ERROR, message)
+        return _outcome(service, response)
+
+    def _send(
+        self,
+        path: str,
+        body: dict[str, Any],
+        headers: dict[str, str],
+        timeout_ms: int,
+    ) -> urllib3.BaseHTTPResponse:
+        with urllib3.PoolManager(num_pools=1, **self._options) as pool:
+            return pool.request(
+                "POST",
+                self._base + path,
+                json=body,
+                headers=headers,
+                timeout=urllib3.Timeout(total=timeout_ms / MS_PER_S),
+                retries=False,
+            )
+
+
+def _outcome(
+    service: str, response: urllib3.BaseHTTPResponse
+) -> outcomes.Outcome:
+    answer = _object(response.data)
+    message = f"{service} answered {response.status}"
+    if response.status == 200:
+        if answer is None:
+            return outcomes.Unknown(f"damaged answer from {service}")
         return outcomes.Completed(answer)
+    if response.status == 503 and answer and answer.get("not_run") is True:
+        retry_after_ms = answer.get("retry_after_ms")
+        return outcomes.NotRun(
+            results.ResultCode.OVERLOADED,
+            message,
+            retry_after_ms if isinstance(retry_after_ms, int) else None,
+        )
+    if response.status in _UNDECIDED_STATUSES:
+        return outcomes.Unknown(message)
+    return outcomes.Failed(results.ResultCode.BACKEND_ERROR, message)
+
+
+def _object(raw: bytes) -> dict[str, Any] | None:
+    try:
+        answer = json.loads(raw)
+    except ValueError:
+        return None
+    return answer if isinstance(answer, dict) else None
