--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -34,6 +34,7 @@
     SEGMENT_DAMAGED = 2007
     PARTITION_MOVED = 2008
     JOURNAL_COMPACTED = 2009
+    PROGRAM_ENDED_BY_SYSTEM = 2010
 
     PEER_SUSPECTED = 3000
     PEER_CONFIRMED_DEAD = 3001
@@ -77,6 +78,9 @@
     Event.JOURNAL_COMPACTED: (
         "Journal segments without live records were deleted."
     ),
+    Event.PROGRAM_ENDED_BY_SYSTEM: (
+        "A program was ended because of its budget or lost records."
+    ),
     Event.PEER_SUSPECTED: "A peer does not answer.",
     Event.PEER_CONFIRMED_DEAD: (
         "Other peers confirm that a peer does not answer."
--- a/packages/core/src/balsamloom_core/results.py
+++ b/packages/core/src/balsamloom_core/results.py
@@ -53,6 +53,7 @@
     BACKEND_TIMEOUT = 5001
     INTERNAL_ERROR = 5002
     DAMAGED_MESSAGE = 5003
+    ANSWER_TOO_LARGE = 5004
 
     CONFIGURATION_CONFLICT = 6000
     CONFIGURATION_INVALID = 6001
@@ -179,6 +180,9 @@
     ResultCode.DAMAGED_MESSAGE: ResultInfo(
         502, False, "A message or record fails its length or checksum."
     ),
+    ResultCode.ANSWER_TOO_LARGE: ResultInfo(
+        502, False, "The call ran; its answer is too large to be recorded."
+    ),
     ResultCode.CONFIGURATION_CONFLICT: ResultInfo(
         409, True, "Another operator changed the section first."
     ),
--- /dev/null
+++ b/packages/state/src/balsamloom_state/budgets.py
@@ -0,0 +1,236 @@
+"""Budget of a program, shared by its sub-agents.
+
+Every call draws on a block that was made durable before. After a crash the
+outstanding block counts as spent, so the budget is never exceeded.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from balsamloom_core import errors, results
+from balsamloom_state import records_pb2
+
+# A block covers several calls, so that few calls wait for a commit; a crash
+# costs at most one block.
+BLOCK_DIVISOR = 16
+
+
+class Amount(NamedTuple):
+    """Generated tokens and calls."""
+
+    generated_tokens: int = 0
+    calls: int = 0
+
+    def plus(self, other: Amount) -> Amount:
+        """Return the sum."""
+        return Amount(
+            self.generated_tokens + other.generated_tokens,
+            self.calls + other.calls,
+        )
+
+    def minus(self, other: Amount) -> Amount:
+        """Return the difference, which may be negative."""
+        return Amount(
+            self.generated_tokens - other.generated_tokens,
+            self.calls - other.calls,
+        )
+
+    def at_least(self, other: Amount) -> Amount:
+        """Return the greater of each quantity."""
+        return Amount(
+            max(self.generated_tokens, other.generated_tokens),
+            max(self.calls, other.calls),
+        )
+
+    def at_most(self, other: Amount) -> Amount:
+        """Return the smaller of each quantity."""
+        return Amount(
+            min(self.generated_tokens, other.generated_tokens),
+            min(self.calls, other.calls),
+        )
+
+    def covers(self, other: Amount) -> bool:
+        """Return whether no quantity of ``other`` is greater."""
+        return self.at_least(other) == self
+
+
+ZERO = Amount()
+ONE_CALL = Amount(0, 1)
+
+
+class Need(NamedTuple):
+    """What one call may use at most."""
+
+    generated_tokens: int = 0
+
+    def amount(self) -> Amount:
+        """Return the need with the call itself counted."""
+        return Amount(self.generated_tokens, 1)
+
+
+class Limits(NamedTuple):
+    """Budget of a whole program; zero stands for no limit."""
+
+    generated_tokens: int = 0
+    calls: int = 0
+    wall_ms: int = 0
+
+
+# Stands for "no limit" in sums and fits the records' 64-bit fields.
+UNLIMITED = 1 << 60
+
+
+class Account:
+    """Use and reservations of one root program.
+
+    ``used`` and ``reserved`` are kept in records; ``held`` is the part of
+    ``reserved`` that calls in progress may use. The caller locks.
+
+    :param limits: budget of the program.
+    """
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self.used = ZERO
+        self.reserved = ZERO
+        self.held = ZERO
+        self._wall_used_ms = 0.0
+        self._wall_since_ms: float | None = None
+
+    def wall_ms(self, now_ms: float) -> float:
+        """Return the wall time used so far.
+
+        :param now_ms: time on this host's monotonic clock.
+        """
+        if self._wall_since_ms is None:
+            return self._wall_used_ms
+        return self._wall_used_ms + now_ms - self._wall_since_ms
+
+    def is_overdue(self, now_ms: float) -> bool:
+        """Return whether the program's wall time is used up.
+
+        :param now_ms: time on this host's monotonic clock.
+        """
+        limit_ms = self.limits.wall_ms
+        return bool(limit_ms) and self.wall_ms(now_ms) >= limit_ms
+
+    def limit(self) -> Amount:
+        """Return the budget with no limit given as a large number."""
+        return Amount(
+            self.limits.generated_tokens or UNLIMITED,
+            self.limits.calls or UNLIMITED,
+        )
+
+    def unreserved(self) -> Amount:
+        """Return what can still be reserved."""
+        spent = self.used.plus(self.reserved)
+        return self.limit().minus(spent).at_least(ZERO)
+
+    def available(self) -> Amount:
+        """Return the part of the reserved block that no call holds."""
+        return self.reserved.minus(self.held).at_least(ZERO)
+
+    def is_spent(self) -> bool:
+        """Return whether no further call can ever run."""
+        return self.used.calls >= self.limit().calls
+
+    def extend(self, need: Amount) -> bool:
+        """Enlarge the block until it covers a call.
+
+        :param need: most that the call may use.
+        :return: whether the block grew and has to be made durable.
+        :raises BalsamloomError: with ``BUDGET_EXHAUSTED``.
+        """
+        available = self.available()
+        if available.covers(need):
+            return False
+        if not available.plus(self.unreserved()).covers(need):
+            raise errors.BalsamloomError(
+                results.ResultCode.BUDGET_EXHAUSTED,
+                f"the call may use {need}, left are "
+                f"{available.plus(self.unreserved())}",
+            )
+        missing = need.minus(available).at_least(ZERO)
+        wanted = missing.at_least(self._block())
+        self.reserved = self.reserved.plus(wanted.at_most(self.unreserved()))
+        return True
+
+    def hold(self, need: Amount) -> None:
+        """Give a call its part of the block.
+
+        :param need: most that the call may use.
+        """
+        self.held = self.held.plus(need)
+
+    def release(self, need: Amount) -> None:
+        """Take back the part of a call that did not run.
+
+        :param need: what :meth:`hold` was given.
+        """
+        self.held = self.held.minus(need).at_least(ZERO)
+
+    def settle(self, need: Amount, spent: Amount) -> None:
+        """Count what a call used, and reserve the next block.
+
+        :param need: what :meth:`hold` was given.
+        :param spent: what the call used.
+        """
+        self.release(need)
+        self.used = self.used.plus(spent)
+        self.reserved = self.reserved.minus(spent).at_least(ZERO)
+        # An engine that gave more tokens than asked for leaves less to
+        # reserve.
+        left = self.limit().minus(self.used).at_least(ZERO)
+        self.reserved = self.reserved.at_most(left)
+        missing = self._block().minus(self.available()).at_least(ZERO)
+        self.reserved = self.reserved.plus(missing.at_most(self.unreserved()))
+
+    def write_off(self) -> bool:
+        """Count the outstanding block as spent, after a crash.
+
+        :return: whether there was one.
+        """
+        if self.reserved == ZERO:
+            return False
+        self.used = self.used.plus(self.reserved)
+        self.reserved = ZERO
+        self.held = ZERO
+        return True
+
+    def load(
+        self,
+        used: records_pb2.Budget,
+        reserved: records_pb2.Budget,
+        now_ms: float,
+    ) -> None:
+        """Take over the totals of a record.
+
+        :param used: use so far.
+        :param reserved: outstanding block.
+        :param now_ms: time from which wall time goes on.
+        """
+        self.used = Amount(used.generated_tokens, used.calls)
+        self.reserved = Amount(reserved.generated_tokens, reserved.calls)
+        self._wall_used_ms = used.wall_ms
+        self._wall_since_ms = now_ms
+
+    def _block(self) -> Amount:
+        limits = self.limits
+        return Amount(
+            limits.generated_tokens // BLOCK_DIVISOR,
+            limits.calls // BLOCK_DIVISOR,
+        )
+
+
+def to_record(amount: Amount, wall_ms: float = 0) -> records_pb2.Budget:
+    """Return an amount as a record field.
+
+    :param amount: tokens and calls.
+    :param wall_ms: wall time used.
+    """
+    return records_pb2.Budget(
+        generated_tokens=amount.generated_tokens,
+        calls=amount.calls,
+        wall_ms=round(wall_ms),
+    )
--- /dev/null
+++ b/packages/state/src/balsamloom_state/calls.py
@@ -0,0 +1,469 @@
+"""The steps of one call: budget, claim and result."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+import threading
+from collections.abc import Iterator
+from typing import Any
+
+from balsamloom_core import errors, identifiers, outcomes, results
+from balsamloom_state import (
+    budgets,
+    commits,
+    journal,
+    lifecycles,
+    local,
+    ownership,
+    programs,
+    records_pb2,
+)
+
+# Room in a segment for the fields of a record other than its texts.
+RECORD_OVERHEAD_BYTES = 4_096
+DEFAULT_TIMEOUT_MS = 2_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Reservation:
+    """Part of the budget that one call may use."""
+
+    key: str
+    amount: budgets.Amount
+
+
+@dataclasses.dataclass(frozen=True)
+class Fresh:
+    """The call has not run yet and its budget is reserved."""
+
+    reservation: Reservation
+
+
+@dataclasses.dataclass(frozen=True)
+class Recorded:
+    """The call ran before; see ``Call.is_durable``."""
+
+    call: programs.Call
+
+
+class Claim:
+    """A durable claim, which allows one send.
+
+    :param recorder: records of this member's calls.
+    :param program: program of the call.
+    :param call: claimed call.
+    :param sent_ms: time right before the claim was first written.
+    """
+
+    def __init__(
+        self,
+        recorder: CallRecorder,
+        program: programs.Program,
+        call: programs.Call,
+        sent_ms: float,
+    ) -> None:
+        self._recorder = recorder
+        self._program = program
+        self.call = call
+        self.sent_ms = sent_ms
+
+    def check_age(self) -> None:
+        """Check right before sending that the claim is young enough.
+
+        The age counts from before the write of the claim, so a pause of this
+        process at any point since then is seen.
+
+        :raises BalsamloomError: with ``CLAIM_EXPIRED``, once the call is
+            recorded as not run.
+        """
+        if self._recorder.is_expired(self.sent_ms):
+            self._recorder.expire(self._program, self.call)
+
+
+class CallRecorder:
+    """Records the calls of programs that this member owns.
+
+    :param state: state of the member.
+    :param recorder: writes records.
+    :param lives: ends programs whose budget is used up.
+    """
+
+    def __init__(
+        self,
+        state: local.LocalState,
+        recorder: commits.Recorder,
+        lives: lifecycles.Lifecycles,
+    ) -> None:
+        self._state = state
+        self._recorder = recorder
+        self._lives = lives
+
+    @contextlib.contextmanager
+    def turn(
+        self, program: programs.Program, timeout_ms: float, key: str = ""
+    ) -> Iterator[None]:
+        """Hold a program's turn, granted in the order of arrival.
+
+        :param program: program of the call.
+        :param timeout_ms: longest wait.
+        :param key: key of the call; if its result is recorded, the time after
+            an unknown outcome is not waited out.
+        :raises BalsamloomError: if the wait was too long, with
+            ``PREVIOUS_CALL_UNRESOLVED``, ``PARTITION_MOVING``,
+            ``WRONG_OWNER`` or ``DEADLINE_CANNOT_BE_MET``.
+        """
+        end_ms = self._state.clock.now_ms() + timeout_ms
+        if not program.order.acquire(timeout_ms):
+            raise errors.BalsamloomError(
+                results.ResultCode.DEADLINE_CANNOT_BE_MET,
+                "an earlier call of the program is still in progress",
+            )
+        partition = identifiers.partition_of(program.program_id)
+        try:
+            left_ms = end_ms - self._state.clock.now_ms()
+            wait_ms = min(left_ms, self._state.settings.move_wait_ms)
+            self._state.slots.enter(partition, wait_ms)
+            try:
+                self._check_present(program)
+                self._wait_blocked(program, key, end_ms)
+                yield
+            finally:
+                self._state.slots.leave(partition)
+        finally:
+            program.order.release()
+
+    def begin(
+        self,
+        program: programs.Program,
+        key: str,
+        digest: bytes,
+        need: budgets.Need,
+        timeout_ms: float = DEFAULT_TIMEOUT_MS,
+    ) -> Fresh | Recorded:
+        """Check a call and reserve its budget. The caller holds the turn.
+
+        :param program: program of the call.
+        :param key: idempotency key.
+        :param digest: digest of the body.
+        :param need: most that the call may use.
+        :param timeout_ms: longest wait for a new block of the budget.
+        :raises BalsamloomError: if the call may not run.
+        """
+        self._settle_abandoned(program)
+        call = self.recorded(program, key, digest)
+        if call is not None:
+            return Recorded(call)
+        self._lives.check_alive(program)
+        self._recorder.check_store()
+        self._check_history(program)
+        amount = need.amount()
+        batch = self._reserve(program, key, amount)
+        if batch is not None:
+            try:
+                self._recorder.require(batch, timeout_ms)
+            except errors.BalsamloomError:
+                self.release(program, key)
+                raise
+        return Fresh(Reservation(key, amount))
+
+    def recorded(
+        self, program: programs.Program, key: str, digest: bytes
+    ) -> programs.Call | None:
+        """Return a call that ran before.
+
+        :param program: program of the call.
+        :param key: idempotency key.
+        :param digest: digest of the body.
+        :raises BalsamloomError: with ``KEY_REUSED_WITH_OTHER_BODY``.
+        """
+        call = program.calls.get(key)
+        if call is not None and call.digest not in (b"", digest):
+            raise errors.BalsamloomError(
+                results.ResultCode.KEY_REUSED_WITH_OTHER_BODY
+            )
+        return call
+
+    def claim(
+        self,
+        program: programs.Program,
+        key: str,
+        digest: bytes,
+        target: str,
+        timeout_ms: float,
+        commit_timeout_ms: float = DEFAULT_TIMEOUT_MS,
+    ) -> Claim:
+        """Make durable that a non-idempotent call is about to be sent.
+
+        :param program: program of the call; the caller holds its turn.
+        :param key: idempotency key.
+        :param digest: digest of the body.
+        :param target: where the call goes, for people.
+        :param timeout_ms: time after the send at which the call is given up.
+        :param commit_timeout_ms: longest wait for the commit.
+        :raises BalsamloomError: if the claim did not become durable in time;
+            the call is then recorded as not run and must not be sent.
+        """
+        claimed = records_pb2.CallClaimed(
+            key=key, digest=digest, timeout_ms=round(timeout_ms), target=target
+        )
+        with program.lock:
+            record = self._recorder.record(program, claimed=claimed)
+            batch = self._recorder.append((program, record))
+            call = program.calls[key]
+        try:
+            self._recorder.require(batch, commit_timeout_ms)
+        except errors.BalsamloomError as error:
+            self._record_not_run(program, call, error.code)
+            raise
+        sent_ms = call.claimed_ms if batch.sent_ms is None else batch.sent_ms
+        return Claim(self, program, call, sent_ms)
+
+    def is_expired(self, sent_ms: float) -> bool:
+        """Return whether a claim is too old to be sent."""
+        age_ms = self._state.clock.now_ms() - sent_ms
+        return age_ms > self._state.settings.claim_send_window_ms
+
+    def expire(self, program: programs.Program, call: programs.Call) -> None:
+        """Record a claimed call as not run and refuse it.
+
+        :param program: program of the call.
+        :param call: claimed call of which no byte was sent.
+        :raises BalsamloomError: always, with ``CLAIM_EXPIRED``, or with
+            ``STORE_UNAVAILABLE`` or ``WRONG_OWNER`` if the outcome could not
+            be recorded.
+        """
+        code = results.ResultCode.CLAIM_EXPIRED
+        batch = self._record_not_run(program, call, code)
+        self._recorder.require(batch, DEFAULT_TIMEOUT_MS)
+        raise errors.BalsamloomError(code)
+
+    def release(self, program: programs.Program, key: str) -> None:
+        """Give back the budget of a call that did not run.
+
+        :param program: program of the call.
+        :param key: idempotency key.
+        """
+        root = self._lives.root_of(program)
+        with root.lock:
+            root.account.release(program.holds.pop(key, budgets.ZERO))
+
+    def finish(
+        self,
+        program: programs.Program,
+        key: str,
+        digest: bytes,
+        outcome: outcomes.Outcome,
+        new_messages: list[dict[str, Any]],
+        service_ms: float,
+        timeout_ms: float,
+    ) -> programs.Call:
+        """Record the outcome of a call and wait until it is durable.
+
+        :param program: program of the call; the caller holds its turn.
+        :param key: idempotency key.
+        :param digest: digest of the body.
+        :param outcome: what came of the call.
+        :param new_messages: messages that the call adds to the history.
+        :param service_ms: time that the backend server spent.
+        :param timeout_ms: longest wait.
+        :return: the call; ``is_durable`` is false if the wait was too long,
+            and the result then becomes durable later.
+        :raises BalsamloomError: with ``OUTCOME_UNKNOWN``, ``INTERRUPTED`` or
+            ``WRONG_OWNER`` if a successor took over before.
+        """
+        finished = _finished(key, digest, outcome, new_messages)
+        finished.service_ms = round(service_ms)
+        claimed = program.calls.get(key)
+        is_not_run = isinstance(outcome, outcomes.NotRun)
+        if is_not_run and claimed is None:
+            self.release(program, key)
+            return _not_recorded(finished)
+        if isinstance(outcome, outcomes.Unknown) and claimed is not None:
+            finished.blocked_ms = self._left_ms(claimed)
+        spent = _spent(outcome)
+        batch = self._append_finished(program, finished, spent)
+        state = self._state.journal.wait(batch, timeout_ms)
+        if isinstance(state, journal.Deposed):
+            raise _deposed_error(claimed is not None, is_not_run)
+        return program.calls[key]
+
+    def _append_finished(
+        self,
+        program: programs.Program,
+        finished: records_pb2.CallFinished,
+        spent: budgets.Amount,
+    ) -> journal.Batch:
+        root = self._lives.root_of(program)
+        with program.lock, root.lock:
+            hold = program.holds.pop(finished.key, budgets.ZERO)
+            if spent == budgets.ZERO:
+                root.account.release(hold)
+            else:
+                root.account.settle(hold, spent)
+            batch = self._append_settled(program, root, finished)
+            program.calls[finished.key].batch = batch
+            root.reserve_batch = batch
+        return batch
+
+    def _append_settled(
+        self,
+        program: programs.Program,
+        root: programs.Program,
+        finished: records_pb2.CallFinished,
+    ) -> journal.Batch:
+        totals = self._recorder.totals(root)
+        if program is root:
+            finished.used.CopyFrom(totals.used)
+            finished.reserved.CopyFrom(totals.reserved)
+        record = self._recorder.record(program, finished=finished)
+        if program is root:
+            return self._recorder.append((program, record))
+        return self._recorder.append(
+            (program, record), (root, self._recorder.reserve_record(root))
+        )
+
+    def _record_not_run(
+        self, program: programs.Program, call: programs.Call, code: int
+    ) -> journal.Batch:
+        finished = records_pb2.CallFinished(
+            key=call.key, digest=call.digest, code=code
+        )
+        return self._append_finished(program, finished, budgets.ZERO)
+
+    def _reserve(
+        self, program: programs.Program, key: str, amount: budgets.Amount
+    ) -> journal.Batch | None:
+        """Hold budget; return the commit to wait for, if there is one."""
+        root = self._lives.root_of(program)
+        with root.lock:
+            try:
+                has_grown = root.account.extend(amount)
+            except errors.BalsamloomError:
+                is_spent = root.account.is_spent()
+                if not is_spent:
+                    raise
+            else:
+                root.account.hold(amount)
+                program.holds[key] = amount
+                if has_grown:
+                    record = self._recorder.reserve_record(root)
+                    root.reserve_batch = self._recorder.append((root, record))
+                batch = root.reserve_batch
+                return None if batch is None or _is_durable(batch) else batch
+        raise self._lives.end_by_budget(root, "calls are used up")
+
+    def _settle_abandoned(self, program: programs.Program) -> None:
+        """Settle claims whose sender ended without recording an outcome.
+
+        The caller holds the turn, so no such call has a sender any more.
+        """
+        with program.lock:
+            for call in program.claimed_without_result():
+                unknown = records_pb2.CallUnknown(
+                    key=call.key, blocked_ms=self._left_ms(call)
+                )
+                record = self._recorder.record(program, unknown=unknown)
+                call.batch = self._recorder.append((program, record))
+
+    def _left_ms(self, call: programs.Call) -> int:
+        end_ms = call.claimed_ms + call.timeout_ms
+        return round(max(end_ms - self._state.clock.now_ms(), 0))
+
+    def _check_present(self, program: programs.Program) -> None:
+        if self._state.table.get(program.program_id) is not program:
+            # The partition moved away while the call waited.
+            raise ownership.moving_error()
+
+    def _check_history(self, program: programs.Program) -> None:
+        size_bytes = program.history_bytes()
+        limit_bytes = self._state.settings.max_history_bytes
+        if size_bytes > limit_bytes:
+            raise errors.BalsamloomError(
+                results.ResultCode.HISTORY_TOO_LONG,
+                f"history has {size_bytes} bytes; at most {limit_bytes} are "
+                f"accepted",
+            )
+
+    def _wait_blocked(
+        self, program: programs.Program, key: str, end_ms: float
+    ) -> None:
+        call = program.calls.get(key)
+        if call is not None and call.is_finished:
+            return
+        now_ms = self._state.clock.now_ms()
+        if program.blocked_until_ms > end_ms:
+            raise errors.BalsamloomError(
+                results.ResultCode.PREVIOUS_CALL_UNRESOLVED,
+                retry_after_ms=round(program.blocked_until_ms - now_ms) + 1,
+            )
+        never = threading.Event()
+        while now_ms < program.blocked_until_ms:
+            self._state.clock.wait(never, program.blocked_until_ms - now_ms)
+            now_ms = self._state.clock.now_ms()
+
+
+def _is_durable(batch: journal.Batch) -> bool:
+    return isinstance(batch.state, journal.Durable)
+
+
+def _spent(outcome: outcomes.Outcome) -> budgets.Amount:
+    match outcome:
+        case outcomes.NotRun():
+            return budgets.ZERO
+        case outcomes.Unknown():
+            return budgets.ONE_CALL
+        case (
+            outcomes.Completed(generated_tokens=tokens)
+            | outcomes.Failed(generated_tokens=tokens)
+        ):
+            return budgets.Amount(tokens, 1)
+
+
+def _finished(
+    key: str,
+    digest: bytes,
+    outcome: outcomes.Outcome,
+    new_messages: list[dict[str, Any]],
+) -> records_pb2.CallFinished:
+    finished = records_pb2.CallFinished(
+        key=key, digest=digest, code=int(outcome.code)
+    )
+    match outcome:
+        case outcomes.Completed(body=body):
+            finished.answer_json = json.dumps(body).encode()
+            if new_messages:
+                finished.new_messages_json = json.dumps(new_messages).encode()
+        case (
+            outcomes.NotRun(message=message)
+            | outcomes.Failed(message=message)
+            | outcomes.Unknown(message=message)
+        ):
+            finished.message = message
+    if finished.ByteSize() + RECORD_OVERHEAD_BYTES > journal.MAX_BATCH_BYTES:
+        # The call ran, so its end has to be recorded all the same.
+        finished.code = results.ResultCode.ANSWER_TOO_LARGE
+        finished.ClearField("answer_json")
+        finished.ClearField("new_messages_json")
+    return finished
+
+
+def _not_recorded(finished: records_pb2.CallFinished) -> programs.Call:
+    return programs.Call(
+        finished.key,
+        finished.digest,
+        is_finished=True,
+        code=finished.code,
+        message=finished.message,
+    )
+
+
+def _deposed_error(
+    is_claimed: bool, is_not_run: bool
+) -> errors.BalsamloomError:
+    if is_not_run:
+        return errors.BalsamloomError(results.ResultCode.WRONG_OWNER)
+    if is_claimed:
+        return errors.BalsamloomError(results.ResultCode.OUTCOME_UNKNOWN)
+    return errors.BalsamloomError(results.ResultCode.INTERRUPTED)
--- a/packages/state/src/balsamloom_state/journal.py
+++ b/packages/state/src/balsamloom_state/journal.py
@@ -1,8 +1,10 @@
 """A member's append-only journal in the key-value service.
 
-Each segment is created only if its key is absent, at the next sequence number.
-A successor ends a journal by creating the next key itself (the seal), so a
-deposed owner's commit fails however long the owner was paused.
+Each segment is created only if its key is absent, at the next sequence number,
+and only if the previous segment is unchanged. A successor ends a journal by
+creating the next key itself (the seal), so a deposed owner's commit fails
+however long the owner was paused. The condition on the previous segment keeps
+this true after the sealed journal was deleted.
 """
 
 from __future__ import annotations
@@ -11,20 +13,19 @@
 import logging
 import secrets
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 from balsamloom_core import clock as clocks
-from balsamloom_core import events
+from balsamloom_core import errors, events, results
 from balsamloom_platform import store as stores
-from balsamloom_state import records_pb2, segments
+from balsamloom_state import pacing, records_pb2, sealed, segments
 
-PREFIX = "/balsamloom/journal/"
 DEFAULT_COMMITS_PER_S = 3.5
 DEFAULT_BURST = 8
+# The store takes values of 1 MB; the rest is room for what compression and
+# the segment's own fields add.
 MAX_BATCH_BYTES = 700_000
-RETRY_MS = 250
-MAX_RETRY_MS = 5_000
 IDLE_WAIT_MS = 1_000
 
 
@@ -47,71 +48,55 @@
 
 
 class Batch:
-    """Records that become durable together."""
+    """Records that become durable together.
+
+    ``sent_ms`` is the time right before the first try to write them.
+    """
 
     def __init__(self, records: Sequence[records_pb2.Record]) -> None:
         self.records = list(records)
         self.size_bytes = sum(record.ByteSize() for record in records)
         self.done = threading.Event()
         self.state: CommitState = Pending()
+        self.sent_ms: float | None = None
 
     def finish(self, state: CommitState) -> None:
         """Set the final state and wake those who wait.
 
         :param state: ``Durable`` or ``Deposed``.
         """
-        self.state = state
-        self.done.set()
-
+        if not self.done.is_set():
+            self.state = state
+            self.done.set()
 
-class SegmentKey(NamedTuple):
-    """Place of a segment."""
 
-    member_id: str
-    sequence: int
+class SegmentEntry(NamedTuple):
+    """Highest version and size of one program's records in a segment."""
 
-    def text(self) -> str:
-        """Return the key in the store."""
-        return f"{PREFIX}{self.member_id}/{self.sequence:010d}"
+    version: int
+    size_bytes: int
 
 
-class TokenBucket:
-    """Limits the rate of commits.
+class SegmentInfo(NamedTuple):
+    """What a written segment holds, by program, for compaction."""
 
-    :param rate_per_s: tokens added each second.
-    :param burst: most tokens held.
-    :param clock: time source.
-    """
+    sequence: int
+    size_bytes: int
+    entries: dict[str, SegmentEntry]
 
-    def __init__(
-        self, rate_per_s: float, burst: int, clock: clocks.Clock
-    ) -> None:
-        self._rate_per_ms = rate_per_s / clocks.MS_PER_S
-        self._burst = burst
-        self._clock = clock
-        self._tokens = float(burst)
-        self._updated_ms = clock.now_ms()
 
-    def take(self) -> float:
-        """Take a token if there is one.
+class _Group(NamedTuple):
+    """Batches that are written as one segment."""
 
-        :return: zero if a token was taken, else the time until there is one,
-            in ms.
-        """
-        now_ms = self._clock.now_ms()
-        gained = (now_ms - self._updated_ms) * self._rate_per_ms
-        self._tokens = min(self._burst, self._tokens + gained)
-        self._updated_ms = now_ms
-        if self._tokens >= 1:
-            self._tokens -= 1
-            return 0.0
-        return (1 - self._tokens) / self._rate_per_ms
+    batches: list[Batch]
+    value: bytes
 
 
 class Journal:
     """Group commit of one member's records.
 
-    One thread writes; callers append and wait.
+    One thread writes; callers append and wait. Without :meth:`start` the
+    caller of :meth:`wait` writes itself, which makes tests repeatable.
 
     :param store: key-value service.
     :param member_id: owner of the journal.
@@ -129,21 +114,45 @@
         burst: int = DEFAULT_BURST,
     ) -> None:
         self.member_id = member_id
+        self.bucket = pacing.TokenBucket(commits_per_s, burst, clock)
         self._store = store
         self._clock = clock
-        self._bucket = TokenBucket(commits_per_s, burst, clock)
+        self._backoff = pacing.Backoff()
         self._changed = threading.Condition()
+        self._writing = threading.Lock()
         self._waiting: list[Batch] = []
+        self._group: _Group | None = None
+        self._written: list[SegmentInfo] = []
         self._sequence = 0
+        self._previous: stores.RevisionIs | None = None
+        self._opening = segments.encode([], member_id, secrets.token_hex(8))
         self._is_closed = False
         self.is_deposed = False
         self.failing_since_ms: float | None = None
-        self._thread = threading.Thread(
-            target=self._run, name="journal", daemon=True
-        )
+        self._thread: threading.Thread | None = None
+
+    def open(self) -> None:
+        """Write the first segment, which holds no record.
+
+        It gives the condition on the previous segment a start, so that the
+        first real commit is fenced as well. Opening again is harmless.
+
+        :raises StoreUnavailable: if the store does not answer.
+        :raises BalsamloomError: with ``WRONG_OWNER`` if the journal exists.
+        """
+        if self._previous is not None:
+            return
+        if not self._write(self._opening):
+            self.depose()
+            raise errors.BalsamloomError(results.ResultCode.WRONG_OWNER)
+        self._written.append(SegmentInfo(0, len(self._opening), {}))
+        self._sequence = 1
 
     def start(self) -> None:
         """Start the writing thread."""
+        self._thread = threading.Thread(
+            target=self._run, name="journal", daemon=True
+        )
         self._thread.start()
 
     def append(self, records: Sequence[records_pb2.Record]) -> Batch:
@@ -151,8 +160,16 @@
 
         :param records: records that become durable together.
         :return: batch whose ``done`` event is set at the end.
+        :raises BalsamloomError: with ``HISTORY_TOO_LONG`` if the records do
+            not fit in one segment.
         """
         batch = Batch(records)
+        if batch.size_bytes > MAX_BATCH_BYTES:
+            raise errors.BalsamloomError(
+                results.ResultCode.HISTORY_TOO_LONG,
+                f"record of {batch.size_bytes} bytes; at most "
+                f"{MAX_BATCH_BYTES} bytes are accepted",
+            )
         with self._changed:
             if self.is_deposed:
                 batch.finish(Deposed())
@@ -167,7 +184,10 @@
         :param batch: batch from :meth:`append`.
         :param timeout_ms: longest wait.
         """
-        self._clock.wait(batch.done, timeout_ms)
+        if self._thread is None:
+            self._write_until(batch, self._clock.now_ms() + timeout_ms)
+        else:
+            self._clock.wait(batch.done, timeout_ms)
         return batch.state
 
     def close(self, timeout_ms: float) -> bool:
@@ -179,9 +199,60 @@
         with self._changed:
             self._is_closed = True
             self._changed.notify_all()
-        self._thread.join(timeout_ms / clocks.MS_PER_S)
+            last = self._waiting[-1] if self._waiting else None
+        if self._thread is not None:
+            self._thread.join(timeout_ms / clocks.MS_PER_S)
+        elif last is not None:
+            self._write_until(last, self._clock.now_ms() + timeout_ms)
+        with self._changed:
+            return not self._waiting and not self.is_deposed
+
+    def guard(self) -> list[stores.Comparison]:
+        """Return comparisons that hold while nobody sealed this journal.
+
+        They are of use while nothing is being written.
+        """
+        next_key = stores.KeyAbsent(self._key(self._sequence))
+        return [next_key, *([self._previous] if self._previous else [])]
+
+    def written(self) -> list[SegmentInfo]:
+        """Return the segments in the store, oldest first."""
         with self._changed:
-            return not self._waiting
+            return list(self._written)
+
+    def delete_oldest(self, count: int) -> None:
+        """Delete the oldest segments, never the newest one.
+
+        :param count: number of segments.
+        :raises StoreUnavailable: if the store does not answer; the segments
+            are then deleted by a later call.
+        """
+        with self._changed:
+            oldest = self._written[:-1][:count]
+        if not oldest:
+            return
+        self.bucket.acquire()
+        self._store.commit(
+            [], [stores.Delete(self._key(info.sequence)) for info in oldest]
+        )
+        with self._changed:
+            del self._written[: len(oldest)]
+
+    def depose(self) -> None:
+        """Give up: a successor sealed this journal."""
+        with self._changed:
+            if self.is_deposed:
+                return
+            self.is_deposed = True
+            abandoned, self._waiting = self._waiting, []
+            self._changed.notify_all()
+        events.log(
+            events.Event.MEMBER_DEPOSED,
+            logging.WARNING,
+            member_id=self.member_id,
+        )
+        for batch in abandoned:
+            batch.finish(Deposed())
 
     def describe(self) -> dict[str, Any]:
         """Return state for the dump."""
@@ -189,78 +260,108 @@
             return {
                 "member_id": self.member_id,
                 "next_sequence": self._sequence,
+                "segments": len(self._written),
+                "size_bytes": sum(info.size_bytes for info in self._written),
                 "waiting_batches": len(self._waiting),
                 "is_deposed": self.is_deposed,
                 "failing_since_ms": self.failing_since_ms,
             }
 
     def _run(self) -> None:
-        while True:
-            if not self._wait_for_work():
-                return
-            self._clock.sleep(self._bucket.take())
-            group = self._next_group()
-            if not self._commit_group(group):
-                self._depose()
-                return
+        while self._wait_for_work() and self._step(self._clock.sleep):
+            pass
+
+    def _write_until(self, batch: Batch, end_ms: float) -> None:
+        def sleep(duration_ms: float) -> None:
+            left_ms = max(end_ms - self._clock.now_ms(), 0)
+            self._clock.sleep(min(duration_ms, left_ms))
+
+        with self._writing:
+            while not batch.done.is_set():
+                if not self._step(sleep) or self._clock.now_ms() >= end_ms:
+                    return
 
     def _wait_for_work(self) -> bool:
         with self._changed:
             while not self._waiting:
-                if self._is_closed:
+                if self._is_closed or self.is_deposed:
                     return False
                 self._changed.wait(IDLE_WAIT_MS / clocks.MS_PER_S)
         return True
 
-    def _next_group(self) -> list[Batch]:
-        group: list[Batch] = []
+    def _step(self, sleep: Callable[[float], None]) -> bool:
+        """Try once to write the next group; false once deposed."""
+        self.bucket.acquire()
+        group = self._group or self._next_group()
+        self._group = group
+        try:
+            is_written = self._write(group.value)
+        except stores.StoreUnavailable as error:
+            self._note_failure(error)
+            sleep(self._backoff.next_ms())
+            return True
+        self._note_success()
+        if not is_written:
+            self.depose()
+            return False
+        self._finish_group(group)
+        return True
+
+    def _next_group(self) -> _Group:
+        batches: list[Batch] = []
         size_bytes = 0
         with self._changed:
             for batch in self._waiting:
                 size_bytes += batch.size_bytes
-                if group and size_bytes > MAX_BATCH_BYTES:
+                if batches and size_bytes > MAX_BATCH_BYTES:
                     break
-                group.append(batch)
-        return group
-
-    def _commit_group(self, group: list[Batch]) -> bool:
-        records = [record for batch in group for record in batch.records]
-        nonce = secrets.token_hex(8)
-        value = segments.encode(records, self.member_id, nonce)
-        if not self._write_until_known(value, nonce):
-            return False
+                batches.append(batch)
+        now_ms = self._clock.now_ms()
+        for batch in batches:
+            batch.sent_ms = now_ms
+        records = [record for batch in batches for record in batch.records]
+        value = segments.encode(records, self.member_id, secrets.token_hex(8))
+        return _Group(batches, value)
+
+    def _finish_group(self, group: _Group) -> None:
+        entries: dict[str, SegmentEntry] = {}
+        for batch in group.batches:
+            for record in batch.records:
+                known = entries.get(record.program_id, SegmentEntry(0, 0))
+                entries[record.program_id] = SegmentEntry(
+                    max(known.version, record.version),
+                    known.size_bytes + record.ByteSize(),
+                )
+        size_bytes = sum(entry.size_bytes for entry in entries.values())
+        info = SegmentInfo(self._sequence, size_bytes, entries)
         with self._changed:
+            self._written.append(info)
             self._sequence += 1
-            del self._waiting[: len(group)]
-        for batch in group:
+            self._group = None
+            del self._waiting[: len(group.batches)]
+        for batch in group.batches:
             batch.finish(Durable())
-        return True
 
-    def _write_until_known(self, value: bytes, nonce: str) -> bool:
-        key = SegmentKey(self.member_id, self._sequence).text()
-        delay_ms = RETRY_MS
-        while True:
-            try:
-                written = self._write(key, value, nonce)
-            except stores.StoreUnavailable as error:
-                self._note_failure(error)
-                self._clock.sleep(delay_ms)
-                delay_ms = min(delay_ms * 2, MAX_RETRY_MS)
-                continue
-            self._note_success()
-            return written
-
-    def _write(self, key: str, value: bytes, nonce: str) -> bool:
-        outcome = self._store.commit(
-            [stores.KeyAbsent(key)], [stores.Put(key, value)]
-        )
-        match outcome:
-            case stores.Committed():
+    def _write(self, value: bytes) -> bool:
+        key = self._key(self._sequence)
+        comparisons: list[stores.Comparison] = [stores.KeyAbsent(key)]
+        if self._previous is not None:
+            comparisons.append(self._previous)
+        match self._store.commit(comparisons, [stores.Put(key, value)]):
+            case stores.Committed(revision=revision):
+                self._previous = stores.RevisionIs(key, revision)
                 return True
             case stores.Conflict(current=current):
                 # An earlier try may have taken effect with its answer lost.
-                found = segments.decode(key, current[key].value)
-                return found.nonce == nonce
+                # The nonce makes the value differ from any other write.
+                item = current.get(key)
+                if item is None or item.value != value:
+                    return False
+                self._previous = stores.RevisionIs(key, item.mod_revision)
+                return True
+
+    def _key(self, sequence: int) -> str:
+        return sealed.SegmentKey(self.member_id, sequence).text()
 
     def _note_failure(self, error: stores.StoreUnavailable) -> None:
         if self.failing_since_ms is None:
@@ -272,6 +373,7 @@
             )
 
     def _note_success(self) -> None:
+        self._backoff.reset()
         if self.failing_since_ms is not None:
             outage_ms = self._clock.now_ms() - self.failing_since_ms
             self.failing_since_ms = None
@@ -279,54 +381,6 @@
                 events.Event.STORE_RECOVERED, outage_ms=round(outage_ms)
             )
 
-    def _depose(self) -> None:
-        with self._changed:
-            self.is_deposed = True
-            abandoned, self._waiting = self._waiting, []
-        events.log(
-            events.Event.MEMBER_DEPOSED,
-            logging.WARNING,
-            member_id=self.member_id,
-        )
-        for batch in abandoned:
-            batch.finish(Deposed())
-
-
-class SealedJournal(NamedTuple):
-    """A journal that can no longer grow."""
-
-    member_id: str
-    records: list[records_pb2.Record]
-    segment_count: int
-
-
-def read(
-    store: stores.Store, member_id: str, page_size: int = 16
-) -> tuple[list[records_pb2.Record], int, bool]:
-    """Read a journal.
-
-    :param store: key-value service.
-    :param member_id: owner of the journal.
-    :param page_size: segments read in one call.
-    :return: records in order, the next free sequence number, whether it is
-        sealed.
-    :raises StoreUnavailable: if the store does not answer.
-    :raises DamagedSegment: if a segment fails its checks.
-    """
-    prefix = f"{PREFIX}{member_id}/"
-    records: list[records_pb2.Record] = []
-    start, next_sequence, is_sealed = "", 0, False
-    while True:
-        page = store.list_keys(prefix, page_size, start)
-        for item in page.items:
-            segment = segments.decode(item.key, item.value)
-            records.extend(segments.records_of(segment))
-            next_sequence = int(item.key.rpartition("/")[2]) + 1
-            is_sealed = is_sealed or segment.is_seal
-        if not page.more:
-            return records, next_sequence, is_sealed
-        start = page.items[-1].key + "\0"
-
 
 def seal(
     store: stores.Store, member_id: str, sealer_id: str
@@ -339,19 +393,4 @@
     :raises StoreUnavailable: if the store does not answer; sealing again is
         safe.
     """
-    while True:
-        records, next_sequence, is_sealed = read(store, member_id)
-        if is_sealed:
-            return records
-        key = SegmentKey(member_id, next_sequence).text()
-        value = segments.encode_seal(sealer_id, secrets.token_hex(8))
-        outcome = store.commit(
-            [stores.KeyAbsent(key)], [stores.Put(key, value)]
-        )
-        if isinstance(outcome, stores.Committed):
-            events.log(
-                events.Event.JOURNAL_SEALED,
-                member_id=member_id,
-                sequence=next_sequence,
-            )
-            return records
+    return sealed.seal(store, member_id, sealer_id).records
--- /dev/null
+++ b/packages/state/src/balsamloom_state/local.py
@@ -0,0 +1,186 @@
+"""State that the parts of one member share."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import identifiers
+from balsamloom_platform import store as stores
+from balsamloom_state import (
+    budgets,
+    journal,
+    ownership,
+    partitions,
+    programs,
+    records_pb2,
+)
+
+
+class OwnerSettings(NamedTuple):
+    """Tunable values of a member's state; times in ms."""
+
+    commits_per_s: float = journal.DEFAULT_COMMITS_PER_S
+    commit_burst: int = journal.DEFAULT_BURST
+    claim_send_window_ms: int = 1_000
+    result_retention_ms: int = 600_000
+    move_settle_ms: int = 1_000
+    move_wait_ms: int = 500
+    move_batch: int = 32
+    move_threads: int = 8
+    import_timeout_ms: int = 5_000
+    store_grace_ms: int = 2_000
+    default_budget: budgets.Limits = budgets.Limits(
+        generated_tokens=200_000, calls=200, wall_ms=3_600_000
+    )
+    # 130,000 tokens of about 4 bytes, and as much again for JSON and tool
+    # answers.
+    max_history_bytes: int = 1_000_000
+    # Below this size a journal is not worth a rewrite.
+    compaction_min_bytes: int = 200_000
+    writes_in_background: bool = True
+
+
+class Transfer(Protocol):
+    """Sends a partition to another member; the call is made elsewhere."""
+
+    def send_partition(
+        self,
+        receiver: partitions.Member,
+        partition: int,
+        epoch: int,
+        records: Sequence[records_pb2.Record],
+    ) -> bool:
+        """Return whether the receiver has made the records durable."""
+
+
+class Staged(NamedTuple):
+    """Programs in this member's journal that it does not serve yet."""
+
+    epoch: int
+    programs: dict[str, programs.Program]
+
+
+@dataclasses.dataclass
+class LocalState:
+    """What one member knows and owns.
+
+    ``staged`` has programs that a sender transferred or that an import wrote,
+    by partition, until the map makes this member their owner.
+    """
+
+    store: stores.Store
+    member: partitions.Member
+    clock: clocks.Clock
+    settings: OwnerSettings
+    journal: journal.Journal
+    table: programs.ProgramTable
+    slots: ownership.Slots
+    map: partitions.PartitionMap = partitions.EMPTY
+    staged: dict[int, Staged] = dataclasses.field(default_factory=dict)
+    sealed_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    damaged_segments: int = 0
+    has_joined: bool = False
+    is_leaving: bool = False
+    is_departing: bool = False
+    lock: threading.RLock = dataclasses.field(default_factory=threading.RLock)
+
+    def epoch_of(self, program: programs.Program) -> int:
+        """Return the epoch in which this member owns a program."""
+        return self.slots.epoch(identifiers.partition_of(program.program_id))
+
+    def observe_map(self, seen: partitions.PartitionMap) -> None:
+        """Take a map unless a higher version was seen before.
+
+        :param seen: map from the store or a peer.
+        """
+        with self.lock:
+            if seen.version <= self.map.version:
+                return
+            self.map = seen
+            self._check_removed()
+            for number in set(self.slots.all()):
+                self._check_lost(number)
+            for number in seen.partitions_of(self.member.member_id):
+                self._check_gained(number, seen.owners[number].epoch)
+            for number in set(self.staged):
+                self._check_staged(number)
+
+    def update_map(self, change: partitions.Change) -> partitions.PartitionMap:
+        """Change the map in the store and take the outcome.
+
+        :param change: see :func:`partitions.update`.
+        :raises StoreUnavailable: if the store does not answer.
+        """
+        changed = partitions.update(self.store, change, self.clock)
+        self.observe_map(changed)
+        return changed
+
+    def serve_staged(self, partition: int) -> None:
+        """Serve a partition whose programs are in the own journal.
+
+        :param partition: partition that the map gives to this member.
+        """
+        with self.lock:
+            epoch = self.map.owners[partition].epoch
+            staged = self.staged.pop(partition, Staged(epoch, {}))
+            for program in staged.programs.values():
+                if not program.is_forgotten:
+                    self.table.add(program)
+            self.slots.put(partition, ownership.Serving(epoch))
+
+    def _check_removed(self) -> None:
+        if self.member.member_id in self.map.members or not self.has_joined:
+            return
+        if not self.is_departing:
+            # Other members remove one only after they sealed its journal.
+            self.journal.depose()
+
+    def _check_lost(self, number: int) -> None:
+        owner = self.map.owners.get(number)
+        state = self.slots.state(number)
+        if (
+            owner is not None
+            and owner.member_id == self.member.member_id
+            and state is not None
+            and state.epoch == owner.epoch
+        ):
+            return
+        self.slots.drop(number)
+        for program in self.table.in_partition(number):
+            self.table.remove(program.program_id)
+
+    def _check_staged(self, number: int) -> None:
+        owner = self.map.owners.get(number)
+        if (
+            owner is not None
+            and owner.member_id != self.member.member_id
+            and owner.epoch >= self.staged[number].epoch
+        ):
+            del self.staged[number]
+
+    def _check_gained(self, number: int, epoch: int) -> None:
+        if self.slots.state(number) is not None:
+            return
+        staged = self.staged.get(number)
+        if self.pending_imports(number):
+            self.slots.put(number, ownership.Importing(epoch))
+        elif staged is not None and staged.epoch == epoch:
+            self.serve_staged(number)
+        elif epoch == partitions.FIRST_EPOCH:
+            self.slots.put(number, ownership.Serving(epoch))
+        else:
+            # The programs were never handed over to this run of the process.
+            self.slots.put(number, ownership.Importing(epoch))
+
+    def pending_imports(self, number: int) -> list[partitions.Import]:
+        """Return the imports that this member owes for a partition."""
+        return [
+            entry
+            for entry in self.map.imports
+            if entry.importer_id == self.member.member_id
+            and number in entry.partitions
+        ]
--- a/packages/state/src/balsamloom_state/partitions.py
+++ b/packages/state/src/balsamloom_state/partitions.py
@@ -4,13 +4,19 @@
 
 import hashlib
 import json
-from collections.abc import Callable, Iterable
+import random
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, NamedTuple
 
+from balsamloom_core import clock as clocks
+from balsamloom_core import errors, results
 from balsamloom_platform import store as stores
 
 KEY = "/balsamloom/map"
 DEFAULT_PARTITION_COUNT = 256
+FIRST_EPOCH = 1
+# After a race the loser waits a random time up to this one.
+RACE_DELAY_MS = 50
 
 
 class Member(NamedTuple):
@@ -31,21 +37,31 @@
 
 
 class Import(NamedTuple):
-    """Partitions that a member has still to read from a sealed journal."""
+    """Partitions that a member has still to read from a sealed journal.
+
+    ``epochs`` has, for each partition, the epoch in which the journal's owner
+    held it.
+    """
 
     journal_id: str
     importer_id: str
     partitions: tuple[int, ...]
+    epochs: tuple[int, ...] = ()
 
 
 class PartitionMap(NamedTuple):
-    """Members and owners, as one value in the store."""
+    """Members and owners, as one value in the store.
+
+    ``retired`` names journals that nobody needs any more and that are to be
+    deleted.
+    """
 
     version: int
     partition_count: int
     members: dict[str, Member]
     owners: dict[int, Ownership]
     imports: tuple[Import, ...]
+    retired: tuple[str, ...] = ()
 
     def owner_of(self, partition: int) -> Member | None:
         """Return the owner of a partition, if it has one."""
@@ -80,6 +96,7 @@
             for number, ownership in sorted(partition_map.owners.items())
         ],
         "imports": [list(entry) for entry in partition_map.imports],
+        "retired": list(partition_map.retired),
     }
     return json.dumps(document, separators=(",", ":")).encode()
 
@@ -100,9 +117,10 @@
             for number, member_id, epoch in document["owners"]
         },
         tuple(
-            Import(journal, importer, tuple(partitions))
-            for journal, importer, partitions in document["imports"]
+            Import(journal, importer, tuple(partitions), tuple(epochs))
+            for journal, importer, partitions, epochs in document["imports"]
         ),
+        tuple(document.get("retired", ())),
     )
 
 
@@ -118,18 +136,27 @@
     return decode(item.value), item.mod_revision
 
 
-def update(store: stores.Store, change: Change) -> PartitionMap:
+def update(
+    store: stores.Store,
+    change: Change,
+    clock: clocks.Clock | None = None,
+    guard: Sequence[stores.Comparison] = (),
+) -> PartitionMap:
     """Change the map by compare-and-swap, trying again after a race.
 
-    The change must be safe to apply again: if an answer was lost, the map is
-    read back and the change is computed anew.
+    The change must be safe to apply again: if an answer was lost, the caller
+    tries again and the change is computed anew from the map as it then is. A
+    change whose effect is present returns nothing.
 
     :param store: key-value service.
     :param change: gives the new map, or nothing to leave it as it is.
+    :param clock: time source of the waits between tries.
+    :param guard: further comparisons on which the change depends.
     :raises StoreUnavailable: if the store does not answer.
+    :raises BalsamloomError: with ``WRONG_OWNER`` if the guard does not hold.
     """
+    current, revision = load(store)
     while True:
-        current, revision = load(store)
         wanted = change(current)
         if wanted is None:
             return current
@@ -137,9 +164,29 @@
         comparison: stores.Comparison = stores.KeyAbsent(KEY)
         if revision:
             comparison = stores.RevisionIs(KEY, revision)
-        outcome = store.commit([comparison], [stores.Put(KEY, encode(wanted))])
-        if isinstance(outcome, stores.Committed):
-            return wanted
+        put = stores.Put(KEY, encode(wanted))
+        match store.commit([comparison, *guard], [put]):
+            case stores.Committed():
+                return wanted
+            case stores.Conflict(current=found):
+                item = found.get(KEY)
+        if not all(_holds(condition, found) for condition in guard):
+            raise errors.BalsamloomError(results.ResultCode.WRONG_OWNER)
+        (clock or clocks.Clock()).sleep(random.uniform(0, RACE_DELAY_MS))
+        current, revision = EMPTY, 0
+        if item is not None:
+            current, revision = decode(item.value), item.mod_revision
+
+
+def _holds(
+    condition: stores.Comparison, current: dict[str, stores.Item]
+) -> bool:
+    item = current.get(condition.key)
+    match condition:
+        case stores.KeyAbsent():
+            return item is None
+        case stores.RevisionIs(mod_revision=revision):
+            return item is not None and item.mod_revision == revision
 
 
 def rank(key: str, member_ids: Iterable[str]) -> list[str]:
--- a/packages/state/src/balsamloom_state/programs.py
+++ b/packages/state/src/balsamloom_state/programs.py
@@ -8,13 +8,19 @@
 from collections.abc import Iterable
 from typing import Any
 
-from balsamloom_core import results
-from balsamloom_state import records_pb2
+from balsamloom_core import clock as clocks
+from balsamloom_core import identifiers, results
+from balsamloom_state import budgets, journal, records_pb2, turns
 
 
 @dataclasses.dataclass
 class Call:
-    """One call of a program."""
+    """One call of a program.
+
+    A call without ``is_finished`` is claimed and may be running. ``batch`` is
+    the commit that carries the result; there is none after a replay, which
+    only reads what is durable.
+    """
 
     key: str
     digest: bytes
@@ -23,52 +29,147 @@
     answer: dict[str, Any] = dataclasses.field(default_factory=dict)
     message: str = ""
     timeout_ms: int = 0
+    claimed_ms: float = 0.0
+    batch: journal.Batch | None = dataclasses.field(default=None, repr=False)
+
+    @property
+    def is_durable(self) -> bool:
+        """Return whether the result is in the store."""
+        if self.batch is None:
+            return True
+        return isinstance(self.batch.state, journal.Durable)
 
 
 class Program:
     """History and calls of one program.
 
-    ``order`` is held by the call in progress, so calls run in order.
+    ``order`` is held by the call in progress, so calls run in order; ``lock``
+    guards the fields for a moment. ``holds`` has the calls in progress that
+    draw on the budget, and ``reserve_batch`` the commit of the newest block.
 
     :param program_id: identifier of the program.
+    :param clock: time source of the waits for a turn.
     """
 
-    def __init__(self, program_id: str) -> None:
+    def __init__(
+        self, program_id: str, clock: clocks.Clock | None = None
+    ) -> None:
         self.program_id = program_id
         self.version = 0
+        self.base_version = 0
         self.customer = ""
         self.workspace = ""
+        self.parent_id = ""
+        self.root_id = program_id
+        self.is_urgent = False
         self.is_ended = False
+        self.is_forgotten = False
+        self.has_gap = False
+        self.end_code = 0
+        self.ended_ms = 0.0
+        self.attained_ms = 0
+        self.blocked_until_ms = 0.0
         self.messages: list[dict[str, Any]] = []
         self.calls: dict[str, Call] = {}
-        self.order = threading.Lock()
+        self.account = budgets.Account(budgets.Limits())
+        self.holds: dict[str, budgets.Amount] = {}
+        self.reserve_batch: journal.Batch | None = None
+        self.order = turns.Turnstile(clock)
+        self.lock = threading.RLock()
+        self._chunks: dict[int, bytes] = {}
+        self._history_bytes = 0
 
-    def apply(self, record: records_pb2.Record) -> bool:
-        """Apply one record.
+    @property
+    def is_known(self) -> bool:
+        """Return whether the record that begins the program was applied."""
+        return self.base_version > 0
+
+    def apply(self, record: records_pb2.Record, now_ms: float = 0.0) -> bool:
+        """Apply one record if its version is higher than the program's.
 
         :param record: record of this program.
+        :param now_ms: time from which durations in the record count.
         :return: whether the record was new.
         """
+        if record.program_id != self.program_id:
+            raise ValueError(
+                f"record of {record.program_id!r} given to {self.program_id!r}"
+            )
         if record.version <= self.version:
             return False
+        kind = record.WhichOneof("kind")
+        if kind == "snapshot":
+            return self._apply_snapshot(record, now_ms)
+        if kind != "started" and record.version != self.version + 1:
+            self.has_gap = True
         self.version = record.version
-        match record.WhichOneof("kind"):
+        self._apply_kind(kind, record, now_ms)
+        return True
+
+    def _apply_kind(
+        self, kind: str | None, record: records_pb2.Record, now_ms: float
+    ) -> None:
+        match kind:
             case "started":
-                self.customer = record.started.customer
-                self.workspace = record.started.workspace
+                self.base_version = record.version
+                self._start(record.started, now_ms)
             case "claimed":
-                claimed = record.claimed
-                call = Call(claimed.key, claimed.digest)
-                call.timeout_ms = claimed.timeout_ms
-                self.calls[claimed.key] = call
+                self._claim(record.claimed, now_ms)
             case "finished":
-                self._finish(record.finished)
+                self._finish(record.finished, now_ms)
+            case "unknown":
+                self._make_unknown(record.unknown, now_ms)
+            case "reserved":
+                reserved = record.reserved
+                self.account.load(reserved.used, reserved.reserved, now_ms)
             case "ended":
-                self.is_ended = True
-                self.messages = []
-        return True
+                self._end(record.ended.code, now_ms)
+            case "forgotten":
+                self.is_forgotten = True
+
+    def history_bytes(self) -> int:
+        """Return the size of the history as JSON text."""
+        return self._history_bytes
+
+    def claimed_without_result(self) -> list[Call]:
+        """Return the calls whose outcome is unknown after a take-over."""
+        return [call for call in self.calls.values() if not call.is_finished]
+
+    def make_unknown(self, call: Call, blocked_until_ms: float) -> None:
+        """Settle a claim that has no result.
+
+        :param call: claimed call.
+        :param blocked_until_ms: time until which the call may still run.
+        """
+        call.is_finished = True
+        call.code = results.ResultCode.OUTCOME_UNKNOWN
+        self.blocked_until_ms = max(self.blocked_until_ms, blocked_until_ms)
+
+    def _start(
+        self, started: records_pb2.ProgramStarted, now_ms: float
+    ) -> None:
+        self.customer = started.customer
+        self.workspace = started.workspace
+        self.parent_id = started.parent_id
+        self.root_id = started.root_id or self.program_id
+        self.is_urgent = started.urgent
+        budget = started.budget
+        self.account = budgets.Account(
+            budgets.Limits(
+                budget.generated_tokens, budget.calls, budget.wall_ms
+            )
+        )
+        self.account.load(records_pb2.Budget(), started.reserved, now_ms)
+
+    def _claim(self, claimed: records_pb2.CallClaimed, now_ms: float) -> None:
+        call = Call(claimed.key, claimed.digest)
+        call.timeout_ms = claimed.timeout_ms
+        call.claimed_ms = now_ms
+        self.calls[claimed.key] = call
 
-    def _finish(self, finished: records_pb2.CallFinished) -> None:
+    def _finish(
+        self, finished: records_pb2.CallFinished, now_ms: float
+    ) -> None:
         call = self.calls.setdefault(
             finished.key, Call(finished.key, finished.digest)
         )
@@ -77,18 +178,93 @@
         call.message = finished.message
         if finished.answer_json:
             call.answer = json.loads(finished.answer_json)
-        if finished.new_messages_json:
+        if finished.new_messages_json and not self.is_ended:
             self.messages.extend(json.loads(finished.new_messages_json))
+            self._history_bytes += len(finished.new_messages_json)
+        self.attained_ms += finished.service_ms
+        if finished.blocked_ms:
+            end_ms = now_ms + finished.blocked_ms
+            self.blocked_until_ms = max(self.blocked_until_ms, end_ms)
+        if finished.HasField("used"):
+            self.account.load(finished.used, finished.reserved, now_ms)
+
+    def _make_unknown(
+        self, unknown: records_pb2.CallUnknown, now_ms: float
+    ) -> None:
+        call = self.calls.setdefault(unknown.key, Call(unknown.key, b""))
+        self.make_unknown(call, now_ms + unknown.blocked_ms)
+
+    def _end(self, code: int, now_ms: float) -> None:
+        self.is_ended = True
+        self.end_code = code
+        self.ended_ms = now_ms
+        self.messages = []
+
+    def _apply_snapshot(
+        self, record: records_pb2.Record, now_ms: float
+    ) -> bool:
+        snapshot = record.snapshot
+        if snapshot.part_count > 1:
+            joined = self._joined(snapshot)
+            if joined is None:
+                return False
+            snapshot = joined
+        self.version = self.base_version = record.version
+        self.has_gap = False
+        self.is_forgotten = False
+        self._load(snapshot, now_ms)
+        return True
+
+    def _joined(
+        self, part: records_pb2.ProgramSnapshot
+    ) -> records_pb2.ProgramSnapshot | None:
+        if part.part == 0:
+            self._chunks = {}
+        self._chunks[part.part] = part.chunk
+        if len(self._chunks) < part.part_count:
+            return None
+        chunks = [self._chunks[number] for number in range(part.part_count)]
+        self._chunks = {}
+        return records_pb2.ProgramSnapshot.FromString(b"".join(chunks))
+
+    def _load(
+        self, snapshot: records_pb2.ProgramSnapshot, now_ms: float
+    ) -> None:
+        self._start(snapshot.started, now_ms)
+        self.account.load(snapshot.used, snapshot.reserved, now_ms)
+        self.messages = json.loads(snapshot.messages_json or b"[]")
+        self._history_bytes = len(snapshot.messages_json)
+        self.calls = {
+            result.key: _call_of(result, now_ms) for result in snapshot.calls
+        }
+        self.attained_ms = snapshot.attained_ms
+        self.blocked_until_ms = now_ms + snapshot.blocked_ms
+        self.is_ended = False
+        if snapshot.is_ended:
+            self._end(snapshot.end_code, now_ms)
 
-    def claimed_without_result(self) -> list[Call]:
-        """Return the calls whose outcome is unknown after a take-over."""
-        return [call for call in self.calls.values() if not call.is_finished]
+
+def _call_of(result: records_pb2.CallResult, now_ms: float) -> Call:
+    return Call(
+        result.key,
+        result.digest,
+        is_finished=not result.is_claimed,
+        code=result.code,
+        answer=json.loads(result.answer_json or b"{}"),
+        message=result.message,
+        timeout_ms=result.timeout_ms,
+        claimed_ms=now_ms,
+    )
 
 
 class ProgramTable:
-    """Programs that this member owns."""
+    """Programs that this member owns.
+
+    :param clock: time source of the programs.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: clocks.Clock | None = None) -> None:
+        self._clock = clock
         self._lock = threading.Lock()
         self._programs: dict[str, Program] = {}
 
@@ -97,11 +273,34 @@
         with self._lock:
             return self._programs.get(program_id)
 
+    def add(self, program: Program) -> None:
+        """Take in a program, in place of one with the same identifier."""
+        with self._lock:
+            self._programs[program.program_id] = program
+
+    def remove(self, program_id: str) -> None:
+        """Drop a program."""
+        with self._lock:
+            self._programs.pop(program_id, None)
+
+    def all(self) -> list[Program]:
+        """Return all programs."""
+        with self._lock:
+            return list(self._programs.values())
+
+    def in_partition(self, partition: int) -> list[Program]:
+        """Return the programs of a partition."""
+        return [
+            program
+            for program in self.all()
+            if identifiers.partition_of(program.program_id) == partition
+        ]
+
     def apply(self, record: records_pb2.Record) -> Program:
         """Apply a record to its program, which is made if it is new."""
         with self._lock:
             program = self._programs.setdefault(
-                record.program_id, Program(record.program_id)
+                record.program_id, Program(record.program_id, self._clock)
             )
         program.apply(record)
         return program
--- a/packages/state/src/balsamloom_state/segments.py
+++ b/packages/state/src/balsamloom_state/segments.py
@@ -12,13 +12,22 @@
 
 
 class DamagedSegment(errors.BalsamloomError):
-    """A segment fails its length or checksum."""
+    """A segment fails its length or checksum.
 
-    def __init__(self, key: str, cause: str) -> None:
+    :param key: key of the segment in the store.
+    :param cause: what was found.
+    :param program_ids: programs with records in the segment, or nothing if
+        that cannot be read either.
+    """
+
+    def __init__(
+        self, key: str, cause: str, program_ids: frozenset[str] | None = None
+    ) -> None:
         super().__init__(
             results.ResultCode.DAMAGED_MESSAGE, f"segment {key}: {cause}"
         )
         self.key = key
+        self.program_ids = program_ids
 
 
 def pack_batch(records: Sequence[records_pb2.Record]) -> bytes:
@@ -40,12 +49,15 @@
     :param nonce: value that tells this write from any other.
     """
     body = pack_batch(records)
+    program_ids = sorted({record.program_id for record in records})
     segment = records_pb2.Segment(
         nonce=nonce,
         writer_id=writer_id,
         crc32=zlib.crc32(body),
         size_bytes=len(body),
         compressed_batch=body,
+        program_ids=program_ids,
+        program_ids_crc32=_checksum(program_ids),
     )
     return segment.SerializeToString()
 
@@ -75,9 +87,12 @@
     except message.DecodeError as error:
         raise DamagedSegment(key, f"cannot be read: {error}") from error
     if len(segment.compressed_batch) != segment.size_bytes:
-        raise DamagedSegment(key, "length differs")
+        raise DamagedSegment(key, "length differs", _touched(segment))
     if zlib.crc32(segment.compressed_batch) != segment.crc32:
-        raise DamagedSegment(key, "checksum differs")
+        raise DamagedSegment(key, "checksum differs", _touched(segment))
+    if not segment.is_seal and not segment.size_bytes:
+        # A value cut down to nothing parses as an empty message.
+        raise DamagedSegment(key, "no batch", _touched(segment))
     return segment
 
 
@@ -91,3 +106,16 @@
     batch = records_pb2.RecordBatch()
     batch.ParseFromString(zlib.decompress(segment.compressed_batch))
     return list(batch.records)
+
+
+def _touched(segment: records_pb2.Segment) -> frozenset[str] | None:
+    program_ids = list(segment.program_ids)
+    if not program_ids or (
+        _checksum(program_ids) != segment.program_ids_crc32
+    ):
+        return None
+    return frozenset(program_ids)
+
+
+def _checksum(program_ids: list[str]) -> int:
+    return zlib.crc32(",".join(program_ids).encode())
--- /dev/null
+++ b/packages/state/src/balsamloom_state/turns.py
@@ -0,0 +1,66 @@
+"""Order of the calls of one program."""
+
+from __future__ import annotations
+
+import collections
+import threading
+
+from balsamloom_core import clock as clocks
+
+# Longer than any process runs.
+FOREVER_MS = 1e9
+
+
+class Turnstile:
+    """A lock that is granted strictly in the order of arrival.
+
+    It also works as a context manager without a timeout.
+
+    :param clock: time source of the waits.
+    """
+
+    def __init__(self, clock: clocks.Clock | None = None) -> None:
+        self._clock = clock or clocks.Clock()
+        self._lock = threading.Lock()
+        self._queue: collections.deque[threading.Event] = collections.deque()
+
+    def acquire(self, timeout_ms: float) -> bool:
+        """Wait for the turn.
+
+        :param timeout_ms: longest wait.
+        :return: whether the caller holds the lock.
+        """
+        ticket = threading.Event()
+        with self._lock:
+            self._queue.append(ticket)
+            if self._queue[0] is ticket:
+                ticket.set()
+        if ticket.is_set() or self._clock.wait(ticket, timeout_ms):
+            return True
+        return not self._give_up(ticket)
+
+    def release(self) -> None:
+        """Pass the lock on to the next in line."""
+        with self._lock:
+            self._queue.popleft()
+            if self._queue:
+                self._queue[0].set()
+
+    def is_idle(self) -> bool:
+        """Return whether nobody holds the lock or waits for it."""
+        with self._lock:
+            return not self._queue
+
+    def __enter__(self) -> None:
+        self.acquire(FOREVER_MS)
+
+    def __exit__(self, *_: object) -> None:
+        self.release()
+
+    def _give_up(self, ticket: threading.Event) -> bool:
+        with self._lock:
+            # The turn may have come between the timeout and this line.
+            if ticket.is_set():
+                return False
+            self._queue.remove(ticket)
+            return True
