Add the scheduler facade and its policies

Cause: entry processes have no decisions on calls. Change: packages/policy with routing, health, limits, ordering, admission, retries and prefixes behind one Scheduler facade. Each part has a baseline selectable by settings.

--- /dev/null
+++ b/packages/policy/src/balsamloom_policy/_pool.py
@@ -0,0 +1,179 @@
+"""State of one pool: its servers, waiting calls and measured rates."""
+
+from __future__ import annotations
+
+import collections
+import math
+import random
+from typing import Any
+
+from balsamloom_policy import (
+    _servers,
+    admission,
+    calls,
+    health,
+    ordering,
+    routing,
+    settings,
+)
+
+HOLD_WEIGHT = 0.05
+# Estimates are averages; half of all calls are shorter than them.
+DEADLINE_OPTIMISM = 0.7
+
+
+class Pool:
+    """A model's or service's servers as this process sees them."""
+
+    def __init__(self, name: str, generator: random.Random) -> None:
+        self.name = name
+        self.servers: dict[str, _servers.ServerState] = {}
+        self.queue = ordering.Queue()
+        self.router = routing.Router(generator)
+        self.drain = admission.DrainRate()
+        self.customer_calls: collections.Counter[str] = collections.Counter()
+        self.all_calls = 0
+        self.urgent_in_flight = 0
+        self.long_in_flight = 0
+        self.hold_ms = 0.0
+        self.check_ms = -math.inf
+        self.delayed: list[tuple[float, int, Any]] = []
+        self.slots = 0.0
+        self.fastest: _servers.ServerState | None = None
+
+    def update_totals(self) -> None:
+        """Recompute what depends on all servers."""
+        active = [
+            state
+            for state in self.servers.values()
+            if not state.is_ejected and not state.server.is_leaving
+        ]
+        self.slots = sum(max(state.slots, 1.0) for state in active)
+        plain = calls.CallProfile("", "", self.name)
+        known = [state for state in active if state.sample_count]
+        self.fastest = min(
+            known,
+            key=lambda state: state.service_ms(plain) * state.slowness,
+            default=None,
+        )
+
+    def shortest_ms(self, profile: calls.CallProfile) -> float:
+        """Return the least time a call may be expected to take."""
+        if self.fastest is None:
+            return 0.0
+        return self.fastest.service_ms(profile) * DEADLINE_OPTIMISM
+
+    def rate_per_ms(self, now_ms: float) -> float:
+        """Return the rate at which calls leave while all slots are used.
+
+        Right after a rise in demand the ended calls still show the former
+        demand, so the rate that the slots allow counts too.
+        """
+        measured = self.drain.per_ms(now_ms)
+        if self.hold_ms <= 0 or math.isinf(self.slots):
+            return measured
+        return max(measured, self.slots / self.hold_ms)
+
+    def note_end(self, duration_ms: float, now_ms: float) -> None:
+        """Take in the end of a call."""
+        self.drain.add(now_ms)
+        if self.hold_ms <= 0:
+            self.hold_ms = duration_ms
+        self.hold_ms += HOLD_WEIGHT * (duration_ms - self.hold_ms)
+
+    def pressure(
+        self, profile: calls.CallProfile, level: int, now_ms: float
+    ) -> admission.Pressure:
+        """Return what admission needs to judge a call."""
+        return admission.Pressure(
+            queued=self.queue.count,
+            ahead=self.queue.count_ahead(level, profile.is_urgent),
+            rate_per_ms=self.rate_per_ms(now_ms),
+            service_ms=self.shortest_ms(profile),
+            customer_calls=self.customer_calls[profile.customer],
+            all_calls=self.all_calls,
+            customer_count=len(self.customer_calls),
+        )
+
+    def add_customer_call(self, customer: str) -> None:
+        """Count a call that waits or runs."""
+        self.customer_calls[customer] += 1
+        self.all_calls += 1
+
+    def remove_customer_call(self, customer: str) -> None:
+        """Count a call that is over; idle customers are dropped."""
+        self.customer_calls[customer] -= 1
+        self.all_calls -= 1
+        if self.customer_calls[customer] <= 0:
+            del self.customer_calls[customer]
+
+    def eligible(
+        self,
+        profile: calls.CallProfile,
+        avoid: frozenset[str],
+        now_ms: float,
+        values: settings.PolicySettings,
+    ) -> list[_servers.ServerState]:
+        """Return the servers that may take a call now.
+
+        :param avoid: servers where the call failed or runs; they are used
+            only if the pool has no others.
+        """
+        extra = values.urgent_extra_slots if profile.is_urgent else 0
+        found = []
+        has_other = False
+        for state in self.servers.values():
+            if state.is_ejected or state.server.is_leaving:
+                continue
+            if state.server.server_id in avoid:
+                continue
+            has_other = True
+            if len(state.in_flight) < state.slots + extra:
+                found.append(state)
+        if has_other or not avoid:
+            return found
+        return self.eligible(profile, frozenset(), now_ms, values)
+
+    def trial_server(
+        self, profile: calls.CallProfile, now_ms: float
+    ) -> _servers.ServerState | None:
+        """Return an ejected server that is due for this call as a trial."""
+        if profile.is_urgent or not profile.is_idempotent:
+            return None
+        for state in self.servers.values():
+            if not state.is_ejected or state.server.is_leaving:
+                continue
+            if health.is_trial_due(state, now_ms):
+                return state
+        return None
+
+    def describe(self, now_ms: float) -> dict[str, Any]:
+        """Return the pool's state for a dump."""
+        return {
+            "waiting": self.queue.count,
+            "rate_per_s": round(self.rate_per_ms(now_ms) * 1000, 2),
+            "hold_ms": round(self.hold_ms, 1),
+            "urgent_in_flight": self.urgent_in_flight,
+            "long_in_flight": self.long_in_flight,
+            "prefixes": len(self.router.index),
+            "customers": dict(self.customer_calls),
+            "servers": {
+                server_id: _describe_server(state)
+                for server_id, state in self.servers.items()
+            },
+        }
+
+
+def _describe_server(state: _servers.ServerState) -> dict[str, Any]:
+    slots = None if math.isinf(state.slots) else round(state.slots, 2)
+    return {
+        "in_flight": len(state.in_flight),
+        "slots": slots,
+        "slowness": round(state.slowness, 2),
+        "is_ejected": state.is_ejected,
+        "is_leaving": state.server.is_leaving,
+        "first_token_ms": round(state.first_token.usual, 1),
+        "gap_ms": round(state.gap.usual, 2),
+        "call_ms": round(state.call.usual, 1),
+        "peer_in_flight": state.peer_in_flight,
+    }
--- /dev/null
+++ b/packages/policy/src/balsamloom_policy/health.py
@@ -0,0 +1,193 @@
+"""Detection, ejection and return of slow backend servers."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import statistics
+from collections.abc import Collection, Iterable
+
+from balsamloom_core import events
+from balsamloom_policy import _servers, settings
+
+MIN_SAMPLES = 5
+TRIAL_GROWTH = 1.5
+GOOD_SAMPLES_TO_RETURN = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Outlier:
+    """Ejects servers that are slow against their own and the pool's level."""
+
+
+@dataclasses.dataclass(frozen=True)
+class NoHealth:
+    """Never ejects; the baseline."""
+
+
+Health = Outlier | NoHealth
+
+
+def policy(values: settings.PolicySettings) -> Health:
+    """Return the variant that the settings select."""
+    return Outlier() if values.health == "outlier" else NoHealth()
+
+
+def check(
+    health: Health,
+    servers: Collection[_servers.ServerState],
+    now_ms: float,
+    values: settings.PolicySettings,
+) -> None:
+    """Bring the slowness of a pool up to date and eject or return servers.
+
+    :param servers: servers of one pool.
+    :param now_ms: time of the check.
+    """
+    match health:
+        case NoHealth():
+            return
+        case Outlier():
+            _check_outliers(servers, now_ms, values)
+
+
+def _check_outliers(
+    servers: Collection[_servers.ServerState],
+    now_ms: float,
+    values: settings.PolicySettings,
+) -> None:
+    for server in servers:
+        server.update_slowness(now_ms)
+    _return_idle(servers, now_ms, values)
+    active = [server for server in servers if not server.is_ejected]
+    if not active:
+        return
+    level = max(statistics.median(server.slowness for server in active), 1.0)
+    allowed = int(len(servers) * values.ejected_share + 1e-9)
+    allowed -= len(servers) - len(active)
+    suspects = [
+        server
+        for server in active
+        if (
+            server.sample_count >= MIN_SAMPLES
+            or server.fault_count >= _servers.FAULTS_TO_EJECT
+        )
+        and server.slowness >= values.eject_ratio * level
+    ]
+    suspects.sort(key=lambda server: -server.slowness)
+    for server in suspects[: max(allowed, 0)]:
+        eject(server, now_ms, values)
+
+
+def _return_idle(
+    servers: Iterable[_servers.ServerState],
+    now_ms: float,
+    values: settings.PolicySettings,
+) -> None:
+    for server in servers:
+        if not server.is_ejected:
+            continue
+        # Without idempotent calls there are no trials, so ejection ends.
+        since_ms = max(server.ejected_ms, server.trial_sent_ms)
+        if now_ms - since_ms >= values.ejection_max_ms:
+            return_server(server, now_ms)
+
+
+def eject(
+    server: _servers.ServerState,
+    now_ms: float,
+    values: settings.PolicySettings,
+) -> None:
+    """Take a server out of routing until a trial call succeeds."""
+    server.is_ejected = True
+    server.ejected_ms = now_ms
+    server.trial_interval_ms = values.trial_interval_ms
+    server.trial_ms = now_ms + server.trial_interval_ms
+    server.trial = None
+    server.good_samples = 0
+    events.log(
+        events.Event.SERVER_EJECTED,
+        logging.WARNING,
+        server_id=server.server.server_id,
+        slowness=round(server.slowness, 2),
+    )
+
+
+def return_server(server: _servers.ServerState, now_ms: float) -> None:
+    """Put an ejected server back into routing."""
+    server.is_ejected = False
+    server.trial = None
+    server.reset_recent()
+    events.log(
+        events.Event.SERVER_RETURNED,
+        server_id=server.server.server_id,
+        ejected_for_ms=round(now_ms - server.ejected_ms),
+    )
+
+
+def is_trial_due(server: _servers.ServerState, now_ms: float) -> bool:
+    """Return whether an ejected server may get one trial call now."""
+    return (
+        server.is_ejected
+        and server.trial is None
+        and now_ms >= server.trial_ms
+    )
+
+
+def start_trial(
+    server: _servers.ServerState, flight: _servers.Flight, now_ms: float
+) -> None:
+    """Note the call that tries an ejected server."""
+    server.trial = flight
+    server.trial_sent_ms = now_ms
+
+
+def observe_sample(
+    server: _servers.ServerState,
+    is_trial: bool,
+    ratio: float,
+    now_ms: float,
+    values: settings.PolicySettings,
+) -> bool:
+    """Judge one sample of an ejected server.
+
+    Time between tokens of calls that were under way counts too, but two
+    good samples in a row are needed, since a batch may hide one gap.
+
+    :param ratio: sample against the server's usual level.
+    :return: whether the server returned.
+    """
+    if not server.is_ejected:
+        return False
+    if ratio > values.return_ratio:
+        server.good_samples = 0
+        if is_trial:
+            _postpone_trial(server, now_ms, values)
+        return False
+    server.good_samples += GOOD_SAMPLES_TO_RETURN if is_trial else 1
+    if server.good_samples < GOOD_SAMPLES_TO_RETURN:
+        return False
+    return_server(server, now_ms)
+    return True
+
+
+def end_trial(
+    server: _servers.ServerState,
+    now_ms: float,
+    values: settings.PolicySettings,
+) -> None:
+    """Note that a trial call ended without evidence of recovery."""
+    if server.is_ejected:
+        _postpone_trial(server, now_ms, values)
+
+
+def _postpone_trial(
+    server: _servers.ServerState,
+    now_ms: float,
+    values: settings.PolicySettings,
+) -> None:
+    server.trial = None
+    server.trial_interval_ms = min(
+        server.trial_interval_ms * TRIAL_GROWTH, values.trial_interval_max_ms
+    )
+    server.trial_ms = now_ms + server.trial_interval_ms
--- /dev/null
+++ b/packages/policy/src/balsamloom_policy/ordering.py
@@ -0,0 +1,163 @@
+"""Order in which waiting calls get a slot."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from collections.abc import Iterator
+from typing import Protocol
+
+from balsamloom_policy import calls, settings
+
+LEVEL_MAX = 12
+URGENT_PRIORITY = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class AttainedService:
+    """Least attained service of the whole program first, with ageing."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Fifo:
+    """First come, first served; the baseline."""
+
+
+Ordering = AttainedService | Fifo
+
+
+class Entry(Protocol):
+    """A waiting call."""
+
+    profile: calls.CallProfile
+    queued_ms: float
+    level: int
+    is_queued: bool
+
+
+def policy(values: settings.PolicySettings) -> Ordering:
+    """Return the variant that the settings select."""
+    if values.ordering == "attained_service":
+        return AttainedService()
+    return Fifo()
+
+
+def level_of(
+    ordering: Ordering, attained_ms: float, values: settings.PolicySettings
+) -> int:
+    """Return the exponential level of a program's attained service."""
+    match ordering:
+        case Fifo():
+            return 0
+        case AttainedService():
+            if attained_ms < values.level_base_ms:
+                return 0
+            doublings = math.log2(attained_ms / values.level_base_ms)
+            return min(1 + int(doublings), LEVEL_MAX)
+
+
+class Queue:
+    """Waiting calls of one pool, in one line per level and an urgent line.
+
+    Entries that were withdrawn stay in their line until they reach its head,
+    so that withdrawal costs no search.
+    """
+
+    def __init__(self) -> None:
+        self._urgent: collections.deque[Entry] = collections.deque()
+        self._lines: list[collections.deque[Entry]] = [
+            collections.deque() for _ in range(LEVEL_MAX + 1)
+        ]
+        self._counts = [0] * (LEVEL_MAX + 1)
+        self._urgent_count = 0
+        self.count = 0
+
+    def push(self, ordering: Ordering, entry: Entry) -> None:
+        """Append a call to its line."""
+        entry.is_queued = True
+        self.count += 1
+        if entry.profile.is_urgent and isinstance(ordering, AttainedService):
+            self._urgent.append(entry)
+            self._urgent_count += 1
+            return
+        self._lines[entry.level].append(entry)
+        self._counts[entry.level] += 1
+
+    def withdraw(self, ordering: Ordering, entry: Entry) -> None:
+        """Take out a call that got a slot, was refused or was cancelled."""
+        if not entry.is_queued:
+            return
+        entry.is_queued = False
+        self.count -= 1
+        if entry.profile.is_urgent and isinstance(ordering, AttainedService):
+            self._urgent_count -= 1
+        else:
+            self._counts[entry.level] -= 1
+
+    def urgent_head(self) -> Entry | None:
+        """Return the urgent call that waits longest."""
+        return self._head(self._urgent)
+
+    def heads(
+        self, now_ms: float, values: settings.PolicySettings
+    ) -> list[Entry]:
+        """Return the head of each level, the one to be served first first.
+
+        A call gains one level for each ``ageing_ms`` it waits.
+        """
+        found = []
+        for line, count in zip(self._lines, self._counts, strict=True):
+            head = self._head(line) if count else None
+            if head is not None:
+                found.append(head)
+        if len(found) > 1:
+            found.sort(
+                key=lambda entry: (
+                    aged_level(entry, now_ms, values),
+                    entry.queued_ms,
+                )
+            )
+        return found
+
+    def count_ahead(self, level: int, is_urgent: bool) -> int:
+        """Return how many waiting calls are served before a new call."""
+        if is_urgent:
+            return self._urgent_count
+        return self._urgent_count + sum(self._counts[: level + 1])
+
+    def entries(self) -> Iterator[Entry]:
+        """Return all waiting calls, in no particular order."""
+        for line in (self._urgent, *self._lines):
+            for entry in line:
+                if entry.is_queued:
+                    yield entry
+
+    def _head(self, line: collections.deque[Entry]) -> Entry | None:
+        while line and not line[0].is_queued:
+            line.popleft()
+        return line[0] if line else None
+
+
+def aged_level(
+    entry: Entry, now_ms: float, values: settings.PolicySettings
+) -> float:
+    """Return a call's level less what its waiting time has gained."""
+    return entry.level - (now_ms - entry.queued_ms) / values.ageing_ms
+
+
+def engine_priority(
+    ordering: Ordering,
+    entry: Entry,
+    now_ms: float,
+    values: settings.PolicySettings,
+) -> int:
+    """Return the priority for the engine; a lower number goes first."""
+    match ordering:
+        case Fifo():
+            return URGENT_PRIORITY
+        case AttainedService():
+            if entry.profile.is_urgent:
+                return URGENT_PRIORITY
+            level = aged_level(entry, now_ms, values)
+            return 1 + max(0, math.ceil(level))
--- /dev/null
+++ b/packages/policy/src/balsamloom_policy/prefixes.py
@@ -0,0 +1,94 @@
+"""Which server holds which prompt prefix, in bounded memory."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import zlib
+from collections.abc import Iterable
+
+from balsamloom_policy import settings
+
+_MASK = (1 << 64) - 1
+_MULTIPLIER = 0x9E3779B97F4A7C15
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounded:
+    """Prefers the server that holds the longest prefix, up to a load."""
+
+
+@dataclasses.dataclass(frozen=True)
+class NoAffinity:
+    """Ignores prefixes; the baseline."""
+
+
+Affinity = Bounded | NoAffinity
+
+
+def policy(values: settings.PolicySettings) -> Affinity:
+    """Return the variant that the settings select."""
+    return Bounded() if values.prefixes == "bounded" else NoAffinity()
+
+
+class PrefixIndex:
+    """Server that last ran each prefix; the longest unused is dropped."""
+
+    def __init__(self) -> None:
+        self._servers: collections.OrderedDict[int, str] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._servers)
+
+    def find(self, prefix_hashes: tuple[int, ...]) -> str | None:
+        """Return the server of the longest known prefix."""
+        for prefix in reversed(prefix_hashes):
+            server_id = self._servers.get(prefix)
+            if server_id is not None:
+                self._servers.move_to_end(prefix)
+                return server_id
+        return None
+
+    def record(
+        self, prefix_hashes: tuple[int, ...], server_id: str, entries_max: int
+    ) -> None:
+        """Note that a server runs a prompt.
+
+        :param entries_max: prefixes kept.
+        """
+        for prefix in prefix_hashes:
+            self._servers[prefix] = server_id
+            self._servers.move_to_end(prefix)
+        while len(self._servers) > entries_max:
+            self._servers.popitem(last=False)
+
+    def forget_server(self, server_id: str) -> None:
+        """Drop the prefixes of a server that is gone."""
+        gone = [
+            prefix
+            for prefix, holder in self._servers.items()
+            if holder == server_id
+        ]
+        for prefix in gone:
+            del self._servers[prefix]
+
+
+def rendezvous(
+    prefix: int, server_ids: Iterable[str], count: int
+) -> list[str]:
+    """Return the servers that a prefix belongs to by rendezvous hashing.
+
+    All processes get the same servers, so a prefix shared by programs of
+    several processes is computed at few servers.
+    """
+    scored = [(_mix(prefix, server_id), server_id) for server_id in server_ids]
+    scored.sort(reverse=True)
+    return [server_id for _, server_id in scored[:count]]
+
+
+def _mix(prefix: int, server_id: str) -> int:
+    value = (prefix ^ zlib.crc32(server_id.encode())) * _MULTIPLIER & _MASK
+    value ^= value >> 32
+    return value * _MULTIPLIER & _MASK
--- /dev/null
+++ b/packages/policy/src/balsamloom_policy/routing.py
@@ -0,0 +1,180 @@
+"""Choice of the server for a call."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import random
+
+from balsamloom_policy import _servers, calls, prefixes, settings
+
+SLOW_FOR_AFFINITY = 1.5
+OPTIMISM = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Learned:
+    """Shortest estimated completion among a few random candidates."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Random:
+    """Any server; a baseline."""
+
+
+@dataclasses.dataclass(frozen=True)
+class RoundRobin:
+    """One server after the other; a baseline."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Payoff:
+    """Highest estimated payoff less queue length divided by V."""
+
+
+Routing = Learned | Random | RoundRobin | Payoff
+
+
+def policy(values: settings.PolicySettings) -> Routing:
+    """Return the variant that the settings select."""
+    match values.routing:
+        case "learned":
+            return Learned()
+        case "round_robin":
+            return RoundRobin()
+        case "payoff":
+            return Payoff()
+        case _:
+            return Random()
+
+
+class Router:
+    """Chooses servers of one pool."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+        self._turn = 0
+        self.index = prefixes.PrefixIndex()
+
+    def choose(
+        self,
+        routing: Routing,
+        affinity: prefixes.Affinity,
+        profile: calls.CallProfile,
+        eligible: list[_servers.ServerState],
+        now_ms: float,
+        values: settings.PolicySettings,
+    ) -> _servers.ServerState:
+        """Return the server for a call.
+
+        :param eligible: servers with a free slot; at least one.
+        """
+        if len(eligible) == 1:
+            return eligible[0]
+        match routing:
+            case Random():
+                return self._generator.choice(eligible)
+            case RoundRobin():
+                self._turn += 1
+                return eligible[self._turn % len(eligible)]
+            case Payoff():
+                return _best_payoff(eligible, profile, now_ms, values)
+            case Learned():
+                return self._learned(
+                    affinity, profile, eligible, now_ms, values
+                )
+
+    def _learned(
+        self,
+        affinity: prefixes.Affinity,
+        profile: calls.CallProfile,
+        eligible: list[_servers.ServerState],
+        now_ms: float,
+        values: settings.PolicySettings,
+    ) -> _servers.ServerState:
+        if isinstance(affinity, prefixes.Bounded) and profile.prefix_hashes:
+            holder = self._holder(profile, eligible, now_ms, values)
+            if holder is not None:
+                return holder
+        count = min(values.candidate_count, len(eligible))
+        candidates = self._generator.sample(eligible, count)
+        return min(
+            candidates,
+            key=lambda state: estimate_ms(state, profile, now_ms, values),
+        )
+
+    def _holder(
+        self,
+        profile: calls.CallProfile,
+        eligible: list[_servers.ServerState],
+        now_ms: float,
+        values: settings.PolicySettings,
+    ) -> _servers.ServerState | None:
+        found = self.index.find(profile.prefix_hashes)
+        if found is None:
+            found = prefixes.rendezvous(
+                profile.prefix_hashes[0],
+                [state.server.server_id for state in eligible],
+                1,
+            )[0]
+        holder = None
+        total = 0.0
+        for state in eligible:
+            total += _relative_load(state, now_ms, values)
+            if state.server.server_id == found:
+                holder = state
+        if holder is None or holder.slowness > SLOW_FOR_AFFINITY:
+            return None
+        mean = total / len(eligible)
+        own = _relative_load(holder, now_ms, values)
+        # One call more than the mean is no imbalance on small servers.
+        slack = 1 / max(holder.slots, 1)
+        if own > mean * values.prefix_load_bound + slack:
+            return None
+        return holder
+
+
+def _relative_load(
+    state: _servers.ServerState,
+    now_ms: float,
+    values: settings.PolicySettings,
+) -> float:
+    load = state.load(now_ms, values.report_valid_ms)
+    room = state.server.concurrency or state.slots
+    return load / room if math.isfinite(room) else load
+
+
+def estimate_ms(
+    state: _servers.ServerState,
+    profile: calls.CallProfile,
+    now_ms: float,
+    values: settings.PolicySettings,
+) -> float:
+    """Return the estimated completion time of a call at a server.
+
+    A server without samples counts as immediate, so that it is tried.
+    """
+    service_ms = state.service_ms(profile) * max(state.slowness, 1.0)
+    return service_ms * (1 + _relative_load(state, now_ms, values))
+
+
+def _best_payoff(
+    eligible: list[_servers.ServerState],
+    profile: calls.CallProfile,
+    now_ms: float,
+    values: settings.PolicySettings,
+) -> _servers.ServerState:
+    known = [state.service_ms(profile) for state in eligible]
+    best_ms = min((value for value in known if value > 0), default=1.0)
+    total = 1 + sum(state.sample_count for state in eligible)
+
+    def payoff(state: _servers.ServerState) -> float:
+        service_ms = state.service_ms(profile) * max(state.slowness, 1.0)
+        if service_ms <= 0:
+            return math.inf
+        bonus = OPTIMISM * math.sqrt(math.log(total) / state.sample_count)
+        queue = state.load(now_ms, values.report_valid_ms)
+        reward = min(best_ms / service_ms + bonus, 1.0)
+        return reward - queue / values.payoff_v
+
+    return max(eligible, key=payoff)
