--- /dev/null
+++ b/packages/peers/src/balsamloom_peers/links.py
@@ -0,0 +1,62 @@
+"""Blocked links between entry processes, for tests of network cuts."""
+
+from __future__ import annotations
+
+import threading
+
+
+class Links:
+    """Set of peers that this process pretends not to reach.
+
+    The set can be changed at run time. An entry process offers it only when
+    its settings enable fault injection.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._outgoing: frozenset[str] = frozenset()
+        self._incoming: frozenset[str] = frozenset()
+
+    def block(
+        self, peer: str, outgoing: bool = True, incoming: bool = True
+    ) -> None:
+        """Cut the link to a peer.
+
+        :param peer: member id or peer address.
+        :param outgoing: whether requests to the peer are cut.
+        :param incoming: whether requests from the peer are cut.
+        """
+        with self._lock:
+            if outgoing:
+                self._outgoing |= {peer}
+            if incoming:
+                self._incoming |= {peer}
+
+    def unblock(self, peer: str) -> None:
+        """Restore both directions of the link to a peer.
+
+        :param peer: member id or peer address given to :meth:`block`.
+        """
+        with self._lock:
+            self._outgoing -= {peer}
+            self._incoming -= {peer}
+
+    def clear(self) -> None:
+        """Restore all links."""
+        with self._lock:
+            self._outgoing = frozenset()
+            self._incoming = frozenset()
+
+    def blocks_outgoing(self, *peers: str) -> bool:
+        """Return whether requests to any of these names are cut.
+
+        :param peers: names of one peer, its member id and its address.
+        """
+        return not self._outgoing.isdisjoint(peers)
+
+    def blocks_incoming(self, *peers: str) -> bool:
+        """Return whether requests from any of these names are cut.
+
+        :param peers: names of one peer, its member id and its address.
+        """
+        return not self._incoming.isdisjoint(peers)
