Detect dead peers by heartbeats, probes and an order of successors

Cause: every entry process polled every other one over HTTP and took over on its own view, so a cut between two members caused a take-over, and the cost grew with the fleet.

Change: Liveness sends heartbeats to at most six successors on a ring of member ids, so that each member is watched by six. A suspicion (2,000 ms of silence or two refused connections) needs two other members that fail to reach the peer. The first two successors are told and probe again; the others follow 1,500 ms apart. With fewer voters left the wait is longer, and of two members that cannot reach each other one waits twice as long.

--- /dev/null
+++ b/packages/membership/tests/builders.py
@@ -0,0 +1,167 @@
+"""Test data of the package membership."""
+
+import contextlib
+import json
+import pathlib
+import subprocess
+import sys
+
+from balsamloom_core import clock as clocks
+from balsamloom_membership import liveness
+from balsamloom_peers import client, messages, server
+
+TICK_MS = 50
+SETTINGS = liveness.LivenessSettings()
+
+
+def peers(count):
+    return [
+        liveness.Peer(f"m{number}-{number:08x}", f"127.0.0.1:{number + 1}")
+        for number in range(count)
+    ]
+
+
+class SimulatedTransport:
+    """Transport that calls the receiver directly, if the network lets it."""
+
+    def __init__(self, network, self_id):
+        self.network = network
+        self.self_id = self_id
+
+    def heartbeat(self, peer, content, timeout_ms):
+        receiver = self._receiver(peer)
+        return receiver.handle_heartbeat(content)
+
+    def probe(self, prober, probe, timeout_ms):
+        return self._receiver(prober).handle_probe(probe)
+
+    def _receiver(self, peer):
+        found = self.network.listening.get(peer.peer_address)
+        if (self.self_id, peer.member_id) in self.network.cut:
+            raise client.PeerUnreachable("no answer", True)
+        if found is None:
+            raise client.PeerUnreachable("refused", False, was_refused=True)
+        if found in self.network.paused:
+            raise client.PeerUnreachable("no answer", True)
+        return self.network.members[found]
+
+
+class Network:
+    """Members on one manual clock, with kills, pauses and cut links.
+
+    ``dead`` collects (time, caller, dead member). Members that are taken
+    over leave the map of all, unless the caller is in ``idle``.
+    """
+
+    def __init__(self, count):
+        self.clock = clocks.ManualClock()
+        self.map = peers(count)
+        self.members = {}
+        self.listening = {}
+        self.paused = set()
+        self.cut = set()
+        self.idle = set()
+        self.dead = []
+        self._next_ms = {}
+        for peer in self.map:
+            self.add(peer)
+        self.update()
+
+    def add(self, peer):
+        self.members[peer.member_id] = liveness.Liveness(
+            peer.member_id,
+            self.clock,
+            SimulatedTransport(self, peer.member_id),
+            SETTINGS,
+            lambda dead: self._take_over(peer.member_id, dead),
+            lambda heartbeat: None,
+        )
+        self.listening[peer.peer_address] = peer.member_id
+
+    def update(self):
+        for member in self.members.values():
+            member.update_peers(self.map)
+
+    def kill(self, peer):
+        del self.members[peer.member_id]
+        del self.listening[peer.peer_address]
+
+    def isolate(self, peer):
+        for other in self.map:
+            self.cut.add((peer.member_id, other.member_id))
+            self.cut.add((other.member_id, peer.member_id))
+
+    def run(self, duration_ms):
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            for member_id, member in list(self.members.items()):
+                if member_id not in self.paused:
+                    self._run_member(member_id, member)
+            self.clock.advance(TICK_MS)
+
+    def _run_member(self, member_id, member):
+        now_ms = self.clock.now_ms()
+        for watched in member.watched():
+            if self._next_ms.get((member_id, watched), 0) <= now_ms:
+                pause_ms = member.check(watched)
+                self._next_ms[member_id, watched] = now_ms + pause_ms
+        member.run_due()
+
+    def _take_over(self, member_id, dead):
+        self.dead.append((self.clock.now_ms(), member_id, dead.member_id))
+        if member_id not in self.idle:
+            self.map = [peer for peer in self.map if peer != dead]
+            self.update()
+
+
+class RunningMember(contextlib.ExitStack):
+    """A member with real gRPC in this process."""
+
+    def __init__(self, member_id, on_dead=None, content=None):
+        super().__init__()
+        self.pool = client.PeerPool(member_id)
+        self.callback(self.pool.close)
+        self.received = []
+        self.liveness = liveness.Liveness(
+            member_id,
+            clocks.Clock(),
+            liveness.PoolTransport(self.pool),
+            SETTINGS,
+            on_dead or (lambda dead: None),
+            self.received.append,
+            content,
+        )
+        self.server = server.PeerServer("127.0.0.1:0", self)
+        self.server.start()
+        self.callback(self.server.stop, 0)
+        self.callback(self.liveness.stop)
+        self.peer = liveness.Peer(member_id, self.server.address)
+
+    def heartbeat(self, heartbeat):
+        return self.liveness.handle_heartbeat(heartbeat)
+
+    def probe(self, probe):
+        return self.liveness.handle_probe(probe)
+
+
+class MemberProcess:
+    """A member in a process of its own that only answers heartbeats."""
+
+    def __init__(self, member_id):
+        script = pathlib.Path(__file__).with_name("member_process.py")
+        self.process = subprocess.Popen(
+            [sys.executable, str(script), member_id],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        line = json.loads(self.process.stdout.readline())
+        self.peer = liveness.Peer(member_id, line["address"])
+
+    def close(self):
+        self.process.kill()
+        self.process.wait()
+        self.process.stdout.close()
+
+
+def leaving(server_id="s1", incarnation=1, is_leaving=True, origin=3):
+    return messages.ServerState(server_id, incarnation, is_leaving, origin)
