Name path, value and accepted values in settings errors

Cause: settings errors showed the text of jsonschema, which leaves out what is accepted; NaN passed every range check, 1.0 passed for an integer, one of two equal keys was dropped silently, and two loads shared mutable defaults. A log field named like an attribute of logging.LogRecord raised an error. Change: settings.problems lists every problem as path, found and accepted; settings.parse refuses numbers that are not finite and repeated keys. Log fields with a reserved name get an underscore. Events 5002 and 5003 are new. Conclusion: an operator sees what to write instead of what was refused.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -13,6 +13,12 @@
 from pythonjsonlogger import json as json_logger
 
 _LOGGER = logging.getLogger("balsamloom")
+# ``logging`` raises an error for fields that its records use themselves.
+_RESERVED = frozenset(vars(logging.makeLogRecord({}))) | {
+    "message",
+    "asctime",
+    "name_of_event",
+}
 
 
 class Event(enum.IntEnum):
@@ -49,6 +55,8 @@
 
     CONFIGURATION_IN_FORCE = 5000
     CONFIGURATION_REJECTED = 5001
+    CONFIGURATION_FETCH_FAILED = 5002
+    CONFIGURATION_CALLBACK_FAILED = 5003
 
     ORDER_SENT = 6000
     ORDER_REFUSED = 6001
@@ -99,6 +107,12 @@
     Event.CONFIGURATION_REJECTED: (
         "An older or invalid configuration was not taken."
     ),
+    Event.CONFIGURATION_FETCH_FAILED: (
+        "A peer's newer configuration could not be fetched."
+    ),
+    Event.CONFIGURATION_CALLBACK_FAILED: (
+        "A part of the process failed to take a configuration over."
+    ),
     Event.ORDER_SENT: "An order was sent to a model engine.",
     Event.ORDER_REFUSED: "A model engine refused an order.",
     Event.HOLDS_RELEASED: "Engine memory of gone programs was released.",
@@ -118,12 +132,16 @@
 
     :param event: numbered event.
     :param level: level of the ``logging`` module.
-    :param fields: values that a reader needs, with unit suffixes.
+    :param fields: values that a reader needs, with unit suffixes. A name that
+        ``logging`` uses itself gets an underscore at its end.
     """
     extra = {
         "event": int(event),
         "name_of_event": event.name.lower(),
-        **fields,
+        **{
+            f"{name}_" if name in _RESERVED else name: value
+            for name, value in fields.items()
+        },
     }
     _LOGGER.log(level, _MEANINGS[event], extra=extra)
 
--- a/packages/core/src/balsamloom_core/identifiers.py
+++ b/packages/core/src/balsamloom_core/identifiers.py
@@ -9,13 +9,18 @@
 
 _PROGRAM_PATTERN = re.compile(r"p([0-9a-f]{3})-([0-9a-f]{16})")
 _RANDOM_BYTES = 8
+MAX_PARTITIONS = 0x1000
 
 
 def new_program_id(partition: int) -> str:
     """Return a fresh program identifier.
 
     :param partition: partition that the program belongs to, 0 to 4095.
+    :raises ValueError: for another partition, whose identifier could not be
+        read back.
     """
+    if not 0 <= partition < MAX_PARTITIONS:
+        raise ValueError(f"partition {partition}; accepted: 0 to 4095")
     return f"p{partition:03x}-{secrets.token_hex(_RANDOM_BYTES)}"
 
 
--- a/packages/core/src/balsamloom_core/settings.py
+++ b/packages/core/src/balsamloom_core/settings.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
+import copy
 import json
+import math
 import pathlib
-from typing import Any
+from collections.abc import Iterable
+from typing import Any, NamedTuple
 
 import jsonschema
+from jsonschema import validators
 
 from balsamloom_core import errors, results
 
+MAX_SHOWN_LENGTH = 80
+ROOT_PATH = "document"
+
 
 class SettingsError(errors.BalsamloomError):
     """The settings are not valid.
 
-    :param path: place in the document, as ``a.b.c``.
+    :param path: place in the document, as ``a.b[0].c``.
     :param message: what was found and what is accepted.
     """
 
@@ -25,6 +32,43 @@
         self.path = path
 
 
+class Problem(NamedTuple):
+    """One value of a document that is not accepted."""
+
+    path: str
+    found: str
+    accepted: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.found}; accepted: {self.accepted}"
+
+
+def _is_integer(_: Any, value: Any) -> bool:
+    # JSON Schema takes 1.0 for an integer; Python's range() and slices do not.
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+_VALIDATOR = validators.extend(  # type: ignore[no-untyped-call]
+    jsonschema.Draft202012Validator,
+    type_checker=jsonschema.Draft202012Validator.TYPE_CHECKER.redefine(
+        "integer", _is_integer
+    ),
+)
+
+
+def problems(document: Any, schema: dict[str, Any]) -> list[Problem]:
+    """Return everything in a document that its schema does not accept.
+
+    :param document: decoded JSON.
+    :param schema: JSON Schema, draft 2020-12.
+    :return: problems in the order of their paths.
+    """
+    found: list[Problem] = []
+    for error in _VALIDATOR(schema).iter_errors(document):
+        found.extend(_described(error))
+    return sorted(found)
+
+
 def check(document: Any, schema: dict[str, Any]) -> None:
     """Check a document.
 
@@ -32,16 +76,12 @@
     :param schema: JSON Schema, draft 2020-12.
     :raises SettingsError: with the path, the value and what is accepted.
     """
-    validator = jsonschema.Draft202012Validator(schema)
-    found = sorted(
-        validator.iter_errors(document), key=lambda error: error.json_path
-    )
+    found = problems(document, schema)
     if found:
         first = found[0]
-        path = (
-            first.json_path.removeprefix("$").removeprefix(".") or "document"
+        raise SettingsError(
+            first.path, f"{first.found}; accepted: {first.accepted}"
         )
-        raise SettingsError(path, first.message)
 
 
 def with_defaults(
@@ -56,12 +96,30 @@
     result = dict(document)
     for name, part in schema.get("properties", {}).items():
         if name not in result and "default" in part:
-            result[name] = part["default"]
+            # Callers may change their document; the schema must stay as is.
+            result[name] = copy.deepcopy(part["default"])
         if isinstance(result.get(name), dict) and part.get("type") == "object":
             result[name] = with_defaults(result[name], part)
     return result
 
 
+def parse(text: str | bytes) -> Any:
+    """Decode JSON strictly.
+
+    Numbers that are not finite and repeated keys are refused: a range check
+    does not catch NaN, and of two equal keys one would be dropped silently.
+
+    :param text: JSON text.
+    :raises ValueError: if the text is not such JSON.
+    """
+    return json.loads(
+        text,
+        parse_constant=_finite,
+        parse_float=_finite,
+        object_pairs_hook=_without_repeats,
+    )
+
+
 def load(path: pathlib.Path, schema: dict[str, Any]) -> dict[str, Any]:
     """Read and check a settings file.
 
@@ -72,12 +130,126 @@
         schema.
     """
     try:
-        document = json.loads(path.read_text(encoding="utf-8"))
+        document = parse(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(
-            str(path), f"cannot be read: {error.strerror}"
+            str(path),
+            f"cannot be read: {error.strerror}; accepted: a readable file",
         ) from error
     except ValueError as error:
-        raise SettingsError(str(path), f"is not JSON: {error}") from error
+        raise SettingsError(
+            str(path), f"is not JSON: {error}; accepted: a JSON object"
+        ) from error
     check(document, schema)
     return with_defaults(document, schema)
+
+
+def shown(value: Any) -> str:
+    """Return a value as short JSON for a message.
+
+    :param value: JSON-compatible value.
+    """
+    text = json.dumps(value, ensure_ascii=False)
+    if len(text) > MAX_SHOWN_LENGTH:
+        return text[: MAX_SHOWN_LENGTH - 3] + "..."
+    return text
+
+
+def joined(parts: Iterable[str | int]) -> str:
+    """Return a path as ``a.b[0].c``; the empty path is ``document``.
+
+    :param parts: keys and list positions from the root.
+    """
+    path = ""
+    for part in parts:
+        if isinstance(part, int):
+            path += f"[{part}]"
+        else:
+            path += f".{part}" if path else part
+    return path or ROOT_PATH
+
+
+def _finite(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"number {text} is not finite")
+    return value
+
+
+def _without_repeats(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    result: dict[str, Any] = {}
+    for key, value in pairs:
+        if key in result:
+            raise ValueError(f"key {key!r} occurs twice in one object")
+        result[key] = value
+    return result
+
+
+def _described(error: Any) -> list[Problem]:
+    parts = list(error.absolute_path)
+    rule: Any = error.validator_value
+    match error.validator:
+        case "required":
+            return [
+                Problem(joined([*parts, name]), "is missing", "a value")
+                for name in rule
+                if name not in error.instance
+            ][:1]
+        case "additionalProperties" if rule is False:
+            return _unknown_keys(error, parts)
+    value = f"value {shown(error.instance)} is not accepted"
+    return [Problem(joined(parts), value, _accepted(error, rule))]
+
+
+def _unknown_keys(error: Any, parts: list[str | int]) -> list[Problem]:
+    known = sorted(error.schema.get("properties", {}))
+    accepted = "keys " + ", ".join(known) if known else "no keys"
+    return [
+        Problem(
+            joined([*parts, name]),
+            f"unknown key with value {shown(value)}",
+            accepted,
+        )
+        for name, value in error.instance.items()
+        if name not in known
+    ]
+
+
+def _accepted(error: Any, rule: Any) -> str:
+    schema: dict[str, Any] = error.schema
+    match error.validator:
+        case "type":
+            kinds = [rule] if isinstance(rule, str) else rule
+            return " or ".join(kinds) + _range(schema)
+        case "minimum" | "maximum" | "exclusiveMinimum" | "exclusiveMaximum":
+            return f"{schema.get('type', 'number')}{_range(schema)}"
+        case "enum":
+            return "one of " + ", ".join(shown(value) for value in rule)
+        case "pattern":
+            return str(schema.get("description", f"text matching {rule}"))
+        case "minLength" | "minItems" | "minProperties":
+            return f"at least {rule} {_unit(error.validator)}"
+        case "maxLength" | "maxItems" | "maxProperties":
+            return f"at most {rule} {_unit(error.validator)}"
+        case _:
+            return f"{error.validator} {shown(rule)}"
+
+
+def _unit(rule: str) -> str:
+    units = {"Length": "characters", "Items": "entries", "Properties": "keys"}
+    return units[rule[3:]]
+
+
+def _range(schema: dict[str, Any]) -> str:
+    limits = {
+        "minimum": "at least",
+        "exclusiveMinimum": "above",
+        "maximum": "at most",
+        "exclusiveMaximum": "below",
+    }
+    texts = [
+        f"{words} {schema[name]}"
+        for name, words in limits.items()
+        if name in schema
+    ]
+    return " " + " and ".join(texts) if texts else ""
