Add the configuration document, its editing and its distribution

Change: document (sections, schemas, checks over the whole document, changes between peers with a digest), editing (one transaction on the section and the head; history, conflict with both sides and the base, undo, diff) and distribution (InForce). An edit carries an identifier which is searched for in the section's history before a conflict is reported, so that a lost answer is resolved even below a later edit. Conclusion: usable by the entry process; transport to peers is a callable.

--- a/packages/configuration/src/balsamloom_configuration/__init__.py
+++ b/packages/configuration/src/balsamloom_configuration/__init__.py
@@ -1,1 +1,1 @@
-"""Operators' configuration: sections, checks, edits and distribution."""
+"""Operators' configuration: document, editing and distribution."""
--- /dev/null
+++ b/packages/configuration/tests/builders.py
@@ -0,0 +1,156 @@
+"""Builders of configuration test data, and an in-memory store with faults."""
+
+import logging
+import threading
+import time
+
+from balsamloom_configuration import distribution, editing
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+from balsamloom_platform import store as stores
+
+
+def server(server_id, **fields):
+    return {"id": server_id, "address": "127.0.0.1:9001", **fields}
+
+
+def models(name="booking-7b", *server_ids, **fields):
+    servers = [server(found) for found in server_ids or (f"{name}-1",)]
+    return {name: {"servers": servers, **fields}}
+
+
+def customers(share=1.0):
+    return {"indus-restwell": {"share": share}}
+
+
+def edit(section, content, base_revision=0, author="asha", comment="test"):
+    return editing.Edit(
+        section,
+        content,
+        base_revision,
+        author,
+        comment,
+        editing.new_edit_id(),
+    )
+
+
+class Rejections(logging.Handler):
+    """Sets ``seen`` when a configuration was rejected."""
+
+    def __init__(self):
+        super().__init__()
+        self.seen = threading.Event()
+
+    def emit(self, record):
+        if record.event == events.Event.CONFIGURATION_REJECTED:
+            self.seen.set()
+
+
+class FakeStore:
+    """Key-value service in memory.
+
+    ``is_down`` fails every call. ``lost_answers`` counts commits that take
+    effect without an answer, ``lost_requests`` those that look the same and
+    do not. ``stale_reads`` counts reads answered from ``stale_items``.
+    ``before_commit`` runs once before the next commit.
+    """
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 0
+        self.is_down = False
+        self.lost_answers = 0
+        self.lost_requests = 0
+        self.stale_reads = 0
+        self.stale_items = {}
+        self.before_commit = None
+        self.watches = 0
+        self.changes = []
+        self.changed = threading.Condition()
+
+    def get(self, key, timeout_ms=0):
+        return self._readable().get(key)
+
+    def list_keys(self, prefix, limit=0, start="", timeout_ms=0):
+        found = [
+            item
+            for key, item in sorted(self._readable().items())
+            if key.startswith(prefix) and key >= start
+        ]
+        return stores.Page(found, False, self.revision)
+
+    def commit(self, comparisons, operations, timeout_ms=0):
+        hook, self.before_commit = self.before_commit, None
+        if hook:
+            hook()
+        self._check_up(True)
+        if self.lost_requests:
+            self.lost_requests -= 1
+            raise stores.StoreUnavailable("request lost", True)
+        with self.changed:
+            if not all(self._holds(found) for found in comparisons):
+                return stores.Conflict(self.revision, {})
+            self.revision += 1
+            for operation in operations:
+                self._operate(operation)
+            self.changed.notify_all()
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise stores.StoreUnavailable("answer lost", True)
+        return stores.Committed(self.revision)
+
+    def watch(self, prefix, from_revision, timeout_ms):
+        self.watches += 1
+        end_s = time.monotonic() + timeout_ms / 1000
+        while time.monotonic() < end_s:
+            self._check_up(False)
+            with self.changed:
+                found = [
+                    change
+                    for change in self.changes
+                    if change.revision >= from_revision
+                    and change.key.startswith(prefix)
+                ]
+                if not found:
+                    self.changed.wait(0.02)
+            if found:
+                from_revision = found[-1].revision + 1
+                yield found
+
+    def _readable(self):
+        self._check_up(False)
+        if self.stale_reads:
+            self.stale_reads -= 1
+            return self.stale_items
+        return dict(self.items)
+
+    def _check_up(self, may_have_applied):
+        if self.is_down:
+            raise stores.StoreUnavailable("down", may_have_applied)
+
+    def _holds(self, comparison):
+        item = self.items.get(comparison.key)
+        if isinstance(comparison, stores.KeyAbsent):
+            return item is None
+        return item is not None and (
+            item.mod_revision == comparison.mod_revision
+        )
+
+    def _operate(self, operation):
+        key = operation.key
+        if isinstance(operation, stores.Delete):
+            self.items.pop(key, None)
+            return
+        item = stores.Item(key, operation.value, 0, self.revision)
+        self.items[key] = item
+        self.changes.append(stores.Change(key, item, self.revision))
+
+
+def editor(store):
+    return editing.Editor(store, clocks.Clock())
+
+
+def in_force(store, is_watcher=False, peer_offers=lambda: ()):
+    return distribution.InForce(
+        store, clocks.Clock(), lambda: is_watcher, peer_offers
+    )
--- /dev/null
+++ b/packages/configuration/tests/test_document.py
@@ -0,0 +1,117 @@
+"""Tests of the document's checks and its form between peers."""
+
+import unittest
+
+import builders
+
+from balsamloom_configuration import document as documents
+from balsamloom_core import errors, results
+
+
+def document(**sections):
+    return documents.assemble(
+        {
+            name.replace("__", "/"): documents.Section(content, number)
+            for number, (name, content) in enumerate(sections.items(), 1)
+        }
+    )
+
+
+class CheckTest(unittest.TestCase):
+    """Guards against a document in force that processes cannot act on."""
+
+    def problems(self, **sections):
+        return [str(found) for found in documents.check(document(**sections))]
+
+    def test_a_sound_document_has_no_problems(self):
+        sound = {
+            "models": builders.models("a"),
+            "models__restwell-desk": builders.models("b"),
+            "engines": {"b-1": {"model": "a", "role": "prefill"}},
+            "customers": builders.customers(),
+            "routing": {"trial": {"interval_ms": 200}},
+        }
+        self.assertEqual(self.problems(**sound), [])
+
+    def test_problem_names_path_value_and_accepted(self):
+        cases = [
+            (
+                {"models": builders.models("a", max_tokens=0)},
+                "models.a.max_tokens: value 0 is not accepted; accepted: "
+                "integer at least 1 and at most 1000000",
+            ),
+            (
+                {"models": {"a": {"servers": []}}},
+                "models.a.servers: value [] is not accepted; accepted: "
+                "at least 1 entries",
+            ),
+            (
+                {"services__desk": {"s": {"servers": [], "kind": 1}}},
+                "services/desk.s.kind: unknown key with value 1; accepted: "
+                "keys operations, servers",
+            ),
+            (
+                {"limits": {"share": None}},
+                "limits.share: value null is not accepted; accepted: "
+                "number or string or boolean or object",
+            ),
+        ]
+        for sections, expected in cases:
+            with self.subTest(expected):
+                self.assertIn(expected, self.problems(**sections))
+
+    def test_names_and_servers_are_unique_across_sections(self):
+        found = self.problems(
+            models=builders.models("a", "s1"),
+            models__desk=builders.models("a", "s2"),
+            services=builders.models("b", "s1"),
+        )
+        self.assertEqual(
+            [text.partition(":")[0] for text in found],
+            ["models/desk.a", "services.b.servers[0].id"],
+        )
+
+    def test_references_resolve(self):
+        found = self.problems(
+            models=builders.models("a"),
+            engines={"a-2": {"model": "c"}},
+        )
+        self.assertEqual(
+            [text.partition(":")[0] for text in found],
+            ["engines.a-2", "engines.a-2.model"],
+        )
+
+    def test_section_of_an_unknown_kind_is_refused(self):
+        for name in ("model", "routing/desk", "models/", "models/../x"):
+            with self.subTest(name):
+                with self.assertRaises(errors.BalsamloomError) as caught:
+                    documents.kind_of(name)
+                self.assertEqual(
+                    caught.exception.code, results.ResultCode.UNKNOWN_SECTION
+                )
+                self.assertIn("models/<team>", caught.exception.message)
+
+
+class EncodingTest(unittest.TestCase):
+    """Guards against a process that holds a mix of two documents."""
+
+    def test_changes_lead_from_the_known_document_to_the_newer(self):
+        old = document(models=builders.models("a"))
+        new = old.replace("customers", documents.Section({}, 2))
+        value = documents.encode(new, since=1)
+        self.assertEqual(documents.decode(value, old), new)
+
+    def test_changes_to_another_document_are_refused(self):
+        old = document(models=builders.models("a"))
+        new = old.replace("customers", documents.Section({}, 2))
+        other = document(models=builders.models("b"))
+        with self.assertRaises(errors.BalsamloomError):
+            documents.decode(documents.encode(new, since=1), other)
+
+    def test_any_damaged_byte_is_found(self):
+        value = documents.encode(document(models=builders.models("a")))
+        for position in range(len(value)):
+            damaged = bytearray(value)
+            damaged[position] ^= 1
+            with self.assertRaises(errors.BalsamloomError):
+                documents.decode(bytes(damaged), documents.EMPTY)
