--- /dev/null
+++ b/packages/entry/src/balsamloom_entry/requests.py
@@ -0,0 +1,149 @@
+"""Requests and answers, independent of how they travel.
+
+A caller's request comes over HTTP, or over gRPC from a peer that is not the
+owner of the program; both go through the same router.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, NamedTuple
+
+from balsamloom_core import errors, results
+
+JSON_TYPE = "application/json"
+STREAM_TYPE = "text/event-stream"
+PROGRAM_HEADER = "X-Program-Id"
+KEY_HEADER = "Idempotency-Key"
+DEADLINE_HEADER = "X-Deadline-Ms"
+OWNER_HEADER = "X-Owner-Address"
+MAX_KEY_CHARACTERS = 200
+
+
+class Request(NamedTuple):
+    """One request; header names are in lower case."""
+
+    method: str
+    path: tuple[str, ...]
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+    is_forwarded: bool = False
+
+    def header(self, name: str) -> str:
+        """Return a header that must be there.
+
+        :param name: header name in any case.
+        :raises BalsamloomError: if it is missing.
+        """
+        value = self.headers.get(name.lower(), "")
+        if not value:
+            raise errors.BalsamloomError(
+                results.ResultCode.MISSING_HEADER, f"header {name} is missing"
+            )
+        return value
+
+    def idempotency_key(self) -> str:
+        """Return the idempotency key.
+
+        :raises BalsamloomError: if it is missing or too long.
+        """
+        key = self.header(KEY_HEADER)
+        if len(key) > MAX_KEY_CHARACTERS:
+            raise errors.BalsamloomError(
+                results.ResultCode.MALFORMED_REQUEST,
+                f"header {KEY_HEADER} has {len(key)} characters, at most"
+                f" {MAX_KEY_CHARACTERS} are accepted",
+            )
+        return key
+
+    def deadline_ms(self, default_ms: int) -> int:
+        """Return the time that the caller gives the call, in ms.
+
+        :param default_ms: time if the caller gives none.
+        :raises BalsamloomError: if the header is not a positive whole number.
+        """
+        value = self.headers.get(DEADLINE_HEADER.lower(), "")
+        if not value:
+            return default_ms
+        if not value.isdecimal() or int(value) == 0:
+            raise errors.BalsamloomError(
+                results.ResultCode.MALFORMED_REQUEST,
+                f"header {DEADLINE_HEADER}: {value!r} is not a positive whole"
+                " number of milliseconds",
+            )
+        return int(value)
+
+    def json_object(self) -> dict[str, Any]:
+        """Return the body, which must be a JSON object.
+
+        :raises BalsamloomError: if it is not.
+        """
+        try:
+            document = json.loads(self.body)
+        except ValueError as error:
+            raise errors.BalsamloomError(
+                results.ResultCode.MALFORMED_REQUEST,
+                f"body is not JSON: {error}",
+            ) from error
+        if not isinstance(document, dict):
+            raise errors.BalsamloomError(
+                results.ResultCode.MALFORMED_REQUEST,
+                f"body is a {type(document).__name__}, an object is accepted",
+            )
+        return document
+
+
+class Answer(NamedTuple):
+    """Status, headers, and a body that may still be growing."""
+
+    status: int
+    headers: dict[str, str]
+    chunks: Iterable[bytes]
+
+
+Handler = Callable[[Request], Answer]
+
+
+def json_answer(
+    document: Any, status: int = 200, headers: Mapping[str, str] | None = None
+) -> Answer:
+    """Return an answer with a JSON body.
+
+    :param document: JSON-compatible value.
+    :param status: HTTP status.
+    :param headers: further headers.
+    """
+    body = json.dumps(document, separators=(",", ":")).encode()
+    found = {"Content-Type": JSON_TYPE, **(headers or {})}
+    return Answer(status, found, [body])
+
+
+def error_document(error: errors.BalsamloomError) -> dict[str, Any]:
+    """Return the JSON form of an error.
+
+    :param error: error to describe.
+    """
+    return {
+        "error": {
+            "code": int(error.code),
+            "name": error.code.name.lower(),
+            "message": error.message,
+            "not_run": results.info(error.code).not_run,
+            "retry_after_ms": error.retry_after_ms,
+        }
+    }
+
+
+def error_answer(error: errors.BalsamloomError) -> Answer:
+    """Return an answer for an error, with ``Retry-After`` if it is known.
+
+    :param error: error to describe.
+    """
+    headers = {}
+    if error.retry_after_ms is not None:
+        # The header counts whole seconds; the body has the exact time.
+        headers["Retry-After"] = str(-(-error.retry_after_ms // 1000))
+    status = results.info(error.code).http_status
+    return json_answer(error_document(error), status, headers)
--- /dev/null
+++ b/packages/entry/src/balsamloom_entry/streams.py
@@ -0,0 +1,46 @@
+"""Server-sent events towards callers, with sequence numbers."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+DONE_MARK = b"data: [DONE]\n\n"
+
+
+class EventWriter:
+    """Numbers the events of one stream and encodes them."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def chunk(self, data: str) -> bytes:
+        """Encode one chunk of a model's answer.
+
+        :param data: JSON text as the engine sent it.
+        """
+        self.count += 1
+        return f"id: {self.count}\ndata: {data}\n\n".encode()
+
+    def progress(self, reason: str, waited_ms: float, **more: Any) -> bytes:
+        """Encode a notice that the call is waiting.
+
+        :param reason: what the call waits for.
+        :param waited_ms: time since the request came.
+        :param more: further fields.
+        """
+        body = {"reason": reason, "waited_ms": round(waited_ms), **more}
+        return self._named("progress", body)
+
+    def done(self, body: dict[str, Any]) -> bytes:
+        """Encode the last event; a stream without it has been cut.
+
+        :param body: result; the number of events is added.
+        """
+        last = self._named("done", {"events": self.count + 1, **body})
+        return last + DONE_MARK
+
+    def _named(self, name: str, body: dict[str, Any]) -> bytes:
+        self.count += 1
+        data = json.dumps(body, separators=(",", ":"))
+        return f"id: {self.count}\nevent: {name}\ndata: {data}\n\n".encode()
