--- a/packages/membership/tests/builders.py
+++ b/packages/membership/tests/builders.py
@@ -7,8 +7,10 @@
 import sys
 
 from balsamloom_core import clock as clocks
-from balsamloom_membership import liveness
+from balsamloom_core import errors, results
+from balsamloom_membership import backends, liveness
 from balsamloom_peers import client, messages, server
+from balsamloom_state import partitions
 
 TICK_MS = 50
 SETTINGS = liveness.LivenessSettings()
@@ -165,3 +167,45 @@
 
 def leaving(server_id="s1", incarnation=1, is_leaving=True, origin=3):
     return messages.ServerState(server_id, incarnation, is_leaving, origin)
+
+
+def servers(count, pool="rota"):
+    return [
+        backends.Server(f"s{number}", pool, f"127.0.0.1:{number + 1}")
+        for number in range(count)
+    ]
+
+
+def table(count=3, self_id="m1", clock=None, members=("m1",)):
+    made = backends.BackendTable(self_id, clock or clocks.ManualClock())
+    made.set_servers(servers(count))
+    made.set_members(members)
+    return made
+
+
+class Report:
+    def __init__(self, state):
+        self.state = state
+
+
+def unavailable():
+    return errors.BalsamloomError(results.ResultCode.BACKEND_TIMEOUT)
+
+
+def partition_map(count=4, hosts=None, domains=2, leaving=()):
+    """A map whose members own 16 partitions each, one host a member."""
+    members = {}
+    for number in range(count):
+        host = number if hosts is None else number % hosts
+        members[f"m{number}"] = partitions.Member(
+            f"m{number}",
+            f"host{host}:{8000 + number}",
+            f"host{host}:{9000 + number}",
+            f"fd{host % domains}",
+            f"m{number}" in leaving,
+        )
+    owners = {
+        number: partitions.Ownership(f"m{number % count}", 1)
+        for number in range(16 * count)
+    }
+    return partitions.PartitionMap(1, 16 * count, members, owners, ())
