Add the operator and caller commands

Cause: operators need to edit the configuration without losing each other's changes, and callers need a client that tries again only where that is safe. A file printed by config get carries the section's revision, so apply notices a race. The client waits as Retry-After says, keeps the key over all tries, asks again for a stream with a gap or without its final event, and never repeats a start whose outcome is open. The first run found config get asking the store before checking the section's name. Conclusion: usable; members do not give their revision in /v1/status yet.

--- a/packages/cli/src/balsamloom_cli/__init__.py
+++ b/packages/cli/src/balsamloom_cli/__init__.py
@@ -1,1 +1,1 @@
-"""Operator and caller commands."""
+"""Operator and caller commands, and the caller's client library."""
--- /dev/null
+++ b/packages/cli/src/balsamloom_cli/client.py
@@ -0,0 +1,516 @@
+"""Client of the callers' interface.
+
+A :class:`Caller` looks up the address of a program's owner, keeps it for as
+long as the answer allows, and tries again where that is safe: after a refusal
+that says "not run", when no byte has left, and with the same idempotency key.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import secrets
+import threading
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any, NamedTuple
+from urllib import parse
+
+import cachetools
+import sseclient
+import urllib3
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import errors, results
+
+CONNECT_TIMEOUT_MS = 1_000
+DEFAULT_TIMEOUT_MS = 60_000
+FIRST_PAUSE_MS = 100
+LONGEST_PAUSE_MS = 1_000
+CHUNK_BYTES = 65_536
+MAX_CACHED_ADDRESSES = 10_000
+
+Body = dict[str, Any]
+
+
+class CallError(errors.BalsamloomError):
+    """A request that ended without the wanted answer.
+
+    :param code: result code, from the service where it gave one.
+    :param message: cause.
+    :param not_run: whether it is certain that the call did not run.
+    :param retry_after_ms: wait that the service asks for.
+    """
+
+    def __init__(
+        self,
+        code: results.ResultCode,
+        message: str,
+        not_run: bool,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        super().__init__(code, message, retry_after_ms)
+        self.not_run = not_run
+
+
+class Address(NamedTuple):
+    """Answer to the question which address to use."""
+
+    address: str
+    valid_ms: int
+    alternatives: tuple[str, ...]
+
+
+class StreamEvent(NamedTuple):
+    """One event of a model call.
+
+    ``name`` is ``message``, ``progress`` or ``done``, or ``restart`` when the
+    call was sent again and the text received so far is void.
+    """
+
+    name: str
+    number: int
+    body: Body
+
+
+class _Request(NamedTuple):
+    method: str
+    path: str
+    body: Body | None
+    headers: Mapping[str, str]
+    program_id: str
+    may_be_repeated: bool
+
+
+class _Pacing:
+    """Pauses between tries, and the deadline of all of them."""
+
+    def __init__(self, clock: clocks.Clock, timeout_ms: float) -> None:
+        self._clock = clock
+        self._end_ms = clock.now_ms() + timeout_ms
+        self._pause_ms: float = FIRST_PAUSE_MS
+
+    @property
+    def remaining_ms(self) -> float:
+        return self._end_ms - self._clock.now_ms()
+
+    def pause(self, error: CallError) -> None:
+        """Wait as the service asks, or a growing time with jitter.
+
+        :param error: reason; raised again if the deadline leaves no time.
+        """
+        pause_ms = random.uniform(self._pause_ms / 2, self._pause_ms)
+        if error.retry_after_ms is not None:
+            pause_ms = error.retry_after_ms
+        if pause_ms >= self.remaining_ms:
+            raise error
+        self._pause_ms = min(2 * self._pause_ms, LONGEST_PAUSE_MS)
+        self._clock.sleep(pause_ms)
+
+
+def new_key() -> str:
+    """Return a fresh idempotency key."""
+    return secrets.token_hex(8)
+
+
+class Caller:
+    """A caller of balsamloom; may be used by several threads.
+
+    :param addresses: entry processes to ask for addresses.
+    :param customer: customer in whose name addresses are asked for.
+    :param clock: time for waits and validity.
+    :param timeout_ms: longest time for one call with all its tries.
+    :param pool: connections.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        customer: str = "",
+        clock: clocks.Clock | None = None,
+        timeout_ms: int = DEFAULT_TIMEOUT_MS,
+        pool: urllib3.PoolManager | None = None,
+    ) -> None:
+        if not addresses:
+            raise ValueError("no address of an entry process")
+        self._seeds = tuple(addresses)
+        self._customer = customer
+        self._clock = clock or clocks.Clock()
+        self._timeout_ms = timeout_ms
+        self._pool = pool or urllib3.PoolManager(num_pools=32, maxsize=32)
+        self._lock = threading.Lock()
+        self._cache: cachetools.LRUCache[str, tuple[float, Address]] = (
+            cachetools.LRUCache(MAX_CACHED_ADDRESSES)
+        )
+
+    def address(self, program_id: str = "") -> Address:
+        """Return the address to use, from the cache while it is valid.
+
+        :param program_id: program, or empty to start one.
+        :raises CallError: if no entry process can be asked in time.
+        """
+        pacing = _Pacing(self._clock, self._timeout_ms)
+        return self._address(program_id, pacing)
+
+    def start(self, specification: Body) -> str:
+        """Start a program and return its identifier.
+
+        It is sent again only if it certainly did not run, since a repeated
+        start would make a second program.
+
+        :param specification: ``customer``, ``workspace``, ``budget`` and so
+            on.
+        """
+        headers = {"Idempotency-Key": new_key()}
+        request = _Request(
+            "POST", "/v1/programs", specification, headers, "", False
+        )
+        return str(self._answered(request)["program_id"])
+
+    def chat(
+        self, program_id: str, body: Body, key: str
+    ) -> Iterator[StreamEvent]:
+        """Run a model call and yield its events; ``done`` is the last.
+
+        A stream that is cut off or has a gap is asked for again with the same
+        key.
+
+        :param program_id: program of the call.
+        :param body: request; its messages are the new ones of this turn.
+        :param key: idempotency key.
+        :raises CallError: if the call ends with an error or in no time.
+        """
+        request = _Request(
+            "POST",
+            "/v1/chat/completions",
+            {**body, "stream": True},
+            _call_headers(program_id, key),
+            program_id,
+            True,
+        )
+        pacing = _Pacing(self._clock, self._timeout_ms)
+        while True:
+            number = 0
+            try:
+                for event in self._streamed(request, pacing):
+                    number = event.number
+                    yield event
+                return
+            except CallError as error:
+                if not _is_temporary(error):
+                    raise
+                self._forget(program_id)
+                pacing.pause(error)
+                if number:
+                    yield StreamEvent(
+                        "restart", number, {"cause": error.message}
+                    )
+
+    def tool(
+        self,
+        program_id: str,
+        service: str,
+        operation: str,
+        body: Body,
+        key: str,
+    ) -> Body:
+        """Run a tool call and return its answer.
+
+        Every try uses the same key, by which the service runs the call at
+        most once.
+
+        :param program_id: program of the call.
+        :param service: name of the service.
+        :param operation: name of the operation.
+        :param body: request body.
+        :param key: idempotency key.
+        :raises CallError: if the call ends with an error or in no time.
+        """
+        request = _Request(
+            "POST",
+            f"/v1/tools/{_quoted(service)}/{_quoted(operation)}",
+            body,
+            _call_headers(program_id, key),
+            program_id,
+            True,
+        )
+        return self._answered(request)
+
+    def show(self, program_id: str) -> Body:
+        """Return the state of a program.
+
+        :param program_id: program to show.
+        """
+        return self._answered(_program_request("GET", program_id))
+
+    def result(self, program_id: str, key: str) -> Body:
+        """Return the result of an earlier call.
+
+        :param program_id: program of the call.
+        :param key: idempotency key of the call.
+        """
+        request = _program_request("GET", program_id, f"/calls/{_quoted(key)}")
+        return self._answered(request)
+
+    def end(self, program_id: str) -> Body:
+        """End a program.
+
+        :param program_id: program to end.
+        """
+        return self._answered(_program_request("DELETE", program_id))
+
+    def _answered(self, request: _Request) -> Body:
+        pacing = _Pacing(self._clock, self._timeout_ms)
+        while True:
+            try:
+                response, is_named = self._sent(request, pacing)
+                try:
+                    return _decoded(response, request, is_named)
+                finally:
+                    response.release_conn()
+            except CallError as error:
+                is_safe = error.not_run or request.may_be_repeated
+                if not (is_safe and _is_temporary(error)):
+                    raise
+                self._forget(request.program_id)
+                pacing.pause(error)
+
+    def _streamed(
+        self, request: _Request, pacing: _Pacing
+    ) -> Iterator[StreamEvent]:
+        response, is_named = self._sent(request, pacing)
+        try:
+            if response.status >= 400:
+                _decoded(response, request, is_named)
+            yield from _events(response)
+        except (urllib3.exceptions.HTTPError, ValueError, KeyError) as error:
+            raise _interrupted(f"stream: {error}") from error
+        finally:
+            response.close()
+
+    def _sent(
+        self, request: _Request, pacing: _Pacing
+    ) -> tuple[urllib3.BaseHTTPResponse, bool]:
+        """Send to the owner, or to an alternative if it takes no connection.
+
+        :return: the response, and whether it is the owner's.
+        :raises CallError: if no address takes a connection, or the connection
+            fails after bytes have left.
+        """
+        found = self._address(request.program_id, pacing)
+        error = _not_sent("no address")
+        for address in (found.address, *found.alternatives):
+            if pacing.remaining_ms <= 0:
+                break
+            try:
+                response = self._sent_to(address, request, pacing.remaining_ms)
+                return response, address == found.address
+            except CallError as caught:
+                if not caught.not_run:
+                    raise
+                error = caught
+        raise error
+
+    def _sent_to(
+        self, address: str, request: _Request, remaining_ms: float
+    ) -> urllib3.BaseHTTPResponse:
+        headers = {**request.headers, "X-Deadline-Ms": str(int(remaining_ms))}
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_MS / clocks.MS_PER_S,
+            read=remaining_ms / clocks.MS_PER_S,
+        )
+        try:
+            response = self._pool.request(
+                request.method,
+                f"http://{address}{request.path}",
+                json=request.body,
+                headers=headers,
+                timeout=timeout,
+                retries=False,
+                preload_content=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            raise _not_sent(f"{address}: {error}") from error
+        except urllib3.exceptions.HTTPError as error:
+            raise _interrupted(f"{address}: {error}") from error
+        self._note_owner(request.program_id, response)
+        return response
+
+    def _note_owner(
+        self, program_id: str, response: urllib3.BaseHTTPResponse
+    ) -> None:
+        owner = response.headers.get("X-Owner-Address")
+        if not owner:
+            return
+        with self._lock:
+            known = self._cache.get(program_id)
+            if known:
+                end_ms, found = known
+                found = found._replace(address=owner)
+                self._cache[program_id] = (end_ms, found)
+
+    def _address(self, program_id: str, pacing: _Pacing) -> Address:
+        with self._lock:
+            end_ms, known = self._cache.get(program_id, (0.0, None))
+        if known is not None and self._clock.now_ms() < end_ms:
+            return known
+        found = self._asked(program_id, pacing)
+        end_ms = self._clock.now_ms() + found.valid_ms
+        with self._lock:
+            self._cache[program_id] = (end_ms, found)
+        return found
+
+    def _asked(self, program_id: str, pacing: _Pacing) -> Address:
+        request = _Request("GET", "/v1/address", None, {}, program_id, True)
+        query = {"program_id": program_id, "customer": self._customer}
+        fields = parse.urlencode(
+            {name: value for name, value in query.items() if value}
+        )
+        request = request._replace(path=f"/v1/address?{fields}")
+        while True:
+            error = _not_sent("no address")
+            for address in self._askable(program_id):
+                try:
+                    response = self._sent_to(
+                        address, request, CONNECT_TIMEOUT_MS
+                    )
+                    return _address_in(_decoded(response, request))
+                except CallError as caught:
+                    error = caught
+            pacing.pause(error)
+
+    def _askable(self, program_id: str) -> list[str]:
+        with self._lock:
+            _, found = self._cache.get(program_id, (0.0, None))
+        others = found.alternatives if found else ()
+        return list(dict.fromkeys([*self._seeds, *others]))
+
+    def _forget(self, program_id: str) -> None:
+        with self._lock:
+            _, found = self._cache.get(program_id, (0.0, None))
+            if found is not None:
+                # The alternatives stay known as addresses to ask.
+                self._cache[program_id] = (0.0, found)
+
+
+def _address_in(body: Body) -> Address:
+    alternatives = [
+        other["address"] if isinstance(other, dict) else other
+        for other in body.get("alternatives", [])
+    ]
+    return Address(body["address"], int(body["valid_ms"]), tuple(alternatives))
+
+
+def _program_request(
+    method: str, program_id: str, below: str = ""
+) -> _Request:
+    path = f"/v1/programs/{_quoted(program_id)}{below}"
+    return _Request(method, path, None, {}, program_id, True)
+
+
+def _call_headers(program_id: str, key: str) -> dict[str, str]:
+    return {"X-Program-Id": program_id, "Idempotency-Key": key}
+
+
+def _events(response: urllib3.BaseHTTPResponse) -> Iterator[StreamEvent]:
+    expected = 1
+    stream = sseclient.SSEClient(response.stream(CHUNK_BYTES))
+    for event in stream.events():
+        if event.data == "[DONE]":
+            break
+        number = int(event.id or 0)
+        if number != expected:
+            raise _interrupted(
+                f"event {number} came where {expected} was expected"
+            )
+        expected += 1
+        body = json.loads(event.data)
+        if "error" in body:
+            raise _reported(body, response)
+        if event.event == "done":
+            _check_done(body)
+        yield StreamEvent(event.event, number, body)
+        if event.event == "done":
+            return
+    raise _interrupted(f"the stream ended at event {expected - 1} not done")
+
+
+def _quoted(segment: str) -> str:
+    return parse.quote(segment, safe="")
+
+
+def _decoded(
+    response: urllib3.BaseHTTPResponse,
+    request: _Request,
+    is_named: bool = True,
+) -> Body:
+    try:
+        body = json.loads(response.read())
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        raise _interrupted(f"{request.path}: {error}") from error
+    if not isinstance(body, dict):
+        raise _interrupted(f"{request.path}: the answer is no object")
+    if response.status < 400 and "error" not in body:
+        return body
+    reported = _reported(body, response)
+    if not is_named and reported.code == results.ResultCode.UNKNOWN_PROGRAM:
+        # An alternative does not know the program before its takeover.
+        raise CallError(
+            results.ResultCode.OWNER_UNREACHABLE, reported.message, True
+        )
+    raise reported
+
+
+def _check_done(body: Body) -> None:
+    code = results.ResultCode(body["code"])
+    info = results.info(code)
+    if info.http_status >= 400:
+        message = str(body.get("message") or info.meaning)
+        raise CallError(code, message, info.not_run)
+
+
+def _reported(body: Body, response: urllib3.BaseHTTPResponse) -> CallError:
+    detail = body.get("error")
+    if not isinstance(detail, dict):
+        return _interrupted(f"status {response.status} without a result code")
+    try:
+        code = results.ResultCode(detail["code"])
+    except (KeyError, ValueError):
+        code = results.ResultCode.INTERNAL_ERROR
+    return CallError(
+        code,
+        str(detail.get("message", "")),
+        detail.get("not_run") is True,
+        _retry_after_ms(detail, response),
+    )
+
+
+def _retry_after_ms(
+    detail: Body, response: urllib3.BaseHTTPResponse
+) -> int | None:
+    value = detail.get("retry_after_ms")
+    if value is not None:
+        return int(value)
+    header = response.headers.get("Retry-After", "")
+    return int(header) * clocks.MS_PER_S if header.isdigit() else None
+
+
+def _not_sent(message: str) -> CallError:
+    return CallError(results.ResultCode.NOT_SENT, message, True)
+
+
+def _interrupted(message: str) -> CallError:
+    return CallError(results.ResultCode.INTERRUPTED, message, False)
+
+
+def _is_temporary(error: CallError) -> bool:
+    """Return whether the same request may have another answer later."""
+    if error.code in (
+        results.ResultCode.INTERRUPTED,
+        results.ResultCode.NOT_SENT,
+    ):
+        return True
+    is_busy = results.info(error.code).http_status == 503
+    return error.not_run and (is_busy or error.retry_after_ms is not None)
--- /dev/null
+++ b/packages/cli/src/balsamloom_cli/entry_settings.py
@@ -0,0 +1,12 @@
+"""Schema of the entry process's settings, from its package."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from balsamloom_entry import main as entry
+
+
+def schema() -> dict[str, Any]:
+    """Return the JSON Schema of an entry process's settings file."""
+    return entry.SCHEMA
--- /dev/null
+++ b/packages/cli/src/balsamloom_cli/operator.py
@@ -0,0 +1,520 @@
+"""Command ``balsamloom`` for operators."""
+
+from __future__ import annotations
+
+import getpass
+import json
+import pathlib
+import time
+from typing import Any, NamedTuple
+
+import click
+import urllib3
+
+from balsamloom_cli import commands, entry_settings, status
+from balsamloom_configuration import document as documents
+from balsamloom_configuration import editing
+from balsamloom_core import clock as clocks
+from balsamloom_core import errors, results, settings
+from balsamloom_platform import store as stores
+from balsamloom_state import partitions
+
+DEFAULT_STORE = "127.0.0.1:2379"
+DEFAULT_TIMEOUT_MS = 9_000
+MAX_SHOWN_CELL = 60
+
+SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "properties": {
+        "store": {"type": "string", "minLength": 1},
+        "output": {"enum": ["text", "json"]},
+        "author": {"type": "string", "minLength": 1},
+    },
+}
+FILE_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["section", "revision", "content"],
+    "properties": {
+        "section": {"type": "string"},
+        "revision": {"type": "integer", "minimum": 0},
+        "content": {"type": ["object", "null"]},
+    },
+}
+
+
+class Session(NamedTuple):
+    """Options of the whole command."""
+
+    store: stores.Store
+    is_json: bool
+    author: str
+    clock: clocks.Clock
+
+    @property
+    def editor(self) -> editing.Editor:
+        """Return the editor of the configuration."""
+        return editing.Editor(self.store, self.clock)
+
+
+_FILE = click.argument(
+    "file", type=click.Path(path_type=pathlib.Path), metavar="FILE"
+)
+_TIMEOUT = click.option(
+    "--timeout-ms",
+    type=click.IntRange(1, 600_000),
+    default=DEFAULT_TIMEOUT_MS,
+    show_default=True,
+    help="Longest time to try.",
+)
+_COMMENT = click.option(
+    "--comment", default="", show_default=True, help="Why the change is made."
+)
+
+
+@click.group(cls=commands.Group)
+@commands.settings_option(SCHEMA)
+@click.option(
+    "--store",
+    default=DEFAULT_STORE,
+    show_default=True,
+    help="host:port of the key-value service.",
+)
+@click.option(
+    "--output",
+    type=click.Choice(["text", "json"]),
+    default="text",
+    show_default=True,
+    help="Form of the output.",
+)
+@click.option(
+    "--author",
+    default=getpass.getuser,
+    show_default="name of the user",
+    help="Name for the history of the configuration.",
+)
+@click.version_option(package_name="balsamloom-cli")
+@click.pass_context
+def main(context: click.Context, store: str, output: str, author: str) -> None:
+    """Operate balsamloom: configuration, members, dumps and settings."""
+    context.obj = Session(
+        stores.EtcdGateway(store),
+        output == "json",
+        author,
+        clocks.Clock(),
+    )
+
+
+@main.group("config")
+def config() -> None:
+    """Read and change the configuration."""
+
+
+@config.command("get")
+@click.argument("section", required=False)
+@click.pass_obj
+def get(session: Session, section: str | None) -> None:
+    """Print SECTION as a file for apply, or all sections.
+
+    The file holds the section's revision, by which apply notices that
+    another operator has changed it.
+    """
+    if section is not None:
+        commands.print_json(_file_of(session.editor, section))
+        return
+    document = session.editor.get()
+    if session.is_json:
+        commands.print_json(
+            {
+                "revision": document.revision,
+                "sections": {
+                    name: found._asdict()
+                    for name, found in sorted(document.sections.items())
+                },
+            }
+        )
+        return
+    click.echo(f"revision {document.revision}")
+    rows = [
+        [name, found.revision, len(found.content or {})]
+        for name, found in sorted(document.sections.items())
+        if found.content is not None
+    ]
+    commands.print_table(["SECTION", "REVISION", "ENTRIES"], rows)
+
+
+@config.command("diff")
+@_FILE
+@click.pass_obj
+def diff(session: Session, file: pathlib.Path) -> None:
+    """Print how FILE differs from its section in the store."""
+    edit = _edit_in(session, file)
+    current = _file_of(session.editor, edit.section)
+    found = editing.differences(current["content"] or {}, edit.content or {})
+    _print_differences(session, found)
+
+
+@config.command("check")
+@_FILE
+@click.pass_obj
+def check(session: Session, file: pathlib.Path) -> None:
+    """Check the whole document as it would be with FILE."""
+    found = session.editor.check(_edit_in(session, file))
+    if found:
+        _fail_invalid(session, found)
+    _print_result(session, {"valid": True}, "valid")
+
+
+@config.command("apply")
+@_FILE
+@_COMMENT
+@_TIMEOUT
+@click.option(
+    "--edit-id",
+    default=None,
+    show_default="a new one",
+    help="Identifier of an earlier try whose outcome is unknown.",
+)
+@click.pass_obj
+def apply(
+    session: Session,
+    file: pathlib.Path,
+    comment: str,
+    timeout_ms: int,
+    edit_id: str | None,
+) -> None:
+    """Put FILE into the configuration as a new revision."""
+    edit = _edit_in(session, file)._replace(comment=comment)
+    if edit_id is not None:
+        edit = edit._replace(edit_id=edit_id)
+    _apply(session, edit, timeout_ms)
+
+
+@config.command("history")
+@click.argument("section", required=False)
+@click.option(
+    "--limit",
+    type=click.IntRange(1, editing.HISTORY_LENGTH),
+    default=20,
+    show_default=True,
+    help="Largest number of changes.",
+)
+@click.pass_obj
+def history(session: Session, section: str | None, limit: int) -> None:
+    """Print the latest changes, of SECTION or of all, newest first."""
+    found = session.editor.history(section, limit)
+    if session.is_json:
+        commands.print_json([change._asdict() for change in found])
+        return
+    rows = [
+        [
+            change.revision,
+            _time(change.wall_ms),
+            change.author,
+            change.section,
+            change.comment,
+        ]
+        for change in found
+    ]
+    headings = ["REVISION", "TIME", "AUTHOR", "SECTION", "COMMENT"]
+    commands.print_table(headings, rows)
+
+
+@config.command("undo")
+@click.argument("revision", type=click.IntRange(1))
+@_COMMENT
+@_TIMEOUT
+@click.pass_obj
+def undo(
+    session: Session, revision: int, comment: str, timeout_ms: int
+) -> None:
+    """Take the change of REVISION back by a new revision."""
+    edit = session.editor.undoing(revision, session.author, comment)
+    _apply(session, edit, timeout_ms)
+
+
+@config.command("status")
+@click.option(
+    "--wait",
+    "wait_revision",
+    type=click.IntRange(1),
+    default=None,
+    show_default="no wait",
+    help="Wait until this revision is in force at every live member.",
+)
+@click.option(
+    "--member",
+    "addresses",
+    multiple=True,
+    show_default="the members of the partition map",
+    help="host:port of a member to ask without using the store.",
+)
+@_TIMEOUT
+@click.pass_obj
+def show_status(
+    session: Session,
+    wait_revision: int | None,
+    addresses: tuple[str, ...],
+    timeout_ms: int,
+) -> None:
+    """Print the revision in force at each member."""
+    asked = [_unnamed(address) for address in addresses]
+    reader = status.StatusReader(session.clock)
+    end_ms = session.clock.now_ms() + timeout_ms
+    while True:
+        asked = asked if addresses else _members(session, asked)
+        found = reader.read(asked)
+        behind = _behind(found, wait_revision or 0)
+        is_over = session.clock.now_ms() >= end_ms
+        if wait_revision is None or not behind or is_over:
+            break
+        session.clock.sleep(status.POLL_INTERVAL_MS)
+    _print_status(session, found)
+    if wait_revision is not None and behind:
+        raise click.ClickException(
+            f"revision {wait_revision} is not in force after {timeout_ms} ms "
+            f"at {', '.join(behind)}"
+        )
+
+
+@main.command("members")
+@click.pass_obj
+def members(session: Session) -> None:
+    """Print the members of the partition map."""
+    current, _ = partitions.load(session.store)
+    found = [
+        {
+            **member._asdict(),
+            "partitions": len(current.partitions_of(member.member_id)),
+        }
+        for member in current.members.values()
+    ]
+    if session.is_json:
+        commands.print_json({"version": current.version, "members": found})
+        return
+    click.echo(f"map version {current.version}")
+    rows = [
+        [
+            member["member_id"],
+            member["http_address"],
+            member["failure_domain"],
+            "leaving" if member["is_leaving"] else "live",
+            member["partitions"],
+        ]
+        for member in found
+    ]
+    headings = ["MEMBER", "ADDRESS", "DOMAIN", "STATE", "PARTITIONS"]
+    commands.print_table(headings, rows)
+
+
+@main.command("dump")
+@click.argument("address")
+def dump(address: str) -> None:
+    """Print the state dump of the entry process at ADDRESS."""
+    if ":" not in address:
+        raise click.BadParameter(
+            f"{address!r}; accepted: host:port", param_hint="ADDRESS"
+        )
+    pool = urllib3.PoolManager(retries=False)
+    try:
+        commands.print_json(status.fetch(pool, address, "/v1/dump"))
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        raise click.ClickException(f"{address}: {error}") from error
+
+
+@main.group("settings")
+def settings_group() -> None:
+    """Check and show settings files of the entry process."""
+
+
+@settings_group.command("check")
+@_FILE
+@click.pass_obj
+def check_settings(session: Session, file: pathlib.Path) -> None:
+    """Check FILE without starting anything."""
+    settings.load(file, entry_settings.schema())
+    _print_result(session, {"valid": True}, "valid")
+
+
+@settings_group.command("show")
+@_FILE
+def show_settings(file: pathlib.Path) -> None:
+    """Print FILE with the defaults filled in."""
+    commands.print_json(settings.load(file, entry_settings.schema()))
+
+
+def _file_of(editor: editing.Editor, name: str) -> dict[str, Any]:
+    documents.kind_of(name)
+    section = editor.get().sections.get(name)
+    return {
+        "section": name,
+        "revision": section.revision if section else 0,
+        "content": section.content if section else None,
+    }
+
+
+def _edit_in(session: Session, file: pathlib.Path) -> editing.Edit:
+    document = commands.read_json(file, "FILE")
+    found = settings.problems(document, FILE_SCHEMA)
+    if found:
+        raise click.BadParameter(str(found[0]), param_hint="FILE")
+    documents.kind_of(document["section"])
+    return editing.Edit(
+        document["section"],
+        document["content"],
+        document["revision"],
+        session.author,
+        "",
+        editing.new_edit_id(),
+    )
+
+
+def _apply(session: Session, edit: editing.Edit, timeout_ms: int) -> None:
+    match session.editor.apply(edit, timeout_ms):
+        case editing.Applied(revision):
+            _print_result(
+                session, {"revision": revision}, f"applied as {revision}"
+            )
+        case editing.Invalid(problems):
+            _fail_invalid(session, problems)
+        case editing.Conflict() as conflict:
+            _fail_conflict(session, conflict)
+        case editing.Unresolved(edit_id, message):
+            raise click.ClickException(
+                f"the outcome is unknown, since the store does not answer "
+                f"({message}); run the same apply again with --edit-id "
+                f"{edit_id}"
+            )
+
+
+def _fail_invalid(session: Session, found: list[settings.Problem]) -> None:
+    if session.is_json:
+        problems = [problem._asdict() for problem in found]
+        commands.print_json({"problems": problems})
+    else:
+        for problem in found:
+            click.echo(str(problem))
+    raise errors.BalsamloomError(
+        results.ResultCode.CONFIGURATION_INVALID,
+        f"{len(found)} problems; nothing was written",
+    )
+
+
+def _fail_conflict(session: Session, conflict: editing.Conflict) -> None:
+    if session.is_json:
+        sides = {
+            name: side._asdict() if side else None
+            for name, side in (
+                ("base", conflict.base),
+                ("theirs", conflict.theirs),
+                ("yours", conflict.yours),
+            )
+        }
+        commands.print_json({"section": conflict.section, **sides})
+    else:
+        _print_conflict(session, conflict)
+    raise errors.BalsamloomError(
+        results.ResultCode.CONFIGURATION_CONFLICT,
+        f"section {conflict.section} is at revision "
+        f"{conflict.theirs.revision}, and your file is based on "
+        f"{conflict.yours.revision}; nothing was written",
+    )
+
+
+def _print_conflict(session: Session, conflict: editing.Conflict) -> None:
+    base = conflict.base
+    if base is None:
+        click.echo("the common base is no longer in the history")
+    for name, side in (("theirs", conflict.theirs), ("yours", conflict.yours)):
+        comment = f", {side.comment}" if side.comment else ""
+        click.echo(f"{name} ({side.author}{comment}), against the base:")
+        old = (base.content if base else None) or {}
+        found = editing.differences(old, side.content or {})
+        _print_differences(session, found)
+
+
+def _print_differences(
+    session: Session, found: list[editing.Difference]
+) -> None:
+    if session.is_json:
+        commands.print_json([difference._asdict() for difference in found])
+        return
+    for difference in found:
+        old, new = map(_cell, (difference.old, difference.new))
+        click.echo(f"  {difference.path}: {old} -> {new}")
+    if not found:
+        click.echo("  no differences")
+
+
+def _cell(value: Any) -> str:
+    if value is None:
+        return "(none)"
+    text = json.dumps(value, ensure_ascii=False)
+    if len(text) <= MAX_SHOWN_CELL:
+        return text
+    return text[: MAX_SHOWN_CELL - 3] + "..."
+
+
+def _print_result(session: Session, value: Any, text: str) -> None:
+    if session.is_json:
+        commands.print_json(value)
+    else:
+        click.echo(text)
+
+
+def _unnamed(address: str) -> partitions.Member:
+    return partitions.Member("", address, "", "")
+
+
+def _members(
+    session: Session, known: list[partitions.Member]
+) -> list[partitions.Member]:
+    try:
+        current, _ = partitions.load(session.store)
+    except stores.StoreUnavailable:
+        # Waiting goes on with the members read before the store went down.
+        if known:
+            return known
+        raise
+    return list(current.members.values())
+
+
+def _behind(found: list[status.MemberStatus], revision: int) -> list[str]:
+    live = [member for member in found if not member.is_leaving]
+    if not live:
+        return ["any member, since none is live"]
+    return [
+        member.member_id or member.address
+        for member in live
+        if not member.has_revision(revision)
+    ]
+
+
+def _print_status(session: Session, found: list[status.MemberStatus]) -> None:
+    if session.is_json:
+        commands.print_json([member._asdict() for member in found])
+        return
+    rows = [
+        [
+            member.member_id,
+            member.address,
+            member.failure_domain,
+            "leaving" if member.is_leaving else "live",
+            _number(member.configuration_revision),
+            _number(member.map_version),
+            member.problem,
+        ]
+        for member in found
+    ]
+    headings = ["MEMBER", "ADDRESS", "DOMAIN", "STATE", "REVISION", "MAP", ""]
+    commands.print_table(headings, rows)
+
+
+def _number(value: int | None) -> str:
+    return "unknown" if value is None else str(value)
+
+
+def _time(wall_ms: int) -> str:
+    seconds = time.gmtime(wall_ms / clocks.MS_PER_S)
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", seconds)
