--- a/packages/entry/src/balsamloom_entry/attempts.py
+++ b/packages/entry/src/balsamloom_entry/attempts.py
@@ -1,93 +1,67 @@
-"""Sending one idempotent model call: waiting, retries and hedges.
-
-The time until the first tokens is spent here; after them the stream is relayed
-by the thread that serves the caller.
-"""
+"""Sending one idempotent model call until an engine sends its first tokens."""
 
 from __future__ import annotations
 
 import concurrent.futures
 import dataclasses
 import queue
-from collections.abc import Generator
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import errors, events, results
+from balsamloom_entry import feeds
+from balsamloom_entry import limits as call_limits
 from balsamloom_platform import engines
+from balsamloom_policy import calls as policy_calls
 from balsamloom_policy import scheduler as schedulers
 
-CONNECT_TIMEOUT_MS = 1_000
-
-
-class Notice(NamedTuple):
-    """The call is waiting."""
-
-    reason: str
-    position: int | None = None
-
-
-class Limits(NamedTuple):
-    """Times of one call, in ms; ``end_ms`` is on the process's clock."""
-
-    end_ms: float
-    progress_ms: int
-    silence_ms: int
+NEVER_MS = float("inf")
+MIN_WAIT_MS = 1.0
 
 
 class Sender(NamedTuple):
-    """What is needed to send a model call."""
+    """Parts of the process that send model calls."""
 
     scheduler: schedulers.Scheduler
-    client: engines.EngineClients
+    engine_at: Callable[[str], engines.ModelEngine]
     executor: concurrent.futures.Executor
     clock: clocks.Clock
 
 
-@dataclasses.dataclass(frozen=True)
-class Started:
-    """An engine sent its first tokens."""
+class ModelRequest(NamedTuple):
+    """What is sent to an engine; ``end_ms`` is on the process's clock."""
+
+    body: dict[str, Any]
+    tag: str
+    profile: policy_calls.CallProfile
+    end_ms: float
+
+
+class Started(NamedTuple):
+    """An engine sent its first tokens; ``batches`` are all of them."""
 
     ticket: schedulers.Ticket
-    stream: engines.ChatStream
-    batch: list[engines.Chunk]
+    stream: engines.Stream
+    batches: Iterator[list[engines.Chunk]]
+    first: list[engines.Chunk]
 
 
-@dataclasses.dataclass(frozen=True)
-class Rejected:
+class Rejected(NamedTuple):
     """An engine gave no tokens."""
 
     ticket: schedulers.Ticket
     error: engines.EngineError
 
 
+@dataclasses.dataclass
 class Attempt:
-    """One request to one engine, run by a thread of the executor.
-
-    :param ticket: place given by the scheduler.
-    :param tag: tag of the engine memory that the request holds.
-    """
-
-    def __init__(self, ticket: schedulers.Ticket, tag: str) -> None:
-        self.ticket = ticket
-        self.tag = tag
-        self.is_cancelled = False
-        self.engine: engines.Engine | None = None
-
-    def cancel(self) -> None:
-        """Give the attempt up and free the engine's memory."""
-        self.is_cancelled = True
-        self.ticket.cancel()
-        if self.engine is not None:
-            self.engine.cancel(self.tag)
+    """One request to one engine."""
 
-
-class ModelRequest(NamedTuple):
-    """What is sent to an engine."""
-
-    body: dict[str, Any]
+    ticket: schedulers.Ticket
+    engine: engines.ModelEngine
     tag: str
-    profile: schedulers.CallProfile
+    is_cancelled: bool = False
 
 
 class ModelAttempts:
@@ -95,109 +69,114 @@
 
     :param sender: parts of the process that send calls.
     :param request: what is sent.
-    :param limits: times of the call.
+    :param limits: times of calls.
+    :param feed: told what the call waits for.
     """
 
     def __init__(
-        self, sender: Sender, request: ModelRequest, limits: Limits
+        self,
+        sender: Sender,
+        request: ModelRequest,
+        limits: call_limits.CallLimits,
+        feed: feeds.Feed,
     ) -> None:
         self._sender = sender
         self._request = request
         self._limits = limits
+        self._feed = feed
         self._results: queue.SimpleQueue[Started | Rejected] = (
             queue.SimpleQueue()
         )
         self._running: list[Attempt] = []
         self._count = 0
 
-    def first_tokens(self) -> Generator[Notice, None, Started]:
-        """Yield notices while waiting; return the attempt that came first.
+    def first_tokens(self) -> Started:
+        """Return the attempt that came first; the others are cancelled.
 
         :raises BalsamloomError: if no attempt gets tokens in time.
         """
         try:
-            yield from self._launch(self._submit())
+            outcome = self._sender.scheduler.submit(self._request.profile)
+            self._launch(_ticket(outcome))
             while True:
-                result = yield from self._next_result()
-                match result:
-                    case Started():
-                        self._forget(result.ticket)
-                        return result
+                match self._next_result():
+                    case Started() as started:
+                        self._forget(started.ticket)
+                        return started
                     case Rejected(ticket, error):
-                        yield from self._after_rejection(ticket, error)
+                        self._after_rejection(ticket, error)
         finally:
             for attempt in self._running:
-                attempt.cancel()
+                self._cancel(attempt)
 
-    def _submit(self) -> schedulers.Ticket:
-        outcome = self._sender.scheduler.submit(self._request.profile)
-        return _ticket(outcome)
-
-    def _launch(
-        self, ticket: schedulers.Ticket
-    ) -> Generator[Notice, None, None]:
-        assigned = yield from wait_assigned(
-            ticket, self._sender.clock, self._limits
+    def _launch(self, ticket: schedulers.Ticket) -> None:
+        assigned = wait_assigned(
+            ticket, self._sender.clock, self._request.end_ms, self._feed
         )
         self._send(ticket, assigned)
 
     def _send(
-        self, ticket: schedulers.Ticket, assigned: schedulers.Assigned
+        self, ticket: schedulers.Ticket, assigned: policy_calls.Assigned
     ) -> None:
         self._count += 1
         tag = f"{self._request.tag}.{self._count}"
-        attempt = Attempt(ticket, tag)
-        attempt.engine = self._sender.client.engine(assigned.address)
+        engine = self._sender.engine_at(assigned.address)
+        attempt = Attempt(ticket, engine, tag)
         self._running.append(attempt)
         body = {**self._request.body, "priority": assigned.priority}
+        self._feed.waits_for("backend server")
         self._sender.executor.submit(self._run, attempt, body)
 
     def _run(self, attempt: Attempt, body: dict[str, Any]) -> None:
-        assert attempt.engine is not None
         try:
             stream = attempt.engine.chat(
-                body, attempt.tag, CONNECT_TIMEOUT_MS, self._limits.silence_ms
+                body,
+                attempt.tag,
+                self._limits.connect_timeout_ms,
+                self._limits.silence_ms,
             )
-            batch = next(stream.batches(), [])
+            batches = stream.batches()
+            first = next(batches, [])
         except engines.EngineError as error:
             self._results.put(Rejected(attempt.ticket, error))
             return
         if attempt.is_cancelled:
             stream.close()
             return
-        self._results.put(Started(attempt.ticket, stream, batch))
+        if not first and not stream.is_whole:
+            empty = engines.EngineError(
+                results.ResultCode.BACKEND_ERROR, "empty stream", True
+            )
+            self._results.put(Rejected(attempt.ticket, empty))
+            return
+        self._results.put(Started(attempt.ticket, stream, batches, first))
 
-    def _next_result(self) -> Generator[Notice, None, Started | Rejected]:
-        clock = self._sender.clock
-        notice_ms = clock.now_ms() + self._limits.progress_ms
+    def _next_result(self) -> Started | Rejected:
         hedge_ms = self._hedge_time_ms()
         while True:
-            now_ms = clock.now_ms()
-            if now_ms >= self._limits.end_ms:
+            now_ms = self._sender.clock.now_ms()
+            if now_ms >= self._request.end_ms:
                 raise errors.BalsamloomError(
                     results.ResultCode.BACKEND_TIMEOUT,
                     "no tokens before the deadline",
                 )
             if now_ms >= hedge_ms:
                 self._hedge()
-                hedge_ms = float("inf")
-            if now_ms >= notice_ms:
-                yield Notice("backend server")
-                notice_ms = now_ms + self._limits.progress_ms
-            until_ms = min(notice_ms, hedge_ms, self._limits.end_ms)
+                hedge_ms = NEVER_MS
+            until_ms = min(hedge_ms, self._request.end_ms)
+            wait_ms = max(until_ms - now_ms, MIN_WAIT_MS)
             try:
-                wait_s = max(until_ms - now_ms, 1) / clocks.MS_PER_S
-                return self._results.get(timeout=wait_s)
+                return self._results.get(timeout=wait_ms / clocks.MS_PER_S)
             except queue.Empty:
                 continue
 
     def _hedge_time_ms(self) -> float:
         if len(self._running) != 1:
-            return float("inf")
+            return NEVER_MS
         ticket = self._running[0].ticket
         delay_ms = self._sender.scheduler.hedge_delay_ms(ticket)
         if delay_ms is None:
-            return float("inf")
+            return NEVER_MS
         return self._sender.clock.now_ms() + delay_ms
 
     def _hedge(self) -> None:
@@ -205,66 +184,75 @@
         if ticket is None:
             return
         match ticket.wait(0):
-            case schedulers.Assigned() as assigned:
+            case policy_calls.Assigned() as assigned:
                 self._send(ticket, assigned)
             case _:
                 ticket.cancel()
 
     def _after_rejection(
         self, ticket: schedulers.Ticket, error: engines.EngineError
-    ) -> Generator[Notice, None, None]:
+    ) -> None:
         self._forget(ticket)
-        ticket.finish(
-            schedulers.Observation(is_success=False, is_server_fault=True)
-        )
         if self._running:
+            ticket.finish(policy_calls.Observation(False, True))
             return
-        outcome = self._sender.scheduler.retry(ticket, error.code.name)
-        match outcome:
-            case schedulers.Refused():
+        match self._sender.scheduler.retry(ticket, error.message):
+            case policy_calls.Refused():
                 raise error
-            case _:
+            case again:
                 events.log(
                     events.Event.CALL_RETRIED,
                     tag=self._request.tag,
                     cause=error.message,
                 )
-                yield from self._launch(outcome)
+                self._launch(again)
+
+    def _cancel(self, attempt: Attempt) -> None:
+        attempt.is_cancelled = True
+        attempt.ticket.cancel()
+        # The engine may take its time to answer, and nobody waits for it.
+        self._sender.executor.submit(_cancel_quietly, attempt)
 
     def _forget(self, ticket: schedulers.Ticket) -> None:
         self._running = [
-            attempt for attempt in self._running if attempt.ticket != ticket
+            attempt
+            for attempt in self._running
+            if attempt.ticket is not ticket
         ]
 
 
 def wait_assigned(
-    ticket: schedulers.Ticket, clock: clocks.Clock, limits: Limits
-) -> Generator[Notice, None, schedulers.Assigned]:
-    """Yield notices until the scheduler assigns a backend server.
+    ticket: schedulers.Ticket,
+    clock: clocks.Clock,
+    end_ms: float,
+    feed: feeds.Feed,
+) -> policy_calls.Assigned:
+    """Wait until the scheduler assigns a backend server.
 
     :param ticket: place in the queue.
     :param clock: time source.
-    :param limits: times of the call.
+    :param end_ms: deadline on the clock.
+    :param feed: told what the call waits for.
     :raises BalsamloomError: if the scheduler gives the call up.
     """
     while True:
-        left_ms = limits.end_ms - clock.now_ms()
+        left_ms = end_ms - clock.now_ms()
+        match ticket.wait(min(clocks.MS_PER_S, max(left_ms, 0))):
+            case policy_calls.Assigned() as assigned:
+                return assigned
+            case policy_calls.Waiting(reason=reason, position=position):
+                feed.waits_for(reason, position)
+            case policy_calls.Refused() as refused:
+                raise refusal(refused)
         if left_ms <= 0:
             ticket.cancel()
             raise errors.BalsamloomError(
                 results.ResultCode.DEADLINE_CANNOT_BE_MET,
                 "the deadline passed before a backend server was free",
             )
-        match ticket.wait(min(limits.progress_ms, left_ms)):
-            case schedulers.Assigned() as assigned:
-                return assigned
-            case schedulers.Waiting(reason=reason, position=position):
-                yield Notice(reason, position)
-            case schedulers.Refused() as refused:
-                raise refusal(refused)
 
 
-def refusal(refused: schedulers.Refused) -> errors.BalsamloomError:
+def refusal(refused: policy_calls.Refused) -> errors.BalsamloomError:
     """Return the error for a refusal of the scheduler.
 
     :param refused: refusal.
@@ -275,8 +263,16 @@
 
 
 def _ticket(
-    outcome: schedulers.Ticket | schedulers.Refused,
+    outcome: schedulers.Ticket | policy_calls.Refused,
 ) -> schedulers.Ticket:
-    if isinstance(outcome, schedulers.Refused):
+    if isinstance(outcome, policy_calls.Refused):
         raise refusal(outcome)
     return outcome
+
+
+def _cancel_quietly(attempt: Attempt) -> None:
+    try:
+        attempt.engine.cancel(attempt.tag)
+    except errors.BalsamloomError:
+        # The sweep of engine memory finds what this did not release.
+        return
--- a/packages/entry/src/balsamloom_entry/forwarding.py
+++ b/packages/entry/src/balsamloom_entry/forwarding.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import itertools
+import urllib.parse
+from collections.abc import Iterable, Iterator
 
 from balsamloom_core import errors, results
 from balsamloom_entry import requests
 from balsamloom_peers import client as peer_clients
-from balsamloom_peers import server as peer_servers
+from balsamloom_peers import messages
 from balsamloom_state import partitions
 
 RETRY_AFTER_MS = 1_000
+# The owner's own deadline ends a call; this one only bounds a lost peer.
+FORWARD_TIMEOUT_MS = 660_000
 _PASSED_HEADERS = (
     requests.PROGRAM_HEADER,
     requests.KEY_HEADER,
     requests.DEADLINE_HEADER,
     "Content-Type",
+    "Accept",
 )
 
 
@@ -37,35 +42,77 @@
 
         :param request: request of a caller.
         :param owner: owner of the program.
-        :raises BalsamloomError: if the owner cannot be reached and did not get
-            the request, or if it may have got it.
+        :raises BalsamloomError: if the owner cannot be reached and did not
+            get the request, or if it may have got it.
         """
-        message = peer_servers.ForwardRequest(
-            method=request.method,
-            path="/" + "/".join(request.path),
-            query=dict(request.query),
-            headers=_passed(request),
-            body=request.body,
-            origin_member_id=self._member_id,
-        )
-        chunks = self._peers.forward(
-            owner.member_id, owner.peer_address, message
+        message = messages.ForwardRequest(
+            request.method,
+            "/" + "/".join(request.path),
+            urllib.parse.urlencode(request.query),
+            _passed(request),
+            request.body,
+            self._member_id,
         )
         try:
-            first = next(chunks)
+            client = self._peers.client(owner.peer_address)
+            chunks = iter(
+                client.forward(message, FORWARD_TIMEOUT_MS, owner.member_id)
+            )
+            first = next(chunks, None)
         except peer_clients.PeerUnreachable as error:
             raise _unreachable(error) from error
-        except StopIteration as error:
+        if first is None:
             raise errors.BalsamloomError(
                 results.ResultCode.DAMAGED_MESSAGE, "empty answer of the owner"
-            ) from error
-        headers = {**first.headers, requests.OWNER_HEADER: owner.http_address}
-        return requests.Answer(first.status, headers, _bodies(first, chunks))
+            )
+        headers = {
+            **dict(first.headers),
+            requests.OWNER_HEADER: owner.http_address,
+        }
+        bodies = ForwardedBodies(itertools.chain([first], chunks), chunks)
+        return requests.Answer(first.status, headers, bodies)
+
+
+class ForwardedBodies:
+    """Bodies of an owner's answer; closing it cancels the request.
+
+    :param chunks: all chunks.
+    :param stream: generator that cancels the request when it is closed.
+    """
+
+    def __init__(
+        self,
+        chunks: Iterable[messages.ForwardChunk],
+        stream: Iterator[messages.ForwardChunk],
+    ) -> None:
+        self._chunks = iter(chunks)
+        self._stream = stream
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Return itself."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Return the next body that is not empty."""
+        try:
+            body = next(self._chunks).body
+            while not body:
+                body = next(self._chunks).body
+        except errors.BalsamloomError:
+            # A stream without its last event tells the caller of the cut.
+            raise StopIteration from None
+        return body
+
+    def close(self) -> None:
+        """Cancel the request at the owner if it has not ended."""
+        close = getattr(self._stream, "close", None)
+        if close is not None:
+            close()
 
 
 def handle(
-    router: requests.Handler, message: peer_servers.ForwardRequest
-) -> Iterator[peer_servers.ForwardChunk]:
+    router: requests.Handler, message: messages.ForwardRequest
+) -> Iterator[messages.ForwardChunk]:
     """Answer a request that a peer passed on.
 
     :param router: handler of requests of this process.
@@ -74,40 +121,34 @@
     request = requests.Request(
         message.method,
         tuple(part for part in message.path.split("/") if part),
-        message.query,
-        {name.lower(): value for name, value in message.headers.items()},
+        dict(urllib.parse.parse_qsl(message.query)),
+        {name.lower(): value for name, value in message.headers},
         message.body,
         is_forwarded=True,
     )
     answer = router(request)
-    yield peer_servers.ForwardChunk(answer.status, answer.headers, b"")
-    for chunk in answer.chunks:
-        yield peer_servers.ForwardChunk(0, {}, chunk)
-
-
-def _bodies(
-    first: peer_servers.ForwardChunk,
-    chunks: Iterator[peer_servers.ForwardChunk],
-) -> Iterator[bytes]:
-    if first.body:
-        yield first.body
+    headers = tuple(answer.headers.items())
+    yield messages.ForwardChunk(answer.status, headers, b"")
     try:
-        for chunk in chunks:
-            yield chunk.body
-    except peer_clients.PeerUnreachable:
-        # A stream without its last event tells the caller that it was cut.
-        return
+        for chunk in answer.chunks:
+            yield messages.ForwardChunk(body=chunk)
+    finally:
+        close = getattr(answer.chunks, "close", None)
+        if close is not None:
+            close()
 
 
-def _passed(request: requests.Request) -> dict[str, str]:
-    return {
-        name: request.headers[name.lower()]
+def _passed(request: requests.Request) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, request.headers[name.lower()])
         for name in _PASSED_HEADERS
         if name.lower() in request.headers
-    }
+    )
 
 
-def _unreachable(error: peer_clients.PeerUnreachable) -> Exception:
+def _unreachable(
+    error: peer_clients.PeerUnreachable,
+) -> errors.BalsamloomError:
     if error.was_sent:
         return errors.BalsamloomError(
             results.ResultCode.INTERRUPTED,
--- /dev/null
+++ b/packages/entry/src/balsamloom_entry/loads.py
@@ -0,0 +1,82 @@
+"""Adapters between the platform's clients and the watches of membership."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from balsamloom_entry import parts as process_parts
+from balsamloom_membership import backends, host_watch, load_watch
+from balsamloom_platform import engines, hosts
+from balsamloom_policy import calls as policy_calls
+
+READ_TIMEOUT_MS = 800
+SERVING = "serving"
+
+
+class Report(NamedTuple):
+    """Load report with the state in words."""
+
+    state: str
+    load: engines.LoadReport
+
+
+def reader(
+    parts: process_parts.Parts,
+) -> Callable[[backends.Server], load_watch.LoadReport]:
+    """Return a function that reads one server's load report.
+
+    :param parts: parts of the process.
+    """
+
+    def read(server: backends.Server) -> Report:
+        load = parts.engine_at(server.address).load(READ_TIMEOUT_MS)
+        state = load_watch.DRAINING if load.is_draining else SERVING
+        return Report(state, load)
+
+    return read
+
+
+def reporter(
+    parts: process_parts.Parts,
+) -> Callable[[str, load_watch.LoadReport], None]:
+    """Return a function that passes load reports to the scheduler.
+
+    :param parts: parts of the process.
+    """
+
+    def report(server_id: str, found: load_watch.LoadReport) -> None:
+        assert isinstance(found, Report)
+        load = found.load
+        parts.scheduler.report(
+            server_id,
+            policy_calls.LoadReport(
+                load.running, load.waiting, load.tokens_per_s, load.age_ms
+            ),
+        )
+
+    return report
+
+
+def host_fetch(
+    host_list: hosts.HostList,
+) -> Callable[[], Sequence[host_watch.Host]]:
+    """Return a function that reads the host list.
+
+    :param host_list: client of the host list.
+    """
+
+    def fetch() -> list[host_watch.Host]:
+        return [
+            host_watch.Host(
+                host.host_id,
+                host.kind,
+                host.address,
+                host.failure_domain,
+                host.is_leaving,
+                host.incarnation,
+            )
+            for host in host_list.hosts()
+        ]
+
+    return fetch
--- a/packages/entry/src/balsamloom_entry/main.py
+++ b/packages/entry/src/balsamloom_entry/main.py
@@ -5,37 +5,17 @@
 import json
 import pathlib
 import signal
+import sys
 import threading
 from typing import Any
 
-import cherrypy
 import click
-from cheroot import wsgi
 
 from balsamloom_core import events, settings
-from balsamloom_entry import http
-from balsamloom_entry import process as processes
+from balsamloom_entry import process, schema
 
-HTTP_THREADS = 64
-
-SCHEMA: dict[str, Any] = {
-    "type": "object",
-    "additionalProperties": False,
-    "required": ["name", "http_address", "failure_domain", "store_address"],
-    "properties": {
-        "name": {"type": "string", "minLength": 1},
-        "http_address": {"type": "string"},
-        "peer_address": {"type": "string", "default": ""},
-        "failure_domain": {"type": "string", "minLength": 1},
-        "store_address": {"type": "string"},
-        "engines": {
-            "type": "array",
-            "items": {"type": "string"},
-            "default": [],
-        },
-        "tools": {"type": "object", "default": {}},
-    },
-}
+# Hundreds of threads wait for answers; a small stack keeps them cheap.
+THREAD_STACK_BYTES = 256 * 1024
 
 
 @click.command()
@@ -48,37 +28,33 @@
 )
 @click.version_option(package_name="balsamloom-entry")
 def main(settings_path: pathlib.Path) -> None:
-    """Run an entry process until SIGTERM or SIGINT."""
+    """Run an entry process until SIGTERM or SIGINT.
+
+    Prints its address as JSON once it serves. A signal begins a graceful
+    shutdown; the exit status is 0 if it finished everything, else 1.
+    """
     try:
-        document = settings.load(settings_path, SCHEMA)
+        document = settings.load(settings_path, schema.SCHEMA)
     except settings.SettingsError as error:
         raise click.UsageError(error.message) from error
-    run(document)
+    sys.exit(0 if run(document) else 1)
 
 
-def run(document: dict[str, Any]) -> None:
+def run(document: dict[str, Any]) -> bool:
     """Serve until a signal comes.
 
     :param document: checked settings.
+    :return: whether the shutdown finished everything.
     """
-    events.configure(document["name"])
-    host, _, port = document["http_address"].rpartition(":")
-    server = wsgi.Server((host, int(port)), None, numthreads=HTTP_THREADS)
-    server.prepare()
-    address = f"{host}:{server.bind_addr[1]}"
-    process = processes.EntryProcess(
-        processes.EntrySettings(**document),  # type: ignore[typeddict-item]
-        address,
-    )
-    application = cherrypy.Application(http.CallerInterface(process), "")
-    application.log.screen = False
-    server.wsgi_app = application
-    process.start()
-    threading.Thread(target=server.serve, daemon=True).start()
+    threading.stack_size(THREAD_STACK_BYTES)
+    events.configure(document["name"], document["log_level"])
     ended = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: ended.set())
-    print(json.dumps({"address": address}), flush=True)
+    entry = process.EntryProcess(
+        schema.EntrySettings(**document)  # type: ignore[typeddict-item]
+    )
+    entry.start()
+    print(json.dumps({"address": entry.address}), flush=True)
     ended.wait()
-    server.stop()
-    process.stop()
+    return entry.stop()
--- /dev/null
+++ b/packages/entry/src/balsamloom_entry/model_calls.py
@@ -0,0 +1,344 @@
+"""Model calls: history in, tokens out, result recorded."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any, NamedTuple
+
+from balsamloom_core import errors, metric_names, outcomes, results
+from balsamloom_entry import attempts, calls, feeds, requests
+from balsamloom_policy import calls as policy_calls
+from balsamloom_state import budgets, programs
+from balsamloom_state import owner as owners
+
+# Prefixes shorter than the first message are shared by everyone and tell
+# nothing; the longest ones tell most.
+MAX_PREFIXES = 8
+BYTES_PER_TOKEN = 4
+
+
+class ModelSpec(NamedTuple):
+    """What the configuration says about a model."""
+
+    name: str
+    max_tokens: int
+    history_tokens: int
+
+
+class ModelBody(NamedTuple):
+    """Checked body of a model call."""
+
+    model: str
+    messages: list[dict[str, Any]]
+    max_tokens: int
+    is_streamed: bool
+    options: dict[str, Any]
+
+
+def parse(body: dict[str, Any], default_max_tokens: int) -> ModelBody:
+    """Check the body of a model call.
+
+    :param body: decoded JSON.
+    :param default_max_tokens: used if the caller gives none.
+    :raises BalsamloomError: naming the field, its value and what is accepted.
+    """
+    model = _field(body, "model", str, "a model name")
+    messages = _field(body, "messages", list, "a list of messages")
+    if not messages or not all(_is_message(entry) for entry in messages):
+        raise _malformed(
+            "messages", messages, "a list of objects with role and content"
+        )
+    max_tokens = body.get("max_tokens", default_max_tokens)
+    if type(max_tokens) is not int or max_tokens < 1:
+        raise _malformed("max_tokens", max_tokens, "a positive whole number")
+    is_streamed = body.get("stream", False)
+    if not isinstance(is_streamed, bool):
+        raise _malformed("stream", is_streamed, "true or false")
+    known = {"model", "messages", "max_tokens", "stream", "priority"}
+    options = {
+        name: value for name, value in body.items() if name not in known
+    }
+    return ModelBody(model, messages, max_tokens, is_streamed, options)
+
+
+class ModelCalls:
+    """Runs model calls of programs that this process owns.
+
+    :param context: parts of the process that calls use.
+    :param sender: parts of the process that send model calls.
+    """
+
+    def __init__(
+        self, context: calls.CallContext, sender: attempts.Sender
+    ) -> None:
+        self._context = context
+        self._sender = sender
+
+    def run(
+        self,
+        request: calls.CallRequest,
+        body: ModelBody,
+        model: ModelSpec,
+        feed: feeds.Feed,
+    ) -> None:
+        """Run one call; its items go to the feed.
+
+        :param request: program, key and deadline.
+        :param body: checked body.
+        :param model: configuration of the model.
+        :param feed: items towards the caller.
+        """
+        owner = self._context.owner
+        program = request.program
+        feed.waits_for("an earlier call of the program")
+        left_ms = request.end_ms - self._context.clock.now_ms()
+        with owner.turn(program, left_ms, request.key):
+            need = budgets.Need(min(body.max_tokens, model.max_tokens))
+            begun = owner.begin_call(
+                program, request.key, request.digest, need
+            )
+            match begun:
+                case owners.Recorded(call):
+                    pass
+                case owners.Fresh():
+                    call = self._attempted(request, body, need, feed)
+        calls.put_result(self._context, feed, call, request.end_ms)
+
+    def _attempted(
+        self,
+        request: calls.CallRequest,
+        body: ModelBody,
+        need: budgets.Need,
+        feed: feeds.Feed,
+    ) -> programs.Call:
+        program = request.program
+        message = self._request(request, body, need)
+        limits = self._context.limits()
+        try:
+            started = attempts.ModelAttempts(
+                self._sender, message, limits, feed
+            ).first_tokens()
+        except BaseException:
+            self._context.owner.release_call(program, request.key)
+            raise
+        self._note_first_token(feed, body.model)
+        return self._relay(request, body, started, feed)
+
+    def _relay(
+        self,
+        request: calls.CallRequest,
+        body: ModelBody,
+        started: attempts.Started,
+        feed: feeds.Feed,
+    ) -> programs.Call:
+        relay = Relay(started, feed)
+        sent_ms = self._context.clock.now_ms()
+        try:
+            relay.run(self._sender, request.end_ms)
+        except BaseException:
+            relay.finish_ticket(is_success=False)
+            self._settle_broken(request, relay)
+            raise
+        relay.finish_ticket(is_success=True)
+        answer = relay.answer()
+        self._count_tokens(body.model, relay.generated_tokens)
+        outcome = outcomes.Completed(answer, relay.generated_tokens)
+        service_ms = self._context.clock.now_ms() - sent_ms
+        feed.waits_for("commit")
+        return self._context.owner.finish(
+            request.program,
+            request.key,
+            request.digest,
+            outcome,
+            [*body.messages, answer["choices"][0]["message"]],
+            service_ms,
+            0,
+        )
+
+    def _settle_broken(self, request: calls.CallRequest, relay: Relay) -> None:
+        """Count the tokens of a stream that broke; the key stays free."""
+        self._context.owner.settle_interrupted(
+            request.program, request.key, relay.generated_tokens
+        )
+
+    def _request(
+        self,
+        request: calls.CallRequest,
+        body: ModelBody,
+        need: budgets.Need,
+    ) -> attempts.ModelRequest:
+        program = request.program
+        messages = [*program.messages, *body.messages]
+        epoch = self._context.owner.epoch(program)
+        tag = f"{program.program_id}/{epoch}/{request.key}"
+        sizes = sum(len(str(entry.get("content"))) for entry in messages)
+        profile = policy_calls.CallProfile(
+            program.program_id,
+            program.customer,
+            body.model,
+            is_urgent=program.is_urgent,
+            attained_ms=program.attained_ms,
+            is_new_program=not program.calls,
+            deadline_ms=request.end_ms,
+            prefix_hashes=prefix_hashes(body.model, messages),
+            prompt_tokens=sizes // BYTES_PER_TOKEN,
+            expected_tokens=need.generated_tokens,
+            is_idempotent=True,
+        )
+        sent = {
+            **body.options,
+            "model": body.model,
+            "messages": messages,
+            "max_tokens": need.generated_tokens,
+        }
+        return attempts.ModelRequest(sent, tag, profile, request.end_ms)
+
+    def _note_first_token(self, feed: feeds.Feed, model: str) -> None:
+        key = metric_names.FIRST_TOKEN.key(model)
+        self._context.metrics.timing(key, feed.waited_ms())
+
+    def _count_tokens(self, model: str, tokens: int) -> None:
+        key = metric_names.TOKENS_GENERATED.key(model)
+        self._context.metrics.count(key, tokens)
+
+
+class Relay:
+    """Passes one engine's stream on and keeps its text.
+
+    :param started: stream with its first tokens.
+    :param feed: items towards the caller.
+    """
+
+    def __init__(self, started: attempts.Started, feed: feeds.Feed) -> None:
+        self._started = started
+        self._feed = feed
+        self._text: list[str] = []
+        self._usage: dict[str, Any] = {}
+        self._finish_reason = "stop"
+        self._chunks = 0
+
+    @property
+    def generated_tokens(self) -> int:
+        """Return the engine's count, or the number of chunks without one."""
+        return int(self._usage.get("completion_tokens", self._chunks))
+
+    def run(self, sender: attempts.Sender, end_ms: float) -> None:
+        """Relay until the stream ends.
+
+        :param sender: gives the time.
+        :param end_ms: deadline on the process's clock.
+        :raises BalsamloomError: if the stream breaks or the deadline passes.
+        """
+        stream = self._started.stream
+        self._started.ticket.first_token()
+        self._pass_on(self._started.first)
+        for batch in self._started.batches:
+            self._pass_on(batch)
+            if sender.clock.now_ms() > end_ms:
+                stream.close()
+                raise errors.BalsamloomError(
+                    results.ResultCode.BACKEND_TIMEOUT,
+                    "the deadline passed within the answer",
+                )
+        if not stream.is_whole:
+            raise errors.BalsamloomError(
+                results.ResultCode.INTERRUPTED, "the engine's answer was cut"
+            )
+
+    def finish_ticket(self, is_success: bool) -> None:
+        """Tell the scheduler how the call ended.
+
+        :param is_success: whether the answer is whole.
+        """
+        self._started.ticket.finish(
+            policy_calls.Observation(
+                is_success,
+                not is_success,
+                self.generated_tokens,
+                int(self._usage.get("prompt_tokens", 0)),
+            )
+        )
+
+    def answer(self) -> dict[str, Any]:
+        """Return the whole answer in the shape of a chat completion."""
+        message = {"role": "assistant", "content": "".join(self._text)}
+        choice = {
+            "index": 0,
+            "message": message,
+            "finish_reason": self._finish_reason,
+        }
+        return {
+            "object": "chat.completion",
+            "choices": [choice],
+            "usage": self._usage,
+        }
+
+    def _pass_on(self, batch: list[Any]) -> None:
+        texts = []
+        for chunk in batch:
+            self._take_in(chunk.body)
+            texts.append(chunk.text)
+        self._started.ticket.token_progress(len(batch))
+        if texts:
+            self._feed.put(feeds.Data(texts))
+
+    def _take_in(self, body: dict[str, Any]) -> None:
+        self._usage = body.get("usage") or self._usage
+        for choice in body.get("choices", [])[:1]:
+            content = choice.get("delta", {}).get("content")
+            if content:
+                self._text.append(content)
+                self._chunks += 1
+            self._finish_reason = (
+                choice.get("finish_reason") or self._finish_reason
+            )
+
+
+def prefix_hashes(
+    model: str, messages: list[dict[str, Any]]
+) -> tuple[int, ...]:
+    """Return hashes of growing message lists, the longest last.
+
+    :param model: name of the model.
+    :param messages: whole prompt.
+    """
+    running = hashlib.blake2b(model.encode(), digest_size=8)
+    hashes = []
+    for message in messages:
+        running.update(json.dumps(message, sort_keys=True).encode())
+        hashes.append(int.from_bytes(running.digest(), "big"))
+    return tuple(hashes[:1] + hashes[1:][-MAX_PREFIXES:])
+
+
+def _field(body: dict[str, Any], name: str, kind: type, accepted: str) -> Any:
+    value = body.get(name)
+    if not isinstance(value, kind):
+        raise _malformed(name, value, accepted)
+    return value
+
+
+def _is_message(entry: Any) -> bool:
+    return (
+        isinstance(entry, dict)
+        and isinstance(entry.get("role"), str)
+        and "content" in entry
+    )
+
+
+def _malformed(name: str, value: Any, accepted: str) -> errors.BalsamloomError:
+    shown = json.dumps(value)[:80]
+    return errors.BalsamloomError(
+        results.ResultCode.MALFORMED_REQUEST,
+        f"{name} is {shown}; accepted: {accepted}",
+    )
+
+
+def check_request(request: requests.Request, limit: int) -> ModelBody:
+    """Return the checked body of a caller's request.
+
+    :param request: the caller's request.
+    :param limit: tokens if the caller gives none.
+    :raises BalsamloomError: if the body is not accepted.
+    """
+    return parse(request.json_object(), limit)
--- /dev/null
+++ b/packages/entry/src/balsamloom_entry/parts.py
@@ -0,0 +1,119 @@
+"""Parts of an entry process that outlive one membership."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import threading
+
+import urllib3
+
+from balsamloom_configuration import distribution
+from balsamloom_core import clock as clocks
+from balsamloom_core import dumps
+from balsamloom_entry import attempts, catalogue, pools, schema, tool_calls
+from balsamloom_membership import backends
+from balsamloom_peers import links
+from balsamloom_platform import engines, metrics, tools
+from balsamloom_platform import store as stores
+from balsamloom_policy import scheduler as schedulers
+from balsamloom_policy import settings as policy_settings
+
+CONNECTIONS_PER_SERVER = 256
+SERVER_CONNECTION_POOLS = 128
+
+
+class Parts:
+    """Clients, scheduler and configuration of one process.
+
+    :param settings: checked settings.
+    :param is_watcher: whether this process watches the configuration.
+    :param peer_offers: configuration revisions that peers hold.
+    """
+
+    def __init__(
+        self,
+        settings: schema.EntrySettings,
+        is_watcher: distribution.Callable[[], bool],
+        peer_offers: distribution.Callable[
+            [], distribution.Iterable[distribution.PeerOffer]
+        ],
+    ) -> None:
+        self.settings = settings
+        self.clock = clocks.Clock()
+        self.dumps = dumps.DumpRegistry()
+        self.links = links.Links()
+        self.ended = threading.Event()
+        self.store: stores.Store = stores.EtcdGateway(
+            settings["store_address"]
+        )
+        self.metrics = _metrics(settings["statsd_address"])
+        self.connections = urllib3.PoolManager(
+            num_pools=SERVER_CONNECTION_POOLS, maxsize=CONNECTIONS_PER_SERVER
+        )
+        # Calls run in tasks of their own; each may need a second task until
+        # its first token.
+        threads = settings["http_threads"]
+        self.calls = concurrent.futures.ThreadPoolExecutor(threads, "call")
+        self.senders = concurrent.futures.ThreadPoolExecutor(
+            2 * threads, "send"
+        )
+        self.scheduler = schedulers.Scheduler(
+            self.clock, policy_settings.PolicySettings(), settings["seed"]
+        )
+        self.backends = backends.BackendTable(
+            settings["name"], self.clock, self._server_changed
+        )
+        self.pools = pools.ServerPools(self.scheduler, self.backends)
+        self.configuration = distribution.InForce(
+            self.store,
+            self.clock,
+            is_watcher,
+            peer_offers,
+            catalogue.SETTING_SCHEMAS,
+        )
+        self.catalogue = catalogue.Catalogue(
+            lambda: self.configuration.document
+        )
+        self.configuration.on_change(self.pools.take_document)
+        self._register_dumps()
+
+    def engine_at(self, address: str) -> engines.Engine:
+        """Return the client of a model engine.
+
+        :param address: ``host:port``.
+        """
+        return engines.Engine(address, self.connections)
+
+    def tool_at(self, address: str) -> tools.ToolService:
+        """Return the client of a tool service.
+
+        :param address: ``host:port``.
+        """
+        return tools.ToolService(address, self.connections)
+
+    def sender(self) -> attempts.Sender:
+        """Return the parts that send model calls."""
+        return attempts.Sender(
+            self.scheduler, self.engine_at, self.senders, self.clock
+        )
+
+    def tool_sender(self) -> tool_calls.ToolSender:
+        """Return the parts that send tool calls."""
+        return tool_calls.ToolSender(self.scheduler, self.tool_at)
+
+    def _server_changed(self, server_id: str, takes_new_work: bool) -> None:
+        self.pools.server_changed(server_id, takes_new_work)
+
+    def _register_dumps(self) -> None:
+        self.dumps.register("scheduler", self.scheduler.describe)
+        self.dumps.register("backends", self.backends.describe)
+        self.dumps.register("configuration", self.configuration.describe)
+
+
+def _metrics(address: str) -> metrics.Metrics:
+    # Names carry the project's prefix already.
+    return (
+        metrics.StatsdMetrics(address, "")
+        if address
+        else metrics.NullMetrics()
+    )
--- /dev/null
+++ b/packages/entry/src/balsamloom_entry/peering.py
@@ -0,0 +1,82 @@
+"""Answers to the messages of peers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from balsamloom_entry import forwarding, session, transfers
+from balsamloom_entry import parts as process_parts
+from balsamloom_peers import messages
+from balsamloom_peers import server as peer_servers
+from balsamloom_state import partitions
+
+
+class PeerHandlers:
+    """Passes messages of peers on to the current session.
+
+    :param parts: parts of the process.
+    :param current: returns the current session.
+    """
+
+    def __init__(
+        self,
+        parts: process_parts.Parts,
+        current: Callable[[], session.Session],
+    ) -> None:
+        self._parts = parts
+        self._current = current
+
+    def heartbeat(self, heartbeat: messages.Heartbeat) -> messages.Heartbeat:
+        """Take in a peer's state and return the own.
+
+        :param heartbeat: state of the peer.
+        """
+        return self._current().liveness.handle_heartbeat(heartbeat)
+
+    def probe(self, probe: messages.Probe) -> bool:
+        """Return whether the probed member answers this process.
+
+        :param probe: member to check.
+        """
+        return self._current().liveness.handle_probe(probe)
+
+    def forward(
+        self,
+        request: messages.ForwardRequest,
+        context: peer_servers.ForwardContext,
+    ) -> Iterator[messages.ForwardChunk]:
+        """Run a request as owner and yield its answer as it arises.
+
+        :param request: request that a peer passed on.
+        :param context: state of the request; a call goes on without its
+            caller.
+        """
+        return forwarding.handle(self._current().router, request)
+
+    def transfer_partition(
+        self, transfer: messages.Transfer
+    ) -> messages.TransferResult:
+        """Make a partition durable.
+
+        :param transfer: snapshots of the partition.
+        """
+        return transfers.receive(self._current().owner, transfer)
+
+    def get_configuration(
+        self, at_least_revision: int
+    ) -> messages.Configuration:
+        """Return what changed since a revision.
+
+        :param at_least_revision: revision that the peer holds, zero for none.
+        """
+        configuration = self._parts.configuration
+        return messages.Configuration(
+            configuration.revision, configuration.encoded(at_least_revision)
+        )
+
+    def get_map(self) -> messages.MapDocument:
+        """Return the partition map last seen."""
+        current = self._current().owner.map
+        return messages.MapDocument(
+            current.version, partitions.encode(current)
+        )
--- /dev/null
+++ b/packages/entry/src/balsamloom_entry/pools.py
@@ -0,0 +1,100 @@
+"""Backend servers of the configuration, as pools of the scheduler."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from balsamloom_configuration import document as documents
+from balsamloom_configuration import schemas
+from balsamloom_core import settings
+from balsamloom_membership import backends
+from balsamloom_policy import calls as policy_calls
+from balsamloom_policy import scheduler as schedulers
+from balsamloom_policy import settings as policy_settings
+
+
+class ServerPools:
+    """Keeps scheduler and backend table in step with the configuration.
+
+    :param scheduler: gets the servers of each pool.
+    :param table: knows which servers are leaving.
+    """
+
+    def __init__(
+        self, scheduler: schedulers.Scheduler, table: backends.BackendTable
+    ) -> None:
+        self._scheduler = scheduler
+        self._table = table
+        self._servers: dict[str, policy_calls.Server] = {}
+        self._pools: set[str] = set()
+
+    def take_document(self, document: documents.Document) -> None:
+        """Take a configuration that comes into force.
+
+        :param document: checked document.
+        """
+        routing = document.content("routing")
+        self._scheduler.update_settings(policy_settings.from_document(routing))
+        found: dict[str, policy_calls.Server] = {}
+        for kind in ("models", "services"):
+            for name, entry in document.merged(kind).items():
+                for server in entry["servers"]:
+                    found[server["id"]] = _server(server, name)
+        self._servers = found
+        self._table.set_servers(
+            backends.Server(server.server_id, server.pool, server.address)
+            for server in found.values()
+        )
+        for kind in ("models", "services"):
+            for entry in document.merged(kind).values():
+                for server in entry["servers"]:
+                    self._observe(server)
+        gone = self._pools - {server.pool for server in found.values()}
+        self._pools |= {server.pool for server in found.values()}
+        for pool in self._pools:
+            self._update(pool)
+        self._pools -= gone
+
+    def server_changed(self, server_id: str, takes_new_work: bool) -> None:
+        """Take a change of a server's state.
+
+        :param server_id: backend server.
+        :param takes_new_work: whether it takes new work from now on.
+        """
+        server = self._servers.get(server_id)
+        if server is not None:
+            self._update(server.pool)
+
+    def address_of(self, server_id: str) -> str | None:
+        """Return the address of a backend server.
+
+        :param server_id: backend server.
+        """
+        server = self._servers.get(server_id)
+        return server.address if server else None
+
+    def _update(self, pool: str) -> None:
+        servers = [
+            server._replace(
+                is_leaving=not self._table.takes_new_work(server.server_id)
+            )
+            for server in self._servers.values()
+            if server.pool == pool
+        ]
+        self._scheduler.update_servers(pool, servers)
+
+    def _observe(self, server: dict[str, Any]) -> None:
+        checked = settings.with_defaults(server, schemas.SERVER)
+        self._table.observe(
+            backends.Origin.CONFIGURATION,
+            checked["id"],
+            checked["draining"],
+            checked["incarnation"],
+        )
+
+
+def _server(server: dict[str, Any], pool: str) -> policy_calls.Server:
+    checked = settings.with_defaults(server, schemas.SERVER)
+    return policy_calls.Server(
+        checked["id"], checked["address"], pool, checked["concurrency"]
+    )
--- a/packages/entry/src/balsamloom_entry/process.py
+++ b/packages/entry/src/balsamloom_entry/process.py
@@ -1,189 +1,186 @@
-"""Wiring of one entry process."""
+"""One entry process: servers, and the sessions behind them."""
 
 from __future__ import annotations
 
 import threading
-from typing import Any, TypedDict
-
-import urllib3
-
-from balsamloom_core import clock as clocks
-from balsamloom_core import dumps, events, identifiers
+from collections.abc import Iterator
+
+from cheroot import wsgi
+
+from balsamloom_configuration import distribution
+from balsamloom_core import errors, events, identifiers
+from balsamloom_entry import http, loads, peering, requests, schema, session
+from balsamloom_entry import parts as process_parts
+from balsamloom_membership import host_watch, load_watch
+from balsamloom_peers import client as peer_clients
+from balsamloom_peers import server as peer_servers
+from balsamloom_platform import hosts
 from balsamloom_platform import store as stores
-from balsamloom_state import journal, partitions, programs
-
-PEER_CHECK_INTERVAL_MS = 500
-PEER_CHECK_TIMEOUT_MS = 400
-FAILURES_UNTIL_TAKEOVER = 4
-
+from balsamloom_state import partitions
 
-class EntrySettings(TypedDict):
-    """Checked settings of an entry process."""
-
-    name: str
-    http_address: str
-    peer_address: str
-    failure_domain: str
-    store_address: str
-    engines: list[str]
-    tools: dict[str, str]
+SUPERVISE_MS = 100
+JOIN_RETRY_MS = 500
+IDLE_CHECK_MS = 50
+PEER_STOP_MS = 2_000
 
 
 class EntryProcess:
-    """State of one entry process, passed to its parts.
+    """Servers of one process and its current session.
 
     :param settings: checked settings.
-    :param http_address: address that callers use, with the bound port.
     """
 
-    def __init__(self, settings: EntrySettings, http_address: str) -> None:
-        self.settings = settings
-        self.clock = clocks.Clock()
-        self.member = partitions.Member(
-            identifiers.new_member_id(settings["name"]),
-            http_address,
+    def __init__(self, settings: schema.EntrySettings) -> None:
+        self._settings = settings
+        self.parts = process_parts.Parts(
+            settings, self._is_watcher, self._peer_offers
+        )
+        self._http: wsgi.Server = http.make_server(
+            settings["http_address"], settings["http_threads"]
+        )
+        self.address = http.bound_address(self._http)
+        self._peer_server = peer_servers.PeerServer(
             settings["peer_address"],
-            settings["failure_domain"],
+            peering.PeerHandlers(self.parts, lambda: self.session),
+            self.parts.links,
         )
-        self.store = stores.EtcdGateway(settings["store_address"])
-        self.journal = journal.Journal(
-            self.store, self.member.member_id, self.clock
+        self.session = self._new_session()
+        self._is_stopping = threading.Event()
+        http.mount(
+            self._http,
+            http.CallerInterface(self._route, settings["max_body_bytes"]),
         )
-        self.programs = programs.ProgramTable()
-        self.pool = urllib3.PoolManager(num_pools=64, maxsize=512)
-        self.dumps = dumps.DumpRegistry()
-        self.partition_map = partitions.EMPTY
-        self._failures: dict[str, int] = {}
-        self._ended = threading.Event()
+        self._watches = self._make_watches()
 
     def start(self) -> None:
-        """Join the map and start the background threads."""
-        self.journal.start()
-        self.dumps.register("journal", self.journal.describe)
-        self.partition_map = partitions.update(self.store, self._joined)
-        threading.Thread(target=self._check_peers, daemon=True).start()
-        events.log(
-            events.Event.PROCESS_STARTED,
-            member_id=self.member.member_id,
-            http_address=self.member.http_address,
-        )
-
-    def stop(self) -> None:
-        """Commit what is waiting and end the background threads."""
-        self._ended.set()
-        self.journal.close(timeout_ms=5_000)
-
-    def owner_of(self, program_id: str) -> partitions.Member | None:
-        """Return the owner of a program in the map last seen.
-
-        :param program_id: identifier of the program.
+        """Serve, and try once to join; later tries go on in a task."""
+        self._peer_server.start()
+        threading.Thread(
+            target=self._http.serve, name="http", daemon=True
+        ).start()
+        self.parts.configuration.start()
+        for watch in self._watches:
+            watch.start()
+        self._try_join()
+        threading.Thread(
+            target=self._supervise, name="supervise", daemon=True
+        ).start()
+
+    def stop(self) -> bool:
+        """Shut down gracefully.
+
+        :return: whether all programs were handed over and all requests in
+            progress were finished.
         """
-        partition = identifiers.partition_of(program_id)
-        return self.partition_map.owner_of(partition)
-
-    def refresh_map(self) -> None:
-        """Read the partition map again."""
-        self.partition_map, _ = partitions.load(self.store)
-
-    def _joined(
-        self, current: partitions.PartitionMap
-    ) -> partitions.PartitionMap:
-        members = {**current.members, self.member.member_id: self.member}
-        owners = dict(current.owners)
-        for number in range(current.partition_count):
-            if number not in owners:
-                owners[number] = partitions.Ownership(self.member.member_id, 1)
-        owners = _shared_out(owners, self.member.member_id, members)
-        return current._replace(members=members, owners=owners)
-
-    def _check_peers(self) -> None:
-        while not self._ended.wait(PEER_CHECK_INTERVAL_MS / clocks.MS_PER_S):
-            try:
-                self.refresh_map()
-            except stores.StoreUnavailable:
-                continue
-            for member in list(self.partition_map.members.values()):
-                if member.member_id != self.member.member_id:
-                    self._check_peer(member)
+        self._is_stopping.set()
+        timeout_ms = self._settings["stop_timeout_ms"]
+        end_ms = self.parts.clock.now_ms() + timeout_ms
+        is_clean = True
+        if self.session.is_joined:
+            is_clean = self.session.leave(timeout_ms)
+        self._linger(end_ms)
+        is_clean = self._wait_idle(end_ms) and is_clean
+        for watch in self._watches:
+            watch.stop()
+        self.session.stop()
+        self.parts.configuration.stop()
+        self._http.stop()
+        self._peer_server.stop(PEER_STOP_MS)
+        events.log(events.Event.PROCESS_STOPPED, is_clean=is_clean)
+        return is_clean
+
+    def _route(self, request: requests.Request) -> requests.Answer:
+        return self.session.router(request)
+
+    def _new_session(self) -> session.Session:
+        member = partitions.Member(
+            identifiers.new_member_id(self._settings["name"]),
+            self.address,
+            self._peer_server.address,
+            self._settings["failure_domain"],
+        )
+        return session.Session(self.parts, member)
 
-    def _check_peer(self, member: partitions.Member) -> None:
-        if self._is_reachable(member):
-            self._failures.pop(member.member_id, None)
-            return
-        failures = self._failures.get(member.member_id, 0) + 1
-        self._failures[member.member_id] = failures
-        if failures >= FAILURES_UNTIL_TAKEOVER:
-            self._take_over(member)
-
-    def _is_reachable(self, member: partitions.Member) -> bool:
-        timeout = urllib3.Timeout(total=PEER_CHECK_TIMEOUT_MS / 1000)
-        url = f"http://{member.http_address}/v1/status"
+    def _try_join(self) -> None:
         try:
-            self.pool.request("GET", url, timeout=timeout, retries=False)
-        except urllib3.exceptions.HTTPError:
-            return False
-        return True
-
-    def _take_over(self, member: partitions.Member) -> None:
-        survivors = [
-            candidate
-            for candidate in self.partition_map.members
-            if candidate != member.member_id
-        ]
-        if partitions.rank(member.member_id, survivors)[0] != (
-            self.member.member_id
-        ):
+            self.session.join()
+        except stores.StoreUnavailable:
             return
-        events.log(events.Event.TAKEOVER_STARTED, member_id=member.member_id)
-        records = journal.seal(
-            self.store, member.member_id, self.member.member_id
-        )
-        unknown = self.programs.replay(records)
-        if records:
-            self.journal.wait(self.journal.append(records), 5_000)
-        self.partition_map = partitions.update(
-            self.store, lambda current: self._inherited(current, member)
-        )
+
+    def _supervise(self) -> None:
+        while not self.parts.clock.wait(self._is_stopping, SUPERVISE_MS):
+            if self.session.owner.is_deposed:
+                self._begin_again()
+            if not self.session.is_joined:
+                self._try_join()
+                if not self.session.is_joined:
+                    self.parts.clock.wait(self._is_stopping, JOIN_RETRY_MS)
+
+    def _begin_again(self) -> None:
+        former = self.session
         events.log(
-            events.Event.TAKEOVER_FINISHED,
-            member_id=member.member_id,
-            unknown_calls=unknown,
+            events.Event.MEMBER_DEPOSED, member_id=former.member.member_id
         )
+        former.stop()
+        self.session = self._new_session()
+
+    def _linger(self, end_ms: float) -> None:
+        """Pass requests on for callers whose address answer is not old."""
+        clock = self.parts.clock
+        until_ms = clock.now_ms() + self._settings["linger_ms"]
+        clock.sleep(min(until_ms, end_ms) - clock.now_ms())
+
+    def _wait_idle(self, end_ms: float) -> bool:
+        clock = self.parts.clock
+        while self.session.router.in_progress:
+            if clock.now_ms() >= end_ms:
+                return False
+            clock.sleep(IDLE_CHECK_MS)
+        return True
+
+    def _is_watcher(self) -> bool:
+        return self.session.is_watcher()
 
-    def _inherited(
-        self, current: partitions.PartitionMap, member: partitions.Member
-    ) -> partitions.PartitionMap | None:
-        if member.member_id not in current.members:
-            return None
-        members = dict(current.members)
-        del members[member.member_id]
-        owners = dict(current.owners)
-        for number in current.partitions_of(member.member_id):
-            epoch = owners[number].epoch + 1
-            owners[number] = partitions.Ownership(self.member.member_id, epoch)
-        return current._replace(members=members, owners=owners)
-
-
-def _shared_out(
-    owners: dict[int, partitions.Ownership],
-    joiner_id: str,
-    members: dict[str, Any],
-) -> dict[int, partitions.Ownership]:
-    share = len(owners) // len(members)
-    held = [
-        number
-        for number, ownership in owners.items()
-        if ownership.member_id == joiner_id
-    ]
-    if len(held) >= share:
-        return owners
-    counts: dict[str, int] = {}
-    result = dict(owners)
-    for number, ownership in owners.items():
-        count = counts.get(ownership.member_id, 0)
-        if count >= share and len(held) < share:
-            epoch = ownership.epoch + 1
-            result[number] = partitions.Ownership(joiner_id, epoch)
-            held.append(number)
-        counts[ownership.member_id] = count + 1
-    return result
+    def _peer_offers(self) -> Iterator[distribution.PeerOffer]:
+        known = {
+            member.peer_address
+            for member in self.session.owner.map.members.values()
+        } | set(self._settings["seed_peers"])
+        for address in known - {self.session.member.peer_address}:
+            client = self.session.peers.client(address)
+            try:
+                found = client.get_configuration(0, session.PEER_TIMEOUT_MS)
+            except errors.BalsamloomError:
+                continue
+            yield distribution.PeerOffer(found.revision, _fetch_from(client))
+
+    def _make_watches(
+        self,
+    ) -> list[host_watch.HostWatch | load_watch.LoadWatch]:
+        parts = self.parts
+        watches: list[host_watch.HostWatch | load_watch.LoadWatch] = [
+            load_watch.LoadWatch(
+                parts.backends,
+                loads.reader(parts),
+                loads.reporter(parts),
+                parts.clock,
+            )
+        ]
+        if self._settings["host_list_address"]:
+            host_list = hosts.HttpHostList(
+                self._settings["host_list_address"], parts.connections
+            )
+            watches.append(
+                host_watch.HostWatch(
+                    loads.host_fetch(host_list), parts.backends, parts.clock
+                )
+            )
+        return watches
+
+
+def _fetch_from(client: peer_clients.PeerClient) -> distribution.Fetch:
+    def fetch(since: int) -> bytes:
+        found = client.get_configuration(since, session.PEER_TIMEOUT_MS)
+        return found.document_json
+
+    return fetch
--- a/packages/entry/src/balsamloom_entry/schema.py
+++ b/packages/entry/src/balsamloom_entry/schema.py
@@ -13,6 +13,7 @@
     name: str
     http_address: str
     peer_address: str
+    seed_peers: list[str]
     failure_domain: str
     region: str
     store_address: str
@@ -58,6 +59,11 @@
         "name": {"type": "string", "pattern": "^[A-Za-z0-9_.-]{1,64}$"},
         "http_address": _address(),
         "peer_address": _address("127.0.0.1:0"),
+        "seed_peers": {
+            "type": "array",
+            "items": _address(),
+            "default": [],
+        },
         "failure_domain": {"type": "string", "minLength": 1},
         "region": {"type": "string", "default": ""},
         "store_address": _address(),
--- a/packages/entry/src/balsamloom_entry/streams.py
+++ b/packages/entry/src/balsamloom_entry/streams.py
@@ -22,14 +22,21 @@
         self.count += 1
         return f"id: {self.count}\ndata: {data}\n\n".encode()
 
-    def progress(self, reason: str, waited_ms: float, **more: Any) -> bytes:
+    def progress(
+        self, reason: str, waited_ms: float, position: int | None
+    ) -> bytes:
         """Encode a notice that the call is waiting.
 
         :param reason: what the call waits for.
         :param waited_ms: time since the request came.
-        :param more: further fields.
+        :param position: place in the queue, if there is one.
         """
-        body = {"reason": reason, "waited_ms": round(waited_ms), **more}
+        body: dict[str, Any] = {
+            "reason": reason,
+            "waited_ms": round(waited_ms),
+        }
+        if position is not None:
+            body["position"] = position
         return self._named("progress", body)
 
     def done(self, body: dict[str, Any]) -> bytes:
