Test the program owner with random faults and split its modules

A seeded test interleaves calls, crashes at any store call, pauses, lost answers, take-overs by two members, moves and planned stops. It found that an import whose clearing got no answer later served partitions that had been away in between and were due for another import; the import now remembers the epoch of each partition.

--- a/packages/state/src/balsamloom_state/calls.py
+++ b/packages/state/src/balsamloom_state/calls.py
@@ -2,27 +2,21 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
-import json
-import threading
-from collections.abc import Iterator
 from typing import Any
 
-from balsamloom_core import errors, identifiers, outcomes, results
+from balsamloom_core import errors, outcomes, results
 from balsamloom_state import (
     budgets,
     commits,
     journal,
     lifecycles,
     local,
-    ownership,
     programs,
     records_pb2,
+    settlements,
 )
 
-# Room in a segment for the fields of a record other than its texts.
-RECORD_OVERHEAD_BYTES = 4_096
 DEFAULT_TIMEOUT_MS = 2_000
 
 
@@ -100,40 +94,6 @@
         self._recorder = recorder
         self._lives = lives
 
-    @contextlib.contextmanager
-    def turn(
-        self, program: programs.Program, timeout_ms: float, key: str = ""
-    ) -> Iterator[None]:
-        """Hold a program's turn, granted in the order of arrival.
-
-        :param program: program of the call.
-        :param timeout_ms: longest wait.
-        :param key: key of the call; if its result is recorded, the time after
-            an unknown outcome is not waited out.
-        :raises BalsamloomError: if the wait was too long, with
-            ``PREVIOUS_CALL_UNRESOLVED``, ``PARTITION_MOVING``,
-            ``WRONG_OWNER`` or ``DEADLINE_CANNOT_BE_MET``.
-        """
-        end_ms = self._state.clock.now_ms() + timeout_ms
-        if not program.order.acquire(timeout_ms):
-            raise errors.BalsamloomError(
-                results.ResultCode.DEADLINE_CANNOT_BE_MET,
-                "an earlier call of the program is still in progress",
-            )
-        partition = identifiers.partition_of(program.program_id)
-        try:
-            left_ms = end_ms - self._state.clock.now_ms()
-            wait_ms = min(left_ms, self._state.settings.move_wait_ms)
-            self._state.slots.enter(partition, wait_ms)
-            try:
-                self._check_present(program)
-                self._wait_blocked(program, key, end_ms)
-                yield
-            finally:
-                self._state.slots.leave(partition)
-        finally:
-            program.order.release()
-
     def begin(
         self,
         program: programs.Program,
@@ -273,20 +233,22 @@
         :raises BalsamloomError: with ``OUTCOME_UNKNOWN``, ``INTERRUPTED`` or
             ``WRONG_OWNER`` if a successor took over before.
         """
-        finished = _finished(key, digest, outcome, new_messages)
+        finished = settlements.finished_record(
+            key, digest, outcome, new_messages
+        )
         finished.service_ms = round(service_ms)
         claimed = program.calls.get(key)
         is_not_run = isinstance(outcome, outcomes.NotRun)
         if is_not_run and claimed is None:
             self.release(program, key)
-            return _not_recorded(finished)
+            return settlements.not_recorded(finished)
         if isinstance(outcome, outcomes.Unknown) and claimed is not None:
             finished.blocked_ms = self._left_ms(claimed)
-        spent = _spent(outcome)
+        spent = settlements.spent(outcome)
         batch = self._append_finished(program, finished, spent)
         state = self._state.journal.wait(batch, timeout_ms)
         if isinstance(state, journal.Deposed):
-            raise _deposed_error(claimed is not None, is_not_run)
+            raise settlements.deposed_error(claimed is not None, is_not_run)
         return program.calls[key]
 
     def _append_finished(
@@ -371,11 +333,6 @@
         end_ms = call.claimed_ms + call.timeout_ms
         return round(max(end_ms - self._state.clock.now_ms(), 0))
 
-    def _check_present(self, program: programs.Program) -> None:
-        if self._state.table.get(program.program_id) is not program:
-            # The partition moved away while the call waited.
-            raise ownership.moving_error()
-
     def _check_history(self, program: programs.Program) -> None:
         size_bytes = program.history_bytes()
         limit_bytes = self._state.settings.max_history_bytes
@@ -386,84 +343,6 @@
                 f"accepted",
             )
 
-    def _wait_blocked(
-        self, program: programs.Program, key: str, end_ms: float
-    ) -> None:
-        call = program.calls.get(key)
-        if call is not None and call.is_finished:
-            return
-        now_ms = self._state.clock.now_ms()
-        if program.blocked_until_ms > end_ms:
-            raise errors.BalsamloomError(
-                results.ResultCode.PREVIOUS_CALL_UNRESOLVED,
-                retry_after_ms=round(program.blocked_until_ms - now_ms) + 1,
-            )
-        never = threading.Event()
-        while now_ms < program.blocked_until_ms:
-            self._state.clock.wait(never, program.blocked_until_ms - now_ms)
-            now_ms = self._state.clock.now_ms()
-
 
 def _is_durable(batch: journal.Batch) -> bool:
     return isinstance(batch.state, journal.Durable)
-
-
-def _spent(outcome: outcomes.Outcome) -> budgets.Amount:
-    match outcome:
-        case outcomes.NotRun():
-            return budgets.ZERO
-        case outcomes.Unknown():
-            return budgets.ONE_CALL
-        case (
-            outcomes.Completed(generated_tokens=tokens)
-            | outcomes.Failed(generated_tokens=tokens)
-        ):
-            return budgets.Amount(tokens, 1)
-
-
-def _finished(
-    key: str,
-    digest: bytes,
-    outcome: outcomes.Outcome,
-    new_messages: list[dict[str, Any]],
-) -> records_pb2.CallFinished:
-    finished = records_pb2.CallFinished(
-        key=key, digest=digest, code=int(outcome.code)
-    )
-    match outcome:
-        case outcomes.Completed(body=body):
-            finished.answer_json = json.dumps(body).encode()
-            if new_messages:
-                finished.new_messages_json = json.dumps(new_messages).encode()
-        case (
-            outcomes.NotRun(message=message)
-            | outcomes.Failed(message=message)
-            | outcomes.Unknown(message=message)
-        ):
-            finished.message = message
-    if finished.ByteSize() + RECORD_OVERHEAD_BYTES > journal.MAX_BATCH_BYTES:
-        # The call ran, so its end has to be recorded all the same.
-        finished.code = results.ResultCode.ANSWER_TOO_LARGE
-        finished.ClearField("answer_json")
-        finished.ClearField("new_messages_json")
-    return finished
-
-
-def _not_recorded(finished: records_pb2.CallFinished) -> programs.Call:
-    return programs.Call(
-        finished.key,
-        finished.digest,
-        is_finished=True,
-        code=finished.code,
-        message=finished.message,
-    )
-
-
-def _deposed_error(
-    is_claimed: bool, is_not_run: bool
-) -> errors.BalsamloomError:
-    if is_not_run:
-        return errors.BalsamloomError(results.ResultCode.WRONG_OWNER)
-    if is_claimed:
-        return errors.BalsamloomError(results.ResultCode.OUTCOME_UNKNOWN)
-    return errors.BalsamloomError(results.ResultCode.INTERRUPTED)
--- /dev/null
+++ b/packages/state/src/balsamloom_state/entrance.py
@@ -0,0 +1,76 @@
+"""Entering a program for one call."""
+
+from __future__ import annotations
+
+import contextlib
+import threading
+from collections.abc import Iterator
+
+from balsamloom_core import errors, identifiers, results
+from balsamloom_state import local, ownership, programs
+
+
+class Entrance:
+    """Lets calls into programs one by one.
+
+    :param state: state of the member.
+    """
+
+    def __init__(self, state: local.LocalState) -> None:
+        self._state = state
+
+    @contextlib.contextmanager
+    def hold(
+        self, program: programs.Program, timeout_ms: float, key: str = ""
+    ) -> Iterator[None]:
+        """Hold a program's turn, granted in the order of arrival.
+
+        :param program: program of the call.
+        :param timeout_ms: longest wait.
+        :param key: key of the call; if its result is recorded, the time after
+            an unknown outcome is not waited out.
+        :raises BalsamloomError: if the wait was too long, with
+            ``PREVIOUS_CALL_UNRESOLVED``, ``PARTITION_MOVING``,
+            ``WRONG_OWNER`` or ``DEADLINE_CANNOT_BE_MET``.
+        """
+        end_ms = self._state.clock.now_ms() + timeout_ms
+        if not program.order.acquire(timeout_ms):
+            raise errors.BalsamloomError(
+                results.ResultCode.DEADLINE_CANNOT_BE_MET,
+                "an earlier call of the program is still in progress",
+            )
+        partition = identifiers.partition_of(program.program_id)
+        try:
+            left_ms = end_ms - self._state.clock.now_ms()
+            wait_ms = min(left_ms, self._state.settings.move_wait_ms)
+            self._state.slots.enter(partition, wait_ms)
+            try:
+                self._check_present(program)
+                self._wait_blocked(program, key, end_ms)
+                yield
+            finally:
+                self._state.slots.leave(partition)
+        finally:
+            program.order.release()
+
+    def _check_present(self, program: programs.Program) -> None:
+        if self._state.table.get(program.program_id) is not program:
+            # The partition moved away while the call waited.
+            raise ownership.moving_error()
+
+    def _wait_blocked(
+        self, program: programs.Program, key: str, end_ms: float
+    ) -> None:
+        call = program.calls.get(key)
+        if call is not None and call.is_finished:
+            return
+        now_ms = self._state.clock.now_ms()
+        if program.blocked_until_ms > end_ms:
+            raise errors.BalsamloomError(
+                results.ResultCode.PREVIOUS_CALL_UNRESOLVED,
+                retry_after_ms=round(program.blocked_until_ms - now_ms) + 1,
+            )
+        never = threading.Event()
+        while now_ms < program.blocked_until_ms:
+            self._state.clock.wait(never, program.blocked_until_ms - now_ms)
+            now_ms = self._state.clock.now_ms()
--- /dev/null
+++ b/packages/state/src/balsamloom_state/holds.py
@@ -0,0 +1,41 @@
+"""Engine memory that no call needs any more."""
+
+from __future__ import annotations
+
+from balsamloom_core import errors, identifiers
+from balsamloom_state import local, ownership
+
+
+class TagCheck:
+    """Compares tags of engine memory with the programs that are here.
+
+    :param state: state of the member.
+    """
+
+    def __init__(self, state: local.LocalState) -> None:
+        self._state = state
+
+    def is_gone(self, tag: str) -> bool:
+        """Return whether held memory belongs to no call in progress.
+
+        :param tag: ``<program_id>/<epoch>/<call>``; false for another form
+            and for partitions that are not served here.
+        """
+        program_id, _, rest = tag.partition("/")
+        epoch_text, _, key = rest.partition("/")
+        try:
+            partition = identifiers.partition_of(program_id)
+        except errors.BalsamloomError:
+            return False
+        state = self._state.slots.state(partition)
+        if (
+            not isinstance(state, ownership.Serving)
+            or self._state.journal.is_deposed
+        ):
+            return False
+        program = self._state.table.get(program_id)
+        if program is None or program.is_ended:
+            return True
+        if epoch_text.isdecimal() and int(epoch_text) < state.epoch:
+            return True
+        return key not in program.holds
--- a/packages/state/src/balsamloom_state/journal.py
+++ b/packages/state/src/balsamloom_state/journal.py
@@ -190,22 +190,28 @@
             self._clock.wait(batch.done, timeout_ms)
         return batch.state
 
+    def flush(self, timeout_ms: float) -> bool:
+        """Wait until everything appended so far is durable.
+
+        :param timeout_ms: longest wait.
+        """
+        with self._changed:
+            last = self._waiting[-1] if self._waiting else None
+        if last is None:
+            return not self.is_deposed
+        return isinstance(self.wait(last, timeout_ms), Durable)
+
     def close(self, timeout_ms: float) -> bool:
         """Commit what is waiting and stop the thread.
 
         :param timeout_ms: longest wait.
         :return: whether everything became durable.
         """
+        is_flushed = self.flush(timeout_ms)
         with self._changed:
             self._is_closed = True
             self._changed.notify_all()
-            last = self._waiting[-1] if self._waiting else None
-        if self._thread is not None:
-            self._thread.join(timeout_ms / clocks.MS_PER_S)
-        elif last is not None:
-            self._write_until(last, self._clock.now_ms() + timeout_ms)
-        with self._changed:
-            return not self._waiting and not self.is_deposed
+        return is_flushed
 
     def guard(self) -> list[stores.Comparison]:
         """Return comparisons that hold while nobody sealed this journal.
--- a/packages/state/src/balsamloom_state/moves.py
+++ b/packages/state/src/balsamloom_state/moves.py
@@ -6,7 +6,7 @@
 import threading
 from typing import NamedTuple
 
-from balsamloom_core import errors, events, results
+from balsamloom_core import errors, events
 from balsamloom_state import (
     journal,
     local,
@@ -227,75 +227,6 @@
         return isinstance(state, journal.Durable)
 
 
-class Departure:
-    """Hands everything over and leaves the map.
-
-    :param state: state of the member.
-    :param mover: moves partitions.
-    """
-
-    def __init__(self, state: local.LocalState, mover: Mover) -> None:
-        self._state = state
-        self._mover = mover
-
-    def announce(self) -> None:
-        """Enter the state ``leaving`` in the map.
-
-        :raises StoreUnavailable: if the store does not answer.
-        """
-        self._state.is_leaving = True
-        own_id = self._state.member.member_id
-        self._state.update_map(lambda found: marked_leaving(found, own_id))
-
-    def hand_over(self, end_ms: float) -> bool:
-        """Move one batch of partitions once their calls have ended.
-
-        :param end_ms: time at which to give up.
-        :return: whether this member owns no partition any more.
-        :raises StoreUnavailable: if the store does not answer.
-        """
-        self._mover.resolve()
-        own_id = self._state.member.member_id
-        found = self._state.map
-        receivers = [
-            name
-            for name, member in found.members.items()
-            if name != own_id and not member.is_leaving
-        ]
-        numbers = self._mover.movable()[: self._state.settings.move_batch]
-        if receivers and numbers:
-            self._move(numbers, receivers, end_ms)
-        return not self._state.map.partitions_of(own_id)
-
-    def _move(
-        self, numbers: list[int], receivers: list[str], end_ms: float
-    ) -> None:
-        targets = {}
-        settle_ms = self._state.settings.move_settle_ms
-        for number in numbers:
-            if not self._mover_hold(number, settle_ms, end_ms):
-                continue
-            name = partitions.rank(f"partition {number}", receivers)[0]
-            targets[number] = self._state.map.members[name]
-        if targets:
-            self._mover.move(targets)
-
-    def _mover_hold(
-        self, number: int, settle_ms: float, end_ms: float
-    ) -> bool:
-        slots = self._state.slots
-        if slots.hold_if_idle(number):
-            return True
-        slots.wait_idle(number, settle_ms)
-        if not slots.hold(number):
-            return False
-        left_ms = end_ms - self._state.clock.now_ms()
-        if slots.wait_idle(number, left_ms):
-            return True
-        slots.resume(number)
-        return False
-
-
 def handed_over(
     found: partitions.PartitionMap,
     own_id: str,
@@ -329,40 +260,6 @@
     return found._replace(owners=owners)
 
 
-def marked_leaving(
-    found: partitions.PartitionMap, own_id: str
-) -> partitions.PartitionMap | None:
-    """Mark a member as leaving.
-
-    :param found: map as it is.
-    :param own_id: member that leaves.
-    """
-    member = found.members.get(own_id)
-    if member is None or member.is_leaving:
-        return None
-    members = {**found.members, own_id: member._replace(is_leaving=True)}
-    return found._replace(members=members)
-
-
-def departed(
-    found: partitions.PartitionMap, own_id: str
-) -> partitions.PartitionMap | None:
-    """Remove a member that owns nothing and retire its journal.
-
-    :param found: map as it is.
-    :param own_id: member that leaves.
-    :raises BalsamloomError: with ``PARTITION_MOVING`` if it owns something.
-    """
-    if own_id not in found.members:
-        return None
-    if found.partitions_of(own_id):
-        raise errors.BalsamloomError(results.ResultCode.PARTITION_MOVING)
-    members = {**found.members}
-    del members[own_id]
-    retired = tuple(sorted({*found.retired, own_id}))
-    return found._replace(members=members, retired=retired)
-
-
 def _counts(found: partitions.PartitionMap) -> dict[str, int]:
     """Return the number of partitions of each member that is not leaving."""
     counts = {
--- a/packages/state/src/balsamloom_state/owner.py
+++ b/packages/state/src/balsamloom_state/owner.py
@@ -7,22 +7,24 @@
 from typing import Any
 
 from balsamloom_core import clock as clocks
-from balsamloom_core import errors, identifiers, outcomes, results
+from balsamloom_core import errors, outcomes, results
 from balsamloom_platform import store as stores
 from balsamloom_state import (
     budgets,
     calls,
     commits,
     compaction,
+    entrance,
+    holds,
     journal,
     lifecycles,
     local,
     moves,
     ownership,
     partitions,
+    presence,
     programs,
     records_pb2,
-    sealed,
     takeover,
 )
 
@@ -34,7 +36,6 @@
 Claim = calls.Claim
 TakeoverReport = takeover.TakeoverReport
 DEFAULT_TIMEOUT_MS = calls.DEFAULT_TIMEOUT_MS
-LEAVE_PAUSE_MS = 100
 
 
 class ProgramOwner:
@@ -79,7 +80,11 @@
         self._calls = calls.CallRecorder(self._state, recorder, self._lives)
         self._takeover = takeover.Takeover(self._state)
         self._mover = moves.Mover(self._state, transfer)
-        self._departure = moves.Departure(self._state, self._mover)
+        self._presence = presence.Presence(
+            self._state, self._mover, self._takeover
+        )
+        self._entrance = entrance.Entrance(self._state)
+        self._tags = holds.TagCheck(self._state)
         self._compactor = compaction.Compactor(self._state, recorder)
         self._is_started = False
 
@@ -105,18 +110,7 @@
         :raises BalsamloomError: with ``WRONG_OWNER`` if this member was
             sealed meanwhile; the process needs a new member id.
         """
-        self.journal.open()
-        if not self._state.has_joined:
-            joined = partitions.update(
-                self._state.store,
-                lambda found: _joined(found, self.member),
-                self._state.clock,
-                self.journal.guard(),
-            )
-            if self.member.member_id not in joined.members:
-                raise errors.BalsamloomError(results.ResultCode.WRONG_OWNER)
-            self._state.has_joined = True
-            self.observe_map(joined)
+        self._presence.join()
         if self._state.settings.writes_in_background and not self._is_started:
             self._is_started = True
             self.journal.start()
@@ -179,14 +173,14 @@
     def turn(
         self, program: programs.Program, timeout_ms: float, key: str = ""
     ) -> contextlib.AbstractContextManager[None]:
-        """Hold a program's turn, see :meth:`calls.CallRecorder.turn`.
+        """Hold a program's turn, see :meth:`entrance.Entrance.hold`.
 
         :param program: program of the call.
         :param timeout_ms: longest wait.
         :param key: key of the call, so that a recorded result does not wait
             out an unknown outcome.
         """
-        return self._calls.turn(program, timeout_ms, key)
+        return self._entrance.hold(program, timeout_ms, key)
 
     def begin_call(
         self,
@@ -369,26 +363,14 @@
         :return: whether everything was handed over; if not, the journal and
             the map entry stay, and a successor takes over from them.
         """
-        end_ms = self._state.clock.now_ms() + timeout_ms
-        self._state.is_leaving = True
-        while not self.is_deposed:
-            try:
-                if self._leave_step(end_ms):
-                    return True
-            except errors.BalsamloomError:
-                # The next round starts from the state of the store.
-                pass
-            if self._state.clock.now_ms() >= end_ms:
-                return False
-            self._state.clock.sleep(LEAVE_PAUSE_MS)
-        return False
+        return self._presence.leave(timeout_ms)
 
     def gone_tags(self, tags: Iterable[str]) -> list[str]:
         """Return tags of engine memory that no call needs any more.
 
         :param tags: ``<program_id>/<epoch>/<call>`` of held memory.
         """
-        return [tag for tag in tags if self._is_gone(tag)]
+        return [tag for tag in tags if self._tags.is_gone(tag)]
 
     def describe(self) -> dict[str, Any]:
         """Return state for the dump."""
@@ -409,52 +391,3 @@
             "live_bytes": self._compactor.live_bytes(),
             "journal": self.journal.describe(),
         }
-
-    def _leave_step(self, end_ms: float) -> bool:
-        if not self._state.has_joined:
-            return True
-        self._departure.announce()
-        self._takeover.run_imports()
-        if not self._departure.hand_over(end_ms):
-            return False
-        left_ms = end_ms - self._state.clock.now_ms()
-        if not self.journal.close(left_ms):
-            return False
-        own_id = self.member.member_id
-        sealed.seal(self._state.store, own_id, own_id)
-        self._state.is_departing = True
-        self._state.update_map(lambda found: moves.departed(found, own_id))
-        self._takeover.delete_journal(own_id)
-        return True
-
-    def _is_gone(self, tag: str) -> bool:
-        program_id, _, rest = tag.partition("/")
-        epoch_text, _, key = rest.partition("/")
-        try:
-            partition = identifiers.partition_of(program_id)
-        except errors.BalsamloomError:
-            return False
-        state = self._state.slots.state(partition)
-        if not isinstance(state, ownership.Serving) or self.is_deposed:
-            return False
-        program = self._state.table.get(program_id)
-        if program is None or program.is_ended:
-            return True
-        if epoch_text.isdecimal() and int(epoch_text) < state.epoch:
-            return True
-        return key not in program.holds
-
-
-def _joined(
-    found: partitions.PartitionMap, member: partitions.Member
-) -> partitions.PartitionMap | None:
-    if member.member_id in found.members:
-        return None
-    owners = dict(found.owners)
-    for number in range(found.partition_count):
-        if number not in owners:
-            owners[number] = partitions.Ownership(
-                member.member_id, partitions.FIRST_EPOCH
-            )
-    members = {**found.members, member.member_id: member}
-    return found._replace(members=members, owners=owners)
--- /dev/null
+++ b/packages/state/src/balsamloom_state/presence.py
@@ -0,0 +1,197 @@
+"""Entering the partition map and leaving it as planned."""
+
+from __future__ import annotations
+
+from balsamloom_core import errors, results
+from balsamloom_state import local, moves, partitions, sealed, takeover
+
+LEAVE_PAUSE_MS = 100
+
+
+class Presence:
+    """Enters the map and leaves it.
+
+    :param state: state of the member.
+    :param mover: moves partitions.
+    :param imports: imports what is owed before leaving.
+    """
+
+    def __init__(
+        self,
+        state: local.LocalState,
+        mover: moves.Mover,
+        imports: takeover.Takeover,
+    ) -> None:
+        self._state = state
+        self._mover = mover
+        self._imports = imports
+
+    def join(self) -> None:
+        """Open the journal and enter the map; trying again is harmless.
+
+        :raises StoreUnavailable: if the store does not answer.
+        :raises BalsamloomError: with ``WRONG_OWNER`` if this member was
+            sealed meanwhile.
+        """
+        member = self._state.member
+        self._state.journal.open()
+        if self._state.has_joined:
+            return
+        changed = partitions.update(
+            self._state.store,
+            lambda found: joined(found, member),
+            self._state.clock,
+            # Without this, a try after a lost answer could add a member that
+            # was taken over meanwhile.
+            self._state.journal.guard(),
+        )
+        if member.member_id not in changed.members:
+            raise errors.BalsamloomError(results.ResultCode.WRONG_OWNER)
+        self._state.has_joined = True
+        self._state.observe_map(changed)
+
+    def leave(self, timeout_ms: float) -> bool:
+        """Hand over everything and leave the map.
+
+        :param timeout_ms: longest wait.
+        :return: whether everything was handed over.
+        """
+        end_ms = self._state.clock.now_ms() + timeout_ms
+        self._state.is_leaving = True
+        while not self._state.journal.is_deposed:
+            try:
+                if self._leave_step(end_ms):
+                    return True
+            except errors.BalsamloomError:
+                # The next round starts from the state of the store.
+                pass
+            if self._state.clock.now_ms() >= end_ms:
+                return False
+            self._state.clock.sleep(LEAVE_PAUSE_MS)
+        return False
+
+    def _announce(self) -> None:
+        """Enter the state ``leaving`` in the map.
+
+        :raises StoreUnavailable: if the store does not answer.
+        """
+        self._state.is_leaving = True
+        own_id = self._state.member.member_id
+        self._state.update_map(lambda found: marked_leaving(found, own_id))
+
+    def _hand_over(self, end_ms: float) -> bool:
+        """Move one batch of partitions once their calls have ended.
+
+        :param end_ms: time at which to give up.
+        :return: whether this member owns no partition any more.
+        :raises StoreUnavailable: if the store does not answer.
+        """
+        self._mover.resolve()
+        own_id = self._state.member.member_id
+        found = self._state.map
+        receivers = [
+            name
+            for name, member in found.members.items()
+            if name != own_id and not member.is_leaving
+        ]
+        numbers = self._mover.movable()[: self._state.settings.move_batch]
+        if receivers and numbers:
+            self._move(numbers, receivers, end_ms)
+        return not self._state.map.partitions_of(own_id)
+
+    def _move(
+        self, numbers: list[int], receivers: list[str], end_ms: float
+    ) -> None:
+        targets = {}
+        settle_ms = self._state.settings.move_settle_ms
+        for number in numbers:
+            if not self._hold(number, settle_ms, end_ms):
+                continue
+            name = partitions.rank(f"partition {number}", receivers)[0]
+            targets[number] = self._state.map.members[name]
+        if targets:
+            self._mover.move(targets)
+
+    def _hold(self, number: int, settle_ms: float, end_ms: float) -> bool:
+        slots = self._state.slots
+        if slots.hold_if_idle(number):
+            return True
+        slots.wait_idle(number, settle_ms)
+        if not slots.hold(number):
+            return False
+        left_ms = end_ms - self._state.clock.now_ms()
+        if slots.wait_idle(number, left_ms):
+            return True
+        slots.resume(number)
+        return False
+
+    def _leave_step(self, end_ms: float) -> bool:
+        if not self._state.has_joined:
+            return True
+        self._announce()
+        self._imports.run_imports()
+        if not self._hand_over(end_ms):
+            return False
+        left_ms = end_ms - self._state.clock.now_ms()
+        if not self._state.journal.close(left_ms):
+            return False
+        own_id = self._state.member.member_id
+        sealed.seal(self._state.store, own_id, own_id)
+        self._state.is_departing = True
+        self._state.update_map(lambda found: departed(found, own_id))
+        self._imports.delete_journal(own_id)
+        return True
+
+
+def joined(
+    found: partitions.PartitionMap, member: partitions.Member
+) -> partitions.PartitionMap | None:
+    """Add a member; it takes the partitions that nobody owns.
+
+    :param found: map as it is.
+    :param member: member that joins.
+    """
+    if member.member_id in found.members:
+        return None
+    owners = dict(found.owners)
+    for number in range(found.partition_count):
+        if number not in owners:
+            owners[number] = partitions.Ownership(
+                member.member_id, partitions.FIRST_EPOCH
+            )
+    members = {**found.members, member.member_id: member}
+    return found._replace(members=members, owners=owners)
+
+
+def marked_leaving(
+    found: partitions.PartitionMap, own_id: str
+) -> partitions.PartitionMap | None:
+    """Mark a member as leaving.
+
+    :param found: map as it is.
+    :param own_id: member that leaves.
+    """
+    member = found.members.get(own_id)
+    if member is None or member.is_leaving:
+        return None
+    members = {**found.members, own_id: member._replace(is_leaving=True)}
+    return found._replace(members=members)
+
+
+def departed(
+    found: partitions.PartitionMap, own_id: str
+) -> partitions.PartitionMap | None:
+    """Remove a member that owns nothing and retire its journal.
+
+    :param found: map as it is.
+    :param own_id: member that leaves.
+    :raises BalsamloomError: with ``PARTITION_MOVING`` if it owns something.
+    """
+    if own_id not in found.members:
+        return None
+    if found.partitions_of(own_id):
+        raise errors.BalsamloomError(results.ResultCode.PARTITION_MOVING)
+    members = {**found.members}
+    del members[own_id]
+    retired = tuple(sorted({*found.retired, own_id}))
+    return found._replace(members=members, retired=retired)
--- a/packages/state/src/balsamloom_state/takeover.py
+++ b/packages/state/src/balsamloom_state/takeover.py
@@ -45,7 +45,7 @@
     """An import whose snapshots are on the way to the store."""
 
     entries: list[partitions.Import]
-    partitions: list[int]
+    epochs: dict[int, int]
     batches: list[journal.Batch]
     report: ImportReport
 
@@ -103,7 +103,7 @@
             self._running = running
             if not self._are_durable(running.batches):
                 return running.report._replace(is_complete=False)
-            self._serve(running.partitions)
+            self._serve(running.epochs)
             self._clear(running.entries)
             self._running = None
         events.log(
@@ -146,7 +146,7 @@
         gone = set(journal_ids) & set(self._state.map.retired)
         if not gone:
             return
-        for journal_id in gone:
+        for journal_id in sorted(gone):
             sealed.delete(self._state.store, journal_id)
         self._state.update_map(
             lambda found: (
@@ -186,7 +186,10 @@
         report = ImportReport(
             len(numbers), len(rebuilt.programs), unknown, len(rebuilt.damaged)
         )
-        return _Running(entries, numbers, batches, report)
+        epochs = {
+            number: self._state.slots.epoch(number) for number in numbers
+        }
+        return _Running(entries, epochs, batches, report)
 
     def _sources(
         self, entries: list[partitions.Import], wanted: set[int]
@@ -269,10 +272,12 @@
                     return False
         return True
 
-    def _serve(self, numbers: list[int]) -> None:
-        for number in numbers:
+    def _serve(self, epochs: dict[int, int]) -> None:
+        for number, epoch in epochs.items():
+            # After a lost answer the partition may have been away and be due
+            # for another import, in a higher epoch.
             state = self._state.slots.state(number)
-            if isinstance(state, ownership.Importing):
+            if state == ownership.Importing(epoch):
                 self._state.serve_staged(number)
 
     def _clear(self, entries: list[partitions.Import]) -> None:
--- /dev/null
+++ b/packages/state/tests/builders.py
@@ -0,0 +1,295 @@
+"""Builders of test data and an in-memory key-value service with faults."""
+
+import itertools
+import threading
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import outcomes
+from balsamloom_platform import store as stores
+from balsamloom_state import (
+    budgets,
+    local,
+    owner,
+    partitions,
+    records_pb2,
+)
+
+PARTITION_COUNT = 8
+DIGEST = b"d" * 16
+TIMEOUT_MS = 2_000
+TOOL_TIMEOUT_MS = 30_000
+NEED = budgets.Need(100)
+
+
+class Crashed(BaseException):
+    """The process that made the call is dead."""
+
+
+class SteppingClock(clocks.Clock):
+    """A clock for one thread: waiting moves time forward."""
+
+    def __init__(self):
+        self.time_ms = 0.0
+
+    def now_ms(self):
+        return self.time_ms
+
+    def sleep(self, duration_ms):
+        self.time_ms += max(duration_ms, 0)
+
+    def wait(self, event, timeout_ms):
+        if not event.is_set():
+            self.sleep(timeout_ms)
+        return event.is_set()
+
+    def wait_condition(self, condition, timeout_ms):
+        self.sleep(timeout_ms)
+        return False
+
+
+class FakeService:
+    """The data of the service; each process has a client of its own."""
+
+    def __init__(self):
+        self.lock = threading.RLock()
+        self.items = {}
+        self.revision = 0
+        self.write_times_ms = []
+
+    def matches(self, comparison):
+        item = self.items.get(comparison.key)
+        match comparison:
+            case stores.KeyAbsent():
+                return item is None
+            case stores.RevisionIs(mod_revision=revision):
+                return item is not None and item.mod_revision == revision
+
+    def apply(self, operations):
+        self.revision += 1
+        for operation in operations:
+            match operation:
+                case stores.Put(key=key, value=value):
+                    if len(value) > stores.MAX_VALUE_BYTES:
+                        raise AssertionError(f"{key}: {len(value)} bytes")
+                    known = self.items.get(key)
+                    created = known.create_revision if known else self.revision
+                    self.items[key] = stores.Item(
+                        key, value, created, self.revision
+                    )
+                case stores.Delete(key=key):
+                    self.items.pop(key, None)
+
+    def keys(self, prefix):
+        return sorted(key for key in self.items if key.startswith(prefix))
+
+    def size_bytes(self, prefix):
+        return sum(len(self.items[key].value) for key in self.keys(prefix))
+
+
+class FakeStore:
+    """One process's client. ``fault(kind, operations)`` names a fault.
+
+    The faults are ``unavailable`` (no effect), ``lost`` (the effect without
+    the answer), ``crash`` and ``crash_after``.
+    """
+
+    def __init__(self, service, clock):
+        self.service = service
+        self.clock = clock
+        self.fault = lambda kind, operations: ""
+        self.is_dead = False
+        self.calls = 0
+
+    def get(self, key, timeout_ms=0):
+        return self._call(
+            "get", (), lambda: self.service.items.get(key), writes=False
+        )
+
+    def list_keys(self, prefix, limit=0, start="", timeout_ms=0):
+        def read():
+            keys = [key for key in self.service.keys(prefix) if key >= start]
+            chosen = keys[:limit] if limit else keys
+            items = [self.service.items[key] for key in chosen]
+            return stores.Page(
+                items, len(keys) > len(chosen), self.service.revision
+            )
+
+        return self._call("list", (), read, writes=False)
+
+    def commit(self, comparisons, operations, timeout_ms=0):
+        def write():
+            if all(map(self.service.matches, comparisons)):
+                self.service.apply(operations)
+                return stores.Committed(self.service.revision)
+            current = {
+                comparison.key: self.service.items[comparison.key]
+                for comparison in comparisons
+                if comparison.key in self.service.items
+            }
+            return stores.Conflict(self.service.revision, current)
+
+        self.service.write_times_ms.append(self.clock.now_ms())
+        return self._call("commit", operations, write, writes=True)
+
+    def _call(self, kind, operations, act, writes):
+        if self.is_dead:
+            raise Crashed
+        self.calls += 1
+        fault = self.fault(kind, operations)
+        if fault == "unavailable":
+            raise stores.StoreUnavailable("down", may_have_applied=False)
+        if fault == "crash":
+            self.is_dead = True
+            raise Crashed
+        with self.service.lock:
+            answer = act()
+        if fault == "crash_after":
+            self.is_dead = True
+            raise Crashed
+        if fault == "lost":
+            raise stores.StoreUnavailable("lost", may_have_applied=writes)
+        return answer
+
+
+class DirectTransfer:
+    """Calls the receiver in the same process."""
+
+    def __init__(self, world):
+        self.world = world
+
+    def send_partition(self, receiver, partition, epoch, records):
+        found = self.world.owners.get(receiver.member_id)
+        if found is None:
+            return False
+        try:
+            copies = [
+                records_pb2.Record.FromString(record.SerializeToString())
+                for record in records
+            ]
+            return found.receive_partition("sender", partition, epoch, copies)
+        except Crashed:
+            return False
+
+
+class World:
+    """Several members over one service, all in the calling thread."""
+
+    def __init__(self, clock=None, **settings):
+        self.service = FakeService()
+        self.clock = clock or SteppingClock()
+        self.owners = {}
+        self.stores = {}
+        self.settings = local.OwnerSettings(
+            **{
+                "writes_in_background": False,
+                "commits_per_s": 1_000,
+                "commit_burst": 1_000,
+                "move_threads": 1,
+                **settings,
+            }
+        )
+        self._names = itertools.count(1)
+        empty = partitions.EMPTY._replace(
+            version=1, partition_count=PARTITION_COUNT
+        )
+        self.service.apply(
+            [stores.Put(partitions.KEY, partitions.encode(empty))]
+        )
+
+    def create(self):
+        """Return an owner that has not joined yet."""
+        name = f"m{next(self._names)}"
+        self.stores[name] = FakeStore(self.service, self.clock)
+        self.owners[name] = owner.ProgramOwner(
+            self.stores[name],
+            partitions.Member(name, f"{name}:80", f"{name}:90", "a"),
+            self.clock,
+            self.settings,
+            DirectTransfer(self),
+        )
+        return self.owners[name]
+
+    def join(self):
+        """Return an owner that has joined."""
+        created = self.create()
+        created.join()
+        return created
+
+    def store_of(self, member):
+        return self.stores[member.member.member_id]
+
+    def kill(self, member):
+        """End a member at once."""
+        self.store_of(member).is_dead = True
+
+    def map(self):
+        return partitions.decode(self.service.items[partitions.KEY].value)
+
+    def journal_keys(self, member):
+        name = member.member.member_id
+        return self.service.keys(f"/balsamloom/journal/{name}/")
+
+    def share(self, giver, receivers=()):
+        """Rebalance until nothing moves and let all see the map."""
+        while giver.rebalance_once():
+            pass
+        for receiver in receivers:
+            receiver.refresh_map()
+
+
+def spec(**fields):
+    return owner.StartSpec(customer="restwell", **fields)
+
+
+def start(member, **budget):
+    limits = budgets.Limits(**budget)
+    return member.start_program(spec(budget=limits), TIMEOUT_MS)
+
+
+def message(text):
+    return {"role": "user", "content": text}
+
+
+def completed(text="ok", tokens=10):
+    return outcomes.Completed({"text": text}, generated_tokens=tokens)
+
+
+def model_call(member, program, key, text="hi", tokens=10):
+    """Run a model call and return the recorded call."""
+    with member.turn(program, TIMEOUT_MS, key):
+        begun = member.begin_call(program, key, DIGEST, NEED)
+        if isinstance(begun, owner.Recorded):
+            return begun.call
+        return finish(member, program, key, completed(text, tokens), text)
+
+
+def finish(member, program, key, outcome, text="", timeout_ms=TIMEOUT_MS):
+    added = [message(text)] if text else []
+    return member.finish(program, key, DIGEST, outcome, added, 5, timeout_ms)
+
+
+def claim(member, program, key, **waits):
+    """Begin and claim a tool call; the caller holds the turn."""
+    member.begin_call(program, key, DIGEST, budgets.Need())
+    return member.claim(
+        program, key, DIGEST, "booking/book", TOOL_TIMEOUT_MS, **waits
+    )
+
+
+def outage(member_store, is_down):
+    """Make the service unavailable for one member while a test says so."""
+    member_store.fault = lambda kind, operations: (
+        "unavailable" if is_down() else ""
+    )
+
+
+def fault_on(number, fault, kind="commit"):
+    """Return a fault hook that acts on one call of a kind."""
+    counter = itertools.count(1)
+
+    def hook(found, operations):
+        if found == kind and next(counter) == number:
+            return fault
+        return ""
+
+    return hook
