--- a/packages/policy/src/balsamloom_policy/limits.py
+++ b/packages/policy/src/balsamloom_policy/limits.py
@@ -73,6 +73,10 @@
     Slots that nobody uses are divided among the processes that are at their
     limit, so that idle peers lend their share and take it back as they fill.
 
+    A share below one slot is rounded up. Leaving the rounding to chance kept
+    the sum exact but slots empty between heartbeats, and mean latency rose to
+    1.3 times that of random routing without limits.
+
     :param peers: fresh shares of peers at this server.
     """
     concurrency = state.server.concurrency
--- a/packages/policy/src/balsamloom_policy/prefixes.py
+++ b/packages/policy/src/balsamloom_policy/prefixes.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import heapq
 import zlib
 from collections.abc import Iterable
 
@@ -83,9 +84,9 @@
     All processes get the same servers, so a prefix shared by programs of
     several processes is computed at few servers.
     """
-    scored = [(_mix(prefix, server_id), server_id) for server_id in server_ids]
-    scored.sort(reverse=True)
-    return [server_id for _, server_id in scored[:count]]
+    return heapq.nlargest(
+        count, server_ids, key=lambda server_id: _mix(prefix, server_id)
+    )
 
 
 def _mix(prefix: int, server_id: str) -> int:
--- a/packages/policy/src/balsamloom_policy/routing.py
+++ b/packages/policy/src/balsamloom_policy/routing.py
@@ -5,10 +5,12 @@
 import dataclasses
 import math
 import random
+from collections.abc import Mapping
 
 from balsamloom_policy import _servers, calls, prefixes, settings
 
 SLOW_FOR_AFFINITY = 1.5
+RENDEZVOUS_COUNT = 2
 OPTIMISM = 0.5
 
 
@@ -62,12 +64,14 @@
         affinity: prefixes.Affinity,
         profile: calls.CallProfile,
         eligible: list[_servers.ServerState],
+        servers: Mapping[str, _servers.ServerState],
         now_ms: float,
         values: settings.PolicySettings,
     ) -> _servers.ServerState:
         """Return the server for a call.
 
         :param eligible: servers with a free slot; at least one.
+        :param servers: all servers of the pool.
         """
         if len(eligible) == 1:
             return eligible[0]
@@ -81,7 +85,7 @@
                 return _best_payoff(eligible, profile, now_ms, values)
             case Learned():
                 return self._learned(
-                    affinity, profile, eligible, now_ms, values
+                    affinity, profile, eligible, servers, now_ms, values
                 )
 
     def _learned(
@@ -89,11 +93,12 @@
         affinity: prefixes.Affinity,
         profile: calls.CallProfile,
         eligible: list[_servers.ServerState],
+        servers: Mapping[str, _servers.ServerState],
         now_ms: float,
         values: settings.PolicySettings,
     ) -> _servers.ServerState:
         if isinstance(affinity, prefixes.Bounded) and profile.prefix_hashes:
-            holder = self._holder(profile, eligible, now_ms, values)
+            holder = self._holder(profile, eligible, servers, now_ms, values)
             if holder is not None:
                 return holder
         count = min(values.candidate_count, len(eligible))
@@ -107,31 +112,32 @@
         self,
         profile: calls.CallProfile,
         eligible: list[_servers.ServerState],
+        servers: Mapping[str, _servers.ServerState],
         now_ms: float,
         values: settings.PolicySettings,
     ) -> _servers.ServerState | None:
         found = self.index.find(profile.prefix_hashes)
-        if found is None:
-            found = prefixes.rendezvous(
-                profile.prefix_hashes[0],
-                [state.server.server_id for state in eligible],
-                1,
-            )[0]
-        holder = None
-        total = 0.0
-        for state in eligible:
-            total += _relative_load(state, now_ms, values)
-            if state.server.server_id == found:
-                holder = state
-        if holder is None or holder.slowness > SLOW_FOR_AFFINITY:
-            return None
-        mean = total / len(eligible)
-        own = _relative_load(holder, now_ms, values)
-        # One call more than the mean is no imbalance on small servers.
-        slack = 1 / max(holder.slots, 1)
-        if own > mean * values.prefix_load_bound + slack:
-            return None
-        return holder
+        if found is not None:
+            wanted = [found]
+        else:
+            wanted = prefixes.rendezvous(
+                profile.prefix_hashes[0], servers, RENDEZVOUS_COUNT
+            )
+        loads = {
+            state.server.server_id: _relative_load(state, now_ms, values)
+            for state in eligible
+        }
+        bound = sum(loads.values()) / len(loads) * values.prefix_load_bound
+        for server_id in wanted:
+            load = loads.get(server_id)
+            if load is None:
+                continue
+            state = servers[server_id]
+            # One call more than the mean is no imbalance on small servers.
+            slack = 1 / max(state.slots, 1)
+            if state.slowness <= SLOW_FOR_AFFINITY and load <= bound + slack:
+                return state
+        return None
 
 
 def _relative_load(
--- a/packages/policy/src/balsamloom_policy/scheduler.py
+++ b/packages/policy/src/balsamloom_policy/scheduler.py
@@ -503,6 +503,7 @@
             self._affinity,
             ticket.profile,
             found,
+            ticket.pool.servers,
             now_ms,
             self._values,
         )
@@ -787,11 +788,13 @@
         ]
         if not known:
             return 0.0
+        usual_ms = sorted(known)[len(known) // 2]
         state = ticket.server
-        factor = 1.0
-        if state is not None and state.has_tokens:
-            factor = state.prompt_factor(ticket.profile.prompt_tokens)
-        return sorted(known)[len(known) // 2] * factor
+        if state is None or not state.has_tokens:
+            return usual_ms
+        # A server that is always slow gains nothing from a second request.
+        usual_ms = max(usual_ms, state.first_token.usual)
+        return usual_ms * state.prompt_factor(ticket.profile.prompt_tokens)
 
 
 def _has_server(pool: _pool.Pool) -> bool:
--- a/packages/policy/src/balsamloom_policy/settings.py
+++ b/packages/policy/src/balsamloom_policy/settings.py
@@ -52,7 +52,7 @@
     health: str = _choice("outlier", "ejection of slow servers", "none")
     prefixes: str = _choice("bounded", "prefix affinity", "none")
 
-    candidate_count: int = _whole(2, "servers compared per call", 1, 64)
+    candidate_count: int = _whole(3, "servers compared per call", 1, 64)
     payoff_v: float = _number(8, "queue weight of payoff routing", 0.1, 1000)
     report_valid_ms: float = _number(
         2000, "age at which a load report has no weight left", 1, 60000
@@ -107,10 +107,10 @@
         1, "slots per server above the limit for urgent calls", 0, 16
     )
     queue_target_ms: float = _number(
-        1500, "estimated wait at which new programs are refused", 1, 600000
+        300, "estimated wait at which new programs are refused", 1, 600000
     )
     under_way_factor: float = _number(
-        4, "multiple of queue_target_ms for programs under way", 1, 100
+        20, "multiple of queue_target_ms for programs under way", 1, 100
     )
     fair_share_slack: float = _number(
         1.25, "multiple of the fair share a customer may use", 1, 100
