--- a/packages/cli/src/balsamloom_cli/entry_settings.py
+++ b/packages/cli/src/balsamloom_cli/entry_settings.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from balsamloom_entry import main as entry
+from balsamloom_entry import schema as entry
 
 
 def schema() -> dict[str, Any]:
--- a/packages/core/src/balsamloom_core/identifiers.py
+++ b/packages/core/src/balsamloom_core/identifiers.py
@@ -40,6 +40,14 @@
     return int(match.group(1), 16)
 
 
+def name_of(member_id: str) -> str:
+    """Return the name of the entry process that a member id belongs to.
+
+    :param member_id: identifier from :func:`new_member_id`.
+    """
+    return member_id.rpartition("-")[0]
+
+
 def new_member_id(name: str) -> str:
     """Return an identifier for one run of an entry process.
 
--- a/packages/entry/src/balsamloom_entry/calls.py
+++ b/packages/entry/src/balsamloom_entry/calls.py
@@ -92,6 +92,12 @@
     feed.waits_for("commit")
     left_ms = max(until_ms - context.clock.now_ms(), 0)
     is_durable = context.owner.wait_durable(call, left_ms)
+    if context.owner.is_deposed and not is_durable:
+        # The successor's history does not have this result.
+        code = results.ResultCode.INTERRUPTED
+        if call.timeout_ms:
+            code = results.ResultCode.OUTCOME_UNKNOWN
+        raise errors.BalsamloomError(code)
     feed.put(result_item(call, is_durable))
 
 
--- a/packages/entry/src/balsamloom_entry/model_calls.py
+++ b/packages/entry/src/balsamloom_entry/model_calls.py
@@ -158,7 +158,7 @@
 
     def _settle_broken(self, request: calls.CallRequest, relay: Relay) -> None:
         """Count the tokens of a stream that broke; the key stays free."""
-        self._context.owner.settle_interrupted(
+        self._context.owner.charge_call(
             request.program, request.key, relay.generated_tokens
         )
 
--- a/packages/entry/src/balsamloom_entry/parts.py
+++ b/packages/entry/src/balsamloom_entry/parts.py
@@ -4,6 +4,7 @@
 
 import concurrent.futures
 import threading
+from collections.abc import Callable, Iterable
 
 import urllib3
 
@@ -33,10 +34,8 @@
     def __init__(
         self,
         settings: schema.EntrySettings,
-        is_watcher: distribution.Callable[[], bool],
-        peer_offers: distribution.Callable[
-            [], distribution.Iterable[distribution.PeerOffer]
-        ],
+        is_watcher: Callable[[], bool],
+        peer_offers: Callable[[], Iterable[distribution.PeerOffer]],
     ) -> None:
         self.settings = settings
         self.clock = clocks.Clock()
@@ -111,9 +110,7 @@
 
 
 def _metrics(address: str) -> metrics.Metrics:
+    if not address:
+        return metrics.NullMetrics()
     # Names carry the project's prefix already.
-    return (
-        metrics.StatsdMetrics(address, "")
-        if address
-        else metrics.NullMetrics()
-    )
+    return metrics.StatsdMetrics(address, "")
--- a/packages/entry/src/balsamloom_entry/router.py
+++ b/packages/entry/src/balsamloom_entry/router.py
@@ -1,4 +1,4 @@
-"""Routes of the callers' interface, and who answers: this process or the owner."""
+"""Routes of the callers' interface: answered here or by the owner."""
 
 from __future__ import annotations
 
--- a/packages/entry/src/balsamloom_entry/schema.py
+++ b/packages/entry/src/balsamloom_entry/schema.py
@@ -33,10 +33,8 @@
 
 
 def _address(default: str | None = None) -> dict[str, Any]:
-    if default == "":
-        pattern = f"^$|{ADDRESS_PATTERN}"
-    else:
-        pattern = ADDRESS_PATTERN
+    empty = "^$|" if default == "" else ""
+    pattern = empty + ADDRESS_PATTERN
     part: dict[str, Any] = {"type": "string", "pattern": pattern}
     return part if default is None else {**part, "default": default}
 
--- a/packages/platform/src/balsamloom_platform/engines.py
+++ b/packages/platform/src/balsamloom_platform/engines.py
@@ -44,9 +44,10 @@
 
 
 class Chunk(NamedTuple):
-    """One streamed piece: decoded JSON of a ``chat.completion.chunk``."""
+    """One streamed piece: a ``chat.completion.chunk``, decoded and as sent."""
 
     body: dict[str, Any]
+    text: str
 
 
 class LoadReport(NamedTuple):
@@ -207,7 +208,7 @@
             if event.data == "[DONE]":
                 self.is_whole = True
             else:
-                chunks.append(Chunk(json.loads(event.data)))
+                chunks.append(Chunk(json.loads(event.data), event.data))
         return chunks
 
 
--- /dev/null
+++ b/packages/standins/src/balsamloom_standins/deployments.py
@@ -0,0 +1,232 @@
+"""The two deployments of the users, on stand-ins, for tests and demos."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import urllib3
+
+from balsamloom_configuration import editing
+from balsamloom_core import clock as clocks
+from balsamloom_platform import store as stores
+from balsamloom_standins import fleet
+
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.02
+APPLY_TIMEOUT_MS = 5_000
+AUTHOR = "demo"
+
+
+class Shape(NamedTuple):
+    """Size of a deployment and names of its pools.
+
+    ``engine_options`` has the command-line options of each model engine.
+    """
+
+    customer: str
+    model: str
+    service: str
+    failure_domains: tuple[str, ...]
+    entry_count: int
+    engine_options: tuple[tuple[str, ...], ...]
+    tool_count: int
+    operations: dict[str, dict[str, Any]]
+
+
+RESTWELL = Shape(
+    "restwell",
+    "booking-agent",
+    "visit-desk",
+    ("city-a", "city-b", "city-c"),
+    3,
+    tuple(
+        ("--token-ms", str(token_ms)) for token_ms in (2, 2, 3, 4, 5, 5, 6, 8)
+    )
+    + (("--token-ms", "8"), ("--token-ms", "10")),
+    3,
+    {
+        "charge": {},
+        "dispatch": {},
+        "book": {},
+        "check": {"idempotent": True},
+    },
+)
+WASSERREIGEN = Shape(
+    "wasserreigen",
+    "rota",
+    "booking-application",
+    ("allgaeu", "franken", "oberland", "schwaben"),
+    4,
+    tuple(("--token-ms", str(token_ms)) for token_ms in (2, 4, 4, 6, 8)),
+    4,
+    {
+        "book": {},
+        "swap": {},
+        "release": {},
+        "lookup": {"idempotent": True},
+    },
+)
+
+
+class Deployment:
+    """Stand-ins, a configuration and entry processes of one customer.
+
+    :param running: fleet that ends the processes.
+    :param shape: size and names.
+    :param entry_settings: settings that differ from the defaults.
+    """
+
+    def __init__(
+        self,
+        running: fleet.Fleet,
+        shape: Shape,
+        entry_settings: dict[str, Any] | None = None,
+    ) -> None:
+        self.fleet = running
+        self.shape = shape
+        self.entry_settings = entry_settings or {}
+        self.store = running.standin("store")
+        self.engines = [
+            running.standin("engine", *options)
+            for options in shape.engine_options
+        ]
+        self.tools = [
+            running.standin("tools") for _ in range(shape.tool_count)
+        ]
+        self.entries: list[fleet.Running] = []
+        self._http = urllib3.PoolManager(retries=False)
+
+    def start(self) -> None:
+        """Apply the configuration, start the entry processes and wait."""
+        for name, content in self.sections().items():
+            self.apply(name, content)
+        for number in range(self.shape.entry_count):
+            self.add_entry(number)
+        self.wait_ready()
+
+    def sections(self) -> dict[str, dict[str, Any]]:
+        """Return the sections of the configuration document."""
+        shape = self.shape
+        return {
+            "customers": {shape.customer: {}},
+            f"models/{shape.customer}": {
+                shape.model: {"servers": _servers("m", self.engines)}
+            },
+            f"services/{shape.customer}": {
+                shape.service: {
+                    "servers": _servers("s", self.tools),
+                    "operations": shape.operations,
+                }
+            },
+            "routing": {},
+            "limits": {},
+        }
+
+    def apply(self, section: str, content: dict[str, Any]) -> int:
+        """Put a section into the configuration.
+
+        :param section: name of the section.
+        :param content: new content.
+        :return: revision of the document.
+        """
+        store = stores.EtcdGateway(self.store.address)
+        editor = editing.Editor(store, clocks.Clock())
+        known = editor.get().sections.get(section)
+        edit = editing.Edit(
+            section,
+            content,
+            known.revision if known else 0,
+            AUTHOR,
+            "",
+            editing.new_edit_id(),
+        )
+        match editor.apply(edit, APPLY_TIMEOUT_MS):
+            case editing.Applied(revision):
+                return revision
+            case outcome:
+                raise RuntimeError(f"section {section}: {outcome}")
+
+    def add_entry(self, number: int) -> fleet.Running:
+        """Start an entry process.
+
+        :param number: number that names it and chooses its failure domain.
+        """
+        domains = self.shape.failure_domains
+        settings = {
+            "failure_domain": domains[number % len(domains)],
+            "store_address": self.store.address,
+            "fault_injection": True,
+            "linger_ms": 200,
+            **self.entry_settings,
+        }
+        name = f"{self.shape.customer}-{number}"
+        running = self.fleet.entry(name, settings)
+        self.entries.append(running)
+        return running
+
+    def live_entries(self) -> list[fleet.Running]:
+        """Return the entry processes that run."""
+        return [entry for entry in self.entries if entry.is_running]
+
+    def status(self, entry: fleet.Running) -> dict[str, Any]:
+        """Return the status of an entry process, empty without an answer.
+
+        :param entry: entry process.
+        """
+        url = f"http://{entry.address}/v1/status"
+        try:
+            response = self._http.request("GET", url, timeout=2)
+            document: dict[str, Any] = response.json()
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return {}
+        return document
+
+    def wait_ready(self) -> None:
+        """Wait until all live entry processes share the partitions."""
+        self.wait_until(self._is_ready, "entry processes are ready")
+
+    def wait_until(
+        self,
+        holds: Callable[[], bool],
+        what: str,
+        timeout_s: float = READY_TIMEOUT_S,
+    ) -> float:
+        """Wait until a condition holds.
+
+        :param holds: condition.
+        :param what: condition in words, for the error.
+        :param timeout_s: longest wait.
+        :return: time waited, in ms.
+        :raises TimeoutError: if it does not hold in time.
+        """
+        start_s = time.monotonic()
+        while not holds():
+            if time.monotonic() - start_s > timeout_s:
+                raise TimeoutError(f"not within {timeout_s} s: {what}")
+            time.sleep(POLL_S)
+        return (time.monotonic() - start_s) * clocks.MS_PER_S
+
+    def _is_ready(self) -> bool:
+        found = [self.status(entry) for entry in self.live_entries()]
+        versions = {status.get("map_version") for status in found}
+        return (
+            len(versions) == 1
+            and all(status.get("partitions") for status in found)
+            and all(status.get("configuration_revision") for status in found)
+            and all(status.get("members") == len(found) for status in found)
+        )
+
+
+def _servers(
+    prefix: str, running: list[fleet.Running]
+) -> list[dict[str, Any]]:
+    return [
+        {
+            "id": f"{prefix}{number}",
+            "address": standin.address,
+            "concurrency": 8,
+        }
+        for number, standin in enumerate(running)
+    ]
--- a/packages/state/src/balsamloom_state/calls.py
+++ b/packages/state/src/balsamloom_state/calls.py
@@ -209,6 +209,24 @@
         with root.lock:
             root.account.release(program.holds.pop(key, budgets.ZERO))
 
+    def charge(
+        self, program: programs.Program, key: str, used: budgets.Amount
+    ) -> None:
+        """Count what an idempotent call used that gave no whole answer.
+
+        Nothing else is recorded, so the key may be used again.
+
+        :param program: program of the call; the caller holds its turn.
+        :param key: idempotency key.
+        :param used: tokens that were generated, and the call.
+        """
+        root = self._lives.root_of(program)
+        with root.lock:
+            hold = program.holds.pop(key, budgets.ZERO)
+            root.account.settle(hold, used)
+            record = self._recorder.reserve_record(root)
+            root.reserve_batch = self._recorder.append((root, record))
+
     def finish(
         self,
         program: programs.Program,
--- a/packages/state/src/balsamloom_state/owner.py
+++ b/packages/state/src/balsamloom_state/owner.py
@@ -268,6 +268,25 @@
         """
         self._calls.release(program, key)
 
+    def charge_call(
+        self, program: programs.Program, key: str, generated_tokens: int
+    ) -> None:
+        """Count an idempotent call that gave no whole answer.
+
+        :param program: program of the call; the caller holds its turn.
+        :param key: idempotency key, which may be used again.
+        :param generated_tokens: tokens that were generated all the same.
+        """
+        used = budgets.Need(generated_tokens).amount()
+        self._calls.charge(program, key, used)
+
+    def epoch(self, program: programs.Program) -> int:
+        """Return the epoch in which this member owns a program.
+
+        :param program: program that this member owns.
+        """
+        return self._state.epoch_of(program)
+
     def end_program(
         self,
         program: programs.Program,
