--- a/packages/state/src/balsamloom_state/compaction.py
+++ b/packages/state/src/balsamloom_state/compaction.py
@@ -5,7 +5,14 @@
 import threading
 
 from balsamloom_core import events, identifiers
-from balsamloom_state import commits, journal, local, ownership, programs
+from balsamloom_state import (
+    commits,
+    journal,
+    local,
+    ownership,
+    programs,
+    segments,
+)
 
 MAX_LIVE_SHARE = 0.5
 REWRITE_BYTES = 350_000
@@ -82,13 +89,13 @@
             events.log(events.Event.JOURNAL_COMPACTED, segments=dead)
             deleted += dead
 
-    def _has_live(self, info: journal.SegmentInfo) -> bool:
+    def _has_live(self, info: segments.SegmentInfo) -> bool:
         return any(
             self._is_live(program_id, entry)
             for program_id, entry in info.entries.items()
         )
 
-    def _is_live(self, program_id: str, entry: journal.SegmentEntry) -> bool:
+    def _is_live(self, program_id: str, entry: segments.SegmentEntry) -> bool:
         program = self._program(program_id)
         return program is not None and entry.version >= program.base_version
 
--- a/packages/state/src/balsamloom_state/journal.py
+++ b/packages/state/src/balsamloom_state/journal.py
@@ -70,21 +70,6 @@
             self.done.set()
 
 
-class SegmentEntry(NamedTuple):
-    """Highest version and size of one program's records in a segment."""
-
-    version: int
-    size_bytes: int
-
-
-class SegmentInfo(NamedTuple):
-    """What a written segment holds, by program, for compaction."""
-
-    sequence: int
-    size_bytes: int
-    entries: dict[str, SegmentEntry]
-
-
 class _Group(NamedTuple):
     """Batches that are written as one segment."""
 
@@ -122,7 +107,7 @@
         self._writing = threading.Lock()
         self._waiting: list[Batch] = []
         self._group: _Group | None = None
-        self._written: list[SegmentInfo] = []
+        self._written: list[segments.SegmentInfo] = []
         self._sequence = 0
         self._previous: stores.RevisionIs | None = None
         self._opening = segments.encode([], member_id, secrets.token_hex(8))
@@ -145,7 +130,7 @@
         if not self._write(self._opening):
             self.depose()
             raise errors.BalsamloomError(results.ResultCode.WRONG_OWNER)
-        self._written.append(SegmentInfo(0, len(self._opening), {}))
+        self._written.append(segments.SegmentInfo(0, len(self._opening), {}))
         self._sequence = 1
 
     def start(self) -> None:
@@ -221,7 +206,7 @@
         next_key = stores.KeyAbsent(self._key(self._sequence))
         return [next_key, *([self._previous] if self._previous else [])]
 
-    def written(self) -> list[SegmentInfo]:
+    def written(self) -> list[segments.SegmentInfo]:
         """Return the segments in the store, oldest first."""
         with self._changed:
             return list(self._written)
@@ -330,16 +315,10 @@
         return _Group(batches, value)
 
     def _finish_group(self, group: _Group) -> None:
-        entries: dict[str, SegmentEntry] = {}
-        for batch in group.batches:
-            for record in batch.records:
-                known = entries.get(record.program_id, SegmentEntry(0, 0))
-                entries[record.program_id] = SegmentEntry(
-                    max(known.version, record.version),
-                    known.size_bytes + record.ByteSize(),
-                )
-        size_bytes = sum(entry.size_bytes for entry in entries.values())
-        info = SegmentInfo(self._sequence, size_bytes, entries)
+        records = [
+            record for batch in group.batches for record in batch.records
+        ]
+        info = segments.summarize(self._sequence, records)
         with self._changed:
             self._written.append(info)
             self._sequence += 1
@@ -399,4 +378,5 @@
     :raises StoreUnavailable: if the store does not answer; sealing again is
         safe.
     """
-    return sealed.seal(store, member_id, sealer_id).records
+    content = sealed.seal(store, member_id, sealer_id)
+    return content.records if content is not None else []
--- a/packages/state/src/balsamloom_state/owner.py
+++ b/packages/state/src/balsamloom_state/owner.py
@@ -16,6 +16,7 @@
     compaction,
     entrance,
     holds,
+    imports,
     journal,
     lifecycles,
     local,
@@ -304,7 +305,7 @@
         """
         return self._takeover.take_over(dead_member_id)
 
-    def run_imports(self) -> takeover.ImportReport:
+    def run_imports(self) -> imports.ImportReport:
         """Import what the map assigns to this member.
 
         :raises StoreUnavailable: if the store does not answer; a later call
--- a/packages/state/src/balsamloom_state/partitions.py
+++ b/packages/state/src/balsamloom_state/partitions.py
@@ -178,6 +178,17 @@
             current, revision = decode(item.value), item.mod_revision
 
 
+def with_retired(found: PartitionMap, candidates: set[str]) -> PartitionMap:
+    """Retire journals that no import names.
+
+    :param found: map as it is.
+    :param candidates: sealed journals.
+    """
+    needed = {entry.journal_id for entry in found.imports}
+    retired = (candidates - needed) | set(found.retired)
+    return found._replace(retired=tuple(sorted(retired)))
+
+
 def _holds(
     condition: stores.Comparison, current: dict[str, stores.Item]
 ) -> bool:
--- a/packages/state/src/balsamloom_state/presence.py
+++ b/packages/state/src/balsamloom_state/presence.py
@@ -136,7 +136,9 @@
         if not self._state.journal.close(left_ms):
             return False
         own_id = self._state.member.member_id
-        sealed.seal(self._state.store, own_id, own_id)
+        if own_id in self._state.map.members:
+            # Not after the journal was deleted, which a lost answer may hide.
+            sealed.seal(self._state.store, own_id, own_id)
         self._state.is_departing = True
         self._state.update_map(lambda found: departed(found, own_id))
         self._imports.delete_journal(own_id)
--- a/packages/state/src/balsamloom_state/sealed.py
+++ b/packages/state/src/balsamloom_state/sealed.py
@@ -4,6 +4,7 @@
 
 import logging
 import secrets
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from balsamloom_core import events
@@ -92,8 +93,11 @@
 
 
 def seal(
-    store: stores.Store, member_id: str, sealer_id: str
-) -> JournalContent:
+    store: stores.Store,
+    member_id: str,
+    sealer_id: str,
+    guard: Sequence[stores.Comparison] = (),
+) -> JournalContent | None:
     """End another member's journal and return what it holds.
 
     Sealing again is harmless, so the caller may try again after an error.
@@ -101,6 +105,9 @@
     :param store: key-value service.
     :param member_id: owner of the journal.
     :param sealer_id: member that seals.
+    :param guard: further comparisons on which the seal depends, so that a
+        journal that was deleted meanwhile is not made anew.
+    :return: content of the journal, or nothing if the guard does not hold.
     :raises StoreUnavailable: if the store does not answer.
     """
     while True:
@@ -109,16 +116,18 @@
             return content
         key = SegmentKey(member_id, content.next_sequence).text()
         value = segments.encode_seal(sealer_id, secrets.token_hex(8))
-        outcome = store.commit(
-            [stores.KeyAbsent(key)], [stores.Put(key, value)]
-        )
-        if isinstance(outcome, stores.Committed):
-            events.log(
-                events.Event.JOURNAL_SEALED,
-                member_id=member_id,
-                sequence=content.next_sequence,
-            )
-            return content._replace(is_sealed=True)
+        match store.commit(
+            [stores.KeyAbsent(key), *guard], [stores.Put(key, value)]
+        ):
+            case stores.Committed():
+                events.log(
+                    events.Event.JOURNAL_SEALED,
+                    member_id=member_id,
+                    sequence=content.next_sequence,
+                )
+                return content._replace(is_sealed=True)
+            case stores.Conflict(current=current) if key not in current:
+                return None
 
 
 def delete(store: stores.Store, member_id: str) -> None:
--- a/packages/state/src/balsamloom_state/segments.py
+++ b/packages/state/src/balsamloom_state/segments.py
@@ -4,6 +4,7 @@
 
 import zlib
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from google.protobuf import message
 
@@ -30,6 +31,40 @@
         self.program_ids = program_ids
 
 
+class SegmentEntry(NamedTuple):
+    """Highest version and size of one program's records in a segment."""
+
+    version: int
+    size_bytes: int
+
+
+class SegmentInfo(NamedTuple):
+    """What a written segment holds, by program, for compaction."""
+
+    sequence: int
+    size_bytes: int
+    entries: dict[str, SegmentEntry]
+
+
+def summarize(
+    sequence: int, records: Sequence[records_pb2.Record]
+) -> SegmentInfo:
+    """Return what a segment holds, by program.
+
+    :param sequence: place of the segment in its journal.
+    :param records: records of the segment.
+    """
+    entries: dict[str, SegmentEntry] = {}
+    for record in records:
+        known = entries.get(record.program_id, SegmentEntry(0, 0))
+        entries[record.program_id] = SegmentEntry(
+            max(known.version, record.version),
+            known.size_bytes + record.ByteSize(),
+        )
+    size_bytes = sum(entry.size_bytes for entry in entries.values())
+    return SegmentInfo(sequence, size_bytes, entries)
+
+
 def pack_batch(records: Sequence[records_pb2.Record]) -> bytes:
     """Return records as one compressed batch.
 
--- a/packages/state/tests/builders.py
+++ b/packages/state/tests/builders.py
@@ -231,6 +231,7 @@
 
     def share(self, giver, receivers=()):
         """Rebalance until nothing moves and let all see the map."""
+        giver.refresh_map()
         while giver.rebalance_once():
             pass
         for receiver in receivers:
@@ -284,11 +285,11 @@
 
 
 def fault_on(number, fault, kind="commit"):
-    """Return a fault hook that acts on one call of a kind."""
+    """Return a fault hook that acts on one call of a kind, or of any."""
     counter = itertools.count(1)
 
     def hook(found, operations):
-        if found == kind and next(counter) == number:
+        if kind in (found, None) and next(counter) == number:
             return fault
         return ""
 
--- /dev/null
+++ b/packages/state/tests/test_calls.py
@@ -0,0 +1,420 @@
+"""Order, keys, budget and claims of one program's calls."""
+
+import threading
+import unittest
+
+import builders
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import errors, outcomes, results
+from balsamloom_state import budgets, journal, lifecycles, owner, turns
+
+Code = results.ResultCode
+
+
+class CallTestCase(unittest.TestCase):
+    def setUp(self):
+        self.world = builders.World()
+        self.clock = self.world.clock
+        self.member = self.world.join()
+        self.store = self.world.store_of(self.member)
+
+    def assert_code(self, code, act, *arguments, **fields):
+        with self.assertRaises(errors.BalsamloomError) as caught:
+            act(*arguments, **fields)
+        self.assertEqual(caught.exception.code, code)
+        return caught.exception
+
+    def begin(self, program, key, tokens=100, digest=builders.DIGEST):
+        return self.member.begin_call(
+            program, key, digest, budgets.Need(tokens)
+        )
+
+    def outage(self):
+        self.is_down = True
+        builders.outage(self.store, lambda: self.is_down)
+
+    def reopened(self):
+        """Kill the member and return a successor that imported all."""
+        successor = self.world.join()
+        self.world.kill(self.member)
+        successor.take_over(self.member.member.member_id)
+        return successor
+
+
+class KeyTest(CallTestCase):
+    def test_same_key_returns_the_recorded_result(self):
+        """Guards against running a repeated request again."""
+        program = builders.start(self.member)
+        first = builders.model_call(self.member, program, "c1", "one")
+        self.assertIs(
+            builders.model_call(self.member, program, "c1", "two"), first
+        )
+        self.assertEqual(len(program.messages), 1)
+        self.assert_code(
+            Code.KEY_REUSED_WITH_OTHER_BODY,
+            self.begin,
+            program,
+            "c1",
+            digest=b"other",
+        )
+
+    def test_result_of_ended_program_stays_for_a_while(self):
+        """Guards against a caller that cannot read its last result."""
+        program = builders.start(self.member)
+        builders.model_call(self.member, program, "c1")
+        self.member.end_program(program, Code.ACCEPTED)
+        self.assert_code(Code.PROGRAM_ENDED, self.begin, program, "c2")
+        self.assertEqual(program.messages, [])
+        self.clock.sleep(self.world.settings.result_retention_ms - 1_000)
+        self.member.maintain()
+        found = self.member.result(program.program_id, "c1")
+        self.assertEqual(found.answer, {"text": "hi"})
+        self.clock.sleep(2_000)
+        self.member.maintain()
+        self.assert_code(
+            Code.UNKNOWN_PROGRAM, self.member.program, program.program_id
+        )
+
+    def test_ending_a_program_ends_its_sub_agents(self):
+        """Guards against sub-agents that run on without their root."""
+        root = builders.start(self.member)
+        child = self.member.start_program(
+            builders.spec(parent_id=root.program_id), 1_000
+        )
+        grandchild = self.member.start_program(
+            builders.spec(parent_id=child.program_id), 1_000
+        )
+        self.assertEqual(grandchild.root_id, root.program_id)
+        self.member.end_program(root, Code.ACCEPTED)
+        self.assertTrue(child.is_ended and grandchild.is_ended)
+
+    def test_oversize_answer_is_recorded_as_having_run(self):
+        """Guards against a call without an end after a large answer."""
+        program = builders.start(self.member)
+        with self.member.turn(program, 1_000):
+            builders.claim(self.member, program, "c1")
+            huge = outcomes.Completed({"x": "y" * journal.MAX_BATCH_BYTES})
+            call = builders.finish(self.member, program, "c1", huge)
+        self.assertEqual(call.code, Code.ANSWER_TOO_LARGE)
+        self.assertFalse(results.info(call.code).not_run)
+
+    def test_long_history_is_refused_before_the_call(self):
+        """Guards against histories that outgrow the journal."""
+        self.world.settings = self.world.settings._replace(
+            max_history_bytes=50
+        )
+        member = self.world.create()
+        self.member.leave(1_000)
+        member.join()
+        member.take_over(self.member.member.member_id)
+        program = builders.start(member)
+        builders.model_call(member, program, "c1", "x" * 60)
+        self.assert_code(
+            Code.HISTORY_TOO_LONG, builders.model_call, member, program, "c2"
+        )
+
+
+class TurnTest(CallTestCase):
+    def test_turns_are_granted_in_order_of_arrival(self):
+        """Guards against calls of one program that overtake each other."""
+        order = turns.Turnstile(clocks.Clock())
+        granted, threads = [], []
+        order.acquire(0)
+        for number in range(8):
+            queued = threading.Event()
+
+            def wait(number=number, queued=queued):
+                queued.set()
+                self.assertTrue(order.acquire(5_000))
+                granted.append(number)
+                order.release()
+
+            threads.append(threading.Thread(target=wait))
+            threads[-1].start()
+            queued.wait()
+            while len(order._queue) < number + 2:
+                clocks.Clock().sleep(1)
+        order.release()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(granted, list(range(8)))
+        self.assertTrue(order.is_idle())
+
+    def test_a_waiter_that_gives_up_leaves_the_line(self):
+        """Guards against a turn passed on to nobody."""
+        program = builders.start(self.member)
+        with self.member.turn(program, 1_000):
+            self.assert_code(
+                Code.DEADLINE_CANNOT_BE_MET,
+                self.member.turn(program, 100).__enter__,
+            )
+        with self.member.turn(program, 0):
+            pass
+        self.assertTrue(program.order.is_idle())
+
+    def test_unknown_outcome_blocks_later_calls_until_its_timeout(self):
+        """Guards against a call that overtakes one still running."""
+        program = builders.start(self.member)
+        with self.member.turn(program, 1_000):
+            builders.claim(self.member, program, "c1")
+            self.clock.sleep(5_000)
+            builders.finish(self.member, program, "c1", outcomes.Unknown())
+        error = self.assert_code(
+            Code.PREVIOUS_CALL_UNRESOLVED,
+            self.member.turn(program, 2_000).__enter__,
+        )
+        left_ms = builders.TOOL_TIMEOUT_MS - 5_000
+        self.assertAlmostEqual(error.retry_after_ms, left_ms, delta=100)
+        with self.member.turn(program, 100, "c1"):
+            found = self.begin(program, "c1")
+        self.assertEqual(found.call.code, Code.OUTCOME_UNKNOWN)
+        start_ms = self.clock.now_ms()
+        with self.member.turn(program, 60_000):
+            waited_ms = self.clock.now_ms() - start_ms
+        self.assertAlmostEqual(waited_ms, left_ms, delta=100)
+
+    def test_claim_of_a_lost_sender_becomes_unknown(self):
+        """Guards against a second send after a sender ended early."""
+        program = builders.start(self.member)
+        with self.member.turn(program, 1_000):
+            builders.claim(self.member, program, "c1")
+        with self.member.turn(program, 1_000):
+            found = self.begin(program, "c1")
+        self.assertEqual(found.call.code, Code.OUTCOME_UNKNOWN)
+        self.assert_code(
+            Code.PREVIOUS_CALL_UNRESOLVED,
+            self.member.turn(program, 1_000).__enter__,
+        )
+
+
+class ClaimTest(CallTestCase):
+    def test_claim_is_durable_before_it_returns(self):
+        """Guards against a send that a successor does not know of."""
+        program = builders.start(self.member)
+        with self.member.turn(program, 1_000):
+            builders.claim(self.member, program, "c1").check_age()
+        successor = self.reopened()
+        found = successor.result(program.program_id, "c1")
+        self.assertEqual(found.code, Code.OUTCOME_UNKNOWN)
+
+    def test_old_claim_is_not_sent_and_recorded_as_not_run(self):
+        """Guards against a paused process that sends a stale claim."""
+        program = builders.start(self.member)
+        with self.member.turn(program, 1_000):
+            claim = builders.claim(self.member, program, "c1")
+            claim.check_age()
+            self.clock.sleep(self.world.settings.claim_send_window_ms + 1)
+            self.assert_code(Code.CLAIM_EXPIRED, claim.check_age)
+        found = self.reopened().result(program.program_id, "c1")
+        self.assertEqual(found.code, Code.CLAIM_EXPIRED)
+
+    def test_age_counts_from_before_the_write(self):
+        """Guards against a pause between the write and its confirmation."""
+        program = builders.start(self.member)
+        write = self.store.commit
+
+        def slow_write(*arguments, **fields):
+            answer = write(*arguments, **fields)
+            self.clock.sleep(1_500)
+            return answer
+
+        with self.member.turn(program, 1_000):
+            self.begin(program, "c1", 0)
+            self.store.commit = slow_write
+            claim = builders.claim(self.member, program, "c1")
+            self.store.commit = write
+            self.assert_code(Code.CLAIM_EXPIRED, claim.check_age)
+
+    def test_unconfirmed_claim_is_not_sent_and_stays_not_run(self):
+        """Guards against an answer "not run" that a later commit belies."""
+        program = builders.start(self.member)
+        with self.member.turn(program, 1_000):
+            self.begin(program, "c1", 0)
+            self.outage()
+            self.assert_code(
+                Code.STORE_UNAVAILABLE,
+                builders.claim,
+                self.member,
+                program,
+                "c1",
+            )
+        self.is_down = False
+        self.assertTrue(self.member.journal.flush(10_000))
+        with self.member.turn(program, 1_000, "c1"):
+            found = self.begin(program, "c1")
+        self.assertEqual(found.call.code, Code.STORE_UNAVAILABLE)
+        later = self.reopened().result(program.program_id, "c1")
+        self.assertEqual(later.code, Code.STORE_UNAVAILABLE)
+
+    def test_result_that_is_late_becomes_durable(self):
+        """Guards against a finished call that is lost or run again."""
+        program = builders.start(self.member)
+        with self.member.turn(program, 1_000):
+            builders.claim(self.member, program, "c1")
+            self.outage()
+            call = builders.finish(
+                self.member, program, "c1", builders.completed("done")
+            )
+        self.assertFalse(call.is_durable)
+        self.is_down = False
+        self.assertTrue(self.member.wait_durable(call, 10_000))
+        with self.member.turn(program, 1_000):
+            found = self.begin(program, "c1")
+        self.assertEqual(found.call.answer, {"text": "done"})
+
+    def test_deposed_owner_does_not_say_not_run_of_a_call_that_ran(self):
+        """Guards against an untrue "not run" after a take-over."""
+        program = builders.start(self.member)
+        other = self.world.join()
+        with self.member.turn(program, 1_000):
+            builders.claim(self.member, program, "c1")
+            other.take_over(self.member.member.member_id)
+            self.assert_code(
+                Code.OUTCOME_UNKNOWN,
+                builders.finish,
+                self.member,
+                program,
+                "c1",
+                builders.completed(),
+            )
+        self.assertTrue(self.member.is_deposed)
+        self.assertEqual(self.member.owned_partitions(), [])
+        self.assert_code(
+            Code.WRONG_OWNER, self.member.program, program.program_id
+        )
+
+    def test_new_work_is_refused_while_the_store_is_down(self):
+        """Guards against calls that wait for a store that is long down."""
+        program = builders.start(self.member)
+        self.outage()
+        self.assert_code(Code.STORE_UNAVAILABLE, builders.start, self.member)
+        with self.member.turn(program, 1_000):
+            before = self.store.calls
+            error = self.assert_code(
+                Code.STORE_UNAVAILABLE, self.begin, program, "c1"
+            )
+        self.assertEqual(self.store.calls, before)
+        self.assertGreater(error.retry_after_ms, 0)
+
+
+class BudgetTest(CallTestCase):
+    def test_endless_loop_ends_by_calls(self):
+        """Guards against programs that run for ever."""
+        program = builders.start(
+            self.member, generated_tokens=100_000, calls=20
+        )
+        for number in range(20):
+            builders.model_call(self.member, program, f"c{number}")
+        self.assert_code(
+            Code.BUDGET_EXHAUSTED,
+            builders.model_call,
+            self.member,
+            program,
+            "c20",
+        )
+        self.assertTrue(program.is_ended)
+
+    def test_wall_time_ends_programs_without_calls(self):
+        """Guards against idle programs that stay for ever."""
+        program = builders.start(self.member, wall_ms=60_000)
+        self.clock.sleep(30_000)
+        successor = self.reopened()
+        program = successor.program(program.program_id)
+        self.clock.sleep(20_000)
+        successor.maintain()
+        self.assertFalse(program.is_ended)
+        self.clock.sleep(40_000)
+        successor.maintain()
+        self.assertEqual(program.end_code, Code.BUDGET_EXHAUSTED)
+
+    def test_few_calls_wait_for_a_commit_of_their_budget(self):
+        """Guards against a commit per call before it is sent."""
+        program = builders.start(
+            self.member, generated_tokens=16_000, calls=160
+        )
+        waits = 0
+        for number in range(40):
+            with self.member.turn(program, 1_000):
+                before = self.store.calls
+                self.begin(program, f"c{number}")
+                waits += self.store.calls - before
+                builders.finish(
+                    self.member, program, f"c{number}", builders.completed()
+                )
+        self.assertEqual(waits, 0)
+
+    def test_parallel_sub_agents_share_one_budget(self):
+        """Guards against sub-agents that each spend the whole budget."""
+        root = builders.start(self.member, generated_tokens=1_000, calls=100)
+        children = [
+            self.member.start_program(
+                builders.spec(parent_id=root.program_id), 1_000
+            )
+            for _ in range(4)
+        ]
+        for child in children[:3]:
+            self.begin(child, "c", 300)
+        self.assert_code(
+            Code.BUDGET_EXHAUSTED, self.begin, children[3], "c", 300
+        )
+        self.member.release_call(children[0], "c")
+        self.assertIsInstance(self.begin(children[3], "c", 300), owner.Fresh)
+
+    def test_outstanding_block_counts_as_spent_after_a_crash(self):
+        """Guards against a call under way that a successor does not count."""
+        program = builders.start(self.member, generated_tokens=1_000)
+        self.begin(program, "c1", 600)
+        successor = self.reopened()
+        found = successor.program(program.program_id)
+        self.assert_code(
+            Code.BUDGET_EXHAUSTED,
+            successor.begin_call,
+            found,
+            "c2",
+            builders.DIGEST,
+            budgets.Need(600),
+        )
+
+    def test_block_that_is_not_durable_is_not_used(self):
+        """Guards against a call on a block that a crash would forget."""
+        program = builders.start(self.member, generated_tokens=1_000)
+        self.outage()
+        self.assert_code(
+            Code.STORE_UNAVAILABLE, self.begin, program, "c1", 600
+        )
+        self.assertEqual(program.account.held, budgets.ZERO)
+
+
+class StartTest(CallTestCase):
+    def test_start_that_is_not_confirmed_leaves_no_running_program(self):
+        """Guards against a program that its caller was refused."""
+        self.outage()
+        self.assert_code(Code.STORE_UNAVAILABLE, builders.start, self.member)
+        self.is_down = False
+        self.member.journal.flush(10_000)
+        found = self.member._state.table.all()
+        self.assertEqual([one.is_ended for one in found], [True])
+
+    def test_zero_quantities_come_from_the_settings(self):
+        """Guards against a program without any limit."""
+        program = self.member.start_program(
+            lifecycles.StartSpec("restwell", budget=budgets.Limits(50)), 1_000
+        )
+        default = self.world.settings.default_budget
+        self.assertEqual(
+            program.account.limits, default._replace(generated_tokens=50)
+        )
+
+    def test_gone_tags(self):
+        """Guards against engine memory held for calls that are over."""
+        program = builders.start(self.member)
+        self.begin(program, "c1")
+        name = program.program_id
+        gone = [f"{name}/0/c1", f"{name}/1/c0", f"{name[:5]}{'0' * 16}/1/c"]
+        kept = [f"{name}/1/c1", "other", "p0ff-0123456789abcdef/1/c"]
+        self.assertEqual(self.member.gone_tags(gone + kept), gone)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/state/tests/test_takeover.py
@@ -0,0 +1,268 @@
+"""Take-overs that are interrupted, repeated or hit damaged data."""
+
+import unittest
+
+import builders
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import errors, identifiers, results
+from balsamloom_platform import store as stores
+from balsamloom_state import (
+    ownership,
+    programs,
+    records_pb2,
+    sealed,
+    snapshots,
+)
+
+Code = results.ResultCode
+
+
+class TakeoverTest(unittest.TestCase):
+    def setUp(self):
+        self.world = builders.World()
+        self.clock = self.world.clock
+        self.first = self.world.join()
+        self.programs = [builders.start(self.first) for _ in range(6)]
+        for program in self.programs:
+            builders.model_call(self.first, program, "c1", program.program_id)
+        self.second = self.world.join()
+        self.third = self.world.join()
+        self.dead_id = self.first.member.member_id
+
+    def owner_of(self, program_id, members):
+        partition = identifiers.partition_of(program_id)
+        owners = [
+            one for one in members if partition in one.owned_partitions()
+        ]
+        self.assertEqual(len(owners), 1, program_id)
+        return owners[0]
+
+    def assert_all_served(self, *members):
+        for member in members:
+            member.refresh_map()
+            member.run_imports()
+        for program in self.programs:
+            owner = self.owner_of(program.program_id, members)
+            found = owner.program(program.program_id)
+            texts = [message["content"] for message in found.messages]
+            self.assertEqual(texts, [program.program_id])
+        self.assertEqual(self.world.map().imports, ())
+
+    def test_partitions_are_spread_and_the_journal_is_deleted(self):
+        """Guards against one survivor that takes all, and old journals."""
+        self.world.kill(self.first)
+        self.second.take_over(self.dead_id)
+        self.third.refresh_map()
+        mine = self.third.map.partitions_of(self.third.member.member_id)
+        self.assertTrue(0 < len(mine) < builders.PARTITION_COUNT)
+        self.assertEqual(
+            self.third.partition_state(mine[0]), ownership.Importing(2)
+        )
+        self.assertTrue(self.world.journal_keys(self.first))
+        self.assert_all_served(self.second, self.third)
+        self.assertEqual(self.world.journal_keys(self.first), [])
+        self.assertEqual(self.world.map().retired, ())
+
+    def test_death_of_the_importer_at_any_store_call(self):
+        """Guards against a step that cannot be taken up by another."""
+        for fault in ("crash", "crash_after", "lost", "unavailable"):
+            for number in range(1, 40):
+                with self.subTest(fault=fault, number=number):
+                    self.setUp()
+                    if not self.interrupt(fault, number):
+                        break
+        self.assertGreater(number, 5)
+
+    def interrupt(self, fault, number):
+        """Break one store call of the importer; false if it made fewer."""
+        self.world.kill(self.first)
+        calls = []
+
+        def hook(kind, operations):
+            calls.append(kind)
+            return fault if len(calls) == number else ""
+
+        store = self.world.store_of(self.second)
+        store.fault = hook
+        survivors = [self.second, self.third]
+        try:
+            self.second.take_over(self.dead_id)
+        except stores.StoreUnavailable:
+            self.second.take_over(self.dead_id)
+        except builders.Crashed:
+            survivors = [self.third]
+            self.third.take_over(self.dead_id)
+            self.third.take_over(self.second.member.member_id)
+        store.fault = lambda kind, operations: ""
+        self.assert_all_served(*survivors)
+        for member in survivors:
+            member.maintain()
+        self.assertEqual(self.world.journal_keys(self.first), [])
+        return len(calls) >= number
+
+    def test_two_members_take_over_at_once(self):
+        """Guards against two owners of one partition."""
+        self.world.kill(self.first)
+        store = self.world.store_of(self.second)
+
+        def hook(kind, operations):
+            if kind == "commit":
+                store.fault = lambda kind, operations: ""
+                self.third.take_over(self.dead_id)
+            return ""
+
+        store.fault = hook
+        self.second.take_over(self.dead_id)
+        self.assert_all_served(self.second, self.third)
+        self.assertEqual(self.world.journal_keys(self.first), [])
+        epochs = {owner.epoch for owner in self.world.map().owners.values()}
+        self.assertEqual(epochs, {2})
+
+    def test_takeover_of_an_importer_includes_its_imports(self):
+        """Guards against partitions whose importer died before the import."""
+        self.world.kill(self.first)
+        self.second.take_over(self.dead_id)
+        self.world.kill(self.third)
+        self.second.take_over(self.third.member.member_id)
+        self.assert_all_served(self.second)
+        self.assertEqual(self.world.journal_keys(self.first), [])
+
+    def test_importer_serves_only_what_is_durable(self):
+        """Guards against serving programs that the importer could lose."""
+        self.world.kill(self.first)
+        self.third.leave(1_000)
+        store = self.world.store_of(self.second)
+
+        def own_segment_fails(kind, operations):
+            keys = [getattr(one, "key", "") for one in operations]
+            own = f"/journal/{self.second.member.member_id}/"
+            return "unavailable" if any(own in key for key in keys) else ""
+
+        store.fault = own_segment_fails
+        report = self.second.take_over(self.dead_id)
+        self.assertFalse(report.imported.is_complete)
+        self.assertEqual(self.second.owned_partitions(), [])
+        with self.assertRaises(errors.BalsamloomError) as caught:
+            self.second.program(self.programs[0].program_id)
+        self.assertEqual(caught.exception.code, Code.PARTITION_MOVING)
+        self.assertGreater(caught.exception.retry_after_ms, 0)
+        store.fault = lambda kind, operations: ""
+        self.clock.sleep(5_000)
+        self.assert_all_served(self.second)
+
+    def test_open_claim_is_unknown_and_blocks_from_the_seal_on(self):
+        """Guards against a call that runs twice or is overtaken."""
+        program = self.programs[0]
+        with self.first.turn(program, 1_000):
+            builders.claim(self.first, program, "tool")
+        self.third.leave(1_000)
+        self.second.refresh_map()
+        sealed_ms = self.clock.now_ms()
+        report = self.second.take_over(self.dead_id)
+        self.assertEqual(report.imported.unknown_calls, 1)
+        found = self.second.program(program.program_id)
+        call = self.second.result(program.program_id, "tool")
+        self.assertEqual(call.code, Code.OUTCOME_UNKNOWN)
+        self.assertTrue(call.is_durable)
+        end_ms = sealed_ms + builders.TOOL_TIMEOUT_MS
+        self.assertAlmostEqual(found.blocked_until_ms, end_ms, delta=500)
+        with self.assertRaises(errors.BalsamloomError) as caught:
+            builders.model_call(self.second, found, "c2")
+        self.assertEqual(caught.exception.code, Code.PREVIOUS_CALL_UNRESOLVED)
+        fourth = self.world.join()
+        self.world.kill(self.second)
+        fourth.take_over(self.second.member.member_id)
+        again = fourth.program(program.program_id)
+        self.assertGreaterEqual(again.blocked_until_ms, end_ms)
+        self.assertEqual(again.calls["tool"].code, Code.OUTCOME_UNKNOWN)
+
+    def test_deposed_member_joins_again(self):
+        """Guards against a process that stays out after a pause."""
+        self.second.take_over(self.dead_id)
+        self.first.refresh_map()
+        self.assertTrue(self.first.is_deposed)
+        with self.assertRaises(errors.BalsamloomError) as caught:
+            builders.start(self.first)
+        self.assertEqual(caught.exception.code, Code.WRONG_OWNER)
+        anew = self.world.join()
+        self.assert_all_served(self.second, self.third)
+        self.world.share(self.second, [anew])
+        self.assertTrue(anew.owned_partitions())
+
+    def test_damaged_segment_ends_only_the_program_it_touched(self):
+        """Guards against lost records that go unnoticed."""
+        victim = self.programs[0]
+        builders.model_call(self.first, victim, "c2")
+        key = self.world.journal_keys(self.first)[-1]
+        item = self.world.service.items[key]
+        value = bytearray(item.value)
+        value[value.index(b"\x78\x01") + 6] ^= 1
+        self.world.service.items[key] = item._replace(value=bytes(value))
+        self.third.leave(1_000)
+        self.second.refresh_map()
+        with self.assertLogs("balsamloom", "ERROR"):
+            report = self.second.take_over(self.dead_id)
+        self.assertEqual(report.imported.damaged_programs, 1)
+        self.assertEqual(self.second.describe()["damaged_segments"], 1)
+        found = self.second.program(victim.program_id)
+        self.assertEqual(found.end_code, Code.DAMAGED_MESSAGE)
+        self.assertEqual(found.calls["c1"].code, Code.COMPLETED)
+        self.programs.remove(victim)
+        self.assert_all_served(self.second)
+
+
+class ReplayTest(unittest.TestCase):
+    def setUp(self):
+        self.world = builders.World()
+        self.member = self.world.join()
+        self.program = builders.start(self.member)
+        for number in range(5):
+            builders.model_call(self.member, self.program, f"c{number}")
+        store = self.world.store_of(self.member)
+        name = self.member.member.member_id
+        self.records = sealed.read(store, name).records
+
+    def state(self, found):
+        return snapshots.take(found, 1, 0)[0].SerializeToString()
+
+    def test_reading_twice_changes_nothing(self):
+        """Guards against records applied twice, in any copy."""
+        once = programs.Program(self.program.program_id)
+        twice = programs.Program(self.program.program_id)
+        for record in self.records:
+            self.assertTrue(once.apply(record))
+        for record in [*self.records, *self.records[2:], *self.records]:
+            twice.apply(record)
+        self.assertEqual(self.state(once), self.state(twice))
+        self.assertEqual(len(twice.messages), 5)
+        self.assertFalse(twice.has_gap)
+
+    def test_record_of_another_program_is_not_applied(self):
+        """Guards against mixed histories."""
+        other = programs.Program("p000-ffffffffffffffff")
+        with self.assertRaises(ValueError):
+            other.apply(self.records[0])
+        foreign = records_pb2.Record(
+            program_id="p001-ffffffffffffffff", version=1, epoch=9
+        )
+        self.assertFalse(self.member.receive_partition("m9", 0, 9, [foreign]))
+
+    def test_large_snapshot_is_split(self):
+        """Guards against programs that no segment can hold."""
+        big = programs.Program(self.program.program_id, clocks.Clock())
+        for record in self.records:
+            big.apply(record)
+        big.messages = [builders.message("x" * 1_000) for _ in range(1_500)]
+        parts = snapshots.take(big, 1, 0)
+        self.assertGreater(len(parts), 2)
+        copy = programs.Program(big.program_id)
+        self.assertEqual(
+            [copy.apply(part) for part in parts],
+            [False] * (len(parts) - 1) + [True],
+        )
+        self.assertEqual(copy.messages, big.messages)
+
+
+if __name__ == "__main__":
+    unittest.main()
