Check that the tests of the fence, the claim and replay can fail

The epoch of an import and the epoch of a record could be left out unnoticed; two tests were added that fail without them.

--- a/packages/state/tests/test_random_faults.py
+++ b/packages/state/tests/test_random_faults.py
@@ -177,6 +177,8 @@
                 raise
             self.sent[program.program_id, key] += 1
             self.note_run(program, 0)
+            if self.random.random() < 0.05:
+                self.world.kill(member)
             self.maybe_pause(member)
             outcome = builders.completed(key, 0)
             call = builders.finish(member, program, key, outcome, "", 300)
--- a/packages/state/tests/test_takeover.py
+++ b/packages/state/tests/test_takeover.py
@@ -9,6 +9,7 @@
 from balsamloom_platform import store as stores
 from balsamloom_state import (
     ownership,
+    partitions,
     programs,
     records_pb2,
     sealed,
@@ -190,6 +191,60 @@
         self.world.share(self.second, [anew])
         self.assertTrue(anew.owned_partitions())
 
+    def test_import_left_open_does_not_serve_a_later_one(
+        self,
+    ):
+        """Guards against serving a partition that is due for a new import."""
+        self.world.kill(self.first)
+        self.third.leave(1_000)
+        store = self.world.store_of(self.second)
+
+        store.fault = lambda kind, operations: (
+            "lost" if self.is_clearing(operations) else ""
+        )
+        with self.assertRaises(stores.StoreUnavailable):
+            self.second.take_over(self.dead_id)
+        store.fault = lambda kind, operations: ""
+        fourth = self.world.join()
+        self.world.share(self.second, [fourth])
+        moved = fourth.owned_partitions()
+        program = builders.start(fourth)
+        builders.model_call(fourth, program, "c1", program.program_id)
+        self.programs.append(program)
+        self.world.kill(fourth)
+        self.second.take_over(fourth.member.member_id)
+        self.assertTrue(moved)
+        self.assert_all_served(self.second)
+
+    def is_clearing(self, operations):
+        for operation in operations:
+            if operation.key == partitions.KEY:
+                return not partitions.decode(operation.value).imports
+        return False
+
+    def test_records_of_an_earlier_ownership_do_not_count(self):
+        """Guards against programs that ended while the partition was away."""
+        program = self.programs[0]
+        partition = identifiers.partition_of(program.program_id)
+        self.third.leave(1_000)
+        for member in (self.first, self.second):
+            member.refresh_map()
+        move = self.first._mover.move
+        self.first._state.slots.hold(partition)
+        self.assertEqual(move({partition: self.second.member}), 1)
+        self.second.refresh_map()
+        found = self.second.program(program.program_id)
+        self.second.end_program(found, Code.ACCEPTED)
+        self.clock.sleep(self.world.settings.result_retention_ms + 1)
+        self.second.maintain()
+        self.second._state.slots.hold(partition)
+        self.second._mover.move({partition: self.first.member})
+        self.first.refresh_map()
+        self.assertIn(partition, self.first.owned_partitions())
+        self.world.kill(self.first)
+        self.second.take_over(self.dead_id)
+        self.assertIsNone(self.second._state.table.get(program.program_id))
+
     def test_damaged_segment_ends_only_the_program_it_touched(self):
         """Guards against lost records that go unnoticed."""
         victim = self.programs[0]
