Hold the end of a program during a move; move idle partitions first

An end that was recorded after the copy of a moving partition was lost. A planned stop waited for one long call before it moved any other partition. The writing thread ended at an unexpected error of the store client.

--- a/packages/state/src/balsamloom_state/journal.py
+++ b/packages/state/src/balsamloom_state/journal.py
@@ -259,8 +259,18 @@
             }
 
     def _run(self) -> None:
-        while self._wait_for_work() and self._step(self._clock.sleep):
-            pass
+        while self._wait_for_work():
+            try:
+                if not self._step(self._clock.sleep):
+                    return
+            except Exception as error:
+                # Without this thread nothing would become durable any more.
+                events.log(
+                    events.Event.JOURNAL_COMMIT_FAILED,
+                    logging.ERROR,
+                    cause=repr(error),
+                )
+                self._clock.sleep(self._backoff.next_ms())
 
     def _write_until(self, batch: Batch, end_ms: float) -> None:
         def sleep(duration_ms: float) -> None:
--- a/packages/state/src/balsamloom_state/lifecycles.py
+++ b/packages/state/src/balsamloom_state/lifecycles.py
@@ -143,8 +143,18 @@
         :raises BalsamloomError: if that is not durable in time; the end may
             still become durable.
         """
-        batches = self.append_end(program, code)
-        match self._recorder.wait_all(batches, timeout_ms):
+        partition = identifiers.partition_of(program.program_id)
+        wait_ms = min(timeout_ms, self._state.settings.move_wait_ms)
+        # A move that copied the program before would not take the end along.
+        self._state.slots.enter(partition, wait_ms)
+        try:
+            if self._state.table.get(program.program_id) is not program:
+                raise ownership.moving_error()
+            batches = self.append_end(program, code)
+            state = self._recorder.wait_all(batches, timeout_ms)
+        finally:
+            self._state.slots.leave(partition)
+        match state:
             case journal.Pending():
                 raise commits.unavailable()
             case journal.Deposed():
--- a/packages/state/src/balsamloom_state/presence.py
+++ b/packages/state/src/balsamloom_state/presence.py
@@ -94,36 +94,38 @@
             for name, member in found.members.items()
             if name != own_id and not member.is_leaving
         ]
-        numbers = self._mover.movable()[: self._state.settings.move_batch]
-        if receivers and numbers:
-            self._move(numbers, receivers, end_ms)
+        numbers = sorted(
+            self._mover.movable(), key=self._state.slots.in_progress
+        )[: self._state.settings.move_batch]
+        held = self._hold(numbers, end_ms) if receivers else []
+        if held:
+            self._mover.move(
+                {
+                    number: found.members[_receiver(number, receivers)]
+                    for number in held
+                }
+            )
         return not self._state.map.partitions_of(own_id)
 
-    def _move(
-        self, numbers: list[int], receivers: list[str], end_ms: float
-    ) -> None:
-        targets = {}
-        settle_ms = self._state.settings.move_settle_ms
-        for number in numbers:
-            if not self._hold(number, settle_ms, end_ms):
-                continue
-            name = partitions.rank(f"partition {number}", receivers)[0]
-            targets[number] = self._state.map.members[name]
-        if targets:
-            self._mover.move(targets)
-
-    def _hold(self, number: int, settle_ms: float, end_ms: float) -> bool:
+    def _hold(self, numbers: list[int], end_ms: float) -> list[int]:
+        """Hold idle partitions, or else those that soon become idle."""
         slots = self._state.slots
-        if slots.hold_if_idle(number):
-            return True
-        slots.wait_idle(number, settle_ms)
-        if not slots.hold(number):
-            return False
-        left_ms = end_ms - self._state.clock.now_ms()
-        if slots.wait_idle(number, left_ms):
-            return True
-        slots.resume(number)
-        return False
+        idle = [number for number in numbers if slots.hold_if_idle(number)]
+        if idle or not numbers:
+            return idle
+        settle_ms = self._state.settings.move_settle_ms
+        slots.wait_idle(numbers[0], settle_ms)
+        held = [number for number in numbers if slots.hold(number)]
+        # Calls in progress get as long again; the others wait no longer.
+        end_ms = min(end_ms, self._state.clock.now_ms() + settle_ms)
+        ready = []
+        for number in held:
+            left_ms = end_ms - self._state.clock.now_ms()
+            if slots.wait_idle(number, left_ms):
+                ready.append(number)
+            else:
+                slots.resume(number)
+        return ready
 
     def _leave_step(self, end_ms: float) -> bool:
         if not self._state.has_joined:
@@ -145,6 +147,10 @@
         return True
 
 
+def _receiver(number: int, receivers: list[str]) -> str:
+    return partitions.rank(f"partition {number}", receivers)[0]
+
+
 def joined(
     found: partitions.PartitionMap, member: partitions.Member
 ) -> partitions.PartitionMap | None:
--- a/packages/state/tests/test_moves.py
+++ b/packages/state/tests/test_moves.py
@@ -53,6 +53,28 @@
         call = builders.model_call(self.second, found, "c1", "again")
         self.assertEqual(call.answer, {"text": "one"})
 
+    def test_leave_moves_idle_partitions_beside_a_long_call(self):
+        """Guards against one long call that keeps all programs here."""
+        with self.first.turn(self.program, 1_000):
+            self.assertFalse(self.first.leave(5_000))
+            found = self.world.map().partitions_of("m1")
+            self.assertEqual(found, [self.partition])
+            builders.finish(
+                self.first, self.program, "c2", builders.completed(), "two"
+            )
+        self.assertTrue(self.first.leave(5_000))
+        self.second.refresh_map()
+        found = self.second.program(self.program.program_id)
+        self.assertEqual(len(found.messages), 2)
+
+    def test_program_cannot_end_while_its_partition_moves(self):
+        """Guards against an end that the receiver never learns of."""
+        self.first._state.slots.hold(self.partition)
+        with self.assertRaises(errors.BalsamloomError) as caught:
+            self.first.end_program(self.program, Code.ACCEPTED)
+        self.assertEqual(caught.exception.code, Code.PARTITION_MOVING)
+        self.assertFalse(self.program.is_ended)
+
     def test_leave_with_lost_answers_at_every_store_call(self):
         """Guards against a stop that a lost answer stalls or repeats."""
         for fault in ("lost", "unavailable"):
