--- a/packages/policy/src/balsamloom_policy/limits.py
+++ b/packages/policy/src/balsamloom_policy/limits.py
@@ -10,6 +10,7 @@
 
 SMOOTHING = 0.2
 GRADIENT_MIN = 0.5
+IN_USE = 0.8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,12 +55,20 @@
     member_count: int,
     values: settings.PolicySettings,
 ) -> float:
-    """Return the limit of a server of which nothing is learnt yet."""
-    if isinstance(limits, NoLimit):
-        return math.inf
-    if server.concurrency > 0:
-        return max(server.concurrency / member_count, 1.0)
-    return values.initial_limit
+    """Return the limit of a server of which nothing is learnt yet.
+
+    An adaptive limit starts at the whole of a stated concurrency, so that
+    slots which peers lend can be used at once; :func:`cap` holds the share.
+    """
+    match limits:
+        case NoLimit():
+            return math.inf
+        case Adaptive() if server.concurrency > 0:
+            return float(server.concurrency)
+        case Static() if server.concurrency > 0:
+            return max(server.concurrency / member_count, 1.0)
+        case _:
+            return values.initial_limit
 
 
 def cap(
@@ -96,15 +105,12 @@
 def adapt(
     limits: Limits,
     state: _servers.ServerState,
-    cap_limit: float,
     values: settings.PolicySettings,
 ) -> None:
     """Move a server's limit after a call ended.
 
     The limit grows only while it is in use: an idle server's latency says
     nothing of a higher load.
-
-    :param cap_limit: result of :func:`cap`.
     """
     match limits:
         case NoLimit() | Static():
@@ -116,7 +122,8 @@
             allowed_ms = level.floor * values.limit_tolerance
             gradient = min(max(allowed_ms / level.recent, GRADIENT_MIN), 1.0)
             target = state.limit * gradient
-            if len(state.in_flight) + 1 >= state.limit * 0.8:
+            if len(state.in_flight) >= state.slots * IN_USE:
                 target += math.sqrt(state.limit)
             limit = state.limit + SMOOTHING * (target - state.limit)
-            state.limit = min(max(limit, 1.0), cap_limit, values.limit_max)
+            largest = state.server.concurrency or values.limit_max
+            state.limit = min(max(limit, 1.0), largest)
--- a/packages/policy/src/balsamloom_policy/scheduler.py
+++ b/packages/policy/src/balsamloom_policy/scheduler.py
@@ -189,7 +189,7 @@
             former = self._member_count
             self._member_count = max(count, 1)
             if former != self._member_count:
-                self._rescale(former)
+                self._rescale()
 
     def peer_shares(self, member_id: str, shares: list[calls.Share]) -> None:
         """Take a peer's calls in flight and limits.
@@ -370,13 +370,12 @@
             self._limits, server, self._member_count, self._values
         )
 
-    def _rescale(self, former_count: int) -> None:
+    def _rescale(self) -> None:
         now_ms = self._clock.now_ms()
-        factor = former_count / self._member_count
         for pool in self._pools.values():
             for state in pool.servers.values():
-                if state.server.concurrency > 0:
-                    state.limit = max(state.limit * factor, 1.0)
+                if isinstance(self._limits, limits.Static):
+                    state.limit = self._starting_limit(state.server)
                 self._update_slots(state, now_ms)
             pool.update_totals()
             self._dispatch(pool, now_ms)
@@ -391,8 +390,8 @@
 
     def _update_slots(
         self, state: _servers.ServerState, now_ms: float
-    ) -> float:
-        """Bring a server's slots up to date; return its largest limit."""
+    ) -> None:
+        """Bring a server's slots up to date."""
         server_id = state.server.server_id
         peers = []
         for shares in self._peers.values():
@@ -404,10 +403,9 @@
         state.peer_in_flight = sum(peer.in_flight for peer in peers)
         if isinstance(self._limits, limits.NoLimit):
             state.slots = math.inf
-            return math.inf
+            return
         largest = limits.cap(state, peers, self._member_count, self._values)
         state.slots = min(state.limit, largest)
-        return largest
 
     def _check_if_due(self, pool: _pool.Pool, now_ms: float) -> None:
         if now_ms - pool.check_ms >= self._values.check_interval_ms:
@@ -685,8 +683,7 @@
                 state.fault_count = 0
                 self._learn(ticket, state, observation, now_ms)
                 ticket.pool.note_end(duration_ms, now_ms)
-            largest = self._update_slots(state, now_ms)
-            limits.adapt(self._limits, state, largest, self._values)
+            limits.adapt(self._limits, state, self._values)
             self._release(ticket, now_ms)
             self._update_slots(state, now_ms)
             self._check_if_due(ticket.pool, now_ms)
