Bound the bandwidth of heartbeats and keep room for them

Cause: with 16 server states and 16 shares in each message, a member of a fleet of 4 sent 9,512 bytes/s, and a member of 8 would have sent twice that. A pool full of forwarded streams was not tested against heartbeats.

Change: states and shares share a budget of 2,000 bytes/s for each member; beyond it only the first two states, the news, go out. Bandwidth probes of gRPC are off. PeerServer takes the limit of forwards as a parameter.

--- a/packages/membership/src/balsamloom_membership/liveness.py
+++ b/packages/membership/src/balsamloom_membership/liveness.py
@@ -42,6 +42,11 @@
 OWN_PAUSE_MS = 1_000
 PROBE_ALLOWANCE_MS = 150
 DUE_CHECK_MS = 50
+# Server states and shares in all messages of a member together. At the full
+# size of 16 each they would take 15 KB/s beyond the bare heartbeats.
+CONTENT_BYTES_PER_S = 2_000
+STATES_OVER_BUDGET = 2
+ENTRY_BYTES = 12
 # Position in the order of successors from which on all wait equally long.
 LAST_POSITION = 3
 
@@ -181,6 +186,8 @@
         self._watches: dict[str, _Watch] = {}
         self._dead: dict[str, _Dead] = {}
         self._is_started = False
+        self._content_bytes = float(CONTENT_BYTES_PER_S)
+        self._content_at_ms = clock.now_ms()
         self._ended = threading.Event()
         self._counts: collections.Counter[str] = collections.Counter()
 
@@ -260,7 +267,7 @@
         :param heartbeat: state of the peer.
         """
         self._on_heartbeat(heartbeat)
-        return self._content()
+        return self._outgoing()
 
     def handle_probe(self, probe: messages.Probe) -> bool:
         """Check a member for a peer; a handler of the gRPC server.
@@ -321,6 +328,32 @@
                 # The store may be down; the call is repeated.
                 _log_fault("on_dead", dead.peer.member_id)
 
+    def _outgoing(self) -> messages.Heartbeat:
+        """Return the own state, cut down if its budget is used up.
+
+        The first states, which are the news, always go out.
+        """
+        content = self._content()
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            elapsed_ms = now_ms - self._content_at_ms
+            self._content_at_ms = now_ms
+            earned = elapsed_ms * CONTENT_BYTES_PER_S / clocks.MS_PER_S
+            self._content_bytes = min(
+                self._content_bytes + earned, CONTENT_BYTES_PER_S
+            )
+            if self._content_bytes <= 0:
+                content = content._replace(
+                    server_states=content.server_states[:STATES_OVER_BUDGET],
+                    server_shares=(),
+                )
+            names = [state.server_id for state in content.server_states]
+            names += [share.server_id for share in content.server_shares]
+            self._content_bytes -= sum(
+                ENTRY_BYTES + len(name) for name in names
+            )
+        return content
+
     def _beat(self, watch: _Watch) -> None:
         quiet_ms = self._clock.now_ms() - watch.last_check_ms
         allowed_ms = self._suspicion_ms(watch) - watch.silent_ms - quiet_ms
@@ -328,7 +361,7 @@
         self._counts["heartbeats"] += 1
         try:
             answer = self._transport.heartbeat(
-                watch.peer, self._content(), timeout_ms
+                watch.peer, self._outgoing(), timeout_ms
             )
         except client.PeerUnreachable as error:
             self._note_silence(watch, timeout_ms, error.was_refused)
@@ -487,7 +520,7 @@
         self._counts["checks"] += 1
         try:
             answer = self._transport.heartbeat(
-                target, self._content(), self._settings.probe_timeout_ms
+                target, self._outgoing(), self._settings.probe_timeout_ms
             )
         except (client.PeerUnreachable, client.PeerDamaged):
             return False
--- a/packages/membership/tests/test_backends.py
+++ b/packages/membership/tests/test_backends.py
@@ -82,8 +82,8 @@
     def test_server_that_drains_twice_leaves_twice(self):
         for _ in range(2):
             self.table.observe(LOAD, "s1", True)
-            self.assertFalse(self.table.takes_new_work("s1"))
             for _ in range(backends.SERVING_REPORTS):
+                self.assertFalse(self.table.takes_new_work("s1"))
                 self.table.observe(LOAD, "s1", False)
             self.assertTrue(self.table.takes_new_work("s1"))
 
--- a/packages/membership/tests/test_liveness.py
+++ b/packages/membership/tests/test_liveness.py
@@ -9,6 +9,7 @@
 import builders
 
 from balsamloom_membership import liveness
+from balsamloom_peers import messages
 from balsamloom_state import partitions
 
 SUSPECTED = 3000
@@ -28,6 +29,50 @@
             self.assertEqual(len(watchers), count)
 
 
+class ContentTest(unittest.TestCase):
+    """Guards against heartbeats that take more bandwidth than allowed."""
+
+    def test_content_is_cut_to_its_budget_but_the_news_go_out(self):
+        full = messages.Heartbeat(
+            "m0",
+            server_states=tuple(
+                builders.leaving(f"engine-{number:04d}")
+                for number in range(16)
+            ),
+            server_shares=tuple(
+                messages.ServerShare(f"engine-{number:04d}", 5, 9)
+                for number in range(16)
+            ),
+        )
+        network = builders.Network(16)
+        sender = network.map[0].member_id
+        received = []
+        member = liveness.Liveness(
+            sender,
+            network.clock,
+            builders.SimulatedTransport(network, sender),
+            builders.SETTINGS,
+            lambda dead: None,
+            lambda heartbeat: None,
+            lambda: full,
+        )
+        for _ in range(20):
+            received += [
+                member.handle_heartbeat(messages.Heartbeat("m1"))
+                for _ in range(24)
+            ]
+            network.clock.advance(1_000)
+        entries = sum(
+            len(content.server_states) + len(content.server_shares)
+            for content in received
+        )
+        size_bytes = entries * (liveness.ENTRY_BYTES + len("engine-0000"))
+        self.assertLess(size_bytes / 20, 1.5 * liveness.CONTENT_BYTES_PER_S)
+        self.assertIn(full, received)
+        for content in received:
+            self.assertEqual(content.server_states[:2], full.server_states[:2])
+
+
 class DeathTest(unittest.TestCase):
     """Guards against deaths noticed late, twice or by nobody."""
 
@@ -162,6 +207,15 @@
         network.run(5_000)
         self.assertNotIn(paused, {entry[1] for entry in network.dead})
 
+    def test_call_that_lapsed_in_an_own_pause_is_no_silence(self):
+        network = builders.Network(2)
+        network.run(1_000)
+        paused, peer = (entry.member_id for entry in network.map)
+        network.clock.advance(10_000)
+        network.cut.add((paused, peer))
+        network.members[paused].check(peer)
+        self.assertEqual(network.members[paused].suspected(), set())
+
     def test_flapping_peer_is_suspected_less_often(self):
         network = builders.Network(2)
         network.run(1_000)
--- a/packages/peers/src/balsamloom_peers/client.py
+++ b/packages/peers/src/balsamloom_peers/client.py
@@ -33,6 +33,8 @@
     ("grpc.keepalive_timeout_ms", 1000),
     ("grpc.keepalive_permit_without_calls", 0),
     ("grpc.http2.max_pings_without_data", 0),
+    # Bandwidth probes would add a ping to every heartbeat.
+    ("grpc.http2.bdp_probe", 0),
     # A second try inside the library would hide whether a request was sent.
     ("grpc.enable_retries", 0),
     ("grpc.service_config_disable_resolution", 1),
--- a/packages/peers/src/balsamloom_peers/server.py
+++ b/packages/peers/src/balsamloom_peers/server.py
@@ -30,6 +30,7 @@
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     # Two processes must not share one port by accident.
     ("grpc.so_reuseport", 0),
+    ("grpc.http2.bdp_probe", 0),
     # Clients ping at the rate set in client.py.
     ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
     ("grpc.http2.max_ping_strikes", 0),
@@ -101,6 +102,8 @@
     :param address: ``host:port`` to listen on; port 0 takes a free one.
     :param handlers: behaviour of the process.
     :param blocked: links cut by fault injection.
+    :param max_forwards: forwarded requests in progress at the same time;
+        further ones are refused unsent.
     :raises BalsamloomError: if the address cannot be listened on.
     """
 
@@ -109,14 +112,15 @@
         address: str,
         handlers: Handlers,
         blocked: links.Links | None = None,
+        max_forwards: int = MAX_FORWARDS,
     ) -> None:
         self._handlers = handlers
         self._links = blocked or links.Links()
         self._damage = _checks.DamageCounter()
         self._sequences = _checks.SequenceTable()
-        self._forward_slots = threading.BoundedSemaphore(MAX_FORWARDS)
+        self._forward_slots = threading.BoundedSemaphore(max_forwards)
         executor = concurrent.futures.ThreadPoolExecutor(
-            MAX_FORWARDS + CONTROL_THREADS, thread_name_prefix="peer"
+            max_forwards + CONTROL_THREADS, thread_name_prefix="peer"
         )
         self._executor = executor
         self._server = grpc.server(executor, options=_OPTIONS)
--- a/packages/peers/tests/builders.py
+++ b/packages/peers/tests/builders.py
@@ -32,7 +32,7 @@
         self.heartbeats = []
         self.transfers = []
         self.chunks = queue.Queue()
-        self.forward_started = threading.Event()
+        self.started = queue.Queue()
         self.forward_closed = threading.Event()
 
     def heartbeat(self, content):
@@ -44,7 +44,7 @@
 
     def forward(self, request, context):
         context.on_end(lambda: self.chunks.put(None))
-        self.forward_started.set()
+        self.started.put(request)
         try:
             while (chunk := self.chunks.get(timeout=20)) is not None:
                 if chunk.body == b"END":
@@ -67,11 +67,13 @@
 class Pair(contextlib.ExitStack):
     """A running server and a client of it."""
 
-    def __init__(self, blocked_at_server=None, blocked_at_client=None):
+    def __init__(
+        self, blocked_at_server=None, blocked_at_client=None, **limits
+    ):
         super().__init__()
         self.handlers = RecordingHandlers()
         self.server = server.PeerServer(
-            "127.0.0.1:0", self.handlers, blocked_at_server
+            "127.0.0.1:0", self.handlers, blocked_at_server, **limits
         )
         self.server.start()
         self.callback(self.server.stop, 0)
--- a/packages/peers/tests/test_peers.py
+++ b/packages/peers/tests/test_peers.py
@@ -157,7 +157,9 @@
 
     def test_cancelling_at_the_caller_cancels_at_the_owner(self):
         stream = self.pair.client.forward(self.request, 20_000)
-        self.assertTrue(self.pair.handlers.forward_started.wait(5))
+        self.assertEqual(
+            self.pair.handlers.started.get(timeout=5), self.request
+        )
         stream.cancel()
         self.assertTrue(self.pair.handlers.forward_closed.wait(5))
 
@@ -211,6 +213,21 @@
         self.assertTrue(caught.exception.was_sent)
         self.assertFalse(caught.exception.was_refused)
 
+    def test_full_owner_refuses_unsent_and_still_answers_heartbeats(self):
+        pair = builders.Pair(max_forwards=2)
+        self.addCleanup(pair.close)
+        request = messages.ForwardRequest("POST", "/v1/x")
+        held = []
+        for _ in range(2):
+            held.append(pair.client.forward(request, 20_000))
+            pair.handlers.started.get(timeout=5)
+        with self.assertRaises(client.PeerUnreachable) as caught:
+            next(iter(pair.client.forward(request, 20_000)))
+        self.assertFalse(caught.exception.was_sent)
+        pair.client.heartbeat(builders.heartbeat(), TIMEOUT_MS)
+        held[0].cancel()
+        self.assertTrue(pair.handlers.forward_closed.wait(5))
+
     def test_deadline_ends_the_wait_and_was_sent(self):
         pair = builders.Pair()
         self.addCleanup(pair.close)
