--- /dev/null
+++ b/packages/entry/src/balsamloom_entry/orders.py
@@ -0,0 +1,332 @@
+"""Orders to model engines: model, adapter and role.
+
+Each engine has one controller, the owner of the partition that its id hashes
+to. The fencing number is raised in the store, in one transaction with a check
+that this process still owns the partition. Engines that ignore the number
+are protected by time and by reading back: a new controller waits until no
+order of its predecessor can be under way, an order is sent only right after
+the fence was checked, and the state is read again and again, so that an order
+that a paused predecessor sends later still is put right.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import dataclasses
+import enum
+import hashlib
+import json
+import logging
+import threading
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, Protocol
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import errors, events, results
+from balsamloom_entry import permits
+from balsamloom_platform import store as stores
+from balsamloom_state import partitions
+
+KEY_PREFIX = "/balsamloom/engines/"
+ORDER_TIMEOUT_MS = 5_000
+READ_TIMEOUT_MS = 1_000
+ROUND_INTERVAL_MS = 1_000
+PARALLEL_ENGINES = 4
+
+
+class OrderKind(enum.StrEnum):
+    """What an order changes."""
+
+    LOAD_MODEL = "load_model"
+    LOAD_ADAPTER = "load_adapter"
+    SET_ROLE = "set_role"
+
+
+class Order(NamedTuple):
+    """One order; ``value`` is the model, adapter or role."""
+
+    kind: OrderKind
+    value: str
+
+
+class EngineState(NamedTuple):
+    """State that an engine reports or that is wanted.
+
+    An empty field means none, and no wish in a wanted state.
+    """
+
+    model: str = ""
+    adapter: str = ""
+    role: str = ""
+
+
+class DesiredEngine(NamedTuple):
+    """Entry of the ``engines`` section."""
+
+    state: EngineState
+    honours_fence: bool = False
+
+
+class OrderSettings(NamedTuple):
+    """Times of the control of engines.
+
+    ``order_in_flight_ms`` must exceed the time in which an order that was
+    sent can take effect: the send window and the order's timeout together.
+    """
+
+    order_in_flight_ms: int = 10_000
+    send_window_ms: int = 1_000
+    read_back_interval_ms: int = 3_000
+
+
+class OrderRefused(errors.BalsamloomError):
+    """An engine refused an order, as its fencing number is too old.
+
+    :param current_fence: highest number that the engine has seen.
+    """
+
+    def __init__(self, current_fence: int) -> None:
+        super().__init__(
+            results.ResultCode.BACKEND_ERROR,
+            f"order refused: the engine has seen fencing number "
+            f"{current_fence}",
+        )
+        self.current_fence = current_fence
+
+
+class Engine(Protocol):
+    """Orders part of an engine's client."""
+
+    def send_order(self, order: Order, fence: int, timeout_ms: int) -> None:
+        """Give an order.
+
+        :raises OrderRefused: if the number is too old.
+        :raises BalsamloomError: on any other failure.
+        """
+
+    def read_orders(self, timeout_ms: int) -> EngineState:
+        """Read the state back."""
+
+
+@dataclasses.dataclass
+class _Claim:
+    fence: int
+    claimed_at_ms: float
+    next_check_ms: float = 0.0
+
+
+class OrderControl:
+    """Brings the engines that this member controls to their wanted state.
+
+    :param self_id: own member id.
+    :param store: key-value service.
+    :param clock: source of time.
+    :param map_source: returns the partition map last seen.
+    :param desired: returns the wanted state of each engine id.
+    :param client: returns the client of an engine.
+    :param permit_table: permits of the weight store.
+    :param settings: times.
+    """
+
+    def __init__(
+        self,
+        self_id: str,
+        store: stores.Store,
+        clock: clocks.Clock,
+        map_source: Callable[[], partitions.PartitionMap],
+        desired: Callable[[], Mapping[str, DesiredEngine]],
+        client: Callable[[str], Engine],
+        permit_table: permits.PermitTable,
+        settings: OrderSettings | None = None,
+    ) -> None:
+        self._self_id = self_id
+        self._store = store
+        self._clock = clock
+        self._map_source = map_source
+        self._desired = desired
+        self._client = client
+        self._permits = permit_table
+        self._settings = settings or OrderSettings()
+        in_flight_ms = self._settings.send_window_ms + ORDER_TIMEOUT_MS
+        if self._settings.order_in_flight_ms <= in_flight_ms:
+            raise errors.BalsamloomError(
+                results.ResultCode.SETTINGS_INVALID,
+                f"order_in_flight_ms: {self._settings.order_in_flight_ms} is "
+                f"not above {in_flight_ms}, the time an order may take",
+            )
+        self._claims: dict[str, _Claim] = {}
+        self._ended = threading.Event()
+
+    def start(self) -> None:
+        """Start the control of engines."""
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def stop(self) -> None:
+        """End it after the orders being sent."""
+        self._ended.set()
+
+    def reconcile(self, engine_id: str) -> None:
+        """Take one step towards the wanted state of an engine.
+
+        :param engine_id: engine in the ``engines`` section.
+        :raises BalsamloomError: if the store or the engine fails; the next
+            call tries again.
+        """
+        wanted = self._desired().get(engine_id)
+        if wanted is None or not self._is_controller(
+            self._map_source(), engine_id
+        ):
+            self._claims.pop(engine_id, None)
+            return
+        claim = self._claims.get(engine_id) or self._claim(engine_id)
+        if claim is None:
+            return
+        now_ms = self._clock.now_ms()
+        settled_ms = claim.claimed_at_ms
+        if not wanted.honours_fence:
+            settled_ms += self._settings.order_in_flight_ms
+        if now_ms < max(settled_ms, claim.next_check_ms):
+            return
+        client = self._client(engine_id)
+        state = client.read_orders(READ_TIMEOUT_MS)
+        order = next_order(state, wanted.state)
+        if order is None:
+            claim.next_check_ms = now_ms + self._settings.read_back_interval_ms
+            return
+        self._give(engine_id, claim, client, order)
+
+    def run_round(self) -> None:
+        """Take one step for each engine, a few engines at a time."""
+        with concurrent.futures.ThreadPoolExecutor(
+            PARALLEL_ENGINES
+        ) as executor:
+            list(executor.map(self._reconcile_logged, list(self._desired())))
+
+    def _give(
+        self, engine_id: str, claim: _Claim, client: Engine, order: Order
+    ) -> None:
+        if order.kind is not OrderKind.LOAD_MODEL:
+            self._send(engine_id, claim, client, order)
+            return
+        permit = self._permits.acquire(engine_id)
+        if permit is None:
+            return
+        try:
+            if self._permits.is_valid(permit):
+                self._send(engine_id, claim, client, order)
+        finally:
+            self._permits.release(permit)
+
+    def _send(
+        self, engine_id: str, claim: _Claim, client: Engine, order: Order
+    ) -> None:
+        checked_at_ms = self._clock.now_ms()
+        record, _ = self._record(engine_id)
+        if record != (claim.fence, self._self_id):
+            self._claims.pop(engine_id, None)
+            return
+        age_ms = self._clock.now_ms() - checked_at_ms
+        if age_ms > self._settings.send_window_ms:
+            return
+        events.log(
+            events.Event.ORDER_SENT,
+            engine_id=engine_id,
+            kind=order.kind,
+            value=order.value,
+            fence=claim.fence,
+        )
+        try:
+            client.send_order(order, claim.fence, ORDER_TIMEOUT_MS)
+        except OrderRefused as refused:
+            self._claims.pop(engine_id, None)
+            events.log(
+                events.Event.ORDER_REFUSED,
+                logging.WARNING,
+                engine_id=engine_id,
+                fence=claim.fence,
+                current_fence=refused.current_fence,
+            )
+            self._claim(engine_id, refused.current_fence)
+
+    def _claim(self, engine_id: str, at_least: int = 0) -> _Claim | None:
+        """Raise the fencing number if this member owns the partition.
+
+        The transaction compares the map's revision too, so that a member
+        with an old map cannot raise the number over its successor's.
+        """
+        current, map_revision = partitions.load(self._store)
+        if not map_revision or not self._is_controller(current, engine_id):
+            return None
+        (fence, _), revision = self._record(engine_id)
+        key = KEY_PREFIX + engine_id
+        raised = max(fence, at_least) + 1
+        comparison: stores.Comparison = stores.KeyAbsent(key)
+        if revision:
+            comparison = stores.RevisionIs(key, revision)
+        value = json.dumps({"fence": raised, "holder_id": self._self_id})
+        outcome = self._store.commit(
+            [comparison, stores.RevisionIs(partitions.KEY, map_revision)],
+            [stores.Put(key, value.encode())],
+        )
+        if not isinstance(outcome, stores.Committed):
+            return None
+        claim = _Claim(raised, self._clock.now_ms())
+        self._claims[engine_id] = claim
+        return claim
+
+    def _record(self, engine_id: str) -> tuple[tuple[int, str], int]:
+        item = self._store.get(KEY_PREFIX + engine_id)
+        if item is None:
+            return (0, ""), 0
+        document = json.loads(item.value)
+        return (document["fence"], document["holder_id"]), item.mod_revision
+
+    def _is_controller(
+        self, current: partitions.PartitionMap, engine_id: str
+    ) -> bool:
+        partition = engine_partition(engine_id, current.partition_count)
+        ownership = current.owners.get(partition)
+        return ownership is not None and ownership.member_id == self._self_id
+
+    def _reconcile_logged(self, engine_id: str) -> None:
+        try:
+            self.reconcile(engine_id)
+        except errors.BalsamloomError as error:
+            events.log(
+                events.Event.ORDER_REFUSED,
+                logging.WARNING,
+                engine_id=engine_id,
+                error=error.message,
+            )
+
+    def _run(self) -> None:
+        while not self._clock.wait(self._ended, ROUND_INTERVAL_MS):
+            self.run_round()
+
+
+def engine_partition(engine_id: str, partition_count: int) -> int:
+    """Return the partition whose owner controls an engine.
+
+    :param engine_id: engine.
+    :param partition_count: number of partitions of the map.
+    """
+    digest = hashlib.blake2b(engine_id.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") % partition_count
+
+
+def next_order(state: EngineState, wanted: EngineState) -> Order | None:
+    """Return the first order that is still missing.
+
+    An adapter belongs to a model, so the model comes first.
+
+    :param state: state read from the engine.
+    :param wanted: wanted state.
+    """
+    for kind, now, then in (
+        (OrderKind.LOAD_MODEL, state.model, wanted.model),
+        (OrderKind.LOAD_ADAPTER, state.adapter, wanted.adapter),
+        (OrderKind.SET_ROLE, state.role, wanted.role),
+    ):
+        if then and now != then:
+            return Order(kind, then)
+    return None
--- /dev/null
+++ b/packages/entry/src/balsamloom_entry/permits.py
@@ -0,0 +1,160 @@
+"""Permits to load weights, shared by all members.
+
+All permits are one value in the store, changed by compare-and-swap. A permit
+expires when an observer has seen it unchanged for its duration on the
+observer's own clock, so the clocks of two hosts are never compared.
+"""
+
+from __future__ import annotations
+
+import json
+import secrets
+import threading
+from typing import NamedTuple, Protocol
+
+from balsamloom_core import clock as clocks
+from balsamloom_platform import store as stores
+
+KEY = "/balsamloom/weights/permits"
+DEFAULT_CAPACITY = 2
+DEFAULT_DURATION_MS = 60_000
+MAX_TRIES = 5
+# The holder stops earlier than observers count it as expired, since its send
+# may still be under way.
+HOLDER_SHARE = 0.8
+
+
+class Store(Protocol):
+    """What permits need of the key-value service."""
+
+    def get(self, key: str) -> stores.Item | None:
+        """Read one key."""
+
+    def commit(
+        self,
+        comparisons: list[stores.Comparison],
+        operations: list[stores.Operation],
+    ) -> stores.Committed | stores.Conflict:
+        """Apply all operations if all comparisons hold."""
+
+
+class Entry(NamedTuple):
+    """A permit in the store; the nonce changes with each renewal."""
+
+    holder_id: str
+    name: str
+    nonce: str
+    duration_ms: int
+
+
+class Permit(NamedTuple):
+    """A permit that this process holds."""
+
+    name: str
+    nonce: str
+    valid_until_ms: float
+
+
+class PermitTable:
+    """The permits of the fleet, as seen by one member.
+
+    :param store: key-value service.
+    :param self_id: own member id.
+    :param clock: source of time.
+    :param capacity: permits that may be held at the same time.
+    :param duration_ms: time after which a permit lapses.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        self_id: str,
+        clock: clocks.Clock,
+        capacity: int = DEFAULT_CAPACITY,
+        duration_ms: int = DEFAULT_DURATION_MS,
+    ) -> None:
+        self._store = store
+        self._self_id = self_id
+        self._clock = clock
+        self._capacity = capacity
+        self._duration_ms = duration_ms
+        self._lock = threading.Lock()
+        self._first_seen_ms: dict[str, float] = {}
+
+    def acquire(self, name: str) -> Permit | None:
+        """Take a permit if one is free, or renew the own one.
+
+        An own entry whose commit was not answered is found by its name, so a
+        lost answer does not use up a second permit.
+
+        :param name: what the permit is for, unique in this process.
+        :return: the permit, or nothing if all are held.
+        :raises StoreUnavailable: if the store does not answer.
+        """
+        with self._lock:
+            for _ in range(MAX_TRIES):
+                start_ms = self._clock.now_ms()
+                entries, revision = self._read()
+                others = [
+                    entry
+                    for entry in self._unexpired(entries)
+                    if (entry.holder_id, entry.name) != (self._self_id, name)
+                ]
+                if len(others) >= self._capacity:
+                    return None
+                nonce = secrets.token_hex(8)
+                own = Entry(self._self_id, name, nonce, self._duration_ms)
+                if self._write([*others, own], revision):
+                    until_ms = start_ms + self._duration_ms * HOLDER_SHARE
+                    return Permit(name, nonce, until_ms)
+            return None
+
+    def is_valid(self, permit: Permit) -> bool:
+        """Return whether a permit may still be used.
+
+        :param permit: permit from :meth:`acquire`.
+        """
+        return self._clock.now_ms() < permit.valid_until_ms
+
+    def release(self, permit: Permit) -> None:
+        """Give a permit back; one that has been renewed or lapsed is kept.
+
+        :param permit: permit from :meth:`acquire`.
+        :raises StoreUnavailable: if the store does not answer; the permit
+            then lapses by itself.
+        """
+        with self._lock:
+            for _ in range(MAX_TRIES):
+                entries, revision = self._read()
+                kept = [
+                    entry for entry in entries if entry.nonce != permit.nonce
+                ]
+                if kept == entries or self._write(kept, revision):
+                    return
+
+    def _read(self) -> tuple[list[Entry], int]:
+        item = self._store.get(KEY)
+        if item is None:
+            return [], 0
+        entries = [Entry(*fields) for fields in json.loads(item.value)]
+        return entries, item.mod_revision
+
+    def _unexpired(self, entries: list[Entry]) -> list[Entry]:
+        now_ms = self._clock.now_ms()
+        self._first_seen_ms = {
+            entry.nonce: self._first_seen_ms.get(entry.nonce, now_ms)
+            for entry in entries
+        }
+        return [
+            entry
+            for entry in entries
+            if now_ms - self._first_seen_ms[entry.nonce] < entry.duration_ms
+        ]
+
+    def _write(self, entries: list[Entry], revision: int) -> bool:
+        value = json.dumps([list(entry) for entry in entries]).encode()
+        comparison: stores.Comparison = stores.KeyAbsent(KEY)
+        if revision:
+            comparison = stores.RevisionIs(KEY, revision)
+        outcome = self._store.commit([comparison], [stores.Put(KEY, value)])
+        return isinstance(outcome, stores.Committed)
--- /dev/null
+++ b/packages/entry/src/balsamloom_entry/sweep.py
@@ -0,0 +1,189 @@
+"""Release of engine memory that is held for programs that are gone."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import logging
+import threading
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import NamedTuple, Protocol
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import errors, events, identifiers
+from balsamloom_state import partitions
+
+INTERVAL_MS = 3_000
+TICK_MS = 100
+PARALLEL_ENGINES = 8
+TIMEOUT_MS = 1_000
+TAGS_PER_RELEASE = 256
+
+
+class Hold(NamedTuple):
+    """Memory that an engine holds for a tag."""
+
+    tag: str
+    size_bytes: int
+
+
+class Engine(Protocol):
+    """Memory part of an engine's client."""
+
+    def holds(self, timeout_ms: int) -> Sequence[Hold]:
+        """Return all memory held."""
+
+    def release(self, tags: Sequence[str], timeout_ms: int) -> None:
+        """Release the memory of these tags."""
+
+
+class Sweep:
+    """Reads the holds of engines every 3 s and releases orphaned ones.
+
+    An engine that hangs delays no other one: each has at most one task of a
+    small pool.
+
+    :param engines: returns the followed engines by id.
+    :param gone: returns which of these tags are to be released, see
+        :func:`gone_tags`.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        engines: Callable[[], Mapping[str, Engine]],
+        gone: Callable[[Iterable[str]], set[str]],
+        clock: clocks.Clock,
+    ) -> None:
+        self._engines = engines
+        self._gone = gone
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._due_ms: dict[str, float] = {}
+        self._ended = threading.Event()
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            PARALLEL_ENGINES, thread_name_prefix="sweep"
+        )
+
+    def start(self) -> None:
+        """Start sweeping."""
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def stop(self) -> None:
+        """End sweeping; engines being swept are not waited for."""
+        self._ended.set()
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def sweep_engine(self, engine_id: str, engine: Engine) -> int:
+        """Release what one engine holds for programs that are gone.
+
+        :param engine_id: engine, for the log.
+        :param engine: its client.
+        :return: bytes released.
+        :raises BalsamloomError: if the engine does not answer.
+        """
+        found = {
+            hold.tag: hold.size_bytes for hold in engine.holds(TIMEOUT_MS)
+        }
+        orphaned = sorted(self._gone(found))
+        for start in range(0, len(orphaned), TAGS_PER_RELEASE):
+            batch = orphaned[start : start + TAGS_PER_RELEASE]
+            engine.release(batch, TIMEOUT_MS)
+        size_bytes = sum(found[tag] for tag in orphaned)
+        if orphaned:
+            events.log(
+                events.Event.HOLDS_RELEASED,
+                engine_id=engine_id,
+                tags=len(orphaned),
+                size_bytes=size_bytes,
+            )
+        return size_bytes
+
+    def take_due(self) -> dict[str, Engine]:
+        """Return the engines whose turn it is, and set their next turn."""
+        now_ms = self._clock.now_ms()
+        engines = self._engines()
+        with self._lock:
+            self._due_ms = {
+                name: due_ms
+                for name, due_ms in self._due_ms.items()
+                if name in engines
+            }
+            due = {
+                name: engine
+                for name, engine in engines.items()
+                if self._due_ms.get(name, now_ms) <= now_ms
+            }
+            for name in due:
+                self._due_ms[name] = float("inf")
+        return due
+
+    def run_engine(self, engine_id: str, engine: Engine) -> None:
+        """Sweep one engine and set its next turn, whatever happens.
+
+        :param engine_id: engine from :meth:`take_due`.
+        :param engine: its client.
+        """
+        next_ms = self._clock.now_ms() + INTERVAL_MS
+        try:
+            self.sweep_engine(engine_id, engine)
+        except errors.BalsamloomError as error:
+            events.log(
+                events.Event.REQUEST_FAILED,
+                logging.WARNING,
+                task="sweep",
+                engine_id=engine_id,
+                error=error.message,
+            )
+        finally:
+            with self._lock:
+                self._due_ms[engine_id] = next_ms
+
+    def _run(self) -> None:
+        while not self._clock.wait(self._ended, TICK_MS):
+            for engine_id, engine in self.take_due().items():
+                try:
+                    self._executor.submit(self.run_engine, engine_id, engine)
+                except RuntimeError:
+                    return
+
+
+def gone_tags(
+    tags: Iterable[str],
+    current: partitions.PartitionMap,
+    self_id: str,
+    has_program: Callable[[str], bool],
+) -> set[str]:
+    """Return the tags that this member has to release.
+
+    These are tags in partitions that it owns whose program is gone or whose
+    epoch is lower than the partition's. Tags of a higher epoch are kept, as
+    the map seen here is old then; so are tags of another form.
+
+    :param tags: tags of the form ``program_id/epoch/call``.
+    :param current: partition map last seen.
+    :param self_id: own member id.
+    :param has_program: says whether a program is under way here.
+    """
+    return {
+        tag for tag in tags if _is_gone(tag, current, self_id, has_program)
+    }
+
+
+def _is_gone(
+    tag: str,
+    current: partitions.PartitionMap,
+    self_id: str,
+    has_program: Callable[[str], bool],
+) -> bool:
+    program_id, _, rest = tag.partition("/")
+    epoch_text = rest.partition("/")[0]
+    try:
+        partition = identifiers.partition_of(program_id)
+    except errors.BalsamloomError:
+        return False
+    ownership = current.owners.get(partition)
+    if ownership is None or ownership.member_id != self_id:
+        return False
+    if not epoch_text.isdecimal() or int(epoch_text) > ownership.epoch:
+        return False
+    return int(epoch_text) < ownership.epoch or not has_program(program_id)
--- /dev/null
+++ b/packages/entry/tests/builders.py
@@ -0,0 +1,160 @@
+"""Test data of the package entry."""
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import errors, results
+from balsamloom_entry import orders, permits, sweep
+from balsamloom_platform import store as stores
+from balsamloom_state import partitions
+
+ENGINE = "rota-1"
+PARTITIONS = 16
+OLD = orders.EngineState("model-a", "", "prefill")
+NEW = orders.EngineState("model-b", "adapter-b", "decode")
+
+
+class MemoryStore:
+    """Key-value service in memory, which can lose answers."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 0
+        self.answers_to_lose = 0
+        self.is_down = False
+
+    def get(self, key, timeout_ms=0):
+        if self.is_down:
+            raise stores.StoreUnavailable("down", False)
+        return self.items.get(key)
+
+    def commit(self, comparisons, operations, timeout_ms=0):
+        if self.is_down:
+            raise stores.StoreUnavailable("down", False)
+        for comparison in comparisons:
+            item = self.items.get(comparison.key)
+            found = item.mod_revision if item else 0
+            if found != getattr(comparison, "mod_revision", 0):
+                return stores.Conflict(self.revision, {})
+        self.revision += 1
+        for put in operations:
+            self.items[put.key] = stores.Item(
+                put.key, put.value, 0, self.revision
+            )
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
+            raise stores.StoreUnavailable("answer lost", True)
+        return stores.Committed(self.revision)
+
+
+class FakeEngine:
+    """Engine that obeys or ignores fencing numbers.
+
+    ``before_apply`` runs between the send of the next order and its effect,
+    like a pause of the sender or a slow network.
+    """
+
+    def __init__(self, honours_fence, state=OLD):
+        self.honours_fence = honours_fence
+        self.state = state
+        self.fence = 0
+        self.received = []
+        self.before_apply = None
+
+    def send_order(self, order, fence, timeout_ms):
+        hook, self.before_apply = self.before_apply, None
+        if hook is not None:
+            hook()
+        if self.honours_fence and fence < self.fence:
+            raise orders.OrderRefused(self.fence)
+        self.fence = max(self.fence, fence)
+        self.received.append((fence, order))
+        field = {
+            orders.OrderKind.LOAD_MODEL: "model",
+            orders.OrderKind.LOAD_ADAPTER: "adapter",
+            orders.OrderKind.SET_ROLE: "role",
+        }[order.kind]
+        self.state = self.state._replace(**{field: order.value})
+
+    def read_orders(self, timeout_ms):
+        return self.state
+
+
+class Fleet:
+    """Two controllers of one engine on one store and one clock."""
+
+    def __init__(self, honours_fence, state=OLD):
+        self.clock = clocks.ManualClock()
+        self.store = MemoryStore()
+        self.engine = FakeEngine(honours_fence, state)
+        self.honours_fence = honours_fence
+        self.wanted = {"m1": OLD, "m2": NEW}
+        self.maps = {}
+        self.controls = {name: self._control(name) for name in self.wanted}
+        self.own("m1")
+        self.seen_by("m1", "m2")
+
+    def own(self, member_id):
+        """Make a member owner of the engine's partition, in the store."""
+
+        def change(current):
+            number = orders.engine_partition(ENGINE, PARTITIONS)
+            old = current.owners.get(number)
+            epoch = old.epoch + 1 if old else 1
+            owners = {number: partitions.Ownership(member_id, epoch)}
+            return current._replace(partition_count=PARTITIONS, owners=owners)
+
+        partitions.update(self.store, change)
+
+    def seen_by(self, *member_ids):
+        """Let members see the map that is in the store."""
+        for member_id in member_ids:
+            self.maps[member_id] = partitions.load(self.store)[0]
+
+    def run(self, member_id, duration_ms):
+        for _ in range(int(duration_ms / 500)):
+            self.controls[member_id].reconcile(ENGINE)
+            self.clock.advance(500)
+
+    def _control(self, member_id):
+        return orders.OrderControl(
+            member_id,
+            self.store,
+            self.clock,
+            lambda: self.maps[member_id],
+            lambda: {
+                ENGINE: orders.DesiredEngine(
+                    self.wanted[member_id], self.honours_fence
+                )
+            },
+            lambda engine_id: self.engine,
+            permits.PermitTable(self.store, member_id, self.clock),
+        )
+
+
+class HoldingEngine:
+    """Engine whose memory is held by tags."""
+
+    def __init__(self, *tags):
+        self.held = dict.fromkeys(tags, 10)
+        self.fails = False
+
+    def holds(self, timeout_ms):
+        if self.fails:
+            raise errors.BalsamloomError(results.ResultCode.BACKEND_TIMEOUT)
+        return [sweep.Hold(tag, size) for tag, size in self.held.items()]
+
+    def release(self, tags, timeout_ms):
+        for tag in tags:
+            del self.held[tag]
+
+
+def map_of(owners):
+    return partitions.PartitionMap(
+        1,
+        PARTITIONS,
+        {},
+        {
+            number: partitions.Ownership(member_id, epoch)
+            for number, (member_id, epoch) in owners.items()
+        },
+        (),
+    )
