Check only changed sections and test over the store stand-in

Change: a section that is the same as in the document in force is not held against its schema again; what a peer asks for is encoded once per step; merged fills in defaults, in lists and named entries too.

--- a/packages/configuration/src/balsamloom_configuration/distribution.py
+++ b/packages/configuration/src/balsamloom_configuration/distribution.py
@@ -78,6 +78,8 @@
         self._callbacks: list[Callable[[documents.Document], None]] = []
         self._offer: PeerOffer | None = None
         self._refused: dict[int, float] = {}
+        # Peers that are behind mostly ask for the same step.
+        self._encoded: dict[int, bytes] = {}
         self._watch_gaps = 0
         self._ended = threading.Event()
         self._offered = threading.Event()
@@ -158,7 +160,15 @@
 
         :param since: revision that the peer holds, zero for everything.
         """
-        return documents.encode(self.document, since)
+        with self._changed:
+            document = self._document
+            value = self._encoded.get(since)
+        if value is None:
+            value = documents.encode(document, since)
+            with self._changed:
+                if document is self._document:
+                    self._encoded[since] = value
+        return value
 
     def describe(self) -> dict[str, Any]:
         """Return the state for the dump."""
@@ -192,6 +202,7 @@
                 self._call(callback, document)
             with self._changed:
                 self._document = document
+                self._encoded.clear()
                 self._changed.notify_all()
         events.log(
             events.Event.CONFIGURATION_IN_FORCE,
@@ -217,7 +228,9 @@
         try:
             found = [
                 str(problem)
-                for problem in documents.check(document, self._schemas)
+                for problem in documents.check(
+                    document, self._schemas, self.document
+                )
             ]
         except errors.BalsamloomError as error:
             found = [error.message]
--- a/packages/configuration/src/balsamloom_configuration/document.py
+++ b/packages/configuration/src/balsamloom_configuration/document.py
@@ -53,13 +53,15 @@
     def merged(self, kind: str) -> Content:
         """Return the entries of a kind from all of its sections.
 
+        Defaults are filled in.
+
         :param kind: ``models``, ``services`` or another kind.
         """
         result: Content = {}
         for name in sorted(self.sections):
             if kind_of(name) == kind:
                 result.update(self.content(name))
-        return result
+        return settings.with_defaults(result, schemas.SECTIONS[kind])
 
     def replace(self, name: str, section: Section) -> Document:
         """Return the document with one section replaced.
@@ -130,16 +132,21 @@
 def check(
     document: Document,
     setting_schemas: dict[str, dict[str, Any]] | None = None,
+    known: Document = EMPTY,
 ) -> list[settings.Problem]:
     """Check all sections and what they say of each other.
 
     :param document: document to check.
     :param setting_schemas: as for :func:`check_section`.
+    :param known: document that passed with the same schemas; a section that
+        is the same in it is not held against its schema again, which takes
+        most of the time.
     :return: everything that is not accepted.
     """
     found: list[settings.Problem] = []
     for name, section in sorted(document.sections.items()):
-        if section.content is not None:
+        is_known = section == known.sections.get(name)
+        if section.content is not None and not is_known:
             found.extend(check_section(name, section.content, setting_schemas))
     if found:
         return found
@@ -261,7 +268,7 @@
 
 
 def _unresolved(document: Document) -> Iterator[settings.Problem]:
-    models = document.merged("models")
+    models = {name: pool for (_, name), pool in _entries(document, "models")}
     servers = {
         server["id"] for pool in models.values() for server in pool["servers"]
     }
--- a/packages/configuration/tests/test_distribution.py
+++ b/packages/configuration/tests/test_distribution.py
@@ -90,6 +90,16 @@
         held.offer(9, lambda since: documents.encode(document(9)))
         self.assertTrue(held.wait_for(9, TIMEOUT_MS))
 
+    def test_peer_gets_the_document_in_force_and_not_an_earlier_one(self):
+        held = builders.in_force(self.store)
+        for found in (document(1), document(2, max_tokens=5)):
+            held.take(found, "store")
+            for _ in range(2):
+                value = held.encoded()
+                self.assertEqual(
+                    documents.decode(value, documents.EMPTY), found
+                )
+
     def test_process_behind_asks_only_for_what_changed(self):
         held = self.started()
         first = document(1)
--- a/packages/configuration/tests/test_document.py
+++ b/packages/configuration/tests/test_document.py
@@ -60,6 +60,19 @@
             with self.subTest(expected):
                 self.assertIn(expected, self.problems(**sections))
 
+    def test_known_section_is_still_checked_against_the_others(self):
+        known = document(models=builders.models("a"))
+        for name, content in (
+            ("models/desk", builders.models("b", "a-1")),
+            ("customers", {"c": {"share": 0}}),
+            ("models", builders.models("a", max_tokens=0)),
+        ):
+            changed = known.replace(name, documents.Section(content, 2))
+            with self.subTest(name):
+                found = documents.check(changed, known=known)
+                self.assertEqual(found, documents.check(changed))
+                self.assertEqual(len(found), 1)
+
     def test_names_and_servers_are_unique_across_sections(self):
         found = self.problems(
             models=builders.models("a", "s1"),
@@ -81,6 +94,23 @@
             ["engines.a-2", "engines.a-2.model"],
         )
 
+    def test_merged_entries_have_defaults_that_the_schema_accepts(self):
+        found = document(
+            models=builders.models("a"),
+            models__desk=builders.models("b"),
+            customers={"c": {}},
+            services={"s": {"servers": [builders.server("s1")]}},
+            engines={"a-1": {"model": "a"}},
+        )
+        self.assertEqual(sorted(found.merged("models")), ["a", "b"])
+        server = found.merged("models")["a"]["servers"][0]
+        self.assertIs(server["draining"], False)
+        customer = found.merged("customers")["c"]
+        self.assertEqual(customer["default_budget"]["calls"], 200)
+        kinds = ("models", "customers", "services", "engines")
+        filled = {kind: found.merged(kind) for kind in kinds}
+        self.assertEqual(self.problems(**filled), [])
+
     def test_section_of_an_unknown_kind_is_refused(self):
         for name in ("model", "routing/desk", "models/", "models/../x"):
             with self.subTest(name):
--- a/packages/core/src/balsamloom_core/settings.py
+++ b/packages/core/src/balsamloom_core/settings.py
@@ -91,15 +91,29 @@
 
     :param document: checked document; it is not changed.
     :param schema: schema whose ``default`` values are used, in nested objects
-        too.
+        and lists too.
     """
-    result = dict(document)
-    for name, part in schema.get("properties", {}).items():
+    filled: dict[str, Any] = _filled(document, schema)
+    return filled
+
+
+def _filled(value: Any, schema: dict[str, Any]) -> Any:
+    if isinstance(value, list):
+        return [_filled(entry, schema.get("items", {})) for entry in value]
+    if not isinstance(value, dict):
+        return value
+    parts = schema.get("properties", {})
+    other = schema.get("additionalProperties")
+    result = {
+        name: _filled(
+            part, parts.get(name, other if isinstance(other, dict) else {})
+        )
+        for name, part in value.items()
+    }
+    for name, part in parts.items():
         if name not in result and "default" in part:
             # Callers may change their document; the schema must stay as is.
-            result[name] = copy.deepcopy(part["default"])
-        if isinstance(result.get(name), dict) and part.get("type") == "object":
-            result[name] = with_defaults(result[name], part)
+            result[name] = _filled(copy.deepcopy(part["default"]), part)
     return result
 
 
