--- /dev/null
+++ b/packages/entry/src/balsamloom_entry/engine_parts.py
@@ -0,0 +1,119 @@
+"""The engine client as the sweep and the control of engines need it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from balsamloom_configuration import document as documents
+from balsamloom_configuration import schemas
+from balsamloom_core import settings
+from balsamloom_entry import orders, sweep
+from balsamloom_entry import parts as process_parts
+from balsamloom_platform import engines
+
+
+class HoldingEngine:
+    """Memory part of an engine's client.
+
+    :param engine: client of the engine.
+    """
+
+    def __init__(self, engine: engines.ModelEngine) -> None:
+        self._engine = engine
+
+    def holds(self, timeout_ms: int) -> list[sweep.Hold]:
+        """Return all memory held.
+
+        :param timeout_ms: longest wait.
+        """
+        return [
+            sweep.Hold(hold.tag, hold.size_bytes)
+            for hold in self._engine.holds(timeout_ms)
+        ]
+
+    def release(self, tags: Sequence[str], timeout_ms: int) -> None:
+        """Release memory, cancelling requests that still run for it.
+
+        :param tags: tags to release.
+        :param timeout_ms: longest wait for each answer.
+        """
+        running = {
+            hold.tag
+            for hold in self._engine.holds(timeout_ms)
+            if hold.is_running
+        }
+        for tag in running.intersection(tags):
+            self._engine.cancel(tag, timeout_ms)
+        self._engine.release(tags, timeout_ms)
+
+
+class OrderedEngine:
+    """Orders part of an engine's client.
+
+    :param engine: client of the engine.
+    :param sender: this member, for the engine's record.
+    """
+
+    def __init__(self, engine: engines.ModelEngine, sender: str) -> None:
+        self._engine = engine
+        self._sender = sender
+
+    def send_order(
+        self, order: orders.Order, fence: int, timeout_ms: int
+    ) -> None:
+        """Give an order.
+
+        :param order: what the engine has to do.
+        :param fence: fencing number of the controller.
+        :param timeout_ms: longest wait.
+        :raises OrderRefused: if the number is too old.
+        """
+        sent = engines.Order(str(order.kind), order.value)
+        if not self._engine.send_order(sent, fence, self._sender, timeout_ms):
+            applied = self._engine.orders(timeout_ms).applied
+            newest = max((entry.fence for entry in applied), default=fence)
+            raise orders.OrderRefused(newest)
+
+    def read_orders(self, timeout_ms: int) -> orders.EngineState:
+        """Read the state back.
+
+        :param timeout_ms: longest wait.
+        """
+        in_force = self._engine.orders(timeout_ms).in_force
+        return orders.EngineState(
+            in_force.get(orders.OrderKind.LOAD_MODEL, ""),
+            in_force.get(orders.OrderKind.LOAD_ADAPTER, ""),
+            in_force.get(orders.OrderKind.SET_ROLE, ""),
+        )
+
+
+def followed_engines(
+    parts: process_parts.Parts,
+) -> dict[str, sweep.Engine]:
+    """Return the model engines that this process follows, by id.
+
+    :param parts: parts of the process.
+    """
+    models = parts.configuration.document.merged("models")
+    return {
+        server.server_id: HoldingEngine(parts.engine_at(server.address))
+        for server in parts.backends.followed()
+        if server.pool in models
+    }
+
+
+def desired_engines(
+    document: documents.Document,
+) -> Mapping[str, orders.DesiredEngine]:
+    """Return the wanted state of each engine.
+
+    :param document: configuration in force.
+    """
+    found = {}
+    for name, entry in document.content("engines").items():
+        checked = settings.with_defaults(entry, schemas.ENGINE)
+        state = orders.EngineState(
+            checked["model"], checked["adapter"], checked["role"]
+        )
+        found[name] = orders.DesiredEngine(state, not checked["ignores_fence"])
+    return found
--- a/packages/entry/src/balsamloom_entry/session.py
+++ b/packages/entry/src/balsamloom_entry/session.py
@@ -14,11 +14,15 @@
 from balsamloom_core import errors, events, identifiers
 from balsamloom_entry import (
     calls,
+    engine_parts,
     forwarding,
     inspection,
     local,
     model_calls,
+    orders,
+    permits,
     router,
+    sweep,
     tool_calls,
     transfers,
 )
@@ -86,6 +90,12 @@
             lambda: self.router.in_progress,
         )
         self.router = self._router()
+        self._sweep = sweep.Sweep(
+            lambda: engine_parts.followed_engines(parts),
+            self.owner.gone_tags,
+            parts.clock,
+        )
+        self._orders = self._order_control()
 
     def join(self) -> None:
         """Enter the partition map and start watching peers.
@@ -96,6 +106,8 @@
         self.owner.join()
         self._map_changed()
         self.liveness.start()
+        self._sweep.start()
+        self._orders.start()
         self.is_joined = True
         threading.Thread(target=self._run, name="session", daemon=True).start()
         events.log(
@@ -120,6 +132,8 @@
         """End the tasks of this session."""
         self._ended.set()
         self.liveness.stop()
+        self._sweep.stop()
+        self._orders.stop()
 
     def heartbeat(self) -> messages.Heartbeat:
         """Return the state that peers are told."""
@@ -193,6 +207,21 @@
             forwarding.Forwarder(self.peers, self.member.member_id),
         )
 
+    def _order_control(self) -> orders.OrderControl:
+        parts = self._parts
+        member_id = self.member.member_id
+        return orders.OrderControl(
+            member_id,
+            parts.store,
+            parts.clock,
+            lambda: self.owner.map,
+            lambda: engine_parts.desired_engines(parts.configuration.document),
+            lambda name: engine_parts.OrderedEngine(
+                parts.engine_at(parts.pools.address_of(name) or ""), member_id
+            ),
+            permits.PermitTable(parts.store, member_id, parts.clock),
+        )
+
     def _run(self) -> None:
         while not self._parts.clock.wait(self._ended, TICK_MS):
             try:
--- a/packages/entry/src/balsamloom_entry/sweep.py
+++ b/packages/entry/src/balsamloom_entry/sweep.py
@@ -9,8 +9,7 @@
 from typing import NamedTuple, Protocol
 
 from balsamloom_core import clock as clocks
-from balsamloom_core import errors, events, identifiers
-from balsamloom_state import partitions
+from balsamloom_core import errors, events
 
 INTERVAL_MS = 3_000
 TICK_MS = 100
@@ -43,15 +42,14 @@
     small pool.
 
     :param engines: returns the followed engines by id.
-    :param gone: returns which of these tags are to be released, see
-        :func:`gone_tags`.
+    :param gone: returns which of these tags are to be released.
     :param clock: source of time.
     """
 
     def __init__(
         self,
         engines: Callable[[], Mapping[str, Engine]],
-        gone: Callable[[Iterable[str]], set[str]],
+        gone: Callable[[Iterable[str]], Iterable[str]],
         clock: clocks.Clock,
     ) -> None:
         self._engines = engines
@@ -145,45 +143,3 @@
                     self._executor.submit(self.run_engine, engine_id, engine)
                 except RuntimeError:
                     return
-
-
-def gone_tags(
-    tags: Iterable[str],
-    current: partitions.PartitionMap,
-    self_id: str,
-    has_program: Callable[[str], bool],
-) -> set[str]:
-    """Return the tags that this member has to release.
-
-    These are tags in partitions that it owns whose program is gone or whose
-    epoch is lower than the partition's. Tags of a higher epoch are kept, as
-    the map seen here is old then; so are tags of another form.
-
-    :param tags: tags of the form ``program_id/epoch/call``.
-    :param current: partition map last seen.
-    :param self_id: own member id.
-    :param has_program: says whether a program is under way here.
-    """
-    return {
-        tag for tag in tags if _is_gone(tag, current, self_id, has_program)
-    }
-
-
-def _is_gone(
-    tag: str,
-    current: partitions.PartitionMap,
-    self_id: str,
-    has_program: Callable[[str], bool],
-) -> bool:
-    program_id, _, rest = tag.partition("/")
-    epoch_text = rest.partition("/")[0]
-    try:
-        partition = identifiers.partition_of(program_id)
-    except errors.BalsamloomError:
-        return False
-    ownership = current.owners.get(partition)
-    if ownership is None or ownership.member_id != self_id:
-        return False
-    if not epoch_text.isdecimal() or int(epoch_text) > ownership.epoch:
-        return False
-    return int(epoch_text) < ownership.epoch or not has_program(program_id)
--- a/packages/state/src/balsamloom_state/holds.py
+++ b/packages/state/src/balsamloom_state/holds.py
@@ -16,13 +16,17 @@
         self._state = state
 
     def is_gone(self, tag: str) -> bool:
-        """Return whether held memory belongs to no call in progress.
+        """Return whether held memory belongs to no program or former owner.
+
+        Memory of a live program is kept between its calls, since the next
+        call uses it again. A tag of a higher epoch is kept, as the partition
+        has moved away then.
 
         :param tag: ``<program_id>/<epoch>/<call>``; false for another form
             and for partitions that are not served here.
         """
         program_id, _, rest = tag.partition("/")
-        epoch_text, _, key = rest.partition("/")
+        epoch_text = rest.partition("/")[0]
         try:
             partition = identifiers.partition_of(program_id)
         except errors.BalsamloomError:
@@ -33,9 +37,8 @@
             or self._state.journal.is_deposed
         ):
             return False
+        if not epoch_text.isdecimal() or int(epoch_text) > state.epoch:
+            return False
         program = self._state.table.get(program_id)
-        if program is None or program.is_ended:
-            return True
-        if epoch_text.isdecimal() and int(epoch_text) < state.epoch:
-            return True
-        return key not in program.holds
+        is_live = program is not None and not program.is_ended
+        return int(epoch_text) < state.epoch or not is_live
