Inject faults into the key-value service's stand-in

Cause: nothing could make the service refuse, hang, slow down, lose an answer or answer from an old revision, and its GET paths other than /v3 failed because CherryPy prepares no body for them. The server took five waiting connections and kept ten open.

A watch that asks for changes no longer kept is cancelled with the oldest revision, and ends when its client has gone.

Conclusion: outages of the store and lost answers can be scripted.

--- a/packages/standins/src/balsamloom_standins/_serving.py
+++ b/packages/standins/src/balsamloom_standins/_serving.py
@@ -2,38 +2,95 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import os
+import select
 import signal
+import socket
 import threading
+import time
 from collections.abc import Callable
 from typing import Any
 
 import cherrypy
 from cheroot import wsgi
 
-DEFAULT_THREADS = 64
+DEFAULT_THREADS = 128
+# The defaults of cheroot, 5 and 10, make several hundred streams wait for
+# repeated SYN packets and close most kept connections.
+LISTEN_BACKLOG = 1024
+KEPT_CONNECTIONS = 2048
+STOP_TIMEOUT_S = 1
+
+_SOCKET = "balsamloom.socket"
 
 JsonHandler = Callable[[dict[str, Any]], Any]
 
 
+class _SocketGateway(wsgi.Gateway_10):
+    """Passes the connection's socket to the handlers."""
+
+    def get_environ(self) -> Any:
+        """Return the WSGI environment with the socket."""
+        environ = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[_SOCKET] = self.req.conn.socket
+        return environ
+
+
 def read_json() -> dict[str, Any]:
     """Return the decoded JSON body of the current request."""
+    if cherrypy.request.method != "POST":
+        # CherryPy does not prepare the body of other methods for reading.
+        return {}
     raw = cherrypy.request.body.read()
     document: dict[str, Any] = json.loads(raw) if raw else {}
     return document
 
 
-def write_json(document: Any, status: int = 200) -> bytes:
+def write_json(
+    document: Any, status: int = 200, retry_after_ms: int | None = None
+) -> bytes:
     """Return a JSON answer for the current request.
 
     :param document: JSON-compatible value.
     :param status: HTTP status.
+    :param retry_after_ms: value of ``Retry-After``, if there is one.
     """
     cherrypy.response.status = status
     cherrypy.response.headers["Content-Type"] = "application/json"
+    if retry_after_ms is not None:
+        seconds = f"{retry_after_ms / 1000:g}"
+        cherrypy.response.headers["Retry-After"] = seconds
     return json.dumps(document).encode()
 
 
+def request_socket() -> socket.socket:
+    """Return the socket of the current request's connection."""
+    found: socket.socket = cherrypy.request.wsgi_environ[_SOCKET]
+    return found
+
+
+def is_closed(connection: socket.socket) -> bool:
+    """Return whether the other side has closed a connection.
+
+    :param connection: connection on which no request is being read.
+    """
+    poll = select.poll()
+    try:
+        poll.register(connection, select.POLLRDHUP)
+        return bool(poll.poll(0))
+    except (OSError, ValueError):
+        return True
+
+
+def drop_connection() -> bytes:
+    """Close the current request's connection without an answer."""
+    with contextlib.suppress(OSError):
+        request_socket().shutdown(socket.SHUT_RDWR)
+    return b""
+
+
 def serve(
     root: object, address: str, threads: int = DEFAULT_THREADS
 ) -> wsgi.Server:
@@ -48,8 +105,15 @@
     application.log.screen = False
     application.log.access_file = ""
     server = wsgi.Server(
-        (host, int(port)), application, numthreads=threads, timeout=60
+        (host, int(port)),
+        application,
+        numthreads=threads,
+        timeout=60,
+        request_queue_size=LISTEN_BACKLOG,
+        shutdown_timeout=STOP_TIMEOUT_S,
     )
+    server.gateway = _SocketGateway
+    server.keep_alive_conn_limit = KEPT_CONNECTIONS
     server.prepare()
     threading.Thread(target=server.serve, daemon=True).start()
     return server
@@ -65,7 +129,7 @@
 
 
 def run_until_signal(server: wsgi.Server) -> None:
-    """Print the address, then wait for SIGTERM or SIGINT and stop the server.
+    """Print the address, then wait for SIGTERM or SIGINT and end the process.
 
     :param server: running server.
     """
@@ -74,4 +138,46 @@
         signal.signal(number, lambda *_: ended.set())
     print(json.dumps({"address": bound_address(server)}), flush=True)
     ended.wait()
-    server.stop()
+    # A stand-in has nothing to save, and its threads may hang on purpose.
+    os._exit(0)
+
+
+class SecondCounts:
+    """Counts of events, in total and for each of the last seconds.
+
+    :param kinds: names of the events.
+    :param seconds: length of the record.
+    """
+
+    def __init__(self, *kinds: str, seconds: int = 120) -> None:
+        self._lock = threading.Lock()
+        self._seconds = seconds
+        self._totals = dict.fromkeys(kinds, 0)
+        self._recent: dict[int, dict[str, int]] = {}
+
+    def add(self, kind: str) -> None:
+        """Count one event."""
+        second = int(time.monotonic())
+        with self._lock:
+            self._totals[kind] += 1
+            counts = self._recent.get(second)
+            if counts is None:
+                counts = dict.fromkeys(self._totals, 0)
+                self._recent[second] = counts
+                self._forget(second - self._seconds)
+            counts[kind] += 1
+
+    def describe(self) -> dict[str, Any]:
+        """Return the totals, and the counts by age in seconds."""
+        now = int(time.monotonic())
+        with self._lock:
+            recent = [
+                {"age_s": now - second, **counts}
+                for second, counts in self._recent.items()
+                if now - second < self._seconds
+            ]
+            return {**self._totals, "seconds": recent}
+
+    def _forget(self, oldest: int) -> None:
+        for second in [key for key in self._recent if key < oldest]:
+            del self._recent[second]
--- a/packages/standins/src/balsamloom_standins/main.py
+++ b/packages/standins/src/balsamloom_standins/main.py
@@ -24,7 +24,8 @@
 @_ADDRESS
 def run_store(address: str) -> None:
     """Serve the key-value service."""
-    _serving.run_until_signal(_serving.serve(store.StoreStandin(), address))
+    server = _serving.serve(store.StoreStandin(), address, store.THREADS)
+    _serving.run_until_signal(server)
 
 
 @main.command("engine")
--- a/packages/standins/src/balsamloom_standins/store.py
+++ b/packages/standins/src/balsamloom_standins/store.py
@@ -1,12 +1,14 @@
 """Stand-in for the key-value service: a subset of the etcd v3 JSON gateway.
 
-Serves range, txn, watch and leases from memory, and counts calls.
+Serves range, txn, watch and leases from memory, counts calls, and injects
+faults: ``POST /faults`` sets them, ``GET /stats`` gives the counts.
 """
 
 from __future__ import annotations
 
 import base64
 import bisect
+import copy
 import dataclasses
 import itertools
 import json
@@ -17,10 +19,16 @@
 
 import cherrypy
 
-from balsamloom_standins import _serving
+from balsamloom_standins import _faults, _serving
 
 WATCH_HEARTBEAT_S = 1.0
 MAX_EVENTS_KEPT = 100_000
+# Hung requests keep their threads, and /faults must still be served.
+THREADS = 512
+
+_READ_MODES = ("refuse", "hang", "slow", "stale_reads")
+_WRITE_MODES = ("refuse", "hang", "slow", "lose_answers")
+_WATCH_MODES = ("refuse", "hang", "slow")
 
 
 @dataclasses.dataclass
@@ -39,12 +47,20 @@
     def __init__(self) -> None:
         self.changed = threading.Condition()
         self.revision = 1
+        self.compact_revision = 0
         self._entries: dict[bytes, Entry] = {}
         self._keys: list[bytes] = []
         self._events: list[tuple[int, str, bytes, Entry | None]] = []
         self._lease_ids = itertools.count(1000)
         self._leases: dict[int, tuple[float, float]] = {}
 
+    def snapshot(self) -> Table:
+        """Return a copy for reading, as of the current revision."""
+        copied = copy.copy(self)
+        copied._entries = dict(self._entries)
+        copied._keys = list(self._keys)
+        return copied
+
     def range(
         self, key: bytes, end: bytes | None, limit: int
     ) -> tuple[list[bytes], bool]:
@@ -75,7 +91,7 @@
     def delete(self, key: bytes) -> None:
         """Remove one key at the current revision."""
         if self._entries.pop(key, None) is not None:
-            self._keys.remove(key)
+            del self._keys[bisect.bisect_left(self._keys, key)]
             self._note("DELETE", key, None)
 
     def events_from(
@@ -126,6 +142,8 @@
         self._events.append((self.revision, kind, key, entry))
         if len(self._events) > MAX_EVENTS_KEPT:
             del self._events[: MAX_EVENTS_KEPT // 2]
+            # Changes of one revision may have been cut apart.
+            self.compact_revision = self._events[0][0] + 1
 
 
 class StoreStandin:
@@ -133,55 +151,85 @@
 
     def __init__(self) -> None:
         self._table = Table()
-        self._counts = {"reads": 0, "writes": 0, "watches": 0}
+        self._stale = self._table
+        self._faults = _faults.Faults()
+        self._counts = _serving.SecondCounts("reads", "writes", "watches")
 
     @cherrypy.expose
     def default(self, *path: str, **_: str) -> Any:
-        """Serve ``/v3/...`` and ``/stats``."""
+        """Serve ``/v3/...``, ``/faults`` and ``/stats``."""
         body = _serving.read_json()
         match path:
             case ("v3", "kv", "range"):
-                return self._answer("reads", self._range, body)
+                return self._read(body)
             case ("v3", "kv", "txn"):
-                return self._answer("writes", self._txn, body)
+                return self._write(self._txn, body)
             case ("v3", "lease", "grant"):
-                return self._answer("writes", self._grant, body)
+                return self._write(self._grant, body)
             case ("v3", "lease", "keepalive"):
-                return self._answer("writes", self._keep, body)
+                return self._write(self._keep, body)
             case ("v3", "lease", "revoke"):
-                return self._answer("writes", self._revoke, body)
+                return self._write(self._revoke, body)
             case ("v3", "watch"):
-                self._counts["watches"] += 1
+                self._counts.add("watches")
+                if self._faults.next(_WATCH_MODES) == "refuse":
+                    return _refusal()
                 return self._watch(body["create_request"])
+            case ("faults",):
+                return self._set_faults(body)
             case ("stats",):
-                return _serving.write_json(self._counts)
+                return _serving.write_json(self._counts.describe())
             case _:
                 return _serving.write_json({"error": "not found"}, 404)
 
     default._cp_config = {"response.stream": True}
 
-    def _answer(
-        self, kind: str, handler: _serving.JsonHandler, body: dict[str, Any]
+    def _set_faults(self, body: dict[str, Any]) -> bytes:
+        if cherrypy.request.method == "POST":
+            with self._table.changed:
+                self._stale = self._table.snapshot()
+            cause = self._faults.set(body)
+            if cause:
+                return _serving.write_json({"error": cause}, 400)
+        return _serving.write_json(self._faults.describe())
+
+    def _read(self, body: dict[str, Any]) -> bytes:
+        self._counts.add("reads")
+        mode = self._faults.next(_READ_MODES)
+        if mode == "refuse":
+            return _refusal()
+        with self._table.changed:
+            self._table.expire()
+            table = self._stale if mode == "stale_reads" else self._table
+            answer = self._range(body, table)
+            answer["header"] = {"revision": str(table.revision)}
+        return _serving.write_json(answer)
+
+    def _write(
+        self, handler: _serving.JsonHandler, body: dict[str, Any]
     ) -> bytes:
+        self._counts.add("writes")
+        mode = self._faults.next(_WRITE_MODES)
+        if mode == "refuse":
+            return _refusal()
         with self._table.changed:
-            self._counts[kind] += 1
             self._table.expire()
             answer = handler(body)
             answer["header"] = {"revision": str(self._table.revision)}
             self._table.changed.notify_all()
+        if mode == "lose_answers":
+            return _serving.drop_connection()
         return _serving.write_json(answer)
 
-    def _range(self, body: dict[str, Any]) -> dict[str, Any]:
+    def _range(self, body: dict[str, Any], table: Table) -> dict[str, Any]:
         end = (
             base64.b64decode(body["range_end"])
             if body.get("range_end")
             else None
         )
         limit = int(body.get("limit", 0))
-        keys, more = self._table.range(
-            base64.b64decode(body["key"]), end, limit
-        )
-        return {"kvs": [self._encoded(key) for key in keys], "more": more}
+        keys, more = table.range(base64.b64decode(body["key"]), end, limit)
+        return {"kvs": [_encoded(table, key) for key in keys], "more": more}
 
     def _txn(self, body: dict[str, Any]) -> dict[str, Any]:
         holds = all(
@@ -214,7 +262,11 @@
                 base64.b64decode(operation["request_delete_range"]["key"])
             )
             return {"response_delete_range": {}}
-        return {"response_range": self._range(operation["request_range"])}
+        return {
+            "response_range": self._range(
+                operation["request_range"], self._table
+            )
+        }
 
     def _grant(self, body: dict[str, Any]) -> dict[str, Any]:
         ttl_s = float(body["TTL"])
@@ -228,11 +280,6 @@
         self._table.revoke(int(body["ID"]))
         return {}
 
-    def _encoded(self, key: bytes) -> dict[str, Any]:
-        entry = self._table.entry(key)
-        assert entry is not None
-        return _encoded_entry(key, entry)
-
     def _watch(self, request: dict[str, Any]) -> Iterator[bytes]:
         key = base64.b64decode(request["key"])
         end = base64.b64decode(request.get("range_end", "")) or key + b"\0"
@@ -240,12 +287,21 @@
             int(request.get("start_revision", 0)) or self._table.revision + 1
         )
         yield json.dumps({"result": {"created": True}}).encode() + b"\n"
-        while True:
+        connection = _serving.request_socket()
+        while self._faults.mode != "refuse":
+            if _serving.is_closed(connection):
+                return
             with self._table.changed:
                 found = self._table.events_from(revision)
                 if not found:
                     self._table.changed.wait(WATCH_HEARTBEAT_S)
                     found = self._table.events_from(revision)
+                oldest = self._table.compact_revision
+            self._faults.wait_while_hung()
+            if revision < oldest:
+                cancelled = {"canceled": True, "compact_revision": str(oldest)}
+                yield json.dumps({"result": cancelled}).encode() + b"\n"
+                return
             if found:
                 revision = found[-1][0] + 1
             events = [
@@ -259,6 +315,16 @@
                 )
 
 
+def _refusal() -> bytes:
+    return _serving.write_json({"error": "unavailable", "code": 14}, 503)
+
+
+def _encoded(table: Table, key: bytes) -> dict[str, Any]:
+    entry = table.entry(key)
+    assert entry is not None
+    return _encoded_entry(key, entry)
+
+
 def _encoded_entry(key: bytes, entry: Entry) -> dict[str, Any]:
     return {
         "key": base64.b64encode(key).decode(),
--- /dev/null
+++ b/packages/standins/tests/builders.py
@@ -0,0 +1,30 @@
+"""Stand-in processes, and requests to them."""
+
+import urllib3
+
+from balsamloom_platform import store as stores
+from balsamloom_standins import fleet
+
+
+def serve(test, kind, *options):
+    # A process of its own: its threads may hang on purpose.
+    started = fleet.Fleet()
+    test.addCleanup(started.stop)
+    return started.standin(kind, *options).address
+
+
+def send(address, method, path, body=None, headers=None):
+    with urllib3.PoolManager(retries=False) as pool:
+        return pool.request(
+            method, f"http://{address}{path}", json=body, headers=headers
+        )
+
+
+def store_with_client(test):
+    address = serve(test, "store")
+    return address, stores.EtcdGateway(address)
+
+
+def set_fault(address, **fault):
+    response = send(address, "POST", "/faults", fault)
+    assert response.status == 200, response.data
