Serve batches, caches, holds and orders in the engine stand-in

Cause: the stand-in slept once for each token of each stream, had no prefix cache, holds, orders or cancel, and noticed a closed stream only when a later write failed.

Change: one thread makes the tokens of all requests; a step takes longer the more run. Closed streams are found by one poll call for all sockets, every 20 ms at the latest, also while a request waits. Adds priorities, an LRU prefix cache with counts of tokens computed again, tagged holds, late load reports and cache events, draining and orders with fences.

--- a/packages/standins/src/balsamloom_standins/_serving.py
+++ b/packages/standins/src/balsamloom_standins/_serving.py
@@ -84,10 +84,18 @@
         return True
 
 
+def close(connection: socket.socket) -> None:
+    """Close a connection in both directions.
+
+    :param connection: connection of a request.
+    """
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
+
+
 def drop_connection() -> bytes:
     """Close the current request's connection without an answer."""
-    with contextlib.suppress(OSError):
-        request_socket().shutdown(socket.SHUT_RDWR)
+    close(request_socket())
     return b""
 
 
--- a/packages/standins/src/balsamloom_standins/engine.py
+++ b/packages/standins/src/balsamloom_standins/engine.py
@@ -1,8 +1,20 @@
-"""Stand-in for a model engine: streamed chat completions at a set speed."""
+"""Stand-in for a model engine: continuous batching at a set speed.
+
+One thread generates the tokens of all requests. Each step gives one token to
+every running request, and takes longer the more of them there are.
+"""
 
 from __future__ import annotations
 
+import collections
+import dataclasses
+import heapq
+import itertools
 import json
+import pathlib
+import queue
+import select
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -10,67 +22,421 @@
 
 import cherrypy
 
-from balsamloom_standins import _serving
+from balsamloom_standins import _cache, _serving
 
 DEFAULT_MAX_TOKENS = 16
+DEFAULT_PRIORITY = 0
+THREADS = 640
+# Closed streams are found once a tick, also when no token is due.
+TICK_S = 0.02
+
+
+@dataclasses.dataclass
+class Speed:
+    """Speed and limits; ``POST /control`` changes them at run time.
+
+    :param token_ms: time of a step with one running request.
+    :param batch_growth: share of ``token_ms`` added by each further request.
+    :param prefill_ms: time for 1,000 prompt tokens that are not cached.
+    :param slots: requests served at a time.
+    :param slowdown: factor on all times.
+    :param max_waiting: waiting requests after which more are refused.
+    :param load_delay_ms: age of the load report.
+    :param cache_delay_ms: age of the cache events.
+    :param state: serving or draining.
+    :param enforces_fence: whether orders with an old fence are rejected.
+    """
+
+    token_ms: float = 5.0
+    batch_growth: float = 0.03
+    prefill_ms: float = 20.0
+    slots: int = 8
+    slowdown: float = 1.0
+    max_waiting: int = 1_000
+    load_delay_ms: float = 0.0
+    cache_delay_ms: float = 0.0
+    state: str = "serving"
+    enforces_fence: bool = True
+
+
+class Request:
+    """A chat request under way.
+
+    :param body: decoded JSON of the request.
+    :param tag: tag of its memory.
+    :param connection: socket whose closing cancels the request.
+    """
+
+    def __init__(
+        self, body: dict[str, Any], tag: str, connection: socket.socket
+    ) -> None:
+        self.messages: list[dict[str, Any]] = body.get("messages", [])
+        self.max_tokens = int(body.get("max_tokens", DEFAULT_MAX_TOKENS))
+        self.priority = float(body.get("priority", DEFAULT_PRIORITY))
+        self.tag = tag
+        self.descriptor = connection.fileno()
+        self.blocks = _cache.blocks_of(self.messages)
+        self.ready_s = 0.0
+        self.made = 0
+        self.is_ended = False
+        # Numbers of tokens; none says that the request has ended.
+        self.tokens: queue.SimpleQueue[int | None] = queue.SimpleQueue()
+
+    @property
+    def text(self) -> str:
+        """Return the answer generated so far."""
+        return "".join(f"t{number} " for number in range(self.made))
+
+
+class Batch:
+    """Waiting and running requests, with the thread that serves them.
+
+    :param speed: speed and limits.
+    :param cache: prefix cache.
+    :param holds: memory held by tag.
+    :param token_bytes: engine memory of one token.
+    """
+
+    def __init__(
+        self,
+        speed: Speed,
+        cache: _cache.PrefixCache,
+        holds: _cache.Holds,
+        token_bytes: int,
+    ) -> None:
+        self.lock = threading.Condition()
+        self.speed = speed
+        self.cache = cache
+        self.holds = holds
+        self.cancelled = 0
+        self._token_bytes = token_bytes
+        self._numbers = itertools.count()
+        self._waiting: list[tuple[float, int, Request]] = []
+        self._running: dict[int, Request] = {}
+        self._poll = select.poll()
+        self._recent: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._reports: collections.deque[tuple[float, dict[str, Any]]] = (
+            collections.deque(maxlen=10_000)
+        )
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def submit(self, request: Request) -> bool:
+        """Take a request; false if too many are waiting."""
+        with self.lock:
+            if len(self._waiting) >= self.speed.max_waiting:
+                return False
+            self._poll.register(request.descriptor, select.POLLRDHUP)
+            self.holds.start(request.tag, 0)
+            entry = (request.priority, next(self._numbers), request)
+            heapq.heappush(self._waiting, entry)
+            self.lock.notify()
+            return True
+
+    def cancel(self, tag_prefix: str) -> int:
+        """Cancel the requests whose tag starts with a text."""
+        with self.lock:
+            return self._cancel(
+                lambda request: request.tag.startswith(tag_prefix)
+            )
+
+    def finish(self, request: Request) -> None:
+        """End a request whose stream has ended; may be called again."""
+        with self.lock:
+            self._end(request)
+
+    def report(self) -> dict[str, Any]:
+        """Return the load report, as old as the settings say."""
+        with self.lock:
+            limit_s = time.monotonic() - self.speed.load_delay_ms / 1000
+            while len(self._reports) > 1 and self._reports[1][0] <= limit_s:
+                self._reports.popleft()
+            if not self.speed.load_delay_ms or not self._reports:
+                return self._measure()
+            at_s, found = self._reports[0]
+            age_ms = (time.monotonic() - at_s) * 1000
+            return {**found, "age_ms": age_ms}
+
+    def _run(self) -> None:
+        next_s = time.monotonic()
+        while True:
+            with self.lock:
+                if not self._running and not self._waiting:
+                    self._note_report()
+                    self.lock.wait(1.0)
+                    next_s = time.monotonic()
+                self._drop_closed()
+                self._start_waiting()
+                now_s = time.monotonic()
+                if now_s >= next_s:
+                    self._step(now_s)
+                    self._note_report()
+                    # A step that comes late is not made up for by a burst.
+                    next_s = max(next_s + self._step_s(), now_s)
+            time.sleep(min(max(next_s - time.monotonic(), 0.0005), TICK_S))
+
+    def _step_s(self) -> float:
+        speed = self.speed
+        others = max(len(self._running) - 1, 0)
+        factor = (1 + speed.batch_growth * others) * speed.slowdown
+        return speed.token_ms * factor / 1000
+
+    def _start_waiting(self) -> None:
+        while self._waiting and len(self._running) < self.speed.slots:
+            _, number, request = heapq.heappop(self._waiting)
+            if request.is_ended:
+                continue
+            computed = self.cache.admit(request.blocks)
+            prompt = sum(block.tokens for block in request.blocks)
+            size_bytes = (prompt + request.max_tokens) * self._token_bytes
+            self.holds.start(request.tag, size_bytes)
+            self.holds.end(request.tag)
+            prefill_s = self.speed.prefill_ms * computed / 1_000_000
+            request.ready_s = (
+                time.monotonic() + prefill_s * self.speed.slowdown
+            )
+            self._running[number] = request
+
+    def _step(self, now_s: float) -> None:
+        made = 0
+        for number, request in list(self._running.items()):
+            if request.is_ended:
+                del self._running[number]
+                continue
+            if request.ready_s > now_s:
+                continue
+            request.tokens.put(request.made)
+            request.made += 1
+            made += 1
+            if request.made >= request.max_tokens:
+                self._keep_answer(request)
+                self._end(request)
+                del self._running[number]
+        self._recent.append((now_s, made))
+
+    def _keep_answer(self, request: Request) -> None:
+        answer = {"role": "assistant", "content": request.text}
+        blocks = _cache.blocks_of([*request.messages, answer])
+        self.cache.add_answer(blocks)
+
+    def _end(self, request: Request) -> None:
+        if request.is_ended:
+            return
+        request.is_ended = True
+        self._poll.unregister(request.descriptor)
+        self.holds.end(request.tag)
+        request.tokens.put(None)
+
+    def _drop_closed(self) -> None:
+        closed = {descriptor for descriptor, _ in self._poll.poll(0)}
+        if closed:
+            self._cancel(lambda request: request.descriptor in closed)
+
+    def _cancel(self, matches: Any) -> int:
+        waiting = [entry[2] for entry in self._waiting]
+        found = [
+            request
+            for request in [*waiting, *self._running.values()]
+            if not request.is_ended and matches(request)
+        ]
+        for request in found:
+            self._end(request)
+        self.cancelled += len(found)
+        self._waiting = [
+            entry for entry in self._waiting if not entry[2].is_ended
+        ]
+        heapq.heapify(self._waiting)
+        for number, request in list(self._running.items()):
+            if request.is_ended:
+                del self._running[number]
+        return len(found)
+
+    def _note_report(self) -> None:
+        now_s = time.monotonic()
+        if not self._reports or now_s - self._reports[-1][0] >= TICK_S:
+            self._reports.append((now_s, self._measure()))
+
+    def _measure(self) -> dict[str, Any]:
+        oldest_s = time.monotonic() - 1
+        while self._recent and self._recent[0][0] < oldest_s:
+            self._recent.popleft()
+        return {
+            "running": len(self._running),
+            "waiting": len(self._waiting),
+            "tokens_per_s": sum(made for _, made in self._recent),
+            "state": self.speed.state,
+            "age_ms": 0,
+        }
 
 
 class EngineStandin:
     """CherryPy handlers of a model engine.
 
-    :param token_ms: time to generate one token.
-    :param slots: requests served at a time.
+    :param speed: speed and limits.
+    :param cache_tokens: size of the prefix cache.
+    :param hold_ttl_ms: time that ended requests keep their memory.
+    :param token_bytes: engine memory of one token.
+    :param history_path: file shared with other engines to count what is
+        computed again.
     """
 
-    def __init__(self, token_ms: float = 5.0, slots: int = 8) -> None:
-        self._token_ms = token_ms
-        self._slots = threading.Semaphore(slots)
-        self._running = 0
+    def __init__(
+        self,
+        speed: Speed | None = None,
+        cache_tokens: int = 200_000,
+        hold_ttl_ms: float = 600_000,
+        token_bytes: int = 1_000,
+        history_path: pathlib.Path | None = None,
+    ) -> None:
+        self._speed = speed or Speed()
+        history = _cache.History(history_path)
+        self._batch = Batch(
+            self._speed,
+            _cache.PrefixCache(cache_tokens, history),
+            _cache.Holds(hold_ttl_ms),
+            token_bytes,
+        )
+        self._orders: list[dict[str, Any]] = []
+        self._rejected: list[dict[str, Any]] = []
 
     @cherrypy.expose
-    def default(self, *path: str, **_: str) -> Any:
+    def default(self, *path: str, **query: str) -> Any:
         """Serve the engine's paths."""
         body = _serving.read_json()
-        match path:
-            case ("v1", "chat", "completions"):
-                cherrypy.response.headers["Content-Type"] = "text/event-stream"
-                return self._stream(body)
-            case ("load",):
-                return _serving.write_json(
-                    {"running": self._running, "state": "serving"}
-                )
+        match (cherrypy.request.method, *path):
+            case ("POST", "v1", "chat", "completions"):
+                return self._chat(body)
+            case ("POST", "v1", "cancel"):
+                number = self._batch.cancel(body["tag_prefix"])
+                return _serving.write_json({"cancelled": number})
+            case ("GET", "load"):
+                return _serving.write_json(self._batch.report())
+            case ("GET", "holds"):
+                with self._batch.lock:
+                    holds = self._batch.holds.describe()
+                return _serving.write_json({"holds": holds})
+            case ("POST", "holds", "release"):
+                with self._batch.lock:
+                    number = self._batch.holds.release(body["tags"])
+                return _serving.write_json({"released": number})
+            case ("GET", "cache", "events"):
+                return self._cache_events(int(query.get("after", 0)))
+            case ("POST", "orders"):
+                return self._order(body)
+            case ("GET", "orders"):
+                return self._read_orders()
+            case ("GET", "stats"):
+                with self._batch.lock:
+                    counts = dict(self._batch.cache.counts)
+                    counts["cancelled"] = self._batch.cancelled
+                return _serving.write_json(counts)
+            case ("POST", "control"):
+                return self._control(body)
             case _:
                 return _serving.write_json({"error": "not found"}, 404)
 
     default._cp_config = {"response.stream": True}
 
-    def _stream(self, body: dict[str, Any]) -> Iterator[bytes]:
-        tokens = int(body.get("max_tokens", DEFAULT_MAX_TOKENS))
-        with self._slots:
-            self._running += 1
-            try:
-                for number in range(tokens):
-                    time.sleep(self._token_ms / 1000)
-                    yield _event(
-                        {
-                            "choices": [
-                                {
-                                    "index": 0,
-                                    "delta": {"content": f"t{number} "},
-                                }
-                            ]
-                        }
-                    )
-                usage = {"completion_tokens": tokens}
-                last = {
-                    "choices": [
-                        {"index": 0, "delta": {}, "finish_reason": "length"}
-                    ]
-                }
-                yield _event({**last, "usage": usage})
-                yield b"data: [DONE]\n\n"
-            finally:
-                self._running -= 1
+    def _chat(self, body: dict[str, Any]) -> Any:
+        if self._speed.state == "draining":
+            return _refusal("draining", 503)
+        tag = cherrypy.request.headers.get("X-Request-Tag", "")
+        connection = _serving.request_socket()
+        request = Request(body, tag, connection)
+        if not self._batch.submit(request):
+            return _refusal("overloaded", 429)
+        cherrypy.response.headers["Content-Type"] = "text/event-stream"
+        return self._stream(request, connection)
+
+    def _stream(
+        self, request: Request, connection: socket.socket
+    ) -> Iterator[bytes]:
+        try:
+            is_open = True
+            while is_open:
+                numbers = [request.tokens.get()]
+                while not request.tokens.empty():
+                    numbers.append(request.tokens.get())
+                is_open = numbers[-1] is not None
+                events = [
+                    _token_event(number)
+                    for number in numbers
+                    if number is not None
+                ]
+                if events:
+                    yield b"".join(events)
+            if request.made >= request.max_tokens:
+                yield _closing_events(request)
+            else:
+                # A cancelled stream has no closing event.
+                _serving.close(connection)
+        finally:
+            self._batch.finish(request)
+
+    def _cache_events(self, after: int) -> bytes:
+        delay_s = self._speed.cache_delay_ms / 1000
+        newest_s = time.monotonic() - delay_s
+        with self._batch.lock:
+            found = [
+                {key: value for key, value in event.items() if key != "at_s"}
+                for event in self._batch.cache.events
+                if event["number"] > after and event["at_s"] <= newest_s
+            ]
+        return _serving.write_json({"events": found})
+
+    def _order(self, body: dict[str, Any]) -> bytes:
+        with self._batch.lock:
+            highest = max(
+                (order["fence"] for order in self._orders), default=0
+            )
+            if self._speed.enforces_fence and body["fence"] < highest:
+                self._rejected.append(body)
+                return _serving.write_json({"fence": highest}, 409)
+            self._orders.append(body)
+        return _serving.write_json({"fence": body["fence"]})
+
+    def _read_orders(self) -> bytes:
+        with self._batch.lock:
+            in_force = {
+                order["kind"]: order["value"] for order in self._orders
+            }
+            answer = {
+                "applied": self._orders,
+                "rejected": self._rejected,
+                "in_force": in_force,
+            }
+            return _serving.write_json(answer)
+
+    def _control(self, body: dict[str, Any]) -> bytes:
+        known = dataclasses.asdict(self._speed)
+        unknown = sorted(set(body) - set(known))
+        if unknown:
+            message = f"unknown {unknown}; use {sorted(known)}"
+            return _serving.write_json({"error": message}, 400)
+        with self._batch.lock:
+            for name, value in body.items():
+                setattr(self._speed, name, value)
+            return _serving.write_json(dataclasses.asdict(self._speed))
+
+
+def _refusal(code: str, status: int) -> bytes:
+    document = {"error": {"code": code}}
+    return _serving.write_json(document, status, retry_after_ms=1_000)
+
+
+def _token_event(number: int) -> bytes:
+    delta = {"content": f"t{number} "}
+    return _event({"choices": [{"index": 0, "delta": delta}]})
+
+
+def _closing_events(request: Request) -> bytes:
+    usage = {
+        "prompt_tokens": sum(block.tokens for block in request.blocks),
+        "completion_tokens": request.made,
+    }
+    choice = {"index": 0, "delta": {}, "finish_reason": "length"}
+    return _event({"choices": [choice], "usage": usage}) + b"data: [DONE]\n\n"
 
 
 def _event(body: dict[str, Any]) -> bytes:
--- a/packages/standins/src/balsamloom_standins/main.py
+++ b/packages/standins/src/balsamloom_standins/main.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pathlib
+
 import click
 
 from balsamloom_standins import _serving, engine, store, tools
@@ -36,11 +38,53 @@
 @click.option(
     "--slots", default=8, show_default=True, help="Requests served at a time."
 )
-def run_engine(address: str, token_ms: float, slots: int) -> None:
+@click.option(
+    "--prefill-ms",
+    default=20.0,
+    show_default=True,
+    help="Time for 1,000 prompt tokens.",
+)
+@click.option(
+    "--cache-tokens",
+    default=200_000,
+    show_default=True,
+    help="Size of the prefix cache.",
+)
+@click.option(
+    "--hold-ttl-ms",
+    default=600_000.0,
+    show_default=True,
+    help="Time that ended requests keep their memory.",
+)
+@click.option(
+    "--history",
+    type=click.Path(path_type=pathlib.Path),
+    help="File shared by engines to count what is computed again.",
+)
+@click.option(
+    "--ignore-fence", is_flag=True, help="Apply orders with an old fence."
+)
+def run_engine(
+    address: str,
+    token_ms: float,
+    slots: int,
+    prefill_ms: float,
+    cache_tokens: int,
+    hold_ttl_ms: float,
+    history: pathlib.Path | None,
+    ignore_fence: bool,
+) -> None:
     """Serve a model engine."""
-    _serving.run_until_signal(
-        _serving.serve(engine.EngineStandin(token_ms, slots), address)
+    speed = engine.Speed(
+        token_ms=token_ms,
+        slots=slots,
+        prefill_ms=prefill_ms,
+        enforces_fence=not ignore_fence,
+    )
+    root = engine.EngineStandin(
+        speed, cache_tokens, hold_ttl_ms, history_path=history
     )
+    _serving.run_until_signal(_serving.serve(root, address, engine.THREADS))
 
 
 @main.command("tools")
--- a/packages/standins/tests/builders.py
+++ b/packages/standins/tests/builders.py
@@ -1,5 +1,7 @@
 """Stand-in processes, and requests to them."""
 
+import time
+
 import urllib3
 
 from balsamloom_platform import store as stores
@@ -28,3 +30,19 @@
 def set_fault(address, **fault):
     response = send(address, "POST", "/faults", fault)
     assert response.status == 200, response.data
+
+
+def chat(engine, max_tokens, tag="p1/1/c", priority=0, content="hello"):
+    body = {
+        "messages": [{"role": "user", "content": content}],
+        "max_tokens": max_tokens,
+        "priority": priority,
+    }
+    return engine.chat(body, tag, 1_000, 10_000)
+
+
+def until(test, check, timeout_s=5):
+    end_s = time.monotonic() + timeout_s
+    while not check():
+        test.assertLess(time.monotonic(), end_s, "condition never held")
+        time.sleep(0.01)
--- /dev/null
+++ b/packages/standins/tests/test_engine.py
@@ -0,0 +1,115 @@
+"""Tests of the model engine's stand-in through the real client."""
+
+import threading
+import unittest
+
+import builders
+import urllib3
+
+from balsamloom_core import results
+from balsamloom_platform import engines
+
+
+class EngineTest(unittest.TestCase):
+    def start(self, *options):
+        self.address = builders.serve(self, "engine", *options)
+        self.engine = engines.Engine(self.address, urllib3.PoolManager())
+
+    def finish(self, stream):
+        count = sum(len(batch) for batch in stream.batches())
+        self.assertTrue(stream.is_whole)
+        return count
+
+    def control(self, **changes):
+        found = builders.send(self.address, "POST", "/control", changes)
+        self.assertEqual(found.status, 200)
+
+    def stats(self):
+        return builders.send(self.address, "GET", "/stats").json()
+
+    def test_a_closed_stream_frees_its_slot_and_leaves_its_hold(self):
+        """Guards against leaks that the sweep's tests would not see."""
+        self.start("--slots", "1", "--token-ms", "20")
+        stream = builders.chat(self.engine, 100_000, "p1/1/a")
+        next(stream.batches())
+        stream.close()
+        builders.until(self, lambda: self.engine.load().running == 0)
+        held = self.engine.holds()
+        self.assertEqual([hold.tag for hold in held], ["p1/1/a"])
+        self.assertGreater(held[0].size_bytes, 0)
+        self.assertEqual(self.engine.release(["p1/1/a"]), 1)
+        self.assertEqual(self.engine.holds(), [])
+
+    def test_cancel_cuts_the_stream(self):
+        """Guards against a cancelled answer taken for a whole one."""
+        self.start()
+        stream = builders.chat(self.engine, 100_000, "p1/1/a")
+        batches = stream.batches()
+        next(batches)
+        self.assertEqual(self.engine.cancel("p1/"), 1)
+        with self.assertRaises(engines.EngineError):
+            list(batches)
+        self.assertFalse(stream.is_whole)
+
+    def test_a_lower_priority_number_goes_first(self):
+        """Guards against measurements of an engine that ignores priority."""
+        self.start("--slots", "1")
+        first = builders.chat(self.engine, 100_000, "p1/1/a")
+        order = []
+
+        def run(name, priority):
+            stream = builders.chat(self.engine, 3, f"{name}/1/a", priority)
+            self.finish(stream)
+            order.append(name)
+
+        threads = []
+        for number, (name, priority) in enumerate((("p2", 5), ("p3", 1))):
+            thread = threading.Thread(target=run, args=(name, priority))
+            thread.start()
+            threads.append(thread)
+            builders.until(
+                self,
+                lambda wanted=number + 1: self.engine.load().waiting == wanted,
+            )
+        first.close()
+        for thread in threads:
+            thread.join(5)
+        self.assertEqual(order, ["p3", "p2"])
+
+    def test_a_repeated_prefix_is_a_hit_until_it_is_evicted(self):
+        """Guards against wrong counts of tokens computed again."""
+        self.start("--cache-tokens", "110")
+        for content in ("a" * 400, "a" * 400, "b" * 400, "a" * 400):
+            self.finish(builders.chat(self.engine, 2, content=content))
+        stats = self.stats()
+        self.assertEqual(stats["hit"], 100)
+        self.assertEqual(stats["computed"], 300)
+        self.assertEqual(stats["recomputed"], 100)
+        kinds = {event.kind for event in self.engine.cache_events(0)}
+        self.assertEqual(kinds, {"stored", "evicted"})
+
+    def test_a_draining_engine_finishes_and_takes_no_new_work(self):
+        """Guards against planned stops that cut off streams."""
+        self.start()
+        stream = builders.chat(self.engine, 40)
+        self.control(state="draining")
+        with self.assertRaises(engines.EngineError) as caught:
+            builders.chat(self.engine, 1)
+        code = results.ResultCode.NO_BACKEND_SERVER
+        self.assertIs(caught.exception.code, code)
+        self.assertEqual(self.finish(stream), 41)
+        self.assertTrue(self.engine.load().is_draining)
+
+    def test_fences_are_enforced_only_if_set(self):
+        """Guards against tests of fencing that no engine can fail."""
+        order = engines.Order("set_role", "prefill")
+        self.start()
+        self.assertTrue(self.engine.send_order(order, 2, "new"))
+        self.assertFalse(self.engine.send_order(order, 1, "old"))
+        self.control(enforces_fence=False)
+        self.assertTrue(self.engine.send_order(order, 1, "old"))
+        applied = self.engine.orders().applied
+        self.assertEqual(
+            [(entry.fence, entry.sender) for entry in applied],
+            [(2, "new"), (1, "old")],
+        )
