Add the host list's stand-in and record the order of tool runs

Cause: there was no stand-in for the host list and the weight store, and the tools' stand-in could not hang, fail, refuse or show the order of a program's operations.

Change: POST /control sets mode and duration of tools, GET /order gives starts and ends per program. The command "hosts" serves the host list with a settable age and the rate-limited weight store.

Conclusion: runs out of order and second runs are visible to tests.

--- a/packages/standins/src/balsamloom_standins/main.py
+++ b/packages/standins/src/balsamloom_standins/main.py
@@ -6,7 +6,7 @@
 
 import click
 
-from balsamloom_standins import _serving, engine, store, tools
+from balsamloom_standins import _serving, engine, hosts, store, tools
 
 _ADDRESS = click.option(
     "--address",
@@ -97,6 +97,27 @@
 )
 def run_tools(address: str, duration_ms: float) -> None:
     """Serve a tool service."""
-    _serving.run_until_signal(
-        _serving.serve(tools.ToolStandin(duration_ms), address)
-    )
+    root = tools.ToolStandin(duration_ms)
+    _serving.run_until_signal(_serving.serve(root, address, tools.THREADS))
+
+
+@main.command("hosts")
+@_ADDRESS
+@click.option(
+    "--lag-ms", default=0.0, show_default=True, help="Age of the host list."
+)
+@click.option(
+    "--fetches-per-s",
+    default=1.0,
+    show_default=True,
+    help="Rate limit of the weight store.",
+)
+@click.option(
+    "--burst", default=2.0, show_default=True, help="Fetches taken at once."
+)
+def run_hosts(
+    address: str, lag_ms: float, fetches_per_s: float, burst: float
+) -> None:
+    """Serve the host list and the weight store."""
+    root = hosts.HostsStandin(lag_ms, fetches_per_s, burst)
+    _serving.run_until_signal(_serving.serve(root, address))
--- a/packages/standins/src/balsamloom_standins/tools.py
+++ b/packages/standins/src/balsamloom_standins/tools.py
@@ -1,8 +1,9 @@
-"""Stand-in for tool services: counts the runs of each idempotency key."""
+"""Stand-in for tool services: records the runs of each idempotency key."""
 
 from __future__ import annotations
 
 import collections
+import dataclasses
 import threading
 import time
 from typing import Any
@@ -11,6 +12,27 @@
 
 from balsamloom_standins import _serving
 
+MODES = ("none", "hang", "error", "refuse")
+# Hung operations keep their threads, and /control must still be served.
+THREADS = 512
+
+
+@dataclasses.dataclass
+class Behaviour:
+    """What operations do; ``POST /control`` changes it.
+
+    :param mode: one of :data:`MODES`. A hung operation has run, and answers
+        when the mode changes. An error comes after the run. A refusal comes
+        before it.
+    :param duration_ms: time that one operation takes.
+    :param left: number of operations that ``error`` or ``refuse`` affects,
+        zero for all; ``hang`` affects all until the mode changes.
+    """
+
+    mode: str = "none"
+    duration_ms: float = 5.0
+    left: int = 0
+
 
 class ToolStandin:
     """CherryPy handlers of a tool service.
@@ -19,22 +41,76 @@
     """
 
     def __init__(self, duration_ms: float = 5.0) -> None:
-        self._duration_ms = duration_ms
-        self._lock = threading.Lock()
+        self._behaviour = Behaviour(duration_ms=duration_ms)
+        self._changed = threading.Condition()
         self._runs: collections.Counter[str] = collections.Counter()
+        self._programs: dict[str, list[list[str]]] = {}
 
     @cherrypy.expose
     def default(self, *path: str, **_: str) -> Any:
-        """Run an operation, or give the count of runs at ``/runs``."""
-        if path == ("runs",):
-            with self._lock:
-                return _serving.write_json(dict(self._runs))
+        """Run an operation, or serve ``/runs``, ``/order`` or ``/control``.
+
+        ``/runs`` gives the number of runs of each key, ``/order`` the starts
+        and ends of each program's operations in order.
+        """
         body = _serving.read_json()
-        key = cherrypy.request.headers.get("Idempotency-Key", "")
-        with self._lock:
+        match (cherrypy.request.method, *path):
+            case ("GET", "runs"):
+                with self._changed:
+                    return _serving.write_json(dict(self._runs))
+            case ("GET", "order"):
+                with self._changed:
+                    return _serving.write_json(self._programs)
+            case ("POST", "control"):
+                return self._control(body)
+            case ("POST", *_):
+                return self._run("/".join(path), body)
+            case _:
+                return _serving.write_json({"error": "not found"}, 404)
+
+    def _control(self, body: dict[str, Any]) -> bytes:
+        known = dataclasses.asdict(self._behaviour)
+        unknown = sorted(set(body) - set(known))
+        if unknown or body.get("mode", "none") not in MODES:
+            message = f"use {sorted(known)}; mode is one of {MODES}"
+            return _serving.write_json({"error": message}, 400)
+        with self._changed:
+            self._behaviour = dataclasses.replace(self._behaviour, **body)
+            self._changed.notify_all()
+            return _serving.write_json(dataclasses.asdict(self._behaviour))
+
+    def _run(self, operation: str, body: dict[str, Any]) -> bytes:
+        headers = cherrypy.request.headers
+        key = headers.get("Idempotency-Key", "")
+        program_id = headers.get("X-Program-Id", "")
+        with self._changed:
+            mode, duration_ms = self._next()
+            if mode == "refuse":
+                document = {"not_run": True, "retry_after_ms": 100}
+                return _serving.write_json(document, 503, 100)
             self._runs[key] += 1
             runs = self._runs[key]
-        time.sleep(self._duration_ms / 1000)
+            self._note(program_id, "start", key)
+            if mode == "hang":
+                self._changed.wait_for(lambda: self._behaviour.mode != "hang")
+        time.sleep(duration_ms / 1000)
+        with self._changed:
+            self._note(program_id, "end", key)
+        if mode == "error":
+            return _serving.write_json({"error": "failed"}, 500)
         return _serving.write_json(
-            {"operation": "/".join(path), "input": body, "runs": runs}
+            {"operation": operation, "input": body, "runs": runs}
         )
+
+    def _next(self) -> tuple[str, float]:
+        behaviour = self._behaviour
+        mode = behaviour.mode
+        if mode in ("error", "refuse") and behaviour.left:
+            behaviour.left -= 1
+            if behaviour.left == 0:
+                behaviour.mode = "none"
+        return mode, behaviour.duration_ms
+
+    def _note(self, program_id: str, what: str, key: str) -> None:
+        if program_id:
+            self._programs.setdefault(program_id, []).append([what, key])
