--- a/packages/state/src/balsamloom_state/journal.py
+++ b/packages/state/src/balsamloom_state/journal.py
@@ -9,72 +9,28 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 import secrets
 import threading
 from collections.abc import Callable, Sequence
-from typing import Any, NamedTuple
+from typing import Any
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import errors, events, results
 from balsamloom_platform import store as stores
-from balsamloom_state import pacing, records_pb2, sealed, segments
+from balsamloom_state import batches, pacing, records_pb2, sealed, segments
 
 DEFAULT_COMMITS_PER_S = 3.5
 DEFAULT_BURST = 8
-# The store takes values of 1 MB; the rest is room for what compression and
-# the segment's own fields add.
-MAX_BATCH_BYTES = 700_000
 IDLE_WAIT_MS = 1_000
 
 
-@dataclasses.dataclass(frozen=True)
-class Durable:
-    """The records are in the store."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Pending:
-    """The records are not durable yet; the journal goes on trying."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Deposed:
-    """A successor sealed the journal; the records will never be durable."""
-
-
-CommitState = Durable | Pending | Deposed
-
-
-class Batch:
-    """Records that become durable together.
-
-    ``sent_ms`` is the time right before the first try to write them.
-    """
-
-    def __init__(self, records: Sequence[records_pb2.Record]) -> None:
-        self.records = list(records)
-        self.size_bytes = sum(record.ByteSize() for record in records)
-        self.done = threading.Event()
-        self.state: CommitState = Pending()
-        self.sent_ms: float | None = None
-
-    def finish(self, state: CommitState) -> None:
-        """Set the final state and wake those who wait.
-
-        :param state: ``Durable`` or ``Deposed``.
-        """
-        if not self.done.is_set():
-            self.state = state
-            self.done.set()
-
-
-class _Group(NamedTuple):
-    """Batches that are written as one segment."""
-
-    batches: list[Batch]
-    value: bytes
+Durable = batches.Durable
+Pending = batches.Pending
+Deposed = batches.Deposed
+CommitState = batches.CommitState
+Batch = batches.Batch
+MAX_BATCH_BYTES = batches.MAX_BATCH_BYTES
 
 
 class Journal:
@@ -106,7 +62,7 @@
         self._changed = threading.Condition()
         self._writing = threading.Lock()
         self._waiting: list[Batch] = []
-        self._group: _Group | None = None
+        self._group: batches.Group | None = None
         self._written: list[segments.SegmentInfo] = []
         self._sequence = 0
         self._previous: stores.RevisionIs | None = None
@@ -308,23 +264,16 @@
         self._finish_group(group)
         return True
 
-    def _next_group(self) -> _Group:
-        batches: list[Batch] = []
-        size_bytes = 0
+    def _next_group(self) -> batches.Group:
         with self._changed:
-            for batch in self._waiting:
-                size_bytes += batch.size_bytes
-                if batches and size_bytes > MAX_BATCH_BYTES:
-                    break
-                batches.append(batch)
+            waiting = list(self._waiting)
+        group = batches.group(waiting, self.member_id)
         now_ms = self._clock.now_ms()
-        for batch in batches:
+        for batch in group.batches:
             batch.sent_ms = now_ms
-        records = [record for batch in batches for record in batch.records]
-        value = segments.encode(records, self.member_id, secrets.token_hex(8))
-        return _Group(batches, value)
+        return group
 
-    def _finish_group(self, group: _Group) -> None:
+    def _finish_group(self, group: batches.Group) -> None:
         records = [
             record for batch in group.batches for record in batch.records
         ]
--- a/packages/state/tests/test_journal.py
+++ b/packages/state/tests/test_journal.py
@@ -23,7 +23,10 @@
     return records_pb2.Record(
         program_id="p000-0123456789abcdef",
         version=version,
-        finished=records_pb2.CallFinished(answer_json=b"x" * size_bytes),
+        finished=records_pb2.CallFinished(
+            # Cannot be compressed, which is the worst case.
+            answer_json=random.Random(version).randbytes(size_bytes)
+        ),
     )
 
 
