Judge servers by streams first; spread refused callers

Cause: varying time to first token ejected healthy servers, and refused callers came back together. Change: time to first token is evidence only where no stream shows the speed; each refusal takes the next place in a line at the drain rate. Payoff routing is removed: it lost to learned routing.

--- a/packages/policy/src/balsamloom_policy/_pool.py
+++ b/packages/policy/src/balsamloom_policy/_pool.py
@@ -31,6 +31,7 @@
         self.queue = ordering.Queue()
         self.router = routing.Router(generator)
         self.drain = admission.DrainRate()
+        self.return_line = admission.ReturnLine()
         self.customer_calls: collections.Counter[str] = collections.Counter()
         self.all_calls = 0
         self.urgent_in_flight = 0
--- a/packages/policy/src/balsamloom_policy/_servers.py
+++ b/packages/policy/src/balsamloom_policy/_servers.py
@@ -18,6 +18,8 @@
 SILENCE_GAPS = 8
 SILENCE_MIN_MS = 100.0
 DECAY_MS = 2000.0
+GAP_FRESH_MS = 500.0
+FIRST_TOKEN_DOUBT = 1.5
 PROMPT_FACTOR_MAX = 10.0
 
 
@@ -79,6 +81,7 @@
         self.prompt_tokens = 0.0
         self.generated_tokens = 0.0
         self.sample_ms = 0.0
+        self.gap_sample_ms = 0.0
         self.report: calls.LoadReport | None = None
         self.report_ms = 0.0
         self.peer_in_flight = 0
@@ -122,6 +125,7 @@
 
     def add_gap(self, flight: Flight, gap_ms: float, now_ms: float) -> float:
         """Take in a time per token; return its ratio to the usual."""
+        self.gap_sample_ms = now_ms
         return self._add(self.gap, flight, gap_ms, now_ms)
 
     def add_call(
@@ -167,7 +171,11 @@
         that routing avoids is looked at again.
         """
         if self.has_tokens:
-            ended = max(self.first_token.ratio(), self.gap.ratio())
+            ended = self.gap.ratio()
+            if not self._has_fresh_gap(now_ms):
+                ended = max(
+                    ended, self.first_token.ratio() / FIRST_TOKEN_DOUBT
+                )
         else:
             ended = self.call.ratio()
         age_ms = now_ms - self.sample_ms
@@ -176,9 +184,23 @@
         if self.fault_count >= FAULTS_TO_EJECT:
             self.slowness = RATIO_MAX
 
+    def _has_fresh_gap(self, now_ms: float) -> bool:
+        """Return whether streams show the present speed by themselves.
+
+        Time to first token varies with cache hits and the engine's queue.
+        Judged by it alone, healthy servers were ejected and prefixes
+        computed again twice to three times as often.
+        """
+        if self.gap.count < MIN_SAMPLES:
+            return False
+        return now_ms - self.gap_sample_ms <= GAP_FRESH_MS
+
     def _in_flight_slowness(self, now_ms: float) -> float:
         ratios = []
+        is_doubtful = self._has_fresh_gap(now_ms)
         for flight in self.in_flight:
+            if flight.first_token_ms is None and is_doubtful:
+                continue
             ratios.append(self.flight_ratio(flight, now_ms))
         if not ratios:
             return 0.0
--- a/packages/policy/src/balsamloom_policy/admission.py
+++ b/packages/policy/src/balsamloom_policy/admission.py
@@ -14,6 +14,7 @@
 RETRY_AFTER_MIN_MS = 100.0
 RETRY_AFTER_MAX_MS = 60000.0
 NO_SERVER_RETRY_MS = 1000
+LINE_MAX_MS = 2000.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,6 +69,34 @@
             self._total -= self._buckets.popleft()[1]
 
 
+class ReturnLine:
+    """Times at which refused callers were told to come back.
+
+    Callers told the same time would return together and be refused again,
+    so each refusal takes the next place at the rate of drain.
+    """
+
+    def __init__(self) -> None:
+        self._last_ms = 0.0
+
+    def place(
+        self, refused: calls.Refused, rate_per_ms: float, now_ms: float
+    ) -> calls.Refused:
+        """Return the refusal with its place in the line.
+
+        :param rate_per_ms: rate of drain; without one the time is kept.
+        """
+        if refused.retry_after_ms is None or rate_per_ms <= 0:
+            return refused
+        earliest_ms = now_ms + refused.retry_after_ms
+        place_ms = max(earliest_ms, self._last_ms + 1 / rate_per_ms)
+        place_ms = min(place_ms, earliest_ms + LINE_MAX_MS)
+        self._last_ms = place_ms
+        return dataclasses.replace(
+            refused, retry_after_ms=int(place_ms - now_ms)
+        )
+
+
 class Pressure(NamedTuple):
     """State of a pool at the moment of a call's arrival."""
 
--- a/packages/policy/src/balsamloom_policy/routing.py
+++ b/packages/policy/src/balsamloom_policy/routing.py
@@ -11,7 +11,6 @@
 
 SLOW_FOR_AFFINITY = 1.5
 RENDEZVOUS_COUNT = 2
-OPTIMISM = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,12 +28,7 @@
     """One server after the other; a baseline."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Payoff:
-    """Highest estimated payoff less queue length divided by V."""
-
-
-Routing = Learned | Random | RoundRobin | Payoff
+Routing = Learned | Random | RoundRobin
 
 
 def policy(values: settings.PolicySettings) -> Routing:
@@ -44,8 +38,6 @@
             return Learned()
         case "round_robin":
             return RoundRobin()
-        case "payoff":
-            return Payoff()
         case _:
             return Random()
 
@@ -81,8 +73,6 @@
             case RoundRobin():
                 self._turn += 1
                 return eligible[self._turn % len(eligible)]
-            case Payoff():
-                return _best_payoff(eligible, profile, now_ms, values)
             case Learned():
                 return self._learned(
                     affinity, profile, eligible, servers, now_ms, values
@@ -162,25 +152,3 @@
     """
     service_ms = state.service_ms(profile) * max(state.slowness, 1.0)
     return service_ms * (1 + _relative_load(state, now_ms, values))
-
-
-def _best_payoff(
-    eligible: list[_servers.ServerState],
-    profile: calls.CallProfile,
-    now_ms: float,
-    values: settings.PolicySettings,
-) -> _servers.ServerState:
-    known = [state.service_ms(profile) for state in eligible]
-    best_ms = min((value for value in known if value > 0), default=1.0)
-    total = 1 + sum(state.sample_count for state in eligible)
-
-    def payoff(state: _servers.ServerState) -> float:
-        service_ms = state.service_ms(profile) * max(state.slowness, 1.0)
-        if service_ms <= 0:
-            return math.inf
-        bonus = OPTIMISM * math.sqrt(math.log(total) / state.sample_count)
-        queue = state.load(now_ms, values.report_valid_ms)
-        reward = min(best_ms / service_ms + bonus, 1.0)
-        return reward - queue / values.payoff_v
-
-    return max(eligible, key=payoff)
--- a/packages/policy/src/balsamloom_policy/scheduler.py
+++ b/packages/policy/src/balsamloom_policy/scheduler.py
@@ -245,7 +245,8 @@
                 self._admission, profile, pressure, now_ms, self._values
             )
             if refusal is not None:
-                return refusal
+                rate = pressure.rate_per_ms
+                return pool.return_line.place(refusal, rate, now_ms)
             self._budget.earn(self._values)
             ticket = Ticket(self, pool, profile, now_ms, level)
             pool.add_customer_call(profile.customer)
--- a/packages/policy/src/balsamloom_policy/settings.py
+++ b/packages/policy/src/balsamloom_policy/settings.py
@@ -44,7 +44,7 @@
     """What operators may change; ``docs/scheduling.md`` explains each."""
 
     routing: str = _choice(
-        "learned", "choice of server", "random", "round_robin", "payoff"
+        "learned", "choice of server", "random", "round_robin"
     )
     ordering: str = _choice("attained_service", "order of waiting", "fifo")
     admission: str = _choice("adaptive", "early refusal", "none")
@@ -53,7 +53,6 @@
     prefixes: str = _choice("bounded", "prefix affinity", "none")
 
     candidate_count: int = _whole(3, "servers compared per call", 1, 64)
-    payoff_v: float = _number(8, "queue weight of payoff routing", 0.1, 1000)
     report_valid_ms: float = _number(
         2000, "age at which a load report has no weight left", 1, 60000
     )
