Keep the document whole across restored stores and short watches

Cause: a watcher that holds a document from before the store was restored would have joined the store's next section to it. Watches that the service ends at once, as after a compaction, followed each other without a pause. Change: the head carries a digest of the whole document; a step that does not lead to it is replaced by a read of all sections. Each watch is followed by a pause with jitter that grows while watches are short. Conclusion: processes hold the same document for the same head.

--- a/packages/configuration/src/balsamloom_configuration/distribution.py
+++ b/packages/configuration/src/balsamloom_configuration/distribution.py
@@ -279,13 +279,12 @@
             if is_started and not self._is_watcher():
                 self._clock.wait(self._ended, IDLE_CHECK_MS)
                 continue
+            start_ms = self._clock.now_ms()
             try:
                 next_revision = self._catch_up()
                 is_read = True
-                backoff_ms = FIRST_BACKOFF_MS
                 if self._is_watcher():
                     self._watch(next_revision)
-                continue
             except errors.BalsamloomError as error:
                 self._watch_gaps += 1
                 events.log(
@@ -293,7 +292,11 @@
                     cause=error.message,
                     use="configuration",
                 )
-            self._ask_peers()
+                self._ask_peers()
+            if self._clock.now_ms() - start_ms >= WATCH_TIMEOUT_MS / 2:
+                backoff_ms = FIRST_BACKOFF_MS
+            # Watches that the service ends at once must not follow each other
+            # without a pause.
             self._clock.wait(self._ended, random.uniform(0, backoff_ms))
             backoff_ms = min(2 * backoff_ms, LONGEST_BACKOFF_MS)
 
@@ -335,7 +338,10 @@
         if section.revision != head.revision:
             # Changed again; other sections may have changed in between.
             return None
-        return known.replace(head.section, section)
+        document = known.replace(head.section, section)
+        # The document in force may come from before the store was restored.
+        is_next = documents.digest(document) == head.digest
+        return document if is_next else None
 
     def _read_all(self) -> documents.Document:
         return keys.read(self._store, READ_TIMEOUT_MS).document
--- a/packages/configuration/src/balsamloom_configuration/editing.py
+++ b/packages/configuration/src/balsamloom_configuration/editing.py
@@ -243,7 +243,7 @@
         revision = snapshot.document.revision + 1
         match self._store.commit(
             _comparisons(snapshot, edit.section),
-            self._operations(edit, revision),
+            self._operations(edit, snapshot.document),
             timeout_ms=CALL_TIMEOUT_MS,
         ):
             case stores.Committed():
@@ -251,7 +251,10 @@
             case stores.Conflict():
                 return None
 
-    def _operations(self, edit: Edit, revision: int) -> list[stores.Operation]:
+    def _operations(
+        self, edit: Edit, document: documents.Document
+    ) -> list[stores.Operation]:
+        revision = document.revision + 1
         change = keys.Change(
             revision,
             edit.section,
@@ -263,7 +266,8 @@
             edit.content,
         )
         section = documents.Section(edit.content, revision, edit.edit_id)
-        head = keys.HeadValue(revision, edit.section)
+        digest = documents.digest(document.replace(edit.section, section))
+        head = keys.HeadValue(revision, edit.section, digest)
         operations: list[stores.Operation] = [
             stores.Put(keys.HEAD, keys.encode(head)),
             stores.Put(keys.section_key(edit.section), keys.encode(section)),
--- a/packages/configuration/src/balsamloom_configuration/keys.py
+++ b/packages/configuration/src/balsamloom_configuration/keys.py
@@ -16,10 +16,14 @@
 
 
 class HeadValue(NamedTuple):
-    """Document revision and the section that it changed."""
+    """Document revision, the section that it changed, and a digest.
+
+    The digest is that of the whole document at this revision.
+    """
 
     revision: int
     section: str
+    digest: str
 
 
 class Change(NamedTuple):
@@ -97,7 +101,10 @@
     :param item: value read from the store.
     :raises BalsamloomError: if the value is damaged.
     """
-    return HeadValue(**_object(item))
+    try:
+        return HeadValue(**_object(item))
+    except TypeError as error:
+        raise _damaged(item, error) from error
 
 
 def decode_section(item: stores.Item) -> documents.Section:
--- a/packages/configuration/tests/builders.py
+++ b/packages/configuration/tests/builders.py
@@ -52,7 +52,8 @@
     ``is_down`` fails every call. ``lost_answers`` counts commits that take
     effect without an answer, ``lost_requests`` those that look the same and
     do not. ``stale_reads`` counts reads answered from ``stale_items``.
-    ``before_commit`` runs once before the next commit.
+    ``before_commit`` runs once before the next commit. ``watches`` is released
+    at each watch, and ``ends_watches`` ends it at once.
     """
 
     def __init__(self):
@@ -64,7 +65,8 @@
         self.stale_reads = 0
         self.stale_items = {}
         self.before_commit = None
-        self.watches = 0
+        self.watches = threading.Semaphore(0)
+        self.ends_watches = False
         self.changes = []
         self.changed = threading.Condition()
 
@@ -100,7 +102,9 @@
         return stores.Committed(self.revision)
 
     def watch(self, prefix, from_revision, timeout_ms):
-        self.watches += 1
+        self.watches.release()
+        if self.ends_watches:
+            return
         end_s = time.monotonic() + timeout_ms / 1000
         while time.monotonic() < end_s:
             self._check_up(False)
@@ -150,7 +154,7 @@
     return editing.Editor(store, clocks.Clock())
 
 
-def in_force(store, is_watcher=False, peer_offers=lambda: ()):
+def in_force(store, is_watcher=False, peer_offers=lambda: (), clock=None):
     return distribution.InForce(
-        store, clocks.Clock(), lambda: is_watcher, peer_offers
+        store, clock or clocks.Clock(), lambda: is_watcher, peer_offers
     )
--- a/packages/configuration/tests/test_distribution.py
+++ b/packages/configuration/tests/test_distribution.py
@@ -7,6 +7,7 @@
 
 from balsamloom_configuration import distribution, keys
 from balsamloom_configuration import document as documents
+from balsamloom_core import clock as clocks
 from balsamloom_core import errors, results
 
 TIMEOUT_MS = 5_000
@@ -138,6 +139,26 @@
         self.edit(1)
         self.assertTrue(held.wait_for(2, TIMEOUT_MS))
 
+    def test_watches_that_end_at_once_do_not_load_the_store(self):
+        manual = clocks.ManualClock()
+        self.store.ends_watches = True
+        self.started(is_watcher=True, clock=manual)
+        self.assertTrue(self.store.watches.acquire(timeout=5))
+        self.assertFalse(self.store.watches.acquire(timeout=0.2))
+        manual.advance(distribution.FIRST_BACKOFF_MS)
+        self.assertTrue(self.store.watches.acquire(timeout=5))
+
+    def test_step_from_another_history_is_not_mixed_with_it(self):
+        self.edit(0)
+        wanted = builders.edit("customers", builders.customers())
+        self.editor.apply(wanted, 1_000)
+        held = builders.in_force(self.store, is_watcher=True)
+        self.addCleanup(held.stop)
+        held.take(document(1, max_tokens=5), "peer")
+        held.start()
+        self.assertTrue(held.wait_for(2, TIMEOUT_MS))
+        self.assertEqual(held.document, self.editor.get())
+
     def test_invalid_document_is_refused_and_the_old_one_kept(self):
         held = builders.in_force(self.store)
         held.take(document(1), "store")
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -86,6 +86,29 @@
         self.assertTrue(restarted.wait_for(1, IN_FORCE_LIMIT_MS))
         self.assertEqual(restarted.document, watcher.document)
 
+    def test_answer_lost_by_a_paused_store_is_resolved(self):
+        running = self.running
+
+        class PausedAtCommit(stores.EtcdGateway):
+            pauses = 0
+
+            def commit(self, *arguments, **options):
+                if self.pauses:
+                    return super().commit(*arguments, **options)
+                self.pauses += 1
+                running.pause()
+                try:
+                    return super().commit(*arguments, **options)
+                finally:
+                    running.resume()
+
+        store = PausedAtCommit(running.address)
+        editor = editing.Editor(store, self.clock)
+        outcome = editor.apply(edit(0, 1), 8_000)
+        self.assertEqual(store.pauses, 1)
+        self.assertEqual(outcome, editing.Applied(1))
+        self.assertEqual(len(self.editor.history()), 1)
+
     def test_operators_racing_give_one_winner_and_lose_nothing(self):
         self.editor.apply(edit(0, 1), 2_000)
         barrier = threading.Barrier(8)
