--- a/packages/standins/src/balsamloom_standins/engine.py
+++ b/packages/standins/src/balsamloom_standins/engine.py
@@ -427,7 +427,10 @@
 
 def _token_event(number: int) -> bytes:
     delta = {"content": f"t{number} "}
-    return _event({"choices": [{"index": 0, "delta": delta}]})
+    # All clocks of one host agree, so a reader can tell a chunk's delay.
+    sent_ms = time.monotonic() * 1000
+    choice = {"index": 0, "delta": delta}
+    return _event({"choices": [choice], "sent_ms": sent_ms})
 
 
 def _closing_events(request: Request) -> bytes:
