Keep abandoned transfers from hiding later records

A take-over now raises the epoch by two and a planned move by one, so such records always have a lower epoch. Retry delays now come from the seeded generator of the process, so a seed of the random test repeats its run.

--- a/packages/state/src/balsamloom_state/imports.py
+++ b/packages/state/src/balsamloom_state/imports.py
@@ -171,10 +171,7 @@
         for number, own in by_partition.items():
             epoch = self._state.slots.epoch(number)
             with self._state.lock:
-                stale = self._state.staged.get(number)
                 self._state.staged[number] = local.Staged(epoch, own)
-            if stale is not None:
-                batches += _supersede(self._state, epoch, stale, own)
             for program in own.values():
                 batches += _append_snapshot(self._state, program, epoch)
         return batches
@@ -230,25 +227,3 @@
     parts = snapshots.take(program, epoch, now_ms)
     program.version = program.base_version = parts[0].version
     return [state.journal.append([part]) for part in parts]
-
-
-def _supersede(
-    state: local.LocalState,
-    epoch: int,
-    stale: local.Staged,
-    own: dict[str, programs.Program],
-) -> list[journal.Batch]:
-    """Make an earlier, abandoned transfer of the partition void.
-
-    Its records are in the own journal; the new snapshots need higher
-    versions, and programs that are gone must not come back.
-    """
-    batches = []
-    for program_id, old in stale.programs.items():
-        if program_id in own:
-            own[program_id].version = max(own[program_id].version, old.version)
-        else:
-            batches.append(
-                state.journal.append([snapshots.forget(old, epoch)])
-            )
-    return batches
--- a/packages/state/src/balsamloom_state/pacing.py
+++ b/packages/state/src/balsamloom_state/pacing.py
@@ -64,12 +64,12 @@
     """
 
     def __init__(self, generator: random.Random | None = None) -> None:
-        self._random = generator or random.Random()
+        self._uniform = (generator or random).uniform
         self._ceiling_ms = FIRST_RETRY_MS
 
     def next_ms(self) -> float:
         """Return the next delay and raise the ceiling."""
-        delay_ms = self._random.uniform(0, self._ceiling_ms)
+        delay_ms = self._uniform(0, self._ceiling_ms)
         self._ceiling_ms = min(self._ceiling_ms * 2, MAX_RETRY_MS)
         return delay_ms
 
--- a/packages/state/src/balsamloom_state/takeover.py
+++ b/packages/state/src/balsamloom_state/takeover.py
@@ -13,6 +13,11 @@
 from balsamloom_platform import store as stores
 from balsamloom_state import imports, local, partitions, sealed
 
+# A planned move raises the epoch by one. A transfer that was given up has left
+# records of that next epoch in the receiver's journal; the larger step keeps
+# them from counting if the same receiver becomes the importer.
+EPOCH_STEP = 2
+
 
 class TakeoverReport(NamedTuple):
     """What a take-over did here; other survivors import their own part."""
@@ -145,7 +150,7 @@
     ] + _open_imports(found, dead_id)
     for number in held:
         target = partitions.rank(f"partition {number}", survivors)[0]
-        epoch = owners[number].epoch + 1
+        epoch = owners[number].epoch + EPOCH_STEP
         owners[number] = partitions.Ownership(target, epoch)
     imports = [
         entry for entry in found.imports if entry.importer_id != dead_id
