Test parallel sub-agents with the background writer

The random test runs in one thread so that a seed repeats; this one runs eight sub-agents, the writing thread and compaction at once.

--- a/packages/state/tests/test_calls.py
+++ b/packages/state/tests/test_calls.py
@@ -386,6 +386,45 @@
         self.assertEqual(program.account.held, budgets.ZERO)
 
 
+class ThreadsTest(unittest.TestCase):
+    def test_parallel_sub_agents_with_the_background_writer(self):
+        """Guards against deadlocks and overspending by real threads."""
+        world = builders.World(
+            clocks.Clock(),
+            writes_in_background=True,
+            compaction_min_bytes=1_000,
+        )
+        member = world.join()
+        root = builders.start(member, generated_tokens=2_000, calls=1_000)
+        tokens, codes = [], []
+
+        def run_agent():
+            child = member.start_program(
+                builders.spec(parent_id=root.program_id), 10_000
+            )
+            for number in range(50):
+                try:
+                    builders.model_call(member, child, f"c{number}")
+                except errors.BalsamloomError as error:
+                    codes.append(error.code)
+                    return
+                tokens.append(10)
+
+        threads = [threading.Thread(target=run_agent) for _ in range(8)]
+        for thread in threads:
+            thread.start()
+        while any(thread.is_alive() for thread in threads):
+            member.maintain()
+            threads[0].join(0.01)
+        for thread in threads:
+            thread.join(20)
+        self.assertEqual(set(codes), {Code.BUDGET_EXHAUSTED})
+        self.assertLessEqual(sum(tokens), 2_000)
+        self.assertEqual(root.account.used, (sum(tokens), len(tokens)))
+        self.assertEqual(root.account.held, budgets.ZERO)
+        self.assertTrue(member.journal.close(5_000))
+
+
 class StartTest(CallTestCase):
     def test_start_that_is_not_confirmed_leaves_no_running_program(self):
         """Guards against a program that its caller was refused."""
