Report open outcomes with the key to ask again

Change: such a start ends with outcome_unknown; an error of chat or tool that does not say "not run" names the key. Conclusion: a caller can always ask for the result of an earlier call.

--- a/packages/cli/src/balsamloom_cli/caller.py
+++ b/packages/cli/src/balsamloom_cli/caller.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 import click
@@ -189,14 +191,15 @@
         "messages": [{"role": "user", "content": message}],
     }
     has_text = False
-    for event in session.caller.chat(program_id, body, key):
-        if session.is_json:
-            click.echo(json.dumps(event._asdict(), ensure_ascii=False))
-        else:
-            _print_event(event, has_text)
-        has_text = event.name == "message" or (
-            has_text and event.name != "restart"
-        )
+    with _naming_key(key):
+        for event in session.caller.chat(program_id, body, key):
+            if session.is_json:
+                click.echo(json.dumps(event._asdict(), ensure_ascii=False))
+            else:
+                _print_event(event, has_text)
+            has_text = event.name == "message" or (
+                has_text and event.name != "restart"
+            )
 
 
 @main.command("tool")
@@ -217,9 +220,11 @@
     key: str,
 ) -> None:
     """Run a tool call and print its answer."""
-    found = session.caller.tool(
-        program_id, service, operation, _object(body, "--body"), key
-    )
+    request = _object(body, "--body")
+    with _naming_key(key):
+        found = session.caller.tool(
+            program_id, service, operation, request, key
+        )
     commands.print_json(found)
 
 
@@ -248,6 +253,19 @@
     commands.print_json(session.caller.end(program_id))
 
 
+@contextlib.contextmanager
+def _naming_key(key: str) -> Iterator[None]:
+    """Name the key in an error, so that the call can be asked for again."""
+    try:
+        yield
+    except client.CallError as error:
+        if error.not_run:
+            raise
+        raise client.CallError(
+            error.code, f"{error.message} (--key {key})", False
+        ) from error
+
+
 def _object(text: str, option: str) -> dict[str, Any]:
     try:
         value = settings.parse(text)
--- a/packages/cli/src/balsamloom_cli/client.py
+++ b/packages/cli/src/balsamloom_cli/client.py
@@ -29,6 +29,8 @@
 CHUNK_BYTES = 65_536
 MAX_CACHED_ADDRESSES = 10_000
 
+_CUT_OFF = results.ResultCode.INTERRUPTED
+
 Body = dict[str, Any]
 
 
@@ -269,6 +271,12 @@
                     response.release_conn()
             except CallError as error:
                 is_safe = error.not_run or request.may_be_repeated
+                if not is_safe and error.code == _CUT_OFF:
+                    raise CallError(
+                        results.ResultCode.OUTCOME_UNKNOWN,
+                        error.message,
+                        False,
+                    ) from error
                 if not (is_safe and _is_temporary(error)):
                     raise
                 self._forget(request.program_id)
@@ -502,15 +510,12 @@
 
 
 def _interrupted(message: str) -> CallError:
-    return CallError(results.ResultCode.INTERRUPTED, message, False)
+    return CallError(_CUT_OFF, message, False)
 
 
 def _is_temporary(error: CallError) -> bool:
     """Return whether the same request may have another answer later."""
-    if error.code in (
-        results.ResultCode.INTERRUPTED,
-        results.ResultCode.NOT_SENT,
-    ):
+    if error.code in (_CUT_OFF, results.ResultCode.NOT_SENT):
         return True
     is_busy = results.info(error.code).http_status == 503
     return error.not_run and (is_busy or error.retry_after_ms is not None)
--- a/packages/cli/tests/test_client.py
+++ b/packages/cli/tests/test_client.py
@@ -83,6 +83,9 @@
         entry = self.entry(builders.CUT_OFF)
         with self.assertRaises(client.CallError) as caught:
             self.caller(entry.address).start({"customer": "c"})
+        self.assertEqual(
+            caught.exception.code, results.ResultCode.OUTCOME_UNKNOWN
+        )
         self.assertFalse(caught.exception.not_run)
         self.assertEqual(len(entry.received), 1)
 
