Add the load tool

Cause: nothing produced the callers' load, so neither demonstrations nor measurements of the policies could be made.

Change: "balsamloom-standin load" and the class load.LoadRun run seeded programs of both customers with open-loop arrivals, rate steps and stragglers, and give one summary. Fleet takes options by name, and Running sends requests to its process.

--- a/packages/standins/src/balsamloom_standins/fleet.py
+++ b/packages/standins/src/balsamloom_standins/fleet.py
@@ -11,7 +11,10 @@
 from collections.abc import Sequence
 from typing import Any
 
+import urllib3
+
 STOP_TIMEOUT_S = 10
+REQUEST_TIMEOUT_S = 10
 COMMANDS = pathlib.Path(sys.executable).parent
 
 
@@ -49,6 +52,27 @@
         """Return whether the process has not ended."""
         return self._process.poll() is None
 
+    def request(
+        self, method: str, path: str, body: dict[str, Any] | None = None
+    ) -> Any:
+        """Send a request and return the decoded JSON of its answer.
+
+        :param method: HTTP method.
+        :param path: path with its query.
+        :param body: JSON body.
+        :raises RuntimeError: if the status is not 200.
+        """
+        url = f"http://{self.address}{path}"
+        with urllib3.PoolManager(retries=False) as pool:
+            response = pool.request(
+                method, url, json=body, timeout=REQUEST_TIMEOUT_S
+            )
+        if response.status != 200:
+            detail = response.data[:200]
+            message = f"{self.name}: {path}: {response.status} {detail!r}"
+            raise RuntimeError(message)
+        return response.json()
+
     def kill(self) -> None:
         """End the process at once, as a crash would."""
         self._process.kill()
@@ -96,13 +120,16 @@
         """End every process."""
         self.stop()
 
-    def standin(self, kind: str, *options: str) -> Running:
+    def standin(self, kind: str, *options: str, **named: object) -> Running:
         """Start a stand-in.
 
         :param kind: subcommand of ``balsamloom-standin``.
         :param options: further command-line options.
+        :param named: options by name, as ``token_ms=2`` for ``--token-ms 2``.
         """
         command = [str(COMMANDS / "balsamloom-standin"), kind, *options]
+        for name, value in named.items():
+            command += [f"--{name.replace('_', '-')}", str(value)]
         return self._start(f"{kind}-{len(self.processes)}", command)
 
     def entry(self, name: str, settings: dict[str, Any]) -> Running:
--- a/packages/standins/src/balsamloom_standins/main.py
+++ b/packages/standins/src/balsamloom_standins/main.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 
 import click
 
-from balsamloom_standins import _serving, engine, hosts, store, tools
+from balsamloom_standins import _serving, engine, hosts, load, store, tools
 
 _ADDRESS = click.option(
     "--address",
@@ -121,3 +122,63 @@
     """Serve the host list and the weight store."""
     root = hosts.HostsStandin(lag_ms, fetches_per_s, burst)
     _serving.run_until_signal(_serving.serve(root, address))
+
+
+@main.command("load")
+@click.option(
+    "--entry",
+    "entries",
+    multiple=True,
+    required=True,
+    help="Address of an entry process; may be repeated.",
+)
+@click.option(
+    "--rate",
+    "rates",
+    multiple=True,
+    default=("5x10",),
+    show_default=True,
+    help="Programs a second x seconds; may be repeated, one after another.",
+)
+@click.option("--seed", default=1, show_default=True, help="Seed.")
+@click.option(
+    "--stragglers",
+    default=0.0,
+    show_default=True,
+    help="Share of programs that run 20 to 50 times longer.",
+)
+@click.option(
+    "--customer",
+    "customers",
+    multiple=True,
+    type=click.Choice(["restwell", "wasserreigen"]),
+    help="Customer whose programs are run; all unless given.",
+)
+@click.option(
+    "--pause-ms",
+    default=0.0,
+    show_default=True,
+    help="Mean time between a program's turns.",
+)
+def run_load(
+    entries: tuple[str, ...],
+    rates: tuple[str, ...],
+    seed: int,
+    stragglers: float,
+    customers: tuple[str, ...],
+    pause_ms: float,
+) -> None:
+    """Run programs against entry processes and print a JSON summary."""
+    steps = [_rate_step(rate) for rate in rates]
+    programs = load.plans(seed, steps, stragglers, customers, pause_ms)
+    found = load.LoadRun(list(entries), programs).run()
+    print(json.dumps({"seed": seed, **found}))
+
+
+def _rate_step(text: str) -> load.RateStep:
+    rate, _, duration_s = text.partition("x")
+    try:
+        return load.RateStep(float(rate), float(duration_s) * 1000)
+    except ValueError as error:
+        message = f"--rate {text!r}: use programs a second x seconds, as 5x10"
+        raise click.UsageError(message) from error
