Test batching, slowdowns and many streams of the engine stand-in

Cause: no test showed that load and slowdowns cost time in the stand-in.

Change: compare durations of one and of several streams within one run.

--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -1,7 +1,9 @@
 """Tests of the model engine's stand-in through the real client."""
 
 import threading
+import time
 import unittest
+from concurrent import futures
 
 import builders
 import urllib3
@@ -113,3 +115,44 @@
             [(entry.fence, entry.sender) for entry in applied],
             [(2, "new"), (1, "old")],
         )
+
+    def duration_s(self, streams):
+        start_s = time.monotonic()
+        with futures.ThreadPoolExecutor(streams) as executor:
+            opened = [
+                executor.submit(
+                    lambda number=number: self.finish(
+                        builders.chat(self.engine, 20, f"p{number}/1/a")
+                    )
+                )
+                for number in range(streams)
+            ]
+            self.assertEqual({each.result() for each in opened}, {21})
+        return time.monotonic() - start_s
+
+    def test_tokens_take_longer_in_a_batch_and_when_slowed(self):
+        """Guards against load and slowdowns that cost nothing."""
+        self.start("--slots", "16")
+        self.control(batch_growth=0.5)
+        alone_s = self.duration_s(1)
+        self.assertGreater(self.duration_s(9), 2.5 * alone_s)
+        self.control(slowdown=5)
+        self.assertGreater(self.duration_s(1), 2.5 * alone_s)
+
+    def test_many_streams_are_served_at_once(self):
+        """Guards against a server with fewer threads than streams."""
+        self.start("--slots", "1000")
+        self.control(batch_growth=0, token_ms=50)
+        self.assertLess(self.duration_s(200), 5 * self.duration_s(1))
+
+    def test_the_load_report_is_late(self):
+        """Guards against policies that only work with fresh reports."""
+        self.start()
+        self.control(load_delay_ms=60_000)
+        stream = builders.chat(self.engine, 100_000)
+        next(stream.batches())
+        late = self.engine.load()
+        self.assertEqual(late.running, 0)
+        self.control(load_delay_ms=0)
+        self.assertEqual(self.engine.load().running, 1)
+        stream.close()
