Bound the load tool's wait by the program's deadline

Cause: a call without an answer was awaited for 60 s, whatever the program's deadline; a trial with a killed entry process lasted 70 s for arrivals over 6 s.

Change: wait until the deadline and one second more, in which the system can still give its own answer.

The trial was not repeated.

Conclusion: the wait for an answer no longer outlasts the program.

--- a/packages/standins/src/balsamloom_standins/load.py
+++ b/packages/standins/src/balsamloom_standins/load.py
@@ -18,7 +18,8 @@
 from balsamloom_standins import _plans
 
 COMPLETED = 1000
-CALL_TIMEOUT_S = 60.0
+# Time after the deadline in which the system's own answer is awaited.
+GRACE_S = 1.0
 DEFAULT_RETRY_MS = 200.0
 MAX_RETRY_MS = 5_000.0
 FAILED_ADDRESS_MS = 1_000.0
@@ -228,7 +229,9 @@
                 f"http://{self._address}{path}",
                 json=body,
                 headers=headers,
-                timeout=urllib3.Timeout(connect=1.0, read=CALL_TIMEOUT_S),
+                timeout=urllib3.Timeout(
+                    connect=1.0, read=left_ms / 1000 + GRACE_S
+                ),
                 preload_content=False,
             )
             kind = response.headers.get("Content-Type", "")
