--- a/packages/entry/src/balsamloom_entry/feeds.py
+++ b/packages/entry/src/balsamloom_entry/feeds.py
@@ -11,7 +11,7 @@
 import dataclasses
 import queue
 import threading
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from typing import Any, Protocol
 
 from balsamloom_core import clock as clocks
@@ -187,7 +187,7 @@
 
 def _events(
     feed: Feed, item: Item | None, progress_ms: int
-) -> Iterator[bytes]:
+) -> Generator[bytes, None, None]:
     writer = streams.EventWriter()
     while True:
         match item:
--- a/packages/entry/src/balsamloom_entry/http.py
+++ b/packages/entry/src/balsamloom_entry/http.py
@@ -12,6 +12,7 @@
 from balsamloom_entry import requests
 
 BACKLOG = 512
+KEPT_CONNECTIONS = 2_000
 REQUEST_TIMEOUT_S = 30
 
 
@@ -87,6 +88,9 @@
         request_queue_size=BACKLOG,
         timeout=REQUEST_TIMEOUT_S,
     )
+    # The server's default of 10 would close most callers' connections after
+    # each request.
+    server.keep_alive_conn_limit = KEPT_CONNECTIONS
     server.prepare()
     return server
 
--- a/packages/entry/src/balsamloom_entry/schema.py
+++ b/packages/entry/src/balsamloom_entry/schema.py
@@ -15,10 +15,8 @@
     peer_address: str
     seed_peers: list[str]
     failure_domain: str
-    region: str
     store_address: str
     host_list_address: str
-    weight_store_address: str
     statsd_address: str
     http_threads: int
     max_body_bytes: int
@@ -63,10 +61,8 @@
             "default": [],
         },
         "failure_domain": {"type": "string", "minLength": 1},
-        "region": {"type": "string", "default": ""},
         "store_address": _address(),
         "host_list_address": _address(""),
-        "weight_store_address": _address(""),
         "statsd_address": _address(""),
         "http_threads": _whole(256, 8, 2_000),
         "max_body_bytes": _whole(1_000_000, 1_000, 4_000_000),
--- a/packages/entry/src/balsamloom_entry/session.py
+++ b/packages/entry/src/balsamloom_entry/session.py
@@ -255,6 +255,10 @@
             liveness.Peer(member.member_id, member.peer_address)
             for member in members
         )
+        self.peers.keep_only(
+            {member.peer_address for member in members}
+            | set(self._parts.settings["seed_peers"])
+        )
         self._parts.backends.set_members(
             {self._parts.settings["name"]}
             | {identifiers.name_of(member.member_id) for member in members}
--- a/packages/platform/tests/test_engines.py
+++ b/packages/platform/tests/test_engines.py
@@ -1,5 +1,6 @@
 """Tests of the client of model engines."""
 
+import json
 import threading
 import unittest
 
@@ -46,7 +47,8 @@
         raw += builders.chunk(event[9:] + b"data: [DONE]\n\n") + b"0\r\n\r\n"
         server = builders.ScriptedServer(self, builders.replying(raw))
         batches = list(chat(server.address).batches())
-        content = batches[0][0].body["choices"][0]["delta"]["content"]
+        chunk = json.loads(batches[0][0].text)
+        content = chunk["choices"][0]["delta"]["content"]
         self.assertEqual(content, "ab")
 
     def test_a_cut_stream_is_not_whole(self):
--- a/packages/standins/src/balsamloom_standins/deployments.py
+++ b/packages/standins/src/balsamloom_standins/deployments.py
@@ -22,7 +22,8 @@
 class Shape(NamedTuple):
     """Size of a deployment and names of its pools.
 
-    ``engine_options`` has the command-line options of each model engine.
+    ``engine_options`` has the command-line options of each model engine;
+    ``others`` are shapes whose models and services run on the same servers.
     """
 
     customer: str
@@ -33,8 +34,10 @@
     engine_options: tuple[tuple[str, ...], ...]
     tool_count: int
     operations: dict[str, dict[str, Any]]
+    others: tuple[Shape, ...] = ()
 
 
+IDEMPOTENT = {"idempotent": True}
 RESTWELL = Shape(
     "restwell",
     "booking-agent",
@@ -46,12 +49,7 @@
     )
     + (("--token-ms", "8"), ("--token-ms", "10")),
     3,
-    {
-        "charge": {},
-        "dispatch": {},
-        "book": {},
-        "check": {"idempotent": True},
-    },
+    {"book": {}, "charge": {}, "dispatch": {}, "lookup": IDEMPOTENT},
 )
 WASSERREIGEN = Shape(
     "wasserreigen",
@@ -61,13 +59,9 @@
     4,
     tuple(("--token-ms", str(token_ms)) for token_ms in (2, 4, 4, 6, 8)),
     4,
-    {
-        "book": {},
-        "swap": {},
-        "release": {},
-        "lookup": {"idempotent": True},
-    },
+    {"book": {}, "swap": {}, "release_valve": {}, "lookup": IDEMPOTENT},
 )
+BOTH = RESTWELL._replace(others=(WASSERREIGEN,))
 
 
 class Deployment:
@@ -108,21 +102,21 @@
 
     def sections(self) -> dict[str, dict[str, Any]]:
         """Return the sections of the configuration document."""
-        shape = self.shape
-        return {
-            "customers": {shape.customer: {}},
-            f"models/{shape.customer}": {
-                shape.model: {"servers": _servers("m", self.engines)}
-            },
-            f"services/{shape.customer}": {
+        found: dict[str, dict[str, Any]] = {"routing": {}, "limits": {}}
+        shapes = (self.shape, *self.shape.others)
+        found["customers"] = {shape.customer: {} for shape in shapes}
+        for shape in shapes:
+            prefix = shape.customer
+            found[f"models/{prefix}"] = {
+                shape.model: {"servers": _servers(f"{prefix}-m", self.engines)}
+            }
+            found[f"services/{prefix}"] = {
                 shape.service: {
-                    "servers": _servers("s", self.tools),
+                    "servers": _servers(f"{prefix}-s", self.tools),
                     "operations": shape.operations,
                 }
-            },
-            "routing": {},
-            "limits": {},
-        }
+            }
+        return found
 
     def apply(self, section: str, content: dict[str, Any]) -> int:
         """Put a section into the configuration.
--- a/packages/standins/tests/test_load.py
+++ b/packages/standins/tests/test_load.py
@@ -4,7 +4,7 @@
 import subprocess
 import unittest
 
-from balsamloom_standins import fleet, load
+from balsamloom_standins import deployments, fleet, load
 
 
 class PlanTest(unittest.TestCase):
@@ -24,21 +24,17 @@
         """Guards against a summary that counts programs that did nothing."""
         started = fleet.Fleet()
         self.addCleanup(started.stop)
-        store = started.standin("store")
-        engine = started.standin("engine", token_ms=1, slots=64)
-        tools = started.standin("tools", duration_ms=1)
-        entry = started.entry(
-            "e1",
-            {
-                "failure_domain": "a",
-                "store_address": store.address,
-                "engines": [engine.address],
-                "tools": {
-                    "visit-desk": tools.address,
-                    "booking-application": tools.address,
-                },
-            },
+        deployment = deployments.Deployment(
+            started,
+            deployments.BOTH._replace(
+                entry_count=1,
+                engine_options=(("--token-ms", "1", "--slots", "64"),),
+                tool_count=1,
+            ),
         )
+        deployment.start()
+        entry = deployment.entries[0]
+        tools = deployment.tools[0]
         command = [
             str(fleet.COMMANDS / "balsamloom-standin"),
             "load",
--- a/tools/relay.py
+++ b/tools/relay.py
@@ -24,7 +24,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 OUTPUT = ROOT / "measurements" / "relay.json"
 CLIENT_PROCESSES = 4
-STREAM_MS = 4_000
+STREAM_MS = 8_000
 IDLE_S = 5.0
 READ_SIZE_BYTES = 65_536
 # Token times keep the sum of all streams below what the stand-in can send.
@@ -102,6 +102,9 @@
     ]
     for thread in threads:
         thread.start()
+        # Streams begin one by one over half of their length, as calls of
+        # many programs do; all of them run together in the second half.
+        time.sleep(STREAM_MS / 2 / 1000 / len(threads))
     for thread in threads:
         thread.join()
     print(json.dumps(found))
