Keep half of the budget for retries and urgent hedges

Change: hedge_ratio 2 instead of 3; calls that are not urgent hedge only from the upper half of the budget; a trial of an engine needs a good time between tokens too.

--- a/packages/policy/src/balsamloom_policy/health.py
+++ b/packages/policy/src/balsamloom_policy/health.py
@@ -151,8 +151,9 @@
 ) -> bool:
     """Judge one sample of an ejected server.
 
-    Time between tokens of calls that were under way counts too, but two
-    good samples in a row are needed, since a batch may hide one gap.
+    Time between tokens of calls that were under way counts too. Two good
+    samples in a row are needed: a batch may hide one gap, and an idle slow
+    server may give a first token in the usual time. A whole call is enough.
 
     :param ratio: sample against the server's usual level.
     :return: whether the server returned.
@@ -164,7 +165,8 @@
         if is_trial:
             _postpone_trial(server, now_ms, values)
         return False
-    server.good_samples += GOOD_SAMPLES_TO_RETURN if is_trial else 1
+    is_whole_call = is_trial and not server.has_tokens
+    server.good_samples += GOOD_SAMPLES_TO_RETURN if is_whole_call else 1
     if server.good_samples < GOOD_SAMPLES_TO_RETURN:
         return False
     return_server(server, now_ms)
--- a/packages/policy/src/balsamloom_policy/scheduler.py
+++ b/packages/policy/src/balsamloom_policy/scheduler.py
@@ -775,7 +775,13 @@
             return False
         if ticket.server is None or ticket.first_token_ms is not None:
             return False
-        return len(ticket.pool.servers) > 1 and self._budget.tokens >= 1
+        # Half of the budget is kept for retries and for urgent calls.
+        kept = (
+            0.0 if ticket.profile.is_urgent else self._values.retry_burst / 2
+        )
+        if self._budget.tokens < 1 + kept:
+            return False
+        return len(ticket.pool.servers) > 1
 
     def _usual_start_ms(self, ticket: Ticket) -> float:
         """Return the pool's usual time until a call shows life."""
--- a/packages/policy/src/balsamloom_policy/settings.py
+++ b/packages/policy/src/balsamloom_policy/settings.py
@@ -123,7 +123,7 @@
     )
     retry_max: int = _whole(3, "retries of one call", 0, 10)
     hedge_ratio: float = _number(
-        3, "slowness of a call at which it is hedged", 1, 100
+        2, "slowness of a call at which it is hedged", 1, 100
     )
     prefix_entries: int = _whole(
         20000, "prefixes remembered per pool", 0, 10000000
