Serve new programs behind those under way

Cause: least attained service preferred new programs, so that under overload programs under way ended too late. Change: new_program_levels (3) sets the level of a new program's first call; urgent programs are excepted.

--- a/packages/policy/src/balsamloom_policy/ordering.py
+++ b/packages/policy/src/balsamloom_policy/ordering.py
@@ -44,16 +44,24 @@
 
 
 def level_of(
-    ordering: Ordering, attained_ms: float, values: settings.PolicySettings
+    ordering: Ordering,
+    profile: calls.CallProfile,
+    values: settings.PolicySettings,
 ) -> int:
-    """Return the exponential level of a program's attained service."""
+    """Return the exponential level of a program's attained service.
+
+    A new program starts some levels later: under overload it would otherwise
+    displace programs under way, whose service is lost if they end late.
+    """
     match ordering:
         case Fifo():
             return 0
         case AttainedService():
-            if attained_ms < values.level_base_ms:
+            if profile.is_new_program and not profile.is_urgent:
+                return values.new_program_levels
+            if profile.attained_ms < values.level_base_ms:
                 return 0
-            doublings = math.log2(attained_ms / values.level_base_ms)
+            doublings = math.log2(profile.attained_ms / values.level_base_ms)
             return min(1 + int(doublings), LEVEL_MAX)
 
 
--- a/packages/policy/src/balsamloom_policy/scheduler.py
+++ b/packages/policy/src/balsamloom_policy/scheduler.py
@@ -237,9 +237,7 @@
                     admission.NO_SERVER_RETRY_MS,
                 )
             self._check_if_due(pool, now_ms)
-            level = ordering.level_of(
-                self._ordering, profile.attained_ms, self._values
-            )
+            level = ordering.level_of(self._ordering, profile, self._values)
             pressure = pool.pressure(profile, level, now_ms)
             refusal = admission.judge(
                 self._admission, profile, pressure, now_ms, self._values
@@ -362,7 +360,7 @@
         pool.queue = ordering.Queue()
         for entry in sorted(entries, key=lambda entry: entry.queued_ms):
             entry.level = ordering.level_of(
-                self._ordering, entry.profile.attained_ms, self._values
+                self._ordering, entry.profile, self._values
             )
             pool.queue.push(self._ordering, entry)
 
--- a/packages/policy/src/balsamloom_policy/settings.py
+++ b/packages/policy/src/balsamloom_policy/settings.py
@@ -92,6 +92,9 @@
     level_base_ms: float = _number(
         500, "attained service of the first level", 1, 600000
     )
+    new_program_levels: int = _whole(
+        3, "levels that a new program's first call waits behind", 0, 12
+    )
     ageing_ms: float = _number(
         2000, "waiting time that raises a call by one level", 1, 600000
     )
