--- a/packages/policy/src/balsamloom_policy/scheduler.py
+++ b/packages/policy/src/balsamloom_policy/scheduler.py
@@ -237,9 +237,7 @@
                     admission.NO_SERVER_RETRY_MS,
                 )
             self._check_if_due(pool, now_ms)
-            level = ordering.level_of(
-                self._ordering, profile.attained_ms, self._values
-            )
+            level = ordering.level_of(self._ordering, profile, self._values)
             pressure = pool.pressure(profile, level, now_ms)
             refusal = admission.judge(
                 self._admission, profile, pressure, now_ms, self._values
@@ -362,7 +360,7 @@
         pool.queue = ordering.Queue()
         for entry in sorted(entries, key=lambda entry: entry.queued_ms):
             entry.level = ordering.level_of(
-                self._ordering, entry.profile.attained_ms, self._values
+                self._ordering, entry.profile, self._values
             )
             pool.queue.push(self._ordering, entry)
 
@@ -775,7 +773,13 @@
             return False
         if ticket.server is None or ticket.first_token_ms is not None:
             return False
-        return len(ticket.pool.servers) > 1 and self._budget.tokens >= 1
+        # Half of the budget is kept for retries and for urgent calls.
+        kept = (
+            0.0 if ticket.profile.is_urgent else self._values.retry_burst / 2
+        )
+        if self._budget.tokens < 1 + kept:
+            return False
+        return len(ticket.pool.servers) > 1
 
     def _usual_start_ms(self, ticket: Ticket) -> float:
         """Return the pool's usual time until a call shows life."""
--- a/packages/policy/src/balsamloom_policy/settings.py
+++ b/packages/policy/src/balsamloom_policy/settings.py
@@ -92,6 +92,9 @@
     level_base_ms: float = _number(
         500, "attained service of the first level", 1, 600000
     )
+    new_program_levels: int = _whole(
+        3, "levels that a new program's first call waits behind", 0, 12
+    )
     ageing_ms: float = _number(
         2000, "waiting time that raises a call by one level", 1, 600000
     )
@@ -123,7 +126,7 @@
     )
     retry_max: int = _whole(3, "retries of one call", 0, 10)
     hedge_ratio: float = _number(
-        3, "slowness of a call at which it is hedged", 1, 100
+        2, "slowness of a call at which it is hedged", 1, 100
     )
     prefix_entries: int = _whole(
         20000, "prefixes remembered per pool", 0, 10000000
