Start server threads on demand and read streams unchunked

Cause: every server started all its threads at once (up to 640 in a stand-in, 256 in an entry process); with several test fleets on one host thread starts failed at 28,600 of 32,768 process numbers. The library's own growth sleeps 100 ms in the thread that accepts connections. A read of a chunked answer returned one chunk even when many had arrived. Change: one server factory whose pool grows on demand, used by entry process and stand-ins; engines are asked for unchunked answers.

--- a/packages/entry/src/balsamloom_entry/http.py
+++ b/packages/entry/src/balsamloom_entry/http.py
@@ -7,12 +7,16 @@
 
 import cherrypy
 from cheroot import wsgi
+from cheroot.workers import threadpool
 
 from balsamloom_core import errors, results
 from balsamloom_entry import requests
 
 BACKLOG = 512
 KEPT_CONNECTIONS = 2_000
+FIRST_THREADS = 16
+SPARE_THREADS = 2
+GROWTH_THREADS = 8
 REQUEST_TIMEOUT_S = 30
 
 
@@ -74,6 +78,24 @@
     return str(cherrypy.request.method) in ("POST", "PUT", "PATCH")
 
 
+class GrowingThreadPool(threadpool.ThreadPool):
+    """Thread pool that starts threads when they are needed.
+
+    The server's own pool starts all its threads at once: a fleet of test
+    processes with several hundred threads each used up the host's 32,768
+    process numbers.
+    """
+
+    def put(self, obj: Any) -> None:
+        """Queue a connection and start threads if none is idle.
+
+        :param obj: connection with a request.
+        """
+        super().put(obj)
+        if obj is not None and self.idle < SPARE_THREADS:
+            self.grow(GROWTH_THREADS)
+
+
 def make_server(address: str, threads: int) -> wsgi.Server:
     """Return a server that is bound to its address but not serving yet.
 
@@ -84,10 +106,12 @@
     server = wsgi.Server(
         (host, int(port)),
         None,
-        numthreads=threads,
         request_queue_size=BACKLOG,
         timeout=REQUEST_TIMEOUT_S,
     )
+    server.requests = GrowingThreadPool(
+        server, min=min(FIRST_THREADS, threads), max=threads
+    )
     # The server's default of 10 would close most callers' connections after
     # each request.
     server.keep_alive_conn_limit = KEPT_CONNECTIONS
--- a/packages/entry/src/balsamloom_entry/parts.py
+++ b/packages/entry/src/balsamloom_entry/parts.py
@@ -49,6 +49,9 @@
         self.connections = urllib3.PoolManager(
             num_pools=SERVER_CONNECTION_POOLS, maxsize=CONNECTIONS_PER_SERVER
         )
+        self.streams = engines.stream_pool(
+            SERVER_CONNECTION_POOLS, CONNECTIONS_PER_SERVER
+        )
         # Calls run in tasks of their own; each may need a second task until
         # its first token.
         threads = settings["http_threads"]
@@ -81,7 +84,7 @@
 
         :param address: ``host:port``.
         """
-        return engines.Engine(address, self.connections)
+        return engines.Engine(address, self.connections, self.streams)
 
     def tool_at(self, address: str) -> tools.ToolService:
         """Return the client of a tool service.
--- a/packages/platform/src/balsamloom_platform/engines.py
+++ b/packages/platform/src/balsamloom_platform/engines.py
@@ -215,16 +215,53 @@
         return chunks
 
 
+class _UnchunkedConnection(urllib3.connection.HTTPConnection):
+    """Connection that asks for HTTP/1.0, whose answers are not chunked.
+
+    A read then returns all that has arrived. With chunked answers it returns
+    one chunk, which cost a read and a write for each token even when many
+    had arrived.
+    """
+
+    _http_vsn = 10
+    _http_vsn_str = "HTTP/1.0"
+
+
+class _UnchunkedPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _UnchunkedConnection
+
+
+def stream_pool(pools: int, size: int) -> urllib3.PoolManager:
+    """Return a connection pool for streamed answers.
+
+    :param pools: servers whose connections are kept track of.
+    :param size: connections for each server.
+    """
+    manager = urllib3.PoolManager(num_pools=pools, maxsize=size)
+    manager.pool_classes_by_scheme = {
+        **manager.pool_classes_by_scheme,
+        "http": _UnchunkedPool,
+    }
+    return manager
+
+
 class Engine:
     """HTTP client of one model engine.
 
     :param address: ``host:port``.
     :param pool: connection pool shared by all clients of the process.
+    :param streams: connections of answers, see :func:`stream_pool`.
     """
 
-    def __init__(self, address: str, pool: urllib3.PoolManager) -> None:
+    def __init__(
+        self,
+        address: str,
+        pool: urllib3.PoolManager,
+        streams: urllib3.PoolManager | None = None,
+    ) -> None:
         self._base = f"http://{address}"
         self._pool = pool
+        self._streams = streams or pool
 
     def chat(
         self,
@@ -411,7 +448,8 @@
         preload: bool = True,
     ) -> urllib3.BaseHTTPResponse:
         try:
-            return self._pool.request(
+            pool = self._pool if preload else self._streams
+            return pool.request(
                 method,
                 self._base + path,
                 json=body,
--- a/packages/standins/src/balsamloom_standins/_serving.py
+++ b/packages/standins/src/balsamloom_standins/_serving.py
@@ -16,11 +16,9 @@
 import cherrypy
 from cheroot import wsgi
 
+from balsamloom_entry import http
+
 DEFAULT_THREADS = 128
-# The defaults of cheroot, 5 and 10, make several hundred streams wait for
-# repeated SYN packets and close most kept connections.
-LISTEN_BACKLOG = 1024
-KEPT_CONNECTIONS = 2048
 STOP_TIMEOUT_S = 1
 
 _SOCKET = "balsamloom.socket"
@@ -108,21 +106,13 @@
     :param address: ``host:port``; port 0 takes a free one.
     :param threads: size of the thread pool.
     """
-    host, _, port = address.rpartition(":")
     application = cherrypy.Application(root, "")
     application.log.screen = False
     application.log.access_file = ""
-    server = wsgi.Server(
-        (host, int(port)),
-        application,
-        numthreads=threads,
-        timeout=60,
-        request_queue_size=LISTEN_BACKLOG,
-        shutdown_timeout=STOP_TIMEOUT_S,
-    )
+    server = http.make_server(address, threads)
+    server.wsgi_app = application
     server.gateway = _SocketGateway
-    server.keep_alive_conn_limit = KEPT_CONNECTIONS
-    server.prepare()
+    server.shutdown_timeout = STOP_TIMEOUT_S
     threading.Thread(target=server.serve, daemon=True).start()
     return server
 
