Share the fleet's commit rate by load and let the last member stop

Cause: the token bucket gave each member 3.5 commits/s whether busy or not; a single chain of tool calls, two commits each, ran at 570 ms a call while the other members were idle. The last member of a fleet waited for its stop timeout because nobody could take its partitions.

--- a/packages/entry/src/balsamloom_entry/session.py
+++ b/packages/entry/src/balsamloom_entry/session.py
@@ -14,6 +14,7 @@
 from balsamloom_core import errors, events, identifiers
 from balsamloom_entry import (
     calls,
+    commit_shares,
     engine_parts,
     forwarding,
     inspection,
@@ -62,6 +63,7 @@
         self._seen_version = -1
         self._wanted_version = 0
         self._rebalance_at_ms = 0.0
+        self._peer_calls: dict[str, int] = {}
         self._read_map_at_ms = 0.0
         self.peers = peer_clients.PeerPool(
             member.member_id, member.peer_address, parts.links
@@ -120,13 +122,14 @@
         """Hand over all partitions and leave the map.
 
         :param timeout_ms: longest wait.
-        :return: whether everything was handed over.
+        :return: whether everything was handed over, or is durable and there
+            is no other member.
         """
         self.is_leaving = True
         events.log(
             events.Event.PROCESS_LEAVING, member_id=self.member.member_id
         )
-        return self.owner.leave(timeout_ms)
+        return self.owner.leave(timeout_ms) or self.owner.has_kept_journal
 
     def stop(self) -> None:
         """End the tasks of this session."""
@@ -153,6 +156,7 @@
         :param heartbeat: heartbeat or its answer.
         """
         self.addresses.note_heartbeat(heartbeat)
+        self._peer_calls[heartbeat.member_id] = heartbeat.calls_in_progress
         self._parts.backends.merge_from_peer(heartbeat.server_states)
         shares = [
             policy_calls.Share(share.server_id, share.in_flight, share.limit)
@@ -240,6 +244,7 @@
             jitter_ms = random.uniform(0.5, 1.5) * MAP_READ_MS
             self._read_map_at_ms = now_ms + jitter_ms
             self.owner.refresh_map()
+        self._share_commits()
         self.owner.maintain()
         if now_ms >= self._rebalance_at_ms and not self.is_leaving:
             self._rebalance_at_ms = now_ms + REBALANCE_MS
@@ -247,10 +252,27 @@
         if self.owner.map.version != self._seen_version:
             self._map_changed()
 
+    def _share_commits(self) -> None:
+        members = self.owner.map.members
+        peers = [
+            calls
+            for member_id, calls in list(self._peer_calls.items())
+            if member_id in members and member_id != self.member.member_id
+        ]
+        rate_per_s = commit_shares.rate_per_s(
+            self._parts.settings["commits_per_s"],
+            self.router.in_progress,
+            peers,
+            max(len(members), 1),
+        )
+        self.owner.journal.bucket.set_rate(rate_per_s)
+
     def _map_changed(self) -> None:
         current = self.owner.map
         self._seen_version = current.version
         members = current.members.values()
+        for member_id in set(self._peer_calls) - set(current.members):
+            self._peer_calls.pop(member_id, None)
         self.liveness.update_peers(
             liveness.Peer(member.member_id, member.peer_address)
             for member in members
--- a/packages/state/src/balsamloom_state/owner.py
+++ b/packages/state/src/balsamloom_state/owner.py
@@ -385,6 +385,11 @@
         """
         return self._presence.leave(timeout_ms)
 
+    @property
+    def has_kept_journal(self) -> bool:
+        """Return whether the last member stopped with everything durable."""
+        return self._presence.has_kept_journal
+
     def gone_tags(self, tags: Iterable[str]) -> list[str]:
         """Return tags of engine memory that no call needs any more.
 
--- a/packages/state/src/balsamloom_state/pacing.py
+++ b/packages/state/src/balsamloom_state/pacing.py
@@ -9,6 +9,7 @@
 
 FIRST_RETRY_MS = 500
 MAX_RETRY_MS = 5_000
+LONGEST_SLEEP_MS = 100
 
 
 class TokenBucket:
@@ -45,12 +46,25 @@
                 return 0.0
             return (1 - self._tokens) / self._rate_per_ms
 
+    def set_rate(self, rate_per_s: float) -> None:
+        """Change the rate from now on.
+
+        :param rate_per_s: tokens added each second, above zero.
+        """
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            gained = (now_ms - self._updated_ms) * self._rate_per_ms
+            self._tokens = min(self._burst, self._tokens + gained)
+            self._updated_ms = now_ms
+            self._rate_per_ms = rate_per_s / clocks.MS_PER_S
+
     def acquire(self) -> None:
         """Wait until a token was taken."""
         wait_ms = self.take()
         while wait_ms > 0:
-            # A whole extra ms keeps rounding from causing empty rounds.
-            self._clock.sleep(wait_ms + 1)
+            # A whole extra ms keeps rounding from causing empty rounds; a
+            # short sleep sees a rate that was raised meanwhile.
+            self._clock.sleep(min(wait_ms + 1, LONGEST_SLEEP_MS))
             wait_ms = self.take()
 
 
--- a/packages/state/src/balsamloom_state/presence.py
+++ b/packages/state/src/balsamloom_state/presence.py
@@ -23,6 +23,7 @@
         imports: takeover.Takeover,
     ) -> None:
         self._state = state
+        self.has_kept_journal = False
         self._mover = mover
         self._imports = imports
 
@@ -53,6 +54,11 @@
     def leave(self, timeout_ms: float) -> bool:
         """Hand over everything and leave the map.
 
+        The last member has nobody to hand over to. It stops once its calls
+        have ended and their records are durable (``has_kept_journal``); its
+        journal and its place in the map stay, and the next member to join
+        takes over from them.
+
         :param timeout_ms: longest wait.
         :return: whether everything was handed over.
         """
@@ -62,6 +68,10 @@
             try:
                 if self._leave_step(end_ms):
                     return True
+                if self._is_alone() and self._is_idle():
+                    left_ms = max(end_ms - self._state.clock.now_ms(), 0)
+                    self.has_kept_journal = self._state.journal.close(left_ms)
+                    return False
             except errors.BalsamloomError:
                 # The next round starts from the state of the store.
                 pass
@@ -70,6 +80,17 @@
             self._state.clock.sleep(LEAVE_PAUSE_MS)
         return False
 
+    def _is_alone(self) -> bool:
+        own_id = self._state.member.member_id
+        return not any(
+            name != own_id and not member.is_leaving
+            for name, member in self._state.map.members.items()
+        )
+
+    def _is_idle(self) -> bool:
+        slots = self._state.slots
+        return not any(slots.in_progress(number) for number in slots.all())
+
     def _announce(self) -> None:
         """Enter the state ``leaving`` in the map.
 
--- a/packages/state/tests/test_moves.py
+++ b/packages/state/tests/test_moves.py
@@ -96,7 +96,10 @@
         """Guards against a stop that deletes the only copy."""
         self.assertTrue(self.second.leave(1_000))
         self.first.refresh_map()
-        self.assertFalse(self.first.leave(1_000))
+        start_ms = self.world.clock.now_ms()
+        self.assertFalse(self.first.leave(60_000))
+        self.assertTrue(self.first.has_kept_journal)
+        self.assertLess(self.world.clock.now_ms() - start_ms, 1_000)
         self.world.kill(self.first)
         third = self.world.join()
         third.take_over(self.first.member.member_id)
