Read the map when an unknown member sends a heartbeat

Cause: a joining member's heartbeat was passed over because its address was not in the map yet; the first member saw the new map only with its periodic read after up to 7.5 s, and logged one line for each partition it moved. Change: such a heartbeat brings the next read of the map forward; one event names the number of partitions moved to a receiver.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -38,7 +38,7 @@
     STORE_UNAVAILABLE = 2005
     STORE_RECOVERED = 2006
     SEGMENT_DAMAGED = 2007
-    PARTITION_MOVED = 2008
+    PARTITIONS_MOVED = 2008
     JOURNAL_COMPACTED = 2009
     PROGRAM_ENDED_BY_SYSTEM = 2010
 
@@ -82,7 +82,7 @@
     Event.STORE_UNAVAILABLE: "The key-value service does not answer.",
     Event.STORE_RECOVERED: "The key-value service answers again.",
     Event.SEGMENT_DAMAGED: "A journal segment fails its length or checksum.",
-    Event.PARTITION_MOVED: "A partition moved to another owner as planned.",
+    Event.PARTITIONS_MOVED: "Partitions moved to another owner as planned.",
     Event.JOURNAL_COMPACTED: (
         "Journal segments without live records were deleted."
     ),
--- a/packages/entry/src/balsamloom_entry/session.py
+++ b/packages/entry/src/balsamloom_entry/session.py
@@ -164,7 +164,11 @@
         ]
         self._parts.scheduler.peer_shares(heartbeat.member_id, shares)
         peer = self.owner.map.members.get(heartbeat.member_id)
-        if peer is not None:
+        if peer is None:
+            if heartbeat.map_version > self.owner.map.version:
+                # A member that has just joined; its address is in the store.
+                self._read_map_at_ms = 0.0
+        else:
             self._offer_configuration(peer, heartbeat.configuration_revision)
             self._fetch_map(peer, heartbeat.map_version)
 
--- a/packages/state/src/balsamloom_state/moves.py
+++ b/packages/state/src/balsamloom_state/moves.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import concurrent.futures
 import threading
 from typing import NamedTuple
@@ -182,20 +183,20 @@
             lambda found: handed_over(found, own_id, pending, cap, is_retry)
         )
         self._unresolved = []
-        moved = 0
+        moved: collections.Counter[str] = collections.Counter()
         for move in pending:
             owner = changed.owners[move.partition]
             if owner == partitions.Ownership(own_id, move.epoch):
                 self._state.slots.resume(move.partition)
                 continue
-            moved += 1
+            moved[owner.member_id] += 1
+        for receiver, count in moved.items():
             events.log(
-                events.Event.PARTITION_MOVED,
-                partition=move.partition,
-                epoch=owner.epoch,
-                receiver=owner.member_id,
+                events.Event.PARTITIONS_MOVED,
+                receiver=receiver,
+                partitions=count,
             )
-        return moved
+        return moved.total()
 
     def _stage(
         self, partition: int, epoch: int, records: list[records_pb2.Record]
