Send the metrics that the page lists and no others

Cause: 33 of the listed metrics were sent by nothing; model calls and tool calls had the same steps around the send twice. Change: store calls are counted and timed, log events are counted by number, gauges go out every 5 s; names that nothing sends are gone; one function holds the turn for both kinds of call. Conclusion: a test now fails for a metric that no source sends (it failed on the former table's names when they were put back).

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -150,6 +150,14 @@
     _LOGGER.log(level, _MEANINGS[event], extra=extra)
 
 
+def add_handler(handler: logging.Handler) -> None:
+    """Pass events to a further handler, until :func:`configure` is called.
+
+    :param handler: handler of the ``logging`` module.
+    """
+    _LOGGER.addHandler(handler)
+
+
 def configure(
     process: str, level: str = "INFO", stream: TextIO | None = None
 ) -> None:
--- a/packages/core/src/balsamloom_core/metric_names.py
+++ b/packages/core/src/balsamloom_core/metric_names.py
@@ -67,15 +67,9 @@
 CALLS_REFUSED = _counter(
     "calls.refused", "Calls refused as not run, by result code.", "code"
 )
-CALLS_RETRIED = _counter(
-    "calls.retried", "Idempotent calls sent again.", "pool"
-)
 CALLS_HEDGED = _counter(
     "calls.hedged", "Idempotent calls sent to a second server.", "pool"
 )
-CALLS_UNKNOWN = _counter(
-    "calls.outcome_unknown", "Non-idempotent calls of unknown outcome."
-)
 CALLS_FORWARDED = _counter(
     "calls.forwarded", "Requests forwarded to the owner of their program."
 )
@@ -88,30 +82,13 @@
 TOKENS_GENERATED = _counter(
     "tokens.generated", "Tokens passed on to callers, by model.", "model"
 )
-PROMPT_TOKENS_REUSED = _counter(
-    "tokens.prompt_reused", "Prompt tokens that a prefix cache held.", "model"
-)
 STORE_READS = _counter("store.reads", "Reads of the key-value service.")
 STORE_WRITES = _counter("store.writes", "Writes to the key-value service.")
 STORE_FAILURES = _counter(
     "store.failures", "Calls to the key-value service without an answer."
 )
-STORE_LOST_ANSWERS = _counter(
-    "store.lost_answers", "Writes that were found by reading them back."
-)
-TAKEOVERS = _counter("membership.takeovers", "Takeovers by this process.")
-SERVERS_EJECTED = _counter(
-    "servers.ejected", "Backend servers taken out as outliers.", "pool"
-)
-HOLDS_RELEASED = _counter(
-    "engines.holds_released", "Holds of gone programs that were released."
-)
-ORDERS_REFUSED = _counter(
-    "engines.orders_refused", "Orders that an engine refused."
-)
-CONFIGURATION_REJECTED = _counter(
-    "configuration.rejected", "Older or invalid documents not taken."
-)
+
+EVENTS = _counter("events", "Log events, by number.", "event")
 
 PROGRAMS_HELD = _gauge(
     "programs.held", "programs", "Programs that this process owns."
@@ -124,44 +101,28 @@
 SERVERS_AVAILABLE = _gauge(
     "servers.available", "servers", "Servers that take new work.", "pool"
 )
-LIMIT = _gauge(
-    "limits.concurrency", "calls", "Sum of the adaptive limits.", "pool"
+MEMBERS = _gauge(
+    "membership.members", "members", "Members of the partition map in use."
 )
-PEERS_LIVE = _gauge("membership.peers_live", "peers", "Peers that answer.")
 CONFIGURATION_REVISION = _gauge(
     "configuration.revision", "revision", "Configuration in force."
 )
 MAP_VERSION = _gauge(
     "membership.map_version", "version", "Partition map in use."
 )
-JOURNAL_BYTES = _gauge(
-    "journal.size", "bytes", "Size of this process's own journal."
-)
 
 CALL_DURATION = _timing(
     "calls.duration", "Arrival of a call to its final event.", "pool"
 )
-CALL_WAIT = _timing("calls.wait", "Arrival of a call to its sending.", "pool")
 FIRST_TOKEN = _timing(
     "calls.first_token", "Arrival of a call to its first token.", "model"
 )
-TOKEN_GAP = _timing("calls.token_gap", "Time between two tokens.", "model")
-PROGRAM_DURATION = _timing(
-    "programs.duration", "Start of a program to its end.", "customer"
-)
-RELAY_DELAY = _timing("relay.delay", "Arrival of a chunk to its passing on.")
-COMMIT_DURATION = _timing(
-    "journal.commit", "Append of records to their durability."
-)
 STORE_CALL_DURATION = _timing(
     "store.duration", "One call to the key-value service."
 )
 TAKEOVER_DURATION = _timing(
     "membership.takeover", "Confirmed suspicion to serving again."
 )
-CONFIGURATION_DELAY = _timing(
-    "configuration.delay", "First sight of a revision to its coming in force."
-)
 
 ALL: tuple[Metric, ...] = tuple(
     value for value in list(globals().values()) if isinstance(value, Metric)
--- a/packages/entry/src/balsamloom_entry/attempts.py
+++ b/packages/entry/src/balsamloom_entry/attempts.py
@@ -9,10 +9,10 @@
 from typing import Any, NamedTuple
 
 from balsamloom_core import clock as clocks
-from balsamloom_core import errors, events, results
+from balsamloom_core import errors, events, metric_names, results
 from balsamloom_entry import feeds
 from balsamloom_entry import limits as call_limits
-from balsamloom_platform import engines
+from balsamloom_platform import engines, metrics
 from balsamloom_policy import calls as policy_calls
 from balsamloom_policy import scheduler as schedulers
 
@@ -27,6 +27,7 @@
     engine_at: Callable[[str], engines.ModelEngine]
     executor: concurrent.futures.Executor
     clock: clocks.Clock
+    metrics: metrics.Metrics
 
 
 class ModelRequest(NamedTuple):
@@ -183,6 +184,8 @@
         ticket = self._sender.scheduler.hedge(self._running[0].ticket)
         if ticket is None:
             return
+        pool = self._request.profile.pool
+        self._sender.metrics.count(metric_names.CALLS_HEDGED.key(pool))
         match ticket.wait(0):
             case policy_calls.Assigned() as assigned:
                 self._send(ticket, assigned)
--- a/packages/entry/src/balsamloom_entry/calls.py
+++ b/packages/entry/src/balsamloom_entry/calls.py
@@ -14,8 +14,8 @@
 from balsamloom_entry import feeds, requests
 from balsamloom_entry import limits as call_limits
 from balsamloom_platform import metrics
+from balsamloom_state import budgets, programs
 from balsamloom_state import owner as owners
-from balsamloom_state import programs
 
 DIGEST_BYTES = 16
 NOT_COMMITTED = results.ResultCode.COMPLETED_NOT_COMMITTED
@@ -76,6 +76,42 @@
     context.executor.submit(_guarded, context, feed, task)
 
 
+def take_turn(
+    context: CallContext,
+    request: CallRequest,
+    need: budgets.Need,
+    pool: str,
+    feed: feeds.Feed,
+    send: Callable[[], programs.Call],
+) -> None:
+    """Run a call in its program's order, unless its result is recorded.
+
+    :param context: parts of the process.
+    :param request: program, key and deadline.
+    :param need: most that the call may use of the budget.
+    :param pool: model or service name.
+    :param feed: items towards the caller.
+    :param send: runs the call and records its outcome.
+    """
+    owner = context.owner
+    feed.waits_for("an earlier call of the program")
+    left_ms = request.end_ms - context.clock.now_ms()
+    with owner.turn(request.program, left_ms, request.key):
+        begun = owner.begin_call(
+            request.program, request.key, request.digest, need
+        )
+        match begun:
+            case owners.Recorded(call):
+                pass
+            case owners.Fresh():
+                call = send()
+    put_result(context, feed, call, request.end_ms)
+    duration_key = metric_names.CALL_DURATION.key(pool)
+    context.metrics.timing(duration_key, feed.waited_ms())
+    finished_key = metric_names.CALLS_FINISHED.key(str(call.code))
+    context.metrics.count(finished_key)
+
+
 def put_result(
     context: CallContext,
     feed: feeds.Feed,
--- a/packages/entry/src/balsamloom_entry/forwarding.py
+++ b/packages/entry/src/balsamloom_entry/forwarding.py
@@ -6,10 +6,11 @@
 import urllib.parse
 from collections.abc import Iterable, Iterator
 
-from balsamloom_core import errors, results
+from balsamloom_core import errors, metric_names, results
 from balsamloom_entry import requests
 from balsamloom_peers import client as peer_clients
 from balsamloom_peers import messages
+from balsamloom_platform import metrics
 from balsamloom_state import partitions
 
 RETRY_AFTER_MS = 1_000
@@ -29,9 +30,16 @@
 
     :param peers: channels to the peers.
     :param member_id: this process.
+    :param sink: where metrics go.
     """
 
-    def __init__(self, peers: peer_clients.PeerPool, member_id: str) -> None:
+    def __init__(
+        self,
+        peers: peer_clients.PeerPool,
+        member_id: str,
+        sink: metrics.Metrics,
+    ) -> None:
+        self._sink = sink
         self._peers = peers
         self._member_id = member_id
 
@@ -45,6 +53,7 @@
         :raises BalsamloomError: if the owner cannot be reached and did not
             get the request, or if it may have got it.
         """
+        self._sink.count(metric_names.CALLS_FORWARDED.key())
         message = messages.ForwardRequest(
             request.method,
             "/" + "/".join(request.path),
--- a/packages/entry/src/balsamloom_entry/model_calls.py
+++ b/packages/entry/src/balsamloom_entry/model_calls.py
@@ -14,7 +14,6 @@
 from balsamloom_entry import attempts, calls, feeds, requests
 from balsamloom_policy import calls as policy_calls
 from balsamloom_state import budgets, programs
-from balsamloom_state import owner as owners
 
 # Prefixes shorter than the first message are shared by everyone and tell
 # nothing; the longest ones tell most.
@@ -93,21 +92,15 @@
         :param model: configuration of the model.
         :param feed: items towards the caller.
         """
-        owner = self._context.owner
-        program = request.program
-        feed.waits_for("an earlier call of the program")
-        left_ms = request.end_ms - self._context.clock.now_ms()
-        with owner.turn(program, left_ms, request.key):
-            need = budgets.Need(min(body.max_tokens, model.max_tokens))
-            begun = owner.begin_call(
-                program, request.key, request.digest, need
-            )
-            match begun:
-                case owners.Recorded(call):
-                    pass
-                case owners.Fresh():
-                    call = self._attempted(request, body, need, feed)
-        calls.put_result(self._context, feed, call, request.end_ms)
+        need = budgets.Need(min(body.max_tokens, model.max_tokens))
+        calls.take_turn(
+            self._context,
+            request,
+            need,
+            body.model,
+            feed,
+            lambda: self._attempted(request, body, need, feed),
+        )
 
     def _attempted(
         self,
--- a/packages/entry/src/balsamloom_entry/parts.py
+++ b/packages/entry/src/balsamloom_entry/parts.py
@@ -10,8 +10,15 @@
 
 from balsamloom_configuration import distribution
 from balsamloom_core import clock as clocks
-from balsamloom_core import dumps
-from balsamloom_entry import attempts, catalogue, pools, schema, tool_calls
+from balsamloom_core import dumps, events
+from balsamloom_entry import (
+    attempts,
+    catalogue,
+    metering,
+    pools,
+    schema,
+    tool_calls,
+)
 from balsamloom_membership import backends
 from balsamloom_peers import links
 from balsamloom_platform import engines, metrics, tools
@@ -42,10 +49,13 @@
         self.dumps = dumps.DumpRegistry()
         self.links = links.Links()
         self.ended = threading.Event()
-        self.store: stores.Store = stores.EtcdGateway(
-            settings["store_address"]
-        )
         self.metrics = _metrics(settings["statsd_address"])
+        self.store: stores.Store = metering.MeteredStore(
+            stores.EtcdGateway(settings["store_address"]),
+            self.metrics,
+            self.clock,
+        )
+        events.add_handler(metering.EventCounter(self.metrics))
         self.connections = urllib3.PoolManager(
             num_pools=SERVER_CONNECTION_POOLS, maxsize=CONNECTIONS_PER_SERVER
         )
@@ -96,7 +106,11 @@
     def sender(self) -> attempts.Sender:
         """Return the parts that send model calls."""
         return attempts.Sender(
-            self.scheduler, self.engine_at, self.senders, self.clock
+            self.scheduler,
+            self.engine_at,
+            self.senders,
+            self.clock,
+            self.metrics,
         )
 
     def tool_sender(self) -> tool_calls.ToolSender:
--- a/packages/entry/src/balsamloom_entry/session.py
+++ b/packages/entry/src/balsamloom_entry/session.py
@@ -11,7 +11,7 @@
 import threading
 from typing import Any
 
-from balsamloom_core import errors, events, identifiers
+from balsamloom_core import errors, events, identifiers, metric_names
 from balsamloom_entry import (
     calls,
     commit_shares,
@@ -19,6 +19,7 @@
     forwarding,
     inspection,
     local,
+    metering,
     model_calls,
     orders,
     permits,
@@ -41,6 +42,7 @@
 # The map also comes with heartbeats; this read finds what they missed.
 MAP_READ_MS = 5_000
 PEER_TIMEOUT_MS = 2_000
+GAUGES_MS = 5_000
 MAX_SHARES = 16
 WATCHERS_PER_DOMAIN = 2
 
@@ -63,6 +65,7 @@
         self._seen_version = -1
         self._wanted_version = 0
         self._rebalance_at_ms = 0.0
+        self._gauges_at_ms = 0.0
         self._peer_calls: dict[str, int] = {}
         self._read_map_at_ms = 0.0
         self.peers = peer_clients.PeerPool(
@@ -91,6 +94,7 @@
             self.liveness.suspected,
             lambda: self.router.in_progress,
         )
+        self._inspection = inspection.Inspection(self, parts)
         self.router = self._router()
         self._sweep = sweep.Sweep(
             lambda: engine_parts.followed_engines(parts),
@@ -210,9 +214,11 @@
         )
         return router.Router(
             service,
-            inspection.Inspection(self, self._parts),
+            self._inspection,
             inspection.Ownership(self),
-            forwarding.Forwarder(self.peers, self.member.member_id),
+            forwarding.Forwarder(
+                self.peers, self.member.member_id, self._parts.metrics
+            ),
         )
 
     def _order_control(self) -> orders.OrderControl:
@@ -249,6 +255,7 @@
             self._read_map_at_ms = now_ms + jitter_ms
             self.owner.refresh_map()
         self._share_commits()
+        self._send_gauges(now_ms)
         self.owner.maintain()
         if now_ms >= self._rebalance_at_ms and not self.is_leaving:
             self._rebalance_at_ms = now_ms + REBALANCE_MS
@@ -256,6 +263,17 @@
         if self.owner.map.version != self._seen_version:
             self._map_changed()
 
+    def _send_gauges(self, now_ms: float) -> None:
+        if now_ms < self._gauges_at_ms:
+            return
+        self._gauges_at_ms = now_ms + GAUGES_MS
+        metering.send_gauges(
+            self._parts.metrics,
+            self._inspection.status(),
+            self.owner.describe(),
+            self._parts.scheduler.describe(),
+        )
+
     def _share_commits(self) -> None:
         members = self.owner.map.members
         peers = [
@@ -300,7 +318,12 @@
                 self._map_changed()
                 return
             if self.member.member_id in members:
+                started_ms = self._parts.clock.now_ms()
                 self.owner.take_over(peer.member_id)
+                self._parts.metrics.timing(
+                    metric_names.TAKEOVER_DURATION.key(),
+                    self._parts.clock.now_ms() - started_ms,
+                )
             self._map_changed()
         except stores.StoreUnavailable:
             # Failure detection calls again while the member is in the map.
--- a/packages/entry/src/balsamloom_entry/tool_calls.py
+++ b/packages/entry/src/balsamloom_entry/tool_calls.py
@@ -11,7 +11,6 @@
 from balsamloom_policy import calls as policy_calls
 from balsamloom_policy import scheduler as schedulers
 from balsamloom_state import budgets, programs
-from balsamloom_state import owner as owners
 
 
 class Operation(NamedTuple):
@@ -60,20 +59,14 @@
         :param operation: configuration of the operation.
         :param feed: items towards the caller.
         """
-        owner = self._context.owner
-        program = request.program
-        feed.waits_for("an earlier call of the program")
-        left_ms = request.end_ms - self._context.clock.now_ms()
-        with owner.turn(program, left_ms, request.key):
-            begun = owner.begin_call(
-                program, request.key, request.digest, budgets.Need()
-            )
-            match begun:
-                case owners.Recorded(call):
-                    pass
-                case owners.Fresh():
-                    call = self._fresh(request, operation, feed)
-        calls.put_result(self._context, feed, call, request.end_ms)
+        calls.take_turn(
+            self._context,
+            request,
+            budgets.Need(),
+            operation.service,
+            feed,
+            lambda: self._fresh(request, operation, feed),
+        )
 
     def _fresh(
         self,
--- a/packages/policy/src/balsamloom_policy/_pool.py
+++ b/packages/policy/src/balsamloom_policy/_pool.py
@@ -152,6 +152,13 @@
         """Return the pool's state for a dump."""
         return {
             "waiting": self.queue.count,
+            "in_flight": sum(
+                len(state.in_flight) for state in self.servers.values()
+            ),
+            "available": sum(
+                not (state.server.is_leaving or state.is_ejected)
+                for state in self.servers.values()
+            ),
             "rate_per_s": round(self.rate_per_ms(now_ms) * 1000, 2),
             "hold_ms": round(self.hold_ms, 1),
             "urgent_in_flight": self.urgent_in_flight,
--- a/tests/test_documentation.py
+++ b/tests/test_documentation.py
@@ -119,6 +119,23 @@
     def test_metrics(self):
         self.compare(table("metrics.md"), metric_rows())
 
+    def test_each_metric_is_sent(self):
+        """Guards against names on the page that no process ever sends."""
+        sources = "".join(
+            path.read_text(encoding="utf-8")
+            for path in pathlib.Path(__file__).parent.parent.glob(
+                "packages/*/src/*/*.py"
+            )
+        )
+        names = [
+            name
+            for name, value in vars(metric_names).items()
+            if isinstance(value, metric_names.Metric)
+        ]
+        unsent = [n for n in names if f"metric_names.{n}" not in sources]
+        self.assertTrue(names)
+        self.assertEqual(unsent, [])
+
     def test_settings_of_the_entry_process(self):
         rows = table("settings.md", "Entry process")
         self.check_meanings(rows)
