--- a/packages/standins/src/balsamloom_standins/deployments.py
+++ b/packages/standins/src/balsamloom_standins/deployments.py
@@ -179,7 +179,11 @@
 
     def wait_ready(self) -> None:
         """Wait until all live entry processes share the partitions."""
-        self.wait_until(self._is_ready, "entry processes are ready")
+        try:
+            self.wait_until(self._is_ready, "entry processes are ready")
+        except TimeoutError as error:
+            found = [self.status(entry) for entry in self.live_entries()]
+            raise TimeoutError(f"{error}; they say: {found}") from None
 
     def wait_until(
         self,
--- a/packages/standins/src/balsamloom_standins/fleet.py
+++ b/packages/standins/src/balsamloom_standins/fleet.py
@@ -111,6 +111,7 @@
         self._directory = tempfile.TemporaryDirectory(prefix="balsamloom-")
         self.path = pathlib.Path(self._directory.name)
         self.processes: list[Running] = []
+        self._is_stopped = False
 
     def __enter__(self) -> Fleet:
         """Return the fleet."""
@@ -149,7 +150,11 @@
         return self._start(name, command)
 
     def stop(self) -> None:
-        """End every process at once and remove the files."""
+        """End every process at once and remove the files.
+
+        A process that another thread is starting meanwhile is ended too.
+        """
+        self._is_stopped = True
         for running in self.processes:
             if running.is_running:
                 running.kill()
@@ -158,4 +163,7 @@
     def _start(self, name: str, command: Sequence[str]) -> Running:
         running = Running(name, command, self.path / f"{name}.log")
         self.processes.append(running)
+        if self._is_stopped:
+            running.kill()
+            raise RuntimeError(f"{name}: the fleet was stopped meanwhile")
         return running
--- a/packages/standins/src/balsamloom_standins/load.py
+++ b/packages/standins/src/balsamloom_standins/load.py
@@ -28,7 +28,11 @@
 INTERRUPTED = 3001
 BACKEND_CODES = (5000, 5001)
 
+CHARACTERS_PER_TOKEN = _plans.CHARACTERS_PER_TOKEN
 RateStep = _plans.RateStep
+Chat = _plans.Chat
+Tool = _plans.Tool
+Pause = _plans.Pause
 Plan = _plans.Plan
 plans = _plans.plans
 
