--- a/packages/entry/src/balsamloom_entry/tool_calls.py
+++ b/packages/entry/src/balsamloom_entry/tool_calls.py
@@ -185,6 +185,7 @@
             request.body,
             request.key,
             round(min(left_ms, operation.timeout_ms)),
+            request.program.program_id,
         )
         ticket.finish(_observation(outcome))
         return Sent(outcome, clock.now_ms() - sent_ms)
--- a/packages/standins/src/balsamloom_standins/engine.py
+++ b/packages/standins/src/balsamloom_standins/engine.py
@@ -27,9 +27,12 @@
 DEFAULT_MAX_TOKENS = 16
 DEFAULT_PRIORITY = 0
 THREADS = 640
+MAX_RECORDS = 10_000
 # Closed streams are found once a tick, also when no token is due.
 TICK_S = 0.02
 
+_REFUSAL_STATUSES = {"draining": 503, "overloaded": 429}
+
 
 @dataclasses.dataclass
 class Speed:
@@ -79,6 +82,15 @@
         self.ready_s = 0.0
         self.made = 0
         self.is_ended = False
+        self.record: dict[str, Any] = {
+            "tag": tag,
+            "prompt": self.blocks[-1].digest if self.blocks else "",
+            "max_tokens": self.max_tokens,
+            "made": 0,
+            "is_refused": False,
+            "start_s": time.monotonic(),
+            "end_s": None,
+        }
         # Numbers of tokens; none says that the request has ended.
         self.tokens: queue.SimpleQueue[int | None] = queue.SimpleQueue()
 
@@ -110,6 +122,9 @@
         self.holds = holds
         self.cancelled = 0
         self._token_bytes = token_bytes
+        self._records: collections.deque[dict[str, Any]] = collections.deque(
+            maxlen=MAX_RECORDS
+        )
         self._numbers = itertools.count()
         self._waiting: list[tuple[float, int, Request]] = []
         self._running: dict[int, Request] = {}
@@ -122,17 +137,32 @@
         )
         threading.Thread(target=self._run, daemon=True).start()
 
-    def submit(self, request: Request) -> bool:
-        """Take a request; false if too many are waiting."""
+    def records(self) -> list[dict[str, Any]]:
+        """Return what is known of all requests, refused ones included.
+
+        Times are on the host's monotonic clock.
+        """
+        with self.lock:
+            return list(self._records)
+
+    def submit(self, request: Request) -> str:
+        """Take a request, or return the reason why not."""
         with self.lock:
-            if len(self._waiting) >= self.speed.max_waiting:
-                return False
+            self._records.append(request.record)
+            cause = ""
+            if self.speed.state == "draining":
+                cause = "draining"
+            elif len(self._waiting) >= self.speed.max_waiting:
+                cause = "overloaded"
+            if cause:
+                request.record["is_refused"] = True
+                return cause
             self._poll.register(request.descriptor, select.POLLRDHUP)
             self.holds.start(request.tag, 0)
             entry = (request.priority, next(self._numbers), request)
             heapq.heappush(self._waiting, entry)
             self.lock.notify()
-            return True
+            return ""
 
     def cancel(self, tag_prefix: str) -> int:
         """Cancel the requests whose tag starts with a text."""
@@ -208,6 +238,7 @@
                 continue
             request.tokens.put(request.made)
             request.made += 1
+            request.record["made"] = request.made
             made += 1
             if request.made >= request.max_tokens:
                 self._keep_answer(request)
@@ -224,6 +255,7 @@
         if request.is_ended:
             return
         request.is_ended = True
+        request.record["end_s"] = time.monotonic()
         self._poll.unregister(request.descriptor)
         self.holds.end(request.tag)
         request.tokens.put(None)
@@ -326,6 +358,8 @@
                 return self._order(body)
             case ("GET", "orders"):
                 return self._read_orders()
+            case ("GET", "records"):
+                return _serving.write_json({"records": self._batch.records()})
             case ("GET", "stats"):
                 with self._batch.lock:
                     counts = dict(self._batch.cache.counts)
@@ -339,13 +373,12 @@
     default._cp_config = {"response.stream": True}
 
     def _chat(self, body: dict[str, Any]) -> Any:
-        if self._speed.state == "draining":
-            return _refusal("draining", 503)
         tag = cherrypy.request.headers.get("X-Request-Tag", "")
         connection = _serving.request_socket()
         request = Request(body, tag, connection)
-        if not self._batch.submit(request):
-            return _refusal("overloaded", 429)
+        cause = self._batch.submit(request)
+        if cause:
+            return _refusal(cause, _REFUSAL_STATUSES[cause])
         cherrypy.response.headers["Content-Type"] = "text/event-stream"
         return self._stream(request, connection)
 
--- a/packages/standins/src/balsamloom_standins/tools.py
+++ b/packages/standins/src/balsamloom_standins/tools.py
@@ -45,13 +45,15 @@
         self._changed = threading.Condition()
         self._runs: collections.Counter[str] = collections.Counter()
         self._programs: dict[str, list[list[str]]] = {}
+        self._records: list[dict[str, Any]] = []
 
     @cherrypy.expose
     def default(self, *path: str, **_: str) -> Any:
-        """Run an operation, or serve ``/runs``, ``/order`` or ``/control``.
+        """Run an operation, or serve records or ``/control``.
 
         ``/runs`` gives the number of runs of each key, ``/order`` the starts
-        and ends of each program's operations in order.
+        and ends of each program's operations in order, ``/records`` the times
+        of all runs on the host's monotonic clock.
         """
         body = _serving.read_json()
         match (cherrypy.request.method, *path):
@@ -61,6 +63,9 @@
             case ("GET", "order"):
                 with self._changed:
                     return _serving.write_json(self._programs)
+            case ("GET", "records"):
+                with self._changed:
+                    return _serving.write_json({"records": self._records})
             case ("POST", "control"):
                 return self._control(body)
             case ("POST", *_):
@@ -91,11 +96,15 @@
             self._runs[key] += 1
             runs = self._runs[key]
             self._note(program_id, "start", key)
+            record: dict[str, Any] = {"program_id": program_id, "key": key}
+            record.update(start_s=time.monotonic(), end_s=None)
+            self._records.append(record)
             if mode == "hang":
                 self._changed.wait_for(lambda: self._behaviour.mode != "hang")
         time.sleep(duration_ms / 1000)
         with self._changed:
             self._note(program_id, "end", key)
+            record["end_s"] = time.monotonic()
         if mode == "error":
             return _serving.write_json({"error": "failed"}, 500)
         return _serving.write_json(
