--- a/packages/standins/src/balsamloom_standins/observations.py
+++ b/packages/standins/src/balsamloom_standins/observations.py
@@ -7,28 +7,56 @@
 from __future__ import annotations
 
 import collections
+import copy
+import dataclasses
+import itertools
+import json
 import threading
 import time
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any, NamedTuple
 
+import sseclient
+import urllib3
+
 from balsamloom_cli import client
 from balsamloom_core import results
 from balsamloom_standins import _cache, deployments, fleet
 
 COMPLETED = int(results.ResultCode.COMPLETED)
 POLL_S = 0.05
+SEND_TIMEOUT_S = 20
 ENTRY_SETTINGS = {"commits_per_s": 20, "commit_burst": 20}
 STORE_FAULTS = ("refuse", "hang", "slow", "lose_answers", "stale_reads")
 # The first part of an engine's tag is the program, the last one the call.
 TAG_PROGRAM, TAG_CALL = 0, 2
 
 
+@dataclasses.dataclass
+class Events:
+    """Events of one stream: progress, restarts and the longest silence."""
+
+    progress: int = 0
+    restarts: int = 0
+    silence_ms: float = 0
+    last_s: float = dataclasses.field(default_factory=time.monotonic)
+
+    def note(self, name: str) -> None:
+        """Count an event.
+
+        :param name: name of the event.
+        """
+        now_s = time.monotonic()
+        self.silence_ms = max(self.silence_ms, (now_s - self.last_s) * 1000)
+        self.last_s = now_s
+        self.progress += name == "progress"
+        self.restarts += name == "restart"
+
+
 class Told(NamedTuple):
     """What a caller was told of one call; times on the monotonic clock.
 
-    ``text`` is the new message of a model call, else empty; ``waits_ms`` has
-    the times of its progress events after the request.
+    ``text`` is the new message of a model call, else empty.
     """
 
     program_id: str
@@ -38,7 +66,7 @@
     code: int
     not_run: bool
     answer: Any
-    waits_ms: tuple[float, ...]
+    events: Events
     start_s: float
     end_s: float
 
@@ -58,16 +86,36 @@
     def __init__(
         self, deployment: deployments.Deployment, timeout_ms: int = 20_000
     ) -> None:
-        addresses = [entry.address for entry in deployment.entries]
+        self._deployment = deployment
         self._shape = deployment.shape
-        self._caller = client.Caller(
-            addresses, self._shape.customer, timeout_ms=timeout_ms
-        )
         self._lock = threading.Lock()
-        self._count = 0
+        self._numbers = itertools.count(1)
         self.told: list[Told] = []
         self.budgets: dict[str, dict[str, int]] = {}
         self.ended: set[str] = set()
+        self.reconnect(deployment.live_entries(), timeout_ms)
+
+    def reconnect(
+        self, entries: Iterable[fleet.Running], timeout_ms: int = 20_000
+    ) -> None:
+        """Forget all addresses and ask these entry processes from now on.
+
+        :param entries: entry processes to ask.
+        :param timeout_ms: longest time for one call with all its tries.
+        """
+        addresses = [entry.address for entry in entries]
+        self._caller = client.Caller(
+            addresses, self._shape.customer, timeout_ms=timeout_ms
+        )
+
+    def with_timeout(self, timeout_ms: int) -> LoggedCaller:
+        """Return a caller with the same log and another timeout.
+
+        :param timeout_ms: longest time for one call with all its tries.
+        """
+        other = copy.copy(self)
+        other.reconnect(self._deployment.live_entries(), timeout_ms)
+        return other
 
     def start(self, **specification: Any) -> str:
         """Start a program and return its identifier.
@@ -89,30 +137,29 @@
         :param max_tokens: length of the answer.
         :param key: idempotency key, a new one by default.
         """
-        key = key or self._new_key(program_id, "chat")
+        key = key or self.new_key(program_id, "chat")
         body = {
             "model": self._shape.model,
             "max_tokens": max_tokens,
             "messages": [{"role": "user", "content": text}],
         }
-        start_s = time.monotonic()
         parts: list[str] = []
-        waits_ms: list[float] = []
+        events = Events()
 
-        def run() -> Any:
+        def run() -> tuple[int, Any]:
             for event in self._caller.chat(program_id, body, key):
-                match event.name:
-                    case "progress":
-                        passed_s = time.monotonic() - start_s
-                        waits_ms.append(passed_s * 1000)
-                    case "restart":
-                        parts.clear()
-                    case "message":
-                        parts.append(_content(event.body))
-            return "".join(parts)
-
-        call = (program_id, key, text, max_tokens)
-        return self._logged(call, run, waits_ms, start_s)
+                events.note(event.name)
+                if event.name == "restart":
+                    parts.clear()
+                elif event.name == "message":
+                    parts.append(_content(event.body))
+            # A recorded answer comes as a whole, without chunks.
+            message = event.body["result"]["choices"][0]["message"]
+            return int(event.body["code"]), "".join(parts) or message[
+                "content"
+            ]
+
+        return self._logged((program_id, key, text, max_tokens), run, events)
 
     def tool(self, program_id: str, operation: str, key: str = "") -> Told:
         """Run a tool call to its end.
@@ -121,15 +168,72 @@
         :param operation: operation of the deployment's service.
         :param key: idempotency key, a new one by default.
         """
-        key = key or self._new_key(program_id, operation)
+        key = key or self.new_key(program_id, operation)
 
-        def run() -> Any:
-            return self._caller.tool(
+        def run() -> tuple[int, Any]:
+            answer = self._caller.tool(
                 program_id, self._shape.service, operation, {"key": key}, key
             )
+            return COMPLETED, answer
+
+        return self._logged((program_id, key, "", 0), run, Events())
+
+    def tool_once(
+        self, program_id: str, operation: str, key: str, deadline_ms: int
+    ) -> Told:
+        """Send a tool call once, so that the first answer is the last.
+
+        :param program_id: program of the call.
+        :param operation: operation of the deployment's service.
+        :param key: idempotency key.
+        :param deadline_ms: deadline that the service is told.
+        """
+        headers = call_headers(program_id, key)
+        headers["X-Deadline-Ms"] = str(deadline_ms)
+        path = f"/v1/tools/{self._shape.service}/{operation}"
+
+        def run() -> tuple[int, Any]:
+            try:
+                address = self.owner(program_id)
+                response = send(address, path, {"key": key}, **headers)
+                body = response.json()
+            except urllib3.exceptions.HTTPError as error:
+                code = results.ResultCode.INTERRUPTED
+                raise client.CallError(code, str(error), False) from error
+            if "error" not in body:
+                return COMPLETED, body
+            code = results.ResultCode(body["error"]["code"])
+            message = body["error"]["message"]
+            raise client.CallError(code, message, body["error"]["not_run"])
+
+        return self._logged((program_id, key, "", 0), run, Events())
+
+    def stream_tool(self, program_id: str, operation: str, key: str) -> Told:
+        """Run a tool call once, with its answer as a stream.
+
+        :param program_id: program of the call.
+        :param operation: operation of the deployment's service.
+        :param key: idempotency key.
+        """
+        events = Events()
+
+        def run() -> tuple[int, Any]:
+            path = f"/v1/tools/{self._shape.service}/{operation}"
+            response = send(
+                self.owner(program_id),
+                path,
+                {"key": key},
+                **call_headers(program_id, key),
+                Accept="text/event-stream",
+            )
+            for event in sseclient.SSEClient(response.stream()).events():
+                events.note(event.event)
+                if event.event == "done":
+                    break
+            body = json.loads(event.data)
+            return int(body["code"]), body
 
-        call = (program_id, key, "", 0)
-        return self._logged(call, run, [], time.monotonic())
+        return self._logged((program_id, key, "", 0), run, events)
 
     def show(self, program_id: str) -> dict[str, Any]:
         """Return the state of a program.
@@ -165,33 +269,35 @@
         return self._caller.address(program_id).address
 
     def calls_of(self, program_id: str) -> list[Told]:
-        """Return what was told of one program, in the order of the ends.
+        """Return what was told of one program.
 
         :param program_id: program of the calls.
         """
         return [told for told in self.told if told.program_id == program_id]
 
-    def _new_key(self, program_id: str, kind: str) -> str:
-        with self._lock:
-            self._count += 1
-            return f"{program_id}:{kind}:{self._count}"
+    def new_key(self, program_id: str, kind: str) -> str:
+        """Return an idempotency key that tells its program.
+
+        :param program_id: program of the call.
+        :param kind: what is called.
+        """
+        return f"{program_id}:{kind}:{next(self._numbers)}"
 
     def _logged(
         self,
         call: tuple[str, str, str, int],
-        run: Callable[[], Any],
-        waits_ms: list[float],
-        start_s: float,
+        run: Callable[[], tuple[int, Any]],
+        events: Events,
     ) -> Told:
-        code, not_run, answer = COMPLETED, False, None
+        start_s = time.monotonic()
+        not_run = False
         try:
-            answer = run()
+            code, answer = run()
         except client.CallError as error:
             code, not_run = int(error.code), error.not_run
             answer = error.message
-        end_s = time.monotonic()
         told = Told(
-            *call, code, not_run, answer, tuple(waits_ms), start_s, end_s
+            *call, code, not_run, answer, events, start_s, time.monotonic()
         )
         with self._lock:
             self.told.append(told)
@@ -239,6 +345,35 @@
                     seen.append(revision)
 
 
+def call_headers(program_id: str, key: str) -> dict[str, str]:
+    """Return the headers of a call.
+
+    :param program_id: program of the call.
+    :param key: idempotency key.
+    """
+    return {"X-Program-Id": program_id, "Idempotency-Key": key}
+
+
+def send(
+    address: str, path: str, body: dict[str, Any], **headers: str
+) -> urllib3.BaseHTTPResponse:
+    """Send one request without another try; its answer is not read yet.
+
+    :param address: entry process.
+    :param path: path of the request.
+    :param body: JSON body.
+    :param headers: headers besides those of the body.
+    """
+    return urllib3.PoolManager(retries=False).request(
+        "POST",
+        f"http://{address}{path}",
+        json=body,
+        headers=headers,
+        preload_content=False,
+        timeout=SEND_TIMEOUT_S,
+    )
+
+
 def small(shape: deployments.Shape) -> deployments.Shape:
     """Return a shape with few stand-ins, for tests.
 
@@ -373,13 +508,13 @@
     """Check a program's history against what its caller was told (R2).
 
     :param messages: history of the program.
-    :param told: what the caller was told, in order.
+    :param told: what the caller was told; each call began after the former.
     :param code_of: code of the recorded result of a call that was not
         completed for the caller.
     """
     expected: list[tuple[str, ...]] = []
     keys = set()
-    for call in told:
+    for call in sorted(told, key=lambda call: call.start_s):
         is_recorded = call.is_completed or code_of(call) == COMPLETED
         if is_recorded and call.key not in keys:
             keys.add(call.key)
