--- a/packages/policy/src/balsamloom_policy/settings.py
+++ b/packages/policy/src/balsamloom_policy/settings.py
@@ -44,7 +44,7 @@
     """What operators may change; ``docs/scheduling.md`` explains each."""
 
     routing: str = _choice(
-        "learned", "choice of server", "random", "round_robin", "payoff"
+        "learned", "choice of server", "random", "round_robin"
     )
     ordering: str = _choice("attained_service", "order of waiting", "fifo")
     admission: str = _choice("adaptive", "early refusal", "none")
@@ -53,7 +53,6 @@
     prefixes: str = _choice("bounded", "prefix affinity", "none")
 
     candidate_count: int = _whole(3, "servers compared per call", 1, 64)
-    payoff_v: float = _number(8, "queue weight of payoff routing", 0.1, 1000)
     report_valid_ms: float = _number(
         2000, "age at which a load report has no weight left", 1, 60000
     )
@@ -93,6 +92,9 @@
     level_base_ms: float = _number(
         500, "attained service of the first level", 1, 600000
     )
+    new_program_levels: int = _whole(
+        3, "levels that a new program's first call waits behind", 0, 12
+    )
     ageing_ms: float = _number(
         2000, "waiting time that raises a call by one level", 1, 600000
     )
@@ -124,7 +126,7 @@
     )
     retry_max: int = _whole(3, "retries of one call", 0, 10)
     hedge_ratio: float = _number(
-        3, "slowness of a call at which it is hedged", 1, 100
+        2, "slowness of a call at which it is hedged", 1, 100
     )
     prefix_entries: int = _whole(
         20000, "prefixes remembered per pool", 0, 10000000
