--- a/packages/entry/src/balsamloom_entry/session.py
+++ b/packages/entry/src/balsamloom_entry/session.py
@@ -97,7 +97,7 @@
         self._inspection = inspection.Inspection(self, parts)
         self.router = self._router()
         self._sweep = sweep.Sweep(
-            lambda: engine_parts.followed_engines(parts),
+            lambda: engine_parts.swept_engines(parts),
             self.owner.gone_tags,
             parts.clock,
         )
