Say "not run" only if no earlier attempt was sent; test the relay

Cause: a refusal of the last attempt (no server free, deadline) was passed on as not run although an earlier attempt of the same call had reached an engine or a service. The relay and the attempts had no tests of their own.

--- a/packages/entry/src/balsamloom_entry/attempts.py
+++ b/packages/entry/src/balsamloom_entry/attempts.py
@@ -89,6 +89,7 @@
             queue.SimpleQueue()
         )
         self._running: list[Attempt] = []
+        self._sent_error: engines.EngineError | None = None
         self._count = 0
 
     def first_tokens(self) -> Started:
@@ -106,6 +107,11 @@
                         return started
                     case Rejected(ticket, error):
                         self._after_rejection(ticket, error)
+        except errors.BalsamloomError as error:
+            if self._sent_error and results.info(error.code).not_run:
+                # A refusal of the last try says nothing about an earlier one.
+                raise _interrupted(self._sent_error) from error
+            raise
         finally:
             for attempt in self._running:
                 self._cancel(attempt)
@@ -196,6 +202,8 @@
         self, ticket: schedulers.Ticket, error: engines.EngineError
     ) -> None:
         self._forget(ticket)
+        if error.was_sent:
+            self._sent_error = error
         if self._running:
             ticket.finish(policy_calls.Observation(False, True))
             return
@@ -265,6 +273,11 @@
     )
 
 
+def _interrupted(error: engines.EngineError) -> errors.BalsamloomError:
+    code = results.ResultCode.INTERRUPTED
+    return errors.BalsamloomError(code, error.message)
+
+
 def _ticket(
     outcome: schedulers.Ticket | policy_calls.Refused,
 ) -> schedulers.Ticket:
--- a/packages/entry/src/balsamloom_entry/tool_calls.py
+++ b/packages/entry/src/balsamloom_entry/tool_calls.py
@@ -142,10 +142,16 @@
         feed: feeds.Feed,
     ) -> Sent:
         feed.waits_for("tool service")
+        former: Sent | None = None
         while True:
             sent = self._send(request, operation, ticket, assigned)
             if isinstance(sent.outcome, outcomes.Completed):
                 return sent
+            if former and isinstance(sent.outcome, outcomes.NotRun):
+                # That the last try was not sent says nothing of the others.
+                sent = former
+            if not isinstance(sent.outcome, outcomes.NotRun):
+                former = sent
             again = self._sender.scheduler.retry(ticket, str(sent.outcome))
             if isinstance(again, policy_calls.Refused):
                 return sent
--- a/packages/entry/tests/builders.py
+++ b/packages/entry/tests/builders.py
@@ -1,9 +1,17 @@
 """Test data of the package entry."""
 
+import concurrent.futures
+import json
+
 from balsamloom_core import clock as clocks
 from balsamloom_core import errors, results
-from balsamloom_entry import orders, permits, sweep
+from balsamloom_entry import attempts, feeds, orders, permits, sweep
+from balsamloom_entry import limits as call_limits
+from balsamloom_platform import engines, metrics
 from balsamloom_platform import store as stores
+from balsamloom_policy import calls as policy_calls
+from balsamloom_policy import scheduler as schedulers
+from balsamloom_policy import settings as policy_settings
 from balsamloom_state import partitions
 
 ENGINE = "rota-1"
@@ -158,3 +166,86 @@
         },
         (),
     )
+
+
+class ScriptedEngine:
+    """Model engine whose ``chat`` gives a stream or raises an error."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+        self.cancelled = []
+
+    def chat(self, body, tag, connect_timeout_ms, read_timeout_ms):
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        return self.outcome
+
+    def cancel(self, tag_prefix, timeout_ms=0):
+        self.cancelled.append(tag_prefix)
+        return 1
+
+
+class ScriptedStream:
+    """Answer of an engine in batches; an error in place of one breaks it."""
+
+    def __init__(self, *batches, is_whole=True):
+        self._batches = batches
+        self.is_whole = False
+        self._ends_whole = is_whole
+        self.is_closed = False
+
+    def batches(self):
+        for batch in self._batches:
+            if isinstance(batch, Exception):
+                raise batch
+            yield batch
+        self.is_whole = self._ends_whole
+
+    def close(self):
+        self.is_closed = True
+
+
+def chunk(text):
+    delta = {"content": text}
+    return engines.Chunk(json.dumps({"choices": [{"delta": delta}]}))
+
+
+def broken(was_sent):
+    code = (
+        results.ResultCode.BACKEND_ERROR
+        if was_sent
+        else results.ResultCode.NOT_SENT
+    )
+    return engines.EngineError(code, "scripted", was_sent)
+
+
+def sender(scripted, case, **settings):
+    """Return a sender to one pool ``m`` of scripted engines by server id."""
+    clock = clocks.Clock()
+    values = policy_settings.PolicySettings(**settings)
+    scheduler = schedulers.Scheduler(clock, values, 1)
+    scheduler.update_servers(
+        "m",
+        [policy_calls.Server(name, name, "m", 4) for name in scripted],
+    )
+    executor = concurrent.futures.ThreadPoolExecutor(8)
+    case.addCleanup(executor.shutdown, wait=False)
+    return attempts.Sender(
+        scheduler,
+        scripted.__getitem__,
+        executor,
+        clock,
+        metrics.NullMetrics(),
+    )
+
+
+def model_attempts(found, timeout_ms=5_000):
+    """Return the attempts of one call through a sender, and its feed."""
+    end_ms = found.clock.now_ms() + timeout_ms
+    profile = policy_calls.CallProfile(
+        "p", "c", "m", deadline_ms=end_ms, is_idempotent=True
+    )
+    request = attempts.ModelRequest({}, "p/1/k", profile, end_ms)
+    feed = feeds.Feed(found.clock)
+    limits = call_limits.CallLimits()
+    return attempts.ModelAttempts(found, request, limits, feed), feed
--- /dev/null
+++ b/packages/entry/tests/test_attempts.py
@@ -0,0 +1,139 @@
+"""Tests of sending model calls and relaying their answers."""
+
+import threading
+import unittest
+
+import builders
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import errors, results
+from balsamloom_entry import feeds, model_calls
+
+
+class AttemptsTest(unittest.TestCase):
+    def test_failed_attempt_is_tried_again_elsewhere(self):
+        """Guards against a call that fails with one engine of several."""
+        whole = builders.ScriptedStream([builders.chunk("a")])
+        scripted = {
+            "s1": builders.ScriptedEngine(builders.broken(was_sent=True)),
+            "s2": builders.ScriptedEngine(whole),
+        }
+        for _ in range(4):
+            found, _ = builders.model_attempts(
+                builders.sender(scripted, self, retry_delay_ms=0)
+            )
+            self.assertEqual(found.first_tokens().first, [builders.chunk("a")])
+
+    def test_refusal_after_a_sent_attempt_does_not_say_not_run(self):
+        """Guards against "not run" for a call that reached an engine."""
+        for was_sent in (True, False):
+            with self.subTest(was_sent=was_sent):
+                engine = builders.ScriptedEngine(builders.broken(was_sent))
+                found, _ = builders.model_attempts(
+                    builders.sender({"s1": engine}, self, retry_max=1), 500
+                )
+                with self.assertRaises(errors.BalsamloomError) as caught:
+                    found.first_tokens()
+                info = results.info(caught.exception.code)
+                self.assertFalse(was_sent and info.not_run)
+
+    def test_silent_engine_ends_at_the_deadline(self):
+        """Guards against a caller that waits for ever on a hung engine."""
+        hang = threading.Event()
+        self.addCleanup(hang.set)
+
+        class Hung(builders.ScriptedEngine):
+            def chat(self, *_):
+                hang.wait(20)
+                raise builders.broken(was_sent=True)
+
+        engine = Hung(None)
+        found, _ = builders.model_attempts(
+            builders.sender({"s1": engine}, self), 200
+        )
+        with self.assertRaises(errors.BalsamloomError) as caught:
+            found.first_tokens()
+        code = results.ResultCode.BACKEND_TIMEOUT
+        self.assertEqual(caught.exception.code, code)
+
+
+class RelayTest(unittest.TestCase):
+    def relay(self, *batches, is_whole=True):
+        stream = builders.ScriptedStream(*batches, is_whole=is_whole)
+        engine = builders.ScriptedEngine(stream)
+        sender = builders.sender({"s1": engine}, self)
+        found, feed = builders.model_attempts(sender)
+        end_ms = sender.clock.now_ms() + 5_000
+        started = found.first_tokens()
+        return model_calls.Relay(started, sender.clock, end_ms), feed
+
+    def content(self, relay):
+        return relay.answer()["choices"][0]["message"]["content"]
+
+    def test_call_reads_on_when_its_caller_leaves(self):
+        """Guards against a history that ends where a connection broke."""
+        batches = [[builders.chunk(text)] for text in "abc"]
+        relay, feed = self.relay(*batches)
+        feed.put(feeds.Live(relay))
+        answer = feeds.stream_answer(feed, 1_000)
+        next(answer.chunks)
+        answer.chunks.close()
+        relay.wait()
+        self.assertEqual(self.content(relay), "abc")
+
+    def test_call_reads_on_when_its_caller_never_read(self):
+        """Guards against a task that waits for a reader who has gone."""
+        relay, feed = self.relay([builders.chunk("a")], [builders.chunk("b")])
+        feed.close()
+        feed.put(feeds.Live(relay))
+        relay.wait()
+        self.assertEqual(self.content(relay), "ab")
+
+    def test_cut_answer_is_an_error(self):
+        """Guards against half an answer recorded as whole."""
+        for cut in (
+            self.relay([builders.chunk("a")], is_whole=False),
+            self.relay([builders.chunk("a")], builders.broken(True)),
+        ):
+            relay, _ = cut
+            relay.abandon()
+            with self.assertRaises(errors.BalsamloomError):
+                relay.wait()
+
+    def test_damaged_chunk_is_an_error(self):
+        """Guards against a history with a piece missing."""
+        damaged = builders.chunk("a")._replace(text='{"choices": [')
+        relay, _ = self.relay([damaged])
+        relay.abandon()
+        relay.wait()
+        with self.assertRaises(errors.BalsamloomError) as caught:
+            relay.answer()
+        code = results.ResultCode.DAMAGED_MESSAGE
+        self.assertEqual(caught.exception.code, code)
+
+
+class FeedTest(unittest.TestCase):
+    def test_waiting_caller_hears_why(self):
+        """Guards against a caller that waits without any sign."""
+        feed = feeds.Feed(clocks.Clock())
+        feed.waits_for("backend server", 3)
+        answer = feeds.stream_answer(feed, 10)
+        event = next(answer.chunks).decode()
+        self.assertIn("event: progress", event)
+        self.assertIn('"reason":"backend server"', event)
+        self.assertIn('"position":3', event)
+        feed.put(feeds.Finished(1000, {"x": 1}, True))
+        events = b"".join(answer.chunks).decode()
+        last = events[events.index("event: done") :]
+        self.assertIn('"committed":true', last)
+        self.assertTrue(last.endswith("data: [DONE]\n\n"))
+
+    def test_error_before_anything_else_has_its_status(self):
+        """Guards against refusals hidden in a stream with status 200."""
+        feed = feeds.Feed(clocks.Clock())
+        code = results.ResultCode.OVERLOADED
+        error = errors.BalsamloomError(code, "full", 1_200)
+        feed.put(feeds.Ended(error))
+        answer = feeds.stream_answer(feed, 1_000)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.headers["Retry-After"], "2")
