--- /dev/null
+++ b/tests/sessions.py
@@ -0,0 +1,109 @@
+"""Runs the sessions on a page under docs/ and compares what they print."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+from typing import NamedTuple
+
+DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
+COMMANDS = pathlib.Path(sys.executable).parent
+_BLOCK = re.compile(r"^```console\n(.*?)^```$", re.MULTILINE | re.DOTALL)
+_STATUS = re.compile(r"\(exit status (\d+)\)")
+# What differs from run to run: identifiers, keys and numbers.
+_VARYING = re.compile(r"(?<=-)[0-9a-f]{8,}\b|\d+(?:\.\d+)?")
+_END = "end of the command's output, status"
+
+
+class Command(NamedTuple):
+    """One command of a page with the output and status that it shows."""
+
+    text: str
+    output: str
+    status: int
+
+
+def commands(page):
+    """Return the commands of a page's console blocks.
+
+    :param page: file name under docs/.
+    """
+    found = []
+    text = (DOCS / page).read_text(encoding="utf-8")
+    for block in _BLOCK.findall(text):
+        for part in re.split(r"^\$ ", block, flags=re.MULTILINE)[1:]:
+            first, *rest = part.rstrip("\n").split("\n")
+            lines = [first]
+            while rest and rest[0].startswith("> "):
+                lines.append(rest.pop(0)[2:])
+            status = 0
+            output = [line for line in rest if line]
+            if output and _STATUS.fullmatch(output[-1]):
+                status = int(_STATUS.fullmatch(output.pop()).group(1))
+            found.append(Command("\n".join(lines), "\n".join(output), status))
+    return found
+
+
+def comparable(output):
+    """Return output without what differs from run to run.
+
+    :param output: output of a command.
+    """
+    lines = [
+        " ".join(_VARYING.sub("#", line).split())
+        for line in output.splitlines()
+    ]
+    return "\n".join(line for line in lines if line)
+
+
+class Shell:
+    """A shell in a directory of its own that runs command after command."""
+
+    def __init__(self, environment=None):
+        self._directory = tempfile.TemporaryDirectory(prefix="balsamloom-")
+        self.path = pathlib.Path(self._directory.name)
+        variables = {
+            **os.environ,
+            **(environment or {}),
+            "PATH": f"{COMMANDS}:{os.environ['PATH']}",
+        }
+        self._process = subprocess.Popen(
+            ["bash"],
+            cwd=self.path,
+            env=variables,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+
+    def run(self, text):
+        """Run a command and return its output and status.
+
+        :param text: command.
+        """
+        self._process.stdin.write(f'{text}\necho "{_END} $?"\n')
+        self._process.stdin.flush()
+        output = ""
+        for line in self._process.stdout:
+            before, is_end, status = line.partition(_END)
+            output += before
+            if is_end:
+                return output, int(status)
+        raise RuntimeError(f"the shell ended at {text!r}: {output}")
+
+    def close(self):
+        """End the shell and every process that it started."""
+        for path in pathlib.Path(f"/proc/{self._process.pid}/task").glob("*"):
+            for child in (path / "children").read_text().split():
+                os.kill(int(child), signal.SIGKILL)
+        self._process.stdin.close()
+        self._process.kill()
+        self._process.wait()
+        self._process.stdout.close()
+        self._directory.cleanup()
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,25 @@
+"""The session on docs/operations.md, run command by command."""
+
+import unittest
+
+import sessions
+
+PAGE = "operations.md"
+
+
+class OperationsTest(unittest.TestCase):
+    """Guards against a page that tells operators what does not work."""
+
+    def test_commands_do_what_the_page_shows(self):
+        shell = sessions.Shell()
+        self.addCleanup(shell.close)
+        found = sessions.commands(PAGE)
+        self.assertGreater(len(found), 30)
+        for command in found:
+            output, status = shell.run(command.text)
+            self.assertEqual(status, command.status, command.text + output)
+            self.assertEqual(
+                sessions.comparable(output),
+                sessions.comparable(command.output),
+                command.text,
+            )
