--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := core platform peers state policy membership configuration entry cli standins
 
-.PHONY: setup run test check unit measure capacity format
+.PHONY: setup run serve test check unit measure capacity format
 
 setup: $(STAMP)
 
@@ -33,6 +33,9 @@
 run: setup
 	$(BIN)/python tools/demo.py
 
+serve: setup
+	$(BIN)/python tools/demo.py --keep
+
 measure: setup
 	$(BIN)/python tools/measure.py
 
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -15,8 +15,25 @@
 COMMANDS = pathlib.Path(sys.executable).parent
 _BLOCK = re.compile(r"^```console\n(.*?)^```$", re.MULTILINE | re.DOTALL)
 _STATUS = re.compile(r"\(exit status (\d+)\)")
-# What differs from run to run: identifiers, keys and numbers.
-_VARYING = re.compile(r"(?<=-)[0-9a-f]{8,}\b|\d+(?:\.\d+)?")
+# What differs from run to run: identifiers of programs and members, ports,
+# times, versions of the map and numbers of partitions.
+_VARYING = [
+    (re.compile(pattern), replacement)
+    for pattern, replacement in (
+        (r"\bp[0-9a-f]{3}-[0-9a-f]{16}\b", "PROGRAM"),
+        (r"(?<=\w-)[0-9a-f]{8}\b", "RUN"),
+        (r"\b127\.0\.0\.1:\d+", "ADDRESS"),
+        (r"\bport=\d+", "port=PORT"),
+        (r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ", "TIME"),
+        (r"\d+\.\d{3,}", "NUMBER"),
+        (r"(?<=map version )\d+", "NUMBER"),
+        (r'(?<="map_version":)\d+', "NUMBER"),
+        (r'(?<="valid_ms":)\d+', "NUMBER"),
+        (r'(?<="partitions":)\d+', "NUMBER"),
+        # Last column of the tables of members: MAP or PARTITIONS.
+        (r"^(\S+-RUN .*) \d+$", r"\1 NUMBER"),
+    )
+]
 _END = "end of the command's output, status"
 
 
@@ -54,13 +71,16 @@
 
     :param output: output of a command.
     """
-    lines = [
-        " ".join(_VARYING.sub("#", line).split())
-        for line in output.splitlines()
-    ]
+    lines = [_without_varying(line) for line in output.splitlines()]
     return "\n".join(line for line in lines if line)
 
 
+def _without_varying(line):
+    for pattern, replacement in _VARYING:
+        line = pattern.sub(replacement, line)
+    return " ".join(line.split())
+
+
 class Shell:
     """A shell in a directory of its own that runs command after command."""
 
@@ -97,6 +117,11 @@
                 return output, int(status)
         raise RuntimeError(f"the shell ended at {text!r}: {output}")
 
+    def replace_curl(self):
+        """Let the command ``curl`` name a replacement in Python."""
+        script = pathlib.Path(__file__).with_name("curl_replacement.py")
+        self.run(f'curl() {{ "{sys.executable}" "{script}" "$@"; }}')
+
     def close(self):
         """End the shell and every process that it started."""
         for path in pathlib.Path(f"/proc/{self._process.pid}/task").glob("*"):
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,5 +1,6 @@
 """The session on docs/operations.md, run command by command."""
 
+import shutil
 import unittest
 
 import sessions
@@ -13,6 +14,8 @@
     def test_commands_do_what_the_page_shows(self):
         shell = sessions.Shell()
         self.addCleanup(shell.close)
+        if shutil.which("curl") is None:
+            shell.replace_curl()
         found = sessions.commands(PAGE)
         self.assertGreater(len(found), 30)
         for command in found:
