--- /dev/null
+++ b/tools/capacity_fit.py
@@ -0,0 +1,95 @@
+"""Slopes: measured points, a least-squares line and its residual."""
+
+from __future__ import annotations
+
+import math
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+REPEATS = 3
+
+
+class Slope(NamedTuple):
+    """Measured points of one quantity and the line fitted to them.
+
+    :param name: short name, unique among all slopes.
+    :param x: what grows, in words.
+    :param y: what was measured, in words with the unit.
+    :param slope: growth of y for each x.
+    :param start: y of the line at zero.
+    :param residual: root mean square distance of the points from the line,
+        as a share of the largest measured y.
+    """
+
+    name: str
+    x: str
+    y: str
+    points: Sequence[tuple[float, float]]
+    slope: float
+    start: float
+    residual: float
+
+    def at(self, x: float) -> float:
+        """Return the fitted value at a size."""
+        return max(self.start, 0.0) + self.slope * x
+
+
+def fit(name: str, x: str, y: str, points: list[tuple[float, float]]) -> Slope:
+    """Fit a line to points.
+
+    :param name: short name.
+    :param x: what grows, in words.
+    :param y: what was measured, in words with the unit.
+    :param points: measured pairs.
+    """
+    sizes = [size for size, _ in points]
+    values = [value for _, value in points]
+    slope, start = statistics.linear_regression(sizes, values)
+    errors = [value - start - slope * size for size, value in points]
+    spread = math.sqrt(statistics.fmean(error * error for error in errors))
+    largest = max(abs(value) for value in values) or 1.0
+    return Slope(name, x, y, points, slope, start, spread / largest)
+
+
+def cpu_us(action: Callable[[], object], count: int = 1) -> float:
+    """Return the least CPU time of an action among a few runs, in us.
+
+    The least one is the one that other load on the machine disturbed least.
+
+    :param action: what is measured.
+    :param count: operations that one run of the action does.
+    """
+    found = []
+    for _ in range(REPEATS):
+        start_s = time.process_time()
+        action()
+        found.append(time.process_time() - start_s)
+    return min(found) * 1e6 / count
+
+
+def held_bytes(build: Callable[[], object]) -> float:
+    """Return the bytes that a built object holds, by tracemalloc.
+
+    :param build: returns the object.
+    """
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        kept = build()
+        after, _ = tracemalloc.get_traced_memory()
+        del kept
+    finally:
+        tracemalloc.stop()
+    return float(after - before)
+
+
+def from_json(document: dict[str, Any]) -> Slope:
+    """Return a slope from its JSON form.
+
+    :param document: fields of the slope.
+    """
+    points = [(float(x), float(y)) for x, y in document["points"]]
+    return Slope(**{**document, "points": points})
--- /dev/null
+++ b/tools/capacity_fleet.py
@@ -0,0 +1,414 @@
+"""Slopes over real entry processes, with stand-ins, and the store's load."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import datetime as dt
+import json
+import statistics
+import subprocess
+import time
+from typing import Any, NamedTuple
+
+import capacity_fit
+import psutil
+
+from balsamloom_standins import deployments, fleet, load
+
+fit = capacity_fit.fit
+
+COUNTS = (2, 4, 8, 16)
+# Threads of HTTP servers count against the limit of the machine, which other
+# work shares; with the default of 256 the processes beyond 16 did not start.
+FEW_THREADS = {"http_threads": 16}
+WORK_THREADS = {"http_threads": 64}
+IDLE_S = 5.0
+EDITS = 4
+SPREAD_LIMIT_S = 9.0
+IN_FORCE = "configuration_in_force"
+SETTLED_S = 1.5
+WORK_COUNT = 8
+REQUESTS_PER_S = 60
+LOAD_PROCESSES = 4
+LOW_REQUESTS_PER_S = 10
+WORK_S = 12
+LOW_S = 6
+# Requests of one program of the load tool's mix for this customer: start,
+# 2.9 model calls, as many tool calls, end.
+REQUESTS_PER_PROGRAM = 7.875
+WARM_S = 3
+FAST_COMMITS = {"commits_per_s": 1_000.0, "commit_burst": 1_000}
+SMALL = deployments.RESTWELL._replace(
+    engine_options=(("--token-ms", "2"),), tool_count=1, entry_count=2
+)
+WORKING = deployments.RESTWELL._replace(
+    entry_count=WORK_COUNT,
+    engine_options=(("--token-ms", "2", "--slots", "200"),) * 4,
+    tool_count=2,
+)
+
+
+class Use(NamedTuple):
+    """CPU time and memory of processes, means for each."""
+
+    cpu_s: float
+    rss_bytes: float
+
+
+class Deployment(deployments.Deployment):
+    """Deployment whose servers take enough calls for the whole load."""
+
+    def sections(self) -> dict[str, dict[str, Any]]:
+        """Return the sections with a higher concurrency."""
+        sections = super().sections()
+        for name, section in sections.items():
+            if name.startswith(("models/", "services/")):
+                for pool in section.values():
+                    for server in pool["servers"]:
+                        server["concurrency"] = 200
+        return sections
+
+
+def _use(entries: list[fleet.Running]) -> Use:
+    cpu, rss = [], []
+    for entry in entries:
+        process = psutil.Process(entry.pid)
+        times = process.cpu_times()
+        cpu.append(times.user + times.system)
+        rss.append(process.memory_info().rss)
+    return Use(statistics.fmean(cpu), statistics.fmean(rss))
+
+
+def _calls(deployment: deployments.Deployment) -> dict[str, int]:
+    found = deployment.store.request("GET", "/stats")
+    return {kind: found[kind] for kind in ("reads", "writes", "watches")}
+
+
+def _version(deployment: deployments.Deployment) -> int:
+    status = deployment.status(deployment.live_entries()[0])
+    return int(status["map_version"])
+
+
+def _settle(deployment: deployments.Deployment) -> None:
+    """Wait until the map has not changed for a while."""
+    deployment.wait_ready()
+    seen, since_s = -1, time.monotonic()
+    while time.monotonic() - since_s < SETTLED_S:
+        version = _version(deployment)
+        if version != seen:
+            seen, since_s = version, time.monotonic()
+        time.sleep(0.1)
+
+
+def _grow(deployment: deployments.Deployment, count: int) -> dict[str, float]:
+    """Start processes until there are this many; return what it cost."""
+    former = deployment.live_entries()
+    before = _version(deployment) if former else 0
+    used = _use(former) if former else Use(0, 0)
+    calls = _calls(deployment)
+    start_s = time.monotonic()
+    numbers = range(len(former), count)
+    with concurrent.futures.ThreadPoolExecutor(4) as executor:
+        list(executor.map(deployment.add_entry, numbers))
+    _settle(deployment)
+    spent_s = time.monotonic() - start_s - SETTLED_S
+    after = _calls(deployment)
+    joins = len(numbers)
+    versions = _version(deployment) - before
+    cpu_s = _use(former).cpu_s - used.cpu_s if former else 0.0
+    return {
+        "joins": joins,
+        "map_changes": versions,
+        "map_changes_per_join": versions / joins,
+        "store_writes_per_join": (after["writes"] - calls["writes"]) / joins,
+        "store_reads_per_join": (after["reads"] - calls["reads"]) / joins,
+        "former_cpu_ms": cpu_s * 1_000,
+        "settle_s": spent_s,
+    }
+
+
+def _heartbeats(entry: fleet.Running) -> int:
+    dump = entry.request("GET", "/v1/dump")
+    counts = dump["session"]["liveness"]["messages"]
+    return int(counts.get("heartbeats", 0))
+
+
+def _idle(deployment: deployments.Deployment) -> dict[str, float]:
+    entries = deployment.live_entries()
+    beats = [_heartbeats(entry) for entry in entries]
+    calls, used = _calls(deployment), _use(entries)
+    start_s = time.monotonic()
+    time.sleep(IDLE_S)
+    spent_s = time.monotonic() - start_s
+    now, used_now = _calls(deployment), _use(entries)
+    sent = [
+        _heartbeats(entry) - before
+        for entry, before in zip(entries, beats, strict=True)
+    ]
+    return {
+        "cpu_percent": 100 * (used_now.cpu_s - used.cpu_s) / spent_s,
+        "rss_mb": used_now.rss_bytes / 1e6,
+        "heartbeats_per_s": statistics.fmean(sent) / spent_s,
+        **{
+            f"store_{kind}_per_s": (now[kind] - calls[kind]) / spent_s
+            for kind in now
+        },
+    }
+
+
+def _in_force_s(entry: fleet.Running, revision: int) -> float | None:
+    """Return when a process logged a revision or a higher one."""
+    with entry.log_path.open(encoding="utf-8") as log:
+        for line in log:
+            if IN_FORCE not in line:
+                continue
+            event = json.loads(line)
+            if event["revision"] >= revision:
+                at = dt.datetime.strptime(
+                    event["asctime"], "%Y-%m-%d %H:%M:%S,%f"
+                )
+                return at.timestamp()
+    return None
+
+
+def _spread(deployment: deployments.Deployment) -> dict[str, float]:
+    """Apply edits and return how long they take to be in force."""
+    entries = deployment.live_entries()
+    calls = _calls(deployment)
+    slowest, apply_ms = [], []
+    for number in range(EDITS):
+        start_s = time.time()
+        content: dict[str, Any] = {f"spread-{len(entries)}-{number}": {}}
+        revision = deployment.apply("customers/spread", content)
+        applied_s = time.time()
+        apply_ms.append((applied_s - start_s) * 1_000)
+        end_s = applied_s + SPREAD_LIMIT_S
+        while True:
+            found = [_in_force_s(entry, revision) for entry in entries]
+            known = [at_s for at_s in found if at_s is not None]
+            if len(known) == len(entries):
+                break
+            if time.time() > end_s:
+                raise RuntimeError(f"revision {revision} not in force in 9 s")
+            time.sleep(0.05)
+        slowest.append((max(known) - applied_s) * 1_000)
+    after = _calls(deployment)
+    return {
+        "apply_ms": statistics.median(apply_ms),
+        "spread_median_ms": statistics.median(slowest),
+        "spread_max_ms": max(slowest),
+        "store_writes_per_edit": (after["writes"] - calls["writes"]) / EDITS,
+    }
+
+
+def _lose_one(deployment: deployments.Deployment) -> dict[str, float]:
+    """Kill a process and return how long the others take."""
+    before, calls = _version(deployment), _calls(deployment)
+    lost = deployment.live_entries()[-1]
+    left = len(deployment.live_entries()) - 1
+    lost.kill()
+    entries = deployment.live_entries()
+
+    def is_taken_over() -> bool:
+        found = [deployment.status(entry) for entry in entries]
+        return (
+            all(status.get("members") == left for status in found)
+            and sum(status.get("partitions", 0) for status in found) == 256
+        )
+
+    spent_ms = deployment.wait_until(is_taken_over, "partitions are served")
+    _settle(deployment)
+    after = _calls(deployment)
+    return {
+        "members": left + 1,
+        "takeover_ms": spent_ms,
+        "map_changes": _version(deployment) - before,
+        "store_writes": after["writes"] - calls["writes"],
+    }
+
+
+def measure_growth() -> dict[str, Any]:
+    """Measure one fleet as it grows; idle, with edits, and one loss."""
+    stages = []
+    with fleet.Fleet() as running:
+        shape = SMALL._replace(entry_count=0)
+        deployment = deployments.Deployment(running, shape, FEW_THREADS)
+        for name, content in deployment.sections().items():
+            deployment.apply(name, content)
+        for count in COUNTS:
+            grown = _grow(deployment, count)
+            stages.append(
+                {
+                    "processes": count,
+                    "join": grown,
+                    "idle": _idle(deployment),
+                    "edit": _spread(deployment),
+                }
+            )
+        loss = _lose_one(deployment)
+    return {"stages": stages, "loss": loss}
+
+
+def growth_slopes(stages: list[dict[str, Any]]) -> list[capacity_fit.Slope]:
+    """Fit the quantities of the stages against the number of processes.
+
+    :param stages: from :func:`measure_growth`.
+    """
+    wanted = (
+        ("idle_cpu", "idle", "cpu_percent", "% of a core, each"),
+        ("idle_rss", "idle", "rss_mb", "MB resident, each"),
+        ("idle_heartbeats", "idle", "heartbeats_per_s", "sent a s, each"),
+        ("idle_reads", "idle", "store_reads_per_s", "reads a s, all"),
+        ("idle_writes", "idle", "store_writes_per_s", "writes a s, all"),
+        ("idle_watches", "idle", "store_watches_per_s", "watches a s, all"),
+        ("edit_spread", "edit", "spread_median_ms", "ms until all have it"),
+        ("edit_writes", "edit", "store_writes_per_edit", "writes an edit"),
+        ("join_versions", "join", "map_changes_per_join", "map changes"),
+        ("join_writes", "join", "store_writes_per_join", "writes a join"),
+        ("join_reads", "join", "store_reads_per_join", "reads a join"),
+    )
+    return [
+        fit(
+            name,
+            "entry processes",
+            unit,
+            [(stage["processes"], stage[part][key]) for stage in stages],
+        )
+        for name, part, key, unit in wanted
+    ]
+
+
+def _load(
+    deployment: Deployment, requests_per_s: float, duration_s: int
+) -> list[dict[str, Any]]:
+    """Run load processes at once and return their summaries."""
+    entries = deployment.live_entries()
+    addresses = [
+        part for entry in entries for part in ("--entry", entry.address)
+    ]
+    total = requests_per_s * len(entries) / REQUESTS_PER_PROGRAM
+    rate = f"{total / LOAD_PROCESSES:.3f}x{duration_s}"
+    command = str(fleet.COMMANDS / "balsamloom-standin")
+    started = [
+        subprocess.Popen(
+            [command, "load", *addresses, "--rate", rate]
+            + ["--customer", deployment.shape.customer, "--seed", str(seed)],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        for seed in range(1, LOAD_PROCESSES + 1)
+    ]
+    found = []
+    for process in started:
+        output, _ = process.communicate()
+        found.append(json.loads(output.splitlines()[-1]))
+    return found
+
+
+def _steady_counts(stats: dict[str, Any], duration_s: int) -> dict[str, Any]:
+    """Return the store's calls a second in the steady part of a load.
+
+    :param stats: from the store stand-in, asked right after the load.
+    :param duration_s: length of the load.
+    """
+    last_s = max(2, WARM_S // 2)
+    seconds = [
+        second
+        for second in stats["seconds"]
+        if last_s <= second["age_s"] <= duration_s - WARM_S + last_s
+    ]
+    return {
+        kind: {
+            "mean": statistics.fmean(second[kind] for second in seconds),
+            "max": max(second[kind] for second in seconds),
+        }
+        for kind in ("reads", "writes", "watches")
+    }
+
+
+def _work(
+    deployment: Deployment, requests_per_s: float, duration_s: int
+) -> dict[str, Any]:
+    entries = deployment.live_entries()
+    used, start_s = _use(entries), time.monotonic()
+    busy = psutil.cpu_times()
+    found = _load(deployment, requests_per_s, duration_s)
+    stats = deployment.store.request("GET", "/stats")
+    spent_s = time.monotonic() - start_s
+    now, busy_now = _use(entries), psutil.cpu_times()
+    programs = sum(summary["programs"] for summary in found)
+    completed = sum(summary["completed"] for summary in found)
+    calls = completed * _calls_per_program(deployment, requests_per_s)
+    requests = calls + 2 * completed
+    idle_s = busy_now.idle - busy.idle
+    outcomes: dict[str, int] = {}
+    for summary in found:
+        for name, count in summary["outcomes"].items():
+            outcomes[name] = outcomes.get(name, 0) + count
+    return {
+        "asked_requests_per_s": requests_per_s * len(entries),
+        "made_requests_per_s": requests / spent_s,
+        "calls_per_s": calls / spent_s,
+        "programs": programs,
+        "completed": completed,
+        "outcomes": outcomes,
+        "retries": sum(summary["retries"] for summary in found),
+        "program_p50_ms": statistics.fmean(
+            summary["latency_ms"]["p50"] for summary in found
+        ),
+        "program_p95_ms": statistics.fmean(
+            summary["latency_ms"]["p95"] for summary in found
+        ),
+        "first_token_p50_ms": statistics.fmean(
+            summary["first_token_ms"]["p50"] for summary in found
+        ),
+        "entry_cpu_percent": 100 * (now.cpu_s - used.cpu_s) / spent_s,
+        "entry_cpu_ms_per_request": 1_000
+        * (now.cpu_s - used.cpu_s)
+        * len(entries)
+        / requests,
+        "entry_rss_mb": now.rss_bytes / 1e6,
+        "machine_busy_percent": 100
+        * (1 - idle_s / spent_s / (psutil.cpu_count() or 1)),
+        "store": _steady_counts(stats, duration_s),
+    }
+
+
+def _calls_per_program(deployment: Deployment, requests_per_s: float) -> float:
+    """Return the mean number of calls in the load's programs."""
+    total = requests_per_s * WORK_COUNT / REQUESTS_PER_PROGRAM
+    steps = [load.RateStep(total / LOAD_PROCESSES, WORK_S * 1_000)]
+    found = [
+        len(plan.steps)
+        for seed in range(1, LOAD_PROCESSES + 1)
+        for plan in load.plans(
+            seed, steps, customers=(deployment.shape.customer,)
+        )
+    ]
+    return statistics.fmean(found)
+
+
+def measure_work() -> dict[str, Any]:
+    """Measure the store's load at work and the latency that grouping adds."""
+    found: dict[str, Any] = {}
+    cases: dict[str, dict[str, Any]] = {
+        "grouped": {},
+        "ungrouped": FAST_COMMITS,
+    }
+    for name, settings in cases.items():
+        with fleet.Fleet() as running:
+            deployment = Deployment(
+                running, WORKING, {**WORK_THREADS, **settings}
+            )
+            deployment.start()
+            _settle(deployment)
+            found[name] = {
+                "low": _work(deployment, LOW_REQUESTS_PER_S, LOW_S),
+                "full": _work(deployment, REQUESTS_PER_S, WORK_S),
+            }
+    return found
+
+
+if __name__ == "__main__":
+    print(json.dumps(measure_growth(), indent=1))
+    print(json.dumps(measure_work(), indent=1))
