Share servers out again only when members or servers change

Cause: the slope of follow_cpu: each version of the map and each change of the configuration hashed every server with every member, although most of them change neither. Change: BackendTable keeps its choice while members and servers are the same.

--- a/packages/membership/src/balsamloom_membership/backends.py
+++ b/packages/membership/src/balsamloom_membership/backends.py
@@ -121,20 +121,28 @@
         :param servers: all backend servers.
         """
         with self._lock:
+            former = self._servers
             self._servers = {server.server_id: server for server in servers}
             for key in list(self._records):
                 if key[0] not in self._servers:
                     del self._records[key]
-            self._choose_followed()
+            if self._servers.keys() != former.keys():
+                self._choose_followed()
+            self._drop_unfollowed()
 
     def set_members(self, member_ids: Iterable[str]) -> None:
         """Take over the members, among which the servers are shared out.
 
         :param member_ids: all members, this process included.
         """
+        members = tuple(sorted(member_ids))
         with self._lock:
-            self._members = tuple(member_ids)
-            self._choose_followed()
+            # Most versions of the map only move partitions; the choice takes
+            # a hash for each server and member.
+            if members != self._members:
+                self._members = members
+                self._choose_followed()
+            self._drop_unfollowed()
 
     def takes_new_work(self, server_id: str) -> bool:
         """Return whether a server is known and no source says it leaves.
@@ -357,6 +365,8 @@
             if self._self_id in followers:
                 places.append((followers.index(self._self_id), server_id))
         self._followed = [name for _, name in sorted(places)[:MAX_FOLLOWED]]
+
+    def _drop_unfollowed(self) -> None:
         # Reports of other servers are no longer read here, so nothing would
         # undo what they said last; the agreed statement remains.
         for (server_id, origin), record in self._records.items():
--- a/packages/membership/tests/test_backends.py
+++ b/packages/membership/tests/test_backends.py
@@ -3,11 +3,13 @@
 import collections
 import threading
 import unittest
+from unittest import mock
 
 import builders
 
 from balsamloom_core import clock as clocks
 from balsamloom_membership import backends, host_watch, load_watch
+from balsamloom_state import partitions
 
 LOAD = backends.Origin.LOAD_REPORT
 HOSTS = backends.Origin.HOST_LIST
@@ -143,6 +145,44 @@
         self.assertGreaterEqual(min(followers.values()), 2)
 
 
+class UnchangedTest(unittest.TestCase):
+    """Guards against work for each server and member at every map version."""
+
+    def test_only_other_members_or_servers_are_shared_out_again(self):
+        table = builders.table()
+        servers = table.servers("rota")
+        names = [f"m{number}" for number in range(1, 20)]
+        table.set_members(names)
+        followed = table.followed()
+        with mock.patch.object(
+            partitions, "rank", side_effect=partitions.rank
+        ) as rank:
+            table.set_members(reversed(names))
+            table.set_servers(servers)
+            self.assertEqual(rank.call_count, 0)
+            self.assertEqual(table.followed(), followed)
+            table.set_members(names[1:])
+            self.assertEqual(rank.call_count, len(servers))
+            table.set_servers(servers[1:])
+            self.assertEqual(rank.call_count, 2 * len(servers) - 1)
+
+    def test_report_read_after_the_choice_is_dropped_all_the_same(self):
+        names = [f"m{number}" for number in range(1, 20)]
+        table = builders.table()
+        table.set_members(names)
+        followed = {server.server_id for server in table.followed()}
+        other = next(
+            server.server_id
+            for server in table.servers("rota")
+            if server.server_id not in followed
+        )
+        table.observe(LOAD, other, True, 1)
+        table.merge_from_peer([builders.leaving(other, 2, False, int(LOAD))])
+        self.assertFalse(table.takes_new_work(other))
+        table.set_members(names)
+        self.assertTrue(table.takes_new_work(other))
+
+
 class WatchTest(unittest.TestCase):
     """Guards against sources whose failure stops the others."""
 
