--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,61 @@
+"""Measure slopes and rewrite the tables of docs/CAPACITY.md.
+
+With ``--tables`` nothing is measured; the tables are made again from
+``measurements/capacity.json``.
+"""
+
+from __future__ import annotations
+
+import json
+import platform
+import sys
+import time
+from typing import Any
+
+import capacity_fleet
+import capacity_page
+import capacity_process
+import psutil
+
+
+def _machine() -> dict[str, Any]:
+    return {
+        "cores": psutil.cpu_count(),
+        "memory": f"{psutil.virtual_memory().total / 2**30:.0f} GiB",
+        "Python": platform.python_version(),
+        "load average at the start": round(psutil.getloadavg()[0], 1),
+    }
+
+
+def measure() -> dict[str, Any]:
+    """Return all measurements as they are kept in the JSON file."""
+    machine = _machine()
+    start_s = time.monotonic()
+    slopes = capacity_process.measure()
+    growth = capacity_fleet.measure_growth()
+    slopes += capacity_fleet.growth_slopes(growth["stages"])
+    work = capacity_fleet.measure_work()
+    machine["duration"] = f"{time.monotonic() - start_s:.0f} s"
+    return {
+        "machine": machine,
+        "slopes": [slope._asdict() for slope in slopes],
+        "growth": growth,
+        "work": work,
+    }
+
+
+def main() -> None:
+    """Measure, write the JSON file and rewrite the page."""
+    path = capacity_page.RESULTS
+    if sys.argv[1:] == ["--tables"]:
+        results = json.loads(path.read_text(encoding="utf-8"))
+    else:
+        raw = json.dumps(measure(), indent=1) + "\n"
+        path.write_text(raw, encoding="utf-8")
+        results = json.loads(raw)
+    capacity_page.rewrite(results)
+    print(f"{capacity_page.PAGE.name}: tables rewritten")
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/capacity_fit.py
+++ b/tools/capacity_fit.py
@@ -11,6 +11,8 @@
 
 REPEATS = 3
 
+Points = Sequence[tuple[float, float]]
+
 
 class Slope(NamedTuple):
     """Measured points of one quantity and the line fitted to them.
@@ -27,7 +29,7 @@
     name: str
     x: str
     y: str
-    points: Sequence[tuple[float, float]]
+    points: Points
     slope: float
     start: float
     residual: float
@@ -37,7 +39,7 @@
         return max(self.start, 0.0) + self.slope * x
 
 
-def fit(name: str, x: str, y: str, points: list[tuple[float, float]]) -> Slope:
+def fit(name: str, x: str, y: str, points: Points) -> Slope:
     """Fit a line to points.
 
     :param name: short name.
@@ -54,31 +56,36 @@
     return Slope(name, x, y, points, slope, start, spread / largest)
 
 
-def cpu_us(action: Callable[[], object], count: int = 1) -> float:
+def cpu_us(
+    action: Callable[..., object], *arguments: Any, rounds: int = 1
+) -> float:
     """Return the least CPU time of an action among a few runs, in us.
 
     The least one is the one that other load on the machine disturbed least.
 
     :param action: what is measured.
-    :param count: operations that one run of the action does.
+    :param arguments: arguments of the action.
+    :param rounds: calls of the action in one run.
     """
     found = []
     for _ in range(REPEATS):
         start_s = time.process_time()
-        action()
+        for _ in range(rounds):
+            action(*arguments)
         found.append(time.process_time() - start_s)
-    return min(found) * 1e6 / count
+    return min(found) * 1e6 / rounds
 
 
-def held_bytes(build: Callable[[], object]) -> float:
+def held_bytes(build: Callable[..., object], *arguments: Any) -> float:
     """Return the bytes that a built object holds, by tracemalloc.
 
     :param build: returns the object.
+    :param arguments: arguments of the function.
     """
     tracemalloc.start()
     try:
         before, _ = tracemalloc.get_traced_memory()
-        kept = build()
+        kept = build(*arguments)
         after, _ = tracemalloc.get_traced_memory()
         del kept
     finally:
--- a/tools/capacity_fleet.py
+++ b/tools/capacity_fleet.py
@@ -4,40 +4,46 @@
 
 import concurrent.futures
 import datetime as dt
+import itertools
 import json
 import statistics
 import subprocess
+import threading
 import time
 from typing import Any, NamedTuple
 
 import capacity_fit
 import psutil
+import urllib3
 
 from balsamloom_standins import deployments, fleet, load
 
 fit = capacity_fit.fit
 
-COUNTS = (2, 4, 8, 16)
-# Threads of HTTP servers count against the limit of the machine, which other
-# work shares; with the default of 256 the processes beyond 16 did not start.
-FEW_THREADS = {"http_threads": 16}
-WORK_THREADS = {"http_threads": 64}
+COUNTS = (2, 4, 8, 16, 24)
+# Size at which one process is killed. The sizes above it are measured if the
+# machine bears them: threads and cores are shared with other work.
+LOSS_COUNT = 16
 IDLE_S = 5.0
 EDITS = 4
+LOOKUPS = 300
 SPREAD_LIMIT_S = 9.0
 IN_FORCE = "configuration_in_force"
 SETTLED_S = 1.5
 WORK_COUNT = 8
-REQUESTS_PER_S = 60
 LOAD_PROCESSES = 4
-LOW_REQUESTS_PER_S = 10
-WORK_S = 12
-LOW_S = 6
+# Requests a second at each process.
+RATES = {
+    "grouped": {"low": 5, "middle": 20, "full": 60},
+    "ungrouped": {"low": 5},
+}
+WORK_S = 8
+SAMPLE_S = 0.5
 # Requests of one program of the load tool's mix for this customer: start,
 # 2.9 model calls, as many tool calls, end.
 REQUESTS_PER_PROGRAM = 7.875
-WARM_S = 3
-FAST_COMMITS = {"commits_per_s": 1_000.0, "commit_burst": 1_000}
+WARM_S = 2
+FAST_COMMITS = {"commits_per_s": 100.0, "commit_burst": 100}
 SMALL = deployments.RESTWELL._replace(
     engine_options=(("--token-ms", "2"),), tool_count=1, entry_count=2
 )
@@ -156,6 +162,19 @@
     }
 
 
+def _lookup_us(entry: fleet.Running) -> float:
+    """Return the CPU time of an entry process for one address answer."""
+    used = _use([entry])
+    with urllib3.PoolManager(retries=False) as pool:
+        for _ in range(LOOKUPS):
+            pool.request(
+                "GET",
+                f"http://{entry.address}/v1/address",
+                fields={"customer": SMALL.customer},
+            )
+    return 1e6 * (_use([entry]).cpu_s - used.cpu_s) / LOOKUPS
+
+
 def _in_force_s(entry: fleet.Running, revision: int) -> float | None:
     """Return when a process logged a revision or a higher one."""
     with entry.log_path.open(encoding="utf-8") as log:
@@ -229,24 +248,32 @@
 
 def measure_growth() -> dict[str, Any]:
     """Measure one fleet as it grows; idle, with edits, and one loss."""
-    stages = []
+    found: dict[str, Any] = {"stages": [], "not_reached": ""}
     with fleet.Fleet() as running:
         shape = SMALL._replace(entry_count=0)
-        deployment = deployments.Deployment(running, shape, FEW_THREADS)
+        deployment = deployments.Deployment(running, shape)
         for name, content in deployment.sections().items():
             deployment.apply(name, content)
         for count in COUNTS:
-            grown = _grow(deployment, count)
-            stages.append(
-                {
-                    "processes": count,
-                    "join": grown,
-                    "idle": _idle(deployment),
-                    "edit": _spread(deployment),
-                }
-            )
-        loss = _lose_one(deployment)
-    return {"stages": stages, "loss": loss}
+            try:
+                found["stages"].append(_stage(deployment, count))
+            except (RuntimeError, TimeoutError, urllib3.exceptions.HTTPError):
+                if count <= LOSS_COUNT:
+                    raise
+                found["not_reached"] = f"{count} processes"
+            if count == LOSS_COUNT:
+                found["loss"] = _lose_one(deployment)
+    return found
+
+
+def _stage(deployment: deployments.Deployment, count: int) -> dict[str, Any]:
+    return {
+        "processes": count,
+        "join": _grow(deployment, count),
+        "idle": _idle(deployment),
+        "edit": _spread(deployment),
+        "lookup": {"cpu_us": _lookup_us(deployment.entries[0])},
+    }
 
 
 def growth_slopes(stages: list[dict[str, Any]]) -> list[capacity_fit.Slope]:
@@ -263,6 +290,7 @@
         ("idle_watches", "idle", "store_watches_per_s", "watches a s, all"),
         ("edit_spread", "edit", "spread_median_ms", "ms until all have it"),
         ("edit_writes", "edit", "store_writes_per_edit", "writes an edit"),
+        ("lookup_cpu", "lookup", "cpu_us", "us of CPU an answer"),
         ("join_versions", "join", "map_changes_per_join", "map changes"),
         ("join_writes", "join", "store_writes_per_join", "writes a join"),
         ("join_reads", "join", "store_reads_per_join", "reads a join"),
@@ -305,25 +333,55 @@
     return found
 
 
-def _steady_counts(stats: dict[str, Any], duration_s: int) -> dict[str, Any]:
-    """Return the store's calls a second in the steady part of a load.
+class StoreSampler:
+    """Reads the store's counts while a load runs.
 
-    :param stats: from the store stand-in, asked right after the load.
-    :param duration_s: length of the load.
+    :param store: store stand-in.
     """
-    last_s = max(2, WARM_S // 2)
-    seconds = [
-        second
-        for second in stats["seconds"]
-        if last_s <= second["age_s"] <= duration_s - WARM_S + last_s
-    ]
-    return {
-        kind: {
-            "mean": statistics.fmean(second[kind] for second in seconds),
-            "max": max(second[kind] for second in seconds),
-        }
-        for kind in ("reads", "writes", "watches")
-    }
+
+    def __init__(self, store: fleet.Running) -> None:
+        self._store = store
+        self._ended = threading.Event()
+        self._samples: list[tuple[float, dict[str, int]]] = []
+        self.failures = 0
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the reading."""
+        self._ended.set()
+        self._thread.join()
+
+    def rates(self, from_s: float, to_s: float) -> dict[str, Any]:
+        """Return calls a second, mean and the most in one interval.
+
+        :param from_s: begin of the part that counts, on the monotonic clock.
+        :param to_s: its end.
+        """
+        found = [
+            sample for sample in self._samples if from_s <= sample[0] <= to_s
+        ]
+        rates: dict[str, Any] = {}
+        for kind in ("reads", "writes", "watches"):
+            steps = [
+                (later[kind] - sooner[kind]) / (later_s - sooner_s)
+                for (sooner_s, sooner), (later_s, later) in itertools.pairwise(
+                    found
+                )
+            ]
+            count = found[-1][1][kind] - found[0][1][kind]
+            mean = count / (found[-1][0] - found[0][0])
+            rates[kind] = {"mean": mean, "max": max(steps)}
+        return rates
+
+    def _run(self) -> None:
+        while not self._ended.wait(SAMPLE_S):
+            try:
+                found = self._store.request("GET", "/stats")
+            except urllib3.exceptions.HTTPError:
+                self.failures += 1
+                continue
+            self._samples.append((time.monotonic(), found))
 
 
 def _work(
@@ -332,8 +390,11 @@
     entries = deployment.live_entries()
     used, start_s = _use(entries), time.monotonic()
     busy = psutil.cpu_times()
-    found = _load(deployment, requests_per_s, duration_s)
-    stats = deployment.store.request("GET", "/stats")
+    sampler = StoreSampler(deployment.store)
+    try:
+        found = _load(deployment, requests_per_s, duration_s)
+    finally:
+        sampler.stop()
     spent_s = time.monotonic() - start_s
     now, busy_now = _use(entries), psutil.cpu_times()
     programs = sum(summary["programs"] for summary in found)
@@ -370,7 +431,8 @@
         "entry_rss_mb": now.rss_bytes / 1e6,
         "machine_busy_percent": 100
         * (1 - idle_s / spent_s / (psutil.cpu_count() or 1)),
-        "store": _steady_counts(stats, duration_s),
+        "store_unanswered": sampler.failures,
+        "store": sampler.rates(start_s + WARM_S, start_s + duration_s),
     }
 
 
@@ -397,14 +459,12 @@
     }
     for name, settings in cases.items():
         with fleet.Fleet() as running:
-            deployment = Deployment(
-                running, WORKING, {**WORK_THREADS, **settings}
-            )
+            deployment = Deployment(running, WORKING, settings)
             deployment.start()
             _settle(deployment)
             found[name] = {
-                "low": _work(deployment, LOW_REQUESTS_PER_S, LOW_S),
-                "full": _work(deployment, REQUESTS_PER_S, WORK_S),
+                level: _work(deployment, rate, WORK_S)
+                for level, rate in RATES[name].items()
             }
     return found
 
--- /dev/null
+++ b/tools/capacity_page.py
@@ -0,0 +1,219 @@
+"""Tables of docs/CAPACITY.md, made from measurements/capacity.json."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+from typing import Any
+
+import capacity_fit
+import capacity_sizes as sizes
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "CAPACITY.md"
+RESULTS = ROOT / "measurements" / "capacity.json"
+Cells = list[list[str]]
+_BLOCK = r"(<!-- table: {name} -->\n).*?(<!-- end -->)"
+
+
+def tables(results: dict[str, Any]) -> dict[str, str]:
+    """Return the Markdown of all tables.
+
+    :param results: content of ``measurements/capacity.json``.
+    """
+    slopes = [
+        capacity_fit.from_json(document) for document in results["slopes"]
+    ]
+    found = {slope.name: slope for slope in slopes}
+    return {
+        "machine": _markdown(
+            ["quantity", "value"],
+            [[name, str(value)] for name, value in results["machine"].items()],
+        ),
+        "sizes": _markdown(
+            ["quantity", "figure"], [list(row) for row in sizes.SIZES]
+        ),
+        "slopes": _markdown(
+            ["slope", "against", "unit", "points", "fit", "residual"],
+            [_slope_cells(slope) for slope in slopes],
+        ),
+        "stages": _markdown(
+            ["quantity"]
+            + [
+                f"{stage['processes']} processes"
+                for stage in results["growth"]["stages"]
+            ],
+            _stage_cells(results["growth"]["stages"]),
+        ),
+        "loss": _markdown(
+            ["quantity", "value"],
+            [
+                [name, _number(value)]
+                for name, value in results["growth"]["loss"].items()
+            ],
+        ),
+        "node": _node_table(found),
+        "store": _store_table(found),
+        "roles": _markdown(
+            ["role", "state", "messages", "processor time", "memory"],
+            sizes.roles(found, results["work"]),
+        ),
+        "budget": _work_table(results["work"]),
+    }
+
+
+def rewrite(results: dict[str, Any]) -> None:
+    """Put the tables into the page.
+
+    :param results: content of ``measurements/capacity.json``.
+    """
+    text = PAGE.read_text(encoding="utf-8")
+    for name, table in tables(results).items():
+        pattern = re.compile(_BLOCK.format(name=name), re.DOTALL)
+        places = pattern.findall(text)
+        if len(places) != 1:
+            raise ValueError(
+                f"{PAGE.name}: {len(places)} places for table {name}"
+            )
+        begin, end = places[0]
+        text = pattern.sub((begin + table + end).replace("\\", "\\\\"), text)
+    PAGE.write_text(text, encoding="utf-8")
+
+
+def _markdown(heading: list[str], rows: Cells) -> str:
+    lines = [heading, ["---"] * len(heading), *rows]
+    return "".join(f"| {' | '.join(cells)} |\n" for cells in lines)
+
+
+def _number(value: float) -> str:
+    if value == 0:
+        return "0"
+    if abs(value) >= 100:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def _slope_cells(slope: capacity_fit.Slope) -> list[str]:
+    points = "; ".join(f"{_number(x)}: {_number(y)}" for x, y in slope.points)
+    sign = "-" if slope.start < 0 else "+"
+    line = f"{_number(slope.slope)} x {sign} {_number(abs(slope.start))}"
+    return [
+        f"`{slope.name}`",
+        slope.x,
+        slope.y,
+        points,
+        line,
+        f"{100 * slope.residual:.0f}%",
+    ]
+
+
+def _stage_cells(stages: list[dict[str, Any]]) -> Cells:
+    return [
+        [f"{part}: {key}"] + [_number(stage[part][key]) for stage in stages]
+        for part in ("idle", "join", "edit", "lookup")
+        for key in stages[0][part]
+    ]
+
+
+def _node_table(found: sizes.Slopes) -> str:
+    terms = sizes.node_terms(found)
+    rows = [
+        [
+            term.name,
+            term.mechanism,
+            f"{term.cpu:.2f}",
+            f"{term.bytes:.2f}",
+            f"{term.memory:.1f}",
+            term.change,
+            f"{term.cpu_after:.2f}",
+            f"{term.bytes_after:.2f}",
+            f"{term.memory_after:.1f}",
+        ]
+        for term in terms
+    ]
+    rows.append(
+        [
+            "**sum**",
+            "",
+            f"{sum(term.cpu for term in terms):.2f}",
+            f"{sum(term.bytes for term in terms):.2f}",
+            f"{sum(term.memory for term in terms):.1f}",
+            "",
+            f"{sum(term.cpu_after for term in terms):.2f}",
+            f"{sum(term.bytes_after for term in terms):.2f}",
+            f"{sum(term.memory_after for term in terms):.1f}",
+        ]
+    )
+    limits = [
+        f"{sizes.CPU_LIMIT_PERCENT}",
+        f"{sizes.BYTES_LIMIT_KB_S:.0f}",
+        f"{sizes.MEMORY_LIMIT_MB:.0f}",
+    ]
+    rows.append(["**limit**", "", *limits, "", *limits])
+    heading = ["term", "mechanism", "CPU %", "KB/s", "MB", "change"]
+    return _markdown([*heading, "CPU % after", "KB/s after", "MB after"], rows)
+
+
+def _store_table(found: sizes.Slopes) -> str:
+    terms = sizes.store_rows(found)
+    rows = [
+        [
+            row.name,
+            f"{row.writes:.1f}",
+            f"{row.reads:.1f}",
+            row.change,
+            f"{row.writes_after:.1f}",
+            f"{row.reads_after:.1f}",
+        ]
+        for row in terms
+    ]
+    rows.append(
+        [
+            "**sum**",
+            f"{sum(row.writes for row in terms):.1f}",
+            f"{sum(row.reads for row in terms):.1f}",
+            "",
+            f"{sum(row.writes_after for row in terms):.1f}",
+            f"{sum(row.reads_after for row in terms):.1f}",
+        ]
+    )
+    limits = [
+        f"{sizes.STORE_WRITES_LIMIT:.0f}",
+        f"{sizes.STORE_READS_LIMIT:.0f}",
+    ]
+    rows.append(["**limit**", *limits, "", *limits])
+    return _markdown(
+        ["term", "writes/s", "reads/s", "change", "writes/s after"]
+        + ["reads/s after"],
+        rows,
+    )
+
+
+def _work_table(work: dict[str, Any]) -> str:
+    cases = [
+        (f"{kind}, {level}", case)
+        for kind in ("grouped", "ungrouped")
+        for level, case in work[kind].items()
+    ]
+    rows = [
+        [key.replace("_", " "), *(_number(case[key]) for _, case in cases)]
+        for key, value in cases[0][1].items()
+        if not isinstance(value, dict)
+    ]
+    for kind in ("writes", "reads", "watches"):
+        for which in ("mean", "max"):
+            rows.append(
+                [f"store {kind} a second, {which}"]
+                + [_number(case["store"][kind][which]) for _, case in cases]
+            )
+    rows.append(
+        ["outcomes"]
+        + [
+            ", ".join(
+                f"{name} {count}"
+                for name, count in sorted(case["outcomes"].items())
+            )
+            for _, case in cases
+        ]
+    )
+    return _markdown(["quantity", *(name for name, _ in cases)], rows)
--- a/tools/capacity_process.py
+++ b/tools/capacity_process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import os
 import random
 import socket
@@ -11,6 +10,7 @@
 from typing import Any
 
 import capacity_fit
+import urllib3
 
 from balsamloom_configuration import distribution
 from balsamloom_configuration import document as documents
@@ -20,10 +20,12 @@
 from balsamloom_membership import addresses, backends
 from balsamloom_peers import client as peer_clients
 from balsamloom_peers import links, messages, server
+from balsamloom_platform import engines
 from balsamloom_platform import store as stores
 from balsamloom_policy import calls as policy_calls
 from balsamloom_policy import scheduler as schedulers
 from balsamloom_policy import settings as policy_settings
+from balsamloom_standins import fleet
 from balsamloom_state import budgets, local, owner, partitions
 
 fit = capacity_fit.fit
@@ -177,34 +179,28 @@
         built = _owner(MemoryStore())
         return built, _started(built, count)
 
-    memory = [(n, held_bytes(lambda n=n: build(n))) for n in PROGRAM_COUNTS]
+    memory = [(n, held_bytes(build, n)) for n in PROGRAM_COUNTS]
     maintain = []
     for count in PROGRAM_COUNTS:
         built, _ = build(count)
-        maintain.append(
-            (
-                count,
-                cpu_us(lambda b=built: [b.maintain() for _ in range(10)], 10),
-            )
-        )
+        maintain.append((count, cpu_us(built.maintain, rounds=10)))
     turns_memory, turns_journal = [], []
     for turns in (5, 10, 20, 40):
         store = MemoryStore()
         built = _owner(store)
         program = _started(built, 1)[0]
-        start_bytes = store.size_bytes()
-
-        run = functools.partial(_run_turns, built, program, turns)
 
-        held = _held_growth(run, store)
+        before = store.size_bytes()
+        held = held_bytes(_run_turns, built, program, turns)
+        # The values of the store stand for another process.
+        held -= store.size_bytes() - before
         turns_memory.append((turns, held))
-        turns_journal.append((turns, store.size_bytes() - start_bytes))
+        turns_journal.append((turns, store.size_bytes() - before))
     call_cpu = []
     for count in PROGRAM_COUNTS:
         built = _owner(MemoryStore())
         found = _started(built, count)
-        call_all = functools.partial(_call_each, built, found)
-        call_cpu.append((count, cpu_us(call_all)))
+        call_cpu.append((count, cpu_us(_call_each, built, found)))
     history = []
     for size_bytes in (1_000, 4_000, 16_000, 64_000):
         built = _owner(MemoryStore())
@@ -212,12 +208,7 @@
         history.append(
             (
                 size_bytes,
-                cpu_us(
-                    functools.partial(
-                        _run_turns, built, program, 5, size_bytes
-                    ),
-                    5,
-                ),
+                cpu_us(_run_turns, built, program, 5, size_bytes) / 5,
             )
         )
     return [
@@ -245,13 +236,6 @@
         _call(built, program, len(program.calls), 1_000)
 
 
-def _held_growth(run: Callable[[], None], store: MemoryStore) -> float:
-    """Return what a run adds to the memory, the store's values apart."""
-    before = store.size_bytes()
-    grown = held_bytes(run)
-    return grown - (store.size_bytes() - before)
-
-
 def _servers(count: int) -> dict[str, list[policy_calls.Server]]:
     found: dict[str, list[policy_calls.Server]] = {}
     for number in range(count):
@@ -294,9 +278,9 @@
     """Measure the policy against the number of servers."""
     memory, call, told, shares = [], [], [], []
     for count in SERVER_COUNTS:
-        memory.append((count, held_bytes(lambda n=count: _scheduler(n))))
+        memory.append((count, held_bytes(_scheduler, count)))
         built = _scheduler(count)
-        call.append((count, cpu_us(lambda b=built: _run_calls(b, 260), 260)))
+        call.append((count, cpu_us(_run_calls, built, 260) / 260))
         said = [
             policy_calls.Share(f"server-{number}", 1, 4.0)
             for number in range(16)
@@ -305,18 +289,13 @@
         told.append(
             (
                 count,
-                cpu_us(
-                    lambda b=built, s=said: [
-                        b.peer_shares("peer", s) for _ in range(10)
-                    ],
-                    10,
-                ),
+                cpu_us(built.peer_shares, "peer", said, rounds=10),
             )
         )
         shares.append(
             (
                 count,
-                cpu_us(lambda b=built: [b.shares() for _ in range(10)], 10),
+                cpu_us(built.shares, rounds=10),
             )
         )
     return [
@@ -366,14 +345,21 @@
     return ask
 
 
+def _change_members(table: backends.BackendTable, names: list[str]) -> None:
+    # One member leaves and comes back: two changes.
+    table.set_members(names[1:])
+    table.set_members(names)
+
+
 def membership_slopes() -> list[capacity_fit.Slope]:
     """Measure server states, the map and address answers."""
     follow, states, sizes, decode, address = [], [], [], [], []
+    held = []
     for servers in SERVER_COUNTS[:3]:
         for members in MEMBER_COUNTS[:3]:
             table = _table(servers)
             names = [f"m-{number}" for number in range(members)]
-            spent = cpu_us(lambda t=table, n=names: t.set_members(n))
+            spent = cpu_us(_change_members, table, names) / 2
             follow.append((servers * members, spent))
     follow.sort()
     for servers in SERVER_COUNTS:
@@ -388,26 +374,23 @@
         states.append(
             (
                 servers,
-                cpu_us(
-                    lambda t=table: [
-                        t.states_for_heartbeat() for _ in range(20)
-                    ],
-                    20,
-                ),
+                cpu_us(table.states_for_heartbeat, rounds=20),
             )
         )
     for count in PARTITION_COUNTS:
         found = _map(350, count)
         raw = partitions.encode(found)
         sizes.append((count, float(len(raw))))
-        decode.append((count, cpu_us(lambda r=raw: partitions.decode(r))))
+        held.append((count, held_bytes(partitions.decode, raw)))
+        decode.append((count, cpu_us(partitions.decode, raw)))
     for members in MEMBER_COUNTS:
-        address.append((members, cpu_us(_asker(_map(members, 4_096)), 50)))
+        address.append((members, cpu_us(_asker(_map(members, 4_096))) / 50))
     return [
         fit("follow_cpu", "servers x members", "us of CPU a change", follow),
         fit("states_cpu", "servers", "us of CPU a heartbeat", states),
         fit("map_bytes", "partitions, 350 members", "bytes", sizes),
         fit("map_decode_cpu", "partitions, 350 members", "us", decode),
+        fit("map_memory", "partitions, 350 members", "bytes held", held),
         fit("address_cpu", "members", "us of CPU an answer", address),
     ]
 
@@ -457,7 +440,7 @@
     memory, take, whole, step, digest = [], [], [], [], []
     for servers in SERVER_COUNTS:
         document = _document(servers, POOLS)
-        memory.append((servers, held_bytes(lambda d=document: _taken(d))))
+        memory.append((servers, held_bytes(_taken, document)))
         built = _taken(document)
 
         def change(built: Any = built) -> None:
@@ -474,9 +457,7 @@
         newest = built.document
         since = newest.revision - 1
         step.append((servers, float(len(documents.encode(newest, since)))))
-        digest.append(
-            (servers, cpu_us(lambda d=document: documents.digest(d)))
-        )
+        digest.append((servers, cpu_us(documents.digest, document)))
     return [
         fit("document_memory", "servers", "bytes held", memory),
         fit("change_cpu", "servers", "us of CPU a change", take),
@@ -572,7 +553,7 @@
         before = proxy.count
         beat()
         sizes.append((entries, (proxy.count - before) / WATCHED_HEARTBEATS))
-        spent.append((entries, cpu_us(beat, WATCHED_HEARTBEATS)))
+        spent.append((entries, cpu_us(beat) / WATCHED_HEARTBEATS))
     pool.close()
     running.stop(0)
     proxy.close()
@@ -582,6 +563,30 @@
     ]
 
 
+def report_slopes() -> list[capacity_fit.Slope]:
+    """Measure bytes and CPU of reading load reports."""
+    sizes, spent = [], []
+    with fleet.Fleet() as running:
+        proxy = CountingProxy(running.standin("engine").address)
+        engine = engines.Engine(proxy.address, urllib3.PoolManager())
+        engine.load(2_000)
+        for count in (50, 100, 200):
+            before = proxy.count
+            spent.append((count, cpu_us(_read_loads, engine, count)))
+            reads = count * capacity_fit.REPEATS
+            sizes.append((count, (proxy.count - before) * count / reads))
+        proxy.close()
+    return [
+        fit("report_cpu", "load reports read", "us of CPU", spent),
+        fit("report_bytes", "load reports read", "bytes both ways", sizes),
+    ]
+
+
+def _read_loads(engine: engines.Engine, count: int) -> None:
+    for _ in range(count):
+        engine.load(2_000)
+
+
 def measure() -> list[capacity_fit.Slope]:
     """Return all slopes within one process."""
     return [
@@ -590,6 +595,7 @@
         *membership_slopes(),
         *configuration_slopes(),
         *heartbeat_slopes(),
+        *report_slopes(),
     ]
 
 
