--- a/packages/entry/src/balsamloom_entry/session.py
+++ b/packages/entry/src/balsamloom_entry/session.py
@@ -11,13 +11,15 @@
 import threading
 from typing import Any
 
-from balsamloom_core import errors, events, identifiers
+from balsamloom_core import errors, events, identifiers, metric_names
 from balsamloom_entry import (
     calls,
+    commit_shares,
     engine_parts,
     forwarding,
     inspection,
     local,
+    metering,
     model_calls,
     orders,
     permits,
@@ -40,6 +42,7 @@
 # The map also comes with heartbeats; this read finds what they missed.
 MAP_READ_MS = 5_000
 PEER_TIMEOUT_MS = 2_000
+GAUGES_MS = 5_000
 MAX_SHARES = 16
 WATCHERS_PER_DOMAIN = 2
 
@@ -62,6 +65,8 @@
         self._seen_version = -1
         self._wanted_version = 0
         self._rebalance_at_ms = 0.0
+        self._gauges_at_ms = 0.0
+        self._peer_calls: dict[str, int] = {}
         self._read_map_at_ms = 0.0
         self.peers = peer_clients.PeerPool(
             member.member_id, member.peer_address, parts.links
@@ -89,6 +94,7 @@
             self.liveness.suspected,
             lambda: self.router.in_progress,
         )
+        self._inspection = inspection.Inspection(self, parts)
         self.router = self._router()
         self._sweep = sweep.Sweep(
             lambda: engine_parts.swept_engines(parts),
@@ -120,13 +126,14 @@
         """Hand over all partitions and leave the map.
 
         :param timeout_ms: longest wait.
-        :return: whether everything was handed over.
+        :return: whether everything was handed over, or is durable and there
+            is no other member.
         """
         self.is_leaving = True
         events.log(
             events.Event.PROCESS_LEAVING, member_id=self.member.member_id
         )
-        return self.owner.leave(timeout_ms)
+        return self.owner.leave(timeout_ms) or self.owner.has_kept_journal
 
     def stop(self) -> None:
         """End the tasks of this session."""
@@ -153,6 +160,7 @@
         :param heartbeat: heartbeat or its answer.
         """
         self.addresses.note_heartbeat(heartbeat)
+        self._peer_calls[heartbeat.member_id] = heartbeat.calls_in_progress
         self._parts.backends.merge_from_peer(heartbeat.server_states)
         shares = [
             policy_calls.Share(share.server_id, share.in_flight, share.limit)
@@ -160,7 +168,11 @@
         ]
         self._parts.scheduler.peer_shares(heartbeat.member_id, shares)
         peer = self.owner.map.members.get(heartbeat.member_id)
-        if peer is not None:
+        if peer is None:
+            if heartbeat.map_version > self.owner.map.version:
+                # A member that has just joined; its address is in the store.
+                self._read_map_at_ms = 0.0
+        else:
             self._offer_configuration(peer, heartbeat.configuration_revision)
             self._fetch_map(peer, heartbeat.map_version)
 
@@ -202,9 +214,11 @@
         )
         return router.Router(
             service,
-            inspection.Inspection(self, self._parts),
+            self._inspection,
             inspection.Ownership(self),
-            forwarding.Forwarder(self.peers, self.member.member_id),
+            forwarding.Forwarder(
+                self.peers, self.member.member_id, self._parts.metrics
+            ),
         )
 
     def _order_control(self) -> orders.OrderControl:
@@ -240,6 +254,8 @@
             jitter_ms = random.uniform(0.5, 1.5) * MAP_READ_MS
             self._read_map_at_ms = now_ms + jitter_ms
             self.owner.refresh_map()
+        self._share_commits()
+        self._send_gauges(now_ms)
         self.owner.maintain()
         if now_ms >= self._rebalance_at_ms and not self.is_leaving:
             self._rebalance_at_ms = now_ms + REBALANCE_MS
@@ -247,10 +263,38 @@
         if self.owner.map.version != self._seen_version:
             self._map_changed()
 
+    def _send_gauges(self, now_ms: float) -> None:
+        if now_ms < self._gauges_at_ms:
+            return
+        self._gauges_at_ms = now_ms + GAUGES_MS
+        metering.send_gauges(
+            self._parts.metrics,
+            self._inspection.status(),
+            self.owner.describe(),
+            self._parts.scheduler.describe(),
+        )
+
+    def _share_commits(self) -> None:
+        members = self.owner.map.members
+        peers = [
+            calls
+            for member_id, calls in list(self._peer_calls.items())
+            if member_id in members and member_id != self.member.member_id
+        ]
+        rate_per_s = commit_shares.rate_per_s(
+            self._parts.settings["commits_per_s"],
+            self.router.in_progress,
+            peers,
+            max(len(members), 1),
+        )
+        self.owner.journal.bucket.set_rate(rate_per_s)
+
     def _map_changed(self) -> None:
         current = self.owner.map
         self._seen_version = current.version
         members = current.members.values()
+        for member_id in set(self._peer_calls) - set(current.members):
+            self._peer_calls.pop(member_id, None)
         self.liveness.update_peers(
             liveness.Peer(member.member_id, member.peer_address)
             for member in members
@@ -274,7 +318,12 @@
                 self._map_changed()
                 return
             if self.member.member_id in members:
+                started_ms = self._parts.clock.now_ms()
                 self.owner.take_over(peer.member_id)
+                self._parts.metrics.timing(
+                    metric_names.TAKEOVER_DURATION.key(),
+                    self._parts.clock.now_ms() - started_ms,
+                )
             self._map_changed()
         except stores.StoreUnavailable:
             # Failure detection calls again while the member is in the map.
