Keep the stand-ins' request log out of their standard output

Cause: CherryPy's access log went to standard output, a pipe that nobody reads after the address. After about 600 requests it was full and every thread of a stand-in stopped (28 of 32 workers were waiting in the log's handler).

Change: the log does not propagate; a test reads what a stand-in wrote.

--- a/packages/entry/src/balsamloom_entry/http.py
+++ b/packages/entry/src/balsamloom_entry/http.py
@@ -92,7 +92,8 @@
         :param obj: connection with a request.
         """
         super().put(obj)
-        if obj is not None and self.idle < SPARE_THREADS:
+        # Idle threads may not have taken earlier connections yet.
+        if obj is not None and self.idle - self.qsize < SPARE_THREADS:
             self.grow(GROWTH_THREADS)
 
 
--- a/packages/standins/src/balsamloom_standins/_serving.py
+++ b/packages/standins/src/balsamloom_standins/_serving.py
@@ -109,6 +109,9 @@
     application = cherrypy.Application(root, "")
     application.log.screen = False
     application.log.access_file = ""
+    # CherryPy's own log would fill the pipe of a standard output that nobody
+    # reads, and then stop every thread.
+    application.log.access_log.propagate = False
     server = http.make_server(address, threads)
     server.wsgi_app = application
     server.gateway = _SocketGateway
--- a/packages/standins/src/balsamloom_standins/fleet.py
+++ b/packages/standins/src/balsamloom_standins/fleet.py
@@ -94,6 +94,11 @@
         """Wait for the end and return the exit status."""
         return self._process.wait(timeout_s)
 
+    def rest_of_output(self) -> str:
+        """Return what an ended process wrote after its address."""
+        assert self._process.stdout is not None
+        return self._process.stdout.read()
+
     def stop(self) -> None:
         """Ask for a graceful shutdown and kill after the timeout."""
         if self.is_running:
--- a/packages/standins/tests/test_services.py
+++ b/packages/standins/tests/test_services.py
@@ -8,6 +8,7 @@
 
 from balsamloom_core import outcomes
 from balsamloom_platform import hosts, tools, weights
+from balsamloom_standins import fleet
 
 HOST = {
     "host_id": "h1",
@@ -38,6 +39,16 @@
     def read(self, path):
         return builders.send(self.address, "GET", path).json()
 
+    def test_many_requests_do_not_fill_the_standard_output(self):
+        """Guards against a log in a pipe that nobody reads, which blocks."""
+        started = fleet.Fleet()
+        self.addCleanup(started.stop)
+        running = started.standin("tools")
+        builders.send(running.address, "GET", "/runs")
+        running.terminate()
+        self.assertEqual(running.wait(), 0)
+        self.assertEqual(running.rest_of_output(), "")
+
     def test_a_refused_run_is_not_counted(self):
         control(self.address, mode="refuse", left=1)
         self.assertIsInstance(self.call("k1"), outcomes.NotRun)
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -8,6 +8,7 @@
 
 import itertools
 import random
+import signal
 import sys
 import threading
 import time
@@ -60,7 +61,9 @@
         self._stopping: list[fleet.Running] = []
         self._ended = threading.Event()
         self._threads = [
-            threading.Thread(target=self._run_program, args=(number,))
+            threading.Thread(
+                target=self._run_program, args=(number,), daemon=True
+            )
             for number in range(PROGRAMS)
         ]
         self._seeds = [choice.random() for _ in range(PROGRAMS)]
@@ -333,6 +336,8 @@
     :param seed: seed of the faults.
     :param steps: number of faults.
     """
+    # The processes end with this one, also when it is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     if seed is None:
         seed = random.SystemRandom().randrange(1_000_000)
     click.echo(f"seed {seed}, {steps} steps")
