Check options early and report failed connections in plain words

Cause: a walk through the commands as a new user found tracebacks from balsamloom-entry and balsamloom-standin for an address that cannot be listened on, addresses that were accepted and failed later, options of stand-ins that accepted values without a meaning, and messages with a library's own names. The settings refuse ports above 65535. Conclusion: wrong usage ends with status 2 and a next step, and a dead service with status 1 and no traceback.

--- a/packages/cli/src/balsamloom_cli/caller.py
+++ b/packages/cli/src/balsamloom_cli/caller.py
@@ -52,6 +52,7 @@
 @click.option(
     "--address",
     "addresses",
+    type=commands.ADDRESS,
     multiple=True,
     default=[DEFAULT_ADDRESS],
     show_default=True,
@@ -84,11 +85,6 @@
     output: str,
 ) -> None:
     """Call balsamloom as an agent program does."""
-    for address in addresses:
-        if not address.rpartition(":")[2].isdigit():
-            raise click.BadParameter(
-                f"{address!r}; accepted: host:port", param_hint="--address"
-            )
     context.obj = Session(
         client.Caller(addresses, customer, timeout_ms=timeout_ms),
         customer,
--- a/packages/cli/src/balsamloom_cli/client.py
+++ b/packages/cli/src/balsamloom_cli/client.py
@@ -21,6 +21,7 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import errors, results
+from balsamloom_platform import causes
 
 CONNECT_TIMEOUT_MS = 1_000
 DEFAULT_TIMEOUT_MS = 60_000
@@ -291,7 +292,7 @@
                 _decoded(response, request, is_named)
             yield from _events(response)
         except (urllib3.exceptions.HTTPError, ValueError, KeyError) as error:
-            raise _interrupted(f"stream: {error}") from error
+            raise _interrupted(f"stream: {causes.describe(error)}") from error
         finally:
             response.close()
 
@@ -340,9 +341,11 @@
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as error:
-            raise _not_sent(f"{address}: {error}") from error
+            raise _not_sent(f"{address}: {causes.describe(error)}") from error
         except urllib3.exceptions.HTTPError as error:
-            raise _interrupted(f"{address}: {error}") from error
+            raise _interrupted(
+                f"{address}: {causes.describe(error)}"
+            ) from error
         self._note_owner(request.program_id, response)
         return response
 
@@ -457,7 +460,9 @@
     try:
         body = json.loads(response.read())
     except (urllib3.exceptions.HTTPError, ValueError) as error:
-        raise _interrupted(f"{request.path}: {error}") from error
+        raise _interrupted(
+            f"{request.path}: {causes.describe(error)}"
+        ) from error
     if not isinstance(body, dict):
         raise _interrupted(f"{request.path}: the answer is no object")
     if response.status < 400 and "error" not in body:
--- a/packages/cli/src/balsamloom_cli/commands.py
+++ b/packages/cli/src/balsamloom_cli/commands.py
@@ -11,6 +11,7 @@
 
 from balsamloom_core import errors, results, settings
 
+MAX_PORT = 65_535
 _USAGE_CODES = frozenset(
     {
         results.ResultCode.UNKNOWN_SECTION,
@@ -19,6 +20,28 @@
 )
 
 
+class Address(click.ParamType[str]):
+    """Option or argument that takes ``host:port``."""
+
+    name = "host:port"
+
+    def convert(
+        self,
+        value: str,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> str:
+        """Return the value unless it is no address."""
+        host, _, port = value.rpartition(":")
+        is_port = port.isdecimal() and int(port) <= MAX_PORT
+        if not host or not is_port or set(value) & set(" /?#@"):
+            self.fail(f"{value!r}; accepted: host:port", param, ctx)
+        return value
+
+
+ADDRESS = Address()
+
+
 class Group(click.Group):
     """A command group that reports errors without a traceback."""
 
--- a/packages/cli/src/balsamloom_cli/operator.py
+++ b/packages/cli/src/balsamloom_cli/operator.py
@@ -16,6 +16,7 @@
 from balsamloom_configuration import editing
 from balsamloom_core import clock as clocks
 from balsamloom_core import errors, results, settings
+from balsamloom_platform import causes
 from balsamloom_platform import store as stores
 from balsamloom_state import partitions
 
@@ -77,6 +78,7 @@
 @commands.settings_option(SCHEMA)
 @click.option(
     "--store",
+    type=commands.ADDRESS,
     default=DEFAULT_STORE,
     show_default=True,
     help="host:port of the key-value service.",
@@ -246,6 +248,7 @@
 @click.option(
     "--member",
     "addresses",
+    type=commands.ADDRESS,
     multiple=True,
     show_default="the members of the partition map",
     help="host:port of a member to ask without using the store.",
@@ -309,18 +312,16 @@
 
 
 @main.command("dump")
-@click.argument("address")
+@click.argument("address", type=commands.ADDRESS)
 def dump(address: str) -> None:
     """Print the state dump of the entry process at ADDRESS."""
-    if ":" not in address:
-        raise click.BadParameter(
-            f"{address!r}; accepted: host:port", param_hint="ADDRESS"
-        )
     pool = urllib3.PoolManager(retries=False)
     try:
         commands.print_json(status.fetch(pool, address, "/v1/dump"))
     except (urllib3.exceptions.HTTPError, ValueError) as error:
-        raise click.ClickException(f"{address}: {error}") from error
+        raise click.ClickException(
+            f"{address}: {causes.describe(error)}"
+        ) from error
 
 
 @main.group("settings")
--- a/packages/entry/src/balsamloom_entry/main.py
+++ b/packages/entry/src/balsamloom_entry/main.py
@@ -51,9 +51,16 @@
     ended = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: ended.set())
-    entry = process.EntryProcess(
-        schema.EntrySettings(**document)  # type: ignore[typeddict-item]
-    )
+    try:
+        entry = process.EntryProcess(
+            schema.EntrySettings(**document)  # type: ignore[typeddict-item]
+        )
+    except (OSError, OverflowError, RuntimeError) as error:
+        raise click.ClickException(
+            f"http_address {document['http_address']!r} or peer_address"
+            f" {document['peer_address']!r} is not accepted: {error};"
+            " accepted: a free host:port of this host"
+        ) from error
     entry.start()
     print(json.dumps({"address": entry.address}), flush=True)
     ended.wait()
--- a/packages/entry/src/balsamloom_entry/schema.py
+++ b/packages/entry/src/balsamloom_entry/schema.py
@@ -4,7 +4,8 @@
 
 from typing import Any, TypedDict
 
-ADDRESS_PATTERN = r"^[^:\s]+:\d{1,5}$"
+_PORT = r"(\d{1,4}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d{2}|655[0-2]\d|6553[0-5])"
+ADDRESS_PATTERN = rf"^[^:\s]+:{_PORT}$"
 
 
 class EntrySettings(TypedDict):
--- a/packages/platform/src/balsamloom_platform/store.py
+++ b/packages/platform/src/balsamloom_platform/store.py
@@ -17,6 +17,7 @@
 import urllib3
 
 from balsamloom_core import errors, results
+from balsamloom_platform import causes
 
 MAX_VALUE_BYTES = 1_000_000
 DEFAULT_TIMEOUT_MS = 2_000
@@ -161,6 +162,7 @@
     """
 
     def __init__(self, address: str) -> None:
+        self._address = address
         self._base = f"http://{address}"
         self._pool = urllib3.PoolManager(
             num_pools=2, maxsize=16, retries=False
@@ -334,6 +336,9 @@
             ) from error
         return answer
 
+    def _cause(self, path: str, error: Exception) -> str:
+        return f"{path} at {self._address}: {causes.describe(error)}"
+
     def _send(
         self, path: str, body: dict[str, Any], timeout_ms: int, writes: bool
     ) -> urllib3.BaseHTTPResponse:
@@ -358,14 +363,18 @@
                 urllib3.exceptions.NewConnectionError,
                 urllib3.exceptions.ConnectTimeoutError,
             ) as error:
-                raise StoreUnavailable(f"{path}: {error}", False) from error
+                raise StoreUnavailable(
+                    self._cause(path, error), False
+                ) from error
             except urllib3.exceptions.ProtocolError as error:
                 if tries_left == 0 or time.monotonic() >= end_s:
                     raise StoreUnavailable(
-                        f"{path}: {error}", writes
+                        self._cause(path, error), writes
                     ) from error
             except urllib3.exceptions.HTTPError as error:
-                raise StoreUnavailable(f"{path}: {error}", writes) from error
+                raise StoreUnavailable(
+                    self._cause(path, error), writes
+                ) from error
 
 
 def _watch_lines(response: urllib3.BaseHTTPResponse) -> Iterator[list[Change]]:
--- a/packages/platform/src/balsamloom_platform/tools.py
+++ b/packages/platform/src/balsamloom_platform/tools.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from balsamloom_core import outcomes, results
+from balsamloom_platform import causes
 
 MS_PER_S = 1000
 
@@ -82,9 +83,13 @@
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as error:
-            return outcomes.NotRun(results.ResultCode.NOT_SENT, str(error))
+            return outcomes.NotRun(
+                results.ResultCode.NOT_SENT, causes.describe(error)
+            )
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            return outcomes.Unknown(f"no answer from {service}: {error}")
+            return outcomes.Unknown(
+                f"no answer from {service}: {causes.describe(error)}"
+            )
         return _outcome(service, response)
 
     def _send(
