Keep stand-ins from blocking on their access log

Cause: the stand-ins' access log went to standard output, which the starter of the process reads for the address only. A stack dump of the store showed the threads in logging.acquire, called from CherryPy's access log.

Change: the logs of a stand-in's application no longer reach the root log.

--- a/packages/standins/src/balsamloom_standins/_serving.py
+++ b/packages/standins/src/balsamloom_standins/_serving.py
@@ -109,6 +109,10 @@
     application = cherrypy.Application(root, "")
     application.log.screen = False
     application.log.access_file = ""
+    # Nobody reads standard output after the address: an access log there
+    # fills the pipe, and then every request waits for the log's lock.
+    application.log.access_log.propagate = False
+    application.log.error_log.propagate = False
     server = http.make_server(address, threads)
     server.wsgi_app = application
     server.gateway = _SocketGateway
