Add the measuring tool of the policies

The load tool's plans take the kinds of programs as an argument, and the engine stand-in takes its number of threads: with 640 each, ten engines beside other agents' processes used up the host's process numbers, and a stand-in that could not start a thread hung.

--- a/packages/standins/src/balsamloom_standins/_plans.py
+++ b/packages/standins/src/balsamloom_standins/_plans.py
@@ -174,6 +174,7 @@
     straggler_share: float = 0.0,
     customers: tuple[str, ...] = (),
     pause_ms: float = 0.0,
+    kinds: tuple[Kind, ...] = KINDS,
 ) -> list[Plan]:
     """Return the programs of a run; the same seed gives the same programs.
 
@@ -182,12 +183,13 @@
     :param straggler_share: share of programs that run many times longer.
     :param customers: customers whose programs are made, all if empty.
     :param pause_ms: mean time between a program's steps.
+    :param kinds: kinds of programs to choose from, by their weights.
     """
     source = random.Random(seed)
-    kinds = [
-        kind for kind in KINDS if not customers or kind.customer in customers
+    chosen = [
+        kind for kind in kinds if not customers or kind.customer in customers
     ]
-    weights = [kind.weight for kind in kinds]
+    weights = [kind.weight for kind in chosen]
     found: list[Plan] = []
     start_ms = 0.0
     for step in rate_steps:
@@ -197,7 +199,7 @@
             at_ms += source.expovariate(step.programs_per_s / 1000)
             if at_ms >= start_ms:
                 break
-            kind = source.choices(kinds, weights)[0]
+            kind = source.choices(chosen, weights)[0]
             is_straggler = source.random() < straggler_share
             found.append(
                 _plan(source, len(found), kind, is_straggler, at_ms, pause_ms)
--- a/packages/standins/src/balsamloom_standins/load.py
+++ b/packages/standins/src/balsamloom_standins/load.py
@@ -30,6 +30,8 @@
 
 RateStep = _plans.RateStep
 Plan = _plans.Plan
+Kind = _plans.Kind
+KINDS = _plans.KINDS
 plans = _plans.plans
 
 
--- a/packages/standins/src/balsamloom_standins/main.py
+++ b/packages/standins/src/balsamloom_standins/main.py
@@ -62,6 +62,12 @@
     type=click.Path(path_type=pathlib.Path),
     help="File shared by engines to count what is computed again.",
 )
+@click.option(
+    "--threads",
+    default=engine.THREADS,
+    show_default=True,
+    help="Connections served at a time.",
+)
 @click.option(
     "--ignore-fence", is_flag=True, help="Apply orders with an old fence."
 )
@@ -73,6 +79,7 @@
     cache_tokens: int,
     hold_ttl_ms: float,
     history: pathlib.Path | None,
+    threads: int,
     ignore_fence: bool,
 ) -> None:
     """Serve a model engine."""
@@ -85,7 +92,7 @@
     root = engine.EngineStandin(
         speed, cache_tokens, hold_ttl_ms, history_path=history
     )
-    _serving.run_until_signal(_serving.serve(root, address, engine.THREADS))
+    _serving.run_until_signal(_serving.serve(root, address, threads))
 
 
 @main.command("tools")
--- /dev/null
+++ b/tools/measured_runs.py
@@ -0,0 +1,372 @@
+"""Runs of ``make measure``: real processes, load and faults."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import json
+import os
+import pathlib
+import sys
+import threading
+import time
+from typing import Any, NamedTuple
+
+import measured_scenarios as scenarios
+import psutil
+
+from balsamloom_standins import deployments, fleet, load
+
+# Program latency includes the wait for the journal's commit. At the shipped
+# 3.5 commits/s of a process that wait would hide the policy.
+COMMITS_PER_S = 15.0
+COMMIT_BURST = 15
+TOOL_CONCURRENCY = 64
+# The machine bounds the threads of all its processes; with the stand-in's
+# usual 640 threads, ten engines could not be started beside other work.
+ENGINE_THREADS = 200
+HTTP_THREADS = 96
+WARM_UP_SEED = 1_000
+WARM_UP_MS = 3_000
+SETTLE_S = 0.3
+
+
+class Run(NamedTuple):
+    """What one run showed; ``cpu`` is in shares of one core."""
+
+    scenario: str
+    variant: str
+    seed: int
+    figures: dict[str, float]
+    latencies_ms: list[float]
+    outcomes: dict[str, int]
+    retries: int
+    duration_s: float
+    cpu: dict[str, float]
+    trace: dict[str, Any]
+
+
+class MeasuredDeployment(deployments.Deployment):
+    """Ten engines of different speeds; the scenario sets their figures."""
+
+    scenario: scenarios.Scenario
+    _warmed = False
+
+    @classmethod
+    def started(
+        cls, running: fleet.Fleet, scenario: scenarios.Scenario
+    ) -> MeasuredDeployment:
+        """Start all processes of a scenario."""
+        options = (
+            *("--history", str(running.path / "history")),
+            *("--cache-tokens", str(scenario.cache_tokens)),
+            *("--threads", str(ENGINE_THREADS)),
+        )
+        shape = deployments.RESTWELL._replace(
+            entry_count=scenario.entry_count,
+            engine_options=(options,) * len(scenarios.RELATIVE_SPEEDS),
+        )
+        settings = {
+            "commits_per_s": COMMITS_PER_S,
+            "commit_burst": COMMIT_BURST,
+            "http_threads": HTTP_THREADS,
+        }
+        deployment = cls(running, shape, settings)
+        deployment.scenario = scenario
+        for name, content in deployment.sections().items():
+            deployment.apply(name, content)
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            numbers = range(scenario.entry_count)
+            list(pool.map(deployment.add_entry, numbers))
+        deployment.wait_ready()
+        return deployment
+
+    def sections(self) -> dict[str, dict[str, Any]]:
+        """Return sections with the servers' concurrency."""
+        sections = super().sections()
+        models = sections[f"models/{self.shape.customer}"]
+        for server in models[self.shape.model]["servers"]:
+            server["concurrency"] = self.scenario.slots
+        services = sections[f"services/{self.shape.customer}"]
+        for server in services[self.shape.service]["servers"]:
+            server["concurrency"] = TOOL_CONCURRENCY
+        return sections
+
+    def set_engines(self) -> None:
+        """Give the engines their speeds."""
+        for engine, relative in zip(
+            self.engines, scenarios.RELATIVE_SPEEDS, strict=True
+        ):
+            control = {
+                "token_ms": self.scenario.token_ms * relative,
+                "prefill_ms": self.scenario.prefill_ms,
+                "slots": self.scenario.slots,
+                "load_delay_ms": self.scenario.load_delay_ms,
+                "slowdown": 1.0,
+            }
+            engine.request("POST", "/control", control)
+
+    def set_routing(self, values: dict[str, str]) -> None:
+        """Put a variant in force at all entry processes."""
+        revision = self.apply("routing", values)
+        self.wait_until(
+            lambda: all(
+                self.status(entry).get("configuration_revision", 0) >= revision
+                for entry in self.live_entries()
+            ),
+            "the variant is in force",
+        )
+
+    def replace_dead(self) -> None:
+        """Start an entry process for each that was killed."""
+        dead = [entry for entry in self.entries if not entry.is_running]
+        for entry in dead:
+            self.entries.remove(entry)
+            self.add_entry(len(self.fleet.processes))
+        self.wait_ready()
+
+    def statistics(self) -> dict[str, int]:
+        """Return the engines' counts, summed."""
+        found = [engine.request("GET", "/stats") for engine in self.engines]
+        return {name: sum(one[name] for one in found) for name in found[0]}
+
+
+class Faults(threading.Thread):
+    """Slows engines and kills an entry process at the times of a run.
+
+    :param deployment: processes.
+    :param seed: seed of the run.
+    :param kill_ms: time of the kill, if there is one.
+    """
+
+    def __init__(
+        self, deployment: MeasuredDeployment, seed: int, kill_ms: float | None
+    ) -> None:
+        super().__init__(daemon=True)
+        self._deployment = deployment
+        self._actions: list[tuple[float, int, float]] = []
+        for slowdown in deployment.scenario.slowdowns(seed):
+            start = (slowdown.start_ms, slowdown.engine, slowdown.factor)
+            self._actions += [start, (slowdown.end_ms, slowdown.engine, 1.0)]
+        if kill_ms is not None:
+            self._actions.append((kill_ms, -1, 0.0))
+        self._actions.sort()
+
+    def run(self) -> None:
+        """Carry out the actions at their times."""
+        start_s = time.monotonic()
+        for at_ms, engine, factor in self._actions:
+            time.sleep(max(start_s + at_ms / 1000 - time.monotonic(), 0))
+            if engine < 0:
+                self._deployment.live_entries()[0].kill()
+                continue
+            self._deployment.engines[engine].request(
+                "POST", "/control", {"slowdown": factor}
+            )
+
+
+class Usage:
+    """Processor use of a run's processes."""
+
+    def __init__(self, deployment: MeasuredDeployment) -> None:
+        groups = {
+            "entry": deployment.live_entries(),
+            "engine": deployment.engines,
+            "store": [deployment.store],
+        }
+        self._groups = {
+            name: [psutil.Process(running.pid) for running in group]
+            for name, group in groups.items()
+        }
+        self._groups["load_tool"] = [psutil.Process(os.getpid())]
+        self._start_s = time.monotonic()
+        self._before = self._read()
+        psutil.cpu_percent()
+
+    def shares(self) -> dict[str, float]:
+        """Return the busiest process of each group, in shares of a core."""
+        duration_s = time.monotonic() - self._start_s
+        after = self._read()
+        found = {"machine": psutil.cpu_percent() / 100}
+        for name in self._groups:
+            spent = [
+                after[name][pid] - before_s
+                for pid, before_s in self._before[name].items()
+                if pid in after[name]
+            ]
+            found[f"{name}_max"] = max(spent) / duration_s
+            found[f"{name}_sum"] = sum(spent) / duration_s
+        return {name: round(value, 3) for name, value in found.items()}
+
+    def _read(self) -> dict[str, dict[int, float]]:
+        found: dict[str, dict[int, float]] = {}
+        for name, processes in self._groups.items():
+            found[name] = {}
+            for process in processes:
+                try:
+                    times = process.cpu_times()
+                except psutil.NoSuchProcess:
+                    continue
+                found[name][process.pid] = times.user + times.system
+        return found
+
+
+def run_scenario(
+    scenario: scenarios.Scenario, seeds: list[int], path: pathlib.Path
+) -> None:
+    """Run both variants of a scenario on each seed.
+
+    :param scenario: load, engines and faults.
+    :param seeds: seeds of the runs.
+    :param path: file that takes the runs as JSON, after each of them.
+    """
+    found = []
+    with fleet.Fleet() as running:
+        deployment = MeasuredDeployment.started(running, scenario)
+        deployment.set_engines()
+        _warm_up(deployment)
+        for index, seed in enumerate(seeds):
+            variants = ["policy", "baseline"]
+            # Which one goes first alternates, so that a drift of the machine
+            # does not favour one of them.
+            for variant in variants if index % 2 == 0 else variants[::-1]:
+                run = _run(deployment, variant, seed)
+                found.append(run._asdict())
+                path.write_text(json.dumps(found), encoding="utf-8")
+
+
+def _warm_up(deployment: MeasuredDeployment) -> None:
+    """Let the entry processes learn the engines' speeds."""
+    scenario = deployment.scenario
+    rate = scenario.rate_steps[0].programs_per_s
+    steps = (load.RateStep(rate, WARM_UP_MS),)
+    plans = scenario._replace(rate_steps=steps).plans(WARM_UP_SEED)
+    addresses = [entry.address for entry in deployment.entries]
+    found = load.LoadRun(addresses, plans).run()
+    print("warm-up:", found["duration_s"], found["outcomes"], file=sys.stderr)
+
+
+def _run(deployment: MeasuredDeployment, variant: str, seed: int) -> Run:
+    scenario = deployment.scenario
+    deployment.replace_dead()
+    deployment.set_engines()
+    kill_ms = scenario.kill_ms if variant == "policy" else None
+    if scenario.kill_ms is None:
+        is_policy = variant == "policy"
+        deployment.set_routing(
+            scenarios.POLICY if is_policy else scenarios.BASELINE
+        )
+    time.sleep(SETTLE_S)
+    before = deployment.statistics()
+    addresses = [entry.address for entry in deployment.live_entries()]
+    load_run = load.LoadRun(addresses, scenario.plans(seed))
+    usage = Usage(deployment)
+    faults = Faults(deployment, seed, kill_ms)
+    tracer = _Tracer(deployment)
+    faults.start()
+    tracer.start()
+    summary = load_run.run()
+    cpu = usage.shares()
+    faults.join()
+    tracer.end()
+    after = deployment.statistics()
+    counts = {name: after[name] - before[name] for name in after}
+    window = scenario.window
+    results = [
+        result
+        for result in load_run.results
+        if window.start_ms <= result.plan.arrival_ms < window.end_ms
+    ]
+    figures = {
+        figure.name: figure.value(results, counts["recomputed"])
+        for figure in scenario.figures
+    }
+    return Run(
+        scenario.name,
+        variant,
+        seed,
+        figures,
+        sorted(round(scenarios.latency_ms(result)) for result in results),
+        dict(summary["outcomes"]),
+        summary["retries"],
+        round(summary["duration_s"], 1),
+        cpu,
+        {"engines": counts, **tracer.found(), **_causes(results)},
+    )
+
+
+def _causes(results: list[load.ProgramResult]) -> dict[str, Any]:
+    """Return the slowest programs and the late ones by kind."""
+    slowest = sorted(results, key=scenarios.latency_ms)[-5:]
+    late: dict[str, int] = {}
+    for result in results:
+        if not result.is_in_time:
+            name = f"{result.plan.kind}: {result.outcome}"
+            late[name] = late.get(name, 0) + 1
+    return {
+        "programs": len(results),
+        "late": late,
+        "slowest": [
+            {
+                "kind": result.plan.kind,
+                "arrival_ms": round(result.plan.arrival_ms),
+                "latency_ms": round(result.latency_ms),
+                "first_token_ms": [round(v) for v in result.first_token_ms],
+                "retries": result.retries,
+            }
+            for result in slowest
+        ],
+    }
+
+
+class _Tracer(threading.Thread):
+    """Reads state dumps of the entry processes during a run."""
+
+    INTERVAL_S = 1.0
+
+    def __init__(self, deployment: MeasuredDeployment) -> None:
+        super().__init__(daemon=True)
+        self._deployment = deployment
+        self._ended = threading.Event()
+        self._samples: list[dict[str, Any]] = []
+
+    def run(self) -> None:
+        """Read until the run ends."""
+        start_s = time.monotonic()
+        while not self._ended.wait(self.INTERVAL_S):
+            sample = self._sample()
+            sample["at_ms"] = round((time.monotonic() - start_s) * 1000)
+            self._samples.append(sample)
+
+    def end(self) -> None:
+        """Stop reading."""
+        self._ended.set()
+        self.join()
+
+    def found(self) -> dict[str, Any]:
+        """Return the samples."""
+        return {"samples": self._samples}
+
+    def _sample(self) -> dict[str, Any]:
+        ejected: dict[str, int] = {}
+        waiting = 0
+        in_flight: dict[str, int] = {}
+        for entry in self._deployment.live_entries():
+            try:
+                dump = entry.request("GET", "/v1/dump")
+            except Exception:  # noqa: BLE001 - a killed process has no dump
+                continue
+            pools = _scheduler_of(dump)["pools"]
+            pool = pools.get(self._deployment.shape.model, {})
+            waiting += pool.get("waiting", 0)
+            for server_id, state in pool.get("servers", {}).items():
+                in_flight[server_id] = (
+                    in_flight.get(server_id, 0) + state["in_flight"]
+                )
+                if state["is_ejected"]:
+                    ejected[server_id] = ejected.get(server_id, 0) + 1
+        return {"waiting": waiting, "in_flight": in_flight, "ejected": ejected}
+
+
+def _scheduler_of(dump: dict[str, Any]) -> dict[str, Any]:
+    found: dict[str, Any] = dump["scheduler"]
+    return found
