--- a/tools/measured_report.py
+++ b/tools/measured_report.py
@@ -16,6 +16,8 @@
 PLOT_WIDTH = 560
 PLOT_HEIGHT = 220
 MARGIN = 40
+# Above this share of all cores, processes wait for a processor.
+BUSY_SHARE = 0.8
 COLOURS = {"policy": "#1b6ca8", "baseline": "#b8502a"}
 
 
@@ -96,7 +98,7 @@
         if own:
             path = directory / f"{scenario.name}.svg"
             path.write_text(_plot(own, scenario.name), encoding="utf-8")
-    page = _page(summary, runs, duration_s, lanes)
+    page = _page(summary, runs, duration_s, lanes, root)
     (root / "docs" / "measurements.md").write_text(page, encoding="utf-8")
     return summary
 
@@ -113,6 +115,7 @@
     runs: list[Run],
     duration_s: float,
     lanes: int,
+    root: pathlib.Path,
 ) -> str:
     lines = [
         "# Measurements",
@@ -139,13 +142,22 @@
             f"| {entry['ratio']} | {entry['ratio_min']} to "
             f"{entry['ratio_max']} | {sign} {figure.target} | {is_met} |"
         )
-    lines += ["", *_causes(summary, runs), *_method(duration_s, lanes)]
+    lines += ["", *_notes(root), *_causes(summary, runs)]
+    lines += _method(duration_s, lanes)
     lines += [*_machine(runs), "## Plots", ""]
     for scenario in dict.fromkeys(run["scenario"] for run in runs):
         lines.append(f"![{scenario}](../measurements/{scenario}.svg)")
     return "\n".join(lines) + "\n"
 
 
+def _notes(root: pathlib.Path) -> list[str]:
+    """Return the causes of misses that a person has read from traces."""
+    path = root / "measurements" / "causes.md"
+    if not path.exists():
+        return []
+    return [path.read_text(encoding="utf-8").rstrip(), ""]
+
+
 def _causes(summary: dict[str, dict[str, Any]], runs: list[Run]) -> list[str]:
     """Return the traces of the scenarios whose target is missed."""
     missed = {
@@ -247,6 +259,13 @@
         own = [run["cpu"] for run in runs if run["scenario"] == scenario]
         cells = [f"{max(cpu[key] for cpu in own):.2f}" for key in keys]
         lines.append(f"| `{scenario}` | {' | '.join(cells)} |")
+    busiest = max(run["cpu"]["machine"] for run in runs)
+    if busiest > BUSY_SHARE:
+        lines += [
+            "",
+            f"The machine was up to {100 * busiest:.0f}% busy, so other work",
+            "disturbed these figures.",
+        ]
     return [*lines, ""]
 
 
