--- a/packages/standins/src/balsamloom_standins/load.py
+++ b/packages/standins/src/balsamloom_standins/load.py
@@ -34,6 +34,8 @@
 Tool = _plans.Tool
 Pause = _plans.Pause
 Plan = _plans.Plan
+Kind = _plans.Kind
+KINDS = _plans.KINDS
 plans = _plans.plans
 
 
--- a/packages/standins/src/balsamloom_standins/main.py
+++ b/packages/standins/src/balsamloom_standins/main.py
@@ -80,6 +80,12 @@
     show_default="none",
     help="File shared by engines to count what is computed again.",
 )
+@click.option(
+    "--threads",
+    default=engine.THREADS,
+    show_default=True,
+    help="Connections served at a time.",
+)
 @click.option(
     "--ignore-fence/--enforce-fence",
     default=False,
@@ -94,6 +100,7 @@
     cache_tokens: int,
     hold_ttl_ms: float,
     history: pathlib.Path | None,
+    threads: int,
     ignore_fence: bool,
 ) -> None:
     """Serve a model engine."""
@@ -106,7 +113,7 @@
     root = engine.EngineStandin(
         speed, cache_tokens, hold_ttl_ms, history_path=history
     )
-    _serving.run_until_signal(_serving.serve(root, address, engine.THREADS))
+    _serving.run_until_signal(_serving.serve(root, address, threads))
 
 
 @main.command("tools")
