Believe two peers that a backend server is slow

Change: heartbeats tell which servers a process ejected on samples of its own; a server that two peers ejected is ejected here too, within the ceiling of a third, and returns by own trial calls, which outweigh what peers still say for 3 s. What was ejected on the word of others is not passed on. Channels of former sessions are closed now.

--- a/packages/entry/src/balsamloom_entry/process.py
+++ b/packages/entry/src/balsamloom_entry/process.py
@@ -45,6 +45,7 @@
             self.parts.links,
         )
         self.session = self._new_session()
+        self._former: list[session.Session] = []
         self._is_stopping = threading.Event()
         http.mount(
             self._http,
@@ -111,6 +112,7 @@
         while not self.parts.clock.wait(self._is_stopping, SUPERVISE_MS):
             if self.session.owner.is_deposed:
                 self._begin_again()
+            self._close_former()
             if not self.session.is_joined:
                 self._try_join()
                 if not self.session.is_joined:
@@ -122,8 +124,16 @@
             events.Event.MEMBER_DEPOSED, member_id=former.member.member_id
         )
         former.stop()
+        self._former.append(former)
         self.session = self._new_session()
 
+    def _close_former(self) -> None:
+        """Close the channels of former sessions that answer nobody now."""
+        for former in list(self._former):
+            if not former.router.in_progress:
+                former.peers.close()
+                self._former.remove(former)
+
     def _linger(self, end_ms: float) -> None:
         """Pass requests on for callers whose address answer is not old."""
         clock = self.parts.clock
--- a/packages/entry/src/balsamloom_entry/session.py
+++ b/packages/entry/src/balsamloom_entry/session.py
@@ -163,7 +163,12 @@
         self._peer_calls[heartbeat.member_id] = heartbeat.calls_in_progress
         self._parts.backends.merge_from_peer(heartbeat.server_states)
         shares = [
-            policy_calls.Share(share.server_id, share.in_flight, share.limit)
+            policy_calls.Share(
+                share.server_id,
+                share.in_flight,
+                share.limit,
+                share.is_ejected,
+            )
             for share in heartbeat.server_shares
         ]
         self._parts.scheduler.peer_shares(heartbeat.member_id, shares)
@@ -357,17 +362,21 @@
         self._parts.senders.submit(fetch)
 
     def _shares(self) -> tuple[messages.ServerShare, ...]:
-        shares = [
-            share
-            for share in self._parts.scheduler.shares()
-            if share.in_flight
+        known = self._parts.scheduler.shares()
+        random.shuffle(known)
+        # Ejections go first, since peers act on them.
+        known.sort(key=lambda share: not share.is_ejected)
+        chosen = [
+            share for share in known if share.in_flight or share.is_ejected
         ]
-        chosen = random.sample(shares, min(len(shares), MAX_SHARES))
         return tuple(
             messages.ServerShare(
-                share.server_id, share.in_flight, round(share.limit)
+                share.server_id,
+                share.in_flight,
+                round(share.limit),
+                share.is_ejected,
             )
-            for share in chosen
+            for share in chosen[:MAX_SHARES]
         )
 
 
--- a/packages/peers/src/balsamloom_peers/_convert.py
+++ b/packages/peers/src/balsamloom_peers/_convert.py
@@ -53,7 +53,12 @@
             for state in message.server_states
         ),
         tuple(
-            messages.ServerShare(share.server_id, share.in_flight, share.limit)
+            messages.ServerShare(
+                share.server_id,
+                share.in_flight,
+                share.limit,
+                share.is_ejected,
+            )
             for share in message.server_shares
         ),
         message.is_leaving,
--- a/packages/peers/src/balsamloom_peers/messages.py
+++ b/packages/peers/src/balsamloom_peers/messages.py
@@ -24,11 +24,16 @@
 
 
 class ServerShare(NamedTuple):
-    """Calls in flight at a backend server and the sender's limit for it."""
+    """Calls in flight at a backend server and the sender's limit for it.
+
+    ``is_ejected`` says that the sender ejected the server on samples of its
+    own.
+    """
 
     server_id: str
     in_flight: int
     limit: int
+    is_ejected: bool = False
 
 
 class Heartbeat(NamedTuple):
--- a/packages/policy/src/balsamloom_policy/_servers.py
+++ b/packages/policy/src/balsamloom_policy/_servers.py
@@ -85,10 +85,13 @@
         self.report: calls.LoadReport | None = None
         self.report_ms = 0.0
         self.peer_in_flight = 0
+        self.peer_ejections = 0
         self.slowness = 1.0
         self.fault_count = 0
         self.is_ejected = False
+        self.is_own_ejection = False
         self.ejected_ms = 0.0
+        self.returned_ms = float("-inf")
         self.trial: Flight | None = None
         self.trial_ms = 0.0
         self.trial_sent_ms = 0.0
--- a/packages/policy/src/balsamloom_policy/calls.py
+++ b/packages/policy/src/balsamloom_policy/calls.py
@@ -48,11 +48,16 @@
 
 
 class Share(NamedTuple):
-    """Calls in flight and limit of one process at one server."""
+    """Calls in flight and limit of one process at one server.
+
+    ``is_ejected`` says that the process ejected the server on samples of its
+    own, not on the word of others.
+    """
 
     server_id: str
     in_flight: int
     limit: float
+    is_ejected: bool = False
 
 
 class Observation(NamedTuple):
--- a/packages/policy/src/balsamloom_policy/health.py
+++ b/packages/policy/src/balsamloom_policy/health.py
@@ -11,6 +11,9 @@
 from balsamloom_policy import _servers, settings
 
 MIN_SAMPLES = 5
+# Two processes that ejected a server on samples of their own are believed by
+# the others, which see too few of its calls to judge for themselves.
+PEERS_TO_EJECT = 2
 TRIAL_GROWTH = 1.5
 GOOD_SAMPLES_TO_RETURN = 2
 
@@ -65,7 +68,7 @@
     level = max(statistics.median(server.slowness for server in active), 1.0)
     allowed = int(len(servers) * values.ejected_share + 1e-9)
     allowed -= len(servers) - len(active)
-    suspects = [
+    own = {
         server
         for server in active
         if (
@@ -73,10 +76,30 @@
             or server.fault_count >= _servers.FAULTS_TO_EJECT
         )
         and server.slowness >= values.eject_ratio * level
-    ]
-    suspects.sort(key=lambda server: -server.slowness)
+    }
+    told = {server for server in active if _is_told_of(server, now_ms, values)}
+    suspects = sorted(
+        own | told, key=lambda server: (server not in own, -server.slowness)
+    )
     for server in suspects[: max(allowed, 0)]:
         eject(server, now_ms, values)
+        server.is_own_ejection = server in own
+
+
+def _is_told_of(
+    server: _servers.ServerState,
+    now_ms: float,
+    values: settings.PolicySettings,
+) -> bool:
+    """Return whether enough peers have ejected a server.
+
+    What they said before an own trial call showed recovery does not count.
+    """
+    since_ms = now_ms - server.returned_ms
+    return (
+        server.peer_ejections >= PEERS_TO_EJECT
+        and since_ms > values.peer_valid_ms
+    )
 
 
 def _return_idle(
@@ -116,6 +139,8 @@
 def return_server(server: _servers.ServerState, now_ms: float) -> None:
     """Put an ejected server back into routing."""
     server.is_ejected = False
+    server.is_own_ejection = False
+    server.returned_ms = now_ms
     server.trial = None
     server.reset_recent()
     events.log(
@@ -162,6 +187,7 @@
         return False
     if ratio > values.return_ratio:
         server.good_samples = 0
+        server.is_own_ejection = True
         if is_trial:
             _postpone_trial(server, now_ms, values)
         return False
--- a/packages/policy/src/balsamloom_policy/scheduler.py
+++ b/packages/policy/src/balsamloom_policy/scheduler.py
@@ -217,6 +217,7 @@
                     server_id,
                     len(state.in_flight),
                     min(state.slots, self._values.limit_max),
+                    state.is_ejected and state.is_own_ejection,
                 )
                 for pool in self._pools.values()
                 for server_id, state in pool.servers.items()
@@ -400,6 +401,7 @@
             if now_ms - told.told_ms <= self._values.peer_valid_ms:
                 peers.append(told.share)
         state.peer_in_flight = sum(peer.in_flight for peer in peers)
+        state.peer_ejections = sum(peer.is_ejected for peer in peers)
         if isinstance(self._limits, limits.NoLimit):
             state.slots = math.inf
             return
@@ -412,6 +414,10 @@
 
     def _check(self, pool: _pool.Pool, now_ms: float) -> None:
         pool.check_ms = now_ms
+        for state in pool.servers.values():
+            if state.peer_ejections:
+                # What a silent peer said does not count for long.
+                self._update_slots(state, now_ms)
         health.check(self._health, pool.servers.values(), now_ms, self._values)
         self._mark_long(pool, now_ms)
         pool.update_totals()
--- a/packages/policy/tests/test_scheduler.py
+++ b/packages/policy/tests/test_scheduler.py
@@ -196,6 +196,50 @@
         self._teach(built, manual, 40)
         self.assertEqual(self._ejected(built), set())
 
+    def _tell(self, built, members, server_id="s1"):
+        told = [policy.Share(server_id, 0, 4, is_ejected=True)]
+        for member in members:
+            built.peer_shares(member, told)
+
+    def test_server_that_two_peers_ejected_is_ejected(self):
+        """Guards against a process that is the last to leave a slow server.
+
+        A process that sends few calls to a server does not see that it was
+        slowed; on real processes 2 or 3 of 8 noticed within a slowdown.
+        """
+        built, manual = builders.scheduler(6, 4, routing="round_robin")
+        self._teach(built, manual)
+        self._tell(built, ["m1"])
+        self._teach(built, manual, 2)
+        self.assertEqual(self._ejected(built), set())
+        self._tell(built, ["m1", "m2"])
+        self._teach(built, manual, 2)
+        self.assertEqual(self._ejected(built), {"s1"})
+        # Words about words would keep a server out for ever.
+        told = {share.server_id: share for share in built.shares()}
+        self.assertFalse(told["s1"].is_ejected)
+
+    def test_own_trials_outweigh_what_peers_still_say(self):
+        """Guards against a server that recovered and is ejected again."""
+        built, manual = builders.scheduler(6, 4, routing="round_robin")
+        self._teach(built, manual)
+        self._tell(built, ["m1", "m2"])
+        self._teach(built, manual, 10)
+        self.assertEqual(self._ejected(built), set())
+        self._tell(built, ["m1", "m2"])
+        self._teach(built, manual, 2)
+        self.assertEqual(self._ejected(built), set())
+
+    def test_own_ejection_is_told_to_peers(self):
+        """Guards against peers that each find a slow server by themselves."""
+        built, manual = builders.scheduler(6, 4, routing="round_robin")
+        self._teach(built, manual)
+        self._slow_down(built, manual, {"s1"})
+        told = {
+            share.server_id for share in built.shares() if share.is_ejected
+        }
+        self.assertEqual(told, {"s1"})
+
     def test_calls_in_flight_are_evidence_before_they_end(self):
         """Guards against a hung server that is noticed by its timeouts."""
         built, manual = builders.scheduler(6, 4, routing="round_robin")
