--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import pathlib
 import re
@@ -9,6 +10,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 from typing import NamedTuple
 
 DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
@@ -34,6 +36,7 @@
         (r"^(\S+-RUN .*) \d+$", r"\1 NUMBER"),
     )
 ]
+COMMAND_TIMEOUT_S = 30
 _END = "end of the command's output, status"
 
 
@@ -109,26 +112,48 @@
         """
         self._process.stdin.write(f'{text}\necho "{_END} $?"\n')
         self._process.stdin.flush()
+        # A loop on a page that waits for something must not wait forever.
+        timer = threading.Timer(COMMAND_TIMEOUT_S, self._end)
+        timer.start()
         output = ""
-        for line in self._process.stdout:
-            before, is_end, status = line.partition(_END)
-            output += before
-            if is_end:
-                return output, int(status)
-        raise RuntimeError(f"the shell ended at {text!r}: {output}")
+        try:
+            for line in self._process.stdout:
+                before, is_end, status = line.partition(_END)
+                output += before
+                if is_end:
+                    return output, int(status)
+        finally:
+            timer.cancel()
+        raise RuntimeError(
+            f"the shell ended, or did not answer for {COMMAND_TIMEOUT_S} s,"
+            f" at {text!r}: {output}"
+        )
+
+    def _children(self):
+        tasks = pathlib.Path(f"/proc/{self._process.pid}/task")
+        return [
+            int(child)
+            for path in tasks.glob("*/children")
+            for child in path.read_text().split()
+        ]
 
     def replace_curl(self):
         """Let the command ``curl`` name a replacement in Python."""
         script = pathlib.Path(__file__).with_name("curl_replacement.py")
         self.run(f'curl() {{ "{sys.executable}" "{script}" "$@"; }}')
 
+    def _end(self):
+        children = self._children()
+        # The shell first, so that a loop starts no further command.
+        self._process.kill()
+        for child in children:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(child, signal.SIGKILL)
+
     def close(self):
         """End the shell and every process that it started."""
-        for path in pathlib.Path(f"/proc/{self._process.pid}/task").glob("*"):
-            for child in (path / "children").read_text().split():
-                os.kill(int(child), signal.SIGKILL)
+        self._end()
         self._process.stdin.close()
-        self._process.kill()
         self._process.wait()
         self._process.stdout.close()
         self._directory.cleanup()
