Bound the order check of the chaos test by the calls' timeout

Cause: the check reported a call that began while an earlier one still hung at the tool.

Change: only calls that begin within the timeout of an unfinished one are findings. The scenarios still allow no overlap.

--- a/packages/standins/src/balsamloom_standins/observations.py
+++ b/packages/standins/src/balsamloom_standins/observations.py
@@ -29,6 +29,7 @@
 SEND_TIMEOUT_S = 20
 ENTRY_SETTINGS = {"commits_per_s": 20, "commit_burst": 20}
 PARTITIONS = 256
+TOOL_TIMEOUT_MS = 3_000
 # The first part of an engine's tag is the program, the last one the call.
 TAG_PROGRAM, TAG_CALL = 0, 2
 
@@ -384,7 +385,7 @@
     """
     options = (("--token-ms", "2"), ("--token-ms", "4"))
     operations = {
-        name: {**operation, "timeout_ms": 3_000}
+        name: {**operation, "timeout_ms": TOOL_TIMEOUT_MS}
         for name, operation in shape.operations.items()
     }
     return shape._replace(
@@ -447,17 +448,23 @@
     return collections.Counter(run["key"] for run in runs)
 
 
-def check_order(runs: Iterable[dict[str, Any]]) -> list[str]:
+def check_order(
+    runs: Iterable[dict[str, Any]], timeout_s: float = float("inf")
+) -> list[str]:
     """Check that no tool call of a program began before another ended (R1).
 
     :param runs: records of tool services.
+    :param timeout_s: timeout of the operations; a call that hangs for longer
+        is given up then, and the next one may begin.
     """
     found = []
     last: dict[str, dict[str, Any]] = {}
     for run in sorted(runs, key=lambda run: float(run["start_s"])):
         former = last.get(run["program_id"])
-        if former and not (
-            former["end_s"] and former["end_s"] <= run["start_s"]
+        if (
+            former
+            and not (former["end_s"] and former["end_s"] <= run["start_s"])
+            and run["start_s"] - former["start_s"] < timeout_s
         ):
             found.append(f"R1: {run['key']} began within {former['key']}")
         last[run["program_id"]] = run
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -248,7 +248,9 @@
         caller = self._caller
         runs = observations.records(self._deployment.tools)
         requests = observations.records(self._deployment.engines)
-        self.findings += observations.check_order(runs)
+        self.findings += observations.check_order(
+            runs, observations.TOOL_TIMEOUT_MS / 1000
+        )
         self.findings += observations.check_runs(runs, caller.told)
         self.findings += observations.check_answers(caller.told)
         self.findings += observations.check_budgets(requests, caller.budgets)
