Resume held partitions after an unexpected error of a transfer

Cause: an error of another kind than BalsamloomError, such as a call on a channel that was closed meanwhile, left the partitions of a move held for ever. Change: held partitions are resumed before the error goes on.

--- a/packages/state/src/balsamloom_state/moves.py
+++ b/packages/state/src/balsamloom_state/moves.py
@@ -91,8 +91,14 @@
             pool = concurrent.futures.ThreadPoolExecutor(
                 max(self._state.settings.move_threads, 1)
             )
-            with pool:
-                sent = list(pool.map(self._send, targets.items()))
+            try:
+                with pool:
+                    sent = list(pool.map(self._send, targets.items()))
+            except BaseException:
+                # Held partitions would refuse their calls for ever.
+                for partition in targets:
+                    self._state.slots.resume(partition)
+                raise
             accepted = [move for move in sent if move is not None]
             for partition in targets.keys() - {
                 move.partition for move in accepted
--- a/packages/state/tests/test_moves.py
+++ b/packages/state/tests/test_moves.py
@@ -2,6 +2,7 @@
 
 import threading
 import unittest
+from unittest import mock
 
 import builders
 
@@ -106,6 +107,19 @@
         found = third.program(self.program.program_id)
         self.assertEqual(found.messages[0]["content"], "one")
 
+    def test_unexpected_error_of_a_transfer_holds_nothing(self):
+        """Guards against partitions that refuse their calls for ever."""
+        self.first.refresh_map()
+        with (
+            mock.patch.object(
+                builders.DirectTransfer, "send_partition", side_effect=OSError
+            ),
+            self.assertRaises(OSError),
+        ):
+            self.first.rebalance_once()
+        states = self.first.describe()["partitions"]
+        self.assertNotIn("moving", states)
+
     def test_receiver_that_dies_before_the_map_change(self):
         """Guards against a partition given to a member that is gone."""
         transfer = builders.DirectTransfer.send_partition
