--- a/packages/standins/src/balsamloom_standins/observations.py
+++ b/packages/standins/src/balsamloom_standins/observations.py
@@ -466,7 +466,11 @@
             and not (former["end_s"] and former["end_s"] <= run["start_s"])
             and run["start_s"] - former["start_s"] < timeout_s
         ):
-            found.append(f"R1: {run['key']} began within {former['key']}")
+            gap_s = run["start_s"] - former["start_s"]
+            found.append(
+                f"R1: {run['key']} began within {former['key']},"
+                f" {gap_s:.3f} s after its start"
+            )
         last[run["program_id"]] = run
     return found
 
