Send tools a key that names the program too

Cause: a tool got the caller's idempotency key as it was; two programs that both use a key like book-1 looked like one call to a tool that keeps records by the key, and one booking would have been lost. Change: the key sent is <program>/<key>; stand-ins show the caller's part. Measured: the whole-path test sees the sent key; 23 tests of the stand-ins pass.

--- a/packages/entry/src/balsamloom_entry/tool_calls.py
+++ b/packages/entry/src/balsamloom_entry/tool_calls.py
@@ -10,6 +10,7 @@
 from balsamloom_platform import tools
 from balsamloom_policy import calls as policy_calls
 from balsamloom_policy import scheduler as schedulers
+from balsamloom_policy import tickets
 from balsamloom_state import budgets, programs
 
 
@@ -92,7 +93,7 @@
 
     def _submit(
         self, request: calls.CallRequest, operation: Operation
-    ) -> schedulers.Ticket:
+    ) -> tickets.Ticket:
         program = request.program
         profile = policy_calls.CallProfile(
             program.program_id,
@@ -113,7 +114,7 @@
         self,
         request: calls.CallRequest,
         operation: Operation,
-        ticket: schedulers.Ticket,
+        ticket: tickets.Ticket,
         assigned: policy_calls.Assigned,
         feed: feeds.Feed,
     ) -> Sent:
@@ -137,7 +138,7 @@
         self,
         request: calls.CallRequest,
         operation: Operation,
-        ticket: schedulers.Ticket,
+        ticket: tickets.Ticket,
         assigned: policy_calls.Assigned,
         feed: feeds.Feed,
     ) -> Sent:
@@ -172,7 +173,7 @@
         self,
         request: calls.CallRequest,
         operation: Operation,
-        ticket: schedulers.Ticket,
+        ticket: tickets.Ticket,
         assigned: policy_calls.Assigned,
     ) -> Sent:
         clock = self._context.clock
@@ -182,7 +183,9 @@
             operation.service,
             operation.name,
             request.body,
-            request.key,
+            # Two programs may use the same key; a tool that keeps records by
+            # the key alone must not take one's call for the other's.
+            f"{request.program.program_id}/{request.key}",
             round(min(left_ms, operation.timeout_ms)),
             request.program.program_id,
         )
--- a/packages/standins/src/balsamloom_standins/tools.py
+++ b/packages/standins/src/balsamloom_standins/tools.py
@@ -51,6 +51,7 @@
     def default(self, *path: str, **_: str) -> Any:
         """Run an operation, or serve records or ``/control``.
 
+        Keys are given without the program in front, as callers know them.
         ``/runs`` gives the number of runs of each key, ``/order`` the starts
         and ends of each program's operations in order, ``/records`` the times
         of all runs on the host's monotonic clock.
@@ -86,8 +87,9 @@
 
     def _run(self, operation: str, body: dict[str, Any]) -> bytes:
         headers = cherrypy.request.headers
-        key = headers.get("Idempotency-Key", "")
         program_id = headers.get("X-Program-Id", "")
+        sent_key = headers.get("Idempotency-Key", "")
+        key = sent_key.removeprefix(f"{program_id}/")
         with self._changed:
             mode, duration_ms = self._next()
             if mode == "refuse":
@@ -96,7 +98,11 @@
             self._runs[key] += 1
             runs = self._runs[key]
             self._note(program_id, "start", key)
-            record: dict[str, Any] = {"program_id": program_id, "key": key}
+            record: dict[str, Any] = {
+                "program_id": program_id,
+                "key": key,
+                "sent_key": sent_key,
+            }
             record.update(start_s=time.monotonic(), end_s=None)
             self._records.append(record)
             if mode == "hang":
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -61,3 +61,9 @@
         url = f"http://{self.deployment.tools[0].address}/runs"
         runs = urllib3.request("GET", url).json()
         self.assertEqual(runs, {"c2": 1})
+        records = urllib3.request(
+            "GET", f"http://{self.deployment.tools[0].address}/records"
+        ).json()["records"]
+        keys = [record["sent_key"] for record in records]
+        # A tool must be able to tell two programs' calls apart by the key.
+        self.assertEqual(keys, [f"{program_id}/c2"])
