--- a/packages/entry/src/balsamloom_entry/attempts.py
+++ b/packages/entry/src/balsamloom_entry/attempts.py
@@ -15,6 +15,7 @@
 from balsamloom_platform import engines, metrics
 from balsamloom_policy import calls as policy_calls
 from balsamloom_policy import scheduler as schedulers
+from balsamloom_policy import tickets
 
 NEVER_MS = float("inf")
 MIN_WAIT_MS = 1.0
@@ -42,7 +43,7 @@
 class Started(NamedTuple):
     """An engine sent its first tokens; ``batches`` are all of them."""
 
-    ticket: schedulers.Ticket
+    ticket: tickets.Ticket
     stream: engines.Stream
     batches: Iterator[list[engines.Chunk]]
     first: list[engines.Chunk]
@@ -51,7 +52,7 @@
 class Rejected(NamedTuple):
     """An engine gave no tokens."""
 
-    ticket: schedulers.Ticket
+    ticket: tickets.Ticket
     error: engines.EngineError
 
 
@@ -59,7 +60,7 @@
 class Attempt:
     """One request to one engine."""
 
-    ticket: schedulers.Ticket
+    ticket: tickets.Ticket
     engine: engines.ModelEngine
     tag: str
     is_cancelled: bool = False
@@ -116,14 +117,14 @@
             for attempt in self._running:
                 self._cancel(attempt)
 
-    def _launch(self, ticket: schedulers.Ticket) -> None:
+    def _launch(self, ticket: tickets.Ticket) -> None:
         assigned = wait_assigned(
             ticket, self._sender.clock, self._request.end_ms, self._feed
         )
         self._send(ticket, assigned)
 
     def _send(
-        self, ticket: schedulers.Ticket, assigned: policy_calls.Assigned
+        self, ticket: tickets.Ticket, assigned: policy_calls.Assigned
     ) -> None:
         self._count += 1
         tag = f"{self._request.tag}.{self._count}"
@@ -199,7 +200,7 @@
                 ticket.cancel()
 
     def _after_rejection(
-        self, ticket: schedulers.Ticket, error: engines.EngineError
+        self, ticket: tickets.Ticket, error: engines.EngineError
     ) -> None:
         self._forget(ticket)
         if error.was_sent:
@@ -224,7 +225,7 @@
         # The engine may take its time to answer, and nobody waits for it.
         self._sender.executor.submit(_cancel_quietly, attempt)
 
-    def _forget(self, ticket: schedulers.Ticket) -> None:
+    def _forget(self, ticket: tickets.Ticket) -> None:
         self._running = [
             attempt
             for attempt in self._running
@@ -233,7 +234,7 @@
 
 
 def wait_assigned(
-    ticket: schedulers.Ticket,
+    ticket: tickets.Ticket,
     clock: clocks.Clock,
     end_ms: float,
     feed: feeds.Feed,
@@ -279,8 +280,8 @@
 
 
 def _ticket(
-    outcome: schedulers.Ticket | policy_calls.Refused,
-) -> schedulers.Ticket:
+    outcome: tickets.Ticket | policy_calls.Refused,
+) -> tickets.Ticket:
     if isinstance(outcome, policy_calls.Refused):
         raise refusal(outcome)
     return outcome
--- a/packages/policy/src/balsamloom_policy/__init__.py
+++ b/packages/policy/src/balsamloom_policy/__init__.py
@@ -10,8 +10,9 @@
     Share,
     Waiting,
 )
-from balsamloom_policy.scheduler import Scheduler, Ticket
+from balsamloom_policy.scheduler import Scheduler
 from balsamloom_policy.settings import PolicySettings
+from balsamloom_policy.tickets import Ticket
 
 __all__ = [
     "Assigned",
--- a/packages/policy/src/balsamloom_policy/scheduler.py
+++ b/packages/policy/src/balsamloom_policy/scheduler.py
@@ -1,6 +1,6 @@
 """Facade of the policy: which call runs where and when.
 
-One lock guards all state. A thread per call waits in :meth:`Ticket.wait`;
+One lock guards all state. A thread per call waits in its ticket;
 slots are handed out by whichever thread frees or finds one.
 """
 
@@ -27,79 +27,11 @@
     retries,
     routing,
     settings,
+    tickets,
 )
 
 # A waiting thread looks again after this time even without an event.
 WAIT_SLICE_MS = 1000.0
-# Token progress is taken in at most this often per call.
-FOLD_MS = 50.0
-
-
-class Ticket:
-    """A call that was taken in; used by the one thread that serves it."""
-
-    def __init__(
-        self,
-        owner: Scheduler,
-        pool: _pool.Pool,
-        profile: calls.CallProfile,
-        queued_ms: float,
-        level: int,
-    ) -> None:
-        self.profile = profile
-        self.queued_ms = queued_ms
-        self.level = level
-        self.is_queued = False
-        self.attempt = 0
-        self.was_sent = False
-        self.avoid: frozenset[str] = frozenset()
-        self.not_before_ms = 0.0
-        self.pool = pool
-        self.server: _servers.ServerState | None = None
-        self.answer: calls.Assigned | calls.Refused | None = None
-        self.event: threading.Event | None = None
-        self.assigned_ms = 0.0
-        self.first_token_ms: float | None = None
-        self.progress_ms = 0.0
-        self.progress_count = 0
-        self.pending_tokens = 0
-        self.is_long = False
-        self.is_over = False
-        self._owner = owner
-
-    def wait(
-        self, timeout_ms: float
-    ) -> calls.Assigned | calls.Waiting | calls.Refused:
-        """Wait for a server.
-
-        :param timeout_ms: longest wait; 0 only looks.
-        """
-        return self._owner._wait(self, timeout_ms)
-
-    def first_token(self) -> None:
-        """Note that the first token arrived."""
-        self._owner._first_token(self)
-
-    def token_progress(self, tokens: int) -> None:
-        """Note further tokens.
-
-        :param tokens: tokens since the last note.
-        """
-        self.pending_tokens += tokens
-        now_ms = self._owner._clock.now_ms()
-        if now_ms - self.progress_ms >= FOLD_MS:
-            self._owner._fold_tokens(self, now_ms)
-
-    def finish(self, observation: calls.Observation) -> None:
-        """Note the end of the call and free its slot.
-
-        :param observation: how it ended.
-        """
-        self._owner._finish(self, observation)
-
-    def cancel(self) -> None:
-        """Withdraw the call: it leaves the queue or frees its slot."""
-        self._owner._cancel(self)
 
 
 class Scheduler:
@@ -223,7 +155,9 @@
                 for server_id, state in pool.servers.items()
             ]
 
-    def submit(self, profile: calls.CallProfile) -> Ticket | calls.Refused:
+    def submit(
+        self, profile: calls.CallProfile
+    ) -> tickets.Ticket | calls.Refused:
         """Take in a call or refuse it at once.
 
         A refused call was not sent to any server.
@@ -247,13 +181,15 @@
                 rate = pressure.rate_per_ms
                 return pool.return_line.place(refusal, rate, now_ms)
             self._budget.earn(self._values)
-            ticket = Ticket(self, pool, profile, now_ms, level)
+            ticket = tickets.Ticket(self, pool, profile, now_ms, level)
             pool.add_customer_call(profile.customer)
             pool.queue.push(self._ordering, ticket)
             self._dispatch(pool, now_ms)
             return ticket
 
-    def retry(self, ticket: Ticket, reason: str) -> Ticket | calls.Refused:
+    def retry(
+        self, ticket: tickets.Ticket, reason: str
+    ) -> tickets.Ticket | calls.Refused:
         """Try an idempotent call again at another server.
 
         The refusals carry codes that do not say "not run", since the call
@@ -284,7 +220,7 @@
             self._dispatch(pool, now_ms)
             return again
 
-    def hedge_delay_ms(self, ticket: Ticket) -> float | None:
+    def hedge_delay_ms(self, ticket: tickets.Ticket) -> float | None:
         """Return when to send a second request, or None for never.
 
         :param ticket: assigned call without a first token.
@@ -300,7 +236,7 @@
             end_ms = ticket.assigned_ms + usual_ms * self._values.hedge_ratio
             return max(end_ms - self._clock.now_ms(), 0.0)
 
-    def hedge(self, ticket: Ticket) -> Ticket | None:
+    def hedge(self, ticket: tickets.Ticket) -> tickets.Ticket | None:
         """Send an idempotent call to a second server, if there is room.
 
         :return: an assigned ticket, or None without budget or a free slot.
@@ -428,7 +364,7 @@
         long_ms = values.level_base_ms * 2 ** (values.long_level - 1)
         for state in pool.servers.values():
             for flight in state.in_flight:
-                assert isinstance(flight, Ticket)
+                assert isinstance(flight, tickets.Ticket)
                 if flight.is_long:
                     continue
                 age_ms = now_ms - flight.assigned_ms
@@ -497,7 +433,7 @@
 
     def _choose(
         self,
-        ticket: Ticket,
+        ticket: tickets.Ticket,
         found: list[_servers.ServerState],
         now_ms: float,
     ) -> _servers.ServerState:
@@ -512,7 +448,10 @@
         )
 
     def _assign(
-        self, ticket: Ticket, state: _servers.ServerState, now_ms: float
+        self,
+        ticket: tickets.Ticket,
+        state: _servers.ServerState,
+        now_ms: float,
     ) -> None:
         profile = ticket.profile
         pool = ticket.pool
@@ -544,13 +483,13 @@
         )
 
     def _answer(
-        self, ticket: Ticket, answer: calls.Assigned | calls.Refused
+        self, ticket: tickets.Ticket, answer: calls.Assigned | calls.Refused
     ) -> None:
         ticket.answer = answer
         if ticket.event is not None:
             ticket.event.set()
 
-    def _give_up_if_late(self, ticket: Ticket, now_ms: float) -> bool:
+    def _give_up_if_late(self, ticket: tickets.Ticket, now_ms: float) -> bool:
         """Refuse a waiting call whose deadline can no longer be met."""
         if ticket.answer is not None or now_ms < self._give_up_ms(ticket):
             return False
@@ -560,7 +499,7 @@
         self._refuse(ticket, code, "the call waited until its deadline")
         return True
 
-    def _give_up_ms(self, ticket: Ticket) -> float:
+    def _give_up_ms(self, ticket: tickets.Ticket) -> float:
         deadline_ms = ticket.profile.deadline_ms
         if deadline_ms is None:
             return math.inf
@@ -569,7 +508,7 @@
         return deadline_ms - ticket.pool.shortest_ms(ticket.profile)
 
     def _refuse(
-        self, ticket: Ticket, code: results.ResultCode, message: str
+        self, ticket: tickets.Ticket, code: results.ResultCode, message: str
     ) -> None:
         pool = ticket.pool
         pool.queue.withdraw(self._ordering, ticket)
@@ -584,7 +523,7 @@
         self._answer(ticket, calls.Refused(code, message, int(retry_ms)))
 
     def _wait(
-        self, ticket: Ticket, timeout_ms: float
+        self, ticket: tickets.Ticket, timeout_ms: float
     ) -> calls.Assigned | calls.Waiting | calls.Refused:
         if ticket.answer is not None:
             return ticket.answer
@@ -603,7 +542,7 @@
             self._clock.wait(ticket.event, until_ms - now_ms)
 
     def _look(
-        self, ticket: Ticket, now_ms: float
+        self, ticket: tickets.Ticket, now_ms: float
     ) -> calls.Assigned | calls.Refused | None:
         """Let time take effect on a waiting call; return its answer."""
         if ticket.answer is None:
@@ -612,13 +551,13 @@
             self._give_up_if_late(ticket, now_ms)
         return ticket.answer
 
-    def _next_look_ms(self, ticket: Ticket, now_ms: float) -> float:
+    def _next_look_ms(self, ticket: tickets.Ticket, now_ms: float) -> float:
         until_ms = min(now_ms + WAIT_SLICE_MS, self._give_up_ms(ticket))
         if ticket.not_before_ms > now_ms:
             until_ms = min(until_ms, ticket.not_before_ms)
         return until_ms
 
-    def _waiting(self, ticket: Ticket, now_ms: float) -> calls.Waiting:
+    def _waiting(self, ticket: tickets.Ticket, now_ms: float) -> calls.Waiting:
         pool = ticket.pool
         if ticket.not_before_ms > now_ms:
             reason = "the call waits before its retry"
@@ -629,7 +568,7 @@
         ahead = pool.queue.count_ahead(ticket.level, ticket.profile.is_urgent)
         return calls.Waiting(reason, max(ahead, 1), now_ms - ticket.queued_ms)
 
-    def _first_token(self, ticket: Ticket) -> None:
+    def _first_token(self, ticket: tickets.Ticket) -> None:
         with self._lock:
             state = ticket.server
             if state is None or ticket.first_token_ms is not None:
@@ -643,7 +582,7 @@
             ratio = state.add_first_token(ticket, now_ms)
             self._judge_sample(ticket, state, ratio, now_ms)
 
-    def _fold_tokens(self, ticket: Ticket, now_ms: float) -> None:
+    def _fold_tokens(self, ticket: tickets.Ticket, now_ms: float) -> None:
         with self._lock:
             state = ticket.server
             if state is None or ticket.first_token_ms is None:
@@ -659,7 +598,7 @@
 
     def _judge_sample(
         self,
-        ticket: Ticket,
+        ticket: tickets.Ticket,
         state: _servers.ServerState,
         ratio: float,
         now_ms: float,
@@ -675,7 +614,9 @@
             ticket.pool.update_totals()
             self._dispatch(ticket.pool, now_ms)
 
-    def _finish(self, ticket: Ticket, observation: calls.Observation) -> None:
+    def _finish(
+        self, ticket: tickets.Ticket, observation: calls.Observation
+    ) -> None:
         with self._lock:
             state = ticket.server
             if ticket.is_over or state is None:
@@ -696,7 +637,7 @@
 
     def _learn(
         self,
-        ticket: Ticket,
+        ticket: tickets.Ticket,
         state: _servers.ServerState,
         observation: calls.Observation,
         now_ms: float,
@@ -712,7 +653,7 @@
             gap_ms = (now_ms - ticket.first_token_ms) / (tokens - 1)
             state.add_gap(ticket, gap_ms, now_ms)
 
-    def _cancel(self, ticket: Ticket) -> None:
+    def _cancel(self, ticket: tickets.Ticket) -> None:
         with self._lock:
             now_ms = self._clock.now_ms()
             state = ticket.server
@@ -725,7 +666,7 @@
             self._release(ticket, now_ms)
             self._dispatch(ticket.pool, now_ms)
 
-    def _release(self, ticket: Ticket, now_ms: float) -> None:
+    def _release(self, ticket: tickets.Ticket, now_ms: float) -> None:
         """Take a call out of the queue or off its server."""
         if ticket.is_over:
             return
@@ -744,8 +685,12 @@
             state.trial = None
             health.end_trial(state, now_ms, self._values)
 
-    def _successor(self, ticket: Ticket, now_ms: float) -> Ticket:
-        again = Ticket(self, ticket.pool, ticket.profile, now_ms, ticket.level)
+    def _successor(
+        self, ticket: tickets.Ticket, now_ms: float
+    ) -> tickets.Ticket:
+        again = tickets.Ticket(
+            self, ticket.pool, ticket.profile, now_ms, ticket.level
+        )
         again.avoid = ticket.avoid
         again.was_sent = ticket.was_sent
         if ticket.server is not None:
@@ -753,7 +698,7 @@
         return again
 
     def _refuse_retry(
-        self, ticket: Ticket, reason: str, now_ms: float
+        self, ticket: tickets.Ticket, reason: str, now_ms: float
     ) -> calls.Refused | None:
         code = results.ResultCode.BACKEND_ERROR
         if not ticket.profile.is_idempotent:
@@ -774,7 +719,7 @@
             )
         return None
 
-    def _may_hedge(self, ticket: Ticket) -> bool:
+    def _may_hedge(self, ticket: tickets.Ticket) -> bool:
         if not ticket.profile.is_idempotent or ticket.is_over:
             return False
         if ticket.server is None or ticket.first_token_ms is not None:
@@ -787,7 +732,7 @@
             return False
         return len(ticket.pool.servers) > 1
 
-    def _usual_start_ms(self, ticket: Ticket) -> float:
+    def _usual_start_ms(self, ticket: tickets.Ticket) -> float:
         """Return the pool's usual time until a call shows life."""
         known = [
             state.first_token.usual if state.has_tokens else state.call.usual
--- /dev/null
+++ b/packages/policy/src/balsamloom_policy/tickets.py
@@ -0,0 +1,81 @@
+"""Tickets: calls that the scheduler has taken in."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from balsamloom_policy import _pool, _servers, calls
+
+if TYPE_CHECKING:
+    from balsamloom_policy import scheduler
+
+# Token progress is taken in at most this often per call.
+FOLD_MS = 50.0
+
+
+class Ticket:
+    """A call that was taken in; used by the one thread that serves it."""
+
+    def __init__(
+        self,
+        owner: scheduler.Scheduler,
+        pool: _pool.Pool,
+        profile: calls.CallProfile,
+        queued_ms: float,
+        level: int,
+    ) -> None:
+        self.profile = profile
+        self.queued_ms = queued_ms
+        self.level = level
+        self.is_queued = False
+        self.attempt = 0
+        self.was_sent = False
+        self.avoid: frozenset[str] = frozenset()
+        self.not_before_ms = 0.0
+        self.pool = pool
+        self.server: _servers.ServerState | None = None
+        self.answer: calls.Assigned | calls.Refused | None = None
+        self.event: threading.Event | None = None
+        self.assigned_ms = 0.0
+        self.first_token_ms: float | None = None
+        self.progress_ms = 0.0
+        self.progress_count = 0
+        self.pending_tokens = 0
+        self.is_long = False
+        self.is_over = False
+        self._owner = owner
+
+    def wait(
+        self, timeout_ms: float
+    ) -> calls.Assigned | calls.Waiting | calls.Refused:
+        """Wait for a server.
+
+        :param timeout_ms: longest wait; 0 only looks.
+        """
+        return self._owner._wait(self, timeout_ms)
+
+    def first_token(self) -> None:
+        """Note that the first token arrived."""
+        self._owner._first_token(self)
+
+    def token_progress(self, tokens: int) -> None:
+        """Note further tokens.
+
+        :param tokens: tokens since the last note.
+        """
+        self.pending_tokens += tokens
+        now_ms = self._owner._clock.now_ms()
+        if now_ms - self.progress_ms >= FOLD_MS:
+            self._owner._fold_tokens(self, now_ms)
+
+    def finish(self, observation: calls.Observation) -> None:
+        """Note the end of the call and free its slot.
+
+        :param observation: how it ended.
+        """
+        self._owner._finish(self, observation)
+
+    def cancel(self) -> None:
+        """Withdraw the call: it leaves the queue or frees its slot."""
+        self._owner._cancel(self)
--- a/tools/capacity_process.py
+++ b/tools/capacity_process.py
@@ -25,6 +25,7 @@
 from balsamloom_policy import calls as policy_calls
 from balsamloom_policy import scheduler as schedulers
 from balsamloom_policy import settings as policy_settings
+from balsamloom_policy import tickets
 from balsamloom_standins import fleet
 from balsamloom_state import budgets, local, owner, partitions
 
@@ -268,7 +269,7 @@
             prompt_tokens=500,
         )
         ticket = built.submit(profile)
-        assert isinstance(ticket, schedulers.Ticket)
+        assert isinstance(ticket, tickets.Ticket)
         ticket.wait(0)
         ticket.first_token()
         ticket.finish(policy_calls.Observation(True, False, 10, 500))
