Count the send window in the time that an unknown call blocks

Cause: a claim's timeout was the call's own timeout, but the send may follow the claim by up to claim_send_window_ms, and the call may run for its timeout after that. A later call of the program could begin up to a second too early.

--- a/packages/state/src/balsamloom_state/calls.py
+++ b/packages/state/src/balsamloom_state/calls.py
@@ -165,8 +165,14 @@
         :raises BalsamloomError: if the claim did not become durable in time;
             the call is then recorded as not run and must not be sent.
         """
+        # The send may come later than the claim by the whole window, and the
+        # call may run for its timeout after that.
+        window_ms = self._state.settings.claim_send_window_ms
         claimed = records_pb2.CallClaimed(
-            key=key, digest=digest, timeout_ms=round(timeout_ms), target=target
+            key=key,
+            digest=digest,
+            timeout_ms=round(timeout_ms + window_ms),
+            target=target,
         )
         with program.lock:
             record = self._recorder.record(program, claimed=claimed)
