Reserve budget for the second attempt of a hedged call

Cause: the engines generated 121 tokens for a sub-agent whose root program had 120. Change: a hedge is sent only if the durable block covers a second attempt without waiting, and all that the losing attempt might have generated is counted as used.

--- a/packages/entry/src/balsamloom_entry/attempts.py
+++ b/packages/entry/src/balsamloom_entry/attempts.py
@@ -32,12 +32,17 @@
 
 
 class ModelRequest(NamedTuple):
-    """What is sent to an engine; ``end_ms`` is on the process's clock."""
+    """What is sent to an engine; ``end_ms`` is on the process's clock.
+
+    ``may_hedge`` reserves budget for a second attempt, and says whether there
+    was enough: the attempt that loses generates tokens too.
+    """
 
     body: dict[str, Any]
     tag: str
     profile: policy_calls.CallProfile
     end_ms: float
+    may_hedge: Callable[[], bool] = lambda: False
 
 
 class Started(NamedTuple):
@@ -92,6 +97,7 @@
         self._running: list[Attempt] = []
         self._sent_error: engines.EngineError | None = None
         self._count = 0
+        self.hedges = 0
 
     def first_tokens(self) -> Started:
         """Return the attempt that came first; the others are cancelled.
@@ -188,6 +194,8 @@
         return self._sender.clock.now_ms() + delay_ms
 
     def _hedge(self) -> None:
+        if not self._request.may_hedge():
+            return
         ticket = self._sender.scheduler.hedge(self._running[0].ticket)
         if ticket is None:
             return
@@ -195,6 +203,7 @@
         self._sender.metrics.count(metric_names.CALLS_HEDGED.key(pool))
         match ticket.wait(0):
             case policy_calls.Assigned() as assigned:
+                self.hedges += 1
                 self._send(ticket, assigned)
             case _:
                 ticket.cancel()
--- a/packages/entry/src/balsamloom_entry/model_calls.py
+++ b/packages/entry/src/balsamloom_entry/model_calls.py
@@ -112,15 +112,17 @@
         program = request.program
         message = self._request(request, body, need)
         limits = self._context.limits()
+        tries = attempts.ModelAttempts(self._sender, message, limits, feed)
         try:
-            started = attempts.ModelAttempts(
-                self._sender, message, limits, feed
-            ).first_tokens()
+            started = tries.first_tokens()
         except BaseException:
             self._context.owner.release_call(program, request.key)
             raise
         self._note_first_token(feed, body.model)
-        return self._relay(request, body, started, feed)
+        # What a losing attempt generated is not known, so all that it might
+        # have is counted.
+        lost_tokens = tries.hedges * need.generated_tokens
+        return self._relay(request, body, started, feed, lost_tokens)
 
     def _relay(
         self,
@@ -128,6 +130,7 @@
         body: ModelBody,
         started: attempts.Started,
         feed: feeds.Feed,
+        lost_tokens: int,
     ) -> programs.Call:
         sent_ms = self._context.clock.now_ms()
         started.ticket.first_token()
@@ -140,7 +143,9 @@
             started.ticket.finish(policy_calls.Observation(False, True))
             # The tokens count, and the key may be used again.
             self._context.owner.charge_call(
-                request.program, request.key, relay.generated_tokens
+                request.program,
+                request.key,
+                relay.generated_tokens + lost_tokens,
             )
             raise
         tokens = answer["usage"].get(
@@ -155,7 +160,7 @@
             request.program,
             request.key,
             request.digest,
-            outcomes.Completed(answer, tokens),
+            outcomes.Completed(answer, tokens + lost_tokens),
             [*body.messages, answer["choices"][0]["message"]],
             self._context.clock.now_ms() - sent_ms,
             0,
@@ -191,7 +196,15 @@
             "messages": messages,
             "max_tokens": need.generated_tokens,
         }
-        return attempts.ModelRequest(sent, tag, profile, request.end_ms)
+        return attempts.ModelRequest(
+            sent,
+            tag,
+            profile,
+            request.end_ms,
+            lambda: self._context.owner.reserve_again(
+                program, request.key, need
+            ),
+        )
 
     def _note_first_token(self, feed: feeds.Feed, model: str) -> None:
         key = metric_names.FIRST_TOKEN.key(model)
--- a/packages/state/src/balsamloom_state/calls.py
+++ b/packages/state/src/balsamloom_state/calls.py
@@ -215,6 +215,28 @@
         with root.lock:
             root.account.release(program.holds.pop(key, budgets.ZERO))
 
+    def reserve_again(
+        self, program: programs.Program, key: str, need: budgets.Need
+    ) -> bool:
+        """Hold budget for a further attempt of a call, without waiting.
+
+        :param program: program of the call; the caller holds its turn.
+        :param key: idempotency key of a call that :meth:`begin` let in.
+        :param need: most that the further attempt may use.
+        :return: whether the durable block covers it.
+        """
+        root = self._lives.root_of(program)
+        amount = need.amount()
+        with root.lock:
+            batch = root.reserve_batch
+            is_settled = batch is None or _is_durable(batch)
+            if not is_settled or not root.account.available().covers(amount):
+                return False
+            root.account.hold(amount)
+            held = program.holds.get(key, budgets.ZERO)
+            program.holds[key] = held.plus(amount)
+        return True
+
     def charge(
         self, program: programs.Program, key: str, used: budgets.Amount
     ) -> None:
--- a/packages/state/src/balsamloom_state/owner.py
+++ b/packages/state/src/balsamloom_state/owner.py
@@ -269,6 +269,17 @@
         """
         self._calls.release(program, key)
 
+    def reserve_again(
+        self, program: programs.Program, key: str, need: budgets.Need
+    ) -> bool:
+        """Hold budget for a further attempt of a call, without waiting.
+
+        :param program: program of the call; the caller holds its turn.
+        :param key: idempotency key of a call that :meth:`begin_call` let in.
+        :param need: most that the further attempt may use.
+        """
+        return self._calls.reserve_again(program, key, need)
+
     def charge_call(
         self, program: programs.Program, key: str, generated_tokens: int
     ) -> None:
--- a/packages/state/tests/test_calls.py
+++ b/packages/state/tests/test_calls.py
@@ -316,6 +316,27 @@
 
 
 class BudgetTest(CallTestCase):
+    def test_further_attempt_needs_budget_of_its_own(self):
+        """Guards against a hedged call that uses more than the budget.
+
+        On real processes the attempt that lost generated a token that was
+        not counted: 121 tokens for a program with 120.
+        """
+        need = budgets.Need(100)
+        small = builders.start(self.member, generated_tokens=150, calls=16)
+        large = builders.start(self.member, generated_tokens=4_800, calls=160)
+        for program, expected in ((small, [False]), (large, [True, True])):
+            with self.member.turn(program, 1_000):
+                self.begin(program, "c1", 100)
+                found = [
+                    self.member.reserve_again(program, "c1", need)
+                    for _ in expected
+                ]
+                self.assertEqual(found, expected)
+                self.assertFalse(
+                    self.member.reserve_again(program, "c1", need)
+                )
+
     def test_endless_loop_ends_by_calls(self):
         """Guards against programs that run for ever."""
         program = builders.start(
