--- a/packages/state/src/balsamloom_state/programs.py
+++ b/packages/state/src/balsamloom_state/programs.py
@@ -5,7 +5,6 @@
 import dataclasses
 import json
 import threading
-from collections.abc import Iterable
 from typing import Any
 
 from balsamloom_core import clock as clocks
@@ -295,28 +294,3 @@
             for program in self.all()
             if identifiers.partition_of(program.program_id) == partition
         ]
-
-    def apply(self, record: records_pb2.Record) -> Program:
-        """Apply a record to its program, which is made if it is new."""
-        with self._lock:
-            program = self._programs.setdefault(
-                record.program_id, Program(record.program_id, self._clock)
-            )
-        program.apply(record)
-        return program
-
-    def replay(self, records: Iterable[records_pb2.Record]) -> int:
-        """Apply records of a former owner and settle its open claims.
-
-        :param records: records in order.
-        :return: number of calls whose outcome is unknown.
-        """
-        touched = {self.apply(record).program_id for record in records}
-        unknown = 0
-        for program_id in touched:
-            program = self.get(program_id)
-            for call in program.claimed_without_result() if program else []:
-                call.is_finished = True
-                call.code = results.ResultCode.OUTCOME_UNKNOWN
-                unknown += 1
-        return unknown
