--- a/Makefile
+++ b/Makefile
@@ -1,24 +1,24 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-SOURCES := packages tools tests scenarios
+SOURCES := packages platform tools tests scenarios
 STAMP := $(VENV)/.installed
-PACKAGES := core platform peers state policy membership configuration entry cli standins
+PACKAGES := $(addprefix packages/,core platform peers state policy membership configuration entry cli standins gateway) platform
 
 .PHONY: setup run serve test check unit measure capacity format
 
 setup: $(STAMP)
 
-$(STAMP): requirements/dev.txt $(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml)
+$(STAMP): requirements/dev.txt $(foreach package,$(PACKAGES),$(package)/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --require-hashes -r requirements/dev.txt
-	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation $(foreach package,$(PACKAGES),-e packages/$(package))
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation $(foreach package,$(PACKAGES),-e ./$(package))
 	touch $(STAMP)
 
 check: setup
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
-	$(BIN)/mypy $(wildcard packages/*/src) tools
+	$(BIN)/mypy $(wildcard packages/*/src) platform/src tools
 
 unit: setup
 	$(BIN)/python tools/run_tests.py
--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -63,6 +63,25 @@
     ORDER_REFUSED = 6001
     HOLDS_RELEASED = 6002
 
+    REQUEST_PLACED = 7000
+    REQUEST_ENDED = 7001
+    ATTEMPT_FAILED = 7002
+    REQUEST_REFUSED = 7003
+    BUDGET_DECIDED = 7004
+    BUDGET_RECORD_CHANGED = 7005
+    SERVER_VIEW_CHANGED = 7006
+    MEMBER_VIEW_CHANGED = 7007
+    REGISTRATION_DELETED = 7008
+    RECORD_UNREADABLE = 7009
+    SOURCE_CHANGED = 7010
+    LEASE_CHANGED = 7011
+    EVACUATION_DECIDED = 7012
+    SETTINGS_RELOADED = 7013
+    LINES_DROPPED = 7014
+    PEER_CALL_FAILED = 7015
+    SETTINGS_REJECTED = 7016
+    BUDGET_CAUTION = 7017
+
 
 _MEANINGS: dict[Event, str] = {
     Event.PROCESS_STARTED: "A process started and accepts requests.",
@@ -120,6 +139,30 @@
     Event.ORDER_SENT: "An order was sent to a model engine.",
     Event.ORDER_REFUSED: "A model engine refused an order.",
     Event.HOLDS_RELEASED: "Engine memory of gone programs was released.",
+    Event.REQUEST_PLACED: "A request is sent to a backend server.",
+    Event.REQUEST_ENDED: "A request has its final answer.",
+    Event.ATTEMPT_FAILED: "A server did not answer a request as expected.",
+    Event.REQUEST_REFUSED: "A request is answered without a server.",
+    Event.BUDGET_DECIDED: "A turn was checked against its program's budget.",
+    Event.BUDGET_RECORD_CHANGED: (
+        "A program's budget record was written by another process."
+    ),
+    Event.SERVER_VIEW_CHANGED: "A backend server's registration changed.",
+    Event.MEMBER_VIEW_CHANGED: "A member's registration changed.",
+    Event.REGISTRATION_DELETED: "A registration is gone from the store.",
+    Event.RECORD_UNREADABLE: "A record in the store cannot be read.",
+    Event.SOURCE_CHANGED: (
+        "The process reads the store's records from another source."
+    ),
+    Event.LEASE_CHANGED: "The member's lease was granted, lost or ended.",
+    Event.EVACUATION_DECIDED: "A storage host's evacuation was answered.",
+    Event.SETTINGS_RELOADED: "The settings file was read again.",
+    Event.LINES_DROPPED: "Log lines were dropped to bound their volume.",
+    Event.PEER_CALL_FAILED: "A call to another member failed.",
+    Event.SETTINGS_REJECTED: "The settings cannot be used.",
+    Event.BUDGET_CAUTION: (
+        "A process that held budgets may be lost, or is known not to be."
+    ),
 }
 
 
@@ -167,7 +210,20 @@
     :param level: lowest level written.
     :param stream: where lines go, standard error unless given.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    configure_handler(
+        process, logging.StreamHandler(stream or sys.stderr), level
+    )
+
+
+def configure_handler(
+    process: str, handler: logging.Handler, level: str = "INFO"
+) -> None:
+    """Send events to a handler as JSON lines.
+
+    :param process: name put into each line.
+    :param handler: gets the formatted lines.
+    :param level: lowest level written.
+    """
     formatter = json_logger.JsonFormatter(
         "%(asctime)s %(levelname)s %(message)s",
         static_fields={"process": process},
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Data path: placement, budgets, attempts, membership and the relay."""
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -0,0 +1,221 @@
+"""Budget checks of turns, at the member that holds the program's blocks."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+from balsamloom_gateway import (
+    ledger,
+    ledger_book,
+    membership,
+    peers,
+    traffic,
+)
+
+PEER_TIMEOUT_MS = 250.0
+# A member that did not answer is not asked again for this time.
+AVOID_MS = 2_000.0
+
+
+class Grant(NamedTuple):
+    """Tokens that a turn may generate, and the member that holds them."""
+
+    program_id: str
+    tokens: int
+    holder: traffic.Member | None
+    recent_servers: tuple[str, ...]
+
+
+class Budgets:
+    """Asks for budgets and gives back what was not used.
+
+    :param name: name of this member.
+    :param book: accounts that this member holds.
+    :param clients: other members.
+    :param members: returns the registered members.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        book: ledger_book.LedgerBook,
+        clients: peers.PeerClients,
+        members: Callable[[], Sequence[traffic.Member]],
+        clock: clocks.Clock,
+    ) -> None:
+        self._name = name
+        self._book = book
+        self._clients = clients
+        self._members = members
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._avoided: dict[str, float] = {}
+
+    def reserve(
+        self, call: traffic.CallMetadata
+    ) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
+        """Reserve the most that a turn may generate.
+
+        Holders are asked for recorded tokens before one may expose more than
+        a turn. A process that reaches no holder records blocks itself.
+        """
+        is_reached = False
+        for is_last_resort in (False, True):
+            holders = membership.budget_holders(
+                call.program_id, self._members()
+            )
+            for place, holder in enumerate(holders):
+                if self._is_avoided(holder):
+                    continue
+                exposure = _exposure(place, is_last_resort)
+                result = self._reserve_at(holder, call, exposure)
+                if not isinstance(result, ledger_book.Unrecorded):
+                    return self._log(call, holder, result)
+                is_reached = is_reached or not self._is_avoided(holder)
+            if not is_reached:
+                break
+        if not is_reached:
+            result = self._reserve_here(call, ledger_book.Exposure.NONE)
+        return self._log(call, None, result)
+
+    def settle(self, grant: Grant, used_tokens: int, server_id: str) -> None:
+        """Give back what a turn did not hand to its caller.
+
+        If the holder does not answer, the tokens count as spent.
+
+        :param server_id: server that ran the turn, empty if none did.
+        """
+        if grant.holder is None:
+            self._book.settle(
+                grant.program_id, grant.tokens, used_tokens, server_id
+            )
+            return
+        body = {
+            "program_id": grant.program_id,
+            "reserved_tokens": grant.tokens,
+            "used_tokens": used_tokens,
+            "server_id": server_id,
+        }
+        address = grant.holder.peer_address
+        try:
+            self._clients.call(
+                address, peers.SETTLE_PATH, body, PEER_TIMEOUT_MS
+            )
+        except peers.PeerUnavailableError as error:
+            self._avoid(grant.holder, error)
+
+    def _is_avoided(self, member: traffic.Member) -> bool:
+        with self._lock:
+            until_ms = self._avoided.get(member.name, 0.0)
+        return self._clock.now_ms() < until_ms
+
+    def _avoid(
+        self, member: traffic.Member, error: peers.PeerUnavailableError
+    ) -> None:
+        with self._lock:
+            self._avoided[member.name] = self._clock.now_ms() + AVOID_MS
+        events.log(
+            events.Event.PEER_CALL_FAILED,
+            member=member.name,
+            call="budget",
+            reason=str(error),
+        )
+
+    def _reserve_at(
+        self,
+        holder: traffic.Member,
+        call: traffic.CallMetadata,
+        exposure: ledger_book.Exposure,
+    ) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
+        if holder.name == self._name:
+            return self._reserve_here(call, exposure)
+        body = {
+            "program_id": call.program_id,
+            "tokens": call.max_output_tokens,
+            "budget_tokens": call.token_budget,
+            "exposure": exposure.value,
+        }
+        try:
+            answer = self._clients.call(
+                holder.peer_address, peers.RESERVE_PATH, body, PEER_TIMEOUT_MS
+            )
+        except peers.PeerUnavailableError as error:
+            self._avoid(holder, error)
+            return ledger_book.Unrecorded(str(error))
+        servers = tuple(answer.get("servers", ()))
+        match answer.get("result"):
+            case "reserved":
+                tokens = call.max_output_tokens
+                return Grant(call.program_id, tokens, holder, servers)
+            case "exhausted":
+                return ledger.Exhausted(
+                    int(answer["recorded_tokens"]), int(answer["left_tokens"])
+                )
+            case _:
+                return ledger_book.Unrecorded(str(answer.get("reason")))
+
+    def _reserve_here(
+        self, call: traffic.CallMetadata, exposure: ledger_book.Exposure
+    ) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
+        assert call.token_budget is not None
+        result, servers = self._book.reserve(
+            call.program_id,
+            call.max_output_tokens,
+            call.token_budget,
+            exposure,
+        )
+        match result:
+            case ledger.Reserved():
+                return Grant(
+                    call.program_id, call.max_output_tokens, None, servers
+                )
+            case _:
+                return result
+
+    def _log(
+        self,
+        call: traffic.CallMetadata,
+        holder: traffic.Member | None,
+        result: Grant | ledger.Exhausted | ledger_book.Unrecorded,
+    ) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
+        events.log(
+            events.Event.BUDGET_DECIDED,
+            request_id=call.request_id,
+            program_id=call.program_id,
+            budget_tokens=call.token_budget,
+            turn_tokens=call.max_output_tokens,
+            holder=holder.name if holder else self._name,
+            outcome=_describe(result),
+        )
+        return result
+
+
+def _exposure(place: int, is_last_resort: bool) -> ledger_book.Exposure:
+    """Return what a holder may hand out before it is recorded.
+
+    :param place: place of the holder among the program's holders.
+    """
+    if place == 0:
+        if is_last_resort:
+            return ledger_book.Exposure.OUTAGE
+        return ledger_book.Exposure.ONE_TURN
+    if is_last_resort:
+        return ledger_book.Exposure.LAST_RESORT
+    return ledger_book.Exposure.NONE
+
+
+def _describe(
+    result: Grant | ledger.Exhausted | ledger_book.Unrecorded,
+) -> str:
+    match result:
+        case Grant():
+            return "reserved"
+        case ledger.Exhausted(recorded, left):
+            return f"exhausted, {recorded} recorded and {left} of them left"
+        case ledger_book.Unrecorded(reason):
+            return f"not recorded: {reason}"
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/channels.py
@@ -0,0 +1,401 @@
+"""Kept HTTP/1.1 connections to servers, one exchange at a time.
+
+An exchange waits for the server and the caller together, so that a caller
+that leaves ends it at once. Answers to earlier requests, which may still
+arrive on a kept connection, are recognised by their request identifier and
+skipped.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import select
+import socket
+from typing import Any, NamedTuple
+
+import httptools
+
+from balsamloom_core import clock as clocks
+
+RECEIVE_BYTES = 65_536
+# A host without power does not reset connections, so unacknowledged data
+# ends them after this time.
+USER_TIMEOUT_MS = 2_000
+_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+_NO_BODY_STATUSES = frozenset({204, 304})
+
+
+class ChannelError(Exception):
+    """Base of what ends an exchange early."""
+
+
+class ConnectError(ChannelError):
+    """No connection could be made, so nothing was sent."""
+
+
+class BrokenChannelError(ChannelError):
+    """The connection ended or broke before the answer was complete."""
+
+
+class GarbledAnswerError(ChannelError):
+    """What arrived is not an answer in the protocol."""
+
+
+class ExchangeTimeoutError(ChannelError):
+    """The time for the exchange is over."""
+
+
+class CallerGoneError(ChannelError):
+    """The caller closed its connection."""
+
+
+class Headers(NamedTuple):
+    """Fields of an answer in the order in which they arrived."""
+
+    fields: tuple[tuple[bytes, bytes], ...]
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a field.
+
+        :param name: name in lower case.
+        """
+        for field, value in self.fields:
+            if field.lower() == name:
+                return value
+        return None
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerHead:
+    """Status and fields of an answer."""
+
+    status: int
+    headers: Headers
+    length: int | None
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerData:
+    """Part of an answer's body."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerEnd:
+    """The answer is complete."""
+
+
+AnswerPart = AnswerHead | AnswerData | AnswerEnd
+
+
+class Channel:
+    """Connection to one address.
+
+    :param sock: connected socket in non-blocking mode.
+    :param clock: time source.
+    """
+
+    def __init__(self, sock: socket.socket, clock: clocks.Clock) -> None:
+        self._sock = sock
+        self._clock = clock
+        self.is_reusable = True
+        self.last_used_ms = clock.now_ms()
+        self.idle_limit_ms: float | None = None
+
+    def fileno(self) -> int:
+        """Return the descriptor of the connection."""
+        return self._sock.fileno()
+
+    def close(self) -> None:
+        """Close the connection; the server drops what it still runs."""
+        self.is_reusable = False
+        self._sock.close()
+
+    def is_quiet(self) -> bool:
+        """Return whether the connection is open and nothing has arrived."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def send_some(self, data: memoryview) -> int:
+        """Send what fits and return how many bytes that is.
+
+        :raises BrokenChannelError: the connection is gone.
+        """
+        try:
+            return self._sock.send(data, socket.MSG_NOSIGNAL)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise BrokenChannelError(str(error)) from error
+
+    def receive_some(self) -> bytes | None:
+        """Return bytes that arrived, none at the end, ``None`` if not yet.
+
+        :raises BrokenChannelError: the connection was reset.
+        """
+        try:
+            return self._sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            raise BrokenChannelError(str(error)) from error
+
+
+def connect(address: str, timeout_ms: float, clock: clocks.Clock) -> Channel:
+    """Open a connection.
+
+    :param address: ``host:port``.
+    :raises ConnectError: the address refused or did not answer in time.
+    """
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(max(timeout_ms, 1.0) / clocks.MS_PER_S)
+        sock.connect((host, int(port)))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+        )
+        sock.setblocking(False)
+    except (OSError, ValueError) as error:
+        sock.close()
+        raise ConnectError(f"{address}: {error}") from error
+    return Channel(sock, clock)
+
+
+class _AnswerParser:
+    """Callbacks of the parser; collects parts of the awaited answer."""
+
+    def __init__(
+        self, identifier: tuple[bytes, bytes] | None, is_head: bool
+    ) -> None:
+        self._identifier = identifier
+        self._is_head = is_head
+        self.parser: Any = httptools.HttpResponseParser(self)
+        self.parts: list[AnswerPart] = []
+        self.is_complete = False
+        self.has_extra = False
+        self.is_until_close = False
+        self.is_kept_alive = False
+        self._is_skipped = False
+        self._fields: list[tuple[bytes, bytes]] = []
+
+    def on_message_begin(self) -> None:
+        if self.is_complete:
+            self.has_extra = True
+        self._fields = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._fields.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        if self.is_complete:
+            return
+        status = int(self.parser.get_status_code())
+        headers = Headers(tuple(self._fields))
+        self._is_skipped = status < 200 or not self._is_awaited(headers)
+        if self._is_skipped:
+            return
+        length = headers.get(b"content-length")
+        has_no_body = self._is_head or status in _NO_BODY_STATUSES
+        is_chunked = headers.get(b"transfer-encoding") is not None
+        self.is_until_close = not (has_no_body or length or is_chunked)
+        number = int(length) if length and length.isdigit() else None
+        self.parts.append(AnswerHead(status, headers, number))
+
+    def on_body(self, data: bytes) -> None:
+        if not self.is_complete and not self._is_skipped:
+            self.parts.append(AnswerData(data))
+
+    def on_message_complete(self) -> None:
+        if self._is_skipped or self.is_complete:
+            return
+        self.is_complete = True
+        # The parser knows this only until the callback returns.
+        self.is_kept_alive = bool(self.parser.should_keep_alive())
+        self.parts.append(AnswerEnd())
+
+    def _is_awaited(self, headers: Headers) -> bool:
+        """Return whether an answer belongs to the request that was sent.
+
+        An answer without an identifier is taken: the server then knows of no
+        other request.
+        """
+        if self._identifier is None:
+            return True
+        name, value = self._identifier
+        found = headers.get(name)
+        return found is None or found == value
+
+
+class Exchange:
+    """One request and its answer on a channel.
+
+    :param channel: connection without another exchange.
+    :param caller_fd: descriptor of the caller's connection, if its end is to
+        end the exchange.
+    :param identifier: lower-case name and value of the field by which the
+        answer is recognised.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self,
+        channel: Channel,
+        clock: clocks.Clock,
+        caller_fd: int | None = None,
+        identifier: tuple[bytes, bytes] | None = None,
+        is_head: bool = False,
+    ) -> None:
+        self._channel = channel
+        self._clock = clock
+        self._caller_fd = caller_fd
+        self._poll = select.poll()
+        if caller_fd is not None:
+            self._poll.register(caller_fd, select.POLLRDHUP)
+        self._answer = _AnswerParser(identifier, is_head)
+        self.sent_bytes = 0
+        self._is_sent = False
+
+    def send(self, data: bytes, until_ms: float) -> None:
+        """Send a request; stops early if the server answers before its end.
+
+        :param until_ms: time at which sending is given up.
+        :raises ChannelError: see the classes of this module.
+        """
+        self._channel.last_used_ms = self._clock.now_ms()
+        view = memoryview(data)
+        while view:
+            count = self._channel.send_some(view)
+            self.sent_bytes += count
+            view = view[count:]
+            if view:
+                events = self._wait(select.POLLIN | select.POLLOUT, until_ms)
+                if events & select.POLLIN:
+                    return
+        self._is_sent = True
+
+    def receive(self, until_ms: float) -> list[AnswerPart]:
+        """Return the parts of the answer that arrived next.
+
+        :param until_ms: time at which waiting is given up.
+        :raises ChannelError: see the classes of this module.
+        """
+        answer = self._answer
+        while not answer.parts:
+            self._wait(select.POLLIN, until_ms)
+            data = self._channel.receive_some()
+            if data is None:
+                continue
+            if not data:
+                self._end()
+                continue
+            self._feed(data)
+        parts = answer.parts
+        answer.parts = []
+        if answer.is_complete:
+            self._note_end()
+        return parts
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._answer.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._channel.is_reusable = False
+            # Bytes behind a complete answer belong to no request.
+            if not self._answer.is_complete:
+                raise GarbledAnswerError(str(error)) from error
+
+    def _end(self) -> None:
+        self._channel.is_reusable = False
+        if not self._answer.is_until_close:
+            raise BrokenChannelError("closed before the end of the answer")
+        self._answer.is_complete = True
+        self._answer.parts.append(AnswerEnd())
+
+    def _note_end(self) -> None:
+        answer = self._answer
+        if (
+            not self._is_sent
+            or answer.has_extra
+            or answer.is_until_close
+            or not answer.is_kept_alive
+        ):
+            self._channel.is_reusable = False
+        self._channel.last_used_ms = self._clock.now_ms()
+
+    def _wait(self, events: int, until_ms: float) -> int:
+        self._poll.register(self._channel.fileno(), events)
+        left_ms = until_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            raise ExchangeTimeoutError("time is over")
+        found = 0
+        for descriptor, happened in self._poll.poll(left_ms):
+            if descriptor == self._caller_fd:
+                if happened & _CLOSED_EVENTS:
+                    raise CallerGoneError("the caller closed its connection")
+            else:
+                found = happened
+        return found
+
+
+class ChannelPool:
+    """Idle connections to one address, the latest used first.
+
+    :param address: ``host:port``.
+    :param clock: time source.
+    :param idle_limit_ms: longest idle time before a connection is closed.
+    """
+
+    def __init__(
+        self, address: str, clock: clocks.Clock, idle_limit_ms: float
+    ) -> None:
+        self.address = address
+        self._clock = clock
+        self._idle_limit_ms = idle_limit_ms
+        # Appending and popping are atomic, so no lock is needed.
+        self._idle: list[Channel] = []
+
+    def take(
+        self, connect_timeout_ms: float, idle_limit_ms: float | None = None
+    ) -> tuple[Channel, bool]:
+        """Return a connection and whether it was used before.
+
+        :param idle_limit_ms: connections that idled longer are closed.
+        :raises ConnectError: no connection could be made.
+        """
+        limit_ms = self._idle_limit_ms
+        if idle_limit_ms is not None:
+            limit_ms = min(limit_ms, idle_limit_ms)
+        while self._idle:
+            try:
+                channel = self._idle.pop()
+            except IndexError:
+                break
+            idle_ms = self._clock.now_ms() - channel.last_used_ms
+            allowed_ms = min(limit_ms, channel.idle_limit_ms or limit_ms)
+            if idle_ms < allowed_ms and channel.is_quiet():
+                return channel, True
+            channel.close()
+        return connect(self.address, connect_timeout_ms, self._clock), False
+
+    def give_back(self, channel: Channel) -> None:
+        """Keep a connection whose exchange is complete, or close it."""
+        if channel.is_reusable:
+            self._idle.append(channel)
+        else:
+            channel.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            try:
+                self._idle.pop().close()
+            except IndexError:
+                return
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/evacuation.py
@@ -0,0 +1,93 @@
+"""Answers operators' orders to empty storage hosts.
+
+Storage hosts hold no data of this system, so an order is complete as soon as
+it is seen. The members answer in their order, with a pause, so that one call
+is enough and the answer does not depend on one member.
+"""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+from balsamloom_gateway import interfaces
+
+MEMBER_PAUSE_MS = 700.0
+RETRY_MS = 500.0
+
+
+class Evacuations:
+    """Writes the status of orders that nobody has answered.
+
+    :param store: platform's store.
+    :param records: keys and formats of the records.
+    :param rank: returns this member's place among the members.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self,
+        store: interfaces.KeyValueStore,
+        records: interfaces.Records,
+        rank: Callable[[], int],
+        clock: clocks.Clock,
+    ) -> None:
+        self._store = store
+        self._records = records
+        self._rank = rank
+        self._clock = clock
+        self._lock = threading.Lock()
+        # Time at which this member answers an open order, by host.
+        self._due_ms: dict[str, float] = {}
+        self._statuses: dict[str, int] = {}
+
+    def apply(self, changes: list[interfaces.Change]) -> None:
+        """Take in changes of orders and statuses."""
+        with self._lock:
+            for change in changes:
+                self._apply(change)
+
+    def answer_due(self) -> None:
+        """Answer the orders whose time has come for this member."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            due = [host for host, due in self._due_ms.items() if due <= now_ms]
+        for host in due:
+            self._answer(host)
+
+    def _apply(self, change: interfaces.Change) -> None:
+        match self._records.kind(change.key), change:
+            case interfaces.EvacuationOrder(host), interfaces.Item():
+                if self._statuses.get(host, 0) < change.revision:
+                    pause_ms = self._rank() * MEMBER_PAUSE_MS
+                    self._due_ms[host] = self._clock.now_ms() + pause_ms
+            case interfaces.EvacuationOrder(host), interfaces.Deleted():
+                self._due_ms.pop(host, None)
+            case interfaces.EvacuationStatus(host), interfaces.Item():
+                self._statuses[host] = change.revision
+                self._due_ms.pop(host, None)
+            case _:
+                pass
+
+    def _answer(self, host: str) -> None:
+        key, value = self._records.evacuation_status(host)
+        try:
+            self._store.transact((), [interfaces.Write(key, value)])
+        except interfaces.StoreError as error:
+            events.log(
+                events.Event.EVACUATION_DECIDED,
+                logging.WARNING,
+                host=host,
+                outcome="not written",
+                reason=str(error),
+            )
+            with self._lock:
+                if host in self._due_ms:
+                    self._due_ms[host] = self._clock.now_ms() + RETRY_MS
+            return
+        with self._lock:
+            self._due_ms.pop(host, None)
+        events.log(events.Event.EVACUATION_DECIDED, host=host, outcome="empty")
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -0,0 +1,284 @@
+"""What this process believes of configuration, servers and members."""
+
+from __future__ import annotations
+
+import json
+import logging
+import math
+import threading
+from collections.abc import Callable
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+from balsamloom_gateway import interfaces, routes, traffic
+
+# Registrations that lapsed while the store was away return within this time
+# after it is back; those that do not are gone.
+LAPSE_HOLD_MS = 2_500.0
+# Members that end within this time of an outage may have held what only they
+# knew.
+LOSS_MEMORY_MS = 60_000.0
+# A copy of the store's records that is older shows an outage.
+OUTAGE_AGE_MS = 1_500.0
+
+
+class InForce:
+    """Configuration with its route table."""
+
+    def __init__(self, configuration: traffic.Configuration) -> None:
+        self.configuration = configuration
+        self.table = routes.RouteTable(configuration.routes)
+
+
+class Fleet:
+    """Configuration, servers and members, kept up to date by changes.
+
+    :param records: keys and formats of the store's records.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self, records: interfaces.Records, clock: clocks.Clock
+    ) -> None:
+        self._records = records
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._servers: dict[str, traffic.BackendServer] = {}
+        self._members: dict[str, traffic.Member] = {}
+        # Time at which registrations that lapsed in an outage are dropped.
+        self._held_servers: dict[str, float] = {}
+        self._held_members: dict[str, float] = {}
+        self._outage_end_ms = -math.inf
+        self._is_stale = False
+        self._in_force: InForce | None = None
+        self.on_changes: Callable[[list[interfaces.Change]], None] = _drop
+        self.on_member_lost: Callable[[str, bool], None] = _drop
+        self.on_servers: Callable[[list[traffic.BackendServer]], None] = _drop
+        self.on_configuration: Callable[[InForce], None] = _drop
+
+    @property
+    def in_force(self) -> InForce | None:
+        """Return the configuration in force, if one is known."""
+        return self._in_force
+
+    def meaning(self, item: interfaces.Item) -> object:
+        """Decode an item; what cannot be read keeps its bytes as meaning."""
+        try:
+            return self._decode(item)
+        except interfaces.InvalidRecordError:
+            return item.value
+
+    def members(self) -> list[traffic.Member]:
+        """Return the registered members in the order of their names."""
+        with self._lock:
+            return [self._members[name] for name in sorted(self._members)]
+
+    def servers(self) -> list[traffic.BackendServer]:
+        """Return the servers that may get calls."""
+        with self._lock:
+            return self._usable()
+
+    def apply(self, changes: list[interfaces.Change]) -> None:
+        """Take in changes of records."""
+        if not changes:
+            return
+        with self._lock:
+            former = self._usable()
+            former_configuration = self._in_force
+            for change in changes:
+                self._apply(change)
+            usable = self._usable()
+            in_force = self._in_force
+        self.on_changes(changes)
+        if usable != former:
+            self.on_servers(usable)
+        if in_force is not None and in_force is not former_configuration:
+            self.on_configuration(in_force)
+
+    def note_age(self, age_ms: float | None) -> None:
+        """Take in the age of the copy that this process reads.
+
+        Registrations held over an outage are dropped when their time is over.
+        """
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            if age_ms is None:
+                return
+            if age_ms > OUTAGE_AGE_MS:
+                self._is_stale = True
+            elif self._is_stale:
+                self._is_stale = False
+                self._outage_end_ms = now_ms
+            former = self._usable()
+            self._drop_expired(now_ms)
+            usable = self._usable()
+        if usable != former:
+            self.on_servers(usable)
+
+    def _usable(self) -> list[traffic.BackendServer]:
+        return [
+            server
+            for server in self._servers.values()
+            if not server.is_draining
+        ]
+
+    def _decode(self, item: interfaces.Item) -> object:
+        match self._records.kind(item.key):
+            case interfaces.ConfigurationRecord():
+                return self._records.configuration(item.value)
+            case interfaces.ServerRecord(server_id):
+                return self._records.server(server_id, item.value)
+            case interfaces.MemberRecord():
+                return decode_member(item.value)
+            case _:
+                return item.value
+
+    def _apply(self, change: interfaces.Change) -> None:
+        kind = self._records.kind(change.key)
+        match change:
+            case interfaces.Deleted():
+                self._delete(kind, change)
+            case interfaces.Item():
+                try:
+                    self._put(kind, self._decode(change), change.revision)
+                except interfaces.InvalidRecordError as error:
+                    self._reject(kind, change, error)
+
+    def _put(
+        self, kind: interfaces.RecordKind, value: object, revision: int
+    ) -> None:
+        match kind, value:
+            case interfaces.ConfigurationRecord(), traffic.Configuration():
+                self._take_configuration(value, revision)
+            case interfaces.ServerRecord(server_id), traffic.BackendServer():
+                self._held_servers.pop(server_id, None)
+                self._servers[server_id] = value
+                events.log(
+                    events.Event.SERVER_VIEW_CHANGED,
+                    server_id=server_id,
+                    state="draining" if value.is_draining else "ready",
+                    service=value.service,
+                    revision=revision,
+                )
+            case interfaces.MemberRecord(name), traffic.Member():
+                self._held_members.pop(name, None)
+                known = self._members.get(name)
+                if known and known.incarnation != value.incarnation:
+                    self._note_loss(name)
+                self._members[name] = value
+                events.log(
+                    events.Event.MEMBER_VIEW_CHANGED,
+                    member=name,
+                    state="registered",
+                    revision=revision,
+                )
+
+    def _take_configuration(
+        self, configuration: traffic.Configuration, revision: int
+    ) -> None:
+        known = self._in_force
+        if known and configuration.version <= known.configuration.version:
+            events.log(
+                events.Event.CONFIGURATION_REJECTED,
+                logging.WARNING,
+                version=configuration.version,
+                in_force=known.configuration.version,
+                reason="not newer than the version in force",
+                revision=revision,
+            )
+            return
+        self._in_force = InForce(configuration)
+        events.log(
+            events.Event.CONFIGURATION_IN_FORCE,
+            version=configuration.version,
+            routes=len(configuration.routes),
+            revision=revision,
+        )
+
+    def _reject(
+        self,
+        kind: interfaces.RecordKind,
+        change: interfaces.Item,
+        error: interfaces.InvalidRecordError,
+    ) -> None:
+        """Log a record that cannot be read; a server it named is not used."""
+        events.log(
+            events.Event.RECORD_UNREADABLE,
+            logging.WARNING,
+            key=change.key,
+            revision=change.revision,
+            reason=str(error),
+        )
+        match kind:
+            case interfaces.ServerRecord(server_id):
+                self._servers.pop(server_id, None)
+            case _:
+                pass
+
+    def _delete(
+        self, kind: interfaces.RecordKind, change: interfaces.Deleted
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        hold_until_ms = self._outage_end_ms + LAPSE_HOLD_MS
+        is_held = self._is_stale or now_ms < hold_until_ms
+        if self._is_stale:
+            hold_until_ms = now_ms + LAPSE_HOLD_MS
+        match kind:
+            case interfaces.ServerRecord(server_id):
+                if is_held and server_id in self._servers:
+                    self._held_servers[server_id] = hold_until_ms
+                else:
+                    self._servers.pop(server_id, None)
+                name = server_id
+            case interfaces.MemberRecord(member):
+                if is_held and member in self._members:
+                    self._held_members[member] = hold_until_ms
+                else:
+                    self._members.pop(member, None)
+                    self._note_loss(member)
+                name = member
+            case _:
+                return
+        events.log(
+            events.Event.REGISTRATION_DELETED,
+            name=name,
+            revision=change.revision,
+            is_held=is_held,
+        )
+
+    def _drop_expired(self, now_ms: float) -> None:
+        for server_id, until_ms in list(self._held_servers.items()):
+            if now_ms >= until_ms:
+                del self._held_servers[server_id]
+                self._servers.pop(server_id, None)
+        for name, until_ms in list(self._held_members.items()):
+            if now_ms >= until_ms:
+                del self._held_members[name]
+                self._members.pop(name, None)
+                self._note_loss(name)
+
+    def _note_loss(self, name: str) -> None:
+        """Report that a member ended, and whether an outage was near."""
+        since_ms = self._clock.now_ms() - self._outage_end_ms
+        is_near = self._is_stale or since_ms < LOSS_MEMORY_MS
+        self.on_member_lost(f"{name} ended", is_near)
+
+
+def encode_member(member: traffic.Member) -> bytes:
+    """Encode a member's registration."""
+    return json.dumps(member._asdict(), separators=(",", ":")).encode()
+
+
+def decode_member(value: bytes) -> traffic.Member:
+    """Decode a member's registration.
+
+    :raises InvalidRecordError: it cannot be read.
+    """
+    try:
+        return traffic.Member(**json.loads(value))
+    except (ValueError, TypeError) as error:
+        raise interfaces.InvalidRecordError(str(error)) from error
+
+
+def _drop(*_: object) -> None:
+    """Ignore a change that nobody listens to."""
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -0,0 +1,220 @@
+"""Keeps this process's copy of the store's records up to date."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+from balsamloom_gateway import (
+    feed,
+    fleet,
+    interfaces,
+    membership,
+    peers,
+    traffic,
+)
+
+PEER_TIMEOUT_MS = 300.0
+RETRY_MIN_MS = 200.0
+RETRY_MAX_MS = 2_000.0
+# A member's copy that is older than this many of its reading intervals is
+# not followed.
+STALE_INTERVALS = 2.5
+# A member that was not usable as a source is tried again after this time.
+SOURCE_RETRY_MS = 3_000.0
+# The store watches all keys, so that one call serves all kinds of records.
+ALL_KEYS = ""
+
+
+class Intervals(NamedTuple):
+    """Pauses between readings."""
+
+    store_ms: float
+    peer_ms: float
+
+
+class Follower:
+    """Reads changes from the store or from another member.
+
+    :param name: name of this member.
+    :param store: platform's store.
+    :param records: keys of the records.
+    :param copy: copy of the records that is passed on.
+    :param view: takes the changes.
+    :param clients: other members.
+    :param clock: time source.
+    :param intervals: pauses between readings.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store: interfaces.KeyValueStore,
+        records: interfaces.Records,
+        copy: feed.Feed,
+        view: fleet.Fleet,
+        clients: peers.PeerClients,
+        clock: clocks.Clock,
+        intervals: Intervals,
+    ) -> None:
+        self._name = name
+        self._store = store
+        self._records = records
+        self._feed = copy
+        self._fleet = view
+        self._clients = clients
+        self._clock = clock
+        self._intervals = intervals
+        self._stopped = threading.Event()
+        self._epoch = ""
+        self._cursor = 0
+        self._source = "none"
+        self._avoid_source_ms = 0.0
+        self._failures = 0
+        self._must_list = True
+        self._may_read_stale = True
+        self.after_reading: Callable[[], None] = _do_nothing
+
+    def run(self) -> None:
+        """Read until :meth:`stop`."""
+        while not self._stopped.is_set():
+            pause_ms = self.read_once()
+            self._fleet.note_age(self._feed.age_ms())
+            self.after_reading()
+            self._clock.wait(self._stopped, pause_ms)
+
+    def stop(self) -> None:
+        """Let :meth:`run` end."""
+        self._stopped.set()
+
+    def read_once(self) -> float:
+        """Read once and return the pause until the next reading."""
+        source = membership.source_of(self._name, self._fleet.members())
+        now_ms = self._clock.now_ms()
+        if source is not None and now_ms >= self._avoid_source_ms:
+            if self._read_peer(source):
+                return self._intervals.peer_ms
+            self._avoid_source_ms = now_ms + SOURCE_RETRY_MS
+        return self._read_store()
+
+    def _read_peer(self, source: traffic.Member) -> bool:
+        """Read from a member; return whether its copy is usable."""
+        body = {"epoch": self._epoch, "cursor": self._cursor}
+        asked_ms = self._clock.now_ms()
+        try:
+            answer = self._clients.call(
+                source.peer_address, peers.FEED_PATH, body, PEER_TIMEOUT_MS
+            )
+            changes = feed.decode_changes(answer)
+            age_ms = float(answer["age_ms"])
+            revision = int(answer["store_revision"])
+            epoch, cursor = str(answer["epoch"]), int(answer["cursor"])
+        except (peers.PeerUnavailableError, ValueError, KeyError) as error:
+            self._log_source(source.name, "unavailable", str(error))
+            return False
+        if epoch != self._epoch:
+            items = [
+                change
+                for change in changes
+                if isinstance(change, interfaces.Item)
+            ]
+            self._fleet.apply(self._feed.replace(items, revision))
+        self._fleet.apply(self._feed.apply(changes))
+        self._epoch, self._cursor = epoch, cursor
+        self._feed.note_read(revision, asked_ms - age_ms)
+        self._must_list = False
+        stale_ms = STALE_INTERVALS * self._intervals.store_ms
+        if age_ms > stale_ms:
+            self._log_source(source.name, "stale", f"age {age_ms:.0f} ms")
+            return False
+        self._log_source(source.name, "in use", "")
+        return True
+
+    def _read_store(self) -> float:
+        started_ms = self._clock.now_ms()
+        try:
+            if self._must_list:
+                self._list_all()
+            else:
+                self._watch()
+        except interfaces.HistoryGoneError:
+            self._must_list = True
+            self._may_read_stale = False
+            self._log_source("store", "history gone", "listing all records")
+            return 0.0
+        except interfaces.StoreError as error:
+            self._failures += 1
+            self._log_source("store", "unavailable", str(error))
+            pause_ms = RETRY_MIN_MS * (1 << min(self._failures, 6))
+            return min(pause_ms, RETRY_MAX_MS)
+        self._failures = 0
+        self._log_source("store", "in use", "")
+        spent_ms = self._clock.now_ms() - started_ms
+        return max(self._intervals.store_ms - spent_ms, 0.0)
+
+    def _list_all(self) -> None:
+        """Read all records; changes since then come with the next watch."""
+        started_ms = self._clock.now_ms()
+        items: list[interfaces.Item] = []
+        revisions = []
+        for prefix in self._records.prefixes:
+            after = ""
+            while True:
+                page = self._store.list_page(
+                    prefix, after, self._may_read_stale
+                )
+                items.extend(page.items)
+                revisions.append(page.store_revision)
+                if not page.has_more or not page.items:
+                    break
+                after = page.items[-1].key
+        revision = min(revisions)
+        if revision < self._feed.store_revision and self._may_read_stale:
+            # Another source was ahead of this old reading.
+            self._may_read_stale = False
+            self._list_all()
+            return
+        self._fleet.apply(self._feed.replace(items, revision))
+        if not self._may_read_stale:
+            self._feed.note_read(revision, started_ms)
+        else:
+            self._feed.store_revision = revision
+        self._must_list = False
+        if self._may_read_stale:
+            self._watch()
+
+    def _watch(self) -> None:
+        started_ms = self._clock.now_ms()
+        wait_ms = int(self._intervals.store_ms)
+        found = self._store.watch(ALL_KEYS, self._feed.store_revision, wait_ms)
+        changes = [
+            change
+            for change in found.changes
+            if self._records.kind(change.key) != interfaces.OtherRecord()
+        ]
+        self._fleet.apply(self._feed.apply(changes))
+        self._feed.note_read(found.store_revision, started_ms)
+
+    def _log_source(self, source: str, state: str, reason: str) -> None:
+        described = f"{source} {state}"
+        if described == self._source:
+            return
+        self._source = described
+        level = logging.INFO if state == "in use" else logging.WARNING
+        events.log(
+            events.Event.SOURCE_CHANGED,
+            level,
+            source=source,
+            state=state,
+            reason=reason,
+            age_ms=self._feed.age_ms(),
+            store_revision=self._feed.store_revision,
+        )
+
+
+def _do_nothing() -> None:
+    """Follow no reading."""
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/health.py
@@ -0,0 +1,79 @@
+"""Ejection of backend servers that fail, with a ceiling on their number."""
+
+from __future__ import annotations
+
+import enum
+import math
+from typing import TypeVar
+
+# Advice to callers when no server may take a call.
+RETRY_AFTER_MS = 250.0
+EJECT_SHARE_MAX = 0.5
+EJECT_SCORE = 0.5
+FAILURE_WEIGHT = 0.3
+EJECTION_MS = 800.0
+EJECTION_GROWTH = 2.0
+EJECTION_MAX_MS = 6_000.0
+# An address that refuses connections is most likely gone.
+UNREACHABLE_MS = 1_000.0
+
+
+class Outcome(enum.Enum):
+    """How a call at a server ended, as far as the server's health goes."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    ABANDONED = "abandoned"
+
+
+class ServerHealth:
+    """Share of failures of one server and its ejection."""
+
+    def __init__(self) -> None:
+        self.score = 0.0
+        self._until_ms = -math.inf
+        self._length_ms = EJECTION_MS
+
+    def note(self, outcome: Outcome, now_ms: float) -> None:
+        """Take in the end of a call."""
+        match outcome:
+            case Outcome.SUCCEEDED:
+                self.score -= FAILURE_WEIGHT * self.score
+                if now_ms >= self._until_ms:
+                    self._length_ms = EJECTION_MS
+            case Outcome.FAILED:
+                self.score += FAILURE_WEIGHT * (1 - self.score)
+                if self.score >= EJECT_SCORE:
+                    self._eject(self._length_ms, now_ms)
+                    self.score = EJECT_SCORE / 2
+                    self._length_ms = min(
+                        self._length_ms * EJECTION_GROWTH, EJECTION_MAX_MS
+                    )
+            case Outcome.UNREACHABLE:
+                self._eject(UNREACHABLE_MS, now_ms)
+            case Outcome.REFUSED | Outcome.ABANDONED:
+                pass
+
+    def is_ejected(self, now_ms: float) -> bool:
+        """Return whether the server gets no calls now."""
+        return now_ms < self._until_ms
+
+    def _eject(self, length_ms: float, now_ms: float) -> None:
+        self._until_ms = max(self._until_ms, now_ms + length_ms)
+
+
+T = TypeVar("T")
+
+
+def usable(servers: list[tuple[T, ServerHealth]], now_ms: float) -> list[T]:
+    """Return the servers that are not ejected.
+
+    If more than :data:`EJECT_SHARE_MAX` of them are, the failures have a
+    common cause and all of them are tried.
+    """
+    found = [one for one, state in servers if not state.is_ejected(now_ms)]
+    if len(found) < len(servers) * (1 - EJECT_SHARE_MAX):
+        return [one for one, _ in servers]
+    return found or [one for one, _ in servers]
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/http_client.py
@@ -0,0 +1,97 @@
+"""Small requests and whole answers over kept connections."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from balsamloom_core import clock as clocks
+from balsamloom_gateway import channels
+
+IDLE_LIMIT_MS = 10_000.0
+
+
+class NotSentError(Exception):
+    """The request was not sent, so it has no effect."""
+
+
+class UnansweredError(Exception):
+    """The request was sent and has no complete answer."""
+
+
+class Answer(NamedTuple):
+    """Whole answer of a server."""
+
+    status: int
+    headers: channels.Headers
+    body: bytes
+
+
+class HttpClient:
+    """Client of one address; may be used by several threads.
+
+    :param address: ``host:port``.
+    :param clock: time source.
+    """
+
+    def __init__(self, address: str, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._host = address.encode()
+        self._pool = channels.ChannelPool(address, clock, IDLE_LIMIT_MS)
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout_ms: float = 1_000.0,
+    ) -> Answer:
+        """Send a request and return its answer.
+
+        :raises NotSentError: no connection could be made.
+        :raises UnansweredError: the answer is missing or broken.
+        """
+        until_ms = self._clock.now_ms() + timeout_ms
+        try:
+            channel, _ = self._pool.take(timeout_ms)
+        except channels.ConnectError as error:
+            raise NotSentError(str(error)) from error
+        exchange = channels.Exchange(channel, self._clock)
+        try:
+            exchange.send(self._encode(method, target, body), until_ms)
+            answer = self._receive(exchange, until_ms)
+        except channels.ChannelError as error:
+            channel.close()
+            if exchange.sent_bytes == 0:
+                raise NotSentError(str(error)) from error
+            raise UnansweredError(str(error)) from error
+        self._pool.give_back(channel)
+        return answer
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._pool.close()
+
+    def _encode(self, method: str, target: str, body: bytes) -> bytes:
+        lines = [
+            f"{method} {target} HTTP/1.1".encode(),
+            b"Host: " + self._host,
+        ]
+        if body:
+            lines.append(b"Content-Type: application/json")
+        if body or method == "POST":
+            lines.append(b"Content-Length: %d" % len(body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+    def _receive(self, exchange: channels.Exchange, until_ms: float) -> Answer:
+        head: channels.AnswerHead | None = None
+        data = bytearray()
+        while True:
+            for part in exchange.receive(until_ms):
+                match part:
+                    case channels.AnswerHead():
+                        head = part
+                    case channels.AnswerData(chunk):
+                        data += chunk
+                    case channels.AnswerEnd():
+                        assert head is not None
+                        return Answer(head.status, head.headers, bytes(data))
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/ledger_book.py
@@ -0,0 +1,462 @@
+"""Accounts of the programs that this process holds budget blocks of.
+
+A thread records blocks in the store, many in one transaction. Turns wait only
+if their block is not recorded yet.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import json
+import logging
+import math
+import threading
+import uuid
+from typing import NamedTuple
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+from balsamloom_gateway import interfaces, ledger
+
+# The store takes 32 entries in a transaction; each account needs a condition
+# and a write.
+TRANSACTION_ACCOUNTS = 16
+# Blocks that no turn waits for are recorded together after this time.
+GROUP_MS = 200.0
+# Time that a turn waits for its block before the store counts as away.
+RECORD_WAIT_MS = 60.0
+# Time for which programs without a record may be those of a lost process.
+CAUTION_MS = 60_000.0
+# Least time between calls while the store does not answer.
+OUTAGE_RETRY_MS = 400.0
+# Accounts of programs without turns are forgotten after this time.
+IDLE_ACCOUNT_MS = 90_000.0
+SWEEP_INTERVAL_MS = 30_000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Unrecorded:
+    """No block could be recorded, so the turn must not run."""
+
+    reason: str
+
+
+class Exposure(enum.Enum):
+    """What may be handed out before it is recorded."""
+
+    NONE = "none"
+    ONE_TURN = "one_turn"
+    # Part of the budget while the store is away, one turn otherwise.
+    OUTAGE = "outage"
+    # One turn while the store is away, at a process that may not know what
+    # the first holder handed out.
+    LAST_RESORT = "last_resort"
+
+
+Reservation = ledger.Reserved | ledger.Exhausted | Unrecorded
+
+
+class LedgerBook:
+    """Reserves tokens of programs and keeps the store's records in step.
+
+    :param store: platform's store.
+    :param records: names of the records.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self,
+        store: interfaces.KeyValueStore,
+        records: interfaces.Records,
+        clock: clocks.Clock,
+    ) -> None:
+        self._store = store
+        self._records = records
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._accounts: dict[str, ledger.Account] = {}
+        self._urgent: set[str] = set()
+        self._ahead: set[str] = set()
+        self._failed_ms: float | None = None
+        self._call_started_ms: float | None = None
+        self._unsure_until_ms = -math.inf
+        self._presuming_until_ms = -math.inf
+        self._failure_reason = ""
+        self._is_stopping = False
+        self._writer = uuid.uuid4().hex[:12]
+        self._block_number = 0
+        self._swept_ms = clock.now_ms()
+
+    def note_loss(self, reason: str, is_around_outage: bool) -> None:
+        """Take in that a process that held budgets may be lost.
+
+        Programs that this process does not know may have a record then. If
+        the loss was around an outage, tokens may have been handed out that
+        no record covers.
+        """
+        until_ms = self._clock.now_ms() + CAUTION_MS
+        with self._changed:
+            self._unsure_until_ms = until_ms
+            if is_around_outage:
+                self._presuming_until_ms = until_ms
+        events.log(
+            events.Event.BUDGET_CAUTION,
+            is_presuming=is_around_outage,
+            reason=reason,
+        )
+
+    def end_presumption(self, reason: str) -> None:
+        """Presume no more that tokens were handed out without a record."""
+        with self._changed:
+            self._presuming_until_ms = -math.inf
+        events.log(
+            events.Event.BUDGET_CAUTION, is_presuming=False, reason=reason
+        )
+
+    def reserve(
+        self,
+        program_id: str,
+        tokens: int,
+        budget_tokens: int,
+        exposure: Exposure,
+    ) -> tuple[Reservation, tuple[str, ...]]:
+        """Reserve the most that a turn may generate.
+
+        :param exposure: what may be handed out before it is recorded.
+        :return: the reservation and the servers of the program's last turns.
+        """
+        with self._changed:
+            account = self._account(program_id, tokens, budget_tokens)
+            until_ms = self._clock.now_ms() + RECORD_WAIT_MS
+            while True:
+                is_away = self._is_away() or self._clock.now_ms() >= until_ms
+                allowance = self._allowance(account, tokens, exposure, is_away)
+                match account.reserve(tokens, allowance):
+                    case ledger.BlockNeeded(block):
+                        account.wanted_tokens = block
+                        self._urgent.add(program_id)
+                        self._changed.notify_all()
+                    case result:
+                        self._record_ahead(account, tokens)
+                        return result, account.servers
+                if is_away:
+                    reason = self._failure_reason or "the store is slow"
+                    return Unrecorded(reason), account.servers
+                left_ms = until_ms - self._clock.now_ms()
+                self._clock.wait_condition(self._changed, left_ms)
+
+    def settle(
+        self,
+        program_id: str,
+        reserved_tokens: int,
+        used_tokens: int,
+        server_id: str,
+    ) -> None:
+        """Give back what a turn did not use.
+
+        :param server_id: server that ran the turn, empty if none did.
+        """
+        with self._changed:
+            account = self._accounts.get(program_id)
+            if account is None:
+                return
+            account.settle(reserved_tokens, used_tokens)
+            if server_id:
+                account.servers = ledger.note_server(
+                    account.servers, server_id
+                )
+
+    def run(self) -> None:
+        """Record blocks until :meth:`stop`."""
+        while True:
+            with self._changed:
+                if not self._wait_for_work():
+                    return
+                batch = self._next_batch()
+            if batch:
+                self._record(batch)
+            self._sweep()
+
+    def stop(self) -> None:
+        """Let :meth:`run` end."""
+        with self._changed:
+            self._is_stopping = True
+            self._changed.notify_all()
+
+    def release(self) -> None:
+        """Give the unused blocks back to the store, at a planned stop."""
+        with self._changed:
+            held = [
+                account
+                for account in self._accounts.values()
+                if account.left_tokens > 0
+            ]
+            for account in held:
+                account.wanted_tokens = -account.left_tokens
+                account.left_tokens = 0
+        for start in range(0, len(held), TRANSACTION_ACCOUNTS):
+            self._record(held[start : start + TRANSACTION_ACCOUNTS])
+
+    def _account(
+        self, program_id: str, tokens: int, budget_tokens: int
+    ) -> ledger.Account:
+        now_ms = self._clock.now_ms()
+        account = self._accounts.get(program_id)
+        if account is None:
+            account = ledger.Account(program_id, budget_tokens)
+            self._accounts[program_id] = account
+            if now_ms < self._presuming_until_ms:
+                account.presumed_tokens = ledger.presumed_tokens(
+                    budget_tokens, tokens
+                )
+                account.recorded_tokens = account.presumed_tokens
+        account.used_ms = now_ms
+        return account
+
+    def _allowance(
+        self,
+        account: ledger.Account,
+        tokens: int,
+        exposure: Exposure,
+        is_away: bool,
+    ) -> int:
+        """Return the tokens of a program that may be exposed."""
+        is_unknown = not account.revision and (
+            self._clock.now_ms() < self._unsure_until_ms
+        )
+        match exposure:
+            case Exposure.OUTAGE if is_away and not is_unknown:
+                return max(tokens, account.outage_allowance())
+            case Exposure.OUTAGE | Exposure.LAST_RESORT if is_away:
+                return tokens
+            case Exposure.OUTAGE | Exposure.ONE_TURN if not is_unknown:
+                return tokens
+            case _:
+                return 0
+
+    def _is_away(self) -> bool:
+        """Return whether the store has not answered for a while."""
+        now_ms = self._clock.now_ms()
+        if self._failed_ms is not None:
+            return now_ms - self._failed_ms < OUTAGE_RETRY_MS
+        started_ms = self._call_started_ms
+        return started_ms is not None and now_ms - started_ms > RECORD_WAIT_MS
+
+    def _record_ahead(self, account: ledger.Account, tokens: int) -> None:
+        block = account.next_block(tokens)
+        if not block:
+            return
+        account.wanted_tokens = block
+        if account.program_id not in self._ahead:
+            self._ahead.add(account.program_id)
+            if len(self._ahead) == 1:
+                self._changed.notify_all()
+
+    def _wait_for_work(self) -> bool:
+        """Wait for blocks to record; return whether to go on."""
+        waited_from_ms = self._clock.now_ms()
+        while not self._is_stopping:
+            now_ms = self._clock.now_ms()
+            due_ms = self._due_ms(waited_from_ms)
+            if now_ms >= due_ms:
+                return True
+            self._clock.wait_condition(self._changed, due_ms - now_ms)
+            if not self._ahead:
+                waited_from_ms = self._clock.now_ms()
+        return False
+
+    def _due_ms(self, waited_from_ms: float) -> float:
+        """Return when the next transaction or sweep is due."""
+        if self._failed_ms is not None and (self._urgent or self._ahead):
+            return self._failed_ms + OUTAGE_RETRY_MS
+        if self._urgent:
+            return waited_from_ms
+        if self._ahead:
+            return waited_from_ms + GROUP_MS
+        return waited_from_ms + SWEEP_INTERVAL_MS
+
+    def _next_batch(self) -> list[ledger.Account]:
+        names = [*self._urgent, *(self._ahead - self._urgent)]
+        names = names[:TRANSACTION_ACCOUNTS]
+        self._urgent.difference_update(names)
+        self._ahead.difference_update(names)
+        found = [self._accounts.get(name) for name in names]
+        return [
+            account
+            for account in found
+            if account is not None and account.wanted_tokens
+        ]
+
+    def _record(self, accounts: list[ledger.Account]) -> None:
+        """Record one block for each account, in one transaction."""
+        with self._changed:
+            blocks = [self._new_block(account) for account in accounts]
+            conditions = [
+                interfaces.Condition(block.key, block.account.revision)
+                for block in blocks
+            ]
+            writes = [
+                interfaces.Write(block.key, _encode_record(block))
+                for block in blocks
+            ]
+            self._call_started_ms = self._clock.now_ms()
+        try:
+            result = self._store.transact(conditions, writes)
+        except interfaces.StoreError as error:
+            self._note_failure(error, blocks)
+            return
+        with self._changed:
+            self._call_started_ms = None
+            if self._failed_ms is not None:
+                self._failed_ms = None
+                self._failure_reason = ""
+                events.log(events.Event.STORE_RECOVERED, user="ledger")
+            match result:
+                case interfaces.Committed(revision):
+                    for block in blocks:
+                        _take_recorded(block, revision)
+                case interfaces.Conflict(items):
+                    for block in blocks:
+                        self._take_conflict(block, items.get(block.key))
+                case interfaces.LeaseGone():
+                    raise AssertionError("ledger records have no lease")
+            self._changed.notify_all()
+
+    def _new_block(self, account: ledger.Account) -> _Block:
+        self._block_number += 1
+        name = f"{self._writer}.{self._block_number}"
+        tokens = account.wanted_tokens
+        account.unconfirmed[name] = tokens
+        key = self._records.ledger_key(account.program_id)
+        total = account.recorded_tokens + tokens
+        return _Block(account, key, name, tokens, total)
+
+    def _take_conflict(
+        self, block: _Block, item: interfaces.Item | None
+    ) -> None:
+        """Take the record as it is; a block still wanted is asked for again.
+
+        The latest block of the record may be one of this process whose
+        answer was lost.
+        """
+        account = block.account
+        account.unconfirmed.pop(block.name, None)
+        revision = item.revision if item else 0
+        if revision == account.revision:
+            if block.tokens > 0:
+                account.wanted_tokens = block.tokens
+                self._urgent.add(account.program_id)
+            return
+        total, name = _decode_record(item)
+        own = account.unconfirmed.pop(name, 0)
+        if not own:
+            total += account.presumed_tokens
+        account.recorded(total, revision, max(own, 0))
+        if account.exposed_tokens:
+            account.wanted_tokens = account.exposed_tokens
+            self._ahead.add(account.program_id)
+        events.log(
+            events.Event.BUDGET_RECORD_CHANGED,
+            program_id=account.program_id,
+            recorded_tokens=total,
+            own_tokens=own,
+            revision=revision,
+        )
+
+    def _note_failure(
+        self, error: interfaces.StoreError, blocks: list[_Block]
+    ) -> None:
+        is_unknown = isinstance(error, interfaces.StoreOutcomeUnknownError)
+        with self._changed:
+            for block in blocks:
+                account = block.account
+                if not is_unknown:
+                    account.unconfirmed.pop(block.name, None)
+                if account.exposed_tokens:
+                    self._ahead.add(account.program_id)
+            if self._failed_ms is None:
+                events.log(
+                    events.Event.STORE_UNAVAILABLE,
+                    logging.WARNING,
+                    user="ledger",
+                    reason=str(error),
+                )
+            self._failed_ms = self._clock.now_ms()
+            self._failure_reason = str(error)
+            self._call_started_ms = None
+            self._changed.notify_all()
+
+    def _sweep(self) -> None:
+        """Forget accounts of ended programs and delete their records."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._swept_ms < SWEEP_INTERVAL_MS:
+            return
+        self._swept_ms = now_ms
+        with self._changed:
+            ended = [
+                account
+                for account in self._accounts.values()
+                if now_ms - account.used_ms > IDLE_ACCOUNT_MS
+                and not account.in_flight_tokens
+            ]
+            for account in ended:
+                del self._accounts[account.program_id]
+        for start in range(0, len(ended), TRANSACTION_ACCOUNTS):
+            self._delete_records(ended[start : start + TRANSACTION_ACCOUNTS])
+
+    def _delete_records(self, accounts: list[ledger.Account]) -> None:
+        """Delete records that no other process has written since."""
+        conditions = [
+            interfaces.Condition(
+                self._records.ledger_key(account.program_id), account.revision
+            )
+            for account in accounts
+            if account.revision
+        ]
+        keys = [condition.key for condition in conditions]
+        if not keys:
+            return
+        try:
+            self._store.transact(conditions, (), keys)
+        except interfaces.StoreError as error:
+            events.log(
+                events.Event.STORE_UNAVAILABLE,
+                logging.WARNING,
+                user="ledger",
+                reason=str(error),
+            )
+
+
+class _Block(NamedTuple):
+    """Block that is being recorded."""
+
+    account: ledger.Account
+    key: str
+    name: str
+    tokens: int
+    total_tokens: int
+
+
+def _take_recorded(block: _Block, revision: int) -> None:
+    account = block.account
+    account.unconfirmed.pop(block.name, None)
+    own = max(block.tokens, 0)
+    account.recorded(block.total_tokens, revision, own)
+
+
+def _encode_record(block: _Block) -> bytes:
+    record = {"tokens": block.total_tokens, "block": block.name}
+    return json.dumps(record, separators=(",", ":")).encode()
+
+
+def _decode_record(item: interfaces.Item | None) -> tuple[int, str]:
+    """Return the tokens of all recorded blocks and the latest block's name.
+
+    A record that cannot be read is treated as one that was never written only
+    if the key does not exist.
+    """
+    if item is None:
+        return 0, ""
+    record = json.loads(item.value)
+    return int(record["tokens"]), str(record["block"])
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -0,0 +1,370 @@
+"""HTTP/1.1 listeners on CherryPy's server, below its WSGI layer.
+
+Requests are relayed byte for byte, so handlers get the undecoded target and
+write their answers themselves.
+"""
+
+from __future__ import annotations
+
+import functools
+import select
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+from cheroot import errors as cheroot_errors
+from cheroot import server as cheroot_server
+from cheroot.workers import threadpool
+
+from balsamloom_core import clock as clocks
+
+BACKLOG = 512
+KEPT_CONNECTIONS = 2_000
+SPARE_THREADS = 2
+GROWTH_THREADS = 4
+# Interval at which idle connections are checked for their timeout.
+EXPIRY_INTERVAL_S = 2.0
+READ_BYTES = 65_536
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    402: b"Payment Required",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+HeaderFields = Iterable[tuple[bytes, bytes]]
+
+
+class BodyTooLargeError(Exception):
+    """A request's body has more bytes than the limit allows."""
+
+
+class MalformedBodyError(Exception):
+    """A request's body breaks off or is not encoded as announced."""
+
+
+class Limits(NamedTuple):
+    """Bounds of a listener."""
+
+    threads: int
+    header_bytes: int
+    body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class Request:
+    """Request of a caller.
+
+    :param raw: request of CherryPy's server.
+    """
+
+    def __init__(self, raw: Any) -> None:
+        self._raw = raw
+        self.method: bytes = raw.method
+        self.target: bytes = raw.uri
+        self.headers: dict[bytes, bytes] = raw.inheaders
+
+    @property
+    def path(self) -> str:
+        """Return the undecoded path without the query."""
+        return self.target.split(b"?", 1)[0].decode("latin-1")
+
+    @property
+    def descriptor(self) -> int:
+        """Return the descriptor of the caller's connection."""
+        return int(self._raw.conn.socket.fileno())
+
+    def read_body(self) -> bytes:
+        """Return the whole body.
+
+        :raises BodyTooLargeError: it is longer than the limit.
+        :raises MalformedBodyError: it breaks off or is wrongly encoded.
+        """
+        raw = self._raw
+        try:
+            if not raw.chunked_read:
+                return self._read_exactly(raw.rfile.remaining)
+            body = b"".join(iter(lambda: raw.rfile.read(READ_BYTES), b""))
+            for _ in raw.rfile.read_trailer_lines():
+                pass
+        except cheroot_errors.MaxSizeExceeded as error:
+            raise BodyTooLargeError(str(error)) from error
+        except (ValueError, OSError) as error:
+            if "Too Large" in str(error):
+                raise BodyTooLargeError(str(error)) from error
+            raise MalformedBodyError(str(error)) from error
+        return body
+
+    def _read_exactly(self, length: int) -> bytes:
+        body: bytes = self._raw.rfile.read(length) if length else b""
+        if len(body) != length:
+            raise MalformedBodyError("the body breaks off")
+        return body
+
+
+class Reply:
+    """Answer to a request, written in parts.
+
+    :param raw: request of CherryPy's server.
+    :param is_closing: whether the connection ends after the answer.
+    """
+
+    def __init__(self, raw: Any, is_closing: bool) -> None:
+        self._raw = raw
+        self._is_chunked = False
+        self._head = b""
+        self.is_started = False
+        if is_closing:
+            raw.close_connection = True
+
+    def close_after(self) -> None:
+        """End the connection after this answer."""
+        self._raw.close_connection = True
+
+    def start(
+        self, status: int, fields: HeaderFields, length: int | None
+    ) -> None:
+        """Send status and fields.
+
+        :param length: bytes of the body, ``None`` if not known.
+        """
+        raw = self._raw
+        self.is_started = True
+        raw.sent_headers = True
+        lines = [b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"-"))]
+        lines.extend(name + b": " + value for name, value in fields)
+        if length is not None:
+            lines.append(b"Content-Length: %d" % length)
+        elif raw.response_protocol == "HTTP/1.1":
+            self._is_chunked = True
+            lines.append(b"Transfer-Encoding: chunked")
+        else:
+            raw.close_connection = True
+        if raw.close_connection:
+            lines.append(b"Connection: close")
+        self._head = b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body, with the head before the first one."""
+        if not data:
+            return
+        if self._is_chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self._flush(data)
+
+    def finish(self) -> None:
+        """Mark the answer as complete."""
+        self._flush(b"0\r\n\r\n" if self._is_chunked else b"")
+
+    def abort(self) -> None:
+        """End the connection so that the answer cannot pass for complete."""
+        self._raw.sent_headers = True
+        self._raw.close_connection = True
+
+    def send(
+        self, status: int, fields: HeaderFields, body: bytes = b""
+    ) -> None:
+        """Send a whole answer."""
+        self.start(status, fields, len(body))
+        self._flush(body)
+
+    def _flush(self, data: bytes) -> None:
+        head, self._head = self._head, b""
+        if head or data:
+            self._raw.conn.wfile.write(head + data)
+
+
+Handler = Callable[[Request, Reply], None]
+
+
+class _UnfoldedLines:
+    """Rejects header lines that continue the one before."""
+
+    def __init__(self, rfile: Any) -> None:
+        self._rfile = rfile
+
+    def readline(self) -> bytes:
+        line: bytes = self._rfile.readline()
+        if line[:1] in (b" ", b"\t"):
+            raise ValueError("a header line continues the one before")
+        return line
+
+
+class _StrictHeaderReader(cheroot_server.HeaderReader):
+    """Rejects headers that two parsers may read in different ways.
+
+    Such a request could carry a second one in its body.
+    """
+
+    _SINGLE = (b"Content-Length", b"Transfer-Encoding", b"Host")
+
+    def __call__(
+        self, rfile: Any, hdict: dict[bytes, bytes] | None = None
+    ) -> dict[bytes, bytes]:
+        self._seen: set[bytes] = set()
+        headers: dict[bytes, bytes] = super().__call__(
+            _UnfoldedLines(rfile), hdict
+        )
+        length = headers.get(b"Content-Length")
+        if length is not None:
+            if b"Transfer-Encoding" in headers:
+                raise ValueError("Content-Length beside Transfer-Encoding")
+            if not length.isdigit():
+                raise ValueError("Content-Length is not a number")
+        return headers
+
+    def _transform_key(self, key_name: bytes) -> bytes:
+        if key_name != key_name.strip() or not key_name:
+            raise ValueError("white space around a header name")
+        key = key_name.title()
+        if key in self._SINGLE:
+            if key in self._seen:
+                raise ValueError("a header is given twice")
+            self._seen.add(key)
+        return key
+
+
+class _Request(cheroot_server.HTTPRequest):
+    header_reader = _StrictHeaderReader()
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        # A reader keeps what it has seen of one request.
+        self.header_reader = _StrictHeaderReader()
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+    def communicate(self) -> bool:
+        self.socket.settimeout(self.server.header_timeout_s)
+        return bool(super().communicate())  # type: ignore[no-untyped-call]
+
+
+class _Gateway(cheroot_server.Gateway):
+    def __init__(self, listener: Listener, req: Any) -> None:
+        super().__init__(req)
+        self._listener = listener
+
+    def respond(self) -> None:
+        listener = self._listener
+        reply = Reply(self.req, listener.is_leaving)
+        with listener.activity:
+            listener.handler(Request(self.req), reply)
+
+
+class _Activity:
+    """Counts requests in progress."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self.count = 0
+
+    def __enter__(self) -> None:
+        with self._lock:
+            self.count += 1
+
+    def __exit__(self, *_: object) -> None:
+        with self._lock:
+            self.count -= 1
+
+
+class _ThreadPool(threadpool.ThreadPool):
+    """Starts threads when none is idle, without waiting for them."""
+
+    _threads: list[threading.Thread]
+    _spawn_worker: Callable[[], threading.Thread]
+
+    def put(self, obj: Any) -> None:
+        super().put(obj)
+        if obj is not None and self.idle - self.qsize < 1:
+            self.grow(GROWTH_THREADS)
+
+    def grow(self, amount: int) -> None:
+        room = max(self.max - len(self._threads), 0)
+        for _ in range(min(amount, room)):
+            self._threads.append(self._spawn_worker())
+
+
+class Listener:
+    """Server of one address.
+
+    :param address: ``host:port``; port 0 takes a free one.
+    :param handler: called for each request, in a thread of its own.
+    """
+
+    def __init__(self, address: str, handler: Handler, limits: Limits) -> None:
+        host, _, port = address.rpartition(":")
+        self.handler = handler
+        self.activity = _Activity()
+        self.is_leaving = False
+        server: Any = cheroot_server.HTTPServer(
+            (host, int(port)), functools.partial(_Gateway, self)
+        )
+        server.ConnectionClass = _Connection
+        server.request_queue_size = BACKLOG
+        server.keep_alive_conn_limit = KEPT_CONNECTIONS
+        server.expiration_interval = EXPIRY_INTERVAL_S
+        server.requests = _ThreadPool(
+            server, min=min(SPARE_THREADS, limits.threads), max=limits.threads
+        )
+        self._server = server
+        self.set_limits(limits)
+        server.prepare()
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port`` that the listener is bound to."""
+        host, port = self._server.socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    def set_limits(self, limits: Limits) -> None:
+        """Take bounds into force for further requests."""
+        server = self._server
+        server.max_request_header_size = limits.header_bytes
+        server.max_request_body_size = limits.body_bytes
+        server.timeout = limits.idle_timeout_ms / clocks.MS_PER_S
+        server.header_timeout_s = limits.header_timeout_ms / clocks.MS_PER_S
+
+    def start(self) -> None:
+        """Serve in the background."""
+        threading.Thread(target=self._server.serve, daemon=True).start()
+
+    def stop_accepting(self) -> None:
+        """Refuse new connections and close idle ones; requests go on.
+
+        The server's own ``stop`` also ends the requests in progress.
+        """
+        server = self._server
+        manager = server._connections
+        manager.stop()
+        server.ready = False
+        server.socket.close()
+        manager.close()
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is in progress or queued."""
+        return not self.activity.count and not self._server.requests.qsize
+
+    def set_leaving(self) -> None:
+        """End each connection after its next answer."""
+        self.is_leaving = True
+
+
+def peer_closed(descriptor: int) -> bool:
+    """Return whether the other end of a connection has closed it."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return bool(poll.poll(0))
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -0,0 +1,103 @@
+"""Handler of calls from other members."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from balsamloom_core import events
+from balsamloom_gateway import (
+    feed,
+    ledger,
+    ledger_book,
+    listeners,
+    peers,
+)
+
+JSON_FIELDS = ((b"Content-Type", b"application/json"),)
+
+
+class PeerService:
+    """Serves budgets and the store's records to other members.
+
+    :param book: accounts that this member holds.
+    :param records: copy of the store's records.
+    """
+
+    def __init__(
+        self,
+        book: ledger_book.LedgerBook,
+        records: feed.Feed,
+    ) -> None:
+        self._book = book
+        self._feed = records
+        self._calls: dict[str, Callable[[dict[str, Any]], Any]] = {
+            peers.RESERVE_PATH: self._reserve,
+            peers.SETTLE_PATH: self._settle,
+            peers.FEED_PATH: self._read_feed,
+        }
+
+    def handle(
+        self, request: listeners.Request, reply: listeners.Reply
+    ) -> None:
+        """Answer one call."""
+        call = self._calls.get(request.path)
+        if call is None:
+            reply.send(404, ())
+            return
+        try:
+            result = call(json.loads(request.read_body()))
+        except (
+            ValueError,
+            KeyError,
+            TypeError,
+            listeners.MalformedBodyError,
+            listeners.BodyTooLargeError,
+        ) as error:
+            events.log(
+                events.Event.PEER_MESSAGE_DAMAGED,
+                logging.WARNING,
+                path=request.path,
+                reason=repr(error),
+            )
+            reply.close_after()
+            reply.send(400, ())
+            return
+        if result is None:
+            reply.send(503, ())
+            return
+        body = json.dumps(result, separators=(",", ":")).encode()
+        reply.send(200, JSON_FIELDS, body)
+
+    def _reserve(self, body: dict[str, Any]) -> dict[str, Any]:
+        result, servers = self._book.reserve(
+            str(body["program_id"]),
+            int(body["tokens"]),
+            int(body["budget_tokens"]),
+            ledger_book.Exposure(body["exposure"]),
+        )
+        match result:
+            case ledger.Reserved():
+                return {"result": "reserved", "servers": servers}
+            case ledger.Exhausted(recorded, left):
+                return {
+                    "result": "exhausted",
+                    "recorded_tokens": recorded,
+                    "left_tokens": left,
+                }
+            case ledger_book.Unrecorded(reason):
+                return {"result": "unrecorded", "reason": reason}
+
+    def _settle(self, body: dict[str, Any]) -> dict[str, Any]:
+        self._book.settle(
+            str(body["program_id"]),
+            int(body["reserved_tokens"]),
+            int(body["used_tokens"]),
+            str(body["server_id"]),
+        )
+        return {}
+
+    def _read_feed(self, body: dict[str, Any]) -> feed.FeedAnswer | None:
+        return self._feed.answer(str(body["epoch"]), int(body["cursor"]))
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -0,0 +1,255 @@
+"""Edge process: listeners, decisions and background threads."""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+from balsamloom_gateway import (
+    balancer,
+    budgets,
+    evacuation,
+    feed,
+    fleet,
+    follower,
+    interfaces,
+    ledger_book,
+    listeners,
+    membership,
+    peer_service,
+    peers,
+    proxy,
+    registrar,
+    stop_marker,
+    traffic,
+)
+
+# Bounds of the listeners that serve callers until a configuration is known.
+STARTING_HEADER_BYTES = 16_384
+STARTING_BODY_BYTES = 4_194_304
+STARTING_HEADER_TIMEOUT_MS = 3_000.0
+STARTING_IDLE_TIMEOUT_MS = 15_000.0
+PEER_IDLE_TIMEOUT_MS = 60_000.0
+PEER_THREADS = 64
+SMALL_THREADS = 8
+# A leaving process accepts connections for this time, until callers have
+# asked for addresses again.
+LEAVE_ACCEPT_MS = 1_500.0
+# Time of the stop that is kept for giving budgets back.
+LEAVE_RESERVE_MS = 700.0
+LEAVE_CHECK_MS = 50.0
+WATCH_SHARE = 0.3
+FOLLOW_SHARE = 0.2
+
+
+class EdgeSettings(NamedTuple):
+    """Settings of one edge process."""
+
+    name: str
+    incarnation: str
+    failure_domain: str
+    caller_address: str
+    ready_address: str
+    lookup_address: str
+    peer_address: str
+    threads: int
+    is_first_start: bool
+    view_bound_ms: float
+    grace_ms: float
+
+
+class SmallHandlers(NamedTuple):
+    """Handlers of the readiness check and the address lookup."""
+
+    ready: Callable[[EdgeProcess], listeners.Handler]
+    lookup: Callable[[EdgeProcess], listeners.Handler]
+
+
+class EdgeProcess:
+    """All parts of an edge process.
+
+    :param settings: checked settings.
+    :param store: platform's store.
+    :param records: keys and formats of the store's records.
+    :param codec: header fields.
+    :param handlers: readiness check and address lookup.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        store: interfaces.KeyValueStore,
+        records: interfaces.Records,
+        codec: interfaces.HeaderCodec,
+        handlers: SmallHandlers,
+        clock: clocks.Clock,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._is_leaving = False
+        self.fleet = fleet.Fleet(records, clock)
+        self.member = traffic.Member(
+            settings.name,
+            settings.caller_address,
+            settings.peer_address,
+            settings.failure_domain,
+            settings.incarnation,
+        )
+        self._balancer = balancer.Balancer(
+            clock, settings.failure_domain, random.Random()
+        )
+        self._feed = feed.Feed(clock, self.fleet.meaning)
+        clients = peers.PeerClients(clock)
+        self._book = ledger_book.LedgerBook(store, records, clock)
+        accounts = budgets.Budgets(
+            settings.name, self._book, clients, self.fleet.members, clock
+        )
+        self._proxy = proxy.Proxy(
+            self.fleet, self._balancer, accounts, codec, clock
+        )
+        self._evacuations = evacuation.Evacuations(
+            store, records, self._rank, clock
+        )
+        self._registrar = registrar.Registrar(
+            store, records.member_key(settings.name), self.member, clock
+        )
+        self._follower = follower.Follower(
+            settings.name,
+            store,
+            records,
+            self._feed,
+            self.fleet,
+            clients,
+            clock,
+            follower.Intervals(
+                settings.view_bound_ms * WATCH_SHARE,
+                settings.view_bound_ms * FOLLOW_SHARE,
+            ),
+        )
+        self._marker = stop_marker.StopMarker(
+            store, records.stop_marker_key(settings.name)
+        )
+        self._follower.after_reading = self._evacuations.answer_due
+        self.fleet.on_changes = self._evacuations.apply
+        self.fleet.on_member_lost = self._book.note_loss
+        self.fleet.on_servers = self._take_servers
+        self.fleet.on_configuration = self._take_configuration
+        service = peer_service.PeerService(self._book, self._feed)
+        self._front = listeners.Listener(
+            settings.caller_address, self._proxy.handle, self._limits(None)
+        )
+        small = self._limits(None)._replace(threads=SMALL_THREADS)
+        self._others = [
+            listeners.Listener(
+                settings.peer_address,
+                service.handle,
+                small._replace(
+                    threads=PEER_THREADS, idle_timeout_ms=PEER_IDLE_TIMEOUT_MS
+                ),
+            ),
+            listeners.Listener(
+                settings.ready_address, handlers.ready(self), small
+            ),
+            listeners.Listener(
+                settings.lookup_address, handlers.lookup(self), small
+            ),
+        ]
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether this process should get callers' requests."""
+        return self.fleet.in_force is not None and not self._is_leaving
+
+    def caller_addresses(self, failure_domain: str) -> list[str]:
+        """Return the addresses that a caller may use.
+
+        :param failure_domain: where the caller is.
+        """
+        own = self.member if self.is_ready else None
+        members = self.fleet.members()
+        if self._is_leaving:
+            members = [
+                member for member in members if member.name != self.member.name
+            ]
+        return membership.caller_addresses(members, own, failure_domain)
+
+    def start(self) -> None:
+        """Serve and keep the view up to date in the background."""
+        if not self._settings.is_first_start:
+            self._book.note_loss("restart", is_around_outage=True)
+        for listener in (*self._others, self._front):
+            listener.start()
+        for target in (
+            self._check_stop,
+            self._follower.run,
+            self._registrar.run,
+            self._book.run,
+        ):
+            threading.Thread(target=target, daemon=True).start()
+        events.log(
+            events.Event.PROCESS_STARTED,
+            member=self.member.name,
+            incarnation=self.member.incarnation,
+            caller_address=self._front.address,
+        )
+
+    def leave(self) -> None:
+        """Stop: finish the requests in progress and give budgets back."""
+        started_ms = self._clock.now_ms()
+        deadline_ms = started_ms + self._settings.grace_ms - LEAVE_RESERVE_MS
+        self._is_leaving = True
+        self._front.set_leaving()
+        events.log(events.Event.PROCESS_LEAVING, member=self.member.name)
+        threading.Thread(target=self._registrar.withdraw, daemon=True).start()
+        self._clock.sleep(LEAVE_ACCEPT_MS)
+        self._front.stop_accepting()
+        idle_checks = 0
+        while idle_checks < 2 and self._clock.now_ms() < deadline_ms:
+            self._clock.sleep(LEAVE_CHECK_MS)
+            idle_checks = idle_checks + 1 if self._front.is_idle else 0
+        self._book.stop()
+        self._book.release()
+        self._marker.leave()
+        self._follower.stop()
+        events.log(
+            events.Event.PROCESS_STOPPED,
+            member=self.member.name,
+            is_idle=self._front.is_idle,
+            duration_ms=round(self._clock.now_ms() - started_ms),
+        )
+
+    def _check_stop(self) -> None:
+        """End the caution of a start that followed a planned stop."""
+        if not self._settings.is_first_start and self._marker.take():
+            self._book.end_presumption("the last stop was planned")
+
+    def _rank(self) -> int:
+        return membership.rank_of(self.member.name, self.fleet.members())
+
+    def _take_servers(self, servers: list[traffic.BackendServer]) -> None:
+        self._balancer.set_servers(servers)
+        self._proxy.keep_pools_of(servers)
+
+    def _take_configuration(self, in_force: fleet.InForce) -> None:
+        self._front.set_limits(self._limits(in_force.configuration.limits))
+
+    def _limits(self, found: traffic.IngressLimits | None) -> listeners.Limits:
+        if found is None:
+            found = traffic.IngressLimits(
+                STARTING_HEADER_BYTES,
+                STARTING_BODY_BYTES,
+                STARTING_HEADER_TIMEOUT_MS,
+                STARTING_IDLE_TIMEOUT_MS,
+            )
+        return listeners.Limits(
+            self._settings.threads,
+            found.header_bytes,
+            found.body_bytes,
+            found.header_timeout_ms,
+            found.idle_timeout_ms,
+        )
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/registrar.py
@@ -0,0 +1,108 @@
+"""Registers this member in the store under a lease."""
+
+from __future__ import annotations
+
+import logging
+import threading
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+from balsamloom_gateway import fleet, interfaces, traffic
+
+LEASE_MS = 6_000
+RENEWAL_MS = 2_000.0
+RETRY_MS = 500.0
+
+
+class Registrar:
+    """Keeps the registration while this member takes requests.
+
+    :param store: platform's store.
+    :param key: key of the registration.
+    :param member: what is registered.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self,
+        store: interfaces.KeyValueStore,
+        key: str,
+        member: traffic.Member,
+        clock: clocks.Clock,
+    ) -> None:
+        self._store = store
+        self._write = interfaces.Write(key, fleet.encode_member(member))
+        self._clock = clock
+        self._stopped = threading.Event()
+        self._lease_id = 0
+        self._lock = threading.Lock()
+
+    def run(self) -> None:
+        """Register and renew until :meth:`withdraw`."""
+        while not self._stopped.is_set():
+            pause_ms = self.renew_once()
+            self._clock.wait(self._stopped, pause_ms)
+
+    def renew_once(self) -> float:
+        """Register or renew and return the pause until the next time."""
+        with self._lock:
+            if self._stopped.is_set():
+                return 0.0
+            try:
+                return self._renew()
+            except interfaces.StoreError as error:
+                events.log(
+                    events.Event.LEASE_CHANGED,
+                    logging.WARNING,
+                    lease_id=self._lease_id,
+                    outcome="not renewed",
+                    reason=str(error),
+                )
+                return RETRY_MS
+
+    def withdraw(self) -> None:
+        """End the registration; callers get no new addresses of this member.
+
+        If the store does not answer, the lease ends by itself.
+        """
+        self._stopped.set()
+        with self._lock:
+            if not self._lease_id:
+                return
+            try:
+                self._store.end_lease(self._lease_id)
+                outcome, reason = "ended", ""
+            except interfaces.StoreError as error:
+                outcome, reason = "left to expire", str(error)
+        events.log(
+            events.Event.LEASE_CHANGED,
+            lease_id=self._lease_id,
+            outcome=outcome,
+            reason=reason,
+        )
+
+    def _renew(self) -> float:
+        if self._lease_id:
+            if self._store.keep_lease(self._lease_id):
+                return RENEWAL_MS
+            events.log(
+                events.Event.LEASE_CHANGED,
+                logging.WARNING,
+                lease_id=self._lease_id,
+                outcome="lost",
+            )
+            self._lease_id = 0
+        lease_id = self._store.grant_lease(LEASE_MS)
+        write = self._write._replace(lease_id=lease_id)
+        match self._store.transact((), [write]):
+            case interfaces.Committed(revision):
+                self._lease_id = lease_id
+                events.log(
+                    events.Event.LEASE_CHANGED,
+                    lease_id=lease_id,
+                    outcome="granted",
+                    revision=revision,
+                )
+                return RENEWAL_MS
+            case _:
+                return RETRY_MS
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -0,0 +1,325 @@
+"""Passes one request to a server and its answer to the caller."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from balsamloom_core import clock as clocks
+from balsamloom_gateway import (
+    attempts,
+    balancer,
+    channels,
+    health,
+    interfaces,
+    listeners,
+    traffic,
+)
+
+# Answers up to this size are passed on only when they are complete.
+BUFFERED_BYTES_MAX = 262_144
+# Statuses that promise callers that a request has not run.
+PROMISE_STATUSES = frozenset({408, 421, 429, 503})
+# Time for the rest of an answer whose content is not needed.
+DISCARD_MS = 50.0
+EVENT_END = b"\n\n"
+
+
+@dataclasses.dataclass(frozen=True)
+class Relayed:
+    """The caller has the answer, whole or cut off where the server ended."""
+
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Gone:
+    """The caller left before the end of the answer."""
+
+    tokens: int
+
+
+Result = Relayed | Gone | attempts.NotRun | attempts.MayHaveRun
+
+
+class Relay:
+    """One attempt of a call at one server.
+
+    :param channel: connection to the server.
+    :param engine: properties of the engine, if the server is one.
+    """
+
+    def __init__(
+        self,
+        request: listeners.Request,
+        reply: listeners.Reply,
+        metadata: traffic.CallMetadata,
+        route: traffic.Route,
+        channel: channels.Channel,
+        codec: interfaces.HeaderCodec,
+        clock: clocks.Clock,
+        engine: traffic.Engine | None,
+    ) -> None:
+        self._reply = reply
+        self._metadata = metadata
+        self._route = route
+        self._channel = channel
+        self._codec = codec
+        self._clock = clock
+        self._engine = engine
+        identifier = metadata.request_id.encode("latin-1")
+        self._exchange = channels.Exchange(
+            channel,
+            clock,
+            request.descriptor,
+            (codec.request_id_field, identifier),
+            request.method == b"HEAD",
+        )
+        self._counter = EventCounter()
+        self._first_ms: float | None = None
+        self._last_ms: float | None = None
+        self._ended_ms: float | None = None
+        self._is_failure = False
+        self._pending: list[channels.AnswerPart] = []
+        self.load: traffic.ServerLoad | None = None
+        self.status = 0
+        self.end_reason = ""
+
+    @property
+    def event_count(self) -> int:
+        """Return the complete events that the caller got."""
+        return self._counter.events
+
+    def first_ms(self, sent_ms: float) -> float | None:
+        """Return the time to the first part of the body."""
+        if self._first_ms is None:
+            return None
+        return round(self._first_ms - sent_ms, 1)
+
+    def run(self, data: bytes, until_ms: float) -> Result:
+        """Send the request and pass the answer on.
+
+        :param data: whole request.
+        :param until_ms: time at which the caller must have its answer.
+        """
+        try:
+            self._exchange.send(data, until_ms)
+            head = self._receive_head(until_ms)
+            return self._pass_on(head, until_ms)
+        except channels.CallerGoneError as error:
+            self._channel.close()
+            self.end_reason = str(error)
+            self._reply.abort()
+            return Gone(self._tokens())
+        except channels.ChannelError as error:
+            self._channel.close()
+            return self._broken(error)
+
+    def observation(self, sent_ms: float) -> balancer.Observation:
+        """Return the times that were observed."""
+        if self._first_ms is None or self._ended_ms is None:
+            return balancer.Observation()
+        first_ms = self._first_ms - sent_ms
+        if self._engine is None:
+            return balancer.Observation(total_ms=self._ended_ms - sent_ms)
+        step_ms = None
+        if self._last_ms is not None and self._counter.events > 1:
+            tokens = (self._counter.events - 1) * self._engine.tokens_per_event
+            step_ms = (self._last_ms - self._first_ms) / tokens
+        return balancer.Observation(
+            first_event_ms=first_ms, step_ms_per_token=step_ms
+        )
+
+    def health_outcome(self, result: Result) -> health.Outcome:
+        """Return what the attempt says of the server's health."""
+        match result:
+            case Relayed():
+                if self._is_failure:
+                    return health.Outcome.FAILED
+                return health.Outcome.SUCCEEDED
+            case Gone():
+                return health.Outcome.ABANDONED
+            case attempts.NotRun():
+                return health.Outcome.REFUSED
+            case attempts.MayHaveRun():
+                return health.Outcome.FAILED
+
+    def _receive_head(self, until_ms: float) -> channels.AnswerHead:
+        while True:
+            self._pending.extend(self._exchange.receive(until_ms))
+            while self._pending:
+                part = self._pending.pop(0)
+                if isinstance(part, channels.AnswerHead):
+                    return part
+
+    def _parts(self, until_ms: float) -> list[channels.AnswerPart]:
+        if not self._pending:
+            return self._exchange.receive(until_ms)
+        parts = self._pending
+        self._pending = []
+        return parts
+
+    def _pass_on(self, head: channels.AnswerHead, until_ms: float) -> Result:
+        answer = self._codec.decode_answer(head.status, head.headers.fields)
+        self.status = head.status
+        self.load = answer.load
+        if answer.idle_timeout_ms is not None:
+            self._channel.idle_limit_ms = answer.idle_timeout_ms
+        if answer.is_not_executed:
+            self._discard()
+            return attempts.NotRun(f"refused with status {head.status}")
+        if not self._is_own(answer, head):
+            self._channel.close()
+            self._is_failure = True
+            return attempts.MayHaveRun(f"status {head.status} of no server")
+        fields = self._codec.relayed(head.headers.fields)
+        is_success = 200 <= head.status < 300
+        if self._route.kind is traffic.RouteKind.STREAMING and is_success:
+            return self._stream(head, fields, until_ms)
+        self._is_failure = head.status >= 500
+        return self._buffer(head, fields, until_ms)
+
+    def _is_own(
+        self, answer: traffic.AnswerMetadata, head: channels.AnswerHead
+    ) -> bool:
+        """Return whether an answer may be passed on as the server's own.
+
+        A promise that the request has not run needs the server's word for
+        it, and a success its signature.
+        """
+        if head.status in PROMISE_STATUSES:
+            return False
+        return answer.is_signed or head.status >= 300
+
+    def _discard(self) -> None:
+        """Read the rest of a short answer, so that the connection is kept."""
+        until_ms = self._clock.now_ms() + DISCARD_MS
+        try:
+            while True:
+                for part in self._parts(until_ms):
+                    if isinstance(part, channels.AnswerEnd):
+                        return
+        except channels.ChannelError:
+            self._channel.close()
+
+    def _buffer(
+        self,
+        head: channels.AnswerHead,
+        fields: list[tuple[bytes, bytes]],
+        until_ms: float,
+    ) -> Result:
+        body = bytearray()
+        while True:
+            for part in self._parts(until_ms):
+                match part:
+                    case channels.AnswerData(data):
+                        body += data
+                    case channels.AnswerEnd():
+                        return self._send_whole(head, fields, bytes(body))
+                    case channels.AnswerHead():
+                        raise AssertionError("an answer has one head")
+            if len(body) > BUFFERED_BYTES_MAX:
+                return self._stream(head, fields, until_ms, bytes(body))
+
+    def _send_whole(
+        self,
+        head: channels.AnswerHead,
+        fields: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> Result:
+        self._ended_ms = self._clock.now_ms()
+        self._first_ms = self._ended_ms
+        length = len(body)
+        if head.length is not None and not body:
+            # An answer to HEAD states the length of a body it has not.
+            length = head.length
+        try:
+            self._reply.start(head.status, fields, length)
+            self._reply.write(body)
+            self._reply.finish()
+        except OSError as error:
+            self.end_reason = f"the caller does not read: {error}"
+            self._reply.abort()
+            return Gone(0)
+        self.end_reason = "answered"
+        return Relayed(0)
+
+    def _stream(
+        self,
+        head: channels.AnswerHead,
+        fields: list[tuple[bytes, bytes]],
+        until_ms: float,
+        first: bytes = b"",
+    ) -> Result:
+        parts: list[channels.AnswerPart] = []
+        if first:
+            parts.append(channels.AnswerData(first))
+        while True:
+            parts.extend(self._parts(until_ms))
+            data = b"".join(
+                part.data
+                for part in parts
+                if isinstance(part, channels.AnswerData)
+            )
+            is_complete = isinstance(parts[-1], channels.AnswerEnd)
+            parts = []
+            try:
+                if not self._reply.is_started and (data or is_complete):
+                    self._reply.start(head.status, fields, head.length)
+                if data:
+                    self._note_data(data)
+                    self._reply.write(data)
+                if is_complete:
+                    self._reply.finish()
+            except OSError as error:
+                raise channels.CallerGoneError(
+                    f"the caller does not read: {error}"
+                ) from error
+            if is_complete:
+                self._ended_ms = self._clock.now_ms()
+                self.end_reason = "answered"
+                return Relayed(self._tokens())
+
+    def _note_data(self, data: bytes) -> None:
+        now_ms = self._clock.now_ms()
+        if self._first_ms is None:
+            self._first_ms = now_ms
+        self._last_ms = now_ms
+        self._counter.add(data)
+
+    def _tokens(self) -> int:
+        """Return the tokens that the caller may have got."""
+        if self._engine is None:
+            return 0
+        return self._counter.events_begun * self._engine.tokens_per_event
+
+    def _broken(self, error: channels.ChannelError) -> Result:
+        self._is_failure = not isinstance(error, channels.ExchangeTimeoutError)
+        if self._reply.is_started:
+            self.end_reason = f"cut off: {error}"
+            self._reply.abort()
+            return Relayed(self._tokens())
+        if self._exchange.sent_bytes == 0:
+            return attempts.NotRun(str(error))
+        return attempts.MayHaveRun(str(error))
+
+
+class EventCounter:
+    """Counts server-sent events in a stream that arrives in pieces."""
+
+    def __init__(self) -> None:
+        self.events = 0
+        self._tail = b""
+        self._is_inside = False
+
+    @property
+    def events_begun(self) -> int:
+        """Return the events of which at least a part arrived."""
+        return self.events + self._is_inside
+
+    def add(self, data: bytes) -> None:
+        """Take in the next piece."""
+        joined = self._tail + data
+        self.events += joined.count(EVENT_END)
+        self._is_inside = not joined.endswith(EVENT_END)
+        has_half_end = self._is_inside and joined.endswith(b"\n")
+        self._tail = b"\n" if has_half_end else b""
--- /dev/null
+++ b/packages/gateway/tests/builders.py
@@ -0,0 +1,243 @@
+"""Builders of test data for the gateway's tests."""
+
+from __future__ import annotations
+
+import json
+import threading
+
+from balsamloom_core import clock as clocks
+from balsamloom_gateway import interfaces, traffic
+
+SERVICE = "engines"
+
+
+def server(
+    server_id: str = "s1",
+    service: str = SERVICE,
+    slots: int = 8,
+    is_draining: bool = False,
+    incarnation: int = 1,
+    failure_domain: str = "a",
+) -> traffic.BackendServer:
+    """Build a backend server."""
+    return traffic.BackendServer(
+        server_id,
+        service,
+        "127.0.0.1:1",
+        failure_domain,
+        slots,
+        is_draining,
+        incarnation,
+    )
+
+
+def route(
+    kind: traffic.RouteKind = traffic.RouteKind.IDEMPOTENT,
+    max_attempts: int = 2,
+    prefix: str = "/a/",
+    host: str = "h.example",
+    shares: tuple[tuple[str, float], ...] = ((SERVICE, 1.0),),
+    timeout_ms: float = 2_000.0,
+) -> traffic.Route:
+    """Build a route."""
+    return traffic.Route(
+        name=f"r{prefix}",
+        host=host,
+        path_prefix=prefix,
+        kind=kind,
+        shares=tuple(traffic.ServiceShare(*share) for share in shares),
+        max_attempts=max_attempts,
+        timeout_ms=timeout_ms,
+        objective_ms=200.0,
+        priority=0,
+        is_resumable=False,
+        retention_ms=60_000.0,
+    )
+
+
+def configuration(
+    version: int = 1, routes: tuple[traffic.Route, ...] | None = None
+) -> traffic.Configuration:
+    """Build a configuration with one engine service."""
+    engine = traffic.Engine(48, 100_000, 3)
+    return traffic.Configuration(
+        version,
+        routes if routes is not None else (route(),),
+        {SERVICE: traffic.Service(SERVICE, 100, engine)},
+        traffic.IngressLimits(16_384, 1_000_000, 1_000.0, 5_000.0),
+    )
+
+
+def member(name: str, incarnation: str = "1") -> traffic.Member:
+    """Build a member."""
+    return traffic.Member(
+        name, f"{name}:1", f"{name}:2", name[-1], incarnation
+    )
+
+
+class Records:
+    """Keys and formats of the tests: JSON under plain prefixes."""
+
+    prefixes = ("config", "server/", "member/")
+
+    def kind(self, key: str) -> interfaces.RecordKind:
+        """Return what a key holds."""
+        name = key.partition("/")[2]
+        match key.partition("/")[0]:
+            case "config":
+                return interfaces.ConfigurationRecord()
+            case "server":
+                return interfaces.ServerRecord(name)
+            case "member":
+                return interfaces.MemberRecord(name)
+            case "order":
+                return interfaces.EvacuationOrder(name)
+            case "status":
+                return interfaces.EvacuationStatus(name)
+            case _:
+                return interfaces.OtherRecord()
+
+    def member_key(self, name: str) -> str:
+        """Return the key of a member."""
+        return f"member/{name}"
+
+    def ledger_key(self, program_id: str) -> str:
+        """Return the key of a budget record."""
+        return f"ledger/{program_id}"
+
+    def stop_marker_key(self, name: str) -> str:
+        """Return the key of a stop marker."""
+        return f"stopped/{name}"
+
+    def evacuation_status(self, host: str) -> tuple[str, bytes]:
+        """Return a status."""
+        return f"status/{host}", b"empty"
+
+    def configuration(self, value: bytes) -> traffic.Configuration:
+        """Decode a version number into a configuration."""
+        if not value.isdigit():
+            raise interfaces.InvalidRecordError("no number")
+        return configuration(int(value))
+
+    def server(self, server_id: str, value: bytes) -> traffic.BackendServer:
+        """Decode the state of a server."""
+        try:
+            found = json.loads(value)
+            return server(server_id, is_draining=found["is_draining"])
+        except (ValueError, KeyError) as error:
+            raise interfaces.InvalidRecordError(str(error)) from error
+
+
+class Store:
+    """Key-value store in memory that can be told to fail."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, interfaces.Item] = {}
+        self.revision = 0
+        self.error: interfaces.StoreError | None = None
+        # Writes take effect although their answer is lost.
+        self.loses_answers = False
+        self.has_history = True
+        self.changes: list[interfaces.Change] = []
+        self.calls: list[str] = []
+        self.leases: dict[int, set[str]] = {}
+        self.lock = threading.Lock()
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write as another writer does."""
+        with self.lock:
+            self._write(key, value)
+
+    def delete(self, key: str) -> None:
+        """Delete as another writer does."""
+        with self.lock:
+            self._delete(key)
+
+    def list_page(
+        self, prefix: str, after: str, may_be_stale: bool
+    ) -> interfaces.Page:
+        """Return keys under a prefix."""
+        self._check("list")
+        found = [
+            item
+            for key, item in sorted(self.items.items())
+            if key.startswith(prefix) and key > after
+        ]
+        return interfaces.Page(tuple(found), False, self.revision)
+
+    def watch(
+        self, prefix: str, revision: int, wait_ms: int
+    ) -> interfaces.Changes:
+        """Return changes since a revision."""
+        self._check("watch")
+        if not self.has_history:
+            raise interfaces.HistoryGoneError("dropped")
+        found = [
+            change
+            for change in self.changes
+            if change.revision > revision and change.key.startswith(prefix)
+        ]
+        return interfaces.Changes(tuple(found), self.revision)
+
+    def transact(self, conditions, writes, deletes=()):
+        """Write all or nothing."""
+        if not self.loses_answers:
+            self._check("transact")
+        with self.lock:
+            named = {
+                condition.key: self.items[condition.key]
+                for condition in conditions
+                if condition.key in self.items
+            }
+            for key, revision in conditions:
+                item = self.items.get(key)
+                if (item.revision if item else 0) != revision:
+                    return interfaces.Conflict(named)
+            for write in writes:
+                self._write(write.key, write.value)
+                if write.lease_id:
+                    self.leases[write.lease_id].add(write.key)
+            for key in deletes:
+                self._delete(key)
+        if self.loses_answers:
+            raise interfaces.StoreOutcomeUnknownError("lost")
+        return interfaces.Committed(self.revision)
+
+    def grant_lease(self, ttl_ms: int) -> int:
+        """Return a new lease."""
+        self._check("grant")
+        lease_id = len(self.leases) + 1
+        self.leases[lease_id] = set()
+        return lease_id
+
+    def keep_lease(self, lease_id: int) -> bool:
+        """Renew a lease."""
+        self._check("keep")
+        return lease_id in self.leases
+
+    def end_lease(self, lease_id: int) -> None:
+        """End a lease and delete its keys."""
+        self._check("end")
+        for key in self.leases.pop(lease_id, set()):
+            self.delete(key)
+
+    def _check(self, call: str) -> None:
+        self.calls.append(call)
+        if self.error is not None:
+            raise self.error
+
+    def _write(self, key: str, value: bytes) -> None:
+        self.revision += 1
+        item = interfaces.Item(key, value, self.revision)
+        self.items[key] = item
+        self.changes.append(item)
+
+    def _delete(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.changes.append(interfaces.Deleted(key, self.revision))
+
+
+def manual_clock() -> clocks.ManualClock:
+    """Build a clock that moves only when told to."""
+    return clocks.ManualClock(1_000_000.0)
--- /dev/null
+++ b/packages/gateway/tests/test_ledger.py
@@ -0,0 +1,107 @@
+"""Tests of budget accounts."""
+
+import random
+import unittest
+
+from balsamloom_gateway import ledger
+
+
+class AccountTest(unittest.TestCase):
+    """Guards against programs that exceed their budget or lose it."""
+
+    def setUp(self):
+        self.account = ledger.Account("p", 900)
+
+    def test_first_turn_needs_no_record_within_the_allowance(self):
+        self.assertEqual(self.account.reserve(135, 135), ledger.Reserved())
+        self.assertEqual(self.account.exposed_tokens, 135)
+
+    def test_second_turn_needs_a_record(self):
+        self.account.reserve(135, 135)
+        result = self.account.reserve(135, 135)
+        self.assertIsInstance(result, ledger.BlockNeeded)
+
+    def test_block_covers_what_is_exposed(self):
+        self.account.reserve(135, 135)
+        self.account.recorded(225, 1, 225)
+        self.assertEqual(self.account.exposed_tokens, 0)
+        self.assertEqual(self.account.left_tokens, 90)
+
+    def test_unused_tokens_serve_the_next_turn(self):
+        self.account.recorded(135, 1, 135)
+        self.account.reserve(135, 0)
+        self.account.settle(135, 30)
+        self.assertEqual(self.account.left_tokens, 105)
+
+    def test_budget_that_does_not_hold_a_turn_is_exhausted(self):
+        self.account.recorded(800, 1, 0)
+        self.assertEqual(
+            self.account.reserve(135, 135), ledger.Exhausted(800, 0)
+        )
+
+    def test_unknown_blocks_count_as_spent(self):
+        # After a crash the holder knows only what the store holds.
+        self.account.recorded(900, 3, 0)
+        self.assertIsInstance(
+            self.account.reserve(1, 10_000), ledger.Exhausted
+        )
+
+    def test_presumed_tokens_leave_half_the_budget_and_a_turn(self):
+        self.assertEqual(ledger.presumed_tokens(900, 135), 315)
+        self.assertEqual(ledger.presumed_tokens(200, 135), 0)
+
+
+class CrashTest(unittest.TestCase):
+    """Guards against overspending when holders lose their memory."""
+
+    BUDGET = 900
+    TURN = 135
+
+    def test_one_loss_costs_at_most_one_turn_beyond_the_budget(self):
+        for seed in range(300):
+            with self.subTest(seed=seed):
+                self.assertLessEqual(self._play(seed), self.BUDGET + self.TURN)
+
+    def _play(self, seed):
+        """Return the tokens that a looping program gets over one crash."""
+        generator = random.Random(seed)
+        crash_at = generator.randrange(1, 30)
+        recorded, revision, spent = 0, 0, 0
+        account = ledger.Account("p", self.BUDGET)
+        for step in range(200):
+            if step == crash_at:
+                account = ledger.Account("p", self.BUDGET)
+            match account.reserve(self.TURN, self.TURN):
+                case ledger.Reserved():
+                    used = generator.randrange(self.TURN + 1)
+                    spent += used
+                    account.settle(self.TURN, used)
+                case ledger.Exhausted():
+                    if account.revision == revision:
+                        return spent
+                case ledger.BlockNeeded():
+                    pass
+            # The record is written now and then, as the store allows.
+            if generator.random() < 0.4:
+                if account.revision != revision:
+                    account.recorded(recorded, revision, 0)
+                block = account.next_block(self.TURN)
+                if block:
+                    recorded += block
+                    revision += 1
+                    account.recorded(recorded, revision, block)
+        return spent
+
+
+class RecentServersTest(unittest.TestCase):
+    """Guards against an unbounded or wrongly ordered list."""
+
+    def test_latest_server_is_first_and_the_list_is_bounded(self):
+        servers = ()
+        for server_id in ("a", "b", "a", "c", "d"):
+            servers = ledger.note_server(servers, server_id)
+        self.assertEqual(servers, ("d", "c", "a"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/gateway/tests/test_ledger_book.py
@@ -0,0 +1,126 @@
+"""Tests of the accounts of one holder against the store."""
+
+import json
+import threading
+import unittest
+
+import builders
+
+from balsamloom_core import clock as clocks
+from balsamloom_gateway import interfaces, ledger, ledger_book
+
+ONE_TURN = ledger_book.Exposure.ONE_TURN
+OUTAGE = ledger_book.Exposure.OUTAGE
+NONE = ledger_book.Exposure.NONE
+
+
+class BookTest(unittest.TestCase):
+    """Guards against tokens that are handed out without a record."""
+
+    def setUp(self):
+        self.store = builders.Store()
+        self.book = self.start_book()
+
+    def start_book(self):
+        book = ledger_book.LedgerBook(
+            self.store, builders.Records(), clocks.Clock()
+        )
+        thread = threading.Thread(target=book.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, 5)
+        self.addCleanup(book.stop)
+        return book
+
+    def reserve(self, book, exposure, tokens=100, budget=400):
+        return book.reserve("p", tokens, budget, exposure)[0]
+
+    def recorded_tokens(self):
+        item = self.store.items.get("ledger/p")
+        return json.loads(item.value)["tokens"] if item else 0
+
+    def test_turn_without_exposure_waits_for_its_record(self):
+        result = self.reserve(self.book, NONE)
+        self.assertEqual(result, ledger.Reserved())
+        self.assertGreaterEqual(self.recorded_tokens(), 100)
+
+    def test_new_holder_counts_recorded_blocks_as_spent(self):
+        self.store.put("ledger/p", b'{"tokens": 350, "block": "x.1"}')
+        result = self.reserve(self.book, NONE)
+        self.assertEqual(result, ledger.Exhausted(350, 0))
+
+    def test_unrecorded_turn_is_refused_while_the_store_is_away(self):
+        self.store.error = interfaces.StoreUnavailableError("down")
+        result = self.reserve(self.book, NONE)
+        self.assertIsInstance(result, ledger_book.Unrecorded)
+
+    def test_outage_allows_half_of_the_budget(self):
+        self.store.error = interfaces.StoreUnavailableError("down")
+        results = [self.reserve(self.book, OUTAGE) for _ in range(3)]
+        self.assertEqual(results[:2], [ledger.Reserved()] * 2)
+        self.assertIsInstance(results[2], ledger_book.Unrecorded)
+
+    def test_exposed_tokens_are_recorded_after_the_outage(self):
+        self.store.error = interfaces.StoreUnavailableError("down")
+        for _ in range(2):
+            self.reserve(self.book, OUTAGE)
+        self.store.error = None
+        self.wait_until(lambda: self.recorded_tokens() >= 200)
+        self.assertEqual(self.reserve(self.book, NONE), ledger.Reserved())
+
+    def test_unknown_program_gets_nothing_unrecorded_after_a_loss(self):
+        # It may be a program that the lost holder has let spend everything.
+        self.store.put("ledger/p", b'{"tokens": 400, "block": "x.1"}')
+        self.book.note_loss("holder ended", is_around_outage=False)
+        result = self.reserve(self.book, ONE_TURN)
+        self.assertIsInstance(result, ledger.Exhausted)
+
+    def test_loss_around_an_outage_is_presumed_to_have_spent(self):
+        self.book.note_loss("holder ended", is_around_outage=True)
+        results = [self.reserve(self.book, NONE) for _ in range(4)]
+        self.assertEqual(results[:3], [ledger.Reserved()] * 3)
+        self.assertIsInstance(results[3], ledger.Exhausted)
+
+    def test_lost_answer_is_recognised_by_the_blocks_name(self):
+        self.store.loses_answers = True
+        self.reserve(self.book, NONE)
+        self.wait_until(lambda: self.recorded_tokens() > 0)
+        self.store.loses_answers = False
+        self.wait_until(
+            lambda: self.reserve(self.book, NONE) == ledger.Reserved()
+        )
+        self.assertLessEqual(self.recorded_tokens(), 200)
+
+    def test_planned_stop_gives_unused_blocks_back(self):
+        self.reserve(self.book, NONE)
+        self.book.settle("p", 100, 30, "s1")
+        self.book.stop()
+        self.book.release()
+        self.assertEqual(self.recorded_tokens(), 30)
+
+    def test_transactions_stay_under_the_stores_limit(self):
+        # The store takes 32 entries, conditions and writes together.
+        self.store.error = interfaces.StoreUnavailableError("down")
+        for number in range(40):
+            self.book.reserve(f"p{number}", 10, 100, ONE_TURN)
+        sizes = []
+        transact = self.store.transact
+
+        def counted(conditions, writes, deletes=()):
+            sizes.append(len(conditions) + len(writes) + len(deletes))
+            return transact(conditions, writes, deletes)
+
+        self.store.transact = counted
+        self.store.error = None
+        self.wait_until(lambda: len(self.store.items) == 40)
+        self.assertLessEqual(max(sizes), 32)
+
+    def wait_until(self, condition, timeout_ms=5_000):
+        clock = clocks.Clock()
+        end_ms = clock.now_ms() + timeout_ms
+        while not condition():
+            self.assertLess(clock.now_ms(), end_ms, "condition not met")
+            clock.sleep(5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -45,6 +45,18 @@
     }
 
 
+def suite_name(directory: pathlib.Path) -> str:
+    """Return the name of the suite in a directory of tests.
+
+    :param directory: ``tests`` of a package, the adapter or the repository.
+    """
+    if directory.parent == ROOT:
+        return "repository"
+    if directory.parent == ROOT / "platform":
+        return "adapter"
+    return directory.parent.name
+
+
 def run_package(directory: pathlib.Path) -> int:
     """Run one package's tests in this process and print a JSON count last.
 
@@ -52,8 +64,7 @@
     """
     sys.path.insert(0, str(directory))
     red = known_red()
-    is_root = directory.parent == ROOT
-    package = "repository" if is_root else directory.parent.name
+    package = suite_name(directory)
     suite = unittest.TestSuite()
     for test in _flatten(unittest.defaultTestLoader.discover(str(directory))):
         if f"{package}:{test.id()}" in red:
@@ -115,12 +126,11 @@
 
 def _suites() -> dict[str, list[str]]:
     suites = {}
-    directories = sorted(ROOT.glob("packages/*/tests")) + [ROOT / "tests"]
+    directories = sorted(ROOT.glob("packages/*/tests"))
+    directories += [ROOT / "platform" / "tests", ROOT / "tests"]
     for directory in directories:
         if any(directory.glob("test_*.py")):
-            is_root = directory.parent == ROOT
-            name = "repository" if is_root else directory.parent.name
-            suites[name] = [
+            suites[suite_name(directory)] = [
                 sys.executable,
                 __file__,
                 "--package",
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -15,7 +15,7 @@
 BIN = pathlib.Path(sys.executable).parent
 SOURCES = [
     name
-    for name in ("packages", "tools", "tests", "scenarios")
+    for name in ("packages", "platform", "tools", "tests", "scenarios")
     if (ROOT / name).is_dir()
 ]
 COUNT_LINE = re.compile(r"(\d+) passed, (\d+) failed")
@@ -23,6 +23,7 @@
 
 def _checks() -> dict[str, list[str]]:
     packages = [str(path) for path in sorted(ROOT.glob("packages/*/src"))]
+    packages.append(str(ROOT / "platform" / "src"))
     return {
         "formatter": [str(BIN / "ruff"), "format", "--check", *SOURCES],
         "linter": [str(BIN / "ruff"), "check", *SOURCES],
