Let a standby know of budgets that are handed out without a record

Cause: after any kill or planned restart, programs without a record were presumed to have spent half of their budget, and that presumption was recorded again by each holder that followed.

Change: in an outage the holder tells the next member what it exposes before it answers; a restarted holder asks there. The rest of a lost block is covered by the one turn by which a budget may be exceeded. Blocks are an eighth of the budget.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -160,9 +160,7 @@
     Event.LINES_DROPPED: "Log lines were dropped to bound their volume.",
     Event.PEER_CALL_FAILED: "A call to another member failed.",
     Event.SETTINGS_REJECTED: "The settings cannot be used.",
-    Event.BUDGET_CAUTION: (
-        "A process that held budgets may be lost, or is known not to be."
-    ),
+    Event.BUDGET_CAUTION: "A process that held budgets may be lost.",
 }
 
 
--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Sequence
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
 from balsamloom_gateway import (
+    fleet,
     ledger,
     ledger_book,
     membership,
@@ -36,7 +36,7 @@
     :param name: name of this member.
     :param book: accounts that this member holds.
     :param clients: other members.
-    :param members: returns the registered members.
+    :param view: registered members and outages.
     :param clock: time source.
     """
 
@@ -45,13 +45,13 @@
         name: str,
         book: ledger_book.LedgerBook,
         clients: peers.PeerClients,
-        members: Callable[[], Sequence[traffic.Member]],
+        view: fleet.Fleet,
         clock: clocks.Clock,
     ) -> None:
         self._name = name
         self._book = book
         self._clients = clients
-        self._members = members
+        self._fleet = view
         self._clock = clock
         self._lock = threading.Lock()
         self._avoided: dict[str, float] = {}
@@ -67,7 +67,7 @@
         is_reached = False
         for is_last_resort in (False, True):
             holders = membership.budget_holders(
-                call.program_id, self._members()
+                call.program_id, self._fleet.members()
             )
             for place, holder in enumerate(holders):
                 if self._is_avoided(holder):
@@ -195,6 +195,58 @@
         return result
 
 
+class PeerStandby:
+    """The member after this one, as standby of its budgets.
+
+    :param name: name of this member.
+    :param clients: other members.
+    :param view: registered members.
+    """
+
+    def __init__(
+        self, name: str, clients: peers.PeerClients, view: fleet.Fleet
+    ) -> None:
+        self._name = name
+        self._clients = clients
+        self._fleet = view
+
+    def note(
+        self, program_id: str, budget_tokens: int, claimed_tokens: int
+    ) -> bool:
+        """Tell what is claimed; return whether a standby knows it now."""
+        body = {
+            "program_id": program_id,
+            "budget_tokens": budget_tokens,
+            "claimed_tokens": claimed_tokens,
+        }
+        return self._call(program_id, peers.NOTE_PATH, body) is not None
+
+    def claimed_tokens(self, program_id: str) -> int:
+        """Return what a holder before this one had claimed."""
+        body = {"program_id": program_id}
+        answer = self._call(program_id, peers.CLAIM_PATH, body)
+        return int(answer["claimed_tokens"]) if answer else 0
+
+    def _call(
+        self, program_id: str, path: str, body: dict[str, Any]
+    ) -> dict[str, Any] | None:
+        holders = membership.budget_holders(program_id, self._fleet.members())
+        others = [member for member in holders if member.name != self._name]
+        for member in others:
+            try:
+                return self._clients.call(
+                    member.peer_address, path, body, PEER_TIMEOUT_MS
+                )
+            except peers.PeerUnavailableError as error:
+                events.log(
+                    events.Event.PEER_CALL_FAILED,
+                    member=member.name,
+                    call=path,
+                    reason=str(error),
+                )
+        return None
+
+
 def _exposure(place: int, is_last_resort: bool) -> ledger_book.Exposure:
     """Return what a holder may hand out before it is recorded.
 
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -15,9 +15,6 @@
 # Registrations that lapsed while the store was away return within this time
 # after it is back; those that do not are gone.
 LAPSE_HOLD_MS = 2_500.0
-# Members that end within this time of an outage may have held what only they
-# knew.
-LOSS_MEMORY_MS = 60_000.0
 # A copy of the store's records that is older shows an outage.
 OUTAGE_AGE_MS = 1_500.0
 
@@ -52,7 +49,7 @@
         self._is_stale = False
         self._in_force: InForce | None = None
         self.on_changes: Callable[[list[interfaces.Change]], None] = _drop
-        self.on_member_lost: Callable[[str, bool], None] = _drop
+        self.on_member_lost: Callable[[str], None] = _drop
         self.on_servers: Callable[[list[traffic.BackendServer]], None] = _drop
         self.on_configuration: Callable[[InForce], None] = _drop
 
@@ -164,7 +161,7 @@
                 self._held_members.pop(name, None)
                 known = self._members.get(name)
                 if known and known.incarnation != value.incarnation:
-                    self._note_loss(name)
+                    self.on_member_lost(name)
                 self._members[name] = value
                 events.log(
                     events.Event.MEMBER_VIEW_CHANGED,
@@ -235,7 +232,7 @@
                     self._held_members[member] = hold_until_ms
                 else:
                     self._members.pop(member, None)
-                    self._note_loss(member)
+                    self.on_member_lost(member)
                 name = member
             case _:
                 return
@@ -255,13 +252,7 @@
             if now_ms >= until_ms:
                 del self._held_members[name]
                 self._members.pop(name, None)
-                self._note_loss(name)
-
-    def _note_loss(self, name: str) -> None:
-        """Report that a member ended, and whether an outage was near."""
-        since_ms = self._clock.now_ms() - self._outage_end_ms
-        is_near = self._is_stale or since_ms < LOSS_MEMORY_MS
-        self.on_member_lost(f"{name} ended", is_near)
+                self.on_member_lost(name)
 
 
 def encode_member(member: traffic.Member) -> bytes:
--- a/packages/gateway/src/balsamloom_gateway/interfaces.py
+++ b/packages/gateway/src/balsamloom_gateway/interfaces.py
@@ -200,9 +200,6 @@
     def ledger_key(self, program_id: str) -> str:
         """Return the key of a program's budget record."""
 
-    def stop_marker_key(self, name: str) -> str:
-        """Return the key of an edge process's stop marker."""
-
     def evacuation_status(self, host: str) -> tuple[str, bytes]:
         """Return key and value that say that a storage host is empty."""
 
--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -6,18 +6,18 @@
 
 Tokens may be handed out before their block is recorded, up to an allowance.
 These exposed tokens are what a crash can lose. A budget may be exceeded by
-the most of one turn, so an allowance of one turn is always safe. A larger one
-is given only while the store does not answer; a process that may follow on a
-crash then counts as much of the budget as spent (:func:`presumed_tokens`).
+the most of one turn, which covers one of two things: one exposed turn before
+the first record, or the rest of a block that a lost process held. While the
+store does not answer more may be exposed, if a standby knows of it.
 """
 
 from __future__ import annotations
 
 import dataclasses
 
-# A first block covers a quarter of the budget: most programs need two or
-# three blocks, and a crash costs a program at most one.
-BLOCK_SHARE = 4
+# A block is this part of the budget or what a turn needs. Larger blocks need
+# fewer records and lose more in a crash.
+BLOCK_SHARE = 8
 # Share of the unrecorded budget that may be exposed while the store is away.
 OUTAGE_SHARE = 2
 # Servers remembered for each program, where its prompt parts may be held.
@@ -44,14 +44,6 @@
     tokens: int
 
 
-def presumed_tokens(budget_tokens: int, turn_tokens: int) -> int:
-    """Return what a lost process may have handed out in an outage.
-
-    One turn less is presumed, because a budget may be exceeded by one turn.
-    """
-    return max(budget_tokens // OUTAGE_SHARE - turn_tokens, 0)
-
-
 class Account:
     """Budget of one program at the process that holds its blocks.
 
@@ -63,7 +55,11 @@
         self.program_id = program_id
         self.budget_tokens = budget_tokens
         self.recorded_tokens = 0
-        self.presumed_tokens = 0
+        # Tokens that another holder has claimed, recorded or exposed.
+        self.noted_tokens = 0
+        # What the program may exceed its budget by, for blocks that a lost
+        # process did not use up.
+        self.slack_tokens = 0
         self.revision = 0
         self.left_tokens = 0
         self.exposed_tokens = 0
@@ -71,9 +67,28 @@
         # Blocks whose recording was neither confirmed nor refused.
         self.unconfirmed: dict[str, int] = {}
         self.wanted_tokens = 0
+        self.turn_tokens = 0
         self.used_ms = 0.0
         self.servers: tuple[str, ...] = ()
 
+    @property
+    def claimed_tokens(self) -> int:
+        """Return the tokens that are recorded or exposed."""
+        return self.recorded_tokens + self.exposed_tokens
+
+    def note_claim(self, claimed_tokens: int) -> None:
+        """Take in what another holder of the program has claimed."""
+        self.noted_tokens = max(self.noted_tokens, claimed_tokens)
+        self.recorded_tokens = max(self.recorded_tokens, claimed_tokens)
+
+    def needs_standby(self, turn_tokens: int) -> bool:
+        """Return whether a crash could lose more than one turn.
+
+        With a record, the slack for the rest of a lost block is one already.
+        """
+        most = 0 if self.revision else turn_tokens
+        return self.exposed_tokens > most
+
     def outage_allowance(self) -> int:
         """Return the tokens that may be exposed while the store is away."""
         return (self.budget_tokens - self.recorded_tokens) // OUTAGE_SHARE
@@ -117,19 +132,20 @@
         :param own: tokens of blocks that belong to this process and were not
             known to be recorded.
         """
-        self.recorded_tokens = total_tokens
+        self.recorded_tokens = max(total_tokens, self.noted_tokens)
         self.revision = revision
         self.wanted_tokens = 0
         self._add_left(own)
 
     def _unclaimed_tokens(self) -> int:
         """Return the budget that is neither recorded nor exposed."""
-        return self.budget_tokens - self.recorded_tokens - self.exposed_tokens
+        limit = self.budget_tokens + self.slack_tokens
+        return limit - self.claimed_tokens
 
     def _block(self, missing: int) -> int:
         """Return the size of a block that covers what is exposed as well."""
         needed = missing + self.exposed_tokens
-        unrecorded = self.budget_tokens - self.recorded_tokens
+        unrecorded = self._unclaimed_tokens() + self.exposed_tokens
         usual = self.budget_tokens // BLOCK_SHARE
         return min(max(needed, usual), max(unrecorded, needed))
 
--- a/packages/gateway/src/balsamloom_gateway/ledger_book.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_book.py
@@ -13,7 +13,7 @@
 import math
 import threading
 import uuid
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
@@ -50,19 +50,47 @@
     # Part of the budget while the store is away, one turn otherwise.
     OUTAGE = "outage"
     # One turn while the store is away, at a process that may not know what
-    # the first holder handed out.
+    # the first holder handed out; as with OUTAGE if it does.
     LAST_RESORT = "last_resort"
 
 
 Reservation = ledger.Reserved | ledger.Exhausted | Unrecorded
 
 
+class Standby(Protocol):
+    """Another member that knows what is claimed without a record."""
+
+    def note(
+        self, program_id: str, budget_tokens: int, claimed_tokens: int
+    ) -> bool:
+        """Tell what is claimed; return whether a standby knows it now."""
+
+    def claimed_tokens(self, program_id: str) -> int:
+        """Return what a holder before this one had claimed."""
+
+
+class NoStandby:
+    """Stands for a standby that cannot be reached."""
+
+    def note(
+        self, program_id: str, budget_tokens: int, claimed_tokens: int
+    ) -> bool:
+        """Return that nobody knows of a claim."""
+        return False
+
+    def claimed_tokens(self, program_id: str) -> int:
+        """Return that no claim is known."""
+        return 0
+
+
 class LedgerBook:
     """Reserves tokens of programs and keeps the store's records in step.
 
     :param store: platform's store.
     :param records: names of the records.
     :param clock: time source.
+    :param is_restart: whether a process before this one may have held
+        budgets.
     """
 
     def __init__(
@@ -70,10 +98,13 @@
         store: interfaces.KeyValueStore,
         records: interfaces.Records,
         clock: clocks.Clock,
+        is_restart: bool = False,
     ) -> None:
         self._store = store
         self._records = records
         self._clock = clock
+        self._is_restart = is_restart
+        self.standby: Standby = NoStandby()
         self._changed = threading.Condition()
         self._accounts: dict[str, ledger.Account] = {}
         self._urgent: set[str] = set()
@@ -81,38 +112,37 @@
         self._failed_ms: float | None = None
         self._call_started_ms: float | None = None
         self._unsure_until_ms = -math.inf
-        self._presuming_until_ms = -math.inf
+        if is_restart:
+            self._unsure_until_ms = clock.now_ms() + CAUTION_MS
         self._failure_reason = ""
         self._is_stopping = False
         self._writer = uuid.uuid4().hex[:12]
         self._block_number = 0
         self._swept_ms = clock.now_ms()
 
-    def note_loss(self, reason: str, is_around_outage: bool) -> None:
-        """Take in that a process that held budgets may be lost.
+    def note_loss(self, reason: str) -> None:
+        """Take in that a holder before this one may be lost.
 
-        Programs that this process does not know may have a record then. If
-        the loss was around an outage, tokens may have been handed out that
-        no record covers.
+        Programs that this process does not know may have a record then, so
+        nothing is handed out to them before the store was asked.
         """
-        until_ms = self._clock.now_ms() + CAUTION_MS
         with self._changed:
-            self._unsure_until_ms = until_ms
-            if is_around_outage:
-                self._presuming_until_ms = until_ms
-        events.log(
-            events.Event.BUDGET_CAUTION,
-            is_presuming=is_around_outage,
-            reason=reason,
-        )
+            self._unsure_until_ms = self._clock.now_ms() + CAUTION_MS
+        events.log(events.Event.BUDGET_CAUTION, reason=reason)
+
+    def note_claim(
+        self, program_id: str, budget_tokens: int, claimed_tokens: int
+    ) -> None:
+        """Take in what the holder before this one has claimed."""
+        with self._changed:
+            account = self._account(program_id, budget_tokens)
+            account.note_claim(claimed_tokens)
 
-    def end_presumption(self, reason: str) -> None:
-        """Presume no more that tokens were handed out without a record."""
+    def claimed_tokens(self, program_id: str) -> int:
+        """Return what is claimed of a program's budget, 0 if not known."""
         with self._changed:
-            self._presuming_until_ms = -math.inf
-        events.log(
-            events.Event.BUDGET_CAUTION, is_presuming=False, reason=reason
-        )
+            account = self._accounts.get(program_id)
+            return account.claimed_tokens if account else 0
 
     def reserve(
         self,
@@ -126,25 +156,20 @@
         :param exposure: what may be handed out before it is recorded.
         :return: the reservation and the servers of the program's last turns.
         """
+        self._ask_standby(program_id, budget_tokens)
         with self._changed:
-            account = self._account(program_id, tokens, budget_tokens)
-            until_ms = self._clock.now_ms() + RECORD_WAIT_MS
-            while True:
-                is_away = self._is_away() or self._clock.now_ms() >= until_ms
-                allowance = self._allowance(account, tokens, exposure, is_away)
-                match account.reserve(tokens, allowance):
-                    case ledger.BlockNeeded(block):
-                        account.wanted_tokens = block
-                        self._urgent.add(program_id)
-                        self._changed.notify_all()
-                    case result:
-                        self._record_ahead(account, tokens)
-                        return result, account.servers
-                if is_away:
-                    reason = self._failure_reason or "the store is slow"
-                    return Unrecorded(reason), account.servers
-                left_ms = until_ms - self._clock.now_ms()
-                self._clock.wait_condition(self._changed, left_ms)
+            account = self._account(program_id, budget_tokens)
+            account.turn_tokens = max(account.turn_tokens, tokens)
+            result = self._reserve(account, tokens, exposure)
+            needs_standby = account.needs_standby(tokens)
+            claimed_tokens = account.claimed_tokens
+        if not isinstance(result, ledger.Reserved) or not needs_standby:
+            return result, account.servers
+        if not self.standby.note(program_id, budget_tokens, claimed_tokens):
+            self.settle(program_id, tokens, 0, "")
+            reason = "no standby knows of tokens without a record"
+            return Unrecorded(reason), account.servers
+        return result, account.servers
 
     def settle(
         self,
@@ -198,22 +223,50 @@
         for start in range(0, len(held), TRANSACTION_ACCOUNTS):
             self._record(held[start : start + TRANSACTION_ACCOUNTS])
 
-    def _account(
-        self, program_id: str, tokens: int, budget_tokens: int
-    ) -> ledger.Account:
-        now_ms = self._clock.now_ms()
+    def _ask_standby(self, program_id: str, budget_tokens: int) -> None:
+        """Ask what a holder that ended may have claimed of a new program."""
+        with self._changed:
+            is_known = program_id in self._accounts
+            is_sure = self._is_sure()
+        if is_known or is_sure or not self._is_restart:
+            return
+        claimed_tokens = self.standby.claimed_tokens(program_id)
+        if claimed_tokens:
+            self.note_claim(program_id, budget_tokens, claimed_tokens)
+
+    def _reserve(
+        self, account: ledger.Account, tokens: int, exposure: Exposure
+    ) -> Reservation:
+        """Reserve tokens, waiting for a record if one is needed."""
+        until_ms = self._clock.now_ms() + RECORD_WAIT_MS
+        while True:
+            is_away = self._is_away() or self._clock.now_ms() >= until_ms
+            allowance = self._allowance(account, tokens, exposure, is_away)
+            match account.reserve(tokens, allowance):
+                case ledger.BlockNeeded(block):
+                    account.wanted_tokens = block
+                    self._urgent.add(account.program_id)
+                    self._changed.notify_all()
+                case result:
+                    self._record_ahead(account, tokens)
+                    return result
+            if is_away:
+                return Unrecorded(self._failure_reason or "the store is slow")
+            left_ms = until_ms - self._clock.now_ms()
+            self._clock.wait_condition(self._changed, left_ms)
+
+    def _account(self, program_id: str, budget_tokens: int) -> ledger.Account:
         account = self._accounts.get(program_id)
         if account is None:
             account = ledger.Account(program_id, budget_tokens)
             self._accounts[program_id] = account
-            if now_ms < self._presuming_until_ms:
-                account.presumed_tokens = ledger.presumed_tokens(
-                    budget_tokens, tokens
-                )
-                account.recorded_tokens = account.presumed_tokens
-        account.used_ms = now_ms
+        account.used_ms = self._clock.now_ms()
         return account
 
+    def _is_sure(self) -> bool:
+        """Return whether a program without an account is a new one."""
+        return self._clock.now_ms() >= self._unsure_until_ms
+
     def _allowance(
         self,
         account: ledger.Account,
@@ -222,16 +275,17 @@
         is_away: bool,
     ) -> int:
         """Return the tokens of a program that may be exposed."""
-        is_unknown = not account.revision and (
-            self._clock.now_ms() < self._unsure_until_ms
-        )
+        is_recorded = account.revision > 0
+        is_noted = account.noted_tokens > 0
+        is_sure = self._is_sure()
+        most = max(tokens, account.outage_allowance())
         match exposure:
-            case Exposure.OUTAGE if is_away and not is_unknown:
-                return max(tokens, account.outage_allowance())
+            case Exposure.OUTAGE if is_away and (is_recorded or is_sure):
+                return most
             case Exposure.OUTAGE | Exposure.LAST_RESORT if is_away:
-                return tokens
-            case Exposure.OUTAGE | Exposure.ONE_TURN if not is_unknown:
-                return tokens
+                return most if is_noted else tokens
+            case Exposure.OUTAGE | Exposure.ONE_TURN if is_sure:
+                return 0 if is_recorded else tokens
             case _:
                 return 0
 
@@ -351,7 +405,7 @@
         total, name = _decode_record(item)
         own = account.unconfirmed.pop(name, 0)
         if not own:
-            total += account.presumed_tokens
+            account.slack_tokens = account.turn_tokens
         account.recorded(total, revision, max(own, 0))
         if account.exposed_tokens:
             account.wanted_tokens = account.exposed_tokens
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -36,6 +36,8 @@
         self._calls: dict[str, Callable[[dict[str, Any]], Any]] = {
             peers.RESERVE_PATH: self._reserve,
             peers.SETTLE_PATH: self._settle,
+            peers.NOTE_PATH: self._note_claim,
+            peers.CLAIM_PATH: self._tell_claim,
             peers.FEED_PATH: self._read_feed,
         }
 
@@ -99,5 +101,17 @@
         )
         return {}
 
+    def _note_claim(self, body: dict[str, Any]) -> dict[str, Any]:
+        self._book.note_claim(
+            str(body["program_id"]),
+            int(body["budget_tokens"]),
+            int(body["claimed_tokens"]),
+        )
+        return {}
+
+    def _tell_claim(self, body: dict[str, Any]) -> dict[str, Any]:
+        claimed = self._book.claimed_tokens(str(body["program_id"]))
+        return {"claimed_tokens": claimed}
+
     def _read_feed(self, body: dict[str, Any]) -> feed.FeedAnswer | None:
         return self._feed.answer(str(body["epoch"]), int(body["cursor"]))
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -11,6 +11,8 @@
 
 RESERVE_PATH = "/ledger/reserve"
 SETTLE_PATH = "/ledger/settle"
+NOTE_PATH = "/ledger/note"
+CLAIM_PATH = "/ledger/claim"
 FEED_PATH = "/feed"
 
 
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -24,7 +24,6 @@
     peers,
     proxy,
     registrar,
-    stop_marker,
     traffic,
 )
 
@@ -105,9 +104,14 @@
         )
         self._feed = feed.Feed(clock, self.fleet.meaning)
         clients = peers.PeerClients(clock)
-        self._book = ledger_book.LedgerBook(store, records, clock)
+        self._book = ledger_book.LedgerBook(
+            store, records, clock, not settings.is_first_start
+        )
         accounts = budgets.Budgets(
-            settings.name, self._book, clients, self.fleet.members, clock
+            settings.name, self._book, clients, self.fleet, clock
+        )
+        self._book.standby = budgets.PeerStandby(
+            settings.name, clients, self.fleet
         )
         self._proxy = proxy.Proxy(
             self.fleet, self._balancer, accounts, codec, clock
@@ -131,12 +135,9 @@
                 settings.view_bound_ms * FOLLOW_SHARE,
             ),
         )
-        self._marker = stop_marker.StopMarker(
-            store, records.stop_marker_key(settings.name)
-        )
         self._follower.after_reading = self._evacuations.answer_due
         self.fleet.on_changes = self._evacuations.apply
-        self.fleet.on_member_lost = self._book.note_loss
+        self.fleet.on_member_lost = self._note_member_loss
         self.fleet.on_servers = self._take_servers
         self.fleet.on_configuration = self._take_configuration
         service = peer_service.PeerService(self._book, self._feed)
@@ -180,12 +181,9 @@
 
     def start(self) -> None:
         """Serve and keep the view up to date in the background."""
-        if not self._settings.is_first_start:
-            self._book.note_loss("restart", is_around_outage=True)
         for listener in (*self._others, self._front):
             listener.start()
         for target in (
-            self._check_stop,
             self._follower.run,
             self._registrar.run,
             self._book.run,
@@ -214,7 +212,6 @@
             idle_checks = idle_checks + 1 if self._front.is_idle else 0
         self._book.stop()
         self._book.release()
-        self._marker.leave()
         self._follower.stop()
         events.log(
             events.Event.PROCESS_STOPPED,
@@ -223,10 +220,10 @@
             duration_ms=round(self._clock.now_ms() - started_ms),
         )
 
-    def _check_stop(self) -> None:
-        """End the caution of a start that followed a planned stop."""
-        if not self._settings.is_first_start and self._marker.take():
-            self._book.end_presumption("the last stop was planned")
+    def _note_member_loss(self, name: str) -> None:
+        """Take over as a holder of budgets from a member that ended."""
+        if name < self.member.name:
+            self._book.note_loss(f"{name} ended")
 
     def _rank(self) -> int:
         return membership.rank_of(self.member.name, self.fleet.members())
