Tell standbys of all programs whose budget a member holds

Ruled out: servers and readiness (calls of tools were served meanwhile).

Change: a holder tells the next member each 200 ms which budgets it claimed, so the standby can go on as the holder did. Three members are asked at most; holders that could not record are not asked again for 400 ms.

--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import threading
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from balsamloom_core import clock as clocks
@@ -19,6 +21,10 @@
 PEER_TIMEOUT_MS = 250.0
 # A member that did not answer is not asked again for this time.
 AVOID_MS = 2_000.0
+# Holders that are asked to record before one may expose tokens.
+RECORDING_HOLDERS = 2
+# Time for which holders are not asked to record, once none could.
+OUTAGE_MEMORY_MS = 400.0
 
 
 class Grant(NamedTuple):
@@ -55,6 +61,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._avoided: dict[str, float] = {}
+        self._outage_until_ms = -math.inf
 
     def reserve(
         self, call: traffic.CallMetadata
@@ -64,25 +71,38 @@
         Holders are asked for recorded tokens before one may expose more than
         a turn. A process that reaches no holder records blocks itself.
         """
+        members = self._fleet.members()
+        holders = membership.budget_holders(call.program_id, members)
         is_reached = False
-        for is_last_resort in (False, True):
-            holders = membership.budget_holders(
-                call.program_id, self._fleet.members()
-            )
-            for place, holder in enumerate(holders):
+        for is_last_resort in self._stages():
+            asked = holders if is_last_resort else holders[:RECORDING_HOLDERS]
+            for place, holder in enumerate(asked):
                 if self._is_avoided(holder):
                     continue
                 exposure = _exposure(place, is_last_resort)
                 result = self._reserve_at(holder, call, exposure)
                 if not isinstance(result, ledger_book.Unrecorded):
+                    self._note_stage(is_last_resort)
                     return self._log(call, holder, result)
                 is_reached = is_reached or not self._is_avoided(holder)
-            if not is_reached:
-                break
         if not is_reached:
             result = self._reserve_here(call, ledger_book.Exposure.NONE)
         return self._log(call, None, result)
 
+    def _stages(self) -> tuple[bool, ...]:
+        """Return the stages of asking, recorded tokens before exposed ones.
+
+        Shortly after a turn that found no holder to record, holders are not
+        asked to record in vain.
+        """
+        if self._clock.now_ms() < self._outage_until_ms:
+            return (True,)
+        return (False, True)
+
+    def _note_stage(self, is_last_resort: bool) -> None:
+        if is_last_resort and self._clock.now_ms() >= self._outage_until_ms:
+            self._outage_until_ms = self._clock.now_ms() + OUTAGE_MEMORY_MS
+
     def settle(self, grant: Grant, used_tokens: int, server_id: str) -> None:
         """Give back what a turn did not hand to its caller.
 
@@ -210,41 +230,41 @@
         self._clients = clients
         self._fleet = view
 
-    def note(
-        self, program_id: str, budget_tokens: int, claimed_tokens: int
-    ) -> bool:
-        """Tell what is claimed; return whether a standby knows it now."""
-        body = {
-            "program_id": program_id,
-            "budget_tokens": budget_tokens,
-            "claimed_tokens": claimed_tokens,
-        }
-        return self._call(program_id, peers.NOTE_PATH, body) is not None
+    @property
+    def name(self) -> str:
+        """Return the standby's name and incarnation, empty without one."""
+        member = self._member()
+        return f"{member.name}/{member.incarnation}" if member else ""
+
+    def note(self, claims: Sequence[ledger_book.Claim], is_sure: bool) -> bool:
+        """Tell claims; return whether the standby knows them now."""
+        body = {"claims": claims, "is_sure": is_sure}
+        return self._call(peers.NOTE_PATH, body) is not None
 
     def claimed_tokens(self, program_id: str) -> int:
         """Return what a holder before this one had claimed."""
-        body = {"program_id": program_id}
-        answer = self._call(program_id, peers.CLAIM_PATH, body)
+        answer = self._call(peers.CLAIM_PATH, {"program_id": program_id})
         return int(answer["claimed_tokens"]) if answer else 0
 
-    def _call(
-        self, program_id: str, path: str, body: dict[str, Any]
-    ) -> dict[str, Any] | None:
-        holders = membership.budget_holders(program_id, self._fleet.members())
-        others = [member for member in holders if member.name != self._name]
-        for member in others:
-            try:
-                return self._clients.call(
-                    member.peer_address, path, body, PEER_TIMEOUT_MS
-                )
-            except peers.PeerUnavailableError as error:
-                events.log(
-                    events.Event.PEER_CALL_FAILED,
-                    member=member.name,
-                    call=path,
-                    reason=str(error),
-                )
-        return None
+    def _member(self) -> traffic.Member | None:
+        return membership.standby_of(self._name, self._fleet.members())
+
+    def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any] | None:
+        member = self._member()
+        if member is None:
+            return None
+        try:
+            return self._clients.call(
+                member.peer_address, path, body, PEER_TIMEOUT_MS
+            )
+        except peers.PeerUnavailableError as error:
+            events.log(
+                events.Event.PEER_CALL_FAILED,
+                member=member.name,
+                call=path,
+                reason=str(error),
+            )
+            return None
 
 
 def _exposure(place: int, is_last_resort: bool) -> ledger_book.Exposure:
--- a/packages/gateway/src/balsamloom_gateway/ledger_book.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_book.py
@@ -13,6 +13,7 @@
 import math
 import threading
 import uuid
+from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
 from balsamloom_core import clock as clocks
@@ -26,6 +27,9 @@
 GROUP_MS = 200.0
 # Time that a turn waits for its block before the store counts as away.
 RECORD_WAIT_MS = 60.0
+# A standby knows the programs of a holder that told it of them within this
+# time before it ended.
+TOLD_MS = 6_000.0
 # Time for which programs without a record may be those of a lost process.
 CAUTION_MS = 60_000.0
 # Least time between calls while the store does not answer.
@@ -57,13 +61,26 @@
 Reservation = ledger.Reserved | ledger.Exhausted | Unrecorded
 
 
+class Claim(NamedTuple):
+    """Tokens of a program that are recorded or exposed."""
+
+    program_id: str
+    budget_tokens: int
+    claimed_tokens: int
+
+
 class Standby(Protocol):
-    """Another member that knows what is claimed without a record."""
+    """Another member that knows what is claimed."""
+
+    @property
+    def name(self) -> str:
+        """Return who the standby is; a new one knows nothing yet."""
+
+    def note(self, claims: Sequence[Claim], is_sure: bool) -> bool:
+        """Tell claims; return whether the standby knows them now.
 
-    def note(
-        self, program_id: str, budget_tokens: int, claimed_tokens: int
-    ) -> bool:
-        """Tell what is claimed; return whether a standby knows it now."""
+        :param is_sure: whether programs that were never told are new ones.
+        """
 
     def claimed_tokens(self, program_id: str) -> int:
         """Return what a holder before this one had claimed."""
@@ -72,9 +89,9 @@
 class NoStandby:
     """Stands for a standby that cannot be reached."""
 
-    def note(
-        self, program_id: str, budget_tokens: int, claimed_tokens: int
-    ) -> bool:
+    name = ""
+
+    def note(self, claims: Sequence[Claim], is_sure: bool) -> bool:
         """Return that nobody knows of a claim."""
         return False
 
@@ -111,6 +128,9 @@
         self._ahead: set[str] = set()
         self._failed_ms: float | None = None
         self._call_started_ms: float | None = None
+        self._standby_name = ""
+        self._untold: set[str] = set()
+        self._told_ms = -math.inf
         self._unsure_until_ms = -math.inf
         if is_restart:
             self._unsure_until_ms = clock.now_ms() + CAUTION_MS
@@ -130,13 +150,17 @@
             self._unsure_until_ms = self._clock.now_ms() + CAUTION_MS
         events.log(events.Event.BUDGET_CAUTION, reason=reason)
 
-    def note_claim(
-        self, program_id: str, budget_tokens: int, claimed_tokens: int
-    ) -> None:
-        """Take in what the holder before this one has claimed."""
+    def note_claims(self, claims: Sequence[Claim], is_sure: bool) -> None:
+        """Take in what the holder before this one has claimed.
+
+        :param is_sure: whether programs that were never told are new ones.
+        """
         with self._changed:
-            account = self._account(program_id, budget_tokens)
-            account.note_claim(claimed_tokens)
+            if is_sure:
+                self._told_ms = self._clock.now_ms()
+            for claim in claims:
+                account = self._account(claim.program_id, claim.budget_tokens)
+                account.note_claim(claim.claimed_tokens)
 
     def claimed_tokens(self, program_id: str) -> int:
         """Return what is claimed of a program's budget, 0 if not known."""
@@ -161,11 +185,12 @@
             account = self._account(program_id, budget_tokens)
             account.turn_tokens = max(account.turn_tokens, tokens)
             result = self._reserve(account, tokens, exposure)
+            self._note_untold(program_id)
             needs_standby = account.needs_standby(tokens)
-            claimed_tokens = account.claimed_tokens
+            claim = _claim(account)
         if not isinstance(result, ledger.Reserved) or not needs_standby:
             return result, account.servers
-        if not self.standby.note(program_id, budget_tokens, claimed_tokens):
+        if not self.standby.note([claim], is_sure=False):
             self.settle(program_id, tokens, 0, "")
             reason = "no standby knows of tokens without a record"
             return Unrecorded(reason), account.servers
@@ -201,8 +226,27 @@
                 batch = self._next_batch()
             if batch:
                 self._record(batch)
+            self._tell_standby()
             self._sweep()
 
+    def _tell_standby(self) -> None:
+        """Tell the standby what changed; a new one is told everything."""
+        name = self.standby.name
+        with self._changed:
+            if name != self._standby_name:
+                self._untold.update(self._accounts)
+            told = {*self._untold} & self._accounts.keys()
+            claims = [_claim(self._accounts[one]) for one in told]
+            is_sure = self._is_sure()
+            self._untold.clear()
+        if not claims or not name:
+            return
+        if self.standby.note(claims, is_sure):
+            self._standby_name = name
+        else:
+            with self._changed:
+                self._untold.update(told)
+
     def stop(self) -> None:
         """Let :meth:`run` end."""
         with self._changed:
@@ -223,6 +267,11 @@
         for start in range(0, len(held), TRANSACTION_ACCOUNTS):
             self._record(held[start : start + TRANSACTION_ACCOUNTS])
 
+    def _note_untold(self, program_id: str) -> None:
+        if not self._untold:
+            self._changed.notify_all()
+        self._untold.add(program_id)
+
     def _ask_standby(self, program_id: str, budget_tokens: int) -> None:
         """Ask what a holder that ended may have claimed of a new program."""
         with self._changed:
@@ -230,9 +279,10 @@
             is_sure = self._is_sure()
         if is_known or is_sure or not self._is_restart:
             return
-        claimed_tokens = self.standby.claimed_tokens(program_id)
-        if claimed_tokens:
-            self.note_claim(program_id, budget_tokens, claimed_tokens)
+        tokens = self.standby.claimed_tokens(program_id)
+        if tokens:
+            claim = Claim(program_id, budget_tokens, tokens)
+            self.note_claims([claim], is_sure=False)
 
     def _reserve(
         self, account: ledger.Account, tokens: int, exposure: Exposure
@@ -276,7 +326,8 @@
     ) -> int:
         """Return the tokens of a program that may be exposed."""
         is_recorded = account.revision > 0
-        is_noted = account.noted_tokens > 0
+        is_told = self._clock.now_ms() - self._told_ms < TOLD_MS
+        is_noted = account.noted_tokens > 0 or is_told
         is_sure = self._is_sure()
         most = max(tokens, account.outage_allowance())
         match exposure:
@@ -316,7 +367,7 @@
             if now_ms >= due_ms:
                 return True
             self._clock.wait_condition(self._changed, due_ms - now_ms)
-            if not self._ahead:
+            if not self._ahead and not self._untold:
                 waited_from_ms = self._clock.now_ms()
         return False
 
@@ -326,7 +377,7 @@
             return self._failed_ms + OUTAGE_RETRY_MS
         if self._urgent:
             return waited_from_ms
-        if self._ahead:
+        if self._ahead or self._untold:
             return waited_from_ms + GROUP_MS
         return waited_from_ms + SWEEP_INTERVAL_MS
 
@@ -492,6 +543,12 @@
     total_tokens: int
 
 
+def _claim(account: ledger.Account) -> Claim:
+    return Claim(
+        account.program_id, account.budget_tokens, account.claimed_tokens
+    )
+
+
 def _take_recorded(block: _Block, revision: int) -> None:
     account = block.account
     account.unconfirmed.pop(block.name, None)
--- a/packages/gateway/src/balsamloom_gateway/membership.py
+++ b/packages/gateway/src/balsamloom_gateway/membership.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 import zlib
 from collections.abc import Sequence
 
@@ -13,6 +12,8 @@
 # Members for each one that holds budgets. Few holders record many blocks in
 # one transaction.
 MEMBERS_PER_HOLDER = 16
+# Members asked for a budget: the holder and its standbys.
+HOLDERS = 3
 ADDRESSES_MAX = 64
 
 
@@ -41,15 +42,29 @@
 ) -> list[traffic.Member]:
     """Return the members to ask for a program's budget, the first one first.
 
+    The first one is a member at the start of the order, the others are the
+    standbys that follow it.
+
     :param members: registered members in the order of their names.
     """
+    if not members:
+        return []
     count = -(-len(members) // MEMBERS_PER_HOLDER)
-    holders = members[:count]
-    spare = members[count : count + 1]
-    ranked = heapq.nsmallest(
-        2, holders, key=lambda member: _weight(program_id, member.name)
+    first = max(
+        range(count),
+        key=lambda place: _weight(program_id, members[place].name),
     )
-    return [*ranked, *spare][:2]
+    places = range(first, first + min(HOLDERS, len(members)))
+    return [members[place % len(members)] for place in places]
+
+
+def standby_of(
+    name: str, members: Sequence[traffic.Member]
+) -> traffic.Member | None:
+    """Return the member that follows a member in the order of names."""
+    others = [member for member in members if member.name != name]
+    after = [member for member in others if member.name > name]
+    return next(iter([*after, *others]), None)
 
 
 def _weight(program_id: str, name: str) -> int:
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -36,7 +36,7 @@
         self._calls: dict[str, Callable[[dict[str, Any]], Any]] = {
             peers.RESERVE_PATH: self._reserve,
             peers.SETTLE_PATH: self._settle,
-            peers.NOTE_PATH: self._note_claim,
+            peers.NOTE_PATH: self._note_claims,
             peers.CLAIM_PATH: self._tell_claim,
             peers.FEED_PATH: self._read_feed,
         }
@@ -101,12 +101,9 @@
         )
         return {}
 
-    def _note_claim(self, body: dict[str, Any]) -> dict[str, Any]:
-        self._book.note_claim(
-            str(body["program_id"]),
-            int(body["budget_tokens"]),
-            int(body["claimed_tokens"]),
-        )
+    def _note_claims(self, body: dict[str, Any]) -> dict[str, Any]:
+        claims = [ledger_book.Claim(*claim) for claim in body["claims"]]
+        self._book.note_claims(claims, bool(body["is_sure"]))
         return {}
 
     def _tell_claim(self, body: dict[str, Any]) -> dict[str, Any]:
--- a/packages/gateway/tests/test_ledger_book.py
+++ b/packages/gateway/tests/test_ledger_book.py
@@ -17,11 +17,14 @@
 class Standby:
     """Remembers claims as another member does."""
 
+    name = "standby"
+
     def __init__(self):
         self.claims = {}
 
-    def note(self, program_id, budget_tokens, claimed_tokens):
-        self.claims[program_id] = claimed_tokens
+    def note(self, claims, is_sure):
+        for claim in claims:
+            self.claims[claim.program_id] = claim.claimed_tokens
         return True
 
     def claimed_tokens(self, program_id):
