--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -23,7 +23,7 @@
 SPARE_THREADS = 2
 GROWTH_THREADS = 4
 # Interval at which idle connections are checked for their timeout.
-EXPIRY_INTERVAL_S = 2.0
+EXPIRY_INTERVAL_S = 1.0
 READ_BYTES = 65_536
 REASONS = {
     200: b"OK",
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -37,7 +37,7 @@
 SMALL_THREADS = 8
 # A leaving process accepts connections for this time, until callers have
 # asked for addresses again.
-LEAVE_ACCEPT_MS = 1_500.0
+LEAVE_ACCEPT_MS = 3_000.0
 # Time of the stop that is kept for giving budgets back.
 LEAVE_RESERVE_MS = 700.0
 LEAVE_CHECK_MS = 50.0
--- a/packages/gateway/src/balsamloom_gateway/registrar.py
+++ b/packages/gateway/src/balsamloom_gateway/registrar.py
@@ -9,8 +9,8 @@
 from balsamloom_core import events
 from balsamloom_gateway import fleet, interfaces, traffic
 
-LEASE_MS = 6_000
-RENEWAL_MS = 2_000.0
+LEASE_MS = 2_500
+RENEWAL_MS = 800.0
 RETRY_MS = 500.0
 
 
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -237,3 +237,65 @@
 def manual_clock() -> clocks.ManualClock:
     """Build a clock that moves only when told to."""
     return clocks.ManualClock(1_000_000.0)
+
+
+class Codec:
+    """Header fields of the tests, without a prefix."""
+
+    request_id_field = b"request-id"
+
+    def decode_call(self, headers):
+        """Decode a caller's fields."""
+        request_id = headers.get(b"Request-Id", b"").decode()
+        if not request_id:
+            raise interfaces.InvalidCallError("Request-Id is missing")
+        budget = headers.get(b"Budget")
+        deadline = headers.get(b"Deadline")
+        return traffic.CallMetadata(
+            request_id=request_id,
+            deadline_ms=float(deadline) if deadline else None,
+            program_id=headers.get(b"Program", b"").decode(),
+            session_id="",
+            program_deadline_ms=None,
+            token_budget=int(budget) if budget else None,
+            prompt_tokens=10,
+            max_output_tokens=30,
+            expected_output_tokens=0,
+            prompt=(),
+            affinity_key="",
+        )
+
+    def forwarded(self, headers, server_id, left_ms, engine_priority):
+        """Return the fields that a server gets."""
+        return [
+            (b"Request-Id", headers[b"Request-Id"]),
+            (b"Expected", server_id.encode()),
+            (b"Deadline", b"%d" % left_ms),
+        ]
+
+    def decode_answer(self, status, headers):
+        """Decode a server's fields."""
+        found = {name.lower(): value for name, value in headers}
+        return traffic.AnswerMetadata(
+            request_id=found.get(b"request-id", b"").decode(),
+            is_not_executed=b"not-executed" in found,
+            is_signed=b"signed" in found,
+            load=None,
+            idle_timeout_ms=None,
+        )
+
+    def relayed(self, headers):
+        """Return the fields that the caller gets."""
+        dropped = (b"content-length", b"transfer-encoding", b"connection")
+        return [
+            (name, value)
+            for name, value in headers
+            if name.lower() not in dropped
+        ]
+
+    def own_answer(self, request_id, retry_after_ms):
+        """Return the fields of an own answer."""
+        fields = [(b"Request-Id", request_id.encode())]
+        if retry_after_ms is not None:
+            fields.append((b"Retry-After", b"%.3f" % (retry_after_ms / 1000)))
+        return fields
--- /dev/null
+++ b/packages/gateway/tests/test_channels.py
@@ -0,0 +1,234 @@
+"""Tests of exchanges with servers that misbehave."""
+
+import socket
+import threading
+import unittest
+
+import scripted
+
+from balsamloom_core import clock as clocks
+from balsamloom_gateway import channels
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+IDENTIFIER = (b"request-id", b"r1")
+
+
+class ExchangeTest(unittest.TestCase):
+    """Guards against answers that are mixed up, joined or cut."""
+
+    def setUp(self):
+        self.clock = clocks.Clock()
+
+    def serve(self, script):
+        server = scripted.ScriptedServer(script)
+        self.addCleanup(server.close)
+        return server
+
+    def exchange(self, server, caller_fd=None, pool=None):
+        pool = pool or channels.ChannelPool(
+            server.address, self.clock, 10_000.0
+        )
+        channel, _ = pool.take(1_000.0)
+        self.addCleanup(channel.close)
+        return channel, channels.Exchange(
+            channel, self.clock, caller_fd, IDENTIFIER
+        )
+
+    def read_all(self, exchange, timeout_ms=2_000.0):
+        until_ms = self.clock.now_ms() + timeout_ms
+        parts = []
+        while not parts or not isinstance(parts[-1], channels.AnswerEnd):
+            parts.extend(exchange.receive(until_ms))
+        return parts
+
+    def body(self, parts):
+        return b"".join(
+            part.data
+            for part in parts
+            if isinstance(part, channels.AnswerData)
+        )
+
+    def run_once(self, *sent):
+        """Return channel and body of an exchange with scripted bytes."""
+
+        def script(connection, _):
+            server.read_request(connection)
+            for data in sent:
+                connection.sendall(data)
+            connection.recv(1)
+
+        server = self.serve(script)
+        channel, exchange = self.exchange(server)
+        exchange.send(REQUEST, self.clock.now_ms() + 1_000)
+        return channel, self.body(self.read_all(exchange))
+
+    def test_whole_answer_leaves_the_channel_reusable(self):
+        channel, body = self.run_once(scripted.answer())
+        self.assertEqual(body, b"ok")
+        self.assertTrue(channel.is_reusable)
+
+    def test_late_answer_to_an_earlier_request_is_skipped(self):
+        late = scripted.answer(b"other", "r0")
+        _, body = self.run_once(late, scripted.answer())
+        self.assertEqual(body, b"ok")
+
+    def test_bytes_behind_the_answer_end_the_channel(self):
+        channel, body = self.run_once(scripted.answer() + b"garbage")
+        self.assertEqual(body, b"ok")
+        self.assertFalse(channel.is_reusable)
+
+    def test_second_answer_ends_the_channel(self):
+        channel, _ = self.run_once(scripted.answer() + scripted.answer())
+        self.assertFalse(channel.is_reusable)
+
+    def test_close_field_ends_the_channel(self):
+        channel, _ = self.run_once(
+            scripted.answer(fields="Connection: close\r\n")
+        )
+        self.assertFalse(channel.is_reusable)
+
+    def test_garbage_is_no_answer(self):
+        with self.assertRaises(channels.GarbledAnswerError):
+            self.run_once(b"NOT HTTP AT ALL\r\n\r\n")
+
+    def test_cut_answer_with_a_length_is_not_complete(self):
+        def script(connection, _):
+            server.read_request(connection)
+            connection.sendall(scripted.answer(b"0123456789")[:-3])
+            connection.close()
+
+        server = self.serve(script)
+        _, exchange = self.exchange(server)
+        exchange.send(REQUEST, self.clock.now_ms() + 1_000)
+        with self.assertRaises(channels.BrokenChannelError):
+            self.read_all(exchange)
+
+    def test_answer_without_length_ends_with_its_channel(self):
+        def script(connection, _):
+            server.read_request(connection)
+            connection.sendall(
+                b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nall of it"
+            )
+            connection.close()
+
+        server = self.serve(script)
+        channel, exchange = self.exchange(server)
+        exchange.send(REQUEST, self.clock.now_ms() + 1_000)
+        self.assertEqual(self.body(self.read_all(exchange)), b"all of it")
+        self.assertFalse(channel.is_reusable)
+
+    def test_reset_answer_without_length_is_not_complete(self):
+        def script(connection, _):
+            server.read_request(connection)
+            connection.sendall(
+                b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\npart"
+            )
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            connection.close()
+
+        server = self.serve(script)
+        _, exchange = self.exchange(server)
+        exchange.send(REQUEST, self.clock.now_ms() + 1_000)
+        with self.assertRaises(channels.BrokenChannelError):
+            self.read_all(exchange)
+
+    def test_early_answer_to_a_long_body_ends_the_channel(self):
+        # The rest of the body was not sent, so the next request would be
+        # taken for it.
+        def script(connection, _):
+            connection.recv(100)
+            connection.sendall(scripted.answer(status="413 Too Large"))
+            done.wait(5)
+
+        done = threading.Event()
+        server = self.serve(script)
+        channel, exchange = self.exchange(server)
+        head = b"POST / HTTP/1.1\r\nContent-Length: 50000000\r\n\r\n"
+        exchange.send(head + bytes(50_000_000), self.clock.now_ms() + 5_000)
+        self.read_all(exchange)
+        done.set()
+        self.assertFalse(channel.is_reusable)
+
+    def test_caller_that_closes_ends_the_exchange(self):
+        def script(connection, _):
+            server.read_request(connection)
+            connection.recv(1)
+
+        server = self.serve(script)
+        caller, ours = socket.socketpair()
+        self.addCleanup(ours.close)
+        _, exchange = self.exchange(server, ours.fileno())
+        exchange.send(REQUEST, self.clock.now_ms() + 1_000)
+        caller.close()
+        with self.assertRaises(channels.CallerGoneError):
+            self.read_all(exchange)
+
+    def test_silent_server_ends_at_the_deadline(self):
+        def script(connection, _):
+            server.read_request(connection)
+            connection.recv(1)
+
+        server = self.serve(script)
+        _, exchange = self.exchange(server)
+        exchange.send(REQUEST, self.clock.now_ms() + 1_000)
+        with self.assertRaises(channels.ExchangeTimeoutError):
+            self.read_all(exchange, timeout_ms=50.0)
+
+
+class ChannelPoolTest(unittest.TestCase):
+    """Guards against requests on connections that the server closed."""
+
+    def setUp(self):
+        self.clock = builders_clock()
+
+    def test_closed_idle_channel_is_not_used_again(self):
+        closed = threading.Event()
+
+        def script(connection, number):
+            if number == 0:
+                connection.close()
+                closed.set()
+            else:
+                connection.recv(1)
+
+        server = scripted.ScriptedServer(script)
+        self.addCleanup(server.close)
+        pool = channels.ChannelPool(server.address, self.clock, 10_000.0)
+        first, _ = pool.take(1_000.0)
+        pool.give_back(first)
+        closed.wait(5)
+        while first.is_quiet():
+            pass
+        second, is_used = pool.take(1_000.0)
+        self.addCleanup(second.close)
+        self.assertFalse(is_used)
+        self.assertIsNot(second, first)
+
+    def test_channel_that_idled_too_long_is_not_used_again(self):
+        server = scripted.ScriptedServer(lambda connection, _: None)
+        self.addCleanup(server.close)
+        pool = channels.ChannelPool(server.address, self.clock, 10_000.0)
+        first, _ = pool.take(1_000.0)
+        pool.give_back(first)
+        self.clock.advance(5_000.0)
+        second, is_used = pool.take(1_000.0, idle_limit_ms=3_000.0)
+        self.addCleanup(second.close)
+        self.assertFalse(is_used)
+
+    def test_refused_connection_is_an_error_that_sent_nothing(self):
+        listening = socket.create_server(("127.0.0.1", 0))
+        port = listening.getsockname()[1]
+        listening.close()
+        pool = channels.ChannelPool(f"127.0.0.1:{port}", self.clock, 1.0)
+        with self.assertRaises(channels.ConnectError):
+            pool.take(1_000.0)
+
+
+def builders_clock():
+    """Build a clock that moves only when told to."""
+    return clocks.ManualClock(1_000.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/gateway/tests/test_decisions.py
@@ -0,0 +1,187 @@
+"""Tests of routes, attempts, health and the order of members."""
+
+import unittest
+
+import builders
+
+from balsamloom_gateway import (
+    attempts,
+    health,
+    membership,
+    routes,
+    traffic,
+)
+
+
+class RouteTest(unittest.TestCase):
+    """Guards against requests that reach the wrong service."""
+
+    def test_longest_prefix_of_the_host_wins(self):
+        table = routes.RouteTable(
+            [builders.route(prefix="/a/"), builders.route(prefix="/a/b/")]
+        )
+        self.assertEqual(
+            table.find("h.example", "/a/b/c").path_prefix, "/a/b/"
+        )
+        self.assertEqual(table.find("h.example", "/a/x").path_prefix, "/a/")
+
+    def test_other_host_or_path_has_no_route(self):
+        table = routes.RouteTable([builders.route(prefix="/a/")])
+        self.assertIsNone(table.find("other.example", "/a/"))
+        self.assertIsNone(table.find("h.example", "/ab/"))
+
+    def test_host_is_found_with_a_port_and_in_any_case(self):
+        table = routes.RouteTable([builders.route(prefix="/a/")])
+        self.assertIsNotNone(table.find("H.Example:8080", "/a/"))
+
+    def test_calls_of_one_program_get_one_service(self):
+        route = builders.route(shares=(("x", 90), ("y", 10)))
+        chosen = {routes.choose_service(route, "p") for _ in range(20)}
+        self.assertEqual(len(chosen), 1)
+
+    def test_shares_follow_their_weights(self):
+        route = builders.route(shares=(("x", 90), ("y", 10)))
+        chosen = [routes.choose_service(route, f"p{n}") for n in range(2_000)]
+        self.assertAlmostEqual(chosen.count("y") / 2_000, 0.1, delta=0.03)
+
+    def test_service_without_weight_gets_nothing(self):
+        route = builders.route(shares=(("x", 100), ("y", 0)))
+        chosen = {routes.choose_service(route, f"p{n}") for n in range(500)}
+        self.assertEqual(chosen, {"x"})
+
+
+class AttemptsTest(unittest.TestCase):
+    """Guards against second runs and refusals that are not true."""
+
+    def history(self, kind, max_attempts=2):
+        return attempts.AttemptHistory(builders.route(kind, max_attempts))
+
+    def test_refused_call_goes_to_another_server(self):
+        for kind in traffic.RouteKind:
+            history = self.history(kind, 1)
+            decision = history.decide(attempts.NotRun("full"), 100.0)
+            self.assertEqual(decision, attempts.TryAgain())
+
+    def test_lost_answer_is_tried_again_only_if_idempotent(self):
+        lost = attempts.MayHaveRun("reset")
+        for kind in traffic.RouteKind:
+            decision = self.history(kind).decide(lost, 100.0)
+            if kind is traffic.RouteKind.IDEMPOTENT:
+                self.assertEqual(decision, attempts.TryAgain())
+            else:
+                self.assertEqual(decision, attempts.GiveUp(False, "reset"))
+
+    def test_number_of_runs_is_bounded_by_the_route(self):
+        history = self.history(traffic.RouteKind.IDEMPOTENT, 2)
+        lost = attempts.MayHaveRun("reset")
+        history.decide(lost, 100.0)
+        decision = history.decide(lost, 100.0)
+        self.assertEqual(decision, attempts.GiveUp(False, "reset"))
+
+    def test_refusal_after_a_lost_answer_does_not_say_not_run(self):
+        history = self.history(traffic.RouteKind.IDEMPOTENT, 2)
+        history.decide(attempts.MayHaveRun("reset"), 100.0)
+        decision = history.decide(attempts.NotRun("full"), 0.0)
+        self.assertEqual(decision, attempts.GiveUp(False, "full"))
+        self.assertFalse(history.no_server("none").is_not_run)
+
+    def test_refusals_are_bounded(self):
+        history = self.history(traffic.RouteKind.NON_IDEMPOTENT)
+        refused = attempts.NotRun("full")
+        decisions = [
+            history.decide(refused, 100.0)
+            for _ in range(attempts.REFUSALS_MAX)
+        ]
+        self.assertEqual(decisions[-1], attempts.GiveUp(True, "full"))
+
+    def test_nothing_is_tried_after_the_deadline(self):
+        history = self.history(traffic.RouteKind.IDEMPOTENT)
+        decision = history.decide(attempts.NotRun("full"), 0.0)
+        self.assertEqual(decision, attempts.GiveUp(True, "full"))
+
+
+class HealthTest(unittest.TestCase):
+    """Guards against calls to failing servers and an ejected fleet."""
+
+    def test_failing_server_is_ejected_and_returns(self):
+        server = health.ServerHealth()
+        for _ in range(3):
+            server.note(health.Outcome.FAILED, 0.0)
+        self.assertTrue(server.is_ejected(1.0))
+        self.assertFalse(server.is_ejected(health.EJECTION_MS + 1.0))
+
+    def test_single_failure_ejects_nobody(self):
+        server = health.ServerHealth()
+        server.note(health.Outcome.FAILED, 0.0)
+        self.assertFalse(server.is_ejected(1.0))
+
+    def test_unreachable_server_is_avoided_at_once(self):
+        server = health.ServerHealth()
+        server.note(health.Outcome.UNREACHABLE, 0.0)
+        self.assertTrue(server.is_ejected(1.0))
+
+    def test_fleet_is_never_ejected(self):
+        servers = [(name, health.ServerHealth()) for name in "abcd"]
+        for _, state in servers:
+            state.note(health.Outcome.UNREACHABLE, 0.0)
+        self.assertEqual(health.usable(servers, 1.0), list("abcd"))
+
+    def test_healthy_half_is_used(self):
+        servers = [(name, health.ServerHealth()) for name in "abcd"]
+        for _, state in servers[:2]:
+            state.note(health.Outcome.UNREACHABLE, 0.0)
+        self.assertEqual(health.usable(servers, 1.0), list("cd"))
+
+
+class MembershipTest(unittest.TestCase):
+    """Guards against members that nobody follows or that follow a loop."""
+
+    def setUp(self):
+        self.members = [builders.member(f"m{n:03}") for n in range(200)]
+
+    def test_each_member_follows_one_before_it(self):
+        self.assertIsNone(membership.source_of("m000", self.members))
+        for member in self.members[1:]:
+            source = membership.source_of(member.name, self.members)
+            self.assertLess(source.name, member.name)
+
+    def test_no_member_has_too_many_followers(self):
+        sources = [
+            membership.source_of(member.name, self.members).name
+            for member in self.members[1:]
+        ]
+        most = max(sources.count(name) for name in set(sources))
+        self.assertLessEqual(most, membership.FOLLOWERS_MAX)
+
+    def test_unregistered_member_has_a_source(self):
+        source = membership.source_of("zzz", self.members)
+        self.assertIn(source, self.members)
+
+    def test_holders_are_few_and_have_standbys(self):
+        firsts = set()
+        for number in range(500):
+            holders = membership.budget_holders(f"p{number}", self.members)
+            self.assertEqual(len(set(holders)), membership.HOLDERS)
+            firsts.add(holders[0])
+        self.assertLessEqual(len(firsts), 13)
+
+    def test_standby_of_the_last_member_is_the_first(self):
+        last = self.members[-1].name
+        self.assertEqual(
+            membership.standby_of(last, self.members), self.members[0]
+        )
+        self.assertIsNone(membership.standby_of("m000", self.members[:1]))
+
+    def test_own_address_is_given_even_if_not_registered(self):
+        own = builders.member("own")
+        found = membership.caller_addresses(self.members[:2], own, "")
+        self.assertIn(own.caller_address, found)
+
+    def test_addresses_are_bounded_and_near_ones_come_first(self):
+        found = membership.caller_addresses(self.members, None, "7")
+        self.assertEqual(len(found), membership.ADDRESSES_MAX)
+        self.assertTrue(found[0].split(":")[0].endswith("7"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/gateway/tests/test_proxy.py
@@ -0,0 +1,384 @@
+"""Tests of the path from a caller's connection to a server and back."""
+
+import http.client
+import json
+import random
+import socket
+import threading
+import time
+import unittest
+
+import builders
+import scripted
+
+from balsamloom_core import clock as clocks
+from balsamloom_gateway import (
+    balancer,
+    budgets,
+    fleet,
+    interfaces,
+    ledger_book,
+    listeners,
+    peers,
+    proxy,
+    relay,
+    traffic,
+)
+
+KINDS = {
+    "/idempotent/": traffic.RouteKind.IDEMPOTENT,
+    "/once/": traffic.RouteKind.NON_IDEMPOTENT,
+    "/stream/": traffic.RouteKind.STREAMING,
+}
+LIMITS = listeners.Limits(32, 4_096, 100_000, 500.0, 5_000.0)
+
+
+class Gateway:
+    """Listener, proxy and store of one process, for tests.
+
+    :param servers: addresses of backend servers by identifier.
+    """
+
+    def __init__(self, servers):
+        clock = clocks.Clock()
+        records = builders.Records()
+        self.store = builders.Store()
+        self.fleet = fleet.Fleet(records, clock)
+        self.balancer = balancer.Balancer(clock, "a", random.Random(1))
+        self.book = ledger_book.LedgerBook(self.store, records, clock)
+        accounts = budgets.Budgets(
+            "m1", self.book, peers.PeerClients(clock), self.fleet, clock
+        )
+        self.proxy = proxy.Proxy(
+            self.fleet, self.balancer, accounts, builders.Codec(), clock
+        )
+        self.listener = listeners.Listener(
+            "127.0.0.1:0", self.proxy.handle, LIMITS
+        )
+        self.set_servers(servers)
+        self.listener.start()
+        threading.Thread(target=self.book.run, daemon=True).start()
+
+    def configure(self):
+        """Put a configuration with a route of each kind into force."""
+        routes = tuple(
+            builders.route(kind, prefix=prefix, max_attempts=2)
+            for prefix, kind in KINDS.items()
+        )
+        self.fleet._in_force = fleet.InForce(builders.configuration(1, routes))
+
+    def set_servers(self, servers):
+        """Take backend servers by identifier and address."""
+        self.balancer.set_servers(
+            builders.server(name)._replace(address=address)
+            for name, address in servers.items()
+        )
+
+    def close(self):
+        """Stop serving."""
+        self.book.stop()
+        self.listener.stop_accepting()
+
+
+class ProxyTest(unittest.TestCase):
+    """Guards against wrong answers, second runs and false promises."""
+
+    def start(self, *scripts):
+        self.servers = []
+        addresses = {}
+        for number, script in enumerate(scripts):
+            server = scripted.ScriptedServer(
+                lambda connection, count, script=script: script(
+                    connection, count
+                )
+            )
+            self.addCleanup(server.close)
+            self.servers.append(server)
+            addresses[f"s{number}"] = server.address
+        gateway = Gateway(addresses)
+        gateway.configure()
+        self.addCleanup(gateway.close)
+        self.gateway = gateway
+        return gateway
+
+    def answering(self, *answers, then=None):
+        """Return a script that reads a request and sends answers."""
+
+        def script(connection, _):
+            owner = self.owner(connection)
+            while owner.read_request(connection):
+                for data in answers:
+                    connection.sendall(data)
+                if then is not None:
+                    then(connection)
+                    return
+
+        return script
+
+    def owner(self, connection):
+        port = connection.getsockname()[1]
+        return next(
+            server
+            for server in self.servers
+            if server.address.endswith(f":{port}")
+        )
+
+    def request(self, path="/idempotent/x", headers=None, body=None):
+        connection = http.client.HTTPConnection(
+            self.gateway.listener.address, timeout=5
+        )
+        self.addCleanup(connection.close)
+        fields = {"Host": "h.example", "Request-Id": "r1", **(headers or {})}
+        method = "POST" if body is not None else "GET"
+        connection.request(method, path, body, fields)
+        response = connection.getresponse()
+        return response, response.read()
+
+    def runs(self):
+        return sum(len(server.received) for server in self.servers)
+
+    def test_answer_is_passed_on_unchanged(self):
+        self.start(self.answering(scripted.answer(b"hello")))
+        response, body = self.request("/idempotent/x?y=%20z")
+        self.assertEqual((response.status, body), (200, b"hello"))
+        self.assertEqual(response.headers["Signed"], "1")
+        line = self.servers[0].received[0].split(b"\r\n")[0]
+        self.assertEqual(line, b"GET /idempotent/x?y=%20z HTTP/1.1")
+
+    def test_body_is_passed_on_with_a_length(self):
+        self.start(self.answering(scripted.answer()))
+        self.request("/once/x", body=iter([b"abc", b"def"]))
+        self.assertTrue(self.servers[0].received[0].endswith(b"\r\nabcdef"))
+
+    def test_unknown_path_is_not_found(self):
+        self.start(self.answering(scripted.answer()))
+        self.assertEqual(self.request("/other/")[0].status, 404)
+
+    def test_unknown_configuration_is_no_404(self):
+        gateway = self.start(self.answering(scripted.answer()))
+        gateway.fleet._in_force = None
+        response, _ = self.request()
+        self.assertEqual(response.status, 503)
+        self.assertGreater(float(response.headers["Retry-After"]), 0)
+
+    def test_full_server_moves_a_call_to_another(self):
+        full = scripted.answer(status="503 Full", fields="Not-Executed: 1\r\n")
+        for path in ("/idempotent/", "/once/", "/stream/"):
+            with self.subTest(path):
+                self.start(
+                    self.answering(full), self.answering(scripted.answer())
+                )
+                statuses = {self.request(path)[0].status for _ in range(6)}
+                self.assertEqual(statuses, {200})
+
+    def test_all_servers_full_is_a_promise(self):
+        full = scripted.answer(status="503 Full", fields="Not-Executed: 1\r\n")
+        self.start(self.answering(full), self.answering(full))
+        response, _ = self.request("/once/", body=b"x")
+        self.assertEqual(response.status, 503)
+        self.assertIn("Retry-After", response.headers)
+        self.assertNotIn("Signed", response.headers)
+
+    def test_lost_answer_of_a_call_to_run_once_is_not_repeated(self):
+        reset = self.answering(then=socket.socket.close)
+        self.start(reset, reset)
+        response, _ = self.request("/once/", body=b"x")
+        self.assertEqual(response.status, 502)
+        self.assertEqual(self.runs(), 1)
+
+    def test_lost_answer_of_an_idempotent_call_is_repeated_once(self):
+        reset = self.answering(then=socket.socket.close)
+        self.start(reset, reset, reset)
+        response, _ = self.request("/idempotent/")
+        self.assertEqual(response.status, 502)
+        self.assertEqual(self.runs(), 2)
+
+    def test_promise_without_the_servers_word_is_not_passed_on(self):
+        self.start(self.answering(scripted.answer(status="503 Busy")))
+        response, _ = self.request("/once/", body=b"x")
+        self.assertEqual(response.status, 502)
+
+    def test_success_without_signature_is_not_passed_on(self):
+        unsigned = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.start(self.answering(unsigned))
+        self.assertEqual(self.request("/once/", body=b"x")[0].status, 502)
+
+    def test_server_that_refuses_connections_moves_a_call(self):
+        gateway = self.start(self.answering(scripted.answer()))
+        closed = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{closed.getsockname()[1]}"
+        closed.close()
+        gateway.set_servers({"gone": address, "s0": self.servers[0].address})
+        statuses = {
+            self.request("/once/", body=b"x")[0].status for _ in range(4)
+        }
+        self.assertEqual(statuses, {200})
+
+    def test_time_left_is_passed_down(self):
+        self.start(self.answering(scripted.answer()))
+        self.request(headers={"Deadline": "700"})
+        sent = self.servers[0].received[0]
+        left_ms = int(sent.split(b"Deadline: ")[1].split(b"\r\n")[0])
+        self.assertLessEqual(left_ms, 700)
+        self.assertGreater(left_ms, 400)
+
+    def test_call_ends_at_its_deadline(self):
+        def silent(connection, _):
+            self.owner(connection).read_request(connection)
+            connection.recv(1)
+
+        self.start(silent)
+        started_s = time.monotonic()
+        response, _ = self.request("/once/", {"Deadline": "200"}, b"x")
+        self.assertEqual(response.status, 504)
+        self.assertLess(time.monotonic() - started_s, 1.0)
+
+    def test_caller_that_leaves_ends_the_servers_work(self):
+        ended = threading.Event()
+
+        def slow(connection, _):
+            self.owner(connection).read_request(connection)
+            if connection.recv(1) == b"":
+                ended.set()
+
+        self.start(slow)
+        host, port = self.gateway.listener.address.split(":")
+        caller = socket.create_connection((host, int(port)))
+        caller.sendall(
+            b"GET /idempotent/ HTTP/1.1\r\nHost: h.example\r\n"
+            b"Request-Id: r1\r\n\r\n"
+        )
+        while not self.runs():
+            time.sleep(0.01)
+        caller.close()
+        self.assertTrue(ended.wait(0.5))
+
+    def test_cut_stream_does_not_look_complete(self):
+        head = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSigned: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        event = b"id: 1\ndata: a\n\n"
+        chunk = b"%x\r\n%s\r\n" % (len(event), event)
+        self.start(self.answering(head, chunk, then=socket.socket.close))
+        with self.assertRaises(http.client.IncompleteRead) as caught:
+            self.request("/stream/", body=b"x")
+        self.assertEqual(caught.exception.partial, event)
+
+    def test_stream_is_passed_on_as_it_arrives(self):
+        more = threading.Event()
+        head = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSigned: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+
+        def script(connection, _):
+            self.owner(connection).read_request(connection)
+            connection.sendall(head + b"6\r\nfirst\n\r\n")
+            more.wait(5)
+            connection.sendall(b"5\r\nlast\n\r\n0\r\n\r\n")
+
+        self.start(script)
+        connection = http.client.HTTPConnection(
+            self.gateway.listener.address, timeout=5
+        )
+        self.addCleanup(connection.close)
+        connection.request(
+            "POST", "/stream/", b"x", {"Host": "h.example", "Request-Id": "r1"}
+        )
+        response = connection.getresponse()
+        self.assertEqual(response.read1(100), b"first\n")
+        more.set()
+        self.assertEqual(response.read(), b"last\n")
+
+    def test_spent_budget_is_402_and_reaches_no_server(self):
+        gateway = self.start(self.answering(scripted.answer()))
+        gateway.store.put(
+            "ledger/p", json.dumps({"tokens": 130, "block": "x"}).encode()
+        )
+        gateway.book.note_loss("test")
+        headers = {"Program": "p", "Budget": "100"}
+        response, _ = self.request("/stream/", headers, b"x")
+        self.assertEqual(response.status, 402)
+        self.assertEqual(self.runs(), 0)
+
+    def test_budget_that_cannot_be_recorded_is_refused_truthfully(self):
+        gateway = self.start(self.answering(scripted.answer()))
+        gateway.book.note_loss("test")
+        gateway.store.error = interfaces.StoreUnavailableError("down")
+        headers = {"Program": "p", "Budget": "100"}
+        response, _ = self.request("/stream/", headers, b"x")
+        self.assertEqual(response.status, 503)
+        self.assertIn("Retry-After", response.headers)
+        self.assertEqual(self.runs(), 0)
+
+
+class SmugglingTest(unittest.TestCase):
+    """Guards against requests that two parsers read in different ways."""
+
+    AMBIGUOUS = {
+        "length beside chunks": (
+            b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"
+        ),
+        "two lengths": b"Content-Length: 4\r\nContent-Length: 60\r\n",
+        "length with a sign": b"Content-Length: +4\r\n",
+        "space before the colon": b"Transfer-Encoding : chunked\r\n",
+        "folded line": b"Transfer-Encoding:\r\n chunked\r\n",
+        "unknown coding": b"Transfer-Encoding: chunked, identity\r\n",
+    }
+    INNER = (
+        b"GET /idempotent/inner HTTP/1.1\r\nHost: h.example\r\n"
+        b"Request-Id: inner\r\n\r\n"
+    )
+
+    def test_ambiguous_request_is_rejected_and_its_connection_ends(self):
+        server = scripted.ScriptedServer(
+            lambda connection, _: server.read_request(connection)
+        )
+        self.addCleanup(server.close)
+        gateway = Gateway({"s0": server.address})
+        gateway.configure()
+        self.addCleanup(gateway.close)
+        host, port = gateway.listener.address.split(":")
+        for name, fields in self.AMBIGUOUS.items():
+            with self.subTest(name):
+                caller = socket.create_connection((host, int(port)), 5)
+                self.addCleanup(caller.close)
+                caller.sendall(
+                    b"POST /idempotent/ HTTP/1.1\r\nHost: h.example\r\n"
+                    b"Request-Id: r1\r\n" + fields + b"\r\n"
+                    b"0\r\n\r\n" + self.INNER
+                )
+                answer = b""
+                while chunk := caller.recv(4_096):
+                    answer += chunk
+                self.assertIn(answer[9:12], (b"400", b"501"))
+                self.assertEqual(server.received, [])
+
+
+class EventCounterTest(unittest.TestCase):
+    """Guards against tokens that are not counted."""
+
+    def test_events_are_counted_however_they_are_cut(self):
+        stream = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(50))
+        generator = random.Random(3)
+        for _ in range(200):
+            counter = relay.EventCounter()
+            rest = stream
+            while rest:
+                size = generator.randrange(1, 9)
+                counter.add(rest[:size])
+                rest = rest[size:]
+            self.assertEqual(counter.events, 50)
+            self.assertEqual(counter.events_begun, 50)
+
+    def test_event_that_was_cut_counts_as_begun(self):
+        counter = relay.EventCounter()
+        counter.add(b"id: 1\n\nid: 2\nda")
+        self.assertEqual((counter.events, counter.events_begun), (1, 2))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/gateway/tests/test_view.py
@@ -0,0 +1,253 @@
+"""Tests of what a process believes of configuration, servers and members."""
+
+import json
+import unittest
+
+import builders
+
+from balsamloom_gateway import feed, fleet, follower, interfaces, peers
+
+
+def record(is_draining=False, sequence=0):
+    """Build a server's record; ``sequence`` changes nothing of meaning."""
+    return json.dumps(
+        {"is_draining": is_draining, "sequence": sequence}
+    ).encode()
+
+
+class FleetTest(unittest.TestCase):
+    """Guards against old configurations and calls to servers that left."""
+
+    def setUp(self):
+        self.clock = builders.manual_clock()
+        self.fleet = fleet.Fleet(builders.Records(), self.clock)
+        self.fleet.note_age(0.0)
+
+    def put(self, key, value, revision):
+        self.fleet.apply([interfaces.Item(key, value, revision)])
+
+    def server_ids(self):
+        return [server.server_id for server in self.fleet.servers()]
+
+    def test_configuration_never_goes_back(self):
+        self.put("config", b"7", 1)
+        self.put("config", b"6", 2)
+        self.assertEqual(self.fleet.in_force.configuration.version, 7)
+
+    def test_unreadable_configuration_keeps_the_last_good_one(self):
+        self.put("config", b"7", 1)
+        self.put("config", b"{", 2)
+        self.assertEqual(self.fleet.in_force.configuration.version, 7)
+
+    def test_draining_server_gets_no_calls(self):
+        self.put("server/s1", record(), 1)
+        self.put("server/s2", record(), 2)
+        self.put("server/s1", record(is_draining=True), 3)
+        self.assertEqual(self.server_ids(), ["s2"])
+
+    def test_unreadable_record_names_no_server(self):
+        self.put("server/s1", record(), 1)
+        self.put("server/s1", b"\xff\x00", 2)
+        self.assertEqual(self.server_ids(), [])
+
+    def test_deleted_server_is_gone_at_once(self):
+        self.put("server/s1", record(), 1)
+        self.fleet.apply([interfaces.Deleted("server/s1", 2)])
+        self.assertEqual(self.server_ids(), [])
+
+    def test_server_that_lapsed_in_an_outage_is_held_for_a_while(self):
+        self.put("server/s1", record(), 1)
+        self.fleet.note_age(3_000.0)
+        self.fleet.note_age(0.0)
+        self.fleet.apply([interfaces.Deleted("server/s1", 2)])
+        self.assertEqual(self.server_ids(), ["s1"])
+        self.clock.advance(fleet.LAPSE_HOLD_MS)
+        self.fleet.note_age(0.0)
+        self.assertEqual(self.server_ids(), [])
+
+    def test_server_that_returns_after_an_outage_stays(self):
+        self.put("server/s1", record(), 1)
+        self.fleet.note_age(3_000.0)
+        self.fleet.note_age(0.0)
+        self.fleet.apply([interfaces.Deleted("server/s1", 2)])
+        self.put("server/s1", record(), 3)
+        self.clock.advance(fleet.LAPSE_HOLD_MS * 2)
+        self.fleet.note_age(0.0)
+        self.assertEqual(self.server_ids(), ["s1"])
+
+    def test_loss_of_a_member_is_told(self):
+        lost = []
+        self.fleet.on_member_lost = lost.append
+        first = fleet.encode_member(builders.member("m1", "1"))
+        second = fleet.encode_member(builders.member("m1", "2"))
+        self.put("member/m1", first, 1)
+        self.put("member/m1", second, 2)
+        self.fleet.apply([interfaces.Deleted("member/m1", 3)])
+        self.assertEqual(lost, ["m1", "m1"])
+
+
+class FeedTest(unittest.TestCase):
+    """Guards against changes that are lost or heartbeats passed on."""
+
+    def setUp(self):
+        self.clock = builders.manual_clock()
+        self.view = fleet.Fleet(builders.Records(), self.clock)
+        self.feed = feed.Feed(self.clock, self.view.meaning)
+
+    def item(self, key, value, revision):
+        return interfaces.Item(key, value, revision)
+
+    def test_heartbeat_is_not_passed_on(self):
+        self.feed.apply([self.item("server/s1", record(), 1)])
+        self.feed.note_read(1, self.clock.now_ms())
+        first = self.feed.answer("", 0)
+        changed = self.feed.apply(
+            [self.item("server/s1", record(sequence=5), 2)]
+        )
+        self.assertEqual(changed, [])
+        answer = self.feed.answer(first["epoch"], first["cursor"])
+        self.assertEqual(answer["changes"], [])
+
+    def test_older_change_is_dropped(self):
+        self.feed.apply([interfaces.Deleted("server/s1", 5)])
+        changed = self.feed.apply([self.item("server/s1", record(), 4)])
+        self.assertEqual(changed, [])
+
+    def test_listing_deletes_what_is_gone(self):
+        self.feed.apply([self.item("server/s1", record(), 1)])
+        changed = self.feed.replace([], 9)
+        self.assertEqual(changed, [interfaces.Deleted("server/s1", 9)])
+
+    def test_listing_keeps_what_is_newer(self):
+        self.feed.apply([self.item("server/s1", record(), 10)])
+        self.assertEqual(self.feed.replace([], 9), [])
+
+    def test_other_epoch_gets_everything(self):
+        self.feed.apply([self.item("server/s1", record(), 1)])
+        self.feed.note_read(1, self.clock.now_ms())
+        answer = self.feed.answer("other", 99)
+        self.assertEqual(
+            feed.decode_changes(answer), [self.item("server/s1", record(), 1)]
+        )
+
+    def test_malformed_answer_is_an_error(self):
+        for answer in ({}, {"changes": [1]}, {"changes": [["k", "*", 1]]}):
+            with self.subTest(answer), self.assertRaises(ValueError):
+                feed.decode_changes(answer)
+
+
+class PeerStub:
+    """Members' feeds by address, without a network."""
+
+    def __init__(self):
+        self.feeds = {}
+
+    def call(self, address, path, body, timeout_ms):
+        found = self.feeds.get(address)
+        answer = found.answer(body["epoch"], body["cursor"]) if found else None
+        if answer is None:
+            raise peers.PeerUnavailableError(address)
+        return json.loads(json.dumps(answer))
+
+
+class FollowerTest(unittest.TestCase):
+    """Guards against a view that is stale while the store can be read."""
+
+    INTERVALS = follower.Intervals(600.0, 400.0)
+
+    def setUp(self):
+        self.clock = builders.manual_clock()
+        self.store = builders.Store()
+        self.peers = PeerStub()
+        self.store.put("config", b"1")
+        for name in ("m1", "m2"):
+            member = fleet.encode_member(builders.member(name))
+            self.store.put(f"member/{name}", member)
+
+    def start(self, name):
+        records = builders.Records()
+        view = fleet.Fleet(records, self.clock)
+        copy = feed.Feed(self.clock, view.meaning)
+        self.peers.feeds[f"{name}:2"] = copy
+        return view, follower.Follower(
+            name,
+            self.store,
+            records,
+            copy,
+            view,
+            self.peers,
+            self.clock,
+            self.INTERVALS,
+        )
+
+    def test_first_member_reads_the_store(self):
+        view, reader = self.start("m1")
+        reader.read_once()
+        self.store.put("server/s1", record())
+        self.assertLessEqual(reader.read_once(), 600.0)
+        self.assertEqual(len(view.servers()), 1)
+
+    def test_second_member_follows_the_first_without_store_calls(self):
+        _, first = self.start("m1")
+        view, second = self.start("m2")
+        first.read_once()
+        second.read_once()
+        self.store.put("server/s1", record())
+        first.read_once()
+        calls = len(self.store.calls)
+        self.assertEqual(second.read_once(), 400.0)
+        self.assertEqual(len(self.store.calls), calls)
+        self.assertEqual(len(view.servers()), 1)
+
+    def test_member_whose_source_is_gone_reads_the_store(self):
+        _, first = self.start("m1")
+        view, second = self.start("m2")
+        first.read_once()
+        second.read_once()
+        del self.peers.feeds["m1:2"]
+        self.store.put("server/s1", record())
+        second.read_once()
+        self.assertEqual(len(view.servers()), 1)
+
+    def test_member_whose_source_is_stale_reads_the_store(self):
+        _, first = self.start("m1")
+        view, second = self.start("m2")
+        first.read_once()
+        second.read_once()
+        self.clock.advance(2_000.0)
+        self.store.put("server/s1", record())
+        second.read_once()
+        self.assertEqual(len(view.servers()), 1)
+
+    def test_dropped_history_is_read_anew(self):
+        view, reader = self.start("m1")
+        self.store.put("server/s1", record())
+        reader.read_once()
+        self.store.has_history = False
+        self.store.delete("server/s1")
+        reader.read_once()
+        reader.read_once()
+        self.assertEqual(view.servers(), [])
+
+    def test_restarted_source_does_not_bring_back_what_is_gone(self):
+        self.store.put("server/s1", record())
+        _, first = self.start("m1")
+        view, second = self.start("m2")
+        first.read_once()
+        second.read_once()
+        self.store.delete("server/s1")
+        _, first = self.start("m1")
+        first.read_once()
+        second.read_once()
+        self.assertEqual(view.servers(), [])
+
+    def test_store_that_is_away_is_asked_less_often(self):
+        _, reader = self.start("m1")
+        self.store.error = interfaces.StoreUnavailableError("down")
+        pauses = [reader.read_once() for _ in range(6)]
+        self.assertEqual(pauses, sorted(pauses))
+        self.assertLessEqual(max(pauses), follower.RETRY_MAX_MS)
+
+
+if __name__ == "__main__":
+    unittest.main()
