Prefer servers of a program's last turns; bound waits between holders

Cause 1: callers reach edge processes at random, so most processes do not know where a program's earlier turns ran and have its history read again. The budget holder knows and tells; the balancer did not use it. Calls to holders now end after 200 ms, calls between holders after 60 ms.

--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -38,7 +38,10 @@
 
 
 class CallProfile(NamedTuple):
-    """What the choice needs to know of a call."""
+    """What the choice needs to know of a call.
+
+    ``recent_servers`` ran the last turns of the same program.
+    """
 
     prompt: tuple[traffic.PromptPart, ...] = ()
     prompt_tokens: int = 0
@@ -101,6 +104,10 @@
             if part.part_id not in self.parts:
                 break
             held += part.tokens
+        if self.server.server_id in profile.recent_servers:
+            # All but the last part were in the prompts of earlier turns.
+            earlier = sum(part.tokens for part in profile.prompt[:-1])
+            held = max(held, earlier)
         return max(profile.prompt_tokens - held, 0)
 
     def keep_parts(self, profile: CallProfile) -> None:
--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -18,8 +18,11 @@
     traffic,
 )
 
-PEER_TIMEOUT_MS = 250.0
-CLAIM_TIMEOUT_MS = 120.0
+# A holder waits for the store and tells a standby before it answers; the sum
+# of those times stays below this one.
+PEER_TIMEOUT_MS = 200.0
+# Calls between holders, which keep nothing waiting.
+HOLDER_TIMEOUT_MS = 60.0
 # A member that did not answer is not asked again for this time.
 AVOID_MS = 2_000.0
 # Holders that are asked to record before one may expose tokens.
@@ -265,7 +268,7 @@
         for member in self._fleet.members():
             if member.name == name:
                 answer = self._call(
-                    member, peers.NOTE_PATH, body, PEER_TIMEOUT_MS
+                    member, peers.NOTE_PATH, body, HOLDER_TIMEOUT_MS
                 )
                 return answer is not None
         return False
@@ -278,7 +281,7 @@
         body = {"program_id": program_id}
         members = self._fleet.lost_members() + self._holders(program_id)
         answers = [
-            self._call(member, peers.CLAIM_PATH, body, CLAIM_TIMEOUT_MS)
+            self._call(member, peers.CLAIM_PATH, body, HOLDER_TIMEOUT_MS)
             for member in members
             if member.name != self._name
         ]
--- /dev/null
+++ b/packages/gateway/tests/test_explain.py
@@ -0,0 +1,93 @@
+"""Tests of the way from a request's identifier to its cause."""
+
+import contextlib
+import io
+import json
+import logging
+import time
+import unittest
+
+import scripted
+import test_proxy
+
+from balsamloom_core import events
+from balsamloom_gateway import explain
+
+FINAL_EVENTS = ("request_ended", "request_refused")
+
+
+class ExplainTest(unittest.TestCase):
+    """Follows docs/OPERATIONS.md on the lines of real requests."""
+
+    def setUp(self):
+        self.stream = io.StringIO()
+        logger = logging.getLogger("balsamloom")
+        former = (logger.handlers[:], logger.level, logger.propagate)
+        self.addCleanup(self.restore, logger, *former)
+        events.configure("edge", stream=self.stream)
+
+    @staticmethod
+    def restore(logger, handlers, level, propagate):
+        logger.handlers[:] = handlers
+        logger.setLevel(level)
+        logger.propagate = propagate
+
+    def explain(self, path, script, body=b"x"):
+        """Run one request and return the names and fields of its lines."""
+        case = test_proxy.ProxyTest()
+        self.addCleanup(case.doCleanups)
+        case.start(script(case))
+        with contextlib.suppress(Exception):
+            case.request(path, body=body)
+        # The caller may have its answer before the last line is written.
+        end_s = time.monotonic() + 5
+        while time.monotonic() < end_s:
+            lines = explain.read("edge", self.stream.getvalue().splitlines())
+            found = explain.related(lines, "r1")
+            if found and found[-1].name in FINAL_EVENTS:
+                return found
+        raise AssertionError("the request has no final line")
+
+    def test_refused_request_names_the_servers_that_were_full(self):
+        full = scripted.answer(status="503 Full", fields="Not-Executed: 1\r\n")
+        lines = self.explain("/once/", lambda case: case.answering(full))
+        names = [line.name for line in lines]
+        self.assertEqual(names[-1], "request_refused")
+        self.assertIn("attempt_failed", names)
+        self.assertIn("retry_after_ms", lines[-1].fields)
+
+    def test_lost_answer_names_the_server_and_that_it_was_sent(self):
+        lines = self.explain(
+            "/once/",
+            lambda case: case.answering(then=lambda one: one.close()),
+        )
+        failed = next(line for line in lines if line.name == "attempt_failed")
+        self.assertEqual(failed.fields["server_id"], "s0")
+        self.assertTrue(failed.fields["is_sent"])
+        self.assertEqual(lines[-1].fields["status"], 502)
+
+    def test_broken_stream_says_how_far_it_came(self):
+        head = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSigned: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        event = b"id: 1\ndata: a\n\n"
+        chunk = b"%x\r\n%s\r\n" % (len(event), event)
+        lines = self.explain(
+            "/stream/",
+            lambda case: case.answering(
+                head, chunk, then=lambda one: one.close()
+            ),
+        )
+        ended = lines[-1]
+        self.assertTrue(ended.fields["reason"].startswith("cut off"))
+        self.assertEqual(ended.fields["events_relayed"], 1)
+
+    def test_other_requests_and_output_are_left_out(self):
+        line = {"asctime": "2026-12-04 05:00:00,000", "name_of_event": "x"}
+        text = [json.dumps({**line, "request_id": "r2"}), "no json", "[]"]
+        self.assertEqual(explain.related(explain.read("e", text), "r1"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,11 +1,11 @@
-"""The session on docs/operations.md, run command by command."""
+"""The session on docs/OPERATIONS.md, run command by command."""
 
 import shutil
 import unittest
 
 import sessions
 
-PAGE = "operations.md"
+PAGE = "OPERATIONS.md"
 
 
 class OperationsTest(unittest.TestCase):
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -14,7 +14,7 @@
 from balsamloom_entry import main as entry
 from balsamloom_standins import main as standins
 
-PAGE = pathlib.Path(__file__).parent.parent / "docs" / "operations.md"
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
 # Nothing listens on this port.
 DEAD = "127.0.0.1:1"
 COMMANDS = {
