--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := $(addprefix packages/,core platform peers state policy membership configuration entry cli standins gateway) platform
 
-.PHONY: setup run serve test check unit measure capacity format
+.PHONY: setup run serve test check unit measure capacity format soak
 
 setup: $(STAMP)
 
@@ -32,6 +32,10 @@
 
 run: setup
 	$(BIN)/python tools/demo.py
+	$(BIN)/python -m balsamloom_testbed.demo
+
+soak: setup
+	$(BIN)/python -m balsamloom_testbed.soak --runs 5
 
 serve: setup
 	$(BIN)/python tools/demo.py --keep
