Split the budgets' records and standbys into modules of their own

Background loops run again after an unexpected error and log it, messages of CherryPy's server go to the log, and a budget record that cannot be read counts as spent instead of ending the loop that records blocks.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -81,6 +81,7 @@
     PEER_CALL_FAILED = 7015
     SETTINGS_REJECTED = 7016
     BUDGET_CAUTION = 7017
+    BACKGROUND_FAILED = 7018
 
 
 _MEANINGS: dict[Event, str] = {
@@ -160,6 +161,9 @@
     Event.LINES_DROPPED: "Log lines were dropped to bound their volume.",
     Event.PEER_CALL_FAILED: "A call to another member failed.",
     Event.SETTINGS_REJECTED: "The settings cannot be used.",
+    Event.BACKGROUND_FAILED: (
+        "A background loop failed unexpectedly and is run again."
+    ),
     Event.BUDGET_CAUTION: "A process that held budgets may be lost.",
 }
 
--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -4,8 +4,7 @@
 
 import math
 import threading
-from collections.abc import Sequence
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
@@ -21,8 +20,6 @@
 # A holder waits for the store and tells a standby before it answers; the sum
 # of those times stays below this one.
 PEER_TIMEOUT_MS = 200.0
-# Calls between holders, which keep nothing waiting.
-HOLDER_TIMEOUT_MS = 60.0
 # A member that did not answer is not asked again for this time.
 AVOID_MS = 2_000.0
 # Holders that are asked to record before one may expose tokens.
@@ -227,105 +224,6 @@
         return result
 
 
-class PeerStandbys:
-    """The other holders of programs' budgets, as standbys of this member.
-
-    :param name: name of this member.
-    :param incarnation: incarnation of this member.
-    :param clients: other members.
-    :param view: registered members.
-    :param clock: time source.
-    """
-
-    def __init__(
-        self,
-        name: str,
-        incarnation: str,
-        clients: peers.PeerClients,
-        view: fleet.Fleet,
-        clock: clocks.Clock,
-    ) -> None:
-        self._name = name
-        self._own = f"{name}/{incarnation}"
-        self._clients = clients
-        self._fleet = view
-        self._clock = clock
-        self._avoided: dict[str, float] = {}
-
-    def of(self, program_id: str) -> tuple[str, ...]:
-        """Return name and incarnation of each other holder."""
-        return tuple(
-            f"{member.name}/{member.incarnation}"
-            for member in self._holders(program_id)
-        )
-
-    def note(
-        self, standby: str, claims: Sequence[ledger.Claim], is_sure: bool
-    ) -> bool:
-        """Tell claims; return whether the standby knows them now."""
-        body = {"holder": self._own, "claims": claims, "is_sure": is_sure}
-        name = standby.partition("/")[0]
-        for member in self._fleet.members():
-            if member.name == name:
-                answer = self._call(
-                    member, peers.NOTE_PATH, body, HOLDER_TIMEOUT_MS
-                )
-                return answer is not None
-        return False
-
-    def known_claim(self, program_id: str) -> ledger.Claim | None:
-        """Return the most that is known to be claimed.
-
-        Members that ended may live on and have lost only the store.
-        """
-        body = {"program_id": program_id}
-        members = self._fleet.lost_members() + self._holders(program_id)
-        answers = [
-            self._call(member, peers.CLAIM_PATH, body, HOLDER_TIMEOUT_MS)
-            for member in members
-            if member.name != self._name
-        ]
-        claims = [
-            ledger.Claim(*answer["claim"])
-            for answer in answers
-            if answer and answer["claim"]
-        ]
-        if not claims:
-            return None
-        return claims[0]._replace(
-            recorded_tokens=max(claim.recorded_tokens for claim in claims),
-            exposed_tokens=max(claim.exposed_tokens for claim in claims),
-        )
-
-    def _holders(self, program_id: str) -> list[traffic.Member]:
-        holders = membership.budget_holders(program_id, self._fleet.members())
-        return [member for member in holders if member.name != self._name]
-
-    def _call(
-        self,
-        member: traffic.Member,
-        path: str,
-        body: dict[str, Any],
-        timeout_ms: float,
-    ) -> dict[str, Any] | None:
-        now_ms = self._clock.now_ms()
-        if now_ms < self._avoided.get(member.peer_address, 0.0):
-            return None
-        try:
-            return self._clients.call(
-                member.peer_address, path, body, timeout_ms
-            )
-        except peers.PeerUnavailableError as error:
-            self._avoided[member.peer_address] = now_ms + AVOID_MS
-            events.log(
-                events.Event.PEER_CALL_FAILED,
-                member=member.name,
-                call=path,
-                reason=str(error),
-            )
-            return None
-
-
 def _exposure(is_first: bool, is_last_resort: bool) -> ledger_book.Exposure:
     """Return what a holder may hand out before it is recorded.
 
--- a/packages/gateway/src/balsamloom_gateway/ledger_book.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_book.py
@@ -8,17 +8,20 @@
 
 import dataclasses
 import enum
-import json
 import logging
 import math
 import threading
 import uuid
 from collections.abc import Sequence
-from typing import NamedTuple, Protocol
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import interfaces, ledger
+from balsamloom_gateway import (
+    interfaces,
+    ledger,
+    ledger_records,
+    standbys,
+)
 
 # The store takes 32 entries in a transaction; each account needs a condition
 # and a write.
@@ -63,42 +66,6 @@
 Reservation = ledger.Reserved | ledger.Exhausted | Unrecorded
 
 
-class Standbys(Protocol):
-    """The other members that may hold a program's budget."""
-
-    def of(self, program_id: str) -> tuple[str, ...]:
-        """Return who they are; a restarted member is another one."""
-
-    def note(
-        self, standby: str, claims: Sequence[ledger.Claim], is_sure: bool
-    ) -> bool:
-        """Tell one of them claims; return whether it knows them now.
-
-        :param is_sure: whether programs that were never told are new ones.
-        """
-
-    def known_claim(self, program_id: str) -> ledger.Claim | None:
-        """Return the most that one of them knows to be claimed."""
-
-
-class NoStandbys:
-    """Stands for standbys that cannot be reached."""
-
-    def of(self, program_id: str) -> tuple[str, ...]:
-        """Return that there are none."""
-        return ()
-
-    def note(
-        self, standby: str, claims: Sequence[ledger.Claim], is_sure: bool
-    ) -> bool:
-        """Return that nobody knows of a claim."""
-        return False
-
-    def known_claim(self, program_id: str) -> ledger.Claim | None:
-        """Return that no claim is known."""
-        return None
-
-
 class LedgerBook:
     """Reserves tokens of programs and keeps the store's records in step.
 
@@ -119,7 +86,7 @@
         self._store = store
         self._records = records
         self._clock = clock
-        self.standbys: Standbys = NoStandbys()
+        self.standbys: standbys.Standbys = standbys.NoStandbys()
         self._changed = threading.Condition()
         self._accounts: dict[str, ledger.Account] = {}
         self._urgent: set[str] = set()
@@ -417,7 +384,7 @@
                 for block in blocks
             ]
             writes = [
-                interfaces.Write(block.key, _encode_record(block))
+                interfaces.Write(block.key, ledger_records.encode(block))
                 for block in blocks
             ]
             self._call_started_ms = self._clock.now_ms()
@@ -435,7 +402,7 @@
             match result:
                 case interfaces.Committed(revision):
                     for block in blocks:
-                        _take_recorded(block, revision)
+                        ledger_records.take_recorded(block, revision)
                 case interfaces.Conflict(items):
                     for block in blocks:
                         self._take_conflict(block, items.get(block.key))
@@ -443,17 +410,17 @@
                     raise AssertionError("ledger records have no lease")
             self._changed.notify_all()
 
-    def _new_block(self, account: ledger.Account) -> _Block:
+    def _new_block(self, account: ledger.Account) -> ledger_records.Block:
         self._block_number += 1
         name = f"{self._writer}.{self._block_number}"
         tokens = account.wanted_tokens
         account.unconfirmed[name] = tokens
         key = self._records.ledger_key(account.program_id)
         total = account.recorded_tokens + tokens
-        return _Block(account, key, name, tokens, total)
+        return ledger_records.Block(account, key, name, tokens, total)
 
     def _take_conflict(
-        self, block: _Block, item: interfaces.Item | None
+        self, block: ledger_records.Block, item: interfaces.Item | None
     ) -> None:
         """Take the record as it is; a block still wanted is asked for again.
 
@@ -468,7 +435,18 @@
                 account.wanted_tokens = block.tokens
                 self._urgent.add(account.program_id)
             return
-        total, name = _decode_record(item)
+        decoded = ledger_records.decode(item)
+        if decoded is None:
+            # Nothing is known of what was spent, so all of it may be.
+            events.log(
+                events.Event.RECORD_UNREADABLE,
+                logging.WARNING,
+                key=block.key,
+                revision=revision,
+                reason="the program's budget counts as spent",
+            )
+            decoded = account.budget_tokens, ""
+        total, name = decoded
         own = account.unconfirmed.pop(name, 0)
         if not own:
             account.slack_tokens = account.turn_tokens
@@ -485,7 +463,7 @@
         )
 
     def _note_failure(
-        self, error: interfaces.StoreError, blocks: list[_Block]
+        self, error: interfaces.StoreError, blocks: list[ledger_records.Block]
     ) -> None:
         is_unknown = isinstance(error, interfaces.StoreOutcomeUnknownError)
         with self._changed:
@@ -546,37 +524,3 @@
                 user="ledger",
                 reason=str(error),
             )
-
-
-class _Block(NamedTuple):
-    """Block that is being recorded."""
-
-    account: ledger.Account
-    key: str
-    name: str
-    tokens: int
-    total_tokens: int
-
-
-def _take_recorded(block: _Block, revision: int) -> None:
-    account = block.account
-    account.unconfirmed.pop(block.name, None)
-    own = max(block.tokens, 0)
-    account.recorded(block.total_tokens, revision, own)
-
-
-def _encode_record(block: _Block) -> bytes:
-    record = {"tokens": block.total_tokens, "block": block.name}
-    return json.dumps(record, separators=(",", ":")).encode()
-
-
-def _decode_record(item: interfaces.Item | None) -> tuple[int, str]:
-    """Return the tokens of all recorded blocks and the latest block's name.
-
-    A record that cannot be read is treated as one that was never written only
-    if the key does not exist.
-    """
-    if item is None:
-        return 0, ""
-    record = json.loads(item.value)
-    return int(record["tokens"]), str(record["block"])
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import functools
-import select
+import logging
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
@@ -17,6 +17,7 @@
 from cheroot.workers import threadpool
 
 from balsamloom_core import clock as clocks
+from balsamloom_core import events
 
 BACKLOG = 512
 KEPT_CONNECTIONS = 2_000
@@ -324,6 +325,7 @@
         server.requests = _ThreadPool(
             server, min=min(SPARE_THREADS, limits.threads), max=limits.threads
         )
+        server.error_log = _log_error
         self._server = server
         self.set_limits(limits)
         server.prepare()
@@ -368,8 +370,9 @@
         self.is_leaving = True
 
 
-def peer_closed(descriptor: int) -> bool:
-    """Return whether the other end of a connection has closed it."""
-    poll = select.poll()
-    poll.register(descriptor, select.POLLRDHUP)
-    return bool(poll.poll(0))
+def _log_error(
+    msg: str = "", level: int = logging.INFO, traceback: bool = False
+) -> None:
+    """Take a message of CherryPy's server into the log."""
+    if level >= logging.WARNING:
+        events.log(events.Event.REQUEST_FAILED, level, reason=msg)
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 import threading
 from collections.abc import Callable
@@ -25,6 +26,7 @@
     peers,
     proxy,
     registrar,
+    standbys,
     traffic,
 )
 
@@ -42,6 +44,8 @@
 # Time of the stop that is kept for giving budgets back.
 LEAVE_RESERVE_MS = 700.0
 LEAVE_CHECK_MS = 50.0
+# Pause before a background loop that failed is run again.
+RESTART_PAUSE_MS = 200.0
 WATCH_SHARE = 0.3
 FOLLOW_SHARE = 0.2
 
@@ -112,7 +116,7 @@
         accounts = budgets.Budgets(
             settings.name, self._book, clients, self.fleet, clock
         )
-        self._book.standbys = budgets.PeerStandbys(
+        self._book.standbys = standbys.PeerStandbys(
             settings.name,
             settings.incarnation,
             clients,
@@ -199,7 +203,9 @@
             self._registrar.run,
             self._book.run,
         ):
-            threading.Thread(target=target, daemon=True).start()
+            threading.Thread(
+                target=self._keep_running, args=(target,), daemon=True
+            ).start()
         events.log(
             events.Event.PROCESS_STARTED,
             member=self.member.name,
@@ -236,6 +242,21 @@
         if name < self.member.name:
             self._book.note_loss(f"{name} ended")
 
+    def _keep_running(self, target: Callable[[], None]) -> None:
+        """Run a background loop again after an unexpected error."""
+        while True:
+            try:
+                target()
+                return
+            except Exception as error:
+                events.log(
+                    events.Event.BACKGROUND_FAILED,
+                    logging.ERROR,
+                    task=target.__qualname__,
+                    reason=repr(error),
+                )
+                self._clock.sleep(RESTART_PAUSE_MS)
+
     def _note_own_loss(self) -> None:
         """Take in that others may have held this member's budgets."""
         self._book.note_loss("the own registration was lost")
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -90,52 +90,57 @@
         self, request: listeners.Request, reply: listeners.Reply
     ) -> None:
         """Answer one request."""
+        call = self._read_call(request, reply)
+        if call is not None:
+            self._serve(call)
+
+    def _read_call(
+        self, request: listeners.Request, reply: listeners.Reply
+    ) -> Call | None:
+        """Read a request and find its route.
+
+        :return: ``None`` if the request has its final answer.
+        """
         arrived_ms = self._clock.now_ms()
         try:
             metadata = self._codec.decode_call(request.headers)
         except interfaces.InvalidCallError as error:
             self._reject(request, reply, 400, str(error))
-            return
+            return None
         in_force = self._fleet.in_force
         if in_force is None:
-            self._refuse(
-                reply,
-                metadata.request_id,
-                "no configuration is known yet",
-                STARTING_RETRY_MS,
-            )
-            return
+            reason = "no configuration is known yet"
+            request_id = metadata.request_id
+            self._refuse(reply, request_id, reason, STARTING_RETRY_MS)
+            return None
+        configuration = in_force.configuration
         host = request.headers.get(b"Host", b"").decode("latin-1")
         route = in_force.table.find(host, request.path)
         if route is None:
-            version = in_force.configuration.version
-            reason = f"no route in version {version}"
+            reason = f"no route in version {configuration.version}"
             self._reject(request, reply, 404, reason)
-            return
+            return None
         try:
             body = request.read_body()
         except listeners.BodyTooLargeError as error:
-            reply.close_after()
             self._reject(request, reply, 413, str(error))
-            return
+            return None
         except listeners.MalformedBodyError as error:
-            reply.close_after()
             self._reject(request, reply, 400, str(error))
-            return
+            return None
         left_ms = route.timeout_ms
         if metadata.deadline_ms is not None:
             left_ms = min(left_ms, metadata.deadline_ms)
-        self._serve(
-            Call(
-                request,
-                reply,
-                metadata,
-                route,
-                body,
-                arrived_ms,
-                arrived_ms + left_ms,
-                in_force.configuration,
-            )
+        until_ms = arrived_ms + left_ms
+        return Call(
+            request,
+            reply,
+            metadata,
+            route,
+            body,
+            arrived_ms,
+            until_ms,
+            configuration,
         )
 
     def _serve(self, call: Call) -> None:
@@ -360,7 +365,8 @@
         identifier = request.headers.get(
             self._codec.request_id_field.title(), b""
         ).decode("latin-1")
-        if status == 400:
+        if status != 404:
+            # The rest of the request may not have been read.
             reply.close_after()
         reply.send(status, self._codec.own_answer(identifier, None))
         events.log(
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -14,6 +14,7 @@
     ledger_book,
     peer_service,
     peers,
+    standbys,
     traffic,
 )
 
@@ -61,7 +62,7 @@
         for member in NAMES:
             encoded = fleet.encode_member(builders.member(member))
             view.apply([interfaces.Item(f"member/{member}", encoded, 1)])
-        book.standbys = budgets.PeerStandbys(
+        book.standbys = standbys.PeerStandbys(
             name, str(is_restart), self.network, view, self.clock
         )
         self.network.services[name] = peer_service.PeerService(book, None)
--- a/packages/gateway/tests/test_ledger_book.py
+++ b/packages/gateway/tests/test_ledger_book.py
@@ -70,6 +70,12 @@
             results, [ledger.Reserved(), ledger.Exhausted(450, 0)]
         )
 
+    def test_unreadable_record_counts_as_spent(self):
+        self.store.put("ledger/p", b"\xff{")
+        self.book.note_loss("test")
+        results = [self.reserve(self.book, NONE) for _ in range(2)]
+        self.assertIsInstance(results[-1], ledger.Exhausted)
+
     def test_unrecorded_turn_is_refused_while_the_store_is_away(self):
         self.store.error = interfaces.StoreUnavailableError("down")
         result = self.reserve(self.book, NONE)
