--- a/tests/test_documentation.py
+++ b/tests/test_documentation.py
@@ -1,7 +1,9 @@
 """Compares the tables under docs/ with the code, both ways."""
 
+import importlib
 import json
 import pathlib
+import re
 import unittest
 
 from balsamloom_cli import entry_settings
@@ -156,3 +158,29 @@
         for row in rows:
             self.assertEqual(len(row), 5, row)
             self.assertTrue(row[4], f"{row[0]} has no meaning")
+
+
+class PlatformPageTest(unittest.TestCase):
+    """Guards against answers that name code which is no longer there."""
+
+    def test_named_functions_exist(self):
+        names = re.findall(
+            r"`([a-z_]+)\.([A-Za-z_.]+)`",
+            "".join(row[1] for row in self.rows()),
+        )
+        self.assertGreater(len(names), 5)
+        for module, path in names:
+            with self.subTest(f"{module}.{path}"):
+                found = importlib.import_module(f"balsamloom_gateway.{module}")
+                for part in path.split("."):
+                    found = getattr(found, part)
+
+    @staticmethod
+    def rows():
+        text = (DOCS / "platform.md").read_text(encoding="utf-8")
+        section = text.split("\n## Where to look\n", 1)[1].split("\n## ")[0]
+        return [
+            line.strip("|").split("|")
+            for line in section.splitlines()
+            if line.startswith("|") and "---" not in line
+        ]
