Bound a planned stop while the store is away

Ruled out: requests in progress (is_idle) and the listener (it stops within a second). The loop now ends with the first call that the store does not answer.

--- a/packages/gateway/src/balsamloom_gateway/ledger_book.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_book.py
@@ -228,7 +228,11 @@
             self._changed.notify_all()
 
     def release(self) -> None:
-        """Give the unused blocks back to the store, at a planned stop."""
+        """Give the unused blocks back to the store, at a planned stop.
+
+        A store that does not answer is not asked again: the process has a
+        bounded time for its stop, and the blocks then count as spent.
+        """
         with self._changed:
             held = [
                 account
@@ -240,6 +244,8 @@
                 account.left_tokens = 0
         for start in range(0, len(held), TRANSACTION_ACCOUNTS):
             self._record(held[start : start + TRANSACTION_ACCOUNTS])
+            if self._failed_ms is not None:
+                return
 
     def _note_untold(self, program_id: str) -> None:
         if not self._untold:
--- a/packages/gateway/tests/test_ledger_book.py
+++ b/packages/gateway/tests/test_ledger_book.py
@@ -143,6 +143,18 @@
         self.book.release()
         self.assertEqual(self.recorded_tokens(), 30)
 
+    def test_planned_stop_does_not_wait_for_a_store_that_is_away(self):
+        # Each call may take the whole timeout, and a process has a bounded
+        # time for its stop (soak seeds 119 and 122).
+        for number in range(60):
+            self.book.reserve(f"p{number}", 10, 100, NONE)
+            self.book.settle(f"p{number}", 10, 1, "s1")
+        self.book.stop()
+        self.store.error = interfaces.StoreUnavailableError("down")
+        calls = len(self.store.calls)
+        self.book.release()
+        self.assertEqual(len(self.store.calls), calls + 1)
+
     def test_transactions_stay_under_the_stores_limit(self):
         # The store takes 32 entries, conditions and writes together.
         self.store.error = interfaces.StoreUnavailableError("down")
