--- a/packages/gateway/tests/test_ledger_book.py
+++ b/packages/gateway/tests/test_ledger_book.py
@@ -145,7 +145,7 @@
 
     def test_planned_stop_does_not_wait_for_a_store_that_is_away(self):
         # Each call may take the whole timeout, and a process has a bounded
-        # time for its stop (soak seeds 119 and 122).
+        # time for its stop.
         for number in range(60):
             self.book.reserve(f"p{number}", 10, 100, NONE)
             self.book.settle(f"p{number}", 10, 1, "s1")
