--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -14,14 +14,13 @@
     ledger_book,
     membership,
     peers,
+    standbys,
     traffic,
 )
 
 # A holder waits for the store and tells a standby before it answers; the sum
 # of those times stays below this one.
 PEER_TIMEOUT_MS = 200.0
-# A member that did not answer is not asked again for this time.
-AVOID_MS = 2_000.0
 # Holders that are asked to record before one may expose tokens.
 RECORDING_HOLDERS = 2
 # Time for which holders are not asked to record, once none could.
@@ -147,7 +146,9 @@
         self, member: traffic.Member, error: peers.PeerUnavailableError
     ) -> None:
         with self._lock:
-            self._avoided[member.name] = self._clock.now_ms() + AVOID_MS
+            self._avoided[member.name] = (
+                self._clock.now_ms() + standbys.AVOID_MS
+            )
         events.log(
             events.Event.PEER_CALL_FAILED,
             member=member.name,
--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -111,8 +111,8 @@
 
     def known_claim(self) -> Claim:
         """Return what is known to be claimed, here and elsewhere."""
-        others = sum(self.others_exposed.values())
-        return self.claim._replace(exposed_tokens=self.exposed_tokens + others)
+        exposed_tokens = self.exposed_tokens + self._others_tokens()
+        return self.claim._replace(exposed_tokens=exposed_tokens)
 
     def untold(self, standbys: Iterable[str]) -> list[str]:
         """Return the standbys that do not know what is claimed."""
@@ -124,9 +124,8 @@
 
     def outage_allowance(self) -> int:
         """Return the tokens that may be exposed while the store is away."""
-        others = sum(self.others_exposed.values())
-        left = self.budget_tokens - self.recorded_tokens - others
-        return left // OUTAGE_SHARE
+        claimed = self.recorded_tokens + self._others_tokens()
+        return (self.budget_tokens - claimed) // OUTAGE_SHARE
 
     def reserve(
         self, tokens: int, allowance: int
@@ -172,6 +171,10 @@
         self.wanted_tokens = 0
         self._add_left(own)
 
+    def _others_tokens(self) -> int:
+        """Return what other holders have exposed."""
+        return sum(self.others_exposed.values())
+
     def _unclaimed_tokens(self) -> int:
         """Return the budget that is neither recorded nor exposed."""
         claim = self.known_claim()
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -57,12 +57,6 @@
             raise PeerUnavailableError(f"{address}: the answer is no object")
         return decoded
 
-    def keep_only(self, addresses: set[str]) -> None:
-        """Close connections to members that are gone."""
-        with self._lock:
-            for address in set(self._clients) - addresses:
-                self._clients.pop(address).close()
-
     def _client(self, address: str) -> http_client.HttpClient:
         with self._lock:
             client = self._clients.get(address)
