Record the tokens of two turns in a program's first block

Cause: each program's first turn recorded a block of one turn, and the next one was recorded ahead at once, so that an ordinary program took two calls of the store.

--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -16,9 +16,10 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-# A block is this part of the budget or what a turn needs. Larger blocks need
-# fewer records and lose more in a crash.
+# A block is this part of the budget or what a few turns need. Larger blocks
+# need fewer records and lose more in a crash.
 BLOCK_SHARE = 8
+BLOCK_TURNS = 2
 # Share of the unrecorded budget that may be exposed while the store is away.
 OUTAGE_SHARE = 2
 # Servers remembered for each program, where its prompt parts may be held.
@@ -185,7 +186,9 @@
         """Return the size of a block that covers what is exposed as well."""
         needed = missing + self.exposed_tokens
         unrecorded = self._unclaimed_tokens() + self.exposed_tokens
-        usual = self.budget_tokens // BLOCK_SHARE
+        usual = max(
+            self.budget_tokens // BLOCK_SHARE, BLOCK_TURNS * self.turn_tokens
+        )
         return min(max(needed, usual), max(unrecorded, needed))
 
     def _add_left(self, tokens: int) -> None:
--- a/packages/gateway/tests/test_ledger.py
+++ b/packages/gateway/tests/test_ledger.py
@@ -33,6 +33,14 @@
         self.account.settle(135, 30)
         self.assertEqual(self.account.left_tokens, 105)
 
+    def test_first_block_covers_two_turns(self):
+        # Each record costs a call of the store.
+        self.account.turn_tokens = 135
+        self.assertEqual(self.account.reserve(135, 0), ledger.BlockNeeded(270))
+        self.account.recorded(270, 1, 270)
+        self.account.reserve(135, 0)
+        self.assertEqual(self.account.next_block(135), 0)
+
     def test_budget_that_does_not_hold_a_turn_is_exhausted(self):
         self.account.recorded(800, 1, 0)
         self.assertEqual(
@@ -69,15 +77,20 @@
             with self.subTest(seed=seed):
                 self.assertLessEqual(self._play(seed), self.BUDGET + self.TURN)
 
+    def _new_account(self):
+        account = ledger.Account("p", self.BUDGET)
+        account.turn_tokens = self.TURN
+        return account
+
     def _play(self, seed):
         """Return the tokens that a looping program gets over one crash."""
         generator = random.Random(seed)
         crash_at = generator.randrange(1, 30)
         recorded, revision, spent = 0, 0, 0
-        account = ledger.Account("p", self.BUDGET)
+        account = self._new_account()
         for step in range(200):
             if step == crash_at:
-                account = ledger.Account("p", self.BUDGET)
+                account = self._new_account()
             match account.reserve(self.TURN, self.TURN):
                 case ledger.Reserved():
                     used = generator.randrange(self.TURN + 1)
