--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -1,134 +1,18 @@
-"""Choice of the backend server for a call, from what this process observes.
-
-The estimate of a call's time at a server decides. For model engines it adds
-the prompt parts that the server does not hold, at its reading speed, and the
-expected output, at its generating speed. For plain services it adds the queue
-to the usual time of a call.
-"""
+"""Choice of the backend server for a call, from what was observed of it."""
 
 from __future__ import annotations
 
-import collections
 import dataclasses
-import math
 import random
-import statistics
 import threading
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import health, traffic
-
-# Reading and generating times before anything is observed.
-DEFAULT_READ_MS_PER_TOKEN = 0.035
-DEFAULT_STEP_MS_PER_TOKEN = 6.0
-DEFAULT_CALL_MS = 50.0
-SAMPLE_WEIGHT = 0.3
-# An observation loses its weight with this time constant, so that a server
-# that was slow is tried again.
-OBSERVATION_DECAY_MS = 8_000.0
-REPORT_VALID_MS = 1_500.0
-# Time that a server in another failure domain must win to be preferred.
-CROSS_DOMAIN_MS = 6.0
-# Engines slow down with each running request.
-STEP_GROWTH_PER_REQUEST = 0.006
-PARTS_MAX = 4_096
-TIE_MS = 1.0
-
-
-class CallProfile(NamedTuple):
-    """What the choice needs to know of a call.
-
-    ``recent_servers`` ran the last turns of the same program.
-    """
+from balsamloom_gateway import estimates, health, traffic
 
-    prompt: tuple[traffic.PromptPart, ...] = ()
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    recent_servers: tuple[str, ...] = ()
-
-
-class Observation(NamedTuple):
-    """Times of one call at a server; ``None`` where nothing was seen."""
-
-    first_event_ms: float | None = None
-    step_ms_per_token: float | None = None
-    total_ms: float | None = None
-
-
-class _Average:
-    """Moving average that returns to the fleet's level with time."""
-
-    def __init__(self) -> None:
-        self.value = 0.0
-        self.count = 0
-        self.updated_ms = -math.inf
-
-    def add(self, sample: float, now_ms: float) -> None:
-        weight = max(SAMPLE_WEIGHT, 1 / (self.count + 1))
-        self.value += weight * (sample - self.value)
-        self.count += 1
-        self.updated_ms = now_ms
-
-    def get(self, level: float, now_ms: float) -> float:
-        if not self.count:
-            return level
-        age_ms = now_ms - self.updated_ms
-        trust = math.exp(-age_ms / OBSERVATION_DECAY_MS)
-        return level + trust * (self.value - level)
-
-
-class _ServerState:
-    """What this process knows of one backend server."""
-
-    def __init__(self, server: traffic.BackendServer) -> None:
-        self.server = server
-        self.in_flight = 0
-        self.pending_tokens = 0
-        self.report: traffic.ServerLoad | None = None
-        self.report_ms = -math.inf
-        self.sent_since_report = 0
-        self.step = _Average()
-        self.read = _Average()
-        self.call = _Average()
-        self.health = health.ServerHealth()
-        self.parts: collections.OrderedDict[str, int] = (
-            collections.OrderedDict()
-        )
-
-    def missing_tokens(self, profile: CallProfile) -> int:
-        """Return the prompt tokens that the server has to read."""
-        held = 0
-        for part in profile.prompt:
-            if part.part_id not in self.parts:
-                break
-            held += part.tokens
-        if self.server.server_id in profile.recent_servers:
-            # All but the last part were in the prompts of earlier turns.
-            earlier = sum(part.tokens for part in profile.prompt[:-1])
-            held = max(held, earlier)
-        return max(profile.prompt_tokens - held, 0)
-
-    def keep_parts(self, profile: CallProfile) -> None:
-        for part in profile.prompt:
-            self.parts[part.part_id] = part.tokens
-            self.parts.move_to_end(part.part_id)
-        while len(self.parts) > PARTS_MAX:
-            self.parts.popitem(last=False)
-
-    def load(self, now_ms: float) -> float:
-        """Return the estimated number of requests at the server."""
-        if self.report is None or now_ms - self.report_ms > REPORT_VALID_MS:
-            return float(self.in_flight)
-        reported = self.report.running + self.report.waiting
-        return float(max(reported + self.sent_since_report, self.in_flight))
-
-    def slowness(self, now_ms: float) -> float:
-        """Return the reported time of work against the usual time."""
-        if self.report is None or now_ms - self.report_ms > REPORT_VALID_MS:
-            return 1.0
-        return self.report.slowness
+TIE_MS = 1.0
+# Cost of a server that other holders place turns on, against its estimate.
+UNKNOWN_WORK_FACTOR = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -136,7 +20,7 @@
     """A call's place at a server; given back with :meth:`Balancer.end`."""
 
     server: traffic.BackendServer
-    profile: CallProfile
+    profile: estimates.CallProfile
     estimate_ms: float
     missing_tokens: int
     report_age_ms: float | None
@@ -169,8 +53,19 @@
         self._domain = failure_domain
         self._generator = generator
         self._lock = threading.Lock()
-        self._servers: dict[str, _ServerState] = {}
-        self._by_service: dict[str, list[_ServerState]] = {}
+        self._servers: dict[str, estimates.ServerState] = {}
+        self._by_service: dict[str, list[estimates.ServerState]] = {}
+        self._readings: dict[str, estimates.ReadSamples] = {}
+        self._memory_tokens: dict[str, int] = {}
+
+    def set_services(self, services: Iterable[traffic.Service]) -> None:
+        """Take the memory of engines, for servers that are seen later."""
+        with self._lock:
+            self._memory_tokens = {
+                service.name: service.engine.memory_tokens
+                for service in services
+                if service.engine is not None
+            }
 
     def set_servers(self, servers: Iterable[traffic.BackendServer]) -> None:
         """Take the servers that may get calls from now on.
@@ -184,7 +79,7 @@
             for server in servers:
                 state = former.get(server.server_id)
                 if state is None or not _is_same_run(state.server, server):
-                    state = _ServerState(server)
+                    state = self._new_state(server)
                 state.server = server
                 self._servers[server.server_id] = state
                 self._by_service.setdefault(server.service, []).append(state)
@@ -192,12 +87,15 @@
     def place(
         self,
         service: str,
-        profile: CallProfile,
+        profile: estimates.CallProfile,
         avoid: frozenset[str] = frozenset(),
+        among: frozenset[str] | None = None,
     ) -> Placement | NoServer:
         """Choose a server and count the call there.
 
         :param avoid: servers that refused or failed this call before.
+        :param among: servers whose work this balancer knows; ``None`` for
+            all.
         """
         with self._lock:
             now_ms = self._clock.now_ms()
@@ -215,15 +113,34 @@
             healthy = health.usable(
                 [(state, state.health) for state in usable], now_ms
             )
-            levels = _Levels(states, now_ms)
-            times = [
-                (self._estimate_ms(state, profile, levels, now_ms), state)
+            levels = self._levels(service)
+            costs = [
+                (self._cost_among(state, profile, levels, among), state)
                 for state in healthy
             ]
-            least_ms = min(times, key=lambda pair: pair[0])[0]
-            near = [pair for pair in times if pair[0] <= least_ms + TIE_MS]
-            estimate_ms, state = self._generator.choice(near)
-            return self._count(state, profile, estimate_ms, now_ms)
+            least_ms = min(found.total_ms for found, _ in costs)
+            near = [
+                pair for pair in costs if pair[0].total_ms <= least_ms + TIE_MS
+            ]
+            cost, state = self._generator.choice(near)
+            return self._count(state, profile, cost, now_ms)
+
+    def take(
+        self, server_id: str, profile: estimates.CallProfile
+    ) -> Placement | None:
+        """Count a call at a server that another process chose.
+
+        :return: ``None`` if this process knows that the server cannot be
+            used.
+        """
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            state = self._servers.get(server_id)
+            if state is None or state.health.is_ejected(now_ms):
+                return None
+            levels = self._levels(state.server.service)
+            cost = self._cost(state, profile, levels, now_ms)
+            return self._count(state, profile, cost, now_ms)
 
     def answered(
         self, placement: Placement, load: traffic.ServerLoad | None
@@ -234,37 +151,21 @@
         with self._lock:
             state = self._state_of(placement)
             if state is not None:
-                state.report = load
-                state.report_ms = self._clock.now_ms()
-                state.sent_since_report = 0
-
-    def began(self, placement: Placement) -> None:
-        """Note that a server has read a call's prompt."""
-        with self._lock:
-            state = self._state_of(placement)
-            if state is not None:
-                state.pending_tokens -= placement.missing_tokens
-                state.keep_parts(placement.profile)
+                state.take_report(load, self._clock.now_ms())
 
     def end(
         self,
         placement: Placement,
         outcome: health.Outcome,
-        observation: Observation,
-        has_begun: bool,
+        observation: estimates.Observation,
     ) -> None:
-        """Give a place back and learn from the call.
-
-        :param has_begun: whether :meth:`began` was called.
-        """
+        """Give a place back and learn from the call."""
         with self._lock:
             state = self._state_of(placement)
             if state is None:
                 return
             now_ms = self._clock.now_ms()
-            state.in_flight -= 1
-            if not has_begun:
-                state.pending_tokens -= placement.missing_tokens
+            state.give_back()
             state.health.note(outcome, now_ms)
             self._learn(state, placement, observation, now_ms)
 
@@ -285,7 +186,43 @@
                 for state in self._servers.values()
             ]
 
-    def _state_of(self, placement: Placement) -> _ServerState | None:
+    def _new_state(
+        self, server: traffic.BackendServer
+    ) -> estimates.ServerState:
+        memory_tokens = self._memory_tokens.get(
+            server.service, estimates.DEFAULT_MEMORY_TOKENS
+        )
+        return estimates.ServerState(server, memory_tokens)
+
+    def _levels(self, service: str) -> estimates.Levels:
+        readings = self._readings.setdefault(service, estimates.ReadSamples())
+        return estimates.Levels(
+            self._by_service[service], readings.read_steps()
+        )
+
+    def _cost(
+        self,
+        state: estimates.ServerState,
+        profile: estimates.CallProfile,
+        levels: estimates.Levels,
+        now_ms: float,
+    ) -> estimates.Cost:
+        return estimates.cost(state, profile, levels, self._domain, now_ms)
+
+    def _cost_among(
+        self,
+        state: estimates.ServerState,
+        profile: estimates.CallProfile,
+        levels: estimates.Levels,
+        among: frozenset[str] | None,
+    ) -> estimates.Cost:
+        """Return a cost that is higher at servers whose work is unknown."""
+        found = self._cost(state, profile, levels, self._clock.now_ms())
+        if among is None or state.server.server_id in among:
+            return found
+        return found._replace(total_ms=found.total_ms * UNKNOWN_WORK_FACTOR)
+
+    def _state_of(self, placement: Placement) -> estimates.ServerState | None:
         state = self._servers.get(placement.server.server_id)
         if state is None or not _is_same_run(state.server, placement.server):
             return None
@@ -293,49 +230,31 @@
 
     def _count(
         self,
-        state: _ServerState,
-        profile: CallProfile,
-        estimate_ms: float,
+        state: estimates.ServerState,
+        profile: estimates.CallProfile,
+        cost: estimates.Cost,
         now_ms: float,
     ) -> Placement:
         missing = state.missing_tokens(profile)
         state.in_flight += 1
         state.sent_since_report += 1
-        state.pending_tokens += missing
-        age_ms = None if state.report is None else now_ms - state.report_ms
+        # Turns that follow at once find the parts that are being read.
+        state.parts.keep(profile.prompt)
+        state.add_reading(cost.read_ms, now_ms)
         return Placement(
-            state.server, profile, estimate_ms, missing, age_ms, now_ms
+            state.server,
+            profile,
+            cost.total_ms,
+            missing,
+            state.report_age_ms(now_ms),
+            now_ms,
         )
 
-    def _estimate_ms(
-        self,
-        state: _ServerState,
-        profile: CallProfile,
-        levels: _Levels,
-        now_ms: float,
-    ) -> float:
-        way_ms = 0.0
-        if state.server.failure_domain != self._domain:
-            way_ms = CROSS_DOMAIN_MS
-        load = state.load(now_ms)
-        waiting = max(load + 1 - state.server.slots, 0.0)
-        if not profile.prompt_tokens:
-            call_ms = state.call.get(levels.call_ms, now_ms)
-            rounds = 1 + waiting / max(state.server.slots, 1)
-            return way_ms + call_ms * state.slowness(now_ms) * rounds
-        read_ms = state.read.get(levels.read_ms, now_ms)
-        step_ms = state.step.get(levels.step_ms, now_ms)
-        tokens = state.missing_tokens(profile) + state.pending_tokens
-        crowd = 1 + STEP_GROWTH_PER_REQUEST * load
-        rounds = 1 + waiting / max(state.server.slots, 1)
-        generate_ms = profile.output_tokens * step_ms * crowd
-        return way_ms + (tokens * read_ms + generate_ms) * rounds
-
     def _learn(
         self,
-        state: _ServerState,
+        state: estimates.ServerState,
         placement: Placement,
-        observation: Observation,
+        observation: estimates.Observation,
         now_ms: float,
     ) -> None:
         if observation.step_ms_per_token is not None:
@@ -343,34 +262,15 @@
         if observation.total_ms is not None:
             slowness = max(state.slowness(now_ms), 0.1)
             state.call.add(observation.total_ms / slowness, now_ms)
-        missing = placement.missing_tokens
-        first_ms = observation.first_event_ms
-        if first_ms is not None and missing >= READ_SAMPLE_TOKENS:
-            state.read.add(first_ms / missing, now_ms)
-
-
-# Shorter readings say more of the queue than of the reading speed.
-READ_SAMPLE_TOKENS = 400
-
-
-class _Levels:
-    """Usual figures of a service, for servers without observations."""
-
-    def __init__(self, states: list[_ServerState], now_ms: float) -> None:
-        self.read_ms = _median(
-            [state.read for state in states], DEFAULT_READ_MS_PER_TOKEN
-        )
-        self.step_ms = _median(
-            [state.step for state in states], DEFAULT_STEP_MS_PER_TOKEN
-        )
-        self.call_ms = _median(
-            [state.call for state in states], DEFAULT_CALL_MS
-        )
-
-
-def _median(averages: list[_Average], default: float) -> float:
-    values = [average.value for average in averages if average.count]
-    return statistics.median(values) if values else default
+        if observation.first_event_ms is not None and state.step.count:
+            readings = self._readings.setdefault(
+                state.server.service, estimates.ReadSamples()
+            )
+            readings.add(
+                observation.first_event_ms,
+                placement.missing_tokens,
+                state.step.value,
+            )
 
 
 def _is_same_run(
--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -1,4 +1,4 @@
-"""Budget checks of turns, at the member that holds the program's blocks."""
+"""Budget and server of a turn, from the member that holds the program."""
 
 from __future__ import annotations
 
@@ -13,7 +13,9 @@
     ledger,
     ledger_book,
     membership,
+    peer_messages,
     peers,
+    planner,
     standbys,
     traffic,
 )
@@ -21,19 +23,21 @@
 # A holder waits for the store and tells a standby before it answers; the sum
 # of those times stays below this one.
 PEER_TIMEOUT_MS = 200.0
-# Holders that are asked to record before one may expose tokens.
-RECORDING_HOLDERS = 2
 # Time for which holders are not asked to record, once none could.
 OUTAGE_MEMORY_MS = 400.0
 
 
 class Grant(NamedTuple):
-    """Tokens that a turn may generate, and the member that holds them."""
+    """Tokens that a turn may generate, and the server that it should run at.
+
+    ``holder`` is the member that holds the tokens, ``None`` for this one.
+    """
 
     program_id: str
     tokens: int
     holder: traffic.Member | None
     recent_servers: tuple[str, ...]
+    plan: planner.Plan | None
 
 
 class Budgets:
@@ -41,6 +45,7 @@
 
     :param name: name of this member.
     :param book: accounts that this member holds.
+    :param plans: places turns of those accounts' programs.
     :param clients: other members.
     :param view: registered members and outages.
     :param clock: time source.
@@ -50,12 +55,14 @@
         self,
         name: str,
         book: ledger_book.LedgerBook,
+        plans: planner.TurnPlanner,
         clients: peers.PeerClients,
         view: fleet.Fleet,
         clock: clocks.Clock,
     ) -> None:
         self._name = name
         self._book = book
+        self._planner = plans
         self._clients = clients
         self._fleet = view
         self._clock = clock
@@ -64,9 +71,9 @@
         self._outage_until_ms = -math.inf
 
     def reserve(
-        self, call: traffic.CallMetadata
+        self, call: traffic.CallMetadata, turn: planner.TurnRequest
     ) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
-        """Reserve the most that a turn may generate.
+        """Reserve the most that a turn may generate, and plan its server.
 
         Holders are asked for recorded tokens before one may expose more than
         a turn. Only the first holder that answers may expose: two that do
@@ -78,14 +85,14 @@
         reached: list[traffic.Member] = []
         result: Grant | ledger.Exhausted | ledger_book.Unrecorded
         for is_last_resort in self._stages():
-            asked = reached[:1] or holders
-            if not is_last_resort:
-                asked = holders[:RECORDING_HOLDERS]
+            asked = holders
+            if is_last_resort and reached:
+                asked = reached[:1]
             for holder in asked:
                 if self._is_avoided(holder):
                     continue
                 exposure = _exposure(holder is holders[0], is_last_resort)
-                result = self._reserve_at(holder, call, exposure)
+                result = self._reserve_at(holder, call, turn, exposure)
                 if not isinstance(result, ledger_book.Unrecorded):
                     self._note_stage(is_last_resort)
                     return self._log(call, holder, result)
@@ -94,7 +101,7 @@
                     if is_last_resort:
                         return self._log(call, holder, result)
         if not reached:
-            result = self._reserve_here(call, ledger_book.Exposure.NONE)
+            result = self._reserve_here(call, turn, ledger_book.Exposure.NONE)
         return self._log(call, None, result)
 
     def _stages(self) -> tuple[bool, ...]:
@@ -111,25 +118,27 @@
         if is_last_resort and self._clock.now_ms() >= self._outage_until_ms:
             self._outage_until_ms = self._clock.now_ms() + OUTAGE_MEMORY_MS
 
-    def settle(self, grant: Grant, used_tokens: int, server_id: str) -> None:
+    def settle(
+        self, grant: Grant, used_tokens: int, report: planner.TurnReport
+    ) -> None:
         """Give back what a turn did not hand to its caller.
 
         If the holder does not answer, the tokens count as spent.
 
-        :param server_id: server that ran the turn, empty if none did.
+        :param report: how the turn ended at its server.
         """
+        settlement = peer_messages.Settlement(
+            grant.program_id,
+            grant.tokens,
+            used_tokens,
+            grant.plan.plan_id if grant.plan else None,
+            report,
+        )
         if grant.holder is None:
-            self._book.settle(
-                grant.program_id, grant.tokens, used_tokens, server_id
-            )
+            self.settle_here(settlement)
             return
-        body = {
-            "program_id": grant.program_id,
-            "reserved_tokens": grant.tokens,
-            "used_tokens": used_tokens,
-            "server_id": server_id,
-        }
         address = grant.holder.peer_address
+        body = peer_messages.encode_settlement(settlement)
         try:
             self._clients.call(
                 address, peers.SETTLE_PATH, body, PEER_TIMEOUT_MS
@@ -137,6 +146,32 @@
         except peers.PeerUnavailableError as error:
             self._avoid(grant.holder, error)
 
+    def settle_here(self, settlement: peer_messages.Settlement) -> None:
+        """Take in the end of a turn whose tokens this member holds."""
+        self._book.settle(
+            settlement.program_id,
+            settlement.reserved_tokens,
+            settlement.used_tokens,
+            settlement.report.server_id,
+        )
+        if settlement.plan_id is not None:
+            self._planner.finish(settlement.plan_id, settlement.report)
+
+    def reserve_here(
+        self, reservation: peer_messages.Reservation
+    ) -> peer_messages.ReservationAnswer:
+        """Reserve tokens that this member holds, and plan the turn."""
+        result, servers = self._book.reserve(
+            reservation.program_id,
+            reservation.turn_tokens,
+            reservation.budget_tokens,
+            reservation.exposure,
+        )
+        plan = None
+        if isinstance(result, ledger.Reserved):
+            plan = self._planner.plan(reservation.turn, servers)
+        return peer_messages.ReservationAnswer(result, servers, plan)
+
     def _is_avoided(self, member: traffic.Member) -> bool:
         with self._lock:
             until_ms = self._avoided.get(member.name, 0.0)
@@ -160,52 +195,35 @@
         self,
         holder: traffic.Member,
         call: traffic.CallMetadata,
+        turn: planner.TurnRequest,
         exposure: ledger_book.Exposure,
     ) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
         if holder.name == self._name:
-            return self._reserve_here(call, exposure)
-        body = {
-            "program_id": call.program_id,
-            "tokens": call.max_output_tokens,
-            "budget_tokens": call.token_budget,
-            "exposure": exposure.value,
-        }
+            return self._reserve_here(call, turn, exposure)
+        reservation = _reservation(call, turn, exposure)
         try:
             answer = self._clients.call(
-                holder.peer_address, peers.RESERVE_PATH, body, PEER_TIMEOUT_MS
+                holder.peer_address,
+                peers.RESERVE_PATH,
+                peer_messages.encode_reservation(reservation),
+                PEER_TIMEOUT_MS,
             )
+            decoded = peer_messages.decode_answer(answer)
         except peers.PeerUnavailableError as error:
             self._avoid(holder, error)
             return ledger_book.Unrecorded(str(error))
-        servers = tuple(answer.get("servers", ()))
-        match answer.get("result"):
-            case "reserved":
-                tokens = call.max_output_tokens
-                return Grant(call.program_id, tokens, holder, servers)
-            case "exhausted":
-                return ledger.Exhausted(
-                    int(answer["recorded_tokens"]), int(answer["left_tokens"])
-                )
-            case _:
-                return ledger_book.Unrecorded(str(answer.get("reason")))
+        except peer_messages.InvalidMessageError as error:
+            return ledger_book.Unrecorded(str(error))
+        return _grant(call, holder, decoded)
 
     def _reserve_here(
-        self, call: traffic.CallMetadata, exposure: ledger_book.Exposure
+        self,
+        call: traffic.CallMetadata,
+        turn: planner.TurnRequest,
+        exposure: ledger_book.Exposure,
     ) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
-        assert call.token_budget is not None
-        result, servers = self._book.reserve(
-            call.program_id,
-            call.max_output_tokens,
-            call.token_budget,
-            exposure,
-        )
-        match result:
-            case ledger.Reserved():
-                return Grant(
-                    call.program_id, call.max_output_tokens, None, servers
-                )
-            case _:
-                return result
+        answer = self.reserve_here(_reservation(call, turn, exposure))
+        return _grant(call, None, answer)
 
     def _log(
         self,
@@ -213,6 +231,7 @@
         holder: traffic.Member | None,
         result: Grant | ledger.Exhausted | ledger_book.Unrecorded,
     ) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
+        plan = result.plan if isinstance(result, Grant) else None
         events.log(
             events.Event.BUDGET_DECIDED,
             request_id=call.request_id,
@@ -221,10 +240,45 @@
             turn_tokens=call.max_output_tokens,
             holder=holder.name if holder else self._name,
             outcome=_describe(result),
+            planned_server=plan.server_id if plan else None,
+            planned_ms=plan.estimate_ms if plan else None,
         )
         return result
 
 
+def _reservation(
+    call: traffic.CallMetadata,
+    turn: planner.TurnRequest,
+    exposure: ledger_book.Exposure,
+) -> peer_messages.Reservation:
+    assert call.token_budget is not None
+    return peer_messages.Reservation(
+        call.program_id,
+        call.max_output_tokens,
+        call.token_budget,
+        exposure,
+        turn,
+    )
+
+
+def _grant(
+    call: traffic.CallMetadata,
+    holder: traffic.Member | None,
+    answer: peer_messages.ReservationAnswer,
+) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
+    match answer.result:
+        case ledger.Reserved():
+            return Grant(
+                call.program_id,
+                call.max_output_tokens,
+                holder,
+                answer.recent_servers,
+                answer.plan,
+            )
+        case refused:
+            return refused
+
+
 def _exposure(is_first: bool, is_last_resort: bool) -> ledger_book.Exposure:
     """Return what a holder may hand out before it is recorded.
 
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -0,0 +1,240 @@
+"""Sends calls to servers until one answers or nothing is left to try."""
+
+from __future__ import annotations
+
+import threading
+from typing import NamedTuple
+
+from balsamloom_core import clock as clocks
+from balsamloom_gateway import (
+    attempts,
+    balancer,
+    channels,
+    estimates,
+    health,
+    interfaces,
+    planner,
+    relay,
+    responses,
+    traffic,
+)
+
+CONNECT_TIMEOUT_MS = 1_000.0
+POOL_IDLE_LIMIT_MS = 30_000.0
+# A connection that a server has dropped silently looks open, so calls that
+# may not be repeated use connections that were in use just before.
+SAFE_IDLE_MS = 3_000.0
+# Advice to callers when servers refused their call.
+REFUSED_RETRY_MS = 200.0
+
+
+class Target(NamedTuple):
+    """Where a call may run.
+
+    ``planned_server`` was chosen by the holder of the call's program.
+    """
+
+    service: str
+    spec: traffic.Service | None
+    profile: estimates.CallProfile
+    planned_server: str | None = None
+
+
+class Ended(NamedTuple):
+    """What became of a call.
+
+    ``tokens`` may have been handed to the caller.
+    """
+
+    tokens: int
+    report: planner.TurnReport
+
+
+class _Attempt(NamedTuple):
+    result: relay.Result
+    report: planner.TurnReport
+
+
+class Dispatcher:
+    """Attempts of calls at servers.
+
+    :param servers: choice of servers.
+    :param responder: gives final answers and logs.
+    :param codec: header fields.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self,
+        servers: balancer.Balancer,
+        responder: responses.Responder,
+        codec: interfaces.HeaderCodec,
+        clock: clocks.Clock,
+    ) -> None:
+        self._balancer = servers
+        self._responder = responder
+        self._codec = codec
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._pools: dict[tuple[str, int], channels.ChannelPool] = {}
+
+    def keep_pools_of(self, servers: list[traffic.BackendServer]) -> None:
+        """Close idle connections to servers that get no more calls."""
+        kept = {(server.server_id, server.incarnation) for server in servers}
+        with self._lock:
+            gone = [self._pools.pop(key) for key in set(self._pools) - kept]
+        for pool in gone:
+            pool.close()
+
+    def run(self, call: responses.Call, target: Target) -> Ended:
+        """Send a call until a server answers it or nothing is left to try."""
+        history = attempts.AttemptHistory(call.route)
+        tried: frozenset[str] = frozenset()
+        report = planner.NOT_RUN
+        while True:
+            placement = self._place(target, tried)
+            if isinstance(placement, balancer.NoServer):
+                self._responder.give_up(
+                    call,
+                    history.no_server(placement.reason),
+                    placement.retry_after_ms,
+                )
+                return Ended(0, report)
+            self._responder.log_placement(call, placement)
+            result, report = self._attempt(call, placement, target.spec)
+            match result:
+                case relay.Relayed(tokens) | relay.Gone(tokens):
+                    return Ended(tokens, report)
+                case attempts.NotRun() | attempts.MayHaveRun():
+                    tried |= {placement.server.server_id}
+                    left_ms = call.until_ms - self._clock.now_ms()
+                    decision = history.decide(result, left_ms)
+            if isinstance(decision, attempts.GiveUp):
+                self._responder.give_up(call, decision, REFUSED_RETRY_MS)
+                return Ended(0, report)
+
+    def _place(
+        self, target: Target, tried: frozenset[str]
+    ) -> balancer.Placement | balancer.NoServer:
+        """Use the planned server first, then choose from what is known."""
+        if target.planned_server is not None and not tried:
+            found = self._balancer.take(target.planned_server, target.profile)
+            if found is not None:
+                return found
+        return self._balancer.place(target.service, target.profile, tried)
+
+    def _attempt(
+        self,
+        call: responses.Call,
+        placement: balancer.Placement,
+        spec: traffic.Service | None,
+    ) -> _Attempt:
+        server = placement.server
+        pool = self._pool(server)
+        is_repeatable = call.route.kind is traffic.RouteKind.IDEMPOTENT
+        left_ms = call.until_ms - self._clock.now_ms()
+        try:
+            channel, is_used = pool.take(
+                min(CONNECT_TIMEOUT_MS, left_ms),
+                None if is_repeatable else SAFE_IDLE_MS,
+            )
+        except channels.ConnectError as error:
+            report = planner.TurnReport(
+                server.server_id,
+                health.Outcome.UNREACHABLE,
+                estimates.Observation(),
+            )
+            self._balancer.end(placement, report.outcome, report.observation)
+            self._responder.log_failure(call, placement, str(error), False)
+            return _Attempt(attempts.NotRun(str(error)), report)
+        run = relay.Relay(
+            call.request,
+            call.reply,
+            call.metadata,
+            call.route,
+            channel,
+            self._codec,
+            self._clock,
+            spec.engine if spec else None,
+        )
+        head = self._request_head(call, server, spec)
+        result = run.run(head + call.body, call.until_ms)
+        if channel.is_reusable:
+            pool.give_back(channel)
+        else:
+            channel.close()
+        report = self._learn(placement, run, result)
+        self._log(call, placement, run, result, is_used)
+        return _Attempt(result, report)
+
+    def _learn(
+        self,
+        placement: balancer.Placement,
+        run: relay.Relay,
+        result: relay.Result,
+    ) -> planner.TurnReport:
+        report = planner.TurnReport(
+            placement.server.server_id,
+            run.health_outcome(result),
+            run.observation(placement.sent_ms),
+        )
+        self._balancer.answered(placement, run.load)
+        self._balancer.end(placement, report.outcome, report.observation)
+        return report
+
+    def _log(
+        self,
+        call: responses.Call,
+        placement: balancer.Placement,
+        run: relay.Relay,
+        result: relay.Result,
+        is_kept_channel: bool,
+    ) -> None:
+        match result:
+            case attempts.NotRun(reason) | attempts.MayHaveRun(reason):
+                is_sent = isinstance(result, attempts.MayHaveRun)
+                self._responder.log_failure(
+                    call, placement, reason, is_sent, is_kept_channel
+                )
+            case _:
+                self._responder.log_end(
+                    call,
+                    run.status,
+                    run.end_reason,
+                    server_id=placement.server.server_id,
+                    first_ms=run.first_ms(placement.sent_ms),
+                    events_relayed=run.event_count,
+                )
+
+    def _request_head(
+        self,
+        call: responses.Call,
+        server: traffic.BackendServer,
+        spec: traffic.Service | None,
+    ) -> bytes:
+        has_engine = spec is not None and spec.engine is not None
+        left_ms = call.until_ms - self._clock.now_ms()
+        fields = self._codec.forwarded(
+            call.request.headers,
+            server.server_id,
+            left_ms,
+            call.route.priority if has_engine else None,
+        )
+        lines = [
+            call.request.method + b" " + call.request.target + b" HTTP/1.1"
+        ]
+        lines.extend(name + b": " + value for name, value in fields)
+        if call.body or call.request.method not in (b"GET", b"HEAD"):
+            lines.append(b"Content-Length: %d" % len(call.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def _pool(self, server: traffic.BackendServer) -> channels.ChannelPool:
+        key = (server.server_id, server.incarnation)
+        with self._lock:
+            pool = self._pools.get(key)
+            if pool is None:
+                pool = channels.ChannelPool(
+                    server.address, self._clock, POOL_IDLE_LIMIT_MS
+                )
+                self._pools[key] = pool
+            return pool
--- a/packages/gateway/src/balsamloom_gateway/membership.py
+++ b/packages/gateway/src/balsamloom_gateway/membership.py
@@ -1,4 +1,4 @@
-"""Order of members: who follows whom and who holds a program's budget."""
+"""Order of members: who follows whom, and who holds and places what."""
 
 from __future__ import annotations
 
@@ -13,7 +13,10 @@
 # one transaction.
 MEMBERS_PER_HOLDER = 16
 # Members asked for a budget: the holder and its standbys.
-HOLDERS = 3
+HOLDERS = 4
+# Servers of a service for each group of holders at least. Smaller groups
+# leave a holder too little choice.
+SERVERS_PER_GROUP = 4
 ADDRESSES_MAX = 64
 
 
@@ -42,20 +45,80 @@
 ) -> list[traffic.Member]:
     """Return the members to ask for a program's budget, the first one first.
 
-    The first one is a member at the start of the order, the others are the
-    standbys that follow it.
+    The first one is a member at the start of the order. Its standbys follow
+    it in the order, from other failure domains as far as there are any, so
+    that a fault rarely hits all of them.
 
     :param members: registered members in the order of their names.
     """
     if not members:
         return []
-    count = -(-len(members) // MEMBERS_PER_HOLDER)
     first = max(
-        range(count),
+        range(holder_count(members)),
         key=lambda place: _weight(program_id, members[place].name),
     )
-    places = range(first, first + min(HOLDERS, len(members)))
-    return [members[place % len(members)] for place in places]
+    ring = [*members[first:], *members[:first]]
+    found = ring[:1]
+    domains = {ring[0].failure_domain}
+    for member in ring[1:]:
+        if len(found) < HOLDERS and member.failure_domain not in domains:
+            found.append(member)
+            domains.add(member.failure_domain)
+    rest = [member for member in ring if member not in found]
+    return [*found, *rest[: HOLDERS - len(found)]]
+
+
+def own_servers(
+    name: str,
+    members: Sequence[traffic.Member],
+    servers: Sequence[traffic.BackendServer],
+) -> frozenset[str] | None:
+    """Return the servers that a holder of budgets places turns on first.
+
+    The servers of each service are dealt out to groups of equal size. Those
+    of another group are busy with turns that this holder does not know of.
+
+    :return: ``None`` if the member is no holder and chooses among all.
+    """
+    rank = rank_of(name, members)
+    holders = holder_count(members)
+    if rank >= holders or rank >= len(members) or members[rank].name != name:
+        return None
+    found: set[str] = set()
+    for service in {server.service for server in servers}:
+        names = [one.server_id for one in servers if one.service == service]
+        groups = min(holders, max(len(names) // SERVERS_PER_GROUP, 1))
+        dealt = _deal(names, groups)
+        found.update(
+            server_id
+            for server_id, group in dealt.items()
+            if group == rank % groups
+        )
+    return frozenset(found)
+
+
+def _deal(names: Sequence[str], groups: int) -> dict[str, int]:
+    """Return the group of each name.
+
+    A name goes to the group with its greatest weight that has room, so that
+    few names move when one comes or goes.
+    """
+    room = -(-len(names) // groups)
+    sizes = [0] * groups
+    dealt: dict[str, int] = {}
+    for name in sorted(names, key=lambda found: _weight(found, "order")):
+        group = max(
+            (group for group in range(groups) if sizes[group] < room),
+            key=lambda group: _weight(name, str(group)),
+        )
+        sizes[group] += 1
+        dealt[name] = group
+    return dealt
+
+
+def holder_count(members: Sequence[traffic.Member]) -> int:
+    """Return how many members are first holders of budgets."""
+    return -(-len(members) // MEMBERS_PER_HOLDER)
 
 
 def _weight(program_id: str, name: str) -> int:
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/peer_messages.py
@@ -0,0 +1,181 @@
+"""Messages about turns between a process and the holder of a program."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from balsamloom_gateway import (
+    estimates,
+    health,
+    ledger,
+    ledger_book,
+    planner,
+    traffic,
+)
+
+
+class InvalidMessageError(ValueError):
+    """A message of another member is malformed."""
+
+
+class Reservation(NamedTuple):
+    """Asks for the tokens of a turn and for a server."""
+
+    program_id: str
+    turn_tokens: int
+    budget_tokens: int
+    exposure: ledger_book.Exposure
+    turn: planner.TurnRequest
+
+
+class ReservationAnswer(NamedTuple):
+    """Answers a :class:`Reservation`."""
+
+    result: ledger_book.Reservation
+    recent_servers: tuple[str, ...]
+    plan: planner.Plan | None
+
+
+class Settlement(NamedTuple):
+    """Ends a turn: the tokens that it used and what was seen of its server."""
+
+    program_id: str
+    reserved_tokens: int
+    used_tokens: int
+    plan_id: int | None
+    report: planner.TurnReport
+
+
+def encode_reservation(message: Reservation) -> dict[str, Any]:
+    """Encode a reservation as JSON."""
+    return {
+        "program_id": message.program_id,
+        "turn_tokens": message.turn_tokens,
+        "budget_tokens": message.budget_tokens,
+        "exposure": message.exposure.value,
+        "turn": message.turn,
+    }
+
+
+def decode_reservation(body: dict[str, Any]) -> Reservation:
+    """Decode a reservation.
+
+    :raises InvalidMessageError: it is malformed.
+    """
+    try:
+        service, prompt, prompt_tokens, output_tokens, left_ms = body["turn"]
+        parts = tuple(
+            traffic.PromptPart(str(part_id), int(tokens))
+            for part_id, tokens in prompt
+        )
+        return Reservation(
+            str(body["program_id"]),
+            int(body["turn_tokens"]),
+            int(body["budget_tokens"]),
+            ledger_book.Exposure(body["exposure"]),
+            planner.TurnRequest(
+                str(service),
+                parts,
+                int(prompt_tokens),
+                int(output_tokens),
+                float(left_ms),
+            ),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise InvalidMessageError(repr(error)) from error
+
+
+def encode_answer(message: ReservationAnswer) -> dict[str, Any]:
+    """Encode the answer to a reservation as JSON."""
+    match message.result:
+        case ledger.Reserved():
+            return {
+                "result": "reserved",
+                "servers": message.recent_servers,
+                "plan": message.plan,
+            }
+        case ledger.Exhausted(recorded, left):
+            return {
+                "result": "exhausted",
+                "recorded_tokens": recorded,
+                "left_tokens": left,
+            }
+        case ledger_book.Unrecorded(reason):
+            return {"result": "unrecorded", "reason": reason}
+
+
+def decode_answer(body: dict[str, Any]) -> ReservationAnswer:
+    """Decode the answer to a reservation.
+
+    :raises InvalidMessageError: it is malformed.
+    """
+    try:
+        match body["result"]:
+            case "reserved":
+                servers = tuple(str(name) for name in body["servers"])
+                return ReservationAnswer(
+                    ledger.Reserved(), servers, _decode_plan(body["plan"])
+                )
+            case "exhausted":
+                result = ledger.Exhausted(
+                    int(body["recorded_tokens"]), int(body["left_tokens"])
+                )
+                return ReservationAnswer(result, (), None)
+            case "unrecorded":
+                reason = ledger_book.Unrecorded(str(body["reason"]))
+                return ReservationAnswer(reason, (), None)
+            case other:
+                raise InvalidMessageError(f"unknown result {other!r}")
+    except (KeyError, TypeError, ValueError) as error:
+        raise InvalidMessageError(repr(error)) from error
+
+
+def encode_settlement(message: Settlement) -> dict[str, Any]:
+    """Encode a settlement as JSON."""
+    report = message.report
+    return {
+        "program_id": message.program_id,
+        "reserved_tokens": message.reserved_tokens,
+        "used_tokens": message.used_tokens,
+        "plan_id": message.plan_id,
+        "server_id": report.server_id,
+        "outcome": report.outcome.value,
+        "observation": report.observation,
+    }
+
+
+def decode_settlement(body: dict[str, Any]) -> Settlement:
+    """Decode a settlement.
+
+    :raises InvalidMessageError: it is malformed.
+    """
+    try:
+        plan_id = body["plan_id"]
+        first_ms, step_ms, total_ms = body["observation"]
+        observation = estimates.Observation(
+            _number(first_ms), _number(step_ms), _number(total_ms)
+        )
+        return Settlement(
+            str(body["program_id"]),
+            int(body["reserved_tokens"]),
+            int(body["used_tokens"]),
+            None if plan_id is None else int(plan_id),
+            planner.TurnReport(
+                str(body["server_id"]),
+                health.Outcome(body["outcome"]),
+                observation,
+            ),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise InvalidMessageError(repr(error)) from error
+
+
+def _decode_plan(value: Any) -> planner.Plan | None:
+    if value is None:
+        return None
+    plan_id, server_id, estimate_ms = value
+    return planner.Plan(int(plan_id), str(server_id), float(estimate_ms))
+
+
+def _number(value: Any) -> float | None:
+    return None if value is None else float(value)
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -9,10 +9,12 @@
 
 from balsamloom_core import events
 from balsamloom_gateway import (
+    budgets,
     feed,
     ledger,
     ledger_book,
     listeners,
+    peer_messages,
     peers,
 )
 
@@ -22,15 +24,18 @@
 class PeerService:
     """Serves budgets and the store's records to other members.
 
+    :param accounts: budgets and plans of the programs held here.
     :param book: accounts that this member holds.
     :param records: copy of the store's records.
     """
 
     def __init__(
         self,
+        accounts: budgets.Budgets,
         book: ledger_book.LedgerBook,
         records: feed.Feed,
     ) -> None:
+        self._budgets = accounts
         self._book = book
         self._feed = records
         self._calls: dict[str, Callable[[dict[str, Any]], Any]] = {
@@ -74,31 +79,12 @@
         reply.send(200, JSON_FIELDS, body)
 
     def _reserve(self, body: dict[str, Any]) -> dict[str, Any]:
-        result, servers = self._book.reserve(
-            str(body["program_id"]),
-            int(body["tokens"]),
-            int(body["budget_tokens"]),
-            ledger_book.Exposure(body["exposure"]),
-        )
-        match result:
-            case ledger.Reserved():
-                return {"result": "reserved", "servers": servers}
-            case ledger.Exhausted(recorded, left):
-                return {
-                    "result": "exhausted",
-                    "recorded_tokens": recorded,
-                    "left_tokens": left,
-                }
-            case ledger_book.Unrecorded(reason):
-                return {"result": "unrecorded", "reason": reason}
+        reservation = peer_messages.decode_reservation(body)
+        answer = self._budgets.reserve_here(reservation)
+        return peer_messages.encode_answer(answer)
 
     def _settle(self, body: dict[str, Any]) -> dict[str, Any]:
-        self._book.settle(
-            str(body["program_id"]),
-            int(body["reserved_tokens"]),
-            int(body["used_tokens"]),
-            str(body["server_id"]),
-        )
+        self._budgets.settle_here(peer_messages.decode_settlement(body))
         return {}
 
     def _note_claims(self, body: dict[str, Any]) -> dict[str, Any]:
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -13,6 +13,7 @@
 from balsamloom_gateway import (
     balancer,
     budgets,
+    dispatch,
     evacuation,
     feed,
     fleet,
@@ -24,8 +25,10 @@
     metrics,
     peer_service,
     peers,
+    planner,
     proxy,
     registrar,
+    responses,
     standbys,
     traffic,
 )
@@ -113,8 +116,19 @@
         self._book = ledger_book.LedgerBook(
             store, records, clock, not settings.is_first_start
         )
+        # Placements of planned turns and of own calls are counted apart.
+        self._planned = balancer.Balancer(
+            clock, settings.failure_domain, random.Random()
+        )
         accounts = budgets.Budgets(
-            settings.name, self._book, clients, self.fleet, clock
+            settings.name,
+            self._book,
+            planner.TurnPlanner(
+                settings.name, self._planned, self.fleet, clock
+            ),
+            clients,
+            self.fleet,
+            clock,
         )
         self._book.standbys = standbys.PeerStandbys(
             settings.name,
@@ -124,8 +138,12 @@
             clock,
         )
         figures = metrics.Metrics()
+        responder = responses.Responder(codec, clock, figures)
+        self._dispatcher = dispatch.Dispatcher(
+            self._balancer, responder, codec, clock
+        )
         self._proxy = proxy.Proxy(
-            self.fleet, self._balancer, accounts, codec, clock, figures
+            self.fleet, self._dispatcher, accounts, responder, codec, clock
         )
         self._evacuations = evacuation.Evacuations(
             store, records, self._rank, clock
@@ -152,7 +170,7 @@
         self.fleet.on_member_lost = self._note_member_loss
         self.fleet.on_servers = self._take_servers
         self.fleet.on_configuration = self._take_configuration
-        service = peer_service.PeerService(self._book, self._feed)
+        service = peer_service.PeerService(accounts, self._book, self._feed)
         self._front = listeners.Listener(
             settings.caller_address, self._proxy.handle, self._limits(None)
         )
@@ -266,9 +284,13 @@
 
     def _take_servers(self, servers: list[traffic.BackendServer]) -> None:
         self._balancer.set_servers(servers)
-        self._proxy.keep_pools_of(servers)
+        self._planned.set_servers(servers)
+        self._dispatcher.keep_pools_of(servers)
 
     def _take_configuration(self, in_force: fleet.InForce) -> None:
+        services = in_force.configuration.services.values()
+        self._balancer.set_services(services)
+        self._planned.set_services(services)
         self._front.set_limits(self._limits(in_force.configuration.limits))
 
     def _limits(self, found: traffic.IngressLimits | None) -> listeners.Limits:
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import statistics
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
     attempts,
-    balancer,
     channels,
+    estimates,
     health,
     interfaces,
     listeners,
@@ -76,7 +77,9 @@
         )
         self._counter = EventCounter()
         self._first_ms: float | None = None
-        self._last_ms: float | None = None
+        self._last_event_ms: float | None = None
+        # Pauses between the events of a stream.
+        self._gaps_ms: list[float] = []
         self._ended_ms: float | None = None
         self._is_failure = False
         self._pending: list[channels.AnswerPart] = []
@@ -114,18 +117,18 @@
             self._channel.close()
             return self._broken(error)
 
-    def observation(self, sent_ms: float) -> balancer.Observation:
+    def observation(self, sent_ms: float) -> estimates.Observation:
         """Return the times that were observed."""
         if self._first_ms is None or self._ended_ms is None:
-            return balancer.Observation()
+            return estimates.Observation()
         first_ms = self._first_ms - sent_ms
         if self._engine is None:
-            return balancer.Observation(total_ms=self._ended_ms - sent_ms)
+            return estimates.Observation(total_ms=self._ended_ms - sent_ms)
         step_ms = None
-        if self._last_ms is not None and self._counter.events > 1:
-            tokens = (self._counter.events - 1) * self._engine.tokens_per_event
-            step_ms = (self._last_ms - self._first_ms) / tokens
-        return balancer.Observation(
+        if self._gaps_ms:
+            gap_ms = statistics.median(self._gaps_ms)
+            step_ms = gap_ms / self._engine.tokens_per_event
+        return estimates.Observation(
             first_event_ms=first_ms, step_ms_per_token=step_ms
         )
 
@@ -283,8 +286,15 @@
         now_ms = self._clock.now_ms()
         if self._first_ms is None:
             self._first_ms = now_ms
-        self._last_ms = now_ms
+        former = self._counter.events
         self._counter.add(data)
+        arrived = self._counter.events - former
+        if not arrived:
+            return
+        if self._last_event_ms is not None:
+            gap_ms = (now_ms - self._last_event_ms) / arrived
+            self._gaps_ms.extend([gap_ms] * arrived)
+        self._last_event_ms = now_ms
 
     def _tokens(self) -> int:
         """Return the tokens that the caller may have got."""
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -4,9 +4,16 @@
 
 import json
 import threading
+from typing import Any
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import interfaces, traffic
+from balsamloom_gateway import (
+    estimates,
+    health,
+    interfaces,
+    planner,
+    traffic,
+)
 
 SERVICE = "engines"
 
@@ -68,6 +75,49 @@
     )
 
 
+def turn_call(
+    budget_tokens: int = 600, turn_tokens: int = 60, program_id: str = "p"
+) -> traffic.CallMetadata:
+    """Build what the headers of a turn say."""
+    return traffic.CallMetadata(
+        "r",
+        None,
+        program_id,
+        "",
+        None,
+        budget_tokens,
+        100,
+        turn_tokens,
+        0,
+        (),
+        "",
+    )
+
+
+def turn_request(
+    prompt: tuple[traffic.PromptPart, ...] = (traffic.PromptPart("a", 100),),
+    left_ms: float = 5_000.0,
+) -> planner.TurnRequest:
+    """Build what a holder is told of a turn."""
+    tokens = sum(part.tokens for part in prompt)
+    return planner.TurnRequest(SERVICE, prompt, tokens, 30, left_ms)
+
+
+def turn_report(
+    server_id: str = "s1",
+    outcome: health.Outcome = health.Outcome.SUCCEEDED,
+    step_ms: float | None = None,
+) -> planner.TurnReport:
+    """Build how a turn ended."""
+    observation = estimates.Observation(20.0, step_ms, None)
+    return planner.TurnReport(server_id, outcome, observation)
+
+
+def as_json(message: Any) -> Any:
+    """Return a message as another process reads it."""
+    return json.loads(json.dumps(message))
+
+
 def member(name: str, incarnation: str = "1") -> traffic.Member:
     """Build a member."""
     return traffic.Member(
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -6,7 +6,7 @@
 
 import builders
 
-from balsamloom_gateway import balancer, health, traffic
+from balsamloom_gateway import balancer, estimates, health, traffic
 
 PROMPT = (
     traffic.PromptPart("shared", 2_560),
@@ -30,22 +30,19 @@
 
     def place(self, prompt=(), recent=(), output=30, avoid=()):
         tokens = sum(part.tokens for part in prompt)
-        profile = balancer.CallProfile(prompt, tokens, output, recent)
+        profile = estimates.CallProfile(prompt, tokens, output, recent)
         return self.balancer.place(builders.SERVICE, profile, frozenset(avoid))
 
     def run_call(self, placement, step_ms=6.0, total_ms=None, load=None):
         self.balancer.answered(placement, load)
-        if placement.profile.prompt_tokens:
-            self.balancer.began(placement)
         self.balancer.end(
             placement,
             health.Outcome.SUCCEEDED,
-            balancer.Observation(
+            estimates.Observation(
                 first_event_ms=placement.missing_tokens * 0.035 + 5,
                 step_ms_per_token=step_ms,
                 total_ms=total_ms,
             ),
-            bool(placement.profile.prompt_tokens),
         )
 
     def test_server_that_holds_the_prompt_is_chosen(self):
@@ -128,7 +125,7 @@
         )
 
     def test_unknown_service_has_no_server(self):
-        found = self.balancer.place("other", balancer.CallProfile())
+        found = self.balancer.place("other", estimates.CallProfile())
         self.assertIsInstance(found, balancer.NoServer)
 
     def test_near_server_wins_among_equals(self):
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -1,5 +1,6 @@
 """Tests of budgets that several members hold over faults."""
 
+import random
 import threading
 import unittest
 
@@ -7,6 +8,7 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
+    balancer,
     budgets,
     fleet,
     interfaces,
@@ -14,8 +16,8 @@
     ledger_book,
     peer_service,
     peers,
+    planner,
     standbys,
-    traffic,
 )
 
 BUDGET = 600
@@ -48,6 +50,7 @@
         # A store for each member, which the first two may lose.
         self.store = builders.Store()
         self.members = {}
+        self.planned = {}
         for name in NAMES:
             self.start(name)
 
@@ -65,8 +68,16 @@
         book.standbys = standbys.PeerStandbys(
             name, str(is_restart), self.network, view, self.clock
         )
-        self.network.services[name] = peer_service.PeerService(book, None)
-        accounts = budgets.Budgets(name, book, self.network, view, self.clock)
+        servers = balancer.Balancer(self.clock, "a", random.Random(1))
+        servers.set_servers([builders.server()])
+        self.planned[name] = servers
+        plans = planner.TurnPlanner(name, servers, view, self.clock)
+        accounts = budgets.Budgets(
+            name, book, plans, self.network, view, self.clock
+        )
+        self.network.services[name] = peer_service.PeerService(
+            accounts, book, None
+        )
         thread = threading.Thread(target=book.run, daemon=True)
         thread.start()
         self.addCleanup(thread.join, 5)
@@ -83,13 +94,10 @@
 
     def turn(self, name):
         """Run one turn that uses all it may; return whether it ran."""
-        call = traffic.CallMetadata(
-            "r", None, "p", "", None, BUDGET, 100, TURN, 0, (), ""
-        )
         accounts = self.members[name][3]
-        grant = accounts.reserve(call)
+        grant = self.reserve(name)
         if isinstance(grant, budgets.Grant):
-            accounts.settle(grant, TURN, "s1")
+            accounts.settle(grant, TURN, builders.turn_report())
             return TURN
         self.last = grant
         return 0
@@ -129,6 +137,13 @@
         self.assertLessEqual(spent, BUDGET + TURN)
         self.assertGreaterEqual(spent, BUDGET - TURN)
 
+    def test_last_standby_records_when_the_others_are_turned_away(self):
+        # A store that serves one of the holders only must refuse no turn.
+        self.lose_store("m1", "m2", "m3")
+        spent = sum(self.turn(NAMES[n % 4]) for n in range(30))
+        self.assertLessEqual(spent, BUDGET + TURN)
+        self.assertGreaterEqual(spent, BUDGET - TURN)
+
     def test_restarted_holder_asks_its_standby(self):
         self.lose_store(*NAMES)
         spent = sum(self.turn("m3") for _ in range(4))
@@ -154,6 +169,25 @@
         spent += sum(self.turn("m4") for _ in range(30))
         self.assertLessEqual(spent, BUDGET + TURN)
 
+    def test_turns_of_a_program_are_planned_at_its_holder(self):
+        # Each process would else choose from its own few calls.
+        first = self.reserve("m3")
+        second = self.reserve("m4")
+        self.assertIsNotNone(first.plan)
+        self.assertNotEqual(first.plan, second.plan)
+        self.assertEqual(self.planned_calls("m1"), 2)
+        self.members["m3"][3].settle(first, 0, builders.turn_report())
+        self.members["m4"][3].settle(second, 0, builders.turn_report())
+        self.assertEqual(self.planned_calls("m1"), 0)
+
+    def reserve(self, name):
+        call = builders.turn_call(BUDGET, TURN)
+        return self.members[name][3].reserve(call, builders.turn_request())
+
+    def planned_calls(self, name):
+        (state,) = self.planned[name].describe()
+        return state["in_flight"]
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/gateway/tests/test_proxy.py
+++ b/packages/gateway/tests/test_proxy.py
@@ -15,14 +15,17 @@
 from balsamloom_gateway import (
     balancer,
     budgets,
+    dispatch,
     fleet,
     interfaces,
     ledger_book,
     listeners,
     metrics,
     peers,
+    planner,
     proxy,
     relay,
+    responses,
     traffic,
 )
 
@@ -47,16 +50,24 @@
         self.fleet = fleet.Fleet(records, clock)
         self.balancer = balancer.Balancer(clock, "a", random.Random(1))
         self.book = ledger_book.LedgerBook(self.store, records, clock)
+        self.planned = balancer.Balancer(clock, "a", random.Random(2))
         accounts = budgets.Budgets(
-            "m1", self.book, peers.PeerClients(clock), self.fleet, clock
+            "m1",
+            self.book,
+            planner.TurnPlanner("m1", self.planned, self.fleet, clock),
+            peers.PeerClients(clock),
+            self.fleet,
+            clock,
         )
+        codec = builders.Codec()
+        responder = responses.Responder(codec, clock, metrics.Metrics())
         self.proxy = proxy.Proxy(
             self.fleet,
-            self.balancer,
+            dispatch.Dispatcher(self.balancer, responder, codec, clock),
             accounts,
-            builders.Codec(),
+            responder,
+            codec,
             clock,
-            metrics.Metrics(),
         )
         self.listener = listeners.Listener(
             "127.0.0.1:0", self.proxy.handle, LIMITS
@@ -75,10 +86,12 @@
 
     def set_servers(self, servers):
         """Take backend servers by identifier and address."""
-        self.balancer.set_servers(
+        found = [
             builders.server(name)._replace(address=address)
             for name, address in servers.items()
-        )
+        ]
+        self.balancer.set_servers(found)
+        self.planned.set_servers(found)
 
     def close(self):
         """Stop serving."""
--- /dev/null
+++ b/packages/model/src/balsamloom_model/engines.py
@@ -0,0 +1,208 @@
+"""Model servers that read prompts in chunks between generated tokens."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+import random
+from collections.abc import Callable
+
+from balsamloom_gateway import traffic
+from balsamloom_model import deployments, simulation
+
+
+class SlowPeriods:
+    """Factor by which a server's work takes longer, by period.
+
+    :param noise: share and strength of slow periods.
+    :param seed: source of the periods.
+    """
+
+    def __init__(self, noise: deployments.Noise, seed: str) -> None:
+        self._noise = noise
+        self._seed = seed
+        self._period = -1
+        self._factor = 1.0
+
+    def factor(self, now_ms: float) -> float:
+        """Return the factor of the current period."""
+        period = int(now_ms // self._noise.period_ms)
+        if period != self._period:
+            self._period = period
+            drawn = random.Random(f"{self._seed}/{period}").random()
+            is_slow = drawn < self._noise.share
+            self._factor = self._noise.factor if is_slow else 1.0
+        return self._factor
+
+
+@dataclasses.dataclass(eq=False)
+class Run:
+    """One request at an engine.
+
+    :param prompt: parts of the prompt in their order.
+    :param output_tokens: tokens to generate.
+    :param on_event: called for each event with the number of events so far.
+    :param on_end: called with whether the request ran.
+    """
+
+    prompt: tuple[traffic.PromptPart, ...]
+    output_tokens: int
+    on_event: Callable[[int], None]
+    on_end: Callable[[bool], None]
+    missing_tokens: int = 0
+    made_tokens: int = 0
+    context_tokens: int = 0
+
+
+class Engine:
+    """One model server.
+
+    :param server: how the server is registered.
+    :param fleet: properties of the engines.
+    :param speed: speed against the usual one.
+    :param sim: simulation that the engine is part of.
+    :param noise: slow periods of its machine.
+    """
+
+    def __init__(
+        self,
+        server: traffic.BackendServer,
+        fleet: deployments.EngineFleet,
+        speed: float,
+        sim: simulation.Simulation,
+        noise: SlowPeriods,
+    ) -> None:
+        self.server = server
+        self.speed = speed
+        self.read_tokens = 0
+        self.repeated_tokens = 0
+        self.busy_ms = 0.0
+        self._fleet = fleet
+        self._sim = sim
+        self._noise = noise
+        self.running: list[Run] = []
+        self.waiting: collections.deque[Run] = collections.deque()
+        self.parts: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._held_tokens = 0
+        self._is_busy = False
+
+    def submit(self, run: Run) -> bool:
+        """Take a request; return whether there was room."""
+        if len(self.waiting) >= self._fleet.queue:
+            return False
+        self.waiting.append(run)
+        if not self._is_busy:
+            self._is_busy = True
+            self._iterate()
+        return True
+
+    def load(self) -> traffic.ServerLoad:
+        """Return what the server reports with an answer."""
+        factor = self._noise.factor(self._sim.clock.now_ms())
+        return traffic.ServerLoad(
+            len(self.running), len(self.waiting), self._fleet.slots, factor
+        )
+
+    def missing_tokens(self, prompt: tuple[traffic.PromptPart, ...]) -> int:
+        """Return the tokens of a prompt that are not in memory."""
+        missing = sum(part.tokens for part in prompt)
+        for part in prompt:
+            if part.part_id not in self.parts:
+                break
+            missing -= part.tokens
+        return missing
+
+    def pending_tokens(self) -> int:
+        """Return the prompt tokens that are still to be read."""
+        return sum(
+            run.missing_tokens for run in (*self.running, *self.waiting)
+        )
+
+    def _admit(self) -> None:
+        while self.waiting and len(self.running) < self._fleet.slots:
+            run = self.waiting.popleft()
+            run.missing_tokens = self.missing_tokens(run.prompt)
+            run.context_tokens = sum(part.tokens for part in run.prompt)
+            self.read_tokens += run.missing_tokens
+            self.repeated_tokens += sum(
+                part.tokens
+                for part in run.prompt[:-1]
+                if part.part_id not in self.parts
+            )
+            self.running.append(run)
+
+    def _iterate(self) -> None:
+        """Run one iteration of the batch."""
+        self._admit()
+        if not self.running:
+            self._is_busy = False
+            return
+        fleet = self._fleet
+        chunk_left = fleet.chunk_tokens
+        generating = []
+        for run in self.running:
+            if run.missing_tokens:
+                chunk = min(run.missing_tokens, chunk_left)
+                run.missing_tokens -= chunk
+                chunk_left -= chunk
+            if not run.missing_tokens:
+                generating.append(run)
+        context = sum(run.context_tokens for run in self.running)
+        duration_ms = (
+            fleet.step_ms
+            + fleet.step_ms_per_request * len(self.running)
+            + fleet.context_ms_per_k * context / 1_000
+            + (fleet.chunk_tokens - chunk_left) / fleet.prompt_tokens_per_ms
+        )
+        duration_ms *= self._noise.factor(self._sim.clock.now_ms())
+        duration_ms /= self.speed
+        self.busy_ms += duration_ms
+        self._sim.after(duration_ms, lambda: self._end_iteration(generating))
+
+    def _end_iteration(self, generating: list[Run]) -> None:
+        for run in generating:
+            if not run.made_tokens:
+                self._keep(run.prompt)
+            run.made_tokens += 1
+            run.context_tokens += 1
+            is_end = run.made_tokens >= run.output_tokens
+            if is_end or run.made_tokens % self._fleet.tokens_per_event == 0:
+                run.on_event(
+                    math.ceil(run.made_tokens / self._fleet.tokens_per_event)
+                )
+            if is_end:
+                self.running.remove(run)
+                run.on_end(True)
+        self._iterate()
+
+    def _keep(self, prompt: tuple[traffic.PromptPart, ...]) -> None:
+        """Keep the parts of a prompt; the least recently used ones yield."""
+        for part in prompt:
+            if part.part_id not in self.parts:
+                self._held_tokens += part.tokens
+            self.parts[part.part_id] = part.tokens
+            self.parts.move_to_end(part.part_id)
+        while self._held_tokens > self._fleet.memory_tokens:
+            _, tokens = self.parts.popitem(last=False)
+            self._held_tokens -= tokens
+
+    def cost_ms(
+        self, prompt: tuple[traffic.PromptPart, ...], output_tokens: int
+    ) -> float:
+        """Return what a request costs here, with all that is known.
+
+        The time that it takes is added to the time by which reading its
+        prompt delays the others.
+        """
+        fleet = self._fleet
+        factor = self._noise.factor(self._sim.clock.now_ms()) / self.speed
+        missing = self.missing_tokens(prompt)
+        read_ms = missing / fleet.prompt_tokens_per_ms
+        queue_ms = self.pending_tokens() / fleet.prompt_tokens_per_ms
+        others = len(self.running) + len(self.waiting)
+        step_ms = fleet.step_ms + fleet.step_ms_per_request * others
+        own_ms = queue_ms + read_ms + output_tokens * step_ms
+        return (own_ms + others * read_ms) * factor
--- /dev/null
+++ b/packages/model/src/balsamloom_model/experiment.py
@@ -0,0 +1,230 @@
+"""Command line: play simulated days by policy, seed and load."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import itertools
+import json
+import pathlib
+import statistics
+import sys
+from typing import NamedTuple, TypedDict
+
+import click
+
+from balsamloom_model import day, deployments, figures, plots, policies
+
+DEFAULT_SEEDS = 5
+DEFAULT_LOADS = (0.6, 0.8, 1.0, 1.2, 1.4)
+
+
+class Case(NamedTuple):
+    """One simulated day."""
+
+    path: str
+    policy: str
+    seed: int
+    load: float
+
+
+class Row(TypedDict):
+    """Figures of one day and what it was."""
+
+    deployment: str
+    policy: str
+    seed: int
+    load: float
+    figures: figures.Figures
+
+
+class Summary(TypedDict):
+    """Mean of a figure over seeds, and the standard deviation."""
+
+    mean: float
+    deviation: float
+
+
+def play(case: Case) -> Row:
+    """Play one day."""
+    deployment = deployments.load(pathlib.Path(case.path))
+    policy = policies.POLICIES[case.policy]
+    result = day.Day(deployment, policy, case.seed, case.load).play()
+    return Row(
+        deployment=deployment.name,
+        policy=case.policy,
+        seed=case.seed,
+        load=case.load,
+        figures=figures.of_day(result, deployment.duration_ms),
+    )
+
+
+def summarize(rows: list[Row], figure: str) -> Summary:
+    """Return mean and spread of one figure."""
+    values = [_figure(row, figure) for row in rows]
+    deviation = statistics.stdev(values) if len(values) > 1 else 0.0
+    return Summary(mean=statistics.fmean(values), deviation=deviation)
+
+
+def _figure(row: Row, name: str) -> float:
+    """Return a figure by its name."""
+    return float(dict(row["figures"])[name])  # type: ignore[arg-type]
+
+
+def _print_table(rows: list[Row]) -> None:
+    names = ("worth", "mean_stretch", "p99_ms", "first_p99_ms")
+    click.echo("policy          load  " + "  ".join(f"{n:>18}" for n in names))
+    key = _policy_and_load
+    for (policy, load), group in itertools.groupby(sorted(rows, key=key), key):
+        found = list(group)
+        cells = []
+        for name in names:
+            summary = summarize(found, name)
+            cells.append(
+                f"{summary['mean']:11.3f} ±{summary['deviation']:6.3f}"
+            )
+        click.echo(f"{policy:15} {load:4.1f}  " + "  ".join(cells))
+
+
+def _policy_and_load(row: Row) -> tuple[str, float]:
+    return row["policy"], row["load"]
+
+
+def _play_all(cases: list[Case], jobs: int) -> list[Row]:
+    """Play days in several processes, with progress on standard error."""
+    rows: list[Row] = []
+    with (
+        concurrent.futures.ProcessPoolExecutor(jobs) as executor,
+        click.progressbar(
+            executor.map(play, cases),
+            length=len(cases),
+            label="days",
+            file=sys.stderr,
+        ) as found,
+    ):
+        rows.extend(found)
+    return rows
+
+
+@click.group()
+def main() -> None:
+    """Play simulated days and compare placement policies."""
+
+
+@main.command()
+@click.argument(
+    "deployment", type=click.Path(exists=True, dir_okay=False, path_type=str)
+)
+@click.option(
+    "--policy",
+    "names",
+    multiple=True,
+    type=click.Choice(sorted(policies.POLICIES)),
+    help="Policy to play; several may be given. All by default.",
+)
+@click.option(
+    "--seeds",
+    type=click.IntRange(min=1),
+    default=DEFAULT_SEEDS,
+    show_default=True,
+    help="Days for each policy and load.",
+)
+@click.option(
+    "--load",
+    "loads",
+    multiple=True,
+    type=click.FloatRange(min=0.1, max=10.0),
+    help="Programs against the deployment's usual number; may be repeated.",
+)
+@click.option(
+    "--jobs",
+    type=click.IntRange(min=1),
+    default=2,
+    show_default=True,
+    help="Days played at the same time.",
+)
+@click.option(
+    "--output",
+    type=click.Path(file_okay=False, path_type=pathlib.Path),
+    help="Directory for result.json and one SVG plot for each figure.",
+)
+def run(
+    deployment: str,
+    names: tuple[str, ...],
+    seeds: int,
+    loads: tuple[float, ...],
+    jobs: int,
+    output: pathlib.Path | None,
+) -> None:
+    """Play DEPLOYMENT, a JSON file, and print the figures."""
+    try:
+        deployments.load(pathlib.Path(deployment))
+    except deployments.InvalidDeploymentError as error:
+        raise click.ClickException(str(error)) from error
+    cases = [
+        Case(deployment, name, seed, load)
+        for name in names or sorted(policies.POLICIES)
+        for load in loads or DEFAULT_LOADS
+        for seed in range(seeds)
+    ]
+    rows = _play_all(cases, jobs)
+    _print_table(rows)
+    if output is not None:
+        _write(rows, output)
+
+
+def _write(rows: list[Row], output: pathlib.Path) -> None:
+    output.mkdir(parents=True, exist_ok=True)
+    content = json.dumps(rows, indent=1) + "\n"
+    (output / "result.json").write_text(content, encoding="utf-8")
+    for figure in ("worth", "mean_stretch", "p99_ms", "failed"):
+        lines = []
+        for policy in sorted({row["policy"] for row in rows}):
+            points = []
+            for load in sorted({row["load"] for row in rows}):
+                found = [
+                    row
+                    for row in rows
+                    if (row["policy"], row["load"]) == (policy, load)
+                ]
+                if found:
+                    points.append((load, summarize(found, figure)["mean"]))
+            lines.append(plots.Line(policy, tuple(points)))
+        chart = plots.Chart(figure, "load", figure, tuple(lines))
+        path = output / f"{figure}.svg"
+        path.write_text(plots.svg(chart), encoding="utf-8")
+
+
+@main.command()
+@click.argument("before", type=click.Path(exists=True, path_type=pathlib.Path))
+@click.argument("after", type=click.Path(exists=True, path_type=pathlib.Path))
+def compare(before: pathlib.Path, after: pathlib.Path) -> None:
+    """Compare two result.json files of the same days, figure by figure."""
+    try:
+        former = _by_day(json.loads(before.read_text(encoding="utf-8")))
+        latter = _by_day(json.loads(after.read_text(encoding="utf-8")))
+    except (ValueError, KeyError, TypeError) as error:
+        raise click.ClickException(f"not a result file: {error!r}") from error
+    common = sorted(set(former) & set(latter))
+    if not common:
+        raise click.ClickException("the files have no day in common")
+    for figure in ("worth", "mean_stretch", "p99_ms", "first_p99_ms"):
+        changes = [
+            _figure(latter[key], figure) - _figure(former[key], figure)
+            for key in common
+        ]
+        better = sum(change > 0 for change in changes)
+        click.echo(
+            f"{figure:14} mean change {statistics.fmean(changes):+.4f}, "
+            f"higher on {better} of {len(common)} days"
+        )
+
+
+def _by_day(rows: list[Row]) -> dict[tuple[str, str, int, float], Row]:
+    return {
+        (row["deployment"], row["policy"], row["seed"], row["load"]): row
+        for row in rows
+    }
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/model/src/balsamloom_model/services.py
@@ -0,0 +1,63 @@
+"""Plain servers with slots and a short queue."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+
+from balsamloom_gateway import traffic
+from balsamloom_model import deployments, engines, simulation
+
+Work = tuple[float, Callable[[bool], None]]
+
+
+class PlainServer:
+    """One server that works on a few calls at a time.
+
+    :param server: how the server is registered.
+    :param fleet: properties of the servers.
+    :param sim: simulation that the server is part of.
+    :param noise: slow periods of its machine.
+    """
+
+    def __init__(
+        self,
+        server: traffic.BackendServer,
+        fleet: deployments.ServiceFleet,
+        sim: simulation.Simulation,
+        noise: engines.SlowPeriods,
+    ) -> None:
+        self.server = server
+        self.running = 0
+        self.waiting: collections.deque[Work] = collections.deque()
+        self._fleet = fleet
+        self._sim = sim
+        self._noise = noise
+
+    def submit(self, work_ms: float, on_end: Callable[[bool], None]) -> bool:
+        """Take a call; return whether there was room."""
+        if self.running < self._fleet.slots:
+            self._begin(work_ms, on_end)
+            return True
+        if len(self.waiting) >= self._fleet.queue:
+            return False
+        self.waiting.append((work_ms, on_end))
+        return True
+
+    def load(self) -> traffic.ServerLoad:
+        """Return what the server reports with an answer."""
+        factor = self._noise.factor(self._sim.clock.now_ms())
+        return traffic.ServerLoad(
+            self.running, len(self.waiting), self._fleet.slots, factor
+        )
+
+    def _begin(self, work_ms: float, on_end: Callable[[bool], None]) -> None:
+        self.running += 1
+        factor = self._noise.factor(self._sim.clock.now_ms())
+        self._sim.after(work_ms * factor, lambda: self._end(on_end))
+
+    def _end(self, on_end: Callable[[bool], None]) -> None:
+        self.running -= 1
+        on_end(True)
+        if self.waiting and self.running < self._fleet.slots:
+            self._begin(*self.waiting.popleft())
