Wait in a scenario as long as its calls may take

It now waits for the sum, and checks that each call ended within its own limit, which was not checked.

--- a/packages/standins/src/balsamloom_standins/observations.py
+++ b/packages/standins/src/balsamloom_standins/observations.py
@@ -27,6 +27,8 @@
 COMPLETED = int(results.ResultCode.COMPLETED)
 POLL_S = 0.05
 SEND_TIMEOUT_S = 20
+# Longest time for one call of a caller with all its tries.
+CALL_TIMEOUT_MS = 20_000
 ENTRY_SETTINGS = {"commits_per_s": 20, "commit_burst": 20}
 PARTITIONS = 256
 TOOL_TIMEOUT_MS = 3_000
@@ -86,7 +88,9 @@
     """
 
     def __init__(
-        self, deployment: deployments.Deployment, timeout_ms: int = 20_000
+        self,
+        deployment: deployments.Deployment,
+        timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> None:
         self._deployment = deployment
         self._shape = deployment.shape
@@ -98,7 +102,9 @@
         self.reconnect(deployment.live_entries(), timeout_ms)
 
     def reconnect(
-        self, entries: Iterable[fleet.Running], timeout_ms: int = 20_000
+        self,
+        entries: Iterable[fleet.Running],
+        timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> None:
         """Forget all addresses and ask these entry processes from now on.
 
--- a/scenarios/steps/calls.py
+++ b/scenarios/steps/calls.py
@@ -88,8 +88,19 @@
     def run(program_id):
         return lambda: run_turns(context, program_id, chats, tools, operation)
 
+    # The calls of a program follow each other, and each has its own limit.
+    limit_s = observations.CALL_TIMEOUT_MS / 1_000 + support.TRANSPORT_S
     support.at_the_same_time(
-        context, [run(name) for name in support.programs(context)]
+        context,
+        [run(name) for name in support.programs(context)],
+        (chats + tools) * limit_s,
+    )
+    support.check(
+        [
+            f"{told.key} took {told.end_s - told.start_s:.1f} s"
+            for told in context.caller.told[context.first_new :]
+            if told.end_s - told.start_s > limit_s
+        ]
     )
 
 
--- a/scenarios/support.py
+++ b/scenarios/support.py
@@ -55,7 +55,7 @@
     context.tasks.clear()
 
 
-def at_the_same_time(context, functions):
+def at_the_same_time(context, functions, timeout_s=WAIT_S * 2):
     barrier = threading.Barrier(len(functions))
 
     def run(function):
@@ -63,7 +63,7 @@
         return function()
 
     tasks = [in_background(context, run, function) for function in functions]
-    found = [task.result(WAIT_S * 2) for task in tasks]
+    found = [task.result(timeout_s) for task in tasks]
     context.tasks.clear()
     return found
 
