Count the risk of a failure in the cost of a server

A call that may not be repeated ends its program.

Change: calls that are overdue and earlier failures count as a share of calls that fail, times what a failure costs the caller; a caller that leaves a silent server counts as a failure. The score of failures decays by time, so that a server without calls returns; two failures within two seconds eject as before. Resumable streams count as repeatable, as the route allows, and a kept connection that was dropped is replaced without ending the call. Refused registrations are retried less and less often, and connections to members that are gone are closed.

--- a/packages/gateway/src/balsamloom_gateway/attempts.py
+++ b/packages/gateway/src/balsamloom_gateway/attempts.py
@@ -70,7 +70,7 @@
             case MayHaveRun(reason):
                 self._runs += 1
                 is_allowed = (
-                    self._route.kind is traffic.RouteKind.IDEMPOTENT
+                    self._route.is_repeatable
                     and self._runs < self._route.max_attempts
                 )
         if is_allowed and left_ms > 0:
--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -25,6 +25,7 @@
     missing_tokens: int
     report_age_ms: float | None
     sent_ms: float
+    due_ms: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -165,7 +166,11 @@
             if state is None:
                 return
             now_ms = self._clock.now_ms()
-            state.give_back()
+            state.give_back(placement.due_ms)
+            is_overdue = now_ms >= placement.due_ms
+            if outcome is health.Outcome.ABANDONED and is_overdue:
+                # The caller left because the server was silent.
+                outcome = health.Outcome.FAILED
             state.health.note(outcome, now_ms)
             self._learn(state, placement, observation, now_ms)
 
@@ -236,8 +241,12 @@
         now_ms: float,
     ) -> Placement:
         missing = state.missing_tokens(profile)
-        state.in_flight += 1
-        state.sent_since_report += 1
+        due_ms = (
+            now_ms
+            + estimates.OVERDUE_FACTOR * cost.total_ms
+            + estimates.OVERDUE_MS
+        )
+        state.begin(due_ms)
         # Turns that follow at once find the parts that are being read.
         state.parts.keep(profile.prompt)
         state.add_reading(cost.read_ms, now_ms)
@@ -248,6 +257,7 @@
             missing,
             state.report_age_ms(now_ms),
             now_ms,
+            due_ms,
         )
 
     def _learn(
--- a/packages/gateway/src/balsamloom_gateway/channels.py
+++ b/packages/gateway/src/balsamloom_gateway/channels.py
@@ -383,7 +383,14 @@
             if idle_ms < allowed_ms and channel.is_quiet():
                 return channel, True
             channel.close()
-        return connect(self.address, connect_timeout_ms, self._clock), False
+        return self.connect(connect_timeout_ms), False
+
+    def connect(self, timeout_ms: float) -> Channel:
+        """Return a new connection.
+
+        :raises ConnectError: no connection could be made.
+        """
+        return connect(self.address, timeout_ms, self._clock)
 
     def give_back(self, channel: Channel) -> None:
         """Keep a connection whose exchange is complete, or close it."""
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -129,24 +129,46 @@
         placement: balancer.Placement,
         spec: traffic.Service | None,
     ) -> _Attempt:
-        server = placement.server
-        pool = self._pool(server)
-        is_repeatable = call.route.kind is traffic.RouteKind.IDEMPOTENT
-        left_ms = call.until_ms - self._clock.now_ms()
+        """Send a call to a server.
+
+        A kept connection that the server has dropped is no reason to give a
+        call up that may be repeated: it is sent again on a new one.
+        """
+        pool = self._pool(placement.server)
+        is_repeatable = call.route.is_repeatable
         try:
-            channel, is_used = pool.take(
-                min(CONNECT_TIMEOUT_MS, left_ms),
+            channel, is_kept = pool.take(
+                self._connect_timeout_ms(call),
                 None if is_repeatable else SAFE_IDLE_MS,
             )
         except channels.ConnectError as error:
-            report = planner.TurnReport(
-                server.server_id,
-                health.Outcome.UNREACHABLE,
-                estimates.Observation(),
+            return self._not_connected(
+                call, placement, attempts.NotRun(str(error))
             )
-            self._balancer.end(placement, report.outcome, report.observation)
-            self._responder.log_failure(call, placement, str(error), False)
-            return _Attempt(attempts.NotRun(str(error)), report)
+        run, result = self._relay(call, placement, spec, channel)
+        if run.is_dropped and is_kept and is_repeatable:
+            reason = "a kept connection was dropped"
+            self._responder.log_failure(call, placement, reason, True, True)
+            try:
+                channel = pool.connect(self._connect_timeout_ms(call))
+            except channels.ConnectError as error:
+                return self._not_connected(
+                    call, placement, attempts.MayHaveRun(str(error))
+                )
+            is_kept = False
+            run, result = self._relay(call, placement, spec, channel)
+        report = self._learn(placement, run, result)
+        self._log(call, placement, run, result, is_kept)
+        return _Attempt(result, report)
+
+    def _relay(
+        self,
+        call: responses.Call,
+        placement: balancer.Placement,
+        spec: traffic.Service | None,
+        channel: channels.Channel,
+    ) -> tuple[relay.Relay, relay.Result]:
+        """Send a call on a connection, which is kept if it can be."""
         run = relay.Relay(
             call.request,
             call.reply,
@@ -157,16 +179,31 @@
             self._clock,
             spec.engine if spec else None,
         )
-        head = self._request_head(call, server, spec)
+        head = self._request_head(call, placement.server, spec)
         result = run.run(head + call.body, call.until_ms)
-        if channel.is_reusable:
-            pool.give_back(channel)
-        else:
-            channel.close()
-        report = self._learn(placement, run, result)
-        self._log(call, placement, run, result, is_used)
+        self._pool(placement.server).give_back(channel)
+        return run, result
+
+    def _not_connected(
+        self,
+        call: responses.Call,
+        placement: balancer.Placement,
+        result: attempts.Failure,
+    ) -> _Attempt:
+        report = planner.TurnReport(
+            placement.server.server_id,
+            health.Outcome.UNREACHABLE,
+            estimates.Observation(),
+        )
+        self._balancer.end(placement, report.outcome, report.observation)
+        is_sent = isinstance(result, attempts.MayHaveRun)
+        self._responder.log_failure(call, placement, result.reason, is_sent)
         return _Attempt(result, report)
 
+    def _connect_timeout_ms(self, call: responses.Call) -> float:
+        left_ms = call.until_ms - self._clock.now_ms()
+        return min(CONNECT_TIMEOUT_MS, left_ms)
+
     def _learn(
         self,
         placement: balancer.Placement,
--- a/packages/gateway/src/balsamloom_gateway/estimates.py
+++ b/packages/gateway/src/balsamloom_gateway/estimates.py
@@ -37,6 +37,16 @@
 READ_SAMPLES_MIN = 5
 # Readings that did not wait are among the shortest ones.
 READ_QUANTILE = 0.2
+# A call is overdue after this many times its estimate and this time. Servers
+# that hang keep calls until their callers leave, seconds later.
+OVERDUE_FACTOR = 3.0
+OVERDUE_MS = 500.0
+# Share of calls that fail where one is overdue.
+OVERDUE_RISK = 0.3
+# Time that a failed call costs its caller. One that may not be repeated ends
+# its program.
+REPEATABLE_FAILURE_MS = 500.0
+FINAL_FAILURE_MS = 3_000.0
 # Memory of an engine whose size is not known.
 DEFAULT_MEMORY_TOKENS = 100_000
 
@@ -44,13 +54,15 @@
 class CallProfile(NamedTuple):
     """What the choice needs to know of a call.
 
-    ``recent_servers`` ran the last turns of the same program.
+    ``recent_servers`` ran the last turns of the same program, and
+    ``failure_ms`` is what a failure costs the caller.
     """
 
     prompt: tuple[traffic.PromptPart, ...] = ()
     prompt_tokens: int = 0
     output_tokens: int = 0
     recent_servers: tuple[str, ...] = ()
+    failure_ms: float = REPEATABLE_FAILURE_MS
 
 
 class Observation(NamedTuple):
@@ -148,6 +160,8 @@
         self._report: traffic.ServerLoad | None = None
         self._report_ms = -math.inf
         self._read_until_ms = -math.inf
+        # Times from which the calls in progress are overdue.
+        self._due_ms: list[float] = []
 
     def take_report(self, report: traffic.ServerLoad, now_ms: float) -> None:
         """Take in the load that the server reported just now."""
@@ -176,9 +190,25 @@
         """Count a prompt that the server reads after the ones before it."""
         self._read_until_ms = max(self._read_until_ms, now_ms) + read_ms
 
-    def give_back(self) -> None:
+    def begin(self, due_ms: float) -> None:
+        """Count a call that is sent.
+
+        :param due_ms: time from which it is overdue.
+        """
+        self.in_flight += 1
+        self.sent_since_report += 1
+        self._due_ms.append(due_ms)
+
+    def failure_share(self, now_ms: float) -> float:
+        """Return the expected share of calls that fail or hang."""
+        overdue = sum(due_ms <= now_ms for due_ms in self._due_ms)
+        share = self.health.score(now_ms) + OVERDUE_RISK * overdue
+        return min(share, 1.0)
+
+    def give_back(self, due_ms: float) -> None:
         """Count a call that ended."""
         self.in_flight -= 1
+        self._due_ms.remove(due_ms)
         if self.in_flight == 0:
             # Nothing is left to read.
             self._read_until_ms = -math.inf
@@ -274,7 +304,8 @@
         found = _engine_cost(state, profile, levels, now_ms)
     else:
         found = _plain_cost(state, levels, now_ms)
-    return found._replace(total_ms=found.total_ms + way_ms)
+    risk_ms = state.failure_share(now_ms) * profile.failure_ms
+    return found._replace(total_ms=found.total_ms + risk_ms + way_ms)
 
 
 def _engine_cost(
--- a/packages/gateway/src/balsamloom_gateway/health.py
+++ b/packages/gateway/src/balsamloom_gateway/health.py
@@ -9,11 +9,14 @@
 # Advice to callers when no server may take a call.
 RETRY_AFTER_MS = 250.0
 EJECT_SHARE_MAX = 0.5
-EJECT_SCORE = 0.5
+EJECT_SCORE = 0.47
 FAILURE_WEIGHT = 0.3
 EJECTION_MS = 800.0
 EJECTION_GROWTH = 2.0
 EJECTION_MAX_MS = 6_000.0
+# A server that failed is used again little by little, as its score decays
+# with this time constant.
+SCORE_DECAY_MS = 10_000.0
 # An address that refuses connections is most likely gone.
 UNREACHABLE_MS = 1_000.0
 
@@ -32,29 +35,38 @@
     """Share of failures of one server and its ejection."""
 
     def __init__(self) -> None:
-        self.score = 0.0
+        self._score = 0.0
+        self._noted_ms = 0.0
         self._until_ms = -math.inf
         self._length_ms = EJECTION_MS
 
     def note(self, outcome: Outcome, now_ms: float) -> None:
         """Take in the end of a call."""
+        score = self.score(now_ms)
         match outcome:
             case Outcome.SUCCEEDED:
-                self.score -= FAILURE_WEIGHT * self.score
+                score -= FAILURE_WEIGHT * score
                 if now_ms >= self._until_ms:
                     self._length_ms = EJECTION_MS
             case Outcome.FAILED:
-                self.score += FAILURE_WEIGHT * (1 - self.score)
-                if self.score >= EJECT_SCORE:
+                score += FAILURE_WEIGHT * (1 - score)
+                if score >= EJECT_SCORE:
                     self._eject(self._length_ms, now_ms)
-                    self.score = EJECT_SCORE / 2
+                    score = EJECT_SCORE / 2
                     self._length_ms = min(
                         self._length_ms * EJECTION_GROWTH, EJECTION_MAX_MS
                     )
             case Outcome.UNREACHABLE:
                 self._eject(UNREACHABLE_MS, now_ms)
             case Outcome.REFUSED | Outcome.ABANDONED:
-                pass
+                return
+        self._score = score
+        self._noted_ms = now_ms
+
+    def score(self, now_ms: float) -> float:
+        """Return the expected share of calls that fail."""
+        age_ms = now_ms - self._noted_ms
+        return self._score * math.exp(-age_ms / SCORE_DECAY_MS)
 
     def is_ejected(self, now_ms: float) -> bool:
         """Return whether the server gets no calls now."""
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -4,6 +4,7 @@
 
 import json
 import threading
+from collections.abc import Iterable
 from typing import Any
 
 from balsamloom_core import clock as clocks
@@ -57,6 +58,17 @@
             raise PeerUnavailableError(f"{address}: the answer is no object")
         return decoded
 
+    def keep_only(self, addresses: Iterable[str]) -> None:
+        """Close idle connections to members that are gone."""
+        kept = set(addresses)
+        with self._lock:
+            gone = [
+                self._clients.pop(address)
+                for address in set(self._clients) - kept
+            ]
+        for client in gone:
+            client.close()
+
     def _client(self, address: str) -> http_client.HttpClient:
         with self._lock:
             client = self._clients.get(address)
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -113,6 +113,7 @@
         )
         self._feed = feed.Feed(clock, self.fleet.meaning)
         clients = peers.PeerClients(clock)
+        self._clients = clients
         self._book = ledger_book.LedgerBook(
             store, records, clock, not settings.is_first_start
         )
@@ -165,7 +166,7 @@
             ),
         )
         self._registrar.on_lost = self._note_own_loss
-        self._follower.after_reading = self._evacuations.answer_due
+        self._follower.after_reading = self._follow_up
         self.fleet.on_changes = self._evacuations.apply
         self.fleet.on_member_lost = self._note_member_loss
         self.fleet.on_servers = self._take_servers
@@ -279,6 +280,12 @@
         """Take in that others may have held this member's budgets."""
         self._book.note_loss("the own registration was lost")
 
+    def _follow_up(self) -> None:
+        """Do what depends on the latest reading of the store's records."""
+        self._evacuations.answer_due()
+        members = [*self.fleet.members(), *self.fleet.lost_members()]
+        self._clients.keep_only(member.peer_address for member in members)
+
     def _rank(self) -> int:
         return membership.rank_of(self.member.name, self.fleet.members())
 
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -165,11 +165,15 @@
         call.route, metadata.program_id or metadata.request_id
     )
     spec = call.configuration.services.get(service)
-    profile = estimates.CallProfile()
+    failure_ms = estimates.REPEATABLE_FAILURE_MS
+    if not call.route.is_repeatable:
+        failure_ms = estimates.FINAL_FAILURE_MS
+    profile = estimates.CallProfile(failure_ms=failure_ms)
     if spec is not None and spec.engine is not None:
-        profile = estimates.CallProfile(
-            metadata.prompt,
-            metadata.prompt_tokens,
-            metadata.expected_output_tokens or metadata.max_output_tokens,
+        profile = profile._replace(
+            prompt=metadata.prompt,
+            prompt_tokens=metadata.prompt_tokens,
+            output_tokens=metadata.expected_output_tokens
+            or metadata.max_output_tokens,
         )
     return dispatch.Target(service, spec, profile)
--- a/packages/gateway/src/balsamloom_gateway/registrar.py
+++ b/packages/gateway/src/balsamloom_gateway/registrar.py
@@ -12,7 +12,8 @@
 
 LEASE_MS = 2_500
 RENEWAL_MS = 800.0
-RETRY_MS = 500.0
+RETRY_MIN_MS = 300.0
+RETRY_MAX_MS = 1_000.0
 
 
 class Registrar:
@@ -36,6 +37,7 @@
         self._clock = clock
         self._stopped = threading.Event()
         self._lease_id = 0
+        self._failures = 0
         self._lock = threading.Lock()
         self.on_lost: Callable[[], None] = _do_nothing
 
@@ -51,7 +53,9 @@
             if self._stopped.is_set():
                 return 0.0
             try:
-                return self._renew()
+                pause_ms = self._renew()
+                self._failures = 0
+                return pause_ms
             except interfaces.StoreError as error:
                 events.log(
                     events.Event.LEASE_CHANGED,
@@ -60,7 +64,9 @@
                     outcome="not renewed",
                     reason=str(error),
                 )
-                return RETRY_MS
+                pause_ms = RETRY_MIN_MS * (1 << min(self._failures, 6))
+                self._failures += 1
+                return min(pause_ms, RETRY_MAX_MS)
 
     def withdraw(self) -> None:
         """End the registration; callers get no new addresses of this member.
@@ -108,7 +114,7 @@
                 )
                 return RENEWAL_MS
             case _:
-                return RETRY_MS
+                return RETRY_MIN_MS
 
 
 def _do_nothing() -> None:
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -85,6 +85,8 @@
         self._pending: list[channels.AnswerPart] = []
         self.load: traffic.ServerLoad | None = None
         self.status = 0
+        # The server closed the connection before any answer.
+        self.is_dropped = False
         self.end_reason = ""
 
     @property
@@ -304,6 +306,8 @@
 
     def _broken(self, error: channels.ChannelError) -> Result:
         self._is_failure = not isinstance(error, channels.ExchangeTimeoutError)
+        is_broken = isinstance(error, channels.BrokenChannelError)
+        self.is_dropped = is_broken and self.status == 0
         if self._reply.is_started:
             self.end_reason = f"cut off: {error}"
             self._reply.abort()
--- a/packages/gateway/src/balsamloom_gateway/traffic.py
+++ b/packages/gateway/src/balsamloom_gateway/traffic.py
@@ -41,6 +41,13 @@
     is_resumable: bool
     retention_ms: float
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether a call may run more than once."""
+        if self.kind is RouteKind.STREAMING:
+            return self.is_resumable
+        return self.kind is RouteKind.IDEMPOTENT
+
 
 class Engine(NamedTuple):
     """Properties of a service's model engines."""
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -109,6 +109,61 @@
         chosen = [self.place().server.server_id for _ in range(4)]
         self.assertEqual(chosen, ["s1"] * 4)
 
+    def test_server_with_silent_calls_is_avoided(self):
+        # A server that hangs shows it only when callers give up.
+        self.use(2)
+        silent = self.place(avoid={"s1"})
+        self.clock.advance(silent.due_ms - self.clock.now_ms())
+        for _ in range(4):
+            placement = self.place()
+            self.assertEqual(placement.server.server_id, "s1")
+            self.run_call(placement, total_ms=50.0)
+
+    def test_calls_to_run_once_avoid_servers_that_failed_before(self):
+        # Their failure ends the program; a call that may be repeated costs
+        # less and shows that the server works again.
+        self.use(2)
+        for name, outcome in (
+            ("s0", health.Outcome.FAILED),
+            ("s1", health.Outcome.SUCCEEDED),
+        ):
+            placement = self.place(avoid={"s0", "s1"} - {name})
+            self.balancer.end(
+                placement, outcome, estimates.Observation(total_ms=50.0)
+            )
+        self.clock.advance(15_000.0)
+        counts = collections.Counter()
+        for failure_ms in (
+            estimates.FINAL_FAILURE_MS,
+            estimates.REPEATABLE_FAILURE_MS,
+        ):
+            profile = estimates.CallProfile(failure_ms=failure_ms)
+            for _ in range(12):
+                found = self.balancer.place(builders.SERVICE, profile)
+                counts[failure_ms, found.server.server_id] += 1
+        self.assertEqual(counts[estimates.FINAL_FAILURE_MS, "s0"], 0)
+        self.assertGreater(counts[estimates.REPEATABLE_FAILURE_MS, "s0"], 0)
+
+    def test_caller_that_left_a_silent_server_counts_as_a_failure(self):
+        for is_overdue in (False, True):
+            with self.subTest(is_overdue):
+                self.setUp()
+                self.use(4)
+                for _ in range(2):
+                    placement = self.place(avoid={"s1", "s2", "s3"})
+                    wait_ms = placement.due_ms - self.clock.now_ms()
+                    self.clock.advance(wait_ms - (0 if is_overdue else 1))
+                    self.balancer.end(
+                        placement,
+                        health.Outcome.ABANDONED,
+                        estimates.Observation(),
+                    )
+                states = {
+                    state["server_id"]: state["is_ejected"]
+                    for state in self.balancer.describe()
+                }
+                self.assertEqual(states["s0"], is_overdue)
+
     def test_calls_spread_over_equal_servers(self):
         self.use(4)
         counts = collections.Counter(
--- a/packages/gateway/tests/test_decisions.py
+++ b/packages/gateway/tests/test_decisions.py
@@ -71,6 +71,14 @@
             else:
                 self.assertEqual(decision, attempts.GiveUp(False, "reset"))
 
+    def test_resumable_stream_may_run_again(self):
+        route = builders.route(
+            traffic.RouteKind.STREAMING, max_attempts=2
+        )._replace(is_resumable=True)
+        history = attempts.AttemptHistory(route)
+        decision = history.decide(attempts.MayHaveRun("reset"), 100.0)
+        self.assertEqual(decision, attempts.TryAgain())
+
     def test_number_of_runs_is_bounded_by_the_route(self):
         history = self.history(traffic.RouteKind.IDEMPOTENT, 2)
         lost = attempts.MayHaveRun("reset")
--- /dev/null
+++ b/packages/gateway/tests/test_members.py
@@ -0,0 +1,60 @@
+"""Tests of a member's registration and of its calls to other members."""
+
+import unittest
+
+import builders
+
+from balsamloom_core import clock as clocks
+from balsamloom_gateway import http_client, interfaces, peers, registrar
+
+
+class RegistrarTest(unittest.TestCase):
+    """Guards against a member that presses on a store in trouble."""
+
+    def setUp(self):
+        self.store = builders.Store()
+        self.registrar = registrar.Registrar(
+            self.store,
+            "member/m1",
+            builders.member("m1"),
+            builders.manual_clock(),
+        )
+
+    def test_refused_registration_is_tried_less_and_less_often(self):
+        # The store charges refused calls too.
+        self.store.error = interfaces.StoreUnavailableError("turned away")
+        pauses = [self.registrar.renew_once() for _ in range(5)]
+        self.assertEqual(pauses[0], registrar.RETRY_MIN_MS)
+        self.assertEqual(pauses, sorted(pauses))
+        self.assertEqual(pauses[-1], registrar.RETRY_MAX_MS)
+
+    def test_success_ends_the_long_pauses(self):
+        self.store.error = interfaces.StoreUnavailableError("turned away")
+        for _ in range(4):
+            self.registrar.renew_once()
+        self.store.error = None
+        self.assertEqual(self.registrar.renew_once(), registrar.RENEWAL_MS)
+        self.store.error = interfaces.StoreUnavailableError("turned away")
+        self.assertEqual(self.registrar.renew_once(), registrar.RETRY_MIN_MS)
+
+
+class PeerClientsTest(unittest.TestCase):
+    """Guards against connections that are kept to members that are gone."""
+
+    def test_clients_of_gone_members_are_closed(self):
+        closed = []
+        clients = peers.PeerClients(clocks.Clock())
+
+        class Client(http_client.HttpClient):
+            def close(self):
+                closed.append(self)
+
+        for address in ("a:1", "b:1"):
+            clients._clients[address] = Client(address, clocks.Clock())
+        clients.keep_only(["a:1", "c:1"])
+        self.assertEqual(list(clients._clients), ["a:1"])
+        self.assertEqual(len(closed), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
