--- a/packages/gateway/src/balsamloom_gateway/ledger_book.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_book.py
@@ -8,10 +8,8 @@
 
 import dataclasses
 import enum
-import logging
 import math
 import threading
-import uuid
 from collections.abc import Sequence
 
 from balsamloom_core import clock as clocks
@@ -19,24 +17,17 @@
 from balsamloom_gateway import (
     interfaces,
     ledger,
-    ledger_records,
+    ledger_recorder,
     standbys,
 )
 
-# The store takes 32 entries in a transaction; each account needs a condition
-# and a write.
-TRANSACTION_ACCOUNTS = 16
 # Blocks that no turn waits for are recorded together after this time.
 GROUP_MS = 300.0
-# Time that a turn waits for its block before the store counts as away.
-RECORD_WAIT_MS = 60.0
 # A standby knows the programs of a holder that told it of them within this
 # time before it ended.
 TOLD_MS = 6_000.0
 # Time for which programs without a record may be those of a lost process.
 CAUTION_MS = 60_000.0
-# Least time between calls while the store does not answer.
-OUTAGE_RETRY_MS = 400.0
 # Accounts of programs without turns are forgotten after this time.
 IDLE_ACCOUNT_MS = 90_000.0
 SWEEP_INTERVAL_MS = 30_000.0
@@ -82,25 +73,21 @@
         clock: clocks.Clock,
         is_restart: bool = False,
     ) -> None:
-        self._store = store
-        self._records = records
         self._clock = clock
         self.standbys: standbys.Standbys = standbys.NoStandbys()
         self._changed = threading.Condition()
+        self._recorder = ledger_recorder.Recorder(
+            store, records, clock, self._changed
+        )
         self._accounts: dict[str, ledger.Account] = {}
         self._urgent: set[str] = set()
         self._ahead: set[str] = set()
-        self._failed_ms: float | None = None
-        self._call_started_ms: float | None = None
         self._untold: set[str] = set()
         self._told_ms = -math.inf
         self._unsure_until_ms = -math.inf
         if is_restart:
             self._unsure_until_ms = clock.now_ms() + CAUTION_MS
-        self._failure_reason = ""
         self._is_stopping = False
-        self._writer = uuid.uuid4().hex[:12]
-        self._block_number = 0
         self._swept_ms = clock.now_ms()
 
     def note_loss(self, reason: str) -> None:
@@ -241,9 +228,10 @@
             for account in held:
                 account.wanted_tokens = -account.left_tokens
                 account.left_tokens = 0
-        for start in range(0, len(held), TRANSACTION_ACCOUNTS):
-            self._record(held[start : start + TRANSACTION_ACCOUNTS])
-            if self._failed_ms is not None:
+        size = ledger_recorder.TRANSACTION_ACCOUNTS
+        for start in range(0, len(held), size):
+            self._record(held[start : start + size])
+            if self._recorder.failed_ms is not None:
                 return
 
     def _note_untold(self, program_id: str) -> None:
@@ -275,9 +263,11 @@
         self, account: ledger.Account, tokens: int, exposure: Exposure
     ) -> Reservation:
         """Reserve tokens, waiting for a record if one is needed."""
-        until_ms = self._clock.now_ms() + RECORD_WAIT_MS
+        until_ms = self._clock.now_ms() + ledger_recorder.RECORD_WAIT_MS
         while True:
-            is_away = self._is_away() or self._clock.now_ms() >= until_ms
+            is_away = (
+                self._recorder.is_away() or self._clock.now_ms() >= until_ms
+            )
             allowance = self._allowance(account, tokens, exposure, is_away)
             match account.reserve(tokens, allowance):
                 case ledger.BlockNeeded(block):
@@ -288,7 +278,8 @@
                     self._record_ahead(account, tokens)
                     return result
             if is_away:
-                return Unrecorded(self._failure_reason or "the store is slow")
+                reason = self._recorder.failure_reason
+                return Unrecorded(reason or "the store is slow")
             left_ms = until_ms - self._clock.now_ms()
             self._clock.wait_condition(self._changed, left_ms)
 
@@ -325,14 +316,6 @@
             case _:
                 return 0
 
-    def _is_away(self) -> bool:
-        """Return whether the store has not answered for a while."""
-        now_ms = self._clock.now_ms()
-        if self._failed_ms is not None:
-            return now_ms - self._failed_ms < OUTAGE_RETRY_MS
-        started_ms = self._call_started_ms
-        return started_ms is not None and now_ms - started_ms > RECORD_WAIT_MS
-
     def _record_ahead(self, account: ledger.Account, tokens: int) -> None:
         block = account.next_block(tokens)
         if not block:
@@ -358,8 +341,9 @@
 
     def _due_ms(self, waited_from_ms: float) -> float:
         """Return when the next transaction or sweep is due."""
-        if self._failed_ms is not None and (self._urgent or self._ahead):
-            return self._failed_ms + OUTAGE_RETRY_MS
+        failed_ms = self._recorder.failed_ms
+        if failed_ms is not None and (self._urgent or self._ahead):
+            return failed_ms + ledger_recorder.OUTAGE_RETRY_MS
         if self._urgent:
             return waited_from_ms
         if self._ahead or self._untold:
@@ -368,7 +352,7 @@
 
     def _next_batch(self) -> list[ledger.Account]:
         names = [*self._urgent, *(self._ahead - self._urgent)]
-        names = names[:TRANSACTION_ACCOUNTS]
+        names = names[: ledger_recorder.TRANSACTION_ACCOUNTS]
         self._urgent.difference_update(names)
         self._ahead.difference_update(names)
         found = [self._accounts.get(name) for name in names]
@@ -378,115 +362,12 @@
             if account is not None and account.wanted_tokens
         ]
 
-    def _record(self, accounts: list[ledger.Account]) -> None:
+    def _record(self, accounts: Sequence[ledger.Account]) -> None:
         """Record one block for each account, in one transaction."""
+        found = self._recorder.record(accounts)
         with self._changed:
-            blocks = [self._new_block(account) for account in accounts]
-            conditions = [
-                interfaces.Condition(block.key, block.account.revision)
-                for block in blocks
-            ]
-            writes = [
-                interfaces.Write(block.key, ledger_records.encode(block))
-                for block in blocks
-            ]
-            self._call_started_ms = self._clock.now_ms()
-        try:
-            result = self._store.transact(conditions, writes)
-        except interfaces.StoreError as error:
-            self._note_failure(error, blocks)
-            return
-        with self._changed:
-            self._call_started_ms = None
-            if self._failed_ms is not None:
-                self._failed_ms = None
-                self._failure_reason = ""
-                events.log(events.Event.STORE_RECOVERED, user="ledger")
-            match result:
-                case interfaces.Committed(revision):
-                    for block in blocks:
-                        ledger_records.take_recorded(block, revision)
-                case interfaces.Conflict(items):
-                    for block in blocks:
-                        self._take_conflict(block, items.get(block.key))
-                case interfaces.LeaseGone():
-                    raise AssertionError("ledger records have no lease")
-            self._changed.notify_all()
-
-    def _new_block(self, account: ledger.Account) -> ledger_records.Block:
-        self._block_number += 1
-        name = f"{self._writer}.{self._block_number}"
-        tokens = account.wanted_tokens
-        account.unconfirmed[name] = tokens
-        key = self._records.ledger_key(account.program_id)
-        total = account.recorded_tokens + tokens
-        return ledger_records.Block(account, key, name, tokens, total)
-
-    def _take_conflict(
-        self, block: ledger_records.Block, item: interfaces.Item | None
-    ) -> None:
-        """Take the record as it is; a block still wanted is asked for again.
-
-        The latest block of the record may be one of this process whose
-        answer was lost.
-        """
-        account = block.account
-        account.unconfirmed.pop(block.name, None)
-        revision = item.revision if item else 0
-        if revision == account.revision:
-            if block.tokens > 0:
-                account.wanted_tokens = block.tokens
-                self._urgent.add(account.program_id)
-            return
-        decoded = ledger_records.decode(item)
-        if decoded is None:
-            # Nothing is known of what was spent, so all of it may be.
-            events.log(
-                events.Event.RECORD_UNREADABLE,
-                logging.WARNING,
-                key=block.key,
-                revision=revision,
-                reason="the program's budget counts as spent",
-            )
-            decoded = account.budget_tokens, ""
-        total, name = decoded
-        own = account.unconfirmed.pop(name, 0)
-        if not own:
-            account.slack_tokens = account.turn_tokens
-        account.recorded(total, revision, max(own, 0))
-        if account.exposed_tokens:
-            account.wanted_tokens = account.exposed_tokens
-            self._ahead.add(account.program_id)
-        events.log(
-            events.Event.BUDGET_RECORD_CHANGED,
-            program_id=account.program_id,
-            recorded_tokens=total,
-            own_tokens=own,
-            revision=revision,
-        )
-
-    def _note_failure(
-        self, error: interfaces.StoreError, blocks: list[ledger_records.Block]
-    ) -> None:
-        is_unknown = isinstance(error, interfaces.StoreOutcomeUnknownError)
-        with self._changed:
-            for block in blocks:
-                account = block.account
-                if not is_unknown:
-                    account.unconfirmed.pop(block.name, None)
-                if account.exposed_tokens:
-                    self._ahead.add(account.program_id)
-            if self._failed_ms is None:
-                events.log(
-                    events.Event.STORE_UNAVAILABLE,
-                    logging.WARNING,
-                    user="ledger",
-                    reason=str(error),
-                )
-            self._failed_ms = self._clock.now_ms()
-            self._failure_reason = str(error)
-            self._call_started_ms = None
-            self._changed.notify_all()
+            self._urgent |= found.urgent
+            self._ahead |= found.ahead
 
     def _sweep(self) -> None:
         """Forget accounts of ended programs and delete their records."""
@@ -503,27 +384,4 @@
             ]
             for account in ended:
                 del self._accounts[account.program_id]
-        for start in range(0, len(ended), TRANSACTION_ACCOUNTS):
-            self._delete_records(ended[start : start + TRANSACTION_ACCOUNTS])
-
-    def _delete_records(self, accounts: list[ledger.Account]) -> None:
-        """Delete records that no other process has written since."""
-        conditions = [
-            interfaces.Condition(
-                self._records.ledger_key(account.program_id), account.revision
-            )
-            for account in accounts
-            if account.revision
-        ]
-        keys = [condition.key for condition in conditions]
-        if not keys:
-            return
-        try:
-            self._store.transact(conditions, (), keys)
-        except interfaces.StoreError as error:
-            events.log(
-                events.Event.STORE_UNAVAILABLE,
-                logging.WARNING,
-                user="ledger",
-                reason=str(error),
-            )
+        self._recorder.delete(ended)
