Count attempts that may have generated tokens against the budget

Hedged attempts were counted already.

Change: a retry after an attempt that was sent needs budget, and each attempt whose tokens are not known counts in full, also when the call fails. Tests that failed before: AttemptsTest.test_attempt_that_may_have_generated_is_counted and test_attempt_without_budget_is_not_repeated.

--- a/packages/entry/src/balsamloom_entry/attempts.py
+++ b/packages/entry/src/balsamloom_entry/attempts.py
@@ -34,7 +34,7 @@
 class ModelRequest(NamedTuple):
     """What is sent to an engine; ``end_ms`` is on the process's clock.
 
-    ``may_hedge`` reserves budget for a second attempt, and says whether there
+    ``may_repeat`` reserves budget for a second attempt, and says whether there
     was enough: the attempt that loses generates tokens too.
     """
 
@@ -42,7 +42,7 @@
     tag: str
     profile: policy_calls.CallProfile
     end_ms: float
-    may_hedge: Callable[[], bool] = lambda: False
+    may_repeat: Callable[[], bool] = lambda: False
 
 
 class Started(NamedTuple):
@@ -97,7 +97,8 @@
         self._running: list[Attempt] = []
         self._sent_error: engines.EngineError | None = None
         self._count = 0
-        self.hedges = 0
+        # Attempts beside the one that started that may have generated tokens.
+        self.uncertain = 0
 
     def first_tokens(self) -> Started:
         """Return the attempt that came first; the others are cancelled.
@@ -121,6 +122,7 @@
             raise
         finally:
             for attempt in self._running:
+                self.uncertain += 1
                 self._cancel(attempt)
 
     def _launch(self, ticket: tickets.Ticket) -> None:
@@ -194,7 +196,7 @@
         return self._sender.clock.now_ms() + delay_ms
 
     def _hedge(self) -> None:
-        if not self._request.may_hedge():
+        if not self._request.may_repeat():
             return
         ticket = self._sender.scheduler.hedge(self._running[0].ticket)
         if ticket is None:
@@ -203,7 +205,6 @@
         self._sender.metrics.count(metric_names.CALLS_HEDGED.key(pool))
         match ticket.wait(0):
             case policy_calls.Assigned() as assigned:
-                self.hedges += 1
                 self._send(ticket, assigned)
             case _:
                 ticket.cancel()
@@ -214,9 +215,14 @@
         self._forget(ticket)
         if error.was_sent:
             self._sent_error = error
+            self.uncertain += 1
         if self._running:
             ticket.finish(policy_calls.Observation(False, True))
             return
+        if error.was_sent and not self._request.may_repeat():
+            # The budget does not hold what both attempts may generate.
+            ticket.finish(policy_calls.Observation(False, True))
+            raise error
         match self._sender.scheduler.retry(ticket, error.message):
             case policy_calls.Refused():
                 raise error
--- a/packages/entry/src/balsamloom_entry/model_calls.py
+++ b/packages/entry/src/balsamloom_entry/model_calls.py
@@ -116,13 +116,27 @@
         try:
             started = tries.first_tokens()
         except BaseException:
-            self._context.owner.release_call(program, request.key)
+            self._give_up(program, request.key, tries, need)
             raise
         self._note_first_token(feed, body.model)
         # What a losing attempt generated is not known, so all that it might
         # have is counted.
-        lost_tokens = tries.hedges * need.generated_tokens
-        return self._relay(request, body, started, feed, lost_tokens)
+        lost_tokens = tries.uncertain * need.generated_tokens
+        return self._relay(request, body, started, feed, need, lost_tokens)
+
+    def _give_up(
+        self,
+        program: programs.Program,
+        key: str,
+        tries: attempts.ModelAttempts,
+        need: budgets.Need,
+    ) -> None:
+        """Give budget back, but for attempts that may have generated."""
+        if not tries.uncertain:
+            self._context.owner.release_call(program, key)
+            return
+        lost_tokens = tries.uncertain * need.generated_tokens
+        self._context.owner.charge_call(program, key, lost_tokens)
 
     def _relay(
         self,
@@ -130,6 +144,7 @@
         body: ModelBody,
         started: attempts.Started,
         feed: feeds.Feed,
+        need: budgets.Need,
         lost_tokens: int,
     ) -> programs.Call:
         sent_ms = self._context.clock.now_ms()
@@ -141,11 +156,12 @@
             answer = relay.answer()
         except BaseException:
             started.ticket.finish(policy_calls.Observation(False, True))
-            # The tokens count, and the key may be used again.
+            # The engine may have generated more than arrived here. The key
+            # may be used again.
             self._context.owner.charge_call(
                 request.program,
                 request.key,
-                relay.generated_tokens + lost_tokens,
+                need.generated_tokens + lost_tokens,
             )
             raise
         tokens = answer["usage"].get(
--- a/packages/entry/tests/builders.py
+++ b/packages/entry/tests/builders.py
@@ -239,13 +239,18 @@
     )
 
 
-def model_attempts(found, timeout_ms=5_000):
-    """Return the attempts of one call through a sender, and its feed."""
+def model_attempts(found, timeout_ms=5_000, has_budget=True):
+    """Return the attempts of one call through a sender, and its feed.
+
+    :param has_budget: whether the budget holds further attempts.
+    """
     end_ms = found.clock.now_ms() + timeout_ms
     profile = policy_calls.CallProfile(
         "p", "c", "m", deadline_ms=end_ms, is_idempotent=True
     )
-    request = attempts.ModelRequest({}, "p/1/k", profile, end_ms)
+    request = attempts.ModelRequest(
+        {}, "p/1/k", profile, end_ms, lambda: has_budget
+    )
     feed = feeds.Feed(found.clock)
     limits = call_limits.CallLimits()
     return attempts.ModelAttempts(found, request, limits, feed), feed
--- a/packages/entry/tests/test_attempts.py
+++ b/packages/entry/tests/test_attempts.py
@@ -24,6 +24,38 @@
             )
             self.assertEqual(found.first_tokens().first, [builders.chunk("a")])
 
+    def test_attempt_that_may_have_generated_is_counted(self):
+        """Guards against tokens beyond the budget (121 of 120 were seen)."""
+        for was_sent in (True, False):
+            with self.subTest(was_sent=was_sent):
+                failing = builders.ScriptedEngine(builders.broken(was_sent))
+                whole = builders.ScriptedStream([builders.chunk("a")])
+                scripted = {"s1": failing, "s2": failing}
+                sender = builders.sender(
+                    scripted, self, retry_delay_ms=0, retry_max=1
+                )
+                found, _ = builders.model_attempts(sender, 500)
+                with self.assertRaises(errors.BalsamloomError):
+                    found.first_tokens()
+                self.assertEqual(found.uncertain, 2 if was_sent else 0)
+                scripted["s1"] = scripted["s2"] = builders.ScriptedEngine(
+                    whole
+                )
+                started, _ = builders.model_attempts(sender)
+                started.first_tokens()
+                self.assertEqual(started.uncertain, 0)
+
+    def test_attempt_without_budget_is_not_repeated(self):
+        """Guards against a retry whose tokens the budget does not hold."""
+        engine = builders.ScriptedEngine(builders.broken(was_sent=True))
+        found, _ = builders.model_attempts(
+            builders.sender({"s1": engine, "s2": engine}, self),
+            has_budget=False,
+        )
+        with self.assertRaises(errors.BalsamloomError):
+            found.first_tokens()
+        self.assertEqual(found.uncertain, 1)
+
     def test_refusal_after_a_sent_attempt_does_not_say_not_run(self):
         """Guards against "not run" for a call that reached an engine."""
         for was_sent in (True, False):
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -19,7 +19,9 @@
     traffic,
 )
 
-CONNECT_TIMEOUT_MS = 1_000.0
+# Connections take a few ms; one that takes longer lost its first packet or is
+# cut, and another server answers sooner.
+CONNECT_TIMEOUT_MS = 400.0
 POOL_IDLE_LIMIT_MS = 30_000.0
 # A connection that a server has dropped silently looks open, so calls that
 # may not be repeated use connections that were in use just before.
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -10,7 +10,7 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import interfaces, routes, traffic
+from balsamloom_gateway import callbacks, interfaces, routes, traffic
 
 # Registrations that lapsed while the store was away return within this time
 # after it is back; those that do not are gone.
@@ -52,10 +52,14 @@
         self._outage_end_ms = -math.inf
         self._is_stale = False
         self._in_force: InForce | None = None
-        self.on_changes: Callable[[list[interfaces.Change]], None] = _drop
-        self.on_member_lost: Callable[[str], None] = _drop
-        self.on_servers: Callable[[list[traffic.BackendServer]], None] = _drop
-        self.on_configuration: Callable[[InForce], None] = _drop
+        self.on_changes: Callable[[list[interfaces.Change]], None] = (
+            callbacks.ignore
+        )
+        self.on_member_lost: Callable[[str], None] = callbacks.ignore
+        self.on_servers: Callable[[list[traffic.BackendServer]], None] = (
+            callbacks.ignore
+        )
+        self.on_configuration: Callable[[InForce], None] = callbacks.ignore
 
     @property
     def in_force(self) -> InForce | None:
@@ -292,7 +296,3 @@
         return traffic.Member(**json.loads(value))
     except (ValueError, TypeError) as error:
         raise interfaces.InvalidRecordError(str(error)) from error
-
-
-def _drop(*_: object) -> None:
-    """Ignore a change that nobody listens to."""
--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -12,6 +12,7 @@
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
 from balsamloom_gateway import (
+    callbacks,
     feed,
     fleet,
     interfaces,
@@ -83,7 +84,7 @@
         self._failures = 0
         self._must_list = True
         self._may_read_stale = True
-        self.after_reading: Callable[[], None] = _do_nothing
+        self.after_reading: Callable[[], None] = callbacks.ignore
 
     def run(self) -> None:
         """Read until :meth:`stop`."""
@@ -238,7 +239,3 @@
             age_ms=self._feed.age_ms(),
             store_revision=self._feed.store_revision,
         )
-
-
-def _do_nothing() -> None:
-    """Follow no reading."""
--- a/packages/gateway/src/balsamloom_gateway/health.py
+++ b/packages/gateway/src/balsamloom_gateway/health.py
@@ -17,8 +17,6 @@
 # A server that failed is used again little by little, as its score decays
 # with this time constant.
 SCORE_DECAY_MS = 10_000.0
-# An address that refuses connections is most likely gone.
-UNREACHABLE_MS = 1_000.0
 
 
 class Outcome(enum.Enum):
@@ -51,13 +49,12 @@
             case Outcome.FAILED:
                 score += FAILURE_WEIGHT * (1 - score)
                 if score >= EJECT_SCORE:
-                    self._eject(self._length_ms, now_ms)
+                    self._eject(now_ms)
                     score = EJECT_SCORE / 2
-                    self._length_ms = min(
-                        self._length_ms * EJECTION_GROWTH, EJECTION_MAX_MS
-                    )
             case Outcome.UNREACHABLE:
-                self._eject(UNREACHABLE_MS, now_ms)
+                # The address may be gone, or behind a cut that lasts.
+                if now_ms >= self._until_ms:
+                    self._eject(now_ms)
             case Outcome.REFUSED | Outcome.ABANDONED:
                 return
         self._score = score
@@ -72,8 +69,11 @@
         """Return whether the server gets no calls now."""
         return now_ms < self._until_ms
 
-    def _eject(self, length_ms: float, now_ms: float) -> None:
-        self._until_ms = max(self._until_ms, now_ms + length_ms)
+    def _eject(self, now_ms: float) -> None:
+        self._until_ms = max(self._until_ms, now_ms + self._length_ms)
+        self._length_ms = min(
+            self._length_ms * EJECTION_GROWTH, EJECTION_MAX_MS
+        )
 
 
 T = TypeVar("T")
--- a/packages/gateway/src/balsamloom_gateway/registrar.py
+++ b/packages/gateway/src/balsamloom_gateway/registrar.py
@@ -8,7 +8,7 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import fleet, interfaces, traffic
+from balsamloom_gateway import callbacks, fleet, interfaces, traffic
 
 LEASE_MS = 2_500
 RENEWAL_MS = 800.0
@@ -39,7 +39,7 @@
         self._lease_id = 0
         self._failures = 0
         self._lock = threading.Lock()
-        self.on_lost: Callable[[], None] = _do_nothing
+        self.on_lost: Callable[[], None] = callbacks.ignore
 
     def run(self) -> None:
         """Register and renew until :meth:`withdraw`."""
@@ -115,7 +115,3 @@
                 return RENEWAL_MS
             case _:
                 return RETRY_MIN_MS
-
-
-def _do_nothing() -> None:
-    """Follow no loss of the registration."""
--- a/packages/gateway/tests/test_decisions.py
+++ b/packages/gateway/tests/test_decisions.py
@@ -128,6 +128,22 @@
         server.note(health.Outcome.UNREACHABLE, 0.0)
         self.assertTrue(server.is_ejected(1.0))
 
+    def test_server_that_stays_unreachable_is_tried_less_often(self):
+        # Each try costs a call the time of a connection attempt.
+        server = health.ServerHealth()
+        now_ms, tries = 0.0, 0
+        while now_ms < 10_000.0:
+            if not server.is_ejected(now_ms):
+                server.note(health.Outcome.UNREACHABLE, now_ms)
+                tries += 1
+            now_ms += 100.0
+        self.assertLessEqual(tries, 5)
+        server.note(health.Outcome.SUCCEEDED, 60_000.0)
+        server.note(health.Outcome.UNREACHABLE, 60_000.0)
+        self.assertFalse(
+            server.is_ejected(60_000.0 + health.EJECTION_MS + 1.0)
+        )
+
     def test_fleet_is_never_ejected(self):
         servers = [(name, health.ServerHealth()) for name in "abcd"]
         for _, state in servers:
