--- a/scenarios/support.py
+++ b/scenarios/support.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-from balsamloom_standins import observations
+from balsamloom_standins import checks, observations
 
 # What a stated time may take longer on its way to the test.
 TRANSPORT_S = 0.5
@@ -113,7 +113,7 @@
 
 
 def all_keys(context):
-    return observations.runs_by_key(own_runs(context))
+    return checks.runs_by_key(own_runs(context))
 
 
 def others(context):
