--- /dev/null
+++ b/packages/gateway/tests/test_fuzzing.py
@@ -0,0 +1,240 @@
+"""Random bytes and messages at the gateway's boundaries.
+
+Examples are drawn in the same way on every run.
+"""
+
+import http.client
+import json
+import socket
+import unittest
+
+import hypothesis
+import test_proxy
+from hypothesis import strategies
+
+from balsamloom_gateway import (
+    feed,
+    interfaces,
+    ledger_records,
+    listeners,
+    peer_messages,
+)
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, max_examples=300, deadline=None, database=None
+)
+FEW = hypothesis.settings(SETTINGS, max_examples=20)
+SCALARS = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=8)
+)
+VALUES = strategies.recursive(
+    SCALARS,
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=4
+        )
+    ),
+    max_leaves=10,
+)
+PIECES = strategies.lists(
+    strategies.sampled_from(
+        [
+            b"GET /idempotent/x HTTP/1.1\r\n",
+            b"POST /once/x HTTP/1.1\r\n",
+            b"Host: h.example\r\n",
+            b"Request-Id: r1\r\n",
+            b"Content-Length: 5\r\n",
+            b"Content-Length: -1\r\n",
+            b"Content-Length: 99999999999\r\n",
+            b"Transfer-Encoding: chunked\r\n",
+            b"Transfer-Encoding: x, chunked\r\n",
+            b"\r\n",
+            b"5\r\nhello\r\n",
+            b"0\r\n\r\n",
+            b"ffffffffffffffff\r\n",
+            b"hello",
+            b" folded: 1\r\n",
+            b"Bad Name: 1\r\n",
+            b"\x00\xff",
+            b"\n\n",
+        ]
+    ),
+    max_size=10,
+).map(b"".join)
+ANSWERS = strategies.lists(
+    strategies.sampled_from(
+        [
+            b"HTTP/1.1 200 OK\r\n",
+            b"HTTP/1.1 204 None\r\n",
+            b"HTTP/1.1 100 Continue\r\n\r\n",
+            b"HTTP/9.9 abc\r\n",
+            b"Request-Id: r1\r\n",
+            b"Request-Id: other\r\n",
+            b"Signed: 1\r\n",
+            b"Content-Length: 5\r\n",
+            b"Content-Length: 500\r\n",
+            b"Transfer-Encoding: chunked\r\n",
+            b"\r\n",
+            b"5\r\nhello\r\n",
+            b"0\r\n\r\n",
+            b"hello",
+            b"\x00",
+        ]
+    ),
+    min_size=1,
+    max_size=8,
+).map(b"".join)
+
+
+class MessagesTest(unittest.TestCase):
+    """Guards against a message of another member that ends a thread."""
+
+    @SETTINGS
+    @hypothesis.given(
+        strategies.fixed_dictionaries(
+            {"changes": strategies.lists(VALUES, max_size=3)}
+        )
+    )
+    def test_feed_answer_is_taken_or_refused(self, answer):
+        try:
+            changes = feed.decode_changes(answer)
+        except ValueError:
+            return
+        for change in changes:
+            self.assertIsInstance(change, interfaces.Item | interfaces.Deleted)
+            self.assertIsInstance(change.key, str)
+
+    @SETTINGS
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.sampled_from(
+                [
+                    "program_id",
+                    "turn",
+                    "turn_tokens",
+                    "budget_tokens",
+                    "exposure",
+                    "result",
+                    "servers",
+                    "plan",
+                    "plan_id",
+                    "observation",
+                    "outcome",
+                    "server_id",
+                    "reserved_tokens",
+                    "used_tokens",
+                ]
+            ),
+            VALUES | strategies.sampled_from(["reserved", "none", "failed"]),
+        )
+    )
+    def test_message_about_a_turn_is_taken_or_refused(self, body):
+        for decode in (
+            peer_messages.decode_reservation,
+            peer_messages.decode_answer,
+            peer_messages.decode_settlement,
+        ):
+            try:
+                decode(body)
+            except peer_messages.InvalidMessageError:
+                continue
+
+    @SETTINGS
+    @hypothesis.given(strategies.binary(max_size=60) | VALUES)
+    def test_budget_record_is_taken_or_unreadable(self, content):
+        value = content
+        if not isinstance(content, bytes):
+            value = json.dumps(content).encode()
+        found = ledger_records.decode(interfaces.Item("k", value, 1))
+        if found is not None:
+            tokens, name = found
+            self.assertIsInstance(tokens, int)
+            self.assertIsInstance(name, str)
+
+
+class ListenerTest(unittest.TestCase):
+    """Guards against bytes of a caller that end or confuse a listener."""
+
+    def setUp(self):
+        self.paths = []
+
+        def handle(request, reply):
+            self.paths.append(request.path)
+            try:
+                request.read_body()
+            except (
+                listeners.BodyTooLargeError,
+                listeners.MalformedBodyError,
+            ):
+                reply.close_after()
+                reply.send(400, ())
+                return
+            reply.send(200, (), b"ok")
+
+        self.listener = listeners.Listener(
+            "127.0.0.1:0", handle, test_proxy.LIMITS
+        )
+        self.listener.start()
+        self.addCleanup(self.listener.stop_accepting)
+
+    def send(self, data):
+        host, _, port = self.listener.address.partition(":")
+        with socket.create_connection((host, int(port)), 5) as connection:
+            connection.sendall(data)
+            connection.shutdown(socket.SHUT_WR)
+            connection.settimeout(5)
+            while connection.recv(4_096):
+                pass
+
+    @FEW
+    @hypothesis.given(PIECES)
+    def test_listener_lives_on(self, data):
+        try:
+            self.send(data)
+        except ConnectionError:
+            pass
+        self.paths.clear()
+        connection = http.client.HTTPConnection(self.listener.address)
+        try:
+            connection.request("GET", "/good")
+            self.assertEqual(connection.getresponse().status, 200)
+        finally:
+            connection.close()
+        self.assertIn("/good", self.paths)
+
+
+class AnswerTest(test_proxy.GatewayCase):
+    """Guards against bytes of a server that look like its whole answer."""
+
+    @FEW
+    @hypothesis.given(ANSWERS)
+    def test_success_is_a_whole_signed_answer(self, data):
+        def script(connection, _):
+            self.owner(connection).read_request(connection)
+            connection.sendall(data)
+            connection.close()
+
+        self.start(script)
+        try:
+            response, body = self.request("/once/", body=b"x")
+        except (http.client.HTTPException, ConnectionError):
+            # Cut off, so that nobody takes it for whole.
+            return
+        finally:
+            self.gateway.close()
+            for server in self.servers:
+                server.close()
+        if response.status < 300:
+            self.assertIn(b"Signed: 1", data)
+            self.assertNotIn(b"Request-Id: other", data.split(b"\r\n\r\n")[0])
+            if body:
+                self.assertIn(body, data)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/gateway/tests/test_proxy.py
+++ b/packages/gateway/tests/test_proxy.py
@@ -102,8 +102,8 @@
         self.listener.stop_accepting()
 
 
-class ProxyTest(unittest.TestCase):
-    """Guards against wrong answers, second runs and false promises."""
+class GatewayCase(unittest.TestCase):
+    """Test case with a gateway and scripted servers behind it."""
 
     def start(self, *scripts):
         self.servers = []
@@ -159,6 +159,10 @@
     def runs(self):
         return sum(len(server.received) for server in self.servers)
 
+
+class ProxyTest(GatewayCase):
+    """Guards against wrong answers, second runs and false promises."""
+
     def test_answer_is_passed_on_unchanged(self):
         self.start(self.answering(scripted.answer(b"hello")))
         response, body = self.request("/idempotent/x?y=%20z")
