Record what a lost holder exposed; tell of losses without the view's lock

A holder exposed a turn while the store turned it away, a standby knew of it, the holder lost its registration and never recorded it. The standby counted it as spent, but only in memory: after all processes lost power at second 35, one more turn was given.

Change: the first holder of a program adopts what a lost holder exposed, so that its next block covers it. Test: test_exposed_tokens_of_a_lost_holder_are_recorded.

Found while reading for it: the view told of lost members under its lock, whose listener takes the ledger's lock, and the ledger's thread asks the view for members under its own: two threads could wait for each other for ever. Test: test_listener_of_a_loss_may_ask_for_the_members (fails before).

Ruled out: a third process that exposes a turn (the log names two). Parts that state no tokens are bounded in number.

--- a/packages/gateway/src/balsamloom_gateway/estimates.py
+++ b/packages/gateway/src/balsamloom_gateway/estimates.py
@@ -49,6 +49,8 @@
 FINAL_FAILURE_MS = 3_000.0
 # Memory of an engine whose size is not known.
 DEFAULT_MEMORY_TOKENS = 100_000
+# Parts remembered for one engine, also if they state no tokens.
+PARTS_MAX = 4_096
 
 
 class CallProfile(NamedTuple):
@@ -133,7 +135,9 @@
             self._tokens += part.tokens - self._parts.get(part.part_id, 0)
             self._parts[part.part_id] = part.tokens
             self._parts.move_to_end(part.part_id)
-        while self._tokens > self._memory_tokens:
+        while (
+            self._tokens > self._memory_tokens or len(self._parts) > PARTS_MAX
+        ):
             _, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
 
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -49,6 +49,8 @@
         self._held_members: dict[str, float] = {}
         # Members that ended, with the time at which that was seen.
         self._lost: list[tuple[float, traffic.Member]] = []
+        # Members whose end nobody was told of yet.
+        self._untold_losses: list[str] = []
         self._outage_end_ms = -math.inf
         self._is_stale = False
         self._in_force: InForce | None = None
@@ -110,6 +112,7 @@
                 self._apply(change)
             usable = self._usable()
             in_force = self._in_force
+        self._tell_losses()
         self.on_changes(changes)
         if usable != former:
             self.on_servers(usable)
@@ -133,6 +136,7 @@
             former = self._usable()
             self._drop_expired(now_ms)
             usable = self._usable()
+        self._tell_losses()
         if usable != former:
             self.on_servers(usable)
 
@@ -279,7 +283,15 @@
     def _note_loss(self, member: traffic.Member | None) -> None:
         if member is not None:
             self._lost.append((self._clock.now_ms(), member))
-            self.on_member_lost(member.name)
+            self._untold_losses.append(member.name)
+
+    def _tell_losses(self) -> None:
+        """Tell of ended members, without the lock that listeners need."""
+        with self._lock:
+            names = self._untold_losses
+            self._untold_losses = []
+        for name in names:
+            self.on_member_lost(name)
 
 
 def encode_member(member: traffic.Member) -> bytes:
--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -114,6 +114,23 @@
         self.others_exposed[holder] = claim.exposed_tokens
         self.recorded_tokens = max(self.recorded_tokens, claim.recorded_tokens)
 
+    def adopt(self, name: str) -> bool:
+        """Take over what a lost holder exposed; return whether it was any.
+
+        It counts as exposed here from now on, so that the next block covers
+        it. Until then only the memory of this process knows of it.
+
+        :param name: name of the lost holder.
+        """
+        lost = [
+            holder
+            for holder in self.others_exposed
+            if holder.partition("/")[0] == name
+        ]
+        adopted = sum(self.others_exposed.pop(holder) for holder in lost)
+        self.exposed_tokens += adopted
+        return adopted > 0
+
     def known_claim(self) -> Claim:
         """Return what is known to be claimed, here and elsewhere."""
         exposed_tokens = self.exposed_tokens + self._others_tokens()
--- a/packages/gateway/src/balsamloom_gateway/ledger_book.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_book.py
@@ -88,6 +88,7 @@
         self._urgent: set[str] = set()
         self._ahead: set[str] = set()
         self._untold: set[str] = set()
+        self._lost_holders: set[str] = set()
         self._told_ms = -math.inf
         self._unsure_until_ms = -math.inf
         if is_restart:
@@ -105,6 +106,16 @@
             self._unsure_until_ms = self._clock.now_ms() + CAUTION_MS
         events.log(events.Event.BUDGET_CAUTION, reason=reason)
 
+    def note_lost_holder(self, name: str) -> None:
+        """Take in that a member ended that may have exposed tokens.
+
+        What it exposed of programs that this member holds now is recorded
+        with the next blocks.
+        """
+        with self._changed:
+            self._lost_holders.add(name)
+            self._changed.notify_all()
+
     def note_claims(
         self, holder: str, claims: Sequence[ledger.Claim], is_sure: bool
     ) -> None:
@@ -188,9 +199,29 @@
                 batch = self._next_batch()
             if batch:
                 self._record(batch)
+            self._adopt_claims()
             self._tell_standbys()
             self._sweep()
 
+    def _adopt_claims(self) -> None:
+        """Take over what lost holders exposed of programs held here."""
+        with self._changed:
+            if not self._lost_holders:
+                return
+            exposed = [
+                account
+                for account in self._accounts.values()
+                if account.others_exposed
+            ]
+            for account in exposed:
+                if not self.standbys.is_first(account.program_id):
+                    continue
+                for name in self._lost_holders:
+                    if account.adopt(name):
+                        account.wanted_tokens = account.exposed_tokens
+                        self._ahead.add(account.program_id)
+            self._lost_holders.clear()
+
     def _tell_standbys(self) -> None:
         """Tell the other holders what is claimed of programs held here."""
         claims: dict[str, list[ledger.Claim]] = {}
@@ -353,7 +384,7 @@
             if now_ms >= due_ms:
                 return True
             self._clock.wait_condition(self._changed, due_ms - now_ms)
-            if not self._ahead and not self._untold:
+            if not (self._ahead or self._untold or self._lost_holders):
                 waited_from_ms = self._clock.now_ms()
         return False
 
@@ -364,7 +395,7 @@
             return failed_ms + ledger_recorder.OUTAGE_RETRY_MS
         if self._urgent:
             return waited_from_ms
-        if self._ahead or self._untold:
+        if self._ahead or self._untold or self._lost_holders:
             return waited_from_ms + GROUP_MS
         return waited_from_ms + SWEEP_INTERVAL_MS
 
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -258,6 +258,7 @@
 
     def _note_member_loss(self, name: str) -> None:
         """Take over as a holder of budgets from a member that ended."""
+        self._book.note_lost_holder(name)
         if name < self.member.name:
             self._book.note_loss(f"{name} ended")
 
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -21,6 +21,9 @@
     def of(self, program_id: str) -> tuple[str, ...]:
         """Return who they are; a restarted member is another one."""
 
+    def is_first(self, program_id: str) -> bool:
+        """Return whether this member is the first holder of a program."""
+
     def note(
         self, standby: str, claims: Sequence[ledger.Claim], is_sure: bool
     ) -> bool:
@@ -40,6 +43,10 @@
         """Return that there are none."""
         return ()
 
+    def is_first(self, program_id: str) -> bool:
+        """Return that nobody else holds the program."""
+        return True
+
     def note(
         self, standby: str, claims: Sequence[ledger.Claim], is_sure: bool
     ) -> bool:
@@ -83,6 +90,11 @@
             for member in self._holders(program_id)
         )
 
+    def is_first(self, program_id: str) -> bool:
+        """Return whether this member is the first holder of a program."""
+        holders = membership.budget_holders(program_id, self._fleet.members())
+        return bool(holders) and holders[0].name == self._name
+
     def note(
         self, standby: str, claims: Sequence[ledger.Claim], is_sure: bool
     ) -> bool:
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -204,6 +204,27 @@
         spent += sum(self.turn("m4") for _ in range(30))
         self.assertLessEqual(spent, BUDGET + TURN)
 
+    def test_exposed_tokens_of_a_lost_holder_are_recorded(self):
+        # They were known to a standby only, and forgotten when all processes
+        # ended later (grown Restwell, hunt-39df-3: 63 tokens too many).
+        self.lose_store("m1", "m2", "m3", "m4")
+        spent = self.turn("m3")
+        self.assertEqual(spent, TURN)
+        for store, *_ in self.members.values():
+            store.error = None
+        self.lose_store("m1")
+        self.network.cut.add("m1")
+        for name in ("m2", "m3", "m4"):
+            book, view = self.members[name][1], self.members[name][2]
+            view.on_member_lost = book.note_lost_holder
+            view.apply([interfaces.Deleted("member/m1", 9)])
+        until_s = time.monotonic() + 5
+        while "ledger/p" not in self.store.items:
+            self.assertLess(time.monotonic(), until_s)
+            time.sleep(0.02)
+        record = json.loads(self.store.items["ledger/p"].value)
+        self.assertGreaterEqual(record["tokens"], TURN)
+
     def test_claims_are_asked_of_few_members_that_ended(self):
         # With 27 of 77 members cut off, a holder asked each of them for 60 ms
         # while the caller's process went on to the next holder (grown
--- a/packages/gateway/tests/test_planner.py
+++ b/packages/gateway/tests/test_planner.py
@@ -233,6 +233,12 @@
             [0, 100, 100],
         )
 
+    def test_parts_without_tokens_do_not_fill_the_memory(self):
+        parts = estimates.HeldParts(250)
+        for number in range(estimates.PARTS_MAX + 10):
+            parts.keep((traffic.PromptPart(str(number), 0),))
+        self.assertEqual(len(parts._parts), estimates.PARTS_MAX)
+
     def test_reading_costs_more_where_others_run(self):
         busy = estimates.ServerState(builders.server("busy"))
         idle = estimates.ServerState(builders.server("idle"))
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -1,6 +1,7 @@
 """Tests of what a process believes of configuration, servers and members."""
 
 import json
+import threading
 import unittest
 
 import builders
@@ -34,6 +35,24 @@
         self.put("config", b"6", 2)
         self.assertEqual(self.fleet.in_force.configuration.version, 7)
 
+    def test_listener_of_a_loss_may_ask_for_the_members(self):
+        # Two locks were taken in both orders: a thread that recorded budgets
+        # asked for the members while the view told it of a loss.
+        seen = []
+        self.fleet.on_member_lost = lambda name: seen.append(
+            (name, self.fleet.members())
+        )
+        encoded = fleet.encode_member(builders.member("m1"))
+        self.put("member/m1", encoded, 1)
+        thread = threading.Thread(
+            target=self.fleet.apply,
+            args=([interfaces.Deleted("member/m1", 2)],),
+            daemon=True,
+        )
+        thread.start()
+        thread.join(5)
+        self.assertEqual(seen, [("m1", [])])
+
     def test_unreadable_configuration_keeps_the_last_good_one(self):
         self.put("config", b"7", 1)
         self.put("config", b"{", 2)
