--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -184,6 +184,8 @@
                             "  ",
                             step["keyword"],
                             step["name"],
+                            f"{result['status']} after",
+                            f"{result.get('duration', 0.0):.1f} s:",
                             result.get("error_message"),
                         )
     print(done.stderr)
