--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -116,7 +116,10 @@
             )
             levels = self._levels(service)
             costs = [
-                (self._cost_among(state, profile, levels, among), state)
+                (
+                    self._cost_among(state, profile, levels, among, now_ms),
+                    state,
+                )
                 for state in healthy
             ]
             least_ms = min(found.total_ms for found, _ in costs)
@@ -220,9 +223,10 @@
         profile: estimates.CallProfile,
         levels: estimates.Levels,
         among: frozenset[str] | None,
+        now_ms: float,
     ) -> estimates.Cost:
         """Return a cost that is higher at servers whose work is unknown."""
-        found = self._cost(state, profile, levels, self._clock.now_ms())
+        found = self._cost(state, profile, levels, now_ms)
         if among is None or state.server.server_id in among:
             return found
         return found._replace(total_ms=found.total_ms * UNKNOWN_WORK_FACTOR)
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -150,7 +150,9 @@
         run, result = self._relay(call, placement, spec, channel)
         if run.is_dropped and is_kept and is_repeatable:
             reason = "a kept connection was dropped"
-            self._responder.log_failure(call, placement, reason, True, True)
+            self._responder.log_failure(
+                call, placement, reason, is_sent=True, is_kept_channel=True
+            )
             try:
                 channel = pool.connect(self._connect_timeout_ms(call))
             except channels.ConnectError as error:
--- a/packages/gateway/src/balsamloom_gateway/estimates.py
+++ b/packages/gateway/src/balsamloom_gateway/estimates.py
@@ -321,19 +321,26 @@
     crowd = 1 + STEP_GROWTH_PER_REQUEST * load
     generate_ms = profile.output_tokens * step_ms * crowd
     own_ms = state.queue_ms(now_ms) + read_ms + generate_ms
-    waiting = max(load + 1 - state.server.slots, 0.0)
-    rounds = 1 + waiting / max(state.server.slots, 1)
     delay_of_others_ms = load * read_ms
-    return Cost(own_ms * rounds + delay_of_others_ms, read_ms)
+    own_ms *= _rounds(state.server, load)
+    return Cost(own_ms + delay_of_others_ms, read_ms)
 
 
 def _plain_cost(state: ServerState, levels: Levels, now_ms: float) -> Cost:
-    waiting = max(state.load(now_ms) + 1 - state.server.slots, 0.0)
-    rounds = 1 + waiting / max(state.server.slots, 1)
+    rounds = _rounds(state.server, state.load(now_ms))
     call_ms = state.call.get(levels.call_ms, now_ms)
     return Cost(call_ms * state.slowness(now_ms) * rounds)
 
 
+def _rounds(server: traffic.BackendServer, load: float) -> float:
+    """Return how many times a call's own time passes until it ends.
+
+    :param load: requests at the server before the call.
+    """
+    waiting = max(load + 1 - server.slots, 0.0)
+    return 1 + waiting / max(server.slots, 1)
+
+
 def _median(averages: list[MovingAverage], default: float) -> float:
     values = [average.value for average in averages if average.count]
     return statistics.median(values) if values else default
--- a/packages/gateway/src/balsamloom_gateway/membership.py
+++ b/packages/gateway/src/balsamloom_gateway/membership.py
@@ -29,7 +29,7 @@
 
     :return: ``None`` if the member reads the store itself.
     """
-    before = sum(member.name < name for member in members)
+    before = rank_of(name, members)
     if before == 0:
         return None
     return members[(before - 1) // FOLLOWERS_MAX]
--- a/packages/model/src/balsamloom_model/day.py
+++ b/packages/model/src/balsamloom_model/day.py
@@ -6,7 +6,7 @@
 import random
 from typing import NamedTuple
 
-from balsamloom_gateway import membership, traffic
+from balsamloom_gateway import balancer, membership, traffic
 from balsamloom_model import (
     deployments,
     engines,
@@ -142,7 +142,7 @@
 
     def _make_placer(
         self, world: policies.World, member: traffic.Member
-    ) -> policies.Placer:
+    ) -> balancer.Balancer:
         placer = self._policy.make(world, member.name, member.failure_domain)
         placer.set_servers(self._servers())
         return placer
--- a/packages/model/src/balsamloom_model/paths.py
+++ b/packages/model/src/balsamloom_model/paths.py
@@ -12,7 +12,6 @@
 from balsamloom_model import (
     deployments,
     engines,
-    policies,
     programs,
     services,
     simulation,
@@ -27,14 +26,14 @@
 class Edge(NamedTuple):
     """An edge process; its placer chooses servers of tool calls."""
 
-    placer: policies.Placer
+    placer: balancer.Balancer
     domain: str
 
 
 class Holder(NamedTuple):
     """A process that places turns, on servers of its group first."""
 
-    placer: policies.Placer
+    placer: balancer.Balancer
     group: frozenset[str] | None
 
 
--- a/packages/model/src/balsamloom_model/policies.py
+++ b/packages/model/src/balsamloom_model/policies.py
@@ -4,43 +4,14 @@
 
 import enum
 import random
-from collections.abc import Callable, Mapping, Sequence
-from typing import NamedTuple, Protocol
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import balancer, estimates, health, traffic
+from balsamloom_gateway import balancer, estimates
 from balsamloom_model import engines
 
 
-class Placer(Protocol):
-    """What the model asks of a rule; :class:`balancer.Balancer` has it."""
-
-    def set_servers(self, servers: Sequence[traffic.BackendServer]) -> None:
-        """Take the servers that may get calls."""
-
-    def place(
-        self,
-        service: str,
-        profile: estimates.CallProfile,
-        avoid: frozenset[str] = frozenset(),
-        among: frozenset[str] | None = None,
-    ) -> balancer.Placement | balancer.NoServer:
-        """Choose a server and count the call there."""
-
-    def answered(
-        self, placement: balancer.Placement, load: traffic.ServerLoad | None
-    ) -> None:
-        """Take in the load that came with an answer."""
-
-    def end(
-        self,
-        placement: balancer.Placement,
-        outcome: health.Outcome,
-        observation: estimates.Observation,
-    ) -> None:
-        """Give a place back and learn from the call."""
-
-
 class World(NamedTuple):
     """What placers are made from."""
 
@@ -49,7 +20,7 @@
     seed: int
 
 
-Make = Callable[[World, str, str], Placer]
+Make = Callable[[World, str, str], balancer.Balancer]
 
 
 class PlacedBy(enum.Enum):
@@ -119,33 +90,28 @@
         )
 
 
-def _local(world: World, name: str, domain: str) -> Placer:
-    generator = random.Random(f"{world.seed}/{name}")
-    return balancer.Balancer(world.clock, domain, generator)
-
-
-def _random(world: World, name: str, domain: str) -> Placer:
-    generator = random.Random(f"{world.seed}/{name}")
-    return RandomPlacer(world.clock, domain, generator)
+def _seeded(placer: type[balancer.Balancer]) -> Make:
+    """Return what makes placers with random choices of their own."""
 
+    def make(world: World, name: str, domain: str) -> balancer.Balancer:
+        generator = random.Random(f"{world.seed}/{name}")
+        return placer(world.clock, domain, generator)
 
-def _least_loaded(world: World, name: str, domain: str) -> Placer:
-    generator = random.Random(f"{world.seed}/{name}")
-    return LeastLoadedPlacer(world.clock, domain, generator)
+    return make
 
 
-def _all_knowing(world: World, name: str, domain: str) -> Placer:
+def _all_knowing(world: World, name: str, domain: str) -> balancer.Balancer:
     return AllKnowingPlacer(world, domain)
 
 
 POLICIES = {
     policy.name: policy
     for policy in (
-        Policy("holders", _local, PlacedBy.HOLDERS),
-        Policy("edges", _local, PlacedBy.EDGES),
-        Policy("one", _local, PlacedBy.ONE),
-        Policy("random", _random, PlacedBy.EDGES),
-        Policy("least-loaded", _least_loaded, PlacedBy.EDGES),
+        Policy("holders", _seeded(balancer.Balancer), PlacedBy.HOLDERS),
+        Policy("edges", _seeded(balancer.Balancer), PlacedBy.EDGES),
+        Policy("one", _seeded(balancer.Balancer), PlacedBy.ONE),
+        Policy("random", _seeded(RandomPlacer), PlacedBy.EDGES),
+        Policy("least-loaded", _seeded(LeastLoadedPlacer), PlacedBy.EDGES),
         Policy("all-knowing", _all_knowing, PlacedBy.ONE),
     )
 }
