--- /dev/null
+++ b/packages/conversations/src/balsamloom_conversations/__init__.py
@@ -0,0 +1,1 @@
+"""Turns of conversations and the storage hosts that keep them."""
--- /dev/null
+++ b/packages/conversations/src/balsamloom_conversations/check.py
@@ -0,0 +1,65 @@
+"""Command that says what is whole in the data folder of a storage host."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+import click
+
+from balsamloom_conversations import database, turns
+from balsamloom_core import clock as clocks
+
+PAGE_TURNS = 1_000
+
+
+@click.command()
+@click.argument(
+    "directory",
+    type=click.Path(exists=True, file_okay=False, path_type=pathlib.Path),
+)
+def main(directory: pathlib.Path) -> None:
+    """Check the turns in DIRECTORY; no process may have it open.
+
+    Exit status 1 says that a turn is damaged or that a chain has a gap.
+    """
+    if not (directory / database.FILE_NAME).is_file():
+        raise click.BadParameter(
+            f"{directory} has no {database.FILE_NAME}",
+            param_hint="DIRECTORY",
+        )
+    try:
+        store = database.TurnDatabase(directory, clocks.Clock())
+        counts = store.counts()
+        damaged = store.damaged()
+        gaps = _gaps(store)
+        store.close()
+    except database.DatabaseError as error:
+        raise click.ClickException(str(error)) from error
+    click.echo(
+        f"{counts.turns} turns of {counts.groups} groups, "
+        f"{counts.size_bytes} bytes"
+    )
+    for turn_id in damaged:
+        click.echo(f"damaged: {turn_id}")
+    for turn_id, reason in gaps:
+        click.echo(f"gap: {turn_id}: {reason}")
+    click.echo(f"{len(damaged)} damaged, {len(gaps)} chains with a gap")
+    sys.exit(1 if damaged or gaps else 0)
+
+
+def _gaps(store: database.TurnDatabase) -> list[tuple[str, str]]:
+    """Return the turns whose chain is not whole, with the reason."""
+    found = []
+    number = 0
+    while entries := store.list_after(number, PAGE_TURNS):
+        for entry in entries:
+            number = entry.number
+            chain = store.chain(entry.turn_id)
+            if isinstance(chain, turns.Unsure):
+                found.append((entry.turn_id, chain.reason))
+    return found
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/conversations/src/balsamloom_conversations/messages.py
@@ -0,0 +1,189 @@
+"""Messages between processes and storage hosts, in MessagePack."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+import msgpack
+
+from balsamloom_conversations import turns
+
+
+class InvalidMessageError(ValueError):
+    """A message is malformed."""
+
+
+class ListQuery(NamedTuple):
+    """Asks for turns that a host took in after a number."""
+
+    after: int
+    limit: int
+
+
+class Listing(NamedTuple):
+    """Turns that a host took in.
+
+    ``is_leaving`` says that the host is being emptied and keeps nothing new.
+    """
+
+    disk_id: str
+    is_leaving: bool
+    has_more: bool
+    entries: tuple[turns.Entry, ...]
+
+
+def encode_turn(turn: turns.Turn) -> bytes:
+    """Encode a turn."""
+    return _pack(list(turn))
+
+
+def decode_turn(body: bytes) -> turns.Turn:
+    """Decode a turn.
+
+    :raises InvalidMessageError: it is malformed.
+    """
+    return _turn(_unpack(body))
+
+
+def encode_turns(found: Sequence[turns.Turn]) -> bytes:
+    """Encode several turns."""
+    return _pack([list(turn) for turn in found])
+
+
+def decode_turns(body: bytes) -> list[turns.Turn]:
+    """Decode several turns.
+
+    :raises InvalidMessageError: they are malformed.
+    """
+    return [_turn(value) for value in _list(_unpack(body))]
+
+
+def encode_names(names: Sequence[str]) -> bytes:
+    """Encode identifiers of turns or names of hosts."""
+    return _pack(list(names))
+
+
+def decode_names(body: bytes) -> list[str]:
+    """Decode identifiers of turns or names of hosts.
+
+    :raises InvalidMessageError: they are malformed.
+    """
+    return [_text(value) for value in _list(_unpack(body))]
+
+
+def encode_lookup(result: turns.Lookup) -> bytes:
+    """Encode the answer to the question for a chain."""
+    match result:
+        case turns.Chain(group_id, data):
+            return _pack(["chain", group_id, data])
+        case turns.Absent():
+            return _pack(["absent"])
+        case turns.Unsure(reason):
+            return _pack(["unsure", reason])
+
+
+def decode_lookup(body: bytes) -> turns.Lookup:
+    """Decode the answer to the question for a chain.
+
+    :raises InvalidMessageError: it is malformed.
+    """
+    match _unpack(body):
+        case ["chain", str(group_id), bytes(data)]:
+            return turns.Chain(group_id, data)
+        case ["absent"]:
+            return turns.Absent()
+        case ["unsure", str(reason)]:
+            return turns.Unsure(reason)
+        case _:
+            raise InvalidMessageError("not an answer for a chain")
+
+
+def encode_query(query: ListQuery) -> bytes:
+    """Encode a question for a listing."""
+    return _pack(list(query))
+
+
+def decode_query(body: bytes) -> ListQuery:
+    """Decode a question for a listing.
+
+    :raises InvalidMessageError: it is malformed.
+    """
+    match _unpack(body):
+        case [int(after), int(limit)]:
+            return ListQuery(after, limit)
+        case _:
+            raise InvalidMessageError("not a question for a listing")
+
+
+def encode_listing(listing: Listing) -> bytes:
+    """Encode a listing."""
+    entries = [list(entry) for entry in listing.entries]
+    return _pack([*listing[:3], entries])
+
+
+def decode_listing(body: bytes) -> Listing:
+    """Decode a listing.
+
+    :raises InvalidMessageError: it is malformed.
+    """
+    match _unpack(body):
+        case [str(disk_id), bool(is_leaving), bool(has_more), list(entries)]:
+            found = tuple(_entry(entry) for entry in entries)
+            return Listing(disk_id, is_leaving, has_more, found)
+        case _:
+            raise InvalidMessageError("not a listing")
+
+
+def _entry(value: Any) -> turns.Entry:
+    match value:
+        case [int(number), str(turn_id), str(group_id)]:
+            return turns.Entry(number, turn_id, group_id)
+        case _:
+            raise InvalidMessageError("not an entry of a listing")
+
+
+def _turn(value: Any) -> turns.Turn:
+    match value:
+        case [
+            str(turn_id),
+            str(previous_id),
+            str(group_id),
+            bytes(sent),
+            bytes(received),
+            int(retention_ms) | float(retention_ms),
+        ]:
+            return turns.Turn(
+                turn_id,
+                previous_id,
+                group_id,
+                sent,
+                received,
+                float(retention_ms),
+            )
+        case _:
+            raise InvalidMessageError("not a turn")
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise InvalidMessageError("not a text")
+    return value
+
+
+def _list(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise InvalidMessageError("not a list")
+    return value
+
+
+def _pack(value: Any) -> bytes:
+    packed: bytes = msgpack.packb(value, use_bin_type=True)
+    return packed
+
+
+def _unpack(body: bytes) -> Any:
+    try:
+        return msgpack.unpackb(body, raw=False)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise InvalidMessageError(str(error)) from error
--- /dev/null
+++ b/packages/conversations/tests/test_replicas.py
@@ -0,0 +1,194 @@
+"""Tests of where turns are kept and of what answers amount to."""
+
+import random
+import unittest
+
+import builders
+import hypothesis
+from hypothesis import strategies
+
+from balsamloom_conversations import (
+    messages,
+    replicas,
+    stream_output,
+    turns,
+)
+
+HOSTS = [builders.host(f"{domain}{n}") for domain in "abc" for n in range(2)]
+
+
+class RankTest(unittest.TestCase):
+    """Guards against copies that one fault takes together."""
+
+    def test_first_hosts_are_in_different_failure_domains(self):
+        for number in range(200):
+            ranked = replicas.rank(f"g{number}", HOSTS)
+            self.assertEqual(set(ranked), set(HOSTS))
+            domains = {host.failure_domain for host in ranked[:3]}
+            self.assertEqual(len(domains), 3)
+
+    def test_order_does_not_depend_on_the_listing(self):
+        shuffled = random.Random(1).sample(HOSTS, len(HOSTS))
+        self.assertEqual(
+            replicas.rank("g", HOSTS), replicas.rank("g", shuffled)
+        )
+
+    def test_groups_are_shared_evenly(self):
+        counts = dict.fromkeys((host.name for host in HOSTS), 0)
+        for number in range(3_000):
+            for host in replicas.rank(f"g{number}", HOSTS)[:3]:
+                counts[host.name] += 1
+        self.assertLess(max(counts.values()) / min(counts.values()), 1.2)
+
+    def test_reader_asks_a_target_of_its_own_domain_first(self):
+        for number in range(50):
+            group = f"g{number}"
+            order = replicas.reading_order(group, HOSTS, 3, "b")
+            self.assertEqual(order[0].failure_domain, "b")
+            self.assertEqual(
+                set(order[:3]), set(replicas.rank(group, HOSTS)[:3])
+            )
+
+    def test_loss_of_a_host_gives_its_groups_to_another(self):
+        left = HOSTS[1:]
+        for number in range(200):
+            group = f"g{number}"
+            targets = [
+                host.name
+                for host in left
+                if replicas.is_target(host.name, group, left, 3)
+            ]
+            self.assertEqual(len(targets), 3)
+
+
+class WritePlanTest(unittest.TestCase):
+    """Guards against answers that end before enough copies stand."""
+
+    def test_kept_with_enough_copies_only(self):
+        plan = replicas.WritePlan(HOSTS, 3)
+        started = plan.start()
+        self.assertEqual(len(started), 3)
+        for host in started[:2]:
+            plan.note_kept(host.name)
+            self.assertFalse(plan.is_kept)
+        plan.note_kept(started[2].name)
+        self.assertTrue(plan.is_kept)
+
+    def test_failed_and_slow_writes_go_to_further_hosts(self):
+        plan = replicas.WritePlan(HOSTS[:4], 2)
+        first, second = plan.start()
+        self.assertEqual(plan.note_failed(), [HOSTS[2]])
+        self.assertEqual(plan.note_slow(), [HOSTS[3]])
+        self.assertEqual(plan.note_slow(), [])
+        plan.note_kept(second.name)
+        plan.note_kept(HOSTS[3].name)
+        self.assertTrue(plan.is_kept)
+
+    def test_hopeless_when_too_few_hosts_are_left(self):
+        plan = replicas.WritePlan(HOSTS[:2], 2)
+        plan.start()
+        self.assertFalse(plan.is_hopeless)
+        plan.note_failed()
+        self.assertTrue(plan.is_hopeless)
+
+    def test_without_hosts(self):
+        plan = replicas.WritePlan([], 2)
+        self.assertEqual(plan.start(), [])
+        self.assertTrue(plan.is_hopeless)
+
+
+class ReadTallyTest(unittest.TestCase):
+    """Guards against a turn that is said not to exist and does."""
+
+    def test_absent_only_by_the_word_of_all(self):
+        tally = replicas.ReadTally(3, 2)
+        for _ in range(3):
+            tally.note_absent()
+        self.assertEqual(tally.result(), turns.Absent())
+        tally = replicas.ReadTally(3, 2)
+        tally.note_absent()
+        tally.note_absent()
+        tally.note_unsure("c0", "no answer")
+        self.assertIsInstance(tally.result(), turns.Unsure)
+
+    def test_unknown_hosts_are_no_proof(self):
+        for hosts in (0, 1):
+            tally = replicas.ReadTally(hosts, 2)
+            self.assertIsInstance(tally.result(), turns.Unsure)
+
+
+class StreamOutputTest(unittest.TestCase):
+    """Guards against outputs that differ from the data of the events."""
+
+    def collect(self, stream, size=1):
+        output = stream_output.StreamOutput(1_000)
+        for place in range(0, len(stream), size):
+            output.add(stream[place : place + size])
+        return output.data()
+
+    def test_data_of_events_only(self):
+        stream = (
+            b"x-weight-versions: 7\nid: 1\ndata: one\n\n"
+            b"id: 2\r\ndata:two\r\n\r\n: comment\n\n"
+            b"data: a: b \ndata:  c\n\n"
+        )
+        for size in (1, 3, 100):
+            self.assertEqual(
+                self.collect(stream, size), b"one\ntwo\na: b \n c\n"
+            )
+
+    def test_event_that_was_cut_is_left_out(self):
+        self.assertEqual(self.collect(b"data: a\n\ndata: b\n"), b"a\n")
+
+    def test_stream_over_the_limit_cannot_be_kept(self):
+        with self.assertRaises(stream_output.OutputTooLongError):
+            self.collect(b"data: " + b"x" * 1_000, 100)
+
+
+class MessagesTest(unittest.TestCase):
+    """Guards against messages that end a background loop."""
+
+    DECODERS = (
+        messages.decode_turn,
+        messages.decode_turns,
+        messages.decode_names,
+        messages.decode_lookup,
+        messages.decode_query,
+        messages.decode_listing,
+    )
+
+    def test_messages_come_back_as_they_were(self):
+        turn = builders.turn(sent=b"\xff\x00", received=b"\r\n")
+        self.assertEqual(
+            messages.decode_turn(messages.encode_turn(turn)), turn
+        )
+        self.assertEqual(
+            messages.decode_turns(messages.encode_turns([turn])), [turn]
+        )
+        for lookup in (
+            turns.Chain("g", b"\xff"),
+            turns.Absent(),
+            turns.Unsure("r"),
+        ):
+            body = messages.encode_lookup(lookup)
+            self.assertEqual(messages.decode_lookup(body), lookup)
+        listing = messages.Listing(
+            "d", True, False, (turns.Entry(1, "t", "g"),)
+        )
+        body = messages.encode_listing(listing)
+        self.assertEqual(messages.decode_listing(body), listing)
+        query = messages.ListQuery(4, 10)
+        body = messages.encode_query(query)
+        self.assertEqual(messages.decode_query(body), query)
+
+    @hypothesis.given(strategies.binary(max_size=60))
+    def test_any_bytes_are_decoded_or_rejected(self, body):
+        for decode in self.DECODERS:
+            try:
+                decode(body)
+            except messages.InvalidMessageError:
+                pass
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -82,6 +82,15 @@
     SETTINGS_REJECTED = 7016
     BUDGET_CAUTION = 7017
     BACKGROUND_FAILED = 7018
+    STORAGE_HOST_CHANGED = 7019
+    CHAIN_READ = 7020
+    TURN_KEPT = 7021
+    TURN_NOT_KEPT = 7022
+    STORAGE_CALL_FAILED = 7023
+    COPIES_FETCHED = 7024
+    DISK_FAILED = 7025
+    TURNS_EXPIRED = 7026
+    TURNS_DAMAGED = 7027
 
 
 _MEANINGS: dict[Event, str] = {
@@ -164,6 +173,19 @@
     Event.BACKGROUND_FAILED: (
         "A background loop failed unexpectedly and is run again."
     ),
+    Event.STORAGE_HOST_CHANGED: "A storage host's registration changed.",
+    Event.CHAIN_READ: "The turns before a turn were looked up.",
+    Event.TURN_KEPT: "A turn is on the disks of enough storage hosts.",
+    Event.TURN_NOT_KEPT: (
+        "A turn could not be kept, so its answer was cut off."
+    ),
+    Event.STORAGE_CALL_FAILED: "A call to a storage host failed.",
+    Event.COPIES_FETCHED: "A storage host fetched copies that it lacked.",
+    Event.DISK_FAILED: "The disk of a storage host refused a call.",
+    Event.TURNS_EXPIRED: "Turns whose retention is over were dropped.",
+    Event.TURNS_DAMAGED: (
+        "Damaged turns were dropped; copies of them are fetched."
+    ),
     Event.BUDGET_CAUTION: "A process that held budgets may be lost.",
 }
 
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/background.py
@@ -0,0 +1,35 @@
+"""Background loops of a process."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+
+# Pause before a loop that failed is run again.
+RESTART_PAUSE_MS = 200.0
+
+
+def start(target: Callable[[], None], clock: clocks.Clock) -> None:
+    """Run a loop in a thread, and again after an unexpected error."""
+    threading.Thread(
+        target=_keep_running, args=(target, clock), daemon=True
+    ).start()
+
+
+def _keep_running(target: Callable[[], None], clock: clocks.Clock) -> None:
+    while True:
+        try:
+            target()
+            return
+        except Exception as error:
+            events.log(
+                events.Event.BACKGROUND_FAILED,
+                logging.ERROR,
+                task=target.__qualname__,
+                reason=repr(error),
+            )
+            clock.sleep(RESTART_PAUSE_MS)
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -182,6 +182,7 @@
             self._codec,
             self._clock,
             spec.engine if spec else None,
+            call.recorder,
         )
         head = self._request_head(call, placement.server, spec)
         result = run.run(head + call.body, call.until_ms)
--- a/packages/gateway/src/balsamloom_gateway/evacuation.py
+++ b/packages/gateway/src/balsamloom_gateway/evacuation.py
@@ -1,8 +1,9 @@
-"""Answers operators' orders to empty storage hosts.
+"""Answers operators' orders to empty storage hosts that hold nothing.
 
-Storage hosts hold no data of this system, so an order is complete as soon as
-it is seen. The members answer in their order, with a pause, so that one call
-is enough and the answer does not depend on one member.
+A host that is not registered keeps no turns, so an order is complete as soon
+as it is seen. The members answer in their order, with a pause, so that one
+call is enough and the answer does not depend on one member. A registered host
+answers itself.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
     :param store: platform's store.
     :param records: keys and formats of the records.
     :param rank: returns this member's place among the members.
+    :param is_registered: returns whether a storage host is registered.
     :param clock: time source.
     """
 
@@ -33,11 +35,13 @@
         store: interfaces.KeyValueStore,
         records: interfaces.Records,
         rank: Callable[[], int],
+        is_registered: Callable[[str], bool],
         clock: clocks.Clock,
     ) -> None:
         self._store = store
         self._records = records
         self._rank = rank
+        self._is_registered = is_registered
         self._clock = clock
         self._lock = threading.Lock()
         # Time at which this member answers an open order, by host.
@@ -56,7 +60,8 @@
         with self._lock:
             due = [host for host, due in self._due_ms.items() if due <= now_ms]
         for host in due:
-            self._answer(host)
+            if not self._is_registered(host):
+                self._answer(host)
 
     def _apply(self, change: interfaces.Change) -> None:
         match self._records.kind(change.key), change:
@@ -73,7 +78,7 @@
                 pass
 
     def _answer(self, host: str) -> None:
-        key, value = self._records.evacuation_status(host)
+        key, value = self._records.evacuation_status(host, is_complete=True)
         try:
             self._store.transact((), [interfaces.Write(key, value)])
         except interfaces.StoreError as error:
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -8,9 +8,16 @@
 import threading
 from collections.abc import Callable
 
+from balsamloom_conversations import replicas
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import callbacks, interfaces, routes, traffic
+from balsamloom_gateway import (
+    callbacks,
+    interfaces,
+    registrations,
+    routes,
+    traffic,
+)
 
 # Registrations that lapsed while the store was away return within this time
 # after it is back; those that do not are gone.
@@ -42,11 +49,13 @@
         self._records = records
         self._clock = clock
         self._lock = threading.Lock()
-        self._servers: dict[str, traffic.BackendServer] = {}
-        self._members: dict[str, traffic.Member] = {}
-        # Time at which registrations that lapsed in an outage are dropped.
-        self._held_servers: dict[str, float] = {}
-        self._held_members: dict[str, float] = {}
+        self._servers: registrations.Registrations[traffic.BackendServer] = (
+            registrations.Registrations()
+        )
+        self._members: registrations.Registrations[traffic.Member] = (
+            registrations.Registrations()
+        )
+        self._storage_hosts: dict[str, replicas.StorageHost] = {}
         # Members that ended, with the time at which that was seen.
         self._lost: list[tuple[float, traffic.Member]] = []
         # Members whose end nobody was told of yet.
@@ -78,7 +87,12 @@
     def members(self) -> list[traffic.Member]:
         """Return the registered members in the order of their names."""
         with self._lock:
-            return [self._members[name] for name in sorted(self._members)]
+            return sorted(self._members.values())
+
+    def storage_hosts(self) -> list[replicas.StorageHost]:
+        """Return the registered storage hosts, also those that are down."""
+        with self._lock:
+            return sorted(self._storage_hosts.values())
 
     def lost_members(self) -> list[traffic.Member]:
         """Return members that ended a short time ago and did not return.
@@ -96,6 +110,11 @@
                 if member.name not in self._members
             ]
 
+    def has_storage_host(self, name: str) -> bool:
+        """Return whether a storage host is registered."""
+        with self._lock:
+            return name in self._storage_hosts
+
     def servers(self) -> list[traffic.BackendServer]:
         """Return the servers that may get calls."""
         with self._lock:
@@ -155,6 +174,8 @@
                 return self._records.server(server_id, item.value)
             case interfaces.MemberRecord():
                 return decode_member(item.value)
+            case interfaces.StorageHostRecord():
+                return decode_storage_host(item.value)
             case _:
                 return item.value
 
@@ -176,8 +197,7 @@
             case interfaces.ConfigurationRecord(), traffic.Configuration():
                 self._take_configuration(value, revision)
             case interfaces.ServerRecord(server_id), traffic.BackendServer():
-                self._held_servers.pop(server_id, None)
-                self._servers[server_id] = value
+                self._servers.put(server_id, value)
                 events.log(
                     events.Event.SERVER_VIEW_CHANGED,
                     server_id=server_id,
@@ -186,17 +206,24 @@
                     revision=revision,
                 )
             case interfaces.MemberRecord(name), traffic.Member():
-                self._held_members.pop(name, None)
-                known = self._members.get(name)
+                known = self._members.put(name, value)
                 if known and known.incarnation != value.incarnation:
                     self._note_loss(known)
-                self._members[name] = value
                 events.log(
                     events.Event.MEMBER_VIEW_CHANGED,
                     member=name,
                     state="registered",
                     revision=revision,
                 )
+            case interfaces.StorageHostRecord(name), replicas.StorageHost():
+                self._storage_hosts[name] = value
+                events.log(
+                    events.Event.STORAGE_HOST_CHANGED,
+                    host=name,
+                    state="registered",
+                    disk_id=value.disk_id,
+                    revision=revision,
+                )
 
     def _take_configuration(
         self, configuration: traffic.Configuration, revision: int
@@ -236,7 +263,7 @@
         )
         match kind:
             case interfaces.ServerRecord(server_id):
-                self._servers.pop(server_id, None)
+                self._servers.remove(server_id)
             case _:
                 pass
 
@@ -250,17 +277,21 @@
             hold_until_ms = now_ms + LAPSE_HOLD_MS
         match kind:
             case interfaces.ServerRecord(server_id):
-                if is_held and server_id in self._servers:
-                    self._held_servers[server_id] = hold_until_ms
+                if is_held:
+                    self._servers.hold(server_id, hold_until_ms)
                 else:
-                    self._servers.pop(server_id, None)
+                    self._servers.remove(server_id)
                 name = server_id
             case interfaces.MemberRecord(member):
-                if is_held and member in self._members:
-                    self._held_members[member] = hold_until_ms
+                if is_held:
+                    self._members.hold(member, hold_until_ms)
                 else:
-                    self._note_loss(self._members.pop(member, None))
+                    self._note_loss(self._members.remove(member))
                 name = member
+            case interfaces.StorageHostRecord(host):
+                is_held = False
+                self._storage_hosts.pop(host, None)
+                name = host
             case _:
                 return
         events.log(
@@ -271,14 +302,9 @@
         )
 
     def _drop_expired(self, now_ms: float) -> None:
-        for server_id, until_ms in list(self._held_servers.items()):
-            if now_ms >= until_ms:
-                del self._held_servers[server_id]
-                self._servers.pop(server_id, None)
-        for name, until_ms in list(self._held_members.items()):
-            if now_ms >= until_ms:
-                del self._held_members[name]
-                self._note_loss(self._members.pop(name, None))
+        self._servers.drop_expired(now_ms)
+        for member in self._members.drop_expired(now_ms):
+            self._note_loss(member)
 
     def _note_loss(self, member: traffic.Member | None) -> None:
         if member is not None:
@@ -308,3 +334,19 @@
         return traffic.Member(**json.loads(value))
     except (ValueError, TypeError) as error:
         raise interfaces.InvalidRecordError(str(error)) from error
+
+
+def encode_storage_host(host: replicas.StorageHost) -> bytes:
+    """Encode a storage host's registration."""
+    return json.dumps(host._asdict(), separators=(",", ":")).encode()
+
+
+def decode_storage_host(value: bytes) -> replicas.StorageHost:
+    """Decode a storage host's registration.
+
+    :raises InvalidRecordError: it cannot be read.
+    """
+    try:
+        return replicas.StorageHost(**json.loads(value))
+    except (ValueError, TypeError) as error:
+        raise interfaces.InvalidRecordError(str(error)) from error
--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -31,6 +31,9 @@
 STALE_INTERVALS = 2.5
 # A member that was not usable as a source is tried again after this time.
 SOURCE_RETRY_MS = 3_000.0
+# Parts of the bound on a view's age for one reading.
+STORE_SHARE = 0.3
+PEER_SHARE = 0.2
 # The store watches all keys, so that one call serves all kinds of records.
 ALL_KEYS = ""
 
@@ -42,6 +45,14 @@
     peer_ms: float
 
 
+def intervals(bound_ms: float) -> Intervals:
+    """Return the pauses that keep a view within a bound.
+
+    :param bound_ms: time within which changes must be known everywhere.
+    """
+    return Intervals(bound_ms * STORE_SHARE, bound_ms * PEER_SHARE)
+
+
 class Follower:
     """Reads changes from the store or from another member.
 
--- a/packages/gateway/src/balsamloom_gateway/http_client.py
+++ b/packages/gateway/src/balsamloom_gateway/http_client.py
@@ -18,6 +18,10 @@
     """The request was sent and has no complete answer."""
 
 
+class AnswerTimeoutError(UnansweredError):
+    """The request was sent and not answered in time."""
+
+
 class Answer(NamedTuple):
     """Whole answer of a server."""
 
@@ -44,6 +48,7 @@
         target: str,
         body: bytes = b"",
         timeout_ms: float = 1_000.0,
+        content_type: bytes = b"application/json",
     ) -> Answer:
         """Send a request and return its answer.
 
@@ -57,12 +62,15 @@
             raise NotSentError(str(error)) from error
         exchange = channels.Exchange(channel, self._clock)
         try:
-            exchange.send(self._encode(method, target, body), until_ms)
+            data = self._encode(method, target, body, content_type)
+            exchange.send(data, until_ms)
             answer = self._receive(exchange, until_ms)
         except channels.ChannelError as error:
             channel.close()
             if exchange.sent_bytes == 0:
                 raise NotSentError(str(error)) from error
+            if isinstance(error, channels.ExchangeTimeoutError):
+                raise AnswerTimeoutError(str(error)) from error
             raise UnansweredError(str(error)) from error
         self._pool.give_back(channel)
         return answer
@@ -71,13 +79,15 @@
         """Close idle connections."""
         self._pool.close()
 
-    def _encode(self, method: str, target: str, body: bytes) -> bytes:
+    def _encode(
+        self, method: str, target: str, body: bytes, content_type: bytes
+    ) -> bytes:
         lines = [
             f"{method} {target} HTTP/1.1".encode(),
             b"Host: " + self._host,
         ]
         if body:
-            lines.append(b"Content-Type: application/json")
+            lines.append(b"Content-Type: " + content_type)
         if body or method == "POST":
             lines.append(b"Content-Length: %d" % len(body))
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/packages/gateway/src/balsamloom_gateway/interfaces.py
+++ b/packages/gateway/src/balsamloom_gateway/interfaces.py
@@ -155,6 +155,13 @@
     name: str
 
 
+@dataclasses.dataclass(frozen=True)
+class StorageHostRecord:
+    """Registration of a storage host, which outlasts its process."""
+
+    name: str
+
+
 @dataclasses.dataclass(frozen=True)
 class EvacuationOrder:
     """Operators' order to empty a storage host."""
@@ -164,7 +171,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class EvacuationStatus:
-    """Answer of the edge processes to an order."""
+    """Answer to an order to empty a storage host."""
 
     host: str
 
@@ -178,6 +185,7 @@
     ConfigurationRecord
     | ServerRecord
     | MemberRecord
+    | StorageHostRecord
     | EvacuationOrder
     | EvacuationStatus
     | OtherRecord
@@ -197,11 +205,16 @@
     def member_key(self, name: str) -> str:
         """Return the key of an edge process's registration."""
 
+    def storage_host_key(self, name: str) -> str:
+        """Return the key of a storage host's registration."""
+
     def ledger_key(self, program_id: str) -> str:
         """Return the key of a program's budget record."""
 
-    def evacuation_status(self, host: str) -> tuple[str, bytes]:
-        """Return key and value that say that a storage host is empty."""
+    def evacuation_status(
+        self, host: str, is_complete: bool
+    ) -> tuple[str, bytes]:
+        """Return key and value that answer an order to empty a host."""
 
     def configuration(self, value: bytes) -> traffic.Configuration:
         """Decode a configuration.
--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -68,9 +68,8 @@
         self.recorded_tokens = 0
         # What each other holder has exposed, as far as it told.
         self.others_exposed: dict[str, int] = {}
-        # What the program may exceed its budget by, for blocks that a lost
-        # process did not use up.
-        self.slack_tokens = 0
+        # Blocks that this process recorded itself.
+        self.own_recorded_tokens = 0
         self.revision = 0
         self.left_tokens = 0
         self.exposed_tokens = 0
@@ -100,6 +99,16 @@
             self.exposed_tokens,
         )
 
+    @property
+    def slack_tokens(self) -> int:
+        """Return by how much the program may exceed its budget.
+
+        Another process may not have used up the blocks that it recorded, and
+        what is left of them cannot be known here.
+        """
+        others = self.recorded_tokens - self.own_recorded_tokens
+        return min(max(others, 0), self.turn_tokens)
+
     @property
     def is_told(self) -> bool:
         """Return whether another holder told of the program."""
@@ -157,9 +166,13 @@
         :param allowance: tokens that may be exposed in all.
         """
         missing = max(tokens - self.left_tokens, 0)
-        if missing > self._unclaimed_tokens():
+        unclaimed = self._unclaimed_tokens()
+        if missing > unclaimed:
             return Exhausted(self.recorded_tokens, self.left_tokens)
-        if missing and self.exposed_tokens + missing > allowance:
+        # The slack is given once, so it has to be recorded first.
+        may_expose = missing <= unclaimed - self.slack_tokens
+        is_allowed = self.exposed_tokens + missing <= allowance
+        if missing and not (may_expose and is_allowed):
             return BlockNeeded(self._block(missing))
         self.left_tokens -= tokens - missing
         self.exposed_tokens += missing
@@ -193,6 +206,7 @@
         self.recorded_tokens = max(total_tokens, self.recorded_tokens)
         self.revision = revision
         self.wanted_tokens = 0
+        self.own_recorded_tokens += own
         self._add_left(own)
 
     def _others_tokens(self) -> int:
--- a/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
@@ -187,8 +187,6 @@
         decoded = account.budget_tokens, ""
     total, latest = decoded
     own = account.unconfirmed.pop(latest, 0)
-    if not own:
-        account.slack_tokens = account.turn_tokens
     account.recorded(total, revision, max(own, 0))
     events.log(
         events.Event.BUDGET_RECORD_CHANGED,
--- a/packages/gateway/src/balsamloom_gateway/metrics.py
+++ b/packages/gateway/src/balsamloom_gateway/metrics.py
@@ -5,7 +5,8 @@
 import prometheus_client
 from prometheus_client import registry
 
-from balsamloom_gateway import listeners
+from balsamloom_conversations import database
+from balsamloom_gateway import copies, listeners
 
 METRICS_PATH = "/metrics"
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
@@ -63,9 +64,65 @@
         self, request: listeners.Request, reply: listeners.Reply
     ) -> None:
         """Answer a request for the figures."""
-        if request.path != METRICS_PATH:
-            reply.send(404, ())
-            return
-        body = prometheus_client.generate_latest(self._registry)
-        fields = ((b"Content-Type", b"text/plain; version=0.0.4"),)
-        reply.send(200, fields, body)
+        _serve(self._registry, request, reply)
+
+
+class StorageMetrics:
+    """Figures of one storage process.
+
+    :param store: turns of this host.
+    :param kept: copies at this host.
+    """
+
+    def __init__(
+        self, store: database.TurnDatabase, kept: copies.Copies
+    ) -> None:
+        self._store = store
+        self._copies = kept
+        self._registry = registry.CollectorRegistry()
+        self._gauges = {
+            name: prometheus_client.Gauge(
+                f"balsamloom_storage_{name}", text, registry=self._registry
+            )
+            for name, text in _STORAGE_GAUGES.items()
+        }
+
+    def handle(
+        self, request: listeners.Request, reply: listeners.Reply
+    ) -> None:
+        """Answer a request for the figures."""
+        counts = self._store.counts()
+        values = {
+            "turns": counts.turns,
+            "groups": counts.groups,
+            "bytes": counts.size_bytes,
+            "is_whole": int(self._copies.is_whole),
+            "other_hosts_up": len(self._copies.other_keepers()),
+            "fetched_turns": self._copies.fetched_turns,
+        }
+        for name, value in values.items():
+            self._gauges[name].set(value)
+        _serve(self._registry, request, reply)
+
+
+_STORAGE_GAUGES = {
+    "turns": "Turns on the disk.",
+    "groups": "Conversations on the disk.",
+    "bytes": "Size of the database.",
+    "is_whole": "1 if the host misses no turn that it should have.",
+    "other_hosts_up": "Other storage hosts that answer.",
+    "fetched_turns": "Turns that were short of a copy and fetched here.",
+}
+
+
+def _serve(
+    figures: registry.CollectorRegistry,
+    request: listeners.Request,
+    reply: listeners.Reply,
+) -> None:
+    if request.path != METRICS_PATH:
+        reply.send(404, ())
+        return
+    body = prometheus_client.generate_latest(figures)
+    fields = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+    reply.send(200, fields, body)
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -1,4 +1,4 @@
-"""Calls between edge processes: JSON over HTTP."""
+"""Calls between processes of this system, over HTTP."""
 
 from __future__ import annotations
 
@@ -15,12 +15,23 @@
 NOTE_PATH = "/ledger/note"
 CLAIM_PATH = "/ledger/claim"
 FEED_PATH = "/feed"
+KEEP_TURN_PATH = "/turns/keep"
+CHAIN_PATH = "/turns/chain"
+LIST_TURNS_PATH = "/turns/list"
+READ_TURNS_PATH = "/turns/read"
+COPY_TURNS_PATH = "/turns/copy"
+JSON_TYPE = b"application/json"
+MESSAGE_PACK_TYPE = b"application/msgpack"
 
 
 class PeerUnavailableError(Exception):
     """Another member did not answer a call."""
 
 
+class PeerTimeoutError(PeerUnavailableError):
+    """Another member did not answer a call in time."""
+
+
 class PeerClients:
     """Clients of the other members, by address.
 
@@ -39,10 +50,34 @@
 
         :raises PeerUnavailableError: there is no usable answer in time.
         """
-        client = self._client(address)
         encoded = json.dumps(body, separators=(",", ":")).encode()
+        answer = self.exchange(address, path, encoded, timeout_ms, JSON_TYPE)
         try:
-            answer = client.call("POST", path, encoded, timeout_ms)
+            decoded = json.loads(answer)
+        except ValueError as error:
+            raise PeerUnavailableError(f"{address}: {error}") from error
+        if not isinstance(decoded, dict):
+            raise PeerUnavailableError(f"{address}: the answer is no object")
+        return decoded
+
+    def exchange(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        timeout_ms: float,
+        content_type: bytes = MESSAGE_PACK_TYPE,
+    ) -> bytes:
+        """Send a body to a member and return the one of its answer.
+
+        :raises PeerTimeoutError: there is no answer in time.
+        :raises PeerUnavailableError: there is no usable answer.
+        """
+        client = self._client(address)
+        try:
+            answer = client.call("POST", path, body, timeout_ms, content_type)
+        except http_client.AnswerTimeoutError as error:
+            raise PeerTimeoutError(f"{address}: {error}") from error
         except (
             http_client.NotSentError,
             http_client.UnansweredError,
@@ -50,13 +85,7 @@
             raise PeerUnavailableError(f"{address}: {error}") from error
         if answer.status != 200:
             raise PeerUnavailableError(f"{address}: status {answer.status}")
-        try:
-            decoded = json.loads(answer.body)
-        except ValueError as error:
-            raise PeerUnavailableError(f"{address}: {error}") from error
-        if not isinstance(decoded, dict):
-            raise PeerUnavailableError(f"{address}: the answer is no object")
-        return decoded
+        return answer.body
 
     def keep_only(self, addresses: Iterable[str]) -> None:
         """Close idle connections to members that are gone."""
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 import threading
 from collections.abc import Callable
@@ -11,8 +10,10 @@
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
 from balsamloom_gateway import (
+    background,
     balancer,
     budgets,
+    conversations,
     dispatch,
     evacuation,
     feed,
@@ -47,10 +48,6 @@
 # Time of the stop that is kept for giving budgets back.
 LEAVE_RESERVE_MS = 700.0
 LEAVE_CHECK_MS = 50.0
-# Pause before a background loop that failed is run again.
-RESTART_PAUSE_MS = 200.0
-WATCH_SHARE = 0.3
-FOLLOW_SHARE = 0.2
 
 
 class EdgeSettings(NamedTuple):
@@ -68,6 +65,7 @@
     is_first_start: bool
     view_bound_ms: float
     grace_ms: float
+    copies: int
 
 
 class SmallHandlers(NamedTuple):
@@ -143,11 +141,24 @@
         self._dispatcher = dispatch.Dispatcher(
             self._balancer, responder, codec, clock
         )
+        kept = conversations.Conversations(
+            self.fleet.storage_hosts,
+            clients,
+            clock,
+            settings.failure_domain,
+            settings.copies,
+        )
         self._proxy = proxy.Proxy(
-            self.fleet, self._dispatcher, accounts, responder, codec, clock
+            self.fleet,
+            self._dispatcher,
+            accounts,
+            kept,
+            responder,
+            codec,
+            clock,
         )
         self._evacuations = evacuation.Evacuations(
-            store, records, self._rank, clock
+            store, records, self._rank, self.fleet.has_storage_host, clock
         )
         self._registrar = registrar.Registrar(
             store, records.member_key(settings.name), self.member, clock
@@ -160,10 +171,7 @@
             self.fleet,
             clients,
             clock,
-            follower.Intervals(
-                settings.view_bound_ms * WATCH_SHARE,
-                settings.view_bound_ms * FOLLOW_SHARE,
-            ),
+            follower.intervals(settings.view_bound_ms),
         )
         self._registrar.on_lost = self._note_own_loss
         self._follower.after_reading = self._follow_up
@@ -222,9 +230,7 @@
             self._registrar.run,
             self._book.run,
         ):
-            threading.Thread(
-                target=self._keep_running, args=(target,), daemon=True
-            ).start()
+            background.start(target, self._clock)
         events.log(
             events.Event.PROCESS_STARTED,
             member=self.member.name,
@@ -262,21 +268,6 @@
         if name < self.member.name:
             self._book.note_loss(f"{name} ended")
 
-    def _keep_running(self, target: Callable[[], None]) -> None:
-        """Run a background loop again after an unexpected error."""
-        while True:
-            try:
-                target()
-                return
-            except Exception as error:
-                events.log(
-                    events.Event.BACKGROUND_FAILED,
-                    logging.ERROR,
-                    task=target.__qualname__,
-                    reason=repr(error),
-                )
-                self._clock.sleep(RESTART_PAUSE_MS)
-
     def _note_own_loss(self) -> None:
         """Take in that others may have held this member's budgets."""
         self._book.note_loss("the own registration was lost")
@@ -285,7 +276,9 @@
         """Do what depends on the latest reading of the store's records."""
         self._evacuations.answer_due()
         members = [*self.fleet.members(), *self.fleet.lost_members()]
-        self._clients.keep_only(member.peer_address for member in members)
+        addresses = [member.peer_address for member in members]
+        addresses += [host.address for host in self.fleet.storage_hosts()]
+        self._clients.keep_only(addresses)
 
     def _rank(self) -> int:
         return membership.rank_of(self.member.name, self.fleet.members())
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import logging
+
+from balsamloom_conversations import stream_output, turns
 from balsamloom_core import clock as clocks
+from balsamloom_core import events
 from balsamloom_gateway import (
     budgets,
+    conversations,
     dispatch,
     estimates,
     fleet,
@@ -15,11 +20,13 @@
     planner,
     responses,
     routes,
+    traffic,
 )
 
 # Advice to callers when nothing better is known.
 STARTING_RETRY_MS = 500.0
 BUDGET_RETRY_MS = 500.0
+CHAIN_RETRY_MS = 300.0
 
 
 class Proxy:
@@ -28,6 +35,7 @@
     :param view: configuration and servers.
     :param dispatcher: sends calls to servers.
     :param accounts: budgets of programs.
+    :param kept: turns of conversations.
     :param responder: gives final answers and logs.
     :param codec: header fields.
     :param clock: time source.
@@ -38,6 +46,7 @@
         view: fleet.Fleet,
         dispatcher: dispatch.Dispatcher,
         accounts: budgets.Budgets,
+        kept: conversations.Conversations,
         responder: responses.Responder,
         codec: interfaces.HeaderCodec,
         clock: clocks.Clock,
@@ -45,6 +54,7 @@
         self._fleet = view
         self._dispatcher = dispatcher
         self._budgets = accounts
+        self._conversations = kept
         self._responder = responder
         self._codec = codec
         self._clock = clock
@@ -54,6 +64,8 @@
     ) -> None:
         """Answer one request."""
         call = self._read_call(request, reply)
+        if call is not None and _is_kept(call.route):
+            call = self._join(call)
         if call is not None:
             self._serve(call)
 
@@ -108,6 +120,66 @@
             configuration,
         )
 
+    def _join(self, call: responses.Call) -> responses.Call | None:
+        """Put the turns before a turn in front of its input.
+
+        :return: ``None`` if the request has its final answer.
+        """
+        metadata = call.metadata
+        group_id = metadata.program_id or metadata.request_id
+        history = b""
+        if metadata.previous_turn_id:
+            found = self._read_chain(call, group_id)
+            match found:
+                case turns.Chain():
+                    group_id, history = found.group_id, found.data
+                case turns.Absent():
+                    self._responder.end(call, 404, "no such previous turn")
+                    return None
+                case turns.Unsure(reason):
+                    self._responder.refuse(
+                        call.reply,
+                        metadata.request_id,
+                        f"the previous turn is not found: {reason}",
+                        CHAIN_RETRY_MS,
+                    )
+                    return None
+        body = history + call.body
+        limit_bytes = call.configuration.limits.body_bytes
+        if len(body) > limit_bytes:
+            self._responder.end(call, 413, "the conversation is too long")
+            return None
+        turn = turns.Turn(
+            metadata.request_id,
+            metadata.previous_turn_id,
+            group_id,
+            call.body,
+            b"",
+            call.route.retention_ms,
+        )
+        output = stream_output.StreamOutput(limit_bytes)
+        recorder = conversations.TurnRecorder(
+            self._conversations, turn, output
+        )
+        return call._replace(body=body, recorder=recorder)
+
+    def _read_chain(self, call: responses.Call, hint: str) -> turns.Lookup:
+        metadata = call.metadata
+        started_ms = self._clock.now_ms()
+        found = self._conversations.read(
+            metadata.previous_turn_id, hint, call.until_ms
+        )
+        is_found = isinstance(found, turns.Chain)
+        events.log(
+            events.Event.CHAIN_READ,
+            logging.INFO if is_found else logging.WARNING,
+            request_id=metadata.request_id,
+            previous_turn_id=metadata.previous_turn_id,
+            outcome=_describe_lookup(found),
+            duration_ms=round(self._clock.now_ms() - started_ms, 1),
+        )
+        return found
+
     def _serve(self, call: responses.Call) -> None:
         target = _target(call)
         if call.metadata.token_budget is None:
@@ -158,6 +230,21 @@
         )
 
 
+def _is_kept(route: traffic.Route) -> bool:
+    """Return whether the calls of a route are turns that are kept."""
+    return route.is_stateful and route.kind is traffic.RouteKind.STREAMING
+
+
+def _describe_lookup(found: turns.Lookup) -> str:
+    match found:
+        case turns.Chain(group_id, data):
+            return f"{len(data)} bytes of group {group_id}"
+        case turns.Absent():
+            return "absent"
+        case turns.Unsure(reason):
+            return f"unsure: {reason}"
+
+
 def _target(call: responses.Call) -> dispatch.Target:
     """Return the service of a call and what it needs there."""
     metadata = call.metadata
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -5,10 +5,12 @@
 import dataclasses
 import statistics
 
+from balsamloom_conversations import stream_output
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
     attempts,
     channels,
+    conversations,
     estimates,
     health,
     interfaces,
@@ -47,6 +49,7 @@
 
     :param channel: connection to the server.
     :param engine: properties of the engine, if the server is one.
+    :param recorder: keeps the answer's events before it ends.
     """
 
     def __init__(
@@ -59,7 +62,9 @@
         codec: interfaces.HeaderCodec,
         clock: clocks.Clock,
         engine: traffic.Engine | None,
+        recorder: conversations.TurnRecorder | None = None,
     ) -> None:
+        self._recorder = recorder
         self._reply = reply
         self._metadata = metadata
         self._route = route
@@ -258,6 +263,9 @@
         parts: list[channels.AnswerPart] = []
         if first:
             parts.append(channels.AnswerData(first))
+        # The end of a turn is held until it is kept, so it needs a mark of
+        # its own behind the last event.
+        length = None if self._recorder else head.length
         while True:
             parts.extend(self._parts(until_ms))
             data = b"".join(
@@ -269,10 +277,12 @@
             parts = []
             try:
                 if not self._reply.is_started and (data or is_complete):
-                    self._reply.start(head.status, fields, head.length)
+                    self._reply.start(head.status, fields, length)
                 if data:
                     self._note_data(data)
                     self._reply.write(data)
+                if is_complete and not self._keep(until_ms):
+                    return self._not_kept()
                 if is_complete:
                     self._reply.finish()
             except OSError as error:
@@ -284,10 +294,29 @@
                 self.end_reason = "answered"
                 return Relayed(self._tokens())
 
+    def _keep(self, until_ms: float) -> bool:
+        """Keep the turn; return whether its answer may end as complete."""
+        if self._recorder is None:
+            return True
+        try:
+            return self._recorder.keep(until_ms)
+        except stream_output.OutputTooLongError as error:
+            self.end_reason = f"the turn cannot be kept: {error}"
+            return False
+
+    def _not_kept(self) -> Result:
+        """Cut an answer off whose turn may not be continued."""
+        self._ended_ms = self._clock.now_ms()
+        self.end_reason = self.end_reason or "cut off: the turn is not kept"
+        self._reply.abort()
+        return Relayed(self._tokens())
+
     def _note_data(self, data: bytes) -> None:
         now_ms = self._clock.now_ms()
         if self._first_ms is None:
             self._first_ms = now_ms
+        if self._recorder is not None:
+            self._recorder.add(data)
         former = self._counter.events
         self._counter.add(data)
         arrived = self._counter.events - former
--- a/packages/gateway/src/balsamloom_gateway/responses.py
+++ b/packages/gateway/src/balsamloom_gateway/responses.py
@@ -10,6 +10,7 @@
 from balsamloom_gateway import (
     attempts,
     balancer,
+    conversations,
     interfaces,
     listeners,
     metrics,
@@ -18,7 +19,11 @@
 
 
 class Call(NamedTuple):
-    """A request that was read and has a route."""
+    """A request that was read and has a route.
+
+    ``body`` is what a server gets. ``recorder`` keeps a turn whose answer is
+    part of a conversation.
+    """
 
     request: listeners.Request
     reply: listeners.Reply
@@ -28,6 +33,7 @@
     arrived_ms: float
     until_ms: float
     configuration: traffic.Configuration
+    recorder: conversations.TurnRecorder | None = None
 
 
 class Responder:
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/storage_process.py
@@ -0,0 +1,210 @@
+"""Storage process: turns on the disk of one host."""
+
+from __future__ import annotations
+
+import logging
+import pathlib
+import threading
+from typing import NamedTuple
+
+from balsamloom_conversations import database, group_commit, replicas
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+from balsamloom_gateway import (
+    background,
+    copies,
+    feed,
+    fleet,
+    follower,
+    interfaces,
+    listeners,
+    metrics,
+    peers,
+    process,
+    storage_evacuation,
+    storage_registration,
+    storage_service,
+)
+
+# Pauses between rounds of fetching copies, while all is well and otherwise.
+ROUND_MS = 1_000.0
+HASTY_ROUND_MS = 300.0
+EXPIRY_MS = 5_000.0
+# Time for requests in progress at a planned stop.
+STOP_MS = 1_500.0
+STOP_CHECK_MS = 20.0
+CALL_BYTES_MAX = 16_000_000
+THREADS = 48
+
+
+class StorageSettings(NamedTuple):
+    """Settings of one storage process."""
+
+    name: str
+    failure_domain: str
+    address: str
+    metrics_address: str
+    directory: pathlib.Path
+    disk_bytes: int | None
+    copies: int
+    is_first_start: bool
+    view_bound_ms: float
+
+
+class StorageProcess:
+    """All parts of a storage process.
+
+    :param settings: checked settings.
+    :param store: platform's store.
+    :param records: keys and formats of the store's records.
+    :param clock: time source.
+    :raises DatabaseError: the disk cannot be used.
+    """
+
+    def __init__(
+        self,
+        settings: StorageSettings,
+        store: interfaces.KeyValueStore,
+        records: interfaces.Records,
+        clock: clocks.Clock,
+    ) -> None:
+        self._clock = clock
+        self._stopped = threading.Event()
+        self._database = database.TurnDatabase(
+            settings.directory, clock, settings.disk_bytes
+        )
+        self.host = replicas.StorageHost(
+            settings.name,
+            settings.address,
+            settings.failure_domain,
+            self._database.disk_id,
+        )
+        self._commits = group_commit.GroupCommit(self._database.add, clock)
+        self._fleet = fleet.Fleet(records, clock)
+        clients = peers.PeerClients(clock)
+        self._copies = copies.Copies(
+            self.host,
+            self._fleet.storage_hosts,
+            self._database,
+            self._commits,
+            clients,
+            clock,
+            settings.copies,
+            is_whole=settings.is_first_start or not self._database.is_new,
+        )
+        self._registration = storage_registration.StorageRegistration(
+            self.host,
+            store,
+            records,
+            self._fleet,
+            lambda: self._copies.is_leaving,
+            clock,
+        )
+        self._evacuation = storage_evacuation.StorageEvacuation(
+            self.host,
+            self._copies,
+            clients,
+            store,
+            records,
+            clock,
+            settings.copies,
+            lambda: self._fleet.has_storage_host(settings.name),
+        )
+        self._fleet.on_changes = self._evacuation.apply
+        self._follower = follower.Follower(
+            settings.name,
+            store,
+            records,
+            feed.Feed(clock, self._fleet.meaning),
+            self._fleet,
+            clients,
+            clock,
+            follower.intervals(settings.view_bound_ms),
+        )
+        self._figures = metrics.StorageMetrics(self._database, self._copies)
+        service = storage_service.StorageService(
+            self._database, self._commits, self._copies
+        )
+        limits = listeners.Limits(
+            THREADS,
+            process.STARTING_HEADER_BYTES,
+            CALL_BYTES_MAX,
+            process.STARTING_HEADER_TIMEOUT_MS,
+            process.PEER_IDLE_TIMEOUT_MS,
+        )
+        self._listener = listeners.Listener(
+            settings.address, service.handle, limits
+        )
+        self._others = listeners.Listener(
+            settings.metrics_address,
+            self._figures.handle,
+            limits._replace(threads=process.SMALL_THREADS),
+        )
+
+    def start(self) -> None:
+        """Serve and keep the copies complete in the background."""
+        self._listener.start()
+        self._others.start()
+        for target in (
+            self._commits.run,
+            self._follower.run,
+            self._registration.run,
+            self._evacuation.run,
+            self._keep_copies,
+            self._expire,
+        ):
+            background.start(target, self._clock)
+        events.log(
+            events.Event.PROCESS_STARTED,
+            member=self.host.name,
+            disk_id=self.host.disk_id,
+            turns=self._database.counts().turns,
+            is_whole=self._copies.is_whole,
+        )
+
+    def leave(self) -> None:
+        """Stop: finish the requests in progress and close the database."""
+        events.log(events.Event.PROCESS_LEAVING, member=self.host.name)
+        self._stopped.set()
+        for part in (self._registration, self._evacuation, self._follower):
+            part.stop()
+        self._listener.stop_accepting()
+        until_ms = self._clock.now_ms() + STOP_MS
+        while not self._listener.is_idle and self._clock.now_ms() < until_ms:
+            self._clock.sleep(STOP_CHECK_MS)
+        self._commits.stop()
+        self._database.close()
+        events.log(events.Event.PROCESS_STOPPED, member=self.host.name)
+
+    def _keep_copies(self) -> None:
+        while not self._stopped.is_set():
+            pause_ms = HASTY_ROUND_MS
+            if self._copies.run_round():
+                pause_ms = ROUND_MS
+            self._clock.wait(self._stopped, pause_ms)
+
+    def _expire(self) -> None:
+        while not self._stopped.is_set():
+            self._clock.wait(self._stopped, EXPIRY_MS)
+            self._maintain()
+
+    def _maintain(self) -> None:
+        """Drop what has expired and what is damaged."""
+        try:
+            expired = self._database.expire()
+            damaged = self._database.drop_damaged()
+        except database.DatabaseError as error:
+            events.log(
+                events.Event.DISK_FAILED, logging.WARNING, reason=str(error)
+            )
+            return
+        if expired:
+            events.log(events.Event.TURNS_EXPIRED, turns=expired)
+        if damaged:
+            self._copies.note_damage()
+            events.log(
+                events.Event.TURNS_DAMAGED,
+                logging.ERROR,
+                turns=len(damaged),
+                first=damaged[0],
+            )
--- a/packages/gateway/src/balsamloom_gateway/traffic.py
+++ b/packages/gateway/src/balsamloom_gateway/traffic.py
@@ -27,7 +27,11 @@
 
 
 class Route(NamedTuple):
-    """Rule that maps a host name and a path prefix to services."""
+    """Rule that maps a host name and a path prefix to services.
+
+    On a stateful route a turn carries its new input only; what came before
+    it is kept for ``retention_ms``.
+    """
 
     name: str
     host: str
@@ -39,6 +43,7 @@
     objective_ms: float
     priority: int
     is_resumable: bool
+    is_stateful: bool
     retention_ms: float
 
     @property
@@ -119,6 +124,7 @@
     """What a caller's headers say of a call.
 
     ``deadline_ms`` and ``program_deadline_ms`` are times left.
+    ``previous_turn_id`` names the turn that a turn continues.
     """
 
     request_id: str
@@ -132,6 +138,7 @@
     expected_output_tokens: int
     prompt: tuple[PromptPart, ...]
     affinity_key: str
+    previous_turn_id: str = ""
 
 
 class ServerLoad(NamedTuple):
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -6,9 +6,11 @@
 import threading
 from typing import Any
 
+from balsamloom_conversations import replicas
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
     estimates,
+    fleet,
     health,
     interfaces,
     planner,
@@ -45,6 +47,7 @@
     host: str = "h.example",
     shares: tuple[tuple[str, float], ...] = ((SERVICE, 1.0),),
     timeout_ms: float = 2_000.0,
+    is_stateful: bool = False,
 ) -> traffic.Route:
     """Build a route."""
     return traffic.Route(
@@ -58,6 +61,7 @@
         objective_ms=200.0,
         priority=0,
         is_resumable=False,
+        is_stateful=is_stateful,
         retention_ms=60_000.0,
     )
 
@@ -128,7 +132,7 @@
 class Records:
     """Keys and formats of the tests: JSON under plain prefixes."""
 
-    prefixes = ("config", "server/", "member/")
+    prefixes = ("config", "server/", "member/", "storage/")
 
     def kind(self, key: str) -> interfaces.RecordKind:
         """Return what a key holds."""
@@ -140,6 +144,8 @@
                 return interfaces.ServerRecord(name)
             case "member":
                 return interfaces.MemberRecord(name)
+            case "storage":
+                return interfaces.StorageHostRecord(name)
             case "order":
                 return interfaces.EvacuationOrder(name)
             case "status":
@@ -155,9 +161,15 @@
         """Return the key of a budget record."""
         return f"ledger/{program_id}"
 
-    def evacuation_status(self, host: str) -> tuple[str, bytes]:
+    def storage_host_key(self, name: str) -> str:
+        """Return the key of a storage host."""
+        return f"storage/{name}"
+
+    def evacuation_status(
+        self, host: str, is_complete: bool
+    ) -> tuple[str, bytes]:
         """Return a status."""
-        return f"status/{host}", b"empty"
+        return f"status/{host}", b"empty" if is_complete else b"begun"
 
     def configuration(self, value: bytes) -> traffic.Configuration:
         """Decode a version number into a configuration."""
@@ -284,6 +296,26 @@
             self.changes.append(interfaces.Deleted(key, self.revision))
 
 
+def storage_host(name: str) -> replicas.StorageHost:
+    """Build a storage host."""
+    return replicas.StorageHost(name, f"{name}:1", name[0], f"disk-{name}")
+
+
+def encode_storage_host(host: replicas.StorageHost) -> bytes:
+    """Return a storage host's registration."""
+    return fleet.encode_storage_host(host)
+
+
+def fleet_view() -> fleet.Fleet:
+    """Build a view that knows nothing yet."""
+    return fleet.Fleet(Records(), manual_clock())
+
+
+def put_in_force(view: fleet.Fleet, routes: tuple[traffic.Route, ...]) -> None:
+    """Put a configuration with some routes into force."""
+    view._in_force = fleet.InForce(configuration(1, routes))
+
+
 def manual_clock() -> clocks.ManualClock:
     """Build a clock that moves only when told to."""
     return clocks.ManualClock(1_000_000.0)
@@ -313,6 +345,7 @@
             expected_output_tokens=0,
             prompt=(),
             affinity_key="",
+            previous_turn_id=headers.get(b"Previous", b"").decode("latin-1"),
         )
 
     def forwarded(self, headers, server_id, left_ms, engine_priority):
--- /dev/null
+++ b/packages/gateway/tests/storage_nodes.py
@@ -0,0 +1,180 @@
+"""Storage hosts of a test: real databases and listeners in this process."""
+
+from __future__ import annotations
+
+import pathlib
+import tempfile
+import threading
+
+from balsamloom_conversations import database, group_commit, replicas, turns
+from balsamloom_core import clock as clocks
+from balsamloom_gateway import copies, listeners, peers, storage_service
+
+LIMITS = listeners.Limits(16, 16_384, 4_000_000, 2_000.0, 10_000.0)
+COPIES = 2
+
+
+class StorageNode:
+    """One storage host.
+
+    :param name: name of the host; its first letter is its failure domain.
+    :param cluster: hosts that know each other.
+    """
+
+    def __init__(self, name: str, cluster: StorageCluster) -> None:
+        self.name = name
+        self._cluster = cluster
+        self._directory = tempfile.TemporaryDirectory()
+        self.listener: listeners.Listener | None = None
+        self.start(is_first_start=True)
+
+    def start(self, is_first_start: bool = False) -> None:
+        """Start the host's process, with the disk as it is."""
+        clock = clocks.Clock()
+        path = pathlib.Path(self._directory.name)
+        self.database = database.TurnDatabase(path, clock)
+        self.host = replicas.StorageHost(
+            self.name, "", self.name[0], self.database.disk_id
+        )
+        self.commits = group_commit.GroupCommit(self.database.add, clock)
+        self.clients = self._cluster.clients()
+        self.copies = copies.Copies(
+            self.host,
+            self._cluster.hosts,
+            self.database,
+            self.commits,
+            self.clients,
+            clock,
+            COPIES,
+            is_whole=is_first_start or not self.database.is_new,
+        )
+        self.service = storage_service.StorageService(
+            self.database, self.commits, self.copies
+        )
+        address = self.name
+        if self._cluster.is_networked:
+            self.listener = listeners.Listener(
+                "127.0.0.1:0", self.service.handle, LIMITS
+            )
+            address = self.listener.address
+            self.listener.start()
+        self.host = self.host._replace(address=address)
+        self.copies._own = self.host
+        self.is_up = True
+        threading.Thread(target=self.commits.run, daemon=True).start()
+
+    def stop(self) -> None:
+        """End the process; its address then refuses connections."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        if self.listener is not None:
+            self.listener.stop_accepting()
+            self.listener = None
+        self.commits.stop()
+        self.database.close()
+        self.clients.keep_only(())
+
+    def wipe(self) -> None:
+        """End the process and empty the disk."""
+        self.stop()
+        self._directory.cleanup()
+        self._directory = tempfile.TemporaryDirectory()
+
+    def has(self, turn: turns.Turn) -> bool:
+        """Return whether a turn is on the disk."""
+        return not self.database.missing([turn.turn_id])
+
+    def close(self) -> None:
+        """End everything."""
+        self.stop()
+        self._directory.cleanup()
+
+
+class DirectClients:
+    """Calls storage hosts of this process without a network.
+
+    :param cluster: hosts, whose addresses are their names.
+    """
+
+    def __init__(self, cluster: StorageCluster) -> None:
+        self._cluster = cluster
+
+    def exchange(
+        self, address: str, path: str, body: bytes, timeout_ms: float
+    ) -> bytes:
+        """Call a host that is up."""
+        node = self._cluster.node(address)
+        if not node.is_up:
+            raise peers.PeerUnavailableError(f"{address} is down")
+        try:
+            return node.service._calls[path](body)
+        except (
+            storage_service.UnavailableError,
+            database.DatabaseError,
+            group_commit.NotKeptError,
+        ) as error:
+            raise peers.PeerUnavailableError(str(error)) from error
+
+    def keep_only(self, addresses: object) -> None:
+        """Close no connections, as there are none."""
+
+
+class StorageCluster:
+    """Storage hosts that are registered.
+
+    :param names: names of the hosts.
+    :param is_networked: whether calls go over connections.
+    """
+
+    def __init__(self, names: str, is_networked: bool = False) -> None:
+        self.is_networked = is_networked
+        self.nodes: list[StorageNode] = []
+        for name in names.split():
+            self.nodes.append(StorageNode(name, self))
+
+    def clients(self) -> peers.PeerClients | DirectClients:
+        """Return clients of the hosts."""
+        if self.is_networked:
+            return peers.PeerClients(clocks.Clock())
+        return DirectClients(self)
+
+    def hosts(self) -> list[replicas.StorageHost]:
+        """Return the registrations, also of hosts that are down."""
+        return [node.host for node in self.nodes]
+
+    def node(self, name: str) -> StorageNode:
+        """Return a host by its name."""
+        return next(node for node in self.nodes if node.name == name)
+
+    def run_rounds(self, count: int = 1) -> None:
+        """Let each host that is up look for copies that it lacks."""
+        for _ in range(count):
+            for node in self.nodes:
+                if node.is_up:
+                    node.copies.run_round()
+
+    def holders(self, turn: turns.Turn) -> list[str]:
+        """Return the hosts that are up and have a turn."""
+        return [
+            node.name for node in self.nodes if node.is_up and node.has(turn)
+        ]
+
+    def close(self) -> None:
+        """End all hosts."""
+        for node in self.nodes:
+            node.close()
+
+
+def turn(
+    turn_id: str, previous_id: str = "", group_id: str = "g"
+) -> turns.Turn:
+    """Build a turn."""
+    return turns.Turn(
+        turn_id,
+        previous_id,
+        group_id,
+        f"<{turn_id}".encode(),
+        f"{turn_id}>\n".encode(),
+        60_000.0,
+    )
--- a/packages/gateway/tests/test_ledger.py
+++ b/packages/gateway/tests/test_ledger.py
@@ -54,6 +54,34 @@
             self.account.reserve(1, 10_000), ledger.Exhausted
         )
 
+    def test_block_of_another_holder_that_no_turn_used_costs_no_refusal(self):
+        # A standby recorded a turn's block, and the turn then went to the
+        # first holder. Seen after a power loss of all hosts: a program of
+        # 500 tokens was told with its first turn that they are spent.
+        account = ledger.Account("p", 500)
+        account.turn_tokens = 280
+        account.note_claim("m2", ledger.Claim("p", 500, 280, 0))
+        self.assertIsInstance(account.reserve(280, 0), ledger.BlockNeeded)
+        account.recorded(780, 2, 500)
+        self.assertEqual(account.reserve(280, 0), ledger.Reserved())
+        # All blocks together exceed the budget by one turn at most.
+        account.settle(280, 280)
+        self.assertEqual(account.reserve(280, 0), ledger.Exhausted(780, 220))
+
+    def test_slack_is_not_handed_out_before_it_is_recorded(self):
+        account = ledger.Account("p", 500)
+        account.turn_tokens = 280
+        account.note_claim("m2", ledger.Claim("p", 500, 280, 0))
+        self.assertIsInstance(account.reserve(280, 10_000), ledger.BlockNeeded)
+
+    def test_own_blocks_give_no_slack(self):
+        account = ledger.Account("p", 500)
+        account.turn_tokens = 280
+        account.recorded(500, 1, 500)
+        account.reserve(280, 0)
+        account.settle(280, 280)
+        self.assertIsInstance(account.reserve(280, 0), ledger.Exhausted)
+
     def test_claims_of_other_holders_count_once(self):
         claim = ledger.Claim("p", 900, 300, 200)
         for _ in range(3):
--- a/packages/gateway/tests/test_proxy.py
+++ b/packages/gateway/tests/test_proxy.py
@@ -15,6 +15,7 @@
 from balsamloom_gateway import (
     balancer,
     budgets,
+    conversations,
     dispatch,
     fleet,
     interfaces,
@@ -34,7 +35,9 @@
     "/once/": traffic.RouteKind.NON_IDEMPOTENT,
     "/stream/": traffic.RouteKind.STREAMING,
     "/resumable/": traffic.RouteKind.STREAMING,
+    "/kept/": traffic.RouteKind.STREAMING,
 }
+COPIES = 2
 LIMITS = listeners.Limits(32, 4_096, 100_000, 500.0, 5_000.0)
 
 
@@ -60,6 +63,7 @@
             self.fleet,
             clock,
         )
+        self.storage_hosts = []
         codec = builders.Codec()
         responder = responses.Responder(codec, clock, metrics.Metrics())
         self.dispatcher = dispatch.Dispatcher(
@@ -69,6 +73,13 @@
             self.fleet,
             self.dispatcher,
             accounts,
+            conversations.Conversations(
+                lambda: self.storage_hosts,
+                peers.PeerClients(clock),
+                clock,
+                "a",
+                COPIES,
+            ),
             responder,
             codec,
             clock,
@@ -84,7 +95,8 @@
         """Put a configuration with a route of each kind into force."""
         routes = tuple(
             builders.route(kind, prefix=prefix, max_attempts=2)._replace(
-                is_resumable="resumable" in prefix
+                is_resumable="resumable" in prefix,
+                is_stateful="kept" in prefix,
             )
             for prefix, kind in KINDS.items()
         )
