--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -85,6 +85,7 @@
         """
         members = self._fleet.members()
         holders = membership.budget_holders(call.program_id, members)
+        pending_most = _pending_holders(call)
         reached: list[traffic.Member] = []
         result: Grant | ledger.Exhausted | ledger_book.Unrecorded
         for is_last_resort in self._stages():
@@ -93,7 +94,7 @@
                 asked = reached[:1]
             pending = 0
             for holder in asked:
-                if self._is_avoided(holder) or pending >= PENDING_HOLDERS:
+                if self._is_avoided(holder) or pending >= pending_most:
                     continue
                 is_first = holder is holders[0]
                 reservation = _reservation(
@@ -218,6 +219,9 @@
                 PEER_TIMEOUT_MS,
             )
             decoded = peer_messages.decode_answer(answer)
+        except peers.PeerNotReachedError as error:
+            self._avoid(holder, error)
+            return ledger_book.Unrecorded(str(error))
         except peers.PeerUnavailableError as error:
             self._avoid(holder, error)
             return ledger_book.Unrecorded(str(error), is_pending=True)
@@ -246,6 +250,17 @@
         return result
 
 
+def _pending_holders(call: traffic.CallMetadata) -> int:
+    """Return how many holders may record a block that no turn uses.
+
+    Their blocks must leave the budget, which they can exceed by one turn,
+    room for the turn itself.
+    """
+    assert call.token_budget is not None
+    turns = call.token_budget // max(call.max_output_tokens, 1)
+    return min(max(turns, 1), PENDING_HOLDERS)
+
+
 def _reservation(
     call: traffic.CallMetadata,
     turn: planner.TurnRequest,
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -28,6 +28,10 @@
     """Another member did not answer a call."""
 
 
+class PeerNotReachedError(PeerUnavailableError):
+    """No connection to another member could be made."""
+
+
 class PeerTimeoutError(PeerUnavailableError):
     """Another member did not answer a call in time."""
 
@@ -70,6 +74,7 @@
     ) -> bytes:
         """Send a body to a member and return the one of its answer.
 
+        :raises PeerNotReachedError: the call has no effect.
         :raises PeerTimeoutError: there is no answer in time.
         :raises PeerUnavailableError: there is no usable answer.
         """
@@ -78,10 +83,9 @@
             answer = client.call("POST", path, body, timeout_ms, content_type)
         except http_client.AnswerTimeoutError as error:
             raise PeerTimeoutError(f"{address}: {error}") from error
-        except (
-            http_client.NotSentError,
-            http_client.UnansweredError,
-        ) as error:
+        except http_client.NotSentError as error:
+            raise PeerNotReachedError(f"{address}: {error}") from error
+        except http_client.UnansweredError as error:
             raise PeerUnavailableError(f"{address}: {error}") from error
         if answer.status != 200:
             raise PeerUnavailableError(f"{address}: status {answer.status}")
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -179,6 +179,23 @@
         record = json.loads(self.store.items["ledger/p"].value)
         self.assertLessEqual(record["tokens"], 5 * TURN)
 
+    def test_slow_holders_do_not_spend_a_small_budget(self):
+        # Two holders recorded a block each for the first turn of a program
+        # of 500 tokens and answered too late; the program was then told that
+        # its budget is spent (cpt-loom, scale-1, after the final fault).
+        for name in NAMES[:3]:
+            self.members[name][1].standbys = SlowStandbys(self.clock)
+            self.members[name][1].note_loss("test")
+        self.network.timeout_ms = 50.0
+        call = builders.turn_call(100, TURN)
+        accounts = self.members["m4"][3]
+        first = accounts.reserve(call, builders.turn_request())
+        self.assertIsInstance(first, ledger_book.Unrecorded)
+        time.sleep(1.0)
+        self.network.timeout_ms = None
+        again = accounts.reserve(call, builders.turn_request())
+        self.assertIsInstance(again, budgets.Grant)
+
     def test_restarted_holder_asks_its_standby(self):
         self.lose_store(*NAMES)
         spent = sum(self.turn("m3") for _ in range(4))
