Withdraw reservations that nobody waits for; only first holders say spent

Change: a caller's process withdraws a reservation that it did not wait for, also before it is made; what a standby calls spent is refused for now, not answered with 402.

--- a/packages/gateway/src/balsamloom_gateway/background.py
+++ b/packages/gateway/src/balsamloom_gateway/background.py
@@ -29,7 +29,7 @@
             events.log(
                 events.Event.BACKGROUND_FAILED,
                 logging.ERROR,
-                task=target.__qualname__,
+                task=getattr(target, "__qualname__", repr(target)),
                 reason=repr(error),
             )
             clock.sleep(RESTART_PAUSE_MS)
--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -4,11 +4,13 @@
 
 import math
 import threading
+import uuid
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
 from balsamloom_gateway import (
+    background,
     fleet,
     ledger,
     ledger_book,
@@ -18,11 +20,13 @@
     planner,
     standbys,
     traffic,
+    withdrawals,
 )
 
 # A holder waits for the store and tells a standby before it answers; the sum
 # of those times stays below this one.
 PEER_TIMEOUT_MS = 200.0
+WITHDRAW_TIMEOUT_MS = 1_000.0
 # Holders whose blocks may be recorded although no turn uses them. Where the
 # store is slow for two of them, it is slow for all.
 PENDING_HOLDERS = 2
@@ -69,6 +73,7 @@
         self._clients = clients
         self._fleet = view
         self._clock = clock
+        self._withdrawals = withdrawals.Withdrawals(clock)
         self._lock = threading.Lock()
         self._avoided: dict[str, float] = {}
         self._outage_until_ms = -math.inf
@@ -101,6 +106,8 @@
                     call, turn, _exposure(is_first, is_last_resort), is_first
                 )
                 result = self._reserve_at(holder, call, reservation)
+                if not is_first:
+                    result = _without_proof(result)
                 if not isinstance(result, ledger_book.Unrecorded):
                     self._note_stage(is_last_resort)
                     return self._log(call, holder, result)
@@ -179,11 +186,30 @@
             reservation.exposure,
             reservation.is_guest,
         )
-        plan = None
-        if isinstance(result, ledger.Reserved):
-            plan = self._planner.plan(reservation.turn, servers)
+        if not isinstance(result, ledger.Reserved):
+            return peer_messages.ReservationAnswer(result, servers, None)
+        plan = self._planner.plan(reservation.turn, servers)
+        if reservation.reservation_id:
+            unused = peer_messages.Settlement(
+                reservation.program_id,
+                reservation.turn_tokens,
+                0,
+                plan.plan_id if plan else None,
+                planner.NOT_RUN,
+            )
+            identifier = reservation.reservation_id
+            if not self._withdrawals.note_made(identifier, unused):
+                self.settle_here(unused)
+                withdrawn = ledger_book.Unrecorded("withdrawn")
+                return peer_messages.ReservationAnswer(withdrawn, (), None)
         return peer_messages.ReservationAnswer(result, servers, plan)
 
+    def withdraw_here(self, reservation_id: str) -> None:
+        """Give back a reservation whose caller did not wait for it."""
+        unused = self._withdrawals.withdraw(reservation_id)
+        if unused is not None:
+            self.settle_here(unused)
+
     def _is_avoided(self, member: traffic.Member) -> bool:
         with self._lock:
             until_ms = self._avoided.get(member.name, 0.0)
@@ -224,11 +250,36 @@
             return ledger_book.Unrecorded(str(error))
         except peers.PeerUnavailableError as error:
             self._avoid(holder, error)
+            background.start(
+                lambda: self._withdraw(holder, reservation.reservation_id),
+                self._clock,
+            )
             return ledger_book.Unrecorded(str(error), is_pending=True)
         except peer_messages.InvalidMessageError as error:
             return ledger_book.Unrecorded(str(error), is_pending=True)
         return _grant(call, holder, decoded)
 
+    def _withdraw(self, holder: traffic.Member, reservation_id: str) -> None:
+        """Tell a holder that nobody waits for a reservation any more.
+
+        If it does not hear of it, the tokens count as spent.
+        """
+        body = {"reservation_id": reservation_id}
+        try:
+            self._clients.call(
+                holder.peer_address,
+                peers.WITHDRAW_PATH,
+                body,
+                WITHDRAW_TIMEOUT_MS,
+            )
+        except peers.PeerUnavailableError as error:
+            events.log(
+                events.Event.PEER_CALL_FAILED,
+                member=holder.name,
+                call="withdraw",
+                reason=str(error),
+            )
+
     def _log(
         self,
         call: traffic.CallMetadata,
@@ -279,6 +330,7 @@
         exposure,
         turn,
         is_guest=not is_first,
+        reservation_id=uuid.uuid4().hex,
     )
 
 
@@ -300,6 +352,23 @@
             return refused
 
 
+def _without_proof(
+    result: Grant | ledger.Exhausted | ledger_book.Unrecorded,
+) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
+    """Return what an answer of a standby is worth.
+
+    The first holder may have tokens left of the blocks that it recorded, so
+    that only its word, or that of the next one when it is gone, proves that
+    a budget is spent.
+    """
+    match result:
+        case ledger.Exhausted(recorded):
+            reason = f"a standby knows of {recorded} recorded tokens"
+            return ledger_book.Unrecorded(reason)
+        case _:
+            return result
+
+
 def _exposure(is_first: bool, is_last_resort: bool) -> ledger_book.Exposure:
     """Return what a holder may hand out before it is recorded.
 
--- a/packages/gateway/src/balsamloom_gateway/peer_messages.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_messages.py
@@ -30,6 +30,7 @@
     exposure: ledger_book.Exposure
     turn: planner.TurnRequest
     is_guest: bool = False
+    reservation_id: str = ""
 
 
 class ReservationAnswer(NamedTuple):
@@ -59,6 +60,7 @@
         "exposure": message.exposure.value,
         "turn": message.turn,
         "is_guest": message.is_guest,
+        "reservation_id": message.reservation_id,
     }
 
 
@@ -86,6 +88,7 @@
                 float(left_ms),
             ),
             bool(body["is_guest"]),
+            str(body["reservation_id"]),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise InvalidMessageError(repr(error)) from error
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -41,6 +41,7 @@
         self._calls: dict[str, Callable[[dict[str, Any]], Any]] = {
             peers.RESERVE_PATH: self._reserve,
             peers.SETTLE_PATH: self._settle,
+            peers.WITHDRAW_PATH: self._withdraw,
             peers.NOTE_PATH: self._note_claims,
             peers.CLAIM_PATH: self._tell_claim,
             peers.FEED_PATH: self._read_feed,
@@ -87,6 +88,10 @@
         self._budgets.settle_here(peer_messages.decode_settlement(body))
         return {}
 
+    def _withdraw(self, body: dict[str, Any]) -> dict[str, Any]:
+        self._budgets.withdraw_here(str(body["reservation_id"]))
+        return {}
+
     def _note_claims(self, body: dict[str, Any]) -> dict[str, Any]:
         claims = [ledger.Claim(*claim) for claim in body["claims"]]
         self._book.note_claims(
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -12,6 +12,7 @@
 
 RESERVE_PATH = "/ledger/reserve"
 SETTLE_PATH = "/ledger/settle"
+WITHDRAW_PATH = "/ledger/withdraw"
 NOTE_PATH = "/ledger/note"
 CLAIM_PATH = "/ledger/claim"
 FEED_PATH = "/feed"
--- /dev/null
+++ b/packages/gateway/tests/test_withdrawals.py
@@ -0,0 +1,38 @@
+"""Tests of reservations that nobody waits for."""
+
+import unittest
+
+import builders
+
+from balsamloom_gateway import peer_messages, planner, withdrawals
+
+UNUSED = peer_messages.Settlement("p", 60, 0, None, planner.NOT_RUN)
+
+
+class WithdrawalsTest(unittest.TestCase):
+    """Guards against tokens that are held for a caller that left."""
+
+    def setUp(self):
+        self.clock = builders.manual_clock()
+        self.withdrawals = withdrawals.Withdrawals(self.clock)
+
+    def test_withdrawal_after_the_reservation_gives_it_back_once(self):
+        self.assertTrue(self.withdrawals.note_made("r", UNUSED))
+        self.assertEqual(self.withdrawals.withdraw("r"), UNUSED)
+        self.assertIsNone(self.withdrawals.withdraw("r"))
+
+    def test_withdrawal_before_the_reservation_prevents_it(self):
+        self.assertIsNone(self.withdrawals.withdraw("r"))
+        self.assertFalse(self.withdrawals.note_made("r", UNUSED))
+
+    def test_old_entries_are_forgotten(self):
+        self.withdrawals.note_made("r1", UNUSED)
+        self.withdrawals.withdraw("r2")
+        self.clock.advance(withdrawals.MEMORY_MS + withdrawals.SWEEP_MS)
+        self.assertTrue(self.withdrawals.note_made("r3", UNUSED))
+        self.assertIsNone(self.withdrawals.withdraw("r1"))
+        self.assertTrue(self.withdrawals.note_made("r2", UNUSED))
+
+
+if __name__ == "__main__":
+    unittest.main()
