Leave servers that say they leave; bound bytes that are no answer

A process that saw it sends nothing new there until the server starts again, also while the server registers as ready; the holder of a program hears of it with the turn's report.

Lessons of similar systems, each with a test that failed before: an answer without an identifier on a used connection was taken (now a failure of the server); heads, interim heads, skipped answers, chunk extensions and trailers without end grew memory (now bounded at 256 KiB in a row); an answer of unknown length that broke off reached a caller of HTTP/1.0 as complete (now a reset). Found sound, now tested: slow streams go on, dripping ones end at the deadline, bodies without end are cut there.

--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -174,6 +174,8 @@
         )
         if settlement.plan_id is not None:
             self._planner.finish(settlement.plan_id, settlement.report)
+        if settlement.report.is_server_leaving:
+            self._fleet.note_leaving(settlement.report.server_id)
 
     def reserve_here(
         self, reservation: peer_messages.Reservation
--- a/packages/gateway/src/balsamloom_gateway/channels.py
+++ b/packages/gateway/src/balsamloom_gateway/channels.py
@@ -18,6 +18,9 @@
 from balsamloom_core import clock as clocks
 
 RECEIVE_BYTES = 65_536
+# Bytes that may arrive in a row without being part of the awaited answer:
+# heads, skipped answers, chunk extensions and trailers.
+FRUITLESS_BYTES_MAX = 262_144
 # A host without power does not reset connections, so unacknowledged data
 # ends them after this time.
 USER_TIMEOUT_MS = 2_000
@@ -100,6 +103,8 @@
         self._sock = sock
         self._clock = clock
         self.is_reusable = True
+        # Whether an exchange took place before the present one.
+        self.is_used = False
         self.last_used_ms = clock.now_ms()
         self.idle_limit_ms: float | None = None
 
@@ -173,15 +178,21 @@
     """Callbacks of the parser; collects parts of the awaited answer."""
 
     def __init__(
-        self, identifier: tuple[bytes, bytes] | None, is_head: bool
+        self,
+        identifier: tuple[bytes, bytes] | None,
+        must_identify: bool,
+        is_head: bool,
     ) -> None:
         self._identifier = identifier
+        self._must_identify = must_identify
         self._is_head = is_head
         self.parser: Any = httptools.HttpResponseParser(self)
         self.parts: list[AnswerPart] = []
         self.is_complete = False
         self.has_extra = False
         self.is_until_close = False
+        # An answer that may belong to an earlier request.
+        self.is_anonymous = False
         self.is_kept_alive = False
         self._is_skipped = False
         self._fields: list[tuple[bytes, bytes]] = []
@@ -224,13 +235,15 @@
     def _is_awaited(self, headers: Headers) -> bool:
         """Return whether an answer belongs to the request that was sent.
 
-        An answer without an identifier is taken: the server then knows of no
-        other request.
+        One without an identifier is taken on a connection without an earlier
+        exchange only: the server then knows of no other request.
         """
         if self._identifier is None:
             return True
         name, value = self._identifier
         found = headers.get(name)
+        if found is None and self._must_identify:
+            self.is_anonymous = True
         return found is None or found == value
 
 
@@ -259,7 +272,9 @@
         self._poll = select.poll()
         if caller_fd is not None:
             self._poll.register(caller_fd, select.POLLRDHUP)
-        self._answer = _AnswerParser(identifier, is_head)
+        self._answer = _AnswerParser(identifier, channel.is_used, is_head)
+        channel.is_used = True
+        self._fruitless_bytes = 0
         self.sent_bytes = 0
         self._is_sent = False
 
@@ -297,6 +312,7 @@
                 self._end()
                 continue
             self._feed(data)
+        self._fruitless_bytes = 0
         parts = answer.parts
         answer.parts = []
         if answer.is_complete:
@@ -304,6 +320,10 @@
         return parts
 
     def _feed(self, data: bytes) -> None:
+        self._fruitless_bytes += len(data)
+        if self._fruitless_bytes > FRUITLESS_BYTES_MAX:
+            self._channel.is_reusable = False
+            raise GarbledAnswerError("bytes without end that are no answer")
         try:
             self._answer.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -311,6 +331,9 @@
             # Bytes behind a complete answer belong to no request.
             if not self._answer.is_complete:
                 raise GarbledAnswerError(str(error)) from error
+        if self._answer.is_anonymous:
+            self._channel.is_reusable = False
+            raise GarbledAnswerError("an answer to an unnamed request")
 
     def _end(self) -> None:
         self._channel.is_reusable = False
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
     attempts,
     balancer,
+    callbacks,
     channels,
     estimates,
     health,
@@ -79,6 +81,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._pools: dict[tuple[str, int], channels.ChannelPool] = {}
+        self.on_leaving: Callable[[str], None] = callbacks.ignore
 
     def keep_pools_of(self, servers: list[traffic.BackendServer]) -> None:
         """Close idle connections to servers that get no more calls."""
@@ -183,6 +186,7 @@
             self._clock,
             spec.engine if spec else None,
             call.recorder,
+            lambda: self.on_leaving(placement.server.server_id),
         )
         head = self._request_head(call, placement.server, spec)
         result = run.run(head + call.body, call.until_ms)
@@ -219,6 +223,7 @@
             placement.server.server_id,
             run.health_outcome(result),
             run.observation(placement.sent_ms),
+            run.is_server_leaving,
         )
         self._balancer.answered(placement, run.load)
         self._balancer.end(placement, report.outcome, report.observation)
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -56,6 +56,9 @@
             registrations.Registrations()
         )
         self._storage_hosts: dict[str, replicas.StorageHost] = {}
+        # Incarnation of each server that said that it leaves. It may go on
+        # registering as ready.
+        self._leaving: dict[str, int] = {}
         # Members that ended, with the time at which that was seen.
         self._lost: list[tuple[float, traffic.Member]] = []
         # Members whose end nobody was told of yet.
@@ -120,6 +123,24 @@
         with self._lock:
             return self._usable()
 
+    def note_leaving(self, server_id: str) -> None:
+        """Take in a server's own word that it leaves.
+
+        It gets no more calls until it starts again.
+        """
+        with self._lock:
+            server = self._servers.get(server_id)
+            if server is None or self._is_leaving(server):
+                return
+            self._leaving[server_id] = server.incarnation
+            usable = self._usable()
+        events.log(
+            events.Event.SERVER_LEAVING,
+            server_id=server_id,
+            incarnation=server.incarnation,
+        )
+        self.on_servers(usable)
+
     def apply(self, changes: list[interfaces.Change]) -> None:
         """Take in changes of records."""
         if not changes:
@@ -163,9 +184,12 @@
         return [
             server
             for server in self._servers.values()
-            if not server.is_draining
+            if not server.is_draining and not self._is_leaving(server)
         ]
 
+    def _is_leaving(self, server: traffic.BackendServer) -> bool:
+        return self._leaving.get(server.server_id) == server.incarnation
+
     def _decode(self, item: interfaces.Item) -> object:
         match self._records.kind(item.key):
             case interfaces.ConfigurationRecord():
@@ -198,6 +222,8 @@
                 self._take_configuration(value, revision)
             case interfaces.ServerRecord(server_id), traffic.BackendServer():
                 self._servers.put(server_id, value)
+                if self._leaving.get(server_id) != value.incarnation:
+                    self._leaving.pop(server_id, None)
                 events.log(
                     events.Event.SERVER_VIEW_CHANGED,
                     server_id=server_id,
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -8,6 +8,8 @@
 
 import functools
 import logging
+import socket
+import struct
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
@@ -26,6 +28,7 @@
 # Interval at which idle connections are checked for their timeout.
 EXPIRY_INTERVAL_S = 1.0
 READ_BYTES = 65_536
+_CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -124,6 +127,7 @@
     def __init__(self, raw: Any, is_closing: bool) -> None:
         self._raw = raw
         self._is_chunked = False
+        self._is_until_close = False
         self._head = b""
         self.is_started = False
         if is_closing:
@@ -151,6 +155,7 @@
             self._is_chunked = True
             lines.append(b"Transfer-Encoding: chunked")
         else:
+            self._is_until_close = True
             raw.close_connection = True
         if raw.close_connection:
             lines.append(b"Connection: close")
@@ -172,6 +177,9 @@
         """End the connection so that the answer cannot pass for complete."""
         self._raw.sent_headers = True
         self._raw.close_connection = True
+        if self._is_until_close:
+            # Only a reset tells this caller that the answer broke off.
+            self._raw.conn.is_reset_at_end = True
 
     def send(
         self, status: int, fields: HeaderFields, body: bytes = b""
@@ -247,6 +255,16 @@
 
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
+    is_reset_at_end = False
+
+    def _close_kernel_socket(self) -> None:
+        """Send what ends the connection; its descriptor is closed next."""
+        if not self.is_reset_at_end:
+            super()._close_kernel_socket()  # type: ignore[misc]
+            return
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _CLOSE_WITH_RESET
+        )
 
     def communicate(self) -> bool:
         self.socket.settimeout(self.server.header_timeout_s)
--- a/packages/gateway/src/balsamloom_gateway/peer_messages.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_messages.py
@@ -156,6 +156,7 @@
         "server_id": report.server_id,
         "outcome": report.outcome.value,
         "observation": report.observation,
+        "is_server_leaving": report.is_server_leaving,
     }
 
 
@@ -179,6 +180,7 @@
                 str(body["server_id"]),
                 health.Outcome(body["outcome"]),
                 observation,
+                bool(body["is_server_leaving"]),
             ),
         )
     except (KeyError, TypeError, ValueError) as error:
--- a/packages/gateway/src/balsamloom_gateway/planner.py
+++ b/packages/gateway/src/balsamloom_gateway/planner.py
@@ -44,11 +44,15 @@
 
 
 class TurnReport(NamedTuple):
-    """How a turn ended; ``server_id`` is empty if no server ran it."""
+    """How a turn ended; ``server_id`` is empty if no server ran it.
+
+    ``is_server_leaving`` passes on the server's word that it leaves.
+    """
 
     server_id: str
     outcome: health.Outcome
     observation: estimates.Observation
+    is_server_leaving: bool = False
 
 
 NOT_RUN = TurnReport("", health.Outcome.ABANDONED, estimates.Observation())
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -178,6 +178,7 @@
         self.fleet.on_changes = self._evacuations.apply
         self.fleet.on_member_lost = self._note_member_loss
         self.fleet.on_servers = self._take_servers
+        self._dispatcher.on_leaving = self.fleet.note_leaving
         self.fleet.on_configuration = self._take_configuration
         service = peer_service.PeerService(accounts, self._book, self._feed)
         self._front = listeners.Listener(
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -4,11 +4,13 @@
 
 import dataclasses
 import statistics
+from collections.abc import Callable
 
 from balsamloom_conversations import stream_output
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
     attempts,
+    callbacks,
     channels,
     conversations,
     estimates,
@@ -50,6 +52,7 @@
     :param channel: connection to the server.
     :param engine: properties of the engine, if the server is one.
     :param recorder: keeps the answer's events before it ends.
+    :param on_leaving: called when the server says that it leaves.
     """
 
     def __init__(
@@ -63,7 +66,9 @@
         clock: clocks.Clock,
         engine: traffic.Engine | None,
         recorder: conversations.TurnRecorder | None = None,
+        on_leaving: Callable[[], None] = callbacks.ignore,
     ) -> None:
+        self._on_leaving = on_leaving
         self._recorder = recorder
         self._reply = reply
         self._metadata = metadata
@@ -90,6 +95,7 @@
         self._pending: list[channels.AnswerPart] = []
         self.load: traffic.ServerLoad | None = None
         self.status = 0
+        self.is_server_leaving = False
         # The server closed the connection before any answer.
         self.is_dropped = False
         self.end_reason = ""
@@ -172,6 +178,9 @@
         answer = self._codec.decode_answer(head.status, head.headers.fields)
         self.status = head.status
         self.load = answer.load
+        if answer.is_leaving:
+            self.is_server_leaving = True
+            self._on_leaving()
         if answer.idle_timeout_ms is not None:
             self._channel.idle_limit_ms = answer.idle_timeout_ms
         if answer.is_not_executed:
--- a/packages/gateway/src/balsamloom_gateway/traffic.py
+++ b/packages/gateway/src/balsamloom_gateway/traffic.py
@@ -154,10 +154,14 @@
 
 
 class AnswerMetadata(NamedTuple):
-    """What a server's answer says beside its content."""
+    """What a server's answer says beside its content.
+
+    ``is_leaving`` announces that the server takes no new calls soon.
+    """
 
     request_id: str
     is_not_executed: bool
     is_signed: bool
     load: ServerLoad | None
     idle_timeout_ms: float | None
+    is_leaving: bool = False
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -181,7 +181,11 @@
         """Decode the state of a server."""
         try:
             found = json.loads(value)
-            return server(server_id, is_draining=found["is_draining"])
+            return server(
+                server_id,
+                is_draining=found["is_draining"],
+                incarnation=found.get("incarnation", 1),
+            )
         except (ValueError, KeyError) as error:
             raise interfaces.InvalidRecordError(str(error)) from error
 
@@ -365,6 +369,7 @@
             is_signed=b"signed" in found,
             load=None,
             idle_timeout_ms=None,
+            is_leaving=b"leaving" in found,
         )
 
     def relayed(self, headers):
--- a/packages/gateway/tests/test_channels.py
+++ b/packages/gateway/tests/test_channels.py
@@ -72,6 +72,75 @@
         _, body = self.run_once(late, scripted.answer())
         self.assertEqual(body, b"ok")
 
+    def test_unnamed_answer_on_a_used_channel_is_no_answer(self):
+        # It may be the late second copy of the answer before.
+        unnamed = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
+        first = scripted.answer(b"ok")
+        channel, body = self.run_once(unnamed)
+        self.assertEqual(body, b"no")
+
+        def script(connection, _):
+            for data in (first, unnamed):
+                server.read_request(connection)
+                connection.sendall(data)
+            connection.recv(1)
+
+        server = self.serve(script)
+        pool = channels.ChannelPool(server.address, self.clock, 10_000.0)
+        until_ms = self.clock.now_ms() + 2_000.0
+        channel, exchange = self.exchange(server, pool=pool)
+        exchange.send(REQUEST, until_ms)
+        self.assertEqual(self.body(self.read_all(exchange)), b"ok")
+        pool.give_back(channel)
+        again, exchange = self.exchange(server, pool=pool)
+        self.assertIs(again, channel)
+        exchange.send(REQUEST, until_ms)
+        with self.assertRaises(channels.GarbledAnswerError):
+            self.read_all(exchange)
+        self.assertFalse(again.is_reusable)
+
+    def endless(self, start, more):
+        """Return the bytes that a server sent before it was left."""
+        sent = 0
+
+        def script(connection, _):
+            nonlocal sent
+            server.read_request(connection)
+            connection.sendall(start)
+            try:
+                while sent < 64_000_000:
+                    sent += connection.send(more)
+            except OSError:
+                return
+
+        server = self.serve(script)
+        channel, exchange = self.exchange(server)
+        until_ms = self.clock.now_ms() + 5_000.0
+        exchange.send(REQUEST, until_ms)
+        with self.assertRaises(channels.GarbledAnswerError):
+            self.read_all(exchange, 5_000.0)
+        channel.close()
+        return sent
+
+    def test_bytes_without_end_are_left_early(self):
+        late = scripted.answer(b"x" * 1_000, request_id="r0")
+        chunked = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        cases = {
+            "one field": (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 4_096),
+            "many fields": (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 500),
+            "reason": (b"HTTP/1.1 200 ", b"x" * 4_096),
+            "interim heads": (b"", b"HTTP/1.1 100 Go on\r\n\r\n" * 200),
+            "other answers": (b"", late * 4),
+            "chunk extension": (chunked + b"5;", b"x" * 4_096),
+            "trailers": (chunked + b"0\r\n", b"A: b\r\n" * 500),
+        }
+        for name, (start, more) in cases.items():
+            with self.subTest(name):
+                self.assertLess(self.endless(start, more), 16_000_000)
+
     def test_bytes_behind_the_answer_end_the_channel(self):
         channel, body = self.run_once(scripted.answer() + b"garbage")
         self.assertEqual(body, b"ok")
--- a/packages/gateway/tests/test_proxy.py
+++ b/packages/gateway/tests/test_proxy.py
@@ -200,6 +200,30 @@
         self.request("/once/x", body=iter([b"abc", b"def"]))
         self.assertTrue(self.servers[0].received[0].endswith(b"\r\nabcdef"))
 
+    def test_server_that_says_it_leaves_is_named_with_its_first_bytes(self):
+        told = threading.Event()
+        head = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSigned: 1\r\n"
+            b"Leaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+
+        def script(connection, _):
+            self.owner(connection).read_request(connection)
+            connection.sendall(head + b"6\r\nfirst\n\r\n")
+            told.wait(5)
+            connection.sendall(b"0\r\n\r\n")
+
+        gateway = self.start(script)
+        seen = []
+
+        def note(server_id):
+            seen.append(server_id)
+            told.set()
+
+        gateway.dispatcher.on_leaving = note
+        self.assertEqual(self.request("/stream/", body=b"x")[0].status, 200)
+        self.assertEqual(seen, ["s0"])
+
     def test_unknown_path_is_not_found(self):
         self.start(self.answering(scripted.answer()))
         self.assertEqual(self.request("/other/")[0].status, 404)
@@ -347,6 +371,69 @@
             self.request("/stream/", body=b"x")
         self.assertEqual(caught.exception.partial, event)
 
+    def test_cut_answer_without_length_is_reset(self):
+        # A caller of HTTP/1.0 takes the end of its connection for the end
+        # of the answer.
+        head = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSigned: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        self.start(
+            self.answering(head, b"5\r\ndata:\r\n", then=socket.socket.close)
+        )
+        host, port = self.gateway.listener.address.split(":")
+        caller = socket.create_connection((host, int(port)), 5)
+        self.addCleanup(caller.close)
+        caller.sendall(
+            b"POST /stream/ HTTP/1.0\r\nHost: h.example\r\n"
+            b"Request-Id: r1\r\nContent-Length: 1\r\n\r\nx"
+        )
+        with self.assertRaises(ConnectionResetError):
+            while caller.recv(4_096):
+                pass
+
+    def test_body_without_end_is_cut_at_the_deadline(self):
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSigned: 1\r\n\r\n"
+
+        def script(connection, _):
+            self.owner(connection).read_request(connection)
+            connection.sendall(head)
+            while True:
+                connection.sendall(b"x" * 4_096)
+                time.sleep(0.002)
+
+        self.start(script)
+        for path in ("/once/", "/stream/"):
+            started_s = time.monotonic()
+            with self.assertRaises(http.client.HTTPException):
+                response, _ = self.request(path, {"Deadline": "400"}, b"x")
+                self.assertEqual(response.status, 504)
+                raise http.client.HTTPException
+            self.assertLess(time.monotonic() - started_s, 1.5)
+
+    def test_slow_stream_is_not_cut_and_a_dripping_one_ends(self):
+        head = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSigned: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+
+        def drip(connection, count):
+            self.owner(connection).read_request(connection)
+            connection.sendall(head)
+            for _ in range(count):
+                time.sleep(0.15)
+                connection.sendall(b"1\r\nx\r\n")
+            connection.sendall(b"0\r\n\r\n")
+
+        self.start(lambda connection, _: drip(connection, 4))
+        response, body = self.request("/stream/", {"Deadline": "1500"}, b"x")
+        self.assertEqual((response.status, body), (200, b"xxxx"))
+        self.start(lambda connection, _: drip(connection, 100))
+        started_s = time.monotonic()
+        with self.assertRaises(http.client.IncompleteRead):
+            self.request("/stream/", {"Deadline": "500"}, b"x")
+        self.assertLess(time.monotonic() - started_s, 1.0)
+
     def test_stream_is_passed_on_as_it_arrives(self):
         more = threading.Event()
         head = (
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -9,10 +9,14 @@
 from balsamloom_gateway import feed, fleet, follower, interfaces, peers
 
 
-def record(is_draining=False, sequence=0):
+def record(is_draining=False, sequence=0, incarnation=1):
     """Build a server's record; ``sequence`` changes nothing of meaning."""
     return json.dumps(
-        {"is_draining": is_draining, "sequence": sequence}
+        {
+            "is_draining": is_draining,
+            "sequence": sequence,
+            "incarnation": incarnation,
+        }
     ).encode()
 
 
@@ -35,6 +39,25 @@
         self.put("config", b"6", 2)
         self.assertEqual(self.fleet.in_force.configuration.version, 7)
 
+    def test_server_that_says_it_leaves_gets_no_calls_until_it_restarts(self):
+        told = []
+        self.fleet.on_servers = told.append
+        self.put("server/s1", record(), 1)
+        self.fleet.note_leaving("s1")
+        self.assertEqual(told[-1], [])
+        # It may go on registering as ready, and lapse and come back.
+        self.put("server/s1", record(sequence=5), 2)
+        self.fleet.apply([interfaces.Deleted("server/s1", 3)])
+        self.put("server/s1", record(), 4)
+        self.assertEqual(self.server_ids(), [])
+        self.put("server/s1", record(incarnation=2), 5)
+        self.assertEqual(self.server_ids(), ["s1"])
+
+    def test_word_of_a_server_that_is_not_known_changes_nothing(self):
+        self.fleet.note_leaving("s1")
+        self.put("server/s1", record(), 1)
+        self.assertEqual(self.server_ids(), ["s1"])
+
     def test_listener_of_a_loss_may_ask_for_the_members(self):
         # Two locks were taken in both orders: a thread that recorded budgets
         # asked for the members while the view told it of a loss.
