--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -65,6 +65,7 @@
     is_first_start: bool
     view_bound_ms: float
     grace_ms: float
+    lease_ms: int
     copies: int
 
 
@@ -161,7 +162,11 @@
             store, records, self._rank, self.fleet.has_storage_host, clock
         )
         self._registrar = registrar.Registrar(
-            store, records.member_key(settings.name), self.member, clock
+            store,
+            records.member_key(settings.name),
+            self.member,
+            settings.lease_ms,
+            clock,
         )
         self._follower = follower.Follower(
             settings.name,
--- a/packages/gateway/src/balsamloom_gateway/registrar.py
+++ b/packages/gateway/src/balsamloom_gateway/registrar.py
@@ -10,8 +10,8 @@
 from balsamloom_core import events
 from balsamloom_gateway import callbacks, fleet, interfaces, traffic
 
-LEASE_MS = 2_500
-RENEWAL_MS = 800.0
+# Part of a lease after which it is renewed: two renewals may fail.
+RENEWAL_SHARE = 0.32
 RETRY_MIN_MS = 300.0
 RETRY_MAX_MS = 1_000.0
 
@@ -22,6 +22,7 @@
     :param store: platform's store.
     :param key: key of the registration.
     :param member: what is registered.
+    :param lease_ms: time for which a registration outlasts its process.
     :param clock: time source.
     """
 
@@ -30,10 +31,13 @@
         store: interfaces.KeyValueStore,
         key: str,
         member: traffic.Member,
+        lease_ms: int,
         clock: clocks.Clock,
     ) -> None:
         self._store = store
         self._write = interfaces.Write(key, fleet.encode_member(member))
+        self._lease_ms = lease_ms
+        self._renewal_ms = lease_ms * RENEWAL_SHARE
         self._clock = clock
         self._stopped = threading.Event()
         self._lease_id = 0
@@ -92,7 +96,7 @@
     def _renew(self) -> float:
         if self._lease_id:
             if self._store.keep_lease(self._lease_id):
-                return RENEWAL_MS
+                return self._renewal_ms
             events.log(
                 events.Event.LEASE_CHANGED,
                 logging.WARNING,
@@ -101,7 +105,7 @@
             )
             self._lease_id = 0
             self.on_lost()
-        lease_id = self._store.grant_lease(LEASE_MS)
+        lease_id = self._store.grant_lease(self._lease_ms)
         write = self._write._replace(lease_id=lease_id)
         match self._store.transact((), [write]):
             case interfaces.Committed(revision):
@@ -112,6 +116,6 @@
                     outcome="granted",
                     revision=revision,
                 )
-                return RENEWAL_MS
+                return self._renewal_ms
             case _:
                 return RETRY_MIN_MS
--- a/packages/gateway/tests/test_members.py
+++ b/packages/gateway/tests/test_members.py
@@ -7,6 +7,8 @@
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import http_client, interfaces, peers, registrar
 
+LEASE_MS = 4_000
+
 
 class RegistrarTest(unittest.TestCase):
     """Guards against a member that presses on a store in trouble."""
@@ -17,6 +19,7 @@
             self.store,
             "member/m1",
             builders.member("m1"),
+            LEASE_MS,
             builders.manual_clock(),
         )
 
@@ -33,7 +36,9 @@
         for _ in range(4):
             self.registrar.renew_once()
         self.store.error = None
-        self.assertEqual(self.registrar.renew_once(), registrar.RENEWAL_MS)
+        self.assertEqual(
+            self.registrar.renew_once(), LEASE_MS * registrar.RENEWAL_SHARE
+        )
         self.store.error = interfaces.StoreUnavailableError("turned away")
         self.assertEqual(self.registrar.renew_once(), registrar.RETRY_MIN_MS)
 
