Ask no other holder while the first one waits for a slow store

Change: a first holder that waits for the store keeps its block queued and is not passed over; a standby's word ends the asking.

--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -106,14 +106,19 @@
                     call, turn, _exposure(is_first, is_last_resort), is_first
                 )
                 result = self._reserve_at(holder, call, reservation)
-                if not is_first:
-                    result = _without_proof(result)
+                if isinstance(result, ledger.Exhausted) and not is_first:
+                    # Holders that know less must not be asked.
+                    unproved = _without_proof(result)
+                    return self._log(call, holder, unproved)
                 if not isinstance(result, ledger_book.Unrecorded):
                     self._note_stage(is_last_resort)
                     return self._log(call, holder, result)
                 pending += result.is_pending
                 if not self._is_avoided(holder):
                     reached.append(holder)
+                    if is_first and result.is_pending:
+                        # Its block serves the turn that comes back.
+                        break
                     if is_last_resort:
                         return self._log(call, holder, result)
         if not reached:
@@ -354,21 +359,14 @@
             return refused
 
 
-def _without_proof(
-    result: Grant | ledger.Exhausted | ledger_book.Unrecorded,
-) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
-    """Return what an answer of a standby is worth.
+def _without_proof(result: ledger.Exhausted) -> ledger_book.Unrecorded:
+    """Return what a standby's word that a budget is spent is worth.
 
     The first holder may have tokens left of the blocks that it recorded, so
-    that only its word, or that of the next one when it is gone, proves that
-    a budget is spent.
+    that only its word, or that of the next one when it is gone, is a proof.
     """
-    match result:
-        case ledger.Exhausted(recorded):
-            reason = f"a standby knows of {recorded} recorded tokens"
-            return ledger_book.Unrecorded(reason)
-        case _:
-            return result
+    reason = f"a standby knows of {result.recorded_tokens} recorded tokens"
+    return ledger_book.Unrecorded(reason)
 
 
 def _exposure(is_first: bool, is_last_resort: bool) -> ledger_book.Exposure:
--- a/packages/gateway/src/balsamloom_gateway/ledger_book.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_book.py
@@ -323,14 +323,18 @@
             self._clock.wait_condition(self._changed, left_ms)
 
     def _give_up(self, account: ledger.Account) -> Unrecorded:
-        """Return why no block was recorded, which nobody waits for now."""
+        """Return why no block was recorded, which nobody waits for now.
+
+        The next turn needs the block of the program's first holder; one of
+        another process would be lost to it.
+        """
         reason = self._recorder.failure_reason
         is_queued = account.program_id in self._urgent
-        if is_queued and not account.exposed_tokens:
+        if is_queued and account.is_guest and not account.exposed_tokens:
             self._urgent.discard(account.program_id)
             account.wanted_tokens = 0
-        is_pending = not reason and not is_queued
-        return Unrecorded(reason or "the store is slow", is_pending)
+            return Unrecorded(reason or "the store is slow")
+        return Unrecorded(reason or "the store is slow", not reason)
 
     def _account(self, program_id: str, budget_tokens: int) -> ledger.Account:
         account = self._accounts.get(program_id)
