--- a/packages/gateway/src/balsamloom_gateway/attempts.py
+++ b/packages/gateway/src/balsamloom_gateway/attempts.py
@@ -58,6 +58,25 @@
         """Return what follows when no server is left to try."""
         return GiveUp(self._runs == 0, reason)
 
+    def first_byte_deadline_ms(
+        self, until_ms: float, due_ms: float, estimate_ms: float
+    ) -> float:
+        """Return when an attempt without any answer makes way for another.
+
+        An answer may be lost although the server is sound. A call that may
+        be repeated then still has time at another server.
+
+        :param until_ms: time at which the caller must have its answer.
+        :param due_ms: time from which the attempt is overdue.
+        :param estimate_ms: time that another attempt takes.
+        """
+        is_last = self._runs + 1 >= self._route.max_attempts
+        if not self._route.is_repeatable or is_last:
+            return until_ms
+        if due_ms + estimate_ms > until_ms:
+            return until_ms
+        return due_ms
+
     def decide(self, failure: Failure, left_ms: float) -> TryAgain | GiveUp:
         """Decide what follows a failed attempt.
 
--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -129,6 +129,15 @@
             cost, state = self._generator.choice(near)
             return self._count(state, profile, cost, now_ms)
 
+    def has_another(
+        self, service: str, placement: Placement, avoid: frozenset[str]
+    ) -> bool:
+        """Return whether a call could go to a further server."""
+        used = avoid | {placement.server.server_id}
+        with self._lock:
+            states = self._by_service.get(service, [])
+            return any(state.server.server_id not in used for state in states)
+
     def take(
         self, server_id: str, profile: estimates.CallProfile
     ) -> Placement | None:
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -106,7 +106,14 @@
                 )
                 return Ended(0, report)
             self._responder.log_placement(call, placement)
-            result, report = self._attempt(call, placement, target.spec)
+            first_until_ms = call.until_ms
+            if self._balancer.has_another(target.service, placement, tried):
+                first_until_ms = history.first_byte_deadline_ms(
+                    call.until_ms, placement.due_ms, placement.estimate_ms
+                )
+            result, report = self._attempt(
+                call, placement, target.spec, first_until_ms
+            )
             match result:
                 case relay.Relayed(tokens) | relay.Gone(tokens):
                     return Ended(tokens, report)
@@ -133,6 +140,7 @@
         call: responses.Call,
         placement: balancer.Placement,
         spec: traffic.Service | None,
+        first_until_ms: float,
     ) -> _Attempt:
         """Send a call to a server.
 
@@ -150,7 +158,9 @@
             return self._not_connected(
                 call, placement, attempts.NotRun(str(error))
             )
-        run, result = self._relay(call, placement, spec, channel)
+        run, result = self._relay(
+            call, placement, spec, channel, first_until_ms
+        )
         if run.is_dropped and is_kept and is_repeatable:
             reason = "a kept connection was dropped"
             self._responder.log_failure(
@@ -163,7 +173,9 @@
                     call, placement, attempts.MayHaveRun(str(error))
                 )
             is_kept = False
-            run, result = self._relay(call, placement, spec, channel)
+            run, result = self._relay(
+                call, placement, spec, channel, first_until_ms
+            )
         report = self._learn(placement, run, result)
         self._log(call, placement, run, result, is_kept)
         return _Attempt(result, report)
@@ -174,6 +186,7 @@
         placement: balancer.Placement,
         spec: traffic.Service | None,
         channel: channels.Channel,
+        first_until_ms: float,
     ) -> tuple[relay.Relay, relay.Result]:
         """Send a call on a connection, which is kept if it can be."""
         run = relay.Relay(
@@ -189,7 +202,7 @@
             lambda: self.on_leaving(placement.server.server_id),
         )
         head = self._request_head(call, placement.server, spec)
-        result = run.run(head + call.body, call.until_ms)
+        result = run.run(head + call.body, call.until_ms, first_until_ms)
         self._pool(placement.server).give_back(channel)
         return run, result
 
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import statistics
 from collections.abc import Callable
 
@@ -86,6 +87,7 @@
             request.method == b"HEAD",
         )
         self._counter = EventCounter()
+        self._first_until_ms = math.inf
         self._first_ms: float | None = None
         self._last_event_ms: float | None = None
         # Pauses between the events of a stream.
@@ -111,15 +113,19 @@
             return None
         return round(self._first_ms - sent_ms, 1)
 
-    def run(self, data: bytes, until_ms: float) -> Result:
+    def run(
+        self, data: bytes, until_ms: float, first_until_ms: float
+    ) -> Result:
         """Send the request and pass the answer on.
 
         :param data: whole request.
         :param until_ms: time at which the caller must have its answer.
+        :param first_until_ms: time until which nothing may be passed on.
         """
+        self._first_until_ms = first_until_ms
         try:
-            self._exchange.send(data, until_ms)
-            head = self._receive_head(until_ms)
+            self._exchange.send(data, first_until_ms)
+            head = self._receive_head(first_until_ms)
             return self._pass_on(head, until_ms)
         except channels.CallerGoneError as error:
             self._channel.close()
@@ -168,6 +174,8 @@
                     return part
 
     def _parts(self, until_ms: float) -> list[channels.AnswerPart]:
+        if not self._reply.is_started:
+            until_ms = min(until_ms, self._first_until_ms)
         if not self._pending:
             return self._exchange.receive(until_ms)
         parts = self._pending
--- a/packages/gateway/tests/test_decisions.py
+++ b/packages/gateway/tests/test_decisions.py
@@ -102,6 +102,27 @@
         ]
         self.assertEqual(decisions[-1], attempts.GiveUp(True, "full"))
 
+    def test_silent_attempt_makes_way_only_if_another_has_time(self):
+        # Load: a service loses the answers of a part of its calls.
+        idempotent = attempts.AttemptHistory(builders.route())
+        once = attempts.AttemptHistory(
+            builders.route(traffic.RouteKind.NON_IDEMPOTENT)
+        )
+        cases = (
+            (idempotent, 600.0, 30.0, 600.0),
+            (idempotent, 1_190.0, 30.0, 1_200.0),
+            (once, 600.0, 30.0, 1_200.0),
+        )
+        for history, due_ms, estimate_ms, expected in cases:
+            found = history.first_byte_deadline_ms(
+                1_200.0, due_ms, estimate_ms
+            )
+            self.assertEqual(found, expected)
+        idempotent.decide(attempts.MayHaveRun("lost"), 600.0)
+        self.assertEqual(
+            idempotent.first_byte_deadline_ms(1_200.0, 600.0, 30.0), 1_200.0
+        )
+
     def test_nothing_is_tried_after_the_deadline(self):
         history = self.history(traffic.RouteKind.IDEMPOTENT)
         decision = history.decide(attempts.NotRun("full"), 0.0)
--- a/packages/gateway/tests/test_proxy.py
+++ b/packages/gateway/tests/test_proxy.py
@@ -260,6 +260,32 @@
         self.assertEqual(response.status, 502)
         self.assertEqual(self.runs(), 1)
 
+    def test_silent_server_leaves_time_for_another(self):
+        # Servers lose answers of calls that they ran.
+        def silent(connection, _):
+            self.owner(connection).read_request(connection)
+            connection.recv(1)
+
+        for path in ("/idempotent/", "/resumable/"):
+            with self.subTest(path):
+                self.start(silent, silent, self.answering(scripted.answer()))
+                deadline = {"Deadline": "1900"}
+                statuses = [
+                    self.request(path, deadline)[0].status for _ in range(3)
+                ]
+                self.assertIn(200, statuses)
+                self.assertLessEqual(self.runs(), 6)
+
+    def test_silent_server_of_a_call_to_run_once_is_waited_for(self):
+        def slow(connection, _):
+            self.owner(connection).read_request(connection)
+            time.sleep(1.2)
+            connection.sendall(scripted.answer())
+
+        self.start(slow, slow)
+        response, _ = self.request("/once/", {"Deadline": "1900"}, b"x")
+        self.assertEqual((response.status, self.runs()), (200, 1))
+
     def test_lost_answer_of_an_idempotent_call_is_repeated_once(self):
         reset = self.answering(then=socket.socket.close)
         self.start(reset, reset, reset)
