--- a/packages/gateway/src/balsamloom_gateway/conversations.py
+++ b/packages/gateway/src/balsamloom_gateway/conversations.py
@@ -29,9 +29,10 @@
 # A host that failed is asked last for this time, and for longer each time.
 AVOID_MIN_MS = 1_000.0
 AVOID_MAX_MS = 16_000.0
-WRITERS = 24
-# First reading of a host that failed a short time ago.
+# A host that failed a short time ago is waited for only this long.
 AVOIDED_TIMEOUT_MS = 100.0
+# Threads that write copies; each waits for one host at a time.
+WRITERS = 24
 
 
 class _Failures:
