--- a/packages/gateway/src/balsamloom_gateway/conversations.py
+++ b/packages/gateway/src/balsamloom_gateway/conversations.py
@@ -94,6 +94,11 @@
             WRITERS, "turn-writer"
         )
 
+    @property
+    def can_keep(self) -> bool:
+        """Return whether enough storage hosts are known to keep a turn."""
+        return len(self._hosts()) >= self._copies
+
     def read(self, turn_id: str, hint: str, until_ms: float) -> turns.Lookup:
         """Return a turn's chain.
 
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -126,6 +126,15 @@
         :return: ``None`` if the request has its final answer.
         """
         metadata = call.metadata
+        if not self._conversations.can_keep:
+            # Its answer would have to be cut off at the end.
+            self._responder.refuse(
+                call.reply,
+                metadata.request_id,
+                "too few storage hosts are known to keep the turn",
+                CHAIN_RETRY_MS,
+            )
+            return None
         group_id = metadata.program_id or metadata.request_id
         history = b""
         if metadata.previous_turn_id:
--- a/packages/gateway/tests/test_conversations.py
+++ b/packages/gateway/tests/test_conversations.py
@@ -527,6 +527,15 @@
         with self.assertRaises(http.client.IncompleteRead):
             self.turn("r1")
 
+    def test_turn_that_no_known_host_could_keep_is_refused_at_once(self):
+        # A process that has just started may not know the hosts yet.
+        gateway = self.start(self.engine)
+        gateway.storage_hosts = self.cluster.hosts()[:1]
+        response, _ = self.turn("r1")
+        self.assertEqual(response.status, 503)
+        self.assertGreater(float(response.headers["Retry-After"]), 0)
+        self.assertEqual(self.runs(), 0)
+
     def test_events_are_not_held_until_the_turn_is_kept(self):
         gate = threading.Event()
         self.start(self.engine)
