--- a/packages/gateway/src/balsamloom_gateway/explain.py
+++ b/packages/gateway/src/balsamloom_gateway/explain.py
@@ -28,6 +28,8 @@
         "process_leaving",
         "process_stopped",
         "lines_dropped",
+        "storage_host_changed",
+        "storage_call_failed",
     }
 )
 SERVER_EVENTS = frozenset(
--- a/packages/gateway/tests/test_explain.py
+++ b/packages/gateway/tests/test_explain.py
@@ -83,6 +83,25 @@
         self.assertTrue(ended.fields["reason"].startswith("cut off"))
         self.assertEqual(ended.fields["events_relayed"], 1)
 
+    def test_turn_that_is_not_found_names_the_hosts_that_failed(self):
+        text = [
+            {"name_of_event": "storage_call_failed", "host": "storage-a-1"},
+            {"name_of_event": "chain_read", "request_id": "r1"},
+            {"name_of_event": "request_refused", "request_id": "r1"},
+            {"name_of_event": "turn_kept", "request_id": "r2"},
+        ]
+        lines = explain.read(
+            "edge",
+            [
+                json.dumps({"asctime": "2026-12-04 10:00:00,000", **fields})
+                for fields in text
+            ],
+        )
+        names = [line.name for line in explain.related(lines, "r1")]
+        self.assertEqual(
+            names, ["storage_call_failed", "chain_read", "request_refused"]
+        )
+
     def test_other_requests_and_output_are_left_out(self):
         line = {"asctime": "2026-12-04 05:00:00,000", "name_of_event": "x"}
         text = [json.dumps({**line, "request_id": "r2"}), "no json", "[]"]
