--- a/packages/standins/src/balsamloom_standins/observations.py
+++ b/packages/standins/src/balsamloom_standins/observations.py
@@ -24,6 +24,7 @@
 from balsamloom_standins import deployments, fleet
 
 COMPLETED = int(results.ResultCode.COMPLETED)
+ACCEPTED = int(results.ResultCode.ACCEPTED)
 POLL_S = 0.05
 SEND_TIMEOUT_S = 20
 # Longest time for one call of a caller with all its tries.
@@ -252,9 +253,15 @@
     def recorded_code(self, program_id: str, key: str) -> int:
         """Return the code of the recorded result of an earlier call.
 
+        A result that is not durable yet is waited for: the history has its
+        messages before.
+
         :param program_id: program of the call.
         :param key: idempotency key of the call.
         """
+        return settled_code(lambda: self._code_now(program_id, key))
+
+    def _code_now(self, program_id: str, key: str) -> int:
         # One try: a recorded refusal would be asked for again and again.
         path = f"/v1/programs/{program_id}/calls/{parse.quote(key, safe='')}"
         url = f"http://{self.owner(program_id)}{path}"
@@ -313,6 +320,22 @@
         return told
 
 
+def settled_code(
+    ask: Callable[[], int], timeout_s: float = SEND_TIMEOUT_S
+) -> int:
+    """Ask for a call's code until the call is no longer in progress.
+
+    :param ask: returns the code at this moment.
+    :param timeout_s: longest wait; the last code is returned then.
+    """
+    end_s = time.monotonic() + timeout_s
+    code = ask()
+    while code == ACCEPTED and time.monotonic() < end_s:
+        time.sleep(POLL_S)
+        code = ask()
+    return code
+
+
 class RevisionSampler:
     """Notes the configuration revision of every entry process over time.
 
--- a/packages/standins/tests/test_checks.py
+++ b/packages/standins/tests/test_checks.py
@@ -32,6 +32,23 @@
     return found
 
 
+class SettledCodeTest(unittest.TestCase):
+    """Guards against checks of a call whose record is still under way.
+
+    "has more than the caller was told" was seen once, in CI: the store had
+    lost the answer to the last write, and its repetition was not through.
+    """
+
+    def test_a_result_that_is_not_durable_yet_is_waited_for(self):
+        codes = iter((observations.ACCEPTED, observations.COMPLETED))
+        code = observations.settled_code(lambda: next(codes))
+        self.assertEqual(code, observations.COMPLETED)
+
+    def test_a_result_that_never_comes_is_reported(self):
+        code = observations.settled_code(lambda: observations.ACCEPTED, 0.1)
+        self.assertEqual(code, observations.ACCEPTED)
+
+
 class HistoryTest(unittest.TestCase):
     """Guards against histories that differ from what callers were told."""
 
