One handler for calls between processes, one walk over the holders

- peer_service and storage_service dispatched alike: peer_calls does it now.
A call that cannot be served is logged (peer_call_refused).
- Conversations._call repeated a call after any failure but a timeout, also after a refusal or a failed connect, where its doc named closed connections only.
A lost connection is an error of its own now, and only that one is tried once more.
The test fails before: 2 calls after a refusal.
- Whom to ask for a budget is a decision of its own (holder_walk), tested without a network; Budgets.reserve nested five deep before.
No change of what is asked: the tests of budgets pass as they were.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -91,6 +91,7 @@
     DISK_FAILED = 7025
     TURNS_EXPIRED = 7026
     TURNS_DAMAGED = 7027
+    PEER_CALL_REFUSED = 7028
 
 
 _MEANINGS: dict[Event, str] = {
@@ -187,6 +188,7 @@
         "Damaged turns were dropped; copies of them are fetched."
     ),
     Event.BUDGET_CAUTION: "A process that held budgets may be lost.",
+    Event.PEER_CALL_REFUSED: "A call of another process was not served.",
 }
 
 
--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -12,6 +12,7 @@
 from balsamloom_gateway import (
     background,
     fleet,
+    holder_walk,
     ledger,
     ledger_book,
     membership,
@@ -83,61 +84,47 @@
     ) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
         """Reserve the most that a turn may generate, and plan its server.
 
-        Holders are asked for recorded tokens before one may expose more than
-        a turn. Only the first holder that answers may expose: two that do
-        not know of each other would exceed the budget. A process that
-        reaches no holder records blocks itself.
+        A process that reaches no holder records blocks itself.
         """
-        members = self._fleet.members()
-        holders = membership.budget_holders(call.program_id, members)
-        pending_most = _pending_holders(call)
-        reached: list[traffic.Member] = []
-        result: Grant | ledger.Exhausted | ledger_book.Unrecorded
-        for is_last_resort in self._stages():
-            asked = holders
-            if is_last_resort and reached:
-                asked = reached[:1]
-            pending = 0
-            for holder in asked:
-                if self._is_avoided(holder) or pending >= pending_most:
-                    continue
-                is_first = holder is holders[0]
-                reservation = _reservation(
-                    call, turn, _exposure(is_first, is_last_resort), is_first
-                )
-                result = self._reserve_at(holder, call, reservation)
-                if isinstance(result, ledger.Exhausted) and not is_first:
+        holders = membership.budget_holders(
+            call.program_id, self._fleet.members()
+        )
+        walk = holder_walk.HolderWalk(
+            holders,
+            _pending_holders(call),
+            self._is_avoided,
+            self._clock.now_ms() < self._outage_until_ms,
+        )
+        unrecorded: ledger_book.Unrecorded | None = None
+        for ask in walk.asks():
+            reservation = _reservation(call, turn, ask.exposure, ask.is_first)
+            result = self._reserve_at(ask.holder, call, reservation)
+            match result:
+                case ledger_book.Unrecorded():
+                    unrecorded = result
+                    is_answered = not self._is_avoided(ask.holder)
+                    walk.note_unrecorded(
+                        ask.holder, is_answered, result.is_pending
+                    )
+                case ledger.Exhausted() if not ask.is_first:
                     # Holders that know less must not be asked.
-                    unproved = _without_proof(result)
-                    return self._log(call, holder, unproved)
-                if not isinstance(result, ledger_book.Unrecorded):
-                    self._note_stage(is_last_resort)
-                    return self._log(call, holder, result)
-                pending += result.is_pending
-                if not self._is_avoided(holder):
-                    reached.append(holder)
-                    if is_first and result.is_pending:
-                        # Its block serves the turn that comes back.
-                        break
-                    if is_last_resort:
-                        return self._log(call, holder, result)
-        if not reached:
-            exposure = ledger_book.Exposure.NONE
-            reservation = _reservation(call, turn, exposure, False)
-            result = _grant(call, None, self.reserve_here(reservation))
-        return self._log(call, None, result)
-
-    def _stages(self) -> tuple[bool, ...]:
-        """Return the stages of asking, recorded tokens before exposed ones.
-
-        Shortly after a turn that found no holder to record, holders are not
-        asked to record in vain.
-        """
-        if self._clock.now_ms() < self._outage_until_ms:
-            return (True,)
-        return (False, True)
+                    return self._log(call, ask.holder, _unproved(result))
+                case _:
+                    self._note_stage(walk.is_last_resort)
+                    return self._log(call, ask.holder, result)
+        if unrecorded is not None and walk.has_reached:
+            return self._log(call, None, unrecorded)
+        return self._log(call, None, self._reserve_alone(call, turn))
+
+    def _reserve_alone(
+        self, call: traffic.CallMetadata, turn: planner.TurnRequest
+    ) -> Grant | ledger.Exhausted | ledger_book.Unrecorded:
+        exposure = ledger_book.Exposure.NONE
+        reservation = _reservation(call, turn, exposure, is_first=False)
+        return _grant(call, None, self.reserve_here(reservation))
 
     def _note_stage(self, is_last_resort: bool) -> None:
+        """Remember for a while that holders could only expose tokens."""
         if is_last_resort and self._clock.now_ms() >= self._outage_until_ms:
             self._outage_until_ms = self._clock.now_ms() + OUTAGE_MEMORY_MS
 
@@ -359,7 +346,7 @@
             return refused
 
 
-def _without_proof(result: ledger.Exhausted) -> ledger_book.Unrecorded:
+def _unproved(result: ledger.Exhausted) -> ledger_book.Unrecorded:
     """Return what a standby's word that a budget is spent is worth.
 
     The first holder may have tokens left of the blocks that it recorded, so
@@ -369,20 +356,6 @@
     return ledger_book.Unrecorded(reason)
 
 
-def _exposure(is_first: bool, is_last_resort: bool) -> ledger_book.Exposure:
-    """Return what a holder may hand out before it is recorded.
-
-    :param is_first: whether it is the first of the program's holders.
-    """
-    match is_first, is_last_resort:
-        case True, True:
-            return ledger_book.Exposure.OUTAGE
-        case False, True:
-            return ledger_book.Exposure.LAST_RESORT
-        case _:
-            return ledger_book.Exposure.NONE
-
-
 def _describe(
     result: Grant | ledger.Exhausted | ledger_book.Unrecorded,
 ) -> str:
--- a/packages/gateway/src/balsamloom_gateway/conversations.py
+++ b/packages/gateway/src/balsamloom_gateway/conversations.py
@@ -205,14 +205,16 @@
         body: bytes,
         timeout_ms: float,
     ) -> bytes:
-        """Call a host, twice if a kept connection turns out to be closed."""
+        """Call a host, twice if the connection ends before the answer.
+
+        A kept connection may be closed while a call is sent on it. Calls to
+        storage hosts can be repeated.
+        """
         try:
             answer = self._clients.exchange(
                 host.address, path, body, timeout_ms
             )
-        except peers.PeerTimeoutError:
-            raise
-        except peers.PeerUnavailableError:
+        except peers.PeerConnectionLostError:
             answer = self._clients.exchange(
                 host.address, path, body, timeout_ms
             )
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -3,23 +3,20 @@
 from __future__ import annotations
 
 import json
-import logging
 from collections.abc import Callable
 from typing import Any
 
-from balsamloom_core import events
 from balsamloom_gateway import (
     budgets,
     feed,
     ledger,
     ledger_book,
     listeners,
+    peer_calls,
     peer_messages,
     peers,
 )
 
-JSON_FIELDS = ((b"Content-Type", b"application/json"),)
-
 
 class PeerService:
     """Serves budgets and the store's records to other members.
@@ -38,7 +35,7 @@
         self._budgets = accounts
         self._book = book
         self._feed = records
-        self._calls: dict[str, Callable[[dict[str, Any]], Any]] = {
+        self.calls: dict[str, Callable[[dict[str, Any]], Any]] = {
             peers.RESERVE_PATH: self._reserve,
             peers.SETTLE_PATH: self._settle,
             peers.WITHDRAW_PATH: self._withdraw,
@@ -46,38 +43,16 @@
             peers.CLAIM_PATH: self._tell_claim,
             peers.FEED_PATH: self._read_feed,
         }
+        self._handler = peer_calls.PeerCalls(
+            {path: _as_json(call) for path, call in self.calls.items()},
+            peers.JSON_TYPE,
+        )
 
     def handle(
         self, request: listeners.Request, reply: listeners.Reply
     ) -> None:
         """Answer one call."""
-        call = self._calls.get(request.path)
-        if call is None:
-            reply.send(404, ())
-            return
-        try:
-            result = call(json.loads(request.read_body()))
-        except (
-            ValueError,
-            KeyError,
-            TypeError,
-            listeners.MalformedBodyError,
-            listeners.BodyTooLargeError,
-        ) as error:
-            events.log(
-                events.Event.PEER_MESSAGE_DAMAGED,
-                logging.WARNING,
-                path=request.path,
-                reason=repr(error),
-            )
-            reply.close_after()
-            reply.send(400, ())
-            return
-        if result is None:
-            reply.send(503, ())
-            return
-        body = json.dumps(result, separators=(",", ":")).encode()
-        reply.send(200, JSON_FIELDS, body)
+        self._handler.handle(request, reply)
 
     def _reserve(self, body: dict[str, Any]) -> dict[str, Any]:
         reservation = peer_messages.decode_reservation(body)
@@ -102,5 +77,18 @@
     def _tell_claim(self, body: dict[str, Any]) -> dict[str, Any]:
         return {"claim": self._book.known_claim(str(body["program_id"]))}
 
-    def _read_feed(self, body: dict[str, Any]) -> feed.FeedAnswer | None:
-        return self._feed.answer(str(body["epoch"]), int(body["cursor"]))
+    def _read_feed(self, body: dict[str, Any]) -> feed.FeedAnswer:
+        found = self._feed.answer(str(body["epoch"]), int(body["cursor"]))
+        if found is None:
+            raise peer_calls.UnavailableError("nothing was read yet")
+        return found
+
+
+def _as_json(
+    call: Callable[[dict[str, Any]], Any],
+) -> Callable[[bytes], bytes]:
+    def run(body: bytes) -> bytes:
+        answer = call(json.loads(body))
+        return json.dumps(answer, separators=(",", ":")).encode()
+
+    return run
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -37,6 +37,10 @@
     """Another member did not answer a call in time."""
 
 
+class PeerConnectionLostError(PeerUnavailableError):
+    """The connection to another member ended before its answer did."""
+
+
 class PeerClients:
     """Clients of the other members, by address.
 
@@ -77,6 +81,7 @@
 
         :raises PeerNotReachedError: the call has no effect.
         :raises PeerTimeoutError: there is no answer in time.
+        :raises PeerConnectionLostError: the call may have had its effect.
         :raises PeerUnavailableError: there is no usable answer.
         """
         client = self._client(address)
@@ -87,7 +92,7 @@
         except http_client.NotSentError as error:
             raise PeerNotReachedError(f"{address}: {error}") from error
         except http_client.UnansweredError as error:
-            raise PeerUnavailableError(f"{address}: {error}") from error
+            raise PeerConnectionLostError(f"{address}: {error}") from error
         if answer.status != 200:
             raise PeerUnavailableError(f"{address}: status {answer.status}")
         return answer.body
--- a/packages/gateway/src/balsamloom_gateway/storage_service.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_service.py
@@ -12,14 +12,9 @@
     turns,
 )
 from balsamloom_core import events
-from balsamloom_gateway import copies, listeners, peers
+from balsamloom_gateway import copies, listeners, peer_calls, peers
 
 WRITE_TIMEOUT_MS = 1_500.0
-_FIELDS = ((b"Content-Type", peers.MESSAGE_PACK_TYPE),)
-
-
-class UnavailableError(Exception):
-    """The host cannot serve a call now; another one may."""
 
 
 class StorageService:
@@ -39,54 +34,29 @@
         self._store = store
         self._commits = commits
         self._copies = kept
-        self._calls: dict[str, Callable[[bytes], bytes]] = {
+        self.calls = {
             peers.KEEP_TURN_PATH: self._keep,
             peers.CHAIN_PATH: self._chain,
             peers.LIST_TURNS_PATH: self._list,
             peers.READ_TURNS_PATH: self._read,
             peers.COPY_TURNS_PATH: self._copy,
         }
+        reporting = {
+            path: _reporting(path, call) for path, call in self.calls.items()
+        }
+        self._handler = peer_calls.PeerCalls(
+            reporting, peers.MESSAGE_PACK_TYPE
+        )
 
     def handle(
         self, request: listeners.Request, reply: listeners.Reply
     ) -> None:
         """Answer one call."""
-        call = self._calls.get(request.path)
-        if call is None:
-            reply.send(404, ())
-            return
-        try:
-            reply.send(200, _FIELDS, call(request.read_body()))
-        except (
-            messages.InvalidMessageError,
-            listeners.MalformedBodyError,
-            listeners.BodyTooLargeError,
-        ) as error:
-            events.log(
-                events.Event.PEER_MESSAGE_DAMAGED,
-                logging.WARNING,
-                path=request.path,
-                reason=repr(error),
-            )
-            reply.close_after()
-            reply.send(400, ())
-        except (
-            UnavailableError,
-            database.DatabaseError,
-            group_commit.NotKeptError,
-            peers.PeerUnavailableError,
-        ) as error:
-            events.log(
-                events.Event.DISK_FAILED,
-                logging.WARNING,
-                path=request.path,
-                reason=str(error),
-            )
-            reply.send(503, ())
+        self._handler.handle(request, reply)
 
     def _keep(self, body: bytes) -> bytes:
         if self._copies.is_leaving:
-            raise UnavailableError("this host is being emptied")
+            raise peer_calls.UnavailableError("this host is being emptied")
         turn = messages.decode_turn(body)
         self._commits.write([turn], WRITE_TIMEOUT_MS)
         return b""
@@ -121,3 +91,25 @@
         if len(names) != 1:
             raise messages.InvalidMessageError("one host leaves")
         return messages.encode_names(self._copies.copy_from(names[0]))
+
+
+def _reporting(
+    path: str, call: Callable[[bytes], bytes]
+) -> Callable[[bytes], bytes]:
+    """Return a call that reports what its disk or another host refused."""
+
+    def run(body: bytes) -> bytes:
+        try:
+            return call(body)
+        except (database.DatabaseError, group_commit.NotKeptError) as error:
+            events.log(
+                events.Event.DISK_FAILED,
+                logging.WARNING,
+                path=path,
+                reason=str(error),
+            )
+            raise peer_calls.UnavailableError(str(error)) from error
+        except peers.PeerUnavailableError as error:
+            raise peer_calls.UnavailableError(str(error)) from error
+
+    return run
--- a/packages/gateway/tests/storage_nodes.py
+++ b/packages/gateway/tests/storage_nodes.py
@@ -8,12 +8,23 @@
 
 from balsamloom_conversations import database, group_commit, replicas, turns
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import copies, listeners, peers, storage_service
+from balsamloom_gateway import (
+    copies,
+    listeners,
+    peer_calls,
+    peers,
+    storage_service,
+)
 
 LIMITS = listeners.Limits(16, 16_384, 4_000_000, 2_000.0, 10_000.0)
 COPIES = 2
 
 
+def host(name: str) -> replicas.StorageHost:
+    """Return a host that nobody runs."""
+    return replicas.StorageHost(name, name, name[0], f"disk of {name}")
+
+
 class StorageNode:
     """One storage host.
 
@@ -108,9 +119,9 @@
         if not node.is_up:
             raise peers.PeerUnavailableError(f"{address} is down")
         try:
-            return node.service._calls[path](body)
+            return node.service.calls[path](body)
         except (
-            storage_service.UnavailableError,
+            peer_calls.UnavailableError,
             database.DatabaseError,
             group_commit.NotKeptError,
         ) as error:
@@ -120,6 +131,24 @@
         """Close no connections, as there are none."""
 
 
+class FailingClients:
+    """Calls that fail in one way; they are counted.
+
+    :param error: raised by each call.
+    """
+
+    def __init__(self, error: peers.PeerUnavailableError) -> None:
+        self._error = error
+        self.calls = 0
+
+    def exchange(
+        self, address: str, path: str, body: bytes, timeout_ms: float
+    ) -> bytes:
+        """Fail."""
+        self.calls += 1
+        raise self._error
+
+
 class StorageCluster:
     """Storage hosts that are registered.
 
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -41,7 +41,7 @@
         name = address.partition(":")[0]
         if name in self.cut or name not in self.services:
             raise peers.PeerUnavailableError(address)
-        call = self.services[name]._calls[path]
+        call = self.services[name].calls[path]
         if self.timeout_ms is None:
             return dict(call(body) or {})
         answers = queue.Queue()
--- a/packages/gateway/tests/test_conversations.py
+++ b/packages/gateway/tests/test_conversations.py
@@ -18,6 +18,7 @@
     conversations,
     evacuation,
     interfaces,
+    peers,
     storage_evacuation,
     storage_registration,
 )
@@ -121,6 +122,32 @@
         self.assertEqual(self.cluster.holders(turn), ["b1", "c1"])
 
 
+class RepeatedCallTest(unittest.TestCase):
+    """Guards against calls that are repeated although that cannot help."""
+
+    def calls_after(self, error):
+        """Return how often a host that always fails so is called."""
+        clients = storage_nodes.FailingClients(error)
+        host = storage_nodes.host("a1")
+        reader = conversations.Conversations(
+            lambda: [host], clients, clocks.Clock(), "a", 1
+        )
+        self.assertIsInstance(reader.read("t", "g", soon()), turns.Unsure)
+        return clients.calls
+
+    def test_lost_connection_is_tried_once_more(self):
+        lost = peers.PeerConnectionLostError("closed")
+        self.assertEqual(self.calls_after(lost), 2)
+
+    def test_other_failures_are_not(self):
+        for error in (
+            peers.PeerUnavailableError("status 503"),
+            peers.PeerNotReachedError("refused"),
+            peers.PeerTimeoutError("no answer"),
+        ):
+            self.assertEqual(self.calls_after(error), 1, error)
+
+
 class ReadTest(ClusterCase):
     """Guards against false words that a turn does not exist."""
 
--- /dev/null
+++ b/packages/gateway/tests/test_holder_walk.py
@@ -0,0 +1,69 @@
+"""Tests of the order in which holders of budgets are asked."""
+
+import unittest
+
+import builders
+
+from balsamloom_gateway import holder_walk, ledger_book
+
+NONE = ledger_book.Exposure.NONE
+OUTAGE = ledger_book.Exposure.OUTAGE
+LAST_RESORT = ledger_book.Exposure.LAST_RESORT
+
+
+class HolderWalkTest(unittest.TestCase):
+    """Guards against two holders that expose, and against lost order.
+
+    The load: turns while the store is slow, or while holders are gone.
+    """
+
+    def setUp(self):
+        self.holders = [builders.member(name) for name in "abc"]
+        self.avoided = set()
+
+    def walk(self, answers, pending_most=2, is_outage=False):
+        """Return the questions and their exposures.
+
+        :param answers: per holder, whether it answers and records in vain.
+        """
+        walk = holder_walk.HolderWalk(
+            self.holders,
+            pending_most,
+            lambda member: member.name in self.avoided,
+            is_outage,
+        )
+        asked = []
+        for ask in walk.asks():
+            name = ask.holder.name
+            asked.append((name, ask.exposure))
+            is_answered, is_pending = answers.get(name, (True, False))
+            if not is_answered:
+                self.avoided.add(name)
+            walk.note_unrecorded(ask.holder, is_answered, is_pending)
+        self.has_reached = walk.has_reached
+        return asked
+
+    def test_all_are_asked_before_the_first_one_exposes(self):
+        expected = [("a", NONE), ("b", NONE), ("c", NONE), ("a", OUTAGE)]
+        self.assertEqual(self.walk({}), expected)
+
+    def test_first_holder_that_waits_for_the_store_is_not_passed_over(self):
+        expected = [("a", NONE), ("a", OUTAGE)]
+        self.assertEqual(self.walk({"a": (True, True)}), expected)
+
+    def test_one_standby_exposes_when_the_first_holder_is_gone(self):
+        expected = [("a", NONE), ("b", NONE), ("c", NONE), ("b", LAST_RESORT)]
+        self.assertEqual(self.walk({"a": (False, False)}), expected)
+
+    def test_blocks_recorded_in_vain_are_bounded(self):
+        answers = dict.fromkeys("abc", (False, True))
+        expected = [("a", NONE), ("b", NONE), ("c", LAST_RESORT)]
+        self.assertEqual(self.walk(answers), expected)
+
+    def test_outage_is_not_asked_through_again(self):
+        self.assertEqual(self.walk({}, is_outage=True), [("a", OUTAGE)])
+
+    def test_nobody_reached(self):
+        self.avoided = set("abc")
+        self.assertEqual(self.walk({}), [])
+        self.assertFalse(self.has_reached)
