One call finds out whether a silent holder is back

Ruled out: the wait before the retry was not the matter, all tries after it timed out alike.

avoidance.Avoidance lets one call try again, the others go on avoiding the process meanwhile. It replaces three copies of that bookkeeping (budgets, standbys, conversations).

--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
-import threading
 import uuid
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
 from balsamloom_gateway import (
+    avoidance,
     background,
     fleet,
     holder_walk,
@@ -19,7 +19,6 @@
     peer_messages,
     peers,
     planner,
-    standbys,
     traffic,
     withdrawals,
 )
@@ -28,6 +27,8 @@
 # of those times stays below this one.
 PEER_TIMEOUT_MS = 200.0
 WITHDRAW_TIMEOUT_MS = 1_000.0
+# A holder that did not answer is not asked again for a while.
+AVOID_PAUSES = avoidance.Pauses(2_000.0, 2_000.0, trial_ms=PEER_TIMEOUT_MS)
 # Holders whose blocks may be recorded although no turn uses them. Where the
 # store is slow for two of them, it is slow for all.
 PENDING_HOLDERS = 2
@@ -75,8 +76,7 @@
         self._fleet = view
         self._clock = clock
         self._withdrawals = withdrawals.Withdrawals(clock)
-        self._lock = threading.Lock()
-        self._avoided: dict[str, float] = {}
+        self._avoidance = avoidance.Avoidance(AVOID_PAUSES, clock)
         self._outage_until_ms = -math.inf
 
     def reserve(
@@ -92,7 +92,7 @@
         walk = holder_walk.HolderWalk(
             holders,
             _pending_holders(call),
-            self._is_avoided,
+            lambda holder: self._avoidance.may_try(holder.name),
             self._clock.now_ms() < self._outage_until_ms,
         )
         unrecorded: ledger_book.Unrecorded | None = None
@@ -102,7 +102,9 @@
             match result:
                 case ledger_book.Unrecorded():
                     unrecorded = result
-                    is_answered = not self._is_avoided(ask.holder)
+                    is_answered = not self._avoidance.is_avoided(
+                        ask.holder.name
+                    )
                     walk.note_unrecorded(
                         ask.holder, is_answered, result.is_pending
                     )
@@ -204,18 +206,10 @@
         if unused is not None:
             self.settle_here(unused)
 
-    def _is_avoided(self, member: traffic.Member) -> bool:
-        with self._lock:
-            until_ms = self._avoided.get(member.name, 0.0)
-        return self._clock.now_ms() < until_ms
-
     def _avoid(
         self, member: traffic.Member, error: peers.PeerUnavailableError
     ) -> None:
-        with self._lock:
-            self._avoided[member.name] = (
-                self._clock.now_ms() + standbys.AVOID_MS
-            )
+        self._avoidance.note_failure(member.name)
         events.log(
             events.Event.PEER_CALL_FAILED,
             member=member.name,
@@ -238,6 +232,7 @@
                 peer_messages.encode_reservation(reservation),
                 PEER_TIMEOUT_MS,
             )
+            self._avoidance.note_answer(holder.name)
             decoded = peer_messages.decode_answer(answer)
         except peers.PeerNotReachedError as error:
             self._avoid(holder, error)
--- a/packages/gateway/src/balsamloom_gateway/conversations.py
+++ b/packages/gateway/src/balsamloom_gateway/conversations.py
@@ -8,8 +8,6 @@
 
 import concurrent.futures
 import logging
-import math
-import threading
 from collections.abc import Callable, Iterable
 
 from balsamloom_conversations import (
@@ -20,52 +18,20 @@
 )
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import peers
+from balsamloom_gateway import avoidance, peers
 
 READ_TIMEOUT_MS = 250.0
 WRITE_TIMEOUT_MS = 800.0
 # After this time a write goes to one host more.
 SLOW_WRITE_MS = 60.0
 # A host that failed is asked last for this time, and for longer each time.
-AVOID_MIN_MS = 1_000.0
-AVOID_MAX_MS = 16_000.0
+AVOID_PAUSES = avoidance.Pauses(1_000.0, 16_000.0, trial_ms=0.0)
 # A host that failed a short time ago is waited for only this long.
 AVOIDED_TIMEOUT_MS = 100.0
 # Threads that write copies; each waits for one host at a time.
 WRITERS = 24
 
 
-class _Failures:
-    """Hosts that failed a short time ago."""
-
-    def __init__(self, clock: clocks.Clock) -> None:
-        self._clock = clock
-        self._lock = threading.Lock()
-        self._until_ms: dict[str, float] = {}
-        self._length_ms: dict[str, float] = {}
-
-    def is_avoided(self, host: replicas.StorageHost) -> bool:
-        """Return whether a host is asked after the others."""
-        until_ms = self._until_ms.get(host.address, -math.inf)
-        return self._clock.now_ms() < until_ms
-
-    def note_failure(self, host: replicas.StorageHost) -> None:
-        """Avoid a host for a while."""
-        with self._lock:
-            if self.is_avoided(host):
-                return
-            former_ms = self._length_ms.get(host.address, AVOID_MIN_MS / 2)
-            length_ms = min(2 * former_ms, AVOID_MAX_MS)
-            self._length_ms[host.address] = length_ms
-            self._until_ms[host.address] = self._clock.now_ms() + length_ms
-
-    def note_answer(self, host: replicas.StorageHost) -> None:
-        """Use a host again."""
-        with self._lock:
-            self._length_ms.pop(host.address, None)
-            self._until_ms.pop(host.address, None)
-
-
 class Conversations:
     """Reads chains of turns and keeps new ones.
 
@@ -89,7 +55,7 @@
         self._clock = clock
         self._failure_domain = failure_domain
         self._copies = copies
-        self._failures = _Failures(clock)
+        self._avoidance = avoidance.Avoidance(AVOID_PAUSES, clock)
         self._writers = concurrent.futures.ThreadPoolExecutor(
             WRITERS, "turn-writer"
         )
@@ -168,12 +134,14 @@
     def _avoided_last(
         self, hosts: list[replicas.StorageHost]
     ) -> list[replicas.StorageHost]:
-        return sorted(hosts, key=self._failures.is_avoided)
+        return sorted(
+            hosts, key=lambda host: self._avoidance.is_avoided(host.address)
+        )
 
     def _ask(
         self, host: replicas.StorageHost, turn_id: str, timeout_ms: float
     ) -> turns.Lookup:
-        if self._failures.is_avoided(host):
+        if self._avoidance.is_avoided(host.address):
             timeout_ms = min(timeout_ms, AVOIDED_TIMEOUT_MS)
         body = messages.encode_names([turn_id])
         try:
@@ -218,13 +186,13 @@
             answer = self._clients.exchange(
                 host.address, path, body, timeout_ms
             )
-        self._failures.note_answer(host)
+        self._avoidance.note_answer(host.address)
         return answer
 
     def _note_failure(
         self, host: replicas.StorageHost, error: Exception
     ) -> None:
-        self._failures.note_failure(host)
+        self._avoidance.note_failure(host.address)
         events.log(
             events.Event.STORAGE_CALL_FAILED,
             logging.WARNING,
--- a/packages/gateway/src/balsamloom_gateway/holder_walk.py
+++ b/packages/gateway/src/balsamloom_gateway/holder_walk.py
@@ -25,7 +25,7 @@
 
     :param holders: the program's holders, the first one first.
     :param pending_most: holders that may record a block in vain.
-    :param is_avoided: whether a holder failed a short time ago.
+    :param may_ask: whether a holder may be asked at this moment.
     :param is_outage: whether no holder could record a short time ago; they
         are not asked for recorded tokens in vain then.
     """
@@ -34,12 +34,12 @@
         self,
         holders: Sequence[traffic.Member],
         pending_most: int,
-        is_avoided: Callable[[traffic.Member], bool],
+        may_ask: Callable[[traffic.Member], bool],
         is_outage: bool,
     ) -> None:
         self._holders = holders
         self._pending_most = pending_most
-        self._is_avoided = is_avoided
+        self._may_ask = may_ask
         self._reached: list[traffic.Member] = []
         self._pending = 0
         self._is_waited_for = False
@@ -79,7 +79,7 @@
         for holder in holders:
             if self._is_waited_for:
                 return
-            if self._is_avoided(holder):
+            if not self._may_ask(holder):
                 continue
             if self._pending >= self._pending_most:
                 continue
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -7,12 +7,19 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import fleet, ledger, membership, peers, traffic
+from balsamloom_gateway import (
+    avoidance,
+    fleet,
+    ledger,
+    membership,
+    peers,
+    traffic,
+)
 
 # Calls between holders, which keep callers waiting.
 HOLDER_TIMEOUT_MS = 60.0
-# A member that did not answer is not asked again for this time.
-AVOID_MS = 2_000.0
+# A member that did not answer is not asked again for a while.
+AVOID_PAUSES = avoidance.Pauses(2_000.0, 2_000.0, trial_ms=HOLDER_TIMEOUT_MS)
 
 
 class Standbys(Protocol):
@@ -80,8 +87,7 @@
         self._own = f"{name}/{incarnation}"
         self._clients = clients
         self._fleet = view
-        self._clock = clock
-        self._avoided: dict[str, float] = {}
+        self._avoidance = avoidance.Avoidance(AVOID_PAUSES, clock)
 
     def of(self, program_id: str) -> tuple[str, ...]:
         """Return name and incarnation of each other holder."""
@@ -155,15 +161,14 @@
         body: dict[str, Any],
         timeout_ms: float,
     ) -> dict[str, Any] | None:
-        now_ms = self._clock.now_ms()
-        if now_ms < self._avoided.get(member.peer_address, 0.0):
+        if not self._avoidance.may_try(member.peer_address):
             return None
         try:
-            return self._clients.call(
+            answer = self._clients.call(
                 member.peer_address, path, body, timeout_ms
             )
         except peers.PeerUnavailableError as error:
-            self._avoided[member.peer_address] = now_ms + AVOID_MS
+            self._avoidance.note_failure(member.peer_address)
             events.log(
                 events.Event.PEER_CALL_FAILED,
                 member=member.name,
@@ -171,3 +176,5 @@
                 reason=str(error),
             )
             return None
+        self._avoidance.note_answer(member.peer_address)
+        return answer
--- a/packages/gateway/tests/test_holder_walk.py
+++ b/packages/gateway/tests/test_holder_walk.py
@@ -29,7 +29,7 @@
         walk = holder_walk.HolderWalk(
             self.holders,
             pending_most,
-            lambda member: member.name in self.avoided,
+            lambda member: member.name not in self.avoided,
             is_outage,
         )
         asked = []
--- a/packages/gateway/tests/test_spread.py
+++ b/packages/gateway/tests/test_spread.py
@@ -7,7 +7,7 @@
 import builders
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import feed, follower, interfaces, peers
+from balsamloom_gateway import feed, follower, peers
 
 # The users' bounds are 4,000 ms; half of it is planned with.
 BOUND_MS = 4_000.0
