--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -11,6 +11,7 @@
     attempts,
     balancer,
     callbacks,
+    channel_pool,
     channels,
     estimates,
     health,
@@ -80,7 +81,7 @@
         self._codec = codec
         self._clock = clock
         self._lock = threading.Lock()
-        self._pools: dict[tuple[str, int], channels.ChannelPool] = {}
+        self._pools: dict[tuple[str, int], channel_pool.ChannelPool] = {}
         self.on_leaving: Callable[[str], None] = callbacks.ignore
 
     def keep_pools_of(self, servers: list[traffic.BackendServer]) -> None:
@@ -288,12 +289,12 @@
             lines.append(b"Content-Length: %d" % len(call.body))
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
-    def _pool(self, server: traffic.BackendServer) -> channels.ChannelPool:
+    def _pool(self, server: traffic.BackendServer) -> channel_pool.ChannelPool:
         key = (server.server_id, server.incarnation)
         with self._lock:
             pool = self._pools.get(key)
             if pool is None:
-                pool = channels.ChannelPool(
+                pool = channel_pool.ChannelPool(
                     server.address, self._clock, POOL_IDLE_LIMIT_MS
                 )
                 self._pools[key] = pool
--- a/packages/gateway/src/balsamloom_gateway/http_client.py
+++ b/packages/gateway/src/balsamloom_gateway/http_client.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import channels
+from balsamloom_gateway import channel_pool, channels
 
 IDLE_LIMIT_MS = 10_000.0
 
@@ -40,7 +40,7 @@
     def __init__(self, address: str, clock: clocks.Clock) -> None:
         self._clock = clock
         self._host = address.encode()
-        self._pool = channels.ChannelPool(address, clock, IDLE_LIMIT_MS)
+        self._pool = channel_pool.ChannelPool(address, clock, IDLE_LIMIT_MS)
 
     def call(
         self,
--- a/packages/gateway/tests/test_channels.py
+++ b/packages/gateway/tests/test_channels.py
@@ -7,7 +7,7 @@
 import scripted
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import channels
+from balsamloom_gateway import channel_pool, channels
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 IDENTIFIER = (b"request-id", b"r1")
@@ -25,7 +25,7 @@
         return server
 
     def exchange(self, server, caller_fd=None, pool=None):
-        pool = pool or channels.ChannelPool(
+        pool = pool or channel_pool.ChannelPool(
             server.address, self.clock, 10_000.0
         )
         channel, _ = pool.take(1_000.0)
@@ -86,7 +86,7 @@
             connection.recv(1)
 
         server = self.serve(script)
-        pool = channels.ChannelPool(server.address, self.clock, 10_000.0)
+        pool = channel_pool.ChannelPool(server.address, self.clock, 10_000.0)
         until_ms = self.clock.now_ms() + 2_000.0
         channel, exchange = self.exchange(server, pool=pool)
         exchange.send(REQUEST, until_ms)
@@ -263,7 +263,7 @@
 
         server = scripted.ScriptedServer(script)
         self.addCleanup(server.close)
-        pool = channels.ChannelPool(server.address, self.clock, 10_000.0)
+        pool = channel_pool.ChannelPool(server.address, self.clock, 10_000.0)
         first, _ = pool.take(1_000.0)
         pool.give_back(first)
         closed.wait(5)
@@ -277,7 +277,7 @@
     def test_channel_that_idled_too_long_is_not_used_again(self):
         server = scripted.ScriptedServer(lambda connection, _: None)
         self.addCleanup(server.close)
-        pool = channels.ChannelPool(server.address, self.clock, 10_000.0)
+        pool = channel_pool.ChannelPool(server.address, self.clock, 10_000.0)
         first, _ = pool.take(1_000.0)
         pool.give_back(first)
         self.clock.advance(5_000.0)
@@ -289,7 +289,7 @@
         listening = socket.create_server(("127.0.0.1", 0))
         port = listening.getsockname()[1]
         listening.close()
-        pool = channels.ChannelPool(f"127.0.0.1:{port}", self.clock, 1.0)
+        pool = channel_pool.ChannelPool(f"127.0.0.1:{port}", self.clock, 1.0)
         with self.assertRaises(channels.ConnectError):
             pool.take(1_000.0)
 
