Send a value of the store's records only to those that lack it

The configuration had grown to 1,906 routes at 24.8 s. A process that could not read it from its source within 300 ms read it from the store, but went on asking its source with the old cursor, so that the same bytes were sent again and cut again on links of 11 Mbit/s and more; and each process that changed its source, at each of the rolling restarts, was told everything anew.

Ruled out: a slow store (its impairment ended at 6 s, the core was stable), slow holders (their own log shows 'reserved' within milliseconds).

Change: a reader tells how far its copy is complete; its source sends what is newer and names the keys that are as they were. Values are compressed. The path has a new version, so processes of two releases read the store instead. Tests: the reader of a long answer that came too late is not sent it again (fails with revision 0 in the query), a reader that changes its source keeps what it knows and drops what is gone, 2,000 routes in a third of the bytes.

--- a/packages/gateway/src/balsamloom_gateway/feed.py
+++ b/packages/gateway/src/balsamloom_gateway/feed.py
@@ -2,7 +2,8 @@
 
 One process follows the store itself. The others ask a process before them in
 the members' order, so that the store's calls do not grow with the fleet. Only
-changes of meaning are passed on: heartbeats of servers are not.
+changes of meaning are passed on: heartbeats of servers are not. Nor is a value
+that the reader has: a configuration may fill a thin link for seconds.
 """
 
 from __future__ import annotations
@@ -10,27 +11,51 @@
 import base64
 import threading
 import uuid
+import zlib
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple, TypedDict
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import interfaces
 
+# Fast compression: a process may have a third of a core.
+COMPRESSION_LEVEL = 1
+VALUE_BYTES_MAX = 64_000_000
+# Encoded values from this size on are kept for the next readers.
+KEPT_VALUE_BYTES = 4_096
+
+
+class FeedQuery(NamedTuple):
+    """What a reader has.
+
+    ``epoch`` and ``cursor`` are those of the answer before, if there is one;
+    its copy is complete up to ``store_revision``.
+    """
+
+    epoch: str
+    cursor: int
+    store_revision: int
+
 
 class FeedAnswer(TypedDict):
-    """Changes that a process passes on, as JSON."""
+    """Changes that a process passes on, as JSON.
+
+    ``unchanged`` names keys of which the reader has the value.
+    """
 
     epoch: str
     cursor: int
     age_ms: float
     store_revision: int
     changes: list[tuple[str, str | None, int]]
+    unchanged: list[str]
 
 
 class _Entry(NamedTuple):
     change: interfaces.Change
     cursor: int
     meaning: object
+    encoded: str | None = None
 
 
 class Feed:
@@ -82,14 +107,20 @@
             return [change for change in changes if self._apply(change)]
 
     def replace(
-        self, items: Iterable[interfaces.Item], store_revision: int
+        self,
+        items: Iterable[interfaces.Item],
+        store_revision: int,
+        unchanged: Iterable[str] = (),
     ) -> list[interfaces.Change]:
         """Take in all items of the store and return the changes.
 
         Keys that the store no longer has count as deleted.
+
+        :param unchanged: further keys that the store has as they are here.
         """
         found = list(items)
         keys = {item.key for item in found}
+        keys.update(unchanged)
         with self._lock:
             gone = [
                 interfaces.Deleted(key, store_revision)
@@ -100,28 +131,52 @@
             ]
         return self.apply([*found, *gone])
 
-    def answer(self, epoch: str, cursor: int) -> FeedAnswer | None:
+    def answer(self, query: FeedQuery) -> FeedAnswer | None:
         """Return what another process lacks, ``None`` before a reading.
 
-        :param epoch: epoch of the cursor; another one asks for everything.
+        :param query: what it has; one with another epoch is told all keys.
         """
         with self._lock:
             if self._fresh_ms is None:
                 return None
-            after = cursor if epoch == self._epoch else 0
-            changes = [
-                _encode(entry.change)
+            is_known = query.epoch == self._epoch
+            after = query.cursor if is_known else 0
+            passed_on = [
+                entry
                 for entry in self._entries.values()
                 if entry.cursor > after
             ]
+            changes = [
+                self._encode(entry)
+                for entry in passed_on
+                if entry.change.revision > query.store_revision
+            ]
+            unchanged = [
+                entry.change.key
+                for entry in passed_on
+                if entry.change.revision <= query.store_revision
+                and isinstance(entry.change, interfaces.Item)
+                and not is_known
+            ]
             return FeedAnswer(
                 epoch=self._epoch,
                 cursor=self._cursor,
                 age_ms=self._clock.now_ms() - self._fresh_ms,
                 store_revision=self.store_revision,
                 changes=changes,
+                unchanged=unchanged,
             )
 
+    def _encode(self, entry: _Entry) -> tuple[str, str | None, int]:
+        match entry.change:
+            case interfaces.Item(key, value, revision):
+                encoded = entry.encoded or _encode_value(value)
+                if len(value) >= KEPT_VALUE_BYTES:
+                    self._entries[key] = entry._replace(encoded=encoded)
+                return key, encoded, revision
+            case interfaces.Deleted(key, revision):
+                return key, None, revision
+
     def _apply(self, change: interfaces.Change) -> bool:
         known = self._entries.get(change.key)
         if known is not None and known.change.revision >= change.revision:
@@ -137,12 +192,18 @@
         return True
 
 
-def _encode(change: interfaces.Change) -> tuple[str, str | None, int]:
-    match change:
-        case interfaces.Item(key, value, revision):
-            return key, base64.b64encode(value).decode(), revision
-        case interfaces.Deleted(key, revision):
-            return key, None, revision
+def _encode_value(value: bytes) -> str:
+    compressed = zlib.compress(value, COMPRESSION_LEVEL)
+    return base64.b64encode(compressed).decode()
+
+
+def _decode_value(encoded: str) -> bytes:
+    compressed = base64.b64decode(encoded, validate=True)
+    reader = zlib.decompressobj()
+    value = reader.decompress(compressed, VALUE_BYTES_MAX)
+    if not reader.eof:
+        raise ValueError("a value is cut or too long")
+    return value
 
 
 def decode_changes(answer: dict[str, Any]) -> list[interfaces.Change]:
@@ -156,8 +217,8 @@
             if value is None:
                 changes.append(interfaces.Deleted(key, int(revision)))
             else:
-                decoded = base64.b64decode(value, validate=True)
+                decoded = _decode_value(value)
                 changes.append(interfaces.Item(key, decoded, int(revision)))
-    except (KeyError, TypeError) as error:
+    except (KeyError, TypeError, zlib.error) as error:
         raise ValueError(f"malformed feed answer: {error}") from error
     return changes
--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -138,17 +138,27 @@
     def _read_peer(self, source: traffic.Member) -> bool:
         """Read from a member; return whether its copy is usable."""
         epoch, cursor = self._cursors.get(source.name, ("", 0))
-        body = {"epoch": epoch, "cursor": cursor}
+        body = {
+            "epoch": epoch,
+            "cursor": cursor,
+            "revision": self._feed.store_revision,
+        }
         asked_ms = self._clock.now_ms()
         try:
             answer = self._clients.call(
                 source.peer_address, peers.FEED_PATH, body, PEER_TIMEOUT_MS
             )
             changes = feed.decode_changes(answer)
+            unchanged = [str(key) for key in answer["unchanged"]]
             age_ms = float(answer["age_ms"])
             revision = int(answer["store_revision"])
             found = str(answer["epoch"]), int(answer["cursor"])
-        except (peers.PeerUnavailableError, ValueError, KeyError) as error:
+        except (
+            peers.PeerUnavailableError,
+            ValueError,
+            KeyError,
+            TypeError,
+        ) as error:
             self._log_source(source.name, "unavailable", str(error))
             return False
         if found[0] != epoch and revision >= self._feed.store_revision:
@@ -157,7 +167,7 @@
                 for change in changes
                 if isinstance(change, interfaces.Item)
             ]
-            self._fleet.apply(self._feed.replace(items, revision))
+            self._fleet.apply(self._feed.replace(items, revision, unchanged))
         self._fleet.apply(self._feed.apply(changes))
         self._cursors[source.name] = found
         self._feed.note_read(revision, asked_ms - age_ms)
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -78,7 +78,10 @@
         return {"claim": self._book.known_claim(str(body["program_id"]))}
 
     def _read_feed(self, body: dict[str, Any]) -> feed.FeedAnswer:
-        found = self._feed.answer(str(body["epoch"]), int(body["cursor"]))
+        query = feed.FeedQuery(
+            str(body["epoch"]), int(body["cursor"]), int(body["revision"])
+        )
+        found = self._feed.answer(query)
         if found is None:
             raise peer_calls.UnavailableError("nothing was read yet")
         return found
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -15,7 +15,9 @@
 WITHDRAW_PATH = "/ledger/withdraw"
 NOTE_PATH = "/ledger/note"
 CLAIM_PATH = "/ledger/claim"
-FEED_PATH = "/feed"
+# Its format has a version of its own: processes of two releases that do not
+# understand each other read the store.
+FEED_PATH = "/feed/2"
 KEEP_TURN_PATH = "/turns/keep"
 CHAIN_PATH = "/turns/chain"
 LIST_TURNS_PATH = "/turns/list"
--- a/packages/gateway/tests/test_spread.py
+++ b/packages/gateway/tests/test_spread.py
@@ -91,7 +91,8 @@
             self.clock.advance(timeout_ms)
             raise peers.PeerTimeoutError(name)
         self.clock.advance(SLOW_CALL_MS if name in self.slow else PEER_CALL_MS)
-        answer = self._feeds[name].answer(body["epoch"], body["cursor"])
+        query = feed.FeedQuery(body["epoch"], body["cursor"], body["revision"])
+        answer = self._feeds[name].answer(query)
         if answer is None:
             raise peers.PeerUnavailableError(name)
         return answer
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -1,8 +1,11 @@
 """Tests of what a process believes of configuration, servers and members."""
 
+import base64
 import json
+import random
 import threading
 import unittest
+import zlib
 
 import builders
 
@@ -142,12 +145,14 @@
     def test_heartbeat_is_not_passed_on(self):
         self.feed.apply([self.item("server/s1", record(), 1)])
         self.feed.note_read(1, self.clock.now_ms())
-        first = self.feed.answer("", 0)
+        first = self.feed.answer(feed.FeedQuery("", 0, 0))
         changed = self.feed.apply(
             [self.item("server/s1", record(sequence=5), 2)]
         )
         self.assertEqual(changed, [])
-        answer = self.feed.answer(first["epoch"], first["cursor"])
+        answer = self.feed.answer(
+            feed.FeedQuery(first["epoch"], first["cursor"], 1)
+        )
         self.assertEqual(answer["changes"], [])
 
     def test_older_change_is_dropped(self):
@@ -167,13 +172,46 @@
     def test_other_epoch_gets_everything(self):
         self.feed.apply([self.item("server/s1", record(), 1)])
         self.feed.note_read(1, self.clock.now_ms())
-        answer = self.feed.answer("other", 99)
+        answer = self.feed.answer(feed.FeedQuery("other", 99, 0))
         self.assertEqual(
             feed.decode_changes(answer), [self.item("server/s1", record(), 1)]
         )
 
+    def test_value_that_the_reader_has_is_not_sent_again(self):
+        # It may know it from the store, or from a member that it followed.
+        self.feed.apply([self.item("config", b"1", 4)])
+        self.feed.note_read(9, self.clock.now_ms())
+        other = self.feed.answer(feed.FeedQuery("other", 99, 4))
+        self.assertEqual(other["changes"], [])
+        self.assertEqual(other["unchanged"], ["config"])
+        behind = feed.FeedQuery(other["epoch"], 0, 4)
+        self.assertEqual(self.feed.answer(behind)["changes"], [])
+        self.feed.apply([self.item("config", b"2", 10)])
+        self.assertEqual(
+            feed.decode_changes(self.feed.answer(behind)),
+            [self.item("config", b"2", 10)],
+        )
+
+    def test_many_routes_are_passed_on_in_few_bytes(self):
+        routes = [f'{{"route": "r{n}", "host": "h"}}' for n in range(2_000)]
+        value = ",".join(routes).encode()
+        self.feed.apply([self.item("config", value, 4)])
+        self.feed.note_read(9, self.clock.now_ms())
+        answer = self.feed.answer(feed.FeedQuery("", 0, 0))
+        self.assertLess(len(json.dumps(answer)), len(value) // 3)
+        self.assertEqual(
+            feed.decode_changes(answer), [self.item("config", value, 4)]
+        )
+
     def test_malformed_answer_is_an_error(self):
-        for answer in ({}, {"changes": [1]}, {"changes": [["k", "*", 1]]}):
+        cut = base64.b64encode(zlib.compress(b"x")[:-2]).decode()
+        for answer in (
+            {},
+            {"changes": [1]},
+            {"changes": [["k", "*", 1]]},
+            {"changes": [["k", "AAAA", 1]]},
+            {"changes": [["k", cut, 1]]},
+        ):
             with self.subTest(answer), self.assertRaises(ValueError):
                 feed.decode_changes(answer)
 
@@ -183,11 +221,20 @@
 
     def __init__(self):
         self.feeds = {}
+        self.answered_bytes = 0
+        # Longer answers do not arrive in time.
+        self.bytes_max = 1_000_000
 
     def call(self, address, path, body, timeout_ms):
         found = self.feeds.get(address)
-        answer = found.answer(body["epoch"], body["cursor"]) if found else None
-        if answer is None:
+        answer = None
+        if found is not None:
+            query = feed.FeedQuery(
+                body["epoch"], body["cursor"], body["revision"]
+            )
+            answer = found.answer(query)
+        self.answered_bytes = len(json.dumps(answer))
+        if answer is None or self.answered_bytes > self.bytes_max:
             raise peers.PeerUnavailableError(address)
         return json.loads(json.dumps(answer))
 
@@ -251,6 +298,39 @@
         second.read_once()
         self.assertEqual(len(view.servers()), 1)
 
+    def test_long_answer_that_came_too_late_is_not_asked_for_again(self):
+        # After "the configuration grows by many routes" each reading of a
+        # thin link's member was cut, and the same bytes were sent again.
+        _, first = self.start("m1")
+        view, second = self.start("m2")
+        first.read_once()
+        second.read_once()
+        self.peers.bytes_max = 5_000
+        self.store.put("config", random.Random(1).randbytes(9_000))
+        first.read_once()
+        second.read_once()
+        self.assertGreater(self.peers.answered_bytes, 5_000)
+        self.clock.advance(follower.SOURCE_RETRY_MS)
+        first.read_once()
+        calls = len(self.store.calls)
+        second.read_once()
+        self.assertLess(self.peers.answered_bytes, 1_000)
+        self.assertEqual(len(self.store.calls), calls)
+
+    def test_member_that_changes_its_source_keeps_what_it_knows(self):
+        _, first = self.start("m1")
+        view, second = self.start("m2")
+        self.store.put("server/s1", record())
+        self.store.put("server/s2", record())
+        first.read_once()
+        second.read_once()
+        self.store.delete("server/s2")
+        _, restarted = self.start("m1")
+        restarted.read_once()
+        second.read_once()
+        known = [server.server_id for server in view.servers()]
+        self.assertEqual(known, ["s1"])
+
     def test_member_whose_source_is_stale_reads_the_store(self):
         _, first = self.start("m1")
         view, second = self.start("m2")
