Read the rest of a body that the handler left unread

Cause: a request that is refused before its body is read (no configuration yet, no route, an unknown path of a peer call) left the body on a kept connection, where the server took it for the next request. The caller's next request got 400, and a body could smuggle in a request of its own. Ruled out: the server's limits (413 and 414 then), the protocol's own 400s (they are logged).

Change: after a handler has answered, the listener reads what is left, within the limits of size and time, or ends the connection. The tests fail before: 400 for the next request, '/smuggled' handled as a request.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -92,6 +92,7 @@
     TURNS_EXPIRED = 7026
     TURNS_DAMAGED = 7027
     PEER_CALL_REFUSED = 7028
+    BODY_NOT_READ = 7029
 
 
 _MEANINGS: dict[Event, str] = {
@@ -189,6 +190,9 @@
     ),
     Event.BUDGET_CAUTION: "A process that held budgets may be lost.",
     Event.PEER_CALL_REFUSED: "A call of another process was not served.",
+    Event.BODY_NOT_READ: (
+        "The body of a request that was answered early could not be read."
+    ),
 }
 
 
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -11,7 +11,7 @@
 import socket
 import struct
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
 from cheroot import errors as cheroot_errors
@@ -78,6 +78,7 @@
         self.method: bytes = raw.method
         self.target: bytes = raw.uri
         self.headers: dict[bytes, bytes] = raw.inheaders
+        self._is_read = False
 
     @property
     def path(self) -> str:
@@ -95,26 +96,48 @@
         :raises BodyTooLargeError: it is longer than the limit.
         :raises MalformedBodyError: it breaks off or is wrongly encoded.
         """
-        raw = self._raw
         try:
-            if not raw.chunked_read:
-                return self._read_exactly(raw.rfile.remaining)
-            body = b"".join(iter(lambda: raw.rfile.read(READ_BYTES), b""))
-            for _ in raw.rfile.read_trailer_lines():
-                pass
+            body = b"".join(self._parts())
         except cheroot_errors.MaxSizeExceeded as error:
             raise BodyTooLargeError(str(error)) from error
         except (ValueError, OSError) as error:
             if "Too Large" in str(error):
                 raise BodyTooLargeError(str(error)) from error
             raise MalformedBodyError(str(error)) from error
+        self._is_read = True
         return body
 
-    def _read_exactly(self, length: int) -> bytes:
-        body: bytes = self._raw.rfile.read(length) if length else b""
-        if len(body) != length:
-            raise MalformedBodyError("the body breaks off")
-        return body
+    def skip_body(self) -> None:
+        """Read what the handler left of the body, or end the connection.
+
+        It would be taken for the next request otherwise.
+        """
+        raw = self._raw
+        if self._is_read or raw.close_connection:
+            return
+        try:
+            for _ in self._parts():
+                pass
+        except (cheroot_errors.MaxSizeExceeded, ValueError, OSError) as error:
+            raw.close_connection = True
+            events.log(events.Event.BODY_NOT_READ, reason=repr(error))
+
+    def _parts(self) -> Iterator[bytes]:
+        """Read the body in parts.
+
+        :raises ValueError: it breaks off or is wrongly encoded.
+        """
+        raw = self._raw
+        if raw.chunked_read:
+            yield from iter(lambda: raw.rfile.read(READ_BYTES), b"")
+            for _ in raw.rfile.read_trailer_lines():
+                pass
+            return
+        while raw.rfile.remaining:
+            part: bytes = raw.rfile.read(min(READ_BYTES, raw.rfile.remaining))
+            if not part:
+                raise ValueError("the body breaks off")
+            yield part
 
 
 class Reply:
@@ -278,9 +301,11 @@
 
     def respond(self) -> None:
         listener = self._listener
+        request = Request(self.req)
         reply = Reply(self.req, listener.is_leaving)
         with listener.activity:
-            listener.handler(Request(self.req), reply)
+            listener.handler(request, reply)
+        request.skip_body()
 
 
 class _Activity:
--- a/packages/gateway/tests/test_listeners.py
+++ b/packages/gateway/tests/test_listeners.py
@@ -1,4 +1,4 @@
-"""Tests of listeners that stop while callers press on them."""
+"""Tests of listeners: planned stops, and requests that are not read."""
 
 import http.client
 import socket
@@ -89,5 +89,59 @@
             socket.create_connection((host, int(port)), 1)
 
 
+class UnreadBodyTest(unittest.TestCase):
+    """Guards against a refused request's body that is taken for a request.
+
+    Callers of a process that had just started got 400 with the request after
+    one that was refused without being read.
+    """
+
+    def setUp(self):
+        self.paths = []
+        self.listener = listeners.Listener("127.0.0.1:0", self.refuse, LIMITS)
+        self.addCleanup(self.listener.stop_accepting)
+        self.listener.start()
+        self.connection = http.client.HTTPConnection(
+            self.listener.address, timeout=2
+        )
+        self.addCleanup(self.connection.close)
+
+    def refuse(self, request, reply):
+        """Answer at once, without looking at the body."""
+        self.paths.append(request.path)
+        reply.send(503, ())
+
+    def status(self, path, body, **options):
+        """Send a request and return the answer's status."""
+        self.connection.request("POST", path, body, **options)
+        answer = self.connection.getresponse()
+        answer.read()
+        return answer.status
+
+    def test_next_request_is_found_behind_the_body(self):
+        body = b"POST /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+        for path in ("/1", "/2", "/3"):
+            self.assertEqual(self.status(path, body), 503)
+        self.assertEqual(self.paths, ["/1", "/2", "/3"])
+
+    def test_next_request_is_found_behind_chunks(self):
+        for path in ("/1", "/2"):
+            parts = iter([b"a" * 3_000, b"b" * 3_000])
+            found = self.status(path, parts, encode_chunked=True)
+            self.assertEqual(found, 503)
+        self.assertEqual(self.paths, ["/1", "/2"])
+
+    def test_caller_that_never_sends_the_body_loses_its_connection(self):
+        with socket.create_connection(
+            self.listener.address.split(":"), timeout=3
+        ) as caller:
+            caller.sendall(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n"
+            )
+            answer = caller.recv(1_000)
+            self.assertIn(b"503", answer)
+            self.assertEqual(caller.recv(1_000), b"")
+
+
 if __name__ == "__main__":
     unittest.main()
