--- a/packages/cli/src/balsamloom_cli/client.py
+++ b/packages/cli/src/balsamloom_cli/client.py
@@ -7,78 +7,32 @@
 
 from __future__ import annotations
 
-import json
 import random
 import secrets
 import threading
 from collections.abc import Iterator, Mapping, Sequence
-from typing import Any, NamedTuple
+from typing import NamedTuple
 from urllib import parse
 
 import cachetools
-import sseclient
 import urllib3
 
+from balsamloom_cli import answers
 from balsamloom_core import clock as clocks
-from balsamloom_core import errors, results
+from balsamloom_core import results
 from balsamloom_platform import causes
 
 CONNECT_TIMEOUT_MS = 1_000
 DEFAULT_TIMEOUT_MS = 60_000
 FIRST_PAUSE_MS = 100
 LONGEST_PAUSE_MS = 1_000
-CHUNK_BYTES = 65_536
 MAX_CACHED_ADDRESSES = 10_000
 
-_CUT_OFF = results.ResultCode.INTERRUPTED
-
-Body = dict[str, Any]
-
-
-class CallError(errors.BalsamloomError):
-    """A request that ended without the wanted answer.
-
-    :param code: result code, from the service where it gave one.
-    :param message: cause.
-    :param not_run: whether it is certain that the call did not run.
-    :param retry_after_ms: wait that the service asks for.
-    """
-
-    def __init__(
-        self,
-        code: results.ResultCode,
-        message: str,
-        not_run: bool,
-        retry_after_ms: int | None = None,
-    ) -> None:
-        super().__init__(code, message, retry_after_ms)
-        self.not_run = not_run
-
-
-class Address(NamedTuple):
-    """Answer to the question which address to use."""
-
-    address: str
-    valid_ms: int
-    alternatives: tuple[str, ...]
-
-
-class StreamEvent(NamedTuple):
-    """One event of a model call.
-
-    ``name`` is ``message``, ``progress`` or ``done``, or ``restart`` when the
-    call was sent again and the text received so far is void.
-    """
-
-    name: str
-    number: int
-    body: Body
-
 
 class _Request(NamedTuple):
     method: str
     path: str
-    body: Body | None
+    body: answers.Body | None
     headers: Mapping[str, str]
     program_id: str
     may_be_repeated: bool
@@ -93,7 +47,7 @@
         self._pause_ms: float = FIRST_PAUSE_MS
         self._may_have_run = False
 
-    def note(self, error: CallError) -> None:
+    def note(self, error: answers.CallError) -> None:
         """Take a failed try in; its error is then true of all tries.
 
         A refusal of the last try says nothing about an earlier one that was
@@ -108,7 +62,7 @@
     def remaining_ms(self) -> float:
         return self._end_ms - self._clock.now_ms()
 
-    def pause(self, error: CallError) -> None:
+    def pause(self, error: answers.CallError) -> None:
         """Wait as the service asks, or a growing time with jitter.
 
         :param error: reason; raised again if the deadline leaves no time.
@@ -153,11 +107,11 @@
         self._timeout_ms = timeout_ms
         self._pool = pool or urllib3.PoolManager(num_pools=32, maxsize=32)
         self._lock = threading.Lock()
-        self._cache: cachetools.LRUCache[str, tuple[float, Address]] = (
-            cachetools.LRUCache(MAX_CACHED_ADDRESSES)
-        )
+        self._cache: cachetools.LRUCache[
+            str, tuple[float, answers.Address]
+        ] = cachetools.LRUCache(MAX_CACHED_ADDRESSES)
 
-    def address(self, program_id: str = "") -> Address:
+    def address(self, program_id: str = "") -> answers.Address:
         """Return the address to use, from the cache while it is valid.
 
         :param program_id: program, or empty to start one.
@@ -166,7 +120,7 @@
         pacing = _Pacing(self._clock, self._timeout_ms)
         return self._address(program_id, pacing)
 
-    def start(self, specification: Body) -> str:
+    def start(self, specification: answers.Body) -> str:
         """Start a program and return its identifier.
 
         It is sent again only if it certainly did not run, since a repeated
@@ -182,8 +136,8 @@
         return str(self._answered(request)["program_id"])
 
     def chat(
-        self, program_id: str, body: Body, key: str
-    ) -> Iterator[StreamEvent]:
+        self, program_id: str, body: answers.Body, key: str
+    ) -> Iterator[answers.StreamEvent]:
         """Run a model call and yield its events; ``done`` is the last.
 
         A stream that is cut off or has a gap is asked for again with the same
@@ -210,15 +164,15 @@
                     number = event.number
                     yield event
                 return
-            except CallError as error:
-                is_final = not _is_temporary(error)
+            except answers.CallError as error:
+                is_final = not answers.is_temporary(error)
                 pacing.note(error)
                 if is_final:
                     raise
                 self._forget(program_id)
                 pacing.pause(error)
                 if number:
-                    yield StreamEvent(
+                    yield answers.StreamEvent(
                         "restart", number, {"cause": error.message}
                     )
 
@@ -227,9 +181,9 @@
         program_id: str,
         service: str,
         operation: str,
-        body: Body,
+        body: answers.Body,
         key: str,
-    ) -> Body:
+    ) -> answers.Body:
         """Run a tool call and return its answer.
 
         Every try uses the same key, by which the service runs the call at
@@ -252,14 +206,14 @@
         )
         return self._answered(request)
 
-    def show(self, program_id: str) -> Body:
+    def show(self, program_id: str) -> answers.Body:
         """Return the state of a program.
 
         :param program_id: program to show.
         """
         return self._answered(_program_request("GET", program_id))
 
-    def result(self, program_id: str, key: str) -> Body:
+    def result(self, program_id: str, key: str) -> answers.Body:
         """Return the result of an earlier call.
 
         :param program_id: program of the call.
@@ -268,31 +222,31 @@
         request = _program_request("GET", program_id, f"/calls/{_quoted(key)}")
         return self._answered(request)
 
-    def end(self, program_id: str) -> Body:
+    def end(self, program_id: str) -> answers.Body:
         """End a program.
 
         :param program_id: program to end.
         """
         return self._answered(_program_request("DELETE", program_id))
 
-    def _answered(self, request: _Request) -> Body:
+    def _answered(self, request: _Request) -> answers.Body:
         pacing = _Pacing(self._clock, self._timeout_ms)
         while True:
             try:
                 response, is_named = self._sent(request, pacing)
                 try:
-                    return _decoded(response, request, is_named)
+                    return answers.decoded(response, request.path, is_named)
                 finally:
                     response.release_conn()
-            except CallError as error:
+            except answers.CallError as error:
                 is_safe = error.not_run or request.may_be_repeated
-                if not is_safe and error.code == _CUT_OFF:
-                    raise CallError(
+                if not is_safe and error.code == answers.CUT_OFF:
+                    raise answers.CallError(
                         results.ResultCode.OUTCOME_UNKNOWN,
                         error.message,
                         False,
                     ) from error
-                is_final = not (is_safe and _is_temporary(error))
+                is_final = not (is_safe and answers.is_temporary(error))
                 pacing.note(error)
                 if is_final:
                     raise
@@ -301,14 +255,16 @@
 
     def _streamed(
         self, request: _Request, pacing: _Pacing
-    ) -> Iterator[StreamEvent]:
+    ) -> Iterator[answers.StreamEvent]:
         response, is_named = self._sent(request, pacing)
         try:
             if response.status >= 400:
-                _decoded(response, request, is_named)
-            yield from _events(response)
+                answers.decoded(response, request.path, is_named)
+            yield from answers.events_of(response)
         except (urllib3.exceptions.HTTPError, ValueError, KeyError) as error:
-            raise _interrupted(f"stream: {causes.describe(error)}") from error
+            raise answers.interrupted(
+                f"stream: {causes.describe(error)}"
+            ) from error
         finally:
             response.close()
 
@@ -322,14 +278,14 @@
             fails after bytes have left.
         """
         found = self._address(request.program_id, pacing)
-        error = _not_sent("no address")
+        error = answers.not_sent("no address")
         for address in (found.address, *found.alternatives):
             if pacing.remaining_ms <= 0:
                 break
             try:
                 response = self._sent_to(address, request, pacing.remaining_ms)
                 return response, address == found.address
-            except CallError as caught:
+            except answers.CallError as caught:
                 if not caught.not_run:
                     raise
                 error = caught
@@ -357,9 +313,11 @@
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as error:
-            raise _not_sent(f"{address}: {causes.describe(error)}") from error
+            raise answers.not_sent(
+                f"{address}: {causes.describe(error)}"
+            ) from error
         except urllib3.exceptions.HTTPError as error:
-            raise _interrupted(
+            raise answers.interrupted(
                 f"{address}: {causes.describe(error)}"
             ) from error
         self._note_owner(request.program_id, response)
@@ -378,7 +336,7 @@
                 found = found._replace(address=owner)
                 self._cache[program_id] = (end_ms, found)
 
-    def _address(self, program_id: str, pacing: _Pacing) -> Address:
+    def _address(self, program_id: str, pacing: _Pacing) -> answers.Address:
         with self._lock:
             end_ms, known = self._cache.get(program_id, (0.0, None))
         if known is not None and self._clock.now_ms() < end_ms:
@@ -389,7 +347,7 @@
             self._cache[program_id] = (end_ms, found)
         return found
 
-    def _asked(self, program_id: str, pacing: _Pacing) -> Address:
+    def _asked(self, program_id: str, pacing: _Pacing) -> answers.Address:
         request = _Request("GET", "/v1/address", None, {}, program_id, True)
         query = {"program_id": program_id, "customer": self._customer}
         fields = parse.urlencode(
@@ -397,14 +355,16 @@
         )
         request = request._replace(path=f"/v1/address?{fields}")
         while True:
-            error = _not_sent("no address")
+            error = answers.not_sent("no address")
             for address in self._askable(program_id):
                 try:
                     response = self._sent_to(
                         address, request, CONNECT_TIMEOUT_MS
                     )
-                    return _address_in(_decoded(response, request))
-                except CallError as caught:
+                    return answers.address_in(
+                        answers.decoded(response, request.path)
+                    )
+                except answers.CallError as caught:
                     error = caught
             pacing.pause(error)
 
@@ -422,14 +382,6 @@
                 self._cache[program_id] = (0.0, found)
 
 
-def _address_in(body: Body) -> Address:
-    alternatives = [
-        other["address"] if isinstance(other, dict) else other
-        for other in body.get("alternatives", [])
-    ]
-    return Address(body["address"], int(body["valid_ms"]), tuple(alternatives))
-
-
 def _program_request(
     method: str, program_id: str, below: str = ""
 ) -> _Request:
@@ -441,102 +393,5 @@
     return {"X-Program-Id": program_id, "Idempotency-Key": key}
 
 
-def _events(response: urllib3.BaseHTTPResponse) -> Iterator[StreamEvent]:
-    expected = 1
-    stream = sseclient.SSEClient(response.stream(CHUNK_BYTES))
-    for event in stream.events():
-        if event.data == "[DONE]":
-            break
-        number = int(event.id or 0)
-        if number != expected:
-            raise _interrupted(
-                f"event {number} came where {expected} was expected"
-            )
-        expected += 1
-        body = json.loads(event.data)
-        if "error" in body:
-            raise _reported(body, response)
-        if event.event == "done":
-            _check_done(body)
-        yield StreamEvent(event.event, number, body)
-        if event.event == "done":
-            return
-    raise _interrupted(f"the stream ended at event {expected - 1} not done")
-
-
 def _quoted(segment: str) -> str:
     return parse.quote(segment, safe="")
-
-
-def _decoded(
-    response: urllib3.BaseHTTPResponse,
-    request: _Request,
-    is_named: bool = True,
-) -> Body:
-    try:
-        body = json.loads(response.read())
-    except (urllib3.exceptions.HTTPError, ValueError) as error:
-        raise _interrupted(
-            f"{request.path}: {causes.describe(error)}"
-        ) from error
-    if not isinstance(body, dict):
-        raise _interrupted(f"{request.path}: the answer is no object")
-    if response.status < 400 and "error" not in body:
-        return body
-    reported = _reported(body, response)
-    if not is_named and reported.code == results.ResultCode.UNKNOWN_PROGRAM:
-        # An alternative does not know the program before its takeover.
-        raise CallError(
-            results.ResultCode.OWNER_UNREACHABLE, reported.message, True
-        )
-    raise reported
-
-
-def _check_done(body: Body) -> None:
-    code = results.ResultCode(body["code"])
-    info = results.info(code)
-    if info.http_status >= 400:
-        message = str(body.get("message") or info.meaning)
-        raise CallError(code, message, info.not_run)
-
-
-def _reported(body: Body, response: urllib3.BaseHTTPResponse) -> CallError:
-    detail = body.get("error")
-    if not isinstance(detail, dict):
-        return _interrupted(f"status {response.status} without a result code")
-    try:
-        code = results.ResultCode(detail["code"])
-    except (KeyError, ValueError):
-        code = results.ResultCode.INTERNAL_ERROR
-    return CallError(
-        code,
-        str(detail.get("message", "")),
-        detail.get("not_run") is True,
-        _retry_after_ms(detail, response),
-    )
-
-
-def _retry_after_ms(
-    detail: Body, response: urllib3.BaseHTTPResponse
-) -> int | None:
-    value = detail.get("retry_after_ms")
-    if value is not None:
-        return int(value)
-    header = response.headers.get("Retry-After", "")
-    return int(header) * clocks.MS_PER_S if header.isdigit() else None
-
-
-def _not_sent(message: str) -> CallError:
-    return CallError(results.ResultCode.NOT_SENT, message, True)
-
-
-def _interrupted(message: str) -> CallError:
-    return CallError(_CUT_OFF, message, False)
-
-
-def _is_temporary(error: CallError) -> bool:
-    """Return whether the same request may have another answer later."""
-    if error.code in (_CUT_OFF, results.ResultCode.NOT_SENT):
-        return True
-    is_busy = results.info(error.code).http_status == 503
-    return error.not_run and (is_busy or error.retry_after_ms is not None)
--- a/packages/standins/src/balsamloom_standins/observations.py
+++ b/packages/standins/src/balsamloom_standins/observations.py
@@ -19,7 +19,7 @@
 import sseclient
 import urllib3
 
-from balsamloom_cli import client
+from balsamloom_cli import answers, client
 from balsamloom_core import results
 from balsamloom_standins import deployments, fleet
 
@@ -207,12 +207,12 @@
                 body = response.json()
             except urllib3.exceptions.HTTPError as error:
                 code = results.ResultCode.INTERRUPTED
-                raise client.CallError(code, str(error), False) from error
+                raise answers.CallError(code, str(error), False) from error
             if "error" not in body:
                 return COMPLETED, body
             code = results.ResultCode(body["error"]["code"])
             message = body["error"]["message"]
-            raise client.CallError(code, message, body["error"]["not_run"])
+            raise answers.CallError(code, message, body["error"]["not_run"])
 
         return self._logged((program_id, key, "", 0), run, Events())
 
@@ -309,7 +309,7 @@
         not_run = False
         try:
             code, answer = run()
-        except client.CallError as error:
+        except answers.CallError as error:
             code, not_run = int(error.code), error.not_run
             answer = error.message
         told = Told(
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -16,7 +16,7 @@
 
 import click
 
-from balsamloom_cli import client
+from balsamloom_cli import answers
 from balsamloom_core import errors
 from balsamloom_standins import checks, deployments, fleet, observations
 
@@ -345,7 +345,7 @@
     click.echo(f"seed {seed}, {steps} steps")
     try:
         found = run(seed, steps, click.echo)
-    except (client.CallError, errors.BalsamloomError, TimeoutError) as error:
+    except (answers.CallError, errors.BalsamloomError, TimeoutError) as error:
         found = [f"not quiet: {error!r}"]
     for finding in found:
         click.echo(finding)
