--- a/packages/cli/src/balsamloom_cli/operator.py
+++ b/packages/cli/src/balsamloom_cli/operator.py
@@ -3,26 +3,28 @@
 from __future__ import annotations
 
 import getpass
-import json
 import pathlib
-import time
 from typing import Any, NamedTuple
 
 import click
 import urllib3
 
-from balsamloom_cli import commands, entry_settings, status
+from balsamloom_cli import (
+    commands,
+    entry_settings,
+    operator_output,
+    status,
+)
 from balsamloom_configuration import document as documents
 from balsamloom_configuration import editing
 from balsamloom_core import clock as clocks
-from balsamloom_core import errors, results, settings
+from balsamloom_core import settings
 from balsamloom_platform import causes
 from balsamloom_platform import store as stores
 from balsamloom_state import partitions
 
 DEFAULT_STORE = "127.0.0.1:2379"
 DEFAULT_TIMEOUT_MS = 9_000
-MAX_SHOWN_CELL = 60
 
 SCHEMA: dict[str, Any] = {
     "type": "object",
@@ -154,7 +156,7 @@
     edit = _edit_in(session, file)
     current = _file_of(session.editor, edit.section)
     found = editing.differences(current["content"] or {}, edit.content or {})
-    _print_differences(session, found)
+    operator_output.print_differences(session.is_json, found)
 
 
 @config.command("check")
@@ -164,8 +166,8 @@
     """Check the whole document as it would be with FILE."""
     found = session.editor.check(_edit_in(session, file))
     if found:
-        _fail_invalid(session, found)
-    _print_result(session, {"valid": True}, "valid")
+        operator_output.fail_invalid(session.is_json, found)
+    operator_output.print_result(session.is_json, {"valid": True}, "valid")
 
 
 @config.command("apply")
@@ -212,7 +214,7 @@
     rows = [
         [
             change.revision,
-            _time(change.wall_ms),
+            operator_output.shown_time(change.wall_ms),
             change.author,
             change.section,
             change.comment,
@@ -273,7 +275,7 @@
         if wait_revision is None or not behind or is_over:
             break
         session.clock.sleep(status.POLL_INTERVAL_MS)
-    _print_status(session, found)
+    operator_output.print_status(session.is_json, found)
     if wait_revision is not None and behind:
         raise click.ClickException(
             f"revision {wait_revision} is not in force after {timeout_ms} ms "
@@ -335,7 +337,7 @@
 def check_settings(session: Session, file: pathlib.Path) -> None:
     """Check FILE without starting anything."""
     settings.load(file, entry_settings.schema())
-    _print_result(session, {"valid": True}, "valid")
+    operator_output.print_result(session.is_json, {"valid": True}, "valid")
 
 
 @settings_group.command("show")
@@ -374,13 +376,15 @@
 def _apply(session: Session, edit: editing.Edit, timeout_ms: int) -> None:
     match session.editor.apply(edit, timeout_ms):
         case editing.Applied(revision):
-            _print_result(
-                session, {"revision": revision}, f"applied as {revision}"
+            operator_output.print_result(
+                session.is_json,
+                {"revision": revision},
+                f"applied as {revision}",
             )
         case editing.Invalid(problems):
-            _fail_invalid(session, problems)
+            operator_output.fail_invalid(session.is_json, problems)
         case editing.Conflict() as conflict:
-            _fail_conflict(session, conflict)
+            operator_output.fail_conflict(session.is_json, conflict)
         case editing.Unresolved(edit_id, message):
             raise click.ClickException(
                 f"the outcome is unknown, since the store does not answer "
@@ -389,81 +393,6 @@
             )
 
 
-def _fail_invalid(session: Session, found: list[settings.Problem]) -> None:
-    if session.is_json:
-        problems = [problem._asdict() for problem in found]
-        commands.print_json({"problems": problems})
-    else:
-        for problem in found:
-            click.echo(str(problem))
-    raise errors.BalsamloomError(
-        results.ResultCode.CONFIGURATION_INVALID,
-        f"{len(found)} problems; nothing was written",
-    )
-
-
-def _fail_conflict(session: Session, conflict: editing.Conflict) -> None:
-    if session.is_json:
-        sides = {
-            name: side._asdict() if side else None
-            for name, side in (
-                ("base", conflict.base),
-                ("theirs", conflict.theirs),
-                ("yours", conflict.yours),
-            )
-        }
-        commands.print_json({"section": conflict.section, **sides})
-    else:
-        _print_conflict(session, conflict)
-    raise errors.BalsamloomError(
-        results.ResultCode.CONFIGURATION_CONFLICT,
-        f"section {conflict.section} is at revision "
-        f"{conflict.theirs.revision}, and your file is based on "
-        f"{conflict.yours.revision}; nothing was written",
-    )
-
-
-def _print_conflict(session: Session, conflict: editing.Conflict) -> None:
-    base = conflict.base
-    if base is None:
-        click.echo("the common base is no longer in the history")
-    for name, side in (("theirs", conflict.theirs), ("yours", conflict.yours)):
-        comment = f", {side.comment}" if side.comment else ""
-        click.echo(f"{name} ({side.author}{comment}), against the base:")
-        old = (base.content if base else None) or {}
-        found = editing.differences(old, side.content or {})
-        _print_differences(session, found)
-
-
-def _print_differences(
-    session: Session, found: list[editing.Difference]
-) -> None:
-    if session.is_json:
-        commands.print_json([difference._asdict() for difference in found])
-        return
-    for difference in found:
-        old, new = map(_cell, (difference.old, difference.new))
-        click.echo(f"  {difference.path}: {old} -> {new}")
-    if not found:
-        click.echo("  no differences")
-
-
-def _cell(value: Any) -> str:
-    if value is None:
-        return "(none)"
-    text = json.dumps(value, ensure_ascii=False)
-    if len(text) <= MAX_SHOWN_CELL:
-        return text
-    return text[: MAX_SHOWN_CELL - 3] + "..."
-
-
-def _print_result(session: Session, value: Any, text: str) -> None:
-    if session.is_json:
-        commands.print_json(value)
-    else:
-        click.echo(text)
-
-
 def _unnamed(address: str) -> partitions.Member:
     return partitions.Member("", address, "", "")
 
@@ -490,32 +419,3 @@
         for member in live
         if not member.has_revision(revision)
     ]
-
-
-def _print_status(session: Session, found: list[status.MemberStatus]) -> None:
-    if session.is_json:
-        commands.print_json([member._asdict() for member in found])
-        return
-    rows = [
-        [
-            member.member_id,
-            member.address,
-            member.failure_domain,
-            "leaving" if member.is_leaving else "live",
-            _number(member.configuration_revision),
-            _number(member.map_version),
-            member.problem,
-        ]
-        for member in found
-    ]
-    headings = ["MEMBER", "ADDRESS", "DOMAIN", "STATE", "REVISION", "MAP", ""]
-    commands.print_table(headings, rows)
-
-
-def _number(value: int | None) -> str:
-    return "unknown" if value is None else str(value)
-
-
-def _time(wall_ms: int) -> str:
-    seconds = time.gmtime(wall_ms / clocks.MS_PER_S)
-    return time.strftime("%Y-%m-%dT%H:%M:%SZ", seconds)
