Bound the time of a caller's whole head and body; start without a watch

- A caller that sent a byte now and then kept a thread for ever: the limits of CherryPy's server hold for each read (a head was still open after 11 s with a limit of 0.5 s).
They hold for all reads of a head, and of a body with the longer idle limit, now.
The tests fail before: no 408, no end of the body.
- What the server refuses by itself (400, 408, 413) is logged; the 400s that the unread bodies caused had no line.
It asks its source of records first now and watches if that has no fresh copy; the two tests fail before.

--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/caller_connections.py
@@ -0,0 +1,173 @@
+"""Connections of callers: strict heads, and bounds on time.
+
+The limits of CherryPy's server hold for each read. A caller that sends a byte
+now and then would keep a thread for ever, so these hold for all reads of a
+head or of a body.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+import socket
+import struct
+from typing import Any
+
+from cheroot import makefile
+from cheroot import server as cheroot_server
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+
+_CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
+# CherryPy's server knows a timeout by this argument.
+_TIMED_OUT = ("timed out",)
+
+
+class _UnfoldedLines:
+    """Rejects header lines that continue the one before."""
+
+    def __init__(self, rfile: Any) -> None:
+        self._rfile = rfile
+
+    def readline(self) -> bytes:
+        line: bytes = self._rfile.readline()
+        if line[:1] in (b" ", b"\t"):
+            raise ValueError("a header line continues the one before")
+        return line
+
+
+class _StrictHeaderReader(cheroot_server.HeaderReader):
+    """Rejects headers that two parsers may read in different ways.
+
+    Such a request could carry a second one in its body.
+    """
+
+    _SINGLE = (b"Content-Length", b"Transfer-Encoding", b"Host")
+
+    def __call__(
+        self, rfile: Any, hdict: dict[bytes, bytes] | None = None
+    ) -> dict[bytes, bytes]:
+        self._seen: set[bytes] = set()
+        headers: dict[bytes, bytes] = super().__call__(
+            _UnfoldedLines(rfile), hdict
+        )
+        length = headers.get(b"Content-Length")
+        if length is not None:
+            if b"Transfer-Encoding" in headers:
+                raise ValueError("Content-Length beside Transfer-Encoding")
+            if not length.isdigit():
+                raise ValueError("Content-Length is not a number")
+        return headers
+
+    def _transform_key(self, key_name: bytes) -> bytes:
+        if key_name != key_name.strip() or not key_name:
+            raise ValueError("white space around a header name")
+        key = key_name.title()
+        if key in self._SINGLE:
+            if key in self._seen:
+                raise ValueError("a header is given twice")
+            self._seen.add(key)
+        return key
+
+
+class _TimedSocket(socket.SocketIO):
+    """Reads that must all end before a time, besides each one's timeout."""
+
+    def __init__(self, connected: socket.socket, mode: Any) -> None:
+        super().__init__(connected, mode)
+        self._connected = connected
+        self._clock = clocks.Clock()
+        self.until_ms = math.inf
+
+    def readinto(self, buffer: Any) -> int | None:
+        left_ms = self.until_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            raise TimeoutError(*_TIMED_OUT)
+        usual_s = self._connected.gettimeout()
+        left_s = left_ms / clocks.MS_PER_S
+        if left_s < (usual_s or math.inf):
+            self._connected.settimeout(left_s)
+        try:
+            return super().readinto(buffer)
+        finally:
+            self._connected.settimeout(usual_s)
+
+
+class _TimedReader(makefile.StreamReader):
+    """Buffered reads of a connection, up to a time."""
+
+    def __init__(
+        self, connected: socket.socket, mode: Any, buffer_bytes: int
+    ) -> None:
+        super().__init__(connected, mode, buffer_bytes)
+        self.timed = _TimedSocket(connected, mode)
+        # The buffer stays empty until the first read.
+        self._raw = self.timed
+
+
+def _make_file(connected: socket.socket, mode: str, buffer_bytes: int) -> Any:
+    if "r" in mode:
+        return _TimedReader(connected, mode, buffer_bytes)
+    return makefile.StreamWriter(connected, mode, buffer_bytes)
+
+
+class _Request(cheroot_server.HTTPRequest):
+    header_reader = _StrictHeaderReader()
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        # A reader keeps what it has seen of one request.
+        self.header_reader = _StrictHeaderReader()
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Answer a request that no handler gets to see."""
+        events.log(
+            events.Event.REQUEST_REFUSED,
+            logging.WARNING,
+            status=int(status.partition(" ")[0]),
+            reason=msg or status,
+        )
+        super().simple_response(status, msg)
+
+
+class Connection(cheroot_server.HTTPConnection):
+    """Connection of a caller, with bounds on how long it may take to send.
+
+    ``is_reset_at_end`` makes its end a reset.
+    """
+
+    RequestHandlerClass = _Request
+    is_reset_at_end = False
+
+    def __init__(
+        self, server: Any, connected: socket.socket, _: Any = None
+    ) -> None:
+        super().__init__(server, connected, _make_file)
+        self._clock = clocks.Clock()
+
+    def communicate(self) -> bool:
+        """Serve one request; return whether further ones may follow."""
+        limit_s = self.server.header_timeout_s
+        self.socket.settimeout(limit_s)
+        self._read_within(limit_s)
+        return bool(super().communicate())  # type: ignore[no-untyped-call]
+
+    def begin_body(self) -> None:
+        """Give the caller its time for a request's body."""
+        self._read_within(
+            max(self.server.timeout, self.server.header_timeout_s)
+        )
+
+    def _read_within(self, limit_s: float) -> None:
+        until_ms = self._clock.now_ms() + limit_s * clocks.MS_PER_S
+        self.rfile.timed.until_ms = until_ms
+
+    def _close_kernel_socket(self) -> None:
+        """Send what ends the connection; its descriptor is closed next."""
+        if not self.is_reset_at_end:
+            super()._close_kernel_socket()  # type: ignore[misc]
+            return
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _CLOSE_WITH_RESET
+        )
--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -230,9 +230,17 @@
         else:
             self._feed.store_revision = revision
         self._must_list = False
-        if self._may_read_stale:
+        if self._may_read_stale and not self._follow_source():
             self._watch()
 
+    def _follow_source(self) -> bool:
+        """Learn from another member what an old listing lacks, if possible.
+
+        A fleet that starts would press on the store otherwise.
+        """
+        source = membership.source_of(self._name, self._fleet.members())
+        return source is not None and self._read_peer(source)
+
     def _watch(self) -> None:
         started_ms = self._clock.now_ms()
         wait_ms = int(self._intervals.store_ms)
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -8,8 +8,6 @@
 
 import functools
 import logging
-import socket
-import struct
 import threading
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
@@ -20,6 +18,7 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
+from balsamloom_gateway import caller_connections
 
 BACKLOG = 512
 KEPT_CONNECTIONS = 2_000
@@ -28,7 +27,6 @@
 # Interval at which idle connections are checked for their timeout.
 EXPIRY_INTERVAL_S = 1.0
 READ_BYTES = 65_536
-_CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -220,80 +218,6 @@
 Handler = Callable[[Request, Reply], None]
 
 
-class _UnfoldedLines:
-    """Rejects header lines that continue the one before."""
-
-    def __init__(self, rfile: Any) -> None:
-        self._rfile = rfile
-
-    def readline(self) -> bytes:
-        line: bytes = self._rfile.readline()
-        if line[:1] in (b" ", b"\t"):
-            raise ValueError("a header line continues the one before")
-        return line
-
-
-class _StrictHeaderReader(cheroot_server.HeaderReader):
-    """Rejects headers that two parsers may read in different ways.
-
-    Such a request could carry a second one in its body.
-    """
-
-    _SINGLE = (b"Content-Length", b"Transfer-Encoding", b"Host")
-
-    def __call__(
-        self, rfile: Any, hdict: dict[bytes, bytes] | None = None
-    ) -> dict[bytes, bytes]:
-        self._seen: set[bytes] = set()
-        headers: dict[bytes, bytes] = super().__call__(
-            _UnfoldedLines(rfile), hdict
-        )
-        length = headers.get(b"Content-Length")
-        if length is not None:
-            if b"Transfer-Encoding" in headers:
-                raise ValueError("Content-Length beside Transfer-Encoding")
-            if not length.isdigit():
-                raise ValueError("Content-Length is not a number")
-        return headers
-
-    def _transform_key(self, key_name: bytes) -> bytes:
-        if key_name != key_name.strip() or not key_name:
-            raise ValueError("white space around a header name")
-        key = key_name.title()
-        if key in self._SINGLE:
-            if key in self._seen:
-                raise ValueError("a header is given twice")
-            self._seen.add(key)
-        return key
-
-
-class _Request(cheroot_server.HTTPRequest):
-    header_reader = _StrictHeaderReader()
-
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
-        # A reader keeps what it has seen of one request.
-        self.header_reader = _StrictHeaderReader()
-
-
-class _Connection(cheroot_server.HTTPConnection):
-    RequestHandlerClass = _Request
-    is_reset_at_end = False
-
-    def _close_kernel_socket(self) -> None:
-        """Send what ends the connection; its descriptor is closed next."""
-        if not self.is_reset_at_end:
-            super()._close_kernel_socket()  # type: ignore[misc]
-            return
-        self.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, _CLOSE_WITH_RESET
-        )
-
-    def communicate(self) -> bool:
-        self.socket.settimeout(self.server.header_timeout_s)
-        return bool(super().communicate())  # type: ignore[no-untyped-call]
-
-
 class _Gateway(cheroot_server.Gateway):
     def __init__(self, listener: Listener, req: Any) -> None:
         super().__init__(req)
@@ -301,6 +225,7 @@
 
     def respond(self) -> None:
         listener = self._listener
+        self.req.conn.begin_body()
         request = Request(self.req)
         reply = Reply(self.req, listener.is_leaving)
         with listener.activity:
@@ -361,7 +286,7 @@
         server: Any = cheroot_server.HTTPServer(
             (host, int(port)), functools.partial(_Gateway, self)
         )
-        server.ConnectionClass = _Connection
+        server.ConnectionClass = caller_connections.Connection
         server.request_queue_size = BACKLOG
         server.keep_alive_conn_limit = KEPT_CONNECTIONS
         server.expiration_interval = EXPIRY_INTERVAL_S
--- a/packages/gateway/tests/test_listeners.py
+++ b/packages/gateway/tests/test_listeners.py
@@ -143,5 +143,71 @@
             self.assertEqual(caller.recv(1_000), b"")
 
 
+class DrippingCallerTest(unittest.TestCase):
+    """Guards against callers that keep a thread with a byte now and then."""
+
+    HEAD_MS = 400.0
+    IDLE_MS = 900.0
+
+    def setUp(self):
+        self.errors = []
+        self.listener = listeners.Listener(
+            "127.0.0.1:0",
+            self.work,
+            LIMITS._replace(
+                header_timeout_ms=self.HEAD_MS, idle_timeout_ms=self.IDLE_MS
+            ),
+        )
+        self.addCleanup(self.listener.stop_accepting)
+        self.listener.start()
+
+    def work(self, request, reply):
+        """Read the whole body."""
+        try:
+            request.read_body()
+        except listeners.MalformedBodyError as error:
+            self.errors.append(str(error))
+            reply.close_after()
+            reply.send(400, ())
+            return
+        reply.send(200, ())
+
+    def answer_to(self, data, pause_s):
+        """Send bytes one by one; return the answer and when it came."""
+        address = self.listener.address.split(":")
+        started_s = time.monotonic()
+        with socket.create_connection(address, timeout=pause_s) as caller:
+            for position in range(len(data)):
+                caller.sendall(data[position : position + 1])
+                try:
+                    return caller.recv(100), time.monotonic() - started_s
+                except TimeoutError:
+                    continue
+        return b"", time.monotonic() - started_s
+
+    def test_head_that_drips_ends_after_the_limit(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 60
+        answer, taken_s = self.answer_to(head, 0.05)
+        self.assertIn(b"408", answer)
+        self.assertLess(taken_s, 2 * self.HEAD_MS / 1_000)
+
+    def test_body_that_drips_ends_after_the_limit(self):
+        address = self.listener.address.split(":")
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90\r\n\r\n"
+        started_s = time.monotonic()
+        with socket.create_connection(address, timeout=0.05) as caller:
+            caller.sendall(head)
+            while not self.errors and time.monotonic() < started_s + 4:
+                caller.sendall(b"a")
+                time.sleep(0.05)
+        self.assertTrue(self.errors)
+        self.assertLess(time.monotonic() - started_s, 2 * self.IDLE_MS / 1_000)
+
+    def test_slow_head_within_the_limit_is_served(self):
+        head = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        answer, _ = self.answer_to(head, 0.005)
+        self.assertIn(b"200", answer)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -288,6 +288,21 @@
         self.assertEqual(len(self.store.calls), calls)
         self.assertEqual(len(view.servers()), 1)
 
+    def test_member_that_starts_beside_a_fresh_one_does_not_watch(self):
+        _, first = self.start("m1")
+        first.read_once()
+        calls = len(self.store.calls)
+        view, second = self.start("m2")
+        second.read_once()
+        self.assertEqual(set(self.store.calls[calls:]), {"list"})
+        self.assertEqual(view.in_force.configuration.version, 1)
+
+    def test_member_that_starts_without_a_fresh_one_watches(self):
+        self.start("m1")
+        _, second = self.start("m2")
+        second.read_once()
+        self.assertEqual(self.store.calls[-1], "watch")
+
     def test_member_whose_source_is_gone_reads_the_store(self):
         _, first = self.start("m1")
         view, second = self.start("m2")
