--- a/packages/standins/src/balsamloom_standins/checks.py
+++ b/packages/standins/src/balsamloom_standins/checks.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
-from balsamloom_standins import _cache, observations
+from balsamloom_standins import _cache, evidence, observations
 
 
 def runs_by_key(runs: Iterable[dict[str, Any]]) -> collections.Counter[str]:
@@ -190,7 +190,7 @@
     """
     made: collections.Counter[str] = collections.Counter()
     for request in requests:
-        made[observations.program_of(request["tag"])] += request["made"]
+        made[evidence.program_of(request["tag"])] += request["made"]
     return [
         f"R3: {program_id} used {made[program_id]} tokens of {budget}"
         for program_id, budget in budgets.items()
@@ -207,7 +207,7 @@
     return [
         f"R4: memory is held for {tag}"
         for tag in tags
-        if observations.program_of(tag) in ended
+        if evidence.program_of(tag) in ended
     ]
 
 
--- a/scenarios/steps/calls.py
+++ b/scenarios/steps/calls.py
@@ -7,7 +7,7 @@
 import behave
 import support
 
-from balsamloom_standins import observations
+from balsamloom_standins import evidence, observations
 
 behave.use_step_matcher("parse")
 
@@ -207,8 +207,8 @@
 
 @behave.when("the programs end")
 def end_programs(context):
-    tags = observations.holds(context.deployment.engines)
-    held = {observations.program_of(tag) for tag in tags}
+    tags = evidence.holds(context.deployment.engines)
+    held = {evidence.program_of(tag) for tag in tags}
     assert held & set(support.programs(context)), (
         "engines hold no memory before"
     )
@@ -240,8 +240,7 @@
     support.until(
         context,
         lambda: all(
-            observations.records([engine])
-            for engine in context.deployment.engines
+            evidence.records([engine]) for engine in context.deployment.engines
         ),
         "all engines serve",
     )
--- a/scenarios/steps/faults.py
+++ b/scenarios/steps/faults.py
@@ -8,7 +8,7 @@
 from balsamloom_configuration import editing
 from balsamloom_core import clock as clocks
 from balsamloom_platform import store as stores
-from balsamloom_standins import observations
+from balsamloom_standins import evidence, observations
 
 behave.use_step_matcher("parse")
 
@@ -226,7 +226,7 @@
 @behave.when("an operator applies an edit")
 def apply_edit(context):
     deployment = context.deployment
-    sampler = observations.RevisionSampler(
+    sampler = evidence.RevisionSampler(
         lambda: deployment.entries, deployment.status
     )
     sampler.start()
--- a/scenarios/steps/outcomes.py
+++ b/scenarios/steps/outcomes.py
@@ -11,7 +11,7 @@
 from balsamloom_core import clock as clocks
 from balsamloom_core import results
 from balsamloom_platform import store as stores
-from balsamloom_standins import checks, observations
+from balsamloom_standins import checks, evidence, observations
 
 behave.use_step_matcher("parse")
 
@@ -101,7 +101,7 @@
         found = [
             request
             for request in requests
-            if observations.program_of(request["tag"]) == program_id
+            if evidence.program_of(request["tag"]) == program_id
         ]
         assert found, "no engine saw the program"
         messages = context.caller.show(program_id)["messages"]
@@ -130,7 +130,7 @@
     made = sum(
         request["made"]
         for request in requests
-        if observations.program_of(request["tag"]) in budgets
+        if evidence.program_of(request["tag"]) in budgets
     )
     limit = budgets[context.program_id]["generated_tokens"]
     assert 0 < made <= limit, f"{made} tokens of {limit}"
@@ -247,7 +247,7 @@
 @behave.then("no engine memory is held for them after {seconds:d} s")
 def memory_released(context, seconds):
     def findings():
-        tags = observations.holds(context.deployment.engines)
+        tags = evidence.holds(context.deployment.engines)
         return checks.check_holds(tags, context.caller.ended)
 
     limit_s = context.since_s + seconds - time.monotonic()
@@ -342,7 +342,7 @@
     def begun(engines):
         return [
             record
-            for record in observations.records(engines)
+            for record in evidence.records(engines)
             if record["start_s"] > start_s
         ]
 
--- a/scenarios/support.py
+++ b/scenarios/support.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-from balsamloom_standins import checks, observations
+from balsamloom_standins import checks, evidence
 
 # What a stated time may take longer on its way to the test.
 TRANSPORT_S = 0.5
@@ -20,11 +20,11 @@
 
 
 def all_runs(context):
-    return observations.records(context.deployment.tools)
+    return evidence.records(context.deployment.tools)
 
 
 def all_requests(context):
-    return observations.records(context.deployment.engines)
+    return evidence.records(context.deployment.engines)
 
 
 def own_runs(context):
@@ -96,7 +96,7 @@
     """Return whether every program's latest request has some tokens."""
     made = {}
     for request in all_requests(context):
-        program_id = observations.program_of(request["tag"])
+        program_id = evidence.program_of(request["tag"])
         made[program_id] = max(made.get(program_id, 0), request["made"])
     return all(
         made.get(program_id, 0) >= at_least for program_id in programs(context)
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -18,7 +18,13 @@
 
 from balsamloom_cli import answers
 from balsamloom_core import errors
-from balsamloom_standins import checks, deployments, fleet, observations
+from balsamloom_standins import (
+    checks,
+    deployments,
+    evidence,
+    fleet,
+    observations,
+)
 
 STEP_S = 0.8
 PROGRAMS = 4
@@ -53,7 +59,7 @@
         self._caller = observations.LoggedCaller(
             self._deployment, CALL_TIMEOUT_MS
         )
-        self._sampler = observations.RevisionSampler(
+        self._sampler = evidence.RevisionSampler(
             lambda: self._deployment.live_entries(), self._deployment.status
         )
         self._names = itertools.count(100)
@@ -246,8 +252,8 @@
 
     def _check(self) -> None:
         caller = self._caller
-        runs = observations.records(self._deployment.tools)
-        requests = observations.records(self._deployment.engines)
+        runs = evidence.records(self._deployment.tools)
+        requests = evidence.records(self._deployment.engines)
         self.findings += checks.check_order(
             runs, observations.TOOL_TIMEOUT_MS / 1000
         )
@@ -272,7 +278,7 @@
         own = [
             request
             for request in requests
-            if observations.program_of(str(request["tag"])) == program_id
+            if evidence.program_of(str(request["tag"])) == program_id
         ]
         self.findings += checks.check_prompts(own, messages, told)
 
@@ -281,7 +287,7 @@
             self._caller.end(program_id)
 
         def findings() -> list[str]:
-            tags = observations.holds(self._deployment.engines)
+            tags = evidence.holds(self._deployment.engines)
             return checks.check_holds(tags, self._caller.ended)
 
         try:
