--- a/packages/gateway/tests/test_conversations.py
+++ b/packages/gateway/tests/test_conversations.py
@@ -176,6 +176,16 @@
         self.cluster.run_rounds()
         self.assertEqual(self.read("t", reader=self.edge()), turns.Absent())
 
+    def test_absent_beside_a_host_that_is_gone_and_a_new_one(self):
+        # The new host, which never had a turn, does not wait for the word of
+        # the one that it replaces.
+        self.cluster.node("a1").stop()
+        node = storage_nodes.StorageNode("d1", self.cluster)
+        node.copies.is_whole = False
+        self.cluster.nodes.append(node)
+        self.cluster.run_rounds(3)
+        self.assertEqual(self.read("t", reader=self.edge()), turns.Absent())
+
     def test_chain_with_a_gap_is_read_from_another_host(self):
         first, second = (
             storage_nodes.turn("t1"),
