Count the way through the tree of readers before an outage is seen

Cause: on the third level of the tree a copy of the store's records is usually 1.5 s old or older, which counted as an outage of the store; 136 of 171 members therefore held the registration of a server that had left (registration_deleted with is_held) for 2.5 s more and sent it requests up to 5.1 s after it had said that it leaves. Ruled out: late news (all members knew after 2.2 s), the feed's new filter (same evidence).

Change: a member adds what passing a copy on through its level may cost. The test of an age that the way explains fails without the parameter, as the one of an outage shows.

--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -159,16 +159,18 @@
         if in_force is not None and in_force is not former_configuration:
             self.on_configuration(in_force)
 
-    def note_age(self, age_ms: float | None) -> None:
+    def note_age(self, age_ms: float | None, on_way_ms: float = 0.0) -> None:
         """Take in the age of the copy that this process reads.
 
         Registrations held over an outage are dropped when their time is over.
+
+        :param on_way_ms: part of the age that passing it on may cost.
         """
         now_ms = self._clock.now_ms()
         with self._lock:
             if age_ms is None:
                 return
-            if age_ms > OUTAGE_AGE_MS:
+            if age_ms > OUTAGE_AGE_MS + on_way_ms:
                 self._is_stale = True
             elif self._is_stale:
                 self._is_stale = False
--- a/packages/gateway/src/balsamloom_gateway/membership.py
+++ b/packages/gateway/src/balsamloom_gateway/membership.py
@@ -35,6 +35,16 @@
     return members[(before - 1) // FOLLOWERS_MAX]
 
 
+def level_of(name: str, members: Sequence[traffic.Member]) -> int:
+    """Return how many members stand between a member and the store."""
+    level = 0
+    place = rank_of(name, members)
+    while place:
+        place = (place - 1) // FOLLOWERS_MAX
+        level += 1
+    return level
+
+
 def rank_of(name: str, members: Sequence[traffic.Member]) -> int:
     """Return how many members stand before a member."""
     return sum(member.name < name for member in members)
--- a/packages/gateway/tests/test_decisions.py
+++ b/packages/gateway/tests/test_decisions.py
@@ -198,6 +198,14 @@
         most = max(sources.count(name) for name in set(sources))
         self.assertLessEqual(most, membership.FOLLOWERS_MAX)
 
+    def test_level_counts_the_sources_before_the_store(self):
+        for member in self.members:
+            expected, name = 0, member.name
+            while source := membership.source_of(name, self.members):
+                expected, name = expected + 1, source.name
+            found = membership.level_of(member.name, self.members)
+            self.assertEqual(found, expected)
+
     def test_unregistered_member_has_a_source(self):
         source = membership.source_of("zzz", self.members)
         self.assertIn(source, self.members)
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -110,6 +110,14 @@
         self.fleet.note_age(0.0)
         self.assertEqual(self.server_ids(), [])
 
+    def test_age_that_the_way_through_the_tree_explains_is_no_outage(self):
+        # Members on the third level held servers that had left for 2.5 s more.
+        self.put("server/s1", record(), 1)
+        self.fleet.note_age(fleet.OUTAGE_AGE_MS + 1_000.0, 1_200.0)
+        self.fleet.note_age(0.0)
+        self.fleet.apply([interfaces.Deleted("server/s1", 2)])
+        self.assertEqual(self.server_ids(), [])
+
     def test_server_that_returns_after_an_outage_stays(self):
         self.put("server/s1", record(), 1)
         self.fleet.note_age(3_000.0)
