Review: one codec of registrations, one rule of the tree, a plain reader

fleet had two copies of encoding and decoding a registration; membership stated twice where a member's source stands; caller_connections had a class that only swapped the raw file below a buffer, and a class attribute that each instance replaced. No change of behaviour.

--- a/packages/gateway/src/balsamloom_gateway/caller_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/caller_connections.py
@@ -20,8 +20,8 @@
 from balsamloom_core import events
 
 _CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
-# CherryPy's server knows a timeout by this argument.
-_TIMED_OUT = ("timed out",)
+# CherryPy's server knows a timeout by this text.
+TIMED_OUT = "timed out"
 
 
 class _UnfoldedLines:
@@ -83,7 +83,7 @@
     def readinto(self, buffer: Any) -> int | None:
         left_ms = self.until_ms - self._clock.now_ms()
         if left_ms <= 0:
-            raise TimeoutError(*_TIMED_OUT)
+            raise TimeoutError(TIMED_OUT)
         usual_s = self._connected.gettimeout()
         left_s = left_ms / clocks.MS_PER_S
         if left_s < (usual_s or math.inf):
@@ -94,30 +94,20 @@
             self._connected.settimeout(usual_s)
 
 
-class _TimedReader(makefile.StreamReader):
-    """Buffered reads of a connection, up to a time."""
-
-    def __init__(
-        self, connected: socket.socket, mode: Any, buffer_bytes: int
-    ) -> None:
-        super().__init__(connected, mode, buffer_bytes)
-        self.timed = _TimedSocket(connected, mode)
-        # The buffer stays empty until the first read.
-        self._raw = self.timed
-
-
 def _make_file(connected: socket.socket, mode: str, buffer_bytes: int) -> Any:
-    if "r" in mode:
-        return _TimedReader(connected, mode, buffer_bytes)
-    return makefile.StreamWriter(connected, mode, buffer_bytes)
+    """Return a buffered reader or writer; reads end at one time."""
+    if "r" not in mode:
+        return makefile.StreamWriter(connected, mode, buffer_bytes)
+    reader: Any = makefile.StreamReader(connected, mode, buffer_bytes)
+    # The buffer is empty until the first read.
+    reader._raw = _TimedSocket(connected, mode)
+    return reader
 
 
 class _Request(cheroot_server.HTTPRequest):
-    header_reader = _StrictHeaderReader()
-
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        # A reader keeps what it has seen of one request.
+        # One for each request: it keeps what it has seen.
         self.header_reader = _StrictHeaderReader()
 
     def simple_response(self, status: str, msg: str = "") -> None:
@@ -161,7 +151,7 @@
 
     def _read_within(self, limit_s: float) -> None:
         until_ms = self._clock.now_ms() + limit_s * clocks.MS_PER_S
-        self.rfile.timed.until_ms = until_ms
+        self.rfile.raw.until_ms = until_ms
 
     def _close_kernel_socket(self) -> None:
         """Send what ends the connection; its descriptor is closed next."""
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -6,7 +6,8 @@
 import logging
 import math
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import TypeVar
 
 from balsamloom_conversations import replicas
 from balsamloom_core import clock as clocks
@@ -19,6 +20,8 @@
     traffic,
 )
 
+T = TypeVar("T")
+
 # Registrations that lapsed while the store was away return within this time
 # after it is back; those that do not are gone.
 LAPSE_HOLD_MS = 2_500.0
@@ -350,7 +353,7 @@
 
 def encode_member(member: traffic.Member) -> bytes:
     """Encode a member's registration."""
-    return json.dumps(member._asdict(), separators=(",", ":")).encode()
+    return _encode(member._asdict())
 
 
 def decode_member(value: bytes) -> traffic.Member:
@@ -358,15 +361,12 @@
 
     :raises InvalidRecordError: it cannot be read.
     """
-    try:
-        return traffic.Member(**json.loads(value))
-    except (ValueError, TypeError) as error:
-        raise interfaces.InvalidRecordError(str(error)) from error
+    return _decode(traffic.Member, value)
 
 
 def encode_storage_host(host: replicas.StorageHost) -> bytes:
     """Encode a storage host's registration."""
-    return json.dumps(host._asdict(), separators=(",", ":")).encode()
+    return _encode(host._asdict())
 
 
 def decode_storage_host(value: bytes) -> replicas.StorageHost:
@@ -374,7 +374,15 @@
 
     :raises InvalidRecordError: it cannot be read.
     """
+    return _decode(replicas.StorageHost, value)
+
+
+def _encode(fields: Mapping[str, str]) -> bytes:
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def _decode(kind: Callable[..., T], value: bytes) -> T:
     try:
-        return replicas.StorageHost(**json.loads(value))
+        return kind(**json.loads(value))
     except (ValueError, TypeError) as error:
         raise interfaces.InvalidRecordError(str(error)) from error
--- a/packages/gateway/src/balsamloom_gateway/membership.py
+++ b/packages/gateway/src/balsamloom_gateway/membership.py
@@ -32,7 +32,7 @@
     before = rank_of(name, members)
     if before == 0:
         return None
-    return members[(before - 1) // FOLLOWERS_MAX]
+    return members[_source_place(before)]
 
 
 def level_of(name: str, members: Sequence[traffic.Member]) -> int:
@@ -40,11 +40,16 @@
     level = 0
     place = rank_of(name, members)
     while place:
-        place = (place - 1) // FOLLOWERS_MAX
+        place = _source_place(place)
         level += 1
     return level
 
 
+def _source_place(place: int) -> int:
+    """Return where in the order the source of a member stands."""
+    return (place - 1) // FOLLOWERS_MAX
+
+
 def rank_of(name: str, members: Sequence[traffic.Member]) -> int:
     """Return how many members stand before a member."""
     return sum(member.name < name for member in members)
