--- /dev/null
+++ b/packages/gateway/tests/gateway_case.py
@@ -0,0 +1,180 @@
+"""Gateway of one process in front of scripted servers, for tests."""
+
+import http.client
+import random
+import threading
+import time
+import unittest
+
+import builders
+import scripted
+
+from balsamloom_core import clock as clocks
+from balsamloom_gateway import (
+    balancer,
+    budgets,
+    conversations,
+    dispatch,
+    fleet,
+    ledger_book,
+    listeners,
+    metrics,
+    peers,
+    planner,
+    proxy,
+    responses,
+    traffic,
+)
+
+KINDS = {
+    "/idempotent/": traffic.RouteKind.IDEMPOTENT,
+    "/once/": traffic.RouteKind.NON_IDEMPOTENT,
+    "/stream/": traffic.RouteKind.STREAMING,
+    "/resumable/": traffic.RouteKind.STREAMING,
+    "/kept/": traffic.RouteKind.STREAMING,
+}
+COPIES = 2
+LIMITS = listeners.Limits(32, 4_096, 100_000, 500.0, 5_000.0)
+
+
+class Gateway:
+    """Listener, proxy and store of one process, for tests.
+
+    :param servers: addresses of backend servers by identifier.
+    """
+
+    def __init__(self, servers):
+        clock = clocks.Clock()
+        records = builders.Records()
+        self.store = builders.Store()
+        self.fleet = fleet.Fleet(records, clock)
+        self.balancer = balancer.Balancer(clock, "a", random.Random(1))
+        self.book = ledger_book.LedgerBook(self.store, records, clock)
+        self.planned = balancer.Balancer(clock, "a", random.Random(2))
+        accounts = budgets.Budgets(
+            "m1",
+            self.book,
+            planner.TurnPlanner("m1", self.planned, self.fleet, clock),
+            peers.PeerClients(clock),
+            self.fleet,
+            clock,
+        )
+        self.storage_hosts = []
+        codec = builders.Codec()
+        responder = responses.Responder(codec, clock, metrics.Metrics())
+        self.dispatcher = dispatch.Dispatcher(
+            self.balancer, responder, codec, clock
+        )
+        self.proxy = proxy.Proxy(
+            self.fleet,
+            self.dispatcher,
+            accounts,
+            conversations.Conversations(
+                lambda: self.storage_hosts,
+                peers.PeerClients(clock),
+                clock,
+                "a",
+                COPIES,
+            ),
+            responder,
+            codec,
+            clock,
+        )
+        self.listener = listeners.Listener(
+            "127.0.0.1:0", self.proxy.handle, LIMITS
+        )
+        self.set_servers(servers)
+        self.listener.start()
+        threading.Thread(target=self.book.run, daemon=True).start()
+
+    def configure(self):
+        """Put a configuration with a route of each kind into force."""
+        routes = tuple(
+            builders.route(kind, prefix=prefix, max_attempts=2)._replace(
+                is_resumable="resumable" in prefix,
+                is_stateful="kept" in prefix,
+            )
+            for prefix, kind in KINDS.items()
+        )
+        self.fleet._in_force = fleet.InForce(builders.configuration(1, routes))
+
+    def set_servers(self, servers):
+        """Take backend servers by identifier and address."""
+        found = [
+            builders.server(name)._replace(address=address)
+            for name, address in servers.items()
+        ]
+        self.balancer.set_servers(found)
+        self.planned.set_servers(found)
+
+    def wait_for_kept_connection(self):
+        """Wait until a connection to a server is kept for the next call."""
+        until_s = time.monotonic() + 5
+        while not any(
+            pool._idle for pool in list(self.dispatcher._pools.values())
+        ):
+            assert time.monotonic() < until_s, "no connection is kept"
+            time.sleep(0.005)
+
+    def close(self):
+        """Stop serving."""
+        self.book.stop()
+        self.listener.stop_accepting()
+
+
+class GatewayCase(unittest.TestCase):
+    """Test case with a gateway and scripted servers behind it."""
+
+    def start(self, *scripts):
+        self.servers = []
+        addresses = {}
+        for number, script in enumerate(scripts):
+            server = scripted.ScriptedServer(
+                lambda connection, count, script=script: script(
+                    connection, count
+                )
+            )
+            self.addCleanup(server.close)
+            self.servers.append(server)
+            addresses[f"s{number}"] = server.address
+        gateway = Gateway(addresses)
+        gateway.configure()
+        self.addCleanup(gateway.close)
+        self.gateway = gateway
+        return gateway
+
+    def answering(self, *answers, then=None):
+        """Return a script that reads a request and sends answers."""
+
+        def script(connection, _):
+            owner = self.owner(connection)
+            while owner.read_request(connection):
+                for data in answers:
+                    connection.sendall(data)
+                if then is not None:
+                    then(connection)
+                    return
+
+        return script
+
+    def owner(self, connection):
+        port = connection.getsockname()[1]
+        return next(
+            server
+            for server in self.servers
+            if server.address.endswith(f":{port}")
+        )
+
+    def request(self, path="/idempotent/x", headers=None, body=None):
+        connection = http.client.HTTPConnection(
+            self.gateway.listener.address, timeout=5
+        )
+        self.addCleanup(connection.close)
+        fields = {"Host": "h.example", "Request-Id": "r1", **(headers or {})}
+        method = "POST" if body is not None else "GET"
+        connection.request(method, path, body, fields)
+        response = connection.getresponse()
+        return response, response.read()
+
+    def runs(self):
+        return sum(len(server.received) for server in self.servers)
--- a/packages/gateway/tests/scripted.py
+++ b/packages/gateway/tests/scripted.py
@@ -86,3 +86,12 @@
         f"{fields}Content-Length: {len(body)}\r\n\r\n"
     )
     return head.encode() + body
+
+
+def chunked_head(request_id: str = "r1", fields: str = "") -> bytes:
+    """Build the head of an answer whose body comes in chunks."""
+    head = (
+        f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nSigned: 1\r\n"
+        f"{fields}Transfer-Encoding: chunked\r\n\r\n"
+    )
+    return head.encode()
--- /dev/null
+++ b/packages/gateway/tests/test_turn_path.py
@@ -0,0 +1,152 @@
+"""Tests of turns of conversations, from a caller to a server and back."""
+
+import http.client
+import socket
+import threading
+import unittest
+
+import gateway_case
+import scripted
+import storage_nodes
+
+
+class TurnPathTest(gateway_case.GatewayCase):
+    """Guards against turns that servers get without what came before."""
+
+    def setUp(self):
+        self.cluster = storage_nodes.StorageCluster("a1 b1 c1", True)
+        self.addCleanup(self.cluster.close)
+
+    def start(self, *scripts):
+        gateway = super().start(*scripts)
+        gateway.storage_hosts = self.cluster.hosts()
+        return gateway
+
+    def engine(self, connection, _):
+        """Answer each turn with events that name it."""
+        owner = self.owner(connection)
+        while request := owner.read_request(connection):
+            name = request.split(b"Request-Id: ")[1].split(b"\r\n")[0]
+            connection.sendall(scripted.chunked_head(name.decode()))
+            for number in (1, 2):
+                event = b"id: %d\ndata: %s-%d\n\n" % (number, name, number)
+                connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            connection.sendall(b"0\r\n\r\n")
+
+    def turn(self, name, previous="", program="p"):
+        headers = {"Request-Id": name, "Program": program}
+        if previous:
+            headers["Previous"] = previous
+        return self.request("/kept/", headers, f"in-{name} ".encode())
+
+    def bodies(self):
+        return [
+            request.partition(b"\r\n\r\n")[2]
+            for request in self.servers[0].received
+        ]
+
+    def test_server_gets_the_whole_chain(self):
+        self.start(self.engine)
+        response, body = self.turn("r1")
+        self.assertEqual(response.status, 200)
+        self.assertTrue(body.startswith(b"id: 1\ndata: r1-1\n\n"))
+        self.turn("r2", "r1")
+        self.turn("r3", "r2", "another program")
+        self.turn("r4", "r1")
+        first = b"in-r1 r1-1\nr1-2\n"
+        second = first + b"in-r2 r2-1\nr2-2\n"
+        self.assertEqual(
+            self.bodies(),
+            [b"in-r1 ", first + b"in-r2 ", second + b"in-r3 "]
+            + [first + b"in-r4 "],
+        )
+
+    def test_unknown_turn_is_not_found_and_reaches_no_server(self):
+        self.start(self.engine)
+        for previous in ("unknown", "r1", "x" * 400):
+            self.assertEqual(self.turn("r1", previous)[0].status, 404)
+        self.assertEqual(self.runs(), 0)
+
+    def test_turn_that_may_exist_is_refused_for_now(self):
+        self.start(self.engine)
+        self.cluster.node("b1").stop()
+        response, _ = self.turn("r1", "unknown")
+        self.assertEqual(response.status, 503)
+        self.assertGreater(float(response.headers["Retry-After"]), 0)
+        self.assertEqual(self.runs(), 0)
+
+    def test_turn_that_cannot_be_kept_does_not_look_complete(self):
+        self.start(self.engine)
+        for name in ("a1", "b1"):
+            self.cluster.node(name).stop()
+        with self.assertRaises(http.client.IncompleteRead):
+            self.turn("r1")
+
+    def test_turn_that_no_known_host_could_keep_is_refused_at_once(self):
+        # A process that has just started may not know the hosts yet.
+        gateway = self.start(self.engine)
+        gateway.storage_hosts = self.cluster.hosts()[:1]
+        response, _ = self.turn("r1")
+        self.assertEqual(response.status, 503)
+        self.assertGreater(float(response.headers["Retry-After"]), 0)
+        self.assertEqual(self.runs(), 0)
+
+    def test_events_are_not_held_until_the_turn_is_kept(self):
+        gate = threading.Event()
+        self.start(self.engine)
+        for node in self.cluster.nodes:
+            add = node.database.add
+            node.commits._add = lambda found, add=add: (
+                gate.wait(5),
+                add(found),
+            )
+        caller = socket.create_connection(
+            self.gateway.listener.address.split(":"), 5
+        )
+        self.addCleanup(caller.close)
+        caller.sendall(
+            b"POST /kept/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+            b"Content-Length: 1\r\n\r\nx"
+        )
+        received = b""
+        while b"r1-2\n\n" not in received:
+            received += caller.recv(4_096)
+        caller.settimeout(0.3)
+        with self.assertRaises(TimeoutError):
+            while True:
+                received += caller.recv(4_096)
+        self.assertFalse(received.endswith(b"0\r\n\r\n"))
+        gate.set()
+        caller.settimeout(5)
+        while not received.endswith(b"0\r\n\r\n"):
+            received += caller.recv(4_096)
+
+    def test_broken_answer_is_no_turn(self):
+        head = scripted.chunked_head()
+        event = b"id: 1\ndata: a\n\n"
+        chunk = b"%x\r\n%s\r\n" % (len(event), event)
+        self.start(self.answering(head, chunk, then=socket.socket.close))
+        with self.assertRaises(http.client.IncompleteRead):
+            self.turn("r1")
+        for node in self.cluster.nodes:
+            self.assertEqual(node.database.counts().turns, 0)
+
+    def test_failed_answer_is_passed_on_and_not_kept(self):
+        self.start(self.answering(scripted.answer(status="500 Failed")))
+        self.assertEqual(self.turn("r1")[0].status, 500)
+        for node in self.cluster.nodes:
+            self.assertEqual(node.database.counts().turns, 0)
+
+    def test_conversation_over_the_body_limit_is_too_large(self):
+        gateway = self.start(self.engine)
+        self.turn("r1")
+        limits = gateway.fleet.in_force.configuration.limits
+        configuration = gateway.fleet.in_force.configuration._replace(
+            limits=limits._replace(body_bytes=20)
+        )
+        gateway.fleet._in_force.configuration = configuration
+        self.assertEqual(self.turn("r2", "r1")[0].status, 413)
+
+
+if __name__ == "__main__":
+    unittest.main()
