Say that a turn does not exist beside a storage host that is gone

Cause: the word of all registered hosts was asked for. Each turn lies on one disk more than may be lost, so hosts that are gone leave it open only where there are as many of them as copies. A host counts as gone after 10 s without an answer, more than twice the time in which copies stand again; a host that is catching up or was missed for a shorter time leaves it open as before. Ruled out: dropping registrations (a host that comes back must be known), a share of the hosts without the time (a wiped host that has just caught up may lack a turn that its new keepers do not have yet).

--- a/packages/conversations/src/balsamloom_conversations/replicas.py
+++ b/packages/conversations/src/balsamloom_conversations/replicas.py
@@ -134,8 +134,10 @@
 class ReadTally:
     """What the answers of storage hosts amount to.
 
-    A turn does not exist only if every host says so: each host that is not
-    reached may have the last copy.
+    A turn does not exist only if enough hosts say so that each copy set has
+    one of them. A host that cannot tell, or that was not reached for a short
+    time, leaves it open, as it may have the last copy. Hosts that are gone
+    do so only where there are as many of them as copies.
 
     :param hosts: number of registered hosts.
     :param copies: copies of each turn.
@@ -144,21 +146,26 @@
     def __init__(self, hosts: int, copies: int) -> None:
         self._hosts = hosts
         self._copies = copies
-        self._absent = 0
         self._reasons: list[str] = []
-
-    def note_absent(self) -> None:
-        """Take in that a host has no such turn."""
-        self._absent += 1
+        self._gone: list[str] = []
 
     def note_unsure(self, name: str, reason: str) -> None:
         """Take in that a host could not tell or was not reached."""
         self._reasons.append(f"{name}: {reason}")
 
+    def note_gone(self, name: str) -> None:
+        """Take in that a host was not reached for long.
+
+        Others have copied its turns meanwhile, if there are other copies.
+        """
+        self._gone.append(name)
+
     def result(self) -> turns.Absent | turns.Unsure:
         """Return what follows when all hosts were asked and none has it."""
         if self._reasons:
             return turns.Unsure("; ".join(self._reasons))
+        if len(self._gone) >= self._copies:
+            return turns.Unsure(f"gone: {', '.join(self._gone)}")
         if self._hosts < self._copies:
             reason = f"{self._hosts} storage hosts known"
             return turns.Unsure(reason)
--- a/packages/gateway/src/balsamloom_gateway/avoidance.py
+++ b/packages/gateway/src/balsamloom_gateway/avoidance.py
@@ -22,6 +22,7 @@
 
 
 class _Pause(NamedTuple):
+    since_ms: float
     until_ms: float
     length_ms: float
     is_trial: bool
@@ -64,6 +65,14 @@
             )
             return True
 
+    def silent_ms(self, name: str) -> float:
+        """Return for how long calls of a process have been failing."""
+        with self._lock:
+            pause = self._running.get(name)
+        if pause is None:
+            return 0.0
+        return self._clock.now_ms() - pause.since_ms
+
     def note_failure(self, name: str) -> None:
         """Avoid a process from now on.
 
@@ -72,12 +81,16 @@
         with self._lock:
             now_ms = self._clock.now_ms()
             pause = self._running.get(name)
+            since_ms = now_ms
             length_ms = self._pauses.min_ms
             if pause is not None:
+                since_ms = pause.since_ms
                 if now_ms < pause.until_ms and not pause.is_trial:
                     return
                 length_ms = min(2 * pause.length_ms, self._pauses.max_ms)
-            self._running[name] = _Pause(now_ms + length_ms, length_ms, False)
+            self._running[name] = _Pause(
+                since_ms, now_ms + length_ms, length_ms, is_trial=False
+            )
 
     def note_answer(self, name: str) -> None:
         """Call a process again as before."""
--- a/packages/gateway/src/balsamloom_gateway/conversations.py
+++ b/packages/gateway/src/balsamloom_gateway/conversations.py
@@ -28,6 +28,9 @@
 AVOID_PAUSES = avoidance.Pauses(1_000.0, 16_000.0, trial_ms=0.0)
 # A host that failed a short time ago is waited for only this long.
 AVOIDED_TIMEOUT_MS = 100.0
+# A host that was not reached for this time counts as gone: the others have
+# long copied the turns that it shared with them.
+GONE_MS = 10_000.0
 # Threads that write copies; each waits for one host at a time.
 WRITERS = 24
 
@@ -85,10 +88,11 @@
             match found:
                 case turns.Chain():
                     return found
-                case turns.Absent():
-                    tally.note_absent()
                 case turns.Unsure(reason):
-                    tally.note_unsure(host.name, reason)
+                    if self._avoidance.silent_ms(host.address) >= GONE_MS:
+                        tally.note_gone(host.name)
+                    else:
+                        tally.note_unsure(host.name, reason)
         return tally.result()
 
     def keep(self, turn: turns.Turn, until_ms: float) -> bool:
--- a/packages/gateway/tests/test_avoidance.py
+++ b/packages/gateway/tests/test_avoidance.py
@@ -49,6 +49,16 @@
             self.clock.advance(1)
             self.assertFalse(self.avoidance.is_avoided("a"))
 
+    def test_silence_counts_from_the_first_failure_after_an_answer(self):
+        self.assertEqual(self.avoidance.silent_ms("a"), 0.0)
+        for _ in range(3):
+            self.avoidance.note_failure("a")
+            self.clock.advance(1_500.0)
+        self.assertEqual(self.avoidance.silent_ms("a"), 4_500.0)
+        self.avoidance.note_answer("a")
+        self.avoidance.note_failure("a")
+        self.assertEqual(self.avoidance.silent_ms("a"), 0.0)
+
     def test_calls_that_fail_together_count_once(self):
         for _ in range(3):
             self.avoidance.note_failure("a")
