Give no turn beyond a budget after a start in an outage of the store

If all processes end in the outage, nobody knows of them, and the turn that a holder gives beyond the budget for lost blocks comes on top. Shown by test_end_of_all_holders_in_an_outage_costs_one_turn: 600 tokens of 400 and 100 before, 500 after. Ruled out: no slack after each restart (programs over a full restart would be refused with budget left); a limit on exposure below one turn (no turn would run in an outage).

--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -96,6 +96,7 @@
         self._must_list = True
         self._may_read_stale = True
         self.after_reading: Callable[[], None] = callbacks.ignore
+        self.on_outage_at_start: Callable[[], None] = callbacks.ignore
 
     def run(self) -> None:
         """Read until :meth:`stop`."""
@@ -197,6 +198,8 @@
             self._log_source("store", "history gone", "listing all records")
             return self._read_store()
         except interfaces.StoreError as error:
+            if not self._failures and not self._feed.store_revision:
+                self.on_outage_at_start()
             self._failures += 1
             self._log_source("store", "unavailable", str(error))
             pause_ms = RETRY_MIN_MS * (1 << min(self._failures, 6))
--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -86,6 +86,8 @@
         # here only while that one cannot be reached, so a block is for one
         # turn.
         self.is_guest = False
+        # Whether all processes that knew of exposed tokens may be lost.
+        self.may_lack_exposed = False
         self.used_ms = 0.0
         self.servers: tuple[str, ...] = ()
 
@@ -104,8 +106,11 @@
         """Return by how much the program may exceed its budget.
 
         Another process may not have used up the blocks that it recorded, and
-        what is left of them cannot be known here.
+        what is left of them cannot be known here. Lost tokens without a
+        record exceed the budget by themselves.
         """
+        if self.may_lack_exposed:
+            return 0
         others = self.recorded_tokens - self.own_recorded_tokens
         return min(max(others, 0), self.turn_tokens)
 
--- a/packages/gateway/src/balsamloom_gateway/ledger_book.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_book.py
@@ -91,6 +91,8 @@
         self._lost_holders: set[str] = set()
         self._told_ms = -math.inf
         self._unsure_until_ms = -math.inf
+        self._lacks_exposed_until_ms = -math.inf
+        self._is_restart = is_restart
         if is_restart:
             self._unsure_until_ms = clock.now_ms() + CAUTION_MS
         self._is_stopping = False
@@ -106,6 +108,22 @@
             self._unsure_until_ms = self._clock.now_ms() + CAUTION_MS
         events.log(events.Event.BUDGET_CAUTION, reason=reason)
 
+    def note_outage_at_start(self) -> None:
+        """Take in that the store was away when this process started.
+
+        If it took the place of another one, that one may have exposed tokens
+        to its end, and its standbys may have ended with it.
+        """
+        if not self._is_restart:
+            return
+        with self._changed:
+            self._lacks_exposed_until_ms = self._clock.now_ms() + CAUTION_MS
+            for account in self._accounts.values():
+                account.may_lack_exposed = True
+        events.log(
+            events.Event.BUDGET_CAUTION, reason="the store was away at start"
+        )
+
     def note_lost_holder(self, name: str) -> None:
         """Take in that a member ended that may have exposed tokens.
 
@@ -340,6 +358,9 @@
         account = self._accounts.get(program_id)
         if account is None:
             account = ledger.Account(program_id, budget_tokens)
+            account.may_lack_exposed = (
+                self._clock.now_ms() < self._lacks_exposed_until_ms
+            )
             self._accounts[program_id] = account
         account.used_ms = self._clock.now_ms()
         return account
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -180,6 +180,7 @@
         )
         self._registrar.on_lost = self._note_own_loss
         self._follower.after_reading = self._follow_up
+        self._follower.on_outage_at_start = self._book.note_outage_at_start
         self.fleet.on_changes = self._evacuations.apply
         self.fleet.on_member_lost = self._note_member_loss
         self.fleet.on_servers = self._take_servers
--- a/packages/gateway/tests/test_ledger_book.py
+++ b/packages/gateway/tests/test_ledger_book.py
@@ -151,6 +151,32 @@
             result = self.reserve(follower, exposure)
             self.assertIsInstance(result, ledger_book.Unrecorded)
 
+    def spend(self, book, exposure, turns):
+        """Return the tokens of the turns that were allowed."""
+        allowed = 0
+        for _ in range(turns):
+            result = self.reserve(book, exposure)
+            allowed += isinstance(result, ledger.Reserved)
+        return 100 * allowed
+
+    def test_end_of_all_holders_in_an_outage_costs_one_turn(self):
+        # Seen once: 1216 tokens of 855 and 285 (cpt-loom-grown,
+        # hunt-dedb-7).
+        self.book.standbys = Standbys()
+        spent = self.spend(self.book, NONE, 2)
+        self.store.error = interfaces.StoreUnavailableError("down")
+        spent += self.spend(self.book, OUTAGE, 1)
+        follower = self.start_book(is_restart=True)
+        follower.note_outage_at_start()
+        self.store.error = None
+        spent += self.spend(follower, NONE, 8)
+        self.assertEqual(spent, 400 + 100)
+
+    def test_first_process_at_a_host_lacks_nothing_in_an_outage(self):
+        self.store.put("ledger/p", b'{"tokens": 400, "block": "x.1"}')
+        self.book.note_outage_at_start()
+        self.assertEqual(self.spend(self.book, NONE, 3), 100)
+
     def test_exposed_tokens_are_recorded_after_the_outage(self):
         self.book.standbys = Standbys()
         self.store.error = interfaces.StoreUnavailableError("down")
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -386,6 +386,22 @@
         second.read_once()
         self.assertEqual(view.servers(), [])
 
+    def test_outage_counts_as_one_at_start_before_the_first_reading(self):
+        _, reader = self.start("m1")
+        calls = []
+        reader.on_outage_at_start = lambda: calls.append("called")
+        self.store.error = interfaces.StoreUnavailableError("down")
+        for _ in range(3):
+            reader.read_once()
+            self.clock.advance(2_000.0)
+        self.assertEqual(len(calls), 1)
+        self.store.error = None
+        reader.read_once()
+        self.clock.advance(2_000.0)
+        self.store.error = interfaces.StoreUnavailableError("down")
+        reader.read_once()
+        self.assertEqual(len(calls), 1)
+
     def test_member_that_the_store_turns_away_reads_from_others(self):
         # The first member of the order is turned away, the second is not.
         view, first = self.start("m1")
