--- /dev/null
+++ b/packages/policy/src/balsamloom_policy/_capacity.py
@@ -0,0 +1,80 @@
+"""Calls that each server takes from this process, beside its peers."""
+
+from __future__ import annotations
+
+import math
+
+from balsamloom_policy import _policies, _servers, calls, limits, settings
+
+
+class Capacity:
+    """Divides the servers' slots among the processes that share them.
+
+    Not safe for several threads; the owner has a lock.
+    """
+
+    def __init__(self) -> None:
+        self.member_count = 1
+        self._peers: dict[str, dict[str, limits.PeerShare]] = {}
+
+    def set_member_count(self, count: int) -> bool:
+        """Take the number of processes; return whether it changed."""
+        former = self.member_count
+        self.member_count = max(count, 1)
+        return former != self.member_count
+
+    def note_shares(
+        self,
+        member_id: str,
+        shares: list[calls.Share],
+        now_ms: float,
+        values: settings.PolicySettings,
+    ) -> None:
+        """Take a peer's calls in flight and limits, and drop old ones."""
+        self._peers[member_id] = {
+            share.server_id: limits.PeerShare(share, now_ms)
+            for share in shares
+        }
+        valid_ms = values.peer_valid_ms
+        for name, told in list(self._peers.items()):
+            if all(
+                now_ms - share.told_ms > valid_ms for share in told.values()
+            ):
+                del self._peers[name]
+
+    def starting_limit(
+        self, server: calls.Server, policies: _policies.Policies
+    ) -> float:
+        """Return the limit of a server of which nothing is learnt yet."""
+        return limits.starting_limit(
+            policies.limits, server, self.member_count, policies.values
+        )
+
+    def update(
+        self,
+        state: _servers.ServerState,
+        now_ms: float,
+        policies: _policies.Policies,
+    ) -> None:
+        """Bring a server's slots up to date."""
+        peers = self._fresh_shares(
+            state.server.server_id, now_ms, policies.values
+        )
+        state.peer_in_flight = sum(peer.in_flight for peer in peers)
+        state.peer_ejections = sum(peer.is_ejected for peer in peers)
+        if not policies.has_limit:
+            state.slots = math.inf
+            return
+        largest = limits.cap(state, peers, self.member_count, policies.values)
+        state.slots = min(state.limit, largest)
+
+    def _fresh_shares(
+        self, server_id: str, now_ms: float, values: settings.PolicySettings
+    ) -> list[calls.Share]:
+        found = [shares.get(server_id) for shares in self._peers.values()]
+        return [
+            told.share
+            for told in found
+            if told is not None
+            and now_ms - told.told_ms <= values.peer_valid_ms
+        ]
--- /dev/null
+++ b/packages/policy/src/balsamloom_policy/_dispatcher.py
@@ -0,0 +1,355 @@
+"""Moves calls from the queue to servers and off them again.
+
+One lock guards all state. A thread per call waits in its ticket;
+slots are handed out by whichever thread frees or finds one.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import threading
+
+from balsamloom_core import clock as core_clock
+from balsamloom_core import results
+from balsamloom_policy import (
+    _candidates,
+    _capacity,
+    _policies,
+    _pool,
+    _servers,
+    admission,
+    calls,
+    health,
+    limits,
+    ordering,
+    prefixes,
+    settings,
+    tickets,
+)
+
+# A waiting thread looks again after this time even without an event.
+WAIT_SLICE_MS = 1000.0
+
+
+class Dispatcher:
+    """Gives waiting calls their servers and learns from how they end.
+
+    Methods that take a ticket and a time need the lock; those that take a
+    ticket alone are the ticket's own, and take it themselves.
+
+    :param clock: time source.
+    :param values: settings in force.
+    """
+
+    def __init__(
+        self, clock: core_clock.Clock, values: settings.PolicySettings
+    ) -> None:
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.policies = _policies.select(values)
+        self.capacity = _capacity.Capacity()
+
+    def update_slots(self, state: _servers.ServerState, now_ms: float) -> None:
+        """Bring a server's slots up to date."""
+        self.capacity.update(state, now_ms, self.policies)
+
+    def check_if_due(self, pool: _pool.Pool, now_ms: float) -> None:
+        """Look at the servers' health, if that is due."""
+        if now_ms - pool.check_ms >= self.policies.values.check_interval_ms:
+            self.check(pool, now_ms)
+
+    def check(self, pool: _pool.Pool, now_ms: float) -> None:
+        """Look at the servers' health and at how long calls run."""
+        pool.check_ms = now_ms
+        for state in pool.servers.values():
+            if state.peer_ejections:
+                # What a silent peer said does not count for long.
+                self.update_slots(state, now_ms)
+        health.check(
+            self.policies.health,
+            pool.servers.values(),
+            now_ms,
+            self.policies.values,
+        )
+        _candidates.mark_long(pool, now_ms, self.policies)
+        pool.update_totals()
+
+    def dispatch(self, pool: _pool.Pool, now_ms: float) -> None:
+        """Give servers to waiting calls as far as there is room."""
+        while pool.delayed and pool.delayed[0][0] <= now_ms:
+            _, _, ticket = heapq.heappop(pool.delayed)
+            if not ticket.is_over:
+                pool.queue.push(self.policies.ordering, ticket)
+        while pool.queue.count and self._dispatch_one(pool, now_ms):
+            pass
+
+    def _dispatch_one(self, pool: _pool.Pool, now_ms: float) -> bool:
+        """Assign or refuse one waiting call; return whether one moved."""
+        for entry in _candidates.waiting(pool, now_ms, self.policies):
+            if self._give_up_if_late(entry, now_ms):
+                return True
+            state = pool.trial_server(entry.profile, now_ms)
+            if state is not None and entry.attempt == 0:
+                pool.queue.withdraw(self.policies.ordering, entry)
+                self.assign(entry, state, now_ms)
+                health.start_trial(state, entry, now_ms)
+                return True
+            found = pool.eligible(
+                entry.profile, entry.avoid, now_ms, self.policies.values
+            )
+            if found:
+                pool.queue.withdraw(self.policies.ordering, entry)
+                chosen = _candidates.choose(
+                    entry, found, now_ms, self.policies
+                )
+                self.assign(entry, chosen, now_ms)
+                return True
+        return False
+
+    def assign(
+        self,
+        ticket: tickets.Ticket,
+        state: _servers.ServerState,
+        now_ms: float,
+    ) -> None:
+        """Give a call to a server."""
+        profile = ticket.profile
+        pool = ticket.pool
+        ticket.server = state
+        ticket.assigned_ms = now_ms
+        ticket.progress_ms = now_ms
+        ticket.was_sent = True
+        state.in_flight[ticket] = None
+        pool.urgent_in_flight += profile.is_urgent
+        if ticket.level >= self.policies.values.long_level:
+            ticket.is_long = True
+            pool.long_in_flight += 1
+        if profile.prefix_hashes and isinstance(
+            self.policies.affinity, prefixes.Bounded
+        ):
+            pool.router.index.record(
+                profile.prefix_hashes,
+                state.server.server_id,
+                self.policies.values.prefix_entries,
+            )
+        priority = ordering.engine_priority(
+            self.policies.ordering, ticket, now_ms, self.policies.values
+        )
+        self._answer(
+            ticket,
+            calls.Assigned(
+                state.server.server_id, state.server.address, priority
+            ),
+        )
+
+    def _answer(
+        self, ticket: tickets.Ticket, answer: calls.Assigned | calls.Refused
+    ) -> None:
+        ticket.answer = answer
+        if ticket.event is not None:
+            ticket.event.set()
+
+    def _give_up_if_late(self, ticket: tickets.Ticket, now_ms: float) -> bool:
+        """Refuse a waiting call whose deadline can no longer be met."""
+        if ticket.answer is not None or now_ms < self.give_up_ms(ticket):
+            return False
+        code = results.ResultCode.DEADLINE_CANNOT_BE_MET
+        if ticket.was_sent:
+            code = results.ResultCode.BACKEND_TIMEOUT
+        self._refuse(ticket, code, "the call waited until its deadline")
+        return True
+
+    def give_up_ms(self, ticket: tickets.Ticket) -> float:
+        """Return when a waiting call can no longer meet its deadline."""
+        deadline_ms = ticket.profile.deadline_ms
+        if deadline_ms is None:
+            return math.inf
+        if isinstance(self.policies.admission, admission.Open):
+            return deadline_ms
+        return deadline_ms - ticket.pool.shortest_ms(ticket.profile)
+
+    def _refuse(
+        self, ticket: tickets.Ticket, code: results.ResultCode, message: str
+    ) -> None:
+        pool = ticket.pool
+        pool.queue.withdraw(self.policies.ordering, ticket)
+        pool.remove_customer_call(ticket.profile.customer)
+        ticket.is_over = True
+        rate = pool.rate_per_ms(self.clock.now_ms())
+        queue_ms = pool.queue.count / rate if rate > 0 else 0.0
+        retry_ms = min(
+            max(queue_ms, admission.RETRY_AFTER_MIN_MS),
+            admission.RETRY_AFTER_MAX_MS,
+        )
+        self._answer(ticket, calls.Refused(code, message, int(retry_ms)))
+
+    def wait(
+        self, ticket: tickets.Ticket, timeout_ms: float
+    ) -> calls.Assigned | calls.Waiting | calls.Refused:
+        """Wait for a server, 0 ms only looks."""
+        if ticket.answer is not None:
+            return ticket.answer
+        end_ms = self.clock.now_ms() + timeout_ms
+        while True:
+            with self.lock:
+                now_ms = self.clock.now_ms()
+                answer = self._look(ticket, now_ms)
+                if answer is not None:
+                    return answer
+                if now_ms >= end_ms:
+                    return self._waiting(ticket, now_ms)
+                if ticket.event is None:
+                    ticket.event = threading.Event()
+                until_ms = min(end_ms, self._next_look_ms(ticket, now_ms))
+            self.clock.wait(ticket.event, until_ms - now_ms)
+
+    def _look(
+        self, ticket: tickets.Ticket, now_ms: float
+    ) -> calls.Assigned | calls.Refused | None:
+        """Let time take effect on a waiting call; return its answer."""
+        if ticket.answer is None:
+            self.check_if_due(ticket.pool, now_ms)
+            self.dispatch(ticket.pool, now_ms)
+            self._give_up_if_late(ticket, now_ms)
+        return ticket.answer
+
+    def _next_look_ms(self, ticket: tickets.Ticket, now_ms: float) -> float:
+        until_ms = min(now_ms + WAIT_SLICE_MS, self.give_up_ms(ticket))
+        if ticket.not_before_ms > now_ms:
+            until_ms = min(until_ms, ticket.not_before_ms)
+        return until_ms
+
+    def _waiting(self, ticket: tickets.Ticket, now_ms: float) -> calls.Waiting:
+        pool = ticket.pool
+        if ticket.not_before_ms > now_ms:
+            reason = "the call waits before its retry"
+        elif not pool.has_server:
+            reason = f"pool {pool.name!r} has no backend server"
+        else:
+            reason = "all backend servers are at their limit"
+        ahead = pool.queue.count_ahead(ticket.level, ticket.profile.is_urgent)
+        return calls.Waiting(reason, max(ahead, 1), now_ms - ticket.queued_ms)
+
+    def first_token(self, ticket: tickets.Ticket) -> None:
+        """Note that the first token arrived."""
+        with self.lock:
+            state = ticket.server
+            if state is None or ticket.first_token_ms is not None:
+                return
+            if ticket.is_over:
+                return
+            now_ms = self.clock.now_ms()
+            ticket.first_token_ms = now_ms
+            ticket.progress_ms = now_ms
+            ticket.pending_tokens = 0
+            ratio = state.add_first_token(ticket, now_ms)
+            self._judge_sample(ticket, state, ratio, now_ms)
+
+    def fold_tokens(self, ticket: tickets.Ticket, now_ms: float) -> None:
+        """Learn from the tokens that are pending."""
+        with self.lock:
+            state = ticket.server
+            if state is None or ticket.first_token_ms is None:
+                return
+            if ticket.is_over or ticket.pending_tokens <= 0:
+                return
+            gap_ms = (now_ms - ticket.progress_ms) / ticket.pending_tokens
+            ticket.progress_ms = now_ms
+            ticket.pending_tokens = 0
+            ticket.progress_count += 1
+            ratio = state.add_gap(ticket, gap_ms, now_ms)
+            self._judge_sample(ticket, state, ratio, now_ms)
+
+    def _judge_sample(
+        self,
+        ticket: tickets.Ticket,
+        state: _servers.ServerState,
+        ratio: float,
+        now_ms: float,
+    ) -> None:
+        if not state.is_ejected:
+            return
+        is_trial = state.trial is ticket
+        began_before = ticket.assigned_ms <= state.ejected_ms
+        if ticket.progress_count == 0 and began_before:
+            # This time to first token lies in the slow phase.
+            return
+        if health.observe_sample(
+            state, is_trial, ratio, now_ms, self.policies.values
+        ):
+            ticket.pool.update_totals()
+            self.dispatch(ticket.pool, now_ms)
+
+    def finish(
+        self, ticket: tickets.Ticket, observation: calls.Observation
+    ) -> None:
+        """Note the end of a call and free its slot."""
+        with self.lock:
+            state = ticket.server
+            if ticket.is_over or state is None:
+                return
+            now_ms = self.clock.now_ms()
+            duration_ms = now_ms - ticket.assigned_ms
+            if observation.is_server_fault:
+                state.fault_count += 1
+            elif observation.is_success:
+                state.fault_count = 0
+                self._learn(ticket, state, observation, now_ms)
+                ticket.pool.note_end(duration_ms, now_ms)
+            limits.adapt(self.policies.limits, state, self.policies.values)
+            self.release(ticket, now_ms)
+            self.update_slots(state, now_ms)
+            self.check_if_due(ticket.pool, now_ms)
+            self.dispatch(ticket.pool, now_ms)
+
+    def _learn(
+        self,
+        ticket: tickets.Ticket,
+        state: _servers.ServerState,
+        observation: calls.Observation,
+        now_ms: float,
+    ) -> None:
+        duration_ms = now_ms - ticket.assigned_ms
+        ratio = state.add_call(ticket, duration_ms, now_ms)
+        tokens = observation.generated_tokens
+        if ticket.first_token_ms is None:
+            self._judge_sample(ticket, state, ratio, now_ms)
+            return
+        state.note_generated(tokens)
+        if ticket.progress_count == 0 and tokens > 1:
+            gap_ms = (now_ms - ticket.first_token_ms) / (tokens - 1)
+            state.add_gap(ticket, gap_ms, now_ms)
+
+    def cancel(self, ticket: tickets.Ticket) -> None:
+        """Withdraw a call: it leaves the queue or frees its slot."""
+        with self.lock:
+            now_ms = self.clock.now_ms()
+            state = ticket.server
+            if state is not None and not ticket.is_over:
+                # A call cancelled while late still shows a slow server.
+                ratio = state.flight_ratio(ticket, now_ms)
+                is_waiting = ticket.first_token_ms is None
+                if state.has_tokens and is_waiting and ratio > 1:
+                    state.add_first_token(ticket, now_ms)
+            self.release(ticket, now_ms)
+            self.dispatch(ticket.pool, now_ms)
+
+    def release(self, ticket: tickets.Ticket, now_ms: float) -> None:
+        """Take a call out of the queue or off its server."""
+        if ticket.is_over:
+            return
+        ticket.is_over = True
+        pool = ticket.pool
+        pool.remove_customer_call(ticket.profile.customer)
+        if ticket.is_queued:
+            pool.queue.withdraw(self.policies.ordering, ticket)
+        state = ticket.server
+        if state is None:
+            return
+        state.in_flight.pop(ticket, None)
+        pool.urgent_in_flight -= ticket.profile.is_urgent
+        pool.long_in_flight -= ticket.is_long
+        if state.trial is ticket:
+            state.trial = None
+            health.end_trial(state, now_ms, self.policies.values)
--- a/packages/policy/src/balsamloom_policy/_pool.py
+++ b/packages/policy/src/balsamloom_policy/_pool.py
@@ -42,6 +42,13 @@
         self.slots = 0.0
         self.fastest: _servers.ServerState | None = None
 
+    @property
+    def has_server(self) -> bool:
+        """Return whether a server stays that calls may wait for."""
+        return any(
+            not state.server.is_leaving for state in self.servers.values()
+        )
+
     def update_totals(self) -> None:
         """Recompute what depends on all servers."""
         active = [
--- a/packages/policy/src/balsamloom_policy/tickets.py
+++ b/packages/policy/src/balsamloom_policy/tickets.py
@@ -3,23 +3,44 @@
 from __future__ import annotations
 
 import threading
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from balsamloom_core import clock as core_clock
 from balsamloom_policy import _pool, _servers, calls
 
-if TYPE_CHECKING:
-    from balsamloom_policy import scheduler
-
 # Token progress is taken in at most this often per call.
 FOLD_MS = 50.0
 
 
+class Owner(Protocol):
+    """What took a call in and decides on it."""
+
+    clock: core_clock.Clock
+
+    def wait(
+        self, ticket: Ticket, timeout_ms: float
+    ) -> calls.Assigned | calls.Waiting | calls.Refused:
+        """Wait for a server."""
+
+    def first_token(self, ticket: Ticket) -> None:
+        """Note that the first token arrived."""
+
+    def fold_tokens(self, ticket: Ticket, now_ms: float) -> None:
+        """Learn from the tokens that are pending."""
+
+    def finish(self, ticket: Ticket, observation: calls.Observation) -> None:
+        """Note the end of the call."""
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Withdraw the call."""
+
+
 class Ticket:
     """A call that was taken in; used by the one thread that serves it."""
 
     def __init__(
         self,
-        owner: scheduler.Scheduler,
+        owner: Owner,
         pool: _pool.Pool,
         profile: calls.CallProfile,
         queued_ms: float,
@@ -53,11 +74,11 @@
 
         :param timeout_ms: longest wait; 0 only looks.
         """
-        return self._owner._wait(self, timeout_ms)
+        return self._owner.wait(self, timeout_ms)
 
     def first_token(self) -> None:
         """Note that the first token arrived."""
-        self._owner._first_token(self)
+        self._owner.first_token(self)
 
     def token_progress(self, tokens: int) -> None:
         """Note further tokens.
@@ -65,17 +86,17 @@
         :param tokens: tokens since the last note.
         """
         self.pending_tokens += tokens
-        now_ms = self._owner._clock.now_ms()
+        now_ms = self._owner.clock.now_ms()
         if now_ms - self.progress_ms >= FOLD_MS:
-            self._owner._fold_tokens(self, now_ms)
+            self._owner.fold_tokens(self, now_ms)
 
     def finish(self, observation: calls.Observation) -> None:
         """Note the end of the call and free its slot.
 
         :param observation: how it ended.
         """
-        self._owner._finish(self, observation)
+        self._owner.finish(self, observation)
 
     def cancel(self) -> None:
         """Withdraw the call: it leaves the queue or frees its slot."""
-        self._owner._cancel(self)
+        self._owner.cancel(self)
