--- a/packages/entry/src/balsamloom_entry/session.py
+++ b/packages/entry/src/balsamloom_entry/session.py
@@ -29,7 +29,7 @@
     transfers,
 )
 from balsamloom_entry import parts as process_parts
-from balsamloom_membership import addresses, liveness
+from balsamloom_membership import addresses, heartbeats, liveness, suspicion
 from balsamloom_peers import client as peer_clients
 from balsamloom_peers import messages
 from balsamloom_platform import store as stores
@@ -81,8 +81,8 @@
         self.liveness = liveness.Liveness(
             member.member_id,
             parts.clock,
-            liveness.PoolTransport(self.peers),
-            liveness.LivenessSettings(),
+            heartbeats.PoolTransport(self.peers),
+            suspicion.LivenessSettings(),
             self._take_over,
             self.note_heartbeat,
             self.heartbeat,
@@ -301,7 +301,7 @@
         for member_id in set(self._peer_calls) - set(current.members):
             self._peer_calls.pop(member_id, None)
         self.liveness.update_peers(
-            liveness.Peer(member.member_id, member.peer_address)
+            heartbeats.Peer(member.member_id, member.peer_address)
             for member in members
         )
         self.peers.keep_only(
@@ -315,7 +315,7 @@
         live = [member for member in members if not member.is_leaving]
         self._parts.scheduler.set_member_count(len(live))
 
-    def _take_over(self, peer: liveness.Peer) -> None:
+    def _take_over(self, peer: heartbeats.Peer) -> None:
         try:
             self.owner.refresh_map()
             members = self.owner.map.members
--- a/packages/membership/src/balsamloom_membership/liveness.py
+++ b/packages/membership/src/balsamloom_membership/liveness.py
@@ -10,142 +10,33 @@
 from __future__ import annotations
 
 import collections
-import concurrent.futures
 import dataclasses
-import hashlib
 import logging
 import random
 import threading
 import traceback
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple, Protocol
+from typing import Any
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
+from balsamloom_membership import heartbeats, probes, ring, suspicion
 from balsamloom_peers import client, messages
 from balsamloom_state import partitions
 
-# Each doubt that proved wrong lengthens the next suspicion by a second, up to
-# three seconds; a minute without one forgets them.
-FLAP_PENALTY_MS = 1_000
-MAX_FLAPS = 3
-FLAP_MEMORY_MS = 60_000
-# Peers asked to probe before a confirmation is given up for the time being.
-MAX_PROBERS = 4
-MAX_WATCHED = 6
 MIN_ANSWER_TIME_MS = 500
 # The channel waits 100 ms before it connects again; a shorter interval would
 # count one refused connection twice.
 REFUSED_RETRY_MS = 300
 REFUTED_PAUSE_MS = 1_000
-# A step that takes this much longer than it may was cut by a pause of this
-# process, and says nothing about the peer.
-OWN_PAUSE_MS = 1_000
-PROBE_ALLOWANCE_MS = 150
 DUE_CHECK_MS = 100
-# Server states and shares in all messages of a member together. At the full
-# size of 16 each they would take 15 KB/s beyond the bare heartbeats.
-CONTENT_BYTES_PER_S = 2_000
-STATES_OVER_BUDGET = 2
-ENTRY_BYTES = 12
 # Position in the order of successors from which on all wait equally long.
 LAST_POSITION = 3
 
 
-class Peer(NamedTuple):
-    """Another member and where its gRPC server listens."""
-
-    member_id: str
-    peer_address: str
-
-
-class LivenessSettings(NamedTuple):
-    """Times and counts of failure detection.
-
-    At most six peers may be watched. Each one costs about 0.5% of a core, so
-    that four leave a member at the 2.1% allowed for control.
-    """
-
-    heartbeat_interval_ms: int = 500
-    suspicion_ms: int = 2_000
-    refusals_until_suspicion: int = 2
-    probe_timeout_ms: int = 400
-    watched_peers: int = 4
-    confirmations: int = 2
-    takeover_step_ms: int = 1_500
-    short_of_votes_wait_ms: int = 1_000
-    alone_wait_ms: int = 3_000
-    retry_dead_ms: int = 2_000
-
-
-class Transport(Protocol):
-    """Messages that failure detection sends."""
-
-    def heartbeat(
-        self, peer: Peer, content: messages.Heartbeat, timeout_ms: float
-    ) -> messages.Heartbeat:
-        """Exchange states with a peer."""
-
-    def probe(
-        self, prober: Peer, probe: messages.Probe, timeout_ms: float
-    ) -> bool:
-        """Ask a peer whether another member answers it."""
-
-
-class PoolTransport:
-    """Transport over the channels to peers.
-
-    :param pool: clients of all peers.
-    """
-
-    def __init__(self, pool: client.PeerPool) -> None:
-        self._pool = pool
-
-    def heartbeat(
-        self, peer: Peer, content: messages.Heartbeat, timeout_ms: float
-    ) -> messages.Heartbeat:
-        """Exchange states with a peer.
-
-        :param peer: receiver.
-        :param content: own state.
-        :param timeout_ms: longest wait.
-        :raises PeerUnreachable: if no answer comes in time.
-        :raises PeerDamaged: if a message was damaged.
-        """
-        found = self._pool.client(peer.peer_address)
-        return found.heartbeat(content, timeout_ms, peer.member_id)
-
-    def probe(
-        self, prober: Peer, probe: messages.Probe, timeout_ms: float
-    ) -> bool:
-        """Ask a peer whether another member answers it.
-
-        :param prober: receiver.
-        :param probe: member to check.
-        :param timeout_ms: longest wait.
-        :raises PeerUnreachable: if no answer comes in time.
-        """
-        found = self._pool.client(prober.peer_address)
-        return found.probe(probe, timeout_ms)
-
-
-@dataclasses.dataclass
-class _Watch:
-    peer: Peer
-    last_check_ms: float
-    silent_ms: float = 0.0
-    refusals: int = 0
-    suspected_at_ms: float | None = None
-    confirm_after_ms: float = 0.0
-    flaps: int = 0
-    last_flap_ms: float = 0.0
-    was_refused: bool = False
-    ended: threading.Event = dataclasses.field(default_factory=threading.Event)
-
-
 @dataclasses.dataclass
 class _Dead:
-    peer: Peer
+    peer: heartbeats.Peer
     position: int
     due_ms: float
 
@@ -173,9 +64,9 @@
         self,
         self_id: str,
         clock: clocks.Clock,
-        transport: Transport,
-        settings: LivenessSettings,
-        on_dead: Callable[[Peer], None],
+        transport: heartbeats.Transport,
+        settings: suspicion.LivenessSettings,
+        on_dead: Callable[[heartbeats.Peer], None],
         on_heartbeat: Callable[[messages.Heartbeat], None],
         content: Callable[[], messages.Heartbeat] | None = None,
     ) -> None:
@@ -187,13 +78,13 @@
         self._on_heartbeat = on_heartbeat
         self._content = content or (lambda: messages.Heartbeat(self_id))
         self._lock = threading.RLock()
-        self._peers: dict[str, Peer] = {}
-        self._watches: dict[str, _Watch] = {}
+        self._peers: dict[str, heartbeats.Peer] = {}
+        self._watches: dict[str, suspicion.Watch] = {}
         self._dead: dict[str, _Dead] = {}
         self._is_started = False
-        self._content_bytes = float(CONTENT_BYTES_PER_S)
-        self._content_at_ms = clock.now_ms()
+        self._budget = heartbeats.ContentBudget(clock.now_ms())
         self._ended = threading.Event()
+        self._probes = probes.Probes(transport, settings)
         self._counts: collections.Counter[str] = collections.Counter()
 
     def start(self) -> None:
@@ -211,7 +102,7 @@
             for watch in self._watches.values():
                 watch.ended.set()
 
-    def update_peers(self, peers: Iterable[Peer]) -> None:
+    def update_peers(self, peers: Iterable[heartbeats.Peer]) -> None:
         """Take over the members of a newer partition map.
 
         Members that are no longer in the map are forgotten.
@@ -240,7 +131,7 @@
             found = {
                 member_id
                 for member_id, watch in self._watches.items()
-                if watch.suspected_at_ms is not None
+                if watch.is_suspected
             }
             return found | set(self._dead)
 
@@ -253,7 +144,7 @@
                         "silent_ms": round(watch.silent_ms),
                         "refusals": watch.refusals,
                         "flaps": watch.flaps,
-                        "is_suspected": watch.suspected_at_ms is not None,
+                        "is_suspected": watch.is_suspected,
                     }
                     for member_id, watch in self._watches.items()
                 },
@@ -261,7 +152,7 @@
                     member_id: dead.position
                     for member_id, dead in self._dead.items()
                 },
-                "messages": dict(self._counts),
+                "messages": {**self._counts, "probes": self._probes.sent},
             }
 
     def handle_heartbeat(
@@ -285,7 +176,7 @@
         """
         if probe.member_id == self.self_id:
             return True
-        target = Peer(probe.member_id, probe.peer_address)
+        target = heartbeats.Peer(probe.member_id, probe.peer_address)
         if self._answers(target):
             return True
         if probe.is_confirmed:
@@ -303,9 +194,9 @@
         if watch is None:
             return 0.0
         self._beat(watch)
-        if watch.suspected_at_ms is not None:
+        if watch.is_suspected:
             self._confirm(watch)
-        if watch.was_refused and watch.suspected_at_ms is None:
+        if watch.was_refused and not watch.is_suspected:
             return REFUSED_RETRY_MS
         return self._settings.heartbeat_interval_ms
 
@@ -334,35 +225,16 @@
                 _log_fault("on_dead", dead.peer.member_id)
 
     def _outgoing(self) -> messages.Heartbeat:
-        """Return the own state, cut down if its budget is used up.
-
-        The first states, which are the news, always go out.
-        """
+        """Return the own state, cut down if its budget is used up."""
         content = self._content()
         with self._lock:
-            now_ms = self._clock.now_ms()
-            elapsed_ms = now_ms - self._content_at_ms
-            self._content_at_ms = now_ms
-            earned = elapsed_ms * CONTENT_BYTES_PER_S / clocks.MS_PER_S
-            self._content_bytes = min(
-                self._content_bytes + earned, CONTENT_BYTES_PER_S
-            )
-            if self._content_bytes <= 0:
-                content = content._replace(
-                    server_states=content.server_states[:STATES_OVER_BUDGET],
-                    server_shares=(),
-                )
-            names = [state.server_id for state in content.server_states]
-            names += [share.server_id for share in content.server_shares]
-            self._content_bytes -= sum(
-                ENTRY_BYTES + len(name) for name in names
-            )
-        return content
+            return self._budget.cut(content, self._clock.now_ms())
 
-    def _beat(self, watch: _Watch) -> None:
-        quiet_ms = self._clock.now_ms() - watch.last_check_ms
-        allowed_ms = self._suspicion_ms(watch) - watch.silent_ms - quiet_ms
-        timeout_ms = max(allowed_ms, MIN_ANSWER_TIME_MS)
+    def _beat(self, watch: suspicion.Watch) -> None:
+        now_ms = self._clock.now_ms()
+        quiet_ms = watch.silent_ms + now_ms - watch.last_check_ms
+        allowed_ms = watch.allowed_ms(now_ms, self._settings)
+        timeout_ms = max(allowed_ms - quiet_ms, MIN_ANSWER_TIME_MS)
         self._counts["heartbeats"] += 1
         try:
             answer = self._transport.heartbeat(
@@ -381,35 +253,18 @@
                 watch.refusals = self._settings.refusals_until_suspicion - 1
                 self._note_silence(watch, timeout_ms, True)
 
-    def _note_answer(self, watch: _Watch) -> None:
-        watch.last_check_ms = self._clock.now_ms()
-        watch.silent_ms = 0.0
-        watch.refusals = 0
-        watch.was_refused = False
-        if watch.suspected_at_ms is not None:
+    def _note_answer(self, watch: suspicion.Watch) -> None:
+        watch.note_answer(self._clock.now_ms())
+        if watch.is_suspected:
             self._recover(watch.peer.member_id)
 
     def _note_silence(
-        self, watch: _Watch, timeout_ms: float, was_refused: bool
+        self, watch: suspicion.Watch, timeout_ms: float, was_refused: bool
     ) -> None:
-        now_ms = self._clock.now_ms()
-        elapsed_ms = now_ms - watch.last_check_ms
-        watch.last_check_ms = now_ms
-        longest_ms = timeout_ms + self._settings.heartbeat_interval_ms
-        if elapsed_ms > longest_ms + OWN_PAUSE_MS:
-            watch.silent_ms = 0.0
-            watch.refusals = 0
-            return
-        watch.silent_ms += elapsed_ms
-        watch.was_refused = was_refused
-        watch.refusals = watch.refusals + 1 if was_refused else 0
-        is_suspect = (
-            watch.refusals >= self._settings.refusals_until_suspicion
-            or watch.silent_ms >= self._suspicion_ms(watch)
+        begins = watch.note_silence(
+            self._clock.now_ms(), timeout_ms, was_refused, self._settings
         )
-        if is_suspect and watch.suspected_at_ms is None:
-            watch.suspected_at_ms = now_ms
-            watch.confirm_after_ms = now_ms
+        if begins:
             events.log(
                 events.Event.PEER_SUSPECTED,
                 logging.WARNING,
@@ -418,110 +273,58 @@
                 was_refused=was_refused,
             )
 
-    def _suspicion_ms(self, watch: _Watch) -> float:
-        if self._clock.now_ms() - watch.last_flap_ms > FLAP_MEMORY_MS:
-            watch.flaps = 0
-        return self._settings.suspicion_ms + watch.flaps * FLAP_PENALTY_MS
-
     def _recover(self, member_id: str) -> None:
         with self._lock:
             self._dead.pop(member_id, None)
             watch = self._watches.get(member_id)
-            if watch is not None and watch.suspected_at_ms is not None:
-                watch.suspected_at_ms = None
-                watch.flaps = min(watch.flaps + 1, MAX_FLAPS)
-                watch.last_flap_ms = self._clock.now_ms()
+            if watch is not None:
+                watch.note_recovery(self._clock.now_ms())
             self._choose_watched()
         events.log(events.Event.PEER_REACHABLE, member_id=member_id)
 
-    def _confirm(self, watch: _Watch) -> None:
+    def _confirm(self, watch: suspicion.Watch) -> None:
         now_ms = self._clock.now_ms()
         with self._lock:
             is_declared = watch.peer.member_id in self._dead
         if is_declared or now_ms < watch.confirm_after_ms:
             return
-        votes, is_refuted = self._ask(watch.peer)
-        if is_refuted:
+        outcome = self._probes.ask(
+            watch.peer, self._other_successors(watch.peer)
+        )
+        if outcome.is_refuted:
             # The peer is cut off from this process only.
             watch.confirm_after_ms = now_ms + REFUTED_PAUSE_MS
             return
         suspected_at_ms = watch.suspected_at_ms
         if suspected_at_ms is None:
             return
-        doubted_ms = now_ms - suspected_at_ms
-        if doubted_ms >= self._wait_for_votes_ms(watch, votes):
+        with self._lock:
+            others = len(self._peers) - 1
+        wait_ms = suspicion.wait_for_votes_ms(
+            self.self_id, watch, outcome.votes, others, self._settings
+        )
+        if now_ms - suspected_at_ms >= wait_ms:
             self._declare(watch.peer)
             self._notify(watch.peer)
 
-    def _wait_for_votes_ms(self, watch: _Watch, votes: int) -> float:
-        """Return how long a suspicion must last with these votes.
-
-        With fewer votes than wanted, nobody else may be left. A refused
-        connection shows that the peer's host runs and the process does not.
-        Silence of everybody may as well be a cut of this member, so it waits
-        longer than the others need to seal it; of two members that cannot
-        reach each other, one waits twice as long, so that they do not seal
-        each other.
-        """
-        settings = self._settings
+    def _other_successors(
+        self, target: heartbeats.Peer
+    ) -> list[heartbeats.Peer]:
+        names = self._successors(target.member_id)
         with self._lock:
-            others = len(self._peers) - 1
-        if votes >= min(settings.confirmations, others) and votes:
-            return 0
-        if votes or watch.was_refused:
-            return settings.short_of_votes_wait_ms
-        pair = sorted((self.self_id, watch.peer.member_id))
-        if partitions.rank("|".join(pair), pair)[0] == self.self_id:
-            return settings.alone_wait_ms
-        return 2 * settings.alone_wait_ms
-
-    def _ask(self, target: Peer) -> tuple[int, bool]:
-        """Ask others to probe; return votes for dead and any objection."""
-        candidates = self._successors(target.member_id)
-        candidates = [name for name in candidates if name != self.self_id]
-        votes = 0
-        wanted = self._settings.confirmations
-        for start in range(0, min(len(candidates), MAX_PROBERS), wanted):
-            batch = candidates[start : start + wanted]
-            answers = self._ask_batch(batch, target, False)
-            if True in answers:
-                return votes, True
-            votes += answers.count(False)
-            if votes >= wanted:
-                break
-        return votes, False
-
-    def _ask_batch(
-        self, probers: list[str], target: Peer, is_confirmed: bool
-    ) -> list[bool | None]:
-        probe = messages.Probe(
-            target.peer_address, target.member_id, is_confirmed
-        )
+            return [self._peers[name] for name in names if name in self._peers]
+
+    def _notify(self, target: heartbeats.Peer) -> None:
+        """Let the next in the order take over if this process cannot."""
+        names = self._successors(target.member_id)[: LAST_POSITION - 1]
         with self._lock:
-            peers = [
-                self._peers[name] for name in probers if name in self._peers
+            first = [
+                self._peers[name] for name in names if name in self._peers
             ]
-        timeout_ms = self._settings.probe_timeout_ms + PROBE_ALLOWANCE_MS
-
-        def ask(prober: Peer) -> bool | None:
-            self._counts["probes"] += 1
-            try:
-                return self._transport.probe(prober, probe, timeout_ms)
-            except (client.PeerUnreachable, client.PeerDamaged):
-                return None
-
-        if len(peers) < 2:
-            return [ask(peer) for peer in peers]
-        with concurrent.futures.ThreadPoolExecutor(len(peers)) as executor:
-            return list(executor.map(ask, peers))
-
-    def _notify(self, target: Peer) -> None:
-        first = self._successors(target.member_id)[: LAST_POSITION - 1]
-        first = [name for name in first if name != self.self_id]
-        if True in self._ask_batch(first, target, True):
+        if self._probes.tell(target, first):
             self._recover(target.member_id)
 
-    def _answers(self, target: Peer) -> bool:
+    def _answers(self, target: heartbeats.Peer) -> bool:
         self._counts["checks"] += 1
         try:
             answer = self._transport.heartbeat(
@@ -542,7 +345,7 @@
             ]
         return partitions.rank(dead_id, [*live, self.self_id])
 
-    def _declare(self, target: Peer) -> None:
+    def _declare(self, target: heartbeats.Peer) -> None:
         order = self._successors(target.member_id)
         position = min(order.index(self.self_id), LAST_POSITION)
         due_ms = (
@@ -557,7 +360,12 @@
             self._choose_watched()
 
     def _choose_watched(self) -> None:
-        wanted = self._ring()
+        wanted = ring.successors(
+            self.self_id,
+            self._peers,
+            self._dead,
+            self._settings.watched_peers,
+        )
         for member_id in list(self._watches):
             if self._peers.get(member_id) != self._watches[member_id].peer or (
                 member_id not in wanted
@@ -565,36 +373,19 @@
                 self._watches.pop(member_id).ended.set()
         for member_id in wanted:
             if member_id not in self._watches:
-                watch = _Watch(self._peers[member_id], self._clock.now_ms())
+                watch = suspicion.Watch(
+                    self._peers[member_id], self._clock.now_ms()
+                )
                 self._watches[member_id] = watch
                 if self._is_started:
                     self._start_watch(watch)
 
-    def _ring(self) -> list[str]:
-        """Return the successors on the ring of member ids.
-
-        Confirmed dead members stay watched, in case they answer again, and
-        are replaced by further ones up to twice the usual number.
-        """
-        ring = sorted([*self._peers, self.self_id], key=_ring_place)
-        start = ring.index(self.self_id) + 1
-        following = (ring[start:] + ring)[: len(self._peers)]
-        limit = min(self._settings.watched_peers, MAX_WATCHED)
-        chosen: list[str] = []
-        live = 0
-        for member_id in following:
-            if live == limit or len(chosen) == 2 * limit:
-                break
-            chosen.append(member_id)
-            live += member_id not in self._dead
-        return chosen
-
-    def _start_watch(self, watch: _Watch) -> None:
+    def _start_watch(self, watch: suspicion.Watch) -> None:
         threading.Thread(
             target=self._run_watch, args=(watch,), daemon=True
         ).start()
 
-    def _run_watch(self, watch: _Watch) -> None:
+    def _run_watch(self, watch: suspicion.Watch) -> None:
         # Members that start together do not send at the same instant.
         pause_ms = random.uniform(0, self._settings.heartbeat_interval_ms)
         while not self._clock.wait(watch.ended, pause_ms):
@@ -621,7 +412,3 @@
         member_id=member_id,
         trace=traceback.format_exc(),
     )
-
-
-def _ring_place(member_id: str) -> bytes:
-    return hashlib.blake2b(member_id.encode(), digest_size=8).digest()
--- a/packages/membership/tests/builders.py
+++ b/packages/membership/tests/builders.py
@@ -8,17 +8,17 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import errors, results
-from balsamloom_membership import backends, liveness
+from balsamloom_membership import backends, heartbeats, liveness, suspicion
 from balsamloom_peers import client, messages, server
 from balsamloom_state import partitions
 
 TICK_MS = 50
-SETTINGS = liveness.LivenessSettings()
+SETTINGS = suspicion.LivenessSettings()
 
 
 def peers(count):
     return [
-        liveness.Peer(f"m{number}-{number:08x}", f"127.0.0.1:{number + 1}")
+        heartbeats.Peer(f"m{number}-{number:08x}", f"127.0.0.1:{number + 1}")
         for number in range(count)
     ]
 
@@ -127,7 +127,7 @@
         self.liveness = liveness.Liveness(
             member_id,
             clocks.Clock(),
-            liveness.PoolTransport(self.pool),
+            heartbeats.PoolTransport(self.pool),
             SETTINGS,
             on_dead or (lambda dead: None),
             self.received.append,
@@ -137,7 +137,7 @@
         self.server.start()
         self.callback(self.server.stop, 0)
         self.callback(self.liveness.stop)
-        self.peer = liveness.Peer(member_id, self.server.address)
+        self.peer = heartbeats.Peer(member_id, self.server.address)
 
     def heartbeat(self, heartbeat):
         return self.liveness.handle_heartbeat(heartbeat)
@@ -157,7 +157,7 @@
             text=True,
         )
         line = json.loads(self.process.stdout.readline())
-        self.peer = liveness.Peer(member_id, line["address"])
+        self.peer = heartbeats.Peer(member_id, line["address"])
 
     def close(self):
         self.process.kill()
--- a/packages/membership/tests/test_liveness.py
+++ b/packages/membership/tests/test_liveness.py
@@ -8,7 +8,7 @@
 
 import builders
 
-from balsamloom_membership import liveness
+from balsamloom_membership import heartbeats, liveness
 from balsamloom_peers import messages
 from balsamloom_state import partitions
 
@@ -68,8 +68,8 @@
             len(content.server_states) + len(content.server_shares)
             for content in received
         )
-        size_bytes = entries * (liveness.ENTRY_BYTES + len("engine-0000"))
-        self.assertLess(size_bytes / 20, 1.5 * liveness.CONTENT_BYTES_PER_S)
+        size_bytes = entries * (heartbeats.ENTRY_BYTES + len("engine-0000"))
+        self.assertLess(size_bytes / 20, 1.5 * heartbeats.CONTENT_BYTES_PER_S)
         self.assertIn(full, received)
         for content in received:
             self.assertEqual(content.server_states[:2], full.server_states[:2])
@@ -151,7 +151,7 @@
         network.run(1_000)
         old = network.map[0]
         network.kill(old)
-        network.add(liveness.Peer("m0-restarted", old.peer_address))
+        network.add(heartbeats.Peer("m0-restarted", old.peer_address))
         network.run(4_000)
         self.assertEqual([entry[2] for entry in network.dead], [old.member_id])
 
--- a/scenarios/steps/outcomes.py
+++ b/scenarios/steps/outcomes.py
@@ -1,6 +1,7 @@
 """Steps that check what came of it."""
 
 import contextlib
+import subprocess
 import time
 
 import behave
@@ -13,6 +14,8 @@
 from balsamloom_platform import store as stores
 from balsamloom_standins import checks, evidence, observations
 
+LOG_TAIL_CHARACTERS = 4_000
+
 behave.use_step_matcher("parse")
 
 
@@ -165,7 +168,16 @@
 @behave.then("the stopped processes have ended with status 0")
 def stopped_cleanly(context):
     for entry in context.stopped:
-        assert entry.wait(support.WAIT_S) == 0, entry.name
+        try:
+            status = entry.wait(support.WAIT_S)
+        except subprocess.TimeoutExpired as error:
+            raise AssertionError(f"{error}: {log_tail(entry)}") from error
+        assert status == 0, f"{entry.name}: {status}: {log_tail(entry)}"
+
+
+def log_tail(entry):
+    """Return the last lines of a process's log."""
+    return entry.log_path.read_text(encoding="utf-8")[-LOG_TAIL_CHARACTERS:]
 
 
 @behave.then("every partition is served again within {seconds:d} s")
