End answers of tools and engines that drip or have no end

The product's own clients used timeouts of the socket, which start anew with each byte. Six calls were shown to run on after 4 s with timeouts of 0.4 and 0.6 s: a head, a body or an event byte by byte, comments as signs of life, 100 Continue without end. Bodies and events had no bound on their size.

Answers now have one time and a size for all reads (limited.LimitedReads), a stream's head as well; a stream ends when no event comes for silence_ms, whatever else does. Slow streams that send events stay as they were (test). Ruled out: a timer for each call (a thread each); one deadline for the whole stream (long answers are sound).

--- a/packages/entry/src/balsamloom_entry/parts.py
+++ b/packages/entry/src/balsamloom_entry/parts.py
@@ -6,8 +6,6 @@
 import threading
 from collections.abc import Callable, Iterable
 
-import urllib3
-
 from balsamloom_configuration import distribution
 from balsamloom_core import clock as clocks
 from balsamloom_core import dumps, events
@@ -21,7 +19,7 @@
 )
 from balsamloom_membership import backends
 from balsamloom_peers import links
-from balsamloom_platform import engines, metrics, tools
+from balsamloom_platform import engines, limited, metrics, tools
 from balsamloom_platform import store as stores
 from balsamloom_policy import scheduler as schedulers
 from balsamloom_policy import settings as policy_settings
@@ -56,8 +54,8 @@
             self.clock,
         )
         events.add_handler(metering.EventCounter(self.metrics))
-        self.connections = urllib3.PoolManager(
-            num_pools=SERVER_CONNECTION_POOLS, maxsize=CONNECTIONS_PER_SERVER
+        self.connections = limited.answer_pool(
+            SERVER_CONNECTION_POOLS, CONNECTIONS_PER_SERVER
         )
         self.streams = engines.stream_pool(
             SERVER_CONNECTION_POOLS, CONNECTIONS_PER_SERVER
--- a/packages/platform/src/balsamloom_platform/engines.py
+++ b/packages/platform/src/balsamloom_platform/engines.py
@@ -13,11 +13,14 @@
 import sseclient
 import urllib3
 
+from balsamloom_core import clock as clocks
 from balsamloom_core import errors, results
+from balsamloom_platform import limited
 
 DEFAULT_TIMEOUT_MS = 2_000
 MS_PER_S = 1000
 READ_SIZE_BYTES = 65536
+EVENT_BYTES_MAX = 1_000_000
 
 _EVENT_END = b"\n\n"
 
@@ -166,10 +169,15 @@
     """An open answer of a model engine over HTTP.
 
     :param response: response whose body has not been read.
+    :param silence_ms: longest time without an event.
     """
 
-    def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
+    def __init__(
+        self, response: urllib3.BaseHTTPResponse, silence_ms: float
+    ) -> None:
         self._response = response
+        self._silence_ms = silence_ms
+        self._clock = clocks.Clock()
         self.is_whole = False
 
     def batches(self) -> Iterator[list[Chunk]]:
@@ -178,18 +186,24 @@
         Nothing waits for more chunks than have arrived. :attr:`is_whole` is
         set when the engine's closing ``[DONE]`` was seen.
 
-        :raises EngineError: if the connection breaks or the engine is silent
-            for longer than the read timeout.
+        :raises EngineError: if the connection breaks or no event comes for
+            longer than the read timeout, whatever else does.
         """
         pending = b""
+        event_ms = self._clock.now_ms()
         try:
             while raw := self._response.read1(READ_SIZE_BYTES):
                 head, separator, pending = (pending + raw).rpartition(
                     _EVENT_END
                 )
+                if len(pending) > EVENT_BYTES_MAX:
+                    raise ValueError("an event without end")
                 chunks = self._parse(head + separator)
                 if chunks:
                     yield chunks
+                    event_ms = self._clock.now_ms()
+                elif self._clock.now_ms() - event_ms >= self._silence_ms:
+                    raise TimeoutError("no event in time")
         except (urllib3.exceptions.HTTPError, OSError) as error:
             # A break after the closing event loses nothing.
             if not self.is_whole:
@@ -225,6 +239,7 @@
 
     _http_vsn = 10
     _http_vsn_str = "HTTP/1.0"
+    response_class = limited.StreamedAnswer
 
 
 class _UnchunkedPool(urllib3.HTTPConnectionPool):
@@ -237,12 +252,7 @@
     :param pools: servers whose connections are kept track of.
     :param size: connections for each server.
     """
-    manager = urllib3.PoolManager(num_pools=pools, maxsize=size)
-    manager.pool_classes_by_scheme = {
-        **manager.pool_classes_by_scheme,
-        "http": _UnchunkedPool,
-    }
-    return manager
+    return limited.pool_of(_UnchunkedPool, pools, size)
 
 
 class Engine:
@@ -292,7 +302,7 @@
         )
         if response.status != 200:
             raise _refusal(response)
-        return ChatStream(response)
+        return ChatStream(response, read_timeout_ms)
 
     def load(self, timeout_ms: int = DEFAULT_TIMEOUT_MS) -> LoadReport:
         """Read the load report.
--- /dev/null
+++ b/packages/platform/src/balsamloom_platform/limited.py
@@ -0,0 +1,144 @@
+"""Answers of other servers, within a time and a size.
+
+The timeouts of a socket start anew with each byte, so that a server that
+sends one now and then, or sends without end, could hold a call for ever.
+"""
+
+from __future__ import annotations
+
+import http.client
+import io
+import socket
+from typing import Any, NamedTuple
+
+import urllib3
+
+from balsamloom_core import clock as clocks
+
+# Heads of sound servers take a few hundred bytes.
+HEAD_BYTES_MAX = 256_000
+ANSWER_BYTES_MAX = 16_000_000
+# Stands for a socket that waits for ever.
+NO_TIMEOUT_MS = 600_000.0
+
+
+class EndlessAnswerError(http.client.HTTPException):
+    """A server sends more than an answer may have."""
+
+
+class Limits(NamedTuple):
+    """Bytes of an answer, and time until they must be there."""
+
+    most_bytes: int
+    timeout_ms: float
+
+
+class LimitedReads(io.RawIOBase):
+    """Reads of one answer; its time runs from the start.
+
+    Raises :class:`TimeoutError` or :class:`EndlessAnswerError`.
+
+    :param connection: connected socket; its timeout bounds each read.
+    :param limits: bounds of all reads together.
+    """
+
+    def __init__(self, connection: socket.socket, limits: Limits) -> None:
+        super().__init__()
+        self._connection = connection
+        self._raw = connection.makefile("rb", buffering=0)
+        self._clock = clocks.Clock()
+        self._most_bytes = limits.most_bytes
+        self._until_ms = self._clock.now_ms() + limits.timeout_ms
+        self._is_limited = True
+
+    def readable(self) -> bool:
+        """Return that this can be read."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read what is there; wait for the first byte."""
+        if not self._is_limited:
+            return self._raw.readinto(buffer)
+        if self._most_bytes <= 0:
+            raise EndlessAnswerError("more bytes than an answer may have")
+        left_ms = self._until_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            raise TimeoutError("the answer is not complete in time")
+        usual_s = self._connection.gettimeout()
+        left_s = left_ms / clocks.MS_PER_S
+        self._connection.settimeout(min(usual_s or left_s, left_s))
+        try:
+            count = self._raw.readinto(buffer)
+        finally:
+            self._connection.settimeout(usual_s)
+        self._most_bytes -= count or 0
+        return count
+
+    def lift(self) -> None:
+        """Read without limits from now on."""
+        self._is_limited = False
+
+    def close(self) -> None:
+        """Let go of the socket."""
+        self._raw.close()
+        super().close()
+
+
+class _Answer(http.client.HTTPResponse):
+    """Answer that must be complete within the timeout of its socket."""
+
+    most_bytes = ANSWER_BYTES_MAX
+
+    def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any) -> None:
+        super().__init__(sock, *args, **kwargs)
+        usual_s = sock.gettimeout()
+        timeout_ms = NO_TIMEOUT_MS
+        if usual_s is not None:
+            timeout_ms = usual_s * clocks.MS_PER_S
+        self.reads = LimitedReads(sock, Limits(self.most_bytes, timeout_ms))
+        self.fp.close()
+        self.fp = io.BufferedReader(self.reads)
+
+
+class StreamedAnswer(_Answer):
+    """Answer whose head alone must come within the timeout."""
+
+    most_bytes = HEAD_BYTES_MAX
+
+    def begin(self) -> None:
+        """Read the head."""
+        super().begin()
+        self.reads.lift()
+
+
+class _AnswerConnection(urllib3.connection.HTTPConnection):
+    response_class = _Answer
+
+
+class _AnswerPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _AnswerConnection
+
+
+def answer_pool(pools: int, size: int, **options: Any) -> urllib3.PoolManager:
+    """Return a pool whose answers come whole in time or not at all.
+
+    :param pools: servers whose connections are kept track of.
+    :param size: connections for each server.
+    :param options: further options of connections.
+    """
+    return pool_of(_AnswerPool, pools, size, **options)
+
+
+def pool_of(
+    kind: type[urllib3.HTTPConnectionPool],
+    pools: int,
+    size: int,
+    **options: Any,
+) -> urllib3.PoolManager:
+    """Return a pool whose plain connections are of a kind."""
+    manager = urllib3.PoolManager(num_pools=pools, maxsize=size, **options)
+    manager.pool_classes_by_scheme = {
+        **manager.pool_classes_by_scheme,
+        "http": kind,
+    }
+    return manager
--- a/packages/platform/src/balsamloom_platform/tools.py
+++ b/packages/platform/src/balsamloom_platform/tools.py
@@ -11,7 +11,7 @@
 import urllib3
 
 from balsamloom_core import outcomes, results
-from balsamloom_platform import causes
+from balsamloom_platform import causes, limited
 
 MS_PER_S = 1000
 
@@ -99,7 +99,7 @@
         headers: dict[str, str],
         timeout_ms: int,
     ) -> urllib3.BaseHTTPResponse:
-        with urllib3.PoolManager(num_pools=1, **self._options) as pool:
+        with limited.answer_pool(1, 1, **self._options) as pool:
             return pool.request(
                 "POST",
                 self._base + path,
