End an entry process whose start fails after its server's threads run

The server is now stopped when anything after it fails, and the error names the address. Test: test_busy_port_ends_the_process (hung before).

--- a/packages/entry/src/balsamloom_entry/main.py
+++ b/packages/entry/src/balsamloom_entry/main.py
@@ -11,7 +11,7 @@
 
 import click
 
-from balsamloom_core import events, settings
+from balsamloom_core import errors, events, settings
 from balsamloom_entry import process, schema
 
 # Hundreds of threads wait for answers; a small stack keeps them cheap.
@@ -55,7 +55,12 @@
         entry = process.EntryProcess(
             schema.EntrySettings(**document)  # type: ignore[typeddict-item]
         )
-    except (OSError, OverflowError, RuntimeError) as error:
+    except (
+        errors.BalsamloomError,
+        OSError,
+        OverflowError,
+        RuntimeError,
+    ) as error:
         raise click.ClickException(
             f"http_address {document['http_address']!r} or peer_address"
             f" {document['peer_address']!r} is not accepted: {error};"
--- a/packages/entry/src/balsamloom_entry/process.py
+++ b/packages/entry/src/balsamloom_entry/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import threading
 from collections.abc import Iterator
 
@@ -39,19 +40,23 @@
             settings["http_address"], settings["http_threads"]
         )
         self.address = http.bound_address(self._http)
-        self._peer_server = peer_servers.PeerServer(
-            settings["peer_address"],
-            peering.PeerHandlers(self.parts, lambda: self.session),
-            self.parts.links,
-        )
-        self.session = self._new_session()
-        self._former: list[session.Session] = []
-        self._is_stopping = threading.Event()
-        http.mount(
-            self._http,
-            http.CallerInterface(self._route, settings["max_body_bytes"]),
-        )
-        self._watches = self._make_watches()
+        with contextlib.ExitStack() as cleanup:
+            # The server's threads would keep a failed start alive.
+            cleanup.callback(self._http.stop)
+            self._peer_server = peer_servers.PeerServer(
+                settings["peer_address"],
+                peering.PeerHandlers(self.parts, lambda: self.session),
+                self.parts.links,
+            )
+            self.session = self._new_session()
+            self._former: list[session.Session] = []
+            self._is_stopping = threading.Event()
+            http.mount(
+                self._http,
+                http.CallerInterface(self._route, settings["max_body_bytes"]),
+            )
+            self._watches = self._make_watches()
+            cleanup.pop_all()
 
     def start(self) -> None:
         """Serve, and try once to join; later tries go on in a task."""
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -3,6 +3,9 @@
 import json
 import pathlib
 import re
+import socket
+import subprocess
+import sys
 import tempfile
 import unittest
 
@@ -17,6 +20,8 @@
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
 # Nothing listens on this port.
 DEAD = "127.0.0.1:1"
+ENTRY = pathlib.Path(sys.executable).with_name("balsamloom-entry")
+START_TIMEOUT_S = 30.0
 COMMANDS = {
     "balsamloom": operator.main,
     "balsamloom-call": caller.main,
@@ -114,6 +119,34 @@
         self.assertIsInstance(done.exception, SystemExit)
         self.assertIn("http_address '192.0.2.1:8080'", done.output)
 
+    def test_busy_port_ends_the_process(self):
+        # A server's threads kept a process alive whose start had failed.
+        taken = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(taken.close)
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        for field in ("http_address", "peer_address"):
+            with self.subTest(field):
+                settings = {
+                    "name": "a",
+                    "http_address": "127.0.0.1:0",
+                    "failure_domain": "a",
+                    "store_address": DEAD,
+                    field: address,
+                }
+                with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+                    json.dump(settings, file)
+                    file.flush()
+                    command = [ENTRY, "--settings", file.name]
+                    done = subprocess.run(
+                        command,
+                        capture_output=True,
+                        text=True,
+                        timeout=START_TIMEOUT_S,
+                        check=False,
+                    )
+                self.assertEqual(done.returncode, 1, done.stderr)
+                self.assertIn(f"{field} '{address}'", done.stderr)
+
     def test_help_shows_the_default_of_every_option(self):
         for name, main in COMMANDS.items():
             for path, command in leaves(main, name):
