Hear a planned stop whichever thread gets the signal

Cause: only the main thread runs handlers, and a signal that another thread gets does not end the main thread's wait for a lock. Ruled out: a stop that took long (it had not begun), requests in progress (none), the log (other lines came).

--- a/packages/entry/src/balsamloom_entry/main.py
+++ b/packages/entry/src/balsamloom_entry/main.py
@@ -4,14 +4,13 @@
 
 import json
 import pathlib
-import signal
 import sys
 import threading
 from typing import Any
 
 import click
 
-from balsamloom_core import errors, events, settings
+from balsamloom_core import errors, events, settings, signals
 from balsamloom_entry import process, schema
 
 # Hundreds of threads wait for answers; a small stack keeps them cheap.
@@ -48,9 +47,7 @@
     """
     threading.stack_size(THREAD_STACK_BYTES)
     events.configure(document["name"], document["log_level"])
-    ended = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: ended.set())
+    stop_signals = signals.Signals()
     try:
         entry = process.EntryProcess(
             schema.EntrySettings(**document)  # type: ignore[typeddict-item]
@@ -68,5 +65,5 @@
         ) from error
     entry.start()
     print(json.dumps({"address": entry.address}), flush=True)
-    ended.wait()
+    stop_signals.wait()
     return entry.stop()
--- a/packages/standins/src/balsamloom_standins/_serving.py
+++ b/packages/standins/src/balsamloom_standins/_serving.py
@@ -6,7 +6,6 @@
 import json
 import os
 import select
-import signal
 import socket
 import threading
 import time
@@ -16,6 +15,7 @@
 import cherrypy
 from cheroot import wsgi
 
+from balsamloom_core import signals
 from balsamloom_entry import http
 
 DEFAULT_THREADS = 128
@@ -135,11 +135,9 @@
 
     :param server: running server.
     """
-    ended = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: ended.set())
+    stop_signals = signals.Signals()
     print(json.dumps({"address": bound_address(server)}), flush=True)
-    ended.wait()
+    stop_signals.wait()
     # A stand-in has nothing to save, and its threads may hang on purpose.
     os._exit(0)
 
--- a/scenarios/environment.py
+++ b/scenarios/environment.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import os
 
 from balsamloom_standins import deployments, fleet, observations
 
@@ -15,6 +16,9 @@
 DEFAULT_ENGINE = {"token_ms": 2, "slowdown": 1, "state": "serving"}
 DEFAULT_TOOLS = {"mode": "none", "duration_ms": 5, "left": 0}
 
+# Processes that hang write what each thread does when they are aborted.
+os.environ["PYTHONFAULTHANDLER"] = "1"
+
 
 class World:
     """Deployments that run at the moment, by the name of their user."""
--- a/scenarios/steps/outcomes.py
+++ b/scenarios/steps/outcomes.py
@@ -1,6 +1,8 @@
 """Steps that check what came of it."""
 
 import contextlib
+import os
+import signal
 import subprocess
 import time
 
@@ -14,7 +16,7 @@
 from balsamloom_platform import store as stores
 from balsamloom_standins import checks, evidence, observations
 
-LOG_TAIL_CHARACTERS = 4_000
+LOG_TAIL_CHARACTERS = 20_000
 
 behave.use_step_matcher("parse")
 
@@ -171,6 +173,9 @@
         try:
             status = entry.wait(support.WAIT_S)
         except subprocess.TimeoutExpired as error:
+            # The interpreter writes what each thread does (environment.py).
+            os.kill(entry.pid, signal.SIGABRT)
+            entry.wait(support.WAIT_S)
             raise AssertionError(f"{error}: {log_tail(entry)}") from error
         assert status == 0, f"{entry.name}: {status}: {log_tail(entry)}"
 
