--- a/packages/entry/src/balsamloom_entry/parts.py
+++ b/packages/entry/src/balsamloom_entry/parts.py
@@ -19,7 +19,7 @@
 )
 from balsamloom_membership import backends
 from balsamloom_peers import links
-from balsamloom_platform import engines, limited, metrics, tools
+from balsamloom_platform import engine_client, limited, metrics, tools
 from balsamloom_platform import store as stores
 from balsamloom_policy import scheduler as schedulers
 from balsamloom_policy import settings as policy_settings
@@ -57,7 +57,7 @@
         self.connections = limited.answer_pool(
             SERVER_CONNECTION_POOLS, CONNECTIONS_PER_SERVER
         )
-        self.streams = engines.stream_pool(
+        self.streams = engine_client.stream_pool(
             SERVER_CONNECTION_POOLS, CONNECTIONS_PER_SERVER
         )
         # Calls run in tasks of their own; each may need a second task until
@@ -87,12 +87,12 @@
         self.configuration.on_change(self.pools.take_document)
         self._register_dumps()
 
-    def engine_at(self, address: str) -> engines.Engine:
+    def engine_at(self, address: str) -> engine_client.Engine:
         """Return the client of a model engine.
 
         :param address: ``host:port``.
         """
-        return engines.Engine(address, self.connections, self.streams)
+        return engine_client.Engine(address, self.connections, self.streams)
 
     def tool_at(self, address: str) -> tools.ToolService:
         """Return the client of a tool service.
--- a/packages/platform/tests/test_engines.py
+++ b/packages/platform/tests/test_engines.py
@@ -8,12 +8,12 @@
 import urllib3
 
 from balsamloom_core import results
-from balsamloom_platform import engines
+from balsamloom_platform import engine_client, engines
 
 
 def chat(address, read_timeout_ms=5_000):
     pool = urllib3.PoolManager()
-    engine = engines.Engine(address, pool)
+    engine = engine_client.Engine(address, pool)
     return engine.chat({"messages": []}, "p1/1/c", 1_000, read_timeout_ms)
 
 
--- a/packages/platform/tests/test_limited.py
+++ b/packages/platform/tests/test_limited.py
@@ -7,7 +7,7 @@
 import builders
 
 from balsamloom_core import outcomes, results
-from balsamloom_platform import engines, limited, tools
+from balsamloom_platform import engine_client, engines, limited, tools
 
 CALL_MS = 600
 # A call may take its own time and the time of one more reading.
@@ -110,8 +110,8 @@
 
     def stream(self, script):
         server = builders.ScriptedServer(self, script)
-        pool = engines.stream_pool(1, 1)
-        engine = engines.Engine(server.address, pool, pool)
+        pool = engine_client.stream_pool(1, 1)
+        engine = engine_client.Engine(server.address, pool, pool)
         return engine.chat({"messages": []}, "p/1/c", 1_000, self.SILENCE_MS)
 
     def check_ends(self, script, code):
--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -9,13 +9,13 @@
 import urllib3
 
 from balsamloom_core import results
-from balsamloom_platform import engines
+from balsamloom_platform import engine_client, engines
 
 
 class EngineTest(unittest.TestCase):
     def start(self, *options):
         self.address = builders.serve(self, "engine", *options)
-        self.engine = engines.Engine(self.address, urllib3.PoolManager())
+        self.engine = engine_client.Engine(self.address, urllib3.PoolManager())
 
     def finish(self, stream):
         count = sum(len(batch) for batch in stream.batches())
--- a/tools/capacity_process.py
+++ b/tools/capacity_process.py
@@ -20,7 +20,7 @@
 from balsamloom_membership import addresses, backends
 from balsamloom_peers import client as peer_clients
 from balsamloom_peers import links, messages, server
-from balsamloom_platform import engines
+from balsamloom_platform import engine_client
 from balsamloom_platform import store as stores
 from balsamloom_policy import calls as policy_calls
 from balsamloom_policy import scheduler as schedulers
@@ -569,7 +569,7 @@
     sizes, spent = [], []
     with fleet.Fleet() as running:
         proxy = CountingProxy(running.standin("engine").address)
-        engine = engines.Engine(proxy.address, urllib3.PoolManager())
+        engine = engine_client.Engine(proxy.address, urllib3.PoolManager())
         engine.load(2_000)
         for count in (50, 100, 200):
             before = proxy.count
@@ -583,7 +583,7 @@
     ]
 
 
-def _read_loads(engine: engines.Engine, count: int) -> None:
+def _read_loads(engine: engine_client.Engine, count: int) -> None:
     for _ in range(count):
         engine.load(2_000)
 
