--- a/packages/cli/src/balsamloom_cli/operator.py
+++ b/packages/cli/src/balsamloom_cli/operator.py
@@ -19,7 +19,7 @@
 from balsamloom_configuration import editing
 from balsamloom_core import clock as clocks
 from balsamloom_core import settings
-from balsamloom_platform import causes
+from balsamloom_platform import causes, etcd_gateway
 from balsamloom_platform import store as stores
 from balsamloom_state import partitions
 
@@ -103,7 +103,7 @@
 def main(context: click.Context, store: str, output: str, author: str) -> None:
     """Operate balsamloom: configuration, members, dumps and settings."""
     context.obj = Session(
-        stores.EtcdGateway(store),
+        etcd_gateway.EtcdGateway(store),
         output == "json",
         author,
         clocks.Clock(),
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -9,7 +9,7 @@
 from balsamloom_cli import caller, operator, status
 from balsamloom_core import clock as clocks
 from balsamloom_core import results
-from balsamloom_platform import store as stores
+from balsamloom_platform import etcd_gateway
 from balsamloom_standins import fleet
 from balsamloom_state import partitions
 
@@ -93,7 +93,7 @@
         self.addCleanup(entry.stop)
         member = partitions.Member("e1", entry.address, "", "a")
         partitions.update(
-            stores.EtcdGateway(self.store.address),
+            etcd_gateway.EtcdGateway(self.store.address),
             lambda current: current._replace(members={"e1": member}),
         )
         done = self.asha.run("config", "status", "--wait", "2")
--- a/packages/entry/src/balsamloom_entry/parts.py
+++ b/packages/entry/src/balsamloom_entry/parts.py
@@ -19,7 +19,13 @@
 )
 from balsamloom_membership import backends
 from balsamloom_peers import links
-from balsamloom_platform import engine_client, limited, metrics, tools
+from balsamloom_platform import (
+    engine_client,
+    etcd_gateway,
+    limited,
+    metrics,
+    tools,
+)
 from balsamloom_platform import store as stores
 from balsamloom_policy import scheduler as schedulers
 from balsamloom_policy import settings as policy_settings
@@ -49,7 +55,7 @@
         self.ended = threading.Event()
         self.metrics = _metrics(settings["statsd_address"])
         self.store: stores.Store = metering.MeteredStore(
-            stores.EtcdGateway(settings["store_address"]),
+            etcd_gateway.EtcdGateway(settings["store_address"]),
             self.metrics,
             self.clock,
         )
--- /dev/null
+++ b/packages/platform/src/balsamloom_platform/etcd_gateway.py
@@ -0,0 +1,321 @@
+"""Client of the key-value service, over the JSON gateway of etcd v3."""
+
+from __future__ import annotations
+
+import base64
+import json
+import time
+from collections.abc import Iterator, Sequence
+from typing import Any
+
+import urllib3
+
+from balsamloom_platform import causes
+from balsamloom_platform import store as stores
+
+READ_TRIES = 3
+MIN_TIMEOUT_S = 0.001
+
+
+class EtcdGateway:
+    """Client of the etcd v3 JSON gateway.
+
+    :param address: ``host:port`` of the service.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._base = f"http://{address}"
+        self._pool = urllib3.PoolManager(
+            num_pools=2, maxsize=16, retries=False
+        )
+
+    def get(
+        self, key: str, timeout_ms: int = stores.DEFAULT_TIMEOUT_MS
+    ) -> stores.Item | None:
+        """Read one key.
+
+        :param key: key to read.
+        :param timeout_ms: longest wait for the answer.
+        :raises StoreUnavailable: if no answer comes in time.
+        """
+        answer = self._call(
+            "kv/range", {"key": _encode(key)}, timeout_ms, writes=False
+        )
+        items = [_item(entry) for entry in answer.get("kvs", [])]
+        return items[0] if items else None
+
+    def list_keys(
+        self,
+        prefix: str,
+        limit: int = 0,
+        start: str = "",
+        timeout_ms: int = stores.DEFAULT_TIMEOUT_MS,
+    ) -> stores.Page:
+        """Read keys with a prefix.
+
+        :param prefix: common start of the keys.
+        :param limit: largest number of items, zero for all.
+        :param start: first key wanted, the prefix itself unless given.
+        :param timeout_ms: longest wait for the answer.
+        :raises StoreUnavailable: if no answer comes in time.
+        """
+        body = {
+            "key": _encode(start or prefix),
+            "range_end": _encode_bytes(_prefix_end(prefix)),
+            "limit": str(limit),
+        }
+        answer = self._call("kv/range", body, timeout_ms, writes=False)
+        items = [_item(entry) for entry in answer.get("kvs", [])]
+        revision = int(answer["header"]["revision"])
+        return stores.Page(items, bool(answer.get("more", False)), revision)
+
+    def commit(
+        self,
+        comparisons: Sequence[stores.Comparison],
+        operations: Sequence[stores.Operation],
+        timeout_ms: int = stores.DEFAULT_TIMEOUT_MS,
+    ) -> stores.Committed | stores.Conflict:
+        """Apply all operations if all comparisons hold.
+
+        :param comparisons: conditions on keys.
+        :param operations: writes and removals.
+        :param timeout_ms: longest wait for the answer.
+        :raises StoreUnavailable: if no answer comes; the write may have taken
+            effect.
+        """
+        body = {
+            "compare": [_compare(comparison) for comparison in comparisons],
+            "success": [_operation(operation) for operation in operations],
+            "failure": [
+                {"request_range": {"key": _encode(comparison.key)}}
+                for comparison in comparisons
+            ],
+        }
+        answer = self._call("kv/txn", body, timeout_ms, writes=True)
+        revision = int(answer["header"]["revision"])
+        if answer.get("succeeded", False):
+            return stores.Committed(revision)
+        current: dict[str, stores.Item] = {}
+        for response in answer.get("responses", []):
+            for entry in response.get("response_range", {}).get("kvs", []):
+                item = _item(entry)
+                current[item.key] = item
+        return stores.Conflict(revision, current)
+
+    def watch(
+        self, prefix: str, from_revision: int, timeout_ms: int
+    ) -> Iterator[list[stores.Change]]:
+        """Yield changes as they come; end when the timeout has passed.
+
+        :param prefix: common start of the keys.
+        :param from_revision: first revision wanted.
+        :param timeout_ms: longest silence before the watch ends.
+        :raises StoreUnavailable: if the service cannot be reached or cuts the
+            watch.
+        """
+        body = {
+            "create_request": {
+                "key": _encode(prefix),
+                "range_end": _encode_bytes(_prefix_end(prefix)),
+                "start_revision": str(from_revision),
+            }
+        }
+        timeout = urllib3.Timeout(
+            connect=stores.DEFAULT_TIMEOUT_MS / 1000, read=timeout_ms / 1000
+        )
+        response: urllib3.BaseHTTPResponse | None = None
+        try:
+            response = self._pool.request(
+                "POST",
+                f"{self._base}/v3/watch",
+                json=body,
+                timeout=timeout,
+                preload_content=False,
+            )
+            if response.status != 200:
+                message = f"watch: status {response.status}"
+                raise stores.StoreUnavailable(message, False)
+            yield from _watch_lines(response)
+        except urllib3.exceptions.ReadTimeoutError:
+            return
+        except (urllib3.exceptions.HTTPError, ValueError, KeyError) as error:
+            raise stores.StoreUnavailable(
+                f"watch: {error!r}", False
+            ) from error
+        finally:
+            # An unread watch must not go back to the pool: the next request
+            # on its connection would read events instead of its answer.
+            if response is not None:
+                response.close()
+
+    def grant_lease(self, ttl_ms: int) -> int:
+        """Return the identifier of a new lease.
+
+        :param ttl_ms: time to live, rounded up to whole seconds by the
+            service.
+        """
+        body = {"TTL": str(-(-ttl_ms // 1000))}
+        return int(
+            self._call(
+                "lease/grant", body, stores.DEFAULT_TIMEOUT_MS, writes=True
+            )["ID"]
+        )
+
+    def keep_lease(self, lease_id: int) -> bool:
+        """Renew a lease; false if it has lapsed.
+
+        :param lease_id: identifier from :meth:`grant_lease`.
+        """
+        body = {"ID": str(lease_id)}
+        answer = self._call(
+            "lease/keepalive", body, stores.DEFAULT_TIMEOUT_MS, writes=True
+        )
+        return int(answer.get("result", {}).get("TTL", "0")) > 0
+
+    def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and remove its keys.
+
+        :param lease_id: identifier from :meth:`grant_lease`.
+        """
+        self._call(
+            "lease/revoke",
+            {"ID": str(lease_id)},
+            stores.DEFAULT_TIMEOUT_MS,
+            writes=True,
+        )
+
+    def _call(
+        self, path: str, body: dict[str, Any], timeout_ms: int, writes: bool
+    ) -> dict[str, Any]:
+        response = self._send(path, body, timeout_ms, writes)
+        if response.status != 200:
+            message = f"{path}: status {response.status}"
+            raise stores.StoreUnavailable(
+                message, writes and response.status >= 500
+            )
+        try:
+            answer: dict[str, Any] = response.json()
+        except ValueError as error:
+            raise stores.StoreUnavailable(
+                f"{path}: damaged answer", writes
+            ) from error
+        return answer
+
+    def _cause(self, path: str, error: Exception) -> str:
+        return f"{path} at {self._address}: {causes.describe(error)}"
+
+    def _send(
+        self, path: str, body: dict[str, Any], timeout_ms: int, writes: bool
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request; a read is sent again if its connection broke.
+
+        The service may close a kept connection while the request is on its
+        way. A read can then be repeated; a write may have been applied.
+        """
+        end_s = time.monotonic() + timeout_ms / 1000
+        tries_left = 1 if writes else READ_TRIES
+        while True:
+            tries_left -= 1
+            left_s = max(end_s - time.monotonic(), MIN_TIMEOUT_S)
+            try:
+                return self._pool.request(
+                    "POST",
+                    f"{self._base}/v3/{path}",
+                    json=body,
+                    timeout=urllib3.Timeout(total=left_s),
+                )
+            except (
+                urllib3.exceptions.NewConnectionError,
+                urllib3.exceptions.ConnectTimeoutError,
+            ) as error:
+                raise stores.StoreUnavailable(
+                    self._cause(path, error), False
+                ) from error
+            except urllib3.exceptions.ProtocolError as error:
+                if tries_left == 0 or time.monotonic() >= end_s:
+                    raise stores.StoreUnavailable(
+                        self._cause(path, error), writes
+                    ) from error
+            except urllib3.exceptions.HTTPError as error:
+                raise stores.StoreUnavailable(
+                    self._cause(path, error), writes
+                ) from error
+
+
+def _watch_lines(
+    response: urllib3.BaseHTTPResponse,
+) -> Iterator[list[stores.Change]]:
+    pending = b""
+    for chunk in response.stream(65536):
+        *lines, pending = (pending + chunk).split(b"\n")
+        for line in lines:
+            result = json.loads(line)["result"]
+            if result.get("canceled"):
+                revision = result.get("compact_revision", "unknown")
+                message = f"watch: cancelled, oldest revision is {revision}"
+                raise stores.StoreUnavailable(message, False)
+            changes = [_change(entry) for entry in result.get("events", [])]
+            if changes:
+                yield changes
+
+
+def _change(entry: dict[str, Any]) -> stores.Change:
+    item = _item(entry["kv"])
+    if entry.get("type", "PUT") == "DELETE":
+        return stores.Change(item.key, None, item.mod_revision)
+    return stores.Change(item.key, item, item.mod_revision)
+
+
+def _item(entry: dict[str, Any]) -> stores.Item:
+    return stores.Item(
+        base64.b64decode(entry["key"]).decode(),
+        base64.b64decode(entry.get("value", "")),
+        int(entry.get("create_revision", "0")),
+        int(entry.get("mod_revision", "0")),
+    )
+
+
+def _compare(comparison: stores.Comparison) -> dict[str, Any]:
+    match comparison:
+        case stores.KeyAbsent(key):
+            return {
+                "key": _encode(key),
+                "target": "CREATE",
+                "result": "EQUAL",
+                "create_revision": "0",
+            }
+        case stores.RevisionIs(key, mod_revision):
+            return {
+                "key": _encode(key),
+                "target": "MOD",
+                "result": "EQUAL",
+                "mod_revision": str(mod_revision),
+            }
+
+
+def _operation(operation: stores.Operation) -> dict[str, Any]:
+    match operation:
+        case stores.Put(key, value, lease_id):
+            return {
+                "request_put": {
+                    "key": _encode(key),
+                    "value": _encode_bytes(value),
+                    "lease": str(lease_id),
+                }
+            }
+        case stores.Delete(key):
+            return {"request_delete_range": {"key": _encode(key)}}
+
+
+def _prefix_end(prefix: str) -> bytes:
+    raw = prefix.encode()
+    return raw[:-1] + bytes([raw[-1] + 1])
+
+
+def _encode(text: str) -> str:
+    return _encode_bytes(text.encode())
+
+
+def _encode_bytes(raw: bytes) -> str:
+    return base64.b64encode(raw).decode()
--- a/packages/platform/tests/test_store.py
+++ b/packages/platform/tests/test_store.py
@@ -5,7 +5,7 @@
 
 import builders
 
-from balsamloom_platform import store
+from balsamloom_platform import etcd_gateway, store
 
 RANGE = builders.answer(200, b'{"header": {"revision": "7"}}')
 
@@ -23,7 +23,7 @@
         server = builders.ScriptedServer(
             self, closing, builders.replying(RANGE)
         )
-        gateway = store.EtcdGateway(server.address)
+        gateway = etcd_gateway.EtcdGateway(server.address)
         self.assertEqual(gateway.list_keys("/a").revision, 7)
         self.assertEqual(gateway.list_keys("/a").revision, 7)
         self.assertEqual(server.accepted, 2)
@@ -35,7 +35,7 @@
             builders.read_request(connection)
 
         server = builders.ScriptedServer(self, closing, closing)
-        gateway = store.EtcdGateway(server.address)
+        gateway = etcd_gateway.EtcdGateway(server.address)
         with self.assertRaises(store.StoreUnavailable) as caught:
             gateway.commit([], [store.Put("/a", b"1")])
         self.assertTrue(caught.exception.may_have_applied)
@@ -43,7 +43,7 @@
 
     def test_a_refused_connection_applied_nothing(self):
         """Guards against needless read-backs while the service is down."""
-        gateway = store.EtcdGateway(builders.unused_address())
+        gateway = etcd_gateway.EtcdGateway(builders.unused_address())
         with self.assertRaises(store.StoreUnavailable) as caught:
             gateway.commit([], [store.Put("/a", b"1")])
         self.assertFalse(caught.exception.may_have_applied)
@@ -58,7 +58,7 @@
             ended.wait(10)
 
         server = builders.ScriptedServer(self, silent)
-        gateway = store.EtcdGateway(server.address)
+        gateway = etcd_gateway.EtcdGateway(server.address)
         with self.assertRaises(store.StoreUnavailable) as caught:
             gateway.commit([], [store.Put("/a", b"1")], timeout_ms=100)
         self.assertTrue(caught.exception.may_have_applied)
@@ -70,6 +70,6 @@
         line = b'{"result": {"canceled": true, "compact_revision": "9"}}\n'
         raw = builders.CHUNKED + builders.chunk(line) + b"0\r\n\r\n"
         server = builders.ScriptedServer(self, builders.replying(raw))
-        gateway = store.EtcdGateway(server.address)
+        gateway = etcd_gateway.EtcdGateway(server.address)
         with self.assertRaises(store.StoreUnavailable):
             list(gateway.watch("/a", 3, 5_000))
--- a/packages/standins/src/balsamloom_standins/deployments.py
+++ b/packages/standins/src/balsamloom_standins/deployments.py
@@ -10,7 +10,7 @@
 
 from balsamloom_configuration import editing
 from balsamloom_core import clock as clocks
-from balsamloom_platform import store as stores
+from balsamloom_platform import etcd_gateway
 from balsamloom_standins import fleet
 
 READY_TIMEOUT_S = 20.0
@@ -125,7 +125,7 @@
         :param content: new content.
         :return: revision of the document.
         """
-        store = stores.EtcdGateway(self.store.address)
+        store = etcd_gateway.EtcdGateway(self.store.address)
         editor = editing.Editor(store, clocks.Clock())
         known = editor.get().sections.get(section)
         edit = editing.Edit(
--- a/packages/standins/tests/builders.py
+++ b/packages/standins/tests/builders.py
@@ -4,7 +4,7 @@
 
 import urllib3
 
-from balsamloom_platform import store as stores
+from balsamloom_platform import etcd_gateway
 from balsamloom_standins import fleet
 
 
@@ -24,7 +24,7 @@
 
 def store_with_client(test):
     address = serve(test, "store")
-    return address, stores.EtcdGateway(address)
+    return address, etcd_gateway.EtcdGateway(address)
 
 
 def set_fault(address, **fault):
--- a/scenarios/steps/faults.py
+++ b/scenarios/steps/faults.py
@@ -7,7 +7,7 @@
 
 from balsamloom_configuration import editing
 from balsamloom_core import clock as clocks
-from balsamloom_platform import store as stores
+from balsamloom_platform import etcd_gateway
 from balsamloom_standins import evidence, observations
 
 behave.use_step_matcher("parse")
@@ -244,7 +244,7 @@
 
 def edit_at_once(context, sections):
     """Apply edits that were all based on the same document."""
-    store = stores.EtcdGateway(context.deployment.store.address)
+    store = etcd_gateway.EtcdGateway(context.deployment.store.address)
     editor = editing.Editor(store, clocks.Clock())
     known = editor.get().sections
 
--- a/scenarios/steps/outcomes.py
+++ b/scenarios/steps/outcomes.py
@@ -13,7 +13,7 @@
 from balsamloom_configuration import editing
 from balsamloom_core import clock as clocks
 from balsamloom_core import results
-from balsamloom_platform import store as stores
+from balsamloom_platform import etcd_gateway
 from balsamloom_standins import checks, evidence, observations
 
 LOG_TAIL_CHARACTERS = 20_000
@@ -315,7 +315,7 @@
 
 
 def documents(context):
-    store = stores.EtcdGateway(context.deployment.store.address)
+    store = etcd_gateway.EtcdGateway(context.deployment.store.address)
     sections = editing.Editor(store, clocks.Clock()).get().sections
     return {name: section.content for name, section in sections.items()}
 
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -5,7 +5,7 @@
 
 from balsamloom_configuration import distribution, editing
 from balsamloom_core import clock as clocks
-from balsamloom_platform import store as stores
+from balsamloom_platform import etcd_gateway
 from balsamloom_standins import fleet
 
 IN_FORCE_LIMIT_MS = 9_000
@@ -38,14 +38,14 @@
         # Waiting watches would hold up its graceful shutdown.
         self.addCleanup(self.running.kill)
         self.clock = clocks.Clock()
-        self.store = stores.EtcdGateway(self.running.address)
+        self.store = etcd_gateway.EtcdGateway(self.running.address)
         self.editor = editing.Editor(self.store, self.clock)
         self.ended = threading.Event()
         self.addCleanup(self.ended.set)
 
     def started(self, is_watcher, peers=()):
         held = distribution.InForce(
-            stores.EtcdGateway(self.running.address),
+            etcd_gateway.EtcdGateway(self.running.address),
             self.clock,
             lambda: is_watcher,
             lambda: [
@@ -89,7 +89,7 @@
     def test_answer_lost_by_a_paused_store_is_resolved(self):
         running = self.running
 
-        class PausedAtCommit(stores.EtcdGateway):
+        class PausedAtCommit(etcd_gateway.EtcdGateway):
             pauses = 0
 
             def commit(self, *arguments, **options):
@@ -116,7 +116,7 @@
 
         def run(number):
             editor = editing.Editor(
-                stores.EtcdGateway(self.running.address), self.clock
+                etcd_gateway.EtcdGateway(self.running.address), self.clock
             )
             wanted = edit(1, 10 + number, f"operator-{number}")
             barrier.wait(10)
