--- a/packages/cli/src/balsamloom_cli/operator.py
+++ b/packages/cli/src/balsamloom_cli/operator.py
@@ -17,8 +17,10 @@
 )
 from balsamloom_configuration import document as documents
 from balsamloom_configuration import editing
+from balsamloom_conversations import check as check_turns
 from balsamloom_core import clock as clocks
 from balsamloom_core import settings
+from balsamloom_gateway import explain
 from balsamloom_platform import causes, etcd_gateway
 from balsamloom_platform import store as stores
 from balsamloom_state import partitions
@@ -326,6 +328,17 @@
         ) from error
 
 
+main.add_command(explain.main, "explain")
+
+
+@main.group("data")
+def data() -> None:
+    """Look at the data folders of storage hosts."""
+
+
+data.add_command(check_turns.main, "check")
+
+
 @main.group("settings")
 def settings_group() -> None:
     """Check and show settings files of the entry process."""
--- a/packages/conversations/src/balsamloom_conversations/check.py
+++ b/packages/conversations/src/balsamloom_conversations/check.py
@@ -59,7 +59,3 @@
             if isinstance(chain, turns.Unsure):
                 found.append((entry.turn_id, chain.reason))
     return found
-
-
-if __name__ == "__main__":
-    main()
--- a/packages/gateway/src/balsamloom_gateway/explain.py
+++ b/packages/gateway/src/balsamloom_gateway/explain.py
@@ -131,7 +131,3 @@
         sys.exit(1)
     for line in found:
         click.echo(describe(line))
-
-
-if __name__ == "__main__":
-    main()
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -103,6 +103,30 @@
                 self.assertIn("Connection refused", done.output)
                 self.assertNotIn("HTTPConnection", done.output)
 
+    def test_logs_and_data_folders_are_read_by_the_same_command(self):
+        with tempfile.TemporaryDirectory() as directory:
+            log = pathlib.Path(directory) / "edge.log"
+            fields = {
+                "asctime": "2026-12-04 10:00:00,000",
+                "name_of_event": "request_ended",
+                "request_id": "r1",
+                "status": 200,
+            }
+            log.write_text(json.dumps(fields) + "\n", encoding="utf-8")
+            for line, status, text in (
+                (f"balsamloom explain r1 {log}", 0, "request_ended"),
+                (
+                    f"balsamloom explain r2 {log}",
+                    1,
+                    "no line names request r2",
+                ),
+                (f"balsamloom data check {directory}", 2, "DIRECTORY"),
+            ):
+                with self.subTest(line):
+                    done = run(line)
+                    self.assertEqual(done.exit_code, status, done.output)
+                    self.assertIn(text, done.output)
+
     def test_address_that_cannot_be_listened_on_is_named(self):
         settings = {
             "name": "a",
