Bound the body of an engine's refusal, too

Found by reading the diff: the limits of a streamed answer were lifted behind its head, whatever its status, and a refusal's body was then read to its end; one that dripped or had no end held the call for ever (the new test ran on for 12 s before). They are now lifted for an answer of status 200 only, which is the only one with a stream.

--- a/packages/platform/src/balsamloom_platform/limited.py
+++ b/packages/platform/src/balsamloom_platform/limited.py
@@ -101,14 +101,18 @@
 
 
 class StreamedAnswer(_Answer):
-    """Answer whose head alone must come within the timeout."""
+    """Answer whose head alone must come within the timeout, if it is one.
+
+    A refusal has no stream behind its head, so it must come whole.
+    """
 
     most_bytes = HEAD_BYTES_MAX
 
     def begin(self) -> None:
         """Read the head."""
         super().begin()
-        self.reads.lift()
+        if self.status == http.client.OK:
+            self.reads.lift()
 
 
 class _AnswerConnection(urllib3.connection.HTTPConnection):
--- a/packages/platform/tests/test_limited.py
+++ b/packages/platform/tests/test_limited.py
@@ -130,6 +130,13 @@
         script = endless(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000)
         self.check_ends(script, results.ResultCode.BACKEND_ERROR)
 
+    def test_refusal_whose_body_drips_or_has_no_end(self):
+        start = b"HTTP/1.1 500 No\r\n\r\n"
+        for piece, pause_s in ((b"x", 0.05), (PIECE, 0.0)):
+            with self.subTest(len(piece)):
+                script = endless(start, piece, pause_s)
+                self.check_ends(script, results.ResultCode.BACKEND_ERROR)
+
     def test_stream_that_sends_only_signs_of_life(self):
         start = b"HTTP/1.1 200 OK\r\n\r\n" + builders.event("a")
         script = endless(start, b": here\n\n", 0.05)
