One piece reads a socket within one time for callers and servers

caller_connections and limited had written the same reads. The time left is checked, the socket's timeout shortened and put back in core/timed_reads; limits on bytes stay with the answers of servers. No bound changed.

--- a/packages/gateway/src/balsamloom_gateway/caller_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/caller_connections.py
@@ -17,11 +17,9 @@
 from cheroot import server as cheroot_server
 
 from balsamloom_core import clock as clocks
-from balsamloom_core import events
+from balsamloom_core import events, timed_reads
 
 _CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
-# CherryPy's server knows a timeout by this text.
-TIMED_OUT = "timed out"
 
 
 class _UnfoldedLines:
@@ -82,16 +80,9 @@
 
     def readinto(self, buffer: Any) -> int | None:
         left_ms = self.until_ms - self._clock.now_ms()
-        if left_ms <= 0:
-            raise TimeoutError(TIMED_OUT)
-        usual_s = self._connected.gettimeout()
-        left_s = left_ms / clocks.MS_PER_S
-        if left_s < (usual_s or math.inf):
-            self._connected.settimeout(left_s)
-        try:
-            return super().readinto(buffer)
-        finally:
-            self._connected.settimeout(usual_s)
+        return timed_reads.read_into(
+            super().readinto, buffer, self._connected, left_ms
+        )
 
 
 def _make_file(connected: socket.socket, mode: str, buffer_bytes: int) -> Any:
--- a/packages/platform/src/balsamloom_platform/limited.py
+++ b/packages/platform/src/balsamloom_platform/limited.py
@@ -1,7 +1,7 @@
 """Answers of other servers, within a time and a size.
 
-The timeouts of a socket start anew with each byte, so that a server that
-sends one now and then, or sends without end, could hold a call for ever.
+A server that sends a byte now and then, or without end, could hold a call for
+ever otherwise.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 import urllib3
 
 from balsamloom_core import clock as clocks
+from balsamloom_core import timed_reads
 
 # Heads of sound servers take a few hundred bytes.
 HEAD_BYTES_MAX = 256_000
@@ -62,15 +63,9 @@
         if self._most_bytes <= 0:
             raise EndlessAnswerError("more bytes than an answer may have")
         left_ms = self._until_ms - self._clock.now_ms()
-        if left_ms <= 0:
-            raise TimeoutError("the answer is not complete in time")
-        usual_s = self._connection.gettimeout()
-        left_s = left_ms / clocks.MS_PER_S
-        self._connection.settimeout(min(usual_s or left_s, left_s))
-        try:
-            count = self._raw.readinto(buffer)
-        finally:
-            self._connection.settimeout(usual_s)
+        count = timed_reads.read_into(
+            self._raw.readinto, buffer, self._connection, left_ms
+        )
         self._most_bytes -= count or 0
         return count
 
