Leave out what the change wrote twice or for nothing

Registrations.names had no caller; a counter of probes needed no iterator; liveness looked up members by name in two places, the scheduler reset limits in two; copies worked out the keeping hosts for each entry of a listing, up to 2,000 times; engine_client had a second MS_PER_S. Behaviour as before.

--- a/packages/gateway/src/balsamloom_gateway/copies.py
+++ b/packages/gateway/src/balsamloom_gateway/copies.py
@@ -182,12 +182,15 @@
 
     def _fetch_from(self, host: replicas.StorageHost, source: _Source) -> None:
         fetched = 0
+        keepers = self._keeping_hosts()
         while True:
             listing = self._list(host, source)
             wanted = [
                 entry.turn_id
                 for entry in listing.entries
-                if self._is_target(entry.group_id)
+                if replicas.is_target(
+                    self._own.name, entry.group_id, keepers, self._copies
+                )
             ]
             missing = self._store.missing(wanted)
             for start in range(0, len(missing), READ_TURNS):
@@ -234,12 +237,10 @@
         )
         self._commits.write(messages.decode_turns(answer), WRITE_TIMEOUT_MS)
 
-    def _is_target(self, group_id: str) -> bool:
+    def _keeping_hosts(self) -> list[replicas.StorageHost]:
+        """Return the hosts that share the turns, this one among them."""
         hosts = [host for host in self._others() if host.name in self._keepers]
-        hosts.append(self._own)
-        return replicas.is_target(
-            self._own.name, group_id, hosts, self._copies
-        )
+        return [*hosts, self._own]
 
     def _others(self) -> list[replicas.StorageHost]:
         return [host for host in self._hosts() if host.name != self._own.name]
--- a/packages/gateway/src/balsamloom_gateway/registrations.py
+++ b/packages/gateway/src/balsamloom_gateway/registrations.py
@@ -20,10 +20,6 @@
     def __contains__(self, name: str) -> bool:
         return name in self._values
 
-    def names(self) -> list[str]:
-        """Return the names in their order."""
-        return sorted(self._values)
-
     def values(self) -> list[T]:
         """Return the values in the order in which they came."""
         return list(self._values.values())
--- a/packages/membership/src/balsamloom_membership/liveness.py
+++ b/packages/membership/src/balsamloom_membership/liveness.py
@@ -288,9 +288,8 @@
             is_declared = watch.peer.member_id in self._dead
         if is_declared or now_ms < watch.confirm_after_ms:
             return
-        outcome = self._probes.ask(
-            watch.peer, self._other_successors(watch.peer)
-        )
+        successors = self._successors(watch.peer.member_id)
+        outcome = self._probes.ask(watch.peer, self._others(successors))
         if outcome.is_refuted:
             # The peer is cut off from this process only.
             watch.confirm_after_ms = now_ms + REFUTED_PAUSE_MS
@@ -307,21 +306,15 @@
             self._declare(watch.peer)
             self._notify(watch.peer)
 
-    def _other_successors(
-        self, target: heartbeats.Peer
-    ) -> list[heartbeats.Peer]:
-        names = self._successors(target.member_id)
+    def _others(self, names: Iterable[str]) -> list[heartbeats.Peer]:
+        """Return the members of these names that are not this one."""
         with self._lock:
             return [self._peers[name] for name in names if name in self._peers]
 
     def _notify(self, target: heartbeats.Peer) -> None:
         """Let the next in the order take over if this process cannot."""
-        names = self._successors(target.member_id)[: LAST_POSITION - 1]
-        with self._lock:
-            first = [
-                self._peers[name] for name in names if name in self._peers
-            ]
-        if self._probes.tell(target, first):
+        first = self._successors(target.member_id)[: LAST_POSITION - 1]
+        if self._probes.tell(target, self._others(first)):
             self._recover(target.member_id)
 
     def _answers(self, target: heartbeats.Peer) -> bool:
--- a/packages/membership/src/balsamloom_membership/probes.py
+++ b/packages/membership/src/balsamloom_membership/probes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import concurrent.futures
-import itertools
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -36,7 +35,6 @@
     ) -> None:
         self._transport = transport
         self._settings = settings
-        self._numbers = itertools.count(1)
         self.sent = 0
 
     def ask(
@@ -76,7 +74,7 @@
         timeout_ms = self._settings.probe_timeout_ms + PROBE_ALLOWANCE_MS
 
         def ask(prober: heartbeats.Peer) -> bool | None:
-            self.sent = next(self._numbers)
+            self.sent += 1
             try:
                 return self._transport.probe(prober, probe, timeout_ms)
             except (client.PeerUnreachable, client.PeerDamaged):
--- a/packages/platform/src/balsamloom_platform/engine_client.py
+++ b/packages/platform/src/balsamloom_platform/engine_client.py
@@ -14,7 +14,6 @@
 from balsamloom_core import results
 from balsamloom_platform import engines, limited
 
-MS_PER_S = 1000
 READ_SIZE_BYTES = 65536
 EVENT_BYTES_MAX = 1_000_000
 
@@ -145,8 +144,8 @@
         :raises EngineError: if the engine does not accept the request.
         """
         timeout = urllib3.Timeout(
-            connect=connect_timeout_ms / MS_PER_S,
-            read=read_timeout_ms / MS_PER_S,
+            connect=connect_timeout_ms / clocks.MS_PER_S,
+            read=read_timeout_ms / clocks.MS_PER_S,
         )
         response = self._request(
             "POST",
@@ -355,7 +354,7 @@
 
 
 def _total(timeout_ms: int) -> urllib3.Timeout:
-    return urllib3.Timeout(total=timeout_ms / MS_PER_S)
+    return urllib3.Timeout(total=timeout_ms / clocks.MS_PER_S)
 
 
 def _broken(error: Exception) -> engines.EngineError:
@@ -393,6 +392,6 @@
 
 def _retry_after_ms(response: urllib3.BaseHTTPResponse) -> int | None:
     try:
-        return int(float(response.headers["Retry-After"]) * MS_PER_S)
+        return int(float(response.headers["Retry-After"]) * clocks.MS_PER_S)
     except (KeyError, ValueError):
         return None
--- a/packages/policy/src/balsamloom_policy/scheduler.py
+++ b/packages/policy/src/balsamloom_policy/scheduler.py
@@ -61,8 +61,7 @@
                     pool, entries, former.ordering, self._policies
                 )
                 if has_changed:
-                    for state in pool.servers.values():
-                        state.limit = self._starting_limit(state.server)
+                    self._reset_limits(pool)
                 self._refresh(pool)
 
     def update_servers(self, pool: str, servers: list[calls.Server]) -> None:
@@ -105,8 +104,7 @@
                 return
             if isinstance(self._policies.limits, limits.Static):
                 for pool in self._pools.values():
-                    for state in pool.servers.values():
-                        state.limit = self._starting_limit(state.server)
+                    self._reset_limits(pool)
             self._share_out()
 
     def peer_shares(self, member_id: str, shares: list[calls.Share]) -> None:
@@ -266,6 +264,11 @@
     def _starting_limit(self, server: calls.Server) -> float:
         return self._capacity.starting_limit(server, self._policies)
 
+    def _reset_limits(self, pool: _pool.Pool) -> None:
+        """Forget what was learnt of how many calls the servers take."""
+        for state in pool.servers.values():
+            state.limit = self._starting_limit(state.server)
+
     def _refresh(self, pool: _pool.Pool) -> None:
         """Take in that a pool's servers or the settings have changed."""
         now_ms = self._clock.now_ms()
