--- a/packages/gateway/tests/gateway_case.py
+++ b/packages/gateway/tests/gateway_case.py
@@ -96,7 +96,7 @@
             )
             for prefix, kind in KINDS.items()
         )
-        self.fleet._in_force = fleet.InForce(builders.configuration(1, routes))
+        builders.put_in_force(self.fleet, routes)
 
     def set_servers(self, servers):
         """Take backend servers by identifier and address."""
