Keep members that miss heartbeats out of address answers

Callers go on with open connections to an address until an answer lacks it, and the lease of a dark member lasts 2.5 to 4.2 s, or as long as the store is down.

Change: each edge process sends heartbeats to six others on a hash ring, every 300 ms, and hides from callers those that miss two, or that say they are leaving. Members that it does not watch are hidden if two others report them.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -93,6 +93,7 @@
     TURNS_DAMAGED = 7027
     PEER_CALL_REFUSED = 7028
     BODY_NOT_READ = 7029
+    MEMBER_LIVENESS_CHANGED = 7030
 
 
 _MEANINGS: dict[Event, str] = {
@@ -193,6 +194,9 @@
     Event.BODY_NOT_READ: (
         "The body of a request that was answered early could not be read."
     ),
+    Event.MEMBER_LIVENESS_CHANGED: (
+        "Heartbeats show that a member can or cannot serve callers."
+    ),
 }
 
 
--- a/packages/gateway/src/balsamloom_gateway/explain.py
+++ b/packages/gateway/src/balsamloom_gateway/explain.py
@@ -19,6 +19,7 @@
         "store_unavailable",
         "store_recovered",
         "source_changed",
+        "member_liveness_changed",
         "lease_changed",
         "configuration_in_force",
         "configuration_rejected",
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -10,6 +10,7 @@
     budget_ledger,
     budgets,
     feed,
+    heartbeats,
     ledger,
     listeners,
     peer_calls,
@@ -19,11 +20,12 @@
 
 
 class PeerService:
-    """Serves budgets and the store's records to other members.
+    """Serves budgets, the store's records and heartbeats to other members.
 
     :param token_budgets: budgets and plans of this member's programs.
     :param book: ledger accounts that this member holds.
     :param record_feed: copy of the store's records.
+    :param member_heartbeats: answers heartbeats.
     """
 
     def __init__(
@@ -31,10 +33,12 @@
         token_budgets: budgets.Budgets,
         book: budget_ledger.BudgetLedger,
         record_feed: feed.Feed,
+        member_heartbeats: heartbeats.Heartbeats,
     ) -> None:
         self._budgets = token_budgets
         self._book = book
         self._feed = record_feed
+        self._heartbeats = member_heartbeats
         self.calls: dict[str, Callable[[dict[str, Any]], Any]] = {
             peers.RESERVE_PATH: self._reserve,
             peers.SETTLE_PATH: self._settle,
@@ -42,6 +46,7 @@
             peers.MERGE_STATES_PATH: self._merge_usages,
             peers.READ_STATE_PATH: self._read_usage,
             peers.FEED_PATH: self._read_feed,
+            peers.HEARTBEAT_PATH: self._answer_heartbeat,
         }
         self._handler = peer_calls.PeerCallHandler(
             {path: _json_call(call) for path, call in self.calls.items()},
@@ -86,6 +91,9 @@
             raise peer_calls.UnavailableError("no records have been read yet")
         return found
 
+    def _answer_heartbeat(self, body: dict[str, Any]) -> dict[str, Any]:
+        return self._heartbeats.answer(body)
+
 
 def _json_call(
     call: Callable[[dict[str, Any]], Any],
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -18,6 +18,7 @@
 # The format has its own version. Processes of releases with different versions
 # read from the store instead of from each other.
 FEED_PATH = "/feed/2"
+HEARTBEAT_PATH = "/members/heartbeat"
 KEEP_TURN_PATH = "/turns/keep"
 CHAIN_PATH = "/turns/chain"
 LIST_TURNS_PATH = "/turns/list"
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -20,10 +20,12 @@
     feed,
     fleet,
     follower,
+    heartbeats,
     interfaces,
     listeners,
     membership,
     metrics,
+    peer_liveness,
     peer_service,
     peers,
     planner,
@@ -190,7 +192,18 @@
         self.fleet.on_servers_changed = self._apply_servers
         self._dispatcher.on_server_leaving = self.fleet.mark_server_leaving
         self.fleet.on_configuration_changed = self._apply_configuration
-        service = peer_service.PeerService(accounts, self._book, self._feed)
+        self._liveness = peer_liveness.PeerLiveness(settings.name, clock)
+        self._heartbeats = heartbeats.Heartbeats(
+            settings.name,
+            self._liveness,
+            self.fleet,
+            clients,
+            clock,
+            lambda: self.is_ready,
+        )
+        service = peer_service.PeerService(
+            accounts, self._book, self._feed, self._heartbeats
+        )
         self._ingress = listeners.Listener(
             settings.caller_address, self._proxy.handle, self._limits(None)
         )
@@ -228,11 +241,14 @@
         :param failure_domain: caller's failure domain.
         """
         own = self.member if self.is_ready else None
-        members = self.fleet.members()
+        unavailable = self._liveness.unavailable()
         if self._is_leaving:
-            members = [
-                member for member in members if member.name != self.member.name
-            ]
+            unavailable |= {self.member.name}
+        members = [
+            member
+            for member in self.fleet.members()
+            if member.name not in unavailable
+        ]
         return membership.caller_addresses(members, own, failure_domain)
 
     def start(self) -> None:
@@ -243,6 +259,7 @@
             self._follower.run,
             self._registrar.run,
             self._book.run,
+            self._heartbeats.run,
         ):
             background.start(target, self._clock)
         events.log(
@@ -271,6 +288,7 @@
         self._book.stop()
         self._book.release()
         self._follower.stop()
+        self._heartbeats.stop()
         events.log(
             events.Event.PROCESS_STOPPED,
             member=self.member.name,
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -100,7 +100,7 @@
             name, local_ledger, turn_planner, self.network, view, self.clock
         )
         self.network.services[name] = peer_service.PeerService(
-            accounts, local_ledger, None
+            accounts, local_ledger, None, None
         )
         thread = threading.Thread(target=local_ledger.run, daemon=True)
         thread.start()
