Give probes of storage hosts the time of a read; leaving hosts do not count

A host whose disk is slow for 100 ms would have been taken for one that does not answer, and its turns refused. A leaving host answers and refuses turns. Comments: four that readers named as riddles say what they refer to.

--- a/packages/conversations/src/balsamloom_conversations/replicas.py
+++ b/packages/conversations/src/balsamloom_conversations/replicas.py
@@ -167,7 +167,8 @@
     def record_lost(self, name: str) -> None:
         """Record that a host has been unreachable for a long time.
 
-        The other hosts have since since copied its if they had replicas.
+        Since then, the other hosts have made new replicas of its turns from
+        the replicas that they had.
         """
         self._lost.append(name)
 
--- a/packages/entry/src/balsamloom_entry/forwarding.py
+++ b/packages/entry/src/balsamloom_entry/forwarding.py
@@ -14,7 +14,8 @@
 from balsamloom_state import partitions
 
 RETRY_AFTER_MS = 1_000
-# Calls end at the owner's deadline; this timeout only bounds a lost peer.
+# The owner ends a call at the call's deadline. This timeout ends the wait for
+# an owner that was lost meanwhile.
 FORWARD_TIMEOUT_MS = 660_000
 _FORWARDED_HEADERS = (
     requests.PROGRAM_HEADER,
--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -47,9 +47,10 @@
     """Limit of the tokens that a holder may hand out without a record."""
 
     NONE = "none"
-    # A part of the budget in a store outage, if a standby knows of it.
+    # While the store does not answer, a part of the budget. A standby must
+    # confirm the tokens before a turn gets them.
     OUTAGE = "outage"
-    # Like OUTAGE, but only if reports tell what the primary holder handed out.
+    # Like OUTAGE, but only if the primary holder has reported its usage.
     LAST_RESORT = "last_resort"
 
 
--- a/packages/gateway/src/balsamloom_gateway/conversations.py
+++ b/packages/gateway/src/balsamloom_gateway/conversations.py
@@ -37,7 +37,6 @@
 MAX_CHAIN_PARTS = 16
 # A host that answered within this time is expected to answer again.
 MAX_ANSWER_AGE_MS = 1_000.0
-PROBE_TIMEOUT_MS = 100.0
 # Each thread waits for one host at a time.
 WRITER_THREADS = 24
 
@@ -94,15 +93,23 @@
         return missing <= 0
 
     def _probe(self, host: replicas.StorageHost) -> bool:
-        """Return whether a host answers; an empty listing is the shortest."""
+        """Return whether a host answers and accepts turns.
+
+        An empty listing is the shortest answer.
+        """
         query = messages.ListQuery(sys.maxsize, 1)
         body = messages.encode_query(query)
         try:
-            self._call(host, peers.LIST_TURNS_PATH, body, PROBE_TIMEOUT_MS)
-        except peers.PeerUnavailableError as error:
+            answer = self._call(
+                host, peers.LIST_TURNS_PATH, body, READ_TIMEOUT_MS
+            )
+            return not messages.decode_listing(answer).is_leaving
+        except (
+            peers.PeerUnavailableError,
+            messages.InvalidMessageError,
+        ) as error:
             self._record_failure(host, error)
             return False
-        return True
 
     def read(
         self, turn_id: str, group_hint: str, until_ms: float
--- a/packages/state/src/balsamloom_state/partition_imports.py
+++ b/packages/state/src/balsamloom_state/partition_imports.py
@@ -196,8 +196,9 @@
 
     def _serve_partitions(self, epochs: dict[int, int]) -> None:
         for number, epoch in epochs.items():
-            # Since a lost answer another member may have moved the partition
-            # back; it then needs another import, in a higher epoch.
+            # The answer to the write of the map may have been lost, and
+            # another member may have taken over the partition since then.
+            # Its epoch is higher then, and it must be imported again.
             state = self._state.owned.state(number)
             if state == ownership.ImportingState(epoch):
                 self._state.serve_staged(number)
