--- a/scenarios/steps/outcomes.py
+++ b/scenarios/steps/outcomes.py
@@ -173,7 +173,8 @@
         try:
             status = entry.wait(support.WAIT_S)
         except subprocess.TimeoutExpired as error:
-            # The interpreter writes what each thread does (environment.py).
+            # environment.py makes the interpreter print the stack of each
+            # thread on this signal.
             os.kill(entry.pid, signal.SIGABRT)
             entry.wait(support.WAIT_S)
             raise AssertionError(f"{error}: {log_tail(entry)}") from error
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -14,7 +14,8 @@
     """Guards against a page that shows other answers than callers get."""
 
     def setUp(self):
-        # The tool server counts runs by key, so each run has its own.
+        # The examples use fixed keys, and the tool server counts runs by key,
+        # so each test starts its own servers.
         running = fleet.Fleet()
         self.addCleanup(running.stop)
         shape = deployments.RESTWELL._replace(
@@ -22,8 +23,8 @@
         )
         deployment = deployments.Deployment(running, shape)
         deployment.start()
-        # A partition that moves within an example is a refusal with a time
-        # to come back, which the page does not show.
+        # While a partition moves, its calls are refused with Retry-After. The
+        # page does not show such refusals.
         deployment.wait_until(
             lambda: self.is_shared_out(deployment), "partitions are shared out"
         )
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -28,7 +28,8 @@
     "balsamloom-entry": entry.main,
     "balsamloom-standin": standins.main,
 }
-# Command line, and what the message names: option, value, what is accepted.
+# Each command line with three texts that its error message must contain: the
+# option, the bad value and what is accepted.
 WRONG_USAGE = [
     ("balsamloom --store desk members", "--store", "desk", "host:port"),
     ("balsamloom --store a:99999 members", "--store", "99999", "host:port"),
@@ -144,7 +145,8 @@
         self.assertIn("http_address '192.0.2.1:8080'", done.output)
 
     def test_busy_port_ends_the_process(self):
-        # A server's threads kept a process alive whose start had failed.
+        # The threads of a server that had already started kept the process
+        # alive after another server failed to start.
         taken = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(taken.close)
         address = f"127.0.0.1:{taken.getsockname()[1]}"
