Leaving storage hosts take turns while too few others can

Change: a leaving host refuses new turns only once as many others as must store a turn are up. Before it has its turns copied, it refuses new ones and waits until those it had accepted are on the disk. Edge processes no longer take a leaving host for one that does not answer, as it may accept turns.

--- a/packages/gateway/src/balsamloom_gateway/conversations.py
+++ b/packages/gateway/src/balsamloom_gateway/conversations.py
@@ -93,23 +93,15 @@
         return missing <= 0
 
     def _probe(self, host: replicas.StorageHost) -> bool:
-        """Return whether a host answers and accepts turns.
-
-        An empty listing is the shortest answer.
-        """
+        """Return whether a host answers; an empty listing is the shortest."""
         query = messages.ListQuery(sys.maxsize, 1)
         body = messages.encode_query(query)
         try:
-            answer = self._call(
-                host, peers.LIST_TURNS_PATH, body, READ_TIMEOUT_MS
-            )
-            return not messages.decode_listing(answer).is_leaving
-        except (
-            peers.PeerUnavailableError,
-            messages.InvalidMessageError,
-        ) as error:
+            self._call(host, peers.LIST_TURNS_PATH, body, READ_TIMEOUT_MS)
+        except peers.PeerUnavailableError as error:
             self._record_failure(host, error)
             return False
+        return True
 
     def read(
         self, turn_id: str, group_hint: str, until_ms: float
--- a/packages/gateway/src/balsamloom_gateway/replica_repair.py
+++ b/packages/gateway/src/balsamloom_gateway/replica_repair.py
@@ -84,6 +84,8 @@
         self._active_hosts: list[str] = []
         self.is_whole = is_whole
         self.is_leaving = False
+        # Whether this host, which is leaving, stores no new turns.
+        self.refuses_turns = False
         self.fetched_turns = 0
 
     def run_round(self) -> bool:
@@ -119,6 +121,11 @@
                 and not self._source(host).is_leaving
             ]
 
+    def stop_accepting(self) -> bool:
+        """Refuse new turns; return whether all accepted ones are stored."""
+        self.refuses_turns = True
+        return self._commits.wait_until_idle(WRITE_TIMEOUT_MS)
+
     def handle_damage(self) -> None:
         """Compare all turns of the other hosts again after damage here."""
         with self._lock:
--- a/packages/gateway/src/balsamloom_gateway/storage_evacuation.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_evacuation.py
@@ -93,21 +93,28 @@
     def _start(self) -> None:
         self._is_ordered = True
         self._repair.is_leaving = True
+        hosts = self._repair.other_active_hosts()
+        self._repair.refuses_turns = len(hosts) >= self._min_hosts
 
     def _cancel(self) -> None:
         if not self.is_complete:
             self._is_ordered = False
             self._is_start_reported = False
             self._repair.is_leaving = False
+            self._repair.refuses_turns = False
 
     def _copy_to_others(self) -> bool:
         """Have all other hosts copy; return whether all turns are copied.
 
         Each host places turns on the hosts that it knows, so all of those
-        must have copied, too.
+        must have copied, too. With too few other hosts, this one accepts new
+        turns, which could not be stored without it.
         """
         hosts = self._repair.other_active_hosts()
         if len(hosts) < self._min_hosts:
+            self._repair.refuses_turns = False
+            return False
+        if not self._repair.stop_accepting():
             return False
         expected: set[str] = set()
         body = messages.encode_names([self._own.name])
--- a/packages/gateway/src/balsamloom_gateway/storage_service.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_service.py
@@ -56,7 +56,7 @@
         self._handler.handle(request, response)
 
     def _store_turn(self, body: bytes) -> bytes:
-        if self._repair.is_leaving:
+        if self._repair.refuses_turns:
             raise peer_calls.UnavailableError("this host is being evacuated")
         turn = messages.decode_turn(body)
         self._commits.write([turn], WRITE_TIMEOUT_MS)
--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -199,6 +199,37 @@
             self.keep(turn)
             self.assertEqual(self.cluster.holders(turn), ["a1", "c1"])
 
+    def test_turns_are_stored_while_the_last_hosts_but_one_leave(self):
+        # Of three hosts, one had left when a second one was to leave. Each
+        # turn ran, and its answer was cut off since only one host took it.
+        self.cluster.run_rounds()
+        gone = self.cluster.node("a1")
+        self.addCleanup(gone.close)
+        self.cluster.nodes.remove(gone)
+        self.cluster.run_rounds()
+        order = self.order()
+        self.assertFalse(order.try_once())
+        reader = self.new_reader()
+        turns_kept = [
+            storage_nodes.turn(f"t{number}", group_id=f"g{number}")
+            for number in range(6)
+        ]
+        for turn in turns_kept:
+            self.assertTrue(reader.can_write(turn.group_id))
+            self.assertTrue(reader.write(turn, cluster_case.deadline()))
+            self.assertEqual(self.cluster.holders(turn), ["b1", "c1"])
+        self.assertNotEqual(self.status(), b"empty")
+        # Another host comes: the leaving one refuses turns and is emptied.
+        node = storage_nodes.StorageNode("a2", self.cluster)
+        self.cluster.nodes.append(node)
+        self.cluster.run_rounds()
+        self.assertTrue(order.try_once())
+        for turn in turns_kept:
+            self.assertEqual(self.cluster.holders(turn), ["b1", "c1", "a2"])
+        last = storage_nodes.turn("last")
+        self.assertTrue(reader.write(last, cluster_case.deadline()))
+        self.assertEqual(self.cluster.holders(last), ["c1", "a2"])
+
     def test_not_complete_while_another_host_is_down(self):
         self.cluster.run_rounds()
         self.cluster.node("c1").stop()
