--- /dev/null
+++ b/packages/state/tests/test_call_budgets.py
@@ -0,0 +1,165 @@
+"""Tests of the budgets that calls of a program use."""
+
+import threading
+import unittest
+
+import builders
+import call_case
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import errors, results
+from balsamloom_state import budgets, owner
+
+Code = results.ResultCode
+
+
+class BudgetTest(call_case.CallTestCase):
+    def test_second_attempt_reserves_its_own_budget(self):
+        """Guards against a hedged call that exceeds the budget.
+
+        Seen on real processes: the losing attempt generated a token that was
+        not counted, so a program with 120 tokens used 121.
+        """
+        max_use = budgets.MaxUse(100)
+        small = builders.start(self.member, generated_tokens=150, calls=16)
+        large = builders.start(self.member, generated_tokens=4_800, calls=160)
+        for program, expected in ((small, [False]), (large, [True, True])):
+            with self.member.call_lock(program, 1_000):
+                self.begin(program, "c1", 100)
+                found = [
+                    self.member.reserve_again(program, "c1", max_use)
+                    for _ in expected
+                ]
+                self.assertEqual(found, expected)
+                self.assertFalse(
+                    self.member.reserve_again(program, "c1", max_use)
+                )
+
+    def test_endless_loop_ends_at_the_limit_of_calls(self):
+        """Guards against programs that run forever."""
+        program = builders.start(
+            self.member, generated_tokens=100_000, calls=20
+        )
+        for number in range(20):
+            builders.model_call(self.member, program, f"c{number}")
+        self.assert_code(
+            Code.BUDGET_EXHAUSTED,
+            builders.model_call,
+            self.member,
+            program,
+            "c20",
+        )
+        self.assertTrue(program.is_ended)
+
+    def test_wall_time_ends_programs_without_calls(self):
+        """Guards against idle programs that never end."""
+        program = builders.start(self.member, wall_ms=60_000)
+        self.clock.sleep(30_000)
+        successor = self.take_over()
+        program = successor.program(program.program_id)
+        self.clock.sleep(20_000)
+        successor.maintain()
+        self.assertFalse(program.is_ended)
+        self.clock.sleep(40_000)
+        successor.maintain()
+        self.assertEqual(program.end_code, Code.BUDGET_EXHAUSTED)
+
+    def test_calls_do_not_wait_for_commits_of_their_budget(self):
+        """Guards against a commit before every call."""
+        program = builders.start(
+            self.member, generated_tokens=16_000, calls=160
+        )
+        waits = 0
+        for number in range(40):
+            with self.member.call_lock(program, 1_000):
+                before = self.store.calls
+                self.begin(program, f"c{number}")
+                waits += self.store.calls - before
+                builders.finish(
+                    self.member, program, f"c{number}", builders.completed()
+                )
+        self.assertEqual(waits, 0)
+
+    def test_parallel_sub_agents_share_one_budget(self):
+        """Guards against sub-agents that each spend the whole budget."""
+        root = builders.start(self.member, generated_tokens=1_000, calls=100)
+        children = [
+            self.member.start_program(
+                builders.spec(parent_id=root.program_id), 1_000
+            )
+            for _ in range(4)
+        ]
+        for child in children[:3]:
+            self.begin(child, "c", 300)
+        self.assert_code(
+            Code.BUDGET_EXHAUSTED, self.begin, children[3], "c", 300
+        )
+        self.member.release_call(children[0], "c")
+        self.assertIsInstance(self.begin(children[3], "c", 300), owner.NewCall)
+
+    def test_outstanding_block_counts_as_spent_after_a_crash(self):
+        """Guards against a successor that ignores calls in progress."""
+        program = builders.start(self.member, generated_tokens=1_000)
+        self.begin(program, "c1", 600)
+        successor = self.take_over()
+        found = successor.program(program.program_id)
+        self.assert_code(
+            Code.BUDGET_EXHAUSTED,
+            successor.begin_call,
+            found,
+            "c2",
+            builders.DIGEST,
+            budgets.MaxUse(600),
+        )
+
+    def test_block_is_unused_until_it_is_durable(self):
+        """Guards against using a block that a crash would lose."""
+        program = builders.start(self.member, generated_tokens=1_000)
+        self.start_outage()
+        self.assert_code(
+            Code.STORE_UNAVAILABLE, self.begin, program, "c1", 600
+        )
+        self.assertEqual(program.account.held, budgets.ZERO)
+
+
+class ThreadsTest(unittest.TestCase):
+    def test_parallel_sub_agents_with_a_writer_thread(self):
+        """Guards against deadlocks and overspending with real threads."""
+        world = builders.Cluster(
+            clocks.Clock(),
+            writes_in_background=True,
+            compaction_min_bytes=1_000,
+        )
+        member = world.join()
+        root = builders.start(member, generated_tokens=2_000, calls=1_000)
+        tokens, codes = [], []
+
+        def run_agent():
+            child = member.start_program(
+                builders.spec(parent_id=root.program_id), 10_000
+            )
+            for number in range(50):
+                try:
+                    builders.model_call(member, child, f"c{number}")
+                except errors.BalsamloomError as error:
+                    codes.append(error.code)
+                    return
+                tokens.append(10)
+
+        threads = [threading.Thread(target=run_agent) for _ in range(8)]
+        for thread in threads:
+            thread.start()
+        while any(thread.is_alive() for thread in threads):
+            member.maintain()
+            threads[0].join(0.01)
+        for thread in threads:
+            thread.join(20)
+        self.assertEqual(set(codes), {Code.BUDGET_EXHAUSTED})
+        self.assertLessEqual(sum(tokens), 2_000)
+        self.assertEqual(root.account.used, (sum(tokens), len(tokens)))
+        self.assertEqual(root.account.held, budgets.ZERO)
+        self.assertTrue(member.journal.close(5_000))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -15,10 +15,11 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
-from typing import NamedTuple, NoReturn
+from collections.abc import Callable
+from typing import NoReturn
 
 import click
+import demo_progress
 
 from balsamloom_cli import client, responses
 from balsamloom_core import errors, results
@@ -27,134 +28,12 @@
 SHAPES = (deployments.RESTWELL, deployments.WASSERREIGEN)
 KILLED_CUSTOMER = deployments.RESTWELL.customer
 CALL_TIMEOUT_MS = 30_000
-KILL_TIMEOUT_S = 60.0
 END_TIMEOUT_S = 120.0
 # Enough arrivals that every kind of program occurs often.
 ARRIVALS = load.RateStep(100, 10_000)
-MIN_REMAINING_STEPS_AT_KILL = 3
 INTERRUPTED_STATUS = 130
 
 
-class Step(NamedTuple):
-    """One call of a program.
-
-    :param is_repeatable: whether the call is safe to run twice.
-    """
-
-    key: str
-    call: load.ModelCall | load.ToolCall
-    is_repeatable: bool
-
-
-class Outcome(NamedTuple):
-    """Result of a program as its caller saw it.
-
-    :param status: ``complete``, the name of an error code or an exception.
-    :param completed_count: steps that were answered as complete.
-    """
-
-    kind: str
-    customer: str
-    program_id: str
-    status: str
-    latency_ms: float
-    steps: list[Step]
-    completed_count: int
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether every call of the program was answered as complete."""
-        return self.status == "complete"
-
-    @property
-    def completed_steps(self) -> list[Step]:
-        """Steps that were answered as complete."""
-        return self.steps[: self.completed_count]
-
-
-class KillLock:
-    """Readers-writer lock between calls and the kill of a process.
-
-    A non-idempotent call whose owner dies before the result is durable has an
-    unknown outcome by design, so its program could not complete. Such calls
-    hold the lock shared; the one thread that kills holds it exclusively.
-    """
-
-    def __init__(self) -> None:
-        self._changed = threading.Condition()
-        self._shared_holders = 0
-        self._is_exclusive = False
-
-    @contextlib.contextmanager
-    def shared(self) -> Iterator[None]:
-        """Hold the lock for a call, after any exclusive holder."""
-        with self._changed:
-            self._changed.wait_for(lambda: not self._is_exclusive)
-            self._shared_holders += 1
-        try:
-            yield
-        finally:
-            with self._changed:
-                self._shared_holders -= 1
-                self._changed.notify_all()
-
-    @contextlib.contextmanager
-    def exclusive(self) -> Iterator[None]:
-        """Block new shared holders and wait until the others are done."""
-        with self._changed:
-            self._is_exclusive = True
-            self._changed.wait_for(lambda: self._shared_holders == 0)
-        try:
-            yield
-        finally:
-            with self._changed:
-                self._is_exclusive = False
-                self._changed.notify_all()
-
-
-class Progress:
-    """Number of remaining steps of each program."""
-
-    def __init__(self) -> None:
-        self._changed = threading.Condition()
-        self._remaining_steps: dict[str, int] = {}
-        self._started = 0
-
-    def update(self, program_id: str, remaining_steps: int) -> None:
-        """Record how many steps a program still has.
-
-        :param program_id: program.
-        :param remaining_steps: remaining steps, 0 once it has ended.
-        """
-        with self._changed:
-            self._started += program_id not in self._remaining_steps
-            self._remaining_steps[program_id] = remaining_steps
-            self._changed.notify_all()
-
-    def wait_midway(self, min_started: int) -> bool:
-        """Wait until enough programs have started and one is in progress.
-
-        :param min_started: number of programs that must have started.
-        :return: False after ``KILL_TIMEOUT_S``.
-        """
-        with self._changed:
-            return self._changed.wait_for(
-                lambda: (
-                    self._started >= min_started and bool(self.in_progress())
-                ),
-                KILL_TIMEOUT_S,
-            )
-
-    def in_progress(self) -> list[str]:
-        """Return programs with enough steps left, most steps first."""
-        found = [
-            (-remaining, program_id)
-            for program_id, remaining in self._remaining_steps.items()
-            if remaining >= MIN_REMAINING_STEPS_AT_KILL
-        ]
-        return [program_id for _, program_id in sorted(found)]
-
-
 class CustomerDemo:
     """Programs of one customer on its deployment.
 
@@ -167,14 +46,16 @@
     ) -> None:
         self.deployment = deployment
         self.plans = plans
-        self.kill_lock = KillLock()
-        self.progress = Progress()
+        self.kill_lock = demo_progress.KillLock()
+        self.progress = demo_progress.Progress()
         addresses = [entry.address for entry in deployment.entries]
         self.caller = client.Caller(
             addresses, deployment.shape.customer, timeout_ms=CALL_TIMEOUT_MS
         )
 
-    def start_programs(self, events: queue.Queue[Outcome | str]) -> None:
+    def start_programs(
+        self, events: queue.Queue[demo_progress.Outcome | str]
+    ) -> None:
         """Start each program at its arrival time, in its own thread.
 
         :param events: queue that receives the outcomes.
@@ -187,7 +68,9 @@
                 target=self._run_and_report, args=(plan, events), daemon=True
             ).start()
 
-    def kill_owner(self, events: queue.Queue[Outcome | str]) -> None:
+    def kill_owner(
+        self, events: queue.Queue[demo_progress.Outcome | str]
+    ) -> None:
         """Kill the entry process that owns a program in progress.
 
         :param events: queue that receives a message, empty if none was killed.
@@ -209,7 +92,9 @@
                         )
         return ""
 
-    def find_missing(self, outcome: Outcome, runs: dict[str, int]) -> str:
+    def find_missing(
+        self, outcome: demo_progress.Outcome, runs: dict[str, int]
+    ) -> str:
         """Check that every acknowledged step of a program is recorded.
 
         :param outcome: result as the caller saw it.
@@ -252,14 +137,14 @@
         return dict(found)
 
     def _run_and_report(
-        self, plan: load.Plan, events: queue.Queue[Outcome | str]
+        self, plan: load.Plan, events: queue.Queue[demo_progress.Outcome | str]
     ) -> None:
         events.put(self._run(plan))
 
-    def _run(self, plan: load.Plan) -> Outcome:
+    def _run(self, plan: load.Plan) -> demo_progress.Outcome:
         start_s = time.monotonic()
         program_id, status = "", "complete"
-        steps: list[Step] = []
+        steps: list[demo_progress.Step] = []
         completed_count = 0
         try:
             program_id = self._start(plan)
@@ -276,7 +161,7 @@
         if program_id:
             self.progress.update(program_id, 0)
         latency_ms = (time.monotonic() - start_s) * 1000
-        return Outcome(
+        return demo_progress.Outcome(
             plan.kind,
             plan.customer,
             program_id,
@@ -295,12 +180,16 @@
         with self.kill_lock.shared():
             return self.caller.start(specification)
 
-    def _steps(self, program_id: str, plan: load.Plan) -> list[Step]:
+    def _steps(
+        self, program_id: str, plan: load.Plan
+    ) -> list[demo_progress.Step]:
         steps = []
         for number, call in enumerate(plan.steps):
             if not isinstance(call, load.Pause):
                 key = f"{program_id}-{number}"
-                steps.append(Step(key, call, self._is_repeatable(call)))
+                steps.append(
+                    demo_progress.Step(key, call, self._is_repeatable(call))
+                )
         return steps
 
     def _is_repeatable(self, call: load.ModelCall | load.ToolCall) -> bool:
@@ -309,7 +198,7 @@
         operation = self.deployment.shape.operations[call.operation]
         return bool(operation.get("idempotent"))
 
-    def _call(self, program_id: str, step: Step) -> None:
+    def _call(self, program_id: str, step: demo_progress.Step) -> None:
         call = step.call
         if isinstance(call, load.ModelCall):
             self._chat(program_id, step, call)
@@ -320,7 +209,9 @@
                 program_id, call.service, call.operation, call.body, step.key
             )
 
-    def _chat(self, program_id: str, step: Step, call: load.ModelCall) -> None:
+    def _chat(
+        self, program_id: str, step: demo_progress.Step, call: load.ModelCall
+    ) -> None:
         body = {
             "model": call.model,
             "max_tokens": call.max_tokens,
@@ -332,7 +223,7 @@
             raise errors.BalsamloomError(code)
 
 
-def _text(step: Step) -> str:
+def _text(step: demo_progress.Step) -> str:
     """Return the message of a model call, unique to the step."""
     assert isinstance(step.call, load.ModelCall)
     size = step.call.prompt_tokens * load.CHARACTERS_PER_TOKEN
@@ -382,24 +273,26 @@
     return CustomerDemo(deployment, plans)
 
 
-def run_programs(demos: list[CustomerDemo]) -> tuple[list[Outcome], bool]:
+def run_programs(
+    demos: list[CustomerDemo],
+) -> tuple[list[demo_progress.Outcome], bool]:
     """Run all programs, kill an entry process and print each outcome.
 
     :param demos: running deployments.
     :return: outcomes, and whether an entry process was killed.
     """
     # Receives the outcome of each program and one message about the kill.
-    events: queue.Queue[Outcome | str] = queue.Queue()
+    events: queue.Queue[demo_progress.Outcome | str] = queue.Queue()
     for demo in demos:
         _in_background(demo.start_programs, events)
         if demo.deployment.shape.customer == KILLED_CUSTOMER:
             _in_background(demo.kill_owner, events)
     expected = sum(len(demo.plans) for demo in demos)
-    found: list[Outcome] = []
+    found: list[demo_progress.Outcome] = []
     kill = None
     while len(found) < expected or kill is None:
         event = events.get(timeout=END_TIMEOUT_S)
-        if isinstance(event, Outcome):
+        if isinstance(event, demo_progress.Outcome):
             found.append(event)
             _print_outcome(event)
         else:
@@ -409,13 +302,13 @@
 
 
 def _in_background(
-    run: Callable[[queue.Queue[Outcome | str]], None],
-    events: queue.Queue[Outcome | str],
+    run: Callable[[queue.Queue[demo_progress.Outcome | str]], None],
+    events: queue.Queue[demo_progress.Outcome | str],
 ) -> None:
     threading.Thread(target=run, args=(events,), daemon=True).start()
 
 
-def _print_outcome(outcome: Outcome) -> None:
+def _print_outcome(outcome: demo_progress.Outcome) -> None:
     click.echo(
         f"{outcome.customer:<13} {outcome.kind:<18} "
         f"{outcome.completed_count:>3} calls {outcome.latency_ms:>7.0f} ms  "
@@ -423,7 +316,9 @@
     )
 
 
-def verify(demos: list[CustomerDemo], outcomes: list[Outcome]) -> bool:
+def verify(
+    demos: list[CustomerDemo], outcomes: list[demo_progress.Outcome]
+) -> bool:
     """Check the outcomes and print their counts.
 
     :param demos: running deployments.
