Find requests and programs beyond their limits in logs

request_placed has max_attempts, request_ended has tokens, and balsamloom audit reports both kinds of breach from the logs of all edge processes, and how many lines were dropped.

--- a/packages/cli/src/balsamloom_cli/operator.py
+++ b/packages/cli/src/balsamloom_cli/operator.py
@@ -20,7 +20,7 @@
 from balsamloom_conversations import check as check_turns
 from balsamloom_core import clock as clocks
 from balsamloom_core import settings
-from balsamloom_gateway import explain
+from balsamloom_gateway import explain, log_audit
 from balsamloom_platform import etcd_gateway, http_errors
 from balsamloom_platform import store as stores
 from balsamloom_state import partitions
@@ -329,6 +329,7 @@
 
 
 main.add_command(explain.main, "explain")
+main.add_command(log_audit.main, "audit")
 
 
 @main.group("data")
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -265,7 +265,7 @@
                 self._responder.log_failure(
                     call, placement, reason, is_sent, is_reused
                 )
-            case _:
+            case relay.Delivery(tokens) | relay.Disconnect(tokens):
                 self._responder.log_end(
                     call,
                     attempt.status,
@@ -273,6 +273,7 @@
                     server_id=placement.server.server_id,
                     first_ms=attempt.time_to_first_byte_ms(placement.sent_ms),
                     events_relayed=attempt.event_count,
+                    tokens=tokens,
                 )
 
     def _request_head(
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/log_audit.py
@@ -0,0 +1,147 @@
+"""Command that searches logs for requests and programs beyond their limits."""
+
+from __future__ import annotations
+
+import collections
+import pathlib
+import sys
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import click
+
+from balsamloom_gateway import explain
+
+
+class ExcessAttempts(NamedTuple):
+    """Request that may have run on more servers than its route allows."""
+
+    request_id: str
+    server_ids: tuple[str, ...]
+    max_attempts: int
+
+
+class ExceededBudget(NamedTuple):
+    """Program that got more tokens than its budget and one turn."""
+
+    program_id: str
+    delivered_tokens: int
+    budget_tokens: int
+    turn_tokens: int
+
+
+class Audit(NamedTuple):
+    """Requests and programs beyond their limits.
+
+    ``dropped_lines`` were not logged, so breaches may be missing.
+    """
+
+    excess_attempts: list[ExcessAttempts]
+    exceeded_budgets: list[ExceededBudget]
+    dropped_lines: int
+
+
+def audit(lines: Iterable[explain.LogLine]) -> Audit:
+    """Return what exceeds its limit in the logs of all edge processes."""
+    known = list(lines)
+    return Audit(
+        _find_excess_attempts(known),
+        _find_exceeded_budgets(known),
+        sum(
+            int(line.fields["lines"])
+            for line in known
+            if line.name == "lines_dropped"
+        ),
+    )
+
+
+def _find_excess_attempts(
+    lines: Iterable[explain.LogLine],
+) -> list[ExcessAttempts]:
+    max_attempts: dict[str, int] = {}
+    server_ids: dict[str, dict[str, None]] = collections.defaultdict(dict)
+    for line in lines:
+        request_id = line.fields.get("request_id", "")
+        if line.name == "request_placed":
+            max_attempts[request_id] = line.fields["max_attempts"]
+        elif _may_have_run(line):
+            server_ids[request_id][line.fields["server_id"]] = None
+    return [
+        ExcessAttempts(request_id, tuple(server_ids[request_id]), limit)
+        for request_id, limit in max_attempts.items()
+        if len(server_ids[request_id]) > limit
+    ]
+
+
+def _may_have_run(line: explain.LogLine) -> bool:
+    match line.name:
+        case "attempt_failed":
+            return bool(line.fields["is_sent"])
+        case "request_ended":
+            return "server_id" in line.fields
+        case _:
+            return False
+
+
+def _find_exceeded_budgets(
+    lines: Iterable[explain.LogLine],
+) -> list[ExceededBudget]:
+    delivered: collections.Counter[str] = collections.Counter()
+    limits: dict[str, tuple[int, int]] = {}
+    for line in lines:
+        program_id = line.fields.get("program_id", "")
+        if line.name == "request_ended":
+            delivered[program_id] += line.fields.get("tokens", 0)
+        elif line.name == "budget_decided":
+            _, turn_tokens = limits.get(program_id, (0, 0))
+            limits[program_id] = (
+                line.fields["budget_tokens"],
+                max(turn_tokens, line.fields["turn_tokens"]),
+            )
+    return [
+        ExceededBudget(program_id, delivered[program_id], *limit)
+        for program_id, limit in limits.items()
+        if delivered[program_id] > sum(limit)
+    ]
+
+
+def _describe(found: Audit) -> list[str]:
+    """Return a line of text for each finding."""
+    texts = [
+        f"request {one.request_id} may have run on {len(one.server_ids)}"
+        f" servers, limit {one.max_attempts}: {', '.join(one.server_ids)}"
+        for one in found.excess_attempts
+    ]
+    texts += [
+        f"program {one.program_id} got {one.delivered_tokens} tokens, budget"
+        f" {one.budget_tokens} and {one.turn_tokens} for one turn"
+        for one in found.exceeded_budgets
+    ]
+    if found.dropped_lines:
+        texts.append(f"{found.dropped_lines} lines were dropped from the logs")
+    return texts
+
+
+@click.command()
+@click.argument(
+    "logs",
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+)
+def main(logs: tuple[pathlib.Path, ...]) -> None:
+    """Search the LOGS of edge processes for exceeded limits.
+
+    Prints requests that may have run on more servers than their route allows
+    and programs that got more tokens than their budget and one turn. Exits
+    with 1 if there are any.
+    """
+    lines: list[explain.LogLine] = []
+    for path in logs:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            lines.extend(explain.parse(path.stem, file))
+    found = audit(lines)
+    for text in _describe(found):
+        click.echo(text)
+    if found.excess_attempts or found.exceeded_budgets:
+        sys.exit(1)
--- a/packages/gateway/src/balsamloom_gateway/responses.py
+++ b/packages/gateway/src/balsamloom_gateway/responses.py
@@ -131,6 +131,7 @@
             program_id=call.metadata.program_id,
             route=call.route.name,
             version=call.configuration.version,
+            max_attempts=call.route.max_attempts,
             server_id=placement.server.server_id,
             estimate_ms=round(placement.estimate_ms, 1),
             missing_tokens=placement.missing_tokens,
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -121,6 +121,7 @@
                     1,
                     "no line names request r2",
                 ),
+                (f"balsamloom audit {log}", 0, ""),
                 (f"balsamloom data check {directory}", 2, "DIRECTORY"),
             ):
                 with self.subTest(line):
