Count a call that was sent before its resend was refused

Cause: a repeatable call whose reused connection is closed without an answer is sent to the same server again. Only the second outcome reached the retry decision. If the server refused that one (full, leaving, other identity), the call counted as not run and went to up to three more servers, although the first request may have run before the connection was closed. The other way round, a failed reconnect counted as a possible run although no byte of the first request had been sent.

Evidence: test_proxy.ProxyTest .test_refused_resend_does_not_hide_that_the_call_may_have_run failed on the code before: "3 != 2" servers, with a limit of 2, and a 503 instead of a 502.

Change: Dispatcher._resend keeps what is known of the first request; a refusal of the second does not take it back.

--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -169,24 +169,56 @@
             call, placement, spec, connection, first_byte_until_ms
         )
         if attempt.is_closed_unanswered and is_reused and is_repeatable:
-            reason = "the server closed a reused connection"
-            self._responder.log_failure(
-                call, placement, reason, is_sent=True, is_reused=True
-            )
-            try:
-                connection = pool.connect(self._connect_timeout_ms(call))
-            except server_connections.ConnectError as error:
-                return self._handle_connect_error(
-                    call, placement, attempts.MayHaveRun(str(error))
-                )
-            is_reused = False
-            attempt, result = self._relay(
-                call, placement, spec, connection, first_byte_until_ms
+            return self._resend(
+                call, placement, spec, result, first_byte_until_ms
             )
         report = self._record_result(placement, attempt, result)
         self._log_result(call, placement, attempt, result, is_reused)
         return _AttemptResult(result, report)
 
+    def _resend(
+        self,
+        call: responses.Call,
+        placement: balancer.Placement,
+        spec: traffic.Service | None,
+        first_result: relay.Result,
+        first_byte_until_ms: float,
+    ) -> _AttemptResult:
+        """Send a call to the same server again, on a new connection.
+
+        :param first_result: result on the reused connection, which the
+            server closed. It may have run the call before that.
+        """
+        may_have_run = isinstance(first_result, attempts.MayHaveRun)
+        self._responder.log_failure(
+            call,
+            placement,
+            "the server closed a reused connection",
+            is_sent=may_have_run,
+            is_reused=True,
+        )
+        pool = self._pool(placement.server)
+        try:
+            connection = pool.connect(self._connect_timeout_ms(call))
+        except server_connections.ConnectError as error:
+            reason = str(error)
+            return self._handle_connect_error(
+                call,
+                placement,
+                attempts.MayHaveRun(reason)
+                if may_have_run
+                else attempts.NotRun(reason),
+            )
+        attempt, result = self._relay(
+            call, placement, spec, connection, first_byte_until_ms
+        )
+        report = self._record_result(placement, attempt, result)
+        self._log_result(call, placement, attempt, result, is_reused=False)
+        if may_have_run and isinstance(result, attempts.NotRun):
+            # A refusal of the second request says nothing about the first.
+            result = attempts.MayHaveRun(result.reason)
+        return _AttemptResult(result, report)
+
     def _relay(
         self,
         call: responses.Call,
--- a/packages/gateway/tests/test_proxy.py
+++ b/packages/gateway/tests/test_proxy.py
@@ -142,6 +142,37 @@
                     self.gateway.wait_for_kept_connection()
                 self.assertEqual(statuses, [200] * 4)
 
+    def test_refused_resend_does_not_hide_that_the_call_may_have_run(self):
+        # Without a trace of the first send, each server may run the call.
+        is_faulty = threading.Event()
+        ran_on = set()
+        full = scripted.answer(status="503 Full", fields="Not-Executed: 1\r\n")
+
+        def script(connection, count):
+            owner = self.owner(connection)
+            while owner.read_request(connection):
+                if is_faulty.is_set() and count == 0:
+                    ran_on.add(owner)
+                    connection.close()
+                    return
+                is_full = is_faulty.is_set()
+                connection.sendall(full if is_full else scripted.answer())
+
+        gateway = self.start(script, script, script)
+        servers = {
+            f"s{number}": server.address
+            for number, server in enumerate(self.servers)
+        }
+        for name, address in servers.items():
+            gateway.set_servers({name: address})
+            self.request("/idempotent/")
+            gateway.wait_for_kept_connection()
+        gateway.set_servers(servers)
+        is_faulty.set()
+        response, _ = self.request("/idempotent/")
+        self.assertEqual(len(ran_on), 2)
+        self.assertEqual(response.status, 502)
+
     def test_unrepeatable_call_is_not_resent_after_a_closed_connection(self):
         for path in ("/once/", "/stream/"):
             with self.subTest(path):
