Let each possible successor of a budget holder ask for unrecorded tokens

Cause: primaries are chosen by rendezvous hashing, but a member asked standbys about unknown programs only after the loss of a member whose name sorts before its own. Such a successor read the store's record and took the rest of the budget for free, although the lost holder had handed out unrecorded tokens in an outage just before, which a standby still knew. A successor that is asked before it learns of the loss did the same.

Change: membership.may_inherit says who may succeed, by ranks and the number of primaries. A primary that is not one by its own view asks the standbys first. Those of before the loss are asked too, as they may differ from the present ones. The handler of a loss moved from the process to Budgets, so tests run it.

--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -168,7 +168,7 @@
             that cannot be reached.
         :return: the result and the servers of the program's last turns.
         """
-        self._query_standbys(program_id, budget_tokens)
+        self._query_standbys(program_id, budget_tokens, is_standby)
         with self._changed:
             account = self._account(program_id, budget_tokens)
             account.max_turn_tokens = max(account.max_turn_tokens, tokens)
@@ -304,14 +304,22 @@
             for standby in self.standbys.of(usage.program_id)
         )
 
-    def _query_standbys(self, program_id: str, budget_tokens: int) -> None:
-        """Merge what standbys know of a program, unless it must be new."""
+    def _query_standbys(
+        self, program_id: str, budget_tokens: int, is_standby: bool
+    ) -> None:
+        """Merge what standbys know of a program, unless it must be new.
+
+        A caller's process may learn of a lost primary before its successor.
+        """
         with self._changed:
             account = self._account(program_id, budget_tokens)
-            if account.has_queried_standbys or self._knows_all_programs():
-                account.has_queried_standbys = True
+            if account.has_queried_standbys:
                 return
-        usage = self.standbys.known_usage(program_id)
+            knows_all = self._knows_all_programs()
+        is_expected = is_standby or self.standbys.is_primary(program_id)
+        usage = None
+        if not (knows_all and is_expected):
+            usage = self.standbys.known_usage(program_id)
         with self._changed:
             account.has_queried_standbys = True
             if usage is not None:
--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -212,6 +212,13 @@
         if unused is not None:
             self.settle_local(unused)
 
+    def handle_member_loss(self, name: str) -> None:
+        """Prepare to take over the budgets of a lost member."""
+        self._local_ledger.handle_lost_holder(name)
+        members = self._fleet.members()
+        if membership.may_inherit(self._name, name, members):
+            self._local_ledger.start_caution_period(f"member {name} was lost")
+
     def _handle_failure(
         self, member: traffic.Member, error: peers.PeerUnavailableError
     ) -> None:
--- a/packages/gateway/src/balsamloom_gateway/membership.py
+++ b/packages/gateway/src/balsamloom_gateway/membership.py
@@ -87,6 +87,25 @@
     return [*found, *rest[: MAX_HOLDERS - len(found)]]
 
 
+def may_inherit(
+    name: str, lost: str, members: Sequence[traffic.Member]
+) -> bool:
+    """Return whether a loss may make a member the primary of old programs.
+
+    The programs of a lost primary may move to any other. The loss of another
+    member shifts the ranks after it and may reduce the number of primaries.
+
+    :param lost: name of the lost member.
+    :param members: registered members without it.
+    """
+    primaries = _holder_count(len(members) + 1)
+    return (
+        rank_of(lost, members) < primaries
+        or _holder_count(len(members)) < primaries
+        or lost < name
+    )
+
+
 def preferred_servers(
     name: str,
     members: Sequence[traffic.Member],
@@ -139,7 +158,11 @@
 
 def holder_count(members: Sequence[traffic.Member]) -> int:
     """Return how many members are primary budget holders."""
-    return -(-len(members) // MEMBERS_PER_HOLDER)
+    return _holder_count(len(members))
+
+
+def _holder_count(size: int) -> int:
+    return -(-size // MEMBERS_PER_HOLDER)
 
 
 def _weight(program_id: str, name: str) -> int:
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -188,7 +188,7 @@
         self._follower.after_read = self._handle_read
         self._follower.on_outage_at_start = self._book.handle_outage_at_start
         self.fleet.on_changes = self._evacuations.apply
-        self.fleet.on_member_lost = self._handle_member_loss
+        self.fleet.on_member_lost = accounts.handle_member_loss
         self.fleet.on_servers_changed = self._apply_servers
         self._dispatcher.on_server_leaving = self.fleet.mark_server_leaving
         self.fleet.on_configuration_changed = self._apply_configuration
@@ -296,12 +296,6 @@
             duration_ms=round(self._clock.now_ms() - started_ms),
         )
 
-    def _handle_member_loss(self, name: str) -> None:
-        """Prepare to take over the budgets of a lost member."""
-        self._book.handle_lost_holder(name)
-        if name < self.member.name:
-            self._book.start_caution_period(f"member {name} was lost")
-
     def _handle_lease_loss(self) -> None:
         """Start a caution period, as others may have held the budgets."""
         self._book.start_caution_period("this member's lease was lost")
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -122,8 +122,7 @@
         body = {"program_id": program_id}
         answers = [
             self._call(member, peers.READ_STATE_PATH, body, STANDBY_TIMEOUT_MS)
-            for member in self._former_holders(program_id)
-            + self._holders(program_id)
+            for member in self._past_and_present_holders(program_id)
         ]
         usages = [
             ledger.Usage(*answer["claim"])
@@ -137,20 +136,21 @@
             unrecorded_tokens=max(usage.unrecorded_tokens for usage in usages),
         )
 
-    def _former_holders(self, program_id: str) -> list[traffic.Member]:
-        """Return lost members that would otherwise hold the program.
+    def _past_and_present_holders(
+        self, program_id: str
+    ) -> list[traffic.Member]:
+        """Return the other holders, before and after recent losses.
 
-        They may still run and have lost only the store. Other lost members
-        are not called: each one that does not answer delays a caller.
+        A lost member may still run and have lost only the store. Other lost
+        members are not called: each one that does not answer delays a caller.
         """
-        lost_members = self._fleet.lost_members()
-        known_members = sorted(self._fleet.members() + lost_members)
-        holders = membership.budget_holders(program_id, known_members)
-        return [
-            member
-            for member in holders
-            if member in lost_members and member.name != self._name
-        ]
+        known_members = sorted(
+            self._fleet.members() + self._fleet.lost_members()
+        )
+        former = membership.budget_holders(program_id, known_members)
+        present = self._holders(program_id)
+        found = former + [one for one in present if one not in former]
+        return [member for member in found if member.name != self._name]
 
     def _holders(self, program_id: str) -> list[traffic.Member]:
         holders = membership.budget_holders(program_id, self._fleet.members())
--- a/packages/gateway/tests/test_budget_ledger.py
+++ b/packages/gateway/tests/test_budget_ledger.py
@@ -23,6 +23,9 @@
     def of(self, program_id):
         return ("standby",)
 
+    def is_primary(self, program_id):
+        return True
+
     def report(self, standby, usages, is_complete):
         for usage in usages:
             self.usages[usage.program_id] = usage
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -64,10 +64,13 @@
         self.clock.sleep(150.0)
 
 
-class HoldersTest(unittest.TestCase):
-    """Guards against holders that do not know each other's usage."""
+class HoldersCase(unittest.TestCase):
+    """Test case with members that hold budgets for each other."""
+
+    NAMES = NAMES
 
     def setUp(self):
+        self.program_id = "p"
         self.clock = clocks.Clock()
         self.records = builders.Records()
         self.network = Network()
@@ -75,7 +78,7 @@
         self.store = builders.Store()
         self.members = {}
         self.planned = {}
-        for name in NAMES:
+        for name in self.NAMES:
             self.start(name)
 
     def start(self, name, is_restart=False):
@@ -86,7 +89,7 @@
             store, self.records, self.clock, is_restart
         )
         view = fleet.Fleet(self.records, self.clock)
-        for member in NAMES:
+        for member in self.NAMES:
             encoded = fleet.encode_member(builders.member(member))
             view.apply([interfaces.Item(f"member/{member}", encoded, 1)])
         local_ledger.standbys = standbys.PeerStandbys(
@@ -99,6 +102,7 @@
         accounts = budgets.Budgets(
             name, local_ledger, turn_planner, self.network, view, self.clock
         )
+        view.on_member_lost = accounts.handle_member_loss
         self.network.services[name] = peer_service.PeerService(
             accounts, local_ledger, None, None
         )
@@ -132,6 +136,15 @@
                 "refused"
             )
 
+    def reserve(self, name):
+        call = builders.turn_call(BUDGET, TURN)
+        call = call._replace(program_id=self.program_id)
+        return self.members[name][3].reserve(call, builders.turn_request())
+
+
+class HoldersTest(HoldersCase):
+    """Guards against holders that do not know each other's usage."""
+
     def test_budget_is_shared_by_all_members(self):
         spent = sum(self.turn(NAMES[n % 4]) for n in range(30))
         self.assertLessEqual(spent, BUDGET + TURN)
@@ -280,14 +293,65 @@
         self.members["m4"][3].settle(second, 0, builders.turn_report())
         self.assertEqual(self.planned_calls("m1"), 0)
 
-    def reserve(self, name):
-        call = builders.turn_call(BUDGET, TURN)
-        return self.members[name][3].reserve(call, builders.turn_request())
-
     def planned_calls(self, name):
         (state,) = self.planned[name].describe()
         return state["in_flight"]
 
 
+class SuccessorTest(HoldersCase):
+    """Guards against successors that do not know the lost holder's usage."""
+
+    NAMES = tuple(f"m{number:02}" for number in range(1, 34))
+
+    LOST = "m03"
+
+    def lose(self, informed):
+        """End the primary holder; only some members learn of it."""
+        self.network.cut.add(self.LOST)
+        for name in informed:
+            view = self.members[name][2]
+            view.apply([interfaces.Deletion(f"member/{self.LOST}", 9)])
+
+    def spend_around_a_loss(self, informed):
+        """Return the tokens of turns before and after the primary's loss.
+
+        The store does not answer some turns before the loss.
+        """
+        members = [builders.member(name) for name in self.NAMES]
+        rest = [one for one in members if one.name != self.LOST]
+        self.program_id = next(
+            program_id
+            for program_id in map(str, range(1_000))
+            if _primary(program_id, members) == self.LOST
+            and _primary(program_id, rest) < self.LOST
+        )
+        spent = sum(self.turn("m18") for _ in range(2))
+        for store, *_ in self.members.values():
+            store.error = interfaces.StoreUnavailableError("refused")
+        unrecorded = sum(self.turn("m18") for _ in range(3))
+        self.assertGreater(unrecorded, 0)
+        self.lose(informed)
+        for store, *_ in self.members.values():
+            store.error = None
+        return spent + unrecorded + sum(self.turn("m17") for _ in range(30))
+
+    def test_successor_before_the_lost_holder_counts_unrecorded_tokens(self):
+        # With several primary holders, the successor may precede the lost
+        # one in the order of names (grown Restwell, fresh-fc2e).
+        informed = [name for name in self.NAMES if name != self.LOST]
+        spent = self.spend_around_a_loss(informed)
+        self.assertLessEqual(spent, BUDGET + TURN)
+        self.assertGreaterEqual(spent, BUDGET - TURN)
+
+    def test_successor_that_learns_late_of_a_loss_counts_them_too(self):
+        spent = self.spend_around_a_loss(["m17"])
+        self.assertLessEqual(spent, BUDGET + TURN)
+        self.assertGreaterEqual(spent, BUDGET - TURN)
+
+
+def _primary(program_id, members):
+    return membership.budget_holders(program_id, members)[0].name
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/gateway/tests/test_decisions.py
+++ b/packages/gateway/tests/test_decisions.py
@@ -221,6 +221,20 @@
             firsts.add(holders[0])
         self.assertLessEqual(len(firsts), 13)
 
+    def test_each_successor_of_a_primary_may_inherit_its_programs(self):
+        # A successor that takes a program for new does not ask who knows it.
+        for size in (2, 16, 17, 33, 78):
+            members = self.members[:size]
+            for lost in members[: membership.holder_count(members) + 1]:
+                rest = [one for one in members if one != lost]
+                for number in range(100):
+                    before = membership.budget_holders(f"{number}", members)[0]
+                    after = membership.budget_holders(f"{number}", rest)[0]
+                    if before == after:
+                        continue
+                    found = membership.may_inherit(after.name, lost.name, rest)
+                    self.assertTrue(found, (size, lost.name, after.name))
+
     def test_standbys_follow_the_holder_in_the_order(self):
         few = self.members[:3]
         holders = membership.budget_holders("p", few)
