Keep to the rate that a server names, together with all other processes

Cause: nothing read the field, and no process knows what the others send.

Change: one member, found by hashing like a budget's holder, holds a token bucket for the server and grants permits to all (send_permits); the planner takes one for a turn, the sending process for any other call and for a resend. A call that is denied goes to the next best server, waits shortly if all have limits, or is refused with the time until the next token. Members pass on the latest sighting of a limit with its age, so its end reaches those that did not see it.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -94,6 +94,7 @@
     PEER_CALL_REFUSED = 7028
     BODY_NOT_READ = 7029
     MEMBER_LIVENESS_CHANGED = 7030
+    SERVER_LIMIT_CHANGED = 7031
 
 
 _MEANINGS: dict[Event, str] = {
@@ -197,6 +198,9 @@
     Event.MEMBER_LIVENESS_CHANGED: (
         "Heartbeats show that a member can or cannot serve callers."
     ),
+    Event.SERVER_LIMIT_CHANGED: (
+        "A backend server limits its requests per second, or no longer does."
+    ),
 }
 
 
--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -6,6 +6,7 @@
 import random
 import threading
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import estimates, health, traffic
@@ -39,6 +40,19 @@
     retry_after_ms: float
 
 
+class Choice(NamedTuple):
+    """Best server for a call, which is not recorded there yet."""
+
+    state: estimates.ServerState
+    profile: estimates.CallProfile
+    cost: estimates.Cost
+
+    @property
+    def server(self) -> traffic.BackendServer:
+        """Return the server."""
+        return self.state.server
+
+
 class Balancer:
     """Chooses servers and updates its estimates from finished calls.
 
@@ -97,6 +111,22 @@
     ) -> Placement | NoServer:
         """Choose a server and record the start of a call there.
 
+        See :meth:`choose` for the parameters.
+        """
+        choice = self.choose(service, profile, avoid, tracked)
+        if isinstance(choice, NoServer):
+            return choice
+        return self.start(choice)
+
+    def choose(
+        self,
+        service: str,
+        profile: estimates.CallProfile,
+        avoid: frozenset[str] = frozenset(),
+        tracked: frozenset[str] | None = None,
+    ) -> Choice | NoServer:
+        """Return the server with the least cost.
+
         :param avoid: servers that refused or failed this call before.
         :param tracked: servers whose load this balancer knows in full;
             ``None`` for all. Others cost more.
@@ -116,8 +146,16 @@
                     else "all servers of the service were tried",
                     health.RETRY_AFTER_MS,
                 )
+            within_limits = [
+                state for state in usable if not state.is_denied(now_ms)
+            ]
+            if not within_limits:
+                return NoServer(
+                    "the servers have reached their rate limits",
+                    min(state.denied_until_ms for state in usable) - now_ms,
+                )
             healthy = health.usable(
-                [(state, state.health) for state in usable], now_ms
+                [(state, state.health) for state in within_limits], now_ms
             )
             baseline = self._baseline(service)
             costs = [
@@ -136,7 +174,12 @@
                 if pair[0].total_ms <= least_ms + COST_TIE_MS
             ]
             cost, state = self._generator.choice(near)
-            return self._record_start(state, profile, cost, now_ms)
+            return Choice(state, profile, cost)
+
+    def start(self, choice: Choice) -> Placement:
+        """Record the start of a call at its server."""
+        with self._lock:
+            return self._record_start(*choice, self._clock.now_ms())
 
     def has_alternative(
         self, service: str, placement: Placement, avoid: frozenset[str]
@@ -144,13 +187,18 @@
         """Return whether a call could be retried on another server."""
         used = avoid | {placement.server.server_id}
         with self._lock:
+            now_ms = self._clock.now_ms()
             states = self._by_service.get(service, [])
-            return any(state.server.server_id not in used for state in states)
+            return any(
+                state.server.server_id not in used
+                and not state.is_denied(now_ms)
+                for state in states
+            )
 
-    def place_on(
+    def choose_planned(
         self, server_id: str, profile: estimates.CallProfile
-    ) -> Placement | None:
-        """Record the start of a call at a server that another process chose.
+    ) -> Choice | None:
+        """Return a server that another process chose.
 
         :return: ``None`` if the server is unknown or ejected.
         """
@@ -161,7 +209,13 @@
                 return None
             baseline = self._baseline(state.server.service)
             cost = self._cost(state, profile, baseline, now_ms)
-            return self._record_start(state, profile, cost, now_ms)
+            return Choice(state, profile, cost)
+
+    def deny(self, choice: Choice, retry_after_ms: float) -> None:
+        """Exclude a server for a time in which its rate limit is reached."""
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            choice.state.denied_until_ms = now_ms + retry_after_ms
 
     def record_load(
         self, placement: Placement, load: traffic.ServerLoad | None
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -15,9 +15,12 @@
     estimates,
     health,
     interfaces,
+    limited_placement,
     planner,
+    rate_quota,
     relay,
     responses,
+    send_permits,
     server_connections,
     traffic,
 )
@@ -36,13 +39,13 @@
 class Target(NamedTuple):
     """Service of a call and the properties that select its server.
 
-    ``planned_server`` was chosen by the holder of the call's program.
+    ``plan`` is from the holder of the call's program.
     """
 
     service: str
     spec: traffic.Service | None
     profile: estimates.CallProfile
-    planned_server: str | None = None
+    plan: planner.Plan | None = None
 
 
 class Result(NamedTuple):
@@ -65,6 +68,7 @@
 
     :param servers: chooses the server of each attempt.
     :param responder: sends final answers and logs.
+    :param permits: permits to send to servers that limit their rate.
     :param codec: encodes header fields.
     :param clock: time source.
     """
@@ -73,11 +77,13 @@
         self,
         servers: balancer.Balancer,
         responder: responses.Responder,
+        permits: send_permits.SendPermits,
         codec: interfaces.HeaderCodec,
         clock: clocks.Clock,
     ) -> None:
         self._balancer = servers
         self._responder = responder
+        self._permits = permits
         self._codec = codec
         self._clock = clock
         self._lock = threading.Lock()
@@ -98,7 +104,9 @@
         tried: frozenset[str] = frozenset()
         report = planner.NOT_RUN
         while True:
-            placement = self._place(target, tried)
+            placement = self._place(
+                target, tried, call.until_ms - self._clock.now_ms()
+            )
             if isinstance(placement, balancer.NoServer):
                 self._responder.send_failure(
                     call,
@@ -131,16 +139,40 @@
                 return Result(0, report)
 
     def _place(
-        self, target: Target, tried: frozenset[str]
+        self, target: Target, tried: frozenset[str], left_ms: float
     ) -> balancer.Placement | balancer.NoServer:
-        """Use the planned server first, then one that the balancer chooses."""
-        if target.planned_server is not None and not tried:
-            found = self._balancer.place_on(
-                target.planned_server, target.profile
+        """Use the planned server first, then one that the balancer chooses.
+
+        Waits if the server's rate limit allows the call only then.
+        """
+        plan = None if tried else target.plan
+        if plan is not None and plan.permit is not None:
+            planned = self._balancer.choose_planned(
+                plan.server_id, target.profile
+            )
+            if planned is not None:
+                self._clock.sleep(plan.permit.wait_ms)
+                return self._balancer.start(planned)
+
+        def choose(
+            avoid: frozenset[str],
+        ) -> balancer.Choice | balancer.NoServer:
+            planned = None
+            if plan is not None and plan.server_id not in avoid:
+                planned = self._balancer.choose_planned(
+                    plan.server_id, target.profile
+                )
+            return planned or self._balancer.choose(
+                target.service, target.profile, tried | avoid
             )
-            if found is not None:
-                return found
-        return self._balancer.place(target.service, target.profile, tried)
+
+        found = limited_placement.choose_permitted(
+            self._balancer, self._permits, choose, left_ms
+        )
+        if isinstance(found, balancer.NoServer):
+            return found
+        self._clock.sleep(found.wait_ms)
+        return self._balancer.start(found.choice)
 
     def _attempt(
         self,
@@ -162,8 +194,11 @@
                 None if is_repeatable else MAX_SAFE_IDLE_MS,
             )
         except server_connections.ConnectError as error:
-            return self._handle_connect_error(
-                call, placement, attempts.NotRun(str(error))
+            return self._handle_unsent(
+                call,
+                placement,
+                attempts.NotRun(str(error)),
+                health.Outcome.UNREACHABLE,
             )
         attempt, result = self._relay(
             call, placement, spec, connection, first_byte_until_ms
@@ -197,17 +232,25 @@
             is_sent=may_have_run,
             is_reused=True,
         )
+        permit = self._permits.acquire(placement.server)
+        if isinstance(permit, rate_quota.Denied):
+            return self._handle_unsent(
+                call,
+                placement,
+                _failure(
+                    "the server has reached its rate limit", may_have_run
+                ),
+                health.Outcome.REFUSED,
+            )
         pool = self._pool(placement.server)
         try:
             connection = pool.connect(self._connect_timeout_ms(call))
         except server_connections.ConnectError as error:
-            reason = str(error)
-            return self._handle_connect_error(
+            return self._handle_unsent(
                 call,
                 placement,
-                attempts.MayHaveRun(reason)
-                if may_have_run
-                else attempts.NotRun(reason),
+                _failure(str(error), may_have_run),
+                health.Outcome.UNREACHABLE,
             )
         attempt, result = self._relay(
             call, placement, spec, connection, first_byte_until_ms
@@ -238,7 +281,7 @@
             self._clock,
             spec.engine if spec else None,
             call.recorder,
-            lambda: self.on_server_leaving(placement.server.server_id),
+            lambda answer: self._record_answer(placement.server, answer),
         )
         head = self._request_head(call, placement.server, spec)
         result = attempt.run(
@@ -247,16 +290,29 @@
         self._pool(placement.server).release(connection)
         return attempt, result
 
-    def _handle_connect_error(
+    def _record_answer(
+        self, server: traffic.BackendServer, answer: traffic.AnswerMetadata
+    ) -> None:
+        """Record what a server says of itself in an answer."""
+        if answer.is_leaving:
+            self.on_server_leaving(server.server_id)
+        self._permits.record(
+            server, rate_quota.LimitReport(answer.limit_per_s, 0.0)
+        )
+
+    def _handle_unsent(
         self,
         call: responses.Call,
         placement: balancer.Placement,
         result: attempts.Failure,
+        outcome: health.Outcome,
     ) -> _AttemptResult:
+        """End an attempt of which nothing was sent now.
+
+        :param result: may say that an earlier send has run.
+        """
         report = planner.TurnReport(
-            placement.server.server_id,
-            health.Outcome.UNREACHABLE,
-            estimates.Observation(),
+            placement.server.server_id, outcome, estimates.Observation()
         )
         self._balancer.release(placement, report.outcome, report.observation)
         is_sent = isinstance(result, attempts.MayHaveRun)
@@ -273,13 +329,20 @@
         attempt: relay.Relay,
         result: relay.Result,
     ) -> planner.TurnReport:
+        answer = attempt.answer
         report = planner.TurnReport(
             placement.server.server_id,
             attempt.health_outcome(result),
             attempt.observation(placement.sent_ms),
-            attempt.is_server_leaving,
         )
-        self._balancer.record_load(placement, attempt.load)
+        if answer is not None:
+            limit = rate_quota.LimitReport(
+                answer.limit_per_s, attempt.answer_age_ms
+            )
+            report = report._replace(
+                is_server_leaving=answer.is_leaving, limit=limit
+            )
+            self._balancer.record_load(placement, answer.load)
         self._balancer.release(placement, report.outcome, report.observation)
         return report
 
@@ -342,3 +405,9 @@
                 )
                 self._pools[key] = pool
             return pool
+
+
+def _failure(reason: str, may_have_run: bool) -> attempts.Failure:
+    if may_have_run:
+        return attempts.MayHaveRun(reason)
+    return attempts.NotRun(reason)
--- a/packages/gateway/src/balsamloom_gateway/estimates.py
+++ b/packages/gateway/src/balsamloom_gateway/estimates.py
@@ -165,6 +165,8 @@
         self._report: traffic.ServerLoad | None = None
         self._report_ms = -math.inf
         self._queue_end_ms = -math.inf
+        # Time until which its rate limit allows no calls.
+        self.denied_until_ms = -math.inf
         # Times from which the calls in progress are overdue.
         self._due_times_ms: list[float] = []
 
@@ -218,6 +220,10 @@
             # No prefill is pending.
             self._queue_end_ms = -math.inf
 
+    def is_denied(self, now_ms: float) -> bool:
+        """Return whether the server's rate limit allows no calls now."""
+        return now_ms < self.denied_until_ms
+
     def load(self, now_ms: float) -> float:
         """Return the estimated number of requests at the server."""
         report = self._fresh_report(now_ms)
--- a/packages/gateway/src/balsamloom_gateway/peer_messages.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_messages.py
@@ -10,6 +10,7 @@
     health,
     ledger,
     planner,
+    rate_quota,
     traffic,
 )
 
@@ -101,7 +102,8 @@
             return {
                 "result": "reserved",
                 "servers": message.recent_servers,
-                "plan": message.plan,
+                "plan": message.plan[:3] if message.plan else None,
+                "permit_wait_ms": _permit_wait_ms(message.plan),
             }
         case ledger.Exhaustion(recorded, left):
             return {
@@ -127,7 +129,7 @@
             case "reserved":
                 servers = tuple(str(name) for name in body["servers"])
                 return ReservationReply(
-                    ledger.Reservation(), servers, _decode_plan(body["plan"])
+                    ledger.Reservation(), servers, _decode_plan(body)
                 )
             case "exhausted":
                 result = ledger.Exhaustion(
@@ -160,6 +162,7 @@
         "outcome": report.outcome.value,
         "observation": report.observation,
         "is_server_leaving": report.is_server_leaving,
+        "limit": report.limit,
     }
 
 
@@ -186,17 +189,36 @@
                 health.Outcome(body["outcome"]),
                 observation,
                 bool(body["is_server_leaving"]),
+                _decode_limit(body.get("limit")),
             ),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise InvalidMessageError(repr(error)) from error
 
 
-def _decode_plan(value: Any) -> planner.Plan | None:
+def _decode_plan(body: dict[str, Any]) -> planner.Plan | None:
+    if body["plan"] is None:
+        return None
+    plan_id, server_id, estimate_ms = body["plan"]
+    # Processes of the release before do not send a permit.
+    wait_ms = _optional_float(body.get("permit_wait_ms"))
+    permit = None if wait_ms is None else rate_quota.Granted(wait_ms)
+    return planner.Plan(
+        int(plan_id), str(server_id), float(estimate_ms), permit
+    )
+
+
+def _permit_wait_ms(plan: planner.Plan | None) -> float | None:
+    if plan is None or plan.permit is None:
+        return None
+    return plan.permit.wait_ms
+
+
+def _decode_limit(value: Any) -> rate_quota.LimitReport | None:
     if value is None:
         return None
-    plan_id, server_id, estimate_ms = value
-    return planner.Plan(int(plan_id), str(server_id), float(estimate_ms))
+    limit_per_s, age_ms = value
+    return rate_quota.LimitReport(_optional_float(limit_per_s), float(age_ms))
 
 
 def _optional_float(value: Any) -> float | None:
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -16,6 +16,7 @@
     peer_calls,
     peer_messages,
     peers,
+    send_permits,
 )
 
 
@@ -26,6 +27,7 @@
     :param book: ledger accounts that this member holds.
     :param record_feed: copy of the store's records.
     :param member_heartbeats: answers heartbeats.
+    :param permits: permits to send to servers that limit their rate.
     """
 
     def __init__(
@@ -34,17 +36,20 @@
         book: budget_ledger.BudgetLedger,
         record_feed: feed.Feed,
         member_heartbeats: heartbeats.Heartbeats,
+        permits: send_permits.SendPermits,
     ) -> None:
         self._budgets = token_budgets
         self._book = book
         self._feed = record_feed
         self._heartbeats = member_heartbeats
+        self._permits = permits
         self.calls: dict[str, Callable[[dict[str, Any]], Any]] = {
             peers.RESERVE_PATH: self._reserve,
             peers.SETTLE_PATH: self._settle,
             peers.WITHDRAW_PATH: self._withdraw,
             peers.MERGE_STATES_PATH: self._merge_usages,
             peers.READ_STATE_PATH: self._read_usage,
+            peers.PERMIT_PATH: self._grant_permit,
             peers.FEED_PATH: self._read_feed,
             peers.HEARTBEAT_PATH: self._answer_heartbeat,
         }
@@ -82,6 +87,10 @@
     def _read_usage(self, body: dict[str, Any]) -> dict[str, Any]:
         return {"claim": self._book.known_usage(str(body["program_id"]))}
 
+    def _grant_permit(self, body: dict[str, Any]) -> dict[str, Any]:
+        request = send_permits.decode_request(body)
+        return self._permits.grant(request)._asdict()
+
     def _read_feed(self, body: dict[str, Any]) -> feed.FeedAnswer:
         query = feed.FeedQuery(
             str(body["epoch"]), int(body["cursor"]), int(body["revision"])
--- a/packages/gateway/src/balsamloom_gateway/planner.py
+++ b/packages/gateway/src/balsamloom_gateway/planner.py
@@ -17,7 +17,10 @@
     estimates,
     fleet,
     health,
+    limited_placement,
     membership,
+    rate_quota,
+    send_permits,
     traffic,
 )
 
@@ -36,23 +39,30 @@
 
 
 class Plan(NamedTuple):
-    """Server that a holder chose for a turn, with its estimated cost."""
+    """Server that a holder chose for a turn, with its estimated cost.
+
+    ``permit`` counts the turn in the server's rate limit, if it has one.
+    """
 
     plan_id: int
     server_id: str
     estimate_ms: float
+    permit: rate_quota.Granted | None = None
 
 
 class TurnReport(NamedTuple):
     """How a turn ended; ``server_id`` is empty if no server ran it.
 
     ``is_server_leaving`` is true if the server announced that it drains.
+    ``limit`` is the rate limit that its answer named, ``None`` without an
+    answer.
     """
 
     server_id: str
     outcome: health.Outcome
     observation: estimates.Observation
     is_server_leaving: bool = False
+    limit: rate_quota.LimitReport | None = None
 
 
 NOT_RUN = TurnReport("", health.Outcome.ABANDONED, estimates.Observation())
@@ -69,6 +79,7 @@
     :param name: name of this member.
     :param servers: balancer that is used for planned turns only.
     :param view: registered members and servers.
+    :param permits: permits to send to servers that limit their rate.
     :param clock: time source.
     """
 
@@ -77,8 +88,10 @@
         name: str,
         servers: balancer.Balancer,
         view: fleet.Fleet,
+        permits: send_permits.SendPermits,
         clock: clocks.Clock,
     ) -> None:
+        self._permits = permits
         self._name = name
         self._balancer = servers
         self._fleet = view
@@ -105,17 +118,29 @@
             request.output_tokens,
             recent_servers,
         )
-        placement = self._balancer.place(
-            request.service, profile, tracked=self._find_group()
+        group = self._find_group()
+        found = limited_placement.choose_permitted(
+            self._balancer,
+            self._permits,
+            lambda avoid: self._balancer.choose(
+                request.service, profile, avoid, group
+            ),
+            request.left_ms,
         )
-        if isinstance(placement, balancer.NoServer):
+        if isinstance(found, balancer.NoServer):
             return None
+        placement = self._balancer.start(found.choice)
         expires_ms = now_ms + request.left_ms + REPORT_GRACE_MS
         with self._lock:
             plan_id = next(self._plan_ids)
             self._pending[plan_id] = _PendingPlan(placement, expires_ms)
         estimate_ms = round(placement.estimate_ms, 1)
-        return Plan(plan_id, placement.server.server_id, estimate_ms)
+        return Plan(
+            plan_id,
+            placement.server.server_id,
+            estimate_ms,
+            rate_quota.Granted(found.wait_ms) if found.has_permit else None,
+        )
 
     def finish(self, plan_id: int, report: TurnReport) -> None:
         """Record the end of a planned turn; ignore repeated reports."""
@@ -125,6 +150,8 @@
             return
         placement = pending.placement
         if report.server_id == placement.server.server_id:
+            if report.limit is not None:
+                self._permits.record(placement.server, report.limit)
             self._balancer.release(
                 placement, report.outcome, report.observation
             )
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -32,6 +32,8 @@
     proxy,
     registrar,
     responses,
+    send_permits,
+    server_limits,
     standbys,
     traffic,
 )
@@ -126,11 +128,22 @@
         self._turn_balancer = balancer.Balancer(
             clock, settings.failure_domain, random.Random()
         )
+        self._permits = send_permits.SendPermits(
+            settings.name,
+            server_limits.ServerLimits(),
+            clients,
+            self.fleet,
+            clock,
+        )
         accounts = budgets.Budgets(
             settings.name,
             self._book,
             planner.TurnPlanner(
-                settings.name, self._turn_balancer, self.fleet, clock
+                settings.name,
+                self._turn_balancer,
+                self.fleet,
+                self._permits,
+                clock,
             ),
             clients,
             self.fleet,
@@ -146,7 +159,7 @@
         edge_metrics = metrics.Metrics()
         responder = responses.Responder(codec, clock, edge_metrics)
         self._dispatcher = dispatch.Dispatcher(
-            self._call_balancer, responder, codec, clock
+            self._call_balancer, responder, self._permits, codec, clock
         )
         turns = conversations.ConversationStore(
             self.fleet.storage_hosts,
@@ -202,7 +215,11 @@
             lambda: self.is_ready,
         )
         service = peer_service.PeerService(
-            accounts, self._book, self._feed, self._heartbeats
+            accounts,
+            self._book,
+            self._feed,
+            self._heartbeats,
+            self._permits,
         )
         self._ingress = listeners.Listener(
             settings.caller_address, self._proxy.handle, self._limits(None)
@@ -315,6 +332,7 @@
         self._call_balancer.set_servers(servers)
         self._turn_balancer.set_servers(servers)
         self._dispatcher.close_unused_pools(servers)
+        self._permits.keep_only(servers)
 
     def _apply_configuration(self, active: fleet.ActiveConfiguration) -> None:
         services = active.configuration.services.values()
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -222,11 +222,10 @@
         grant: budgets.Grant,
     ) -> None:
         profile = target.profile._replace(recent_servers=grant.recent_servers)
-        planned = grant.plan.server_id if grant.plan else None
         ended = dispatch.Result(grant.tokens, planner.NOT_RUN)
         try:
             ended = self._dispatcher.run(
-                call, target._replace(profile=profile, planned_server=planned)
+                call, target._replace(profile=profile, plan=grant.plan)
             )
         finally:
             self._budgets.settle(grant, ended.tokens, ended.report)
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -53,7 +53,8 @@
     :param connection: connection to the server.
     :param engine: engine of the server, if it is a model server.
     :param recorder: stores the turn before the response ends.
-    :param on_leaving: called when the server announces that it drains.
+    :param on_answer: called with what the server says of itself, as soon as
+        the head of its response is there.
     """
 
     def __init__(
@@ -67,9 +68,9 @@
         clock: clocks.Clock,
         engine: traffic.Engine | None,
         recorder: conversations.TurnRecorder | None = None,
-        on_leaving: Callable[[], None] = callbacks.ignore,
+        on_answer: Callable[[traffic.AnswerMetadata], None] = callbacks.ignore,
     ) -> None:
-        self._on_leaving = on_leaving
+        self._on_answer = on_answer
         self._recorder = recorder
         self._response = response
         self._metadata = metadata
@@ -95,9 +96,10 @@
         self._ended_ms: float | None = None
         self._is_failure = False
         self._pending: list[server_connections.ResponsePart] = []
-        self.load: traffic.ServerLoad | None = None
         self.status = 0
-        self.is_server_leaving = False
+        # What the server said of itself, None without an answer.
+        self.answer: traffic.AnswerMetadata | None = None
+        self._answered_ms = -math.inf
         # The server closed the connection without a response.
         self.is_closed_unanswered = False
         self.end_reason = ""
@@ -136,6 +138,11 @@
             self._connection.close()
             return self._handle_error(error)
 
+    @property
+    def answer_age_ms(self) -> float:
+        """Return the time since the head of the response."""
+        return self._clock.now_ms() - self._answered_ms
+
     def observation(self, sent_ms: float) -> estimates.Observation:
         """Return the durations measured since ``sent_ms``."""
         if self._first_byte_ms is None or self._ended_ms is None:
@@ -193,10 +200,9 @@
             head.status, head.headers.fields
         )
         self.status = head.status
-        self.load = metadata.load
-        if metadata.is_leaving:
-            self.is_server_leaving = True
-            self._on_leaving()
+        self.answer = metadata
+        self._answered_ms = self._clock.now_ms()
+        self._on_answer(metadata)
         if metadata.idle_timeout_ms is not None:
             self._connection.idle_timeout_ms = metadata.idle_timeout_ms
         if metadata.is_not_executed:
--- a/packages/gateway/src/balsamloom_gateway/traffic.py
+++ b/packages/gateway/src/balsamloom_gateway/traffic.py
@@ -160,6 +160,8 @@
     """Properties of an answer from the server's headers.
 
     ``is_leaving`` announces that the server will stop accepting calls.
+    ``limit_per_s`` is the number of requests a second that the server takes
+    from all members together, ``None`` if it names no limit.
     """
 
     request_id: str
@@ -168,3 +170,4 @@
     load: ServerLoad | None
     idle_timeout_ms: float | None
     is_leaving: bool = False
+    limit_per_s: float | None = None
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -13,7 +13,10 @@
     fleet,
     health,
     interfaces,
+    peers,
     planner,
+    send_permits,
+    server_limits,
     traffic,
 )
 
@@ -310,6 +313,22 @@
     return fleet.Fleet(Records(), manual_clock())
 
 
+def permits(
+    name: str,
+    view: fleet.Fleet,
+    clock: clocks.Clock,
+    clients: peers.PeerClients | None = None,
+) -> send_permits.SendPermits:
+    """Build the permits of a member that knows no limits yet."""
+    return send_permits.SendPermits(
+        name,
+        server_limits.ServerLimits(),
+        clients or peers.PeerClients(clock),
+        view,
+        clock,
+    )
+
+
 def activate_configuration(
     view: fleet.Fleet, routes: tuple[traffic.Route, ...]
 ) -> None:
@@ -369,6 +388,7 @@
             load=None,
             idle_timeout_ms=None,
             is_leaving=b"leaving" in found,
+            limit_per_s=float(found[b"limit"]) if b"limit" in found else None,
         )
 
     def relayed_fields(self, headers):
--- a/packages/gateway/tests/gateway_case.py
+++ b/packages/gateway/tests/gateway_case.py
@@ -45,16 +45,20 @@
 
     def __init__(self, servers):
         clock = clocks.Clock()
+        self.clock = clock
         records = builders.Records()
         self.store = builders.Store()
         self.fleet = fleet.Fleet(records, clock)
         self.balancer = balancer.Balancer(clock, "a", random.Random(1))
         self.book = budget_ledger.BudgetLedger(self.store, records, clock)
+        self.permits = builders.permits("m1", self.fleet, clock)
         self.planned = balancer.Balancer(clock, "a", random.Random(2))
         accounts = budgets.Budgets(
             "m1",
             self.book,
-            planner.TurnPlanner("m1", self.planned, self.fleet, clock),
+            planner.TurnPlanner(
+                "m1", self.planned, self.fleet, self.permits, clock
+            ),
             peers.PeerClients(clock),
             self.fleet,
             clock,
@@ -63,7 +67,7 @@
         codec = builders.Codec()
         responder = responses.Responder(codec, clock, metrics.Metrics())
         self.dispatcher = dispatch.Dispatcher(
-            self.balancer, responder, codec, clock
+            self.balancer, responder, self.permits, codec, clock
         )
         self.proxy = proxy.Proxy(
             self.fleet,
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -98,13 +98,16 @@
         servers = balancer.Balancer(self.clock, "a", random.Random(1))
         servers.set_servers([builders.server()])
         self.planned[name] = servers
-        turn_planner = planner.TurnPlanner(name, servers, view, self.clock)
+        permits = builders.permits(name, view, self.clock, self.network)
+        turn_planner = planner.TurnPlanner(
+            name, servers, view, permits, self.clock
+        )
         accounts = budgets.Budgets(
             name, local_ledger, turn_planner, self.network, view, self.clock
         )
         view.on_member_lost = accounts.handle_member_loss
         self.network.services[name] = peer_service.PeerService(
-            accounts, local_ledger, None, None
+            accounts, local_ledger, None, None, permits
         )
         thread = threading.Thread(target=local_ledger.run, daemon=True)
         thread.start()
--- a/packages/gateway/tests/test_planner.py
+++ b/packages/gateway/tests/test_planner.py
@@ -29,7 +29,11 @@
         self.balancer = balancer.Balancer(self.clock, "a", random.Random(3))
         self.fleet.on_servers_changed = self.balancer.set_servers
         self.planner = planner.TurnPlanner(
-            "m01", self.balancer, self.fleet, self.clock
+            "m01",
+            self.balancer,
+            self.fleet,
+            builders.permits("m01", self.fleet, self.clock),
+            self.clock,
         )
 
     def use(self, servers, members=1):
