Reject permit messages with values that are no rates or durations

A limit that is not a number, from a damaged message of another process, would have granted every request. Test: test_send_permits test_malformed_message_is_an_invalid_value.

--- a/packages/gateway/src/balsamloom_gateway/send_permits.py
+++ b/packages/gateway/src/balsamloom_gateway/send_permits.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Sequence
 from typing import Any, NamedTuple
@@ -220,9 +221,9 @@
         return PermitRequest(
             str(body["server_id"]),
             int(body["incarnation"]),
-            _optional_float(body["limit_per_s"]),
-            float(body["age_ms"]),
-            float(body["max_wait_ms"]),
+            _optional_number(body["limit_per_s"]),
+            _number(body["age_ms"]),
+            _number(body["max_wait_ms"]),
         )
     except (KeyError, TypeError) as error:
         raise ValueError(repr(error)) from error
@@ -236,9 +237,9 @@
     try:
         return PermitReply(
             bool(body["is_granted"]),
-            float(body["wait_ms"]),
-            _optional_float(body["limit_per_s"]),
-            float(body["age_ms"]),
+            _number(body["wait_ms"]),
+            _optional_number(body["limit_per_s"]),
+            _number(body["age_ms"]),
         )
     except (KeyError, TypeError) as error:
         raise ValueError(repr(error)) from error
@@ -250,5 +251,16 @@
     return rate_quota.Denied(reply.wait_ms)
 
 
-def _optional_float(value: Any) -> float | None:
-    return None if value is None else float(value)
+def _optional_number(value: Any) -> float | None:
+    return None if value is None else _number(value)
+
+
+def _number(value: Any) -> float:
+    """Decode a rate or a duration.
+
+    :raises ValueError: it is negative or not finite.
+    """
+    number = float(value)
+    if not math.isfinite(number) or number < 0:
+        raise ValueError(f"{value!r} is not a finite number from 0")
+    return number
--- a/packages/gateway/tests/test_send_permits.py
+++ b/packages/gateway/tests/test_send_permits.py
@@ -169,11 +169,22 @@
         self.assertFalse(member.limits.is_limited(again))
 
     def test_malformed_message_is_an_invalid_value(self):
-        for body in ({}, {"server_id": "s", "incarnation": None}):
-            with self.subTest(body), self.assertRaises(ValueError):
-                send_permits.decode_request(body)
-            with self.subTest(body), self.assertRaises(ValueError):
-                send_permits.decode_reply(body)
+        request = send_permits.PermitRequest("s1", 1, 4.0, 0.0, 0.0)
+        reply = send_permits.PermitReply(True, 0.0, 4.0, 0.0)
+        for message, decode in (
+            (request._asdict(), send_permits.decode_request),
+            (reply._asdict(), send_permits.decode_reply),
+        ):
+            self.assertEqual(decode(message)._asdict(), message)
+            damaged = [{}]
+            for value in (-1.0, float("nan"), "x"):
+                damaged += [
+                    {**message, "limit_per_s": value},
+                    {**message, "age_ms": value},
+                ]
+            for body in damaged:
+                with self.subTest(body), self.assertRaises(ValueError):
+                    decode(body)
 
 
 class LimitedPlacementTest(unittest.TestCase):
