Share the calls between members that spare those which do not answer

Budgets' standbys and permits had the same call with a circuit breaker and a log line; it is member_calls.MemberCalls now. No decision changes: a damaged permit reply is logged as such and no longer opens the breaker. The test that counts queried members replaces the call at its new place and asserts the same.

--- a/packages/gateway/src/balsamloom_gateway/send_permits.py
+++ b/packages/gateway/src/balsamloom_gateway/send_permits.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import threading
 from collections.abc import Sequence
@@ -17,6 +18,7 @@
 from balsamloom_gateway import (
     circuit_breaker,
     fleet,
+    member_calls,
     membership,
     peers,
     rate_quota,
@@ -78,10 +80,9 @@
     ) -> None:
         self._name = name
         self.limits = limits
-        self._clients = clients
+        self._calls = member_calls.MemberCalls(clients, BREAKER_BACKOFF, clock)
         self._fleet = view
         self._clock = clock
-        self._breaker = circuit_breaker.CircuitBreaker(BREAKER_BACKOFF, clock)
         self._lock = threading.Lock()
         self._quotas: dict[tuple[str, int], rate_quota.RateQuota] = {}
 
@@ -168,7 +169,7 @@
     ) -> PermitReply | None:
         """Ask a member for a permit; return ``None`` if it does not answer."""
         seen = self.limits.latest(server.server_id, server.incarnation)
-        if seen is None or not self._breaker.allow_call(granter.name):
+        if seen is None:
             return None
         request = PermitRequest(
             server.server_id,
@@ -177,24 +178,21 @@
             self._clock.now_ms() - seen.seen_ms,
             max_wait_ms,
         )
+        answer = self._calls.call(
+            granter, peers.PERMIT_PATH, request._asdict(), PERMIT_TIMEOUT_MS
+        )
+        if answer is None:
+            return None
         try:
-            answer = self._clients.call(
-                granter.peer_address,
-                peers.PERMIT_PATH,
-                request._asdict(),
-                PERMIT_TIMEOUT_MS,
-            )
             reply = decode_reply(answer)
-        except (peers.PeerUnavailableError, ValueError) as error:
-            self._breaker.record_failure(granter.name)
+        except ValueError as error:
             events.log(
-                events.Event.PEER_CALL_FAILED,
-                member=granter.name,
-                call=peers.PERMIT_PATH,
+                events.Event.PEER_MESSAGE_DAMAGED,
+                logging.WARNING,
+                path=peers.PERMIT_PATH,
                 reason=str(error),
             )
             return None
-        self._breaker.record_success(granter.name)
         self.limits.record(
             server.server_id,
             server.incarnation,
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import Any, Protocol
+from typing import Protocol
 
 from balsamloom_core import clock as clocks
-from balsamloom_core import events
 from balsamloom_gateway import (
     circuit_breaker,
     fleet,
     ledger,
+    member_calls,
     membership,
     peers,
     traffic,
@@ -87,9 +87,8 @@
     ) -> None:
         self._name = name
         self._id = f"{name}/{incarnation}"
-        self._clients = clients
+        self._calls = member_calls.MemberCalls(clients, BREAKER_BACKOFF, clock)
         self._fleet = view
-        self._breaker = circuit_breaker.CircuitBreaker(BREAKER_BACKOFF, clock)
 
     def of(self, program_id: str) -> tuple[str, ...]:
         """Return name and incarnation of each other holder."""
@@ -111,7 +110,7 @@
         name = standby.partition("/")[0]
         for member in self._fleet.members():
             if member.name == name:
-                answer = self._call(
+                answer = self._calls.call(
                     member, peers.MERGE_STATES_PATH, body, STANDBY_TIMEOUT_MS
                 )
                 return answer is not None
@@ -121,7 +120,9 @@
         """Return the maximum usage that a standby knows, if any."""
         body = {"program_id": program_id}
         answers = [
-            self._call(member, peers.READ_STATE_PATH, body, STANDBY_TIMEOUT_MS)
+            self._calls.call(
+                member, peers.READ_STATE_PATH, body, STANDBY_TIMEOUT_MS
+            )
             for member in self._past_and_present_holders(program_id)
         ]
         usages = [
@@ -155,28 +156,3 @@
     def _holders(self, program_id: str) -> list[traffic.Member]:
         holders = membership.budget_holders(program_id, self._fleet.members())
         return [member for member in holders if member.name != self._name]
-
-    def _call(
-        self,
-        member: traffic.Member,
-        path: str,
-        body: dict[str, Any],
-        timeout_ms: float,
-    ) -> dict[str, Any] | None:
-        if not self._breaker.allow_call(member.peer_address):
-            return None
-        try:
-            answer = self._clients.call(
-                member.peer_address, path, body, timeout_ms
-            )
-        except peers.PeerUnavailableError as error:
-            self._breaker.record_failure(member.peer_address)
-            events.log(
-                events.Event.PEER_CALL_FAILED,
-                member=member.name,
-                call=path,
-                reason=str(error),
-            )
-            return None
-        self._breaker.record_success(member.peer_address)
-        return answer
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -280,7 +280,9 @@
         peer_standbys = standbys.PeerStandbys(
             "m1", "1", self.network, view, self.clock
         )
-        peer_standbys._call = lambda member, *_: queried.append(member.name)
+        peer_standbys._calls.call = lambda member, *_: queried.append(
+            member.name
+        )
         peer_standbys.known_usage("p")
         self.assertLessEqual(len(queried), 2 * membership.MAX_HOLDERS)
         self.assertEqual(set(queried) & {"m2", "m3", "m4"}, {"m2", "m3", "m4"})
