Let a holder that an arrival makes primary ask who knew its programs

An arrival shifts ranks or adds a primary holder; the new primary took an old program for a new one, and unrecorded tokens of the earlier primary, which the store turns away, came on top of the budget.

Evidence: test_budgets.ArrivalTest failed on the code before: 840 tokens of 600 and 60.

Change: the view reports arrivals; a member that becomes a primary, or takes programs over from one that no longer is, starts the cautious period, except in the first seconds of a process, when all members arrive.

--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -34,6 +34,8 @@
 # Holders that may record an allocation which no turn uses. A store that is
 # slow for two of them is slow for all.
 MAX_PENDING_HOLDERS = 2
+# Members of a new deployment register in this time, before callers come.
+START_PERIOD_MS = 5_000.0
 # Pause of requests for recorded tokens after no holder could record.
 OUTAGE_PAUSE_MS = 400.0
 
@@ -80,6 +82,8 @@
         self._withdrawals = withdrawals.ReservationWithdrawals(clock)
         self._breaker = circuit_breaker.CircuitBreaker(BREAKER_BACKOFF, clock)
         self._outage_until_ms = -math.inf
+        self._started_ms = clock.now_ms()
+        self._primaries: frozenset[str] = frozenset()
 
     def reserve(
         self, call: traffic.CallMetadata, turn: planner.TurnRequest
@@ -216,9 +220,24 @@
         """Prepare to take over the budgets of a lost member."""
         self._local_ledger.handle_lost_holder(name)
         members = self._fleet.members()
+        self._primaries = membership.primaries(members)
         if membership.may_inherit(self._name, name, members):
             self._local_ledger.start_caution_period(f"member {name} was lost")
 
+    def handle_member_arrival(self) -> None:
+        """Prepare for programs that move here from another live member.
+
+        An arrival may shift the ranks of members or add a primary holder.
+        """
+        known = self._primaries
+        self._primaries = membership.primaries(self._fleet.members())
+        is_inheriting = self._name not in known or known - self._primaries
+        is_starting = self._clock.now_ms() < self._started_ms + START_PERIOD_MS
+        if self._name in self._primaries and is_inheriting and not is_starting:
+            self._local_ledger.start_caution_period(
+                "other members are budget holders now"
+            )
+
     def _handle_failure(
         self, member: traffic.Member, error: peers.PeerUnavailableError
     ) -> None:
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -27,6 +27,9 @@
 OUTAGE_GRACE_MS = 2_500.0
 # A lost member may still answer other members for this time.
 LOST_MEMBER_RETENTION_MS = 15_000.0
+# Programs that moved to or past a new member are looked up at their earlier
+# holders for this time.
+ARRIVAL_RETENTION_MS = 60_000.0
 # A copy of the store's records older than this indicates a store outage.
 MAX_COPY_AGE_MS = 1_500.0
 
@@ -64,8 +67,11 @@
         self._leaving: dict[str, int] = {}
         # Lost members with the time at which the loss was detected.
         self._lost: list[tuple[float, traffic.Member]] = []
+        # Time at which each member registered first.
+        self._arrived_ms: dict[str, float] = {}
         # Lost members for which on_member_lost has not been called yet.
         self._unreported_losses: list[str] = []
+        self._has_unreported_arrival = False
         self._outage_end_ms = -math.inf
         self._is_stale = False
         self._active_configuration: ActiveConfiguration | None = None
@@ -73,6 +79,7 @@
             callbacks.ignore
         )
         self.on_member_lost: Callable[[str], None] = callbacks.ignore
+        self.on_member_added: Callable[[], None] = callbacks.ignore
         self.on_servers_changed: Callable[
             [list[traffic.BackendServer]], None
         ] = callbacks.ignore
@@ -118,6 +125,18 @@
                 if member.name not in self._members
             ]
 
+    def earlier_members(self) -> list[traffic.Member]:
+        """Return the members before recent arrivals and losses, sorted."""
+        lost = self.lost_members()
+        oldest_ms = self._clock.now_ms() - ARRIVAL_RETENTION_MS
+        with self._lock:
+            kept = [
+                member
+                for member in self._members.values()
+                if self._arrived_ms.get(member.name, oldest_ms) <= oldest_ms
+            ]
+        return sorted(kept + lost)
+
     def has_storage_host(self, name: str) -> bool:
         """Return whether a storage host is registered."""
         with self._lock:
@@ -157,7 +176,7 @@
                 self._apply(change)
             usable = self._usable_servers()
             active = self._active_configuration
-        self._report_losses()
+        self._report_member_changes()
         self.on_changes(changes)
         if usable != previous:
             self.on_servers_changed(usable)
@@ -186,7 +205,7 @@
             previous = self._usable_servers()
             self._drop_expired(now_ms)
             usable = self._usable_servers()
-        self._report_losses()
+        self._report_member_changes()
         if usable != previous:
             self.on_servers_changed(usable)
 
@@ -245,6 +264,9 @@
                 known = self._members.put(name, value)
                 if known and known.incarnation != value.incarnation:
                     self._record_lost_member(known)
+                if known is None:
+                    self._arrived_ms[name] = self._clock.now_ms()
+                    self._has_unreported_arrival = True
                 events.log(
                     events.Event.MEMBER_VIEW_CHANGED,
                     member=name,
@@ -344,16 +366,21 @@
 
     def _record_lost_member(self, member: traffic.Member | None) -> None:
         if member is not None:
+            self._arrived_ms.pop(member.name, None)
             self._lost.append((self._clock.now_ms(), member))
             self._unreported_losses.append(member.name)
 
-    def _report_losses(self) -> None:
-        """Call ``on_member_lost`` without the lock, which callbacks take."""
+    def _report_member_changes(self) -> None:
+        """Call back about members without the lock, which callbacks take."""
         with self._lock:
             names = self._unreported_losses
             self._unreported_losses = []
+            has_arrival = self._has_unreported_arrival
+            self._has_unreported_arrival = False
         for name in names:
             self.on_member_lost(name)
+        if has_arrival:
+            self.on_member_added()
 
 
 def encode_member(member: traffic.Member) -> bytes:
--- a/packages/gateway/src/balsamloom_gateway/membership.py
+++ b/packages/gateway/src/balsamloom_gateway/membership.py
@@ -161,6 +161,16 @@
     return _holder_count(len(members))
 
 
+def primaries(members: Sequence[traffic.Member]) -> frozenset[str]:
+    """Return the names of all members that are primary for some programs.
+
+    :param members: registered members, sorted by name.
+    """
+    return frozenset(
+        member.name for member in members[: holder_count(members)]
+    )
+
+
 def _holder_count(size: int) -> int:
     return -(-size // MEMBERS_PER_HOLDER)
 
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -202,6 +202,7 @@
         self._follower.on_outage_at_start = self._book.handle_outage_at_start
         self.fleet.on_changes = self._evacuations.apply
         self.fleet.on_member_lost = accounts.handle_member_loss
+        self.fleet.on_member_added = accounts.handle_member_arrival
         self.fleet.on_servers_changed = self._apply_servers
         self._dispatcher.on_server_leaving = self.fleet.mark_server_leaving
         self.fleet.on_configuration_changed = self._apply_configuration
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -140,15 +140,14 @@
     def _past_and_present_holders(
         self, program_id: str
     ) -> list[traffic.Member]:
-        """Return the other holders, before and after recent losses.
+        """Return the other holders, before and after recent changes.
 
         A lost member may still run and have lost only the store. Other lost
         members are not called: each one that does not answer delays a caller.
         """
-        known_members = sorted(
-            self._fleet.members() + self._fleet.lost_members()
+        former = membership.budget_holders(
+            program_id, self._fleet.earlier_members()
         )
-        former = membership.budget_holders(program_id, known_members)
         present = self._holders(program_id)
         found = former + [one for one in present if one not in former]
         return [member for member in found if member.name != self._name]
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -106,6 +106,7 @@
             name, local_ledger, turn_planner, self.network, view, self.clock
         )
         view.on_member_lost = accounts.handle_member_loss
+        view.on_member_added = accounts.handle_member_arrival
         self.network.services[name] = peer_service.PeerService(
             accounts, local_ledger, None, None, permits
         )
@@ -354,8 +355,48 @@
         self.assertGreaterEqual(spent, BUDGET - TURN)
 
 
+class ArrivalTest(HoldersCase):
+    """Guards against programs that a new primary takes for new ones."""
+
+    NAMES = tuple(f"m{number:02}" for number in range(1, 65))
+    NEW = "m99"
+
+    def test_primary_by_an_arrival_counts_unrecorded_tokens(self):
+        # The primary before it cannot reach the store, so it has not recorded
+        # what it handed out.
+        members = [builders.member(name) for name in self.NAMES]
+        grown = [*members, builders.member(self.NEW)]
+        self.program_id = next(
+            program_id
+            for program_id in map(str, range(1_000))
+            if _primary(program_id, grown) not in _holders(program_id, members)
+        )
+        spent = sum(self.turn("m18") for _ in range(2))
+        for store, *_ in self.members.values():
+            store.error = interfaces.StoreUnavailableError("refused")
+        unrecorded = sum(self.turn("m18") for _ in range(3))
+        self.assertGreater(unrecorded, 0)
+        encoded = fleet.encode_member(builders.member(self.NEW))
+        former = _primary(self.program_id, members)
+        for name, (store, _, view, accounts) in self.members.items():
+            # The other members have been there for long.
+            accounts._started_ms -= budgets.START_PERIOD_MS
+            view._arrived_ms.clear()
+            view.apply([interfaces.Item(f"member/{self.NEW}", encoded, 9)])
+            if name != former:
+                store.error = None
+        spent += unrecorded + sum(self.turn("m17") for _ in range(30))
+        self.assertLessEqual(spent, BUDGET + TURN)
+        self.assertGreaterEqual(spent, BUDGET - TURN)
+
+
 def _primary(program_id, members):
-    return membership.budget_holders(program_id, members)[0].name
+    return _holders(program_id, members)[0]
+
+
+def _holders(program_id, members):
+    found = membership.budget_holders(program_id, members)
+    return [member.name for member in found]
 
 
 if __name__ == "__main__":
