Do not pass on a stream that closes inside an event as complete

Cause: the close of such a response was taken as its end, and nothing asked whether an event was open.

Evidence: test_stream_that_closes_inside_an_event_is_not_complete failed on the code before at all 14 cut positions, test_stream_that_closes_before_its_first_event_failed too (200).

Change: the end says that only a close showed it (ResponseEnd.is_by_close); a stream that is not after an event then is a lost connection, so it is cut off towards the caller, not stored, its tokens are charged, and it is retried only where a lost connection would be, before any byte. Streams with a length or chunks are left as they are: their framing shows the end. Plain responses that end by a close stay whole.

--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -308,14 +308,22 @@
                 for part in parts
                 if isinstance(part, server_connections.ResponseData)
             )
-            is_complete = isinstance(parts[-1], server_connections.ResponseEnd)
+            end = parts[-1]
+            is_complete = isinstance(end, server_connections.ResponseEnd)
             parts = []
+            if data:
+                self._record_data(data)
+            is_cut_off = self._is_cut_off(end)
             try:
-                if not self._response.is_started and (data or is_complete):
+                is_due = data or (is_complete and not is_cut_off)
+                if not self._response.is_started and is_due:
                     self._response.start(head.status, fields, length)
                 if data:
-                    self._record_data(data)
                     self._response.write(data)
+                if is_cut_off:
+                    raise server_connections.ConnectionLostError(
+                        "closed inside an event"
+                    )
                 if is_complete and not self._store_turn(until_ms):
                     return self._abort_unstored_turn()
                 if is_complete:
@@ -329,6 +337,19 @@
                 self.end_reason = "answered"
                 return Delivery(self._relayed_tokens())
 
+    def _is_cut_off(self, part: server_connections.ResponsePart) -> bool:
+        """Return whether a stream ended by a close that is no end of it.
+
+        A stream without a length and without chunks is whole only if it ends
+        after an event.
+        """
+        match part:
+            case server_connections.ResponseEnd(is_by_close=True):
+                is_stream = self._route.kind is traffic.RouteKind.STREAMING
+                return is_stream and not self._counter.is_after_event
+            case _:
+                return False
+
     def _store_turn(self, until_ms: float) -> bool:
         """Store the turn and return whether its response may complete."""
         if self._recorder is None:
@@ -396,6 +417,11 @@
         """Return the number of events that arrived at least in part."""
         return self.events + self._is_event_open
 
+    @property
+    def is_after_event(self) -> bool:
+        """Return whether all data so far are one or more whole events."""
+        return self.events > 0 and not self._is_event_open
+
     def add(self, data: bytes) -> None:
         """Count the events in the next chunk of the stream."""
         joined = self._partial_delimiter + data
--- a/packages/gateway/src/balsamloom_gateway/server_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/server_connections.py
@@ -86,7 +86,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class ResponseEnd:
-    """End of a response."""
+    """End of a response.
+
+    ``is_by_close`` says that only the close of the connection showed the end,
+    so that the response may have been cut off.
+    """
+
+    is_by_close: bool = False
 
 
 ResponsePart = ResponseHead | ResponseData | ResponseEnd
@@ -344,7 +350,7 @@
         if not self._response.is_delimited_by_close:
             raise ConnectionLostError("closed before the end of the response")
         self._response.is_complete = True
-        self._response.parts.append(ResponseEnd())
+        self._response.parts.append(ResponseEnd(is_by_close=True))
 
     def _handle_completion(self) -> None:
         response = self._response
--- a/packages/gateway/tests/test_proxy.py
+++ b/packages/gateway/tests/test_proxy.py
@@ -255,6 +255,39 @@
             self.request("/stream/", body=b"x")
         self.assertEqual(caught.exception.partial, event)
 
+    UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSigned: 1\r\n\r\n"
+
+    def close_after(self, stream):
+        """Start a server that ends a stream by closing the connection."""
+        self.start(
+            self.answering(self.UNFRAMED, stream, then=socket.socket.close)
+        )
+
+    def test_stream_that_closes_after_an_event_is_whole(self):
+        stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+        self.close_after(stream)
+        response, body = self.request("/stream/", body=b"x")
+        self.assertEqual((response.status, body), (200, stream))
+
+    def test_stream_that_closes_inside_an_event_is_not_complete(self):
+        first, last = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
+        for cut in range(1, len(last)):
+            with self.subTest(cut):
+                self.close_after(first + last[:cut])
+                with self.assertRaises(http.client.IncompleteRead) as caught:
+                    self.request("/stream/", body=b"x")
+                self.assertEqual(caught.exception.partial, first + last[:cut])
+
+    def test_stream_that_closes_before_its_first_event_failed(self):
+        self.close_after(b"")
+        self.assertEqual(self.request("/stream/", body=b"x")[0].status, 502)
+        self.assertEqual(self.runs(), 1)
+
+    def test_plain_response_that_ends_by_a_close_is_whole(self):
+        self.close_after(b"all of it")
+        response, body = self.request("/once/", body=b"x")
+        self.assertEqual((response.status, body), (200, b"all of it"))
+
     def test_truncated_response_without_length_is_reset(self):
         # To an HTTP/1.0 caller, a closed connection is the end of the
         # response.
--- a/packages/gateway/tests/test_turn_path.py
+++ b/packages/gateway/tests/test_turn_path.py
@@ -86,6 +86,16 @@
             self.turn("r1")
         self.assertEqual(self.runs(), 1)
 
+    def test_turn_that_closes_inside_an_event_is_not_stored(self):
+        head = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSigned: 1\r\n\r\n"
+            b"id: 1\ndata: a\n\nid: 2\nda"
+        )
+        self.start(self.answering(head, then=lambda one: one.close()))
+        with self.assertRaises(http.client.IncompleteRead):
+            self.turn("r1")
+        self.assertEqual(self.turn("r2", "r1")[0].status, 404)
+
     def test_turn_is_not_run_while_too_few_storage_hosts_answer(self):
         self.start(self.engine)
         for name in ("a1", "b1"):
