Take over a lost holder's tokens also after reports of other holders

Change: answers name the lost holders; those whose own report is known are left to the takeover by name.

--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 # An allocation is the budget divided by ``ALLOCATION_DIVISOR``, or
@@ -64,11 +64,11 @@
     """Usage that other holders know.
 
     ``lost_unrecorded_tokens`` are the part of the unrecorded tokens whose
-    holder is lost, so that nobody else will record them.
+    holder is lost, by its id, so that nobody else will record them.
     """
 
     usage: Usage
-    lost_unrecorded_tokens: int
+    lost_unrecorded_tokens: Mapping[str, int]
 
 
 class Account:
@@ -173,9 +173,13 @@
         """
         usage = found.usage
         # What was reported here before is taken over by its holder's name.
-        is_known = self.has_peer_usage or self.unrecorded_tokens > 0
-        if takes_over and not is_known:
-            lost_tokens = found.lost_unrecorded_tokens
+        if takes_over and not self.unrecorded_tokens:
+            lost_tokens = sum(
+                tokens
+                for lost, tokens in found.lost_unrecorded_tokens.items()
+                if lost not in self.peer_unrecorded_tokens
+            )
+            lost_tokens = min(lost_tokens, usage.unrecorded_tokens)
             self.unrecorded_tokens += lost_tokens
             rest_tokens = usage.unrecorded_tokens - lost_tokens
             usage = usage._replace(unrecorded_tokens=rest_tokens)
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -137,11 +137,11 @@
             # Processes of the release before do not name the holders.
             [answer.get("unrecorded") or {} for answer in claims]
         )
-        return ledger.QueriedUsage(
-            usage, min(lost_tokens, usage.unrecorded_tokens)
-        )
+        return ledger.QueriedUsage(usage, lost_tokens)
 
-    def _lost_tokens(self, unrecorded: Sequence[Mapping[str, int]]) -> int:
+    def _lost_tokens(
+        self, unrecorded: Sequence[Mapping[str, int]]
+    ) -> dict[str, int]:
         """Return the unrecorded tokens of holders that are not registered.
 
         :param unrecorded: tokens by the id of their holder, as each of the
@@ -156,7 +156,7 @@
             for holder, tokens in known.items():
                 if "/" in holder and holder not in registered:
                     most[holder] = max(most.get(holder, 0), int(tokens))
-        return sum(most.values())
+        return most
 
     def _past_and_present_holders(
         self, program_id: str
--- a/packages/gateway/tests/test_budget_ledger.py
+++ b/packages/gateway/tests/test_budget_ledger.py
@@ -33,7 +33,7 @@
 
     def known_usage(self, program_id):
         usage = self.usages.get(program_id)
-        return ledger.QueriedUsage(usage, 0) if usage else None
+        return ledger.QueriedUsage(usage, {}) if usage else None
 
 
 class BudgetLedgerTest(unittest.TestCase):
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -361,9 +361,10 @@
     # The successor of 1a is no standby of it: those are in other domains.
     NAMES = ("1a", "2a", "3b", "4c", "5d")
 
-    def recorded_tokens(self):
-        item = self.store.items.get("ledger/p")
-        return json.loads(item.value)["tokens"] if item else 0
+    def covered_tokens(self):
+        """Return the recorded tokens that the successor cannot hand out."""
+        account = self.members["2a"][1]._accounts["p"]
+        return account.recorded_tokens - account.left_tokens
 
     def test_successor_records_what_a_lost_holder_handed_out(self):
         # All processes ended later, and the tokens were granted once more
@@ -377,6 +378,9 @@
             store, _, view, _ = self.members[name]
             view.apply([interfaces.Deletion("member/1a", 9)])
             store.error = None
+        # A report of another holder says nothing of the lost one.
+        reported = ledger.Usage("p", BUDGET, 0, 0)
+        self.members["2a"][1].merge_usages("3b/False", [reported], False)
         # Turns of one moment query at once, and count the tokens once.
         callers = [
             threading.Thread(target=self.reserve, args=("4c",))
@@ -388,7 +392,7 @@
             caller.join()
         spent = unrecorded + 4 * TURN
         until_s = time.monotonic() + 5
-        while self.recorded_tokens() < spent:
+        while self.covered_tokens() < spent:
             self.assertLess(time.monotonic(), until_s)
             time.sleep(0.02)
         spent += sum(self.turn("4c") for _ in range(30))
