--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -399,6 +399,23 @@
         self.assertLessEqual(spent, BUDGET + TURN)
         self.assertGreaterEqual(spent, BUDGET - TURN)
 
+    def test_successor_that_learns_late_of_a_loss_records_them_too(self):
+        for store, *_ in self.members.values():
+            store.error = interfaces.StoreUnavailableError("refused")
+        spent = sum(self.turn("3b") for _ in range(2))
+        self.network.cut.add("1a")
+        deletion = interfaces.Deletion("member/1a", 9)
+        self.members["4c"][2].apply([deletion])
+        for name in self.NAMES[1:]:
+            self.members[name][0].error = None
+        spent += self.turn("4c")
+        for name in ("2a", "3b", "5d"):
+            self.members[name][2].apply([deletion])
+        until_s = time.monotonic() + 5
+        while self.covered_tokens() < spent:
+            self.assertLess(time.monotonic(), until_s)
+            time.sleep(0.02)
+
 
 class ArrivalTest(HoldersCase):
     """Guards against programs that a new primary takes for new ones."""
