Log crashes of servers under requests, by target and body

Logs could not tell a server that crashed from a connection that was reset, nor two requests of one target apart from the same request twice. An attempt that breaks before the first byte of its answer is now followed by a new connection to the server (kept in the pool if it opens); if the host refuses it, server_crashed names the server, the digests of target and body, and how many servers this process knows to have crashed under them. The audit command finds targets that crashed more than three. Crashes are recorded in the store, so that all processes count them; nothing is refused yet.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -95,6 +95,8 @@
     BODY_NOT_READ = 7029
     MEMBER_LIVENESS_CHANGED = 7030
     SERVER_LIMIT_CHANGED = 7031
+    SERVER_CRASHED = 7032
+    CRASH_NOT_RECORDED = 7033
 
 
 _MEANINGS: dict[Event, str] = {
@@ -201,6 +203,12 @@
     Event.SERVER_LIMIT_CHANGED: (
         "A backend server limits its requests per second, or no longer does."
     ),
+    Event.SERVER_CRASHED: (
+        "A backend server crashed when it began to run a request."
+    ),
+    Event.CRASH_NOT_RECORDED: (
+        "Crashes under requests could not be written to the store yet."
+    ),
 }
 
 
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/crash_ledger.py
@@ -0,0 +1,169 @@
+"""Crashes of backend servers under requests, counted by request.
+
+A request that crashes its server comes again with another request
+identifier, through any process. It is recognised by its target and body. If
+several bodies of one target crash servers and no request for that target was
+ever served, the target as a whole counts as one request.
+"""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+import threading
+from typing import NamedTuple
+
+# Crashes after which a request is not sent to any other server.
+MAX_CRASHES = 3
+# A request may run again this long after its last crash.
+RETENTION_MS = 600_000.0
+# Served targets that a process remembers.
+MAX_SERVED_TARGETS = 4_096
+DIGEST_BYTES = 12
+
+
+class RequestKey(NamedTuple):
+    """Digests of a request's method, host and target and of its body."""
+
+    target_id: str
+    body_id: str
+
+
+class Crash(NamedTuple):
+    """Crash of one run of a server under a request.
+
+    ``wall_ms`` is the time of day, which all processes share.
+    """
+
+    key: RequestKey
+    server_run: str
+    wall_ms: float
+
+
+def request_key(
+    method: bytes, host: bytes, target: bytes, body: bytes
+) -> RequestKey:
+    """Return the key under which crashes of a request are counted.
+
+    :param body: the caller's body, without earlier turns.
+    """
+    line = b"%s %s %s" % (method, host.lower(), target)
+    return RequestKey(_digest(line), _digest(body))
+
+
+def _digest(data: bytes) -> str:
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+
+
+class CrashLedger:
+    """Crashes that this process knows of, from itself and from others."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._crashes: dict[str, dict[tuple[str, str], float]] = {}
+        self._shared_targets: set[str] = set()
+        self._served: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def add(self, crash: Crash) -> bool:
+        """Add a crash; return whether it was unknown."""
+        entry = (crash.key.body_id, crash.server_run)
+        with self._lock:
+            crashes = self._crashes.setdefault(crash.key.target_id, {})
+            is_new = entry not in crashes
+            crashes[entry] = crash.wall_ms
+            return is_new
+
+    def remove(self, key: RequestKey, server_run: str) -> None:
+        """Forget a crash."""
+        with self._lock:
+            crashes = self._crashes.get(key.target_id, {})
+            crashes.pop((key.body_id, server_run), None)
+            if not crashes:
+                self._crashes.pop(key.target_id, None)
+
+    def share_target(self, target_id: str) -> None:
+        """Count a target's requests by body, since some were served."""
+        with self._lock:
+            self._shared_targets.add(target_id)
+
+    def unshare_target(self, target_id: str) -> None:
+        """Forget that requests for a target were served."""
+        with self._lock:
+            self._shared_targets.discard(target_id)
+
+    def record_served(self, key: RequestKey) -> list[Crash]:
+        """Record that a server answered a request.
+
+        :return: crashes under the same request, which it did not cause.
+        """
+        with self._lock:
+            self._served[key.target_id] = None
+            self._served.move_to_end(key.target_id)
+            if len(self._served) > MAX_SERVED_TARGETS:
+                self._served.popitem(last=False)
+            return self._of_body(key)
+
+    def must_share(self, target_id: str) -> bool:
+        """Return whether only this process knows that a target is served."""
+        with self._lock:
+            return (
+                target_id in self._served
+                and target_id in self._crashes
+                and target_id not in self._shared_targets
+            )
+
+    def count(self, key: RequestKey) -> int:
+        """Return how many runs of servers crashed under a request."""
+        with self._lock:
+            return len(self._runs(key))
+
+    def blocked_until_ms(self, key: RequestKey) -> float | None:
+        """Return the time of day until which a request may not run.
+
+        :return: ``None`` if it may run.
+        """
+        with self._lock:
+            runs = self._runs(key)
+            if len(runs) < MAX_CRASHES:
+                return None
+            return max(runs.values()) + RETENTION_MS
+
+    def expired(self, wall_ms: float) -> list[Crash]:
+        """Return the crashes of targets without a recent crash."""
+        with self._lock:
+            return [
+                Crash(RequestKey(target_id, body_id), server_run, crash_ms)
+                for target_id, crashes in self._crashes.items()
+                if max(crashes.values()) + RETENTION_MS <= wall_ms
+                for (body_id, server_run), crash_ms in crashes.items()
+            ]
+
+    def unused_shared_targets(self) -> list[str]:
+        """Return the shared targets without any crash."""
+        with self._lock:
+            return sorted(self._shared_targets - set(self._crashes))
+
+    def _runs(self, key: RequestKey) -> dict[str, float]:
+        """Return the crashed runs that count, with the latest time."""
+        crashes = self._crashes.get(key.target_id)
+        if crashes is None:
+            return {}
+        is_shared = (
+            key.target_id in self._shared_targets
+            or key.target_id in self._served
+        )
+        runs: dict[str, float] = {}
+        for (body_id, server_run), wall_ms in crashes.items():
+            if body_id == key.body_id or not is_shared:
+                runs[server_run] = max(wall_ms, runs.get(server_run, wall_ms))
+        return runs
+
+    def _of_body(self, key: RequestKey) -> list[Crash]:
+        crashes = self._crashes.get(key.target_id, {})
+        return [
+            Crash(key, server_run, wall_ms)
+            for (body_id, server_run), wall_ms in crashes.items()
+            if body_id == key.body_id
+        ]
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -12,6 +12,7 @@
     balancer,
     callbacks,
     connection_pool,
+    crash_detection,
     estimates,
     health,
     interfaces,
@@ -69,6 +70,7 @@
     :param servers: chooses the server of each attempt.
     :param responder: sends final answers and logs.
     :param permits: permits to send to servers that limit their rate.
+    :param crashes: detects servers that crash under calls.
     :param codec: encodes header fields.
     :param clock: time source.
     """
@@ -78,12 +80,14 @@
         servers: balancer.Balancer,
         responder: responses.Responder,
         permits: send_permits.SendPermits,
+        crashes: crash_detection.CrashDetector,
         codec: interfaces.HeaderCodec,
         clock: clocks.Clock,
     ) -> None:
         self._balancer = servers
         self._responder = responder
         self._permits = permits
+        self._crashes = crashes
         self._codec = codec
         self._clock = clock
         self._lock = threading.Lock()
@@ -207,7 +211,7 @@
             return self._resend(
                 call, placement, spec, result, first_byte_until_ms
             )
-        report = self._record_result(placement, attempt, result)
+        report = self._record_result(call, placement, attempt, result)
         self._log_result(call, placement, attempt, result, is_reused)
         return _AttemptResult(result, report)
 
@@ -246,6 +250,11 @@
         try:
             connection = pool.connect(self._connect_timeout_ms(call))
         except server_connections.ConnectError as error:
+            is_refused = isinstance(
+                error, server_connections.ConnectRefusedError
+            )
+            if may_have_run and is_refused:
+                self._crashes.report(call, placement.server)
             return self._handle_unsent(
                 call,
                 placement,
@@ -255,7 +264,7 @@
         attempt, result = self._relay(
             call, placement, spec, connection, first_byte_until_ms
         )
-        report = self._record_result(placement, attempt, result)
+        report = self._record_result(call, placement, attempt, result)
         self._log_result(call, placement, attempt, result, is_reused=False)
         if may_have_run and isinstance(result, attempts.NotRun):
             # A refusal of the second request says nothing about the first.
@@ -325,10 +334,15 @@
 
     def _record_result(
         self,
+        call: responses.Call,
         placement: balancer.Placement,
         attempt: relay.Relay,
         result: relay.Result,
     ) -> planner.TurnReport:
+        if attempt.is_broken_before_body:
+            self._crashes.check(
+                call, placement.server, self._pool(placement.server)
+            )
         answer = attempt.answer
         report = planner.TurnReport(
             placement.server.server_id,
--- a/packages/gateway/src/balsamloom_gateway/interfaces.py
+++ b/packages/gateway/src/balsamloom_gateway/interfaces.py
@@ -177,6 +177,25 @@
     host: str
 
 
+@dataclasses.dataclass(frozen=True)
+class CrashRecord:
+    """Crash of one run of a server under a request.
+
+    The identifiers are digests of the request.
+    """
+
+    target_id: str
+    body_id: str
+    server_run: str
+
+
+@dataclasses.dataclass(frozen=True)
+class SharedTargetRecord:
+    """Target that was served although some of its requests crash servers."""
+
+    target_id: str
+
+
 @dataclasses.dataclass(frozen=True)
 class IgnoredRecord:
     """A key that the data path does not read."""
@@ -189,6 +208,8 @@
     | StorageHostRecord
     | EvacuationOrder
     | EvacuationStatus
+    | CrashRecord
+    | SharedTargetRecord
     | IgnoredRecord
 )
 
@@ -212,6 +233,12 @@
     def ledger_key(self, program_id: str) -> str:
         """Return the key of a program's budget record."""
 
+    def crash_key(self, target_id: str, body_id: str, server_run: str) -> str:
+        """Return the key of the record of a crash."""
+
+    def shared_target_key(self, target_id: str) -> str:
+        """Return the key of the record of a target that was served."""
+
     def evacuation_status(
         self, host: str, is_complete: bool
     ) -> tuple[str, bytes]:
--- a/packages/gateway/src/balsamloom_gateway/log_audit.py
+++ b/packages/gateway/src/balsamloom_gateway/log_audit.py
@@ -10,7 +10,7 @@
 
 import click
 
-from balsamloom_gateway import explain
+from balsamloom_gateway import crash_ledger, explain
 
 
 class ExcessAttempts(NamedTuple):
@@ -30,6 +30,13 @@
     turn_tokens: int
 
 
+class RepeatedCrash(NamedTuple):
+    """Target whose requests crashed more servers than one request may."""
+
+    target_id: str
+    server_ids: tuple[str, ...]
+
+
 class Audit(NamedTuple):
     """Requests and programs beyond their limits.
 
@@ -38,8 +45,18 @@
 
     excess_attempts: list[ExcessAttempts]
     exceeded_budgets: list[ExceededBudget]
+    repeated_crashes: list[RepeatedCrash]
     dropped_lines: int
 
+    @property
+    def has_findings(self) -> bool:
+        """Return whether anything exceeds its limit."""
+        return bool(
+            self.excess_attempts
+            or self.exceeded_budgets
+            or self.repeated_crashes
+        )
+
 
 def audit(lines: Iterable[explain.LogLine]) -> Audit:
     """Return what exceeds its limit in the logs of all edge processes."""
@@ -47,6 +64,7 @@
     return Audit(
         _find_excess_attempts(known),
         _find_exceeded_budgets(known),
+        _find_repeated_crashes(known),
         sum(
             int(line.fields["lines"])
             for line in known
@@ -105,6 +123,21 @@
     ]
 
 
+def _find_repeated_crashes(
+    lines: Iterable[explain.LogLine],
+) -> list[RepeatedCrash]:
+    server_ids: dict[str, dict[str, None]] = collections.defaultdict(dict)
+    for line in lines:
+        if line.name == "server_crashed":
+            server_id = line.fields["server_id"]
+            server_ids[line.fields["target_id"]][server_id] = None
+    return [
+        RepeatedCrash(target_id, tuple(found))
+        for target_id, found in server_ids.items()
+        if len(found) > crash_ledger.MAX_CRASHES
+    ]
+
+
 def _describe(found: Audit) -> list[str]:
     """Return a line of text for each finding."""
     texts = [
@@ -117,6 +150,11 @@
         f" {one.budget_tokens} and {one.turn_tokens} for one turn"
         for one in found.exceeded_budgets
     ]
+    texts += [
+        f"requests for target {one.target_id} crashed {len(one.server_ids)}"
+        f" servers: {', '.join(one.server_ids)}"
+        for one in found.repeated_crashes
+    ]
     if found.dropped_lines:
         texts.append(f"{found.dropped_lines} lines were dropped from the logs")
     return texts
@@ -132,9 +170,10 @@
 def main(logs: tuple[pathlib.Path, ...]) -> None:
     """Search the LOGS of edge processes for exceeded limits.
 
-    Prints requests that may have run on more servers than their route allows
-    and programs that got more tokens than their budget and one turn. Exits
-    with 1 if there are any.
+    Prints requests that may have run on more servers than their route allows,
+    programs that got more tokens than their budget and one turn, and targets
+    whose requests crashed more than three servers. Exits with 1 if there are
+    any.
     """
     lines: list[explain.LogLine] = []
     for path in logs:
@@ -143,5 +182,5 @@
     found = audit(lines)
     for text in _describe(found):
         click.echo(text)
-    if found.excess_attempts or found.exceeded_budgets:
+    if found.has_findings:
         sys.exit(1)
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -15,6 +15,8 @@
     budget_ledger,
     budgets,
     conversations,
+    crash_detection,
+    crash_reports,
     dispatch,
     evacuation,
     feed,
@@ -158,8 +160,17 @@
         )
         edge_metrics = metrics.Metrics()
         responder = responses.Responder(codec, clock, edge_metrics)
+        self._crash_reports = crash_reports.CrashReports(
+            store, records, self._rank, clock
+        )
+        crashes = crash_detection.CrashDetector(self._crash_reports)
         self._dispatcher = dispatch.Dispatcher(
-            self._call_balancer, responder, self._permits, codec, clock
+            self._call_balancer,
+            responder,
+            self._permits,
+            crashes,
+            codec,
+            clock,
         )
         turns = conversations.ConversationStore(
             self.fleet.storage_hosts,
@@ -200,7 +211,7 @@
         self._registrar.on_lease_lost = self._handle_lease_loss
         self._follower.after_read = self._handle_read
         self._follower.on_outage_at_start = self._book.handle_outage_at_start
-        self.fleet.on_changes = self._evacuations.apply
+        self.fleet.on_changes = self._apply_changes
         self.fleet.on_member_lost = accounts.handle_member_loss
         self.fleet.on_member_added = accounts.handle_member_arrival
         self.fleet.on_servers_changed = self._apply_servers
@@ -278,6 +289,7 @@
             self._registrar.run,
             self._book.run,
             self._heartbeats.run,
+            self._crash_reports.run,
         ):
             background.start(target, self._clock)
         events.log(
@@ -329,6 +341,10 @@
     def _rank(self) -> int:
         return membership.rank_of(self.member.name, self.fleet.members())
 
+    def _apply_changes(self, changes: list[interfaces.Change]) -> None:
+        self._evacuations.apply(changes)
+        self._crash_reports.apply(changes)
+
     def _apply_servers(self, servers: list[traffic.BackendServer]) -> None:
         self._call_balancer.set_servers(servers)
         self._turn_balancer.set_servers(servers)
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -11,6 +11,7 @@
     budget_ledger,
     budgets,
     conversations,
+    crash_ledger,
     dispatch,
     estimates,
     fleet,
@@ -118,6 +119,9 @@
             arrived_ms,
             until_ms,
             configuration,
+            crash_ledger.request_key(
+                request.method, host.encode("latin-1"), request.target, body
+            ),
         )
 
     def _prepend_history(self, call: responses.Call) -> responses.Call | None:
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -102,6 +102,8 @@
         self._answered_ms = -math.inf
         # The server closed the connection without a response.
         self.is_closed_unanswered = False
+        # The connection was lost before any byte of the body arrived.
+        self.is_broken_before_body = False
         self.end_reason = ""
 
     @property
@@ -395,11 +397,15 @@
         )
         is_broken = isinstance(error, server_connections.ConnectionLostError)
         self.is_closed_unanswered = is_broken and self.status == 0
+        was_sent = self._exchange.sent_bytes > 0
+        self.is_broken_before_body = (
+            is_broken and was_sent and self._first_byte_ms is None
+        )
         if self._response.is_started:
             self.end_reason = f"cut off: {error}"
             self._response.abort()
             return Delivery(self._relayed_tokens())
-        if self._exchange.sent_bytes == 0:
+        if not was_sent:
             return attempts.NotRun(str(error))
         return attempts.MayHaveRun(str(error))
 
--- a/packages/gateway/src/balsamloom_gateway/responses.py
+++ b/packages/gateway/src/balsamloom_gateway/responses.py
@@ -11,6 +11,7 @@
     attempts,
     balancer,
     conversations,
+    crash_ledger,
     interfaces,
     listeners,
     metrics,
@@ -22,7 +23,8 @@
     """Request that was read and has a route.
 
     ``body`` is the body to send to a server. ``recorder`` stores the turn if
-    the call is part of a conversation.
+    the call is part of a conversation. ``key`` identifies what the caller
+    sent over its retries.
     """
 
     request: listeners.Request
@@ -33,6 +35,7 @@
     arrived_ms: float
     until_ms: float
     configuration: traffic.Configuration
+    key: crash_ledger.RequestKey
     recorder: conversations.TurnRecorder | None = None
 
 
--- a/packages/gateway/src/balsamloom_gateway/server_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/server_connections.py
@@ -36,6 +36,10 @@
     """No connection could be opened, so nothing was sent."""
 
 
+class ConnectRefusedError(ConnectError):
+    """The host answered that nothing listens at the address."""
+
+
 class ConnectionLostError(ExchangeError):
     """The connection was lost before the response was complete."""
 
@@ -164,7 +168,8 @@
     """Open a connection.
 
     :param address: ``host:port``.
-    :raises ConnectError: invalid address, refused connection or timeout.
+    :raises ConnectRefusedError: nothing listens at the address.
+    :raises ConnectError: invalid address or timeout.
     """
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -176,6 +181,9 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
         sock.setblocking(False)
+    except ConnectionRefusedError as error:
+        sock.close()
+        raise ConnectRefusedError(f"{address}: {error}") from error
     except (OSError, ValueError) as error:
         sock.close()
         raise ConnectError(f"{address}: {error}") from error
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -135,7 +135,7 @@
 class Records:
     """Keys and formats of the tests' records: JSON under plain prefixes."""
 
-    prefixes = ("config", "server/", "member/", "storage/")
+    prefixes = ("config", "server/", "member/", "storage/", "crash/")
 
     def kind(self, key: str) -> interfaces.RecordKind:
         """Return the kind of record at a key."""
@@ -153,6 +153,10 @@
                 return interfaces.EvacuationOrder(name)
             case "status":
                 return interfaces.EvacuationStatus(name)
+            case "crash":
+                return interfaces.CrashRecord(*name.split("/"))
+            case "served":
+                return interfaces.SharedTargetRecord(name)
             case _:
                 return interfaces.IgnoredRecord()
 
@@ -164,6 +168,14 @@
         """Return the key of a program's budget record."""
         return f"ledger/{program_id}"
 
+    def crash_key(self, target_id: str, body_id: str, server_run: str) -> str:
+        """Return the key of the record of a crash."""
+        return f"crash/{target_id}/{body_id}/{server_run}"
+
+    def shared_target_key(self, target_id: str) -> str:
+        """Return the key of the record of a target that was served."""
+        return f"served/{target_id}"
+
     def storage_host_key(self, name: str) -> str:
         """Return the key of a storage host's registration."""
         return f"storage/{name}"
--- a/packages/gateway/tests/gateway_case.py
+++ b/packages/gateway/tests/gateway_case.py
@@ -15,6 +15,8 @@
     budget_ledger,
     budgets,
     conversations,
+    crash_detection,
+    crash_reports,
     dispatch,
     fleet,
     listeners,
@@ -66,8 +68,16 @@
         self.storage_hosts = []
         codec = builders.Codec()
         responder = responses.Responder(codec, clock, metrics.Metrics())
+        self.crashes = crash_reports.CrashReports(
+            self.store, records, lambda: 0, clock
+        )
         self.dispatcher = dispatch.Dispatcher(
-            self.balancer, responder, self.permits, codec, clock
+            self.balancer,
+            responder,
+            self.permits,
+            crash_detection.CrashDetector(self.crashes),
+            codec,
+            clock,
         )
         self.proxy = proxy.Proxy(
             self.fleet,
--- a/packages/gateway/tests/test_log_audit.py
+++ b/packages/gateway/tests/test_log_audit.py
@@ -74,6 +74,17 @@
             [log_audit.ExceededBudget("p", 31, 20, 10)],
         )
 
+    def test_target_that_crashed_a_fourth_server_is_found(self):
+        lines = [
+            line("server_crashed", target_id="t", server_id=f"s{number}")
+            for number in (1, 2, 3, 3, 4)
+        ]
+        self.assertEqual(self.audit(*lines[:4]).repeated_crashes, [])
+        self.assertEqual(
+            self.audit(*lines).repeated_crashes,
+            [log_audit.RepeatedCrash("t", ("s1", "s2", "s3", "s4"))],
+        )
+
     def test_dropped_lines_are_counted(self):
         found = self.audit(line("lines_dropped", lines=3))
         self.assertEqual(found.dropped_lines, 3)
