Refuse a request that has crashed three servers, at all processes

Cause: retries were decided from the attempts of one request identifier in one process; the caller's next try has another identifier and goes to another process, so nothing counted. Class of fault: a limit over the fleet that is kept by none.

Crashes are recorded in the store, one key each, under digests of target and body; each process follows them, and a restarted one lists them. After three the request is refused with 503, before a budget or a server is taken. A target that servers answer counts by body; what is answered is cleared.

--- a/packages/gateway/src/balsamloom_gateway/crash_detection.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_detection.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import threading
-
 from balsamloom_gateway import (
+    balancer,
     connection_pool,
     crash_reports,
     responses,
@@ -33,11 +32,16 @@
     ) -> None:
         """Report a crash if the server of a broken attempt is down.
 
-        Returns at once; the server is checked by a new connection.
+        A new connection tells, which the pool keeps if it opens.
         """
-        threading.Thread(
-            target=self._check, args=(call, server, pool), daemon=True
-        ).start()
+        try:
+            connection = pool.connect(CONNECT_TIMEOUT_MS)
+        except server_connections.ConnectRefusedError:
+            self.report(call, server)
+        except server_connections.ConnectError:
+            return
+        else:
+            pool.release(connection)
 
     def report(
         self, call: responses.Call, server: traffic.BackendServer
@@ -49,21 +53,12 @@
         """Record that a server answered a call."""
         self._reports.record_served(call.key)
 
-    def blocked_ms(self, call: responses.Call) -> float | None:
-        """Return how long a call may not run, ``None`` if it may."""
-        return self._reports.blocked_ms(call.key)
-
-    def _check(
-        self,
-        call: responses.Call,
-        server: traffic.BackendServer,
-        pool: connection_pool.ConnectionPool,
-    ) -> None:
-        try:
-            connection = pool.connect(CONNECT_TIMEOUT_MS)
-        except server_connections.ConnectRefusedError:
-            self.report(call, server)
-        except server_connections.ConnectError:
-            return
-        else:
-            pool.release(connection)
+    def refusal(self, call: responses.Call) -> balancer.NoServer | None:
+        """Return why a call may not run now, ``None`` if it may."""
+        blocked_ms = self._reports.blocked_ms(call.key)
+        if blocked_ms is None:
+            return None
+        return balancer.NoServer(
+            f"the request crashed servers, target {call.key.target_id}",
+            blocked_ms,
+        )
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -108,7 +108,7 @@
         tried: frozenset[str] = frozenset()
         report = planner.NOT_RUN
         while True:
-            placement = self._place(
+            placement = self._crashes.refusal(call) or self._place(
                 target, tried, call.until_ms - self._clock.now_ms()
             )
             if isinstance(placement, balancer.NoServer):
@@ -375,6 +375,8 @@
                     call, placement, reason, is_sent, is_reused
                 )
             case relay.Delivery(tokens) | relay.Disconnect(tokens):
+                if attempt.is_whole:
+                    self._crashes.record_served(call)
                 self._responder.log_end(
                     call,
                     attempt.status,
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -184,6 +184,7 @@
             self._dispatcher,
             accounts,
             turns,
+            crashes,
             responder,
             codec,
             clock,
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -11,6 +11,7 @@
     budget_ledger,
     budgets,
     conversations,
+    crash_detection,
     crash_ledger,
     dispatch,
     estimates,
@@ -37,6 +38,7 @@
     :param dispatcher: sends calls to servers.
     :param token_budgets: token budgets of programs.
     :param stored_turns: stored turns of conversations.
+    :param crashes: knows the calls that crash servers.
     :param responder: sends error responses and logs calls.
     :param codec: encodes and decodes header fields.
     :param clock: time source.
@@ -48,6 +50,7 @@
         dispatcher: dispatch.Dispatcher,
         token_budgets: budgets.Budgets,
         stored_turns: conversations.ConversationStore,
+        crashes: crash_detection.CrashDetector,
         responder: responses.Responder,
         codec: interfaces.HeaderCodec,
         clock: clocks.Clock,
@@ -56,6 +59,7 @@
         self._dispatcher = dispatcher
         self._budgets = token_budgets
         self._conversations = stored_turns
+        self._crashes = crashes
         self._responder = responder
         self._codec = codec
         self._clock = clock
@@ -65,11 +69,26 @@
     ) -> None:
         """Handle one request."""
         call = self._read_request(request, response)
-        if call is not None and _is_conversation_route(call.route):
+        if call is None or self._is_refused(call):
+            return
+        if _is_conversation_route(call.route):
             call = self._prepend_history(call)
         if call is not None:
             self._dispatch(call)
 
+    def _is_refused(self, call: responses.Call) -> bool:
+        """Refuse a call that has crashed too many servers."""
+        refusal = self._crashes.refusal(call)
+        if refusal is None:
+            return False
+        self._responder.send_unavailable(
+            call.response,
+            call.metadata.request_id,
+            refusal.reason,
+            refusal.retry_after_ms,
+        )
+        return True
+
     def _read_request(
         self, request: listeners.Request, response: listeners.Response
     ) -> responses.Call | None:
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -106,6 +106,11 @@
         self.is_broken_before_body = False
         self.end_reason = ""
 
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the server's whole response was sent."""
+        return self.end_reason == "answered"
+
     @property
     def event_count(self) -> int:
         """Return the number of complete events sent to the caller."""
--- a/packages/gateway/tests/gateway_case.py
+++ b/packages/gateway/tests/gateway_case.py
@@ -43,13 +43,14 @@
     """Listener, proxy and store of one process.
 
     :param servers: addresses of backend servers by identifier.
+    :param store: platform's store; a new one by default.
     """
 
-    def __init__(self, servers):
+    def __init__(self, servers, store=None):
         clock = clocks.Clock()
         self.clock = clock
         records = builders.Records()
-        self.store = builders.Store()
+        self.store = store or builders.Store()
         self.fleet = fleet.Fleet(records, clock)
         self.balancer = balancer.Balancer(clock, "a", random.Random(1))
         self.book = budget_ledger.BudgetLedger(self.store, records, clock)
@@ -71,11 +72,12 @@
         self.crashes = crash_reports.CrashReports(
             self.store, records, lambda: 0, clock
         )
+        detector = crash_detection.CrashDetector(self.crashes)
         self.dispatcher = dispatch.Dispatcher(
             self.balancer,
             responder,
             self.permits,
-            crash_detection.CrashDetector(self.crashes),
+            detector,
             codec,
             clock,
         )
@@ -90,6 +92,7 @@
                 "a",
                 COPIES,
             ),
+            detector,
             responder,
             codec,
             clock,
@@ -100,6 +103,7 @@
         self.set_servers(servers)
         self.listener.start()
         threading.Thread(target=self.book.run, daemon=True).start()
+        threading.Thread(target=self.crashes.run, daemon=True).start()
 
     def configure(self):
         """Apply a configuration with the routes of ``ROUTE_KINDS``."""
--- a/packages/gateway/tests/scripted.py
+++ b/packages/gateway/tests/scripted.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 from collections.abc import Callable
@@ -18,16 +19,13 @@
     def __init__(self, script: Callable[[socket.socket, int], None]) -> None:
         self._script = script
         self._listening = socket.create_server(("127.0.0.1", 0))
+        host, port = self._listening.getsockname()
+        # Stays known when the server is closed.
+        self.address = f"{host}:{port}"
         self._connections: list[socket.socket] = []
         self.received: list[bytes] = []
         threading.Thread(target=self._accept, daemon=True).start()
 
-    @property
-    def address(self) -> str:
-        """Return ``host:port``."""
-        host, port = self._listening.getsockname()
-        return f"{host}:{port}"
-
     def read_request(self, connection: socket.socket) -> bytes:
         """Read one request with its body and return it."""
         data = b""
@@ -48,6 +46,9 @@
 
     def close(self) -> None:
         """Close the listening socket and all connections."""
+        with contextlib.suppress(OSError):
+            # Otherwise the pending accept keeps the address in use.
+            self._listening.shutdown(socket.SHUT_RDWR)
         self._listening.close()
         for connection in self._connections:
             connection.close()
