--- a/packages/gateway/src/balsamloom_gateway/crash_reports.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_reports.py
@@ -10,11 +10,16 @@
 import json
 import logging
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import crash_ledger, interfaces, traffic
+from balsamloom_gateway import (
+    callbacks,
+    crash_ledger,
+    interfaces,
+    traffic,
+)
 
 MAX_OPERATIONS = 32
 # The oldest waiting writes are given up beyond this number.
@@ -49,6 +54,7 @@
         self._work = threading.Event()
         # Value to write by key, None to delete it.
         self._pending: dict[str, bytes | None] = {}
+        self.on_crash: Callable[[crash_ledger.Crash], None] = callbacks.ignore
 
     def apply(self, changes: list[interfaces.Change]) -> None:
         """Apply changed records of crashes."""
@@ -95,8 +101,15 @@
         )
         record_key = self._records.crash_key(*key, run)
         self._enqueue({record_key: _encode(crash)})
+        self.on_crash(crash)
         self._share_target(key.target_id)
 
+    def add(self, crashes: Iterable[crash_ledger.Crash]) -> None:
+        """Add crashes that another member recorded."""
+        for crash in crashes:
+            self._ledger.add(crash)
+            self._share_target(crash.key.target_id)
+
     def record_served(self, key: crash_ledger.RequestKey) -> None:
         """Record that a server answered a request without a crash."""
         cleared = self._ledger.record_served(key)
@@ -188,8 +201,7 @@
                 reason=repr(error),
             )
             return
-        self._ledger.add(crash_ledger.Crash(key, kind.server_run, wall_ms))
-        self._share_target(kind.target_id)
+        self.add([crash_ledger.Crash(key, kind.server_run, wall_ms)])
 
     def _share_target(self, target_id: str) -> None:
         """Tell the others that a target's requests are served here."""
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -9,6 +9,8 @@
 from balsamloom_gateway import (
     budget_ledger,
     budgets,
+    crash_notices,
+    crash_reports,
     feed,
     heartbeats,
     ledger,
@@ -28,6 +30,7 @@
     :param record_feed: copy of the store's records.
     :param member_heartbeats: answers heartbeats.
     :param permits: permits to send to servers that limit their rate.
+    :param crashes: crashes of servers under requests.
     """
 
     def __init__(
@@ -37,12 +40,14 @@
         record_feed: feed.Feed,
         member_heartbeats: heartbeats.Heartbeats,
         permits: send_permits.SendPermits,
+        crashes: crash_reports.CrashReports,
     ) -> None:
         self._budgets = token_budgets
         self._book = book
         self._feed = record_feed
         self._heartbeats = member_heartbeats
         self._permits = permits
+        self._crashes = crashes
         self.calls: dict[str, Callable[[dict[str, Any]], Any]] = {
             peers.RESERVE_PATH: self._reserve,
             peers.SETTLE_PATH: self._settle,
@@ -50,6 +55,7 @@
             peers.MERGE_STATES_PATH: self._merge_usages,
             peers.READ_STATE_PATH: self._read_usage,
             peers.PERMIT_PATH: self._grant_permit,
+            peers.CRASH_PATH: self._add_crashes,
             peers.FEED_PATH: self._read_feed,
             peers.HEARTBEAT_PATH: self._answer_heartbeat,
         }
@@ -95,6 +101,10 @@
         request = send_permits.decode_request(body)
         return self._permits.grant(request)._asdict()
 
+    def _add_crashes(self, body: dict[str, Any]) -> dict[str, Any]:
+        self._crashes.add(crash_notices.decode(body))
+        return {}
+
     def _read_feed(self, body: dict[str, Any]) -> feed.FeedAnswer:
         query = feed.FeedQuery(
             str(body["epoch"]), int(body["cursor"]), int(body["revision"])
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -16,6 +16,7 @@
     budgets,
     conversations,
     crash_detection,
+    crash_notices,
     crash_reports,
     dispatch,
     evacuation,
@@ -163,6 +164,9 @@
         self._crash_reports = crash_reports.CrashReports(
             store, records, self._rank, clock
         )
+        self._crash_notices = crash_notices.CrashNotices(
+            settings.name, self._crash_reports, clients, self.fleet, clock
+        )
         crashes = crash_detection.CrashDetector(self._crash_reports)
         self._dispatcher = dispatch.Dispatcher(
             self._call_balancer,
@@ -233,6 +237,7 @@
             self._feed,
             self._heartbeats,
             self._permits,
+            self._crash_reports,
         )
         self._ingress = listeners.Listener(
             settings.caller_address, self._proxy.handle, self._limits(None)
@@ -291,6 +296,7 @@
             self._book.run,
             self._heartbeats.run,
             self._crash_reports.run,
+            self._crash_notices.run,
         ):
             background.start(target, self._clock)
         events.log(
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -7,7 +7,14 @@
 import gateway_case
 import scripted
 
-from balsamloom_gateway import crash_ledger, crash_reports, interfaces
+from balsamloom_gateway import (
+    crash_ledger,
+    crash_notices,
+    crash_reports,
+    fleet,
+    interfaces,
+    peers,
+)
 
 DEADLY = b"deadly"
 SERVERS = 6
@@ -154,6 +161,52 @@
         self.assertEqual(self.store.items, {})
 
 
+class Network:
+    """In-process notices between members, of which some can be cut off."""
+
+    def __init__(self):
+        self.reports = {}
+        self.cut = set()
+
+    def call(self, address, path, body, timeout_ms):
+        name = address.partition(":")[0]
+        if name in self.cut:
+            raise peers.PeerUnavailableError(address)
+        crashes = crash_notices.decode(builders.as_json(body))
+        self.reports[name].add(crashes)
+        return {}
+
+
+class CrashNoticesTest(unittest.TestCase):
+    """Guards against retries at members that wait for the store."""
+
+    def test_members_that_answer_know_a_crash_without_the_store(self):
+        clock = builders.manual_clock()
+        view = builders.fleet_view()
+        network = Network()
+        for name in ("a", "b", "c"):
+            encoded = fleet.encode_member(builders.member(name))
+            view.apply([interfaces.Item(f"member/{name}", encoded, 1)])
+            network.reports[name] = crash_reports.CrashReports(
+                builders.Store(), builders.Records(), lambda: 0, clock
+            )
+        network.cut.add("b")
+        reports = network.reports["a"]
+        notices = crash_notices.CrashNotices(
+            "a", reports, network, view, clock
+        )
+        for number in range(crash_ledger.MAX_CRASHES):
+            reports.report(key(), builders.server(f"s{number}"), "r")
+        notices.send_pending()
+        self.assertIsNotNone(network.reports["c"].blocked_ms(key()))
+        self.assertIsNone(network.reports["b"].blocked_ms(key()))
+
+    def test_malformed_notice_is_an_error(self):
+        for crashes in (None, [1], [["t", "b"]], [["t", "b", "s", "nan"]]):
+            with self.subTest(crashes), self.assertRaises(ValueError):
+                crash_notices.decode({"crashes": crashes})
+
+
 class DeadlyRequestTest(gateway_case.GatewayCase):
     """Guards against a request that crashes server after server."""
 
