Remove records of crashes once, not until the store has said so

What a served request or the clean-up removed was still in the ledger until the store's change came back, so the writer's loop removed it again without a pause. It is removed from the ledger at once, and the clean-up runs each 30 s. Test: test_served_request_costs_one_call_of_the_store, which failed before.

--- a/packages/gateway/src/balsamloom_gateway/crash_reports.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_reports.py
@@ -115,15 +115,8 @@
         cleared = self._ledger.record_served(key)
         if not cleared and not self._ledger.must_share(key.target_id):
             return
+        self._remove(cleared)
         self._share_target(key.target_id)
-        for crash in cleared:
-            self._ledger.remove(crash.key, crash.server_run)
-        self._enqueue(
-            {
-                self._records.crash_key(*crash.key, crash.server_run): None
-                for crash in cleared
-            }
-        )
 
     def blocked_ms(self, key: crash_ledger.RequestKey) -> float | None:
         """Return how long a request may not run, ``None`` if it may."""
@@ -136,15 +129,17 @@
     def run(self) -> None:
         """Write pending changes; the first member also removes old ones."""
         failures = 0
+        cleanup_ms = self._clock.now_ms()
         while True:
-            pause_ms = CLEANUP_INTERVAL_MS
             if failures:
                 pause_ms = min(MIN_RETRY_MS * 2**failures, MAX_RETRY_MS)
                 self._clock.sleep(pause_ms)
             else:
-                self._clock.wait(self._work, pause_ms)
+                self._clock.wait(self._work, CLEANUP_INTERVAL_MS)
             self._work.clear()
-            if self._rank() == 0:
+            now_ms = self._clock.now_ms()
+            if self._rank() == 0 and now_ms >= cleanup_ms:
+                cleanup_ms = now_ms + CLEANUP_INTERVAL_MS
                 self.remove_expired()
             failures = 0 if self.write_pending() else min(failures + 1, 6)
 
@@ -178,13 +173,22 @@
 
     def remove_expired(self) -> None:
         """Remove the records of requests that may run again."""
-        changes: dict[str, bytes | None] = {
-            self._records.crash_key(*crash.key, crash.server_run): None
-            for crash in self._ledger.expired(self._clock.wall_ms())
-        }
+        self._remove(self._ledger.expired(self._clock.wall_ms()))
         for target_id in self._ledger.unused_shared_targets():
-            changes[self._records.shared_target_key(target_id)] = None
-        self._enqueue(changes)
+            self._ledger.unshare_target(target_id)
+            key = self._records.shared_target_key(target_id)
+            self._enqueue({key: None})
+
+    def _remove(self, crashes: list[crash_ledger.Crash]) -> None:
+        """Forget crashes here at once and in the store."""
+        for crash in crashes:
+            self._ledger.remove(crash.key, crash.server_run)
+        self._enqueue(
+            {
+                self._records.crash_key(*crash.key, crash.server_run): None
+                for crash in crashes
+            }
+        )
 
     def _apply_crash(self, item: interfaces.Item) -> None:
         kind = self._records.kind(item.key)
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -151,6 +151,16 @@
         self.assertIsNone(first.blocked_ms(key()))
         self.assertIsNone(self.started_process().blocked_ms(key()))
 
+    def test_served_request_costs_one_call_of_the_store(self):
+        reports = self.process()
+        self.report(reports, 1)
+        reports.record_served(key())
+        for _ in range(5):
+            reports.remove_expired()
+            reports.write_pending()
+        self.assertEqual(self.store.calls, ["transact"] * 2)
+        self.assertEqual(self.store.items, {})
+
     def test_expired_crashes_are_removed_from_the_store(self):
         reports = self.process()
         self.report(reports)
