Log at which software version a stream runs and what it resumes

Nothing read the version of a server's record or Resumes of a caller, so logs could not show whether a stream went on at another version. request_placed names both, and the audit command finds streams with events of several versions.

--- a/packages/gateway/src/balsamloom_gateway/interfaces.py
+++ b/packages/gateway/src/balsamloom_gateway/interfaces.py
@@ -196,6 +196,13 @@
     target_id: str
 
 
+@dataclasses.dataclass(frozen=True)
+class VersionsRecord:
+    """Software versions of a service's servers."""
+
+    service: str
+
+
 @dataclasses.dataclass(frozen=True)
 class IgnoredRecord:
     """A key that the data path does not read."""
@@ -210,6 +217,7 @@
     | EvacuationStatus
     | CrashRecord
     | SharedTargetRecord
+    | VersionsRecord
     | IgnoredRecord
 )
 
@@ -239,6 +247,9 @@
     def shared_target_key(self, target_id: str) -> str:
         """Return the key of the record of a target that was served."""
 
+    def versions_key(self, service: str) -> str:
+        """Return the key of the record of a service's versions."""
+
     def evacuation_status(
         self, host: str, is_complete: bool
     ) -> tuple[str, bytes]:
--- a/packages/gateway/src/balsamloom_gateway/log_audit.py
+++ b/packages/gateway/src/balsamloom_gateway/log_audit.py
@@ -37,6 +37,13 @@
     server_ids: tuple[str, ...]
 
 
+class MixedStream(NamedTuple):
+    """Stream with events from servers of several software versions."""
+
+    stream_id: str
+    versions: tuple[str, ...]
+
+
 class Audit(NamedTuple):
     """Requests and programs beyond their limits.
 
@@ -46,6 +53,7 @@
     excess_attempts: list[ExcessAttempts]
     exceeded_budgets: list[ExceededBudget]
     repeated_crashes: list[RepeatedCrash]
+    mixed_streams: list[MixedStream]
     dropped_lines: int
 
     @property
@@ -55,6 +63,7 @@
             self.excess_attempts
             or self.exceeded_budgets
             or self.repeated_crashes
+            or self.mixed_streams
         )
 
 
@@ -65,6 +74,7 @@
         _find_excess_attempts(known),
         _find_exceeded_budgets(known),
         _find_repeated_crashes(known),
+        _find_mixed_streams(known),
         sum(
             int(line.fields["lines"])
             for line in known
@@ -138,6 +148,31 @@
     ]
 
 
+def _find_mixed_streams(
+    lines: Iterable[explain.LogLine],
+) -> list[MixedStream]:
+    version_of: dict[tuple[str, str], str] = {}
+    stream_of: dict[str, str] = {}
+    versions: dict[str, dict[str, None]] = collections.defaultdict(dict)
+    for line in lines:
+        request_id = line.fields.get("request_id", "")
+        if line.name == "request_placed":
+            attempt = (request_id, line.fields.get("server_id", ""))
+            version_of[attempt] = line.fields.get("server_version", "")
+            resumed_id = line.fields.get("resumed_id")
+            stream_of[request_id] = resumed_id or request_id
+        elif line.fields.get("events_relayed"):
+            attempt = (request_id, line.fields.get("server_id", ""))
+            if attempt in version_of:
+                stream_id = stream_of[request_id]
+                versions[stream_id][version_of[attempt]] = None
+    return [
+        MixedStream(stream_id, tuple(found))
+        for stream_id, found in versions.items()
+        if len(found) > 1
+    ]
+
+
 def _describe(found: Audit) -> list[str]:
     """Return a line of text for each finding."""
     texts = [
@@ -155,6 +190,11 @@
         f" servers: {', '.join(one.server_ids)}"
         for one in found.repeated_crashes
     ]
+    texts += [
+        f"stream {one.stream_id} has events of versions"
+        f" {', '.join(one.versions)}"
+        for one in found.mixed_streams
+    ]
     if found.dropped_lines:
         texts.append(f"{found.dropped_lines} lines were dropped from the logs")
     return texts
@@ -171,9 +211,9 @@
     """Search the LOGS of edge processes for exceeded limits.
 
     Prints requests that may have run on more servers than their route allows,
-    programs that got more tokens than their budget and one turn, and targets
-    whose requests crashed more than three servers. Exits with 1 if there are
-    any.
+    programs that got more tokens than their budget and one turn, targets
+    whose requests crashed more than three servers, and streams with events of
+    several software versions. Exits with 1 if there are any.
     """
     lines: list[explain.LogLine] = []
     for path in logs:
--- a/packages/gateway/src/balsamloom_gateway/responses.py
+++ b/packages/gateway/src/balsamloom_gateway/responses.py
@@ -136,6 +136,8 @@
             version=call.configuration.version,
             max_attempts=call.route.max_attempts,
             server_id=placement.server.server_id,
+            server_version=placement.server.version,
+            resumed_id=call.metadata.resumed_id,
             estimate_ms=round(placement.estimate_ms, 1),
             missing_tokens=placement.missing_tokens,
             report_age_ms=placement.report_age_ms,
--- a/packages/gateway/src/balsamloom_gateway/traffic.py
+++ b/packages/gateway/src/balsamloom_gateway/traffic.py
@@ -95,6 +95,7 @@
     """Registration of one run of a backend server.
 
     ``incarnation`` changes when a server restarts with the same identifier.
+    ``version`` is that of its software.
     """
 
     server_id: str
@@ -104,6 +105,7 @@
     slots: int
     is_draining: bool
     incarnation: int
+    version: str = ""
 
 
 class Member(NamedTuple):
@@ -127,7 +129,9 @@
     """Properties of a call from the caller's headers.
 
     ``deadline_ms`` and ``program_deadline_ms`` are relative to the arrival.
-    ``previous_turn_id`` names the turn that a turn continues.
+    ``previous_turn_id`` names the turn that a turn continues. ``resumed_id``
+    names the request that began the stream which a call resumes; it is empty
+    if the caller does not say, and ``None`` if the call begins a stream.
     """
 
     request_id: str
@@ -142,6 +146,7 @@
     prompt: tuple[PromptPart, ...]
     affinity_key: str
     previous_turn_id: str = ""
+    resumed_id: str | None = None
 
 
 class ServerLoad(NamedTuple):
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -30,6 +30,7 @@
     is_draining: bool = False,
     incarnation: int = 1,
     failure_domain: str = "a",
+    version: str = "v1",
 ) -> traffic.BackendServer:
     """Build a backend server."""
     return traffic.BackendServer(
@@ -40,6 +41,7 @@
         slots,
         is_draining,
         incarnation,
+        version,
     )
 
 
@@ -155,6 +157,8 @@
                 return interfaces.EvacuationStatus(name)
             case "crash":
                 return interfaces.CrashRecord(*name.split("/"))
+            case "versions":
+                return interfaces.VersionsRecord(name)
             case "served":
                 return interfaces.SharedTargetRecord(name)
             case _:
@@ -172,6 +176,10 @@
         """Return the key of the record of a crash."""
         return f"crash/{target_id}/{body_id}/{server_run}"
 
+    def versions_key(self, service: str) -> str:
+        """Return the key of the record of a service's versions."""
+        return f"versions/{service}"
+
     def shared_target_key(self, target_id: str) -> str:
         """Return the key of the record of a target that was served."""
         return f"served/{target_id}"
@@ -196,11 +204,14 @@
         """Decode a server's record."""
         try:
             found = json.loads(value)
-            return server(
+            registered = server(
                 server_id,
                 is_draining=found["is_draining"],
                 incarnation=found.get("incarnation", 1),
+                version=found.get("version", "v1"),
             )
+            address = found.get("address", registered.address)
+            return registered._replace(address=address)
         except (ValueError, KeyError) as error:
             raise interfaces.InvalidRecordError(str(error)) from error
 
@@ -315,6 +326,16 @@
             self.changes.append(interfaces.Deletion(key, self.revision))
 
 
+def register_server(
+    view: fleet.Fleet, server_id: str, version: str = "v1"
+) -> None:
+    """Register a server in a view."""
+    fields = server(server_id, version=version)._asdict()
+    value = json.dumps(fields).encode()
+    revision = len(view.registered_servers()) + 1
+    view.apply([interfaces.Item(f"server/{server_id}", value, revision)])
+
+
 def storage_host(name: str) -> replicas.StorageHost:
     """Build a storage host."""
     return replicas.StorageHost(name, f"{name}:1", name[0], f"disk-{name}")
@@ -380,6 +401,9 @@
             prompt=(),
             affinity_key="",
             previous_turn_id=headers.get(b"Previous", b"").decode("latin-1"),
+            resumed_id=headers.get(b"Resumes", b"").decode()
+            if b"Last-Event-Id" in headers
+            else None,
         )
 
     def forwarded_fields(self, headers, server_id, left_ms, engine_priority):
--- a/packages/gateway/tests/test_log_audit.py
+++ b/packages/gateway/tests/test_log_audit.py
@@ -85,6 +85,32 @@
             [log_audit.RepeatedCrash("t", ("s1", "s2", "s3", "s4"))],
         )
 
+    def test_stream_of_two_versions_is_found(self):
+        def part(request_id, server_id, version, resumed_id=None):
+            return (
+                line(
+                    "request_placed",
+                    request_id=request_id,
+                    max_attempts=1,
+                    server_id=server_id,
+                    server_version=version,
+                    resumed_id=resumed_id,
+                ),
+                line(
+                    "request_ended",
+                    request_id=request_id,
+                    server_id=server_id,
+                    events_relayed=2,
+                ),
+            )
+
+        same = (*part("r1", "s1", "v1"), *part("r2", "s2", "v1", "r1"))
+        self.assertEqual(self.audit(*same).mixed_streams, [])
+        found = self.audit(*same, *part("r3", "s3", "v2", "r1"))
+        self.assertEqual(
+            found.mixed_streams, [log_audit.MixedStream("r1", ("v1", "v2"))]
+        )
+
     def test_dropped_lines_are_counted(self):
         found = self.audit(line("lines_dropped", lines=3))
         self.assertEqual(found.dropped_lines, 3)
