Let a stream go on only at the software version that began it

Cause: placement knew no versions, and nothing said at which one a stream had begun. Class of fault: state that a later request depends on is known to one process at most, and ends with it.

Processes and two storage hosts remember the version of each stream while several are possible, a record in the store tells which versions served lately, and a stream of unknown version is refused.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -97,6 +97,8 @@
     SERVER_LIMIT_CHANGED = 7031
     SERVER_CRASHED = 7032
     CRASH_NOT_RECORDED = 7033
+    VERSIONS_CHANGED = 7034
+    STREAM_RESUMED = 7035
 
 
 _MEANINGS: dict[Event, str] = {
@@ -209,6 +211,12 @@
     Event.CRASH_NOT_RECORDED: (
         "Crashes under requests could not be written to the store yet."
     ),
+    Event.VERSIONS_CHANGED: (
+        "The software versions of a service's servers changed."
+    ),
+    Event.STREAM_RESUMED: (
+        "The version was looked up at which a resumed stream began."
+    ),
 }
 
 
--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -133,7 +133,11 @@
         """
         with self._lock:
             now_ms = self._clock.now_ms()
-            states = self._by_service.get(service, [])
+            states = [
+                state
+                for state in self._by_service.get(service, [])
+                if profile.allows(state.server)
+            ]
             usable = [
                 state
                 for state in states
@@ -141,10 +145,7 @@
             ]
             if not usable:
                 return NoServer(
-                    "the service has no available server"
-                    if not states
-                    else "all servers of the service were tried",
-                    health.RETRY_AFTER_MS,
+                    _describe_absence(states, profile), health.RETRY_AFTER_MS
                 )
             within_limits = [
                 state for state in usable if not state.is_denied(now_ms)
@@ -191,6 +192,7 @@
             states = self._by_service.get(service, [])
             return any(
                 state.server.server_id not in used
+                and placement.profile.allows(state.server)
                 and not state.is_denied(now_ms)
                 for state in states
             )
@@ -200,13 +202,16 @@
     ) -> Choice | None:
         """Return a server that another process chose.
 
-        :return: ``None`` if the server is unknown or ejected.
+        :return: ``None`` if the server is unknown, ejected or of a version
+            that may not run the call.
         """
         with self._lock:
             now_ms = self._clock.now_ms()
             state = self._servers.get(server_id)
             if state is None or state.health.is_ejected(now_ms):
                 return None
+            if not profile.allows(state.server):
+                return None
             baseline = self._baseline(state.server.service)
             cost = self._cost(state, profile, baseline, now_ms)
             return Choice(state, profile, cost)
@@ -358,6 +363,16 @@
             )
 
 
+def _describe_absence(
+    states: list[estimates.ServerState], profile: estimates.CallProfile
+) -> str:
+    if states:
+        return "all servers of the service were tried"
+    if profile.version is not None:
+        return f"the service has no server of version {profile.version}"
+    return "the service has no available server"
+
+
 def _is_same_run(
     one: traffic.BackendServer, other: traffic.BackendServer
 ) -> bool:
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -23,7 +23,9 @@
     responses,
     send_permits,
     server_connections,
+    stream_versions,
     traffic,
+    version_history,
 )
 
 # Connecting takes a few ms. A slower attempt lost its first packet or met a
@@ -71,6 +73,7 @@
     :param responder: sends final answers and logs.
     :param permits: permits to send to servers that limit their rate.
     :param crashes: detects servers that crash under calls.
+    :param streams: records at which version streams begin.
     :param codec: encodes header fields.
     :param clock: time source.
     """
@@ -81,6 +84,7 @@
         responder: responses.Responder,
         permits: send_permits.SendPermits,
         crashes: crash_detection.CrashDetector,
+        streams: stream_versions.StreamVersions,
         codec: interfaces.HeaderCodec,
         clock: clocks.Clock,
     ) -> None:
@@ -88,6 +92,7 @@
         self._responder = responder
         self._permits = permits
         self._crashes = crashes
+        self._streams = streams
         self._codec = codec
         self._clock = clock
         self._lock = threading.Lock()
@@ -291,6 +296,7 @@
             spec.engine if spec else None,
             call.recorder,
             lambda answer: self._record_answer(placement.server, answer),
+            self._begin_stream(call, placement.server),
         )
         head = self._request_head(call, placement.server, spec)
         result = attempt.run(
@@ -299,6 +305,15 @@
         self._pool(placement.server).release(connection)
         return attempt, result
 
+    def _begin_stream(
+        self, call: responses.Call, server: traffic.BackendServer
+    ) -> Callable[[], None]:
+        """Return what must end before a stream's first event is sent."""
+        is_resumed = call.metadata.resumed_id is not None
+        if is_resumed or not version_history.is_resumable(call.route):
+            return callbacks.ignore
+        return self._streams.begin(call.metadata.request_id, server)
+
     def _record_answer(
         self, server: traffic.BackendServer, answer: traffic.AnswerMetadata
     ) -> None:
--- a/packages/gateway/src/balsamloom_gateway/estimates.py
+++ b/packages/gateway/src/balsamloom_gateway/estimates.py
@@ -58,7 +58,8 @@
     """Properties of a call that determine its cost at a server.
 
     ``recent_servers`` ran the last turns of the same program, and
-    ``failure_cost_ms`` is the cost of a failure to the caller.
+    ``failure_cost_ms`` is the cost of a failure to the caller. Only servers
+    of ``version`` may run the call, all if it is ``None``.
     """
 
     prompt: tuple[traffic.PromptPart, ...] = ()
@@ -66,6 +67,11 @@
     output_tokens: int = 0
     recent_servers: tuple[str, ...] = ()
     failure_cost_ms: float = REPEATABLE_FAILURE_COST_MS
+    version: str | None = None
+
+    def allows(self, server: traffic.BackendServer) -> bool:
+        """Return whether a server may run the call."""
+        return self.version is None or server.version == self.version
 
 
 class Observation(NamedTuple):
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -147,6 +147,11 @@
         with self._lock:
             return self._usable_servers()
 
+    def registered_servers(self) -> list[traffic.BackendServer]:
+        """Return all servers, also those that drain."""
+        with self._lock:
+            return list(self._servers.values())
+
     def mark_server_leaving(self, server_id: str) -> None:
         """Exclude a server that announced its shutdown.
 
--- a/packages/gateway/src/balsamloom_gateway/peer_messages.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_messages.py
@@ -59,7 +59,8 @@
         "turn_tokens": message.turn_tokens,
         "budget_tokens": message.budget_tokens,
         "exposure": message.policy.value,
-        "turn": message.turn,
+        "turn": message.turn[:5],
+        "version": message.turn.version,
         "is_guest": message.is_standby,
         "reservation_id": message.reservation_id,
     }
@@ -87,6 +88,7 @@
                 int(prompt_tokens),
                 int(output_tokens),
                 float(left_ms),
+                _optional_text(body.get("version")),
             ),
             bool(body["is_guest"]),
             str(body["reservation_id"]),
@@ -221,5 +223,9 @@
     return rate_quota.LimitReport(_optional_float(limit_per_s), float(age_ms))
 
 
+def _optional_text(value: Any) -> str | None:
+    return None if value is None else str(value)
+
+
 def _optional_float(value: Any) -> float | None:
     return None if value is None else float(value)
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -26,6 +26,8 @@
 LIST_TURNS_PATH = "/turns/list"
 READ_TURNS_PATH = "/turns/read"
 COPY_TURNS_PATH = "/turns/copy"
+RECORD_STREAMS_PATH = "/streams/record"
+FIND_STREAM_PATH = "/streams/find"
 JSON_TYPE = b"application/json"
 MESSAGE_PACK_TYPE = b"application/msgpack"
 
--- a/packages/gateway/src/balsamloom_gateway/planner.py
+++ b/packages/gateway/src/balsamloom_gateway/planner.py
@@ -29,13 +29,17 @@
 
 
 class TurnRequest(NamedTuple):
-    """Request to place a turn; ``left_ms`` is the time to its deadline."""
+    """Request to place a turn; ``left_ms`` is the time to its deadline.
+
+    Only servers of ``version`` may run it, all if it is ``None``.
+    """
 
     service: str
     prompt: tuple[traffic.PromptPart, ...]
     prompt_tokens: int
     output_tokens: int
     left_ms: float
+    version: str | None = None
 
 
 class Plan(NamedTuple):
@@ -117,6 +121,7 @@
             request.prompt_tokens,
             request.output_tokens,
             recent_servers,
+            version=request.version,
         )
         group = self._find_group()
         found = limited_placement.choose_permitted(
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -38,7 +38,9 @@
     send_permits,
     server_limits,
     standbys,
+    stream_versions,
     traffic,
+    version_history,
 )
 
 # Limits of the caller listener until a configuration is known.
@@ -168,11 +170,22 @@
             settings.name, self._crash_reports, clients, self.fleet, clock
         )
         crashes = crash_detection.CrashDetector(self._crash_reports)
+        self._history = version_history.VersionHistory(
+            store, records, self.fleet, self._rank, clock
+        )
+        self._streams = stream_versions.StreamVersions(
+            self._history,
+            self.fleet.storage_hosts,
+            clients,
+            lambda: self._feed.age_ms() is not None,
+            clock,
+        )
         self._dispatcher = dispatch.Dispatcher(
             self._call_balancer,
             responder,
             self._permits,
             crashes,
+            self._streams,
             codec,
             clock,
         )
@@ -189,6 +202,7 @@
             accounts,
             turns,
             crashes,
+            self._streams,
             responder,
             codec,
             clock,
@@ -340,6 +354,8 @@
     def _handle_read(self) -> None:
         """Run the tasks that depend on the latest read of the records."""
         self._evacuations.answer_due()
+        self._history.write_due()
+        self._streams.record_earlier()
         members = [*self.fleet.members(), *self.fleet.lost_members()]
         addresses = [member.peer_address for member in members]
         addresses += [host.address for host in self.fleet.storage_hosts()]
@@ -351,6 +367,7 @@
     def _apply_changes(self, changes: list[interfaces.Change]) -> None:
         self._evacuations.apply(changes)
         self._crash_reports.apply(changes)
+        self._history.apply(changes)
 
     def _apply_servers(self, servers: list[traffic.BackendServer]) -> None:
         self._call_balancer.set_servers(servers)
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -22,13 +22,16 @@
     planner,
     responses,
     routes,
+    stream_versions,
     traffic,
+    version_history,
 )
 
 # Sent as Retry-After when no better estimate is known.
 NOT_READY_RETRY_AFTER_MS = 500.0
 BUDGET_RETRY_AFTER_MS = 500.0
 HISTORY_RETRY_AFTER_MS = 300.0
+RESUME_RETRY_AFTER_MS = 100.0
 
 
 class Proxy:
@@ -39,6 +42,7 @@
     :param token_budgets: token budgets of programs.
     :param stored_turns: stored turns of conversations.
     :param crashes: knows the calls that crash servers.
+    :param streams: knows at which version streams began.
     :param responder: sends error responses and logs calls.
     :param codec: encodes and decodes header fields.
     :param clock: time source.
@@ -51,6 +55,7 @@
         token_budgets: budgets.Budgets,
         stored_turns: conversations.ConversationStore,
         crashes: crash_detection.CrashDetector,
+        streams: stream_versions.StreamVersions,
         responder: responses.Responder,
         codec: interfaces.HeaderCodec,
         clock: clocks.Clock,
@@ -60,6 +65,7 @@
         self._budgets = token_budgets
         self._conversations = stored_turns
         self._crashes = crashes
+        self._streams = streams
         self._responder = responder
         self._codec = codec
         self._clock = clock
@@ -217,6 +223,21 @@
 
     def _dispatch(self, call: responses.Call) -> None:
         target = _choose_target(call)
+        if _is_resumed_stream(call):
+            match self._streams.origin(
+                call.metadata.resumed_id or "", target.service
+            ):
+                case stream_versions.Known(version):
+                    profile = target.profile._replace(version=version)
+                    target = target._replace(profile=profile)
+                case stream_versions.Unknown(reason):
+                    self._responder.send_unavailable(
+                        call.response,
+                        call.metadata.request_id,
+                        reason,
+                        RESUME_RETRY_AFTER_MS,
+                    )
+                    return
         if call.metadata.token_budget is None:
             self._dispatcher.run(call, target)
             return
@@ -263,6 +284,7 @@
             profile.prompt_tokens,
             profile.output_tokens,
             call.until_ms - self._clock.now_ms(),
+            profile.version,
         )
 
 
@@ -271,6 +293,11 @@
     return route.is_stateful and route.kind is traffic.RouteKind.STREAMING
 
 
+def _is_resumed_stream(call: responses.Call) -> bool:
+    is_resumed = call.metadata.resumed_id is not None
+    return is_resumed and version_history.is_resumable(call.route)
+
+
 def _describe_lookup(found: turns.Lookup) -> str:
     match found:
         case turns.Chain(group_id, data):
@@ -285,7 +312,8 @@
     """Choose the service of a call and estimate the call's size."""
     metadata = call.metadata
     service = routes.choose_service(
-        call.route, metadata.program_id or metadata.request_id
+        call.route,
+        metadata.program_id or metadata.resumed_id or metadata.request_id,
     )
     spec = call.configuration.services.get(service)
     failure_cost_ms = estimates.REPEATABLE_FAILURE_COST_MS
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -55,6 +55,7 @@
     :param recorder: stores the turn before the response ends.
     :param on_answer: called with what the server says of itself, as soon as
         the head of its response is there.
+    :param before_stream: called before the first part of a stream is sent.
     """
 
     def __init__(
@@ -69,7 +70,9 @@
         engine: traffic.Engine | None,
         recorder: conversations.TurnRecorder | None = None,
         on_answer: Callable[[traffic.AnswerMetadata], None] = callbacks.ignore,
+        before_stream: Callable[[], None] = callbacks.ignore,
     ) -> None:
+        self._before_stream = before_stream
         self._on_answer = on_answer
         self._recorder = recorder
         self._response = response
@@ -324,6 +327,7 @@
             try:
                 is_due = data or (is_complete and not is_cut_off)
                 if not self._response.is_started and is_due:
+                    self._before_stream()
                     self._response.start(head.status, fields, length)
                 if data:
                     self._response.write(data)
--- a/packages/gateway/src/balsamloom_gateway/storage_process.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_process.py
@@ -24,6 +24,8 @@
     storage_evacuation,
     storage_registration,
     storage_service,
+    stream_registry,
+    version_history,
 )
 
 # Intervals between repair rounds: after a complete round, and otherwise.
@@ -92,11 +94,16 @@
             settings.copies,
             is_whole=settings.is_first_start or not self._database.is_new,
         )
+        # Edge processes write its records; a storage host only reads them.
+        self._history = version_history.VersionHistory(
+            store, records, self._fleet, lambda: 0, clock
+        )
         self._registration = storage_registration.StorageRegistration(
             self.host,
             store,
             records,
             self._fleet,
+            self._history,
             lambda: self._repair.is_leaving,
             clock,
         )
@@ -110,7 +117,7 @@
             settings.copies,
             lambda: self._fleet.has_storage_host(settings.name),
         )
-        self._fleet.on_changes = self._evacuation.apply
+        self._fleet.on_changes = self._apply_changes
         self._follower = follower.Follower(
             settings.name,
             store,
@@ -123,7 +130,10 @@
         )
         self._metrics = metrics.StorageMetrics(self._database, self._repair)
         service = storage_service.StorageService(
-            self._database, self._commits, self._repair
+            self._database,
+            self._commits,
+            self._repair,
+            stream_registry.StreamRegistry(clock),
         )
         limits = listeners.Limits(
             THREADS,
@@ -176,6 +186,10 @@
         self._database.close()
         events.log(events.Event.PROCESS_STOPPED, member=self.host.name)
 
+    def _apply_changes(self, changes: list[interfaces.Change]) -> None:
+        self._evacuation.apply(changes)
+        self._history.apply(changes)
+
     def _run_repair(self) -> None:
         while not self._stopped.is_set():
             pause_ms = REPAIR_RETRY_INTERVAL_MS
--- a/packages/gateway/src/balsamloom_gateway/storage_registration.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_registration.py
@@ -13,7 +13,7 @@
 from balsamloom_conversations import replicas
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import fleet, interfaces
+from balsamloom_gateway import fleet, interfaces, version_history
 
 CHECK_INTERVAL_MS = 400.0
 RETRY_INTERVAL_MS = 500.0
@@ -22,12 +22,14 @@
 class StorageRegistration:
     """Writes a storage host's registration if it is missing.
 
-    A deployment without stateful routes needs no registration.
+    A deployment without stateful routes needs no registration while each
+    service has servers of one version.
 
     :param own: this host.
     :param store: platform's store.
     :param records: keys and formats of the records.
     :param view: registrations and configuration known to this process.
+    :param history: versions of the services.
     :param is_leaving: returns whether the host is being evacuated.
     :param clock: time source.
     """
@@ -38,6 +40,7 @@
         store: interfaces.KeyValueStore,
         records: interfaces.Records,
         view: fleet.Fleet,
+        history: version_history.VersionHistory,
         is_leaving: Callable[[], bool],
         clock: clocks.Clock,
     ) -> None:
@@ -47,6 +50,7 @@
             records.storage_host_key(own.name), fleet.encode_storage_host(own)
         )
         self._fleet = view
+        self._history = history
         self._is_leaving = is_leaving
         self._clock = clock
         self._is_written = False
@@ -84,6 +88,8 @@
         in_force = self._fleet.active_configuration
         if in_force is None or self._is_leaving():
             return False
+        if self._history.mixed_services():
+            return True
         return any(
             route.is_stateful for route in in_force.configuration.routes
         )
--- a/packages/gateway/src/balsamloom_gateway/storage_service.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_service.py
@@ -12,7 +12,13 @@
     turns,
 )
 from balsamloom_core import events
-from balsamloom_gateway import listeners, peer_calls, peers, replica_repair
+from balsamloom_gateway import (
+    listeners,
+    peer_calls,
+    peers,
+    replica_repair,
+    stream_registry,
+)
 
 WRITE_TIMEOUT_MS = 1_500.0
 
@@ -23,6 +29,7 @@
     :param store: turns of this host.
     :param commits: writes turns.
     :param repair: replica repair of this host.
+    :param streams: versions at which streams began.
     """
 
     def __init__(
@@ -30,7 +37,9 @@
         store: database.TurnDatabase,
         commits: group_commit.GroupCommit,
         repair: replica_repair.ReplicaRepair,
+        streams: stream_registry.StreamRegistry,
     ) -> None:
+        self._streams = streams
         self._store = store
         self._commits = commits
         self._repair = repair
@@ -40,6 +49,8 @@
             peers.LIST_TURNS_PATH: self._list_turns,
             peers.READ_TURNS_PATH: self._read_turns,
             peers.COPY_TURNS_PATH: self._copy_from,
+            peers.RECORD_STREAMS_PATH: self._record_streams,
+            peers.FIND_STREAM_PATH: self._find_stream,
         }
         handlers = {
             path: _with_error_handling(path, handler)
@@ -98,6 +109,14 @@
             raise messages.InvalidMessageError("expected one host name")
         return messages.encode_names(self._repair.copy_from(names[0]))
 
+    def _record_streams(self, body: bytes) -> bytes:
+        self._streams.record(stream_registry.decode_starts(body))
+        return b""
+
+    def _find_stream(self, body: bytes) -> bytes:
+        version = self._streams.version_of(body.decode("latin-1"))
+        return stream_registry.encode_version(version)
+
 
 def _with_error_handling(
     path: str, handler: Callable[[bytes], bytes]
--- a/packages/gateway/tests/gateway_case.py
+++ b/packages/gateway/tests/gateway_case.py
@@ -25,7 +25,9 @@
     planner,
     proxy,
     responses,
+    stream_versions,
     traffic,
+    version_history,
 )
 
 ROUTE_KINDS = {
@@ -72,12 +74,23 @@
         self.crashes = crash_reports.CrashReports(
             self.store, records, lambda: 0, clock
         )
+        self.history = version_history.VersionHistory(
+            self.store, records, self.fleet, lambda: 0, clock
+        )
+        self.streams = stream_versions.StreamVersions(
+            self.history,
+            lambda: self.storage_hosts,
+            peers.PeerClients(clock),
+            lambda: True,
+            clock,
+        )
         detector = crash_detection.CrashDetector(self.crashes)
         self.dispatcher = dispatch.Dispatcher(
             self.balancer,
             responder,
             self.permits,
             detector,
+            self.streams,
             codec,
             clock,
         )
@@ -93,6 +106,7 @@
                 COPIES,
             ),
             detector,
+            self.streams,
             responder,
             codec,
             clock,
--- a/packages/gateway/tests/storage_nodes.py
+++ b/packages/gateway/tests/storage_nodes.py
@@ -14,6 +14,7 @@
     peers,
     replica_repair,
     storage_service,
+    stream_registry,
 )
 
 LIMITS = listeners.Limits(16, 16_384, 4_000_000, 2_000.0, 10_000.0)
@@ -55,7 +56,10 @@
             is_whole=is_first_start or not self.database.is_new,
         )
         self.service = storage_service.StorageService(
-            self.database, self.commits, self.copies
+            self.database,
+            self.commits,
+            self.copies,
+            stream_registry.StreamRegistry(clock),
         )
         address = self.name
         if self._cluster.is_networked:
--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -19,6 +19,8 @@
     peers,
     storage_evacuation,
     storage_registration,
+    traffic,
+    version_history,
 )
 
 
@@ -318,14 +320,30 @@
             self.store,
             builders.Records(),
             self.view,
+            version_history.VersionHistory(
+                self.store,
+                builders.Records(),
+                self.view,
+                lambda: 0,
+                builders.manual_clock(),
+            ),
             lambda: self.is_leaving,
             builders.manual_clock(),
         )
 
-    def configure(self, is_stateful):
-        route = builders.route(is_stateful=is_stateful)
+    def configure(self, is_stateful, is_resumable=False):
+        route = builders.route(
+            kind=traffic.RouteKind.STREAMING, is_stateful=is_stateful
+        )._replace(is_resumable=is_resumable)
         builders.activate_configuration(self.view, (route,))
 
+    def test_registered_once_streams_of_two_versions_can_be_resumed(self):
+        self.configure(is_stateful=False, is_resumable=True)
+        for version, calls in (("v1", []), ("v2", ["transact"])):
+            builders.register_server(self.view, f"s-{version}", version)
+            self.registration.check_once()
+            self.assertEqual(self.store.calls, calls)
+
     def test_registered_once_with_a_stateful_route(self):
         self.registration.check_once()
         self.assertEqual(self.store.calls, [])
--- /dev/null
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -0,0 +1,278 @@
+"""Tests of streams that go on at the software version that began them."""
+
+import http.client
+import json
+import time
+import unittest
+
+import builders
+import gateway_case
+import scripted
+import storage_nodes
+
+from balsamloom_gateway import (
+    fleet,
+    interfaces,
+    stream_registry,
+    traffic,
+    version_history,
+)
+
+EVENT = b"id: 1\ndata: %s\n\n"
+TIMEOUT_S = 5.0
+
+
+class VersionHistoryTest(unittest.TestCase):
+    """Guards against versions that a started process does not know of."""
+
+    def setUp(self):
+        self.store = builders.Store()
+        self.clock = builders.manual_clock()
+        self.view, self.history = self.process()
+
+    def process(self):
+        view = fleet.Fleet(builders.Records(), self.clock)
+        route = builders.route(traffic.RouteKind.STREAMING)
+        builders.activate_configuration(
+            view, (route._replace(is_resumable=True),)
+        )
+        history = version_history.VersionHistory(
+            self.store, builders.Records(), view, lambda: 0, self.clock
+        )
+        view.on_changes = history.apply
+        view.apply(list(self.store.items.values()))
+        return view, history
+
+    def possible(self, history=None):
+        return (history or self.history).possible(builders.SERVICE)
+
+    def register(self, *versions):
+        for version in versions:
+            server = builders.server(version=version)._asdict()
+            value = json.dumps(server).encode()
+            self.store.put(f"server/s-{version}", value)
+        self.follow()
+
+    def remove(self, version):
+        self.store.delete(f"server/s-{version}")
+        self.follow()
+
+    def follow(self):
+        self.view.apply(self.store.changes)
+        self.history.write_due()
+
+    def test_started_process_knows_the_version_that_has_just_left(self):
+        self.register("v1")
+        self.register("v2")
+        self.remove("v1")
+        _, started = self.process()
+        self.assertEqual(self.possible(started), {"v1", "v2"})
+
+    def test_version_that_left_while_no_process_ran_is_possible(self):
+        self.register("v1", "v2")
+        self.store.delete("server/s-v1")
+        _, started = self.process()
+        self.assertEqual(self.possible(started), {"v1", "v2"})
+
+    def test_version_is_forgotten_when_no_stream_of_it_can_last(self):
+        self.register("v1", "v2")
+        self.remove("v1")
+        self.clock.advance(version_history.STREAM_RETENTION_MS + 1)
+        self.assertEqual(self.possible(), {"v2"})
+        self.assertEqual(self.possible(self.process()[1]), {"v2"})
+
+    def test_version_that_drains_is_possible(self):
+        self.register("v1", "v2")
+        server = builders.server(version="v1", is_draining=True)._asdict()
+        self.store.put("server/s-v1", json.dumps(server).encode())
+        self.follow()
+        self.assertEqual(self.possible(), {"v1", "v2"})
+
+    def test_unchanged_versions_cost_one_write(self):
+        self.register("v1")
+        for _ in range(5):
+            self.follow()
+        self.assertEqual(self.store.calls, ["transact"])
+
+    def test_writer_that_lost_a_race_follows_the_record(self):
+        self.register("v1", "v2")
+        other = json.dumps({"v1": None, "v2": None, "v0": 999_999.0})
+        self.store.put(f"versions/{builders.SERVICE}", other.encode())
+        self.remove("v2")
+        self.assertIn("v0", self.possible())
+
+    def test_unreadable_record_is_ignored(self):
+        for value in (b"x", b"[]", b'{"v1": []}', b'{"v1": "x"}'):
+            with self.subTest(value):
+                key = f"versions/{builders.SERVICE}"
+                self.view.apply([interfaces.Item(key, value, 100)])
+                self.assertEqual(self.possible(), frozenset())
+
+
+class StreamRegistryTest(unittest.TestCase):
+    """Guards against registries that grow or answer nonsense."""
+
+    def test_start_is_forgotten_after_its_retention(self):
+        clock = builders.manual_clock()
+        registry = stream_registry.StreamRegistry(clock)
+        registry.record([stream_registry.StreamStart("r1", "v1")])
+        registry.record([stream_registry.StreamStart("r1", "v2")])
+        self.assertEqual(registry.version_of("r1"), "v2")
+        self.assertIsNone(registry.version_of("r2"))
+        clock.advance(stream_registry.RETENTION_MS)
+        self.assertIsNone(registry.version_of("r1"))
+        registry.record([])
+        self.assertEqual(len(registry._entries), 0)
+
+    def test_malformed_messages_are_errors(self):
+        for body in (b"", b"{", b"[1]", b"[[1]]", b"1"):
+            with self.subTest(body), self.assertRaises(ValueError):
+                stream_registry.decode_starts(body)
+        for body in (b"", b"1", b"[]"):
+            with self.subTest(body), self.assertRaises(ValueError):
+                stream_registry.decode_version(body)
+
+
+class ResumedStreamTest(gateway_case.GatewayCase):
+    """Guards against streams with events of two software versions."""
+
+    def setUp(self):
+        self.cluster = storage_nodes.StorageCluster("a1 b1 c1", True)
+        self.addCleanup(self.cluster.close)
+
+    def breaking(self, connection, _):
+        """Send one event of a stream; break off if it is a new one."""
+        owner = self.owner(connection)
+        while request := owner.read_request(connection):
+            version = self.versions[owner].encode()
+            event = EVENT % version
+            connection.sendall(scripted.chunked_head())
+            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            if b"broken" in request:
+                connection.close()
+                return
+            connection.sendall(b"0\r\n\r\n")
+
+    def start(self, *versions):
+        gateway = super().start(*[self.breaking] * len(versions))
+        self.versions = dict(zip(self.servers, versions, strict=True))
+        self.register(gateway)
+        return gateway
+
+    def register(self, gateway, versions=("v1", "v2")):
+        """Let a process know the storage hosts and the servers."""
+        gateway.storage_hosts = self.cluster.hosts()
+        gateway.fleet.on_servers_changed = gateway.balancer.set_servers
+        changes = []
+        for number, server in enumerate(self.servers):
+            if self.versions[server] in versions:
+                fields = builders.server(version=self.versions[server])
+                fields = fields._replace(address=server.address)._asdict()
+                value = json.dumps(fields).encode()
+                key = f"server/s{number}"
+                changes.append(interfaces.Item(key, value, number + 1))
+        gateway.fleet.on_changes = gateway.history.apply
+        gateway.fleet.apply(changes)
+        gateway.fleet.apply(list(gateway.store.items.values()))
+        gateway.history.write_due()
+        gateway.streams.record_earlier()
+
+    def restart(self, versions=("v1", "v2")):
+        """Replace the process by one that knows what the store has."""
+        self.gateway.close()
+        restarted = gateway_case.Gateway({}, self.gateway.store)
+        restarted.configure()
+        self.addCleanup(restarted.close)
+        self.register(restarted, versions)
+        self.gateway = restarted
+
+    def begin(self, request_id):
+        """Begin a stream that breaks off and return its version."""
+        with self.assertRaises(http.client.IncompleteRead) as caught:
+            self.send(request_id, b"broken")
+        return self.version_in(caught.exception.partial)
+
+    def resume(self, stream_id):
+        """Resume a stream; return the status and the version."""
+        fields = {"Last-Event-Id": "1", "Resumes": stream_id}
+        response, body = self.send("r1", b"x", fields)
+        return response.status, self.version_in(body)
+
+    def send(self, request_id, body, fields=None):
+        headers = {"Request-Id": request_id, **(fields or {})}
+        return self.request("/resumable/x", headers, body)
+
+    def version_in(self, data):
+        return data.partition(b"data: ")[2].strip().decode()
+
+    def test_stream_goes_on_at_its_version_at_the_same_process(self):
+        self.start("v1", "v2", "v2", "v1")
+        for _ in range(12):
+            self.assertEqual(self.resume_after_begin(), [])
+
+    def resume_after_begin(self):
+        version = self.begin("r1")
+        answers = [self.resume("r1") for _ in range(3)]
+        return [found for found in answers if found != (200, version)]
+
+    def test_stream_goes_on_at_its_version_after_a_restart(self):
+        self.start("v1", "v2", "v2", "v1")
+        for _ in range(6):
+            version = self.begin("r1")
+            self.restart()
+            self.assertEqual(self.resume("r1"), (200, version))
+
+    def test_stream_of_unknown_version_is_refused_after_a_restart(self):
+        self.start("v1", "v2")
+        self.begin("r1")
+        for node in self.cluster.nodes:
+            node.stop()
+        self.restart()
+        status, _ = self.resume("r1")
+        self.assertEqual(status, 503)
+
+    def test_stream_is_not_joined_when_its_version_has_left(self):
+        self.start("v1", "v2")
+        while self.begin("r1") != "v1":
+            pass
+        self.restart(versions=("v2",))
+        self.assertEqual(self.resume("r1")[0], 503)
+        self.assertEqual(self.resume("unknown")[0], 503)
+
+    def test_stream_that_began_before_the_second_version_came_goes_on(self):
+        self.start("v1")
+        self.begin("r1")
+        self.begin_second_version()
+        self.restart()
+        self.assertEqual(self.resume("r1"), (200, "v1"))
+
+    def begin_second_version(self):
+        server = scripted.ScriptedServer(
+            lambda connection, count: self.breaking(connection, count)
+        )
+        self.addCleanup(server.close)
+        self.servers.append(server)
+        self.versions[server] = "v2"
+        self.register(self.gateway)
+        until_s = time.monotonic() + TIMEOUT_S
+        while not any(self.known_hosts()):
+            self.assertLess(time.monotonic(), until_s, "not recorded")
+            time.sleep(0.005)
+
+    def known_hosts(self):
+        return [
+            node.service._streams.version_of("r1")
+            for node in self.cluster.nodes
+        ]
+
+    def test_any_stream_goes_on_with_one_version(self):
+        self.start("v1", "v1")
+        self.assertEqual(self.resume("unknown"), (200, "v1"))
+        for node in self.cluster.nodes:
+            node.stop()
+        self.restart()
+        self.assertEqual(self.resume("unknown"), (200, "v1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
