Merge the unrecorded tokens that others know by their holder

A successor that was asked for a program before it learned of a loss merged the lost holder's unrecorded tokens under one name for all queried members. They are merged under their holder's id now, and what the holder reported itself before is not counted again.

--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -63,12 +63,13 @@
 class QueriedUsage(NamedTuple):
     """Usage that other holders know.
 
-    ``lost_unrecorded_tokens`` are the part of the unrecorded tokens whose
-    holder is lost, by its id, so that nobody else will record them.
+    ``unrecorded_tokens`` are those of which the holder is known, by its id.
+    Nobody else will record those of ``lost_holders``.
     """
 
     usage: Usage
-    lost_unrecorded_tokens: Mapping[str, int]
+    unrecorded_tokens: Mapping[str, int]
+    lost_holders: frozenset[str] = frozenset()
 
 
 class Account:
@@ -167,23 +168,24 @@
     ) -> None:
         """Merge the usage that queried holders know.
 
-        :param holder: name under which it is merged.
+        :param holder: name under which tokens of unknown holders are merged.
         :param takes_over: whether the next allocation covers the unrecorded
             tokens of lost holders.
         """
         usage = found.usage
-        # What was reported here before is taken over by its holder's name.
-        if takes_over and not self.unrecorded_tokens:
-            lost_tokens = sum(
-                tokens
-                for lost, tokens in found.lost_unrecorded_tokens.items()
-                if lost not in self.peer_unrecorded_tokens
-            )
-            lost_tokens = min(lost_tokens, usage.unrecorded_tokens)
-            self.unrecorded_tokens += lost_tokens
-            rest_tokens = usage.unrecorded_tokens - lost_tokens
-            usage = usage._replace(unrecorded_tokens=rest_tokens)
-        self.merge_usage(holder, usage)
+        may_take_over = takes_over and not self.unrecorded_tokens
+        rest_tokens = usage.unrecorded_tokens
+        for other, tokens in found.unrecorded_tokens.items():
+            rest_tokens -= tokens
+            if other in self.peer_unrecorded_tokens:
+                # Its own report is newer, and is taken over by its name.
+                continue
+            if may_take_over and other in found.lost_holders:
+                self.unrecorded_tokens += tokens
+            else:
+                self.peer_unrecorded_tokens[other] = tokens
+        rest = usage._replace(unrecorded_tokens=max(rest_tokens, 0))
+        self.merge_usage(holder, rest)
 
     def known_usage(self) -> Usage:
         """Return the usage with the unrecorded tokens of all holders."""
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -133,28 +133,28 @@
             recorded_tokens=max(one.recorded_tokens for one in usages),
             unrecorded_tokens=max(one.unrecorded_tokens for one in usages),
         )
-        lost_tokens = self._lost_tokens(
+        unrecorded = self._unrecorded_tokens(
             # Processes of the release before do not name the holders.
             [answer.get("unrecorded") or {} for answer in claims]
         )
-        return ledger.QueriedUsage(usage, lost_tokens)
+        registered = {
+            f"{member.name}/{member.incarnation}"
+            for member in self._fleet.members()
+        }
+        lost = frozenset(unrecorded) - registered
+        return ledger.QueriedUsage(usage, unrecorded, lost)
 
-    def _lost_tokens(
+    def _unrecorded_tokens(
         self, unrecorded: Sequence[Mapping[str, int]]
     ) -> dict[str, int]:
-        """Return the unrecorded tokens of holders that are not registered.
+        """Return the unrecorded tokens of other holders, by their id.
 
-        :param unrecorded: tokens by the id of their holder, as each of the
-            queried members knows them.
+        :param unrecorded: tokens as each of the queried members knows them.
         """
-        registered = {
-            f"{member.name}/{member.incarnation}"
-            for member in self._fleet.members()
-        }
         most: dict[str, int] = {}
         for known in unrecorded:
             for holder, tokens in known.items():
-                if "/" in holder and holder not in registered:
+                if "/" in holder and holder != self._id:
                     most[holder] = max(most.get(holder, 0), int(tokens))
         return most
 
