Count events whose lines end in CR LF or CR

Only LF LF ended an event for the relay. A stream with other line ends, which the format allows, would have cost its program no tokens and, without length and chunks, would have been cut off as if it had ended inside an event.

--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -420,12 +420,17 @@
 
 
 class EventCounter:
-    """Counts server-sent events in a stream split at any byte."""
+    """Counts server-sent events in a stream split at any byte.
+
+    Lines may end in LF, CR or both.
+    """
 
     def __init__(self) -> None:
         self.events = 0
         self._partial_delimiter = b""
         self._is_event_open = False
+        # The last byte was a CR, to which a LF may belong.
+        self._ends_in_return = False
 
     @property
     def events_started(self) -> int:
@@ -439,6 +444,14 @@
 
     def add(self, data: bytes) -> None:
         """Count the events in the next chunk of the stream."""
+        if self._ends_in_return and data.startswith(b"\n"):
+            data = data[1:]
+            self._ends_in_return = False
+        if not data:
+            return
+        self._ends_in_return = data.endswith(b"\r")
+        if b"\r" in data:
+            data = data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
         joined = self._partial_delimiter + data
         self.events += joined.count(EVENT_DELIMITER)
         self._is_event_open = not joined.endswith(EVENT_DELIMITER)
--- a/packages/gateway/tests/test_proxy.py
+++ b/packages/gateway/tests/test_proxy.py
@@ -454,6 +454,21 @@
         counter.add(b"id: 1\n\nid: 2\nda")
         self.assertEqual((counter.events, counter.events_started), (1, 2))
 
+    def test_events_may_end_in_any_kind_of_line_end(self):
+        for end in (b"\n", b"\r\n", b"\r"):
+            stream = (b"id: 1" + end + b"data: a" + end + end) * 2
+            for cut in range(len(stream) + 1):
+                with self.subTest(end=end, cut=cut):
+                    counter = relay.EventCounter()
+                    counter.add(stream[:cut])
+                    is_whole = cut in (len(stream) // 2, len(stream))
+                    # A CR LF may still follow a whole event that ends in CR.
+                    if end != b"\r\n" or stream[cut - 1 : cut] != b"\r":
+                        self.assertEqual(counter.is_after_event, is_whole)
+                    counter.add(stream[cut:])
+                    self.assertTrue(counter.is_after_event)
+                    self.assertEqual(counter.events_started, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
