--- a/packages/gateway/src/balsamloom_gateway/connection_pool.py
+++ b/packages/gateway/src/balsamloom_gateway/connection_pool.py
@@ -1,9 +1,14 @@
-"""Pool of idle connections to a server."""
+"""Pools of idle connections to servers."""
 
 from __future__ import annotations
 
+import threading
+from collections.abc import Iterable
+
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import server_connections
+from balsamloom_gateway import server_connections, traffic
+
+IDLE_TIMEOUT_MS = 30_000.0
 
 
 class ConnectionPool:
@@ -69,3 +74,40 @@
                 self._idle.pop().close()
             except IndexError:
                 return
+
+
+class ServerPools:
+    """Connection pools of all servers, one for each run of a server.
+
+    :param clock: time source.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._pools: dict[tuple[str, int], ConnectionPool] = {}
+
+    def get(self, server: traffic.BackendServer) -> ConnectionPool:
+        """Return the pool of a server."""
+        key = (server.server_id, server.incarnation)
+        with self._lock:
+            pool = self._pools.get(key)
+            if pool is None:
+                pool = ConnectionPool(
+                    server.address, self._clock, IDLE_TIMEOUT_MS
+                )
+                self._pools[key] = pool
+            return pool
+
+    def all(self) -> list[ConnectionPool]:
+        """Return the pools of all servers."""
+        with self._lock:
+            return list(self._pools.values())
+
+    def keep_only(self, servers: Iterable[traffic.BackendServer]) -> None:
+        """Close the idle connections to all servers but those given."""
+        used = {(server.server_id, server.incarnation) for server in servers}
+        with self._lock:
+            unused = [self._pools.pop(key) for key in set(self._pools) - used]
+        for pool in unused:
+            pool.close()
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import threading
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -31,7 +30,6 @@
 # Connecting takes a few ms. A slower attempt lost its first packet or met a
 # network partition, and another server answers sooner.
 CONNECT_TIMEOUT_MS = 400.0
-POOL_IDLE_TIMEOUT_MS = 30_000.0
 # A connection that a server has closed silently looks open, so calls that may
 # not be repeated use only connections with a shorter idle time.
 MAX_SAFE_IDLE_MS = 3_000.0
@@ -95,17 +93,12 @@
         self._streams = streams
         self._codec = codec
         self._clock = clock
-        self._lock = threading.Lock()
-        self._pools: dict[tuple[str, int], connection_pool.ConnectionPool] = {}
+        self._pools = connection_pool.ServerPools(clock)
         self.on_server_leaving: Callable[[str], None] = callbacks.ignore
 
     def close_unused_pools(self, servers: list[traffic.BackendServer]) -> None:
         """Close idle connections to all servers but those given."""
-        used = {(server.server_id, server.incarnation) for server in servers}
-        with self._lock:
-            unused = [self._pools.pop(key) for key in set(self._pools) - used]
-        for pool in unused:
-            pool.close()
+        self._pools.keep_only(servers)
 
     def run(self, call: responses.Call, target: Target) -> Result:
         """Send a call until a server answers it or no retry is allowed."""
@@ -195,7 +188,7 @@
         A repeatable call is sent again on a new connection if the server
         has closed the reused one.
         """
-        pool = self._pool(placement.server)
+        pool = self._pools.get(placement.server)
         is_repeatable = call.route.is_repeatable
         try:
             connection, is_reused = pool.acquire(
@@ -251,7 +244,7 @@
                 ),
                 health.Outcome.REFUSED,
             )
-        pool = self._pool(placement.server)
+        pool = self._pools.get(placement.server)
         try:
             connection = pool.connect(self._connect_timeout_ms(call))
         except server_connections.ConnectError as error:
@@ -302,7 +295,7 @@
         result = attempt.run(
             head + call.body, call.until_ms, first_byte_until_ms
         )
-        self._pool(placement.server).release(connection)
+        self._pools.get(placement.server).release(connection)
         return attempt, result
 
     def _begin_stream(
@@ -356,7 +349,7 @@
     ) -> planner.TurnReport:
         if attempt.is_broken_before_body:
             self._crashes.check(
-                call, placement.server, self._pool(placement.server)
+                call, placement.server, self._pools.get(placement.server)
             )
         answer = attempt.answer
         report = planner.TurnReport(
@@ -424,19 +417,6 @@
             lines.append(b"Content-Length: %d" % len(call.body))
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
-    def _pool(
-        self, server: traffic.BackendServer
-    ) -> connection_pool.ConnectionPool:
-        key = (server.server_id, server.incarnation)
-        with self._lock:
-            pool = self._pools.get(key)
-            if pool is None:
-                pool = connection_pool.ConnectionPool(
-                    server.address, self._clock, POOL_IDLE_TIMEOUT_MS
-                )
-                self._pools[key] = pool
-            return pool
-
 
 def _failure(reason: str, may_have_run: bool) -> attempts.Failure:
     if may_have_run:
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -14,6 +14,7 @@
     callbacks,
     conversations,
     estimates,
+    event_counter,
     health,
     interfaces,
     listeners,
@@ -27,7 +28,6 @@
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 # Time to read the rest of a response whose body is not needed.
 DISCARD_TIMEOUT_MS = 50.0
-EVENT_DELIMITER = b"\n\n"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,7 +90,7 @@
             (codec.request_id_field, identifier),
             request.method == b"HEAD",
         )
-        self._counter = EventCounter()
+        self._counter = event_counter.EventCounter()
         self._first_byte_deadline_ms = math.inf
         self._first_byte_ms: float | None = None
         self._last_event_ms: float | None = None
@@ -417,43 +417,3 @@
         if not was_sent:
             return attempts.NotRun(str(error))
         return attempts.MayHaveRun(str(error))
-
-
-class EventCounter:
-    """Counts server-sent events in a stream split at any byte.
-
-    Lines may end in LF, CR or both.
-    """
-
-    def __init__(self) -> None:
-        self.events = 0
-        self._partial_delimiter = b""
-        self._is_event_open = False
-        # The last byte was a CR, to which a LF may belong.
-        self._ends_in_return = False
-
-    @property
-    def events_started(self) -> int:
-        """Return the number of events that arrived at least in part."""
-        return self.events + self._is_event_open
-
-    @property
-    def is_after_event(self) -> bool:
-        """Return whether all data so far are one or more whole events."""
-        return self.events > 0 and not self._is_event_open
-
-    def add(self, data: bytes) -> None:
-        """Count the events in the next chunk of the stream."""
-        if self._ends_in_return and data.startswith(b"\n"):
-            data = data[1:]
-            self._ends_in_return = False
-        if not data:
-            return
-        self._ends_in_return = data.endswith(b"\r")
-        if b"\r" in data:
-            data = data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
-        joined = self._partial_delimiter + data
-        self.events += joined.count(EVENT_DELIMITER)
-        self._is_event_open = not joined.endswith(EVENT_DELIMITER)
-        ends_in_newline = self._is_event_open and joined.endswith(b"\n")
-        self._partial_delimiter = b"\n" if ends_in_newline else b""
--- a/packages/gateway/tests/gateway_case.py
+++ b/packages/gateway/tests/gateway_case.py
@@ -142,9 +142,7 @@
     def wait_for_kept_connection(self):
         """Wait until a connection to a server is back in its pool."""
         until_s = time.monotonic() + 5
-        while not any(
-            pool._idle for pool in list(self.dispatcher._pools.values())
-        ):
+        while not any(pool._idle for pool in self.dispatcher._pools.all()):
             assert time.monotonic() < until_s, "no connection in a pool"
             time.sleep(0.005)
 
--- a/packages/gateway/tests/test_proxy.py
+++ b/packages/gateway/tests/test_proxy.py
@@ -11,10 +11,7 @@
 import gateway_case
 import scripted
 
-from balsamloom_gateway import (
-    interfaces,
-    relay,
-)
+from balsamloom_gateway import event_counter, interfaces
 
 
 class ProxyTest(gateway_case.GatewayCase):
@@ -440,7 +437,7 @@
         stream = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(50))
         generator = random.Random(3)
         for _ in range(200):
-            counter = relay.EventCounter()
+            counter = event_counter.EventCounter()
             rest = stream
             while rest:
                 size = generator.randrange(1, 9)
@@ -450,7 +447,7 @@
             self.assertEqual(counter.events_started, 50)
 
     def test_incomplete_event_counts_as_started(self):
-        counter = relay.EventCounter()
+        counter = event_counter.EventCounter()
         counter.add(b"id: 1\n\nid: 2\nda")
         self.assertEqual((counter.events, counter.events_started), (1, 2))
 
@@ -459,7 +456,7 @@
             stream = (b"id: 1" + end + b"data: a" + end + end) * 2
             for cut in range(len(stream) + 1):
                 with self.subTest(end=end, cut=cut):
-                    counter = relay.EventCounter()
+                    counter = event_counter.EventCounter()
                     counter.add(stream[:cut])
                     is_whole = cut in (len(stream) // 2, len(stream))
                     # A CR LF may still follow a whole event that ends in CR.
