Ask another member for versions while the records cannot be followed

A process that is cut off from the store takes the one version that it knows for the only one, and would join a stream that began at a newer one. Found by reading, shown by test_process_that_is_cut_off_does_not_join_versions (200 instead of 503 before). With the store away for all, another member that answers and knows one version lets streams go on.

--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -147,6 +147,11 @@
         with self._lock:
             return self._usable_servers()
 
+    @property
+    def is_stale(self) -> bool:
+        """Return whether this process cannot follow the store's records."""
+        return self._is_stale
+
     def registered_servers(self) -> list[traffic.BackendServer]:
         """Return all servers, also those that drain."""
         with self._lock:
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -19,6 +19,7 @@
     peer_messages,
     peers,
     send_permits,
+    version_history,
 )
 
 
@@ -31,6 +32,7 @@
     :param member_heartbeats: answers heartbeats.
     :param permits: permits to send to servers that limit their rate.
     :param crashes: crashes of servers under requests.
+    :param history: software versions of the services.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         member_heartbeats: heartbeats.Heartbeats,
         permits: send_permits.SendPermits,
         crashes: crash_reports.CrashReports,
+        history: version_history.VersionHistory,
     ) -> None:
         self._budgets = token_budgets
         self._book = book
@@ -48,6 +51,7 @@
         self._heartbeats = member_heartbeats
         self._permits = permits
         self._crashes = crashes
+        self._history = history
         self.calls: dict[str, Callable[[dict[str, Any]], Any]] = {
             peers.RESERVE_PATH: self._reserve,
             peers.SETTLE_PATH: self._settle,
@@ -56,6 +60,7 @@
             peers.READ_STATE_PATH: self._read_usage,
             peers.PERMIT_PATH: self._grant_permit,
             peers.CRASH_PATH: self._add_crashes,
+            peers.VERSIONS_PATH: self._read_versions,
             peers.FEED_PATH: self._read_feed,
             peers.HEARTBEAT_PATH: self._answer_heartbeat,
         }
@@ -105,6 +110,10 @@
         self._crashes.add(crash_notices.decode(body))
         return {}
 
+    def _read_versions(self, body: dict[str, Any]) -> dict[str, Any]:
+        versions = self._history.possible(str(body["service"]))
+        return {"versions": sorted(versions)}
+
     def _read_feed(self, body: dict[str, Any]) -> feed.FeedAnswer:
         query = feed.FeedQuery(
             str(body["epoch"]), int(body["cursor"]), int(body["revision"])
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -174,10 +174,11 @@
             store, records, self.fleet, self._rank, clock
         )
         self._streams = stream_versions.StreamVersions(
+            settings.name,
             self._history,
-            self.fleet.storage_hosts,
+            self.fleet,
             clients,
-            lambda: self._feed.age_ms() is not None,
+            self._is_current,
             clock,
         )
         self._dispatcher = dispatch.Dispatcher(
@@ -252,6 +253,7 @@
             self._heartbeats,
             self._permits,
             self._crash_reports,
+            self._history,
         )
         self._ingress = listeners.Listener(
             settings.caller_address, self._proxy.handle, self._limits(None)
@@ -361,6 +363,10 @@
         addresses += [host.address for host in self.fleet.storage_hosts()]
         self._clients.keep_only(addresses)
 
+    def _is_current(self) -> bool:
+        """Return whether the view is about as recent as the store."""
+        return self._feed.age_ms() is not None and not self.fleet.is_stale
+
     def _rank(self) -> int:
         return membership.rank_of(self.member.name, self.fleet.members())
 
--- a/packages/gateway/src/balsamloom_gateway/stream_versions.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_versions.py
@@ -5,6 +5,7 @@
 import collections
 import concurrent.futures
 import dataclasses
+import random
 import threading
 from collections.abc import Callable
 from typing import NamedTuple
@@ -14,6 +15,8 @@
 from balsamloom_core import events
 from balsamloom_gateway import (
     circuit_breaker,
+    fleet,
+    member_calls,
     peers,
     stream_registry,
     traffic,
@@ -67,8 +70,9 @@
     While a service has had servers of one version only, nothing is recorded
     and nobody is asked.
 
+    :param name: name of this member.
     :param history: versions of the services.
-    :param hosts: returns the storage hosts.
+    :param view: members and storage hosts.
     :param clients: calls to other processes.
     :param is_current: returns whether the view is as recent as the store.
     :param clock: time source.
@@ -76,18 +80,23 @@
 
     def __init__(
         self,
+        name: str,
         history: version_history.VersionHistory,
-        hosts: Callable[[], list[replicas.StorageHost]],
+        view: fleet.Fleet,
         clients: peers.PeerClients,
         is_current: Callable[[], bool],
         clock: clocks.Clock,
     ) -> None:
+        self._name = name
         self._history = history
-        self._hosts = hosts
+        self._fleet = view
         self._clients = clients
         self._is_current = is_current
         self._clock = clock
         self._breaker = circuit_breaker.CircuitBreaker(BREAKER_BACKOFF, clock)
+        self._members = member_calls.MemberCalls(
+            clients, BREAKER_BACKOFF, clock
+        )
         self._calls = concurrent.futures.ThreadPoolExecutor(
             THREADS, "stream-versions"
         )
@@ -121,9 +130,13 @@
 
         :param stream_id: request that began it, empty if not known.
         """
-        if not self._is_current():
-            return Unknown("the registered servers are not known yet")
         possible = self._history.possible(service)
+        if not self._is_current():
+            known_to_others = self._ask_members(service)
+            if known_to_others is None:
+                possible = frozenset()
+            else:
+                possible |= known_to_others
         if len(possible) == 1:
             return Known(next(iter(possible)))
         version = self._local_version(stream_id) or self._find(stream_id)
@@ -144,7 +157,7 @@
         Storage hosts may register only when they are needed for this.
         """
         mixed = self._history.mixed_services()
-        if not self._hosts():
+        if not self._fleet.storage_hosts():
             mixed = frozenset()
         added = mixed - self._mixed
         self._mixed = mixed
@@ -158,6 +171,30 @@
             ]
         self._calls.submit(self._record, starts)
 
+    def _ask_members(self, service: str) -> frozenset[str] | None:
+        """Return the possible versions that another member knows.
+
+        While this process cannot follow the records, another version may
+        have come. A member that answers shows that it is not cut off alone.
+
+        :return: ``None`` if no other member answers.
+        """
+        others = [
+            member
+            for member in self._fleet.members()
+            if member.name != self._name
+        ]
+        random.shuffle(others)
+        body = {"service": service}
+        for member in others[:MAX_LOOKUPS]:
+            answer = self._members.call(
+                member, peers.VERSIONS_PATH, body, CALL_TIMEOUT_MS
+            )
+            versions = answer.get("versions") if answer else None
+            if isinstance(versions, list) and versions:
+                return frozenset(str(version) for version in versions)
+        return None
+
     def _local_version(self, stream_id: str) -> str | None:
         with self._lock:
             stream = self._streams.get(stream_id)
@@ -167,7 +204,7 @@
         """Record streams at the storage hosts of each."""
         by_host: dict[replicas.StorageHost, list[stream_registry.StreamStart]]
         by_host = {}
-        hosts = self._hosts()
+        hosts = self._fleet.storage_hosts()
         for start in starts:
             for host in replicas.rank(start.stream_id, hosts)[:COPIES]:
                 by_host.setdefault(host, []).append(start)
@@ -179,7 +216,7 @@
         """Ask storage hosts for the version at which a stream began."""
         if not stream_id:
             return None
-        ranked = replicas.rank(stream_id, self._hosts())
+        ranked = replicas.rank(stream_id, self._fleet.storage_hosts())
         for host in ranked[:MAX_LOOKUPS]:
             answer = self._call(
                 host, peers.FIND_STREAM_PATH, stream_id.encode("latin-1")
--- a/packages/gateway/tests/gateway_case.py
+++ b/packages/gateway/tests/gateway_case.py
@@ -69,6 +69,7 @@
             clock,
         )
         self.storage_hosts = []
+        self.is_current = True
         codec = builders.Codec()
         responder = responses.Responder(codec, clock, metrics.Metrics())
         self.crashes = crash_reports.CrashReports(
@@ -78,10 +79,11 @@
             self.store, records, self.fleet, lambda: 0, clock
         )
         self.streams = stream_versions.StreamVersions(
+            "m1",
             self.history,
-            lambda: self.storage_hosts,
+            self.fleet,
             peers.PeerClients(clock),
-            lambda: True,
+            lambda: self.is_current,
             clock,
         )
         detector = crash_detection.CrashDetector(self.crashes)
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -108,7 +108,7 @@
         view.on_member_lost = accounts.handle_member_loss
         view.on_member_added = accounts.handle_member_arrival
         self.network.services[name] = peer_service.PeerService(
-            accounts, local_ledger, None, None, permits, None
+            accounts, local_ledger, None, None, permits, None, None
         )
         thread = threading.Thread(target=local_ledger.run, daemon=True)
         thread.start()
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -161,7 +161,8 @@
 
     def register(self, gateway, versions=("v1", "v2")):
         """Let a process know the storage hosts and the servers."""
-        gateway.storage_hosts = self.cluster.hosts()
+        hosts = {host.name: host for host in self.cluster.hosts()}
+        gateway.fleet._storage_hosts = hosts
         gateway.fleet.on_servers_changed = gateway.balancer.set_servers
         changes = []
         for number, server in enumerate(self.servers):
@@ -265,6 +266,27 @@
             for node in self.cluster.nodes
         ]
 
+    def test_process_that_is_cut_off_does_not_join_versions(self):
+        self.start("v1")
+        self.gateway.is_current = False
+        self.assertEqual(self.resume("unknown")[0], 503)
+        self.begin("r1")
+        self.assertEqual(self.resume("r1"), (200, "v1"))
+
+    def test_stale_process_learns_the_versions_from_a_member(self):
+        self.start("v1")
+        self.gateway.is_current = False
+        versions = ["v1"]
+        for name in ("m1", "m2"):
+            encoded = fleet.encode_member(builders.member(name))
+            item = interfaces.Item(f"member/{name}", encoded, 1)
+            self.gateway.fleet.apply([item])
+        members = self.gateway.streams._members
+        members.call = lambda *_: {"versions": versions}
+        self.assertEqual(self.resume("unknown"), (200, "v1"))
+        versions.append("v2")
+        self.assertEqual(self.resume("unknown")[0], 503)
+
     def test_any_stream_goes_on_with_one_version(self):
         self.start("v1", "v1")
         self.assertEqual(self.resume("unknown"), (200, "v1"))
