Count a crash also if another run of the server registers soon after

A server under a supervisor that is back at once looks the same. A broken attempt whose server accepts connections is remembered for 8 s; if the records then show another run or none, the crash is counted.

--- a/packages/gateway/src/balsamloom_gateway/crash_detection.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_detection.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import threading
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
     balancer,
     connection_pool,
+    crash_ledger,
     crash_reports,
     responses,
     server_connections,
@@ -13,16 +19,33 @@
 
 # A host whose server crashed refuses connections at once.
 CONNECT_TIMEOUT_MS = 300.0
+# A new run of a server registers within this time after a crash.
+SUSPECT_MS = 8_000.0
+
+
+class _Suspect(NamedTuple):
+    """Broken attempt at a server that accepts connections again."""
+
+    key: crash_ledger.RequestKey
+    request_id: str
+    server: traffic.BackendServer
+    broken_ms: float
 
 
 class CrashDetector:
     """Tells crashes of servers from resets of single connections.
 
     :param reports: records the crashes.
+    :param clock: time source.
     """
 
-    def __init__(self, reports: crash_reports.CrashReports) -> None:
+    def __init__(
+        self, reports: crash_reports.CrashReports, clock: clocks.Clock
+    ) -> None:
         self._reports = reports
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._suspects: list[_Suspect] = []
 
     def check(
         self,
@@ -32,7 +55,8 @@
     ) -> None:
         """Report a crash if the server of a broken attempt is down.
 
-        A new connection tells, which the pool keeps if it opens.
+        A new connection tells, which the pool keeps if it opens. A server
+        that accepts it may have started again already.
         """
         try:
             connection = pool.connect(CONNECT_TIMEOUT_MS)
@@ -42,6 +66,36 @@
             return
         else:
             pool.release(connection)
+            suspect = _Suspect(
+                call.key,
+                call.metadata.request_id,
+                server,
+                self._clock.now_ms(),
+            )
+            with self._lock:
+                self._suspects = [*self._recent_suspects(), suspect]
+
+    def apply_servers(
+        self, registered: Iterable[traffic.BackendServer]
+    ) -> None:
+        """Report crashes of servers whose registered run has changed.
+
+        :param registered: all servers, also those that drain.
+        """
+        runs = {server.server_id: server.incarnation for server in registered}
+        with self._lock:
+            suspects = self._recent_suspects()
+            gone = [
+                suspect
+                for suspect in suspects
+                if runs.get(suspect.server.server_id)
+                != suspect.server.incarnation
+            ]
+            self._suspects = [one for one in suspects if one not in gone]
+        for suspect in gone:
+            self._reports.report(
+                suspect.key, suspect.server, suspect.request_id
+            )
 
     def report(
         self, call: responses.Call, server: traffic.BackendServer
@@ -62,3 +116,11 @@
             f"the request crashed servers, target {call.key.target_id}",
             blocked_ms,
         )
+
+    def _recent_suspects(self) -> list[_Suspect]:
+        oldest_ms = self._clock.now_ms() - SUSPECT_MS
+        return [
+            suspect
+            for suspect in self._suspects
+            if suspect.broken_ms >= oldest_ms
+        ]
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -169,7 +169,9 @@
         self._crash_notices = crash_notices.CrashNotices(
             settings.name, self._crash_reports, clients, self.fleet, clock
         )
-        crashes = crash_detection.CrashDetector(self._crash_reports)
+        self._crashes = crash_detection.CrashDetector(
+            self._crash_reports, clock
+        )
         self._history = version_history.VersionHistory(
             store, records, self.fleet, self._rank, clock
         )
@@ -185,7 +187,7 @@
             self._call_balancer,
             responder,
             self._permits,
-            crashes,
+            self._crashes,
             self._streams,
             codec,
             clock,
@@ -202,7 +204,7 @@
             self._dispatcher,
             accounts,
             turns,
-            crashes,
+            self._crashes,
             self._streams,
             responder,
             codec,
@@ -380,6 +382,7 @@
         self._turn_balancer.set_servers(servers)
         self._dispatcher.close_unused_pools(servers)
         self._permits.keep_only(servers)
+        self._crashes.apply_servers(self.fleet.registered_servers())
 
     def _apply_configuration(self, active: fleet.ActiveConfiguration) -> None:
         services = active.configuration.services.values()
--- a/packages/gateway/tests/gateway_case.py
+++ b/packages/gateway/tests/gateway_case.py
@@ -86,12 +86,12 @@
             lambda: self.is_current,
             clock,
         )
-        detector = crash_detection.CrashDetector(self.crashes)
+        self.detector = crash_detection.CrashDetector(self.crashes, clock)
         self.dispatcher = dispatch.Dispatcher(
             self.balancer,
             responder,
             self.permits,
-            detector,
+            self.detector,
             self.streams,
             codec,
             clock,
@@ -107,7 +107,7 @@
                 "a",
                 COPIES,
             ),
-            detector,
+            self.detector,
             self.streams,
             responder,
             codec,
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -284,16 +284,29 @@
         self.assertEqual(self.send(body=b"other").status, 200)
         self.assertEqual(self.send("/idempotent/u").status, 502)
 
-    def test_reset_connections_are_no_crashes(self):
-        def resetting(connection, _):
-            self.owner(connection).read_request(connection)
-            connection.close()
+    def resetting(self, connection, _):
+        """Close each connection after a request."""
+        self.owner(connection).read_request(connection)
+        connection.close()
 
-        self.start(*[resetting] * SERVERS)
+    def test_reset_connections_are_no_crashes(self):
+        self.start(*[self.resetting] * SERVERS)
         for _ in range(8):
             self.assertEqual(self.send("/once/t").status, 502)
+        servers = [builders.server(name) for name in self.addresses]
+        self.gateway.detector.apply_servers(servers)
         self.assertEqual(self.gateway.store.items, {})
 
+    def test_server_that_was_back_at_once_has_crashed(self):
+        gateway = self.start(*[self.resetting] * SERVERS)
+        for _ in range(3):
+            self.assertEqual(self.send("/once/t").status, 502)
+        restarted = [
+            builders.server(name, incarnation=2) for name in self.addresses
+        ]
+        gateway.detector.apply_servers(restarted)
+        self.assertEqual(self.send("/once/t").status, 503)
+
 
 if __name__ == "__main__":
     unittest.main()
