--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -222,22 +222,9 @@
         return found
 
     def _dispatch(self, call: responses.Call) -> None:
-        target = _choose_target(call)
-        if _is_resumed_stream(call):
-            match self._streams.origin(
-                call.metadata.resumed_id or "", target.service
-            ):
-                case stream_versions.Known(version):
-                    profile = target.profile._replace(version=version)
-                    target = target._replace(profile=profile)
-                case stream_versions.Unknown(reason):
-                    self._responder.send_unavailable(
-                        call.response,
-                        call.metadata.request_id,
-                        reason,
-                        RESUME_RETRY_AFTER_MS,
-                    )
-                    return
+        target = self._choose_target(call)
+        if target is None:
+            return
         if call.metadata.token_budget is None:
             self._dispatcher.run(call, target)
             return
@@ -259,6 +246,28 @@
                     BUDGET_RETRY_AFTER_MS,
                 )
 
+    def _choose_target(self, call: responses.Call) -> dispatch.Target | None:
+        """Choose a call's service, and the version if it resumes a stream.
+
+        :return: ``None`` if an error response was sent.
+        """
+        target = _choose_target(call)
+        if not _is_resumed_stream(call):
+            return target
+        stream_id = call.metadata.resumed_id or ""
+        match self._streams.origin(stream_id, target.service):
+            case stream_versions.Known(version):
+                profile = target.profile._replace(version=version)
+                return target._replace(profile=profile)
+            case stream_versions.Unknown(reason):
+                self._responder.send_unavailable(
+                    call.response,
+                    call.metadata.request_id,
+                    reason,
+                    RESUME_RETRY_AFTER_MS,
+                )
+                return None
+
     def _run_turn(
         self,
         call: responses.Call,
