Ignore servers without a version beside others that have one

A record of another writer that lacks the version would have counted as a second version of its service, so that streams of unknown origin were refused.

--- a/packages/gateway/src/balsamloom_gateway/version_history.py
+++ b/packages/gateway/src/balsamloom_gateway/version_history.py
@@ -179,12 +179,16 @@
     def _registered(self) -> dict[str, frozenset[str]]:
         """Return the versions of the registered servers, by service.
 
-        Servers that drain still run streams.
+        Servers that drain still run streams. A server without a version
+        beside others that have one may be a record of another writer.
         """
         found: dict[str, set[str]] = {}
         for server in self._fleet.registered_servers():
             found.setdefault(server.service, set()).add(server.version)
-        return {name: frozenset(value) for name, value in found.items()}
+        return {
+            service: frozenset(versions - {""} or versions)
+            for service, versions in found.items()
+        }
 
     def resumable_services(self) -> list[str]:
         """Return the services with streams that callers can resume."""
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -101,6 +101,12 @@
         self.remove("v2")
         self.assertIn("v0", self.possible())
 
+    def test_server_without_a_version_makes_no_second_one(self):
+        self.register("v1", "")
+        self.assertEqual(self.possible(), {"v1"})
+        self.remove("v1")
+        self.assertEqual(self.possible(), {"v1", ""})
+
     def test_unreadable_record_is_ignored(self):
         for value in (b"x", b"[]", b'{"v1": []}', b'{"v1": "x"}'):
             with self.subTest(value):
