--- a/packages/gateway/src/balsamloom_gateway/stream_versions.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_versions.py
@@ -60,8 +60,8 @@
     began_ms: float
 
 
-def _is_recorded() -> None:
-    """Wait for nothing, as only one version is in service."""
+def _wait_for_nothing() -> None:
+    """Return at once, as only one version is in service."""
 
 
 class StreamVersions:
@@ -120,7 +120,7 @@
             self._streams.move_to_end(stream_id)
             self._drop_old()
         if len(self._history.possible(server.service)) < 2:
-            return _is_recorded
+            return _wait_for_nothing
         start = stream_registry.StreamStart(stream_id, server.version)
         future = self._calls.submit(self._record, [start])
         return lambda: _wait(future)
