Do not rest on one view or one host for a stream's version

Storage hosts that are registered are asked for each stream that the process did not begin, and are told at the same time; the wait ends when one knows. Calls to them share the circuit breaker of calls to members.

--- a/packages/gateway/src/balsamloom_gateway/member_calls.py
+++ b/packages/gateway/src/balsamloom_gateway/member_calls.py
@@ -1,19 +1,23 @@
-"""Calls between members that spare those which did not answer."""
+"""Calls between processes that spare those which did not answer."""
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
+from balsamloom_conversations import replicas
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
 from balsamloom_gateway import circuit_breaker, peers, traffic
 
+T = TypeVar("T")
+
 
 class MemberCalls:
-    """Calls of one purpose to other members, with a circuit breaker.
+    """Calls of one purpose to other processes, with a circuit breaker.
 
-    :param clients: other members.
-    :param backoff: how long a member that did not answer is not called.
+    :param clients: other processes.
+    :param backoff: how long a process that did not answer is not called.
     :param clock: time source.
     """
 
@@ -34,20 +38,45 @@
         timeout_ms: float,
     ) -> dict[str, Any] | None:
         """Return a member's answer, ``None`` if it gives none in time."""
-        if not self._breaker.allow_call(member.peer_address):
+        address = member.peer_address
+        return self._send(
+            member.name,
+            address,
+            path,
+            lambda: self._clients.call(address, path, body, timeout_ms),
+        )
+
+    def post(
+        self,
+        host: replicas.StorageHost,
+        path: str,
+        body: bytes,
+        timeout_ms: float,
+    ) -> bytes | None:
+        """Return a storage host's answer, ``None`` without one in time."""
+        return self._send(
+            host.name,
+            host.address,
+            path,
+            lambda: self._clients.post(host.address, path, body, timeout_ms),
+        )
+
+    def _send(
+        self, name: str, address: str, path: str, send: Callable[[], T]
+    ) -> T | None:
+        """Send a call unless its receiver has just failed."""
+        if not self._breaker.allow_call(address):
             return None
         try:
-            answer = self._clients.call(
-                member.peer_address, path, body, timeout_ms
-            )
+            answer = send()
         except peers.PeerUnavailableError as error:
-            self._breaker.record_failure(member.peer_address)
+            self._breaker.record_failure(address)
             events.log(
                 events.Event.PEER_CALL_FAILED,
-                member=member.name,
+                member=name,
                 call=path,
                 reason=str(error),
             )
             return None
-        self._breaker.record_success(member.peer_address)
+        self._breaker.record_success(address)
         return answer
--- a/packages/gateway/src/balsamloom_gateway/stream_versions.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_versions.py
@@ -4,6 +4,7 @@
 
 import collections
 import concurrent.futures
+import contextlib
 import dataclasses
 import random
 import threading
@@ -67,8 +68,7 @@
 class StreamVersions:
     """Versions of streams that this process began, and of those of others.
 
-    While a service has had servers of one version only, nothing is recorded
-    and nobody is asked.
+    While a service has had servers of one version only, nothing is recorded.
 
     :param name: name of this member.
     :param history: versions of the services.
@@ -90,11 +90,9 @@
         self._name = name
         self._history = history
         self._fleet = view
-        self._clients = clients
         self._is_current = is_current
         self._clock = clock
-        self._breaker = circuit_breaker.CircuitBreaker(BREAKER_BACKOFF, clock)
-        self._members = member_calls.MemberCalls(
+        self._processes = member_calls.MemberCalls(
             clients, BREAKER_BACKOFF, clock
         )
         self._calls = concurrent.futures.ThreadPoolExecutor(
@@ -122,8 +120,8 @@
         if len(self._history.possible(server.service)) < 2:
             return _wait_for_nothing
         start = stream_registry.StreamStart(stream_id, server.version)
-        future = self._calls.submit(self._record, [start])
-        return lambda: _wait(future)
+        calls = self._record([start])
+        return lambda: _wait(calls)
 
     def origin(self, stream_id: str, service: str) -> Origin:
         """Return where a stream may go on.
@@ -137,9 +135,9 @@
                 possible = frozenset()
             else:
                 possible |= known_to_others
-        if len(possible) == 1:
-            return Known(next(iter(possible)))
         version = self._local_version(stream_id) or self._find(stream_id)
+        if version is None and len(possible) == 1:
+            version = next(iter(possible))
         events.log(
             events.Event.STREAM_RESUMED,
             stream_id=stream_id,
@@ -169,7 +167,7 @@
                 for stream_id, stream in self._streams.items()
                 if stream.service in added
             ]
-        self._calls.submit(self._record, starts)
+        self._record(starts)
 
     def _ask_members(self, service: str) -> frozenset[str] | None:
         """Return the possible versions that another member knows.
@@ -187,7 +185,7 @@
         random.shuffle(others)
         body = {"service": service}
         for member in others[:MAX_LOOKUPS]:
-            answer = self._members.call(
+            answer = self._processes.call(
                 member, peers.VERSIONS_PATH, body, CALL_TIMEOUT_MS
             )
             versions = answer.get("versions") if answer else None
@@ -200,26 +198,44 @@
             stream = self._streams.get(stream_id)
         return None if stream is None else stream.version
 
-    def _record(self, starts: list[stream_registry.StreamStart]) -> None:
-        """Record streams at the storage hosts of each."""
+    def _record(
+        self, starts: list[stream_registry.StreamStart]
+    ) -> list[concurrent.futures.Future[bytes | None]]:
+        """Record streams at the storage hosts of each.
+
+        :return: a call for each host, which run at the same time.
+        """
         by_host: dict[replicas.StorageHost, list[stream_registry.StreamStart]]
         by_host = {}
         hosts = self._fleet.storage_hosts()
         for start in starts:
             for host in replicas.rank(start.stream_id, hosts)[:COPIES]:
                 by_host.setdefault(host, []).append(start)
-        for host, found in by_host.items():
-            body = stream_registry.encode_starts(found)
-            self._call(host, peers.RECORD_STREAMS_PATH, body)
+        return [
+            self._calls.submit(
+                self._processes.post,
+                host,
+                peers.RECORD_STREAMS_PATH,
+                stream_registry.encode_starts(found),
+                CALL_TIMEOUT_MS,
+            )
+            for host, found in by_host.items()
+        ]
 
     def _find(self, stream_id: str) -> str | None:
-        """Ask storage hosts for the version at which a stream began."""
+        """Ask storage hosts for the version at which a stream began.
+
+        A host may know of a version that this process has not seen yet.
+        """
         if not stream_id:
             return None
         ranked = replicas.rank(stream_id, self._fleet.storage_hosts())
         for host in ranked[:MAX_LOOKUPS]:
-            answer = self._call(
-                host, peers.FIND_STREAM_PATH, stream_id.encode("latin-1")
+            answer = self._processes.post(
+                host,
+                peers.FIND_STREAM_PATH,
+                stream_id.encode("latin-1"),
+                CALL_TIMEOUT_MS,
             )
             if answer is None:
                 continue
@@ -231,26 +247,6 @@
                 return version
         return None
 
-    def _call(
-        self, host: replicas.StorageHost, path: str, body: bytes
-    ) -> bytes | None:
-        if not self._breaker.allow_call(host.address):
-            return None
-        try:
-            answer = self._clients.post(
-                host.address, path, body, CALL_TIMEOUT_MS
-            )
-        except peers.PeerUnavailableError as error:
-            self._breaker.record_failure(host.address)
-            events.log(
-                events.Event.STORAGE_CALL_FAILED,
-                host=host.name,
-                reason=str(error),
-            )
-            return None
-        self._breaker.record_success(host.address)
-        return answer
-
     def _drop_old(self) -> None:
         oldest_ms = self._clock.now_ms() - stream_registry.RETENTION_MS
         while self._streams:
@@ -261,5 +257,10 @@
             self._streams.popitem(last=False)
 
 
-def _wait(future: concurrent.futures.Future[None]) -> None:
-    concurrent.futures.wait([future], RECORD_TIMEOUT_MS / clocks.MS_PER_S)
+def _wait(calls: list[concurrent.futures.Future[bytes | None]]) -> None:
+    """Wait a short time until a host knows the stream."""
+    timeout_s = RECORD_TIMEOUT_MS / clocks.MS_PER_S
+    with contextlib.suppress(TimeoutError):
+        for call in concurrent.futures.as_completed(calls, timeout_s):
+            if call.result() is not None:
+                return
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import socket
 import time
 import unittest
 
@@ -10,6 +11,7 @@
 import scripted
 import storage_nodes
 
+from balsamloom_conversations import replicas
 from balsamloom_gateway import (
     fleet,
     interfaces,
@@ -262,16 +264,37 @@
         self.versions[server] = "v2"
         self.register(self.gateway)
         until_s = time.monotonic() + TIMEOUT_S
-        while not any(self.known_hosts()):
+        while not any(self.known_versions()):
             self.assertLess(time.monotonic(), until_s, "not recorded")
             time.sleep(0.005)
 
-    def known_hosts(self):
+    def known_versions(self):
         return [
             node.service._streams.version_of("r1")
             for node in self.cluster.nodes
         ]
 
+    def test_version_that_only_storage_hosts_know_of_is_not_joined(self):
+        # The second version has come; this process has not read it yet.
+        self.start("v1")
+        start = stream_registry.StreamStart("r0", "v2")
+        for node in self.cluster.nodes:
+            node.service._streams.record([start])
+        self.assertEqual(self.resume("r0")[0], 503)
+        self.assertEqual(self.resume("unknown"), (200, "v1"))
+
+    def test_one_silent_storage_host_does_not_keep_a_stream_unknown(self):
+        self.start("v1", "v2")
+        hosts = self.gateway.fleet._storage_hosts
+        first = replicas.rank("r1", hosts.values())[0]
+        silent = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(silent.close)
+        port = silent.getsockname()[1]
+        address = f"127.0.0.1:{port}"
+        hosts[first.name] = first._replace(address=address)
+        version = self.begin("r1")
+        self.assertIn(version, self.known_versions())
+
     def test_process_that_is_cut_off_does_not_join_versions(self):
         self.start("v1")
         self.gateway.is_current = False
@@ -287,7 +310,7 @@
             encoded = fleet.encode_member(builders.member(name))
             item = interfaces.Item(f"member/{name}", encoded, 1)
             self.gateway.fleet.apply([item])
-        members = self.gateway.streams._members
+        members = self.gateway.streams._processes
         members.call = lambda *_: {"versions": versions}
         self.assertEqual(self.resume("unknown"), (200, "v1"))
         versions.append("v2")
