Hold a caller's answer for 100 ms at most to check for a crash

The answer is ready when the connection to the server has broken, and waited for the check for up to 300 ms if the server's host had gone silent. A host whose server has crashed refuses within a round trip.

--- a/packages/gateway/src/balsamloom_gateway/crash_detection.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_detection.py
@@ -17,8 +17,8 @@
     traffic,
 )
 
-# A host whose server crashed refuses connections at once.
-CONNECT_TIMEOUT_MS = 300.0
+# A host whose server crashed refuses connections at once. The caller waits.
+CONNECT_TIMEOUT_MS = 100.0
 # A new run of a server registers within this time after a crash.
 SUSPECT_MS = 8_000.0
 
