review: an unreadable entry stops all processes from following the store

5,000 opening brackets under servers/ raise RecursionError in the JSON parser, which is not handled: the read loop of every process fails at that revision for ever.

--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -269,8 +269,12 @@
 
     def put(self, key: str, value: dict[str, Any]) -> None:
         """Write a key, as the operator and the servers do."""
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key: str, value: bytes) -> None:
+        """Write a key, whatever its value is."""
         with self._lock:
-            self._write(key, _encode(json.dumps(value).encode()), 0)
+            self._write(key, _encode(value), 0)
 
     def delete(self, key: str) -> None:
         """Remove a key."""
