--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""An entry that cannot be read stops all processes from following the store."""
+"""An unreadable entry stops all processes from following the store."""
 
 from __future__ import annotations
 
@@ -18,6 +18,7 @@
 FIRST_REQUEST_S = CONFIG_APPLY_S + 0.5
 REQUESTS = 60
 PAUSE_S = 0.1
+LATE_START_S = 10.0
 # Bytes of an entry that no JSON parser has to accept.
 UNREADABLE = {
     "nested": b"[" * 5_000,
@@ -28,7 +29,8 @@
 
 def main() -> None:
     """Run the case and exit with its status."""
-    rig = rigs.Rig(__file__, edges=EDGES, storages=1)
+    rig = rigs.Rig(__file__, edges=EDGES + 1, storages=1)
+    late_edge = rig.edges.pop()
     services = [rigs.engine_service("first"), rigs.engine_service("second")]
     old = [_route("moved", "first"), _route("dropped", "first")]
     new = [_route("moved", "second"), _route("added", "second")]
@@ -49,13 +51,28 @@
     stale = [_is_stale(rig) for _ in range(REQUESTS)]
     text = (
         f"{stale.count(True)} of {len(stale)} requests were handled as only"
-        f" the older version allows, {FIRST_REQUEST_S} s and more after the ack"
+        f" the older version allows, {FIRST_REQUEST_S} s or more after the"
+        " ack"
     )
     rig.record.add(text)
     print(text)
+    _start_late(rig, late_edge)
     rig.finish(1 if any(stale) else 0)
 
 
+def _start_late(rig: rigs.Rig, edge: rigs.Process) -> None:
+    """Record whether an edge that is added becomes ready; not judged."""
+    edge.start()
+    rig.edges.append(edge)
+    end_s = time.monotonic() + LATE_START_S
+    while not edge.is_ready() and time.monotonic() < end_s:
+        time.sleep(0.1)
+    text = f"an edge that is added is ready in {LATE_START_S} s:"
+    text = f"{text} {edge.is_ready()}"
+    rig.record.add(text)
+    print(text)
+
+
 def _route(name: str, service: str) -> dict[str, object]:
     return rigs.route(name, "streaming", service)
 
