--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -650,6 +650,8 @@
             Process(self, "storage", f"storage-{number}", ZONES[number % 3])
             for number in range(storages)
         ]
+        # Edges that consumers use; a script may leave some out.
+        self.live = list(self.edges)
         threading.Thread(target=self._beat, daemon=True).start()
 
     def configure(
