--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 import rig as rigs  # noqa: E402
 import streams  # noqa: E402
 
-KILL_AFTER_S = float(os.environ.get("KILL_AFTER_S", "0.16"))
+KILL_AFTER_S = float(os.environ.get("KILL_AFTER_S", "0.18"))
 MAX_JOINED = 2
 
 
--- a/review/lib/streams.py
+++ b/review/lib/streams.py
@@ -13,11 +13,11 @@
 
 import rig as rigs
 
-EDGES = 4
+EDGES = 7
 STORAGES = 3
-STREAMS = 440
-EVENTS = 14
-EVENT_INTERVAL_S = 0.05
+STREAMS = 720
+EVENTS = 10
+EVENT_INTERVAL_S = 0.07
 # Streams begin in this time, relative to that at which new servers register.
 SPREAD_S = (-0.1, 1.0)
 FIRST_RUN_TIMEOUT_S = 2.0
