--- a/review/1/case.py
+++ b/review/1/case.py
@@ -119,4 +119,4 @@
             time.sleep(0.2)
 
 
-main()
+rigs.run(main)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -130,4 +130,4 @@
     victim.start()
 
 
-main()
+rigs.run(main)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -127,4 +127,4 @@
     }
 
 
-main()
+rigs.run(main)
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -21,6 +21,7 @@
 import threading
 import time
 import tomllib
+import traceback
 import urllib.parse
 import uuid
 from collections.abc import Callable
@@ -622,6 +623,23 @@
         return status, channel.read_exactly(int(fields["content-length"]))
 
 
+# Rigs whose processes must end with the script.
+_rigs: list[Rig] = []
+
+
+def run(main: Callable[[], None]) -> None:
+    """Run a case; if it fails by itself, end its processes and exit with 2."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CAN_NOT_RUN))
+    try:
+        main()
+    except BaseException:
+        traceback.print_exc()
+        for rig in _rigs:
+            rig.record.add(traceback.format_exc())
+            rig.finish(CAN_NOT_RUN)
+    sys.exit(CAN_NOT_RUN)
+
+
 class Rig:
     """Deployment of real processes on stand-ins.
 
@@ -630,6 +648,10 @@
 
     def __init__(self, case: str, edges: int, storages: int) -> None:
         self.record = Record(pathlib.Path(case).resolve().parent)
+        _rigs.append(self)
+        self.edges: list[Process] = []
+        self.storages: list[Process] = []
+        self._stopped = threading.Event()
         document = tomllib.loads(
             (ROOT / "deploy" / "system.toml").read_text(encoding="utf-8")
         )
@@ -640,7 +662,6 @@
         self.ports = PortPool()
         self.store = Store()
         self.servers: list[Any] = []
-        self._stopped = threading.Event()
         self.version = 0
         self.edges = [
             Process(self, "edge", f"edge-{number:02}", ZONES[number % 3])
