--- a/review/lib/streams.py
+++ b/review/lib/streams.py
@@ -13,13 +13,13 @@
 
 import rig as rigs
 
-EDGES = 7
+EDGES = 6
 STORAGES = 3
 STREAMS = 720
-EVENTS = 10
-EVENT_INTERVAL_S = 0.07
+EVENTS = 8
+EVENT_INTERVAL_S = 0.08
 # Streams begin in this time, relative to that at which new servers register.
-SPREAD_S = (-0.1, 1.0)
+SPREAD_S = (-0.1, 0.7)
 FIRST_RUN_TIMEOUT_S = 2.0
 ROUTE = "chat"
 
