--- /dev/null
+++ b/packages/gateway/tests/test_background.py
@@ -0,0 +1,21 @@
+"""Tests of the background loops."""
+
+import json
+import unittest
+
+from balsamloom_gateway import background
+
+
+class FailurePlaceTest(unittest.TestCase):
+    """Guards against log lines that do not tell where a loop failed."""
+
+    def test_place_names_module_and_line(self):
+        try:
+            json.loads("{")
+        except ValueError as error:
+            place = background.failure_place(error)
+        self.assertRegex(place, r"^test_background:\d+ > .*decoder:\d+$")
+
+
+if __name__ == "__main__":
+    unittest.main()
