gateway: an entry nested too deeply no longer stops all reads of the store

Cause: json.loads raises RecursionError, which is no ValueError; no decoder expected it, so the read loop failed at the same revision again and again.

Change: json_parsing parses all JSON of others and raises ValueError for whatever cannot be parsed.

--- a/packages/gateway/src/balsamloom_gateway/crash_reports.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_reports.py
@@ -18,6 +18,7 @@
     callbacks,
     crash_ledger,
     interfaces,
+    json_parsing,
     traffic,
 )
 
@@ -195,7 +196,7 @@
         assert isinstance(kind, interfaces.CrashRecord)
         key = crash_ledger.RequestKey(kind.target_id, kind.body_id)
         try:
-            wall_ms = float(json.loads(item.value)["wall_ms"])
+            wall_ms = float(json_parsing.parse(item.value)["wall_ms"])
         except (ValueError, KeyError, TypeError) as error:
             events.log(
                 events.Event.RECORD_UNREADABLE,
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -15,6 +15,7 @@
 from balsamloom_gateway import (
     callbacks,
     interfaces,
+    json_parsing,
     registrations,
     routes,
     traffic,
@@ -425,6 +426,6 @@
 
 def _decode(kind: Callable[..., T], value: bytes) -> T:
     try:
-        return kind(**json.loads(value))
+        return kind(**json_parsing.parse_object(value))
     except (ValueError, TypeError) as error:
         raise interfaces.InvalidRecordError(str(error)) from error
--- a/packages/gateway/src/balsamloom_gateway/ledger_records.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_records.py
@@ -5,7 +5,7 @@
 import json
 from typing import NamedTuple
 
-from balsamloom_gateway import interfaces, ledger
+from balsamloom_gateway import interfaces, json_parsing, ledger
 
 
 class Allocation(NamedTuple):
@@ -41,7 +41,7 @@
     if item is None:
         return 0, ""
     try:
-        record = json.loads(item.value)
+        record = json_parsing.parse(item.value)
         return int(record["tokens"]), str(record["block"])
     except (ValueError, KeyError, TypeError):
         return None
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -13,6 +13,7 @@
     crash_reports,
     feed,
     heartbeats,
+    json_parsing,
     ledger,
     listeners,
     peer_calls,
@@ -131,7 +132,7 @@
     call: Callable[[dict[str, Any]], Any],
 ) -> Callable[[bytes], bytes]:
     def run(body: bytes) -> bytes:
-        result = call(json.loads(body))
+        result = call(json_parsing.parse(body))
         return json.dumps(result, separators=(",", ":")).encode()
 
     return run
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import http_client
+from balsamloom_gateway import http_client, json_parsing
 
 RESERVE_PATH = "/ledger/reserve"
 SETTLE_PATH = "/ledger/settle"
@@ -70,14 +70,9 @@
         encoded = json.dumps(body, separators=(",", ":")).encode()
         response = self.post(address, path, encoded, timeout_ms, JSON_TYPE)
         try:
-            decoded = json.loads(response)
+            return json_parsing.parse_object(response)
         except ValueError as error:
             raise PeerUnavailableError(f"{address}: {error}") from error
-        if not isinstance(decoded, dict):
-            raise PeerUnavailableError(
-                f"{address}: the response is not an object"
-            )
-        return decoded
 
     def post(
         self,
--- a/packages/gateway/src/balsamloom_gateway/stream_registry.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_registry.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
+from balsamloom_gateway import json_parsing
 
 RETENTION_MS = 60_000.0
 MAX_STREAMS = 100_000
@@ -86,7 +87,7 @@
     try:
         return [
             StreamStart(str(stream_id), str(version))
-            for stream_id, version in json.loads(body)
+            for stream_id, version in json_parsing.parse(body)
         ]
     except TypeError as error:
         raise ValueError(str(error)) from error
@@ -102,7 +103,7 @@
 
     :raises ValueError: it is malformed.
     """
-    version = json.loads(body)
+    version = json_parsing.parse(body)
     if version is not None and not isinstance(version, str):
         raise ValueError("the version is not a string")
     return version
--- a/packages/gateway/src/balsamloom_gateway/version_history.py
+++ b/packages/gateway/src/balsamloom_gateway/version_history.py
@@ -13,7 +13,7 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import fleet, interfaces, traffic
+from balsamloom_gateway import fleet, interfaces, json_parsing, traffic
 
 # A caller may take a stream up this long after its server has left.
 STREAM_RETENTION_MS = 30_000.0
@@ -215,9 +215,7 @@
 
     :raises ValueError: it is malformed.
     """
-    document = json.loads(value)
-    if not isinstance(document, dict):
-        raise ValueError("the record is not a JSON object")
+    document = json_parsing.parse_object(value)
     try:
         return {
             version: None if left_ms is None else float(left_ms)
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -13,6 +13,7 @@
     fleet,
     health,
     interfaces,
+    json_parsing,
     peers,
     planner,
     send_permits,
@@ -203,7 +204,7 @@
     def server(self, server_id: str, value: bytes) -> traffic.BackendServer:
         """Decode a server's record."""
         try:
-            found = json.loads(value)
+            found = json_parsing.parse_object(value)
             registered = server(
                 server_id,
                 is_draining=found["is_draining"],
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -11,6 +11,9 @@
 
 from balsamloom_gateway import feed, fleet, follower, interfaces, peers
 
+# Deeper than a parser's stack.
+NESTED = b"[" * 100_000
+
 
 def record(is_draining=False, sequence=0, incarnation=1):
     """Build a server's record; decoding it ignores ``sequence``."""
@@ -368,6 +371,18 @@
         second.read_once()
         self.assertEqual(len(view.servers()), 1)
 
+    def test_entry_that_no_parser_accepts_does_not_stop_the_reader(self):
+        # One entry of 5,000 brackets under servers/ made every read fail, so
+        # that no later configuration came into force anywhere.
+        view, reader = self.start("m1")
+        reader.read_once()
+        for folder in ("member", "storage", "server"):
+            self.store.put(f"{folder}/x", NESTED)
+        self.store.put("config", b"2")
+        reader.read_once()
+        self.assertEqual(view.active_configuration.configuration.version, 2)
+        self.assertEqual(len(view.members()), 2)
+
     def test_compacted_history_is_replaced_by_a_listing(self):
         view, reader = self.start("m1")
         self.store.put("server/s1", record())
