gateway: a budget holder asks until all who may know a program have answered

Cause: the new process answered reservations before it had read who the members are, found no standby to ask and noted that it had asked. The tokens that its predecessor handed out, which standbys know, were handed out again.

Change: known_usage says whether the answers are complete and raises while the members are unread; such a holder refuses. Standbys that were silent are asked again with the next turn (the same cause: silence taken for a no), and answers that are merged twice count once.

--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -174,7 +174,10 @@
             that cannot be reached.
         :return: the result and the servers of the program's last turns.
         """
-        self._query_standbys(program_id, budget_tokens, is_standby)
+        try:
+            self._query_standbys(program_id, budget_tokens, is_standby)
+        except ledger.UnknownMembersError as error:
+            return RecordingFailure(str(error)), ()
         with self._changed:
             account = self._account(program_id, budget_tokens)
             account.max_turn_tokens = max(account.max_turn_tokens, tokens)
@@ -316,6 +319,9 @@
         """Merge what standbys know of a program, unless it must be new.
 
         A caller's process may learn of a lost primary before its successor.
+        Standbys that did not answer are asked again with the next turn.
+
+        :raises UnknownMembersError: it is not known yet whom to ask.
         """
         with self._changed:
             account = self._account(program_id, budget_tokens)
@@ -323,15 +329,16 @@
                 return
             knows_all = self._knows_all_programs()
         is_expected = is_standby or self.standbys.is_primary(program_id)
-        found = None
+        answers = ledger.StandbyAnswers(None, is_complete=True)
         if not (knows_all and is_expected):
-            found = self.standbys.known_usage(program_id)
+            answers = self.standbys.known_usage(program_id)
+        found = answers.usage
         with self._changed:
             account = self._account(program_id, budget_tokens)
             if account.has_queried_standbys:
                 # A turn of the same time has merged the same answers.
                 return
-            account.has_queried_standbys = True
+            account.has_queried_standbys = answers.is_complete
             if found is None:
                 return
             takes_over = is_expected and not is_standby
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -75,6 +75,7 @@
         self._has_unreported_arrival = False
         self._outage_end_ms = -math.inf
         self._is_stale = False
+        self._has_read_records = False
         self._active_configuration: ActiveConfiguration | None = None
         self.on_changes: Callable[[list[interfaces.Change]], None] = (
             callbacks.ignore
@@ -153,6 +154,14 @@
         """Return whether this process cannot follow the store's records."""
         return self._is_stale
 
+    @property
+    def has_read_records(self) -> bool:
+        """Return whether this process has read all records once.
+
+        Before that, a record that is not known here may well exist.
+        """
+        return self._has_read_records
+
     def registered_servers(self) -> list[traffic.BackendServer]:
         """Return all servers, also those that drain."""
         with self._lock:
@@ -208,6 +217,7 @@
         with self._lock:
             if age_ms is None:
                 return
+            self._has_read_records = True
             if age_ms > MAX_COPY_AGE_MS + propagation_ms:
                 self._is_stale = True
             elif self._is_stale:
--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -72,6 +72,21 @@
     lost_holders: frozenset[str] = frozenset()
 
 
+class StandbyAnswers(NamedTuple):
+    """What the other holders of a program know of it.
+
+    ``usage`` is ``None`` if none of them knows the program. That proves
+    nothing unless ``is_complete``: all members that may know it have answered.
+    """
+
+    usage: QueriedUsage | None
+    is_complete: bool
+
+
+class UnknownMembersError(Exception):
+    """This process has not read yet who the other holders are."""
+
+
 class Account:
     """Budget of one program at one of its holders.
 
@@ -97,6 +112,8 @@
         # Latest usage that each standby confirmed.
         self.reported_usage: dict[str, Usage] = {}
         self.has_queried_standbys = False
+        # Tokens of lost holders that are counted here, by the holders' ids.
+        self.taken_over_tokens: dict[str, int] = {}
         self.max_turn_tokens = 0
         # Whether this process replaces a primary holder that is unreachable.
         # Later turns return to the primary holder, so an allocation covers
@@ -159,15 +176,22 @@
             for holder in self.peer_unrecorded_tokens
             if holder.partition("/")[0] == name
         ]
-        taken = sum(self.peer_unrecorded_tokens.pop(holder) for holder in lost)
-        self.unrecorded_tokens += taken
-        return taken > 0
+        return sum([self._take_over(holder) for holder in lost]) > 0
+
+    def _take_over(self, holder: str) -> int:
+        tokens = self.peer_unrecorded_tokens.pop(holder)
+        self.unrecorded_tokens += tokens
+        known = self.taken_over_tokens.get(holder, 0)
+        self.taken_over_tokens[holder] = known + tokens
+        return tokens
 
     def merge_queried(
         self, holder: str, found: QueriedUsage, takes_over: bool
     ) -> None:
         """Merge the usage that queried holders know.
 
+        The same answers may be merged again.
+
         :param holder: name under which tokens of unknown holders are merged.
         :param takes_over: whether the next allocation covers the unrecorded
             tokens of lost holders.
@@ -180,10 +204,12 @@
             if other in self.peer_unrecorded_tokens:
                 # Its own report is newer, and is taken over by its name.
                 continue
+            new_tokens = tokens - self.taken_over_tokens.get(other, 0)
+            if new_tokens <= 0:
+                continue
+            self.peer_unrecorded_tokens[other] = new_tokens
             if may_take_over and other in found.lost_holders:
-                self.unrecorded_tokens += tokens
-            else:
-                self.peer_unrecorded_tokens[other] = tokens
+                self._take_over(other)
         rest = usage._replace(unrecorded_tokens=max(rest_tokens, 0))
         self.merge_usage(holder, rest)
 
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -41,8 +41,11 @@
         :param is_complete: whether programs never reported are new.
         """
 
-    def known_usage(self, program_id: str) -> ledger.QueriedUsage | None:
-        """Return the maximum usage that one of them knows, if any."""
+    def known_usage(self, program_id: str) -> ledger.StandbyAnswers:
+        """Return the maximum usage that one of them knows, if any.
+
+        :raises UnknownMembersError: the members have not been read yet.
+        """
 
 
 class NoStandbys:
@@ -62,9 +65,9 @@
         """Return false, as no standby can confirm."""
         return False
 
-    def known_usage(self, program_id: str) -> ledger.QueriedUsage | None:
-        """Return no usage."""
-        return None
+    def known_usage(self, program_id: str) -> ledger.StandbyAnswers:
+        """Return no usage, which is certain as nobody else may know any."""
+        return ledger.StandbyAnswers(None, is_complete=True)
 
 
 class PeerStandbys:
@@ -116,8 +119,13 @@
                 return answer is not None
         return False
 
-    def known_usage(self, program_id: str) -> ledger.QueriedUsage | None:
-        """Return the maximum usage that a standby knows, if any."""
+    def known_usage(self, program_id: str) -> ledger.StandbyAnswers:
+        """Return the maximum usage that a standby knows, if any.
+
+        :raises UnknownMembersError: the members have not been read yet.
+        """
+        if not self._fleet.has_read_records:
+            raise ledger.UnknownMembersError("the members are not known yet")
         body = {"program_id": program_id}
         answers = [
             self._calls.call(
@@ -125,9 +133,10 @@
             )
             for member in self._past_and_present_holders(program_id)
         ]
+        is_complete = None not in answers
         claims = [answer for answer in answers if answer and answer["claim"]]
         if not claims:
-            return None
+            return ledger.StandbyAnswers(None, is_complete)
         usages = [ledger.Usage(*answer["claim"]) for answer in claims]
         usage = usages[0]._replace(
             recorded_tokens=max(one.recorded_tokens for one in usages),
@@ -142,7 +151,8 @@
             for member in self._fleet.members()
         }
         lost = frozenset(unrecorded) - registered
-        return ledger.QueriedUsage(usage, unrecorded, lost)
+        queried = ledger.QueriedUsage(usage, unrecorded, lost)
+        return ledger.StandbyAnswers(queried, is_complete)
 
     def _unrecorded_tokens(
         self, unrecorded: Sequence[Mapping[str, int]]
--- a/packages/gateway/tests/test_budget_ledger.py
+++ b/packages/gateway/tests/test_budget_ledger.py
@@ -33,7 +33,8 @@
 
     def known_usage(self, program_id):
         usage = self.usages.get(program_id)
-        return ledger.QueriedUsage(usage, {}) if usage else None
+        found = ledger.QueriedUsage(usage, {}) if usage else None
+        return ledger.StandbyAnswers(found, is_complete=True)
 
 
 class BudgetLedgerTest(unittest.TestCase):
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -62,6 +62,7 @@
 
     def known_usage(self, program_id):
         self.clock.sleep(150.0)
+        return super().known_usage(program_id)
 
 
 class HoldersCase(unittest.TestCase):
@@ -81,7 +82,7 @@
         for name in self.NAMES:
             self.start(name)
 
-    def start(self, name, is_restart=False):
+    def start(self, name, is_restart=False, has_read=True):
         store = builders.Store()
         store.items = self.store.items
         store.transact = self.with_own_failures(store)
@@ -89,9 +90,8 @@
             store, self.records, self.clock, is_restart
         )
         view = fleet.Fleet(self.records, self.clock)
-        for member in self.NAMES:
-            encoded = fleet.encode_member(builders.member(member))
-            view.apply([interfaces.Item(f"member/{member}", encoded, 1)])
+        if has_read:
+            self.read_members(view)
         local_ledger.standbys = standbys.PeerStandbys(
             name, str(is_restart), self.network, view, self.clock
         )
@@ -116,6 +116,13 @@
         self.addCleanup(local_ledger.stop)
         self.members[name] = (store, local_ledger, view, accounts)
 
+    def read_members(self, view):
+        """Let a view read the members' registrations."""
+        for member in self.NAMES:
+            encoded = fleet.encode_member(builders.member(member))
+            view.apply([interfaces.Item(f"member/{member}", encoded, 1)])
+        view.update_age(0.0)
+
     def with_own_failures(self, store):
         def transact(conditions, writes, deletes=()):
             if store.error is not None:
@@ -140,6 +147,12 @@
                 "refused"
             )
 
+    def end_outage(self):
+        """Let the store answer, and callers' processes notice it."""
+        for store, *_ in self.members.values():
+            store.error = None
+        self.clock.sleep(budgets.OUTAGE_PAUSE_MS)
+
     def reserve(self, name):
         call = builders.turn_call(BUDGET, TURN)
         call = call._replace(program_id=self.program_id)
@@ -230,6 +243,34 @@
         spent += sum(self.turn("m3") for _ in range(30))
         self.assertLessEqual(spent, BUDGET + TURN)
 
+    def test_holder_that_restarts_in_an_outage_queries_its_standbys(self):
+        # It served before it had read who the members are, found nobody to
+        # ask and never asked again: 8,280 of 7,320 tokens (review/2).
+        self.cut_off_store(*NAMES)
+        spent = sum(self.turn("m3") for _ in range(4))
+        self.start("m1", is_restart=True, has_read=False)
+        self.cut_off_store("m1")
+        spent += sum(self.turn("m3") for _ in range(4))
+        self.read_members(self.members["m1"][2])
+        self.end_outage()
+        spent += sum(self.turn("m3") for _ in range(30))
+        self.assertGreater(spent, 4 * TURN)
+        self.assertLessEqual(spent, BUDGET + TURN)
+
+    def test_standbys_that_do_not_answer_are_asked_again(self):
+        self.cut_off_store(*NAMES)
+        spent = sum(self.turn("m3") for _ in range(4))
+        self.network.cut.update(("m2", "m3", "m4"))
+        self.start("m1", is_restart=True)
+        self.cut_off_store("m1")
+        self.reserve("m1")
+        self.network.cut.clear()
+        self.clock.sleep(standbys.BREAKER_BACKOFF.max_ms)
+        for store, *_ in self.members.values():
+            store.error = None
+        spent += sum(self.turn("m3") for _ in range(30))
+        self.assertLessEqual(spent, BUDGET + TURN)
+
     def test_new_holder_queries_members_that_only_lost_the_store(self):
         self.cut_off_store("m1", "m2")
         spent = 0
