gateway: a process without descriptors left reports a failed connect

Whether the users' machines ran out of descriptors is not shown: their lines are cut before the reason.

Cause: connect() opened the socket outside of its try, so that a process without descriptors raised an error that no caller expects. An address with port 65536 (OverflowError) or a null character (TypeError) did the same.

Change: each of them is a ConnectError: nothing was sent. Idle connections of a listener may hold a quarter of the descriptors.

--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -8,6 +8,7 @@
 
 import functools
 import logging
+import resource
 import threading
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
@@ -22,6 +23,9 @@
 
 LISTEN_BACKLOG = 512
 MAX_KEEP_ALIVE_CONNECTIONS = 2_000
+# Part of the process's descriptors that idle connections of one listener may
+# hold. The rest is for new ones and for connections to servers.
+KEEP_ALIVE_DESCRIPTOR_SHARE = 0.25
 MIN_THREADS = 2
 THREADS_PER_GROWTH = 4
 # How often idle connections are checked for their timeout.
@@ -292,7 +296,7 @@
         )
         server.ConnectionClass = caller_connections.Connection
         server.request_queue_size = LISTEN_BACKLOG
-        server.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
+        server.keep_alive_conn_limit = max_keep_alive_connections()
         server.expiration_interval = IDLE_CHECK_INTERVAL_S
         server.requests = _ThreadPool(
             server, min=min(MIN_THREADS, limits.threads), max=limits.threads
@@ -342,6 +346,15 @@
         self.is_draining = True
 
 
+def max_keep_alive_connections() -> int:
+    """Return how many idle connections a listener keeps."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return MAX_KEEP_ALIVE_CONNECTIONS
+    share = int(descriptors * KEEP_ALIVE_DESCRIPTOR_SHARE)
+    return min(MAX_KEEP_ALIVE_CONNECTIONS, share)
+
+
 def _log_error(
     msg: str = "", level: int = logging.INFO, traceback: bool = False
 ) -> None:
--- a/packages/gateway/src/balsamloom_gateway/server_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/server_connections.py
@@ -169,10 +169,13 @@
 
     :param address: ``host:port``.
     :raises ConnectRefusedError: nothing listens at the address.
-    :raises ConnectError: invalid address or timeout.
+    :raises ConnectError: invalid address, timeout or no descriptor left.
     """
     host, _, port = address.rpartition(":")
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise ConnectError(f"{address}: {error}") from error
     try:
         sock.settimeout(max(timeout_ms, 1.0) / clocks.MS_PER_S)
         sock.connect((host, int(port)))
@@ -184,7 +187,7 @@
     except ConnectionRefusedError as error:
         sock.close()
         raise ConnectRefusedError(f"{address}: {error}") from error
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, OverflowError, TypeError) as error:
         sock.close()
         raise ConnectError(f"{address}: {error}") from error
     return Connection(sock, clock)
--- a/packages/gateway/tests/test_server_connections.py
+++ b/packages/gateway/tests/test_server_connections.py
@@ -1,8 +1,10 @@
 """Tests of exchanges with misbehaving servers."""
 
+import errno
 import socket
 import threading
 import unittest
+from unittest import mock
 
 import scripted
 
@@ -251,6 +253,9 @@
     def setUp(self):
         self.clock = manual_clock()
 
+    def new_pool(self, address):
+        return connection_pool.ConnectionPool(address, self.clock, 10_000.0)
+
     def test_closed_idle_connection_is_not_reused(self):
         closed = threading.Event()
 
@@ -263,9 +268,7 @@
 
         server = scripted.ScriptedServer(script)
         self.addCleanup(server.close)
-        pool = connection_pool.ConnectionPool(
-            server.address, self.clock, 10_000.0
-        )
+        pool = self.new_pool(server.address)
         first, _ = pool.acquire(1_000.0)
         pool.release(first)
         closed.wait(5)
@@ -279,9 +282,7 @@
     def test_connection_idle_for_too_long_is_not_reused(self):
         server = scripted.ScriptedServer(lambda sock, _: None)
         self.addCleanup(server.close)
-        pool = connection_pool.ConnectionPool(
-            server.address, self.clock, 10_000.0
-        )
+        pool = self.new_pool(server.address)
         first, _ = pool.acquire(1_000.0)
         pool.release(first)
         self.clock.advance(5_000.0)
@@ -289,6 +290,25 @@
         self.addCleanup(second.close)
         self.assertFalse(is_used)
 
+    def test_process_without_descriptors_has_sent_nothing(self):
+        # The error left the loops that follow the store, send heartbeats and
+        # record budgets, and cut off callers' requests.
+        error = OSError(errno.EMFILE, "Too many open files")
+        pool = self.new_pool("127.0.0.1:1")
+        with (
+            mock.patch.object(socket, "socket", side_effect=error),
+            self.assertRaises(server_connections.ConnectError),
+        ):
+            pool.acquire(1_000.0)
+
+    def test_address_that_cannot_be_used_is_a_connect_error(self):
+        for address in ("127.0.0.1:65536", "127.0.0.1:x", "\0:1", "x", ""):
+            with (
+                self.subTest(address),
+                self.assertRaises(server_connections.ConnectError),
+            ):
+                self.new_pool(address).acquire(1_000.0)
+
     def test_refused_connection_is_a_connect_error(self):
         listening = socket.create_server(("127.0.0.1", 0))
         port = listening.getsockname()[1]
