gateway: an error at one change no longer loses the others

Cause: the copy of the records noted changes before the view and its callbacks had them. An error in between, even one that came once, left a process without a configuration, a server's state or a member until the key changed next, while it said that it was current.

Change: each change and each callback is run on its own; while one has failed, the whole copy is applied again, after 0.5 s and then less often. change_not_applied (7036) says what failed and where.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -99,6 +99,7 @@
     CRASH_NOT_RECORDED = 7033
     VERSIONS_CHANGED = 7034
     STREAM_RESUMED = 7035
+    CHANGE_NOT_APPLIED = 7036
 
 
 _MEANINGS: dict[Event, str] = {
@@ -178,6 +179,9 @@
     Event.LINES_DROPPED: "Log lines were dropped to bound their volume.",
     Event.PEER_CALL_FAILED: "A call to another member failed.",
     Event.SETTINGS_REJECTED: "The settings cannot be used.",
+    Event.CHANGE_NOT_APPLIED: (
+        "A part of the process failed at a change; it gets all records again."
+    ),
     Event.BACKGROUND_FAILED: (
         "A background loop failed unexpectedly and is run again."
     ),
--- a/packages/gateway/src/balsamloom_gateway/callbacks.py
+++ b/packages/gateway/src/balsamloom_gateway/callbacks.py
@@ -1,7 +1,32 @@
-"""Default for callbacks that another component may set."""
+"""Callbacks that another component may set."""
 
 from __future__ import annotations
 
+import logging
+from collections.abc import Callable
+
+from balsamloom_core import events
+from balsamloom_gateway import failures
+
 
 def ignore(*_: object) -> None:
     """Do nothing, whatever the arguments."""
+
+
+def run_isolated(callback: Callable[..., object], *arguments: object) -> bool:
+    """Run a callback; log an error, so that others run in spite of it.
+
+    :return: whether it raised no error.
+    """
+    try:
+        callback(*arguments)
+    except Exception as error:
+        events.log(
+            events.Event.CHANGE_NOT_APPLIED,
+            logging.ERROR,
+            task=failures.task_name(callback),
+            reason=repr(error),
+            place=failures.place(error),
+        )
+        return False
+    return True
--- a/packages/gateway/src/balsamloom_gateway/feed.py
+++ b/packages/gateway/src/balsamloom_gateway/feed.py
@@ -107,6 +107,11 @@
         with self._lock:
             return [change for change in changes if self._apply(change)]
 
+    def latest(self) -> list[interfaces.Change]:
+        """Return the latest known change of each key."""
+        with self._lock:
+            return [entry.change for entry in self._entries.values()]
+
     def replace(
         self,
         items: Iterable[interfaces.Item],
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -6,7 +6,7 @@
 import logging
 import math
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import TypeVar
 
 from balsamloom_conversations import replicas
@@ -74,17 +74,20 @@
         self._unreported_losses: list[str] = []
         self._has_unreported_arrival = False
         self._outage_end_ms = -math.inf
+        # Whether a change or a callback failed, so that a part of the process
+        # lacks changes.
+        self._must_reapply = False
         self._is_stale = False
         self._has_read_records = False
         self._active_configuration: ActiveConfiguration | None = None
-        self.on_changes: Callable[[list[interfaces.Change]], None] = (
-            callbacks.ignore
-        )
+        self.on_changes: Sequence[
+            Callable[[list[interfaces.Change]], None]
+        ] = ()
         self.on_member_lost: Callable[[str], None] = callbacks.ignore
         self.on_member_added: Callable[[], None] = callbacks.ignore
-        self.on_servers_changed: Callable[
-            [list[traffic.BackendServer]], None
-        ] = callbacks.ignore
+        self.on_servers_changed: Sequence[
+            Callable[[list[traffic.BackendServer]], None]
+        ] = ()
         self.on_configuration_changed: Callable[
             [ActiveConfiguration], None
         ] = callbacks.ignore
@@ -101,6 +104,19 @@
         except interfaces.InvalidRecordError:
             return item.value
 
+    def _decode(self, item: interfaces.Item) -> object:
+        """Decode an item.
+
+        :raises InvalidRecordError: it cannot be decoded, whatever the reason.
+        """
+        try:
+            return self._decode_known(item)
+        except interfaces.InvalidRecordError:
+            raise
+        except Exception as error:
+            self._must_reapply = True
+            raise interfaces.InvalidRecordError(repr(error)) from error
+
     def members(self) -> list[traffic.Member]:
         """Return the registered members, sorted by name."""
         with self._lock:
@@ -183,25 +199,62 @@
             server_id=server_id,
             incarnation=server.incarnation,
         )
-        self.on_servers_changed(usable)
+        self._call_all(self.on_servers_changed, usable)
+
+    @property
+    def must_reapply(self) -> bool:
+        """Return whether a part of the process lacks changes."""
+        return self._must_reapply
 
     def apply(self, changes: list[interfaces.Change]) -> None:
-        """Apply changed records and call the callbacks that they concern."""
+        """Apply changed records and call the callbacks that they concern.
+
+        What fails for one change or callback does not affect the others, and
+        :attr:`must_reapply` is true then.
+        """
         if not changes:
             return
         with self._lock:
             previous = self._usable_servers()
             previous_configuration = self._active_configuration
             for change in changes:
-                self._apply(change)
+                self._call(self._apply, change)
             usable = self._usable_servers()
             active = self._active_configuration
         self._report_member_changes()
-        self.on_changes(changes)
+        self._call_all(self.on_changes, changes)
         if usable != previous:
-            self.on_servers_changed(usable)
+            self._call_all(self.on_servers_changed, usable)
         if active is not None and active is not previous_configuration:
-            self.on_configuration_changed(active)
+            self._call(self.on_configuration_changed, active)
+
+    def reapply(self, changes: list[interfaces.Change]) -> None:
+        """Apply all records again and call all callbacks.
+
+        :param changes: latest change of each key.
+        """
+        self._must_reapply = False
+        self.apply(changes)
+        self._call_all(self.on_servers_changed, self.servers())
+        if self._active_configuration is not None:
+            self._call(
+                self.on_configuration_changed, self._active_configuration
+            )
+
+    def _call_all(
+        self, found: Sequence[Callable[[T], object]], argument: T
+    ) -> None:
+        for callback in found:
+            self._call(callback, argument)
+
+    def _call(
+        self, callback: Callable[..., object], *arguments: object
+    ) -> bool:
+        """Run a callback; return whether it raised no error."""
+        is_done = callbacks.run_isolated(callback, *arguments)
+        if not is_done:
+            self._must_reapply = True
+        return is_done
 
     def update_age(
         self, age_ms: float | None, propagation_ms: float = 0.0
@@ -228,7 +281,7 @@
             usable = self._usable_servers()
         self._report_member_changes()
         if usable != previous:
-            self.on_servers_changed(usable)
+            self._call_all(self.on_servers_changed, usable)
 
     def _usable_servers(self) -> list[traffic.BackendServer]:
         return [
@@ -240,7 +293,7 @@
     def _is_leaving(self, server: traffic.BackendServer) -> bool:
         return self._leaving.get(server.server_id) == server.incarnation
 
-    def _decode(self, item: interfaces.Item) -> object:
+    def _decode_known(self, item: interfaces.Item) -> object:
         match self._records.kind(item.key):
             case interfaces.ConfigurationRecord():
                 return self._records.configuration(item.value)
@@ -308,6 +361,8 @@
         self, configuration: traffic.Configuration, revision: int
     ) -> None:
         known = self._active_configuration
+        if known and configuration == known.configuration:
+            return
         if known and configuration.version <= known.configuration.version:
             events.log(
                 events.Event.CONFIGURATION_REJECTED,
@@ -398,10 +453,15 @@
             self._unreported_losses = []
             has_arrival = self._has_unreported_arrival
             self._has_unreported_arrival = False
-        for name in names:
-            self.on_member_lost(name)
-        if has_arrival:
-            self.on_member_added()
+        failed = [
+            name for name in names if not self._call(self.on_member_lost, name)
+        ]
+        is_arrival_reported = not has_arrival or self._call(
+            self.on_member_added
+        )
+        with self._lock:
+            self._unreported_losses.extend(failed)
+            self._has_unreported_arrival |= not is_arrival_reported
 
 
 def encode_member(member: traffic.Member) -> bytes:
--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -30,6 +30,9 @@
 MAX_SOURCE_AGE_INTERVALS = 2.5
 # Pause before an unusable source is tried again.
 SOURCE_RETRY_INTERVAL_MS = 3_000.0
+# Pauses before a change that failed is applied again.
+MIN_REAPPLY_MS = 500.0
+MAX_REAPPLY_MS = 60_000.0
 # Read intervals as fractions of the bound on a view's age.
 STORE_FRACTION = 0.3
 PEER_FRACTION = 0.2
@@ -90,6 +93,8 @@
         self._source = "none"
         self._source_retry_at_ms = -math.inf
         self._store_retry_at_ms = -math.inf
+        self._reapply_at_ms = -math.inf
+        self._reapply_pause_ms = MIN_REAPPLY_MS
         self._random = random.Random(name)
         self._failures = 0
         self._must_list = True
@@ -102,13 +107,29 @@
         while not self._stopped.is_set():
             pause_ms = self.read_once()
             self._fleet.update_age(self._feed.age_ms(), self._propagation_ms())
-            self.after_read()
+            self.reapply_due()
+            callbacks.run_isolated(self.after_read)
             self._clock.wait(self._stopped, pause_ms)
 
     def stop(self) -> None:
         """Make :meth:`run` return after the current read."""
         self._stopped.set()
 
+    def reapply_due(self) -> None:
+        """Apply the whole copy again if a part of the process lacks changes.
+
+        The copy has them already, so no further read would bring them.
+        """
+        now_ms = self._clock.now_ms()
+        if not self._fleet.must_reapply:
+            self._reapply_pause_ms = MIN_REAPPLY_MS
+        elif now_ms >= self._reapply_at_ms:
+            self._reapply_at_ms = now_ms + self._reapply_pause_ms
+            self._reapply_pause_ms = min(
+                2 * self._reapply_pause_ms, MAX_REAPPLY_MS
+            )
+            self._fleet.reapply(self._feed.latest())
+
     def read_once(self) -> float:
         """Read once and return the pause until the next read in ms."""
         members = self._fleet.members()
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -14,6 +14,7 @@
     balancer,
     budget_ledger,
     budgets,
+    callbacks,
     conversations,
     crash_detection,
     crash_notices,
@@ -233,10 +234,20 @@
         self._registrar.on_lease_lost = self._handle_lease_loss
         self._follower.after_read = self._handle_read
         self._follower.on_outage_at_start = self._book.handle_outage_at_start
-        self.fleet.on_changes = self._apply_changes
+        self.fleet.on_changes = (
+            self._evacuations.apply,
+            self._crash_reports.apply,
+            self._history.apply,
+        )
         self.fleet.on_member_lost = accounts.handle_member_loss
         self.fleet.on_member_added = accounts.handle_member_arrival
-        self.fleet.on_servers_changed = self._apply_servers
+        self.fleet.on_servers_changed = (
+            self._call_balancer.set_servers,
+            self._turn_balancer.set_servers,
+            self._dispatcher.close_unused_pools,
+            self._permits.keep_only,
+            self._find_crashed_servers,
+        )
         self._dispatcher.on_server_leaving = self.fleet.mark_server_leaving
         self.fleet.on_configuration_changed = self._apply_configuration
         self._liveness = peer_liveness.PeerLiveness(settings.name, clock)
@@ -357,9 +368,15 @@
 
     def _handle_read(self) -> None:
         """Run the tasks that depend on the latest read of the records."""
-        self._evacuations.answer_due()
-        self._history.write_due()
-        self._streams.record_earlier()
+        for task in (
+            self._evacuations.answer_due,
+            self._history.write_due,
+            self._streams.record_earlier,
+            self._close_unused_clients,
+        ):
+            callbacks.run_isolated(task)
+
+    def _close_unused_clients(self) -> None:
         members = [*self.fleet.members(), *self.fleet.lost_members()]
         addresses = [member.peer_address for member in members]
         addresses += [host.address for host in self.fleet.storage_hosts()]
@@ -372,16 +389,7 @@
     def _rank(self) -> int:
         return membership.rank_of(self.member.name, self.fleet.members())
 
-    def _apply_changes(self, changes: list[interfaces.Change]) -> None:
-        self._evacuations.apply(changes)
-        self._crash_reports.apply(changes)
-        self._history.apply(changes)
-
-    def _apply_servers(self, servers: list[traffic.BackendServer]) -> None:
-        self._call_balancer.set_servers(servers)
-        self._turn_balancer.set_servers(servers)
-        self._dispatcher.close_unused_pools(servers)
-        self._permits.keep_only(servers)
+    def _find_crashed_servers(self, _: list[traffic.BackendServer]) -> None:
         self._crashes.apply_servers(self.fleet.registered_servers())
 
     def _apply_configuration(self, active: fleet.ActiveConfiguration) -> None:
--- a/packages/gateway/src/balsamloom_gateway/storage_process.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_process.py
@@ -117,7 +117,10 @@
             settings.copies,
             lambda: self._fleet.has_storage_host(settings.name),
         )
-        self._fleet.on_changes = self._apply_changes
+        self._fleet.on_changes = (
+            self._evacuation.apply,
+            self._history.apply,
+        )
         self._follower = follower.Follower(
             settings.name,
             store,
@@ -186,10 +189,6 @@
         self._database.close()
         events.log(events.Event.PROCESS_STOPPED, member=self.host.name)
 
-    def _apply_changes(self, changes: list[interfaces.Change]) -> None:
-        self._evacuation.apply(changes)
-        self._history.apply(changes)
-
     def _run_repair(self) -> None:
         while not self._stopped.is_set():
             pause_ms = REPAIR_RETRY_INTERVAL_MS
--- a/packages/gateway/tests/test_background.py
+++ b/packages/gateway/tests/test_failures.py
@@ -1,20 +1,20 @@
-"""Tests of the background loops."""
+"""Tests of descriptions of errors."""
 
 import json
 import unittest
 
-from balsamloom_gateway import background
+from balsamloom_gateway import failures
 
 
-class FailurePlaceTest(unittest.TestCase):
+class PlaceTest(unittest.TestCase):
     """Guards against log lines that do not tell where a loop failed."""
 
     def test_place_names_module_and_line(self):
         try:
             json.loads("{")
         except ValueError as error:
-            place = background.failure_place(error)
-        self.assertRegex(place, r"^test_background:\d+ > .*decoder:\d+$")
+            place = failures.place(error)
+        self.assertRegex(place, r"^test_failures:\d+ > .*decoder:\d+$")
 
 
 if __name__ == "__main__":
--- a/packages/gateway/tests/test_planner.py
+++ b/packages/gateway/tests/test_planner.py
@@ -27,7 +27,7 @@
         self.clock = builders.manual_clock()
         self.fleet = fleet.Fleet(builders.Records(), self.clock)
         self.balancer = balancer.Balancer(self.clock, "a", random.Random(3))
-        self.fleet.on_servers_changed = self.balancer.set_servers
+        self.fleet.on_servers_changed = (self.balancer.set_servers,)
         self.planner = planner.TurnPlanner(
             "m01",
             self.balancer,
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -41,7 +41,7 @@
         history = version_history.VersionHistory(
             self.store, builders.Records(), view, lambda: 0, self.clock
         )
-        view.on_changes = history.apply
+        view.on_changes = (history.apply,)
         view.apply(list(self.store.items.values()))
         return view, history
 
@@ -171,7 +171,7 @@
         """Let a process know the storage hosts and the servers."""
         hosts = {host.name: host for host in self.cluster.hosts()}
         gateway.fleet._storage_hosts = hosts
-        gateway.fleet.on_servers_changed = gateway.balancer.set_servers
+        gateway.fleet.on_servers_changed = (gateway.balancer.set_servers,)
         changes = []
         for number, server in enumerate(self.servers):
             if self.versions[server] in versions:
@@ -180,7 +180,7 @@
                 value = json.dumps(fields).encode()
                 key = f"server/s{number}"
                 changes.append(interfaces.Item(key, value, number + 1))
-        gateway.fleet.on_changes = gateway.history.apply
+        gateway.fleet.on_changes = (gateway.history.apply,)
         gateway.fleet.apply(changes)
         gateway.fleet.apply(list(gateway.store.items.values()))
         gateway.history.write_due()
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -49,7 +49,7 @@
 
     def test_server_that_announces_shutdown_gets_no_calls_until_restart(self):
         notified = []
-        self.fleet.on_servers_changed = notified.append
+        self.fleet.on_servers_changed = (notified.append,)
         self.put("server/s1", record(), 1)
         self.fleet.mark_server_leaving("s1")
         self.assertEqual(notified[-1], [])
