gateway: what lost processes may have handed out follows from the record

Cause: a process that found the store away at its start withheld the margin of one turn from every program for good, since a lost unrecorded turn and the margin may add up. Unrecorded tokens are handed out within the budget only, so a program whose whole budget was recorded has lost none; its first allocation takes all of a small budget and leaves half of it unused.

Change: the margin is reduced by the budget less what was recorded when the record was first read. The record keeps that figure for later holders, which gave the margin although tokens were lost.

--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -119,8 +119,12 @@
         # Later turns return to the primary holder, so an allocation covers
         # one turn only.
         self.is_standby = False
-        # Whether all processes that knew of unrecorded tokens may be lost.
+        # Whether all processes that knew of unrecorded tokens may be lost, and
+        # the program's record has not been read since.
         self.may_lack_unrecorded = False
+        # Maximum of the tokens that lost processes handed out beyond the
+        # record, without anybody knowing of them now.
+        self.lost_tokens = 0
         self.last_used_ms = 0.0
         self.recent_servers: tuple[str, ...] = ()
 
@@ -139,13 +143,24 @@
         """Return by how much allocations may exceed the budget.
 
         Another process may have left a part of its allocations unused, and
-        this process cannot know how much. There is no such margin if the
-        count of unrecorded tokens may be lost: those exceed the budget too.
+        this process cannot know how much. Unrecorded tokens of which the
+        count is lost exceed the budget too, so they reduce the margin.
         """
-        if self.may_lack_unrecorded:
-            return 0
         others = self.recorded_tokens - self.own_recorded_tokens
-        return min(max(others, 0), self.max_turn_tokens)
+        margin = self.max_turn_tokens - self.max_lost_tokens
+        return max(min(others, margin), 0)
+
+    @property
+    def max_lost_tokens(self) -> int:
+        """Return the maximum of the tokens of which the count is lost.
+
+        Unrecorded tokens are never handed out beyond the budget, so a program
+        whose whole budget was recorded has none.
+        """
+        if self.may_lack_unrecorded:
+            others = self.recorded_tokens - self.own_recorded_tokens
+            return max(self.budget_tokens - others, 0)
+        return self.lost_tokens
 
     @property
     def has_peer_usage(self) -> bool:
@@ -273,7 +288,11 @@
         return self._allocation_size(max(missing, 0))
 
     def apply_record(
-        self, total_tokens: int, revision: int, own_tokens: int
+        self,
+        total_tokens: int,
+        revision: int,
+        own_tokens: int,
+        lost_tokens: int = 0,
     ) -> None:
         """Apply the program's record in the store.
 
@@ -281,11 +300,14 @@
         :param revision: revision of the record.
         :param own_tokens: tokens of this process's allocations that are newly
             known to be recorded.
+        :param lost_tokens: ``max_lost_tokens`` of the process that wrote it.
         """
         self.recorded_tokens = max(total_tokens, self.recorded_tokens)
         self.revision = revision
         self.requested_tokens = 0
         self.own_recorded_tokens += own_tokens
+        self.lost_tokens = max(self.max_lost_tokens, lost_tokens)
+        self.may_lack_unrecorded = False
         self._add_unused(own_tokens)
 
     def _peer_unrecorded_total(self) -> int:
--- a/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
@@ -188,15 +188,17 @@
             revision=revision,
             reason="the program's budget counts as spent",
         )
-        decoded = account.budget_tokens, ""
-    total_tokens, latest_name = decoded
-    own_tokens = account.unconfirmed.pop(latest_name, 0)
-    account.apply_record(total_tokens, revision, max(own_tokens, 0))
+        decoded = ledger_records.Record(account.budget_tokens, "")
+    own_tokens = account.unconfirmed.pop(decoded.name, 0)
+    account.apply_record(
+        decoded.tokens, revision, max(own_tokens, 0), decoded.lost_tokens
+    )
     events.log(
         events.Event.BUDGET_RECORD_CHANGED,
         program_id=account.program_id,
-        recorded_tokens=total_tokens,
+        recorded_tokens=decoded.tokens,
         own_tokens=own_tokens,
+        lost_tokens=account.lost_tokens,
         revision=revision,
     )
     if not account.unrecorded_tokens:
--- a/packages/gateway/src/balsamloom_gateway/ledger_records.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_records.py
@@ -18,6 +18,18 @@
     total_tokens: int
 
 
+class Record(NamedTuple):
+    """A program's record.
+
+    ``tokens`` are those of all allocations, ``name`` is that of the latest
+    one, and ``lost_tokens`` may have been handed out beyond them.
+    """
+
+    tokens: int
+    name: str
+    lost_tokens: int = 0
+
+
 def apply_recorded(allocation: Allocation, revision: int) -> None:
     """Add a recorded allocation to its account."""
     account = allocation.account
@@ -29,19 +41,28 @@
 def encode(allocation: Allocation) -> bytes:
     """Encode the program's record with its latest allocation."""
     record = {"tokens": allocation.total_tokens, "block": allocation.name}
+    lost_tokens = allocation.account.max_lost_tokens
+    if lost_tokens:
+        record["lost"] = lost_tokens
     return json.dumps(record, separators=(",", ":")).encode()
 
 
-def decode(item: interfaces.Item | None) -> tuple[int, str] | None:
-    """Decode a program's record.
-
-    :return: tokens of all allocations and the name of the latest one, or
-        ``None`` if the record cannot be read.
-    """
+def decode(item: interfaces.Item | None) -> Record | None:
+    """Decode a program's record; return ``None`` if it cannot be read."""
     if item is None:
-        return 0, ""
+        return Record(0, "")
     try:
         record = json_parsing.parse(item.value)
-        return int(record["tokens"]), str(record["block"])
-    except (ValueError, KeyError, TypeError):
+        return Record(
+            int(record["tokens"]),
+            str(record["block"]),
+            int(record.get("lost", 0)),
+        )
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+    ):
         return None
--- a/packages/gateway/tests/test_budget_ledger.py
+++ b/packages/gateway/tests/test_budget_ledger.py
@@ -181,6 +181,36 @@
         spent += self.spend(successor, NONE, 8)
         self.assertEqual(spent, 400 + 100)
 
+    def start_after_outage(self):
+        """Start a holder that found the store unavailable at its start."""
+        holder = self.start_holder(is_restart=True)
+        holder.handle_outage_at_start()
+        return holder
+
+    def test_program_with_its_whole_budget_recorded_gets_one_turn_more(self):
+        # All processes had ended in an outage. The first turn had left half of
+        # its allocation unused, and every later one got 402 (cpt-loom, inc1).
+        self.store.put("ledger/p", b'{"tokens": 500, "block": "x.1"}')
+        successor = self.start_after_outage()
+        results = [
+            self.reserve(successor, NONE, tokens=280, budget=500)
+            for _ in range(2)
+        ]
+        self.assertEqual(
+            results, [ledger.Reservation(), ledger.Exhaustion(780, 0)]
+        )
+
+    def test_lost_tokens_are_known_to_later_holders(self):
+        self.holder.standbys = FakeStandbys()
+        spent = self.spend(self.holder, NONE, 2)
+        self.store.error = interfaces.StoreUnavailableError("down")
+        spent += self.spend(self.holder, OUTAGE, 1)
+        successor = self.start_after_outage()
+        self.store.error = None
+        spent += self.spend(successor, NONE, 2)
+        spent += self.spend(self.start_holder(), NONE, 8)
+        self.assertLessEqual(spent, 400 + 100)
+
     def test_first_process_of_a_host_keeps_its_overrun_in_an_outage(self):
         self.store.put("ledger/p", b'{"tokens": 400, "block": "x.1"}')
         self.holder.handle_outage_at_start()
--- a/packages/gateway/tests/test_fuzzing.py
+++ b/packages/gateway/tests/test_fuzzing.py
@@ -154,9 +154,9 @@
             value = json.dumps(content).encode()
         found = ledger_records.decode(interfaces.Item("k", value, 1))
         if found is not None:
-            tokens, name = found
-            self.assertIsInstance(tokens, int)
-            self.assertIsInstance(name, str)
+            self.assertIsInstance(found.tokens, int)
+            self.assertIsInstance(found.name, str)
+            self.assertIsInstance(found.lost_tokens, int)
 
 
 class ListenerTest(unittest.TestCase):
