--- a/packages/gateway/src/balsamloom_gateway/crash_reports.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_reports.py
@@ -196,7 +196,8 @@
         assert isinstance(kind, interfaces.CrashRecord)
         key = crash_ledger.RequestKey(kind.target_id, kind.body_id)
         try:
-            wall_ms = float(json_parsing.parse(item.value)["wall_ms"])
+            record = json_parsing.parse(item.value)
+            wall_ms = json_parsing.finite(record["wall_ms"])
         except (ValueError, KeyError, TypeError) as error:
             events.log(
                 events.Event.RECORD_UNREADABLE,
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -299,10 +299,10 @@
                 return self._records.configuration(item.value)
             case interfaces.ServerRecord(server_id):
                 return self._records.server(server_id, item.value)
-            case interfaces.MemberRecord():
-                return decode_member(item.value)
-            case interfaces.StorageHostRecord():
-                return decode_storage_host(item.value)
+            case interfaces.MemberRecord(name):
+                return _named(decode_member(item.value), name)
+            case interfaces.StorageHostRecord(name):
+                return _named(decode_storage_host(item.value), name)
             case _:
                 return item.value
 
@@ -490,12 +490,26 @@
     return _decode(replicas.StorageHost, value)
 
 
+def _named(registration: T, name: str) -> T:
+    """Return a registration if it has the name of its key.
+
+    :raises InvalidRecordError: it has another name.
+    """
+    if getattr(registration, "name", None) != name:
+        raise interfaces.InvalidRecordError(f"the name is not {name!r}")
+    return registration
+
+
 def _encode(fields: Mapping[str, str]) -> bytes:
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
 def _decode(kind: Callable[..., T], value: bytes) -> T:
     try:
-        return kind(**json_parsing.parse_object(value))
+        fields = json_parsing.parse_object(value)
+        for name, text in fields.items():
+            if not isinstance(text, str) or not text.isprintable():
+                raise ValueError(f"{name} is not a text of one line")
+        return kind(**fields)
     except (ValueError, TypeError) as error:
         raise interfaces.InvalidRecordError(str(error)) from error
--- a/packages/gateway/src/balsamloom_gateway/json_parsing.py
+++ b/packages/gateway/src/balsamloom_gateway/json_parsing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 
@@ -26,3 +27,18 @@
     if not isinstance(document, dict):
         raise ValueError("the document is not a JSON object")
     return document
+
+
+def finite(value: Any) -> float:
+    """Return a parsed value as a finite number.
+
+    :raises ValueError: it is too large or not finite.
+    :raises TypeError: it is no number.
+    """
+    try:
+        number = float(value)
+    except OverflowError as error:
+        raise ValueError(str(error)) from error
+    if not math.isfinite(number):
+        raise ValueError("not a finite number")
+    return number
--- a/packages/gateway/src/balsamloom_gateway/version_history.py
+++ b/packages/gateway/src/balsamloom_gateway/version_history.py
@@ -218,7 +218,7 @@
     document = json_parsing.parse_object(value)
     try:
         return {
-            version: None if left_ms is None else float(left_ms)
+            version: None if left_ms is None else json_parsing.finite(left_ms)
             for version, left_ms in document.items()
         }
     except TypeError as error:
