conversations: keep the output of turns whose event lines end in CR

Cause: StreamOutput split at LF only, while EventCounter accepts CR.

Evidence: the new test fails in the three cases with CR without the change.

--- a/packages/conversations/src/balsamloom_conversations/stream_output.py
+++ b/packages/conversations/src/balsamloom_conversations/stream_output.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import re
+
 DATA_FIELD = b"data"
+LINE_END = re.compile(rb"\r\n|\r|\n")
 
 
 class OutputTooLongError(Exception):
@@ -40,9 +43,8 @@
             )
         output = bytearray()
         lines: list[bytes] = []
-        *stream_lines, _ = bytes(self._buffer).split(b"\n")
+        *stream_lines, _ = LINE_END.split(bytes(self._buffer))
         for line in stream_lines:
-            line = line.removesuffix(b"\r")
             if line:
                 name, _, value = line.partition(b":")
                 if name == DATA_FIELD:
--- a/packages/conversations/tests/test_replicas.py
+++ b/packages/conversations/tests/test_replicas.py
@@ -162,6 +162,17 @@
                 self.collect(stream, size), b"one\ntwo\na: b \n c\n"
             )
 
+    def test_lines_may_end_in_each_way(self):
+        # With CR, turns were kept with an empty output, and the turns that
+        # went on from them lacked all earlier answers.
+        for line_end in (b"\n", b"\r", b"\r\n"):
+            stream = b"id: 1\ndata: one\n\ndata: two\ndata: 3\n\ndata: 4\n"
+            stream = stream.replace(b"\n", line_end)
+            for size in (1, 2, 100):
+                with self.subTest(line_end=line_end, size=size):
+                    found = self.collect(stream, size)
+                    self.assertEqual(found, b"one\ntwo\n3\n")
+
     def test_incomplete_event_is_left_out(self):
         self.assertEqual(self.collect(b"data: a\n\ndata: b\n"), b"a\n")
 
