gateway: a turn is absent only if all hosts that can have it were asked

Cause: 404 needed the word of every storage host that this process knew. A process that already knew the new hosts had stored the turn on two of them; views lag by up to a second.

Change: before a 404 the process waits, within the caller's time and 2 s at most, until its copy shows all that was registered when the question came (Feed.wait_until_known), and asks hosts that are new to it. If it cannot, the answer is 503.

--- a/packages/gateway/src/balsamloom_gateway/conversations.py
+++ b/packages/gateway/src/balsamloom_gateway/conversations.py
@@ -10,7 +10,7 @@
 import logging
 import math
 import sys
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 from balsamloom_conversations import (
     messages,
@@ -33,6 +33,9 @@
 # A host that is unreachable for this long counts as lost. By then the other
 # hosts have copied the turns of which they and the lost host had replicas.
 LOST_HOST_TIMEOUT_MS = 10_000.0
+# Longest wait for the registered hosts before a turn is said not to exist. A
+# view follows the store within a second.
+MAX_HOSTS_WAIT_MS = 2_000.0
 # Each loss of a host while a chain is written can divide it once more.
 MAX_CHAIN_PARTS = 16
 # A host that answered within this time is expected to answer again.
@@ -49,6 +52,8 @@
     :param clock: time source.
     :param failure_domain: failure domain of this process.
     :param copies: number of hosts that must store a turn.
+    :param await_hosts: waits until the hosts that were registered at a time
+        are known, up to another time; returns whether they are.
     """
 
     def __init__(
@@ -58,8 +63,10 @@
         clock: clocks.Clock,
         failure_domain: str,
         copies: int,
+        await_hosts: Callable[[float, float], bool],
     ) -> None:
         self._hosts = hosts
+        self._await_hosts = await_hosts
         self._clients = clients
         self._clock = clock
         self._failure_domain = failure_domain
@@ -147,13 +154,36 @@
 
     def _read_part(
         self, turn_id: str, group_hint: str, until_ms: float
+    ) -> turns.HostLookup:
+        """Read a chain; it is absent only if no host can have it.
+
+        Processes that know of new hosts may have stored it there, so hosts
+        that this process did not know when it asked are asked as well.
+        """
+        started_ms = self._clock.now_ms()
+        until_known_ms = min(until_ms, started_ms + MAX_HOSTS_WAIT_MS)
+        while True:
+            hosts = self._hosts()
+            found = self._read_from_hosts(hosts, turn_id, group_hint, until_ms)
+            if not isinstance(found, turns.Absent):
+                return found
+            if not self._await_hosts(started_ms, until_known_ms):
+                return turns.Unsure("other storage hosts may be registered")
+            if set(self._hosts()) <= set(hosts):
+                return found
+
+    def _read_from_hosts(
+        self,
+        hosts: Sequence[replicas.StorageHost],
+        turn_id: str,
+        group_hint: str,
+        until_ms: float,
     ) -> turns.HostLookup:
         """Read a chain from the first host that stores its last turn.
 
         A host that has the whole chain is preferred, so one that lacks a part
         is used only after the others were asked.
         """
-        hosts = self._hosts()
         ordered = replicas.reading_order(
             group_hint, hosts, self._copies, self._failure_domain
         )
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -199,6 +199,7 @@
             clock,
             settings.failure_domain,
             settings.copies,
+            self._feed.wait_until_known,
         )
         self._proxy = proxy.Proxy(
             self.fleet,
--- a/packages/gateway/tests/cluster_case.py
+++ b/packages/gateway/tests/cluster_case.py
@@ -20,6 +20,8 @@
 
     NAMES = "a1 b1 c1"
     IS_NETWORKED = False
+    # Whether readers know the hosts that are registered now.
+    are_hosts_known = True
 
     def setUp(self):
         self.cluster = storage_nodes.StorageCluster(
@@ -37,6 +39,7 @@
             clock,
             "a",
             storage_nodes.COPIES,
+            lambda since_ms, until_ms: self.are_hosts_known,
         )
 
     def keep(self, *turns):
--- a/packages/gateway/tests/gateway_case.py
+++ b/packages/gateway/tests/gateway_case.py
@@ -106,6 +106,7 @@
                 clock,
                 "a",
                 COPIES,
+                lambda since_ms, until_ms: True,
             ),
             self.detector,
             self.streams,
--- a/packages/gateway/tests/test_conversations.py
+++ b/packages/gateway/tests/test_conversations.py
@@ -152,7 +152,12 @@
         clients = storage_nodes.FailingClients(error)
         host = builders.storage_host("a1")
         reader = conversations.ConversationStore(
-            lambda: [host], clients, clocks.Clock(), "a", 1
+            lambda: [host],
+            clients,
+            clocks.Clock(),
+            "a",
+            1,
+            lambda since_ms, until_ms: True,
         )
         self.assertIsInstance(
             reader.read("t", "g", cluster_case.deadline()), turns.Unsure
@@ -185,6 +190,41 @@
     def test_absent_when_all_hosts_lack_the_turn(self):
         self.assertEqual(self.read("t"), turns.Absent())
 
+    def test_turn_on_hosts_that_are_not_known_yet_is_found(self):
+        # Processes that knew three new hosts had stored turns there. Others
+        # asked the old ones only and answered 404 (review/3).
+        old = list(self.cluster.nodes)
+        known = [node.host for node in old]
+        for name in ("a2", "b2", "c2"):
+            node = storage_nodes.StorageNode(name, self.cluster)
+            self.addCleanup(node.stop)
+            self.cluster.nodes.append(node)
+        for node in old:
+            node.stop()
+        self.keep(storage_nodes.turn("t"))
+        for node in old:
+            node.start()
+
+        def read_registrations(since_ms, until_ms):
+            known[:] = self.cluster.hosts()
+            return True
+
+        reader = conversations.ConversationStore(
+            lambda: list(known),
+            self.cluster.clients(),
+            clocks.Clock(),
+            "a",
+            storage_nodes.COPIES,
+            read_registrations,
+        )
+        self.assertEqual(
+            self.read("t", reader=reader), turns.Chain("g", b"<tt>\n")
+        )
+
+    def test_unsure_while_other_hosts_may_be_registered(self):
+        self.are_hosts_known = False
+        self.assertIsInstance(self.read("t"), turns.Unsure)
+
     def test_unsure_while_a_host_is_down(self):
         for node in self.cluster.nodes:
             with self.subTest(node.name):
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -170,6 +170,27 @@
         )
         self.assertEqual(answer["changes"], [])
 
+    def test_copy_is_known_up_to_the_start_of_its_last_read(self):
+        now_ms = self.clock.now_ms()
+        self.assertFalse(self.feed.wait_until_known(now_ms, now_ms))
+        self.feed.record_read(1, now_ms)
+        self.assertTrue(self.feed.wait_until_known(now_ms, now_ms))
+        self.assertFalse(self.feed.wait_until_known(now_ms + 1.0, now_ms))
+
+    def test_wait_for_a_recent_copy_ends_with_the_read_that_makes_it(self):
+        now_ms = self.clock.now_ms()
+        found = []
+        thread = threading.Thread(
+            target=lambda: found.append(
+                self.feed.wait_until_known(now_ms, now_ms + 1_000.0)
+            ),
+            daemon=True,
+        )
+        thread.start()
+        self.feed.record_read(1, now_ms)
+        thread.join(5)
+        self.assertEqual(found, [True])
+
     def test_older_change_is_ignored(self):
         self.feed.apply([interfaces.Deletion("server/s1", 5)])
         changed = self.feed.apply([self.item("server/s1", record(), 4)])
