gateway: a turn that goes on waits for routes that were just added

Cause: absence was concluded from a view that lags. The turn before was served, so there was a route.

Change: such a request waits until the routes as of its arrival are known, 2 s at most; if they are not, it gets 503.

Evidence: two new tests in test_turn_path fail without the change (404).

--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -211,6 +211,7 @@
             responder,
             codec,
             clock,
+            self._feed.wait_until_known,
         )
         self._evacuations = evacuation.Evacuations(
             store, records, self._rank, self.fleet.has_storage_host, clock
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
+from typing import NamedTuple
 
 from balsamloom_conversations import stream_output, turns
 from balsamloom_core import clock as clocks
@@ -32,6 +34,15 @@
 BUDGET_RETRY_AFTER_MS = 500.0
 HISTORY_RETRY_AFTER_MS = 300.0
 RESUME_RETRY_AFTER_MS = 100.0
+# A view follows the store within a second.
+MAX_ROUTE_WAIT_MS = 2_000.0
+
+
+class _Routing(NamedTuple):
+    """Route of a request and the configuration that has it."""
+
+    active: fleet.ActiveConfiguration
+    route: traffic.Route
 
 
 class Proxy:
@@ -46,6 +57,8 @@
     :param responder: sends error responses and logs calls.
     :param codec: encodes and decodes header fields.
     :param clock: time source.
+    :param await_records: waits until the records of a time are known, up to
+        another time; returns whether they are.
     """
 
     def __init__(
@@ -59,7 +72,9 @@
         responder: responses.Responder,
         codec: interfaces.HeaderCodec,
         clock: clocks.Clock,
+        await_records: Callable[[float, float], bool],
     ) -> None:
+        self._await_records = await_records
         self._fleet = cluster_view
         self._dispatcher = dispatcher
         self._budgets = token_budgets
@@ -108,21 +123,10 @@
         except interfaces.InvalidCallError as error:
             self._responder.send_rejection(request, response, 400, str(error))
             return None
-        in_force = self._fleet.active_configuration
-        if in_force is None:
-            reason = "no configuration has been loaded yet"
-            request_id = metadata.request_id
-            self._responder.send_unavailable(
-                response, request_id, reason, NOT_READY_RETRY_AFTER_MS
-            )
-            return None
-        configuration = in_force.configuration
-        host = request.headers.get(b"Host", b"").decode("latin-1")
-        route = in_force.table.find(host, request.path)
-        if route is None:
-            reason = f"no route in version {configuration.version}"
-            self._responder.send_rejection(request, response, 404, reason)
+        routing = self._find_route(request, response, metadata, arrived_ms)
+        if routing is None:
             return None
+        configuration, route = routing.active.configuration, routing.route
         try:
             body = request.read_body()
         except listeners.BodyTooLargeError as error:
@@ -145,10 +149,51 @@
             until_ms,
             configuration,
             crash_ledger.request_key(
-                request.method, host.encode("latin-1"), request.target, body
+                request.method,
+                request.headers.get(b"Host", b""),
+                request.target,
+                body,
             ),
         )
 
+    def _find_route(
+        self,
+        request: listeners.Request,
+        response: listeners.Response,
+        metadata: traffic.CallMetadata,
+        arrived_ms: float,
+    ) -> _Routing | None:
+        """Find the route of a request.
+
+        :return: ``None`` if an error response was sent.
+        """
+        request_id = metadata.request_id
+        active = self._fleet.active_configuration
+        if active is None:
+            reason = "no configuration has been loaded yet"
+            self._responder.send_unavailable(
+                response, request_id, reason, NOT_READY_RETRY_AFTER_MS
+            )
+            return None
+        route = _route_of(request, active)
+        if route is None and metadata.previous_turn_id:
+            # The turn before was served, so its route may be newer than the
+            # configuration that this process knows.
+            until_ms = arrived_ms + _max_wait_ms(metadata)
+            if not self._await_records(arrived_ms, until_ms):
+                reason = "a newer configuration may be in force"
+                self._responder.send_unavailable(
+                    response, request_id, reason, NOT_READY_RETRY_AFTER_MS
+                )
+                return None
+            active = self._fleet.active_configuration or active
+            route = _route_of(request, active)
+        if route is None:
+            reason = f"no route in version {active.configuration.version}"
+            self._responder.send_rejection(request, response, 404, reason)
+            return None
+        return _Routing(active, route)
+
     def _prepend_history(self, call: responses.Call) -> responses.Call | None:
         """Prepend the previous turns of a conversation to the request body.
 
@@ -297,6 +342,20 @@
         )
 
 
+def _route_of(
+    request: listeners.Request, active: fleet.ActiveConfiguration
+) -> traffic.Route | None:
+    host = request.headers.get(b"Host", b"").decode("latin-1")
+    return active.table.find(host, request.path)
+
+
+def _max_wait_ms(metadata: traffic.CallMetadata) -> float:
+    """Return how long a request may wait for its route."""
+    if metadata.deadline_ms is None:
+        return MAX_ROUTE_WAIT_MS
+    return min(metadata.deadline_ms, MAX_ROUTE_WAIT_MS)
+
+
 def _is_conversation_route(route: traffic.Route) -> bool:
     """Return whether calls of a route are turns that must be stored."""
     return route.is_stateful and route.kind is traffic.RouteKind.STREAMING
--- a/packages/gateway/tests/gateway_case.py
+++ b/packages/gateway/tests/gateway_case.py
@@ -70,6 +70,8 @@
         )
         self.storage_hosts = []
         self.is_current = True
+        # Lets the process read the latest records; whether it could.
+        self.await_records = lambda: True
         codec = builders.Codec()
         responder = responses.Responder(codec, clock, metrics.Metrics())
         self.crashes = crash_reports.CrashReports(
@@ -113,6 +115,7 @@
             responder,
             codec,
             clock,
+            lambda since_ms, until_ms: self.await_records(),
         )
         self.listener = listeners.Listener(
             "127.0.0.1:0", self.proxy.handle, LIMITS
--- a/packages/gateway/tests/test_turn_path.py
+++ b/packages/gateway/tests/test_turn_path.py
@@ -5,6 +5,7 @@
 import threading
 import unittest
 
+import builders
 import gateway_case
 import scripted
 import storage_nodes
@@ -67,6 +68,28 @@
             self.assertEqual(self.turn("r1", previous)[0].status, 404)
         self.assertEqual(self.runs(), 0)
 
+    def test_turn_waits_for_a_route_that_was_just_added(self):
+        # The turn before was served by a process that knew the route; 2 to 6
+        # of 550 got 404 at processes that had not read it yet.
+        gateway = self.start(self.engine)
+        self.turn("r1")
+        builders.activate_configuration(gateway.fleet, ())
+
+        def read_records():
+            gateway.configure()
+            return True
+
+        gateway.await_records = read_records
+        self.assertEqual(self.turn("r2", "r1")[0].status, 200)
+
+    def test_turn_is_refused_while_its_route_may_exist(self):
+        gateway = self.start(self.engine)
+        builders.activate_configuration(gateway.fleet, ())
+        self.assertEqual(self.turn("r2", "r1")[0].status, 404)
+        gateway.await_records = lambda: False
+        self.assertEqual(self.turn("r2", "r1")[0].status, 503)
+        self.assertEqual(self.turn("r1")[0].status, 404)
+
     def test_turn_is_refused_while_a_previous_one_may_exist(self):
         self.start(self.engine)
         self.cluster.node("b1").stop()
