gateway: a registration that went with an older lease is written again

By reading (review): a registration whose late write is done after a newer one stands under the older lease. It goes when that lease ends, the member's renewals succeed, and nobody gives its address or reads from it any more.

Change: a member whose registration is missing in the records at three renewals in a row writes it again under its lease.

Evidence: the new test in test_members fails without the change.

--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -221,6 +221,7 @@
             records.member_key(settings.name),
             self.member,
             settings.lease_ms,
+            lambda: self.member in self.fleet.members(),
             clock,
         )
         self._follower = follower.Follower(
--- a/packages/gateway/src/balsamloom_gateway/registrar.py
+++ b/packages/gateway/src/balsamloom_gateway/registrar.py
@@ -14,6 +14,8 @@
 RENEWAL_FRACTION = 0.32
 MIN_RETRY_MS = 300.0
 MAX_RETRY_MS = 1_000.0
+# A view lags by less than two renewals.
+MAX_MISSING_RENEWALS = 3
 
 
 class Registrar:
@@ -23,6 +25,7 @@
     :param key: key of the registration.
     :param member: member to register.
     :param lease_ms: time for which a registration outlives its process.
+    :param is_registered: returns whether the records show the registration.
     :param clock: time source.
     """
 
@@ -32,9 +35,13 @@
         key: str,
         member: traffic.Member,
         lease_ms: int,
+        is_registered: Callable[[], bool],
         clock: clocks.Clock,
     ) -> None:
         self._store = store
+        self._is_registered = is_registered
+        # Renewals in a row after which the records lacked the registration.
+        self._missing_count = 0
         self._write = interfaces.Write(key, fleet.encode_member(member))
         self._lease_ms = lease_ms
         self._renewal_ms = lease_ms * RENEWAL_FRACTION
@@ -96,6 +103,8 @@
     def _renew(self) -> float:
         if self._lease_id:
             if self._store.renew_lease(self._lease_id):
+                if self._must_write_again():
+                    self._write_under(self._lease_id)
                 return self._renewal_ms
             events.log(
                 events.Event.LEASE_CHANGED,
@@ -106,16 +115,35 @@
             self._lease_id = 0
             self.on_lease_lost()
         lease_id = self._store.grant_lease(self._lease_ms)
+        if not self._write_under(lease_id):
+            return MIN_RETRY_MS
+        self._lease_id = lease_id
+        return self._renewal_ms
+
+    def _must_write_again(self) -> bool:
+        """Return whether the registration is gone although its lease lives.
+
+        A late write of an earlier try puts the key under an older lease, and
+        the key is deleted with it.
+        """
+        if self._is_registered():
+            self._missing_count = 0
+            return False
+        self._missing_count += 1
+        return self._missing_count >= MAX_MISSING_RENEWALS
+
+    def _write_under(self, lease_id: int) -> bool:
+        """Write the registration; return whether the lease still exists."""
+        self._missing_count = 0
         write = self._write._replace(lease_id=lease_id)
         match self._store.transact((), [write]):
             case interfaces.Committed(revision):
-                self._lease_id = lease_id
                 events.log(
                     events.Event.LEASE_CHANGED,
                     lease_id=lease_id,
                     outcome="granted",
                     revision=revision,
                 )
-                return self._renewal_ms
+                return True
             case _:
-                return MIN_RETRY_MS
+                return False
--- a/packages/gateway/tests/test_members.py
+++ b/packages/gateway/tests/test_members.py
@@ -20,6 +20,7 @@
             "member/m1",
             builders.member("m1"),
             LEASE_MS,
+            lambda: "member/m1" in self.store.items,
             builders.manual_clock(),
         )
 
@@ -31,6 +32,19 @@
         self.assertEqual(pauses, sorted(pauses))
         self.assertEqual(pauses[-1], registrar.MAX_RETRY_MS)
 
+    def test_registration_that_went_with_an_older_lease_is_written_again(self):
+        # A write of an earlier try was done after the newer one, so the key
+        # was deleted with the older lease while renewals succeeded.
+        self.registrar.renew_once()
+        self.store.delete("member/m1")
+        for _ in range(registrar.MAX_MISSING_RENEWALS):
+            self.assertNotIn("member/m1", self.store.items)
+            self.registrar.renew_once()
+        self.assertIn("member/m1", self.store.items)
+        calls = len(self.store.calls)
+        self.registrar.renew_once()
+        self.assertEqual(self.store.calls[calls:], ["renew"])
+
     def test_success_resets_the_retry_pause(self):
         self.store.error = interfaces.StoreUnavailableError("rejected")
         for _ in range(4):
