--- a/packages/gateway/tests/test_members.py
+++ b/packages/gateway/tests/test_members.py
@@ -43,7 +43,7 @@
         self.assertIn("member/m1", self.store.items)
         calls = len(self.store.calls)
         self.registrar.renew_once()
-        self.assertEqual(self.store.calls[calls:], ["renew"])
+        self.assertEqual(self.store.calls[calls:], ["keep"])
 
     def test_success_resets_the_retry_pause(self):
         self.store.error = interfaces.StoreUnavailableError("rejected")
