gateway: a stream that nobody recorded began at the version that was alone

Cause: processes that knew one version took it for that of any stream, and processes that knew both refused what nobody had recorded. What 'not recorded' means was not defined.

Change: it means the version that was alone before the others came. New streams begin there until storage hosts have been known for 3 s, and for 5 s after one could not be recorded in time. Storage hosts tell 'not recorded' from 'may have forgotten' (false and null; older ones answer null).

--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -297,8 +297,12 @@
         :return: ``None`` if an error response was sent.
         """
         target = _choose_target(call)
-        if not _is_resumed_stream(call):
+        if not version_history.is_resumable(call.route):
             return target
+        if call.metadata.resumed_id is None:
+            required = self._streams.required_version(target.service)
+            profile = target.profile._replace(version=required)
+            return target._replace(profile=profile)
         stream_id = call.metadata.resumed_id or ""
         match self._streams.origin(stream_id, target.service):
             case stream_versions.Known(version):
@@ -361,11 +365,6 @@
     return route.is_stateful and route.kind is traffic.RouteKind.STREAMING
 
 
-def _is_resumed_stream(call: responses.Call) -> bool:
-    is_resumed = call.metadata.resumed_id is not None
-    return is_resumed and version_history.is_resumable(call.route)
-
-
 def _describe_lookup(found: turns.Lookup) -> str:
     match found:
         case turns.Chain(group_id, data):
--- a/packages/gateway/src/balsamloom_gateway/storage_process.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_process.py
@@ -136,7 +136,7 @@
             self._database,
             self._commits,
             self._repair,
-            stream_registry.StreamRegistry(clock),
+            stream_registry.StreamRegistry(clock, settings.is_first_start),
         )
         limits = listeners.Limits(
             THREADS,
--- a/packages/gateway/src/balsamloom_gateway/storage_service.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_service.py
@@ -114,8 +114,8 @@
         return b""
 
     def _find_stream(self, body: bytes) -> bytes:
-        version = self._streams.version_of(body.decode("latin-1"))
-        return stream_registry.encode_version(version)
+        found = self._streams.find(body.decode("latin-1"))
+        return stream_registry.encode_lookup(found)
 
 
 def _with_error_handling(
--- a/packages/gateway/src/balsamloom_gateway/stream_registry.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_registry.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import json
+import math
 import threading
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -29,6 +31,26 @@
     version: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Recorded:
+    """The stream began at a version."""
+
+    version: str
+
+
+@dataclasses.dataclass(frozen=True)
+class NotRecorded:
+    """The stream was not recorded at this host."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Unsure:
+    """The host may have forgotten the stream."""
+
+
+Lookup = Recorded | NotRecorded | Unsure
+
+
 class _Entry(NamedTuple):
     version: str
     expires_ms: float
@@ -38,10 +60,14 @@
     """Streams that began lately; the oldest are forgotten first.
 
     :param clock: time source.
+    :param is_whole: whether no earlier process of this host has recorded
+        streams.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(self, clock: clocks.Clock, is_whole: bool = False) -> None:
         self._clock = clock
+        # Streams that were recorded before this time may be forgotten.
+        self._whole_since_ms = -math.inf if is_whole else clock.now_ms()
         self._lock = threading.Lock()
         self._entries: collections.OrderedDict[str, _Entry] = (
             collections.OrderedDict()
@@ -57,13 +83,17 @@
                 self._entries.move_to_end(stream_id)
             self._drop_old(now_ms)
 
-    def version_of(self, stream_id: str) -> str | None:
-        """Return the version at which a stream began, if it is known."""
+    def find(self, stream_id: str) -> Lookup:
+        """Return the version at which a stream under way began."""
+        now_ms = self._clock.now_ms()
         with self._lock:
             entry = self._entries.get(stream_id)
-        if entry is None or entry.expires_ms <= self._clock.now_ms():
-            return None
-        return entry.version
+            whole_since_ms = self._whole_since_ms
+        if entry is not None and entry.expires_ms > now_ms:
+            return Recorded(entry.version)
+        if now_ms - whole_since_ms < RETENTION_MS:
+            return Unsure()
+        return NotRecorded()
 
     def _drop_old(self, now_ms: float) -> None:
         while self._entries:
@@ -71,6 +101,8 @@
             is_old = oldest.expires_ms <= now_ms
             if not is_old and len(self._entries) <= MAX_STREAMS:
                 return
+            if not is_old:
+                self._whole_since_ms = now_ms
             self._entries.popitem(last=False)
 
 
@@ -93,17 +125,31 @@
         raise ValueError(str(error)) from error
 
 
-def encode_version(version: str | None) -> bytes:
-    """Encode the version at which a stream began as JSON."""
-    return json.dumps(version).encode()
+def encode_lookup(found: Lookup) -> bytes:
+    """Encode what a host knows of a stream as JSON.
+
+    Hosts of the release before answer ``null`` for all unknown streams.
+    """
+    match found:
+        case Recorded(version):
+            return json.dumps(version).encode()
+        case NotRecorded():
+            return b"false"
+        case Unsure():
+            return b"null"
 
 
-def decode_version(body: bytes) -> str | None:
-    """Decode the version at which a stream began, if it is known.
+def decode_lookup(body: bytes) -> Lookup:
+    """Decode what a host knows of a stream.
 
     :raises ValueError: it is malformed.
     """
-    version = json_parsing.parse(body)
-    if version is not None and not isinstance(version, str):
-        raise ValueError("the version is not a string")
-    return version
+    match json_parsing.parse(body):
+        case str(version):
+            return Recorded(version)
+        case False:
+            return NotRecorded()
+        case None:
+            return Unsure()
+        case _:
+            raise ValueError("neither a version, false nor null")
--- a/packages/gateway/src/balsamloom_gateway/stream_versions.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_versions.py
@@ -6,6 +6,7 @@
 import concurrent.futures
 import contextlib
 import dataclasses
+import math
 import random
 import threading
 from collections.abc import Callable
@@ -31,6 +32,10 @@
 CALL_TIMEOUT_MS = 150.0
 # The first event waits this long for a host to know its stream.
 RECORD_TIMEOUT_MS = 60.0
+# All processes know of a storage host this long after one of them.
+HOSTS_KNOWN_MS = 3_000.0
+# Streams begin at one version this long after one could not be recorded.
+UNRELIABLE_PERIOD_MS = 5_000.0
 BREAKER_BACKOFF = circuit_breaker.Backoff(
     1_000.0, 4_000.0, trial_ms=CALL_TIMEOUT_MS
 )
@@ -104,6 +109,9 @@
         )
         # Services whose streams are recorded at storage hosts.
         self._mixed: frozenset[str] = frozenset()
+        # Time since which storage hosts are known, None without one.
+        self._hosts_since_ms: float | None = None
+        self._unreliable_until_ms = -math.inf
 
     def begin(
         self, stream_id: str, server: traffic.BackendServer
@@ -121,7 +129,46 @@
             return _wait_for_nothing
         start = stream_registry.StreamStart(stream_id, server.version)
         calls = self._record([start])
-        return lambda: _wait(calls)
+        return lambda: self._wait_until_recorded(calls)
+
+    def required_version(self, service: str) -> str | None:
+        """Return the version at which a new stream must begin.
+
+        A stream that nobody has recorded began at the version that was alone
+        before the others came. So streams begin elsewhere only if they can
+        be recorded where all processes look for them.
+
+        :return: ``None`` for any.
+        """
+        elder = self._history.elder(service)
+        if elder is None or self._can_record():
+            return None
+        if len(self._history.possible(service)) < 2:
+            return None
+        has_server = any(
+            server.service == service and server.version == elder
+            for server in self._fleet.servers()
+        )
+        return elder if has_server else None
+
+    def _can_record(self) -> bool:
+        """Return whether other processes find what this one records."""
+        now_ms = self._clock.now_ms()
+        since_ms = self._hosts_since_ms
+        return (
+            since_ms is not None
+            and now_ms - since_ms >= HOSTS_KNOWN_MS
+            and now_ms >= self._unreliable_until_ms
+        )
+
+    def _wait_until_recorded(
+        self, calls: list[concurrent.futures.Future[bytes | None]]
+    ) -> None:
+        """Wait a short time until a host knows the stream."""
+        if not _wait(calls):
+            self._unreliable_until_ms = (
+                self._clock.now_ms() + UNRELIABLE_PERIOD_MS
+            )
 
     def origin(self, stream_id: str, service: str) -> Origin:
         """Return where a stream may go on.
@@ -135,9 +182,9 @@
                 possible = frozenset()
             else:
                 possible |= known_to_others
-        version = self._local_version(stream_id) or self._find(stream_id)
-        if version is None and len(possible) == 1:
-            version = next(iter(possible))
+        version = self._local_version(stream_id)
+        if version is None:
+            version = self._conclude(stream_id, service, possible)
         events.log(
             events.Event.STREAM_RESUMED,
             stream_id=stream_id,
@@ -149,14 +196,34 @@
             return Unknown("the version that began the stream is not known")
         return Known(version)
 
+    def _conclude(
+        self, stream_id: str, service: str, possible: frozenset[str]
+    ) -> str | None:
+        """Return the version of a stream that began elsewhere, if certain."""
+        found = self._find(stream_id)
+        elder = self._history.elder(service)
+        match found:
+            case stream_registry.Recorded(version):
+                return version
+            case _ if len(possible) == 1:
+                return next(iter(possible))
+            case stream_registry.NotRecorded() if self._is_current():
+                return elder if elder in possible else None
+            case _:
+                return None
+
     def record_earlier(self) -> None:
         """Record streams that began while their service had one version.
 
         Storage hosts may register only when they are needed for this.
         """
+        self._history.update_elders()
         mixed = self._history.mixed_services()
         if not self._fleet.storage_hosts():
             mixed = frozenset()
+            self._hosts_since_ms = None
+        elif self._hosts_since_ms is None:
+            self._hosts_since_ms = self._clock.now_ms()
         added = mixed - self._mixed
         self._mixed = mixed
         if not added:
@@ -222,30 +289,41 @@
             for host, found in by_host.items()
         ]
 
-    def _find(self, stream_id: str) -> str | None:
+    def _find(self, stream_id: str) -> stream_registry.Lookup:
         """Ask storage hosts for the version at which a stream began.
 
         A host may know of a version that this process has not seen yet.
         """
         if not stream_id:
-            return None
+            return stream_registry.Unsure()
+        result: stream_registry.Lookup = stream_registry.NotRecorded()
         ranked = replicas.rank(stream_id, self._fleet.storage_hosts())
         for host in ranked[:MAX_LOOKUPS]:
-            answer = self._processes.post(
-                host,
-                peers.FIND_STREAM_PATH,
-                stream_id.encode("latin-1"),
-                CALL_TIMEOUT_MS,
-            )
-            if answer is None:
-                continue
-            try:
-                version = stream_registry.decode_version(answer)
-            except ValueError:
-                continue
-            if version is not None:
-                return version
-        return None
+            found = self._find_at(host, stream_id)
+            match found:
+                case stream_registry.Recorded():
+                    return found
+                case stream_registry.Unsure():
+                    result = found
+                case stream_registry.NotRecorded():
+                    pass
+        return result
+
+    def _find_at(
+        self, host: replicas.StorageHost, stream_id: str
+    ) -> stream_registry.Lookup:
+        answer = self._processes.post(
+            host,
+            peers.FIND_STREAM_PATH,
+            stream_id.encode("latin-1"),
+            CALL_TIMEOUT_MS,
+        )
+        if answer is None:
+            return stream_registry.Unsure()
+        try:
+            return stream_registry.decode_lookup(answer)
+        except ValueError:
+            return stream_registry.Unsure()
 
     def _drop_old(self) -> None:
         oldest_ms = self._clock.now_ms() - stream_registry.RETENTION_MS
@@ -257,10 +335,11 @@
             self._streams.popitem(last=False)
 
 
-def _wait(calls: list[concurrent.futures.Future[bytes | None]]) -> None:
-    """Wait a short time until a host knows the stream."""
+def _wait(calls: list[concurrent.futures.Future[bytes | None]]) -> bool:
+    """Wait a short time until a call succeeds; return whether one did."""
     timeout_s = RECORD_TIMEOUT_MS / clocks.MS_PER_S
     with contextlib.suppress(TimeoutError):
         for call in concurrent.futures.as_completed(calls, timeout_s):
             if call.result() is not None:
-                return
+                return True
+    return False
--- a/packages/gateway/src/balsamloom_gateway/version_history.py
+++ b/packages/gateway/src/balsamloom_gateway/version_history.py
@@ -85,6 +85,7 @@
         self._revisions: dict[str, int] = {}
         # Time from which this member writes a service's record.
         self._due_ms: dict[str, float] = {}
+        self._elders: dict[str, str] = {}
 
     def apply(self, changes: list[interfaces.Change]) -> None:
         """Apply changed records of versions."""
@@ -102,6 +103,24 @@
         registered = self._registered().get(service, frozenset())
         return possible_versions(known, registered, self._clock.wall_ms())
 
+    def elder(self, service: str) -> str | None:
+        """Return the version that was alone when the others came.
+
+        :return: ``None`` if this process has not seen a version alone.
+        """
+        with self._lock:
+            return self._elders.get(service)
+
+    def update_elders(self) -> None:
+        """Note the versions that are alone now; forget those that left."""
+        for service in self.resumable_services():
+            possible = self.possible(service)
+            with self._lock:
+                if len(possible) == 1:
+                    self._elders[service] = next(iter(possible))
+                elif self._elders.get(service) not in possible:
+                    self._elders.pop(service, None)
+
     def mixed_services(self) -> frozenset[str]:
         """Return the services whose streams may be of several versions."""
         return frozenset(
--- a/packages/gateway/tests/storage_nodes.py
+++ b/packages/gateway/tests/storage_nodes.py
@@ -59,7 +59,7 @@
             self.database,
             self.commits,
             self.copies,
-            stream_registry.StreamRegistry(clock),
+            stream_registry.StreamRegistry(clock, is_first_start),
         )
         address = self.name
         if self._cluster.is_networked:
--- a/packages/gateway/tests/test_json_parsing.py
+++ b/packages/gateway/tests/test_json_parsing.py
@@ -68,7 +68,7 @@
         for value in MALFORMED:
             for decode in (
                 stream_registry.decode_starts,
-                stream_registry.decode_version,
+                stream_registry.decode_lookup,
                 peer_service._json_call(dict),
             ):
                 with self.subTest(value[:20]), self.assertRaises(ValueError):
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -16,6 +16,7 @@
     fleet,
     interfaces,
     stream_registry,
+    stream_versions,
     traffic,
     version_history,
 )
@@ -125,10 +126,10 @@
         registry = stream_registry.StreamRegistry(clock)
         registry.record([stream_registry.StreamStart("r1", "v1")])
         registry.record([stream_registry.StreamStart("r1", "v2")])
-        self.assertEqual(registry.version_of("r1"), "v2")
-        self.assertIsNone(registry.version_of("r2"))
+        self.assertEqual(registry.find("r1"), stream_registry.Recorded("v2"))
+        self.assertEqual(registry.find("r2"), stream_registry.Unsure())
         clock.advance(stream_registry.RETENTION_MS)
-        self.assertIsNone(registry.version_of("r1"))
+        self.assertEqual(registry.find("r1"), stream_registry.NotRecorded())
         registry.record([])
         self.assertEqual(len(registry._entries), 0)
 
@@ -136,9 +137,29 @@
         for body in (b"", b"{", b"[1]", b"[[1]]", b"1"):
             with self.subTest(body), self.assertRaises(ValueError):
                 stream_registry.decode_starts(body)
-        for body in (b"", b"1", b"[]"):
+        for body in (b"", b"1", b"[]", b"true"):
             with self.subTest(body), self.assertRaises(ValueError):
-                stream_registry.decode_version(body)
+                stream_registry.decode_lookup(body)
+
+    def test_what_a_host_knows_survives_the_message(self):
+        for found in (
+            stream_registry.Recorded("v1"),
+            stream_registry.NotRecorded(),
+            stream_registry.Unsure(),
+        ):
+            encoded = stream_registry.encode_lookup(found)
+            self.assertEqual(stream_registry.decode_lookup(encoded), found)
+
+    def test_host_that_forgot_streams_is_unsure_for_a_while(self):
+        clock = builders.manual_clock()
+        registry = stream_registry.StreamRegistry(clock, is_whole=True)
+        self.assertEqual(registry.find("r1"), stream_registry.NotRecorded())
+        count = stream_registry.MAX_STREAMS + 1
+        registry.record(
+            stream_registry.StreamStart(str(number), "v1")
+            for number in range(count)
+        )
+        self.assertEqual(registry.find("0"), stream_registry.Unsure())
 
 
 class ResumedStreamTest(gateway_case.GatewayCase):
@@ -270,10 +291,39 @@
 
     def known_versions(self):
         return [
-            node.service._streams.version_of("r1")
+            found.version
             for node in self.cluster.nodes
+            if isinstance(
+                found := node.service._streams.find("r1"),
+                stream_registry.Recorded,
+            )
         ]
 
+    def test_stream_that_nobody_recorded_goes_on_at_the_elder_version(self):
+        # It began at a process that was killed before it knew of the second
+        # version; such streams were joined from two versions or refused by
+        # all processes (review/4).
+        self.start("v1")
+        self.begin("r1")
+        self.begin_second_version()
+        self.assertEqual(self.resume("unknown"), (200, "v1"))
+        node = self.cluster.nodes[0]
+        node.service._streams = stream_registry.StreamRegistry(
+            self.gateway.clock
+        )
+        self.assertEqual(self.resume("unknown")[0], 503)
+
+    def test_streams_begin_at_the_elder_version_until_they_can_be_found(self):
+        self.start("v1")
+        self.begin("r1")
+        self.begin_second_version()
+        found = {self.begin("r1") for _ in range(12)}
+        self.assertEqual(found, {"v1"})
+        self.gateway.streams._hosts_since_ms -= stream_versions.HOSTS_KNOWN_MS
+        until_s = time.monotonic() + TIMEOUT_S
+        while self.begin("r1") == "v1":
+            self.assertLess(time.monotonic(), until_s, "never at v2")
+
     def test_version_that_only_storage_hosts_know_of_is_not_joined(self):
         # The second version has come; this process has not read it yet.
         self.start("v1")
