--- a/packages/gateway/src/balsamloom_gateway/background.py
+++ b/packages/gateway/src/balsamloom_gateway/background.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import threading
 from collections.abc import Callable
 
@@ -29,11 +28,5 @@
             target()
             return
         except Exception as error:
-            events.log(
-                events.Event.BACKGROUND_FAILED,
-                logging.ERROR,
-                task=failures.task_name(target),
-                reason=repr(error),
-                place=failures.place(error),
-            )
+            failures.log(events.Event.BACKGROUND_FAILED, target, error)
             clock.sleep(RESTART_DELAY_MS)
--- a/packages/gateway/src/balsamloom_gateway/callbacks.py
+++ b/packages/gateway/src/balsamloom_gateway/callbacks.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 
 from balsamloom_core import events
@@ -21,12 +20,6 @@
     try:
         callback(*arguments)
     except Exception as error:
-        events.log(
-            events.Event.CHANGE_NOT_APPLIED,
-            logging.ERROR,
-            task=failures.task_name(callback),
-            reason=repr(error),
-            place=failures.place(error),
-        )
+        failures.log(events.Event.CHANGE_NOT_APPLIED, callback, error)
         return False
     return True
--- a/packages/gateway/src/balsamloom_gateway/failures.py
+++ b/packages/gateway/src/balsamloom_gateway/failures.py
@@ -1,18 +1,29 @@
-"""Descriptions of unexpected errors for the logs."""
+"""Log lines about unexpected errors, with the place where they came from."""
 
 from __future__ import annotations
 
+import logging
 import pathlib
 import traceback
 from collections.abc import Callable
 
+from balsamloom_core import events
+
 # Call frames that a log line shows.
 MAX_FRAMES = 6
 
 
-def task_name(task: Callable[..., object]) -> str:
-    """Return the name of the function or method that failed."""
-    return str(getattr(task, "__qualname__", repr(task)))
+def log(
+    event: events.Event, task: Callable[..., object], error: Exception
+) -> None:
+    """Log that a function or method failed unexpectedly."""
+    events.log(
+        event,
+        logging.ERROR,
+        task=getattr(task, "__qualname__", repr(task)),
+        reason=repr(error),
+        place=place(error),
+    )
 
 
 def place(error: BaseException) -> str:
