gateway: tokens of a lost holder count once at later successors too

Change: a holder reports what it has taken over, with its usage, and standbys count that as its own; a report of the lost holder itself ends this. Older processes ignore the field.

The tests in test_ledger use the new reports, so they cannot run on the old code.

--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -133,9 +133,12 @@
             self._changed.notify_all()
 
     def merge_usages(
-        self, holder: str, usages: Sequence[ledger.Usage], is_complete: bool
+        self,
+        holder: str,
+        reports: Sequence[ledger.UsageReport],
+        is_complete: bool,
     ) -> None:
-        """Merge the usage that another holder reported.
+        """Merge the usages that another holder reported.
 
         :param holder: name and incarnation of the other holder.
         :param is_complete: whether programs that it never reported are new.
@@ -143,9 +146,9 @@
         with self._changed:
             if is_complete:
                 self._complete_report_ms = self._clock.now_ms()
-            for usage in usages:
-                account = self._account(usage.program_id, usage.budget_tokens)
-                account.merge_usage(holder, usage)
+            for report in reports:
+                account = self._account(*report.usage[:2])
+                account.merge_report(holder, report)
 
     def peer_unrecorded_tokens(self, program_id: str) -> dict[str, int]:
         """Return the unrecorded tokens of other holders, by their id."""
@@ -185,10 +188,10 @@
             result = self._reserve(account, tokens, policy)
             self._mark_unreported(program_id)
             needs_standby = account.unrecorded_tokens > 0
-            usage = account.usage
+            report = account.report
         if not isinstance(result, ledger.Reservation) or not needs_standby:
             return result, account.recent_servers
-        if not self._report_to_any_standby(usage):
+        if not self._report_to_any_standby(report):
             self.settle(program_id, tokens, 0, "")
             reason = "no standby confirmed the unrecorded tokens"
             return RecordingFailure(reason), account.recent_servers
@@ -245,11 +248,12 @@
                     if account.take_over(name):
                         account.requested_tokens = account.unrecorded_tokens
                         self._deferred.add(account.program_id)
+                        self._unreported.add(account.program_id)
             self._lost_holders.clear()
 
     def _report_to_standbys(self) -> None:
         """Report changed usage to the other holders."""
-        usages: dict[str, list[ledger.Usage]] = {}
+        reports: dict[str, list[ledger.UsageReport]] = {}
         with self._changed:
             is_complete = self._knows_all_programs()
             for program_id in list(self._unreported):
@@ -260,16 +264,16 @@
                     self._unreported.discard(program_id)
                 for standby in stale:
                     assert account is not None
-                    usages.setdefault(standby, []).append(account.usage)
-        for standby, found in usages.items():
+                    reports.setdefault(standby, []).append(account.report)
+        for standby, found in reports.items():
             if self.standbys.report(standby, found, is_complete):
                 self._mark_reported(standby, found)
 
     def _mark_reported(
-        self, standby: str, usages: Sequence[ledger.Usage]
+        self, standby: str, reports: Sequence[ledger.UsageReport]
     ) -> None:
         with self._changed:
-            for usage in usages:
+            for usage, _ in reports:
                 account = self._accounts.get(usage.program_id)
                 if account is not None:
                     account.reported_usage[standby] = usage
@@ -306,11 +310,11 @@
             self._changed.notify_all()
         self._unreported.add(program_id)
 
-    def _report_to_any_standby(self, usage: ledger.Usage) -> bool:
+    def _report_to_any_standby(self, report: ledger.UsageReport) -> bool:
         """Report to standbys until one confirms; return whether one did."""
         return any(
-            self.standbys.report(standby, [usage], is_complete=False)
-            for standby in self.standbys.of(usage.program_id)
+            self.standbys.report(standby, [report], is_complete=False)
+            for standby in self.standbys.of(report.usage.program_id)
         )
 
     def _query_standbys(
@@ -346,6 +350,7 @@
             if account.unrecorded_tokens:
                 account.requested_tokens = account.unrecorded_tokens
                 self._deferred.add(program_id)
+                self._unreported.add(program_id)
                 self._changed.notify_all()
 
     def _reserve(
--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -60,6 +60,17 @@
     unrecorded_tokens: int
 
 
+class UsageReport(NamedTuple):
+    """Usage that a holder reports to its standbys.
+
+    It includes ``covered_tokens``: unrecorded tokens that the holder has taken
+    over from lost ones, by their ids.
+    """
+
+    usage: Usage
+    covered_tokens: Mapping[str, int]
+
+
 class QueriedUsage(NamedTuple):
     """Usage that other holders know.
 
@@ -114,6 +125,8 @@
         self.has_queried_standbys = False
         # Tokens of lost holders that are counted here, by the holders' ids.
         self.taken_over_tokens: dict[str, int] = {}
+        # The same of other holders, by the id of the one that counts them.
+        self._covered_tokens: dict[str, Mapping[str, int]] = {}
         self.max_turn_tokens = 0
         # Whether this process replaces a primary holder that is unreachable.
         # Later turns return to the primary holder, so an allocation covers
@@ -138,6 +151,11 @@
             self.unrecorded_tokens,
         )
 
+    @property
+    def report(self) -> UsageReport:
+        """Return the report of this holder to its standbys."""
+        return UsageReport(self.usage, dict(self.taken_over_tokens))
+
     @property
     def max_overrun_tokens(self) -> int:
         """Return by how much allocations may exceed the budget.
@@ -177,6 +195,24 @@
         self.peer_unrecorded_tokens[holder] = usage.unrecorded_tokens
         self.recorded_tokens = max(self.recorded_tokens, usage.recorded_tokens)
 
+    def merge_report(self, holder: str, report: UsageReport) -> None:
+        """Merge a report of another holder.
+
+        Tokens that it has taken over from a lost one count as its own.
+
+        :param holder: name and incarnation of the other holder.
+        """
+        # A holder that reports itself may have handed out new tokens.
+        self.taken_over_tokens.pop(holder, None)
+        for reporter, covered in self._covered_tokens.items():
+            self._covered_tokens[reporter] = _without(covered, holder)
+        self.merge_usage(holder, report.usage)
+        self._covered_tokens[holder] = report.covered_tokens
+        for lost, tokens in report.covered_tokens.items():
+            rest = self.peer_unrecorded_tokens.pop(lost, 0) - tokens
+            if rest > 0:
+                self.peer_unrecorded_tokens[lost] = rest
+
     def take_over(self, name: str) -> bool:
         """Take over the unrecorded tokens of a lost holder.
 
@@ -198,8 +234,19 @@
         self.unrecorded_tokens += tokens
         known = self.taken_over_tokens.get(holder, 0)
         self.taken_over_tokens[holder] = known + tokens
+        # What the holder had taken over itself is counted here as well now.
+        for lost, covered in self._covered_tokens.pop(holder, {}).items():
+            known = self.taken_over_tokens.get(lost, 0)
+            self.taken_over_tokens[lost] = max(known, covered)
         return tokens
 
+    def _counted_tokens(self, lost: str) -> int:
+        """Return the tokens of a lost holder that some holder counts."""
+        covered = [
+            found.get(lost, 0) for found in self._covered_tokens.values()
+        ]
+        return max(self.taken_over_tokens.get(lost, 0), *covered, 0)
+
     def merge_queried(
         self, holder: str, found: QueriedUsage, takes_over: bool
     ) -> None:
@@ -219,7 +266,7 @@
             if other in self.peer_unrecorded_tokens:
                 # Its own report is newer, and is taken over by its name.
                 continue
-            new_tokens = tokens - self.taken_over_tokens.get(other, 0)
+            new_tokens = tokens - self._counted_tokens(other)
             if new_tokens <= 0:
                 continue
             self.peer_unrecorded_tokens[other] = new_tokens
@@ -339,6 +386,10 @@
         self.left_tokens += tokens - covered
 
 
+def _without(tokens: Mapping[str, int], holder: str) -> Mapping[str, int]:
+    return {key: value for key, value in tokens.items() if key != holder}
+
+
 def add_recent_server(
     servers: tuple[str, ...], server_id: str
 ) -> tuple[str, ...]:
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -90,9 +90,22 @@
         return {}
 
     def _merge_usages(self, body: dict[str, Any]) -> dict[str, Any]:
-        usages = [ledger.Usage(*usage) for usage in body["claims"]]
+        # Processes of the release before do not send the covered tokens.
+        covered = body.get("covered") or {}
+        reports = [
+            ledger.UsageReport(
+                usage,
+                {
+                    str(holder): int(tokens)
+                    for holder, tokens in covered.get(
+                        usage.program_id, {}
+                    ).items()
+                },
+            )
+            for usage in (ledger.Usage(*claim) for claim in body["claims"])
+        ]
         self._book.merge_usages(
-            str(body["holder"]), usages, bool(body["is_sure"])
+            str(body["holder"]), reports, bool(body["is_sure"])
         )
         return {}
 
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -34,7 +34,10 @@
         """Return whether this member is the program's primary holder."""
 
     def report(
-        self, standby: str, usages: Sequence[ledger.Usage], is_complete: bool
+        self,
+        standby: str,
+        reports: Sequence[ledger.UsageReport],
+        is_complete: bool,
     ) -> bool:
         """Report usage to a standby; return whether it confirmed.
 
@@ -60,7 +63,10 @@
         return True
 
     def report(
-        self, standby: str, usages: Sequence[ledger.Usage], is_complete: bool
+        self,
+        standby: str,
+        reports: Sequence[ledger.UsageReport],
+        is_complete: bool,
     ) -> bool:
         """Return false, as no standby can confirm."""
         return False
@@ -106,10 +112,22 @@
         return bool(holders) and holders[0].name == self._name
 
     def report(
-        self, standby: str, usages: Sequence[ledger.Usage], is_complete: bool
+        self,
+        standby: str,
+        reports: Sequence[ledger.UsageReport],
+        is_complete: bool,
     ) -> bool:
         """Report usage to a standby; return whether it confirmed."""
-        body = {"holder": self._id, "claims": usages, "is_sure": is_complete}
+        body = {
+            "holder": self._id,
+            "claims": [report.usage for report in reports],
+            "covered": {
+                report.usage.program_id: report.covered_tokens
+                for report in reports
+                if report.covered_tokens
+            },
+            "is_sure": is_complete,
+        }
         name = standby.partition("/")[0]
         for member in self._fleet.members():
             if member.name == name:
--- a/packages/gateway/tests/test_budget_ledger.py
+++ b/packages/gateway/tests/test_budget_ledger.py
@@ -26,8 +26,8 @@
     def is_primary(self, program_id):
         return True
 
-    def report(self, standby, usages, is_complete):
-        for usage in usages:
+    def report(self, standby, reports, is_complete):
+        for usage, _ in reports:
             self.usages[usage.program_id] = usage
         return True
 
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -147,10 +147,10 @@
                 "refused"
             )
 
-    def end_outage(self):
-        """Let the store answer, and callers' processes notice it."""
-        for store, *_ in self.members.values():
-            store.error = None
+    def end_outage(self, *names):
+        """Let the store answer some members or all, and callers notice it."""
+        for name in names or self.members:
+            self.members[name][0].error = None
         self.clock.sleep(budgets.OUTAGE_PAUSE_MS)
 
     def reserve(self, name):
@@ -421,7 +421,9 @@
             store.error = None
         # A report of another holder says nothing of the lost one.
         reported = ledger.Usage("p", BUDGET, 0, 0)
-        self.members["2a"][1].merge_usages("3b/False", [reported], False)
+        self.members["2a"][1].merge_usages(
+            "3b/False", [ledger.UsageReport(reported, {})], False
+        )
         # Turns of one moment query at once, and count the tokens once.
         callers = [
             threading.Thread(target=self.reserve, args=("4c",))
--- a/packages/gateway/tests/test_ledger.py
+++ b/packages/gateway/tests/test_ledger.py
@@ -100,6 +100,59 @@
         self.assertEqual(self.account.known_usage().unrecorded_tokens, 0)
 
 
+class TakenOverTest(unittest.TestCase):
+    """Guards against tokens of a lost holder that count twice.
+
+    After a second loss, programs got 402 with two fifths of their budget left.
+    """
+
+    def setUp(self):
+        self.account = ledger.Account("p", 600)
+        self.report("m1/1", 0, 240)
+
+    def report(self, holder, recorded, unrecorded, covered=None):
+        usage = ledger.Usage("p", 600, recorded, unrecorded)
+        report = ledger.UsageReport(usage, covered or {})
+        self.account.merge_report(holder, report)
+
+    def counted(self):
+        known = self.account.known_usage()
+        return known.recorded_tokens + known.unrecorded_tokens
+
+    def test_tokens_that_another_holder_took_over_count_once(self):
+        self.report("m2/1", 0, 240, {"m1/1": 240})
+        self.assertEqual(self.counted(), 240)
+        self.report("m2/1", 360, 0, {"m1/1": 240})
+        self.assertEqual(self.counted(), 360)
+
+    def test_tokens_that_nobody_took_over_still_count(self):
+        self.report("m2/1", 0, 100, {"m1/1": 100})
+        self.assertEqual(self.counted(), 240)
+        self.report("m3/1", 0, 60)
+        self.assertEqual(self.counted(), 300)
+
+    def test_answers_of_others_do_not_add_them_again(self):
+        self.report("m2/1", 360, 0, {"m1/1": 240})
+        usage = ledger.Usage("p", 600, 360, 240)
+        queried = ledger.QueriedUsage(
+            usage, {"m1/1": 240}, frozenset(["m1/1"])
+        )
+        for _ in range(2):
+            self.account.merge_queried("asked", queried, takes_over=True)
+        self.assertEqual(self.counted(), 360)
+
+    def test_successor_of_a_successor_tells_what_both_had_taken_over(self):
+        self.report("m2/1", 0, 300, {"m1/1": 240})
+        self.account.take_over("m2")
+        covered = self.account.report.covered_tokens
+        self.assertEqual(covered, {"m1/1": 240, "m2/1": 300})
+
+    def test_holder_that_lives_after_all_counts_in_full(self):
+        self.report("m2/1", 360, 0, {"m1/1": 240})
+        self.report("m1/1", 360, 60)
+        self.assertEqual(self.counted(), 420)
+
+
 class CrashTest(unittest.TestCase):
     """Guards against overspending when a holder crashes."""
 
