gateway: a request that servers answer is not counted as crashing them

A broken attempt also counted after a later answer to the same request.

Change: a process does not count crashes of a request that it has seen answered, and forgets broken attempts of one that is answered. A deadly request is never answered, so the limit on it stays.

Evidence: the new tests in test_crashes fail without the change.

--- a/packages/gateway/src/balsamloom_gateway/crash_detection.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_detection.py
@@ -104,7 +104,16 @@
         self._reports.report(call.key, server, call.metadata.request_id)
 
     def record_served(self, call: responses.Call) -> None:
-        """Record that a server answered a call."""
+        """Record that a server answered a call.
+
+        Earlier attempts that broke then did not crash their servers.
+        """
+        with self._lock:
+            self._suspects = [
+                suspect
+                for suspect in self._suspects
+                if suspect.key != call.key
+            ]
         self._reports.record_served(call.key)
 
     def refusal(self, call: responses.Call) -> balancer.NoServer | None:
--- a/packages/gateway/src/balsamloom_gateway/crash_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_ledger.py
@@ -11,14 +11,16 @@
 import collections
 import hashlib
 import threading
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
+
+T = TypeVar("T")
 
 # Crashes after which a request is not sent to any other server.
 MAX_CRASHES = 3
 # A request may run again this long after its last crash.
 RETENTION_MS = 600_000.0
-# Served targets that a process remembers.
-MAX_SERVED_TARGETS = 4_096
+# Served targets, and served requests, that a process remembers.
+MAX_SERVED = 4_096
 DIGEST_BYTES = 12
 
 
@@ -65,6 +67,9 @@
         self._served: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self._served_requests: collections.OrderedDict[RequestKey, None] = (
+            collections.OrderedDict()
+        )
 
     def add(self, crash: Crash) -> bool:
         """Add a crash; return whether it was unknown."""
@@ -99,12 +104,18 @@
         :return: crashes under the same request, which it did not cause.
         """
         with self._lock:
-            self._served[key.target_id] = None
-            self._served.move_to_end(key.target_id)
-            if len(self._served) > MAX_SERVED_TARGETS:
-                self._served.popitem(last=False)
+            _remember(self._served, key.target_id)
+            _remember(self._served_requests, key)
             return self._of_body(key)
 
+    def was_served(self, key: RequestKey) -> bool:
+        """Return whether a server answered the same request lately.
+
+        It crashes no servers then; it was at one that another crashed.
+        """
+        with self._lock:
+            return key in self._served_requests
+
     def must_share(self, target_id: str) -> bool:
         """Return whether only this process knows that a target is served."""
         with self._lock:
@@ -167,3 +178,11 @@
             for (body_id, server_run), wall_ms in crashes.items()
             if body_id == key.body_id
         ]
+
+
+def _remember(served: collections.OrderedDict[T, None], entry: T) -> None:
+    """Add an entry as the latest one, and drop the oldest beyond a limit."""
+    served[entry] = None
+    served.move_to_end(entry)
+    if len(served) > MAX_SERVED:
+        served.popitem(last=False)
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import math
 import time
 import unittest
 
@@ -155,6 +156,21 @@
         self.assertIsNone(first.blocked_ms(key()))
         self.assertIsNone(self.started_process().blocked_ms(key()))
 
+    def test_request_that_is_served_otherwise_crashes_no_server(self):
+        # Three servers crashed within a second under another request. Those
+        # that waited there with the same body as all others of their target
+        # were refused for ten minutes (soak, seed 82007).
+        reports = self.process()
+        reports.record_served(key())
+        self.report(reports)
+        self.assertIsNone(reports.blocked_ms(key()))
+        self.assertEqual(self.store.items, {})
+        for number in range(3):
+            server = builders.server(f"s{number}")
+            reports.report(key(body=b"deadly"), server, "r")
+        self.assertIsNotNone(reports.blocked_ms(key(body=b"deadly")))
+        self.assertIsNone(reports.blocked_ms(key()))
+
     def test_served_request_costs_one_call_of_the_store(self):
         reports = self.process()
         self.report(reports, 1)
@@ -338,6 +354,21 @@
         self.gateway.detector.apply_servers(servers)
         self.assertEqual(self.gateway.store.items, {})
 
+    def test_broken_attempt_of_a_request_that_is_served_is_no_crash(self):
+        def resetting_once(connection, count):
+            owner = self.owner(connection)
+            owner.read_request(connection)
+            if count:
+                connection.sendall(scripted.answer())
+            connection.close()
+
+        gateway = self.start(resetting_once)
+        self.assertEqual(self.send("/once/t").status, 502)
+        self.assertEqual(self.send("/once/t").status, 200)
+        restarted = [builders.server("s0", incarnation=2)]
+        gateway.detector.apply_servers(restarted)
+        self.assertEqual(gateway.crashes._ledger.expired(math.inf), [])
+
     def test_server_that_was_back_at_once_has_crashed(self):
         gateway = self.start(*[self.resetting] * SERVERS)
         for _ in range(3):
