gateway: others are asked again for the tokens of a lost holder

The successor knew 111 tokens from its own reports, another standby the last turn as well; a holder that had asked before never asked again.

Change: when a member is lost, holders ask for each program again with its next turn, and what others know of a lost holder counts if it is more.

Evidence: the new case in test_ledger fails without the change (240 counted, 300 handed out).

--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -124,12 +124,15 @@
     def handle_lost_holder(self, name: str) -> None:
         """Record the unrecorded tokens of a lost member.
 
-        The next allocations of the programs held here cover them.
+        The next allocations of the programs held here cover them. Others may
+        know of more, so they are asked again.
 
         :param name: name of the lost member.
         """
         with self._changed:
             self._lost_holders.add(name)
+            for account in self._accounts.values():
+                account.has_queried_standbys = False
             self._changed.notify_all()
 
     def merge_usages(
--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -263,11 +263,13 @@
         rest_tokens = usage.unrecorded_tokens
         for other, tokens in found.unrecorded_tokens.items():
             rest_tokens -= tokens
-            if other in self.peer_unrecorded_tokens:
-                # Its own report is newer, and is taken over by its name.
+            reported_tokens = self.peer_unrecorded_tokens.get(other)
+            if reported_tokens is not None and other not in found.lost_holders:
+                # Its own report is newer.
                 continue
+            # The last report of a lost holder may have reached others only.
             new_tokens = tokens - self._counted_tokens(other)
-            if new_tokens <= 0:
+            if new_tokens <= (reported_tokens or 0):
                 continue
             self.peer_unrecorded_tokens[other] = new_tokens
             if may_take_over and other in found.lost_holders:
--- a/packages/gateway/tests/test_ledger.py
+++ b/packages/gateway/tests/test_ledger.py
@@ -147,6 +147,21 @@
         covered = self.account.report.covered_tokens
         self.assertEqual(covered, {"m1/1": 240, "m2/1": 300})
 
+    def test_others_may_know_a_later_report_of_a_lost_holder(self):
+        # Each unrecorded turn is confirmed by any one standby, and another
+        # one than the successor knew of the last (soak, seed 703).
+        usage = ledger.Usage("p", 600, 0, 300)
+        for lost, counted in ((frozenset(), 240), (frozenset(["m1/1"]), 300)):
+            for takes_over in (False, True):
+                with self.subTest(lost=lost, takes_over=takes_over):
+                    self.setUp()
+                    queried = ledger.QueriedUsage(usage, {"m1/1": 300}, lost)
+                    for _ in range(2):
+                        self.account.merge_queried(
+                            "asked", queried, takes_over
+                        )
+                    self.assertEqual(self.counted(), counted)
+
     def test_holder_that_lives_after_all_counts_in_full(self):
         self.report("m2/1", 360, 0, {"m1/1": 240})
         self.report("m1/1", 360, 60)
