gateway: a request that was answered once may still be found deadly

Change: its crashes count and are recorded as those of all others. A process that has seen it answered lets it run until the fifth crash, two retries where three are allowed; if it is answered again, all processes forget its crashes.

Evidence: the two tests in test_crashes fail on the code before (no crash recorded).

--- a/packages/gateway/src/balsamloom_gateway/crash_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_ledger.py
@@ -17,6 +17,9 @@
 
 # Crashes after which a request is not sent to any other server.
 MAX_CRASHES = 3
+# The same for a request that was answered before. It probably waited at
+# servers that another one crashed, which is stopped sooner.
+MAX_CRASHES_OF_SERVED = 5
 # A request may run again this long after its last crash.
 RETENTION_MS = 600_000.0
 # Served targets, and served requests, that a process remembers.
@@ -108,14 +111,6 @@
             _remember(self._served_requests, key)
             return self._of_body(key)
 
-    def was_served(self, key: RequestKey) -> bool:
-        """Return whether a server answered the same request lately.
-
-        It crashes no servers then; it was at one that another crashed.
-        """
-        with self._lock:
-            return key in self._served_requests
-
     def must_share(self, target_id: str) -> bool:
         """Return whether only this process knows that a target is served."""
         with self._lock:
@@ -133,11 +128,16 @@
     def blocked_until_ms(self, key: RequestKey) -> float | None:
         """Return the time of day until which a request may not run.
 
+        A process that has seen it answered lets it run a little longer; if it
+        is answered again, its crashes are forgotten by all.
+
         :return: ``None`` if it may run.
         """
         with self._lock:
             runs = self._runs(key)
-            if len(runs) < MAX_CRASHES:
+            is_served = key in self._served_requests
+            limit = MAX_CRASHES_OF_SERVED if is_served else MAX_CRASHES
+            if len(runs) < limit:
                 return None
             return max(runs.values()) + RETENTION_MS
 
--- a/packages/gateway/src/balsamloom_gateway/crash_reports.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_reports.py
@@ -85,12 +85,7 @@
         server: traffic.BackendServer,
         request_id: str,
     ) -> None:
-        """Record that a server crashed while it had a request.
-
-        A request that a server has answered lately did not crash it.
-        """
-        if self._ledger.was_served(key):
-            return
+        """Record that a server crashed while it had a request."""
         run = f"{server.server_id}.{server.incarnation}"
         crash = crash_ledger.Crash(key, run, self._clock.wall_ms())
         if not self._ledger.add(crash):
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -156,7 +156,7 @@
         self.assertIsNone(first.blocked_ms(key()))
         self.assertIsNone(self.started_process().blocked_ms(key()))
 
-    def test_request_that_is_served_otherwise_crashes_no_server(self):
+    def test_request_that_was_served_before_may_prove_itself(self):
         # Three servers crashed within a second under another request. Those
         # that waited there with the same body as all others of their target
         # were refused for ten minutes (soak, seed 82007).
@@ -164,12 +164,26 @@
         reports.record_served(key())
         self.report(reports)
         self.assertIsNone(reports.blocked_ms(key()))
-        self.assertEqual(self.store.items, {})
-        for number in range(3):
-            server = builders.server(f"s{number}")
-            reports.report(key(body=b"deadly"), server, "r")
-        self.assertIsNotNone(reports.blocked_ms(key(body=b"deadly")))
+        other = self.started_process()
+        self.assertIsNotNone(other.blocked_ms(key()))
+        reports.record_served(key())
+        reports.write_pending()
+        other.apply([interfaces.Deletion(k, 99) for k in self.crash_keys()])
+        self.assertIsNone(other.blocked_ms(key()))
+
+    def crash_keys(self):
+        records = builders.Records()
+        return [records.crash_key(*key(), f"s{n}.1") for n in range(3)]
+
+    def test_request_that_turns_deadly_after_answers_is_blocked_too(self):
+        reports = self.process()
+        reports.record_served(key())
+        limit = crash_ledger.MAX_CRASHES_OF_SERVED
+        self.report(reports, limit - 1)
         self.assertIsNone(reports.blocked_ms(key()))
+        self.report(reports, limit)
+        self.assertIsNotNone(reports.blocked_ms(key()))
+        self.assertIsNotNone(self.started_process().blocked_ms(key()))
 
     def test_served_request_costs_one_call_of_the_store(self):
         reports = self.process()
