gateway: nobody waits for records that cannot be followed

The bound stood twice.

Change: Follower.await_records holds the bound and does not wait while the records cannot be followed: 503 at once.

--- a/packages/gateway/src/balsamloom_gateway/conversations.py
+++ b/packages/gateway/src/balsamloom_gateway/conversations.py
@@ -33,9 +33,6 @@
 # A host that is unreachable for this long counts as lost. By then the other
 # hosts have copied the turns of which they and the lost host had replicas.
 LOST_HOST_TIMEOUT_MS = 10_000.0
-# Longest wait for the registered hosts before a turn is said not to exist. A
-# view follows the store within a second.
-MAX_HOSTS_WAIT_MS = 2_000.0
 # Each loss of a host while a chain is written can divide it once more.
 MAX_CHAIN_PARTS = 16
 # A host that answered within this time is expected to answer again.
@@ -161,13 +158,12 @@
         that this process did not know when it asked are asked as well.
         """
         started_ms = self._clock.now_ms()
-        until_known_ms = min(until_ms, started_ms + MAX_HOSTS_WAIT_MS)
         while True:
             hosts = self._hosts()
             found = self._read_from_hosts(hosts, turn_id, group_hint, until_ms)
             if not isinstance(found, turns.Absent):
                 return found
-            if not self._await_hosts(started_ms, until_known_ms):
+            if not self._await_hosts(started_ms, until_ms):
                 return turns.Unsure("other storage hosts may be registered")
             if set(self._hosts()) <= set(hosts):
                 return found
--- a/packages/gateway/src/balsamloom_gateway/feed.py
+++ b/packages/gateway/src/balsamloom_gateway/feed.py
@@ -75,7 +75,7 @@
         self._clock = clock
         self._decode = decode
         self._lock = threading.Lock()
-        self._read = threading.Condition(self._lock)
+        self._was_read = threading.Condition(self._lock)
         self._entries: dict[str, _Entry] = {}
         self._cursor = 0
         self._epoch = uuid.uuid4().hex
@@ -97,7 +97,7 @@
             self.store_revision = max(self.store_revision, store_revision)
             if self._fresh_at_ms is None or fresh_at_ms > self._fresh_at_ms:
                 self._fresh_at_ms = fresh_at_ms
-                self._read.notify_all()
+                self._was_read.notify_all()
 
     def wait_until_known(self, since_ms: float, until_ms: float) -> bool:
         """Wait until the copy shows all that was in the store at a time.
@@ -109,12 +109,12 @@
         :param until_ms: end of the wait.
         :return: whether the copy is that recent.
         """
-        with self._read:
+        with self._was_read:
             while not self._is_known(since_ms):
                 left_ms = until_ms - self._clock.now_ms()
                 if left_ms <= 0:
                     return False
-                self._clock.wait_condition(self._read, left_ms)
+                self._clock.wait_condition(self._was_read, left_ms)
             return True
 
     def _is_known(self, since_ms: float) -> bool:
--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -33,6 +33,8 @@
 # Pauses before a change that failed is applied again.
 MIN_REAPPLY_MS = 500.0
 MAX_REAPPLY_MS = 60_000.0
+# Longest wait for the records of a time; a copy that is followed lags by less.
+MAX_RECORDS_WAIT_MS = 2_000.0
 # Read intervals as fractions of the bound on a view's age.
 STORE_FRACTION = 0.3
 PEER_FRACTION = 0.2
@@ -130,6 +132,20 @@
             )
             self._fleet.reapply(self._feed.latest())
 
+    def await_records(self, since_ms: float, until_ms: float) -> bool:
+        """Wait until this process knows all that was in the store at a time.
+
+        It does not wait while it cannot follow the records.
+
+        :param since_ms: the time, usually when a request arrived.
+        :param until_ms: time by which the caller must have its answer.
+        :return: whether what is missing here was absent then.
+        """
+        until_ms = min(until_ms, since_ms + MAX_RECORDS_WAIT_MS)
+        if self._fleet.is_stale:
+            until_ms = since_ms
+        return self._feed.wait_until_known(since_ms, until_ms)
+
     def read_once(self) -> float:
         """Read once and return the pause until the next read in ms."""
         members = self._fleet.members()
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -199,7 +199,7 @@
             clock,
             settings.failure_domain,
             settings.copies,
-            self._feed.wait_until_known,
+            self._await_records,
         )
         self._proxy = proxy.Proxy(
             self.fleet,
@@ -211,7 +211,7 @@
             responder,
             codec,
             clock,
-            self._feed.wait_until_known,
+            self._await_records,
         )
         self._evacuations = evacuation.Evacuations(
             store, records, self._rank, self.fleet.has_storage_host, clock
@@ -385,6 +385,9 @@
         addresses += [host.address for host in self.fleet.storage_hosts()]
         self._clients.keep_only(addresses)
 
+    def _await_records(self, since_ms: float, until_ms: float) -> bool:
+        return self._follower.await_records(since_ms, until_ms)
+
     def _is_current(self) -> bool:
         """Return whether the view is about as recent as the store."""
         return self._feed.age_ms() is not None and not self.fleet.is_stale
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -34,8 +35,6 @@
 BUDGET_RETRY_AFTER_MS = 500.0
 HISTORY_RETRY_AFTER_MS = 300.0
 RESUME_RETRY_AFTER_MS = 100.0
-# A view follows the store within a second.
-MAX_ROUTE_WAIT_MS = 2_000.0
 
 
 class _Routing(NamedTuple):
@@ -179,7 +178,8 @@
         if route is None and metadata.previous_turn_id:
             # The turn before was served, so its route may be newer than the
             # configuration that this process knows.
-            until_ms = arrived_ms + _max_wait_ms(metadata)
+            left_ms = metadata.deadline_ms
+            until_ms = math.inf if left_ms is None else arrived_ms + left_ms
             if not self._await_records(arrived_ms, until_ms):
                 reason = "a newer configuration may be in force"
                 self._responder.send_unavailable(
@@ -353,13 +353,6 @@
     return active.table.find(host, request.path)
 
 
-def _max_wait_ms(metadata: traffic.CallMetadata) -> float:
-    """Return how long a request may wait for its route."""
-    if metadata.deadline_ms is None:
-        return MAX_ROUTE_WAIT_MS
-    return min(metadata.deadline_ms, MAX_ROUTE_WAIT_MS)
-
-
 def _is_conversation_route(route: traffic.Route) -> bool:
     """Return whether calls of a route are turns that must be stored."""
     return route.is_stateful and route.kind is traffic.RouteKind.STREAMING
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -426,6 +426,22 @@
         second.read_once()
         self.assertEqual(view.servers(), [])
 
+    def test_absence_is_certain_once_a_later_read_has_ended(self):
+        _, reader = self.start("m1")
+        now_ms = self.clock.now_ms()
+        self.assertFalse(reader.await_records(now_ms, now_ms))
+        reader.read_once()
+        self.assertTrue(reader.await_records(now_ms, now_ms))
+
+    def test_nobody_waits_for_records_that_cannot_be_followed(self):
+        # The clock stands still, so a wait would not end.
+        view, reader = self.start("m1")
+        reader.read_once()
+        self.clock.advance(fleet.MAX_COPY_AGE_MS + 1_000.0)
+        view.update_age(fleet.MAX_COPY_AGE_MS + 1_000.0)
+        now_ms = self.clock.now_ms()
+        self.assertFalse(reader.await_records(now_ms, now_ms + 5_000.0))
+
     def test_outage_is_one_at_start_only_before_the_first_read(self):
         _, reader = self.start("m1")
         calls = []
