gateway: the oldest version stands in the record, not in each process's memory

A process that had started beside both versions knew none, began streams anywhere without a record, and others took them for streams of the older version: a decision of one process where the rule counts over all and their restarts. And as storage hosts registered only when a second version came, new streams kept to the older servers for 3 s and more while others were free.

Change: the record of versions keeps their order, and its first one counts for all. Storage hosts register as soon as streams can be resumed, so streams are recorded from the first server of a second version on. Without a host to ask, a stream is not known to be unrecorded.

Evidence: test_all_processes_agree_on_the_elder_version and test_oldest_version_stays_the_elder_until_it_is_forgotten fail on the code before. The check that no call of the store is made with one version became one that exactly one is made, as registering early is the mend.

--- a/packages/gateway/src/balsamloom_gateway/storage_process.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_process.py
@@ -25,7 +25,6 @@
     storage_registration,
     storage_service,
     stream_registry,
-    version_history,
 )
 
 # Intervals between repair rounds: after a complete round, and otherwise.
@@ -94,16 +93,11 @@
             settings.copies,
             is_whole=settings.is_first_start or not self._database.is_new,
         )
-        # Edge processes write its records; a storage host only reads them.
-        self._history = version_history.VersionHistory(
-            store, records, self._fleet, lambda: 0, clock
-        )
         self._registration = storage_registration.StorageRegistration(
             self.host,
             store,
             records,
             self._fleet,
-            self._history,
             lambda: self._repair.is_leaving,
             clock,
         )
@@ -117,10 +111,7 @@
             settings.copies,
             lambda: self._fleet.has_storage_host(settings.name),
         )
-        self._fleet.on_changes = (
-            self._evacuation.apply,
-            self._history.apply,
-        )
+        self._fleet.on_changes = (self._evacuation.apply,)
         self._follower = follower.Follower(
             settings.name,
             store,
--- a/packages/gateway/src/balsamloom_gateway/storage_registration.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_registration.py
@@ -22,14 +22,13 @@
 class StorageRegistration:
     """Writes a storage host's registration if it is missing.
 
-    A deployment without stateful routes needs no registration while each
-    service has servers of one version.
+    A deployment whose routes neither keep turns nor have streams that callers
+    can resume needs no registration.
 
     :param own: this host.
     :param store: platform's store.
     :param records: keys and formats of the records.
     :param view: registrations and configuration known to this process.
-    :param history: versions of the services.
     :param is_leaving: returns whether the host is being evacuated.
     :param clock: time source.
     """
@@ -40,7 +39,6 @@
         store: interfaces.KeyValueStore,
         records: interfaces.Records,
         view: fleet.Fleet,
-        history: version_history.VersionHistory,
         is_leaving: Callable[[], bool],
         clock: clocks.Clock,
     ) -> None:
@@ -50,7 +48,6 @@
             records.storage_host_key(own.name), fleet.encode_storage_host(own)
         )
         self._fleet = view
-        self._history = history
         self._is_leaving = is_leaving
         self._clock = clock
         self._is_written = False
@@ -88,8 +85,7 @@
         in_force = self._fleet.active_configuration
         if in_force is None or self._is_leaving():
             return False
-        if self._history.mixed_services():
-            return True
         return any(
-            route.is_stateful for route in in_force.configuration.routes
+            route.is_stateful or version_history.is_resumable(route)
+            for route in in_force.configuration.routes
         )
--- a/packages/gateway/src/balsamloom_gateway/stream_versions.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_versions.py
@@ -32,8 +32,6 @@
 CALL_TIMEOUT_MS = 150.0
 # The first event waits this long for a host to know its stream.
 RECORD_TIMEOUT_MS = 60.0
-# All processes know of a storage host this long after one of them.
-HOSTS_KNOWN_MS = 3_000.0
 # Streams begin at one version this long after one could not be recorded.
 UNRELIABLE_PERIOD_MS = 5_000.0
 BREAKER_BACKOFF = circuit_breaker.Backoff(
@@ -109,8 +107,6 @@
         )
         # Services whose streams are recorded at storage hosts.
         self._mixed: frozenset[str] = frozenset()
-        # Time since which storage hosts are known, None without one.
-        self._hosts_since_ms: float | None = None
         self._unreliable_until_ms = -math.inf
 
     def begin(
@@ -134,15 +130,14 @@
     def required_version(self, service: str) -> str | None:
         """Return the version at which a new stream must begin.
 
-        A stream that nobody has recorded began at the version that was alone
-        before the others came. So streams begin elsewhere only if they can
-        be recorded where all processes look for them.
+        A stream that nobody has recorded counts as one of the oldest version.
+        So streams begin at another one only if they can be recorded.
 
         :return: ``None`` for any.
         """
-        elder = self._history.elder(service)
-        if elder is None or self._can_record():
+        if self._can_record():
             return None
+        elder = self._history.elder(service)
         if len(self._history.possible(service)) < 2:
             return None
         has_server = any(
@@ -152,14 +147,10 @@
         return elder if has_server else None
 
     def _can_record(self) -> bool:
-        """Return whether other processes find what this one records."""
-        now_ms = self._clock.now_ms()
-        since_ms = self._hosts_since_ms
-        return (
-            since_ms is not None
-            and now_ms - since_ms >= HOSTS_KNOWN_MS
-            and now_ms >= self._unreliable_until_ms
-        )
+        """Return whether storage hosts have lately recorded what they got."""
+        if self._clock.now_ms() < self._unreliable_until_ms:
+            return False
+        return bool(self._fleet.storage_hosts())
 
     def _wait_until_recorded(
         self, calls: list[concurrent.futures.Future[bytes | None]]
@@ -201,14 +192,13 @@
     ) -> str | None:
         """Return the version of a stream that began elsewhere, if certain."""
         found = self._find(stream_id)
-        elder = self._history.elder(service)
         match found:
             case stream_registry.Recorded(version):
                 return version
             case _ if len(possible) == 1:
                 return next(iter(possible))
             case stream_registry.NotRecorded() if self._is_current():
-                return elder if elder in possible else None
+                return self._history.elder(service)
             case _:
                 return None
 
@@ -217,13 +207,9 @@
 
         Storage hosts may register only when they are needed for this.
         """
-        self._history.update_elders()
         mixed = self._history.mixed_services()
         if not self._fleet.storage_hosts():
             mixed = frozenset()
-            self._hosts_since_ms = None
-        elif self._hosts_since_ms is None:
-            self._hosts_since_ms = self._clock.now_ms()
         added = mixed - self._mixed
         self._mixed = mixed
         if not added:
@@ -294,10 +280,10 @@
 
         A host may know of a version that this process has not seen yet.
         """
-        if not stream_id:
+        ranked = replicas.rank(stream_id, self._fleet.storage_hosts())
+        if not stream_id or not ranked:
             return stream_registry.Unsure()
         result: stream_registry.Lookup = stream_registry.NotRecorded()
-        ranked = replicas.rank(stream_id, self._fleet.storage_hosts())
         for host in ranked[:MAX_LOOKUPS]:
             found = self._find_at(host, stream_id)
             match found:
--- a/packages/gateway/src/balsamloom_gateway/version_history.py
+++ b/packages/gateway/src/balsamloom_gateway/version_history.py
@@ -29,26 +29,22 @@
 ) -> dict[str, float | None]:
     """Return the versions of a service after a change of its servers.
 
+    The oldest comes first, and those that came at once in alphabetical order.
+
     :param registered: versions of the servers that are registered now.
     """
     versions: dict[str, float | None] = {}
     for version, left_ms in known.items():
         if version in registered:
+            versions[version] = None
             continue
         left_ms = wall_ms if left_ms is None else left_ms
         if wall_ms - left_ms < STREAM_RETENTION_MS:
             versions[version] = left_ms
-    versions.update(dict.fromkeys(registered))
+    versions.update(dict.fromkeys(sorted(registered - versions.keys())))
     return versions
 
 
-def possible_versions(
-    known: Versions, registered: frozenset[str], wall_ms: float
-) -> frozenset[str]:
-    """Return the versions at which a stream under way may have begun."""
-    return frozenset(update_versions(known, registered, wall_ms))
-
-
 def must_write(known: Versions, registered: frozenset[str]) -> bool:
     """Return whether the record does not show the registered versions."""
     recorded = {
@@ -85,7 +81,6 @@
         self._revisions: dict[str, int] = {}
         # Time from which this member writes a service's record.
         self._due_ms: dict[str, float] = {}
-        self._elders: dict[str, str] = {}
 
     def apply(self, changes: list[interfaces.Change]) -> None:
         """Apply changed records of versions."""
@@ -98,28 +93,20 @@
 
     def possible(self, service: str) -> frozenset[str]:
         """Return the versions at which a stream under way may have begun."""
+        return frozenset(self._versions(service))
+
+    def _versions(self, service: str) -> Versions:
         with self._lock:
             known = self._known.get(service, {})
         registered = self._registered().get(service, frozenset())
-        return possible_versions(known, registered, self._clock.wall_ms())
+        return update_versions(known, registered, self._clock.wall_ms())
 
     def elder(self, service: str) -> str | None:
-        """Return the version that was alone when the others came.
+        """Return the oldest possible version, ``None`` without any.
 
-        :return: ``None`` if this process has not seen a version alone.
+        All processes agree on it, as its place is kept in the record.
         """
-        with self._lock:
-            return self._elders.get(service)
-
-    def update_elders(self) -> None:
-        """Note the versions that are alone now; forget those that left."""
-        for service in self.resumable_services():
-            possible = self.possible(service)
-            with self._lock:
-                if len(possible) == 1:
-                    self._elders[service] = next(iter(possible))
-                elif self._elders.get(service) not in possible:
-                    self._elders.pop(service, None)
+        return next(iter(self._versions(service)), None)
 
     def mixed_services(self) -> frozenset[str]:
         """Return the services whose streams may be of several versions."""
--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -20,7 +20,6 @@
     storage_evacuation,
     storage_registration,
     traffic,
-    version_history,
 )
 
 
@@ -320,13 +319,6 @@
             self.store,
             builders.Records(),
             self.view,
-            version_history.VersionHistory(
-                self.store,
-                builders.Records(),
-                self.view,
-                lambda: 0,
-                builders.manual_clock(),
-            ),
             lambda: self.is_leaving,
             builders.manual_clock(),
         )
@@ -337,12 +329,13 @@
         )._replace(is_resumable=is_resumable)
         builders.activate_configuration(self.view, (route,))
 
-    def test_registered_once_streams_of_two_versions_can_be_resumed(self):
+    def test_registered_once_with_streams_that_can_be_resumed(self):
+        # Before a second version comes, or its first streams are recorded
+        # nowhere.
         self.configure(is_stateful=False, is_resumable=True)
-        for version, calls in (("v1", []), ("v2", ["transact"])):
-            builders.register_server(self.view, f"s-{version}", version)
+        for _ in range(3):
             self.registration.check_once()
-            self.assertEqual(self.store.calls, calls)
+        self.assertEqual(self.store.calls, ["transact"])
 
     def test_registered_once_with_a_stateful_route(self):
         self.registration.check_once()
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -16,7 +16,6 @@
     fleet,
     interfaces,
     stream_registry,
-    stream_versions,
     traffic,
     version_history,
 )
@@ -117,6 +116,17 @@
                 self.view.apply([interfaces.Item(key, value, 100)])
                 self.assertEqual(self.possible(), frozenset())
 
+    def test_oldest_version_stays_the_elder_until_it_is_forgotten(self):
+        self.register("v2")
+        self.register("v1")
+        self.assertEqual(self.history.elder(builders.SERVICE), "v2")
+        _, started = self.process()
+        self.assertEqual(started.elder(builders.SERVICE), "v2")
+        self.remove("v2")
+        self.assertEqual(self.history.elder(builders.SERVICE), "v2")
+        self.clock.advance(version_history.STREAM_RETENTION_MS + 1)
+        self.assertEqual(self.history.elder(builders.SERVICE), "v1")
+
 
 class StreamRegistryTest(unittest.TestCase):
     """Guards against registries that grow or answer nonsense."""
@@ -313,16 +323,44 @@
         )
         self.assertEqual(self.resume("unknown")[0], 503)
 
-    def test_streams_begin_at_the_elder_version_until_they_can_be_found(self):
+    def test_streams_begin_at_the_elder_version_unless_they_are_recorded(self):
+        for is_restarted in (False, True):
+            with self.subTest(is_restarted=is_restarted):
+                self.start("v1")
+                self.begin("r1")
+                self.begin_second_version()
+                if is_restarted:
+                    self.restart()
+                self.assertIsNone(self.required_version())
+                self.gateway.fleet._storage_hosts = {}
+                self.assertEqual(self.required_version(), "v1")
+                self.check_that_streams_begin_at("v1")
+
+    def required_version(self):
+        return self.gateway.streams.required_version(builders.SERVICE)
+
+    def check_that_streams_begin_at(self, version):
+        self.assertEqual({self.begin("r1") for _ in range(8)}, {version})
+
+    def test_streams_begin_at_the_elder_version_while_hosts_are_silent(self):
+        self.start("v1", "v2")
+        for node in self.cluster.nodes:
+            node.stop()
+        self.begin("r1")
+        self.check_that_streams_begin_at("v1")
+
+    def test_all_processes_agree_on_the_elder_version(self):
+        # A process that had started beside both versions knew no elder one,
+        # began streams anywhere, and others took them for the older one.
         self.start("v1")
         self.begin("r1")
         self.begin_second_version()
-        found = {self.begin("r1") for _ in range(12)}
-        self.assertEqual(found, {"v1"})
-        self.gateway.streams._hosts_since_ms -= stream_versions.HOSTS_KNOWN_MS
-        until_s = time.monotonic() + TIMEOUT_S
-        while self.begin("r1") == "v1":
-            self.assertLess(time.monotonic(), until_s, "never at v2")
+        for _ in range(2):
+            self.restart()
+            self.assertEqual(
+                self.gateway.history.elder(builders.SERVICE), "v1"
+            )
+            self.assertEqual(self.resume("unknown"), (200, "v1"))
 
     def test_version_that_only_storage_hosts_know_of_is_not_joined(self):
         # The second version has come; this process has not read it yet.
