gateway: reports of usage have a module that encodes and decodes them

Read in the last change: the service decoded them in one nested expression; covered tokens that are no object raised AttributeError, which the handler of calls does not expect, so the connection was cut off instead of a 400.

Evidence: test_report_of_usage_is_decoded_or_rejected draws such messages. It names the new module, so it cannot run on the code before. Also: what UnknownMembersError says is true since holders wait for standbys.

--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -95,7 +95,7 @@
 
 
 class UnknownMembersError(Exception):
-    """The other holders are unknown before the first read of records."""
+    """Too few other holders are known to ask about a program."""
 
 
 class Account:
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -14,12 +14,12 @@
     feed,
     heartbeats,
     json_parsing,
-    ledger,
     listeners,
     peer_calls,
     peer_messages,
     peers,
     send_permits,
+    usage_messages,
     version_history,
 )
 
@@ -90,23 +90,8 @@
         return {}
 
     def _merge_usages(self, body: dict[str, Any]) -> dict[str, Any]:
-        # Processes of the release before do not send the covered tokens.
-        covered = body.get("covered") or {}
-        reports = [
-            ledger.UsageReport(
-                usage,
-                {
-                    str(holder): int(tokens)
-                    for holder, tokens in covered.get(
-                        usage.program_id, {}
-                    ).items()
-                },
-            )
-            for usage in (ledger.Usage(*claim) for claim in body["claims"])
-        ]
-        self._book.merge_usages(
-            str(body["holder"]), reports, bool(body["is_sure"])
-        )
+        message = usage_messages.decode(body)
+        self._book.merge_usages(*message)
         return {}
 
     def _read_usage(self, body: dict[str, Any]) -> dict[str, Any]:
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -14,6 +14,7 @@
     membership,
     peers,
     traffic,
+    usage_messages,
 )
 
 # A turn's caller waits for these calls.
@@ -47,7 +48,7 @@
     def known_usage(self, program_id: str) -> ledger.StandbyAnswers:
         """Return the maximum usage that one of them knows, if any.
 
-        :raises UnknownMembersError: the members have not been read yet.
+        :raises UnknownMembersError: it is not known yet whom to ask.
         """
 
 
@@ -118,16 +119,8 @@
         is_complete: bool,
     ) -> bool:
         """Report usage to a standby; return whether it confirmed."""
-        body = {
-            "holder": self._id,
-            "claims": [report.usage for report in reports],
-            "covered": {
-                report.usage.program_id: report.covered_tokens
-                for report in reports
-                if report.covered_tokens
-            },
-            "is_sure": is_complete,
-        }
+        message = usage_messages.UsageMessage(self._id, reports, is_complete)
+        body = usage_messages.encode(message)
         name = standby.partition("/")[0]
         for member in self._fleet.members():
             if member.name == name:
@@ -140,7 +133,7 @@
     def known_usage(self, program_id: str) -> ledger.StandbyAnswers:
         """Return the maximum usage that a standby knows, if any.
 
-        :raises UnknownMembersError: the members have not been read yet.
+        :raises UnknownMembersError: it is not known yet whom to ask.
         """
         if not self._knows_enough_members():
             raise ledger.UnknownMembersError("the members are not known yet")
--- a/packages/gateway/tests/test_fuzzing.py
+++ b/packages/gateway/tests/test_fuzzing.py
@@ -8,6 +8,7 @@
 import socket
 import unittest
 
+import builders
 import gateway_case
 import hypothesis
 from hypothesis import strategies
@@ -15,9 +16,11 @@
 from balsamloom_gateway import (
     feed,
     interfaces,
+    ledger,
     ledger_records,
     listeners,
     peer_messages,
+    usage_messages,
 )
 
 SETTINGS = hypothesis.settings(
@@ -146,6 +149,48 @@
             except peer_messages.InvalidMessageError:
                 continue
 
+    @SETTINGS
+    @hypothesis.given(
+        VALUES
+        | strategies.fixed_dictionaries(
+            {
+                "holder": VALUES,
+                "claims": strategies.lists(
+                    VALUES | strategies.just(["p", 600, 0, 240]), max_size=3
+                ),
+                "covered": VALUES
+                | strategies.dictionaries(
+                    strategies.just("p"),
+                    VALUES
+                    | strategies.dictionaries(
+                        strategies.text(max_size=8), VALUES
+                    ),
+                ),
+                "is_sure": VALUES,
+            }
+        )
+    )
+    def test_report_of_usage_is_decoded_or_rejected(self, body):
+        # Covered tokens that were no object cut off the connection.
+        try:
+            message = usage_messages.decode(body)
+        except ValueError:
+            return
+        for report in message.reports:
+            for tokens in report.covered_tokens.values():
+                self.assertIsInstance(tokens, int)
+
+    def test_report_of_usage_survives_the_message(self):
+        report = ledger.UsageReport(
+            ledger.Usage("p", 600, 360, 0), {"m1/1": 240}
+        )
+        message = usage_messages.UsageMessage("m2/1", [report], True)
+        encoded = builders.as_json(usage_messages.encode(message))
+        self.assertEqual(usage_messages.decode(encoded), message)
+        del encoded["covered"]
+        [older] = usage_messages.decode(encoded).reports
+        self.assertEqual(older.covered_tokens, {})
+
     @SETTINGS
     @hypothesis.given(strategies.binary(max_size=60) | VALUES)
     def test_budget_record_is_decoded_or_unreadable(self, content):
