gateway: records of registrations in a module of their own

The name of a record's key is an argument of its decoder now, where the view compared it afterwards. No behaviour changes.

--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import math
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from typing import TypeVar
 
 from balsamloom_conversations import replicas
@@ -15,7 +14,7 @@
 from balsamloom_gateway import (
     callbacks,
     interfaces,
-    json_parsing,
+    registration_records,
     registrations,
     routes,
     traffic,
@@ -315,9 +314,11 @@
             case interfaces.ServerRecord(server_id):
                 return self._records.server(server_id, item.value)
             case interfaces.MemberRecord(name):
-                return _named(decode_member(item.value), name)
+                return registration_records.decode_member(name, item.value)
             case interfaces.StorageHostRecord(name):
-                return _named(decode_storage_host(item.value), name)
+                return registration_records.decode_storage_host(
+                    name, item.value
+                )
             case _:
                 return item.value
 
@@ -477,54 +478,3 @@
         with self._lock:
             self._unreported_losses.extend(failed)
             self._has_unreported_arrival |= not is_arrival_reported
-
-
-def encode_member(member: traffic.Member) -> bytes:
-    """Encode a member's registration as JSON."""
-    return _encode(member._asdict())
-
-
-def decode_member(value: bytes) -> traffic.Member:
-    """Decode a member's registration.
-
-    :raises InvalidRecordError: it cannot be decoded.
-    """
-    return _decode(traffic.Member, value)
-
-
-def encode_storage_host(host: replicas.StorageHost) -> bytes:
-    """Encode a storage host's registration as JSON."""
-    return _encode(host._asdict())
-
-
-def decode_storage_host(value: bytes) -> replicas.StorageHost:
-    """Decode a storage host's registration.
-
-    :raises InvalidRecordError: it cannot be decoded.
-    """
-    return _decode(replicas.StorageHost, value)
-
-
-def _named(registration: T, name: str) -> T:
-    """Return a registration if it has the name of its key.
-
-    :raises InvalidRecordError: it has another name.
-    """
-    if getattr(registration, "name", None) != name:
-        raise interfaces.InvalidRecordError(f"the name is not {name!r}")
-    return registration
-
-
-def _encode(fields: Mapping[str, str]) -> bytes:
-    return json.dumps(fields, separators=(",", ":")).encode()
-
-
-def _decode(kind: Callable[..., T], value: bytes) -> T:
-    try:
-        fields = json_parsing.parse_object(value)
-        for name, text in fields.items():
-            if not isinstance(text, str) or not text.isprintable():
-                raise ValueError(f"{name} is not a text of one line")
-        return kind(**fields)
-    except (ValueError, TypeError) as error:
-        raise interfaces.InvalidRecordError(str(error)) from error
--- a/packages/gateway/src/balsamloom_gateway/registrar.py
+++ b/packages/gateway/src/balsamloom_gateway/registrar.py
@@ -8,7 +8,12 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import callbacks, fleet, interfaces, traffic
+from balsamloom_gateway import (
+    callbacks,
+    interfaces,
+    registration_records,
+    traffic,
+)
 
 # Fraction of the lease between renewals; two may fail before it expires.
 RENEWAL_FRACTION = 0.32
@@ -42,7 +47,9 @@
         self._is_registered = is_registered
         # Renewals in a row after which the records lacked the registration.
         self._missing_count = 0
-        self._write = interfaces.Write(key, fleet.encode_member(member))
+        self._write = interfaces.Write(
+            key, registration_records.encode_member(member)
+        )
         self._lease_ms = lease_ms
         self._renewal_ms = lease_ms * RENEWAL_FRACTION
         self._clock = clock
--- a/packages/gateway/src/balsamloom_gateway/storage_registration.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_registration.py
@@ -13,7 +13,12 @@
 from balsamloom_conversations import replicas
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import fleet, interfaces, version_history
+from balsamloom_gateway import (
+    fleet,
+    interfaces,
+    registration_records,
+    version_history,
+)
 
 CHECK_INTERVAL_MS = 400.0
 RETRY_INTERVAL_MS = 500.0
@@ -45,7 +50,8 @@
         self._own = own
         self._store = store
         self._write = interfaces.Write(
-            records.storage_host_key(own.name), fleet.encode_storage_host(own)
+            records.storage_host_key(own.name),
+            registration_records.encode_storage_host(own),
         )
         self._fleet = view
         self._is_leaving = is_leaving
--- a/packages/gateway/tests/test_budgets.py
+++ b/packages/gateway/tests/test_budgets.py
@@ -21,6 +21,7 @@
     peer_service,
     peers,
     planner,
+    registration_records,
     standbys,
 )
 
@@ -119,7 +120,9 @@
     def read_members(self, view):
         """Let a view read the members' registrations."""
         for member in self.NAMES:
-            encoded = fleet.encode_member(builders.member(member))
+            encoded = registration_records.encode_member(
+                builders.member(member)
+            )
             view.apply([interfaces.Item(f"member/{member}", encoded, 1)])
         view.update_age(0.0)
 
@@ -264,7 +267,7 @@
         spent = sum(self.turn("m3") for _ in range(4))
         self.start("m1", is_restart=True, has_read=False)
         view = self.members["m1"][2]
-        own = fleet.encode_member(builders.member("m1"))
+        own = registration_records.encode_member(builders.member("m1"))
         view.apply([interfaces.Item("member/m1", own, 1)])
         view.update_age(0.0)
         self.end_outage()
@@ -333,7 +336,7 @@
         view = self.members["m1"][2]
         lost = [f"x{number:02}" for number in range(20)]
         for name in lost:
-            encoded = fleet.encode_member(builders.member(name))
+            encoded = registration_records.encode_member(builders.member(name))
             view.apply([interfaces.Item(f"member/{name}", encoded, 2)])
         view.apply([interfaces.Deletion(f"member/{name}", 9) for name in lost])
         self.assertEqual(len(view.lost_members()), 20)
@@ -500,7 +503,7 @@
             store.error = interfaces.StoreUnavailableError("refused")
         unrecorded = sum(self.turn("m18") for _ in range(3))
         self.assertGreater(unrecorded, 0)
-        encoded = fleet.encode_member(builders.member(self.NEW))
+        encoded = registration_records.encode_member(builders.member(self.NEW))
         former = _primary(self.program_id, members)
         for name, (store, _, view, accounts) in self.members.items():
             # The other members have been there for long.
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -14,9 +14,9 @@
     crash_ledger,
     crash_notices,
     crash_reports,
-    fleet,
     interfaces,
     peers,
+    registration_records,
 )
 
 DEADLY = b"deadly"
@@ -229,7 +229,7 @@
         view = builders.fleet_view()
         network = Network()
         for name in ("a", "b", "c"):
-            encoded = fleet.encode_member(builders.member(name))
+            encoded = registration_records.encode_member(builders.member(name))
             view.apply([interfaces.Item(f"member/{name}", encoded, 1)])
             network.reports[name] = crash_reports.CrashReports(
                 builders.Store(), builders.Records(), lambda: 0, clock
--- a/packages/gateway/tests/test_json_parsing.py
+++ b/packages/gateway/tests/test_json_parsing.py
@@ -11,6 +11,7 @@
     json_parsing,
     ledger_records,
     peer_service,
+    registration_records,
     stream_registry,
     version_history,
 )
@@ -38,13 +39,25 @@
             json_parsing.parse_object(b"[]")
 
     def test_registrations_are_invalid(self):
-        for decode in (fleet.decode_member, fleet.decode_storage_host):
+        for decode in (
+            registration_records.decode_member,
+            registration_records.decode_storage_host,
+        ):
             for value in MALFORMED:
                 with (
                     self.subTest(value[:20]),
                     self.assertRaises(interfaces.InvalidRecordError),
                 ):
-                    decode(value)
+                    decode("m1", value)
+
+    def test_registration_under_another_name_is_invalid(self):
+        member = builders.member("m1")
+        encoded = registration_records.encode_member(member)
+        self.assertEqual(
+            registration_records.decode_member("m1", encoded), member
+        )
+        with self.assertRaises(interfaces.InvalidRecordError):
+            registration_records.decode_member("m2", encoded)
 
     def test_budget_record_is_unreadable(self):
         for value in MALFORMED:
--- a/packages/gateway/tests/test_planner.py
+++ b/packages/gateway/tests/test_planner.py
@@ -14,6 +14,7 @@
     membership,
     peer_messages,
     planner,
+    registration_records,
     traffic,
 )
 
@@ -42,7 +43,9 @@
             for number in range(servers)
         ]
         for number in range(1, members + 1):
-            encoded = fleet.encode_member(builders.member(f"m{number:02}"))
+            encoded = registration_records.encode_member(
+                builders.member(f"m{number:02}")
+            )
             changes.append(interfaces.Item(f"member/m{number:02}", encoded, 1))
         self.fleet.apply(changes)
 
--- a/packages/gateway/tests/test_send_permits.py
+++ b/packages/gateway/tests/test_send_permits.py
@@ -15,6 +15,7 @@
     limited_placement,
     peers,
     rate_quota,
+    registration_records,
     send_permits,
 )
 
@@ -82,7 +83,9 @@
         for name in NAMES:
             view = fleet.Fleet(builders.Records(), self.clock)
             for other in NAMES:
-                encoded = fleet.encode_member(builders.member(other))
+                encoded = registration_records.encode_member(
+                    builders.member(other)
+                )
                 view.apply([interfaces.Item(f"member/{other}", encoded, 1)])
             self.network.members[name] = builders.permits(
                 name, view, self.clock, self.network
@@ -257,7 +260,7 @@
         gateway = self.start(
             self.answering(limited), self.answering(scripted.answer())
         )
-        encoded = fleet.encode_member(builders.member("m1"))
+        encoded = registration_records.encode_member(builders.member("m1"))
         gateway.fleet.apply([interfaces.Item("member/m1", encoded, 1)])
         started_ms = gateway.clock.now_ms()
         statuses = [
--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -13,10 +13,10 @@
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
     evacuation,
-    fleet,
     interfaces,
     peer_calls,
     peers,
+    registration_records,
     storage_evacuation,
     storage_registration,
     traffic,
@@ -356,7 +356,9 @@
         self.view.apply(
             [
                 interfaces.Item(
-                    "storage/a1", fleet.encode_storage_host(self.host), 3
+                    "storage/a1",
+                    registration_records.encode_storage_host(self.host),
+                    3,
                 )
             ]
         )
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -15,6 +15,7 @@
 from balsamloom_gateway import (
     fleet,
     interfaces,
+    registration_records,
     stream_registry,
     traffic,
     version_history,
@@ -395,7 +396,7 @@
         self.gateway.is_current = False
         versions = ["v1"]
         for name in ("m1", "m2"):
-            encoded = fleet.encode_member(builders.member(name))
+            encoded = registration_records.encode_member(builders.member(name))
             item = interfaces.Item(f"member/{name}", encoded, 1)
             self.gateway.fleet.apply([item])
         members = self.gateway.streams._processes
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -9,7 +9,14 @@
 
 import builders
 
-from balsamloom_gateway import feed, fleet, follower, interfaces, peers
+from balsamloom_gateway import (
+    feed,
+    fleet,
+    follower,
+    interfaces,
+    peers,
+    registration_records,
+)
 
 # Deeper than a parser's stack.
 NESTED = b"[" * 100_000
@@ -73,7 +80,7 @@
         self.fleet.on_member_lost = lambda name: seen.append(
             (name, self.fleet.members())
         )
-        encoded = fleet.encode_member(builders.member("m1"))
+        encoded = registration_records.encode_member(builders.member("m1"))
         self.put("member/m1", encoded, 1)
         thread = threading.Thread(
             target=self.fleet.apply,
@@ -138,8 +145,8 @@
     def test_loss_of_a_member_is_reported(self):
         lost = []
         self.fleet.on_member_lost = lost.append
-        first = fleet.encode_member(builders.member("m1", "1"))
-        second = fleet.encode_member(builders.member("m1", "2"))
+        first = registration_records.encode_member(builders.member("m1", "1"))
+        second = registration_records.encode_member(builders.member("m1", "2"))
         self.put("member/m1", first, 1)
         self.put("member/m1", second, 2)
         self.fleet.apply([interfaces.Deletion("member/m1", 3)])
@@ -286,7 +293,7 @@
         self.peers = PeerStub()
         self.store.put("config", b"1")
         for name in ("m1", "m2"):
-            member = fleet.encode_member(builders.member(name))
+            member = registration_records.encode_member(builders.member(name))
             self.store.put(f"member/{name}", member)
 
     def start(self, name):
--- a/packages/gateway/tests/test_view_errors.py
+++ b/packages/gateway/tests/test_view_errors.py
@@ -4,7 +4,13 @@
 
 import builders
 
-from balsamloom_gateway import feed, fleet, follower, interfaces
+from balsamloom_gateway import (
+    feed,
+    fleet,
+    follower,
+    interfaces,
+    registration_records,
+)
 
 INTERVALS = follower.Intervals(600.0, 400.0)
 
@@ -72,7 +78,9 @@
 
     def put_member(self, name, incarnation):
         member = builders.member(name, incarnation)
-        self.store.put(f"member/{name}", fleet.encode_member(member))
+        self.store.put(
+            f"member/{name}", registration_records.encode_member(member)
+        )
 
     def check(self, raising, errors=1):
         """Change each kind of record while ``raising`` raises errors."""
