--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -7,14 +7,19 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 import math
 import threading
 from collections.abc import Sequence
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import interfaces, ledger, ledger_recorder, standbys
+from balsamloom_gateway import (
+    interfaces,
+    ledger,
+    ledger_recorder,
+    outage_policy,
+    standbys,
+)
 
 # Delay of allocations that no turn waits for, so that many share a batch.
 BATCH_DELAY_MS = 300.0
@@ -43,17 +48,6 @@
     is_pending: bool = False
 
 
-class OutagePolicy(enum.Enum):
-    """Limit of the tokens that a holder may hand out without a record."""
-
-    NONE = "none"
-    # While the store does not answer, a part of the budget. A standby must
-    # confirm the tokens before a turn gets them.
-    OUTAGE = "outage"
-    # Like OUTAGE, but only if the primary holder has reported its usage.
-    LAST_RESORT = "last_resort"
-
-
 ReservationResult = ledger.Reservation | ledger.Exhaustion | RecordingFailure
 
 
@@ -170,7 +164,7 @@
         program_id: str,
         tokens: int,
         budget_tokens: int,
-        policy: OutagePolicy,
+        policy: outage_policy.OutagePolicy,
         is_standby: bool = False,
     ) -> tuple[ReservationResult, tuple[str, ...]]:
         """Reserve the maximum that a turn may generate.
@@ -357,7 +351,10 @@
                 self._changed.notify_all()
 
     def _reserve(
-        self, account: ledger.Account, tokens: int, policy: OutagePolicy
+        self,
+        account: ledger.Account,
+        tokens: int,
+        policy: outage_policy.OutagePolicy,
     ) -> ReservationResult:
         """Reserve tokens; wait for an allocation if one is required."""
         until_ms = self._clock.now_ms() + ledger_recorder.RECORD_TIMEOUT_MS
@@ -365,7 +362,11 @@
             is_outage = (
                 self._recorder.is_outage() or self._clock.now_ms() >= until_ms
             )
-            limit = self._max_unrecorded(account, tokens, policy, is_outage)
+            limit = 0
+            if is_outage:
+                limit = outage_policy.max_unrecorded_tokens(
+                    account, tokens, policy, self._evidence()
+                )
             match account.reserve(tokens, limit):
                 case ledger.RequiredAllocation(allocation):
                     account.requested_tokens = allocation
@@ -404,35 +405,16 @@
         account.last_used_ms = self._clock.now_ms()
         return account
 
+    def _evidence(self) -> outage_policy.Evidence:
+        age_ms = self._clock.now_ms() - self._complete_report_ms
+        return outage_policy.Evidence(
+            self._knows_all_programs(), age_ms < MAX_REPORT_AGE_MS
+        )
+
     def _knows_all_programs(self) -> bool:
         """Return whether a program without an account must be new."""
         return self._clock.now_ms() >= self._caution_until_ms
 
-    def _max_unrecorded(
-        self,
-        account: ledger.Account,
-        tokens: int,
-        policy: OutagePolicy,
-        is_outage: bool,
-    ) -> int:
-        """Return the maximum of a program's unrecorded tokens."""
-        is_recorded = account.revision > 0
-        has_report = (
-            self._clock.now_ms() - self._complete_report_ms < MAX_REPORT_AGE_MS
-        )
-        is_known = account.has_peer_usage or has_report
-        knows_all = self._knows_all_programs()
-        limit = max(tokens, account.max_outage_tokens())
-        match policy:
-            case OutagePolicy.OUTAGE if is_outage and (
-                is_recorded or knows_all
-            ):
-                return limit
-            case OutagePolicy.OUTAGE | OutagePolicy.LAST_RESORT if is_outage:
-                return limit if is_known else 0
-            case _:
-                return 0
-
     def _defer_allocation(self, account: ledger.Account, tokens: int) -> None:
         allocation = account.next_allocation(tokens)
         if not allocation:
--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -16,6 +16,7 @@
     holder_failover,
     ledger,
     membership,
+    outage_policy,
     peer_messages,
     peers,
     planner,
@@ -131,7 +132,7 @@
     def _reserve_without_holder(
         self, call: traffic.CallMetadata, turn: planner.TurnRequest
     ) -> Grant | ledger.Exhaustion | budget_ledger.RecordingFailure:
-        policy = budget_ledger.OutagePolicy.NONE
+        policy = outage_policy.OutagePolicy.NONE
         request = _request(call, turn, policy, is_primary=False)
         return _grant(call, None, self.reserve_local(request))
 
@@ -336,7 +337,7 @@
 def _request(
     call: traffic.CallMetadata,
     turn: planner.TurnRequest,
-    policy: budget_ledger.OutagePolicy,
+    policy: outage_policy.OutagePolicy,
     is_primary: bool,
 ) -> peer_messages.ReservationRequest:
     """Return the request to a holder.
--- a/packages/gateway/src/balsamloom_gateway/holder_failover.py
+++ b/packages/gateway/src/balsamloom_gateway/holder_failover.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from typing import NamedTuple
 
-from balsamloom_gateway import budget_ledger, traffic
+from balsamloom_gateway import outage_policy, traffic
 
 
 class Attempt(NamedTuple):
@@ -13,7 +13,7 @@
 
     holder: traffic.Member
     is_primary: bool
-    policy: budget_ledger.OutagePolicy
+    policy: outage_policy.OutagePolicy
 
 
 class HolderFailover:
@@ -88,12 +88,12 @@
             is_primary = holder is self._holders[0]
             yield Attempt(holder, is_primary, self._outage_policy(is_primary))
 
-    def _outage_policy(self, is_primary: bool) -> budget_ledger.OutagePolicy:
+    def _outage_policy(self, is_primary: bool) -> outage_policy.OutagePolicy:
         """Return the limit of unrecorded tokens for an attempt."""
         match is_primary, self.allows_unrecorded:
             case True, True:
-                return budget_ledger.OutagePolicy.OUTAGE
+                return outage_policy.OutagePolicy.OUTAGE
             case False, True:
-                return budget_ledger.OutagePolicy.LAST_RESORT
+                return outage_policy.OutagePolicy.LAST_RESORT
             case _:
-                return budget_ledger.OutagePolicy.NONE
+                return outage_policy.OutagePolicy.NONE
--- a/packages/gateway/src/balsamloom_gateway/peer_messages.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_messages.py
@@ -9,6 +9,7 @@
     estimates,
     health,
     ledger,
+    outage_policy,
     planner,
     rate_quota,
     traffic,
@@ -28,7 +29,7 @@
     program_id: str
     turn_tokens: int
     budget_tokens: int
-    policy: budget_ledger.OutagePolicy
+    policy: outage_policy.OutagePolicy
     turn: planner.TurnRequest
     is_standby: bool = False
     reservation_id: str = ""
@@ -81,7 +82,7 @@
             str(body["program_id"]),
             int(body["turn_tokens"]),
             int(body["budget_tokens"]),
-            budget_ledger.OutagePolicy(body["exposure"]),
+            outage_policy.OutagePolicy(body["exposure"]),
             planner.TurnRequest(
                 str(service),
                 parts,
--- a/packages/gateway/tests/test_budget_ledger.py
+++ b/packages/gateway/tests/test_budget_ledger.py
@@ -8,10 +8,10 @@
 import builders
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import budget_ledger, interfaces, ledger
+from balsamloom_gateway import budget_ledger, interfaces, ledger, outage_policy
 
-OUTAGE = budget_ledger.OutagePolicy.OUTAGE
-NONE = budget_ledger.OutagePolicy.NONE
+OUTAGE = outage_policy.OutagePolicy.OUTAGE
+NONE = outage_policy.OutagePolicy.NONE
 
 
 class FakeStandbys:
@@ -156,7 +156,7 @@
         successor = self.start_holder(is_restart=True)
         successor.standbys = FakeStandbys()
         self.store.error = interfaces.StoreUnavailableError("slow")
-        for policy in (OUTAGE, budget_ledger.OutagePolicy.LAST_RESORT):
+        for policy in (OUTAGE, outage_policy.OutagePolicy.LAST_RESORT):
             result = self.reserve(successor, policy)
             self.assertIsInstance(result, budget_ledger.RecordingFailure)
 
--- a/packages/gateway/tests/test_holder_failover.py
+++ b/packages/gateway/tests/test_holder_failover.py
@@ -4,11 +4,11 @@
 
 import builders
 
-from balsamloom_gateway import budget_ledger, holder_failover
+from balsamloom_gateway import holder_failover, outage_policy
 
-NONE = budget_ledger.OutagePolicy.NONE
-OUTAGE = budget_ledger.OutagePolicy.OUTAGE
-LAST_RESORT = budget_ledger.OutagePolicy.LAST_RESORT
+NONE = outage_policy.OutagePolicy.NONE
+OUTAGE = outage_policy.OutagePolicy.OUTAGE
+LAST_RESORT = outage_policy.OutagePolicy.LAST_RESORT
 
 
 class HolderFailoverTest(unittest.TestCase):
--- /dev/null
+++ b/packages/gateway/tests/test_outage_policy.py
@@ -0,0 +1,61 @@
+"""Tests of the tokens that holders may hand out in an outage."""
+
+import unittest
+
+from balsamloom_gateway import ledger, outage_policy
+
+NONE = outage_policy.OutagePolicy.NONE
+OUTAGE = outage_policy.OutagePolicy.OUTAGE
+LAST_RESORT = outage_policy.OutagePolicy.LAST_RESORT
+BUDGET = 600
+TURN = 60
+
+
+class OutagePolicyTest(unittest.TestCase):
+    """Guards against tokens for programs whose usage is not known."""
+
+    def limit(self, policy, account=None, knows_all=False, has_report=False):
+        return outage_policy.max_unrecorded_tokens(
+            account or ledger.Account("p", BUDGET),
+            TURN,
+            policy,
+            outage_policy.Evidence(knows_all, has_report),
+        )
+
+    def recorded(self, tokens):
+        account = ledger.Account("p", BUDGET)
+        account.apply_record(tokens, 1, 0)
+        return account
+
+    def reported(self):
+        account = ledger.Account("p", BUDGET)
+        usage = ledger.Usage("p", BUDGET, 0, 100)
+        account.merge_report("m1/1", ledger.UsageReport(usage, {}))
+        return account
+
+    def test_unknown_program_gets_nothing(self):
+        for policy in (NONE, OUTAGE, LAST_RESORT):
+            with self.subTest(policy):
+                self.assertEqual(self.limit(policy), 0)
+
+    def test_holder_without_leave_hands_out_nothing(self):
+        self.assertEqual(self.limit(NONE, self.recorded(100), True, True), 0)
+
+    def test_primary_holder_may_use_half_of_the_rest(self):
+        self.assertEqual(self.limit(OUTAGE, self.recorded(100)), 250)
+        self.assertEqual(self.limit(OUTAGE, knows_all=True), 300)
+        self.assertEqual(self.limit(OUTAGE, self.reported()), 250)
+
+    def test_a_turn_is_never_too_large_for_the_limit(self):
+        self.assertEqual(self.limit(OUTAGE, self.recorded(BUDGET)), TURN)
+
+    def test_standby_needs_a_report_of_the_primary_holder(self):
+        self.assertEqual(
+            self.limit(LAST_RESORT, self.recorded(100), knows_all=True), 0
+        )
+        self.assertEqual(self.limit(LAST_RESORT, self.reported()), 250)
+        self.assertEqual(self.limit(LAST_RESORT, has_report=True), 300)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/gateway/tests/test_planner.py
+++ b/packages/gateway/tests/test_planner.py
@@ -178,7 +178,7 @@
             "p",
             60,
             600,
-            peer_messages.budget_ledger.OutagePolicy.OUTAGE,
+            peer_messages.outage_policy.OutagePolicy.OUTAGE,
             turn,
         )
         self.assertEqual(
