--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -209,9 +209,7 @@
     Event.SERVER_LIMIT_CHANGED: (
         "A backend server limits its requests per second, or no longer does."
     ),
-    Event.SERVER_CRASHED: (
-        "A backend server crashed when it began to run a request."
-    ),
+    Event.SERVER_CRASHED: ("A backend server crashed while it ran a request."),
     Event.CRASH_NOT_RECORDED: (
         "Crashes under requests could not be written to the store yet."
     ),
--- a/packages/gateway/src/balsamloom_gateway/crash_detection.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_detection.py
@@ -1,4 +1,4 @@
-"""Detection of servers that crash when they begin to run a request."""
+"""Detection of servers that crash while they run a request."""
 
 from __future__ import annotations
 
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -347,7 +347,7 @@
         attempt: relay.Relay,
         result: relay.Result,
     ) -> planner.TurnReport:
-        if attempt.is_broken:
+        if attempt.is_connection_lost:
             self._crashes.check(
                 call, placement.server, self._pools.get(placement.server)
             )
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -105,9 +105,9 @@
         self._answered_ms = -math.inf
         # The server closed the connection without a response.
         self.is_closed_unanswered = False
-        # The connection was lost before the end of the response, also after
-        # a part of it: a server may crash at any byte.
-        self.is_broken = False
+        # The connection was lost after the request was sent and before the end
+        # of the response. A server may crash at any byte.
+        self.is_connection_lost = False
         self.end_reason = ""
 
     @property
@@ -405,10 +405,10 @@
         self._is_failure = not isinstance(
             error, server_connections.ExchangeTimeoutError
         )
-        is_broken = isinstance(error, server_connections.ConnectionLostError)
-        self.is_closed_unanswered = is_broken and self.status == 0
+        is_lost = isinstance(error, server_connections.ConnectionLostError)
+        self.is_closed_unanswered = is_lost and self.status == 0
         was_sent = self._exchange.sent_bytes > 0
-        self.is_broken = is_broken and was_sent
+        self.is_connection_lost = is_lost and was_sent
         if self._response.is_started:
             self.end_reason = f"cut off: {error}"
             self._response.abort()
