gateway: storage hosts copy turns in parts of bounded size

Cause: a repair call asks for 100 turns whatever their size and has 400 ms, so its answer never arrives; each round starts from the same turns again.

Change: a call names its turns and the answer has as many of them as fit into 1 MB, at least one; each part is on the disk before the next is requested, so a repair that is cut off goes on where it was. The call has a path of its own. Hosts of a former release, which do not bound their answers, are asked for one turn at a time, and their calls are answered as before. Gauge balsamloom_storage_missing_bytes and event 7037 copies_missing show progress.

--- a/packages/conversations/src/balsamloom_conversations/database.py
+++ b/packages/conversations/src/balsamloom_conversations/database.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 import sqlite3
 import threading
@@ -191,15 +192,37 @@
         :raises DatabaseError: the database cannot be read.
         """
         age_ms = self.age_ms()
-        found = []
         with self._lock:
-            for turn_id in turn_ids:
-                turn = self._read(turn_id)
+            read = (
+                self._read_to_copy(turn_id, age_ms) for turn_id in turn_ids
+            )
+            return [turn for turn in read if turn is not None]
+
+    def read_batch(
+        self, turn_ids: Sequence[str], max_bytes: int, max_turns: int
+    ) -> turns.TurnBatch:
+        """Return the first of the turns that are stored and intact.
+
+        :param turn_ids: turns to read, in this order.
+        :param max_bytes: total size; the first turn is returned whatever its
+            size.
+        :param max_turns: maximum number of turns.
+        :raises DatabaseError: the database cannot be read.
+        """
+        age_ms = self.age_ms()
+        found: list[turns.Turn] = []
+        size_bytes = 0
+        with self._lock:
+            for number, turn_id in enumerate(turn_ids):
+                size_bytes += self._total_bytes([turn_id])
+                is_full = size_bytes > max_bytes or len(found) == max_turns
+                if found and is_full:
+                    left_bytes = self._total_bytes(turn_ids[number:])
+                    return turns.TurnBatch(tuple(found), left_bytes)
+                turn = self._read_to_copy(turn_id, age_ms)
                 if turn is not None:
-                    left_ms = self._expiry_ms(turn.group_id) - age_ms
-                    retention_ms = max(left_ms - RETENTION_MARGIN_MS, 0.0)
-                    found.append(turn._replace(retention_ms=retention_ms))
-        return found
+                    found.append(turn)
+        return turns.TurnBatch(tuple(found), 0)
 
     def expire(self) -> int:
         """Delete expired groups; return the number of turns deleted.
@@ -344,6 +367,28 @@
             self._damaged.add(turn_id)
         return turn
 
+    def _read_to_copy(self, turn_id: str, age_ms: float) -> turns.Turn | None:
+        """Return a turn with the time for which a copy must be stored."""
+        turn = self._read(turn_id)
+        if turn is None:
+            return None
+        left_ms = self._expiry_ms(turn.group_id) - age_ms
+        return turn._replace(
+            retention_ms=max(left_ms - RETENTION_MARGIN_MS, 0.0)
+        )
+
+    def _total_bytes(self, turn_ids: Sequence[str]) -> int:
+        """Return the size of the turns that are stored, damaged ones too."""
+        try:
+            (total,) = self._connection.execute(
+                "SELECT total(length(input) + length(output)) FROM turns"
+                " WHERE turn_id IN (SELECT value FROM json_each(?))",
+                (json.dumps(list(turn_ids)),),
+            ).fetchone()
+        except sqlite3.Error as error:
+            raise DatabaseError(str(error)) from error
+        return int(total)
+
     def _has(self, turn_id: str) -> bool:
         found = self._connection.execute(
             "SELECT 1 FROM turns WHERE turn_id = ?", (turn_id,)
--- a/packages/conversations/src/balsamloom_conversations/messages.py
+++ b/packages/conversations/src/balsamloom_conversations/messages.py
@@ -33,6 +33,17 @@
     entries: tuple[turns.ListingEntry, ...]
 
 
+class ReadQuery(NamedTuple):
+    """Request for turns, in this order.
+
+    The answer has at least one turn if any is stored, and others up to
+    ``max_bytes``.
+    """
+
+    turn_ids: tuple[str, ...]
+    max_bytes: int
+
+
 def encode_turn(turn: turns.Turn) -> bytes:
     """Encode a turn."""
     return _pack(list(turn))
@@ -120,6 +131,42 @@
             raise InvalidMessageError("not a listing request")
 
 
+def encode_read_query(query: ReadQuery) -> bytes:
+    """Encode a request for turns."""
+    return _pack([list(query.turn_ids), query.max_bytes])
+
+
+def decode_read_query(body: bytes) -> ReadQuery:
+    """Decode a request for turns.
+
+    :raises InvalidMessageError: it is malformed.
+    """
+    match _unpack(body):
+        case [list(turn_ids), int(max_bytes)]:
+            parsed = tuple(_parse_text(turn_id) for turn_id in turn_ids)
+            return ReadQuery(parsed, max_bytes)
+        case _:
+            raise InvalidMessageError("not a request for turns")
+
+
+def encode_batch(batch: turns.TurnBatch) -> bytes:
+    """Encode a batch of turns."""
+    return _pack([[list(turn) for turn in batch.turns], batch.left_bytes])
+
+
+def decode_batch(body: bytes) -> turns.TurnBatch:
+    """Decode a batch of turns.
+
+    :raises InvalidMessageError: it is malformed.
+    """
+    match _unpack(body):
+        case [list(found), int(left_bytes)]:
+            parsed = tuple(_parse_turn(value) for value in found)
+            return turns.TurnBatch(parsed, left_bytes)
+        case _:
+            raise InvalidMessageError("not a batch of turns")
+
+
 def encode_listing(listing: Listing) -> bytes:
     """Encode a listing."""
     entries = [list(entry) for entry in listing.entries]
--- a/packages/conversations/src/balsamloom_conversations/turns.py
+++ b/packages/conversations/src/balsamloom_conversations/turns.py
@@ -29,6 +29,11 @@
     output: bytes
     retention_ms: float
 
+    @property
+    def size_bytes(self) -> int:
+        """Return the size of the input and the output."""
+        return len(self.input) + len(self.output)
+
     def checksum(self) -> bytes:
         """Return a checksum over all fields except ``retention_ms``."""
         digest = hashlib.blake2b(digest_size=CHECKSUM_BYTES)
@@ -44,6 +49,16 @@
         return digest.digest()
 
 
+class TurnBatch(NamedTuple):
+    """First part of the turns that another host asked for.
+
+    ``left_bytes`` is the size of those that did not fit.
+    """
+
+    turns: tuple[Turn, ...]
+    left_bytes: int
+
+
 class ListingEntry(NamedTuple):
     """Turn in the listing of a storage host.
 
--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -100,6 +100,7 @@
     VERSIONS_CHANGED = 7034
     STREAM_RESUMED = 7035
     CHANGE_NOT_APPLIED = 7036
+    COPIES_MISSING = 7037
 
 
 _MEANINGS: dict[Event, str] = {
@@ -193,6 +194,7 @@
     ),
     Event.STORAGE_CALL_FAILED: "A call to a storage host failed.",
     Event.COPIES_FETCHED: "A storage host fetched copies that it lacked.",
+    Event.COPIES_MISSING: "A storage host is fetching copies that it lacks.",
     Event.DISK_FAILED: "The disk of a storage host refused a call.",
     Event.TURNS_EXPIRED: "Turns whose retention is over were dropped.",
     Event.TURNS_DAMAGED: (
--- a/packages/gateway/src/balsamloom_gateway/metrics.py
+++ b/packages/gateway/src/balsamloom_gateway/metrics.py
@@ -100,6 +100,7 @@
             "is_whole": int(self._copies.is_whole),
             "other_hosts_up": len(self._copies.other_active_hosts()),
             "fetched_turns": self._copies.fetched_turns,
+            "missing_bytes": self._copies.missing_bytes(),
         }
         for name, value in values.items():
             self._gauges[name].set(value)
@@ -112,6 +113,7 @@
     "bytes": "Size of the database.",
     "is_whole": "1 if the host misses no turn that it should have.",
     "other_hosts_up": "Other storage hosts that answer.",
+    "missing_bytes": "Size of the listed turns that are still to be fetched.",
     "fetched_turns": "Turns that were short of a copy and fetched here.",
 }
 
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -25,7 +25,9 @@
 KEEP_TURN_PATH = "/turns/keep"
 CHAIN_PATH = "/turns/chain"
 LIST_TURNS_PATH = "/turns/list"
-READ_TURNS_PATH = "/turns/read"
+READ_TURNS_PATH = "/turns/read/2"
+# Answers up to 100 turns of any size. Removed once no release calls it.
+FORMER_READ_TURNS_PATH = "/turns/read"
 COPY_TURNS_PATH = "/turns/copy"
 RECORD_STREAMS_PATH = "/streams/record"
 FIND_STREAM_PATH = "/streams/find"
@@ -49,6 +51,10 @@
     """The connection was lost before the response was complete."""
 
 
+class PeerPathUnknownError(PeerUnavailableError):
+    """Another member, of a former release, does not know this call."""
+
+
 class PeerClients:
     """HTTP clients of the other members, by address.
 
@@ -87,6 +93,7 @@
         :raises PeerUnreachableError: not sent, so the call has no effect.
         :raises PeerTimeoutError: no response arrived in time.
         :raises PeerConnectionLostError: the call may have had an effect.
+        :raises PeerPathUnknownError: the member does not know the call.
         :raises PeerUnavailableError: the status is not 200.
         """
         client = self._client(address)
@@ -100,6 +107,8 @@
             raise PeerUnreachableError(f"{address}: {error}") from error
         except http_client.NoResponseError as error:
             raise PeerConnectionLostError(f"{address}: {error}") from error
+        if response.status == 404:
+            raise PeerPathUnknownError(f"{address}: no call {path}")
         if response.status != 200:
             raise PeerUnavailableError(f"{address}: status {response.status}")
         return response.body
--- a/packages/gateway/src/balsamloom_gateway/replica_repair.py
+++ b/packages/gateway/src/balsamloom_gateway/replica_repair.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from balsamloom_conversations import (
     database,
@@ -19,13 +20,11 @@
 )
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import peers
+from balsamloom_gateway import peers, turn_fetcher
 
 MAX_LIST_ENTRIES = 2_000
-# Small enough that a long repair does not delay other requests.
-MAX_READ_TURNS = 100
 CALL_TIMEOUT_MS = 400.0
-WRITE_TIMEOUT_MS = 4_000.0
+PROGRESS_INTERVAL_MS = 1_000.0
 # A host counts as down after this many rounds without an answer; the others
 # then take over its turns.
 DOWN_AFTER_MISSED_ROUNDS = 2
@@ -40,6 +39,8 @@
         self.cursor = 0
         self.is_leaving = False
         self.missed_rounds = 0
+        # Size of the turns listed and not yet fetched.
+        self.missing_bytes = 0
 
     @property
     def is_up(self) -> bool:
@@ -75,7 +76,7 @@
         self._own = own
         self._hosts = hosts
         self._store = store
-        self._commits = commits
+        self._fetcher = turn_fetcher.TurnFetcher(clients, commits)
         self._clients = clients
         self._clock = clock
         self._copies = copies
@@ -87,6 +88,16 @@
         # Whether this host, which is leaving, stores no new turns.
         self.refuses_turns = False
         self.fetched_turns = 0
+        self._next_progress_ms = 0.0
+
+    def missing_bytes(self) -> int:
+        """Return the size of the turns that are being fetched.
+
+        They are those of the last listing of each host, without the part
+        whose transfer is in progress.
+        """
+        sources = list(self._sources.values())
+        return sum(source.missing_bytes for source in sources)
 
     def run_round(self) -> bool:
         """Fetch missing turns; return whether all hosts answered."""
@@ -197,8 +208,10 @@
                 )
             ]
             missing = self._store.find_missing(wanted)
-            for start in range(0, len(missing), MAX_READ_TURNS):
-                self._fetch(host, missing[start : start + MAX_READ_TURNS])
+            source.missing_bytes = 0
+            self._fetcher.fetch(
+                host, missing, functools.partial(self._record_progress, source)
+            )
             fetched += len(missing)
             if listing.entries:
                 source.cursor = listing.entries[-1].sequence
@@ -210,6 +223,25 @@
                 events.Event.COPIES_FETCHED, host=host.name, turns=fetched
             )
 
+    def _record_progress(self, source: _Source, missing_bytes: int) -> None:
+        source.missing_bytes = missing_bytes
+        now_ms = self._clock.now_ms()
+        if missing_bytes and now_ms >= self._next_progress_ms:
+            self._next_progress_ms = now_ms + PROGRESS_INTERVAL_MS
+            events.log(
+                events.Event.COPIES_MISSING,
+                missing_bytes=self.missing_bytes(),
+                hosts=self._missing_hosts(),
+            )
+
+    def _missing_hosts(self) -> list[str]:
+        """Return the hosts from which turns are still to be fetched."""
+        return sorted(
+            name
+            for name, source in self._sources.items()
+            if source.missing_bytes
+        )
+
     def _request_listing(
         self, host: replicas.StorageHost, source: _Source
     ) -> messages.Listing:
@@ -230,17 +262,6 @@
         source.is_leaving = listing.is_leaving
         return listing
 
-    def _fetch(
-        self, host: replicas.StorageHost, turn_ids: Sequence[str]
-    ) -> None:
-        answer = self._clients.post(
-            host.address,
-            peers.READ_TURNS_PATH,
-            messages.encode_names(turn_ids),
-            CALL_TIMEOUT_MS,
-        )
-        self._commits.write(messages.decode_turns(answer), WRITE_TIMEOUT_MS)
-
     def _placement_hosts(self) -> list[replicas.StorageHost]:
         """Return the hosts that store turns, including this one."""
         hosts = [
--- a/packages/gateway/src/balsamloom_gateway/storage_service.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_service.py
@@ -18,9 +18,11 @@
     peers,
     replica_repair,
     stream_registry,
+    turn_fetcher,
 )
 
 WRITE_TIMEOUT_MS = 1_500.0
+MAX_FORMER_READ_TURNS = 100
 
 
 class StorageService:
@@ -47,7 +49,8 @@
             peers.KEEP_TURN_PATH: self._store_turn,
             peers.CHAIN_PATH: self._read_chain,
             peers.LIST_TURNS_PATH: self._list_turns,
-            peers.READ_TURNS_PATH: self._read_turns,
+            peers.READ_TURNS_PATH: self._read_batch,
+            peers.FORMER_READ_TURNS_PATH: self._read_turns,
             peers.COPY_TURNS_PATH: self._copy_from,
             peers.RECORD_STREAMS_PATH: self._record_streams,
             peers.FIND_STREAM_PATH: self._find_stream,
@@ -99,8 +102,17 @@
         )
         return messages.encode_listing(listing)
 
+    def _read_batch(self, body: bytes) -> bytes:
+        query = messages.decode_read_query(body)
+        batch = self._store.read_batch(
+            query.turn_ids,
+            min(query.max_bytes, turn_fetcher.MAX_PART_BYTES),
+            turn_fetcher.MAX_PART_TURNS,
+        )
+        return messages.encode_batch(batch)
+
     def _read_turns(self, body: bytes) -> bytes:
-        names = messages.decode_names(body)[: replica_repair.MAX_READ_TURNS]
+        names = messages.decode_names(body)[:MAX_FORMER_READ_TURNS]
         return messages.encode_turns(self._store.read(names))
 
     def _copy_from(self, body: bytes) -> bytes:
--- a/packages/gateway/tests/storage_nodes.py
+++ b/packages/gateway/tests/storage_nodes.py
@@ -6,7 +6,13 @@
 import tempfile
 import threading
 
-from balsamloom_conversations import database, group_commit, replicas, turns
+from balsamloom_conversations import (
+    database,
+    group_commit,
+    messages,
+    replicas,
+    turns,
+)
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
     listeners,
@@ -120,8 +126,11 @@
         node = self._cluster.node(address)
         if not node.is_up:
             raise peers.PeerUnavailableError(f"{address} is down")
+        handler = node.service.handlers.get(path)
+        if handler is None:
+            raise peers.PeerPathUnknownError(path)
         try:
-            return node.service.handlers[path](body)
+            return handler(body)
         except (
             peer_calls.UnavailableError,
             database.DatabaseError,
@@ -157,6 +166,52 @@
         return super().post(address, path, body, timeout_ms)
 
 
+class MeasuringClients(DirectClients):
+    """Clients that record the size of the longest answer.
+
+    :param cluster: hosts, whose addresses are their names.
+    """
+
+    def __init__(self, cluster: StorageCluster) -> None:
+        super().__init__(cluster)
+        self.longest_answer_bytes = 0
+
+    def post(
+        self, address: str, path: str, body: bytes, timeout_ms: float
+    ) -> bytes:
+        """Call a host."""
+        answer = super().post(address, path, body, timeout_ms)
+        self.longest_answer_bytes = max(self.longest_answer_bytes, len(answer))
+        return answer
+
+
+class CutClients(DirectClients):
+    """Clients that receive only some answers with turns; counts the turns.
+
+    :param cluster: hosts, whose addresses are their names.
+    :param answers: answers that arrive; ``None``: all.
+    """
+
+    def __init__(self, cluster: StorageCluster, answers: int | None) -> None:
+        super().__init__(cluster)
+        self.answers_left = answers
+        self.turns_read = 0
+
+    def post(
+        self, address: str, path: str, body: bytes, timeout_ms: float
+    ) -> bytes:
+        """Call a host."""
+        if path != peers.READ_TURNS_PATH:
+            return super().post(address, path, body, timeout_ms)
+        if self.answers_left == 0:
+            raise peers.PeerTimeoutError(address)
+        if self.answers_left is not None:
+            self.answers_left -= 1
+        answer = super().post(address, path, body, timeout_ms)
+        self.turns_read += len(messages.decode_batch(answer).turns)
+        return answer
+
+
 class FailingClients:
     """Clients whose calls all fail; counts the calls.
 
@@ -221,6 +276,16 @@
             node.close()
 
 
+def large_turns(count: int, size_bytes: int) -> list[turns.Turn]:
+    """Build first turns of as many conversations."""
+    return [
+        turn(f"t{number}", group_id=f"g{number}")._replace(
+            input=b"x" * size_bytes
+        )
+        for number in range(count)
+    ]
+
+
 def turn(
     turn_id: str, previous_id: str = "", group_id: str = "g"
 ) -> turns.Turn:
--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -20,6 +20,7 @@
     storage_evacuation,
     storage_registration,
     traffic,
+    turn_fetcher,
 )
 
 
@@ -95,6 +96,55 @@
         )
 
 
+class LargeTurnRepairTest(cluster_case.ClusterCase):
+    """Guards against repair calls whose answers are too large to arrive."""
+
+    TURN_BYTES = 300_000
+
+    def setUp(self):
+        super().setUp()
+        self.stored = storage_nodes.large_turns(20, self.TURN_BYTES)
+        self.keep(*self.stored)
+        self.node = self.cluster.node("b1")
+        self.held = [turn for turn in self.stored if self.node.has(turn)]
+        self.node.wipe()
+
+    def repair(self, clients):
+        self.cluster.clients = lambda: clients
+        self.node.start()
+        self.node.copies.run_round()
+
+    def test_answers_are_bounded_in_bytes(self):
+        clients = storage_nodes.MeasuringClients(self.cluster)
+        self.repair(clients)
+        self.assertTrue(all(self.node.has(turn) for turn in self.held))
+        self.assertGreater(len(self.held), 3)
+        bound = turn_fetcher.MAX_PART_BYTES + self.TURN_BYTES
+        self.assertLess(clients.longest_answer_bytes, bound)
+
+    def test_parts_that_arrived_are_not_fetched_again(self):
+        clients = storage_nodes.CutClients(self.cluster, answers=1)
+        self.repair(clients)
+        arrived = [turn for turn in self.held if self.node.has(turn)]
+        missing_bytes = self.node.copies.missing_bytes()
+        clients.answers_left = None
+        self.node.copies.run_round()
+        self.assertTrue(arrived)
+        self.assertGreaterEqual(missing_bytes, self.TURN_BYTES)
+        self.assertEqual(self.node.copies.missing_bytes(), 0)
+        self.assertTrue(all(self.node.has(turn) for turn in self.held))
+        self.assertEqual(clients.turns_read, len(self.held))
+
+    def test_hosts_of_a_former_release_are_asked_for_single_turns(self):
+        for node in self.cluster.nodes:
+            node.service.handlers.pop(peers.READ_TURNS_PATH, None)
+        clients = storage_nodes.MeasuringClients(self.cluster)
+        self.repair(clients)
+        self.assertTrue(all(self.node.has(turn) for turn in self.held))
+        bound = turn_fetcher.MAX_PART_BYTES + self.TURN_BYTES
+        self.assertLess(clients.longest_answer_bytes, bound)
+
+
 class RandomLossTest(cluster_case.ClusterCase):
     """Guards against losing turns to failures within the tolerance."""
 
