conversations: a commit of turns is bounded in bytes

Now it takes those that fit into 4 MB, at least one.

Test test_commits_are_bounded_in_bytes; before: 13,500,036 bytes in one commit of nine turns of 1.5 MB.

--- a/packages/conversations/src/balsamloom_conversations/group_commit.py
+++ b/packages/conversations/src/balsamloom_conversations/group_commit.py
@@ -8,8 +8,9 @@
 from balsamloom_conversations import database, turns
 from balsamloom_core import clock as clocks
 
-# Limits the commit time, which delays every turn of the batch.
+# Limit the commit time, which delays every turn of the batch.
 MAX_COMMIT_TURNS = 200
+MAX_COMMIT_BYTES = 4_000_000
 
 
 class TurnWriteError(Exception):
@@ -21,6 +22,7 @@
 
     def __init__(self, new_turns: Sequence[turns.Turn]) -> None:
         self.turns = new_turns
+        self.size_bytes = sum(turn.size_bytes for turn in new_turns)
         self.done = threading.Event()
         self.error: str | None = None
 
@@ -82,12 +84,19 @@
             self._queue_changed.notify_all()
 
     def _take_batches(self) -> list[_Batch]:
+        """Take the first batches that fit into a commit, at least one."""
         taken: list[_Batch] = []
-        size = 0
-        while self._queue and size < MAX_COMMIT_TURNS:
-            batch = self._queue.pop(0)
+        turn_count, size_bytes = 0, 0
+        for batch in self._queue:
+            turn_count += len(batch.turns)
+            size_bytes += batch.size_bytes
+            is_full = (
+                turn_count > MAX_COMMIT_TURNS or size_bytes > MAX_COMMIT_BYTES
+            )
+            if taken and is_full:
+                break
             taken.append(batch)
-            size += len(batch.turns)
+        del self._queue[: len(taken)]
         return taken
 
     def _write(self, batches: list[_Batch]) -> None:
--- a/packages/conversations/tests/test_database.py
+++ b/packages/conversations/tests/test_database.py
@@ -311,32 +311,45 @@
         self.may_finish.wait(5)
         if self.error:
             raise database.DatabaseError(self.error)
-        self.batches.append([turn.turn_id for turn in found])
+        self.batches.append(found)
 
-    def write(self, name):
-        self.commits.write([builders.turn(name)], 5_000.0)
+    def write(self, name, size_bytes=1):
+        turn = builders.turn(name)._replace(input=b"x" * size_bytes)
+        self.commits.write([turn], 5_000.0)
 
-    def test_waiting_turns_share_a_commit(self):
+    def write_at_once(self, count, size_bytes):
+        """Write a turn, and queue the others until it is written."""
         self.may_finish.clear()
         writers = [
-            threading.Thread(target=self.write, args=(f"t{number}",))
-            for number in range(20)
+            threading.Thread(
+                target=self.write, args=(f"t{number}", size_bytes)
+            )
+            for number in range(count)
         ]
-        # The first write must be in progress before the others are queued,
-        # so that they form exactly one further commit.
         writers[0].start()
         self.assertTrue(self.add_started.wait(5))
         for writer in writers[1:]:
             writer.start()
         until_s = time.monotonic() + 5
-        while len(self.commits._queue) < 19 and time.monotonic() < until_s:
+        while len(self.commits._queue) < count - 1:
+            self.assertLess(time.monotonic(), until_s)
             time.sleep(0.005)
         self.may_finish.set()
         for writer in writers:
             writer.join(5)
-        self.assertEqual(sum(map(len, self.batches)), 20)
+        self.assertEqual(sum(map(len, self.batches)), count)
+
+    def test_waiting_turns_share_a_commit(self):
+        self.write_at_once(20, size_bytes=1)
         self.assertEqual(len(self.batches), 2)
 
+    def test_commits_are_bounded_in_bytes(self):
+        """Guards against commits that delay small turns by their size."""
+        self.write_at_once(10, size_bytes=1_500_000)
+        for batch in self.batches:
+            size_bytes = sum(turn.size_bytes for turn in batch)
+            self.assertLessEqual(size_bytes, group_commit.MAX_COMMIT_BYTES)
+
     def test_database_error_reaches_the_writer(self):
         self.error = "disk full"
         with self.assertRaisesRegex(group_commit.TurnWriteError, "disk full"):
