--- a/tools/measured_report.py
+++ b/tools/measured_report.py
@@ -146,7 +146,8 @@
             f"| {entry['ratio']} | {entry['ratio_min']} to "
             f"{entry['ratio_max']} | {relation} {figure.target} | {met} |"
         )
-    lines += ["", *_read_causes(root), *_trace_section(summary, runs)]
+    lines += ["", *_read_notes(root, "causes"), *_trace_section(summary, runs)]
+    lines += _read_notes(root, "repair")
     lines += _method_section(duration_s, lanes)
     lines += [*_machine_section(runs), "## Plots", ""]
     for scenario in dict.fromkeys(run["scenario"] for run in runs):
@@ -154,9 +155,9 @@
     return "\n".join(lines) + "\n"
 
 
-def _read_causes(root: pathlib.Path) -> list[str]:
-    """Return the hand-written causes of missed targets, if any."""
-    path = root / "measurements" / "causes.md"
+def _read_notes(root: pathlib.Path, name: str) -> list[str]:
+    """Return the lines of a hand-written section, if there is one."""
+    path = root / "measurements" / f"{name}.md"
     if not path.exists():
         return []
     return [path.read_text(encoding="utf-8").rstrip(), ""]
