gateway: the 413 of a conversation says what is too long

Callers of a turn whose earlier turns and body together exceed max-body-bytes got a bare 413, like one for a body that is too long itself.

Test test_conversation_over_the_body_limit_is_rejected; before, its answer had no body.

--- a/packages/core/src/balsamloom_core/errors.py
+++ b/packages/core/src/balsamloom_core/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from balsamloom_core import results
 
 
@@ -27,3 +29,15 @@
     def message(self) -> str:
         """Return the message for users."""
         return str(self.args[0])
+
+    def document(self) -> dict[str, Any]:
+        """Return the JSON form for callers."""
+        return {
+            "error": {
+                "code": int(self.code),
+                "name": self.code.name.lower(),
+                "message": self.message,
+                "not_run": results.info(self.code).not_run,
+                "retry_after_ms": self.retry_after_ms,
+            }
+        }
--- a/packages/entry/src/balsamloom_entry/feeds.py
+++ b/packages/entry/src/balsamloom_entry/feeds.py
@@ -208,7 +208,7 @@
                 return
             case CallFailed(error):
                 body = {"code": int(error.code), "committed": False}
-                yield encoder.done({**body, **requests.error_document(error)})
+                yield encoder.done({**body, **error.document()})
                 return
         item = feed.read(progress_ms)
 
--- a/packages/entry/src/balsamloom_entry/requests.py
+++ b/packages/entry/src/balsamloom_entry/requests.py
@@ -120,22 +120,6 @@
     return Response(status, all_headers, [body])
 
 
-def error_document(error: errors.BalsamloomError) -> dict[str, Any]:
-    """Return the JSON form of an error.
-
-    :param error: error to describe.
-    """
-    return {
-        "error": {
-            "code": int(error.code),
-            "name": error.code.name.lower(),
-            "message": error.message,
-            "not_run": results.info(error.code).not_run,
-            "retry_after_ms": error.retry_after_ms,
-        }
-    }
-
-
 def error_response(error: errors.BalsamloomError) -> Response:
     """Return a response for an error, with ``Retry-After`` if it is known.
 
@@ -146,4 +130,4 @@
         # The header is in whole seconds; the body has the exact time.
         headers["Retry-After"] = str(-(-error.retry_after_ms // 1000))
     status = results.info(error.code).http_status
-    return json_response(error_document(error), status, headers)
+    return json_response(error.document(), status, headers)
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -231,8 +231,11 @@
         body = history + call.body
         limit_bytes = call.configuration.limits.body_bytes
         if len(body) > limit_bytes:
-            self._responder.send_error(
-                call, 413, "the conversation exceeds the body size limit"
+            self._responder.send_refusal(
+                call,
+                responses.history_too_long(
+                    len(history), len(call.body), limit_bytes
+                ),
             )
             return None
         turn = turns.Turn(
--- a/packages/gateway/src/balsamloom_gateway/responses.py
+++ b/packages/gateway/src/balsamloom_gateway/responses.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import json
 import logging
 from typing import Any, NamedTuple
 
 from balsamloom_core import clock as clocks
-from balsamloom_core import events
+from balsamloom_core import errors, events, results
 from balsamloom_gateway import (
     attempts,
     balancer,
@@ -18,6 +19,8 @@
     traffic,
 )
 
+_JSON_FIELD = (b"Content-Type", b"application/json")
+
 
 class Call(NamedTuple):
     """Request that was read and has a route.
@@ -120,6 +123,15 @@
         status = 504 if self._clock.now_ms() >= call.until_ms else 502
         self.send_error(call, status, decision.reason)
 
+    def send_refusal(self, call: Call, error: errors.BalsamloomError) -> None:
+        """Send an error whose body says what the caller can do; log it."""
+        status = results.info(error.code).http_status
+        identifier = call.metadata.request_id
+        fields = self._codec.response_fields(identifier, None)
+        body = json.dumps(error.document(), separators=(",", ":")).encode()
+        call.response.send(status, [*fields, _JSON_FIELD], body)
+        self.log_end(call, status, error.message)
+
     def send_error(self, call: Call, status: int, reason: str) -> None:
         """Send an error response without Retry-After and log it."""
         fields = self._codec.response_fields(call.metadata.request_id, None)
@@ -186,3 +198,15 @@
             first_ms=first_ms,
             **fields,
         )
+
+
+def history_too_long(
+    history_bytes: int, body_bytes: int, limit_bytes: int
+) -> errors.BalsamloomError:
+    """Return the error for a turn that is too long with those before it."""
+    return errors.BalsamloomError(
+        results.ResultCode.HISTORY_TOO_LONG,
+        f"the turns before this one have {history_bytes} bytes and its body"
+        f" {body_bytes}; accepted: {limit_bytes} together. Send a shorter"
+        " body, continue an earlier turn, or begin a new conversation",
+    )
--- a/packages/gateway/tests/test_turn_path.py
+++ b/packages/gateway/tests/test_turn_path.py
@@ -1,6 +1,7 @@
 """Tests of conversation turns, from a caller to a server and back."""
 
 import http.client
+import json
 import socket
 import threading
 import unittest
@@ -193,7 +194,13 @@
             )
         )
         gateway.fleet._active_configuration.configuration = configuration
-        self.assertEqual(self.turn("r2", "r1")[0].status, 413)
+        response, body = self.turn("r2", "r1")
+        self.assertEqual(response.status, 413)
+        error = json.loads(body)["error"]
+        self.assertEqual(error["name"], "history_too_long")
+        self.assertIn("accepted: 20 together", error["message"])
+        self.assertTrue(error["not_run"])
+        self.assertEqual(self.runs(), 1)
 
 
 if __name__ == "__main__":
