--- a/packages/gateway/src/balsamloom_gateway/replica_repair.py
+++ b/packages/gateway/src/balsamloom_gateway/replica_repair.py
@@ -91,10 +91,10 @@
         self._next_progress_ms = 0.0
 
     def missing_bytes(self) -> int:
-        """Return the size of the turns that are being fetched.
+        """Return the size of the turns that are still to be fetched.
 
-        They are those of the last listing of each host, without the part
-        whose transfer is in progress.
+        They are those of the last listing of each host, known from its first
+        answer with turns on.
         """
         sources = list(self._sources.values())
         return sum(source.missing_bytes for source in sources)
