--- a/tools/measured_report.py
+++ b/tools/measured_report.py
@@ -147,7 +147,8 @@
             f"{entry['ratio_max']} | {relation} {figure.target} | {met} |"
         )
     lines += ["", *_read_notes(root, "causes"), *_trace_section(summary, runs)]
-    lines += [*_read_notes(root, "repair"), *_read_notes(root, "latency")]
+    for name in ("repair", "latency", "soak"):
+        lines += _read_notes(root, name)
     lines += _method_section(duration_s, lanes)
     lines += [*_machine_section(runs), "## Plots", ""]
     for scenario in dict.fromkeys(run["scenario"] for run in runs):
