tests: a served request is heard of before the servers change

The caller gets the end of its answer just before the detector forgets the broken attempt; a new run of the server that was applied in between counts as a crash, which is cleared when the detector hears of the answer. Shown: with 200 ms before CrashDetector.record_served the test failed, and passes now. It waits up to 5 s until no attempt is suspected, and checks the same.

--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -379,6 +379,11 @@
         gateway = self.start(resetting_once)
         self.assertEqual(self.send("/once/t").status, 502)
         self.assertEqual(self.send("/once/t").status, 200)
+        # The caller has its answer just before the detector hears of it.
+        until_s = time.monotonic() + 5
+        while gateway.detector._suspects:
+            self.assertLess(time.monotonic(), until_s)
+            time.sleep(0.005)
         restarted = [builders.server("s0", incarnation=2)]
         gateway.detector.apply_servers(restarted)
         self.assertEqual(gateway.crashes._ledger.expired(math.inf), [])
