tests: a wiped host is asked for the turns that it must store

The test took what the host had stored for what it must store; a write that another host takes more than 60 ms for is sent to a third host too, which need not fetch it again.

--- a/packages/gateway/tests/cluster_case.py
+++ b/packages/gateway/tests/cluster_case.py
@@ -4,6 +4,7 @@
 
 import storage_nodes
 
+from balsamloom_conversations import replicas
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import conversations
 
@@ -46,5 +47,19 @@
         for turn in turns:
             self.assertTrue(self.reader.write(turn, deadline()), turn)
 
+    def placed_at(self, node, stored):
+        """Return the turns that a host must store.
+
+        A slow write of another host may have left it more of them.
+        """
+        hosts = self.cluster.hosts()
+        return [
+            turn
+            for turn in stored
+            if replicas.is_target(
+                node.name, turn.group_id, hosts, storage_nodes.COPIES
+            )
+        ]
+
     def read(self, turn_id, hint="g", reader=None):
         return (reader or self.reader).read(turn_id, hint, deadline())
