gateway: nothing waits for a repair round but the next one

Callers of a storage host's metrics, and the thread that follows the store's records when an evacuation is ordered, asked ReplicaRepair for the active hosts, which took the lock of a repair round. A round lasts as long as its turns take, so the gauge of the bytes that are missing, added for operators, could not be read while a repair ran, and the host's view of the store stood still.

other_active_hosts reads the state of each source without that lock. test_storage_hosts.LongRepairTest holds an answer of a repair back; before, the call had not returned after 1 s.

--- a/packages/gateway/src/balsamloom_gateway/replica_repair.py
+++ b/packages/gateway/src/balsamloom_gateway/replica_repair.py
@@ -47,6 +47,11 @@
         """Return whether the host is expected to store turns."""
         return self.missed_rounds < DOWN_AFTER_MISSED_ROUNDS
 
+    @property
+    def is_active(self) -> bool:
+        """Return whether the host is up and not leaving."""
+        return self.is_up and not self.is_leaving
+
 
 class ReplicaRepair:
     """Fetches the turns that this host should have.
@@ -123,14 +128,14 @@
             return self._active_hosts
 
     def other_active_hosts(self) -> list[replicas.StorageHost]:
-        """Return the other hosts that are up and not leaving."""
-        with self._lock:
-            return [
-                host
-                for host in self._other_hosts()
-                if self._source(host).is_up
-                and not self._source(host).is_leaving
-            ]
+        """Return the other hosts that are up and not leaving.
+
+        It does not wait for a round, which lasts as long as the turns that
+        are missing take.
+        """
+        return [
+            host for host in self._other_hosts() if self._is_active(host.name)
+        ]
 
     def handle_damage(self) -> None:
         """Compare all turns of the other hosts again after damage here."""
@@ -185,7 +190,7 @@
         """Update the hosts that store turns; return whether they changed."""
         active_hosts = [self._own.name]
         for name, source in self._sources.items():
-            if source.is_up and not source.is_leaving:
+            if source.is_active:
                 active_hosts.append(name)
         active_hosts.sort()
         if active_hosts == self._active_hosts:
@@ -274,6 +279,10 @@
     def _other_hosts(self) -> list[replicas.StorageHost]:
         return [host for host in self._hosts() if host.name != self._own.name]
 
+    def _is_active(self, name: str) -> bool:
+        source = self._sources.get(name)
+        return source is None or source.is_active
+
     def _source(self, host: replicas.StorageHost) -> _Source:
         source = self._sources.get(host.name)
         if source is None:
--- a/packages/gateway/tests/storage_nodes.py
+++ b/packages/gateway/tests/storage_nodes.py
@@ -25,6 +25,8 @@
 
 LIMITS = listeners.Limits(16, 16_384, 4_000_000, 2_000.0, 10_000.0)
 COPIES = 2
+# Longest time for which a test holds an answer back.
+HOLD_TIMEOUT_S = 5.0
 
 
 class StorageNode:
@@ -212,6 +214,27 @@
         return answer
 
 
+class HeldClients(DirectClients):
+    """Clients that hold back answers with turns until they are released.
+
+    :param cluster: hosts, whose addresses are their names.
+    """
+
+    def __init__(self, cluster: StorageCluster) -> None:
+        super().__init__(cluster)
+        self.is_reading = threading.Event()
+        self.may_answer = threading.Event()
+
+    def post(
+        self, address: str, path: str, body: bytes, timeout_ms: float
+    ) -> bytes:
+        """Call a host."""
+        if path == peers.READ_TURNS_PATH:
+            self.is_reading.set()
+            self.may_answer.wait(HOLD_TIMEOUT_S)
+        return super().post(address, path, body, timeout_ms)
+
+
 class FailingClients:
     """Clients whose calls all fail; counts the calls.
 
--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -146,6 +146,40 @@
         self.assertLess(clients.longest_answer_bytes, bound)
 
 
+class LongRepairTest(cluster_case.ClusterCase):
+    """Guards against a repair that keeps the rest of the host waiting."""
+
+    def setUp(self):
+        super().setUp()
+        self.keep(
+            *[storage_nodes.turn(f"t{n}", "", f"g{n}") for n in range(9)]
+        )
+        self.node = self.cluster.node("b1")
+        self.node.wipe()
+        self.clients = storage_nodes.HeldClients(self.cluster)
+        self.cluster.clients = lambda: self.clients
+        self.node.start()
+        self.round = threading.Thread(target=self.node.copies.run_round)
+        self.round.start()
+        self.addCleanup(self.round.join)
+        self.addCleanup(self.clients.may_answer.set)
+        self.assertTrue(self.clients.is_reading.wait(5))
+
+    def run_beside_round(self, function):
+        """Run a function in a thread; return its result, if it ends."""
+        results = []
+        thread = threading.Thread(target=lambda: results.append(function()))
+        thread.start()
+        thread.join(1)
+        self.assertTrue(results, "it waits for the repair")
+        return results[0]
+
+    def test_active_hosts_are_known_meanwhile(self):
+        # Metrics and the follower of the records ask for them.
+        hosts = self.run_beside_round(self.node.copies.other_active_hosts)
+        self.assertEqual({host.name for host in hosts}, {"a1", "c1"})
+
+
 class RandomLossTest(cluster_case.ClusterCase):
     """Guards against losing turns to failures within the tolerance."""
 
