gateway: a host is not whole from the moment its damage is found

ReplicaRepair.handle_damage waited for a repair round in progress. The damaged turns were deleted before, so until the end of the round the host said "absent", and not "unsure", for them: a 404 for a kept turn without proof, if the other hosts lack it. Found by reading the change again; not seen on a deployment.

Damage is counted under a lock of its own. The next round compares all turns again, and a round that began before does not make the host whole. test_damage_that_is_found_meanwhile_is_known_at_once; before, the call had not returned after 1 s.

--- a/packages/gateway/src/balsamloom_gateway/replica_repair.py
+++ b/packages/gateway/src/balsamloom_gateway/replica_repair.py
@@ -88,6 +88,10 @@
         self._lock = threading.Lock()
         self._sources: dict[str, _Source] = {}
         self._active_hosts: list[str] = []
+        self._damage_lock = threading.Lock()
+        # How often turns were found damaged, and at the latest round.
+        self._damage_count = 0
+        self._compared_damage_count = 0
         self.is_whole = is_whole
         self.is_leaving = False
         # Whether this host, which is leaving, stores no new turns.
@@ -138,13 +142,20 @@
         ]
 
     def handle_damage(self) -> None:
-        """Compare all turns of the other hosts again after damage here."""
-        with self._lock:
+        """Have the next round compare all turns after damage here.
+
+        A round in progress may have passed the turns that were damaged.
+        """
+        with self._damage_lock:
+            self._damage_count += 1
             self.is_whole = False
-            for source in self._sources.values():
-                source.cursor = 0
 
     def _run_round(self) -> bool:
+        damage_count = self._damage_count
+        if damage_count != self._compared_damage_count:
+            self._compared_damage_count = damage_count
+            for source in self._sources.values():
+                source.cursor = 0
         others = self._other_hosts()
         known = {host.name for host in others}
         for name in set(self._sources) - known:
@@ -159,8 +170,9 @@
             # The placement of turns changed, so all are examined again.
             for host in others:
                 is_complete &= self._try_fetch_from(host)
-        if is_complete and others:
-            self.is_whole = True
+        with self._damage_lock:
+            if is_complete and others and damage_count == self._damage_count:
+                self.is_whole = True
         return is_complete
 
     def _try_fetch_from(self, host: replicas.StorageHost) -> bool:
--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -179,6 +179,19 @@
         hosts = self.run_beside_round(self.node.copies.other_active_hosts)
         self.assertEqual({host.name for host in hosts}, {"a1", "c1"})
 
+    def test_damage_that_is_found_meanwhile_is_known_at_once(self):
+        # Until then the host said that a damaged turn did not exist.
+        copies = self.node.copies
+        copies.is_whole = True
+        self.run_beside_round(lambda: copies.handle_damage() or "done")
+        self.assertFalse(copies.is_whole)
+        self.clients.may_answer.set()
+        self.round.join()
+        # The round may have passed the turns that were damaged.
+        self.assertFalse(copies.is_whole)
+        copies.run_round()
+        self.assertTrue(copies.is_whole)
+
 
 class RandomLossTest(cluster_case.ClusterCase):
     """Guards against losing turns to failures within the tolerance."""
