--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -443,3 +443,14 @@
         if retry_after_ms is not None:
             fields.append((b"Retry-After", b"%.3f" % (retry_after_ms / 1000)))
         return fields
+
+
+def server_record(is_draining=False, sequence=0, incarnation=1):
+    """Build a server's record; decoding it ignores ``sequence``."""
+    return json.dumps(
+        {
+            "is_draining": is_draining,
+            "sequence": sequence,
+            "incarnation": incarnation,
+        }
+    ).encode()
