gateway: only the primary holder vouches for programs it never reported

Cause: a complete report says that programs that the sender never reported are new. That holds for the sender's own programs, but any complete report of the last 6 s, of any member, let a restarted holder hand out unrecorded tokens of any program. The rule counts over all holders, and one process's word was taken for all of theirs.

Complete reports are kept by holder; a program's evidence is that of its primary holder, and a loss or an arrival of a member ends all of them, as programs may have other holders then. Callers of a standby whose primary holder has not reported get 503, not run, until the store is back.

test_only_the_primary_holder_vouches_for_new_programs failed before: a turn was handed out. New programs that the primary vouches for are still served.

--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -14,6 +14,7 @@
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
 from balsamloom_gateway import (
+    complete_reports,
     interfaces,
     ledger,
     ledger_recorder,
@@ -23,9 +24,6 @@
 
 # Delay of allocations that no turn waits for, so that many share a batch.
 BATCH_DELAY_MS = 300.0
-# After a complete report within this time, a standby counts as knowing all
-# programs of the holders.
-MAX_REPORT_AGE_MS = 6_000.0
 # After a loss, unknown programs may be those of the lost process for this
 # time.
 CAUTION_MS = 60_000.0
@@ -79,7 +77,7 @@
         self._deferred: set[str] = set()
         self._unreported: set[str] = set()
         self._lost_holders: set[str] = set()
-        self._complete_report_ms = -math.inf
+        self._complete_reports = complete_reports.CompleteReports(clock)
         self._caution_until_ms = -math.inf
         self._outage_caution_until_ms = -math.inf
         self._is_restart = is_restart
@@ -125,10 +123,16 @@
         """
         with self._changed:
             self._lost_holders.add(name)
+            self._complete_reports.forget()
             for account in self._accounts.values():
                 account.has_queried_standbys = False
             self._changed.notify_all()
 
+    def handle_new_members(self) -> None:
+        """Handle an arrival, after which programs may have other holders."""
+        with self._changed:
+            self._complete_reports.forget()
+
     def merge_usages(
         self,
         holder: str,
@@ -138,11 +142,12 @@
         """Merge the usages that another holder reported.
 
         :param holder: name and incarnation of the other holder.
-        :param is_complete: whether programs that it never reported are new.
+        :param is_complete: whether programs that it never reported are new,
+            of those that it is the primary holder of.
         """
         with self._changed:
             if is_complete:
-                self._complete_report_ms = self._clock.now_ms()
+                self._complete_reports.record(holder)
             for report in reports:
                 account = self._account(*report.usage[:2])
                 account.merge_report(holder, report)
@@ -365,7 +370,10 @@
             limit = 0
             if is_outage:
                 limit = outage_policy.max_unrecorded_tokens(
-                    account, tokens, policy, self._evidence()
+                    account,
+                    tokens,
+                    policy,
+                    self._evidence(account.program_id),
                 )
             match account.reserve(tokens, limit):
                 case ledger.RequiredAllocation(allocation):
@@ -405,10 +413,16 @@
         account.last_used_ms = self._clock.now_ms()
         return account
 
-    def _evidence(self) -> outage_policy.Evidence:
-        age_ms = self._clock.now_ms() - self._complete_report_ms
+    def _evidence(self, program_id: str) -> outage_policy.Evidence:
+        """Return what is known of a program that has no account here.
+
+        Only its primary holder vouches for it. Others may report all that
+        they hold and never have held this program.
+        """
+        primary = self.standbys.primary_of(program_id)
         return outage_policy.Evidence(
-            self._knows_all_programs(), age_ms < MAX_REPORT_AGE_MS
+            self._knows_all_programs(),
+            self._complete_reports.has_recent(primary),
         )
 
     def _knows_all_programs(self) -> bool:
--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -230,6 +230,7 @@
 
         An arrival may shift the ranks of members or add a primary holder.
         """
+        self._local_ledger.handle_new_members()
         known = self._primaries
         self._primaries = membership.primaries(self._fleet.members())
         is_inheriting = self._name not in known or known - self._primaries
--- a/packages/gateway/src/balsamloom_gateway/outage_policy.py
+++ b/packages/gateway/src/balsamloom_gateway/outage_policy.py
@@ -23,7 +23,8 @@
     """What a holder knows of the programs of other holders.
 
     ``knows_all`` says that a program without an account must be new, and
-    ``has_report`` that the primary holder has lately reported all its usage.
+    ``has_report`` that the program's primary holder has lately reported all
+    its usage.
     """
 
     knows_all: bool
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -34,6 +34,9 @@
     def is_primary(self, program_id: str) -> bool:
         """Return whether this member is the program's primary holder."""
 
+    def primary_of(self, program_id: str) -> str:
+        """Return the id of the program's primary holder, empty if unknown."""
+
     def report(
         self,
         standby: str,
@@ -63,6 +66,10 @@
         """Return true, as there is no other holder."""
         return True
 
+    def primary_of(self, program_id: str) -> str:
+        """Return no id, as no other holder is known."""
+        return ""
+
     def report(
         self,
         standby: str,
@@ -96,14 +103,14 @@
         clock: clocks.Clock,
     ) -> None:
         self._name = name
-        self._id = f"{name}/{incarnation}"
+        self._id = _id(name, incarnation)
         self._calls = member_calls.MemberCalls(clients, BREAKER_BACKOFF, clock)
         self._fleet = view
 
     def of(self, program_id: str) -> tuple[str, ...]:
         """Return name and incarnation of each other holder."""
         return tuple(
-            f"{member.name}/{member.incarnation}"
+            _id(member.name, member.incarnation)
             for member in self._holders(program_id)
         )
 
@@ -112,6 +119,11 @@
         holders = membership.budget_holders(program_id, self._fleet.members())
         return bool(holders) and holders[0].name == self._name
 
+    def primary_of(self, program_id: str) -> str:
+        """Return the id of the program's primary holder, empty if unknown."""
+        holders = membership.budget_holders(program_id, self._fleet.members())
+        return _id(holders[0].name, holders[0].incarnation) if holders else ""
+
     def report(
         self,
         standby: str,
@@ -158,7 +170,7 @@
             [answer.get("unrecorded") or {} for answer in claims]
         )
         registered = {
-            f"{member.name}/{member.incarnation}"
+            _id(member.name, member.incarnation)
             for member in self._fleet.members()
         }
         lost = frozenset(unrecorded) - registered
@@ -213,3 +225,8 @@
     def _holders(self, program_id: str) -> list[traffic.Member]:
         holders = membership.budget_holders(program_id, self._fleet.members())
         return [member for member in holders if member.name != self._name]
+
+
+def _id(name: str, incarnation: str) -> str:
+    """Return the id of a holder, another one for each of its processes."""
+    return f"{name}/{incarnation}"
--- a/packages/gateway/tests/test_budget_ledger.py
+++ b/packages/gateway/tests/test_budget_ledger.py
@@ -19,6 +19,7 @@
 
     def __init__(self):
         self.usages = {}
+        self.primary = "primary/1"
 
     def of(self, program_id):
         return ("standby",)
@@ -26,6 +27,9 @@
     def is_primary(self, program_id):
         return True
 
+    def primary_of(self, program_id):
+        return self.primary
+
     def report(self, standby, reports, is_complete):
         for usage, _ in reports:
             self.usages[usage.program_id] = usage
@@ -160,6 +164,40 @@
             result = self.reserve(successor, policy)
             self.assertIsInstance(result, budget_ledger.RecordingFailure)
 
+    def test_only_the_primary_holder_vouches_for_new_programs(self):
+        # A member that had never held the program had reported all of its own,
+        # and a restarted standby took a program whose budget was spent for a
+        # new one.
+        self.store.put("ledger/p", b'{"tokens": 500, "block": "x.1"}')
+        standby = self.start_holder(is_restart=True)
+        standby.standbys = FakeStandbys()
+        self.store.error = interfaces.StoreUnavailableError("slow")
+        standby.merge_usages("other/1", [], is_complete=True)
+        for policy in (OUTAGE, outage_policy.OutagePolicy.LAST_RESORT):
+            result = self.reserve(standby, policy)
+            self.assertIsInstance(result, budget_ledger.RecordingFailure)
+
+    def test_report_of_a_time_with_other_members_vouches_for_nothing(self):
+        standby = self.start_holder(is_restart=True)
+        standby.standbys = FakeStandbys()
+        self.store.error = interfaces.StoreUnavailableError("slow")
+        for change in (
+            lambda: standby.handle_lost_holder("m"),
+            standby.handle_new_members,
+        ):
+            standby.merge_usages("primary/1", [], is_complete=True)
+            self.assertTrue(standby._evidence("p").has_report)
+            change()
+            self.assertFalse(standby._evidence("p").has_report)
+
+    def test_standby_serves_new_programs_that_the_primary_vouches_for(self):
+        standby = self.start_holder(is_restart=True)
+        standby.standbys = FakeStandbys()
+        self.store.error = interfaces.StoreUnavailableError("slow")
+        standby.merge_usages("primary/1", [], is_complete=True)
+        result = self.reserve(standby, outage_policy.OutagePolicy.LAST_RESORT)
+        self.assertEqual(result, ledger.Reservation())
+
     def spend(self, holder, policy, turns):
         """Return the tokens of the turns that were allowed."""
         allowed = 0
