gateway: a stream that is taken up waits for a route that was just added

What callers would see (by reading, reported by nobody): a stream that broke off and is taken up at an edge that has not read the new configuration gets 404, which ends it, although another edge began it on that route.

Cause: Proxy._find_route asked for the routes as of the request for continued turns only. A stream that is taken up was served before, too, so the route's absence in a copy that lags proves nothing.

Change: both wait for the records of the time of the request and are refused with 503 and Retry-After if those cannot be known in time. New requests get 404 as before (config-apply-ms allows the lag).

Evidence: without the change, test_stream_waits_for_a_route_that_was_just_added (404, not 200) and test_stream_is_refused_while_its_route_may_exist (404, not 503) fail. With it, both pass, and so do test_turn_path and test_proxy (48 tests). Not shown with real processes.

--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -175,9 +175,9 @@
             )
             return None
         route = _route_of(request, active)
-        if route is None and metadata.previous_turn_id:
-            # The turn before was served, so its route may be newer than the
-            # configuration that this process knows.
+        if route is None and metadata.continues_another:
+            # What it continues was served, so its route may be newer than
+            # the configuration that this process knows.
             left_ms = metadata.deadline_ms
             until_ms = math.inf if left_ms is None else arrived_ms + left_ms
             if not self._await_records(arrived_ms, until_ms):
--- a/packages/gateway/src/balsamloom_gateway/traffic.py
+++ b/packages/gateway/src/balsamloom_gateway/traffic.py
@@ -148,6 +148,11 @@
     previous_turn_id: str = ""
     resumed_id: str | None = None
 
+    @property
+    def continues_another(self) -> bool:
+        """Return whether the call continues a turn or resumes a stream."""
+        return bool(self.previous_turn_id) or self.resumed_id is not None
+
 
 class ServerLoad(NamedTuple):
     """Load that a server reports with an answer.
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -405,6 +405,28 @@
         versions.append("v2")
         self.assertEqual(self.resume("unknown")[0], 503)
 
+    def test_stream_waits_for_a_route_that_was_just_added(self):
+        # Another process, which knew the route, began the stream.
+        gateway = self.start("v1")
+        version = self.begin("r1")
+        builders.activate_configuration(gateway.fleet, ())
+
+        def read_records():
+            gateway.configure()
+            return True
+
+        gateway.await_records = read_records
+        self.assertEqual(self.resume("r1"), (200, version))
+
+    def test_stream_is_refused_while_its_route_may_exist(self):
+        gateway = self.start("v1")
+        builders.activate_configuration(gateway.fleet, ())
+        self.assertEqual(self.resume("r1")[0], 404)
+        gateway.await_records = lambda: False
+        self.assertEqual(self.resume("r1")[0], 503)
+        self.assertEqual(self.resume("")[0], 503)
+        self.assertEqual(self.send("r2", b"x")[0].status, 404)
+
     def test_any_stream_goes_on_with_one_version(self):
         self.start("v1", "v1")
         self.assertEqual(self.resume("unknown"), (200, "v1"))
