tests: decoders of members and storage hosts that raise an error

One, two and three errors in a row reach the copy, the view and the second application of the copy. No fault was found: the test passes on this code.

--- a/packages/gateway/tests/test_view_errors.py
+++ b/packages/gateway/tests/test_view_errors.py
@@ -1,6 +1,7 @@
 """Tests of a view in which a decoder or a callback raises an error once."""
 
 import unittest
+from unittest import mock
 
 import builders
 
@@ -82,6 +83,14 @@
             f"member/{name}", registration_records.encode_member(member)
         )
 
+    def put_storage_host(self, name):
+        self.store.put(
+            f"storage/{name}",
+            registration_records.encode_storage_host(
+                builders.storage_host(name)
+            ),
+        )
+
     def check(self, raising, errors=1):
         """Change each kind of record while ``raising`` raises errors."""
         self.store.put("config", b"1")
@@ -94,6 +103,7 @@
         self.store.put("server/s2", b'{"is_draining": false}')
         self.put_member("m2", "2")
         self.put_member("m3", "1")
+        self.put_storage_host("h1")
         self.read()
         self.assertEqual(raising.errors_left, 0)
         self.assertFalse(self.view.must_reapply)
@@ -103,6 +113,8 @@
         self.assertEqual(active.configuration.version, 2)
         names = [member.name for member in self.view.members()]
         self.assertEqual(names, ["m2", "m3"])
+        hosts = [host.name for host in self.view.storage_hosts()]
+        self.assertEqual(hosts, ["h1"])
         self.assertEqual(self.seen["servers"], self.view.servers())
         self.assertIs(self.seen["configuration"], active)
         self.assertEqual(self.seen["lost"], "m2")
@@ -117,6 +129,17 @@
                 # The copy and the view decode each record.
                 self.check(getattr(self.records, name), errors=2)
 
+    def test_each_decoder_of_registrations_may_raise(self):
+        for name in ("decode_member", "decode_storage_host"):
+            decode = Raising(getattr(registration_records, name))
+            for errors in (1, 2, 3):
+                self.setUp()
+                with (
+                    self.subTest(name, errors=errors),
+                    mock.patch.object(registration_records, name, decode),
+                ):
+                    self.check(decode, errors)
+
     def test_each_callback_may_raise_once(self):
         for select in (
             lambda: self.view.on_changes[0],
