gateway: log what a stop finds open and each request it cuts

accepting_ended (7038) now counts open connections by state, request_cut (7039) names each request that ends with the process with the time at which it was read and whether it was passed on, and process_stopped counts both. Connections are counted from accept to close. No behaviour changes.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -101,6 +101,8 @@
     STREAM_RESUMED = 7035
     CHANGE_NOT_APPLIED = 7036
     COPIES_MISSING = 7037
+    ACCEPTING_ENDED = 7038
+    REQUEST_CUT = 7039
 
 
 _MEANINGS: dict[Event, str] = {
@@ -221,6 +223,8 @@
     Event.STREAM_RESUMED: (
         "The version was looked up at which a resumed stream began."
     ),
+    Event.ACCEPTING_ENDED: "A stopping process accepts no more connections.",
+    Event.REQUEST_CUT: "A request ended with the process, without an answer.",
 }
 
 
--- a/packages/gateway/src/balsamloom_gateway/caller_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/caller_connections.py
@@ -11,6 +11,7 @@
 import math
 import socket
 import struct
+from collections.abc import Mapping
 from typing import Any
 
 from cheroot import makefile
@@ -18,6 +19,7 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events, timed_reads
+from balsamloom_gateway import exchanges
 
 _CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
 
@@ -128,15 +130,33 @@
     ) -> None:
         super().__init__(server, connected, _make_file)
         self._clock = clocks.Clock()
+        self.state = exchanges.ConnectionState.WAITING
+        self.exchange = exchanges.Exchange()
+        server.open_connections.add(self)
+
+    def close(self) -> None:
+        """Close the connection, which then counts as open no longer."""
+        try:
+            super().close()
+        finally:
+            self.server.open_connections.discard(self)
 
     def communicate(self) -> bool:
         """Serve one request and return whether to keep the connection."""
+        self.exchange = exchanges.Exchange()
+        self.state = exchanges.ConnectionState.READING
         timeout_s = self.server.header_timeout_s
         self.socket.settimeout(timeout_s)
         self._set_read_timeout(timeout_s)
         return bool(super().communicate())  # type: ignore[no-untyped-call]
 
-    def start_body_timeout(self) -> None:
+    def begin_exchange(self, headers: Mapping[bytes, bytes]) -> None:
+        """Begin the work on a request whose head has been read."""
+        self.exchange.begin(headers, self._clock.now_ms())
+        self.state = exchanges.ConnectionState.IN_PROGRESS
+        self._start_body_timeout()
+
+    def _start_body_timeout(self) -> None:
         """Start the timeout for a request's body."""
         self._set_read_timeout(
             max(self.server.timeout, self.server.header_timeout_s)
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -292,6 +292,7 @@
             self._begin_stream(call, placement.server),
         )
         head = self._request_head(call, placement.server, spec)
+        call.request.pass_on()
         result = attempt.run(
             head + call.body, call.until_ms, first_byte_until_ms
         )
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import functools
 import logging
 import resource
@@ -19,7 +20,7 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import caller_connections
+from balsamloom_gateway import caller_connections, exchanges
 
 LISTEN_BACKLOG = 512
 MAX_KEEP_ALIVE_CONNECTIONS = 2_000
@@ -48,6 +49,8 @@
     504: b"Gateway Timeout",
 }
 
+_STATES = tuple(exchanges.ConnectionState)
+
 HeaderFields = Iterable[tuple[bytes, bytes]]
 
 
@@ -92,6 +95,10 @@
         """Return the file descriptor of the caller's connection."""
         return int(self._raw.conn.socket.fileno())
 
+    def pass_on(self) -> None:
+        """Record that the request is about to be sent to a server."""
+        self._raw.conn.exchange.pass_on()
+
     def read_body(self) -> bytes:
         """Return the whole body.
 
@@ -233,7 +240,7 @@
 
     def respond(self) -> None:
         listener = self._listener
-        self.req.conn.start_body_timeout()
+        self.req.conn.begin_exchange(self.req.inheaders)
         request = Request(self.req)
         response = Response(self.req, listener.is_draining)
         with listener.in_progress:
@@ -302,6 +309,7 @@
             server, min=min(MIN_THREADS, limits.threads), max=limits.threads
         )
         server.error_log = _log_error
+        server.open_connections = set()
         self._server = server
         self.set_limits(limits)
         server.prepare()
@@ -341,6 +349,20 @@
         """Return whether no request is in progress or queued."""
         return not self.in_progress.count and not self._server.requests.qsize
 
+    def connection_counts(self) -> dict[str, int]:
+        """Return how many connections are open, by their state."""
+        connections = list(self._server.open_connections)
+        found = collections.Counter(each.state for each in connections)
+        return {state.value: found[state] for state in _STATES}
+
+    def exchanges(self) -> list[exchanges.Exchange]:
+        """Return the exchanges of requests in progress."""
+        return [
+            connection.exchange
+            for connection in list(self._server.open_connections)
+            if connection.state is exchanges.ConnectionState.IN_PROGRESS
+        ]
+
     def set_draining(self) -> None:
         """Close each connection after its next response."""
         self.is_draining = True
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 import threading
 from collections.abc import Callable
@@ -112,6 +113,7 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
+        self._codec = codec
         self._is_leaving = False
         self.fleet = fleet.Fleet(records, clock)
         self.member = traffic.Member(
@@ -349,7 +351,14 @@
             target=self._registrar.deregister, daemon=True
         ).start()
         self._clock.sleep(DRAIN_ACCEPT_MS)
+        counts = self._ingress.connection_counts()
         self._ingress.stop_accepting()
+        events.log(
+            events.Event.ACCEPTING_ENDED,
+            member=self.member.name,
+            duration_ms=round(self._clock.now_ms() - started_ms),
+            **counts,
+        )
         idle_checks = 0
         while idle_checks < 2 and self._clock.now_ms() < deadline_ms:
             self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
@@ -358,13 +367,31 @@
         self._book.release()
         self._follower.stop()
         self._heartbeats.stop()
+        cut = self._log_cut_requests(started_ms)
         events.log(
             events.Event.PROCESS_STOPPED,
             member=self.member.name,
             is_idle=self._ingress.is_idle,
             duration_ms=round(self._clock.now_ms() - started_ms),
+            cut=cut,
+            **self._ingress.connection_counts(),
         )
 
+    def _log_cut_requests(self, started_ms: float) -> int:
+        """Log the requests that end with the process; return their number."""
+        cut = self._ingress.exchanges()
+        field = self._codec.request_id_field.title()
+        for exchange in cut:
+            read_ms = exchange.read_ms or started_ms
+            events.log(
+                events.Event.REQUEST_CUT,
+                logging.WARNING,
+                request_id=exchange.headers.get(field, b"").decode("latin-1"),
+                read_after_stop_ms=round(read_ms - started_ms),
+                is_passed_on=exchange.is_passed_on,
+            )
+        return len(cut)
+
     def _handle_lease_loss(self) -> None:
         """Start a caution period, as others may have held the budgets."""
         self._book.start_caution_period("this member's lease was lost")
