gateway: a process ends only when no caller's connection is open

A new connection went at once to a thread that blocked for the head of a request, and such a connection was in no count: the process took itself for idle, released its budgets and exited, while the request was read and passed on. At the end of accepting, requests in the accept backlog and on idle connections were dropped too, and a connection that a thread gave back afterwards met a closed selector, whose error ended the thread and by server.interrupt the whole listener; so did any error while a connection was closed.

Connections now wait in a selector of our own until data has arrived, and count as open from accept to close. At the end of accepting the selector is woken, the backlog is taken, the listening socket closed, and connections on which a request has arrived are served; only silent ones are closed. After that no connection can be added, so once none is open nothing can be read any more, however long the release of budgets takes.

--- a/packages/gateway/src/balsamloom_gateway/caller_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/caller_connections.py
@@ -9,6 +9,7 @@
 
 import logging
 import math
+import select
 import socket
 import struct
 from collections.abc import Mapping
@@ -132,15 +133,37 @@
         self._clock = clocks.Clock()
         self.state = exchanges.ConnectionState.WAITING
         self.exchange = exchanges.Exchange()
+        self.idle_since_ms = self._clock.now_ms()
         server.open_connections.add(self)
 
     def close(self) -> None:
-        """Close the connection, which then counts as open no longer."""
+        """Close the connection, which then counts as open no longer.
+
+        Errors are only logged, as one would end the thread that closes.
+        """
         try:
             super().close()
+        except (OSError, ValueError) as error:
+            events.log(
+                events.Event.REQUEST_FAILED,
+                logging.WARNING,
+                reason=f"the connection was not closed in order: {error!r}",
+            )
+            self.socket.close()
         finally:
             self.server.open_connections.discard(self)
 
+    def has_input(self) -> bool:
+        """Return whether data of the caller has arrived and is not read."""
+        if self.rfile.has_data():
+            return True
+        poll = select.poll()
+        try:
+            poll.register(self.socket, select.POLLIN)
+            return bool(poll.poll(0) and self.socket.recv(1, socket.MSG_PEEK))
+        except (OSError, ValueError):
+            return False
+
     def communicate(self) -> bool:
         """Serve one request and return whether to keep the connection."""
         self.exchange = exchanges.Exchange()
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -20,7 +20,12 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import caller_connections, exchanges
+from balsamloom_gateway import (
+    background,
+    caller_connections,
+    exchanges,
+    waiting_connections,
+)
 
 LISTEN_BACKLOG = 512
 MAX_KEEP_ALIVE_CONNECTIONS = 2_000
@@ -29,8 +34,6 @@
 KEEP_ALIVE_DESCRIPTOR_SHARE = 0.25
 MIN_THREADS = 2
 THREADS_PER_GROWTH = 4
-# How often idle connections are checked for their timeout.
-IDLE_CHECK_INTERVAL_S = 1.0
 READ_CHUNK_BYTES = 65_536
 REASON_PHRASES = {
     200: b"OK",
@@ -243,25 +246,23 @@
         self.req.conn.begin_exchange(self.req.inheaders)
         request = Request(self.req)
         response = Response(self.req, listener.is_draining)
-        with listener.in_progress:
-            listener.handler(request, response)
+        listener.handler(request, response)
         request.skip_body()
 
 
-class _RequestCounter:
-    """Context manager that counts requests in progress."""
+class _Server(cheroot_server.HTTPServer):
+    """CherryPy's server with the connections of this package.
 
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self.count = 0
+    ``interrupt`` is set by a thread that ends unexpectedly. It has no effect
+    here, as the error of one connection must not end the server.
+    """
 
-    def __enter__(self) -> None:
-        with self._lock:
-            self.count += 1
+    interrupt = None
+    _connections: waiting_connections.WaitingConnections
 
-    def __exit__(self, *_: object) -> None:
-        with self._lock:
-            self.count -= 1
+    def put_conn(self, conn: Any) -> None:
+        """Wait for the next request on a connection."""
+        self._connections.put(conn)
 
 
 class _ThreadPool(threadpool.ThreadPool):
@@ -275,7 +276,14 @@
     def put(self, obj: Any) -> None:
         super().put(obj)
         if obj is not None and self.idle - self.qsize < 1:
+            self._grow_if_possible()
+
+    def _grow_if_possible(self) -> None:
+        self._threads[:] = [each for each in self._threads if each.is_alive()]
+        try:
             self.grow(THREADS_PER_GROWTH)
+        except RuntimeError as error:
+            _log_error(f"no thread can be started: {error}", logging.WARNING)
 
     def grow(self, amount: int) -> None:
         available = max(self.max - len(self._threads), 0)
@@ -296,15 +304,13 @@
     def __init__(self, address: str, handler: Handler, limits: Limits) -> None:
         host, _, port = address.rpartition(":")
         self.handler = handler
-        self.in_progress = _RequestCounter()
         self.is_draining = False
-        server: Any = cheroot_server.HTTPServer(
+        server: Any = _Server(
             (host, int(port)), functools.partial(_Gateway, self)
         )
         server.ConnectionClass = caller_connections.Connection
         server.request_queue_size = LISTEN_BACKLOG
         server.keep_alive_conn_limit = max_keep_alive_connections()
-        server.expiration_interval = IDLE_CHECK_INTERVAL_S
         server.requests = _ThreadPool(
             server, min=min(MIN_THREADS, limits.threads), max=limits.threads
         )
@@ -313,6 +319,9 @@
         self._server = server
         self.set_limits(limits)
         server.prepare()
+        server._connections._selector.close()
+        self._connections = waiting_connections.WaitingConnections(server)
+        server._connections = self._connections
 
     @property
     def address(self) -> str:
@@ -330,24 +339,27 @@
 
     def start(self) -> None:
         """Serve on a background thread."""
-        threading.Thread(target=self._server.serve, daemon=True).start()
+        background.start(self._connections.run, clocks.Clock())
+
+    def refuse_connections(self) -> None:
+        """Refuse new connections; serve requests on those that are open."""
+        self._connections.end_accepting()
 
     def stop_accepting(self) -> None:
-        """Refuse new connections and close idle ones.
+        """Refuse new connections and close those that wait for a request.
 
-        Requests in progress go on; the server's own ``stop`` would end them.
+        Requests that have arrived are served; the server's own ``stop`` would
+        end them.
         """
-        server = self._server
-        manager = server._connections
-        manager.stop()
-        server.ready = False
-        server.socket.close()
-        manager.close()
+        self._connections.end()
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is in progress or queued."""
-        return not self.in_progress.count and not self._server.requests.qsize
+        """Return whether no connection of a caller is open.
+
+        After :meth:`stop_accepting` no request can arrive any more then.
+        """
+        return not self._server.open_connections
 
     def connection_counts(self) -> dict[str, int]:
         """Return how many connections are open, by their state."""
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -58,7 +58,7 @@
 DRAIN_ACCEPT_MS = 3_000.0
 # Part of the stop's grace period reserved for releasing budgets.
 DRAIN_RESERVE_MS = 700.0
-IDLE_CHECK_INTERVAL_MS = 50.0
+IDLE_CHECK_INTERVAL_MS = 20.0
 
 
 class EdgeSettings(NamedTuple):
@@ -359,10 +359,8 @@
             duration_ms=round(self._clock.now_ms() - started_ms),
             **counts,
         )
-        idle_checks = 0
-        while idle_checks < 2 and self._clock.now_ms() < deadline_ms:
+        while not self._ingress.is_idle and self._clock.now_ms() < deadline_ms:
             self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
-            idle_checks = idle_checks + 1 if self._ingress.is_idle else 0
         self._book.stop()
         self._book.release()
         self._follower.stop()
