gateway: a request that a stop would cut is refused, not passed on

A request read later than 2.8 s after the stop began is now answered at once with a 503, Retry-After and Connection: close. It is never passed on, so the 503 is true also for calls that may not be repeated. The margin of 0.2 s covers the way of the signal. Whoever was read before has until the end of the drain, which is past the last sixth of any grace period now. Accepting ends at 3.0 s, and connections that wait are watched until 3.2 s, so that a caller that connected last gets its answer. The times are a pure function.

--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/draining.py
@@ -0,0 +1,76 @@
+"""Times of a planned stop, and which requests are still taken."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from balsamloom_core import clock as clocks
+
+# Requests read after this time of a stop are refused, so that each request
+# that is passed on was sent while the process was still accepting.
+PASS_ON_MS = 2_800.0
+# A leaving process accepts connections for this time, so that callers can
+# look up other addresses first.
+ACCEPT_MS = 3_000.0
+# Callers that connected last get this time for their request.
+CLOSE_WAITING_MS = 3_200.0
+# Part of the stop's grace period reserved for releasing budgets.
+RESERVE_MS = 700.0
+MAX_RESERVE_SHARE = 0.125
+
+
+class Schedule(NamedTuple):
+    """Times of one stop on the process's clock."""
+
+    started_ms: float
+    pass_on_until_ms: float
+    accept_until_ms: float
+    close_waiting_ms: float
+    deadline_ms: float
+
+
+def schedule(started_ms: float, grace_ms: float) -> Schedule:
+    """Return the times of a stop that began at a time.
+
+    :param started_ms: begin of the stop.
+    :param grace_ms: time after which the process may be killed.
+    """
+    reserve_ms = min(RESERVE_MS, grace_ms * MAX_RESERVE_SHARE)
+    left_ms = grace_ms - reserve_ms
+    return Schedule(
+        started_ms,
+        started_ms + min(PASS_ON_MS, left_ms),
+        started_ms + min(ACCEPT_MS, left_ms),
+        started_ms + min(CLOSE_WAITING_MS, left_ms),
+        started_ms + left_ms,
+    )
+
+
+def may_pass_on(stop: Schedule | None, read_ms: float) -> bool:
+    """Return whether a request that was read at a time may be passed on.
+
+    :param stop: times of the stop, ``None`` if there is none.
+    :param read_ms: time at which the whole request had been read.
+    """
+    return stop is None or read_ms < stop.pass_on_until_ms
+
+
+class Drain:
+    """Planned stop of one process, which may not have begun.
+
+    :param clock: time source.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._schedule: Schedule | None = None
+
+    def start(self, grace_ms: float) -> Schedule:
+        """Begin the stop and return its times."""
+        self._schedule = schedule(self._clock.now_ms(), grace_ms)
+        return self._schedule
+
+    @property
+    def takes_requests(self) -> bool:
+        """Return whether a request that was read now may be passed on."""
+        return may_pass_on(self._schedule, self._clock.now_ms())
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -21,6 +21,7 @@
     crash_notices,
     crash_reports,
     dispatch,
+    draining,
     evacuation,
     feed,
     fleet,
@@ -53,11 +54,6 @@
 PEER_IDLE_TIMEOUT_MS = 60_000.0
 PEER_THREADS = 64
 AUXILIARY_THREADS = 8
-# A leaving process accepts connections for this time, so that callers can
-# look up other addresses first.
-DRAIN_ACCEPT_MS = 3_000.0
-# Part of the stop's grace period reserved for releasing budgets.
-DRAIN_RESERVE_MS = 700.0
 IDLE_CHECK_INTERVAL_MS = 20.0
 
 
@@ -115,6 +111,7 @@
         self._clock = clock
         self._codec = codec
         self._is_leaving = False
+        self._drain = draining.Drain(clock)
         self.fleet = fleet.Fleet(records, clock)
         self.member = traffic.Member(
             settings.name,
@@ -214,6 +211,7 @@
             codec,
             clock,
             self._await_records,
+            self._drain,
         )
         self._evacuations = evacuation.Evacuations(
             store, records, self._rank, self.fleet.has_storage_host, clock
@@ -342,39 +340,53 @@
 
     def leave(self) -> None:
         """Stop gracefully: drain requests in progress and release budgets."""
-        started_ms = self._clock.now_ms()
-        deadline_ms = started_ms + self._settings.grace_ms - DRAIN_RESERVE_MS
+        times = self._drain.start(self._settings.grace_ms)
         self._is_leaving = True
         self._ingress.set_draining()
         events.log(events.Event.PROCESS_LEAVING, member=self.member.name)
         threading.Thread(
             target=self._registrar.deregister, daemon=True
         ).start()
-        self._clock.sleep(DRAIN_ACCEPT_MS)
-        counts = self._ingress.connection_counts()
-        self._ingress.stop_accepting()
-        events.log(
-            events.Event.ACCEPTING_ENDED,
-            member=self.member.name,
-            duration_ms=round(self._clock.now_ms() - started_ms),
-            **counts,
-        )
-        while not self._ingress.is_idle and self._clock.now_ms() < deadline_ms:
-            self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
+        self._drain_callers(times)
         self._book.stop()
         self._book.release()
         self._follower.stop()
         self._heartbeats.stop()
-        cut = self._log_cut_requests(started_ms)
+        cut = self._log_cut_requests(times.started_ms)
         events.log(
             events.Event.PROCESS_STOPPED,
             member=self.member.name,
             is_idle=self._ingress.is_idle,
-            duration_ms=round(self._clock.now_ms() - started_ms),
+            duration_ms=round(self._clock.now_ms() - times.started_ms),
             cut=cut,
             **self._ingress.connection_counts(),
         )
 
+    def _drain_callers(self, times: draining.Schedule) -> None:
+        """Answer callers until no connection is open, or up to the deadline.
+
+        No request can arrive any more once none is open.
+        """
+        self._sleep_until(times.accept_until_ms)
+        counts = self._ingress.connection_counts()
+        self._ingress.refuse_connections()
+        events.log(
+            events.Event.ACCEPTING_ENDED,
+            member=self.member.name,
+            duration_ms=round(self._clock.now_ms() - times.started_ms),
+            **counts,
+        )
+        self._sleep_until(times.close_waiting_ms)
+        self._ingress.stop_accepting()
+        while (
+            not self._ingress.is_idle
+            and self._clock.now_ms() < times.deadline_ms
+        ):
+            self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
+
+    def _sleep_until(self, until_ms: float) -> None:
+        self._clock.sleep(max(0.0, until_ms - self._clock.now_ms()))
+
     def _log_cut_requests(self, started_ms: float) -> int:
         """Log the requests that end with the process; return their number."""
         cut = self._ingress.exchanges()
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -17,6 +17,7 @@
     crash_detection,
     crash_ledger,
     dispatch,
+    draining,
     estimates,
     fleet,
     interfaces,
@@ -35,6 +36,8 @@
 BUDGET_RETRY_AFTER_MS = 500.0
 HISTORY_RETRY_AFTER_MS = 300.0
 RESUME_RETRY_AFTER_MS = 100.0
+# Other processes take the request at once.
+LEAVING_RETRY_AFTER_MS = 50.0
 
 
 class _Routing(NamedTuple):
@@ -58,6 +61,7 @@
     :param clock: time source.
     :param await_records: waits until the records of a time are known, up to
         another time; returns whether they are.
+    :param drain: planned stop of this process.
     """
 
     def __init__(
@@ -72,8 +76,10 @@
         codec: interfaces.HeaderCodec,
         clock: clocks.Clock,
         await_records: Callable[[float, float], bool],
+        drain: draining.Drain,
     ) -> None:
         self._await_records = await_records
+        self._drain = drain
         self._fleet = cluster_view
         self._dispatcher = dispatcher
         self._budgets = token_budgets
@@ -89,13 +95,25 @@
     ) -> None:
         """Handle one request."""
         call = self._read_request(request, response)
-        if call is None or self._is_refused(call):
+        if call is None or self._is_too_late(call) or self._is_refused(call):
             return
         if _is_conversation_route(call.route):
             call = self._prepend_history(call)
         if call is not None:
             self._dispatch(call)
 
+    def _is_too_late(self, call: responses.Call) -> bool:
+        """Refuse a call that could not be finished before the process ends."""
+        if self._drain.takes_requests:
+            return False
+        self._responder.send_unavailable(
+            call.response,
+            call.metadata.request_id,
+            "this process is stopping",
+            LEAVING_RETRY_AFTER_MS,
+        )
+        return True
+
     def _is_refused(self, call: responses.Call) -> bool:
         """Refuse a call that has crashed too many servers."""
         refusal = self._crashes.refusal(call)
--- a/packages/gateway/tests/gateway_case.py
+++ b/packages/gateway/tests/gateway_case.py
@@ -18,6 +18,7 @@
     crash_detection,
     crash_reports,
     dispatch,
+    draining,
     fleet,
     listeners,
     metrics,
@@ -70,6 +71,7 @@
         )
         self.storage_hosts = []
         self.is_current = True
+        self.drain = draining.Drain(clock)
         # Lets the process read the latest records; whether it could.
         self.await_records = lambda: True
         codec = builders.Codec()
@@ -116,6 +118,7 @@
             codec,
             clock,
             lambda since_ms, until_ms: self.await_records(),
+            self.drain,
         )
         self.listener = listeners.Listener(
             "127.0.0.1:0", self.proxy.handle, LIMITS
--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -6,7 +6,10 @@
 import time
 import unittest
 
-from balsamloom_gateway import listeners
+import gateway_case
+import scripted
+
+from balsamloom_gateway import draining, listeners
 
 LIMITS = listeners.Limits(8, 4_096, 100_000, 1_500.0, 5_000.0)
 REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
@@ -173,5 +176,48 @@
         self.assertIn(b"200", caller.recv(1_000))
 
 
+class ScheduleTest(unittest.TestCase):
+    """Guards against a stop that takes requests it cannot finish."""
+
+    GRACE_MS = 8_000.0
+
+    def test_late_request_is_refused_before_the_process_refuses_connections(
+        self,
+    ):
+        times = draining.schedule(1_000.0, self.GRACE_MS)
+        self.assertTrue(draining.may_pass_on(None, 9_000.0))
+        self.assertTrue(draining.may_pass_on(times, 3_799.0))
+        self.assertFalse(draining.may_pass_on(times, 3_800.0))
+        self.assertLess(times.pass_on_until_ms, times.accept_until_ms)
+        self.assertLess(times.accept_until_ms, times.close_waiting_ms)
+        self.assertLess(times.close_waiting_ms, times.deadline_ms)
+
+    def test_requests_are_cut_only_in_the_last_sixth_of_the_grace_period(self):
+        for grace_ms in (self.GRACE_MS, 1_500.0, 30_000.0):
+            times = draining.schedule(0.0, grace_ms)
+            self.assertGreater(times.deadline_ms, grace_ms * 5 / 6)
+            self.assertLess(times.deadline_ms, grace_ms)
+
+    def test_short_grace_period_keeps_the_order_of_the_times(self):
+        for grace_ms in (0.0, 100.0, 1_500.0, 3_300.0):
+            times = draining.schedule(0.0, grace_ms)
+            self.assertEqual(list(times), sorted(times))
+            self.assertLessEqual(times.deadline_ms, grace_ms)
+
+
+class LateRequestTest(gateway_case.GatewayCase):
+    """Guards against passing a request on that a stop would cut."""
+
+    def test_request_read_too_late_in_a_stop_is_refused_and_not_run(self):
+        gateway = self.start(self.answering(scripted.answer()))
+        self.assertEqual(self.request()[0].status, 200)
+        gateway.drain.start(0.0)
+        for path in ("/once/x", "/idempotent/x", "/stream/x"):
+            response, _ = self.request(path, body=b"x")
+            self.assertEqual(response.status, 503)
+            self.assertTrue(response.headers["Retry-After"])
+        self.assertEqual(self.runs(), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
