gateway: requests that a stop leaves unsent are refused at its end

Each exchange now knows whether it was passed on or its answer has begun. At the deadline, all others are refused with a 503 in one step with the mark that keeps the worker from passing them on later, so the promise holds. A call whose servers all refused it may be refused too. An answer that only its close delimits is reset when the process ends, so that it does not look complete. Answers that begin in a stop carry Connection: close also if their request was read before.

The tests use the new interface, so they cannot run on the code before: there the process ended and the connection with it. They show that the caller gets exactly one answer and that passing on after the refusal raises.

--- a/packages/gateway/src/balsamloom_gateway/attempts.py
+++ b/packages/gateway/src/balsamloom_gateway/attempts.py
@@ -54,9 +54,14 @@
         self._refusals = 0
         self._possible_runs = 0
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a server may have run the call."""
+        return self._possible_runs > 0
+
     def fail_without_server(self, reason: str) -> FinalFailure:
         """Return the decision when no server is left to try."""
-        return FinalFailure(self._possible_runs == 0, reason)
+        return FinalFailure(not self.may_have_run, reason)
 
     def first_byte_deadline_ms(
         self, deadline_ms: float, due_ms: float, estimate_ms: float
@@ -94,4 +99,4 @@
                 )
         if is_allowed and left_ms > 0:
             return Retry()
-        return FinalFailure(self._possible_runs == 0, reason)
+        return FinalFailure(not self.may_have_run, reason)
--- a/packages/gateway/src/balsamloom_gateway/caller_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/caller_connections.py
@@ -12,7 +12,7 @@
 import select
 import socket
 import struct
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from cheroot import makefile
@@ -108,6 +108,10 @@
 
     def simple_response(self, status: str, msg: str = "") -> None:
         """Log and respond to a request that reaches no handler."""
+        try:
+            self.conn.exchange.answer()
+        except exchanges.RequestEndedError:
+            return
         events.log(
             events.Event.REQUEST_REFUSED,
             logging.WARNING,
@@ -121,10 +125,12 @@
     """Connection of a caller, with timeouts for request heads and bodies.
 
     ``is_reset_on_close`` closes it with a TCP reset instead of a FIN.
+    ``is_delimited_by_close`` says that the response has no other end.
     """
 
     RequestHandlerClass = _Request
     is_reset_on_close = False
+    is_delimited_by_close = False
 
     def __init__(
         self, server: Any, connected: socket.socket, _: Any = None
@@ -153,6 +159,26 @@
         finally:
             self.server.open_connections.discard(self)
 
+    def end_exchange(
+        self, answer: Callable[[exchanges.Exchange], bytes]
+    ) -> bool:
+        """End the exchange, as the process ends.
+
+        :param answer: returns the refusal of a request that never runs.
+        :return: whether the request was refused.
+        """
+        try:
+            if self.exchange.refuse():
+                self.socket.send(answer(self.exchange), socket.MSG_DONTWAIT)
+                self.socket.shutdown(socket.SHUT_RDWR)
+                return True
+            if self.is_delimited_by_close:
+                # The kernel's close would look like the end of the response.
+                self._reset_on_close()
+        except OSError:
+            pass  # the caller has gone
+        return False
+
     def has_input(self) -> bool:
         """Return whether data of the caller has arrived and is not read."""
         if self.rfile.has_data():
@@ -166,13 +192,17 @@
 
     def communicate(self) -> bool:
         """Serve one request and return whether to keep the connection."""
-        self.exchange = exchanges.Exchange()
         self.state = exchanges.ConnectionState.READING
         timeout_s = self.server.header_timeout_s
         self.socket.settimeout(timeout_s)
         self._set_read_timeout(timeout_s)
         return bool(super().communicate())  # type: ignore[no-untyped-call]
 
+    def expect_request(self) -> None:
+        """Record that a request has begun to arrive."""
+        self.exchange = exchanges.Exchange()
+        self.state = exchanges.ConnectionState.QUEUED
+
     def begin_exchange(self, headers: Mapping[bytes, bytes]) -> None:
         """Begin the work on a request whose head has been read."""
         self.exchange.begin(headers, self._clock.now_ms())
@@ -194,6 +224,9 @@
         if not self.is_reset_on_close:
             super()._close_kernel_socket()  # type: ignore[misc]
             return
+        self._reset_on_close()
+
+    def _reset_on_close(self) -> None:
         self.socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, _CLOSE_WITH_RESET
         )
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -134,6 +134,8 @@
                     tried |= {placement.server.server_id}
                     left_ms = call.until_ms - self._clock.now_ms()
                     decision = history.decide(result, left_ms)
+                    if not history.may_have_run:
+                        call.request.take_back()
             if isinstance(decision, attempts.FinalFailure):
                 self._responder.send_failure(
                     call, decision, REFUSED_RETRY_AFTER_MS
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -99,9 +99,16 @@
         return int(self._raw.conn.socket.fileno())
 
     def pass_on(self) -> None:
-        """Record that the request is about to be sent to a server."""
+        """Record that the request is about to be sent to a server.
+
+        :raises RequestEndedError: the process has ended it.
+        """
         self._raw.conn.exchange.pass_on()
 
+    def take_back(self) -> None:
+        """Record that no server can have run the request."""
+        self._raw.conn.exchange.take_back()
+
     def read_body(self) -> bytes:
         """Return the whole body.
 
@@ -158,17 +165,16 @@
     """Response to a request, written in parts.
 
     :param raw: request object of CherryPy's server.
-    :param must_close: whether the connection closes after the response.
+    :param listener: listener that got the request.
     """
 
-    def __init__(self, raw: Any, must_close: bool) -> None:
+    def __init__(self, raw: Any, listener: Listener) -> None:
         self._raw = raw
+        self._listener = listener
         self._is_chunked = False
         self._is_delimited_by_close = False
         self._head = b""
         self.is_started = False
-        if must_close:
-            raw.close_connection = True
 
     def close_connection_after(self) -> None:
         """Close the connection after this response."""
@@ -180,8 +186,12 @@
         """Start the response; its head is sent with the first data.
 
         :param length: size of the body in bytes, ``None`` if unknown.
+        :raises RequestEndedError: the process has ended the request.
         """
         raw = self._raw
+        raw.conn.exchange.answer()
+        if self._listener.is_draining:
+            raw.close_connection = True
         self.is_started = True
         raw.sent_headers = True
         lines = [
@@ -195,6 +205,7 @@
             lines.append(b"Transfer-Encoding: chunked")
         else:
             self._is_delimited_by_close = True
+            raw.conn.is_delimited_by_close = True
             raw.close_connection = True
         if raw.close_connection:
             lines.append(b"Connection: close")
@@ -245,8 +256,12 @@
         listener = self._listener
         self.req.conn.begin_exchange(self.req.inheaders)
         request = Request(self.req)
-        response = Response(self.req, listener.is_draining)
-        listener.handler(request, response)
+        response = Response(self.req, listener)
+        try:
+            listener.handler(request, response)
+        except exchanges.RequestEndedError:
+            self.req.close_connection = True
+            return
         request.skip_body()
 
 
@@ -367,7 +382,7 @@
         found = collections.Counter(each.state for each in connections)
         return {state.value: found[state] for state in _STATES}
 
-    def exchanges(self) -> list[exchanges.Exchange]:
+    def unfinished(self) -> list[exchanges.Exchange]:
         """Return the exchanges of requests in progress."""
         return [
             connection.exchange
@@ -375,11 +390,36 @@
             if connection.state is exchanges.ConnectionState.IN_PROGRESS
         ]
 
+    def end_exchanges(
+        self, fields_of: Callable[[exchanges.Exchange], HeaderFields]
+    ) -> int:
+        """Refuse requests that were not passed on, as the process ends.
+
+        The others go on; if the process ends before they do, callers see that
+        their answers are incomplete.
+
+        :param fields_of: returns the fields of a refusal.
+        :return: number of requests refused.
+        """
+        return sum(
+            connection.end_exchange(
+                lambda exchange: _refusal(fields_of(exchange))
+            )
+            for connection in list(self._server.open_connections)
+        )
+
     def set_draining(self) -> None:
         """Close each connection after its next response."""
         self.is_draining = True
 
 
+def _refusal(fields: HeaderFields) -> bytes:
+    lines = [b"HTTP/1.1 503 " + REASON_PHRASES[503]]
+    lines.extend(name + b": " + value for name, value in fields)
+    lines.extend([b"Content-Length: 0", b"Connection: close"])
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
 def max_keep_alive_connections() -> int:
     """Return how many idle connections a listener keeps."""
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -23,6 +23,7 @@
     dispatch,
     draining,
     evacuation,
+    exchanges,
     feed,
     fleet,
     follower,
@@ -347,7 +348,7 @@
         threading.Thread(
             target=self._registrar.deregister, daemon=True
         ).start()
-        self._drain_callers(times)
+        refused = self._drain_callers(times)
         self._book.stop()
         self._book.release()
         self._follower.stop()
@@ -358,14 +359,17 @@
             member=self.member.name,
             is_idle=self._ingress.is_idle,
             duration_ms=round(self._clock.now_ms() - times.started_ms),
+            refused=refused,
             cut=cut,
             **self._ingress.connection_counts(),
         )
 
-    def _drain_callers(self, times: draining.Schedule) -> None:
+    def _drain_callers(self, times: draining.Schedule) -> int:
         """Answer callers until no connection is open, or up to the deadline.
 
         No request can arrive any more once none is open.
+
+        :return: number of requests refused at the deadline.
         """
         self._sleep_until(times.accept_until_ms)
         counts = self._ingress.connection_counts()
@@ -383,20 +387,33 @@
             and self._clock.now_ms() < times.deadline_ms
         ):
             self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
+        return self._ingress.end_exchanges(self._refusal_fields)
+
+    def _refusal_fields(
+        self, exchange: exchanges.Exchange
+    ) -> listeners.HeaderFields:
+        return self._codec.response_fields(
+            self._request_id(exchange), proxy.LEAVING_RETRY_AFTER_MS
+        )
+
+    def _request_id(self, exchange: exchanges.Exchange) -> str:
+        field = self._codec.request_id_field.title()
+        return exchange.headers.get(field, b"").decode("latin-1")
 
     def _sleep_until(self, until_ms: float) -> None:
         self._clock.sleep(max(0.0, until_ms - self._clock.now_ms()))
 
     def _log_cut_requests(self, started_ms: float) -> int:
         """Log the requests that end with the process; return their number."""
-        cut = self._ingress.exchanges()
-        field = self._codec.request_id_field.title()
+        cut = [
+            each for each in self._ingress.unfinished() if each.is_passed_on
+        ]
         for exchange in cut:
             read_ms = exchange.read_ms or started_ms
             events.log(
                 events.Event.REQUEST_CUT,
                 logging.WARNING,
-                request_id=exchange.headers.get(field, b"").decode("latin-1"),
+                request_id=self._request_id(exchange),
                 read_after_stop_ms=round(read_ms - started_ms),
                 is_passed_on=exchange.is_passed_on,
             )
--- a/packages/gateway/src/balsamloom_gateway/waiting_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/waiting_connections.py
@@ -160,7 +160,7 @@
         return True
 
     def _queue(self, connection: caller_connections.Connection) -> None:
-        connection.state = exchanges.ConnectionState.QUEUED
+        connection.expect_request()
         self._server.process_conn(connection)
 
     def _queue_or_close(
--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -9,7 +9,7 @@
 import gateway_case
 import scripted
 
-from balsamloom_gateway import draining, listeners
+from balsamloom_gateway import draining, exchanges, listeners
 
 LIMITS = listeners.Limits(8, 4_096, 100_000, 1_500.0, 5_000.0)
 REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
@@ -176,6 +176,78 @@
         self.assertIn(b"200", caller.recv(1_000))
 
 
+class DeadlineTest(StopCase):
+    """Guards against requests that end with the process unanswered."""
+
+    def setUp(self):
+        super().setUp()
+        self.step = threading.Event()
+        self.ended = threading.Event()
+        self.outcome = ""
+
+    def work(self, request, response):
+        """Wait, and then pass the request on or answer it."""
+        try:
+            request.read_body()
+            if self.outcome == "passed on":
+                request.pass_on()
+            self.step.wait(2)
+            if self.outcome == "to pass on":
+                request.pass_on()
+            response.send(200, ())
+        except exchanges.RequestEndedError:
+            self.outcome = "ended"
+            raise
+        finally:
+            self.ended.set()
+
+    def end(self, data, state, outcome=""):
+        """Send data, end the exchanges, and let the worker go on."""
+        self.outcome = outcome
+        self.listener.start()
+        caller = self.connect()
+        caller.sendall(data)
+        self.wait_for(state)
+        self.listener.stop_accepting()
+        while outcome == "passed on" and not self.is_passed_on():
+            time.sleep(0.002)
+        refused = self.listener.end_exchanges(
+            lambda _: [(b"Retry-After", b"0.1")]
+        )
+        self.step.set()
+        return refused, caller.recv(1_000)
+
+    def is_passed_on(self):
+        """Return whether the request in progress was passed on."""
+        return any(each.is_passed_on for each in self.listener.unfinished())
+
+    def test_request_that_waits_to_be_passed_on_is_refused_and_never_runs(
+        self,
+    ):
+        refused, answer = self.end(REQUEST, "in_progress", "to pass on")
+        self.assertEqual(refused, 1)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503 "))
+        self.assertIn(b"\r\nRetry-After: 0.1\r\n", answer)
+        self.assertTrue(self.ended.wait(2))
+        self.assertEqual(self.outcome, "ended")
+        self.wait_until_idle()
+
+    def test_request_that_has_no_answer_yet_gets_one_only(self):
+        refused, answer = self.end(REQUEST, "in_progress")
+        self.assertEqual((refused, answer.count(b"HTTP/1.1")), (1, 1))
+        self.wait_until_idle()
+
+    def test_request_that_is_still_being_read_is_refused(self):
+        refused, answer = self.end(REQUEST[:20], "reading")
+        self.assertEqual((refused, answer[9:12]), (1, b"503"))
+        self.wait_until_idle()
+
+    def test_request_that_was_passed_on_is_not_refused(self):
+        refused, answer = self.end(REQUEST, "in_progress", "passed on")
+        self.assertEqual((refused, answer[9:12]), (0, b"200"))
+        self.wait_until_idle()
+
+
 class ScheduleTest(unittest.TestCase):
     """Guards against a stop that takes requests it cannot finish."""
 
