gateway: other processes' calls are answered before a process ends

The listeners for other processes, readiness, lookups and metrics are now drained like that for callers: their answers carry Connection: close during a stop, and before budgets are released they refuse new calls and answer those that have arrived, for up to 250 ms. A holder that releases is refused and not asked.

EdgeStopTest on the code before: the call in progress of another process ends unanswered and the release finds the listener open.

--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -260,7 +260,7 @@
         try:
             listener.handler(request, response)
         except exchanges.RequestEndedError:
-            self.req.close_connection = True
+            response.abort()
             return
         request.skip_body()
 
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -56,6 +56,8 @@
 PEER_THREADS = 64
 AUXILIARY_THREADS = 8
 IDLE_CHECK_INTERVAL_MS = 20.0
+# Time for other processes' calls in progress at the end of a stop.
+OTHERS_TIMEOUT_MS = 250.0
 
 
 class EdgeSettings(NamedTuple):
@@ -343,12 +345,14 @@
         """Stop gracefully: drain requests in progress and release budgets."""
         times = self._drain.start(self._settings.grace_ms)
         self._is_leaving = True
-        self._ingress.set_draining()
+        for listener in (self._ingress, *self._other_listeners):
+            listener.set_draining()
         events.log(events.Event.PROCESS_LEAVING, member=self.member.name)
         threading.Thread(
             target=self._registrar.deregister, daemon=True
         ).start()
         refused = self._drain_callers(times)
+        self._drain_others()
         self._book.stop()
         self._book.release()
         self._follower.stop()
@@ -400,6 +404,19 @@
         field = self._codec.request_id_field.title()
         return exchange.headers.get(field, b"").decode("latin-1")
 
+    def _drain_others(self) -> None:
+        """Answer the calls of other processes that have arrived, and no more.
+
+        A holder that has released its budgets must not grant from them.
+        """
+        for listener in self._other_listeners:
+            listener.stop_accepting()
+        until_ms = self._clock.now_ms() + OTHERS_TIMEOUT_MS
+        while self._clock.now_ms() < until_ms and not all(
+            listener.is_idle for listener in self._other_listeners
+        ):
+            self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
+
     def _sleep_until(self, until_ms: float) -> None:
         self._clock.sleep(max(0.0, until_ms - self._clock.now_ms()))
 
--- a/packages/gateway/src/balsamloom_gateway/storage_process.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_process.py
@@ -172,6 +172,7 @@
         self._stopped.set()
         for part in (self._registration, self._evacuation, self._follower):
             part.stop()
+        self._listener.set_draining()
         self._listener.stop_accepting()
         until_ms = self._clock.now_ms() + STOP_TIMEOUT_MS
         while not self._listener.is_idle and self._clock.now_ms() < until_ms:
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -14,8 +14,10 @@
     health,
     interfaces,
     json_parsing,
+    listeners,
     peers,
     planner,
+    process,
     send_permits,
     server_limits,
     traffic,
@@ -342,6 +344,41 @@
     return replicas.StorageHost(name, f"{name}:1", name[0], f"disk-{name}")
 
 
+def edge_process() -> process.EdgeProcess:
+    """Build an edge process with a store in memory and free ports."""
+
+    def answer(
+        request: listeners.Request, response: listeners.Response
+    ) -> None:
+        response.send(200, ())
+
+    address = "127.0.0.1:0"
+    settings = process.EdgeSettings(
+        name="m1",
+        incarnation="1",
+        failure_domain="a",
+        caller_address=address,
+        ready_address=address,
+        lookup_address=address,
+        peer_address=address,
+        metrics_address=address,
+        threads=8,
+        is_first_start=True,
+        view_bound_ms=1_000.0,
+        grace_ms=4_000.0,
+        lease_ms=3_000,
+        copies=1,
+    )
+    return process.EdgeProcess(
+        settings,
+        Store(),
+        Records(),
+        Codec(),
+        process.AuxiliaryHandlers(lambda _: answer, lambda _: answer),
+        clocks.Clock(),
+    )
+
+
 def fleet_view() -> fleet.Fleet:
     """Build an empty view."""
     return fleet.Fleet(Records(), manual_clock())
--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -5,7 +5,9 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
+import builders
 import gateway_case
 import scripted
 
@@ -291,5 +293,92 @@
         self.assertEqual(self.runs(), 1)
 
 
+class EdgeStopTest(unittest.TestCase):
+    """Guards against an edge process that ends beside a call in progress."""
+
+    TIMES_MS = {
+        "PASS_ON_MS": 40.0,
+        "ACCEPT_MS": 50.0,
+        "CLOSE_WAITING_MS": 60.0,
+    }
+
+    def setUp(self):
+        self.edge = builders.edge_process()
+        self.edge.start()
+        self.peers = self.edge._other_listeners[0]
+        self.peer_address = address_of(self.peers)
+        self.caller_address = address_of(self.edge._ingress)
+        self.seen = []
+        self.edge._book.release = self.release
+
+    def release(self):
+        """Record who can still reach the process."""
+        self.seen.append(self.edge._ingress.is_idle)
+        try:
+            self.connect(self.peer_address)
+        except ConnectionRefusedError:
+            self.seen.append("refused")
+
+    def connect(self, address):
+        """Open a connection."""
+        connection = socket.create_connection(address, 2)
+        self.addCleanup(connection.close)
+        return connection
+
+    def start_leaving(self):
+        """Stop the process in the background, in a short time."""
+        times = mock.patch.multiple(draining, **self.TIMES_MS)
+        times.start()
+        self.addCleanup(times.stop)
+        leaving = threading.Thread(target=self.edge.leave)
+        leaving.start()
+        self.addCleanup(leaving.join)
+        return leaving
+
+    def test_budgets_are_released_after_the_last_request_was_answered(self):
+        caller = self.connect(self.caller_address)
+        caller.sendall(REQUEST[:20])
+        leaving = self.start_leaving()
+        time.sleep(0.2)
+        self.assertEqual(self.seen, [])
+        caller.sendall(REQUEST[20:])
+        self.assertIn(b"HTTP/1.1", caller.recv(1_000))
+        leaving.join(2)
+        self.assertEqual(self.seen, [True, "refused"])
+
+    def test_call_of_another_process_is_answered_before_the_end(self):
+        begun, step = threading.Event(), threading.Event()
+
+        def handle(request, response):
+            begun.set()
+            step.wait(2)
+            response.send(200, ())
+
+        self.peers.handler = handle
+        caller = self.connect(self.peer_address)
+        caller.sendall(REQUEST)
+        self.assertTrue(begun.wait(2))
+        leaving = self.start_leaving()
+        time.sleep(0.15)
+        self.assertEqual(self.seen, [])
+        step.set()
+        leaving.join(2)
+        self.assertEqual(self.seen, [True, "refused"])
+        self.assertIn(b"200", caller.recv(1_000))
+
+    def test_idle_process_ends_soon_after_it_refuses_connections(self):
+        self.connect(self.caller_address)
+        started_s = time.monotonic()
+        self.start_leaving().join(2)
+        self.assertEqual(self.seen, [True, "refused"])
+        self.assertLess(time.monotonic() - started_s, 0.5)
+
+
+def address_of(listener):
+    """Return the host and port of a listener."""
+    host, _, port = listener.address.rpartition(":")
+    return host, int(port)
+
+
 if __name__ == "__main__":
     unittest.main()
