--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import functools
 import logging
 import resource
@@ -19,7 +20,12 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import caller_connections
+from balsamloom_gateway import (
+    background,
+    caller_connections,
+    exchanges,
+    waiting_connections,
+)
 
 LISTEN_BACKLOG = 512
 MAX_KEEP_ALIVE_CONNECTIONS = 2_000
@@ -28,8 +34,6 @@
 KEEP_ALIVE_DESCRIPTOR_SHARE = 0.25
 MIN_THREADS = 2
 THREADS_PER_GROWTH = 4
-# How often idle connections are checked for their timeout.
-IDLE_CHECK_INTERVAL_S = 1.0
 READ_CHUNK_BYTES = 65_536
 REASON_PHRASES = {
     200: b"OK",
@@ -48,6 +52,8 @@
     504: b"Gateway Timeout",
 }
 
+_STATES = tuple(exchanges.ConnectionState)
+
 HeaderFields = Iterable[tuple[bytes, bytes]]
 
 
@@ -92,6 +98,17 @@
         """Return the file descriptor of the caller's connection."""
         return int(self._raw.conn.socket.fileno())
 
+    def pass_on(self) -> None:
+        """Record that the request is about to be sent to a server.
+
+        :raises RequestEndedError: the process has ended it.
+        """
+        self._raw.conn.exchange.pass_on()
+
+    def take_back(self) -> None:
+        """Record that no server can have run the request."""
+        self._raw.conn.exchange.take_back()
+
     def read_body(self) -> bytes:
         """Return the whole body.
 
@@ -148,17 +165,16 @@
     """Response to a request, written in parts.
 
     :param raw: request object of CherryPy's server.
-    :param must_close: whether the connection closes after the response.
+    :param listener: listener that got the request.
     """
 
-    def __init__(self, raw: Any, must_close: bool) -> None:
+    def __init__(self, raw: Any, listener: Listener) -> None:
         self._raw = raw
+        self._listener = listener
         self._is_chunked = False
         self._is_delimited_by_close = False
         self._head = b""
         self.is_started = False
-        if must_close:
-            raw.close_connection = True
 
     def close_connection_after(self) -> None:
         """Close the connection after this response."""
@@ -170,8 +186,12 @@
         """Start the response; its head is sent with the first data.
 
         :param length: size of the body in bytes, ``None`` if unknown.
+        :raises RequestEndedError: the process has ended the request.
         """
         raw = self._raw
+        raw.conn.exchange.answer()
+        if self._listener.is_draining:
+            raw.close_connection = True
         self.is_started = True
         raw.sent_headers = True
         lines = [
@@ -185,6 +205,7 @@
             lines.append(b"Transfer-Encoding: chunked")
         else:
             self._is_delimited_by_close = True
+            raw.conn.is_delimited_by_close = True
             raw.close_connection = True
         if raw.close_connection:
             lines.append(b"Connection: close")
@@ -233,28 +254,30 @@
 
     def respond(self) -> None:
         listener = self._listener
-        self.req.conn.start_body_timeout()
+        self.req.conn.begin_exchange(self.req.inheaders)
         request = Request(self.req)
-        response = Response(self.req, listener.is_draining)
-        with listener.in_progress:
+        response = Response(self.req, listener)
+        try:
             listener.handler(request, response)
+        except exchanges.RequestEndedError:
+            response.abort()
+            return
         request.skip_body()
 
 
-class _RequestCounter:
-    """Context manager that counts requests in progress."""
+class _Server(cheroot_server.HTTPServer):
+    """CherryPy's server with the connections of this package.
 
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self.count = 0
+    ``interrupt`` is set by a thread that ends unexpectedly. It has no effect
+    here, as the error of one connection must not end the server.
+    """
 
-    def __enter__(self) -> None:
-        with self._lock:
-            self.count += 1
+    interrupt = None
+    _connections: waiting_connections.WaitingConnections
 
-    def __exit__(self, *_: object) -> None:
-        with self._lock:
-            self.count -= 1
+    def put_conn(self, conn: Any) -> None:
+        """Wait for the next request on a connection."""
+        self._connections.put(conn)
 
 
 class _ThreadPool(threadpool.ThreadPool):
@@ -268,7 +291,14 @@
     def put(self, obj: Any) -> None:
         super().put(obj)
         if obj is not None and self.idle - self.qsize < 1:
+            self._grow_if_possible()
+
+    def _grow_if_possible(self) -> None:
+        self._threads[:] = [each for each in self._threads if each.is_alive()]
+        try:
             self.grow(THREADS_PER_GROWTH)
+        except RuntimeError as error:
+            _log_error(f"no thread can be started: {error}", logging.WARNING)
 
     def grow(self, amount: int) -> None:
         available = max(self.max - len(self._threads), 0)
@@ -289,22 +319,24 @@
     def __init__(self, address: str, handler: Handler, limits: Limits) -> None:
         host, _, port = address.rpartition(":")
         self.handler = handler
-        self.in_progress = _RequestCounter()
         self.is_draining = False
-        server: Any = cheroot_server.HTTPServer(
+        server: Any = _Server(
             (host, int(port)), functools.partial(_Gateway, self)
         )
         server.ConnectionClass = caller_connections.Connection
         server.request_queue_size = LISTEN_BACKLOG
         server.keep_alive_conn_limit = max_keep_alive_connections()
-        server.expiration_interval = IDLE_CHECK_INTERVAL_S
         server.requests = _ThreadPool(
             server, min=min(MIN_THREADS, limits.threads), max=limits.threads
         )
         server.error_log = _log_error
+        server.open_connections = set()
         self._server = server
         self.set_limits(limits)
         server.prepare()
+        server._connections._selector.close()
+        self._connections = waiting_connections.WaitingConnections(server)
+        server._connections = self._connections
 
     @property
     def address(self) -> str:
@@ -322,30 +354,72 @@
 
     def start(self) -> None:
         """Serve on a background thread."""
-        threading.Thread(target=self._server.serve, daemon=True).start()
+        background.start(self._connections.run, clocks.Clock())
+
+    def refuse_connections(self) -> None:
+        """Refuse new connections; serve requests on those that are open."""
+        self._connections.end_accepting()
 
     def stop_accepting(self) -> None:
-        """Refuse new connections and close idle ones.
+        """Refuse new connections and close those that wait for a request.
 
-        Requests in progress go on; the server's own ``stop`` would end them.
+        Requests that have arrived are served; the server's own ``stop`` would
+        end them.
         """
-        server = self._server
-        manager = server._connections
-        manager.stop()
-        server.ready = False
-        server.socket.close()
-        manager.close()
+        self._connections.end()
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is in progress or queued."""
-        return not self.in_progress.count and not self._server.requests.qsize
+        """Return whether no connection of a caller is open.
+
+        After :meth:`stop_accepting` no request can arrive any more then.
+        """
+        return not self._server.open_connections
+
+    def connection_counts(self) -> dict[str, int]:
+        """Return how many connections are open, by their state."""
+        connections = list(self._server.open_connections)
+        found = collections.Counter(each.state for each in connections)
+        return {state.value: found[state] for state in _STATES}
+
+    def unfinished(self) -> list[exchanges.Exchange]:
+        """Return the exchanges of requests in progress."""
+        return [
+            connection.exchange
+            for connection in list(self._server.open_connections)
+            if connection.state is exchanges.ConnectionState.IN_PROGRESS
+        ]
+
+    def end_exchanges(
+        self, fields_of: Callable[[exchanges.Exchange], HeaderFields]
+    ) -> int:
+        """Refuse requests that were not passed on, as the process ends.
+
+        The others go on; if the process ends before they do, callers see that
+        their answers are incomplete.
+
+        :param fields_of: returns the fields of a refusal.
+        :return: number of requests refused.
+        """
+        return sum(
+            connection.end_exchange(
+                lambda exchange: _refusal(fields_of(exchange))
+            )
+            for connection in list(self._server.open_connections)
+        )
 
     def set_draining(self) -> None:
         """Close each connection after its next response."""
         self.is_draining = True
 
 
+def _refusal(fields: HeaderFields) -> bytes:
+    lines = [b"HTTP/1.1 503 " + REASON_PHRASES[503]]
+    lines.extend(name + b": " + value for name, value in fields)
+    lines.extend([b"Content-Length: 0", b"Connection: close"])
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
 def max_keep_alive_connections() -> int:
     """Return how many idle connections a listener keeps."""
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 import threading
 from collections.abc import Callable
@@ -20,7 +21,9 @@
     crash_notices,
     crash_reports,
     dispatch,
+    draining,
     evacuation,
+    exchanges,
     feed,
     fleet,
     follower,
@@ -52,12 +55,9 @@
 PEER_IDLE_TIMEOUT_MS = 60_000.0
 PEER_THREADS = 64
 AUXILIARY_THREADS = 8
-# A leaving process accepts connections for this time, so that callers can
-# look up other addresses first.
-DRAIN_ACCEPT_MS = 3_000.0
-# Part of the stop's grace period reserved for releasing budgets.
-DRAIN_RESERVE_MS = 700.0
-IDLE_CHECK_INTERVAL_MS = 50.0
+IDLE_CHECK_INTERVAL_MS = 20.0
+# Time for other processes' calls in progress at the end of a stop.
+OTHERS_TIMEOUT_MS = 250.0
 
 
 class EdgeSettings(NamedTuple):
@@ -112,7 +112,9 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
+        self._codec = codec
         self._is_leaving = False
+        self._drain = draining.Drain(clock)
         self.fleet = fleet.Fleet(records, clock)
         self.member = traffic.Member(
             settings.name,
@@ -212,6 +214,7 @@
             codec,
             clock,
             self._await_records,
+            self._drain,
         )
         self._evacuations = evacuation.Evacuations(
             store, records, self._rank, self.fleet.has_storage_host, clock
@@ -340,31 +343,99 @@
 
     def leave(self) -> None:
         """Stop gracefully: drain requests in progress and release budgets."""
-        started_ms = self._clock.now_ms()
-        deadline_ms = started_ms + self._settings.grace_ms - DRAIN_RESERVE_MS
+        times = self._drain.start(self._settings.grace_ms)
         self._is_leaving = True
-        self._ingress.set_draining()
+        for listener in (self._ingress, *self._other_listeners):
+            listener.set_draining()
         events.log(events.Event.PROCESS_LEAVING, member=self.member.name)
         threading.Thread(
             target=self._registrar.deregister, daemon=True
         ).start()
-        self._clock.sleep(DRAIN_ACCEPT_MS)
-        self._ingress.stop_accepting()
-        idle_checks = 0
-        while idle_checks < 2 and self._clock.now_ms() < deadline_ms:
-            self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
-            idle_checks = idle_checks + 1 if self._ingress.is_idle else 0
+        refused = self._drain_callers(times)
+        self._drain_others()
         self._book.stop()
         self._book.release()
         self._follower.stop()
         self._heartbeats.stop()
+        cut = self._log_cut_requests(times.started_ms)
         events.log(
             events.Event.PROCESS_STOPPED,
             member=self.member.name,
             is_idle=self._ingress.is_idle,
-            duration_ms=round(self._clock.now_ms() - started_ms),
+            duration_ms=round(self._clock.now_ms() - times.started_ms),
+            refused=refused,
+            cut=cut,
+            **self._ingress.connection_counts(),
+        )
+
+    def _drain_callers(self, times: draining.Schedule) -> int:
+        """Answer callers until no connection is open, or up to the deadline.
+
+        No request can arrive any more once none is open.
+
+        :return: number of requests refused at the deadline.
+        """
+        self._sleep_until(times.accept_until_ms)
+        counts = self._ingress.connection_counts()
+        self._ingress.refuse_connections()
+        events.log(
+            events.Event.ACCEPTING_ENDED,
+            member=self.member.name,
+            duration_ms=round(self._clock.now_ms() - times.started_ms),
+            **counts,
+        )
+        self._sleep_until(times.close_waiting_ms)
+        self._ingress.stop_accepting()
+        while (
+            not self._ingress.is_idle
+            and self._clock.now_ms() < times.deadline_ms
+        ):
+            self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
+        return self._ingress.end_exchanges(self._refusal_fields)
+
+    def _refusal_fields(
+        self, exchange: exchanges.Exchange
+    ) -> listeners.HeaderFields:
+        return self._codec.response_fields(
+            self._request_id(exchange), proxy.LEAVING_RETRY_AFTER_MS
         )
 
+    def _request_id(self, exchange: exchanges.Exchange) -> str:
+        field = self._codec.request_id_field.title()
+        return exchange.headers.get(field, b"").decode("latin-1")
+
+    def _drain_others(self) -> None:
+        """Answer the calls of other processes that have arrived, and no more.
+
+        A holder that has released its budgets must not grant from them.
+        """
+        for listener in self._other_listeners:
+            listener.stop_accepting()
+        until_ms = self._clock.now_ms() + OTHERS_TIMEOUT_MS
+        while self._clock.now_ms() < until_ms and not all(
+            listener.is_idle for listener in self._other_listeners
+        ):
+            self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
+
+    def _sleep_until(self, until_ms: float) -> None:
+        self._clock.sleep(max(0.0, until_ms - self._clock.now_ms()))
+
+    def _log_cut_requests(self, started_ms: float) -> int:
+        """Log the requests that end with the process; return their number."""
+        cut = [
+            each for each in self._ingress.unfinished() if each.is_passed_on
+        ]
+        for exchange in cut:
+            read_ms = exchange.read_ms or started_ms
+            events.log(
+                events.Event.REQUEST_CUT,
+                logging.WARNING,
+                request_id=self._request_id(exchange),
+                read_after_stop_ms=round(read_ms - started_ms),
+                is_passed_on=exchange.is_passed_on,
+            )
+        return len(cut)
+
     def _handle_lease_loss(self) -> None:
         """Start a caution period, as others may have held the budgets."""
         self._book.start_caution_period("this member's lease was lost")
