--- a/packages/gateway/src/balsamloom_gateway/waiting_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/waiting_connections.py
@@ -21,7 +21,7 @@
 # How often idle connections are checked for their timeout.
 IDLE_CHECK_INTERVAL_MS = 1_000.0
 # Pause after a failed accept, as when no descriptor is left.
-ACCEPT_RETRY_MS = 50.0
+ACCEPT_RETRY_MS = 10.0
 
 
 class WaitingConnections:
