gateway: silent connections stay open while a stopping process works

Callers that had connected before a stop and sent after the third second got no answer, since the process closed silent connections at 3.2 s though it ran on for requests in progress. They cannot tell that from a lost request.

Such connections now stay open as long as another one has a request, up to 0.2 s before the end of the drain; what arrives on them is refused with 503. An idle process still ends some 3.2 s after SIGTERM.

Before: the new test of EdgeStopTest failed (no answer on the open connection).

--- a/packages/gateway/src/balsamloom_gateway/draining.py
+++ b/packages/gateway/src/balsamloom_gateway/draining.py
@@ -12,8 +12,11 @@
 # A leaving process accepts connections for this time, so that callers can
 # look up other addresses first.
 ACCEPT_MS = 3_000.0
-# Callers that connected last get this time for their request.
+# Callers that connected last get this time for their request. Connections that
+# wait for one stay open longer if the process has requests in progress.
 CLOSE_WAITING_MS = 3_200.0
+# Part of the drain in which no request may begin to arrive any more.
+LAST_PART_MS = 200.0
 # Part of the stop's grace period reserved for releasing budgets.
 RESERVE_MS = 700.0
 MAX_RESERVE_SHARE = 0.125
@@ -26,6 +29,7 @@
     pass_on_until_ms: float
     accept_until_ms: float
     close_waiting_ms: float
+    last_request_ms: float
     deadline_ms: float
 
 
@@ -42,6 +46,8 @@
         started_ms + min(PASS_ON_MS, left_ms),
         started_ms + min(ACCEPT_MS, left_ms),
         started_ms + min(CLOSE_WAITING_MS, left_ms),
+        started_ms
+        + max(min(CLOSE_WAITING_MS, left_ms), left_ms - LAST_PART_MS),
         started_ms + left_ms,
     )
 
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -376,6 +376,13 @@
         """
         return not self._server.open_connections
 
+    @property
+    def has_requests(self) -> bool:
+        """Return whether a request has arrived that has no answer yet."""
+        waiting = exchanges.ConnectionState.WAITING
+        connections = list(self._server.open_connections)
+        return any(each.state is not waiting for each in connections)
+
     def connection_counts(self) -> dict[str, int]:
         """Return how many connections are open, by their state."""
         connections = list(self._server.open_connections)
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -385,12 +385,11 @@
             **counts,
         )
         self._sleep_until(times.close_waiting_ms)
+        self._wait(
+            lambda: not self._ingress.has_requests, times.last_request_ms
+        )
         self._ingress.stop_accepting()
-        while (
-            not self._ingress.is_idle
-            and self._clock.now_ms() < times.deadline_ms
-        ):
-            self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
+        self._wait(lambda: self._ingress.is_idle, times.deadline_ms)
         return self._ingress.end_exchanges(self._refusal_fields)
 
     def _refusal_fields(
@@ -411,10 +410,13 @@
         """
         for listener in self._other_listeners:
             listener.stop_accepting()
-        until_ms = self._clock.now_ms() + OTHERS_TIMEOUT_MS
-        while self._clock.now_ms() < until_ms and not all(
-            listener.is_idle for listener in self._other_listeners
-        ):
+        self._wait(
+            lambda: all(each.is_idle for each in self._other_listeners),
+            self._clock.now_ms() + OTHERS_TIMEOUT_MS,
+        )
+
+    def _wait(self, condition: Callable[[], bool], until_ms: float) -> None:
+        while not condition() and self._clock.now_ms() < until_ms:
             self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
 
     def _sleep_until(self, until_ms: float) -> None:
--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -366,6 +366,19 @@
         self.assertEqual(self.seen, [True, "refused"])
         self.assertIn(b"200", caller.recv(1_000))
 
+    def test_open_connection_gets_a_refusal_while_another_has_a_request(self):
+        busy = self.connect(self.caller_address)
+        busy.sendall(REQUEST[:20])
+        late = self.connect(self.caller_address)
+        leaving = self.start_leaving()
+        time.sleep(0.2)
+        late.sendall(REQUEST)
+        self.assertIn(b"HTTP/1.1 ", late.recv(1_000))
+        busy.sendall(REQUEST[20:])
+        self.assertIn(b"HTTP/1.1 ", busy.recv(1_000))
+        leaving.join(2)
+        self.assertEqual(self.seen, [True, "refused"])
+
     def test_idle_process_ends_soon_after_it_refuses_connections(self):
         self.connect(self.caller_address)
         started_s = time.monotonic()
