gateway: connections are answered until a stopping process has released

What is read after 2.8 s is refused and needs no budgets, so budgets are now released as soon as no request is left, while open connections still get their 503. They are closed last, and the process ends when none is open. Silent connections stay open until 3.6 s: callers that keep an address for three times its TTL have looked up others by then.

The steps of a stop have a module of their own (planned_stop). The new test of EdgeStopTest failed before: the connection was reset during the release.

--- a/packages/gateway/src/balsamloom_gateway/draining.py
+++ b/packages/gateway/src/balsamloom_gateway/draining.py
@@ -12,9 +12,10 @@
 # A leaving process accepts connections for this time, so that callers can
 # look up other addresses first.
 ACCEPT_MS = 3_000.0
-# Callers that connected last get this time for their request. Connections that
-# wait for one stay open longer if the process has requests in progress.
-CLOSE_WAITING_MS = 3_200.0
+# Callers that keep an address longest have looked up others by this time.
+# Connections that wait for a request stay open up to it, and longer if the
+# process has requests in progress.
+CLOSE_WAITING_MS = 3_600.0
 # Part of the drain in which no request may begin to arrive any more.
 LAST_PART_MS = 200.0
 # Part of the stop's grace period reserved for releasing budgets.
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 import threading
 from collections.abc import Callable
@@ -23,7 +22,6 @@
     dispatch,
     draining,
     evacuation,
-    exchanges,
     feed,
     fleet,
     follower,
@@ -35,6 +33,7 @@
     peer_liveness,
     peer_service,
     peers,
+    planned_stop,
     planner,
     proxy,
     registrar,
@@ -55,9 +54,6 @@
 PEER_IDLE_TIMEOUT_MS = 60_000.0
 PEER_THREADS = 64
 AUXILIARY_THREADS = 8
-IDLE_CHECK_INTERVAL_MS = 20.0
-# Time for other processes' calls in progress at the end of a stop.
-OTHERS_TIMEOUT_MS = 250.0
 
 
 class EdgeSettings(NamedTuple):
@@ -343,100 +339,25 @@
 
     def leave(self) -> None:
         """Stop gracefully: drain requests in progress and release budgets."""
-        times = self._drain.start(self._settings.grace_ms)
         self._is_leaving = True
-        for listener in (self._ingress, *self._other_listeners):
-            listener.set_draining()
-        events.log(events.Event.PROCESS_LEAVING, member=self.member.name)
+        stop = planned_stop.PlannedStop(
+            self.member.name,
+            self._ingress,
+            self._other_listeners,
+            self._codec,
+            self._drain.start(self._settings.grace_ms),
+            self._clock,
+        )
         threading.Thread(
             target=self._registrar.deregister, daemon=True
         ).start()
-        refused = self._drain_callers(times)
-        self._drain_others()
+        stop.answer_callers()
+        stop.answer_members()
         self._book.stop()
         self._book.release()
+        stop.end()
         self._follower.stop()
         self._heartbeats.stop()
-        cut = self._log_cut_requests(times.started_ms)
-        events.log(
-            events.Event.PROCESS_STOPPED,
-            member=self.member.name,
-            is_idle=self._ingress.is_idle,
-            duration_ms=round(self._clock.now_ms() - times.started_ms),
-            refused=refused,
-            cut=cut,
-            **self._ingress.connection_counts(),
-        )
-
-    def _drain_callers(self, times: draining.Schedule) -> int:
-        """Answer callers until no connection is open, or up to the deadline.
-
-        No request can arrive any more once none is open.
-
-        :return: number of requests refused at the deadline.
-        """
-        self._sleep_until(times.accept_until_ms)
-        counts = self._ingress.connection_counts()
-        self._ingress.refuse_connections()
-        events.log(
-            events.Event.ACCEPTING_ENDED,
-            member=self.member.name,
-            duration_ms=round(self._clock.now_ms() - times.started_ms),
-            **counts,
-        )
-        self._sleep_until(times.close_waiting_ms)
-        self._wait(
-            lambda: not self._ingress.has_requests, times.last_request_ms
-        )
-        self._ingress.stop_accepting()
-        self._wait(lambda: self._ingress.is_idle, times.deadline_ms)
-        return self._ingress.end_exchanges(self._refusal_fields)
-
-    def _refusal_fields(
-        self, exchange: exchanges.Exchange
-    ) -> listeners.HeaderFields:
-        return self._codec.response_fields(
-            self._request_id(exchange), proxy.LEAVING_RETRY_AFTER_MS
-        )
-
-    def _request_id(self, exchange: exchanges.Exchange) -> str:
-        field = self._codec.request_id_field.title()
-        return exchange.headers.get(field, b"").decode("latin-1")
-
-    def _drain_others(self) -> None:
-        """Answer the calls of other processes that have arrived, and no more.
-
-        A holder that has released its budgets must not grant from them.
-        """
-        for listener in self._other_listeners:
-            listener.stop_accepting()
-        self._wait(
-            lambda: all(each.is_idle for each in self._other_listeners),
-            self._clock.now_ms() + OTHERS_TIMEOUT_MS,
-        )
-
-    def _wait(self, condition: Callable[[], bool], until_ms: float) -> None:
-        while not condition() and self._clock.now_ms() < until_ms:
-            self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
-
-    def _sleep_until(self, until_ms: float) -> None:
-        self._clock.sleep(max(0.0, until_ms - self._clock.now_ms()))
-
-    def _log_cut_requests(self, started_ms: float) -> int:
-        """Log the requests that end with the process; return their number."""
-        cut = [
-            each for each in self._ingress.unfinished() if each.is_passed_on
-        ]
-        for exchange in cut:
-            read_ms = exchange.read_ms or started_ms
-            events.log(
-                events.Event.REQUEST_CUT,
-                logging.WARNING,
-                request_id=self._request_id(exchange),
-                read_after_stop_ms=round(read_ms - started_ms),
-                is_passed_on=exchange.is_passed_on,
-            )
-        return len(cut)
 
     def _handle_lease_loss(self) -> None:
         """Start a caution period, as others may have held the budgets."""
--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -313,7 +313,7 @@
 
     def release(self):
         """Record who can still reach the process."""
-        self.seen.append(self.edge._ingress.is_idle)
+        self.seen.append(not self.edge._ingress.has_requests)
         try:
             self.connect(self.peer_address)
         except ConnectionRefusedError:
@@ -346,6 +346,19 @@
         leaving.join(2)
         self.assertEqual(self.seen, [True, "refused"])
 
+    def test_request_that_arrives_while_budgets_are_released_is_refused(self):
+        caller = self.connect(self.caller_address)
+        answers = []
+
+        def release():
+            caller.sendall(REQUEST)
+            answers.append(caller.recv(1_000))
+
+        self.edge._book.release = release
+        self.start_leaving().join(2)
+        self.assertIn(b"HTTP/1.1", answers[0])
+        self.assertTrue(self.edge._ingress.is_idle)
+
     def test_call_of_another_process_is_answered_before_the_end(self):
         begun, step = threading.Event(), threading.Event()
 
