gateway: an answer before the body is not lost to a reset at a close

A caller whose request was refused before its body was read got a broken connection in place of the 503 or 404 if the answer closed the connection and the rest of the body came later: the process closed with unread data, which resets the connection. Every answer closes its connection during a planned stop, so there it concerned each refusal of a route or without a configuration.

Cause: skip_body read nothing when the connection was to be closed. It reads the body in all cases now, within the body's timeout. A body that cannot be read closes the connection at once, as before (read_body marks it).

Before: the new test failed with BrokenPipeError while the caller was sending.

--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -115,24 +115,26 @@
         :raises BodyTooLargeError: it is longer than the limit.
         :raises MalformedBodyError: it is truncated or wrongly encoded.
         """
+        self._is_read = True
         try:
-            body = b"".join(self._read_parts())
+            return b"".join(self._read_parts())
         except cheroot_errors.MaxSizeExceeded as error:
+            self._raw.close_connection = True
             raise BodyTooLargeError(str(error)) from error
         except (ValueError, OSError) as error:
+            self._raw.close_connection = True
             if "Too Large" in str(error):
                 raise BodyTooLargeError(str(error)) from error
             raise MalformedBodyError(str(error)) from error
-        self._is_read = True
-        return body
 
     def skip_body(self) -> None:
         """Read the body if the handler did not, or close the connection.
 
-        Otherwise the body would be parsed as the next request.
+        Otherwise the body would be parsed as the next request, or a close
+        with unread data would reset the connection and lose the response.
         """
         raw = self._raw
-        if self._is_read or raw.close_connection:
+        if self._is_read:
             return
         try:
             for _ in self._read_parts():
--- a/packages/gateway/tests/test_listeners.py
+++ b/packages/gateway/tests/test_listeners.py
@@ -131,6 +131,20 @@
             self.assertEqual(found, 503)
         self.assertEqual(self.paths, ["/1", "/2"])
 
+    def test_response_that_closes_the_connection_is_not_lost_to_a_reset(self):
+        def send_slowly():
+            yield b"a" * 3_000
+            time.sleep(0.1)
+            yield b"b" * 3_000
+            time.sleep(0.1)
+            yield b"c" * 3_000
+
+        fields = {"Content-Length": "9000", "Connection": "close"}
+        self.assertEqual(self.status("/1", send_slowly(), headers=fields), 503)
+        self.listener.set_draining()
+        del fields["Connection"]
+        self.assertEqual(self.status("/2", send_slowly(), headers=fields), 503)
+
     def test_connection_of_a_caller_that_never_sends_the_body_is_closed(self):
         with socket.create_connection(
             self.listener.address.split(":"), timeout=3
