gateway: a turn refused at the end of a stop gives its tokens back

A turn that the end of a stop refuses with 503 after its tokens were reserved counted as if all of them had been generated: the program could get a 402 at its next turn though its budget held one more.

Cause: RequestEndedError leaves the dispatcher as an exception, and the settlement's default is the whole reservation. A request is refused only if no server can have run it, and never passed on after, so it used none.

Before: the second turn of the new test was answered 402 in place of 200.

--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -19,6 +19,7 @@
     dispatch,
     draining,
     estimates,
+    exchanges,
     fleet,
     interfaces,
     ledger,
@@ -350,6 +351,9 @@
             ended = self._dispatcher.run(
                 call, target._replace(profile=profile, plan=grant.plan)
             )
+        except exchanges.RequestEndedError:
+            ended = dispatch.Result(0, planner.NOT_RUN)
+            raise
         finally:
             self._budgets.settle(grant, ended.tokens, ended.report)
 
--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -292,6 +292,33 @@
             self.assertTrue(response.headers["Retry-After"])
         self.assertEqual(self.runs(), 1)
 
+    def test_turn_that_a_stop_refuses_gives_its_tokens_back(self):
+        gateway = self.start(self.answering(scripted.answer()))
+        place = gateway.dispatcher._place
+
+        def end(*arguments):
+            gateway.dispatcher._place = place
+            gateway.listener.end_exchanges(lambda _: [])
+            return place(*arguments)
+
+        gateway.dispatcher._place = end
+        headers = {"Program": "p", "Budget": "30"}
+        self.assertEqual(
+            self.request("/stream/", headers, b"x")[0].status, 503
+        )
+        self.assertEqual(self.runs(), 0)
+        self.wait_until_ended()
+        self.assertEqual(
+            self.request("/stream/", headers, b"x")[0].status, 200
+        )
+
+    def wait_until_ended(self):
+        """Wait until no request is in progress."""
+        until_s = time.monotonic() + 2
+        while self.gateway.listener.has_requests:
+            self.assertLess(time.monotonic(), until_s, "a request goes on")
+            time.sleep(0.002)
+
 
 class EdgeStopTest(unittest.TestCase):
     """Guards against an edge process that ends beside a call in progress."""
