gateway: a request that arrived at the idle timeout is served

A request that arrived between the last look at the connections and the check of their idle time was dropped with a reset: the check closed the connection without looking whether data had arrived, as a stop does. The window is short, and longer where the process pauses there.

The check now queues such connections, as the end of a stop does.

Before: the new test got no answer.

--- a/packages/gateway/src/balsamloom_gateway/waiting_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/waiting_connections.py
@@ -184,7 +184,7 @@
             for connection in expired:
                 self._selector.unregister(connection.socket)
         for connection in expired:
-            connection.close()
+            self._queue_or_close(connection)
 
     def _waiting(self) -> list[caller_connections.Connection]:
         entries = list(self._selector.get_map().values())
--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -130,6 +130,20 @@
         self.wait_until_idle()
 
 
+class IdleTimeoutTest(StopCase):
+    """Guards against an idle timeout that drops a request that arrived."""
+
+    def test_request_that_arrived_at_the_idle_timeout_is_served(self):
+        caller = self.connect()
+        self.listener._connections._accept()
+        caller.sendall(REQUEST)
+        time.sleep(0.02)
+        self.listener.set_limits(LIMITS._replace(idle_timeout_ms=1.0))
+        self.listener._connections._close_expired()
+        self.listener.set_limits(LIMITS)
+        self.assertIn(b"200", caller.recv(1_000))
+
+
 class ConnectionErrorTest(StopCase):
     """Guards against one connection's error that ends the whole listener."""
 
