--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -130,6 +130,20 @@
         self.wait_until_idle()
 
 
+class IdleTimeoutTest(StopCase):
+    """Guards against an idle timeout that drops a request that arrived."""
+
+    def test_request_that_arrived_at_the_idle_timeout_is_served(self):
+        caller = self.connect()
+        self.listener._connections._accept()
+        caller.sendall(REQUEST)
+        time.sleep(0.02)
+        self.listener.set_limits(LIMITS._replace(idle_timeout_ms=1.0))
+        self.listener._connections._close_expired()
+        self.listener.set_limits(LIMITS)
+        self.assertIn(b"200", caller.recv(1_000))
+
+
 class ConnectionErrorTest(StopCase):
     """Guards against one connection's error that ends the whole listener."""
 
@@ -292,6 +306,33 @@
             self.assertTrue(response.headers["Retry-After"])
         self.assertEqual(self.runs(), 1)
 
+    def test_turn_that_a_stop_refuses_gives_its_tokens_back(self):
+        gateway = self.start(self.answering(scripted.answer()))
+        place = gateway.dispatcher._place
+
+        def end(*arguments):
+            gateway.dispatcher._place = place
+            gateway.listener.end_exchanges(lambda _: [])
+            return place(*arguments)
+
+        gateway.dispatcher._place = end
+        headers = {"Program": "p", "Budget": "30"}
+        self.assertEqual(
+            self.request("/stream/", headers, b"x")[0].status, 503
+        )
+        self.assertEqual(self.runs(), 0)
+        self.wait_until_ended()
+        self.assertEqual(
+            self.request("/stream/", headers, b"x")[0].status, 200
+        )
+
+    def wait_until_ended(self):
+        """Wait until no request is in progress."""
+        until_s = time.monotonic() + 2
+        while self.gateway.listener.has_requests:
+            self.assertLess(time.monotonic(), until_s, "a request goes on")
+            time.sleep(0.002)
+
 
 class EdgeStopTest(unittest.TestCase):
     """Guards against an edge process that ends beside a call in progress."""
