gateway: only the server that answers a stream is recorded as its origin

Cause: storage hosts were told of a stream's version when the call was sent to a server. A call that this server refused, or lost before it answered, went on to a server of the other version, and the hosts were told again, from another thread and on another connection. The two messages could overtake each other, and a host that got only the first kept the version of a server that had never begun the stream.

The new test fails before (3 of 3): hosts know v1 for a stream that a server of v2 began.

Hosts are told once the head of a stream's answer is there. No other server is tried after that, so there is one message for each stream. The first event waits for it as before, for 60 ms at most.

--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -289,7 +289,7 @@
             spec.engine if spec else None,
             call.recorder,
             lambda answer: self._record_answer(placement.server, answer),
-            self._begin_stream(call, placement.server),
+            lambda: self._begin_stream(call, placement.server),
         )
         head = self._request_head(call, placement.server, spec)
         result = attempt.run(
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -55,7 +55,8 @@
     :param recorder: stores the turn before the response ends.
     :param on_answer: called with what the server says of itself, as soon as
         the head of its response is there.
-    :param before_stream: called before the first part of a stream is sent.
+    :param on_stream: called when the server begins a stream; returns what
+        must end before the first part is sent.
     """
 
     def __init__(
@@ -70,9 +71,10 @@
         engine: traffic.Engine | None,
         recorder: conversations.TurnRecorder | None = None,
         on_answer: Callable[[traffic.AnswerMetadata], None] = callbacks.ignore,
-        before_stream: Callable[[], None] = callbacks.ignore,
+        on_stream: Callable[[], Callable[[], None]] = lambda: callbacks.ignore,
     ) -> None:
-        self._before_stream = before_stream
+        self._on_stream = on_stream
+        self._before_stream: Callable[[], None] = callbacks.ignore
         self._on_answer = on_answer
         self._recorder = recorder
         self._response = response
@@ -228,6 +230,7 @@
         fields = self._codec.relayed_fields(head.headers.fields)
         is_success = 200 <= head.status < 300
         if self._route.kind is traffic.RouteKind.STREAMING and is_success:
+            self._before_stream = self._on_stream()
             return self._relay_stream(head, fields, until_ms)
         self._is_failure = head.status >= 500
         return self._relay_buffered(head, fields, until_ms)
--- a/packages/gateway/src/balsamloom_gateway/stream_versions.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_versions.py
@@ -112,7 +112,7 @@
     def begin(
         self, stream_id: str, server: traffic.BackendServer
     ) -> Callable[[], None]:
-        """Record that a server is about to begin a stream.
+        """Record that a server has begun a stream.
 
         :return: waits until others can find it, for a short time.
         """
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import socket
+import threading
 import time
 import unittest
 
@@ -22,6 +23,7 @@
 )
 
 EVENT = b"id: 1\ndata: %s\n\n"
+REFUSAL = scripted.answer(b"", status="503 x", fields="Not-Executed: 1\r\n")
 TIMEOUT_S = 5.0
 
 
@@ -179,13 +181,18 @@
     def setUp(self):
         self.cluster = storage_nodes.StorageCluster("a1 b1 c1", True)
         self.addCleanup(self.cluster.close)
+        # Version whose servers refuse new streams.
+        self.refusing_version = ""
 
     def breaking(self, connection, _):
         """Send one event of a stream; break off if it is a new one."""
         owner = self.owner(connection)
         while request := owner.read_request(connection):
-            version = self.versions[owner].encode()
-            event = EVENT % version
+            version = self.versions[owner]
+            if b"broken" in request and version == self.refusing_version:
+                connection.sendall(REFUSAL)
+                continue
+            event = EVENT % version.encode()
             connection.sendall(scripted.chunked_head())
             connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
             if b"broken" in request:
@@ -263,6 +270,33 @@
             self.restart()
             self.assertEqual(self.resume("r1"), (200, version))
 
+    def test_stream_is_not_joined_when_a_retry_began_it(self):
+        self.start("v1", "v2")
+        self.refusing_version = "v1"
+        self.delay_records("v1")
+        while not self.servers[0].received:
+            self.assertEqual(self.begin("r1"), "v2")
+        self.deliver_records()
+        self.assertEqual(set(self.known_versions()), {"v2"})
+
+    def delay_records(self, version):
+        """Hold back what storage hosts are told of a version."""
+        self.may_deliver = threading.Event()
+        self.addCleanup(self.may_deliver.set)
+        processes = self.gateway.streams._processes
+        post = processes.post
+
+        def delayed_post(host, path, body, timeout_ms):
+            if version.encode() in body:
+                self.may_deliver.wait(TIMEOUT_S)
+            return post(host, path, body, timeout_ms)
+
+        processes.post = delayed_post
+
+    def deliver_records(self):
+        self.may_deliver.set()
+        self.gateway.streams._calls.shutdown(wait=True)
+
     def test_stream_of_unknown_version_is_refused_after_a_restart(self):
         self.start("v1", "v2")
         self.begin("r1")
