tests: a stream that only hosts unknown here recorded is joined (known red)

StreamVersions._conclude takes a stream that no storage host of this view has recorded for one of the oldest version. The hosts of a view lag by up to a second. If hosts were just added and both records of a stream lie there, the stream goes on at another version than it began (ORDER).

Real processes were not tried.

--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -372,6 +372,18 @@
         self.assertEqual(self.resume("r0")[0], 503)
         self.assertEqual(self.resume("unknown"), (200, "v1"))
 
+    def test_stream_that_only_unknown_storage_hosts_recorded_is_not_joined(
+        self,
+    ):
+        # The hosts were just added; this process has not read them yet.
+        self.start("v1", "v2")
+        hosts = self.gateway.fleet._storage_hosts
+        start = stream_registry.StreamStart("r0", "v2")
+        for host in replicas.rank("r0", hosts.values())[:2]:
+            self.cluster.node(host.name).service._streams.record([start])
+            del hosts[host.name]
+        self.assertNotEqual(self.resume("r0"), (200, "v1"))
+
     def test_one_silent_storage_host_does_not_keep_a_stream_unknown(self):
         self.start("v1", "v2")
         hosts = self.gateway.fleet._storage_hosts
