--- a/packages/gateway/src/balsamloom_gateway/feed.py
+++ b/packages/gateway/src/balsamloom_gateway/feed.py
@@ -247,6 +247,8 @@
     changes: list[interfaces.Change] = []
     try:
         for key, value, revision in answer["changes"]:
+            if not isinstance(key, str):
+                raise TypeError(f"a key is {key!r}")
             if value is None:
                 changes.append(interfaces.Deletion(key, int(revision)))
             else:
--- a/packages/gateway/tests/test_fuzzing.py
+++ b/packages/gateway/tests/test_fuzzing.py
@@ -98,6 +98,7 @@
     """Guards against messages of other members that end a thread."""
 
     @SETTINGS
+    @hypothesis.example(answer={"changes": [[None, None, False]]})
     @hypothesis.given(
         strategies.fixed_dictionaries(
             {"changes": strategies.lists(VALUES, max_size=3)}
