gateway: a lagging view does not show that a service has one version

Callers would have got events of two software versions in one stream: a process that knew one version took it for the version of any stream that no storage host could tell it of (restarted in the last minute, slow or unreachable), although the stream had begun elsewhere at a version that this process had not read yet.

The test fails before: 200 from v1 while the records are not read.

When the hosts are unsure, the process now waits until it knows all that was in the store when the request came, for 1 s at most, and only then takes the one version that it knows. Otherwise the answer is 503, not run, with Retry-After. Streams that hosts know, or surely do not know, go on without the wait.

The log of a resumed stream says what the lookup gave.

--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -35,6 +35,8 @@
 BUDGET_RETRY_AFTER_MS = 500.0
 HISTORY_RETRY_AFTER_MS = 300.0
 RESUME_RETRY_AFTER_MS = 100.0
+# Callers abandon a stream after two seconds without an event.
+RESUME_TIMEOUT_MS = 1_000.0
 
 
 class _Routing(NamedTuple):
@@ -306,8 +308,13 @@
             required = self._streams.required_version(target.service)
             profile = target.profile._replace(version=required)
             return target._replace(profile=profile)
-        stream_id = call.metadata.resumed_id or ""
-        match self._streams.origin(stream_id, target.service):
+        until_ms = min(call.until_ms, call.arrived_ms + RESUME_TIMEOUT_MS)
+        origin = self._streams.origin(
+            call.metadata.resumed_id,
+            target.service,
+            lambda: self._await_records(call.arrived_ms, until_ms),
+        )
+        match origin:
             case stream_versions.Known(version):
                 profile = target.profile._replace(version=version)
                 return target._replace(profile=profile)
--- a/packages/gateway/src/balsamloom_gateway/stream_versions.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_versions.py
@@ -161,25 +161,26 @@
                 self._clock.now_ms() + UNRELIABLE_PERIOD_MS
             )
 
-    def origin(self, stream_id: str, service: str) -> Origin:
+    def origin(
+        self,
+        stream_id: str,
+        service: str,
+        await_records: Callable[[], bool],
+    ) -> Origin:
         """Return where a stream may go on.
 
         :param stream_id: request that began it, empty if not known.
+        :param await_records: waits until this process knows all that was in
+            the store when the request came; returns whether it does.
         """
-        possible = self._history.possible(service)
-        if not self._is_current():
-            known_to_others = self._ask_members(service)
-            if known_to_others is None:
-                possible = frozenset()
-            else:
-                possible |= known_to_others
-        version = self._local_version(stream_id)
-        if version is None:
-            version = self._conclude(stream_id, service, possible)
+        found = self._look_up(stream_id)
+        possible = self._possible(service, found, await_records)
+        version = self._conclude(found, service, possible)
         events.log(
             events.Event.STREAM_RESUMED,
             stream_id=stream_id,
             service=service,
+            lookup=type(found).__name__,
             possible_versions=sorted(possible),
             version=version,
         )
@@ -187,11 +188,40 @@
             return Unknown("the version that began the stream is not known")
         return Known(version)
 
+    def _look_up(self, stream_id: str) -> stream_registry.Lookup:
+        """Return what this process or the storage hosts know of a stream."""
+        version = self._local_version(stream_id)
+        if version is not None:
+            return stream_registry.Recorded(version)
+        return self._find(stream_id)
+
+    def _possible(
+        self,
+        service: str,
+        found: stream_registry.Lookup,
+        await_records: Callable[[], bool],
+    ) -> frozenset[str]:
+        """Return the versions at which a stream may have begun.
+
+        :return: none if another process may know of others.
+        """
+        if not self._is_current():
+            known_to_others = self._ask_members(service)
+            if known_to_others is None:
+                return frozenset()
+            return self._history.possible(service) | known_to_others
+        is_unsure = isinstance(found, stream_registry.Unsure)
+        if is_unsure and not await_records():
+            return frozenset()
+        return self._history.possible(service)
+
     def _conclude(
-        self, stream_id: str, service: str, possible: frozenset[str]
+        self,
+        found: stream_registry.Lookup,
+        service: str,
+        possible: frozenset[str],
     ) -> str | None:
-        """Return the version of a stream that began elsewhere, if certain."""
-        found = self._find(stream_id)
+        """Return the version at which a stream began, if it is certain."""
         match found:
             case stream_registry.Recorded(version):
                 return version
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -322,6 +322,13 @@
         self.assertEqual(self.resume("r1"), (200, "v1"))
 
     def begin_second_version(self):
+        self.add_second_version()
+        until_s = time.monotonic() + TIMEOUT_S
+        while not any(self.known_versions()):
+            self.assertLess(time.monotonic(), until_s, "not recorded")
+            time.sleep(0.005)
+
+    def add_second_version(self):
         server = scripted.ScriptedServer(
             lambda connection, count: self.breaking(connection, count)
         )
@@ -329,10 +336,6 @@
         self.servers.append(server)
         self.versions[server] = "v2"
         self.register(self.gateway)
-        until_s = time.monotonic() + TIMEOUT_S
-        while not any(self.known_versions()):
-            self.assertLess(time.monotonic(), until_s, "not recorded")
-            time.sleep(0.005)
 
     def known_versions(self):
         return [
@@ -406,6 +409,22 @@
         self.assertEqual(self.resume("r0")[0], 503)
         self.assertEqual(self.resume("unknown"), (200, "v1"))
 
+    def test_process_whose_view_lags_does_not_join_versions(self):
+        self.start("v1")
+        for node in self.cluster.nodes:
+            node.service._streams = stream_registry.StreamRegistry(
+                self.gateway.clock
+            )
+        self.assertEqual(self.resume("unknown"), (200, "v1"))
+        self.gateway.await_records = lambda: False
+        self.assertEqual(self.resume("unknown")[0], 503)
+        self.gateway.await_records = self.read_second_version
+        self.assertEqual(self.resume("unknown")[0], 503)
+
+    def read_second_version(self):
+        self.add_second_version()
+        return True
+
     def test_one_silent_storage_host_does_not_keep_a_stream_unknown(self):
         self.start("v1", "v2")
         hosts = self.gateway.fleet._storage_hosts
