gateway: the record alone tells when a software version is forgotten

Callers would have got events of two versions in one stream in two cases. And a version that returned after 30 s was the oldest again, as the record still had its old place, while the streams of the other one had not been recorded.

Suspected only: found by reading and shown by two unit tests, which fail before ({v2} for {v1, v2}; v1 for v2 as the oldest); no run with processes.

Cause: each process judged by its own time of day from when on a version is no longer possible, and the record kept it. Now a version is possible until the record lacks it, so that all processes agree. Members measure by their steady clocks for how long a version has had no server, and the first by rank removes it from the record after 30 s. This costs one write for each version that leaves.

--- a/packages/gateway/src/balsamloom_gateway/version_history.py
+++ b/packages/gateway/src/balsamloom_gateway/version_history.py
@@ -1,7 +1,8 @@
 """Software versions of each service's servers, as a record in the store.
 
 A process that has just started sees only the servers of now. The record tells
-which versions have left lately, so that streams may have begun there.
+which versions have left lately, so that streams may have begun there. A
+version is possible until the record lacks it, so that all processes agree.
 """
 
 from __future__ import annotations
@@ -37,10 +38,8 @@
     for version, left_ms in known.items():
         if version in registered:
             versions[version] = None
-            continue
-        left_ms = wall_ms if left_ms is None else left_ms
-        if wall_ms - left_ms < STREAM_RETENTION_MS:
-            versions[version] = left_ms
+        else:
+            versions[version] = wall_ms if left_ms is None else left_ms
     versions.update(dict.fromkeys(sorted(registered - versions.keys())))
     return versions
 
@@ -81,6 +80,8 @@
         self._revisions: dict[str, int] = {}
         # Time from which this member writes a service's record.
         self._due_ms: dict[str, float] = {}
+        # Since when this member has seen a recorded version without servers.
+        self._absent_since_ms: dict[tuple[str, str], float] = {}
 
     def apply(self, changes: list[interfaces.Change]) -> None:
         """Apply changed records of versions."""
@@ -123,8 +124,10 @@
         for service in self.resumable_services():
             present = registered.get(service, frozenset())
             with self._lock:
-                known = self._known.get(service, {})
-                if not present or not must_write(known, present):
+                known = self._forget_old(service, present, now_ms)
+                is_whole = known == self._known.get(service, {})
+                is_due = not is_whole or must_write(known, present)
+                if not present or not is_due:
                     self._due_ms.pop(service, None)
                     continue
                 delay_ms = self._rank() * DELAY_PER_RANK_MS
@@ -132,6 +135,27 @@
             if now_ms >= due_ms:
                 self._write(service, known, present)
 
+    def _forget_old(
+        self, service: str, registered: frozenset[str], now_ms: float
+    ) -> Versions:
+        """Return the recorded versions at which streams may be under way.
+
+        The time of day may jump, so each member measures by itself for how
+        long a version has had no server.
+        """
+        kept: dict[str, float | None] = {}
+        for version, left_ms in self._known.get(service, {}).items():
+            key = service, version
+            if version in registered:
+                self._absent_since_ms.pop(key, None)
+            elif (
+                now_ms - self._absent_since_ms.setdefault(key, now_ms)
+                >= STREAM_RETENTION_MS
+            ):
+                continue
+            kept[version] = left_ms
+        return kept
+
     def _write(
         self, service: str, known: Versions, registered: frozenset[str]
     ) -> None:
@@ -175,6 +199,11 @@
                 return
             self._revisions[service] = item.revision
             self._known[service] = versions
+            self._absent_since_ms = {
+                key: since_ms
+                for key, since_ms in self._absent_since_ms.items()
+                if key[0] != service or key[1] in versions
+            }
         events.log(
             events.Event.VERSIONS_CHANGED,
             service=service,
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -66,6 +66,28 @@
         self.view.apply(self.store.changes)
         self.history.write_due()
 
+    def outlast_streams(self):
+        self.clock.advance(version_history.STREAM_RETENTION_MS + 1)
+        self.follow()
+
+    def test_step_of_the_time_of_day_forgets_no_version(self):
+        # Streams of the version that has just left went on at the other one.
+        self.register("v1")
+        self.register("v2")
+        self.remove("v1")
+        for step_ms in (2_400_000.0, -2_400_000.0):
+            with self.subTest(step_ms=step_ms):
+                wall_ms = self.clock.now_ms() + step_ms
+                self.clock.wall_ms = lambda wall_ms=wall_ms: wall_ms
+                self.assertEqual(self.possible(), {"v1", "v2"})
+                self.register("v1")
+                self.remove("v1")
+                self.assertEqual(self.possible(), {"v1", "v2"})
+                del self.clock.wall_ms
+                self.assertEqual(self.possible(), {"v1", "v2"})
+        self.outlast_streams()
+        self.assertEqual(self.possible(), {"v2"})
+
     def test_started_process_knows_the_version_that_has_just_left(self):
         self.register("v1")
         self.register("v2")
@@ -82,7 +104,7 @@
     def test_version_is_forgotten_when_no_stream_of_it_can_last(self):
         self.register("v1", "v2")
         self.remove("v1")
-        self.clock.advance(version_history.STREAM_RETENTION_MS + 1)
+        self.outlast_streams()
         self.assertEqual(self.possible(), {"v2"})
         self.assertEqual(self.possible(self.process()[1]), {"v2"})
 
@@ -119,6 +141,16 @@
                 self.view.apply([interfaces.Item(key, value, 100)])
                 self.assertEqual(self.possible(), frozenset())
 
+    def test_version_that_returns_late_is_not_the_elder(self):
+        # Streams that nobody recorded began while the other one was alone.
+        self.register("v1")
+        self.register("v2")
+        self.remove("v1")
+        self.outlast_streams()
+        self.register("v1")
+        for history in (self.history, self.process()[1]):
+            self.assertEqual(history.elder(builders.SERVICE), "v2")
+
     def test_oldest_version_stays_the_elder_until_it_is_forgotten(self):
         self.register("v2")
         self.register("v1")
@@ -127,7 +159,7 @@
         self.assertEqual(started.elder(builders.SERVICE), "v2")
         self.remove("v2")
         self.assertEqual(self.history.elder(builders.SERVICE), "v2")
-        self.clock.advance(version_history.STREAM_RETENTION_MS + 1)
+        self.outlast_streams()
         self.assertEqual(self.history.elder(builders.SERVICE), "v1")
 
 
