gateway: a stop goes on though no thread can be started

If no thread could be started at SIGTERM, the process ended at once and cut every request it had: the stop's first step starts one to end the lease, and its error left the stop and then the process.

The error is logged now and the stop goes on; the lease runs out by itself.

Before: leave() raised RuntimeError in the new test.

--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -24,6 +24,7 @@
     draining,
     evacuation,
     exchanges,
+    failures,
     feed,
     fleet,
     follower,
@@ -348,9 +349,7 @@
         for listener in (self._ingress, *self._other_listeners):
             listener.set_draining()
         events.log(events.Event.PROCESS_LEAVING, member=self.member.name)
-        threading.Thread(
-            target=self._registrar.deregister, daemon=True
-        ).start()
+        self._start_deregistering()
         refused = self._drain_callers(times)
         self._drain_others()
         self._book.stop()
@@ -368,6 +367,14 @@
             **self._ingress.connection_counts(),
         )
 
+    def _start_deregistering(self) -> None:
+        """End the lease in the background; else it runs out by itself."""
+        deregister = self._registrar.deregister
+        try:
+            threading.Thread(target=deregister, daemon=True).start()
+        except RuntimeError as error:
+            failures.log(events.Event.BACKGROUND_FAILED, deregister, error)
+
     def _drain_callers(self, times: draining.Schedule) -> int:
         """Answer callers until no connection is open, or up to the deadline.
 
--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -420,6 +420,18 @@
         leaving.join(2)
         self.assertEqual(self.seen, [True, "refused"])
 
+    def test_calls_are_answered_though_no_thread_can_be_started(self):
+        caller = self.connect(self.caller_address)
+        caller.sendall(REQUEST)
+        error = RuntimeError("can't start new thread")
+        with (
+            mock.patch.multiple(draining, **self.TIMES_MS),
+            mock.patch("threading.Thread", side_effect=error),
+        ):
+            self.edge.leave()
+        self.assertEqual(self.seen, [True, "refused"])
+        self.assertIn(b"HTTP/1.1 ", caller.recv(1_000))
+
     def test_idle_process_ends_soon_after_it_refuses_connections(self):
         self.connect(self.caller_address)
         started_s = time.monotonic()
