gateway: silent connections do not keep new callers out

With all descriptors held by silent connections, a new caller waited for them to time out: with 40 descriptors, 100 silent connections and an idle timeout of 5 s, its request had no answer after 8 s (loopback, a trial). Since a connection waits for its request without a thread, silent ones stay for the idle timeout and not for that of a request's head.

A failed accept for want of descriptors now closes the connection that has been idle for longest, unless a request has arrived on it.

Before: the new test found the longest idle connection open.

--- a/packages/gateway/src/balsamloom_gateway/waiting_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/waiting_connections.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import logging
 import os
 import selectors
@@ -22,6 +23,7 @@
 IDLE_CHECK_INTERVAL_MS = 1_000.0
 # Pause after a failed accept, as when no descriptor is left.
 ACCEPT_RETRY_MS = 10.0
+_NO_DESCRIPTOR = frozenset({errno.EMFILE, errno.ENFILE})
 
 
 class WaitingConnections:
@@ -142,6 +144,8 @@
                 logging.WARNING,
                 reason=f"no connection can be accepted: {error!r}",
             )
+            if error.errno in _NO_DESCRIPTOR:
+                self._close_longest_idle()
             self._clock.sleep(ACCEPT_RETRY_MS)
             return False
         connection = self._server.ConnectionClass(self._server, accepted)
@@ -171,6 +175,16 @@
         else:
             connection.close()
 
+    def _close_longest_idle(self) -> None:
+        """Make room for a connection that may bring a request."""
+        with self._entries:
+            waiting = self._waiting()
+            if not waiting:
+                return
+            longest = min(waiting, key=lambda each: each.idle_since_ms)
+            self._selector.unregister(longest.socket)
+        self._queue_or_close(longest)
+
     def _close_expired(self) -> None:
         """Close the connections that were idle for too long."""
         idle_ms = self._server.timeout * clocks.MS_PER_S
--- a/packages/gateway/tests/test_listeners.py
+++ b/packages/gateway/tests/test_listeners.py
@@ -1,10 +1,12 @@
 """Tests of listeners: planned stops, unread bodies and slow callers."""
 
+import errno
 import http.client
 import socket
 import threading
 import time
 import unittest
+from unittest import mock
 
 from balsamloom_gateway import listeners
 
@@ -157,6 +159,28 @@
             self.assertEqual(caller.recv(1_000), b"")
 
 
+class SilentCallersTest(unittest.TestCase):
+    """Guards against silent connections that keep new callers out."""
+
+    def test_connection_idle_for_longest_makes_room_for_a_new_one(self):
+        listener = listeners.Listener("127.0.0.1:0", mock.Mock(), LIMITS)
+        self.addCleanup(listener.stop_accepting)
+        host, _, port = listener.address.rpartition(":")
+        callers = []
+        for _ in range(2):
+            callers.append(socket.create_connection((host, int(port)), 0.2))
+            self.addCleanup(callers[-1].close)
+            listener._connections._accept()
+            time.sleep(0.002)
+        full = mock.Mock()
+        full.accept.side_effect = OSError(errno.EMFILE, "too many open files")
+        with mock.patch.object(listener._server, "socket", full):
+            listener._connections._accept()
+        self.assertEqual(callers[0].recv(1), b"")
+        with self.assertRaises(TimeoutError):
+            callers[1].recv(1)
+
+
 class SlowCallerTest(unittest.TestCase):
     """Guards against callers that hold a thread by sending single bytes."""
 
