--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -22,6 +22,7 @@
     dispatch,
     draining,
     evacuation,
+    failures,
     feed,
     fleet,
     follower,
@@ -348,9 +349,7 @@
             self._drain.start(self._settings.grace_ms),
             self._clock,
         )
-        threading.Thread(
-            target=self._registrar.deregister, daemon=True
-        ).start()
+        self._start_deregistering()
         stop.answer_callers()
         stop.answer_members()
         self._book.stop()
@@ -359,6 +358,14 @@
         self._follower.stop()
         self._heartbeats.stop()
 
+    def _start_deregistering(self) -> None:
+        """End the lease in the background; else it runs out by itself."""
+        deregister = self._registrar.deregister
+        try:
+            threading.Thread(target=deregister, daemon=True).start()
+        except RuntimeError as error:
+            failures.log(events.Event.BACKGROUND_FAILED, deregister, error)
+
     def _handle_lease_loss(self) -> None:
         """Start a caution period, as others may have held the budgets."""
         self._book.start_caution_period("this member's lease was lost")
