--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -134,6 +134,8 @@
                     tried |= {placement.server.server_id}
                     left_ms = call.until_ms - self._clock.now_ms()
                     decision = history.decide(result, left_ms)
+                    if not history.may_have_run:
+                        call.request.take_back()
             if isinstance(decision, attempts.FinalFailure):
                 self._responder.send_failure(
                     call, decision, REFUSED_RETRY_AFTER_MS
@@ -289,9 +291,10 @@
             spec.engine if spec else None,
             call.recorder,
             lambda answer: self._record_answer(placement.server, answer),
-            self._begin_stream(call, placement.server),
+            lambda: self._begin_stream(call, placement.server),
         )
         head = self._request_head(call, placement.server, spec)
+        call.request.pass_on()
         result = attempt.run(
             head + call.body, call.until_ms, first_byte_until_ms
         )
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -20,6 +20,7 @@
     crash_notices,
     crash_reports,
     dispatch,
+    draining,
     evacuation,
     feed,
     fleet,
@@ -32,6 +33,7 @@
     peer_liveness,
     peer_service,
     peers,
+    planned_stop,
     planner,
     proxy,
     registrar,
@@ -52,12 +54,6 @@
 PEER_IDLE_TIMEOUT_MS = 60_000.0
 PEER_THREADS = 64
 AUXILIARY_THREADS = 8
-# A leaving process accepts connections for this time, so that callers can
-# look up other addresses first.
-DRAIN_ACCEPT_MS = 3_000.0
-# Part of the stop's grace period reserved for releasing budgets.
-DRAIN_RESERVE_MS = 700.0
-IDLE_CHECK_INTERVAL_MS = 50.0
 
 
 class EdgeSettings(NamedTuple):
@@ -112,7 +108,9 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
+        self._codec = codec
         self._is_leaving = False
+        self._drain = draining.Drain(clock)
         self.fleet = fleet.Fleet(records, clock)
         self.member = traffic.Member(
             settings.name,
@@ -212,6 +210,7 @@
             codec,
             clock,
             self._await_records,
+            self._drain,
         )
         self._evacuations = evacuation.Evacuations(
             store, records, self._rank, self.fleet.has_storage_host, clock
@@ -340,30 +339,25 @@
 
     def leave(self) -> None:
         """Stop gracefully: drain requests in progress and release budgets."""
-        started_ms = self._clock.now_ms()
-        deadline_ms = started_ms + self._settings.grace_ms - DRAIN_RESERVE_MS
         self._is_leaving = True
-        self._ingress.set_draining()
-        events.log(events.Event.PROCESS_LEAVING, member=self.member.name)
+        stop = planned_stop.PlannedStop(
+            self.member.name,
+            self._ingress,
+            self._other_listeners,
+            self._codec,
+            self._drain.start(self._settings.grace_ms),
+            self._clock,
+        )
         threading.Thread(
             target=self._registrar.deregister, daemon=True
         ).start()
-        self._clock.sleep(DRAIN_ACCEPT_MS)
-        self._ingress.stop_accepting()
-        idle_checks = 0
-        while idle_checks < 2 and self._clock.now_ms() < deadline_ms:
-            self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
-            idle_checks = idle_checks + 1 if self._ingress.is_idle else 0
+        stop.answer_callers()
+        stop.answer_members()
         self._book.stop()
         self._book.release()
+        stop.end()
         self._follower.stop()
         self._heartbeats.stop()
-        events.log(
-            events.Event.PROCESS_STOPPED,
-            member=self.member.name,
-            is_idle=self._ingress.is_idle,
-            duration_ms=round(self._clock.now_ms() - started_ms),
-        )
 
     def _handle_lease_loss(self) -> None:
         """Start a caution period, as others may have held the budgets."""
--- /dev/null
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -0,0 +1,451 @@
+"""Tests of planned stops: connections that are open and late requests."""
+
+import http.client
+import socket
+import threading
+import time
+import unittest
+from unittest import mock
+
+import builders
+import gateway_case
+import scripted
+
+from balsamloom_gateway import draining, exchanges, listeners
+
+LIMITS = listeners.Limits(8, 4_096, 100_000, 1_500.0, 5_000.0)
+REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+
+
+class StopCase(unittest.TestCase):
+    """Test case with a listener that answers after ``work_s``."""
+
+    def setUp(self):
+        self.work_s = 0.0
+        self.listener = listeners.Listener("127.0.0.1:0", self.work, LIMITS)
+        self.address = self.listener.address
+        self.addCleanup(self.listener.stop_accepting)
+
+    def work(self, request, response):
+        """Read the body and answer."""
+        request.read_body()
+        time.sleep(self.work_s)
+        response.send(200, ())
+
+    def connect(self):
+        """Open a connection."""
+        host, _, port = self.address.rpartition(":")
+        connection = socket.create_connection((host, int(port)), 2)
+        self.addCleanup(connection.close)
+        return connection
+
+    def wait_for(self, state, count=1):
+        """Wait until so many connections are in a state."""
+        until_s = time.monotonic() + 2
+        while self.listener.connection_counts()[state] != count:
+            self.assertLess(time.monotonic(), until_s, f"none is {state}")
+            time.sleep(0.002)
+
+    def wait_until_idle(self):
+        """Wait until no connection is open."""
+        until_s = time.monotonic() + 2
+        while not self.listener.is_idle:
+            self.assertLess(time.monotonic(), until_s, "not idle")
+            time.sleep(0.002)
+
+
+class OpenConnectionTest(StopCase):
+    """Guards against a stop that overlooks open connections."""
+
+    def test_process_is_not_idle_while_a_head_is_being_read(self):
+        self.listener.start()
+        caller = self.connect()
+        caller.sendall(REQUEST[:20])
+        self.wait_for("reading")
+        self.listener.stop_accepting()
+        self.assertFalse(self.listener.is_idle)
+        caller.sendall(REQUEST[20:])
+        self.assertIn(b"200", caller.recv(1_000))
+        self.wait_until_idle()
+
+    def test_connection_without_a_request_holds_no_thread(self):
+        self.listener.start()
+        for _ in range(LIMITS.threads + 1):
+            self.connect()
+        self.wait_for("waiting", LIMITS.threads + 1)
+        caller = self.connect()
+        caller.sendall(REQUEST)
+        self.assertIn(b"200", caller.recv(1_000))
+
+    def test_connection_without_a_request_is_closed_at_the_end(self):
+        self.listener.start()
+        caller = self.connect()
+        self.wait_for("waiting")
+        started_s = time.monotonic()
+        self.listener.stop_accepting()
+        self.assertEqual(caller.recv(1_000), b"")
+        self.assertTrue(self.listener.is_idle)
+        self.assertLess(time.monotonic() - started_s, 0.3)
+
+    def test_request_in_the_backlog_is_served_at_the_end(self):
+        caller = self.connect()
+        caller.sendall(REQUEST)
+        self.listener.stop_accepting()
+        self.assertIn(b"200", caller.recv(1_000))
+        self.wait_until_idle()
+
+    def test_request_that_arrived_on_an_idle_connection_is_served(self):
+        self.listener.start()
+        caller = self.connect()
+        caller.sendall(REQUEST)
+        self.assertIn(b"200", caller.recv(1_000))
+        self.wait_for("waiting")
+        with self.listener._connections._entries:
+            caller.sendall(REQUEST)
+            stop = threading.Thread(target=self.listener.stop_accepting)
+            stop.start()
+            time.sleep(0.02)
+        self.assertIn(b"200", caller.recv(1_000))
+        stop.join()
+        self.wait_until_idle()
+
+    def test_open_connections_are_served_when_new_ones_are_refused(self):
+        self.listener.start()
+        caller = self.connect()
+        self.listener.refuse_connections()
+        with self.assertRaises(ConnectionRefusedError):
+            self.connect()
+        caller.sendall(REQUEST)
+        self.assertIn(b"200", caller.recv(1_000))
+
+    def test_connection_kept_by_an_answer_after_the_end_is_closed(self):
+        self.listener.start()
+        self.work_s = 0.1
+        caller = self.connect()
+        caller.sendall(REQUEST)
+        self.wait_for("in_progress")
+        self.listener.stop_accepting()
+        self.assertIn(b"200", caller.recv(1_000))
+        self.assertEqual(caller.recv(1_000), b"")
+        self.wait_until_idle()
+
+
+class IdleTimeoutTest(StopCase):
+    """Guards against an idle timeout that drops a request that arrived."""
+
+    def test_request_that_arrived_at_the_idle_timeout_is_served(self):
+        caller = self.connect()
+        self.listener._connections._accept()
+        caller.sendall(REQUEST)
+        time.sleep(0.02)
+        self.listener.set_limits(LIMITS._replace(idle_timeout_ms=1.0))
+        self.listener._connections._close_expired()
+        self.listener.set_limits(LIMITS)
+        self.assertIn(b"200", caller.recv(1_000))
+
+
+class ConnectionErrorTest(StopCase):
+    """Guards against one connection's error that ends the whole listener."""
+
+    def fail_once(self, name, error):
+        """Let a method of the next connection fail after its request."""
+        connection_class = self.listener._server.ConnectionClass
+        replaced = getattr(connection_class, name)
+        self.addCleanup(setattr, connection_class, name, replaced)
+
+        def fail(connection, *arguments):
+            setattr(connection_class, name, replaced)
+            raise error
+
+        setattr(connection_class, name, fail)
+
+    def test_error_of_a_close_does_not_end_the_listener(self):
+        self.listener.start()
+        self.fail_once("_close_kernel_socket", OSError(5, "failed"))
+        for _ in range(LIMITS.threads):
+            connection = http.client.HTTPConnection(self.address, timeout=2)
+            connection.request("GET", "/", headers={"Connection": "close"})
+            self.assertEqual(connection.getresponse().status, 200)
+            connection.close()
+        self.wait_until_idle()
+
+    def test_error_of_a_kept_connection_does_not_end_the_listener(self):
+        self.listener.start()
+        waiting = self.listener._connections
+        register = waiting._register
+        errors = [ValueError("closed"), KeyError("registered")]
+
+        def fail(connection):
+            if errors and connection.state.value == "waiting":
+                raise errors.pop()
+            return register(connection)
+
+        waiting._register = fail
+        for _ in range(2):
+            with self.assertRaises(OSError):
+                caller = self.connect()
+                caller.sendall(REQUEST)
+                if not caller.recv(1_000):
+                    raise ConnectionResetError
+        caller = self.connect()
+        caller.sendall(REQUEST)
+        self.assertIn(b"200", caller.recv(1_000))
+
+
+class DeadlineTest(StopCase):
+    """Guards against requests that end with the process unanswered."""
+
+    def setUp(self):
+        super().setUp()
+        self.step = threading.Event()
+        self.ended = threading.Event()
+        self.outcome = ""
+
+    def work(self, request, response):
+        """Wait, and then pass the request on or answer it."""
+        try:
+            request.read_body()
+            if self.outcome == "passed on":
+                request.pass_on()
+            self.step.wait(2)
+            if self.outcome == "to pass on":
+                request.pass_on()
+            response.send(200, ())
+        except exchanges.RequestEndedError:
+            self.outcome = "ended"
+            raise
+        finally:
+            self.ended.set()
+
+    def end(self, data, state, outcome=""):
+        """Send data, end the exchanges, and let the worker go on."""
+        self.outcome = outcome
+        self.listener.start()
+        caller = self.connect()
+        caller.sendall(data)
+        self.wait_for(state)
+        self.listener.stop_accepting()
+        while outcome == "passed on" and not self.is_passed_on():
+            time.sleep(0.002)
+        refused = self.listener.end_exchanges(
+            lambda _: [(b"Retry-After", b"0.1")]
+        )
+        self.step.set()
+        return refused, caller.recv(1_000)
+
+    def is_passed_on(self):
+        """Return whether the request in progress was passed on."""
+        return any(each.is_passed_on for each in self.listener.unfinished())
+
+    def test_request_that_waits_to_be_passed_on_is_refused_and_never_runs(
+        self,
+    ):
+        refused, answer = self.end(REQUEST, "in_progress", "to pass on")
+        self.assertEqual(refused, 1)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503 "))
+        self.assertIn(b"\r\nRetry-After: 0.1\r\n", answer)
+        self.assertTrue(self.ended.wait(2))
+        self.assertEqual(self.outcome, "ended")
+        self.wait_until_idle()
+
+    def test_request_that_has_no_answer_yet_gets_one_only(self):
+        refused, answer = self.end(REQUEST, "in_progress")
+        self.assertEqual((refused, answer.count(b"HTTP/1.1")), (1, 1))
+        self.wait_until_idle()
+
+    def test_request_that_is_still_being_read_is_refused(self):
+        refused, answer = self.end(REQUEST[:20], "reading")
+        self.assertEqual((refused, answer[9:12]), (1, b"503"))
+        self.wait_until_idle()
+
+    def test_request_that_was_passed_on_is_not_refused(self):
+        refused, answer = self.end(REQUEST, "in_progress", "passed on")
+        self.assertEqual((refused, answer[9:12]), (0, b"200"))
+        self.wait_until_idle()
+
+
+class ScheduleTest(unittest.TestCase):
+    """Guards against a stop that takes requests it cannot finish."""
+
+    GRACE_MS = 8_000.0
+
+    def test_late_request_is_refused_before_the_process_refuses_connections(
+        self,
+    ):
+        times = draining.schedule(1_000.0, self.GRACE_MS)
+        self.assertTrue(draining.may_pass_on(None, 9_000.0))
+        self.assertTrue(draining.may_pass_on(times, 3_799.0))
+        self.assertFalse(draining.may_pass_on(times, 3_800.0))
+        self.assertLess(times.pass_on_until_ms, times.accept_until_ms)
+        self.assertLess(times.accept_until_ms, times.close_waiting_ms)
+        self.assertLess(times.close_waiting_ms, times.deadline_ms)
+
+    def test_requests_are_cut_only_in_the_last_sixth_of_the_grace_period(self):
+        for grace_ms in (self.GRACE_MS, 1_500.0, 30_000.0):
+            times = draining.schedule(0.0, grace_ms)
+            self.assertGreater(times.deadline_ms, grace_ms * 5 / 6)
+            self.assertLess(times.deadline_ms, grace_ms)
+
+    def test_short_grace_period_keeps_the_order_of_the_times(self):
+        for grace_ms in (0.0, 100.0, 1_500.0, 3_300.0):
+            times = draining.schedule(0.0, grace_ms)
+            self.assertEqual(list(times), sorted(times))
+            self.assertLessEqual(times.deadline_ms, grace_ms)
+
+
+class LateRequestTest(gateway_case.GatewayCase):
+    """Guards against passing a request on that a stop would cut."""
+
+    def test_request_read_too_late_in_a_stop_is_refused_and_not_run(self):
+        gateway = self.start(self.answering(scripted.answer()))
+        self.assertEqual(self.request()[0].status, 200)
+        gateway.drain.start(0.0)
+        for path in ("/once/x", "/idempotent/x", "/stream/x"):
+            response, _ = self.request(path, body=b"x")
+            self.assertEqual(response.status, 503)
+            self.assertTrue(response.headers["Retry-After"])
+        self.assertEqual(self.runs(), 1)
+
+    def test_turn_that_a_stop_refuses_gives_its_tokens_back(self):
+        gateway = self.start(self.answering(scripted.answer()))
+        place = gateway.dispatcher._place
+
+        def end(*arguments):
+            gateway.dispatcher._place = place
+            gateway.listener.end_exchanges(lambda _: [])
+            return place(*arguments)
+
+        gateway.dispatcher._place = end
+        headers = {"Program": "p", "Budget": "30"}
+        self.assertEqual(
+            self.request("/stream/", headers, b"x")[0].status, 503
+        )
+        self.assertEqual(self.runs(), 0)
+        self.wait_until_ended()
+        self.assertEqual(
+            self.request("/stream/", headers, b"x")[0].status, 200
+        )
+
+    def wait_until_ended(self):
+        """Wait until no request is in progress."""
+        until_s = time.monotonic() + 2
+        while self.gateway.listener.has_requests:
+            self.assertLess(time.monotonic(), until_s, "a request goes on")
+            time.sleep(0.002)
+
+
+class EdgeStopTest(unittest.TestCase):
+    """Guards against an edge process that ends beside a call in progress."""
+
+    TIMES_MS = {
+        "PASS_ON_MS": 40.0,
+        "ACCEPT_MS": 50.0,
+        "CLOSE_WAITING_MS": 60.0,
+    }
+
+    def setUp(self):
+        self.edge = builders.edge_process()
+        self.edge.start()
+        self.peers = self.edge._other_listeners[0]
+        self.peer_address = address_of(self.peers)
+        self.caller_address = address_of(self.edge._ingress)
+        self.seen = []
+        self.edge._book.release = self.release
+
+    def release(self):
+        """Record who can still reach the process."""
+        self.seen.append(not self.edge._ingress.has_requests)
+        try:
+            self.connect(self.peer_address)
+        except ConnectionRefusedError:
+            self.seen.append("refused")
+
+    def connect(self, address):
+        """Open a connection."""
+        connection = socket.create_connection(address, 2)
+        self.addCleanup(connection.close)
+        return connection
+
+    def start_leaving(self):
+        """Stop the process in the background, in a short time."""
+        times = mock.patch.multiple(draining, **self.TIMES_MS)
+        times.start()
+        self.addCleanup(times.stop)
+        leaving = threading.Thread(target=self.edge.leave)
+        leaving.start()
+        self.addCleanup(leaving.join)
+        return leaving
+
+    def test_budgets_are_released_after_the_last_request_was_answered(self):
+        caller = self.connect(self.caller_address)
+        caller.sendall(REQUEST[:20])
+        leaving = self.start_leaving()
+        time.sleep(0.2)
+        self.assertEqual(self.seen, [])
+        caller.sendall(REQUEST[20:])
+        self.assertIn(b"HTTP/1.1", caller.recv(1_000))
+        leaving.join(2)
+        self.assertEqual(self.seen, [True, "refused"])
+
+    def test_request_that_arrives_while_budgets_are_released_is_refused(self):
+        caller = self.connect(self.caller_address)
+        answers = []
+
+        def release():
+            caller.sendall(REQUEST)
+            answers.append(caller.recv(1_000))
+
+        self.edge._book.release = release
+        self.start_leaving().join(2)
+        self.assertIn(b"HTTP/1.1", answers[0])
+        self.assertTrue(self.edge._ingress.is_idle)
+
+    def test_call_of_another_process_is_answered_before_the_end(self):
+        begun, step = threading.Event(), threading.Event()
+
+        def handle(request, response):
+            begun.set()
+            step.wait(2)
+            response.send(200, ())
+
+        self.peers.handler = handle
+        caller = self.connect(self.peer_address)
+        caller.sendall(REQUEST)
+        self.assertTrue(begun.wait(2))
+        leaving = self.start_leaving()
+        time.sleep(0.15)
+        self.assertEqual(self.seen, [])
+        step.set()
+        leaving.join(2)
+        self.assertEqual(self.seen, [True, "refused"])
+        self.assertIn(b"200", caller.recv(1_000))
+
+    def test_open_connection_gets_a_refusal_while_another_has_a_request(self):
+        busy = self.connect(self.caller_address)
+        busy.sendall(REQUEST[:20])
+        late = self.connect(self.caller_address)
+        leaving = self.start_leaving()
+        time.sleep(0.2)
+        late.sendall(REQUEST)
+        self.assertIn(b"HTTP/1.1 ", late.recv(1_000))
+        busy.sendall(REQUEST[20:])
+        self.assertIn(b"HTTP/1.1 ", busy.recv(1_000))
+        leaving.join(2)
+        self.assertEqual(self.seen, [True, "refused"])
+
+    def test_idle_process_ends_soon_after_it_refuses_connections(self):
+        self.connect(self.caller_address)
+        started_s = time.monotonic()
+        self.start_leaving().join(2)
+        self.assertEqual(self.seen, [True, "refused"])
+        self.assertLess(time.monotonic() - started_s, 0.5)
+
+
+def address_of(listener):
+    """Return the host and port of a listener."""
+    host, _, port = listener.address.rpartition(":")
+    return host, int(port)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import socket
+import threading
 import time
 import unittest
 
@@ -22,6 +23,7 @@
 )
 
 EVENT = b"id: 1\ndata: %s\n\n"
+REFUSAL = scripted.answer(b"", status="503 x", fields="Not-Executed: 1\r\n")
 TIMEOUT_S = 5.0
 
 
@@ -179,13 +181,18 @@
     def setUp(self):
         self.cluster = storage_nodes.StorageCluster("a1 b1 c1", True)
         self.addCleanup(self.cluster.close)
+        # Version whose servers refuse new streams.
+        self.refusing_version = ""
 
     def breaking(self, connection, _):
         """Send one event of a stream; break off if it is a new one."""
         owner = self.owner(connection)
         while request := owner.read_request(connection):
-            version = self.versions[owner].encode()
-            event = EVENT % version
+            version = self.versions[owner]
+            if b"broken" in request and version == self.refusing_version:
+                connection.sendall(REFUSAL)
+                continue
+            event = EVENT % version.encode()
             connection.sendall(scripted.chunked_head())
             connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
             if b"broken" in request:
@@ -263,6 +270,33 @@
             self.restart()
             self.assertEqual(self.resume("r1"), (200, version))
 
+    def test_stream_is_not_joined_when_a_retry_began_it(self):
+        self.start("v1", "v2")
+        self.refusing_version = "v1"
+        self.delay_records("v1")
+        while not self.servers[0].received:
+            self.assertEqual(self.begin("r1"), "v2")
+        self.deliver_records()
+        self.assertEqual(set(self.known_versions()), {"v2"})
+
+    def delay_records(self, version):
+        """Hold back what storage hosts are told of a version."""
+        self.may_deliver = threading.Event()
+        self.addCleanup(self.may_deliver.set)
+        processes = self.gateway.streams._processes
+        post = processes.post
+
+        def delayed_post(host, path, body, timeout_ms):
+            if version.encode() in body:
+                self.may_deliver.wait(TIMEOUT_S)
+            return post(host, path, body, timeout_ms)
+
+        processes.post = delayed_post
+
+    def deliver_records(self):
+        self.may_deliver.set()
+        self.gateway.streams._calls.shutdown(wait=True)
+
     def test_stream_of_unknown_version_is_refused_after_a_restart(self):
         self.start("v1", "v2")
         self.begin("r1")
@@ -372,6 +406,18 @@
         self.assertEqual(self.resume("r0")[0], 503)
         self.assertEqual(self.resume("unknown"), (200, "v1"))
 
+    def test_stream_that_only_unknown_storage_hosts_recorded_is_not_joined(
+        self,
+    ):
+        # The hosts were just added; this process has not read them yet.
+        self.start("v1", "v2")
+        hosts = self.gateway.fleet._storage_hosts
+        start = stream_registry.StreamStart("r0", "v2")
+        for host in replicas.rank("r0", hosts.values())[:2]:
+            self.cluster.node(host.name).service._streams.record([start])
+            del hosts[host.name]
+        self.assertNotEqual(self.resume("r0"), (200, "v1"))
+
     def test_one_silent_storage_host_does_not_keep_a_stream_unknown(self):
         self.start("v1", "v2")
         hosts = self.gateway.fleet._storage_hosts
@@ -405,6 +451,28 @@
         versions.append("v2")
         self.assertEqual(self.resume("unknown")[0], 503)
 
+    def test_stream_waits_for_a_route_that_was_just_added(self):
+        # Another process, which knew the route, began the stream.
+        gateway = self.start("v1")
+        version = self.begin("r1")
+        builders.activate_configuration(gateway.fleet, ())
+
+        def read_records():
+            gateway.configure()
+            return True
+
+        gateway.await_records = read_records
+        self.assertEqual(self.resume("r1"), (200, version))
+
+    def test_stream_is_refused_while_its_route_may_exist(self):
+        gateway = self.start("v1")
+        builders.activate_configuration(gateway.fleet, ())
+        self.assertEqual(self.resume("r1")[0], 404)
+        gateway.await_records = lambda: False
+        self.assertEqual(self.resume("r1")[0], 503)
+        self.assertEqual(self.resume("")[0], 503)
+        self.assertEqual(self.send("r2", b"x")[0].status, 404)
+
     def test_any_stream_goes_on_with_one_version(self):
         self.start("v1", "v1")
         self.assertEqual(self.resume("unknown"), (200, "v1"))
