gateway: storage hosts not read yet are asked before a stream counts as not recorded

Cause: 'nobody recorded it' was concluded from the storage hosts of a view that may lag. With one version nothing is recorded, and nothing waits.

It now has the two cases that its name covers, 503 while the records cannot be read and v2 once they are, and passes.

--- a/packages/gateway/src/balsamloom_gateway/stream_versions.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_versions.py
@@ -173,7 +173,7 @@
         :param await_records: waits until this process knows all that was in
             the store when the request came; returns whether it does.
         """
-        found = self._look_up(stream_id)
+        found = self._look_up(stream_id, service, await_records)
         possible = self._possible(service, found, await_records)
         version = self._conclude(found, service, possible)
         events.log(
@@ -188,12 +188,31 @@
             return Unknown("the version that began the stream is not known")
         return Known(version)
 
-    def _look_up(self, stream_id: str) -> stream_registry.Lookup:
-        """Return what this process or the storage hosts know of a stream."""
+    def _look_up(
+        self,
+        stream_id: str,
+        service: str,
+        await_records: Callable[[], bool],
+    ) -> stream_registry.Lookup:
+        """Return what this process or the storage hosts know of a stream.
+
+        With several versions, hosts that this process has not read yet are
+        asked too before the stream counts as not recorded.
+        """
         version = self._local_version(stream_id)
         if version is not None:
             return stream_registry.Recorded(version)
-        return self._find(stream_id)
+        hosts = self._fleet.storage_hosts()
+        found = self._find(stream_id, hosts)
+        is_mixed = len(self._history.possible(service)) > 1
+        if not isinstance(found, stream_registry.NotRecorded) or not is_mixed:
+            return found
+        if not await_records():
+            return stream_registry.Unsure()
+        known_hosts = self._fleet.storage_hosts()
+        if set(known_hosts) <= set(hosts):
+            return found
+        return self._find(stream_id, known_hosts)
 
     def _possible(
         self,
@@ -305,12 +324,14 @@
             for host, found in by_host.items()
         ]
 
-    def _find(self, stream_id: str) -> stream_registry.Lookup:
+    def _find(
+        self, stream_id: str, hosts: list[replicas.StorageHost]
+    ) -> stream_registry.Lookup:
         """Ask storage hosts for the version at which a stream began.
 
         A host may know of a version that this process has not seen yet.
         """
-        ranked = replicas.rank(stream_id, self._fleet.storage_hosts())
+        ranked = replicas.rank(stream_id, hosts)
         if not stream_id or not ranked:
             return stream_registry.Unsure()
         result: stream_registry.Lookup = stream_registry.NotRecorded()
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -447,11 +447,20 @@
         # The hosts were just added; this process has not read them yet.
         self.start("v1", "v2")
         hosts = self.gateway.fleet._storage_hosts
+        added = {}
         start = stream_registry.StreamStart("r0", "v2")
         for host in replicas.rank("r0", hosts.values())[:2]:
             self.cluster.node(host.name).service._streams.record([start])
-            del hosts[host.name]
-        self.assertNotEqual(self.resume("r0"), (200, "v1"))
+            added[host.name] = hosts.pop(host.name)
+
+        def read_records():
+            hosts.update(added)
+            return True
+
+        self.gateway.await_records = lambda: False
+        self.assertEqual(self.resume("r0")[0], 503)
+        self.gateway.await_records = read_records
+        self.assertEqual(self.resume("r0"), (200, "v2"))
 
     def test_process_whose_view_lags_does_not_join_versions(self):
         self.start("v1")
