tests: a stop refuses a request between attempts only if none may have run

No test failed when a request that a server may have run was marked as not run between two attempts (whole gateway suite, the guard in Dispatcher.run taken out), so a 503 for a request that ran would have passed. The new test fails then, and also when a refused attempt is not taken back.

--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -307,15 +307,8 @@
         self.assertEqual(self.runs(), 1)
 
     def test_turn_that_a_stop_refuses_gives_its_tokens_back(self):
-        gateway = self.start(self.answering(scripted.answer()))
-        place = gateway.dispatcher._place
-
-        def end(*arguments):
-            gateway.dispatcher._place = place
-            gateway.listener.end_exchanges(lambda _: [])
-            return place(*arguments)
-
-        gateway.dispatcher._place = end
+        self.start(self.answering(scripted.answer()))
+        self.end_before_attempt(1)
         headers = {"Program": "p", "Budget": "30"}
         self.assertEqual(
             self.request("/stream/", headers, b"x")[0].status, 503
@@ -326,6 +319,39 @@
             self.request("/stream/", headers, b"x")[0].status, 200
         )
 
+    def test_request_is_refused_between_attempts_only_if_none_may_have_run(
+        self,
+    ):
+        refusal = scripted.answer(
+            status="503 Full", fields="Not-Executed: 1\r\n"
+        )
+
+        def close(connection, _):
+            self.owner(connection).read_request(connection)
+            connection.close()
+
+        for script, refused in ((self.answering(refusal), 1), (close, 0)):
+            with self.subTest(refused=refused):
+                self.start(script, script)
+                self.end_before_attempt(2)
+                self.request(body=b"x")
+                self.assertEqual(self.refused, refused)
+                self.assertEqual(self.runs(), 2 - refused)
+
+    def end_before_attempt(self, number):
+        """End the exchanges before an attempt; keep how many are refused."""
+        dispatcher, listener = self.gateway.dispatcher, self.gateway.listener
+        place = dispatcher._place
+        self.attempts = 0
+
+        def end(*arguments):
+            self.attempts += 1
+            if self.attempts == number:
+                self.refused = listener.end_exchanges(lambda _: [])
+            return place(*arguments)
+
+        dispatcher._place = end
+
     def wait_until_ended(self):
         """Wait until no request is in progress."""
         until_s = time.monotonic() + 2
