gateway: a stop names late requests before it releases budgets

Requests that the end of a stop refused were counted only.

request_cut is now logged when the time of the stop ends, and its meaning says so; process_stopped counts those that are still under way at its end. Each refused request has a request_refused line with its id. test_planned_stop passes as before; that the lines come before SIGKILL was not run.

--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -224,7 +224,7 @@
         "The version was looked up at which a resumed stream began."
     ),
     Event.ACCEPTING_ENDED: "A stopping process accepts no more connections.",
-    Event.REQUEST_CUT: "A request ended with the process, without an answer.",
+    Event.REQUEST_CUT: "A request outlasted the time of a planned stop.",
 }
 
 
--- a/packages/gateway/src/balsamloom_gateway/planned_stop.py
+++ b/packages/gateway/src/balsamloom_gateway/planned_stop.py
@@ -49,6 +49,8 @@
         self._times = times
         self._clock = clock
         self._refused = 0
+        # Requests that were passed on and have outlasted the time of the stop.
+        self._late: set[exchanges.Exchange] = set()
         for listener in (ingress, *others):
             listener.set_draining()
         events.log(events.Event.PROCESS_LEAVING, member=name)
@@ -90,14 +92,13 @@
     def end(self) -> None:
         """Answer what has arrived, close all connections and log the stop."""
         self._close_ingress(self._clock.now_ms() + LAST_REQUEST_TIMEOUT_MS)
-        cut = self._log_cut_requests()
         events.log(
             events.Event.PROCESS_STOPPED,
             member=self._name,
             is_idle=self._ingress.is_idle,
             duration_ms=self._duration_ms(),
             refused=self._refused,
-            cut=cut,
+            cut=len(self._passed_on()),
             **self._ingress.connection_counts(),
         )
 
@@ -108,21 +109,42 @@
         """
         self._ingress.stop_accepting()
         self._wait_until(until_ms, lambda: self._ingress.is_idle)
-        self._refused += self._ingress.end_exchanges(self._refusal_fields)
+        self._refused += self._ingress.end_exchanges(self._refuse)
+        self._log_late_requests()
 
-    def _refusal_fields(
-        self, exchange: exchanges.Exchange
-    ) -> listeners.HeaderFields:
+    def _refuse(self, exchange: exchanges.Exchange) -> listeners.HeaderFields:
+        """Log the refusal of a request and return its fields."""
+        request_id = self._request_id(exchange)
+        if exchange.read_ms is not None:
+            events.log(
+                events.Event.REQUEST_REFUSED,
+                logging.WARNING,
+                request_id=request_id,
+                status=503,
+                reason="this process ends",
+                retry_after_ms=proxy.LEAVING_RETRY_AFTER_MS,
+            )
         return self._codec.response_fields(
-            self._request_id(exchange), proxy.LEAVING_RETRY_AFTER_MS
+            request_id, proxy.LEAVING_RETRY_AFTER_MS
         )
 
-    def _log_cut_requests(self) -> int:
-        """Log the requests that end with the process; return their number."""
-        cut = [
-            each for each in self._ingress.unfinished() if each.is_passed_on
+    def _passed_on(self) -> list[exchanges.Exchange]:
+        """Return the requests under way that were passed on to a server."""
+        return [
+            exchange
+            for exchange in self._ingress.unfinished()
+            if exchange.is_passed_on
         ]
-        for exchange in cut:
+
+    def _log_late_requests(self) -> None:
+        """Log, once each, the requests that the process may end beside.
+
+        This precedes the release of budgets, which may outlast the process.
+        """
+        for exchange in self._passed_on():
+            if exchange in self._late:
+                continue
+            self._late.add(exchange)
             read_ms = exchange.read_ms or self._times.started_ms
             events.log(
                 events.Event.REQUEST_CUT,
@@ -131,7 +153,6 @@
                 read_after_stop_ms=round(read_ms - self._times.started_ms),
                 is_passed_on=exchange.is_passed_on,
             )
-        return len(cut)
 
     def _request_id(self, exchange: exchanges.Exchange) -> str:
         field = self._codec.request_id_field.title()
