--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -9,7 +9,6 @@
 import collections
 import functools
 import logging
-import resource
 import threading
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
@@ -28,10 +27,6 @@
 )
 
 LISTEN_BACKLOG = 512
-MAX_KEEP_ALIVE_CONNECTIONS = 2_000
-# Part of the process's descriptors that idle connections of one listener may
-# hold. The rest is for new ones and for connections to servers.
-KEEP_ALIVE_DESCRIPTOR_SHARE = 0.25
 MIN_THREADS = 2
 THREADS_PER_GROWTH = 4
 READ_CHUNK_BYTES = 65_536
@@ -296,12 +291,15 @@
             self._grow_if_possible()
 
     def _grow_if_possible(self) -> None:
-        self._threads[:] = [each for each in self._threads if each.is_alive()]
         try:
+            self._drop_ended()
             self.grow(THREADS_PER_GROWTH)
         except RuntimeError as error:
             _log_error(f"no thread can be started: {error}", logging.WARNING)
 
+    def _drop_ended(self) -> None:
+        self._threads[:] = [each for each in self._threads if each.is_alive()]
+
     def grow(self, amount: int) -> None:
         available = max(self.max - len(self._threads), 0)
         for _ in range(min(amount, available)):
@@ -327,7 +325,6 @@
         )
         server.ConnectionClass = caller_connections.Connection
         server.request_queue_size = LISTEN_BACKLOG
-        server.keep_alive_conn_limit = max_keep_alive_connections()
         server.requests = _ThreadPool(
             server, min=min(MIN_THREADS, limits.threads), max=limits.threads
         )
@@ -429,15 +426,6 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def max_keep_alive_connections() -> int:
-    """Return how many idle connections a listener keeps."""
-    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if descriptors == resource.RLIM_INFINITY:
-        return MAX_KEEP_ALIVE_CONNECTIONS
-    share = int(descriptors * KEEP_ALIVE_DESCRIPTOR_SHARE)
-    return min(MAX_KEEP_ALIVE_CONNECTIONS, share)
-
-
 def _log_error(
     msg: str = "", level: int = logging.INFO, traceback: bool = False
 ) -> None:
