gateway: threads that grow a pool at the same time do not lose a worker

The selector, workers with a further request and the thread of a stop may all grow the pool; the list of its threads was replaced without a lock, so that a worker could drop off the list and the limit on threads be exceeded.

--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -285,6 +285,10 @@
 
     _threads: list[threading.Thread]
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._growing = threading.Lock()
+
     def put(self, obj: Any) -> None:
         super().put(obj)
         if obj is not None and self.idle - self.qsize < 1:
@@ -292,8 +296,9 @@
 
     def _grow_if_possible(self) -> None:
         try:
-            self._drop_ended()
-            self.grow(THREADS_PER_GROWTH)
+            with self._growing:
+                self._drop_ended()
+                self.grow(THREADS_PER_GROWTH)
         except RuntimeError as error:
             _log_error(f"no thread can be started: {error}", logging.WARNING)
 
