gateway: a stream that others would take for another version is not sent

Callers got events of two versions in one stream. Its first event was sent when no storage host had taken the record of its version within 60 ms, and nobody tried again: the calls had timed out after 150 ms, or had not been made, as a host that has just failed is left alone for 1 to 4 s. Another process that resumed the stream was told by the same hosts that they did not know it, and took it for one of the oldest version.

Both tests fail before: no host knows the stream; the stream is sent.

Cause: a missing record means "the oldest version", and only new streams were kept to that, not the one whose record had just failed. Such a stream is now offered once more to all three hosts that are asked for it, for 500 ms. If none takes it, nothing of it has been sent, and the call goes on as after a failed attempt (502 if no other is allowed). Streams of the oldest version, and those beside an oldest version that has no servers, are sent as before.

--- a/packages/gateway/src/balsamloom_gateway/callbacks.py
+++ b/packages/gateway/src/balsamloom_gateway/callbacks.py
@@ -12,6 +12,11 @@
     """Do nothing, whatever the arguments."""
 
 
+def agree(*_: object) -> bool:
+    """Return true, whatever the arguments."""
+    return True
+
+
 def run_isolated(callback: Callable[..., object], *arguments: object) -> bool:
     """Run a callback; log an error, so that others run in spite of it.
 
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -56,7 +56,7 @@
     :param on_answer: called with what the server says of itself, as soon as
         the head of its response is there.
     :param on_stream: called when the server begins a stream; returns what
-        must end before the first part is sent.
+        must end before the first part is sent, and whether it may be sent.
     """
 
     def __init__(
@@ -71,10 +71,10 @@
         engine: traffic.Engine | None,
         recorder: conversations.TurnRecorder | None = None,
         on_answer: Callable[[traffic.AnswerMetadata], None] = callbacks.ignore,
-        on_stream: Callable[[], Callable[[], None]] = lambda: callbacks.ignore,
+        on_stream: Callable[[], Callable[[], bool]] = lambda: callbacks.agree,
     ) -> None:
         self._on_stream = on_stream
-        self._before_stream: Callable[[], None] = callbacks.ignore
+        self._before_stream: Callable[[], bool] = callbacks.agree
         self._on_answer = on_answer
         self._recorder = recorder
         self._response = response
@@ -331,7 +331,8 @@
             try:
                 is_due = data or (is_complete and not is_cut_off)
                 if not self._response.is_started and is_due:
-                    self._before_stream()
+                    if not self._before_stream():
+                        return self._abandon_stream()
                     self._response.start(head.status, fields, length)
                 if data:
                     self._response.write(data)
@@ -352,6 +353,11 @@
                 self.end_reason = "answered"
                 return Delivery(self._relayed_tokens())
 
+    def _abandon_stream(self) -> Result:
+        """End a stream of which the caller has got nothing."""
+        self._connection.close()
+        return attempts.MayHaveRun("no storage host recorded the stream")
+
     def _is_cut_off(self, part: server_connections.ResponsePart) -> bool:
         """Return whether a stream ended by a close that is no end of it.
 
--- a/packages/gateway/src/balsamloom_gateway/stream_versions.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_versions.py
@@ -32,12 +32,14 @@
 CALL_TIMEOUT_MS = 150.0
 # The first event waits this long for a host to know its stream.
 RECORD_TIMEOUT_MS = 60.0
+# And so much longer if its stream could be joined to one of another version.
+REPEAT_TIMEOUT_MS = 500.0
 # Streams begin at one version this long after one could not be recorded.
 UNRELIABLE_PERIOD_MS = 5_000.0
 BREAKER_BACKOFF = circuit_breaker.Backoff(
     1_000.0, 4_000.0, trial_ms=CALL_TIMEOUT_MS
 )
-THREADS = 8
+THREADS = 16
 MAX_STREAMS = 20_000
 
 
@@ -56,6 +58,7 @@
 
 
 Origin = Known | Unknown
+_Calls = list[concurrent.futures.Future[bytes | None]]
 
 
 class _Stream(NamedTuple):
@@ -64,8 +67,9 @@
     began_ms: float
 
 
-def _wait_for_nothing() -> None:
+def _wait_for_nothing() -> bool:
     """Return at once, as only one version is in service."""
+    return True
 
 
 class StreamVersions:
@@ -95,6 +99,7 @@
         self._fleet = view
         self._is_current = is_current
         self._clock = clock
+        self._clients = clients
         self._processes = member_calls.MemberCalls(
             clients, BREAKER_BACKOFF, clock
         )
@@ -111,10 +116,11 @@
 
     def begin(
         self, stream_id: str, server: traffic.BackendServer
-    ) -> Callable[[], None]:
+    ) -> Callable[[], bool]:
         """Record that a server has begun a stream.
 
-        :return: waits until others can find it, for a short time.
+        :return: waits until others can find it, for a short time; returns
+            whether the stream may be sent.
         """
         stream = _Stream(server.service, server.version, self._clock.now_ms())
         with self._lock:
@@ -125,7 +131,7 @@
             return _wait_for_nothing
         start = stream_registry.StreamStart(stream_id, server.version)
         calls = self._record([start])
-        return lambda: self._wait_until_recorded(calls)
+        return lambda: self._wait_until_recorded(start, server.service, calls)
 
     def required_version(self, service: str) -> str | None:
         """Return the version at which a new stream must begin.
@@ -153,13 +159,41 @@
         return bool(self._fleet.storage_hosts())
 
     def _wait_until_recorded(
-        self, calls: list[concurrent.futures.Future[bytes | None]]
-    ) -> None:
-        """Wait a short time until a host knows the stream."""
-        if not _wait(calls):
-            self._unreliable_until_ms = (
-                self._clock.now_ms() + UNRELIABLE_PERIOD_MS
+        self, start: stream_registry.StreamStart, service: str, calls: _Calls
+    ) -> bool:
+        """Wait until a host knows a stream; return whether it may be sent.
+
+        Without a record, others take it for one of the oldest version.
+        """
+        if _wait(calls, RECORD_TIMEOUT_MS):
+            return True
+        self._unreliable_until_ms = self._clock.now_ms() + UNRELIABLE_PERIOD_MS
+        if self.required_version(service) in (None, start.version):
+            return True
+        return _wait(self._record_again(start), REPEAT_TIMEOUT_MS)
+
+    def _record_again(self, start: stream_registry.StreamStart) -> _Calls:
+        """Record a stream at all hosts that are asked for it."""
+        hosts = replicas.rank(start.stream_id, self._fleet.storage_hosts())
+        return [
+            self._calls.submit(self._post_again, host, start)
+            for host in hosts[:MAX_LOOKUPS]
+        ]
+
+    def _post_again(
+        self, host: replicas.StorageHost, start: stream_registry.StreamStart
+    ) -> bytes | None:
+        """Call a host even if it has just failed to answer."""
+        body = stream_registry.encode_starts([start])
+        try:
+            return self._clients.post(
+                host.address,
+                peers.RECORD_STREAMS_PATH,
+                body,
+                REPEAT_TIMEOUT_MS,
             )
+        except peers.PeerUnavailableError:
+            return None
 
     def origin(
         self,
@@ -281,9 +315,7 @@
             stream = self._streams.get(stream_id)
         return None if stream is None else stream.version
 
-    def _record(
-        self, starts: list[stream_registry.StreamStart]
-    ) -> list[concurrent.futures.Future[bytes | None]]:
+    def _record(self, starts: list[stream_registry.StreamStart]) -> _Calls:
         """Record streams at the storage hosts of each.
 
         :return: a call for each host, which run at the same time.
@@ -351,9 +383,9 @@
             self._streams.popitem(last=False)
 
 
-def _wait(calls: list[concurrent.futures.Future[bytes | None]]) -> bool:
-    """Wait a short time until a call succeeds; return whether one did."""
-    timeout_s = RECORD_TIMEOUT_MS / clocks.MS_PER_S
+def _wait(calls: _Calls, timeout_ms: float) -> bool:
+    """Wait for some time until a call succeeds; return whether one did."""
+    timeout_s = timeout_ms / clocks.MS_PER_S
     with contextlib.suppress(TimeoutError):
         for call in concurrent.futures.as_completed(calls, timeout_s):
             if call.result() is not None:
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -311,6 +311,21 @@
         self.deliver_records()
         self.assertEqual(set(self.known_versions()), {"v2"})
 
+    def test_stream_is_not_joined_when_hosts_were_called_in_vain(self):
+        self.start("v1", "v2")
+        self.refusing_version = "v1"
+        self.gateway.streams._processes.post = lambda *_: None
+        self.assertEqual(self.begin("r1"), "v2")
+        self.assertEqual(set(self.known_versions()), {"v2"})
+
+    def test_stream_that_nobody_can_record_is_not_sent(self):
+        self.start("v1", "v2")
+        self.refusing_version = "v1"
+        for node in self.cluster.nodes:
+            node.stop()
+        response, _ = self.send("r1", b"broken")
+        self.assertEqual(response.status, 502)
+
     def delay_records(self, version):
         """Hold back what storage hosts are told of a version."""
         self.may_deliver = threading.Event()
