gateway: a stop names each request that it refuses at its end

Requests refused at the deadline of a stop were only counted, so a caller's 503 could not be found in the log by its id. request_refused now names them, with the time at which they were read after the stop began, as request_cut does.

The new test of EdgeStopTest failed before (no such line).

--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -399,21 +399,24 @@
 
     def end_exchanges(
         self, fields_of: Callable[[exchanges.Exchange], HeaderFields]
-    ) -> int:
+    ) -> list[exchanges.Exchange]:
         """Refuse requests that were not passed on, as the process ends.
 
         The others go on; if the process ends before they do, callers see that
         their answers are incomplete.
 
         :param fields_of: returns the fields of a refusal.
-        :return: number of requests refused.
+        :return: exchanges of the refused requests.
         """
-        return sum(
-            connection.end_exchange(
-                lambda exchange: _refusal(fields_of(exchange))
-            )
+
+        def refuse(exchange: exchanges.Exchange) -> bytes:
+            return _refusal(fields_of(exchange))
+
+        return [
+            connection.exchange
             for connection in list(self._server.open_connections)
-        )
+            if connection.end_exchange(refuse)
+        ]
 
     def set_draining(self) -> None:
         """Close each connection after its next response."""
--- a/packages/gateway/src/balsamloom_gateway/planned_stop.py
+++ b/packages/gateway/src/balsamloom_gateway/planned_stop.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
@@ -108,7 +109,16 @@
         """
         self._ingress.stop_accepting()
         self._wait_until(until_ms, lambda: self._ingress.is_idle)
-        self._refused += self._ingress.end_exchanges(self._refusal_fields)
+        refused = self._ingress.end_exchanges(self._refusal_fields)
+        self._refused += len(refused)
+        for exchange in refused:
+            events.log(
+                events.Event.REQUEST_REFUSED,
+                logging.WARNING,
+                status=503,
+                reason="the process ends",
+                **self._describe(exchange),
+            )
 
     def _refusal_fields(
         self, exchange: exchanges.Exchange
@@ -123,16 +133,23 @@
             each for each in self._ingress.unfinished() if each.is_passed_on
         ]
         for exchange in cut:
-            read_ms = exchange.read_ms or self._times.started_ms
             events.log(
                 events.Event.REQUEST_CUT,
                 logging.WARNING,
-                request_id=self._request_id(exchange),
-                read_after_stop_ms=round(read_ms - self._times.started_ms),
-                is_passed_on=exchange.is_passed_on,
+                **self._describe(exchange),
             )
         return len(cut)
 
+    def _describe(self, exchange: exchanges.Exchange) -> dict[str, Any]:
+        """Return the log fields of a request that the stop ends."""
+        read_ms = exchange.read_ms
+        started_ms = self._times.started_ms
+        return {
+            "request_id": self._request_id(exchange),
+            "read_after_stop_ms": read_ms and round(read_ms - started_ms),
+            "is_passed_on": exchange.is_passed_on,
+        }
+
     def _request_id(self, exchange: exchanges.Exchange) -> str:
         field = self._codec.request_id_field.title()
         return exchange.headers.get(field, b"").decode("latin-1")
--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -217,7 +217,7 @@
             lambda _: [(b"Retry-After", b"0.1")]
         )
         self.step.set()
-        return refused, caller.recv(1_000)
+        return len(refused), caller.recv(1_000)
 
     def is_passed_on(self):
         """Return whether the request in progress was passed on."""
@@ -392,6 +392,38 @@
         leaving.join(2)
         self.assertEqual(self.seen, [True, "refused"])
 
+    def test_stop_logs_each_request_that_it_refuses_or_cuts(self):
+        begun, step = threading.Semaphore(0), threading.Event()
+        self.addCleanup(step.set)
+
+        def handle(request, response):
+            if request.path == "/sent":
+                request.pass_on()
+            begun.release()
+            step.wait(2)
+            response.send(200, ())
+
+        self.edge._ingress.handler = handle
+        self.edge._settings = self.edge._settings._replace(grace_ms=500.0)
+        head = "GET {0} HTTP/1.1\r\nHost: h\r\nRequest-Id: {0}\r\n\r\n"
+        callers = []
+        for path in ("/sent", "/unsent"):
+            caller = self.connect(self.caller_address)
+            caller.sendall(head.format(path).encode())
+            self.assertTrue(begun.acquire(timeout=2))
+            callers.append(caller)
+        with self.assertLogs("balsamloom") as logs:
+            self.start_leaving().join(2)
+        found = {line.name_of_event: line for line in logs.records}
+        self.assertEqual(found["request_cut"].request_id, "/sent")
+        self.assertTrue(found["request_cut"].is_passed_on)
+        self.assertLess(found["request_cut"].read_after_stop_ms, 0)
+        self.assertEqual(found["request_refused"].request_id, "/unsent")
+        stopped = found["process_stopped"]
+        self.assertEqual((stopped.refused, stopped.cut), (1, 1))
+        self.assertEqual(found["accepting_ended"].in_progress, 2)
+        self.assertIn(b" 503 ", callers[1].recv(1_000))
+
     def test_idle_process_ends_soon_after_it_refuses_connections(self):
         self.connect(self.caller_address)
         started_s = time.monotonic()
