--- a/packages/gateway/src/balsamloom_gateway/planned_stop.py
+++ b/packages/gateway/src/balsamloom_gateway/planned_stop.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
@@ -109,23 +110,23 @@
         """
         self._ingress.stop_accepting()
         self._wait_until(until_ms, lambda: self._ingress.is_idle)
-        self._refused += self._ingress.end_exchanges(self._refuse)
-        self._log_late_requests()
-
-    def _refuse(self, exchange: exchanges.Exchange) -> listeners.HeaderFields:
-        """Log the refusal of a request and return its fields."""
-        request_id = self._request_id(exchange)
-        if exchange.read_ms is not None:
+        refused = self._ingress.end_exchanges(self._refusal_fields)
+        self._refused += len(refused)
+        for exchange in refused:
             events.log(
                 events.Event.REQUEST_REFUSED,
                 logging.WARNING,
-                request_id=request_id,
                 status=503,
-                reason="this process ends",
-                retry_after_ms=proxy.LEAVING_RETRY_AFTER_MS,
+                reason="the process ends",
+                **self._describe(exchange),
             )
+        self._log_late_requests()
+
+    def _refusal_fields(
+        self, exchange: exchanges.Exchange
+    ) -> listeners.HeaderFields:
         return self._codec.response_fields(
-            request_id, proxy.LEAVING_RETRY_AFTER_MS
+            self._request_id(exchange), proxy.LEAVING_RETRY_AFTER_MS
         )
 
     def _passed_on(self) -> list[exchanges.Exchange]:
@@ -145,15 +146,22 @@
             if exchange in self._late:
                 continue
             self._late.add(exchange)
-            read_ms = exchange.read_ms or self._times.started_ms
             events.log(
                 events.Event.REQUEST_CUT,
                 logging.WARNING,
-                request_id=self._request_id(exchange),
-                read_after_stop_ms=round(read_ms - self._times.started_ms),
-                is_passed_on=exchange.is_passed_on,
+                **self._describe(exchange),
             )
 
+    def _describe(self, exchange: exchanges.Exchange) -> dict[str, Any]:
+        """Return the log fields of a request that the stop ends."""
+        read_ms = exchange.read_ms
+        started_ms = self._times.started_ms
+        return {
+            "request_id": self._request_id(exchange),
+            "read_after_stop_ms": read_ms and round(read_ms - started_ms),
+            "is_passed_on": exchange.is_passed_on,
+        }
+
     def _request_id(self, exchange: exchanges.Exchange) -> str:
         field = self._codec.request_id_field.title()
         return exchange.headers.get(field, b"").decode("latin-1")
