--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -9,7 +9,6 @@
 import collections
 import functools
 import logging
-import resource
 import threading
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
@@ -28,10 +27,6 @@
 )
 
 LISTEN_BACKLOG = 512
-MAX_KEEP_ALIVE_CONNECTIONS = 2_000
-# Part of the process's descriptors that idle connections of one listener may
-# hold. The rest is for new ones and for connections to servers.
-KEEP_ALIVE_DESCRIPTOR_SHARE = 0.25
 MIN_THREADS = 2
 THREADS_PER_GROWTH = 4
 READ_CHUNK_BYTES = 65_536
@@ -290,18 +285,26 @@
 
     _threads: list[threading.Thread]
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._growing = threading.Lock()
+
     def put(self, obj: Any) -> None:
         super().put(obj)
         if obj is not None and self.idle - self.qsize < 1:
             self._grow_if_possible()
 
     def _grow_if_possible(self) -> None:
-        self._threads[:] = [each for each in self._threads if each.is_alive()]
         try:
-            self.grow(THREADS_PER_GROWTH)
+            with self._growing:
+                self._drop_ended()
+                self.grow(THREADS_PER_GROWTH)
         except RuntimeError as error:
             _log_error(f"no thread can be started: {error}", logging.WARNING)
 
+    def _drop_ended(self) -> None:
+        self._threads[:] = [each for each in self._threads if each.is_alive()]
+
     def grow(self, amount: int) -> None:
         available = max(self.max - len(self._threads), 0)
         for _ in range(min(amount, available)):
@@ -327,7 +330,6 @@
         )
         server.ConnectionClass = caller_connections.Connection
         server.request_queue_size = LISTEN_BACKLOG
-        server.keep_alive_conn_limit = max_keep_alive_connections()
         server.requests = _ThreadPool(
             server, min=min(MIN_THREADS, limits.threads), max=limits.threads
         )
@@ -401,21 +403,24 @@
 
     def end_exchanges(
         self, fields_of: Callable[[exchanges.Exchange], HeaderFields]
-    ) -> int:
+    ) -> list[exchanges.Exchange]:
         """Refuse requests that were not passed on, as the process ends.
 
         The others go on; if the process ends before they do, callers see that
         their answers are incomplete.
 
         :param fields_of: returns the fields of a refusal.
-        :return: number of requests refused.
+        :return: exchanges of the refused requests.
         """
-        return sum(
-            connection.end_exchange(
-                lambda exchange: _refusal(fields_of(exchange))
-            )
+
+        def refuse(exchange: exchanges.Exchange) -> bytes:
+            return _refusal(fields_of(exchange))
+
+        return [
+            connection.exchange
             for connection in list(self._server.open_connections)
-        )
+            if connection.end_exchange(refuse)
+        ]
 
     def set_draining(self) -> None:
         """Close each connection after its next response."""
@@ -429,15 +434,6 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def max_keep_alive_connections() -> int:
-    """Return how many idle connections a listener keeps."""
-    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if descriptors == resource.RLIM_INFINITY:
-        return MAX_KEEP_ALIVE_CONNECTIONS
-    share = int(descriptors * KEEP_ALIVE_DESCRIPTOR_SHARE)
-    return min(MAX_KEEP_ALIVE_CONNECTIONS, share)
-
-
 def _log_error(
     msg: str = "", level: int = logging.INFO, traceback: bool = False
 ) -> None:
--- a/packages/gateway/src/balsamloom_gateway/planned_stop.py
+++ b/packages/gateway/src/balsamloom_gateway/planned_stop.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
@@ -49,6 +50,8 @@
         self._times = times
         self._clock = clock
         self._refused = 0
+        # Requests that were passed on and have outlasted the time of the stop.
+        self._late: set[exchanges.Exchange] = set()
         for listener in (ingress, *others):
             listener.set_draining()
         events.log(events.Event.PROCESS_LEAVING, member=name)
@@ -90,14 +93,13 @@
     def end(self) -> None:
         """Answer what has arrived, close all connections and log the stop."""
         self._close_ingress(self._clock.now_ms() + LAST_REQUEST_TIMEOUT_MS)
-        cut = self._log_cut_requests()
         events.log(
             events.Event.PROCESS_STOPPED,
             member=self._name,
             is_idle=self._ingress.is_idle,
             duration_ms=self._duration_ms(),
             refused=self._refused,
-            cut=cut,
+            cut=len(self._passed_on()),
             **self._ingress.connection_counts(),
         )
 
@@ -108,7 +110,17 @@
         """
         self._ingress.stop_accepting()
         self._wait_until(until_ms, lambda: self._ingress.is_idle)
-        self._refused += self._ingress.end_exchanges(self._refusal_fields)
+        refused = self._ingress.end_exchanges(self._refusal_fields)
+        self._refused += len(refused)
+        for exchange in refused:
+            events.log(
+                events.Event.REQUEST_REFUSED,
+                logging.WARNING,
+                status=503,
+                reason="the process ends",
+                **self._describe(exchange),
+            )
+        self._log_late_requests()
 
     def _refusal_fields(
         self, exchange: exchanges.Exchange
@@ -117,21 +129,38 @@
             self._request_id(exchange), proxy.LEAVING_RETRY_AFTER_MS
         )
 
-    def _log_cut_requests(self) -> int:
-        """Log the requests that end with the process; return their number."""
-        cut = [
-            each for each in self._ingress.unfinished() if each.is_passed_on
+    def _passed_on(self) -> list[exchanges.Exchange]:
+        """Return the requests under way that were passed on to a server."""
+        return [
+            exchange
+            for exchange in self._ingress.unfinished()
+            if exchange.is_passed_on
         ]
-        for exchange in cut:
-            read_ms = exchange.read_ms or self._times.started_ms
+
+    def _log_late_requests(self) -> None:
+        """Log, once each, the requests that the process may end beside.
+
+        This precedes the release of budgets, which may outlast the process.
+        """
+        for exchange in self._passed_on():
+            if exchange in self._late:
+                continue
+            self._late.add(exchange)
             events.log(
                 events.Event.REQUEST_CUT,
                 logging.WARNING,
-                request_id=self._request_id(exchange),
-                read_after_stop_ms=round(read_ms - self._times.started_ms),
-                is_passed_on=exchange.is_passed_on,
+                **self._describe(exchange),
             )
-        return len(cut)
+
+    def _describe(self, exchange: exchanges.Exchange) -> dict[str, Any]:
+        """Return the log fields of a request that the stop ends."""
+        read_ms = exchange.read_ms
+        started_ms = self._times.started_ms
+        return {
+            "request_id": self._request_id(exchange),
+            "read_after_stop_ms": read_ms and round(read_ms - started_ms),
+            "is_passed_on": exchange.is_passed_on,
+        }
 
     def _request_id(self, exchange: exchanges.Exchange) -> str:
         field = self._codec.request_id_field.title()
