gateway: a turn is not run without its history on an older, shorter route

Cause: the route of a lagging configuration was taken as proof that the path keeps no turns; only a missing route made the process wait for the records. Now a route that keeps no turns makes it wait too, for a request that names a previous turn, and 503 is the answer if the records cannot be known.

The new test failed before: 200 != 503, the server ran it.

--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -196,7 +196,7 @@
             )
             return None
         route = _route_of(request, active)
-        if route is None and metadata.continues_another:
+        if metadata.continues_another and not _may_continue(route, metadata):
             # What it continues was served, so its route may be newer than
             # the configuration that this process knows.
             left_ms = metadata.deadline_ms
@@ -385,6 +385,15 @@
     return active.table.find(host, request.path)
 
 
+def _may_continue(
+    route: traffic.Route | None, metadata: traffic.CallMetadata
+) -> bool:
+    """Return whether a route could have served what a call continues."""
+    if route is None:
+        return False
+    return not metadata.previous_turn_id or _is_conversation_route(route)
+
+
 def _is_conversation_route(route: traffic.Route) -> bool:
     """Return whether calls of a route are turns that must be stored."""
     return route.is_stateful and route.kind is traffic.RouteKind.STREAMING
--- a/packages/gateway/tests/test_turn_path.py
+++ b/packages/gateway/tests/test_turn_path.py
@@ -11,6 +11,8 @@
 import scripted
 import storage_nodes
 
+from balsamloom_gateway import traffic
+
 
 class TurnPathTest(gateway_case.GatewayCase):
     """Guards against turns sent to servers without the earlier ones."""
@@ -83,6 +85,23 @@
         gateway.await_records = read_records
         self.assertEqual(self.turn("r2", "r1")[0].status, 200)
 
+    def test_turn_is_not_run_without_history_on_a_shorter_older_route(self):
+        gateway = self.start(self.engine)
+        self.turn("r1")
+        older = builders.route(traffic.RouteKind.STREAMING, prefix="/")
+        builders.activate_configuration(gateway.fleet, (older,))
+
+        def read_records():
+            gateway.configure()
+            return True
+
+        gateway.await_records = lambda: False
+        self.assertEqual(self.turn("r2", "r1")[0].status, 503)
+        self.assertEqual(self.runs(), 1)
+        gateway.await_records = read_records
+        self.assertEqual(self.turn("r3", "r1")[0].status, 200)
+        self.assertEqual(self.bodies()[-1], b"in-r1 r1-1\nr1-2\nin-r3 ")
+
     def test_turn_is_refused_while_its_route_may_exist(self):
         gateway = self.start(self.engine)
         builders.activate_configuration(gateway.fleet, ())
