--- a/packages/gateway/tests/storage_nodes.py
+++ b/packages/gateway/tests/storage_nodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import concurrent.futures
 import pathlib
 import tempfile
 import threading
@@ -295,8 +296,8 @@
 
     def close(self) -> None:
         """Stop all hosts and remove their disks."""
-        for node in self.nodes:
-            node.close()
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            list(pool.map(StorageNode.close, self.nodes))
 
 
 def large_turns(count: int, size_bytes: int) -> list[turns.Turn]:
