entry: a planned stop waits for requests that are being read or queued

What callers would see: around SIGTERM, a request on a kept connection is closed without an answer, or one whose body is still arriving is handled by a session that has already been stopped.

Cause: the stop waited for the current session's router only. A request that is read or queued, and those of former sessions, did not count. Then cheroot's stop closed kept connections without a look at what had arrived on them.

Why this works: the server counts connections from accept to close. At the end of linger_ms, the thread that watches them takes those that callers have made, closes the listener, and closes a watched connection only if nothing has arrived on it; the others get a thread. Answers in a stop close their connections, so the stop is over once no connection is open and no router, of former sessions too, has a request in progress. A new connection is watched until a request arrives, since a thread that waits for one would hold up the stop. What is read in the last 1.5 s of stop_timeout_ms is refused as leaving, before any router sees it, by a few more threads if all are busy.

--- a/packages/entry/src/balsamloom_entry/http.py
+++ b/packages/entry/src/balsamloom_entry/http.py
@@ -10,13 +10,14 @@
 from cheroot.workers import threadpool
 
 from balsamloom_core import errors, results
-from balsamloom_entry import requests
+from balsamloom_entry import connections, requests
 
 BACKLOG = 512
 MAX_KEEP_ALIVE_CONNECTIONS = 2_000
 INITIAL_THREADS = 16
 MIN_IDLE_THREADS = 2
 THREADS_PER_GROWTH = 8
+REFUSAL_THREADS = 8
 REQUEST_TIMEOUT_S = 30
 
 
@@ -96,19 +97,63 @@
             self.grow(THREADS_PER_GROWTH)
 
 
-def make_server(address: str, max_threads: int) -> wsgi.Server:
+class Server(wsgi.Server):
+    """Server whose planned stop cuts no request.
+
+    :param address: host and port.
+    """
+
+    ConnectionClass = connections.CallerConnection
+    _connections: connections.ConnectionWatch
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        super().__init__(
+            address,
+            None,
+            request_queue_size=BACKLOG,
+            timeout=REQUEST_TIMEOUT_S,
+        )
+        self.open_connections: set[connections.CallerConnection] = set()
+        self._is_draining = False
+
+    def prepare(self) -> None:
+        """Bind the server to its address and start its threads."""
+        super().prepare()
+        self._connections.close()
+        self._connections = connections.ConnectionWatch(self)
+
+    @property
+    def can_add_keepalive_connection(self) -> bool:
+        """Return whether a connection is kept after its next response."""
+        return not self._is_draining and super().can_add_keepalive_connection
+
+    @property
+    def is_ended(self) -> bool:
+        """Return whether no request can arrive or is in progress."""
+        return self.socket is None and not self.open_connections
+
+    def set_draining(self) -> None:
+        """Close each connection after its next response."""
+        self._is_draining = True
+
+    def end_accepting(self) -> None:
+        """Serve the requests that have begun to arrive, and no more."""
+        self._connections.end()
+
+    def add_refusal_threads(self) -> None:
+        """Start threads for requests that wait behind long ones."""
+        self.requests.max += REFUSAL_THREADS
+        self.requests.grow(REFUSAL_THREADS)
+
+
+def make_server(address: str, max_threads: int) -> Server:
     """Return a server that is bound to its address but not yet serving.
 
     :param address: ``host:port``; port 0 selects a free one.
     :param max_threads: maximum number of concurrent requests.
     """
     host, _, port = address.rpartition(":")
-    server = wsgi.Server(
-        (host, int(port)),
-        None,
-        request_queue_size=BACKLOG,
-        timeout=REQUEST_TIMEOUT_S,
-    )
+    server = Server((host, int(port)))
     server.requests = GrowingThreadPool(
         server, min=min(INITIAL_THREADS, max_threads), max=max_threads
     )
--- a/packages/entry/src/balsamloom_entry/process.py
+++ b/packages/entry/src/balsamloom_entry/process.py
@@ -6,12 +6,11 @@
 import threading
 from collections.abc import Iterator
 
-from cheroot import wsgi
-
 from balsamloom_configuration import distribution
-from balsamloom_core import errors, events, identifiers
+from balsamloom_core import errors, events, identifiers, results
 from balsamloom_entry import components as process_components
 from balsamloom_entry import (
+    forwarding,
     http,
     peering,
     requests,
@@ -30,6 +29,8 @@
 JOIN_RETRY_INTERVAL_MS = 500
 IDLE_CHECK_INTERVAL_MS = 50
 PEER_STOP_TIMEOUT_MS = 2_000
+# Last part of a stop, in which requests that are read late are refused.
+REFUSAL_MS = 1_500
 
 
 class EntryProcess:
@@ -43,7 +44,7 @@
         self.components = process_components.Components(
             settings, self._is_watcher, self._peer_offers
         )
-        self._http: wsgi.Server = http.make_server(
+        self._http = http.make_server(
             settings["http_address"], settings["http_threads"]
         )
         self.address = http.bound_address(self._http)
@@ -59,6 +60,7 @@
             self.session = self._new_session()
             self._former_sessions: list[session.Session] = []
             self._is_stopping = threading.Event()
+            self._is_refusing = False
             http.mount(
                 self._http,
                 http.CallerInterface(self._route, settings["max_body_bytes"]),
@@ -87,13 +89,14 @@
             progress were finished.
         """
         self._is_stopping.set()
+        self._http.set_draining()
         timeout_ms = self._settings["stop_timeout_ms"]
         end_ms = self.components.clock.now_ms() + timeout_ms
         is_clean = True
         if self.session.is_joined:
             is_clean = self.session.leave(timeout_ms)
         self._forward_for_stale_callers(end_ms)
-        is_clean = self._wait_idle(end_ms) and is_clean
+        is_clean = self._finish_requests(end_ms) and is_clean
         for watch in self._watches:
             watch.stop()
         self.session.stop()
@@ -104,6 +107,12 @@
         return is_clean
 
     def _route(self, request: requests.Request) -> requests.Response:
+        if self._is_refusing:
+            raise errors.BalsamloomError(
+                results.ResultCode.LEAVING,
+                "this process is shutting down and takes no more requests",
+                forwarding.RETRY_AFTER_MS,
+            )
         return self.session.router(request)
 
     def _new_session(self) -> session.Session:
@@ -157,14 +166,33 @@
         until_ms = clock.now_ms() + self._settings["linger_ms"]
         clock.sleep(min(until_ms, end_ms) - clock.now_ms())
 
+    def _finish_requests(self, end_ms: float) -> bool:
+        """Finish the requests that have begun to arrive, and no more.
+
+        :return: whether all have ended.
+        """
+        self._http.end_accepting()
+        if self._wait_idle(end_ms - REFUSAL_MS):
+            return True
+        self._is_refusing = True
+        self._http.add_refusal_threads()
+        now_ms = self.components.clock.now_ms()
+        return self._wait_idle(max(end_ms, now_ms + REFUSAL_MS))
+
     def _wait_idle(self, end_ms: float) -> bool:
         clock = self.components.clock
-        while self.session.router.in_progress:
+        while not self._is_idle():
             if clock.now_ms() >= end_ms:
                 return False
             clock.sleep(IDLE_CHECK_INTERVAL_MS)
         return True
 
+    def _is_idle(self) -> bool:
+        sessions = [self.session, *self._former_sessions]
+        return self._http.is_ended and not any(
+            each.router.in_progress for each in sessions
+        )
+
     def _is_watcher(self) -> bool:
         return self.session.is_watcher()
 
--- a/packages/entry/tests/builders.py
+++ b/packages/entry/tests/builders.py
@@ -4,8 +4,8 @@
 import json
 
 from balsamloom_core import clock as clocks
-from balsamloom_core import errors, results
-from balsamloom_entry import attempts, feeds, orders, permits, sweep
+from balsamloom_core import errors, results, settings
+from balsamloom_entry import attempts, feeds, orders, permits, schema, sweep
 from balsamloom_entry import limits as call_limits
 from balsamloom_platform import engines, metrics
 from balsamloom_platform import store as stores
@@ -254,3 +254,16 @@
     feed = feeds.Feed(call_sender.clock)
     limits = call_limits.CallLimits()
     return attempts.ModelAttempts(call_sender, request, limits, feed), feed
+
+
+def entry_settings(**changes):
+    """Return checked settings of a process whose store is not reachable."""
+    document = {
+        "name": "a1",
+        "http_address": "127.0.0.1:0",
+        "failure_domain": "a",
+        "store_address": "127.0.0.1:9",
+        "linger_ms": 0,
+        "stop_timeout_ms": 10_000,
+    }
+    return settings.with_defaults({**document, **changes}, schema.SCHEMA)
