gateway: a stream is recorded with its first event, not its head

Until the first event has been sent, a server that is lost is replaced by another one, so a server that sent only a head left its record, which could overtake the one of the server that began.

Evidence: by reading the diff, and the new test, which fails before (hosts know v1 for a stream that v2 began). No run with processes showed it.

The record is made when the first event is there, just before it is sent. It costs the first event one call to the nearer of two hosts, and only while several versions are possible.

--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -300,11 +300,11 @@
 
     def _begin_stream(
         self, call: responses.Call, server: traffic.BackendServer
-    ) -> Callable[[], bool]:
-        """Return what must end before a stream's first event is sent."""
+    ) -> bool:
+        """Record a stream; return whether its first event may be sent."""
         is_resumed = call.metadata.resumed_id is not None
         if is_resumed or not version_history.is_resumable(call.route):
-            return callbacks.agree
+            return True
         return self._streams.begin(call.metadata.request_id, server)
 
     def _record_answer(
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -55,8 +55,8 @@
     :param recorder: stores the turn before the response ends.
     :param on_answer: called with what the server says of itself, as soon as
         the head of its response is there.
-    :param on_stream: called when the server begins a stream; returns what
-        must end before the first part is sent, and whether it may be sent.
+    :param before_stream: called before the first part of a stream is sent;
+        returns whether it may be sent.
     """
 
     def __init__(
@@ -71,10 +71,9 @@
         engine: traffic.Engine | None,
         recorder: conversations.TurnRecorder | None = None,
         on_answer: Callable[[traffic.AnswerMetadata], None] = callbacks.ignore,
-        on_stream: Callable[[], Callable[[], bool]] = lambda: callbacks.agree,
+        before_stream: Callable[[], bool] = callbacks.agree,
     ) -> None:
-        self._on_stream = on_stream
-        self._before_stream: Callable[[], bool] = callbacks.agree
+        self._before_stream = before_stream
         self._on_answer = on_answer
         self._recorder = recorder
         self._response = response
@@ -230,7 +229,6 @@
         fields = self._codec.relayed_fields(head.headers.fields)
         is_success = 200 <= head.status < 300
         if self._route.kind is traffic.RouteKind.STREAMING and is_success:
-            self._before_stream = self._on_stream()
             return self._relay_stream(head, fields, until_ms)
         self._is_failure = head.status >= 500
         return self._relay_buffered(head, fields, until_ms)
--- a/packages/gateway/src/balsamloom_gateway/stream_versions.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_versions.py
@@ -67,11 +67,6 @@
     began_ms: float
 
 
-def _wait_for_nothing() -> bool:
-    """Return at once, as only one version is in service."""
-    return True
-
-
 class StreamVersions:
     """Versions of streams that this process began, and of those of others.
 
@@ -114,13 +109,10 @@
         self._mixed: frozenset[str] = frozenset()
         self._unreliable_until_ms = -math.inf
 
-    def begin(
-        self, stream_id: str, server: traffic.BackendServer
-    ) -> Callable[[], bool]:
-        """Record that a server has begun a stream.
+    def begin(self, stream_id: str, server: traffic.BackendServer) -> bool:
+        """Record that a server has begun a stream, so that others find it.
 
-        :return: waits until others can find it, for a short time; returns
-            whether the stream may be sent.
+        :return: whether the stream may be sent.
         """
         stream = _Stream(server.service, server.version, self._clock.now_ms())
         with self._lock:
@@ -128,10 +120,9 @@
             self._streams.move_to_end(stream_id)
             self._drop_old()
         if len(self._history.possible(server.service)) < 2:
-            return _wait_for_nothing
+            return True
         start = stream_registry.StreamStart(stream_id, server.version)
-        calls = self._record([start])
-        return lambda: self._wait_until_recorded(start, server.service, calls)
+        return self._record_in_time(start, server.service)
 
     def required_version(self, service: str) -> str | None:
         """Return the version at which a new stream must begin.
@@ -158,14 +149,14 @@
             return False
         return bool(self._fleet.storage_hosts())
 
-    def _wait_until_recorded(
-        self, start: stream_registry.StreamStart, service: str, calls: _Calls
+    def _record_in_time(
+        self, start: stream_registry.StreamStart, service: str
     ) -> bool:
         """Wait until a host knows a stream; return whether it may be sent.
 
         Without a record, others take it for one of the oldest version.
         """
-        if _wait(calls, RECORD_TIMEOUT_MS):
+        if _wait(self._record([start]), RECORD_TIMEOUT_MS):
             return True
         self._unreliable_until_ms = self._clock.now_ms() + UNRELIABLE_PERIOD_MS
         if self.required_version(service) in (None, start.version):
--- a/packages/gateway/tests/test_stream_versions.py
+++ b/packages/gateway/tests/test_stream_versions.py
@@ -215,6 +215,7 @@
         self.addCleanup(self.cluster.close)
         # Version whose servers refuse new streams.
         self.refusing_version = ""
+        self.refusal = REFUSAL
 
     def breaking(self, connection, _):
         """Send one event of a stream; break off if it is a new one."""
@@ -222,8 +223,11 @@
         while request := owner.read_request(connection):
             version = self.versions[owner]
             if b"broken" in request and version == self.refusing_version:
-                connection.sendall(REFUSAL)
-                continue
+                connection.sendall(self.refusal)
+                if self.refusal == REFUSAL:
+                    continue
+                connection.close()
+                return
             event = EVENT % version.encode()
             connection.sendall(scripted.chunked_head())
             connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
@@ -303,6 +307,13 @@
             self.assertEqual(self.resume("r1"), (200, version))
 
     def test_stream_is_not_joined_when_a_retry_began_it(self):
+        self.check_stream_that_a_retry_began()
+
+    def test_stream_is_not_joined_when_a_server_sent_its_head_only(self):
+        self.refusal = scripted.chunked_head()
+        self.check_stream_that_a_retry_began()
+
+    def check_stream_that_a_retry_began(self):
         self.start("v1", "v2")
         self.refusing_version = "v1"
         self.delay_records("v1")
