--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -1,6 +1,5 @@
-"""Tests of planned stops: connections that are open and late requests."""
+"""Tests of planned stops: late requests and the end of a process."""
 
-import http.client
 import socket
 import threading
 import time
@@ -9,190 +8,13 @@
 
 import builders
 import gateway_case
+import listener_case
 import scripted
 
-from balsamloom_gateway import draining, exchanges, listeners
+from balsamloom_gateway import draining, exchanges
 
-LIMITS = listeners.Limits(8, 4_096, 100_000, 1_500.0, 5_000.0)
-REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
 
-
-class StopCase(unittest.TestCase):
-    """Test case with a listener that answers after ``work_s``."""
-
-    def setUp(self):
-        self.work_s = 0.0
-        self.listener = listeners.Listener("127.0.0.1:0", self.work, LIMITS)
-        self.address = self.listener.address
-        self.addCleanup(self.listener.stop_accepting)
-
-    def work(self, request, response):
-        """Read the body and answer."""
-        request.read_body()
-        time.sleep(self.work_s)
-        response.send(200, ())
-
-    def connect(self):
-        """Open a connection."""
-        host, _, port = self.address.rpartition(":")
-        connection = socket.create_connection((host, int(port)), 2)
-        self.addCleanup(connection.close)
-        return connection
-
-    def wait_for(self, state, count=1):
-        """Wait until so many connections are in a state."""
-        until_s = time.monotonic() + 2
-        while self.listener.connection_counts()[state] != count:
-            self.assertLess(time.monotonic(), until_s, f"none is {state}")
-            time.sleep(0.002)
-
-    def wait_until_idle(self):
-        """Wait until no connection is open."""
-        until_s = time.monotonic() + 2
-        while not self.listener.is_idle:
-            self.assertLess(time.monotonic(), until_s, "not idle")
-            time.sleep(0.002)
-
-
-class OpenConnectionTest(StopCase):
-    """Guards against a stop that overlooks open connections."""
-
-    def test_process_is_not_idle_while_a_head_is_being_read(self):
-        self.listener.start()
-        caller = self.connect()
-        caller.sendall(REQUEST[:20])
-        self.wait_for("reading")
-        self.listener.stop_accepting()
-        self.assertFalse(self.listener.is_idle)
-        caller.sendall(REQUEST[20:])
-        self.assertIn(b"200", caller.recv(1_000))
-        self.wait_until_idle()
-
-    def test_connection_without_a_request_holds_no_thread(self):
-        self.listener.start()
-        for _ in range(LIMITS.threads + 1):
-            self.connect()
-        self.wait_for("waiting", LIMITS.threads + 1)
-        caller = self.connect()
-        caller.sendall(REQUEST)
-        self.assertIn(b"200", caller.recv(1_000))
-
-    def test_connection_without_a_request_is_closed_at_the_end(self):
-        self.listener.start()
-        caller = self.connect()
-        self.wait_for("waiting")
-        started_s = time.monotonic()
-        self.listener.stop_accepting()
-        self.assertEqual(caller.recv(1_000), b"")
-        self.assertTrue(self.listener.is_idle)
-        self.assertLess(time.monotonic() - started_s, 0.3)
-
-    def test_request_in_the_backlog_is_served_at_the_end(self):
-        caller = self.connect()
-        caller.sendall(REQUEST)
-        self.listener.stop_accepting()
-        self.assertIn(b"200", caller.recv(1_000))
-        self.wait_until_idle()
-
-    def test_request_that_arrived_on_an_idle_connection_is_served(self):
-        self.listener.start()
-        caller = self.connect()
-        caller.sendall(REQUEST)
-        self.assertIn(b"200", caller.recv(1_000))
-        self.wait_for("waiting")
-        with self.listener._connections._entries:
-            caller.sendall(REQUEST)
-            stop = threading.Thread(target=self.listener.stop_accepting)
-            stop.start()
-            time.sleep(0.02)
-        self.assertIn(b"200", caller.recv(1_000))
-        stop.join()
-        self.wait_until_idle()
-
-    def test_open_connections_are_served_when_new_ones_are_refused(self):
-        self.listener.start()
-        caller = self.connect()
-        self.listener.refuse_connections()
-        with self.assertRaises(ConnectionRefusedError):
-            self.connect()
-        caller.sendall(REQUEST)
-        self.assertIn(b"200", caller.recv(1_000))
-
-    def test_connection_kept_by_an_answer_after_the_end_is_closed(self):
-        self.listener.start()
-        self.work_s = 0.1
-        caller = self.connect()
-        caller.sendall(REQUEST)
-        self.wait_for("in_progress")
-        self.listener.stop_accepting()
-        self.assertIn(b"200", caller.recv(1_000))
-        self.assertEqual(caller.recv(1_000), b"")
-        self.wait_until_idle()
-
-
-class IdleTimeoutTest(StopCase):
-    """Guards against an idle timeout that drops a request that arrived."""
-
-    def test_request_that_arrived_at_the_idle_timeout_is_served(self):
-        caller = self.connect()
-        self.listener._connections._accept()
-        caller.sendall(REQUEST)
-        time.sleep(0.02)
-        self.listener.set_limits(LIMITS._replace(idle_timeout_ms=1.0))
-        self.listener._connections._close_expired()
-        self.listener.set_limits(LIMITS)
-        self.assertIn(b"200", caller.recv(1_000))
-
-
-class ConnectionErrorTest(StopCase):
-    """Guards against one connection's error that ends the whole listener."""
-
-    def fail_once(self, name, error):
-        """Let a method of the next connection fail after its request."""
-        connection_class = self.listener._server.ConnectionClass
-        replaced = getattr(connection_class, name)
-        self.addCleanup(setattr, connection_class, name, replaced)
-
-        def fail(connection, *arguments):
-            setattr(connection_class, name, replaced)
-            raise error
-
-        setattr(connection_class, name, fail)
-
-    def test_error_of_a_close_does_not_end_the_listener(self):
-        self.listener.start()
-        self.fail_once("_close_kernel_socket", OSError(5, "failed"))
-        for _ in range(LIMITS.threads):
-            connection = http.client.HTTPConnection(self.address, timeout=2)
-            connection.request("GET", "/", headers={"Connection": "close"})
-            self.assertEqual(connection.getresponse().status, 200)
-            connection.close()
-        self.wait_until_idle()
-
-    def test_error_of_a_kept_connection_does_not_end_the_listener(self):
-        self.listener.start()
-        waiting = self.listener._connections
-        register = waiting._register
-        errors = [ValueError("closed"), KeyError("registered")]
-
-        def fail(connection):
-            if errors and connection.state.value == "waiting":
-                raise errors.pop()
-            return register(connection)
-
-        waiting._register = fail
-        for _ in range(2):
-            with self.assertRaises(OSError):
-                caller = self.connect()
-                caller.sendall(REQUEST)
-                if not caller.recv(1_000):
-                    raise ConnectionResetError
-        caller = self.connect()
-        caller.sendall(REQUEST)
-        self.assertIn(b"200", caller.recv(1_000))
-
-
-class DeadlineTest(StopCase):
+class DeadlineTest(listener_case.ListenerCase):
     """Guards against requests that end with the process unanswered."""
 
     def setUp(self):
@@ -240,7 +62,9 @@
     def test_request_that_waits_to_be_passed_on_is_refused_and_never_runs(
         self,
     ):
-        refused, answer = self.end(REQUEST, "in_progress", "to pass on")
+        refused, answer = self.end(
+            listener_case.REQUEST, "in_progress", "to pass on"
+        )
         self.assertEqual(refused, 1)
         self.assertTrue(answer.startswith(b"HTTP/1.1 503 "))
         self.assertIn(b"\r\nRetry-After: 0.1\r\n", answer)
@@ -249,17 +73,19 @@
         self.wait_until_idle()
 
     def test_request_that_has_no_answer_yet_gets_one_only(self):
-        refused, answer = self.end(REQUEST, "in_progress")
+        refused, answer = self.end(listener_case.REQUEST, "in_progress")
         self.assertEqual((refused, answer.count(b"HTTP/1.1")), (1, 1))
         self.wait_until_idle()
 
     def test_request_that_is_still_being_read_is_refused(self):
-        refused, answer = self.end(REQUEST[:20], "reading")
+        refused, answer = self.end(listener_case.REQUEST[:20], "reading")
         self.assertEqual((refused, answer[9:12]), (1, b"503"))
         self.wait_until_idle()
 
     def test_request_that_was_passed_on_is_not_refused(self):
-        refused, answer = self.end(REQUEST, "in_progress", "passed on")
+        refused, answer = self.end(
+            listener_case.REQUEST, "in_progress", "passed on"
+        )
         self.assertEqual((refused, answer[9:12]), (0, b"200"))
         self.wait_until_idle()
 
@@ -405,11 +231,11 @@
 
     def test_budgets_are_released_after_the_last_request_was_answered(self):
         caller = self.connect(self.caller_address)
-        caller.sendall(REQUEST[:20])
+        caller.sendall(listener_case.REQUEST[:20])
         leaving = self.start_leaving()
         time.sleep(0.2)
         self.assertEqual(self.seen, [])
-        caller.sendall(REQUEST[20:])
+        caller.sendall(listener_case.REQUEST[20:])
         self.assertIn(b"HTTP/1.1", caller.recv(1_000))
         leaving.join(2)
         self.assertEqual(self.seen, [True, "refused"])
@@ -419,7 +245,7 @@
         answers = []
 
         def release():
-            caller.sendall(REQUEST)
+            caller.sendall(listener_case.REQUEST)
             answers.append(caller.recv(1_000))
 
         self.edge._book.release = release
@@ -437,7 +263,7 @@
 
         self.peers.handler = handle
         caller = self.connect(self.peer_address)
-        caller.sendall(REQUEST)
+        caller.sendall(listener_case.REQUEST)
         self.assertTrue(begun.wait(2))
         leaving = self.start_leaving()
         time.sleep(0.15)
@@ -449,20 +275,20 @@
 
     def test_open_connection_gets_a_refusal_while_another_has_a_request(self):
         busy = self.connect(self.caller_address)
-        busy.sendall(REQUEST[:20])
+        busy.sendall(listener_case.REQUEST[:20])
         late = self.connect(self.caller_address)
         leaving = self.start_leaving()
         time.sleep(0.2)
-        late.sendall(REQUEST)
+        late.sendall(listener_case.REQUEST)
         self.assertIn(b"HTTP/1.1 ", late.recv(1_000))
-        busy.sendall(REQUEST[20:])
+        busy.sendall(listener_case.REQUEST[20:])
         self.assertIn(b"HTTP/1.1 ", busy.recv(1_000))
         leaving.join(2)
         self.assertEqual(self.seen, [True, "refused"])
 
     def test_calls_are_answered_though_no_thread_can_be_started(self):
         caller = self.connect(self.caller_address)
-        caller.sendall(REQUEST)
+        caller.sendall(listener_case.REQUEST)
         error = RuntimeError("can't start new thread")
         with (
             mock.patch.multiple(draining, **self.TIMES_MS),
