gateway: a slow store does not hold a stopping process beyond its grace

After requests up to the deadline, 0.7 s before the end of the grace period, a process answered other processes and released its budgets by calls of the store that take up to 1.2 s each. A process that is killed then ends without its last log lines, and resets connections whose requests it would have refused.

Budgets are released beside the stop, which ends 0.2 s before the grace period does; what is not released by then counts as spent, as before.

Before: the new test found the process still in its release after 5 s with a grace period of 0.4 s.

--- a/packages/gateway/src/balsamloom_gateway/draining.py
+++ b/packages/gateway/src/balsamloom_gateway/draining.py
@@ -21,6 +21,8 @@
 # Part of the stop's grace period reserved for releasing budgets.
 RESERVE_MS = 700.0
 MAX_RESERVE_SHARE = 0.125
+# Share of that part that is left for the end of the process.
+END_SHARE = 0.3
 
 
 class Schedule(NamedTuple):
@@ -32,6 +34,7 @@
     close_waiting_ms: float
     last_request_ms: float
     deadline_ms: float
+    release_until_ms: float
 
 
 def schedule(started_ms: float, grace_ms: float) -> Schedule:
@@ -50,6 +53,7 @@
         started_ms
         + max(min(CLOSE_WAITING_MS, left_ms), left_ms - LAST_PART_MS),
         started_ms + left_ms,
+        started_ms + grace_ms - reserve_ms * END_SHARE,
     )
 
 
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -340,24 +340,41 @@
 
     def leave(self) -> None:
         """Stop gracefully: drain requests in progress and release budgets."""
+        times = self._drain.start(self._settings.grace_ms)
         self._is_leaving = True
         stop = planned_stop.PlannedStop(
             self.member.name,
             self._ingress,
             self._other_listeners,
             self._codec,
-            self._drain.start(self._settings.grace_ms),
+            times,
             self._clock,
         )
         self._start_deregistering()
         stop.answer_callers()
         stop.answer_members()
-        self._book.stop()
-        self._book.release()
+        self._release_budgets(times.release_until_ms)
         stop.end()
         self._follower.stop()
         self._heartbeats.stop()
 
+    def _release_budgets(self, until_ms: float) -> None:
+        """Release budgets; a store that hangs does not delay the end."""
+        self._book.stop()
+        is_released = threading.Event()
+
+        def release() -> None:
+            self._book.release()
+            is_released.set()
+
+        try:
+            threading.Thread(target=release, daemon=True).start()
+        except RuntimeError as error:
+            failures.log(events.Event.BACKGROUND_FAILED, release, error)
+            release()
+        left_ms = until_ms - self._clock.now_ms()
+        self._clock.wait(is_released, max(0.0, left_ms))
+
     def _start_deregistering(self) -> None:
         """End the lease in the background; else it runs out by itself."""
         deregister = self._registrar.deregister
--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -298,6 +298,18 @@
         self.assertEqual(self.seen, [True, "refused"])
         self.assertIn(b"HTTP/1.1 ", caller.recv(1_000))
 
+    def test_store_that_hangs_does_not_hold_a_process_beyond_its_grace(self):
+        answer = threading.Event()
+        self.addCleanup(answer.set)
+        self.edge._book.release = lambda: answer.wait(10)
+        self.edge._settings = self.edge._settings._replace(grace_ms=400.0)
+        with self.assertLogs("balsamloom") as logs:
+            leaving = self.start_leaving()
+            leaving.join(5)
+        self.assertFalse(leaving.is_alive())
+        found = {line.name_of_event: line for line in logs.records}
+        self.assertLess(found["process_stopped"].duration_ms, 5_000)
+
     def test_stop_logs_each_request_that_it_refuses_or_cuts(self):
         begun, step = threading.Semaphore(0), threading.Event()
         self.addCleanup(step.set)
