--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -103,6 +103,8 @@
     COPIES_MISSING = 7037
     ACCEPTING_ENDED = 7038
     REQUEST_CUT = 7039
+    BUDGET_REFUSED = 7040
+    BUDGET_ALLOCATED = 7041
 
 
 _MEANINGS: dict[Event, str] = {
@@ -225,6 +227,8 @@
     ),
     Event.ACCEPTING_ENDED: "A stopping process accepts no more connections.",
     Event.REQUEST_CUT: "A request outlasted the time of a planned stop.",
+    Event.BUDGET_REFUSED: "A budget holder gave no tokens to a turn.",
+    Event.BUDGET_ALLOCATED: "A budget holder recorded an allocation.",
 }
 
 
--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -191,7 +191,10 @@
             self._mark_unreported(program_id)
             needs_standby = account.unrecorded_tokens > 0
             report = account.report
-        if not isinstance(result, ledger.Reservation) or not needs_standby:
+        if not isinstance(result, ledger.Reservation):
+            _log_refusal(account, tokens, is_standby, result)
+            return result, account.recent_servers
+        if not needs_standby:
             return result, account.recent_servers
         if not self._report_to_any_standby(report):
             self.settle(program_id, tokens, 0, "")
@@ -498,3 +501,27 @@
             for account in ended:
                 del self._accounts[account.program_id]
         self._recorder.delete(ended)
+
+
+def _log_refusal(
+    account: ledger.Account,
+    turn_tokens: int,
+    is_standby: bool,
+    result: ReservationResult,
+) -> None:
+    events.log(
+        events.Event.BUDGET_REFUSED,
+        program_id=account.program_id,
+        turn_tokens=turn_tokens,
+        budget_tokens=account.budget_tokens,
+        is_standby=is_standby,
+        result=repr(result),
+        recorded_tokens=account.recorded_tokens,
+        own_recorded_tokens=account.own_recorded_tokens,
+        left_tokens=account.left_tokens,
+        in_flight_tokens=account.in_flight_tokens,
+        unrecorded_tokens=account.unrecorded_tokens,
+        peer_unrecorded_tokens=account.peer_unrecorded_tokens,
+        lost_tokens=account.max_lost_tokens,
+        revision=account.revision,
+    )
--- a/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
@@ -92,6 +92,7 @@
                 case interfaces.Committed(revision):
                     for allocation in allocations:
                         ledger_records.apply_recorded(allocation, revision)
+                        _log_recorded(allocation)
                     return PendingPrograms()
                 case interfaces.Conflict(items):
                     return _union(
@@ -215,6 +216,16 @@
     )
 
 
+def _log_recorded(allocation: ledger_records.Allocation) -> None:
+    events.log(
+        events.Event.BUDGET_ALLOCATED,
+        program_id=allocation.account.program_id,
+        tokens=allocation.tokens,
+        recorded_tokens=allocation.total_tokens,
+        revision=allocation.account.revision,
+    )
+
+
 def _log_unavailable(error: interfaces.StoreError) -> None:
     events.log(
         events.Event.STORE_UNAVAILABLE,
