--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -9,6 +9,7 @@
 import dataclasses
 import math
 import threading
+import uuid
 from collections.abc import Sequence
 
 from balsamloom_core import clock as clocks
@@ -30,6 +31,10 @@
 # Accounts without turns for this time are removed.
 ACCOUNT_IDLE_TIMEOUT_MS = 90_000.0
 SWEEP_INTERVAL_MS = 30_000.0
+# Turns that run for longer count at their most before a program is refused.
+RUNNING_TURN_GRACE_MS = 1_000.0
+# A refusal rests on a record that the store confirmed within this time.
+CONFIRMATION_AGE_MS = 1_000.0
 # Holder name under which the answers of queried standbys are merged.
 QUERIED_STANDBYS = "asked"
 
@@ -57,6 +62,7 @@
     :param clock: time source.
     :param is_restart: whether an earlier process of this member may have held
         budgets.
+    :param holder_id: name and incarnation of this member.
     """
 
     def __init__(
@@ -65,8 +71,10 @@
         records: interfaces.Records,
         clock: clocks.Clock,
         is_restart: bool = False,
+        holder_id: str = "",
     ) -> None:
         self._clock = clock
+        self._holder_id = holder_id or uuid.uuid4().hex
         self.standbys: standbys.Standbys = standbys.NoStandbys()
         self._changed = threading.Condition()
         self._recorder = ledger_recorder.AllocationRecorder(
@@ -77,6 +85,7 @@
         self._deferred: set[str] = set()
         self._unreported: set[str] = set()
         self._lost_holders: set[str] = set()
+        self._has_new_members = False
         self._complete_reports = complete_reports.CompleteReports(clock)
         self._caution_until_ms = -math.inf
         self._outage_caution_until_ms = -math.inf
@@ -123,6 +132,7 @@
         """
         with self._changed:
             self._lost_holders.add(name)
+            self._has_new_members = True
             self._complete_reports.forget()
             for account in self._accounts.values():
                 account.has_queried_standbys = False
@@ -132,6 +142,8 @@
         """Handle an arrival, after which programs may have other holders."""
         with self._changed:
             self._complete_reports.forget()
+            self._has_new_members = True
+            self._changed.notify_all()
 
     def merge_usages(
         self,
@@ -158,6 +170,12 @@
             account = self._accounts.get(program_id)
             return dict(account.peer_unrecorded_tokens) if account else {}
 
+    def known_revision(self, program_id: str) -> int:
+        """Return the revision of a program's record, 0 if it is not known."""
+        with self._changed:
+            account = self._accounts.get(program_id)
+            return account.revision if account else 0
+
     def known_usage(self, program_id: str) -> ledger.Usage | None:
         """Return the usage of a program as far as this holder knows it."""
         with self._changed:
@@ -218,6 +236,7 @@
             if account is None:
                 return
             account.settle(reserved_tokens, used_tokens)
+            self._defer_record(account)
             if server_id:
                 account.recent_servers = ledger.add_recent_server(
                     account.recent_servers, server_id
@@ -233,6 +252,7 @@
             if batch:
                 self._record(batch)
             self._take_over_lost_holders()
+            self._return_allocations()
             self._report_to_standbys()
             self._sweep()
 
@@ -251,11 +271,21 @@
                     continue
                 for name in self._lost_holders:
                     if account.take_over(name):
-                        account.requested_tokens = account.unrecorded_tokens
                         self._deferred.add(account.program_id)
                         self._unreported.add(account.program_id)
             self._lost_holders.clear()
 
+    def _return_allocations(self) -> None:
+        """Return what other holders need for programs that have moved."""
+        with self._changed:
+            if not self._has_new_members:
+                return
+            self._has_new_members = False
+            for account in self._accounts.values():
+                if not self.standbys.is_primary(account.program_id):
+                    account.is_standby = True
+                    self._defer_record(account)
+
     def _report_to_standbys(self) -> None:
         """Report changed usage to the other holders."""
         reports: dict[str, list[ledger.UsageReport]] = {}
@@ -278,10 +308,10 @@
         self, standby: str, reports: Sequence[ledger.UsageReport]
     ) -> None:
         with self._changed:
-            for usage, _ in reports:
-                account = self._accounts.get(usage.program_id)
+            for report in reports:
+                account = self._accounts.get(report.usage.program_id)
                 if account is not None:
-                    account.reported_usage[standby] = usage
+                    account.reported_usage[standby] = report.usage
 
     def stop(self) -> None:
         """Make :meth:`run` return."""
@@ -296,14 +326,13 @@
         time for its stop. The remaining allocations then count as spent.
         """
         with self._changed:
+            for account in self._accounts.values():
+                account.is_standby = True
             held = [
                 account
                 for account in self._accounts.values()
-                if account.left_tokens > 0
+                if account.needs_record()
             ]
-            for account in held:
-                account.requested_tokens = -account.left_tokens
-                account.left_tokens = 0
         size = ledger_recorder.MAX_TRANSACTION_ACCOUNTS
         for start in range(0, len(held), size):
             self._record(held[start : start + size])
@@ -353,7 +382,6 @@
             takes_over = is_expected and not is_standby
             account.merge_queried(QUERIED_STANDBYS, found, takes_over)
             if account.unrecorded_tokens:
-                account.requested_tokens = account.unrecorded_tokens
                 self._deferred.add(program_id)
                 self._unreported.add(program_id)
                 self._changed.notify_all()
@@ -365,7 +393,8 @@
         policy: outage_policy.OutagePolicy,
     ) -> ReservationResult:
         """Reserve tokens; wait for an allocation if one is required."""
-        until_ms = self._clock.now_ms() + ledger_recorder.RECORD_TIMEOUT_MS
+        asked_ms = self._clock.now_ms()
+        until_ms = asked_ms + ledger_recorder.RECORD_TIMEOUT_MS
         while True:
             is_outage = (
                 self._recorder.is_outage() or self._clock.now_ms() >= until_ms
@@ -379,18 +408,50 @@
                     self._evidence(account.program_id),
                 )
             match account.reserve(tokens, limit):
-                case ledger.RequiredAllocation(allocation):
-                    account.requested_tokens = allocation
-                    self._urgent.add(account.program_id)
-                    self._changed.notify_all()
-                case result:
-                    self._defer_allocation(account, tokens)
-                    return result
+                case ledger.RequiredAllocation():
+                    self._await_record(account)
+                case ledger.Unconfirmed(doubt):
+                    refusal = self._judge(account, doubt, asked_ms)
+                    if refusal is not None:
+                        return refusal
+                    account.needs_confirmation = True
+                    self._await_record(account)
+                case ledger.Reservation() as reservation:
+                    account.last_reserved_ms = asked_ms
+                    self._defer_record(account)
+                    return reservation
+                case refusal:
+                    self._defer_record(account)
+                    return refusal
             if is_outage:
                 return self._abandon_request(account)
             left_ms = until_ms - self._clock.now_ms()
             self._clock.wait_condition(self._changed, left_ms)
 
+    def _await_record(self, account: ledger.Account) -> None:
+        self._urgent.add(account.program_id)
+        self._changed.notify_all()
+
+    def _judge(
+        self, account: ledger.Account, doubt: ledger.Doubt, asked_ms: float
+    ) -> ledger.Exhaustion | RecordingFailure | None:
+        """Return the refusal of a turn that fits if some tokens are unused.
+
+        :param asked_ms: time at which the turn asked for tokens.
+        :return: ``None`` if the store must confirm the record first.
+        """
+        match doubt:
+            case ledger.Doubt.RUNNING_TURNS:
+                running_ms = asked_ms - account.last_reserved_ms
+                if running_ms < RUNNING_TURN_GRACE_MS:
+                    return RecordingFailure("other turns are still running")
+            case ledger.Doubt.OTHER_HOLDERS:
+                if account.confirmed_ms < asked_ms - CONFIRMATION_AGE_MS:
+                    return None
+                if any(map(self.standbys.may_live, account.open_holders)):
+                    return RecordingFailure("other holders may return tokens")
+        return account.exhaustion()
+
     def _abandon_request(self, account: ledger.Account) -> RecordingFailure:
         """Return why no allocation was recorded in time.
 
@@ -401,14 +462,16 @@
         is_queued = account.program_id in self._urgent
         if is_queued and account.is_standby and not account.unrecorded_tokens:
             self._urgent.discard(account.program_id)
-            account.requested_tokens = 0
+            account.needed_tokens = 0
             return RecordingFailure(reason or "the store is slow")
         return RecordingFailure(reason or "the store is slow", not reason)
 
     def _account(self, program_id: str, budget_tokens: int) -> ledger.Account:
         account = self._accounts.get(program_id)
         if account is None:
-            account = ledger.Account(program_id, budget_tokens)
+            account = ledger.Account(
+                program_id, budget_tokens, self._holder_id
+            )
             account.may_lack_unrecorded = (
                 self._clock.now_ms() < self._outage_caution_until_ms
             )
@@ -432,14 +495,13 @@
         """Return whether a program without an account must be new."""
         return self._clock.now_ms() >= self._caution_until_ms
 
-    def _defer_allocation(self, account: ledger.Account, tokens: int) -> None:
-        allocation = account.next_allocation(tokens)
-        if not allocation:
+    def _defer_record(self, account: ledger.Account) -> None:
+        if not account.needs_record():
             return
-        account.requested_tokens = allocation
         if account.program_id not in self._deferred:
             self._deferred.add(account.program_id)
-            if len(self._deferred) == 1:
+            size = ledger_recorder.MAX_TRANSACTION_ACCOUNTS
+            if len(self._deferred) in (1, size):
                 self._changed.notify_all()
 
     def _wait_for_work(self) -> bool:
@@ -451,7 +513,7 @@
             if now_ms >= due_ms:
                 return True
             self._clock.wait_condition(self._changed, due_ms - now_ms)
-            if not (self._deferred or self._unreported or self._lost_holders):
+            if not self._has_deferred_work():
                 waited_from_ms = self._clock.now_ms()
         return False
 
@@ -462,10 +524,20 @@
             return failed_ms + ledger_recorder.OUTAGE_RETRY_INTERVAL_MS
         if self._urgent:
             return waited_from_ms
-        if self._deferred or self._unreported or self._lost_holders:
+        if len(self._deferred) >= ledger_recorder.MAX_TRANSACTION_ACCOUNTS:
+            return waited_from_ms
+        if self._has_deferred_work():
             return waited_from_ms + BATCH_DELAY_MS
         return waited_from_ms + SWEEP_INTERVAL_MS
 
+    def _has_deferred_work(self) -> bool:
+        return bool(
+            self._deferred
+            or self._unreported
+            or self._lost_holders
+            or self._has_new_members
+        )
+
     def _next_batch(self) -> list[ledger.Account]:
         program_ids = [*self._urgent, *(self._deferred - self._urgent)]
         program_ids = program_ids[: ledger_recorder.MAX_TRANSACTION_ACCOUNTS]
@@ -475,7 +547,7 @@
         return [
             account
             for account in found
-            if account is not None and account.requested_tokens
+            if account is not None and account.needs_record()
         ]
 
     def _record(self, accounts: Sequence[ledger.Account]) -> None:
--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -1,28 +1,30 @@
 """Token budgets of programs, allocated to their holders in durable records.
 
 A holder records an allocation in the platform's store and hands out its
-tokens. Recorded tokens that are not known to be unused count as spent, so a
-crash costs a program at most the rest of one allocation.
+tokens. The record also tells how many of them were used, so that a loss of the
+holder leaves only those uncertain that it could still hand out: those of the
+running turns and of one more.
+
+Uncertain tokens count as spent where the budget must hold, and as unspent
+where a turn would be refused for good. The margin between the two is one turn,
+by which a budget may be exceeded.
 
 While the store does not answer, a holder may hand out unrecorded tokens if a
 standby knows of them, so that a crash of the holder does not lose their count.
-A budget may be exceeded by the maximum of one turn, which makes up for the
-rest of an allocation that a lost process held.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import enum
+import math
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-# An allocation is the budget divided by ``ALLOCATION_DIVISOR``, or
-# ``ALLOCATION_TURNS`` times the largest turn if that is more. Larger
-# allocations need fewer records and lose more in a crash.
-ALLOCATION_DIVISOR = 8
-ALLOCATION_TURNS = 2
-# A store outage may leave ``1 / OUTAGE_DIVISOR`` of the remaining budget
-# unrecorded.
+from balsamloom_gateway import ledger_records
+
+# In an outage of the store, ``1 / OUTAGE_DIVISOR`` of the budget that is not
+# known to be used may be handed out, recorded or not.
 OUTAGE_DIVISOR = 2
 # The servers of the latest turns may still cache the program's prompt parts.
 MAX_RECENT_SERVERS = 3
@@ -41,6 +43,20 @@
     left_tokens: int
 
 
+class Doubt(enum.Enum):
+    """Tokens that may turn out to be unused, so that the turn would fit."""
+
+    RUNNING_TURNS = "running_turns"
+    OTHER_HOLDERS = "other_holders"
+
+
+@dataclasses.dataclass(frozen=True)
+class Unconfirmed:
+    """Refusal for now: the turn fits only if some tokens are unused."""
+
+    doubt: Doubt
+
+
 @dataclasses.dataclass(frozen=True)
 class RequiredAllocation:
     """Allocation that must be recorded before the turn may run."""
@@ -64,23 +80,27 @@
     """Usage that a holder reports to its standbys.
 
     It includes ``covered_tokens``: unrecorded tokens that the holder has taken
-    over from lost ones, by their ids.
+    over from lost ones, by their ids. ``revision`` is that of the record that
+    the holder knows, 0 if it is not known.
     """
 
     usage: Usage
     covered_tokens: Mapping[str, int]
+    revision: int = 0
 
 
 class QueriedUsage(NamedTuple):
     """Usage that other holders know.
 
     ``unrecorded_tokens`` are those of which the holder is known, by its id.
-    Nobody else will record those of ``lost_holders``.
+    Nobody else will record those of ``lost_holders``. ``revision`` is that of
+    the latest record that they know, 0 if it is not known.
     """
 
     usage: Usage
     unrecorded_tokens: Mapping[str, int]
     lost_holders: frozenset[str] = frozenset()
+    revision: int = 0
 
 
 class StandbyAnswers(NamedTuple):
@@ -103,26 +123,38 @@
 
     :param program_id: program.
     :param budget_tokens: maximum that all turns together may generate.
+    :param holder_id: name of this holder's share in the program's record.
     """
 
-    def __init__(self, program_id: str, budget_tokens: int) -> None:
+    def __init__(
+        self, program_id: str, budget_tokens: int, holder_id: str = "own"
+    ) -> None:
         self.program_id = program_id
         self.budget_tokens = budget_tokens
-        self.recorded_tokens = 0
+        self._holder_id = holder_id
+        self.revision = 0
+        self._own_share = ledger_records.Share()
+        self._other_shares: dict[str, ledger_records.Share] = {}
+        # Total of all shares, if others reported it after the record was read.
+        self._reported_tokens = 0
+        # Least own allocation after the writes whose outcome is not known.
+        self._pending_tokens: int | None = None
+        self._has_unknown_write = False
+        # Time at which the store last confirmed the record.
+        self.confirmed_ms = -math.inf
+        # Tokens of turns that ended here, and those taken over.
+        self.used_tokens = 0
+        self.in_flight_tokens = 0
+        self.last_reserved_ms = -math.inf
+        # Tokens of a turn that waits for its allocation.
+        self.needed_tokens = 0
+        # Whether the record must be read or written before the next refusal.
+        self.needs_confirmation = False
         # Unrecorded tokens of each other holder, as last reported.
         self.peer_unrecorded_tokens: dict[str, int] = {}
         # Whether another holder reported that tokens were handed out. One that
         # reports none may just not know the program.
         self.has_peer_usage = False
-        # Allocations that this process recorded itself.
-        self.own_recorded_tokens = 0
-        self.revision = 0
-        self.left_tokens = 0
-        self.unrecorded_tokens = 0
-        self.in_flight_tokens = 0
-        # Tokens of each allocation whose transaction has no known outcome.
-        self.unconfirmed: dict[str, int] = {}
-        self.requested_tokens = 0
         # Latest usage that each standby confirmed.
         self.reported_usage: dict[str, Usage] = {}
         self.has_queried_standbys = False
@@ -132,8 +164,8 @@
         self._covered_tokens: dict[str, Mapping[str, int]] = {}
         self.max_turn_tokens = 0
         # Whether this process replaces a primary holder that is unreachable.
-        # Later turns return to the primary holder, so an allocation covers
-        # one turn only.
+        # Later turns return to the primary holder, so nothing is allocated
+        # for them.
         self.is_standby = False
         # Whether all processes that knew of unrecorded tokens may be lost, and
         # the program's record has not been read since.
@@ -144,6 +176,49 @@
         self.last_used_ms = 0.0
         self.recent_servers: tuple[str, ...] = ()
 
+    @property
+    def handed_out_tokens(self) -> int:
+        """Return the tokens that turns used here or may still use."""
+        return self.used_tokens + self.in_flight_tokens
+
+    @property
+    def left_tokens(self) -> int:
+        """Return the recorded tokens that the next turns may use."""
+        return max(self._covered_total() - self.handed_out_tokens, 0)
+
+    @property
+    def unrecorded_tokens(self) -> int:
+        """Return the tokens handed out here beyond the record."""
+        return max(self.handed_out_tokens - self._covered_total(), 0)
+
+    @property
+    def own_recorded_tokens(self) -> int:
+        """Return the tokens that this holder has allocated in the record."""
+        return self._own_share.allocated_tokens
+
+    @property
+    def recorded_tokens(self) -> int:
+        """Return the tokens that all holders have allocated in the record."""
+        return self.own_recorded_tokens + self._others_allocated()
+
+    @property
+    def open_holders(self) -> frozenset[str]:
+        """Return the other holders that may have tokens of which none knows.
+
+        Those are handed out or not.
+        """
+        recorded = {
+            holder
+            for holder, share in self._other_shares.items()
+            if share.used_tokens < share.allocated_tokens
+        }
+        unrecorded = {
+            holder
+            for holder, tokens in self.peer_unrecorded_tokens.items()
+            if tokens
+        }
+        return frozenset(recorded | unrecorded)
+
     @property
     def usage(self) -> Usage:
         """Return the usage that is reported to standbys."""
@@ -157,41 +232,36 @@
     @property
     def report(self) -> UsageReport:
         """Return the report of this holder to its standbys."""
-        return UsageReport(self.usage, dict(self.taken_over_tokens))
-
-    @property
-    def max_overrun_tokens(self) -> int:
-        """Return by how much allocations may exceed the budget.
-
-        Another process may have left a part of its allocations unused, and
-        this process cannot know how much. Unrecorded tokens of which the
-        count is lost exceed the budget too, so they reduce the margin.
-        """
-        others = self.recorded_tokens - self.own_recorded_tokens
-        margin = self.max_turn_tokens - self.max_lost_tokens
-        return max(min(others, margin), 0)
+        return UsageReport(
+            self.usage, dict(self.taken_over_tokens), self.revision
+        )
 
     @property
     def max_lost_tokens(self) -> int:
-        """Return the maximum of the tokens of which the count is lost.
-
-        Unrecorded tokens are never handed out beyond the budget, so a program
-        whose whole budget was recorded has none.
-        """
-        if self.may_lack_unrecorded:
-            others = self.recorded_tokens - self.own_recorded_tokens
-            return max(self.budget_tokens - others, 0)
-        return self.lost_tokens
-
-    def merge_usage(self, holder: str, usage: Usage) -> None:
+        """Return the maximum of the tokens of which the count is lost."""
+        if not self.may_lack_unrecorded:
+            return self.lost_tokens
+        used = self._others_used()
+        limit = self._outage_limit(used, self.max_turn_tokens)
+        limit = min(limit, self.budget_tokens - used)
+        return max(limit - self._others_open(), self.lost_tokens, 0)
+
+    def merge_usage(
+        self, holder: str, usage: Usage, revision: int = 0
+    ) -> None:
         """Merge the usage that another holder reported.
 
         The unrecorded tokens of a lost holder stay counted as spent.
 
         :param holder: name and incarnation of the other holder.
+        :param revision: revision of the record that the holder knows; 0 if it
+            is not known.
         """
         self.peer_unrecorded_tokens[holder] = usage.unrecorded_tokens
-        self.recorded_tokens = max(self.recorded_tokens, usage.recorded_tokens)
+        if not revision or revision > self.revision:
+            self._reported_tokens = max(
+                self._reported_tokens, usage.recorded_tokens
+            )
         if usage.recorded_tokens or usage.unrecorded_tokens:
             self.has_peer_usage = True
 
@@ -206,7 +276,7 @@
         self.taken_over_tokens.pop(holder, None)
         for reporter, covered in self._covered_tokens.items():
             self._covered_tokens[reporter] = _without(covered, holder)
-        self.merge_usage(holder, report.usage)
+        self.merge_usage(holder, report.usage, report.revision)
         self._covered_tokens[holder] = report.covered_tokens
         for lost, tokens in report.covered_tokens.items():
             rest = self.peer_unrecorded_tokens.pop(lost, 0) - tokens
@@ -216,8 +286,8 @@
     def take_over(self, name: str) -> bool:
         """Take over the unrecorded tokens of a lost holder.
 
-        They count as unrecorded here, so that the next allocation covers
-        them. Until then they are known in the memory of this process only.
+        They count as used here, so that the next allocation covers them. Until
+        then they are known in the memory of this process only.
 
         :param name: name of the lost holder, without its incarnation.
         :return: whether there were any.
@@ -231,7 +301,7 @@
 
     def _take_over(self, holder: str) -> int:
         tokens = self.peer_unrecorded_tokens.pop(holder)
-        self.unrecorded_tokens += tokens
+        self.used_tokens += tokens
         known = self.taken_over_tokens.get(holder, 0)
         self.taken_over_tokens[holder] = known + tokens
         # What the holder had taken over itself is counted here as well now.
@@ -275,7 +345,7 @@
             if may_take_over and other in found.lost_holders:
                 self._take_over(other)
         rest = usage._replace(unrecorded_tokens=max(rest_tokens, 0))
-        self.merge_usage(holder, rest)
+        self.merge_usage(holder, rest, found.revision)
 
     def known_usage(self) -> Usage:
         """Return the usage with the unrecorded tokens of all holders."""
@@ -292,100 +362,202 @@
             if self.reported_usage.get(standby) != self.usage
         ]
 
-    def max_outage_tokens(self) -> int:
-        """Return the maximum of unrecorded tokens in a store outage."""
-        allocated = self.recorded_tokens + self._peer_unrecorded_total()
-        return (self.budget_tokens - allocated) // OUTAGE_DIVISOR
+    def max_outage_tokens(self, turn_tokens: int) -> int:
+        """Return the maximum of own unrecorded tokens in a store outage.
+
+        :param turn_tokens: tokens of the turn that asks for them.
+        """
+        used = self._others_used() + self._own_share.used_tokens
+        limit = self._outage_limit(used, turn_tokens)
+        recorded = self.recorded_tokens - used
+        return max(limit - recorded - self._peer_unrecorded_total(), 0)
 
     def reserve(
         self, tokens: int, max_unrecorded_tokens: int
-    ) -> Reservation | Exhaustion | RequiredAllocation:
+    ) -> Reservation | Exhaustion | Unconfirmed | RequiredAllocation:
         """Reserve the maximum that a turn may generate.
 
         :param max_unrecorded_tokens: limit for all turns of the program.
         """
         missing = max(tokens - self.left_tokens, 0)
-        unallocated = self._unallocated_tokens()
-        if missing > unallocated:
-            return Exhaustion(self.recorded_tokens, self.left_tokens)
-        # The overrun is granted only once, so it must be recorded first.
-        is_within_budget = missing <= unallocated - self.max_overrun_tokens
+        if missing:
+            refusal = self._refusal(tokens)
+            if refusal is not None:
+                return refusal
         is_within_limit = (
             self.unrecorded_tokens + missing <= max_unrecorded_tokens
         )
+        # The margin is granted only once, so it must be recorded first.
+        is_within_budget = tokens <= self._room(self.budget_tokens)
         if missing and not (is_within_budget and is_within_limit):
-            return RequiredAllocation(self._allocation_size(missing))
-        self.left_tokens -= tokens - missing
-        self.unrecorded_tokens += missing
+            self.needed_tokens = max(self.needed_tokens, tokens)
+            return RequiredAllocation(
+                self._target_tokens() - self.own_recorded_tokens
+            )
         self.in_flight_tokens += tokens
         return Reservation()
 
+    def _refusal(self, tokens: int) -> Exhaustion | Unconfirmed | None:
+        """Return why the rest of the budget is too small for a turn."""
+        used = self._others_used() + self.used_tokens
+        if tokens > self.budget_tokens - used:
+            return self.exhaustion()
+        if tokens > self.budget_tokens - used - self.in_flight_tokens:
+            return Unconfirmed(Doubt.RUNNING_TURNS)
+        certain = used + self.in_flight_tokens + self._peer_unrecorded_total()
+        if tokens > self.budget_tokens - certain:
+            return Unconfirmed(Doubt.OTHER_HOLDERS)
+        if tokens > self._room(self._limit_tokens()):
+            return Unconfirmed(Doubt.OTHER_HOLDERS)
+        return None
+
+    def exhaustion(self) -> Exhaustion:
+        """Return the refusal for good."""
+        return Exhaustion(self.recorded_tokens, self.left_tokens)
+
     def settle(self, reserved_tokens: int, used_tokens: int) -> None:
         """Return the unused tokens of a turn's reservation."""
         self.in_flight_tokens -= reserved_tokens
-        self._add_unused(reserved_tokens - used_tokens)
-
-    def next_allocation(self, turn_tokens: int) -> int:
-        """Return the tokens to record before the next turn, 0 for none."""
-        missing = turn_tokens - self.left_tokens
-        if missing <= 0 and not self.unrecorded_tokens:
-            return 0
-        if self.is_standby:
-            return self.unrecorded_tokens
-        if missing > self._unallocated_tokens():
-            return self.unrecorded_tokens
-        return self._allocation_size(max(missing, 0))
+        self.used_tokens += used_tokens
+
+    def needs_record(self) -> bool:
+        """Return whether the record should be written soon."""
+        if self.needs_confirmation or self.needed_tokens:
+            return True
+        target = self._target_share()
+        if target.used_tokens != self._own_share.used_tokens:
+            return True
+        if target.allocated_tokens < self.own_recorded_tokens:
+            return True
+        return self._is_running_low(target)
+
+    def _is_running_low(self, target: ledger_records.Share) -> bool:
+        """Return whether the next turn would wait for an allocation."""
+        if self.unrecorded_tokens:
+            return True
+        is_low = self.left_tokens < self.max_turn_tokens
+        return is_low and target.allocated_tokens > self.own_recorded_tokens
+
+    def next_record(self, name: str) -> ledger_records.Record:
+        """Return the record to write, with the name of the write.
+
+        Until its outcome is known, no more is handed out than both this and
+        the last record cover.
+        """
+        share = self._target_share()
+        pending = share.allocated_tokens
+        if self._pending_tokens is not None:
+            pending = min(pending, self._pending_tokens)
+        self._pending_tokens = pending
+        shares = {**self._other_shares, self._holder_id: share}
+        return ledger_records.Record(shares, name, self.max_lost_tokens)
+
+    def handle_failed_write(self, is_unknown: bool) -> None:
+        """Handle a write that failed.
+
+        :param is_unknown: whether it may still have had an effect.
+        """
+        self._has_unknown_write |= is_unknown
+        if not self._has_unknown_write:
+            self._pending_tokens = None
+
+    def confirm_record(self, now_ms: float) -> None:
+        """Handle a store that still has the known record.
+
+        :param now_ms: time at which the store was asked for it.
+        """
+        self._has_unknown_write = False
+        self._pending_tokens = None
+        self.needs_confirmation = False
+        self.confirmed_ms = now_ms
 
     def apply_record(
-        self,
-        total_tokens: int,
-        revision: int,
-        own_tokens: int,
-        lost_tokens: int = 0,
+        self, record: ledger_records.Record, revision: int, now_ms: float = 0.0
     ) -> None:
-        """Apply the program's record in the store.
+        """Apply the program's record as the store has it.
 
-        :param total_tokens: tokens of all allocations of the program.
         :param revision: revision of the record.
-        :param own_tokens: tokens of this process's allocations that are newly
-            known to be recorded.
-        :param lost_tokens: ``max_lost_tokens`` of the process that wrote it.
+        :param now_ms: time at which the store was asked for it.
         """
-        self.recorded_tokens = max(total_tokens, self.recorded_tokens)
+        shares = dict(record.shares)
+        own = shares.pop(self._holder_id, None)
+        unknown = shares.get(ledger_records.UNKNOWN_HOLDER)
+        if own is None and unknown is not None:
+            # A process of the release before has replaced the record.
+            own = self._own_share
+            rest = unknown.allocated_tokens - own.allocated_tokens
+            shares[ledger_records.UNKNOWN_HOLDER] = unknown._replace(
+                allocated_tokens=max(rest, unknown.used_tokens)
+            )
+        self._own_share = own or ledger_records.Share()
+        self._other_shares = shares
+        self._reported_tokens = 0
         self.revision = revision
-        self.requested_tokens = 0
-        self.own_recorded_tokens += own_tokens
-        self.lost_tokens = max(self.max_lost_tokens, lost_tokens)
+        self.lost_tokens = max(self.max_lost_tokens, record.lost_tokens)
         self.may_lack_unrecorded = False
-        self._add_unused(own_tokens)
+        self.needed_tokens = 0
+        self.confirm_record(now_ms)
+
+    def _covered_total(self) -> int:
+        """Return the own tokens that the record covers for certain."""
+        if self._pending_tokens is None:
+            return self.own_recorded_tokens
+        return min(self.own_recorded_tokens, self._pending_tokens)
+
+    def _others_allocated(self) -> int:
+        recorded = sum(
+            share.allocated_tokens for share in self._other_shares.values()
+        )
+        reported = self._reported_tokens - self.own_recorded_tokens
+        return max(recorded, reported)
+
+    def _others_used(self) -> int:
+        return sum(share.used_tokens for share in self._other_shares.values())
+
+    def _others_open(self) -> int:
+        """Return the tokens of others of which nobody knows the use."""
+        return self._others_allocated() - self._others_used()
 
     def _peer_unrecorded_total(self) -> int:
         """Return the unrecorded tokens of all other holders."""
         return sum(self.peer_unrecorded_tokens.values())
 
-    def _unallocated_tokens(self) -> int:
-        """Return the tokens that are neither recorded nor handed out."""
-        usage = self.known_usage()
-        limit = self.budget_tokens + self.max_overrun_tokens
-        return limit - usage.recorded_tokens - usage.unrecorded_tokens
-
-    def _allocation_size(self, missing: int) -> int:
-        """Return the tokens of an allocation that covers unrecorded ones."""
-        needed = missing + self.unrecorded_tokens
-        if self.is_standby:
-            return needed
-        remaining = self._unallocated_tokens() + self.unrecorded_tokens
-        preferred = max(
-            self.budget_tokens // ALLOCATION_DIVISOR,
-            ALLOCATION_TURNS * self.max_turn_tokens,
-        )
-        return min(max(needed, preferred), max(remaining, needed))
+    def _limit_tokens(self) -> int:
+        """Return the most that all turns may get, lost tokens included."""
+        return self.budget_tokens + self.max_turn_tokens - self.max_lost_tokens
 
-    def _add_unused(self, tokens: int) -> None:
-        # Recorded tokens replace unrecorded ones first.
-        covered = min(max(tokens, 0), self.unrecorded_tokens)
-        self.unrecorded_tokens -= covered
-        self.left_tokens += tokens - covered
+    def _room(self, limit_tokens: int) -> int:
+        """Return what is neither allocated by others nor handed out here."""
+        others = self._others_allocated() + self._peer_unrecorded_total()
+        return limit_tokens - others - self.handed_out_tokens
+
+    def _outage_limit(self, used_tokens: int, turn_tokens: int) -> int:
+        """Return the maximum of the tokens that are handed out in an outage.
+
+        :param used_tokens: tokens that the record tells to be used.
+        """
+        rest = self.budget_tokens - used_tokens
+        return max(turn_tokens, rest // OUTAGE_DIVISOR)
+
+    def _target_share(self) -> ledger_records.Share:
+        """Return the share that the record should have."""
+        return ledger_records.Share(self._target_tokens(), self.used_tokens)
+
+    def _target_tokens(self) -> int:
+        """Return the own allocation that the record should have.
+
+        It covers what is handed out, a turn that waits, and the next turn
+        unless the use of other tokens is uncertain.
+        """
+        needed = self.needed_tokens
+        if needed > self._room(self._limit_tokens()):
+            needed = 0
+        target = self.handed_out_tokens + needed
+        uncertain = self._others_open() + self.max_lost_tokens
+        if self.is_standby or uncertain:
+            return target
+        rest = self._room(self.budget_tokens) - needed
+        return target + max(min(self.max_turn_tokens, rest), 0)
 
 
 def _without(tokens: Mapping[str, int], holder: str) -> Mapping[str, int]:
--- a/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
@@ -5,7 +5,7 @@
 import logging
 import threading
 import uuid
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
@@ -22,7 +22,7 @@
 
 
 class PendingPrograms(NamedTuple):
-    """Programs that still need an allocation after a transaction.
+    """Programs that must be recorded after a transaction.
 
     Turns wait for the urgent ones.
     """
@@ -31,6 +31,14 @@
     deferred: frozenset[str] = frozenset()
 
 
+class _Write(NamedTuple):
+    """Record of an account that is to be written."""
+
+    account: ledger.Account
+    key: str
+    record: ledger_records.Record
+
+
 class AllocationRecorder:
     """Recorder of allocations that also detects outages of the store.
 
@@ -52,7 +60,7 @@
         self._clock = clock
         self._changed = changed
         self._writer = uuid.uuid4().hex[:12]
-        self._allocation_number = 0
+        self._write_number = 0
         self._call_started_ms: float | None = None
         # Time of the last failed call, None after a successful one.
         self.failed_ms: float | None = None
@@ -69,38 +77,42 @@
         )
 
     def record(self, accounts: Sequence[ledger.Account]) -> PendingPrograms:
-        """Record one allocation for each account, in one transaction."""
+        """Record the shares of accounts, in one transaction."""
         with self._changed:
-            allocations = [self._allocate(account) for account in accounts]
-            conditions = [
-                interfaces.Condition(new.key, new.account.revision)
-                for new in allocations
-            ]
-            writes = [
-                interfaces.Write(new.key, ledger_records.encode(new))
-                for new in allocations
-            ]
-            self._call_started_ms = self._clock.now_ms()
+            writes = [self._prepare(account) for account in accounts]
+            started_ms = self._clock.now_ms()
+            self._call_started_ms = started_ms
         try:
-            result = self._store.transact(conditions, writes)
+            result = self._store.transact(
+                [
+                    interfaces.Condition(one.key, one.account.revision)
+                    for one in writes
+                ],
+                [
+                    interfaces.Write(
+                        one.key, ledger_records.encode(one.record)
+                    )
+                    for one in writes
+                ],
+            )
         except interfaces.StoreError as error:
-            return self._handle_failure(error, allocations)
+            return self._handle_failure(error, writes)
         with self._changed:
             self._handle_answer()
             self._changed.notify_all()
             match result:
                 case interfaces.Committed(revision):
-                    for allocation in allocations:
-                        ledger_records.apply_recorded(allocation, revision)
-                        _log_recorded(allocation)
-                    return PendingPrograms()
+                    for one in writes:
+                        _log_recorded(one, revision)
+                        one.account.apply_record(
+                            one.record, revision, started_ms
+                        )
                 case interfaces.Conflict(items):
-                    return _union(
-                        _apply_conflict(allocation, items.get(allocation.key))
-                        for allocation in allocations
-                    )
+                    for one in writes:
+                        _apply_conflict(one, items.get(one.key), started_ms)
                 case interfaces.LeaseExpired():
                     raise AssertionError("ledger records have no lease")
+            return _pending_programs(writes, result)
 
     def delete(self, accounts: Sequence[ledger.Account]) -> None:
         """Delete the records that no other process has changed."""
@@ -123,14 +135,11 @@
         except interfaces.StoreError as error:
             _log_unavailable(error)
 
-    def _allocate(self, account: ledger.Account) -> ledger_records.Allocation:
-        self._allocation_number += 1
-        name = f"{self._writer}.{self._allocation_number}"
-        tokens = account.requested_tokens
-        account.unconfirmed[name] = tokens
+    def _prepare(self, account: ledger.Account) -> _Write:
+        self._write_number += 1
+        name = f"{self._writer}.{self._write_number}"
         key = self._records.ledger_key(account.program_id)
-        total = account.recorded_tokens + tokens
-        return ledger_records.Allocation(account, key, name, tokens, total)
+        return _Write(account, key, account.next_record(name))
 
     def _handle_answer(self) -> None:
         self._call_started_ms = None
@@ -140,89 +149,83 @@
             events.log(events.Event.STORE_RECOVERED, user="ledger")
 
     def _handle_failure(
-        self,
-        error: interfaces.StoreError,
-        allocations: list[ledger_records.Allocation],
+        self, error: interfaces.StoreError, writes: Sequence[_Write]
     ) -> PendingPrograms:
         is_unknown = isinstance(error, interfaces.StoreOutcomeUnknownError)
-        deferred = set()
         with self._changed:
-            for allocation in allocations:
-                account = allocation.account
-                if not is_unknown:
-                    account.unconfirmed.pop(allocation.name, None)
-                if account.unrecorded_tokens:
-                    deferred.add(account.program_id)
+            for one in writes:
+                one.account.handle_failed_write(is_unknown)
             if self.failed_ms is None:
                 _log_unavailable(error)
             self.failed_ms = self._clock.now_ms()
             self.failure_reason = str(error)
             self._call_started_ms = None
             self._changed.notify_all()
-        return PendingPrograms(deferred=frozenset(deferred))
+        return PendingPrograms(
+            deferred=frozenset(one.account.program_id for one in writes)
+        )
 
 
 def _apply_conflict(
-    allocation: ledger_records.Allocation, item: interfaces.Item | None
-) -> PendingPrograms:
-    """Apply the conflicting record and request the allocation again.
+    write: _Write, item: interfaces.Item | None, started_ms: float
+) -> None:
+    """Apply the record that conflicts with a write, if it is another one.
 
-    The record's latest allocation may belong to this process, if the answer
-    to its transaction was lost.
+    A transaction is refused as a whole, so most of its records are the same.
     """
-    account = allocation.account
-    program_ids = frozenset((account.program_id,))
-    account.unconfirmed.pop(allocation.name, None)
+    account = write.account
     revision = item.revision if item else 0
     if revision == account.revision:
-        if allocation.tokens <= 0:
-            return PendingPrograms()
-        account.requested_tokens = allocation.tokens
-        return PendingPrograms(urgent=program_ids)
-    decoded = ledger_records.decode(item)
-    if decoded is None:
-        # The spent tokens are unknown, so the whole budget counts as spent.
+        account.confirm_record(started_ms)
+        return
+    record = ledger_records.decode(item)
+    if record is None:
+        # The used tokens are unknown, so the whole budget counts as spent.
         events.log(
             events.Event.RECORD_UNREADABLE,
             logging.WARNING,
-            key=allocation.key,
+            key=write.key,
             revision=revision,
             reason="the program's budget counts as spent",
         )
-        decoded = ledger_records.Record(account.budget_tokens, "")
-    own_tokens = account.unconfirmed.pop(decoded.name, 0)
-    account.apply_record(
-        decoded.tokens, revision, max(own_tokens, 0), decoded.lost_tokens
-    )
+        share = ledger_records.Share(account.budget_tokens)
+        record = ledger_records.Record({ledger_records.UNKNOWN_HOLDER: share})
+    account.apply_record(record, revision, started_ms)
     events.log(
         events.Event.BUDGET_RECORD_CHANGED,
         program_id=account.program_id,
-        recorded_tokens=decoded.tokens,
-        own_tokens=own_tokens,
+        recorded_tokens=record.allocated_tokens,
+        shares=record.shares,
+        own_tokens=account.own_recorded_tokens,
         lost_tokens=account.lost_tokens,
         revision=revision,
     )
-    if not account.unrecorded_tokens:
-        return PendingPrograms()
-    account.requested_tokens = account.unrecorded_tokens
-    return PendingPrograms(deferred=program_ids)
 
 
-def _union(parts: Iterable[PendingPrograms]) -> PendingPrograms:
-    found = list(parts)
-    return PendingPrograms(
-        frozenset().union(*(part.urgent for part in found)),
-        frozenset().union(*(part.deferred for part in found)),
+def _pending_programs(
+    writes: Sequence[_Write], result: interfaces.TransactionResult
+) -> PendingPrograms:
+    """Return the programs that must be recorded again.
+
+    Those of a refused transaction are urgent, as turns may wait for them.
+    """
+    pending = frozenset(
+        one.account.program_id for one in writes if one.account.needs_record()
     )
+    if isinstance(result, interfaces.Conflict):
+        return PendingPrograms(urgent=pending)
+    return PendingPrograms(deferred=pending)
 
 
-def _log_recorded(allocation: ledger_records.Allocation) -> None:
+def _log_recorded(write: _Write, revision: int) -> None:
     events.log(
         events.Event.BUDGET_ALLOCATED,
-        program_id=allocation.account.program_id,
-        tokens=allocation.tokens,
-        recorded_tokens=allocation.total_tokens,
-        revision=allocation.account.revision,
+        program_id=write.account.program_id,
+        shares=write.record.shares,
+        change_tokens=write.record.allocated_tokens
+        - write.account.recorded_tokens,
+        recorded_tokens=write.record.allocated_tokens,
+        revision=revision,
     )
 
 
--- a/packages/gateway/src/balsamloom_gateway/outage_policy.py
+++ b/packages/gateway/src/balsamloom_gateway/outage_policy.py
@@ -41,7 +41,7 @@
 
     :param turn_tokens: tokens of the turn that asks for them.
     """
-    limit = max(turn_tokens, account.max_outage_tokens())
+    limit = account.max_outage_tokens(turn_tokens)
     is_reported = account.has_peer_usage or evidence.has_report
     is_own = account.revision > 0 or evidence.knows_all
     match policy:
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -99,6 +99,7 @@
         return {
             "claim": self._book.known_usage(program_id),
             "unrecorded": self._book.peer_unrecorded_tokens(program_id),
+            "revision": self._book.known_revision(program_id),
         }
 
     def _grant_permit(self, body: dict[str, Any]) -> dict[str, Any]:
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -127,7 +127,11 @@
         clients = peers.PeerClients(clock)
         self._clients = clients
         self._book = budget_ledger.BudgetLedger(
-            store, records, clock, not settings.is_first_start
+            store,
+            records,
+            clock,
+            not settings.is_first_start,
+            standbys.holder_id(settings.name, settings.incarnation),
         )
         # Planned turns and this process's own calls are counted separately.
         self._turn_balancer = balancer.Balancer(
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -54,6 +54,12 @@
         :raises UnknownMembersError: it is not known yet whom to ask.
         """
 
+    def may_live(self, holder: str) -> bool:
+        """Return whether a holder's process may still run.
+
+        :param holder: id of the holder.
+        """
+
 
 class NoStandbys:
     """Absence of standbys, for a ledger without peers."""
@@ -83,6 +89,10 @@
         """Return no usage, which is certain as nobody else may know any."""
         return ledger.StandbyAnswers(None, is_complete=True)
 
+    def may_live(self, holder: str) -> bool:
+        """Return false, as no other holder is known."""
+        return False
+
 
 class PeerStandbys:
     """Standbys of this member, reached by calls between members.
@@ -103,14 +113,14 @@
         clock: clocks.Clock,
     ) -> None:
         self._name = name
-        self._id = _id(name, incarnation)
+        self._id = holder_id(name, incarnation)
         self._calls = member_calls.MemberCalls(clients, BREAKER_BACKOFF, clock)
         self._fleet = view
 
     def of(self, program_id: str) -> tuple[str, ...]:
         """Return name and incarnation of each other holder."""
         return tuple(
-            _id(member.name, member.incarnation)
+            holder_id(member.name, member.incarnation)
             for member in self._holders(program_id)
         )
 
@@ -122,7 +132,11 @@
     def primary_of(self, program_id: str) -> str:
         """Return the id of the program's primary holder, empty if unknown."""
         holders = membership.budget_holders(program_id, self._fleet.members())
-        return _id(holders[0].name, holders[0].incarnation) if holders else ""
+        return (
+            holder_id(holders[0].name, holders[0].incarnation)
+            if holders
+            else ""
+        )
 
     def report(
         self,
@@ -170,13 +184,26 @@
             [answer.get("unrecorded") or {} for answer in claims]
         )
         registered = {
-            _id(member.name, member.incarnation)
+            holder_id(member.name, member.incarnation)
             for member in self._fleet.members()
         }
         lost = frozenset(unrecorded) - registered
-        queried = ledger.QueriedUsage(usage, unrecorded, lost)
+        revisions = [int(answer.get("revision", 0)) for answer in claims]
+        # Processes of the release before do not name the revision.
+        revision = max(revisions) if all(revisions) else 0
+        queried = ledger.QueriedUsage(usage, unrecorded, lost, revision)
         return ledger.StandbyAnswers(queried, is_complete)
 
+    def may_live(self, holder: str) -> bool:
+        """Return whether a holder is registered, or may be again soon."""
+        name, has_incarnation, _ = holder.partition("/")
+        if not has_incarnation:
+            return False
+        for member in self._fleet.members():
+            if member.name == name:
+                return holder_id(name, member.incarnation) == holder
+        return not self._fleet.has_settled
+
     def _knows_enough_members(self) -> bool:
         """Return whether the members that may know a program are known.
 
@@ -227,6 +254,6 @@
         return [member for member in holders if member.name != self._name]
 
 
-def _id(name: str, incarnation: str) -> str:
+def holder_id(name: str, incarnation: str) -> str:
     """Return the id of a holder, another one for each of its processes."""
     return f"{name}/{incarnation}"
--- a/packages/gateway/src/balsamloom_gateway/usage_messages.py
+++ b/packages/gateway/src/balsamloom_gateway/usage_messages.py
@@ -29,6 +29,10 @@
             for report in message.reports
             if report.covered_tokens
         },
+        "revisions": {
+            report.usage.program_id: report.revision
+            for report in message.reports
+        },
         "is_sure": message.is_complete,
     }
 
@@ -39,12 +43,15 @@
     :raises ValueError: it is malformed.
     """
     try:
-        # Processes of the release before do not send the covered tokens.
+        # Processes of releases before do not send these fields.
         covered = body.get("covered") or {}
+        revisions = body.get("revisions") or {}
         usages = [ledger.Usage(*claim) for claim in body["claims"]]
         reports = [
             ledger.UsageReport(
-                usage, _decode_tokens(covered.get(usage.program_id, {}))
+                usage,
+                _decode_tokens(covered.get(usage.program_id, {})),
+                int(revisions.get(usage.program_id, 0)),
             )
             for usage in usages
         ]
