log audit: judge answers 402 by the logs of all edge processes

For a program with a wrong one it prints the turns, the decisions on its budget and the changes of its record by time. The command takes folders, and collected output with a time and a process in front of each line; those times are used, since the clocks of machines differ.

--- a/packages/gateway/src/balsamloom_gateway/explain.py
+++ b/packages/gateway/src/balsamloom_gateway/explain.py
@@ -5,8 +5,9 @@
 import datetime as dt
 import json
 import pathlib
+import re
 import sys
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
 import click
@@ -36,6 +37,9 @@
 SERVER_EVENTS = frozenset(
     {"server_view_changed", "registration_deleted", "attempt_failed"}
 )
+_COLLECTED_LINE = re.compile(
+    r"\s*(?P<time_s>-?\d+\.\d+) (?P<source>\S+) (?P<fields>\{.*)"
+)
 _HIDDEN = frozenset({"levelname", "message", "event", "asctime", "process"})
 
 
@@ -54,16 +58,33 @@
 
 def parse(source: str, lines: Iterable[str]) -> list[LogLine]:
     """Decode log lines and skip other output of a process."""
-    found = []
+    return list(decode(source, lines))
+
+
+def decode(source: str, lines: Iterable[str]) -> Iterator[LogLine]:
+    """Decode log lines one by one and skip other output of a process.
+
+    Lines that were collected from several processes begin with a time in
+    seconds and the name of the process; these are used then.
+    """
     for text in lines:
+        collected = _COLLECTED_LINE.match(text)
         try:
-            fields = json.loads(text)
-            time = dt.datetime.strptime(fields["asctime"], TIME_FORMAT)
+            if collected is None:
+                fields = json.loads(text)
+                time_s = _parse_time(fields["asctime"])
+            else:
+                fields = json.loads(collected["fields"])
+                time_s = float(collected["time_s"])
         except (ValueError, KeyError, TypeError):
             continue
         if "name_of_event" in fields:
-            found.append(LogLine(source, time.timestamp(), fields))
-    return found
+            name = collected["source"] if collected else source
+            yield LogLine(name, time_s, fields)
+
+
+def _parse_time(text: str) -> float:
+    return dt.datetime.strptime(text, TIME_FORMAT).timestamp()
 
 
 def select_related(lines: Iterable[LogLine], request_id: str) -> list[LogLine]:
--- a/packages/gateway/src/balsamloom_gateway/log_audit.py
+++ b/packages/gateway/src/balsamloom_gateway/log_audit.py
@@ -10,7 +10,15 @@
 
 import click
 
-from balsamloom_gateway import crash_ledger, explain
+from balsamloom_gateway import (
+    crash_ledger,
+    explain,
+    log_files,
+    refusal_audit,
+    refusal_report,
+)
+
+EVENT_NAMES = refusal_audit.EVENT_NAMES | {"lines_dropped", "server_crashed"}
 
 
 class ExcessAttempts(NamedTuple):
@@ -45,7 +53,7 @@
 
 
 class Audit(NamedTuple):
-    """Requests and programs beyond their limits.
+    """Requests and programs beyond their limits, and judged refusals.
 
     ``dropped_lines`` were not logged, so breaches may be missing.
     """
@@ -54,27 +62,36 @@
     exceeded_budgets: list[ExceededBudget]
     repeated_crashes: list[RepeatedCrash]
     mixed_streams: list[MixedStream]
+    refusals: refusal_audit.RefusalAudit
     dropped_lines: int
 
     @property
     def has_findings(self) -> bool:
-        """Return whether anything exceeds its limit."""
+        """Return whether a limit is exceeded or a refusal is wrong."""
         return bool(
             self.excess_attempts
             or self.exceeded_budgets
             or self.repeated_crashes
             or self.mixed_streams
+            or self.refusals.has_findings
         )
 
 
-def audit(lines: Iterable[explain.LogLine]) -> Audit:
-    """Return what exceeds its limit in the logs of all edge processes."""
+def audit(
+    lines: Iterable[explain.LogLine],
+    settle_ms: float = refusal_audit.DEFAULT_SETTLE_MS,
+) -> Audit:
+    """Return what is wrong by the logs of all edge processes.
+
+    :param settle_ms: see :func:`refusal_audit.audit`.
+    """
     known = list(lines)
     return Audit(
         _find_excess_attempts(known),
         _find_exceeded_budgets(known),
         _find_repeated_crashes(known),
         _find_mixed_streams(known),
+        refusal_audit.audit(known, settle_ms),
         sum(
             int(line.fields["lines"])
             for line in known
@@ -173,8 +190,8 @@
     ]
 
 
-def _describe(found: Audit) -> list[str]:
-    """Return a line of text for each finding."""
+def describe(found: Audit) -> list[str]:
+    """Return lines of text for each finding."""
     texts = [
         f"request {one.request_id} may have run on {len(one.server_ids)}"
         f" servers, limit {one.max_attempts}: {', '.join(one.server_ids)}"
@@ -195,6 +212,8 @@
         f" {', '.join(one.versions)}"
         for one in found.mixed_streams
     ]
+    if found.refusals.budget_refusals or found.refusals.has_findings:
+        texts += refusal_report.describe(found.refusals)
     if found.dropped_lines:
         texts.append(f"{found.dropped_lines} lines were dropped from the logs")
     return texts
@@ -205,22 +224,29 @@
     "logs",
     nargs=-1,
     required=True,
-    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    type=click.Path(exists=True, path_type=pathlib.Path),
+)
+@click.option(
+    "--settle-ms",
+    type=click.FloatRange(min=0),
+    default=refusal_audit.DEFAULT_SETTLE_MS,
+    show_default=True,
+    help="Turns that ended so shortly before a 402 count at their most.",
 )
-def main(logs: tuple[pathlib.Path, ...]) -> None:
-    """Search the LOGS of edge processes for exceeded limits.
+def main(logs: tuple[pathlib.Path, ...], settle_ms: float) -> None:
+    """Search the LOGS of edge processes for breaches and wrong refusals.
+
+    LOGS are files, folders of files, or lines of several processes collected
+    in one file, each with its time and process in front.
 
     Prints requests that may have run on more servers than their route allows,
     programs that got more tokens than their budget and one turn, targets
-    whose requests crashed more than three servers, and streams with events of
-    several software versions. Exits with 1 if there are any.
+    whose requests crashed more than three servers, streams with events of
+    several software versions, and turns that were refused though the budget
+    held them. Exits with 1 if there are any.
     """
-    lines: list[explain.LogLine] = []
-    for path in logs:
-        with path.open(encoding="utf-8", errors="replace") as file:
-            lines.extend(explain.parse(path.stem, file))
-    found = audit(lines)
-    for text in _describe(found):
+    found = audit(log_files.read(logs, EVENT_NAMES), settle_ms)
+    for text in describe(found):
         click.echo(text)
     if found.has_findings:
         sys.exit(1)
--- /dev/null
+++ b/packages/gateway/tests/log_builders.py
@@ -0,0 +1,92 @@
+"""Builders of log lines of edge processes, as text with a time in front."""
+
+import json
+
+BUDGET_TOKENS = 100
+TURN_TOKENS = 30
+
+
+def line(time_s, name, source="edge-1", **fields):
+    """Build one line of an event."""
+    text = json.dumps({"name_of_event": name, **fields})
+    return f"{time_s:9.4f} {source} {text}"
+
+
+def decided(time_s, request_id, outcome="reserved", **fields):
+    """Build the line of the decision on a turn's tokens."""
+    known = {
+        "program_id": "p",
+        "budget_tokens": BUDGET_TOKENS,
+        "turn_tokens": TURN_TOKENS,
+        "holder": "edge-2",
+        **fields,
+    }
+    return line(
+        time_s,
+        "budget_decided",
+        request_id=request_id,
+        outcome=outcome,
+        **known,
+    )
+
+
+def placed(time_s, request_id, **fields):
+    """Build the line of a request that is sent to a server."""
+    known = {"program_id": "p", "server_id": "s1", "max_attempts": 2, **fields}
+    return line(time_s, "request_placed", request_id=request_id, **known)
+
+
+def failed(time_s, request_id, is_sent, **fields):
+    """Build the line of an attempt without an answer."""
+    known = {"server_id": "s1", "reason": "no answer", **fields}
+    return line(
+        time_s,
+        "attempt_failed",
+        request_id=request_id,
+        is_sent=is_sent,
+        **known,
+    )
+
+
+def ended(time_s, request_id, status=200, reason="answered", **fields):
+    """Build the line of a final answer."""
+    known = {"program_id": "p", "duration_ms": 0.0, **fields}
+    return line(
+        time_s,
+        "request_ended",
+        request_id=request_id,
+        status=status,
+        reason=reason,
+        **known,
+    )
+
+
+def refused(time_s, request_id, status=503):
+    """Build the line of a refusal of a request that was not run."""
+    return line(
+        time_s,
+        "request_refused",
+        request_id=request_id,
+        status=status,
+        reason="no server",
+    )
+
+
+def turn(begun_s, ended_s, request_id, tokens, **fields):
+    """Build the lines of a turn that a server has answered."""
+    known = {"server_id": "s1", "tokens": tokens, **fields}
+    return [
+        decided(begun_s, request_id),
+        placed(begun_s, request_id),
+        ended(ended_s, request_id, **known),
+    ]
+
+
+def exhausted(time_s, request_id, program_id="p", **fields):
+    """Build the lines of a turn that gets 402."""
+    fields["program_id"] = program_id
+    reason = "the token budget is exhausted"
+    return [
+        decided(time_s, request_id, "exhausted, 100 recorded", **fields),
+        ended(time_s, request_id, 402, reason, program_id=program_id),
+    ]
