log audit: find 404 for stored turns and "not run" of what has run

A 404 for a previous turn that storage hosts had taken, and a 429, 503 or 402 for a request that also reached a server, end something for a caller and were seen only by whoever read the lines.

The audit now joins chain_read (absent) with turn_kept of the same turn at any process, and refusals with the attempts of the same request, before or after. turn_kept says the turn's retention, since a 404 after it is right; lines of older processes lack it and count as stored. Whether a line shows that a server may have run a request stood in log_audit and is shared now.

--- a/packages/gateway/src/balsamloom_gateway/conversations.py
+++ b/packages/gateway/src/balsamloom_gateway/conversations.py
@@ -351,6 +351,7 @@
             previous_turn_id=turn.previous_id,
             group_id=turn.group_id,
             hosts=plan.written_hosts,
+            retention_ms=turn.retention_ms,
             duration_ms=round(self._clock.now_ms() - started_ms, 1),
         )
 
--- a/packages/gateway/src/balsamloom_gateway/log_audit.py
+++ b/packages/gateway/src/balsamloom_gateway/log_audit.py
@@ -11,11 +11,13 @@
 import click
 
 from balsamloom_gateway import (
+    budget_refusals,
     crash_ledger,
     explain,
     log_files,
     refusal_audit,
     refusal_report,
+    request_lines,
 )
 
 EVENT_NAMES = refusal_audit.EVENT_NAMES | {"lines_dropped", "server_crashed"}
@@ -79,11 +81,11 @@
 
 def audit(
     lines: Iterable[explain.LogLine],
-    settle_ms: float = refusal_audit.DEFAULT_SETTLE_MS,
+    settle_ms: float = budget_refusals.DEFAULT_SETTLE_MS,
 ) -> Audit:
     """Return what is wrong by the logs of all edge processes.
 
-    :param settle_ms: see :func:`refusal_audit.audit`.
+    :param settle_ms: see :func:`budget_refusals.judge`.
     """
     known = list(lines)
     return Audit(
@@ -109,7 +111,7 @@
         request_id = line.fields.get("request_id", "")
         if line.name == "request_placed":
             max_attempts[request_id] = line.fields["max_attempts"]
-        elif _may_have_run(line):
+        elif request_lines.may_have_run(line):
             server_ids[request_id][line.fields["server_id"]] = None
     return [
         ExcessAttempts(request_id, tuple(server_ids[request_id]), limit)
@@ -118,16 +120,6 @@
     ]
 
 
-def _may_have_run(line: explain.LogLine) -> bool:
-    match line.name:
-        case "attempt_failed":
-            return bool(line.fields["is_sent"])
-        case "request_ended":
-            return "server_id" in line.fields
-        case _:
-            return False
-
-
 def _find_exceeded_budgets(
     lines: Iterable[explain.LogLine],
 ) -> list[ExceededBudget]:
@@ -191,7 +183,7 @@
 
 
 def describe(found: Audit) -> list[str]:
-    """Return lines of text for each finding."""
+    """Return a text for each finding, and the number of answers 402."""
     texts = [
         f"request {one.request_id} may have run on {len(one.server_ids)}"
         f" servers, limit {one.max_attempts}: {', '.join(one.server_ids)}"
@@ -212,8 +204,9 @@
         f" {', '.join(one.versions)}"
         for one in found.mixed_streams
     ]
-    if found.refusals.budget_refusals or found.refusals.has_findings:
-        texts += refusal_report.describe(found.refusals)
+    if found.refusals.budget.refusals:
+        texts.append(refusal_report.summarize(found.refusals))
+    texts += refusal_report.describe(found.refusals)
     if found.dropped_lines:
         texts.append(f"{found.dropped_lines} lines were dropped from the logs")
     return texts
@@ -229,7 +222,7 @@
 @click.option(
     "--settle-ms",
     type=click.FloatRange(min=0),
-    default=refusal_audit.DEFAULT_SETTLE_MS,
+    default=budget_refusals.DEFAULT_SETTLE_MS,
     show_default=True,
     help="Turns that ended so shortly before a 402 count at their most.",
 )
--- a/packages/gateway/src/balsamloom_gateway/refusal_audit.py
+++ b/packages/gateway/src/balsamloom_gateway/refusal_audit.py
@@ -2,301 +2,147 @@
 
 from __future__ import annotations
 
-import collections
-from collections.abc import Iterable, Mapping, Sequence
+import math
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import explain
+from balsamloom_gateway import budget_refusals, explain, request_lines
 
-# A turn that ended later than this before a refusal may count at its most.
-DEFAULT_SETTLE_MS = 1_000.0
-EVENT_NAMES = frozenset(
-    {
-        "attempt_failed",
-        "budget_decided",
-        "budget_record_changed",
-        "request_ended",
-        "request_placed",
-        "request_refused",
-    }
-)
-_BUDGET_EXHAUSTED_STATUS = 402
-_UNAVAILABLE_STATUS = 503
-_WHOLE_REASON = "answered"
+EVENT_NAMES = budget_refusals.EVENT_NAMES | {"chain_read", "turn_kept"}
+_NOT_FOUND_STATUS = 404
+# Answers that tell callers that their request has not run and never will.
+_NOT_RUN_STATUSES = frozenset({402, 408, 421, 429, 503})
 
-_LinesByRequest = Mapping[str, Sequence[explain.LogLine]]
 
+class DeniedTurn(NamedTuple):
+    """Answer 404 to a turn whose previous turn was stored.
 
-class Turn(NamedTuple):
-    """Turn of a program, as far as the logs tell.
-
-    ``begun_s`` and ``ended_s`` are times in the logs; ``ended_s`` is ``None``
-    for a turn without a logged end. ``is_sent`` says whether it may have
-    reached a server. ``used_tokens`` is ``None`` if it may have used up to
-    ``max_tokens``.
+    ``kept_s`` is the time at which the previous turn was stored.
     """
 
     request_id: str
+    previous_turn_id: str
     source: str
-    begun_s: float
-    ended_s: float | None
-    is_sent: bool
-    max_tokens: int
-    used_tokens: int | None
-    ending: str
-
-    def count_at(self, settled_s: float) -> TokenCount:
-        """Return the tokens to count if only ends up to a time are known."""
-        if not self.is_sent:
-            return TokenCount(0, 0)
-        is_settled = self.ended_s is not None and self.ended_s <= settled_s
-        if self.used_tokens is not None and is_settled:
-            return TokenCount(self.used_tokens, 0)
-        return TokenCount(0, self.max_tokens)
-
-
-class TokenCount(NamedTuple):
-    """Tokens of turns: those used, and the most of turns in doubt."""
-
-    used_tokens: int
-    max_open_tokens: int
+    time_s: float
+    kept_s: float
+    hosts: tuple[str, ...]
 
 
-class BudgetRefusal(NamedTuple):
-    """Answer 402 to a turn, and what the program's turns had used by then."""
+class ContradictedRefusal(NamedTuple):
+    """Answer that says "not run" to a request that may have run."""
 
-    program_id: str
     request_id: str
     source: str
     time_s: float
-    budget_tokens: int
-    turn_tokens: int
-    spent: TokenCount
-    holder: str
-    outcome: str
-
-    @property
-    def is_wrong(self) -> bool:
-        """Return whether the budget held one more turn for certain."""
-        needed_tokens = sum(self.spent) + self.turn_tokens
-        return needed_tokens <= self.budget_tokens
-
-
-class ProgramHistory(NamedTuple):
-    """Turns of a program and what its budget's holders logged, by time."""
-
-    program_id: str
-    turns: list[Turn]
-    decisions: list[explain.LogLine]
+    status: int
+    server_ids: tuple[str, ...]
 
 
 class RefusalAudit(NamedTuple):
-    """Refusals in the logs.
+    """Refusals in the logs: all answers 402, and wrong ones of other kinds."""
 
-    ``histories`` are those of the programs with a wrong answer 402.
-    """
-
-    budget_refusals: list[BudgetRefusal]
-    histories: list[ProgramHistory]
-
-    @property
-    def wrong_budget_refusals(self) -> list[BudgetRefusal]:
-        """Return the answers 402 that the budget does not explain."""
-        return [one for one in self.budget_refusals if one.is_wrong]
+    budget: budget_refusals.BudgetAudit
+    denied_turns: list[DeniedTurn]
+    contradicted_refusals: list[ContradictedRefusal]
 
     @property
     def has_findings(self) -> bool:
         """Return whether any refusal is wrong."""
-        return bool(self.wrong_budget_refusals)
+        return bool(
+            self.budget.wrong_refusals
+            or self.denied_turns
+            or self.contradicted_refusals
+        )
 
 
 def audit(
-    lines: Iterable[explain.LogLine], settle_ms: float = DEFAULT_SETTLE_MS
+    lines: Iterable[explain.LogLine],
+    settle_ms: float = budget_refusals.DEFAULT_SETTLE_MS,
 ) -> RefusalAudit:
     """Judge the refusals in the logs of all edge processes.
 
-    :param settle_ms: turns that ended within this time before an answer 402
-        count as if they had not ended.
+    :param settle_ms: see :func:`budget_refusals.judge`.
     """
     known = sorted(
         (line for line in lines if line.name in EVENT_NAMES),
         key=lambda line: line.time_s,
     )
-    by_request = _group(known, "request_id")
-    by_program = _group(known, "program_id")
-    turns = {
-        program_id: _find_turns(found, by_request)
-        for program_id, found in by_program.items()
-    }
-    refusals = [
-        refusal
-        for program_id, found in by_program.items()
-        for refusal in _find_budget_refusals(
-            found, turns[program_id], settle_ms
-        )
-    ]
-    wrong_ids = dict.fromkeys(
-        refusal.program_id for refusal in refusals if refusal.is_wrong
+    by_request = request_lines.group(known, "request_id")
+    return RefusalAudit(
+        budget_refusals.judge(known, by_request, settle_ms),
+        _find_denied_turns(known, by_request),
+        _find_contradicted_refusals(by_request),
     )
-    histories = [
-        ProgramHistory(
-            program_id,
-            turns[program_id],
-            _select(
-                by_program[program_id],
-                "budget_decided",
-                "budget_record_changed",
-            ),
-        )
-        for program_id in wrong_ids
-    ]
-    return RefusalAudit(refusals, histories)
-
-
-def _group(lines: Iterable[explain.LogLine], field: str) -> _LinesByRequest:
-    groups: dict[str, list[explain.LogLine]] = collections.defaultdict(list)
-    for line in lines:
-        value = line.fields.get(field)
-        if value:
-            groups[value].append(line)
-    return groups
-
 
-def _select(
-    lines: Iterable[explain.LogLine], *names: str
-) -> list[explain.LogLine]:
-    return [line for line in lines if line.name in names]
 
-
-def _find_turns(
-    program_lines: Iterable[explain.LogLine], by_request: _LinesByRequest
-) -> list[Turn]:
-    """Return a program's turns.
-
-    Calls of tools name their program as well, but ask for no tokens.
-    """
-    decisions = {
-        line.fields["request_id"]: line
-        for line in _select(program_lines, "budget_decided")
-    }
+def _find_denied_turns(
+    lines: Iterable[explain.LogLine], by_request: request_lines.LineGroups
+) -> list[DeniedTurn]:
     return [
-        _read_turn(decision, by_request[request_id])
-        for request_id, decision in decisions.items()
+        denied
+        for read in request_lines.select(lines, "chain_read")
+        if read.fields["outcome"] == "absent"
+        for denied in _find_denials(read, by_request)
     ]
 
 
-def _read_turn(
-    decision: explain.LogLine, lines: Sequence[explain.LogLine]
-) -> Turn:
-    """Read a turn from the decision on its tokens and all of its lines."""
-    end = next(iter(_select(lines, "request_ended", "request_refused")), None)
-    begun_s = lines[0].time_s
-    if end is not None:
-        duration_s = end.fields.get("duration_ms", 0.0) / clocks.MS_PER_S
-        begun_s = min(begun_s, end.time_s - duration_s)
-    return Turn(
-        decision.fields["request_id"],
-        decision.source,
-        begun_s,
-        end.time_s if end else None,
-        _is_sent(lines),
-        decision.fields["turn_tokens"],
-        _used_tokens(end),
-        _describe_end(lines, end),
-    )
-
-
-def _used_tokens(end: explain.LogLine | None) -> int | None:
-    """Return the tokens of a turn, ``None`` if they are not certain."""
-    if end is None:
-        return None
-    status = end.fields.get("status", 0)
-    if 400 <= status < 500 or status == _UNAVAILABLE_STATUS:
-        return 0
-    is_whole = end.fields.get("reason") == _WHOLE_REASON and status < 300
-    return end.fields.get("tokens", 0) if is_whole else None
-
-
-def _is_sent(lines: Sequence[explain.LogLine]) -> bool:
-    """Return whether a server may have got a request."""
-    last = lines[-1]
-    if last.name == "request_placed":
-        # The process was lost before it knew more.
-        return True
-    if last.name == "attempt_failed" and last.fields.get("is_kept_channel"):
-        # It may be sent once more, on a new connection.
-        return True
-    return any(_has_run(line) for line in lines)
-
-
-def _has_run(line: explain.LogLine) -> bool:
-    """Return whether a server may have run the request of a line."""
-    match line.name:
-        case "attempt_failed":
-            return bool(line.fields["is_sent"])
-        case "request_ended":
-            return "server_id" in line.fields
-        case _:
-            return False
-
-
-def _describe_end(
-    lines: Sequence[explain.LogLine], end: explain.LogLine | None
-) -> str:
-    if end is not None:
-        status = end.fields.get("status", "")
-        return f"{status} {end.fields.get('reason', '')}"
-    last = lines[-1]
-    return f"no end; last {last.name} {last.fields.get('reason', '')}".strip()
-
-
-def _find_budget_refusals(
-    program_lines: Iterable[explain.LogLine],
-    turns: Sequence[Turn],
-    settle_ms: float,
-) -> list[BudgetRefusal]:
-    decisions = {
-        line.fields["request_id"]: line
-        for line in _select(program_lines, "budget_decided")
-    }
+def _find_denials(
+    read: explain.LogLine, by_request: request_lines.LineGroups
+) -> list[DeniedTurn]:
+    """Return the wrong 404 after a turn that was stored was not found."""
+    request_id = read.fields["request_id"]
+    previous_turn_id = read.fields["previous_turn_id"]
+    kept = [
+        line
+        for line in request_lines.select(
+            by_request.get(previous_turn_id, ()), "turn_kept"
+        )
+        if _is_kept_at(line, read)
+    ]
     return [
-        _judge(line, decisions[line.fields["request_id"]], turns, settle_ms)
-        for line in _select(program_lines, "request_ended")
-        if _is_budget_refusal(line) and line.fields["request_id"] in decisions
+        DeniedTurn(
+            request_id,
+            previous_turn_id,
+            line.source,
+            line.time_s,
+            kept[0].time_s,
+            tuple(kept[0].fields["hosts"]),
+        )
+        for line in by_request[request_id]
+        if kept and request_lines.own_status(line) == _NOT_FOUND_STATUS
     ]
 
 
-def _is_budget_refusal(line: explain.LogLine) -> bool:
-    """Return whether a line is the end of a turn with a 402 of ours."""
-    is_ours = "server_id" not in line.fields
-    return is_ours and line.fields.get("status") == _BUDGET_EXHAUSTED_STATUS
+def _is_kept_at(kept: explain.LogLine, read: explain.LogLine) -> bool:
+    """Return whether a turn was stored all the while that it was looked up.
 
+    Processes of older versions do not log the retention.
+    """
+    read_s = read.time_s - read.fields["duration_ms"] / clocks.MS_PER_S
+    retention_ms = kept.fields.get("retention_ms", math.inf)
+    expires_s = kept.time_s + retention_ms / clocks.MS_PER_S
+    return bool(kept.time_s <= read_s and read.time_s < expires_s)
 
-def _judge(
-    answer: explain.LogLine,
-    decision: explain.LogLine,
-    turns: Sequence[Turn],
-    settle_ms: float,
-) -> BudgetRefusal:
-    settled_s = answer.time_s - settle_ms / clocks.MS_PER_S
-    counts = [
-        turn.count_at(settled_s)
-        for turn in turns
-        if turn.begun_s <= answer.time_s
-        and turn.request_id != answer.fields["request_id"]
+
+def _find_contradicted_refusals(
+    by_request: request_lines.LineGroups,
+) -> list[ContradictedRefusal]:
+    """Return the refusals as not run of requests that may have run."""
+    return [
+        ContradictedRefusal(
+            request_id,
+            line.source,
+            line.time_s,
+            line.fields["status"],
+            tuple(dict.fromkeys(run.fields["server_id"] for run in runs)),
+        )
+        for request_id, lines in by_request.items()
+        if (
+            runs := [
+                line for line in lines if request_lines.may_have_run(line)
+            ]
+        )
+        for line in lines
+        if request_lines.own_status(line) in _NOT_RUN_STATUSES
     ]
-    return BudgetRefusal(
-        answer.fields["program_id"],
-        answer.fields["request_id"],
-        answer.source,
-        answer.time_s,
-        decision.fields["budget_tokens"],
-        decision.fields["turn_tokens"],
-        TokenCount(
-            sum(count.used_tokens for count in counts),
-            sum(count.max_open_tokens for count in counts),
-        ),
-        decision.fields["holder"],
-        decision.fields["outcome"],
-    )
--- a/packages/gateway/src/balsamloom_gateway/refusal_report.py
+++ b/packages/gateway/src/balsamloom_gateway/refusal_report.py
@@ -4,49 +4,58 @@
 
 import collections
 import datetime as dt
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 
-from balsamloom_gateway import explain, refusal_audit
+from balsamloom_gateway import budget_refusals, explain, refusal_audit
 
 # Lower times count from the beginning of a collection of logs.
 MIN_WALL_TIME_S = 1e9
 
 
-def describe(found: refusal_audit.RefusalAudit) -> Iterator[str]:
-    """Return lines of text about the refusals, wrong ones in full."""
-    yield summarize(found)
+def describe(found: refusal_audit.RefusalAudit) -> list[str]:
+    """Return a text for each finding, with its program's way for a 402."""
     refusals = collections.defaultdict(list)
-    for refusal in found.wrong_budget_refusals:
+    for refusal in found.budget.wrong_refusals:
         refusals[refusal.program_id].append(refusal)
-    for history in found.histories:
-        yield from _describe_program(history, refusals[history.program_id])
+    return [
+        *(
+            _describe_program(history, refusals[history.program_id])
+            for history in found.budget.histories
+        ),
+        *map(_describe_denied_turn, found.denied_turns),
+        *map(_describe_contradicted_refusal, found.contradicted_refusals),
+    ]
 
 
 def summarize(found: refusal_audit.RefusalAudit) -> str:
     """Return the counts of answers 402, of wrong ones and their programs."""
     return (
-        f"{len(found.budget_refusals)} answers 402,"
-        f" {len(found.wrong_budget_refusals)} wrong,"
-        f" of {len(found.histories)} programs"
+        f"{len(found.budget.refusals)} answers 402,"
+        f" {len(found.budget.wrong_refusals)} wrong,"
+        f" of {len(found.budget.histories)} programs"
     )
 
 
 def _describe_program(
-    history: refusal_audit.ProgramHistory,
-    refusals: Sequence[refusal_audit.BudgetRefusal],
-) -> Iterator[str]:
-    yield f"program {history.program_id}: {len(refusals)} answers 402 wrong"
-    for refusal in refusals:
-        yield f"  {_describe_refusal(refusal)}"
+    history: budget_refusals.ProgramHistory,
+    refusals: Sequence[budget_refusals.BudgetRefusal],
+) -> str:
     timeline = [
         *((turn.begun_s, _describe_turn(turn)) for turn in history.turns),
         *((line.time_s, _describe_line(line)) for line in history.decisions),
     ]
-    for time_s, text in sorted(timeline):
-        yield f"    {format_time(time_s)} {text}"
+    lines = [
+        f"program {history.program_id}: {len(refusals)} answers 402 wrong",
+        *(f"  {_describe_refusal(refusal)}" for refusal in refusals),
+        *(
+            f"    {format_time(time_s)} {text}"
+            for time_s, text in sorted(timeline)
+        ),
+    ]
+    return "\n".join(lines)
 
 
-def _describe_refusal(refusal: refusal_audit.BudgetRefusal) -> str:
+def _describe_refusal(refusal: budget_refusals.BudgetRefusal) -> str:
     spent = refusal.spent
     return (
         f"{format_time(refusal.time_s)} {refusal.source} request"
@@ -57,17 +66,16 @@
     )
 
 
-def _describe_turn(turn: refusal_audit.Turn) -> str:
+def _describe_turn(turn: budget_refusals.Turn) -> str:
     tokens = str(turn.used_tokens)
     if not turn.is_sent:
         tokens = "0"
     elif turn.used_tokens is None:
         tokens = f"up to {turn.max_tokens}"
-    end = "" if turn.ended_s is None else f" at {format_time(turn.ended_s)}"
-    return (
-        f"{turn.source} turn {turn.request_id}: {tokens} tokens, ended"
-        f"{end}: {turn.ending}"
-    )
+    end = turn.ending
+    if turn.ended_s is not None:
+        end = f"ended at {format_time(turn.ended_s)}: {end}"
+    return f"{turn.source} turn {turn.request_id}: {tokens} tokens, {end}"
 
 
 def _describe_line(line: explain.LogLine) -> str:
@@ -86,6 +94,25 @@
     )
 
 
+def _describe_denied_turn(denied: refusal_audit.DeniedTurn) -> str:
+    return (
+        f"{format_time(denied.time_s)} {denied.source} request"
+        f" {denied.request_id}: 404 for the previous turn"
+        f" {denied.previous_turn_id}, stored at"
+        f" {format_time(denied.kept_s)} by {', '.join(denied.hosts)}"
+    )
+
+
+def _describe_contradicted_refusal(
+    refusal: refusal_audit.ContradictedRefusal,
+) -> str:
+    return (
+        f"{format_time(refusal.time_s)} {refusal.source} request"
+        f" {refusal.request_id}: {refusal.status} says not run, but it"
+        f" may have run at {', '.join(refusal.server_ids)}"
+    )
+
+
 def format_time(time_s: float) -> str:
     """Return a time of a log line as text."""
     if time_s < MIN_WALL_TIME_S:
--- a/packages/gateway/tests/log_builders.py
+++ b/packages/gateway/tests/log_builders.py
@@ -90,3 +90,29 @@
         decided(time_s, request_id, "exhausted, 100 recorded", **fields),
         ended(time_s, request_id, 402, reason, program_id=program_id),
     ]
+
+
+def kept(time_s, turn_id, retention_ms=60_000.0, **fields):
+    """Build the line of a turn that storage hosts have stored."""
+    return line(
+        time_s,
+        "turn_kept",
+        request_id=turn_id,
+        hosts=["storage-1", "storage-2"],
+        retention_ms=retention_ms,
+        **fields,
+    )
+
+
+def denied(time_s, request_id, previous_turn_id, outcome="absent"):
+    """Build the lines of a turn that gets 404 for the one before."""
+    read = line(
+        time_s,
+        "chain_read",
+        request_id=request_id,
+        previous_turn_id=previous_turn_id,
+        outcome=outcome,
+        duration_ms=10.0,
+    )
+    reason = "the previous turn does not exist"
+    return [read, ended(time_s, request_id, 404, reason)]
--- a/packages/gateway/tests/test_conversations.py
+++ b/packages/gateway/tests/test_conversations.py
@@ -26,6 +26,17 @@
         self.assertEqual(len(self.cluster.holders(turn)), 2)
         self.assertEqual(self.read("t"), turns.Chain("g", b"<tt>\n"))
 
+    def test_log_says_how_long_a_turn_is_stored(self):
+        turn = storage_nodes.turn("t")
+        with self.assertLogs("balsamloom", "INFO") as logs:
+            self.keep(turn)
+        (kept,) = [
+            record
+            for record in logs.records
+            if record.name_of_event == "turn_kept"
+        ]
+        self.assertEqual(kept.retention_ms, turn.retention_ms)
+
     def test_host_that_is_down_is_replaced_by_another(self):
         self.cluster.node("a1").stop()
         for number in range(6):
--- a/packages/gateway/tests/test_refusal_audit.py
+++ b/packages/gateway/tests/test_refusal_audit.py
@@ -4,13 +4,18 @@
 
 import log_builders
 
-from balsamloom_gateway import explain, refusal_audit, refusal_report
+from balsamloom_gateway import (
+    budget_refusals,
+    explain,
+    refusal_audit,
+    refusal_report,
+)
 
 # The answer 402 that the tests judge comes at this time.
 REFUSED_S = 10.0
 
 
-def audit(*lines, settle_ms=refusal_audit.DEFAULT_SETTLE_MS):
+def audit(*lines, settle_ms=budget_refusals.DEFAULT_SETTLE_MS):
     """Judge the refusals in lines of text."""
     return refusal_audit.audit(explain.parse("", lines), settle_ms)
 
@@ -25,9 +30,9 @@
         """Return the only answer 402 after some lines."""
         refusal = log_builders.exhausted(REFUSED_S, "last")
         found = audit(*lines, *refusal, **options)
-        self.assertEqual(len(found.budget_refusals), 1)
-        self.assertEqual(found.has_findings, found.budget_refusals[0].is_wrong)
-        return found.budget_refusals[0]
+        self.assertEqual(len(found.budget.refusals), 1)
+        self.assertEqual(found.has_findings, found.budget.refusals[0].is_wrong)
+        return found.budget.refusals[0]
 
     def test_program_with_tokens_for_a_turn_is_found(self):
         refusal = self.judge(
@@ -172,7 +177,7 @@
 
     def test_402_of_a_server_is_not_judged(self):
         found = audit(*log_builders.turn(1, 2, "r1", 0, status=402))
-        self.assertEqual(found.budget_refusals, [])
+        self.assertEqual(found.budget.refusals, [])
 
     def test_lines_of_several_processes_may_come_in_any_order(self):
         lines = [
@@ -196,9 +201,13 @@
             *log_builders.exhausted(REFUSED_S, "r2"),
             *log_builders.exhausted(REFUSED_S, "r3", program_id="q"),
         ]
-        texts = list(refusal_report.describe(audit(*lines)))
-        self.assertEqual(texts[0], "2 answers 402, 2 wrong, of 2 programs")
-        report = "\n".join(texts)
+        found = audit(*lines)
+        self.assertEqual(
+            refusal_report.summarize(found),
+            "2 answers 402, 2 wrong, of 2 programs",
+        )
+        texts = refusal_report.describe(found)
+        self.assertEqual(len(texts), 2)
         for text in (
             "10.000 edge-1 request r2: budget 100, used 30, at most 0 more",
             "edge-2 said: exhausted, 100 recorded",
@@ -206,7 +215,126 @@
             "3.000 edge-2 budget_record_changed: 100 recorded, 0 of them own",
             "1.000 edge-1 budget_decided for r1: 30 of 100 at edge-2: res",
         ):
-            self.assertIn(text, report)
+            self.assertIn(text, texts[0])
+
+
+class DeniedTurnTest(unittest.TestCase):
+    """Guards against answers 404 for stored turns that nobody notices."""
+
+    def test_stored_turn_that_is_denied_is_found(self):
+        kept = log_builders.kept(1, "r1", source="edge-2")
+        found = audit(kept, *log_builders.denied(5, "r2", "r1"))
+        self.assertTrue(found.has_findings)
+        self.assertEqual(
+            found.denied_turns,
+            [
+                refusal_audit.DeniedTurn(
+                    "r2", "r1", "edge-1", 5.0, 1.0, ("storage-1", "storage-2")
+                )
+            ],
+        )
+        self.assertIn(
+            "5.000 edge-1 request r2: 404 for the previous turn r1, stored"
+            " at 1.000 by storage-1, storage-2",
+            refusal_report.describe(found),
+        )
+
+    def test_turn_whose_line_lacks_its_retention_counts_as_stored(self):
+        kept = log_builders.line(
+            1, "turn_kept", request_id="r1", hosts=["storage-1"]
+        )
+        found = audit(kept, *log_builders.denied(500, "r2", "r1"))
+        self.assertEqual(len(found.denied_turns), 1)
+
+    def test_404_for_an_expired_or_unknown_turn_is_right(self):
+        kept = log_builders.kept(1, "r1", retention_ms=3_000.0)
+        for name, lines in {
+            "expired": log_builders.denied(4, "r2", "r1"),
+            "unknown": log_builders.denied(2, "r2", "r0"),
+            "stored since": log_builders.denied(0.9, "r2", "r1"),
+            "stored meanwhile": log_builders.denied(1.005, "r2", "r1"),
+        }.items():
+            with self.subTest(name):
+                self.assertFalse(audit(kept, *lines).has_findings)
+
+    def test_turn_that_was_not_stored_may_be_denied(self):
+        cut = log_builders.line(1, "turn_not_kept", request_id="r1")
+        found = audit(cut, *log_builders.denied(2, "r2", "r1"))
+        self.assertFalse(found.has_findings)
+
+    def test_404_for_another_reason_is_right(self):
+        kept = log_builders.kept(1, "r1")
+        found = log_builders.denied(2, "r2", "r1", outcome="30 bytes")
+        self.assertFalse(audit(kept, *found).has_findings)
+
+
+class ContradictedRefusalTest(unittest.TestCase):
+    """Guards against refusals as not run of requests that have run."""
+
+    def test_refused_request_that_has_run_is_found(self):
+        for status in (429, 503):
+            for sent in (
+                log_builders.failed(1, "r1", is_sent=True),
+                log_builders.ended(1, "r1", server_id="s1"),
+            ):
+                with self.subTest(status=status, sent=sent):
+                    refusal = log_builders.refused(2, "r1", status)
+                    found = audit(sent, refusal)
+                    self.assertTrue(found.has_findings)
+                    self.assertEqual(
+                        found.contradicted_refusals,
+                        [
+                            refusal_audit.ContradictedRefusal(
+                                "r1", "edge-1", 2.0, status, ("s1",)
+                            )
+                        ],
+                    )
+
+    def test_refused_request_that_runs_later_is_found(self):
+        refusal = log_builders.refused(1, "r1")
+        run = log_builders.ended(
+            2, "r1", source="edge-2", server_id="s2", tokens=1
+        )
+        found = audit(refusal, run)
+        self.assertEqual(len(found.contradicted_refusals), 1)
+        self.assertIn(
+            "1.000 edge-1 request r1: 503 says not run, but it may have run"
+            " at s2",
+            refusal_report.describe(found),
+        )
+
+    def test_exhausted_turn_that_has_run_is_found(self):
+        lines = log_builders.turn(1, 2, "r1", 10)
+        found = audit(*lines, *log_builders.exhausted(3, "r1"))
+        statuses = [one.status for one in found.contradicted_refusals]
+        self.assertEqual(statuses, [402])
+
+    def test_refusal_of_a_request_that_no_server_ran_is_right(self):
+        for name, lines in {
+            "never sent": [],
+            "refused by a server": [
+                log_builders.placed(1, "r1"),
+                log_builders.failed(2, "r1", is_sent=False),
+            ],
+            "another request ran": log_builders.turn(1, 2, "r2", 1),
+        }.items():
+            with self.subTest(name):
+                refusal = log_builders.refused(3, "r1")
+                found = audit(*lines, refusal)
+                self.assertEqual(found.contradicted_refusals, [])
+
+    def test_answers_that_promise_nothing_are_right(self):
+        sent = log_builders.failed(1, "r1", is_sent=True)
+        for status in (502, 504):
+            with self.subTest(status):
+                end = log_builders.ended(2, "r1", status, "no answer")
+                self.assertFalse(audit(sent, end).has_findings)
+        rejected = log_builders.refused(2, "r1", 413)
+        self.assertFalse(audit(sent, rejected).has_findings)
+
+    def test_answer_of_a_server_is_no_refusal_of_ours(self):
+        run = log_builders.ended(1, "r1", 429, server_id="s1")
+        self.assertFalse(audit(run).has_findings)
 
 
 if __name__ == "__main__":
