--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -21,6 +21,8 @@
     ledger_recorder,
     outage_policy,
     standbys,
+    usage_messages,
+    usages,
 )
 
 # Delay of allocations that no turn waits for, so that many share a batch.
@@ -34,9 +36,14 @@
 # Turns that run for longer count at their most before a program is refused.
 RUNNING_TURN_GRACE_MS = 1_000.0
 # A refusal rests on a record that the store confirmed within this time.
-CONFIRMATION_AGE_MS = 1_000.0
-# Holder name under which the answers of queried standbys are merged.
-QUERIED_STANDBYS = "asked"
+CONFIRMATION_AGE_MS = 500.0
+# Processes that have run for this time know what lost ones handed out, or that
+# these could record it.
+VOUCHING_MS = 10_000.0
+# A turn that was not served comes again within this time.
+NEEDED_MS = 1_000.0
+# Transactions in which a stopping process returns an allocation, at most.
+MAX_RELEASE_ATTEMPTS = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,11 +51,13 @@
     """Refusal: no allocation could be recorded, so the turn must not run.
 
     ``is_pending`` says that the allocation may still be recorded. Each
-    further holder that is tried may record another one.
+    further holder that is tried may record another one. ``is_decided`` says
+    that no other holder may serve the turn now: it would know less.
     """
 
     reason: str
     is_pending: bool = False
+    is_decided: bool = False
 
 
 ReservationResult = ledger.Reservation | ledger.Exhaustion | RecordingFailure
@@ -88,8 +97,9 @@
         self._has_new_members = False
         self._complete_reports = complete_reports.CompleteReports(clock)
         self._caution_until_ms = -math.inf
-        self._outage_caution_until_ms = -math.inf
         self._is_restart = is_restart
+        self._started_ms = clock.now_ms()
+        self._has_started_in_outage = False
         if is_restart:
             self._caution_until_ms = clock.now_ms() + CAUTION_MS
         self._is_stopping = False
@@ -114,7 +124,7 @@
         if not self._is_restart:
             return
         with self._changed:
-            self._outage_caution_until_ms = self._clock.now_ms() + CAUTION_MS
+            self._has_started_in_outage = True
             for account in self._accounts.values():
                 account.may_lack_unrecorded = True
         events.log(
@@ -148,7 +158,7 @@
     def merge_usages(
         self,
         holder: str,
-        reports: Sequence[ledger.UsageReport],
+        reports: Sequence[usages.UsageReport],
         is_complete: bool,
     ) -> None:
         """Merge the usages that another holder reported.
@@ -161,26 +171,27 @@
             if is_complete:
                 self._complete_reports.record(holder)
             for report in reports:
+                is_new = report.usage.program_id not in self._accounts
                 account = self._account(*report.usage[:2])
-                account.merge_report(holder, report)
+                if is_new:
+                    # The reporting process knows of unrecorded tokens.
+                    account.may_lack_unrecorded = False
+                account.merge_report(report)
 
-    def peer_unrecorded_tokens(self, program_id: str) -> dict[str, int]:
-        """Return the unrecorded tokens of other holders, by their id."""
-        with self._changed:
-            account = self._accounts.get(program_id)
-            return dict(account.peer_unrecorded_tokens) if account else {}
-
-    def known_revision(self, program_id: str) -> int:
-        """Return the revision of a program's record, 0 if it is not known."""
-        with self._changed:
-            account = self._accounts.get(program_id)
-            return account.revision if account else 0
-
-    def known_usage(self, program_id: str) -> ledger.Usage | None:
-        """Return the usage of a program as far as this holder knows it."""
+    def known_usage(self, program_id: str) -> usage_messages.UsageAnswer:
+        """Return what this holder knows of a program."""
+        now_ms = self._clock.now_ms()
         with self._changed:
             account = self._accounts.get(program_id)
-            return account.known_usage() if account else None
+            report = account.next_report() if account else None
+            if account and report:
+                report = report._replace(usage=account.known_usage())
+            failed_ms = self._recorder.last_failure_ms
+        remembers = now_ms - self._started_ms >= VOUCHING_MS
+        could_record = now_ms - failed_ms >= VOUCHING_MS
+        return usage_messages.UsageAnswer(
+            report, remembers, remembers and could_record
+        )
 
     def reserve(
         self,
@@ -189,12 +200,14 @@
         budget_tokens: int,
         policy: outage_policy.OutagePolicy,
         is_standby: bool = False,
+        reservation_id: str = "",
     ) -> tuple[ReservationResult, tuple[str, ...]]:
         """Reserve the maximum that a turn may generate.
 
         :param policy: limit of unrecorded tokens.
         :param is_standby: whether this process replaces a primary holder
             that cannot be reached.
+        :param reservation_id: name by which the turn is settled.
         :return: the result and the servers of the program's last turns.
         """
         try:
@@ -205,17 +218,17 @@
             account = self._account(program_id, budget_tokens)
             account.max_turn_tokens = max(account.max_turn_tokens, tokens)
             account.is_standby = is_standby
-            result = self._reserve(account, tokens, policy)
+            result = self._reserve(account, tokens, policy, reservation_id)
             self._mark_unreported(program_id)
             needs_standby = account.unrecorded_tokens > 0
-            report = account.report
-        if not isinstance(result, ledger.Reservation):
-            _log_refusal(account, tokens, is_standby, result)
-            return result, account.recent_servers
+            report = account.next_report()
+            if not isinstance(result, ledger.Reservation):
+                _log_refusal(account, tokens, is_standby, result)
+                return result, account.recent_servers
         if not needs_standby:
             return result, account.recent_servers
         if not self._report_to_any_standby(report):
-            self.settle(program_id, tokens, 0, "")
+            self.settle(program_id, tokens, 0, "", reservation_id)
             reason = "no standby confirmed the unrecorded tokens"
             return RecordingFailure(reason), account.recent_servers
         return result, account.recent_servers
@@ -226,21 +239,30 @@
         reserved_tokens: int,
         used_tokens: int,
         server_id: str,
-    ) -> None:
+        reservation_id: str = "",
+    ) -> bool:
         """Return the unused tokens of a turn's reservation.
 
         :param server_id: server that ran the turn, empty if none did.
+        :param reservation_id: name of the reservation, if it has one.
+        :return: whether this process granted it and it was not settled yet.
         """
         with self._changed:
             account = self._accounts.get(program_id)
             if account is None:
-                return
-            account.settle(reserved_tokens, used_tokens)
+                return False
+            if not account.settle(
+                reserved_tokens, used_tokens, reservation_id
+            ):
+                return False
             self._defer_record(account)
+            if account.has_reported_unrecorded:
+                self._mark_unreported(program_id)
             if server_id:
                 account.recent_servers = ledger.add_recent_server(
                     account.recent_servers, server_id
                 )
+            return True
 
     def run(self) -> None:
         """Record allocations until :meth:`stop`."""
@@ -257,23 +279,21 @@
             self._sweep()
 
     def _take_over_lost_holders(self) -> None:
-        """Take over unrecorded tokens of lost holders, as primary holder."""
+        """Record what lost holders handed out, as primary holder."""
         with self._changed:
             if not self._lost_holders:
                 return
-            affected = [
-                account
-                for account in self._accounts.values()
-                if account.peer_unrecorded_tokens
-            ]
-            for account in affected:
-                if not self.standbys.is_primary(account.program_id):
-                    continue
-                for name in self._lost_holders:
-                    if account.take_over(name):
-                        self._deferred.add(account.program_id)
-                        self._unreported.add(account.program_id)
             self._lost_holders.clear()
+            for account in self._accounts.values():
+                if not any(account.peer_unrecorded_tokens.values()):
+                    continue
+                if self.standbys.is_primary(account.program_id):
+                    self._record_lost_holders(account)
+
+    def _record_lost_holders(self, account: ledger.Account) -> None:
+        account.needs_confirmation = True
+        self._deferred.add(account.program_id)
+        self._mark_unreported(account.program_id)
 
     def _return_allocations(self) -> None:
         """Return what other holders need for programs that have moved."""
@@ -288,7 +308,7 @@
 
     def _report_to_standbys(self) -> None:
         """Report changed usage to the other holders."""
-        reports: dict[str, list[ledger.UsageReport]] = {}
+        reports: dict[str, list[usages.UsageReport]] = {}
         with self._changed:
             is_complete = self._knows_all_programs()
             for program_id in list(self._unreported):
@@ -299,13 +319,14 @@
                     self._unreported.discard(program_id)
                 for standby in stale:
                     assert account is not None
-                    reports.setdefault(standby, []).append(account.report)
+                    report = account.next_report()
+                    reports.setdefault(standby, []).append(report)
         for standby, found in reports.items():
             if self.standbys.report(standby, found, is_complete):
                 self._mark_reported(standby, found)
 
     def _mark_reported(
-        self, standby: str, reports: Sequence[ledger.UsageReport]
+        self, standby: str, reports: Sequence[usages.UsageReport]
     ) -> None:
         with self._changed:
             for report in reports:
@@ -328,6 +349,7 @@
         with self._changed:
             for account in self._accounts.values():
                 account.is_standby = True
+                account.needed_tokens = 0
             held = [
                 account
                 for account in self._accounts.values()
@@ -335,21 +357,35 @@
             ]
         size = ledger_recorder.MAX_TRANSACTION_ACCOUNTS
         for start in range(0, len(held), size):
-            self._record(held[start : start + size])
+            self._release(held[start : start + size])
             if self._recorder.failed_ms is not None:
                 return
 
+    def _release(self, accounts: Sequence[ledger.Account]) -> None:
+        """Return the allocations of a few programs, also after conflicts."""
+        for _ in range(MAX_RELEASE_ATTEMPTS):
+            if not accounts or self._recorder.failed_ms is not None:
+                return
+            pending = self._recorder.record(accounts)
+            program_ids = pending.urgent | pending.deferred
+            accounts = [
+                account
+                for account in accounts
+                if account.program_id in program_ids
+            ]
+
     def _mark_unreported(self, program_id: str) -> None:
         if not self._unreported:
             self._changed.notify_all()
         self._unreported.add(program_id)
 
-    def _report_to_any_standby(self, report: ledger.UsageReport) -> bool:
+    def _report_to_any_standby(self, report: usages.UsageReport) -> bool:
         """Report to standbys until one confirms; return whether one did."""
-        return any(
-            self.standbys.report(standby, [report], is_complete=False)
-            for standby in self.standbys.of(report.usage.program_id)
-        )
+        for standby in self.standbys.of(report.usage.program_id):
+            if self.standbys.report(standby, [report], is_complete=False):
+                self._mark_reported(standby, [report])
+                return True
+        return False
 
     def _query_standbys(
         self, program_id: str, budget_tokens: int, is_standby: bool
@@ -366,31 +402,39 @@
             if account.has_queried_standbys:
                 return
             knows_all = self._knows_all_programs()
-        is_expected = is_standby or self.standbys.is_primary(program_id)
-        answers = ledger.StandbyAnswers(None, is_complete=True)
-        if not (knows_all and is_expected):
+        # Reports reach a standby with the primary's next round only.
+        is_primary = not is_standby and self.standbys.is_primary(program_id)
+        answers = usages.StandbyAnswers(None, is_complete=True)
+        if not (knows_all and is_primary):
             answers = self.standbys.known_usage(program_id)
-        found = answers.usage
         with self._changed:
             account = self._account(program_id, budget_tokens)
             if account.has_queried_standbys:
                 # A turn of the same time has merged the same answers.
                 return
             account.has_queried_standbys = answers.is_complete
-            if found is None:
+            if answers.is_vouched and not self._has_started_in_outage:
+                account.may_lack_unrecorded = False
+            if answers.report is None:
                 return
-            takes_over = is_expected and not is_standby
-            account.merge_queried(QUERIED_STANDBYS, found, takes_over)
-            if account.unrecorded_tokens:
-                self._deferred.add(program_id)
-                self._unreported.add(program_id)
+            account.merge_report(answers.report)
+            if is_primary and self._has_lost_holders(account):
+                self._record_lost_holders(account)
                 self._changed.notify_all()
 
+    def _has_lost_holders(self, account: ledger.Account) -> bool:
+        """Return whether tokens of lost holders are not recorded."""
+        return any(
+            tokens and not self.standbys.may_live(holder)
+            for holder, tokens in account.peer_unrecorded_tokens.items()
+        )
+
     def _reserve(
         self,
         account: ledger.Account,
         tokens: int,
         policy: outage_policy.OutagePolicy,
+        reservation_id: str,
     ) -> ReservationResult:
         """Reserve tokens; wait for an allocation if one is required."""
         asked_ms = self._clock.now_ms()
@@ -401,14 +445,16 @@
             )
             limit = 0
             if is_outage:
+                self._trust_primary(account)
                 limit = outage_policy.max_unrecorded_tokens(
                     account,
                     tokens,
                     policy,
                     self._evidence(account.program_id),
                 )
-            match account.reserve(tokens, limit):
+            match account.reserve(tokens, limit, reservation_id):
                 case ledger.RequiredAllocation():
+                    account.needed_since_ms = self._clock.now_ms()
                     self._await_record(account)
                 case ledger.Unconfirmed(doubt):
                     refusal = self._judge(account, doubt, asked_ms)
@@ -428,6 +474,12 @@
             left_ms = until_ms - self._clock.now_ms()
             self._clock.wait_condition(self._changed, left_ms)
 
+    def _trust_primary(self, account: ledger.Account) -> None:
+        """Take a program for new if its primary holder knows all others."""
+        primary = self.standbys.primary_of(account.program_id)
+        if self._complete_reports.has_recent(primary):
+            account.may_lack_unrecorded = False
+
     def _await_record(self, account: ledger.Account) -> None:
         self._urgent.add(account.program_id)
         self._changed.notify_all()
@@ -444,12 +496,16 @@
             case ledger.Doubt.RUNNING_TURNS:
                 running_ms = asked_ms - account.last_reserved_ms
                 if running_ms < RUNNING_TURN_GRACE_MS:
-                    return RecordingFailure("other turns are still running")
+                    return RecordingFailure(
+                        "other turns are still running", is_decided=True
+                    )
             case ledger.Doubt.OTHER_HOLDERS:
                 if account.confirmed_ms < asked_ms - CONFIRMATION_AGE_MS:
                     return None
                 if any(map(self.standbys.may_live, account.open_holders)):
-                    return RecordingFailure("other holders may return tokens")
+                    return RecordingFailure(
+                        "other holders may return tokens", is_decided=True
+                    )
         return account.exhaustion()
 
     def _abandon_request(self, account: ledger.Account) -> RecordingFailure:
@@ -470,10 +526,15 @@
         account = self._accounts.get(program_id)
         if account is None:
             account = ledger.Account(
-                program_id, budget_tokens, self._holder_id
+                program_id,
+                budget_tokens,
+                self._holder_id,
+                math.ceil(self._clock.now_ms()),
             )
+            # Those that knew of unrecorded tokens may be lost as well.
             account.may_lack_unrecorded = (
-                self._clock.now_ms() < self._outage_caution_until_ms
+                self._is_restart
+                and self._clock.now_ms() - self._started_ms < CAUTION_MS
             )
             self._accounts[program_id] = account
         account.last_used_ms = self._clock.now_ms()
@@ -543,12 +604,21 @@
         program_ids = program_ids[: ledger_recorder.MAX_TRANSACTION_ACCOUNTS]
         self._urgent.difference_update(program_ids)
         self._deferred.difference_update(program_ids)
-        found = [self._accounts.get(one) for one in program_ids]
-        return [
-            account
-            for account in found
-            if account is not None and account.needs_record()
+        found = [
+            self._accounts[one] for one in program_ids if one in self._accounts
         ]
+        for account in found:
+            self._expire_need(account)
+        return [account for account in found if account.needs_record()]
+
+    def _expire_need(self, account: ledger.Account) -> None:
+        """Drop the need of a turn that has not come again."""
+        if not account.needed_tokens:
+            return
+        if self._clock.now_ms() - account.needed_since_ms < NEEDED_MS:
+            self._deferred.add(account.program_id)
+        else:
+            account.needed_tokens = 0
 
     def _record(self, accounts: Sequence[ledger.Account]) -> None:
         """Record one allocation for each account, in one transaction."""
@@ -556,6 +626,11 @@
         with self._changed:
             self._urgent |= found.urgent
             self._deferred |= found.deferred
+            self._unreported.update(
+                account.program_id
+                for account in accounts
+                if account.has_reported_unrecorded
+            )
 
     def _sweep(self) -> None:
         """Remove the accounts of idle programs and delete their records."""
@@ -564,12 +639,15 @@
             return
         self._last_sweep_ms = now_ms
         with self._changed:
-            ended = [
+            idle = [
                 account
                 for account in self._accounts.values()
                 if now_ms - account.last_used_ms > ACCOUNT_IDLE_TIMEOUT_MS
-                and not account.in_flight_tokens
             ]
+            for account in idle:
+                account.end_reservations()
+                self._defer_record(account)
+            ended = [one for one in idle if not one.needs_record()]
             for account in ended:
                 del self._accounts[account.program_id]
         self._recorder.delete(ended)
--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -28,6 +28,9 @@
 # which it awaits before it answers.
 PEER_TIMEOUT_MS = 200.0
 WITHDRAW_TIMEOUT_MS = 1_000.0
+# A holder that does not answer for longer is lost, or its lease ends.
+SETTLE_RETRY_INTERVAL_MS = 500.0
+MAX_SETTLE_ATTEMPTS = 10
 # Backoff of calls to a holder that did not answer.
 BREAKER_BACKOFF = circuit_breaker.Backoff(
     2_000.0, 2_000.0, trial_ms=PEER_TIMEOUT_MS
@@ -52,6 +55,7 @@
     holder: traffic.Member | None
     recent_servers: tuple[str, ...]
     plan: planner.Plan | None
+    reservation_id: str
 
 
 class Budgets:
@@ -107,6 +111,8 @@
             request = _request(call, turn, attempt.policy, attempt.is_primary)
             result = self._reserve_at(attempt.holder, call, request)
             match result:
+                case budget_ledger.RecordingFailure(is_decided=True):
+                    return self._log_result(call, attempt.holder, result)
                 case budget_ledger.RecordingFailure():
                     failure = result
                     has_answered = not self._breaker.is_open(
@@ -125,16 +131,21 @@
                     return self._log_result(call, attempt.holder, result)
         if failure is not None and failover.has_answer:
             return self._log_result(call, None, failure)
-        return self._log_result(
-            call, None, self._reserve_without_holder(call, turn)
-        )
+        result = self._reserve_without_holder(call, turn, bool(holders))
+        return self._log_result(call, None, result)
 
     def _reserve_without_holder(
-        self, call: traffic.CallMetadata, turn: planner.TurnRequest
+        self,
+        call: traffic.CallMetadata,
+        turn: planner.TurnRequest,
+        has_holders: bool,
     ) -> Grant | ledger.Exhaustion | budget_ledger.RecordingFailure:
         policy = outage_policy.OutagePolicy.NONE
         request = _request(call, turn, policy, is_primary=False)
-        return _grant(call, None, self.reserve_local(request))
+        result = _grant(call, request, None, self.reserve_local(request))
+        if isinstance(result, ledger.Exhaustion) and has_holders:
+            return _unconfirmed_exhaustion(result)
+        return result
 
     def _record_outage(self, allows_unrecorded: bool) -> None:
         """Start the pause if only unrecorded tokens could be reserved."""
@@ -146,8 +157,6 @@
     ) -> None:
         """Return the tokens that a turn did not deliver to its caller.
 
-        If the holder does not answer, they count as spent.
-
         :param report: how the turn ended at its server.
         """
         settlement = peer_messages.Settlement(
@@ -156,28 +165,54 @@
             used_tokens,
             grant.plan.plan_id if grant.plan else None,
             report,
+            grant.reservation_id,
         )
-        if grant.holder is None:
+        holder = grant.holder
+        if holder is None:
             self.settle_local(settlement)
-            return
-        address = grant.holder.peer_address
+        elif not self._settle_at(holder, settlement):
+            background.start(
+                lambda: self._settle_later(holder, settlement), self._clock
+            )
+
+    def _settle_at(
+        self, holder: traffic.Member, settlement: peer_messages.Settlement
+    ) -> bool:
+        """Settle a turn at its holder; return whether it answered."""
         body = peer_messages.encode_settlement(settlement)
         try:
             self._clients.call(
-                address, peers.SETTLE_PATH, body, PEER_TIMEOUT_MS
+                holder.peer_address, peers.SETTLE_PATH, body, PEER_TIMEOUT_MS
             )
         except peers.PeerUnavailableError as error:
-            self._handle_failure(grant.holder, error)
+            self._handle_failure(holder, error)
+            return False
+        return True
+
+    def _settle_later(
+        self, holder: traffic.Member, settlement: peer_messages.Settlement
+    ) -> None:
+        """Settle a turn once its holder answers again.
+
+        If the holder's process is lost, the tokens count at their most.
+        """
+        for _ in range(MAX_SETTLE_ATTEMPTS):
+            self._clock.sleep(SETTLE_RETRY_INTERVAL_MS)
+            if holder not in self._fleet.members():
+                return
+            if self._settle_at(holder, settlement):
+                return
 
     def settle_local(self, settlement: peer_messages.Settlement) -> None:
         """Settle a turn whose tokens were reserved at this member."""
-        self._local_ledger.settle(
+        is_known = self._local_ledger.settle(
             settlement.program_id,
             settlement.reserved_tokens,
             settlement.used_tokens,
             settlement.report.server_id,
+            settlement.reservation_id,
         )
-        if settlement.plan_id is not None:
+        if is_known and settlement.plan_id is not None:
             self._planner.finish(settlement.plan_id, settlement.report)
         if settlement.report.is_server_leaving:
             self._fleet.mark_server_leaving(settlement.report.server_id)
@@ -192,6 +227,7 @@
             request.budget_tokens,
             request.policy,
             request.is_standby,
+            request.reservation_id,
         )
         if not isinstance(result, ledger.Reservation):
             return peer_messages.ReservationReply(result, servers, None)
@@ -203,6 +239,7 @@
                 0,
                 plan.plan_id if plan else None,
                 planner.NOT_RUN,
+                request.reservation_id,
             )
             identifier = request.reservation_id
             if not self._withdrawals.record_reservation(identifier, unused):
@@ -258,7 +295,7 @@
         request: peer_messages.ReservationRequest,
     ) -> Grant | ledger.Exhaustion | budget_ledger.RecordingFailure:
         if holder.name == self._name:
-            return _grant(call, None, self.reserve_local(request))
+            return _grant(call, request, None, self.reserve_local(request))
         try:
             reply = self._clients.call(
                 holder.peer_address,
@@ -280,7 +317,7 @@
             return budget_ledger.RecordingFailure(str(error), is_pending=True)
         except peer_messages.InvalidMessageError as error:
             return budget_ledger.RecordingFailure(str(error), is_pending=True)
-        return _grant(call, holder, decoded)
+        return _grant(call, request, holder, decoded)
 
     def _withdraw(self, holder: traffic.Member, reservation_id: str) -> None:
         """Cancel a reservation at a holder whose answer came too late.
@@ -359,6 +396,7 @@
 
 def _grant(
     call: traffic.CallMetadata,
+    request: peer_messages.ReservationRequest,
     holder: traffic.Member | None,
     reply: peer_messages.ReservationReply,
 ) -> Grant | ledger.Exhaustion | budget_ledger.RecordingFailure:
@@ -370,6 +408,7 @@
                 holder,
                 reply.recent_servers,
                 reply.plan,
+                request.reservation_id,
             )
         case refusal:
             return refusal
--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -18,14 +18,22 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Iterable, Mapping
-from typing import NamedTuple
+from collections.abc import Iterable
 
-from balsamloom_gateway import ledger_records
+from balsamloom_gateway import ledger_records, usages
 
+# Beside the next turn, ``1 / AHEAD_DIVISOR`` of the budget is allocated ahead
+# while a turn runs, so that turns in quick succession do not wait for the
+# store.
+AHEAD_DIVISOR = 6
+# Turns that remain if tokens that are allocated ahead are lost, after others
+# were lost before.
+RESERVED_TURNS = 2
 # In an outage of the store, ``1 / OUTAGE_DIVISOR`` of the budget that is not
-# known to be used may be handed out, recorded or not.
+# known to be used may be handed out, recorded or not. Programs without a
+# record get less: those that begin after a loss cannot be told from them.
 OUTAGE_DIVISOR = 2
+NEW_PROGRAM_OUTAGE_DIVISOR = 4
 # The servers of the latest turns may still cache the program's prompt parts.
 MAX_RECENT_SERVERS = 3
 
@@ -64,56 +72,6 @@
     tokens: int
 
 
-class Usage(NamedTuple):
-    """Usage of a program's budget as one holder knows it.
-
-    Holders exchange the fields as a list in this order.
-    """
-
-    program_id: str
-    budget_tokens: int
-    recorded_tokens: int
-    unrecorded_tokens: int
-
-
-class UsageReport(NamedTuple):
-    """Usage that a holder reports to its standbys.
-
-    It includes ``covered_tokens``: unrecorded tokens that the holder has taken
-    over from lost ones, by their ids. ``revision`` is that of the record that
-    the holder knows, 0 if it is not known.
-    """
-
-    usage: Usage
-    covered_tokens: Mapping[str, int]
-    revision: int = 0
-
-
-class QueriedUsage(NamedTuple):
-    """Usage that other holders know.
-
-    ``unrecorded_tokens`` are those of which the holder is known, by its id.
-    Nobody else will record those of ``lost_holders``. ``revision`` is that of
-    the latest record that they know, 0 if it is not known.
-    """
-
-    usage: Usage
-    unrecorded_tokens: Mapping[str, int]
-    lost_holders: frozenset[str] = frozenset()
-    revision: int = 0
-
-
-class StandbyAnswers(NamedTuple):
-    """What the other holders of a program know of it.
-
-    ``usage`` is ``None`` if none of them knows the program. That proves
-    nothing unless ``is_complete``: all members that may know it have answered.
-    """
-
-    usage: QueriedUsage | None
-    is_complete: bool
-
-
 class UnknownMembersError(Exception):
     """Too few other holders are known to ask about a program."""
 
@@ -124,44 +82,55 @@
     :param program_id: program.
     :param budget_tokens: maximum that all turns together may generate.
     :param holder_id: name of this holder's share in the program's record.
+    :param first_sequence: number that is greater than all of an earlier
+        account of this process.
     """
 
     def __init__(
-        self, program_id: str, budget_tokens: int, holder_id: str = "own"
+        self,
+        program_id: str,
+        budget_tokens: int,
+        holder_id: str = "own",
+        first_sequence: int = 0,
     ) -> None:
         self.program_id = program_id
         self.budget_tokens = budget_tokens
         self._holder_id = holder_id
         self.revision = 0
+        self._record: ledger_records.Record | None = None
         self._own_share = ledger_records.Share()
         self._other_shares: dict[str, ledger_records.Share] = {}
-        # Total of all shares, if others reported it after the record was read.
+        # Total of all shares, as reported by others without the record.
         self._reported_tokens = 0
         # Least own allocation after the writes whose outcome is not known.
         self._pending_tokens: int | None = None
         self._has_unknown_write = False
         # Time at which the store last confirmed the record.
         self.confirmed_ms = -math.inf
-        # Tokens of turns that ended here, and those taken over.
+        # Whether the record must be confirmed before the next refusal.
+        self.needs_confirmation = False
+        # Tokens of turns that ended here.
         self.used_tokens = 0
         self.in_flight_tokens = 0
+        # Tokens of each reservation that is not settled, by its id.
+        self._reservations: dict[str, int] = {}
         self.last_reserved_ms = -math.inf
-        # Tokens of a turn that waits for its allocation.
+        # Tokens of a turn that waits for its allocation or will come again.
         self.needed_tokens = 0
-        # Whether the record must be read or written before the next refusal.
-        self.needs_confirmation = False
-        # Unrecorded tokens of each other holder, as last reported.
-        self.peer_unrecorded_tokens: dict[str, int] = {}
+        self.needed_since_ms = 0.0
+        # Shares of other holders, as last reported.
+        self._reported_shares: dict[str, ledger_records.Share] = {}
+        self._first_sequence = first_sequence
+        self._sequence = first_sequence
+        self._has_earlier_use = False
         # Whether another holder reported that tokens were handed out. One that
         # reports none may just not know the program.
         self.has_peer_usage = False
         # Latest usage that each standby confirmed.
-        self.reported_usage: dict[str, Usage] = {}
+        self.reported_usage: dict[str, usages.Usage] = {}
+        # Whether standbys may count tokens that are recorded or unused now.
+        self.has_reported_unrecorded = False
         self.has_queried_standbys = False
-        # Tokens of lost holders that are counted here, by the holders' ids.
-        self.taken_over_tokens: dict[str, int] = {}
-        # The same of other holders, by the id of the one that counts them.
-        self._covered_tokens: dict[str, Mapping[str, int]] = {}
         self.max_turn_tokens = 0
         # Whether this process replaces a primary holder that is unreachable.
         # Later turns return to the primary holder, so nothing is allocated
@@ -202,152 +171,78 @@
         return self.own_recorded_tokens + self._others_allocated()
 
     @property
-    def open_holders(self) -> frozenset[str]:
-        """Return the other holders that may have tokens of which none knows.
+    def peer_unrecorded_tokens(self) -> dict[str, int]:
+        """Return what other holders handed out beyond the record, by id."""
+        return {
+            holder: share.allocated_tokens - self._recorded_tokens_of(holder)
+            for holder, share in self._known_shares().items()
+        }
 
-        Those are handed out or not.
-        """
-        recorded = {
+    @property
+    def open_holders(self) -> frozenset[str]:
+        """Return the other holders that may have tokens not handed out."""
+        return frozenset(
             holder
-            for holder, share in self._other_shares.items()
+            for holder, share in self._known_shares().items()
             if share.used_tokens < share.allocated_tokens
-        }
-        unrecorded = {
-            holder
-            for holder, tokens in self.peer_unrecorded_tokens.items()
-            if tokens
-        }
-        return frozenset(recorded | unrecorded)
+        )
 
     @property
-    def usage(self) -> Usage:
+    def usage(self) -> usages.Usage:
         """Return the usage that is reported to standbys."""
-        return Usage(
+        return usages.Usage(
             self.program_id,
             self.budget_tokens,
             self.recorded_tokens,
             self.unrecorded_tokens,
         )
 
-    @property
-    def report(self) -> UsageReport:
-        """Return the report of this holder to its standbys."""
-        return UsageReport(
-            self.usage, dict(self.taken_over_tokens), self.revision
-        )
-
     @property
     def max_lost_tokens(self) -> int:
         """Return the maximum of the tokens of which the count is lost."""
         if not self.may_lack_unrecorded:
             return self.lost_tokens
         used = self._others_used()
-        limit = self._outage_limit(used, self.max_turn_tokens)
+        limit = self._outage_limit(
+            used, self._others_allocated(), self.max_turn_tokens
+        )
         limit = min(limit, self.budget_tokens - used)
-        return max(limit - self._others_open(), self.lost_tokens, 0)
-
-    def merge_usage(
-        self, holder: str, usage: Usage, revision: int = 0
-    ) -> None:
-        """Merge the usage that another holder reported.
-
-        The unrecorded tokens of a lost holder stay counted as spent.
+        known = self._others_open() + self._peer_unrecorded_total()
+        return max(limit - known, self.lost_tokens)
+
+    def next_report(self) -> usages.UsageReport:
+        """Return a report to standbys, which is newer than all before."""
+        own = self._next_share(self.handed_out_tokens)
+        self.has_reported_unrecorded = self.unrecorded_tokens > 0
+        shares = {**self._reported_shares, self._holder_id: own}
+        return usages.UsageReport(
+            self.usage, shares, self._record, self.revision
+        )
 
-        :param holder: name and incarnation of the other holder.
-        :param revision: revision of the record that the holder knows; 0 if it
-            is not known.
-        """
-        self.peer_unrecorded_tokens[holder] = usage.unrecorded_tokens
-        if not revision or revision > self.revision:
-            self._reported_tokens = max(
-                self._reported_tokens, usage.recorded_tokens
-            )
+    def merge_report(self, report: usages.UsageReport) -> None:
+        """Merge the usage that another holder knows."""
+        usages.merge_shares(self._reported_shares, report.shares)
+        self._reported_shares.pop(self._holder_id, None)
+        usage = report.usage
         if usage.recorded_tokens or usage.unrecorded_tokens:
             self.has_peer_usage = True
-
-    def merge_report(self, holder: str, report: UsageReport) -> None:
-        """Merge a report of another holder.
-
-        Tokens that it has taken over from a lost one count as its own.
-
-        :param holder: name and incarnation of the other holder.
-        """
-        # A holder that reports itself may have handed out new tokens.
-        self.taken_over_tokens.pop(holder, None)
-        for reporter, covered in self._covered_tokens.items():
-            self._covered_tokens[reporter] = _without(covered, holder)
-        self.merge_usage(holder, report.usage, report.revision)
-        self._covered_tokens[holder] = report.covered_tokens
-        for lost, tokens in report.covered_tokens.items():
-            rest = self.peer_unrecorded_tokens.pop(lost, 0) - tokens
-            if rest > 0:
-                self.peer_unrecorded_tokens[lost] = rest
-
-    def take_over(self, name: str) -> bool:
-        """Take over the unrecorded tokens of a lost holder.
-
-        They count as used here, so that the next allocation covers them. Until
-        then they are known in the memory of this process only.
-
-        :param name: name of the lost holder, without its incarnation.
-        :return: whether there were any.
-        """
-        lost = [
-            holder
-            for holder in self.peer_unrecorded_tokens
-            if holder.partition("/")[0] == name
-        ]
-        return sum([self._take_over(holder) for holder in lost]) > 0
-
-    def _take_over(self, holder: str) -> int:
-        tokens = self.peer_unrecorded_tokens.pop(holder)
-        self.used_tokens += tokens
-        known = self.taken_over_tokens.get(holder, 0)
-        self.taken_over_tokens[holder] = known + tokens
-        # What the holder had taken over itself is counted here as well now.
-        for lost, covered in self._covered_tokens.pop(holder, {}).items():
-            known = self.taken_over_tokens.get(lost, 0)
-            self.taken_over_tokens[lost] = max(known, covered)
-        return tokens
-
-    def _counted_tokens(self, lost: str) -> int:
-        """Return the tokens of a lost holder that some holder counts."""
-        covered = [
-            found.get(lost, 0) for found in self._covered_tokens.values()
-        ]
-        return max(self.taken_over_tokens.get(lost, 0), *covered, 0)
-
-    def merge_queried(
-        self, holder: str, found: QueriedUsage, takes_over: bool
+        if report.record is not None:
+            self._adopt_record(report.record, report.revision)
+        elif usage.recorded_tokens > self.recorded_tokens:
+            # The store must be asked before a refusal rests on this.
+            self._reported_tokens = usage.recorded_tokens
+            self.confirmed_ms = -math.inf
+
+    def _adopt_record(
+        self, record: ledger_records.Record, revision: int
     ) -> None:
-        """Merge the usage that queried holders know.
+        """Apply a record that another holder has read, if it is newer."""
+        if revision > self.revision:
+            needs_confirmation = self.needs_confirmation
+            self.apply_record(record, revision, -math.inf)
+            self.needs_confirmation = needs_confirmation
 
-        The same answers may be merged again.
-
-        :param holder: name under which tokens of unknown holders are merged.
-        :param takes_over: whether the next allocation covers the unrecorded
-            tokens of lost holders.
-        """
-        usage = found.usage
-        may_take_over = takes_over and not self.unrecorded_tokens
-        rest_tokens = usage.unrecorded_tokens
-        for other, tokens in found.unrecorded_tokens.items():
-            rest_tokens -= tokens
-            reported_tokens = self.peer_unrecorded_tokens.get(other)
-            if reported_tokens is not None and other not in found.lost_holders:
-                # Its own report is newer.
-                continue
-            # The last report of a lost holder may have reached others only.
-            new_tokens = tokens - self._counted_tokens(other)
-            if new_tokens <= (reported_tokens or 0):
-                continue
-            self.peer_unrecorded_tokens[other] = new_tokens
-            if may_take_over and other in found.lost_holders:
-                self._take_over(other)
-        rest = usage._replace(unrecorded_tokens=max(rest_tokens, 0))
-        self.merge_usage(holder, rest, found.revision)
-
-    def known_usage(self) -> Usage:
+    def known_usage(self) -> usages.Usage:
         """Return the usage with the unrecorded tokens of all holders."""
         unrecorded_tokens = (
             self.unrecorded_tokens + self._peer_unrecorded_total()
@@ -368,16 +263,17 @@
         :param turn_tokens: tokens of the turn that asks for them.
         """
         used = self._others_used() + self._own_share.used_tokens
-        limit = self._outage_limit(used, turn_tokens)
-        recorded = self.recorded_tokens - used
-        return max(limit - recorded - self._peer_unrecorded_total(), 0)
+        limit = self._outage_limit(used, self.recorded_tokens, turn_tokens)
+        uncertain = self.recorded_tokens - used + self.max_lost_tokens
+        return max(limit - uncertain - self._peer_unrecorded_total(), 0)
 
     def reserve(
-        self, tokens: int, max_unrecorded_tokens: int
+        self, tokens: int, max_unrecorded_tokens: int, reservation_id: str = ""
     ) -> Reservation | Exhaustion | Unconfirmed | RequiredAllocation:
         """Reserve the maximum that a turn may generate.
 
         :param max_unrecorded_tokens: limit for all turns of the program.
+        :param reservation_id: name by which the turn is settled.
         """
         missing = max(tokens - self.left_tokens, 0)
         if missing:
@@ -394,7 +290,10 @@
             return RequiredAllocation(
                 self._target_tokens() - self.own_recorded_tokens
             )
+        self.needed_tokens = 0
         self.in_flight_tokens += tokens
+        if reservation_id:
+            self._reservations[reservation_id] = tokens
         return Reservation()
 
     def _refusal(self, tokens: int) -> Exhaustion | Unconfirmed | None:
@@ -415,28 +314,42 @@
         """Return the refusal for good."""
         return Exhaustion(self.recorded_tokens, self.left_tokens)
 
-    def settle(self, reserved_tokens: int, used_tokens: int) -> None:
-        """Return the unused tokens of a turn's reservation."""
+    def settle(
+        self, reserved_tokens: int, used_tokens: int, reservation_id: str = ""
+    ) -> bool:
+        """Return the unused tokens of a turn's reservation.
+
+        :return: false if it was settled before, or if an earlier process of
+            this holder granted it; nothing changes then.
+        """
+        if reservation_id:
+            reserved_tokens = self._reservations.pop(reservation_id, 0)
+        if not 0 < reserved_tokens <= self.in_flight_tokens:
+            return False
         self.in_flight_tokens -= reserved_tokens
         self.used_tokens += used_tokens
+        return True
+
+    def end_reservations(self) -> None:
+        """Count turns that will not be settled any more at their most."""
+        self.used_tokens += self.in_flight_tokens
+        self.in_flight_tokens = 0
+        self._reservations.clear()
 
     def needs_record(self) -> bool:
         """Return whether the record should be written soon."""
-        if self.needs_confirmation or self.needed_tokens:
+        if self.needs_confirmation:
             return True
-        target = self._target_share()
-        if target.used_tokens != self._own_share.used_tokens:
+        if self.used_tokens != self._own_share.used_tokens:
             return True
-        if target.allocated_tokens < self.own_recorded_tokens:
-            return True
-        return self._is_running_low(target)
-
-    def _is_running_low(self, target: ledger_records.Share) -> bool:
-        """Return whether the next turn would wait for an allocation."""
-        if self.unrecorded_tokens:
+        target = self._target_tokens()
+        if self.needed_tokens:
+            return target != self.own_recorded_tokens
+        if target < self.own_recorded_tokens or self.unrecorded_tokens:
             return True
+        # Otherwise the next turn waits for its allocation.
         is_low = self.left_tokens < self.max_turn_tokens
-        return is_low and target.allocated_tokens > self.own_recorded_tokens
+        return is_low and target > self.own_recorded_tokens
 
     def next_record(self, name: str) -> ledger_records.Record:
         """Return the record to write, with the name of the write.
@@ -444,18 +357,20 @@
         Until its outcome is known, no more is handed out than both this and
         the last record cover.
         """
-        share = self._target_share()
+        share = self._next_share(self._target_tokens())
         pending = share.allocated_tokens
         if self._pending_tokens is not None:
             pending = min(pending, self._pending_tokens)
         self._pending_tokens = pending
-        shares = {**self._other_shares, self._holder_id: share}
-        return ledger_records.Record(shares, name, self.max_lost_tokens)
+        shares = {**self._known_shares(), self._holder_id: share}
+        return ledger_records.Record(
+            shares, name, self.max_lost_tokens, self.max_turn_tokens
+        )
 
     def handle_failed_write(self, is_unknown: bool) -> None:
         """Handle a write that failed.
 
-        :param is_unknown: whether it may still have had an effect.
+        :param is_unknown: whether it may still have an effect.
         """
         self._has_unknown_write |= is_unknown
         if not self._has_unknown_write:
@@ -464,10 +379,13 @@
     def confirm_record(self, now_ms: float) -> None:
         """Handle a store that still has the known record.
 
+        A write of unknown outcome may take effect later.
+
         :param now_ms: time at which the store was asked for it.
         """
-        self._has_unknown_write = False
-        self._pending_tokens = None
+        if not self._has_unknown_write:
+            self._pending_tokens = None
+        self._reported_tokens = 0
         self.needs_confirmation = False
         self.confirmed_ms = now_ms
 
@@ -484,26 +402,67 @@
         unknown = shares.get(ledger_records.UNKNOWN_HOLDER)
         if own is None and unknown is not None:
             # A process of the release before has replaced the record.
-            own = self._own_share
+            own = ledger_records.Share(
+                min(self._covered_total(), unknown.allocated_tokens)
+            )
             rest = unknown.allocated_tokens - own.allocated_tokens
             shares[ledger_records.UNKNOWN_HOLDER] = unknown._replace(
                 allocated_tokens=max(rest, unknown.used_tokens)
             )
         self._own_share = own or ledger_records.Share()
+        self._add_earlier_use(self._own_share)
         self._other_shares = shares
-        self._reported_tokens = 0
+        self._record = record
         self.revision = revision
+        self.max_turn_tokens = max(self.max_turn_tokens, record.turn_tokens)
         self.lost_tokens = max(self.max_lost_tokens, record.lost_tokens)
         self.may_lack_unrecorded = False
-        self.needed_tokens = 0
+        self._has_unknown_write = False
         self.confirm_record(now_ms)
 
+    def _add_earlier_use(self, share: ledger_records.Share) -> None:
+        """Add what an earlier account of this process used, once."""
+        is_earlier = share.sequence <= self._first_sequence
+        if is_earlier and not self._has_earlier_use:
+            self._has_earlier_use = share.allocated_tokens > 0
+            self.used_tokens += share.used_tokens
+
+    def apply_written(
+        self, record: ledger_records.Record, revision: int, now_ms: float = 0.0
+    ) -> None:
+        """Apply a record that this account has written.
+
+        Another holder may have reported a later one meanwhile. The parameters
+        are those of :meth:`apply_record`.
+        """
+        if revision >= self.revision:
+            self.apply_record(record, revision, now_ms)
+
     def _covered_total(self) -> int:
         """Return the own tokens that the record covers for certain."""
         if self._pending_tokens is None:
             return self.own_recorded_tokens
         return min(self.own_recorded_tokens, self._pending_tokens)
 
+    def _next_share(self, allocated_tokens: int) -> ledger_records.Share:
+        """Return the own share as of now."""
+        self._sequence += 1
+        return ledger_records.Share(
+            allocated_tokens, self.used_tokens, self._sequence
+        )
+
+    def _known_shares(self) -> dict[str, ledger_records.Share]:
+        """Return the shares of others by the record and by their reports."""
+        known = dict(self._other_shares)
+        for holder, report in self._reported_shares.items():
+            share = known.get(holder, ledger_records.Share())
+            known[holder] = share.updated_by(report)
+        return known
+
+    def _recorded_tokens_of(self, holder: str) -> int:
+        share = self._other_shares.get(holder, ledger_records.Share())
+        return share.allocated_tokens
+
     def _others_allocated(self) -> int:
         recorded = sum(
             share.allocated_tokens for share in self._other_shares.values()
@@ -512,11 +471,13 @@
         return max(recorded, reported)
 
     def _others_used(self) -> int:
-        return sum(share.used_tokens for share in self._other_shares.values())
+        return sum(
+            share.used_tokens for share in self._known_shares().values()
+        )
 
     def _others_open(self) -> int:
-        """Return the tokens of others of which nobody knows the use."""
-        return self._others_allocated() - self._others_used()
+        """Return the recorded tokens of others of which the use is unknown."""
+        return max(self._others_allocated() - self._others_used(), 0)
 
     def _peer_unrecorded_total(self) -> int:
         """Return the unrecorded tokens of all other holders."""
@@ -531,37 +492,40 @@
         others = self._others_allocated() + self._peer_unrecorded_total()
         return limit_tokens - others - self.handed_out_tokens
 
-    def _outage_limit(self, used_tokens: int, turn_tokens: int) -> int:
+    def _outage_limit(
+        self, used_tokens: int, recorded_tokens: int, turn_tokens: int
+    ) -> int:
         """Return the maximum of the tokens that are handed out in an outage.
 
         :param used_tokens: tokens that the record tells to be used.
+        :param recorded_tokens: tokens of all shares in the record.
         """
-        rest = self.budget_tokens - used_tokens
-        return max(turn_tokens, rest // OUTAGE_DIVISOR)
-
-    def _target_share(self) -> ledger_records.Share:
-        """Return the share that the record should have."""
-        return ledger_records.Share(self._target_tokens(), self.used_tokens)
+        divisor = OUTAGE_DIVISOR
+        if not recorded_tokens:
+            divisor = NEW_PROGRAM_OUTAGE_DIVISOR
+        return max(turn_tokens, (self.budget_tokens - used_tokens) // divisor)
 
     def _target_tokens(self) -> int:
         """Return the own allocation that the record should have.
 
-        It covers what is handed out, a turn that waits, and the next turn
-        unless the use of other tokens is uncertain.
+        It covers what is handed out, a turn that waits, and the next turn. If
+        the use of other tokens is uncertain, a loss of those that are
+        allocated ahead must leave enough of the budget.
         """
         needed = self.needed_tokens
         if needed > self._room(self._limit_tokens()):
             needed = 0
         target = self.handed_out_tokens + needed
-        uncertain = self._others_open() + self.max_lost_tokens
-        if self.is_standby or uncertain:
+        if self.is_standby:
             return target
         rest = self._room(self.budget_tokens) - needed
-        return target + max(min(self.max_turn_tokens, rest), 0)
-
-
-def _without(tokens: Mapping[str, int], holder: str) -> Mapping[str, int]:
-    return {key: value for key, value in tokens.items() if key != holder}
+        spare = rest - RESERVED_TURNS * self.max_turn_tokens
+        ahead = min(self.max_turn_tokens, rest)
+        if self._others_open():
+            ahead = min(self.max_turn_tokens, spare)
+        elif self.in_flight_tokens + needed:
+            ahead += min(self.budget_tokens // AHEAD_DIVISOR, max(spare, 0))
+        return target + max(ahead, 0)
 
 
 def add_recent_server(
--- a/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import threading
 import uuid
 from collections.abc import Sequence
@@ -32,10 +33,11 @@
 
 
 class _Write(NamedTuple):
-    """Record of an account that is to be written."""
+    """Record of an account that replaces the one of a revision."""
 
     account: ledger.Account
     key: str
+    revision: int
     record: ledger_records.Record
 
 
@@ -64,6 +66,7 @@
         self._call_started_ms: float | None = None
         # Time of the last failed call, None after a successful one.
         self.failed_ms: float | None = None
+        self.last_failure_ms = -math.inf
         self.failure_reason = ""
 
     def is_outage(self) -> bool:
@@ -85,7 +88,7 @@
         try:
             result = self._store.transact(
                 [
-                    interfaces.Condition(one.key, one.account.revision)
+                    interfaces.Condition(one.key, one.revision)
                     for one in writes
                 ],
                 [
@@ -104,7 +107,7 @@
                 case interfaces.Committed(revision):
                     for one in writes:
                         _log_recorded(one, revision)
-                        one.account.apply_record(
+                        one.account.apply_written(
                             one.record, revision, started_ms
                         )
                 case interfaces.Conflict(items):
@@ -139,7 +142,9 @@
         self._write_number += 1
         name = f"{self._writer}.{self._write_number}"
         key = self._records.ledger_key(account.program_id)
-        return _Write(account, key, account.next_record(name))
+        return _Write(
+            account, key, account.revision, account.next_record(name)
+        )
 
     def _handle_answer(self) -> None:
         self._call_started_ms = None
@@ -158,6 +163,7 @@
             if self.failed_ms is None:
                 _log_unavailable(error)
             self.failed_ms = self._clock.now_ms()
+            self.last_failure_ms = self.failed_ms
             self.failure_reason = str(error)
             self._call_started_ms = None
             self._changed.notify_all()
@@ -175,7 +181,7 @@
     """
     account = write.account
     revision = item.revision if item else 0
-    if revision == account.revision:
+    if revision == write.revision:
         account.confirm_record(started_ms)
         return
     record = ledger_records.decode(item)
--- a/packages/gateway/src/balsamloom_gateway/peer_messages.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_messages.py
@@ -44,13 +44,17 @@
 
 
 class Settlement(NamedTuple):
-    """End of a turn with its used tokens and the report of its server."""
+    """End of a turn with its used tokens and the report of its server.
+
+    ``reservation_id`` is empty if a process of the release before sent it.
+    """
 
     program_id: str
     reserved_tokens: int
     used_tokens: int
     plan_id: int | None
     report: planner.TurnReport
+    reservation_id: str = ""
 
 
 def encode_reservation(message: ReservationRequest) -> dict[str, Any]:
@@ -114,11 +118,12 @@
                 "recorded_tokens": recorded,
                 "left_tokens": left,
             }
-        case budget_ledger.RecordingFailure(reason, is_pending):
+        case budget_ledger.RecordingFailure(reason, is_pending, is_decided):
             return {
                 "result": "unrecorded",
                 "reason": reason,
                 "is_pending": is_pending,
+                "is_decided": is_decided,
             }
 
 
@@ -141,7 +146,10 @@
                 return ReservationReply(result, (), None)
             case "unrecorded":
                 failure = budget_ledger.RecordingFailure(
-                    str(body["reason"]), bool(body["is_pending"])
+                    str(body["reason"]),
+                    bool(body["is_pending"]),
+                    # Processes of the release before do not tell.
+                    bool(body.get("is_decided", False)),
                 )
                 return ReservationReply(failure, (), None)
             case result_name:
@@ -166,6 +174,7 @@
         "observation": report.observation,
         "is_server_leaving": report.is_server_leaving,
         "limit": report.limit,
+        "reservation_id": message.reservation_id,
     }
 
 
@@ -194,6 +203,8 @@
                 bool(body["is_server_leaving"]),
                 _decode_limit(body.get("limit")),
             ),
+            # Processes of the release before do not name the reservation.
+            str(body.get("reservation_id", "")),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise InvalidMessageError(repr(error)) from error
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -95,12 +95,8 @@
         return {}
 
     def _read_usage(self, body: dict[str, Any]) -> dict[str, Any]:
-        program_id = str(body["program_id"])
-        return {
-            "claim": self._book.known_usage(program_id),
-            "unrecorded": self._book.peer_unrecorded_tokens(program_id),
-            "revision": self._book.known_revision(program_id),
-        }
+        answer = self._book.known_usage(str(body["program_id"]))
+        return usage_messages.encode_answer(answer)
 
     def _grant_permit(self, body: dict[str, Any]) -> dict[str, Any]:
         request = send_permits.decode_request(body)
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -2,19 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from typing import Protocol
 
 from balsamloom_core import clock as clocks
+from balsamloom_core import events
 from balsamloom_gateway import (
     circuit_breaker,
     fleet,
     ledger,
+    ledger_records,
     member_calls,
     membership,
     peers,
     traffic,
     usage_messages,
+    usages,
 )
 
 # A turn's caller waits for these calls.
@@ -40,7 +43,7 @@
     def report(
         self,
         standby: str,
-        reports: Sequence[ledger.UsageReport],
+        reports: Sequence[usages.UsageReport],
         is_complete: bool,
     ) -> bool:
         """Report usage to a standby; return whether it confirmed.
@@ -48,7 +51,7 @@
         :param is_complete: whether programs never reported are new.
         """
 
-    def known_usage(self, program_id: str) -> ledger.StandbyAnswers:
+    def known_usage(self, program_id: str) -> usages.StandbyAnswers:
         """Return the maximum usage that one of them knows, if any.
 
         :raises UnknownMembersError: it is not known yet whom to ask.
@@ -79,15 +82,15 @@
     def report(
         self,
         standby: str,
-        reports: Sequence[ledger.UsageReport],
+        reports: Sequence[usages.UsageReport],
         is_complete: bool,
     ) -> bool:
         """Return false, as no standby can confirm."""
         return False
 
-    def known_usage(self, program_id: str) -> ledger.StandbyAnswers:
+    def known_usage(self, program_id: str) -> usages.StandbyAnswers:
         """Return no usage, which is certain as nobody else may know any."""
-        return ledger.StandbyAnswers(None, is_complete=True)
+        return usages.StandbyAnswers(None, is_complete=True, is_vouched=True)
 
     def may_live(self, holder: str) -> bool:
         """Return false, as no other holder is known."""
@@ -141,7 +144,7 @@
     def report(
         self,
         standby: str,
-        reports: Sequence[ledger.UsageReport],
+        reports: Sequence[usages.UsageReport],
         is_complete: bool,
     ) -> bool:
         """Report usage to a standby; return whether it confirmed."""
@@ -156,7 +159,7 @@
                 return answer is not None
         return False
 
-    def known_usage(self, program_id: str) -> ledger.StandbyAnswers:
+    def known_usage(self, program_id: str) -> usages.StandbyAnswers:
         """Return the maximum usage that a standby knows, if any.
 
         :raises UnknownMembersError: it is not known yet whom to ask.
@@ -165,44 +168,50 @@
             raise ledger.UnknownMembersError("the members are not known yet")
         body = {"program_id": program_id}
         answers = [
-            self._calls.call(
-                member, peers.READ_STATE_PATH, body, STANDBY_TIMEOUT_MS
-            )
+            self._ask(member, body)
             for member in self._past_and_present_holders(program_id)
         ]
         is_complete = None not in answers and self._fleet.has_settled
-        claims = [answer for answer in answers if answer and answer["claim"]]
-        if not claims:
-            return ledger.StandbyAnswers(None, is_complete)
-        usages = [ledger.Usage(*answer["claim"]) for answer in claims]
-        usage = usages[0]._replace(
-            recorded_tokens=max(one.recorded_tokens for one in usages),
-            unrecorded_tokens=max(one.unrecorded_tokens for one in usages),
+        found = [answer for answer in answers if answer is not None]
+        reports = [one.report for one in found if one.report is not None]
+        return usages.StandbyAnswers(
+            _merge(reports) if reports else None,
+            is_complete,
+            _is_vouched(found, is_complete),
         )
-        unrecorded = self._unrecorded_tokens(
-            # Processes of the release before do not name the holders.
-            [answer.get("unrecorded") or {} for answer in claims]
+
+    def _ask(
+        self, member: traffic.Member, body: dict[str, str]
+    ) -> usage_messages.UsageAnswer | None:
+        """Ask a member about a program; return ``None`` if it is silent."""
+        answer = self._calls.call(
+            member, peers.READ_STATE_PATH, body, STANDBY_TIMEOUT_MS
         )
-        registered = {
-            holder_id(member.name, member.incarnation)
-            for member in self._fleet.members()
-        }
-        lost = frozenset(unrecorded) - registered
-        revisions = [int(answer.get("revision", 0)) for answer in claims]
-        # Processes of the release before do not name the revision.
-        revision = max(revisions) if all(revisions) else 0
-        queried = ledger.QueriedUsage(usage, unrecorded, lost, revision)
-        return ledger.StandbyAnswers(queried, is_complete)
+        if answer is None:
+            return None
+        holder = holder_id(member.name, member.incarnation)
+        try:
+            return usage_messages.decode_answer(holder, answer)
+        except ValueError as error:
+            events.log(
+                events.Event.PEER_CALL_FAILED,
+                member=member.name,
+                call="read usage",
+                reason=str(error),
+            )
+            return None
 
     def may_live(self, holder: str) -> bool:
         """Return whether a holder is registered, or may be again soon."""
         name, has_incarnation, _ = holder.partition("/")
         if not has_incarnation:
             return False
-        for member in self._fleet.members():
+        members = self._fleet.members()
+        for member in members:
             if member.name == name:
                 return holder_id(name, member.incarnation) == holder
-        return not self._fleet.has_settled
+        # Without any member, it is the view that lacks them.
+        return not members or not self._fleet.has_settled
 
     def _knows_enough_members(self) -> bool:
         """Return whether the members that may know a program are known.
@@ -220,20 +229,6 @@
         has_all = len(others) >= membership.MAX_HOLDERS - 1
         return has_all or self._fleet.has_settled
 
-    def _unrecorded_tokens(
-        self, unrecorded: Sequence[Mapping[str, int]]
-    ) -> dict[str, int]:
-        """Return the unrecorded tokens of other holders, by their id.
-
-        :param unrecorded: tokens as each of the queried members knows them.
-        """
-        most: dict[str, int] = {}
-        for known in unrecorded:
-            for holder, tokens in known.items():
-                if "/" in holder and holder != self._id:
-                    most[holder] = max(most.get(holder, 0), int(tokens))
-        return most
-
     def _past_and_present_holders(
         self, program_id: str
     ) -> list[traffic.Member]:
@@ -254,6 +249,36 @@
         return [member for member in holders if member.name != self._name]
 
 
+def _is_vouched(
+    answers: Sequence[usage_messages.UsageAnswer], is_complete: bool
+) -> bool:
+    """Return whether members know all that was handed out unrecorded.
+
+    Holders ask each other before they hand out unrecorded tokens, and one of
+    them confirms each.
+    """
+    if any(answer.is_vouching for answer in answers):
+        return True
+    return (
+        is_complete
+        and bool(answers)
+        and all(answer.remembers for answer in answers)
+    )
+
+
+def _merge(reports: Sequence[usages.UsageReport]) -> usages.UsageReport:
+    """Return the most that several members know of one program."""
+    shares: dict[str, ledger_records.Share] = {}
+    for report in reports:
+        usages.merge_shares(shares, report.shares)
+    usage = reports[0].usage._replace(
+        recorded_tokens=max(one.usage.recorded_tokens for one in reports),
+        unrecorded_tokens=max(one.usage.unrecorded_tokens for one in reports),
+    )
+    newest = max(reports, key=lambda report: report.revision)
+    return usages.UsageReport(usage, shares, newest.record, newest.revision)
+
+
 def holder_id(name: str, incarnation: str) -> str:
     """Return the id of a holder, another one for each of its processes."""
     return f"{name}/{incarnation}"
--- a/packages/gateway/src/balsamloom_gateway/usage_messages.py
+++ b/packages/gateway/src/balsamloom_gateway/usage_messages.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
-from balsamloom_gateway import ledger
+from balsamloom_gateway import ledger_records, usages
 
 
 class UsageMessage(NamedTuple):
@@ -15,7 +15,7 @@
     """
 
     holder: str
-    reports: Sequence[ledger.UsageReport]
+    reports: Sequence[usages.UsageReport]
     is_complete: bool
 
 
@@ -24,15 +24,7 @@
     return {
         "holder": message.holder,
         "claims": [report.usage for report in message.reports],
-        "covered": {
-            report.usage.program_id: report.covered_tokens
-            for report in message.reports
-            if report.covered_tokens
-        },
-        "revisions": {
-            report.usage.program_id: report.revision
-            for report in message.reports
-        },
+        "details": [_encode_details(report) for report in message.reports],
         "is_sure": message.is_complete,
     }
 
@@ -40,27 +32,97 @@
 def decode(body: Mapping[str, Any]) -> UsageMessage:
     """Decode a message.
 
+    Processes of the release before send no details.
+
     :raises ValueError: it is malformed.
     """
     try:
-        # Processes of releases before do not send these fields.
-        covered = body.get("covered") or {}
-        revisions = body.get("revisions") or {}
-        usages = [ledger.Usage(*claim) for claim in body["claims"]]
+        holder = str(body["holder"])
+        found = [usages.Usage(*claim) for claim in body["claims"]]
+        details = body.get("details") or [
+            _older_details({holder: usage.unrecorded_tokens})
+            for usage in found
+        ]
         reports = [
-            ledger.UsageReport(
-                usage,
-                _decode_tokens(covered.get(usage.program_id, {})),
-                int(revisions.get(usage.program_id, 0)),
-            )
-            for usage in usages
+            _decode_report(usage, fields)
+            for usage, fields in zip(found, details, strict=True)
         ]
-        return UsageMessage(
-            str(body["holder"]), reports, bool(body["is_sure"])
-        )
+        return UsageMessage(holder, reports, bool(body["is_sure"]))
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
+        raise ValueError(repr(error)) from error
+
+
+class UsageAnswer(NamedTuple):
+    """What a member knows of a program that another one asks about.
+
+    ``report`` is ``None`` if it does not know the program. ``remembers`` says
+    that it has been running for some time, and ``is_vouching`` that it could
+    record allocations all that time.
+    """
+
+    report: usages.UsageReport | None
+    remembers: bool
+    is_vouching: bool
+
+
+def encode_answer(answer: UsageAnswer) -> dict[str, Any]:
+    """Encode an answer as a JSON object."""
+    report = answer.report
+    return {
+        "claim": report.usage if report else None,
+        "details": _encode_details(report) if report else None,
+        "remembers": answer.remembers,
+        "is_vouching": answer.is_vouching,
+    }
+
+
+def decode_answer(holder: str, body: Mapping[str, Any]) -> UsageAnswer:
+    """Decode the answer of a holder.
+
+    Processes of the release before tell the unrecorded tokens of others by
+    holder, and their own only in the sum.
+
+    :raises ValueError: it is malformed.
+    """
+    try:
+        remembers = bool(body.get("remembers", False))
+        is_vouching = bool(body.get("is_vouching", False))
+        if not body["claim"]:
+            return UsageAnswer(None, remembers, is_vouching)
+        usage = usages.Usage(*body["claim"])
+        details = body.get("details")
+        if details is None:
+            unrecorded = body.get("unrecorded") or {}
+            rest = usage.unrecorded_tokens - sum(unrecorded.values())
+            details = _older_details({holder: max(rest, 0), **unrecorded})
+        report = _decode_report(usage, details)
+        return UsageAnswer(report, remembers, is_vouching)
     except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(repr(error)) from error
 
 
-def _decode_tokens(tokens: Mapping[str, Any]) -> dict[str, int]:
-    return {str(holder): int(count) for holder, count in tokens.items()}
+def _encode_details(report: usages.UsageReport) -> dict[str, Any]:
+    record = report.record
+    return {
+        "shares": report.shares,
+        "record": ledger_records.encode_fields(record) if record else None,
+        "revision": report.revision,
+    }
+
+
+def _decode_report(
+    usage: usages.Usage, details: Mapping[str, Any]
+) -> usages.UsageReport:
+    record = details["record"]
+    return usages.UsageReport(
+        usage,
+        usages.decode_shares(details["shares"]),
+        ledger_records.decode_fields(record) if record else None,
+        int(details["revision"]),
+    )
+
+
+def _older_details(unrecorded: Mapping[str, int]) -> dict[str, Any]:
+    """Return details in which holders have no share in a record."""
+    shares = {holder: (tokens, 0, 1) for holder, tokens in unrecorded.items()}
+    return {"shares": shares, "record": None, "revision": 0}
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -14,6 +14,7 @@
     health,
     interfaces,
     json_parsing,
+    ledger_records,
     listeners,
     peers,
     planner,
@@ -21,6 +22,7 @@
     send_permits,
     server_limits,
     traffic,
+    usages,
 )
 
 SERVICE = "engines"
@@ -329,6 +331,22 @@
             self.changes.append(interfaces.Deletion(key, self.revision))
 
 
+def usage_report(
+    holder: str = "m2/1",
+    recorded: int = 0,
+    unrecorded: int = 0,
+    budget: int = 600,
+    sequence: int = 1,
+    others: dict[str, ledger_records.Share] | None = None,
+) -> usages.UsageReport:
+    """Build the report of a holder that has not read the record."""
+    share = ledger_records.Share(unrecorded, 0, sequence)
+    return usages.UsageReport(
+        usages.Usage("p", budget, recorded, unrecorded),
+        {**(others or {}), holder: share},
+    )
+
+
 def register_server(
     view: fleet.Fleet, server_id: str, version: str = "v1"
 ) -> None:
