--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -37,9 +37,11 @@
 RUNNING_TURN_GRACE_MS = 1_000.0
 # A refusal rests on a record that the store confirmed within this time.
 CONFIRMATION_AGE_MS = 500.0
+# A program that ran when this process started calls again within this time.
+RESUMPTION_MS = 5_000.0
 # Processes that have run for this time know what lost ones handed out, or that
 # these could record it.
-VOUCHING_MS = 10_000.0
+VOUCHING_MS = 5_000.0
 # A turn that was not served comes again within this time.
 NEEDED_MS = 1_000.0
 # Transactions in which a stopping process returns an allocation, at most.
@@ -100,6 +102,7 @@
         self._is_restart = is_restart
         self._started_ms = clock.now_ms()
         self._has_started_in_outage = False
+        self._lack_until_ms = -math.inf
         if is_restart:
             self._caution_until_ms = clock.now_ms() + CAUTION_MS
         self._is_stopping = False
@@ -121,16 +124,25 @@
         The process that this one replaces may have handed out unrecorded
         tokens until its end, and its standbys may have ended with it.
         """
+        self._has_started_in_outage = True
+        self._assume_lost_tokens("the store was unavailable at start")
+
+    def handle_lapsed_registration(self) -> None:
+        """Handle a start at which the earlier registration was gone.
+
+        The store may have been unavailable when the earlier process ended.
+        """
+        self._assume_lost_tokens("the earlier registration had lapsed")
+
+    def _assume_lost_tokens(self, reason: str) -> None:
+        """Assume for a while that nobody knows some unrecorded tokens."""
         if not self._is_restart:
             return
         with self._changed:
-            self._has_started_in_outage = True
+            self._lack_until_ms = self._clock.now_ms() + CAUTION_MS
             for account in self._accounts.values():
                 account.may_lack_unrecorded = True
-        events.log(
-            events.Event.BUDGET_CAUTION,
-            reason="the store was unavailable at start",
-        )
+        events.log(events.Event.BUDGET_CAUTION, reason=reason)
 
     def handle_lost_holder(self, name: str) -> None:
         """Record the unrecorded tokens of a lost member.
@@ -218,6 +230,8 @@
             account = self._account(program_id, budget_tokens)
             account.max_turn_tokens = max(account.max_turn_tokens, tokens)
             account.is_standby = is_standby
+            if account.may_lack_unrecorded:
+                account.living_holders = self.standbys.living()
             result = self._reserve(account, tokens, policy, reservation_id)
             self._mark_unreported(program_id)
             needs_standby = account.unrecorded_tokens > 0
@@ -413,7 +427,8 @@
                 # A turn of the same time has merged the same answers.
                 return
             account.has_queried_standbys = answers.is_complete
-            if answers.is_vouched and not self._has_started_in_outage:
+            is_vouched = answers.is_vouched and not self._has_started_in_outage
+            if is_vouched or answers.is_remembered:
                 account.may_lack_unrecorded = False
             if answers.report is None:
                 return
@@ -533,9 +548,10 @@
             )
             # Those that knew of unrecorded tokens may be lost as well.
             account.may_lack_unrecorded = (
-                self._is_restart
-                and self._clock.now_ms() - self._started_ms < CAUTION_MS
+                self._clock.now_ms() < self._lack_until_ms
             )
+            running_ms = self._clock.now_ms() - self._started_ms
+            account.may_be_unrecorded = running_ms < RESUMPTION_MS
             self._accounts[program_id] = account
         account.last_used_ms = self._clock.now_ms()
         return account
--- a/packages/gateway/src/balsamloom_gateway/ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger.py
@@ -139,6 +139,11 @@
         # Whether all processes that knew of unrecorded tokens may be lost, and
         # the program's record has not been read since.
         self.may_lack_unrecorded = False
+        # Whether that holds for a program without a record, too.
+        self.may_be_unrecorded = True
+        # Ids of holders that run. One that has written the record knew of
+        # unrecorded tokens, or has counted them as lost.
+        self.living_holders: frozenset[str] = frozenset()
         # Maximum of the tokens that lost processes handed out beyond the
         # record, without anybody knowing of them now.
         self.lost_tokens = 0
@@ -200,7 +205,8 @@
     @property
     def max_lost_tokens(self) -> int:
         """Return the maximum of the tokens of which the count is lost."""
-        if not self.may_lack_unrecorded:
+        is_new = not self._others_allocated() and not self.may_be_unrecorded
+        if not self.may_lack_unrecorded or is_new:
             return self.lost_tokens
         used = self._others_used()
         limit = self._outage_limit(
@@ -415,6 +421,8 @@
         self._record = record
         self.revision = revision
         self.max_turn_tokens = max(self.max_turn_tokens, record.turn_tokens)
+        if not self.living_holders.isdisjoint(shares):
+            self.may_lack_unrecorded = False
         self.lost_tokens = max(self.max_lost_tokens, record.lost_tokens)
         self.may_lack_unrecorded = False
         self._has_unknown_write = False
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -22,6 +23,8 @@
 
 # A turn's caller waits for these calls.
 STANDBY_TIMEOUT_MS = 60.0
+# A holder that answered within this time lives.
+MAX_ANSWER_AGE_MS = 3_000.0
 # Backoff of calls to a member that did not answer.
 BREAKER_BACKOFF = circuit_breaker.Backoff(
     2_000.0, 2_000.0, trial_ms=STANDBY_TIMEOUT_MS
@@ -63,6 +66,9 @@
         :param holder: id of the holder.
         """
 
+    def living(self) -> frozenset[str]:
+        """Return the ids of all members that are registered."""
+
 
 class NoStandbys:
     """Absence of standbys, for a ledger without peers."""
@@ -96,6 +102,10 @@
         """Return false, as no other holder is known."""
         return False
 
+    def living(self) -> frozenset[str]:
+        """Return no ids, as no other holder is known."""
+        return frozenset()
+
 
 class PeerStandbys:
     """Standbys of this member, reached by calls between members.
@@ -119,6 +129,9 @@
         self._id = holder_id(name, incarnation)
         self._calls = member_calls.MemberCalls(clients, BREAKER_BACKOFF, clock)
         self._fleet = view
+        self._clock = clock
+        # Times of the last answers, by holder.
+        self._answered_ms: dict[str, float] = {}
 
     def of(self, program_id: str) -> tuple[str, ...]:
         """Return name and incarnation of each other holder."""
@@ -177,7 +190,8 @@
         return usages.StandbyAnswers(
             _merge(reports) if reports else None,
             is_complete,
-            _is_vouched(found, is_complete),
+            is_complete and all(answer.remembers for answer in found),
+            any(answer.is_vouching for answer in found),
         )
 
     def _ask(
@@ -190,6 +204,7 @@
         if answer is None:
             return None
         holder = holder_id(member.name, member.incarnation)
+        self._answered_ms[holder] = self._clock.now_ms()
         try:
             return usage_messages.decode_answer(holder, answer)
         except ValueError as error:
@@ -202,7 +217,13 @@
             return None
 
     def may_live(self, holder: str) -> bool:
-        """Return whether a holder is registered, or may be again soon."""
+        """Return whether a holder is registered, or may be again soon.
+
+        One that has lost its registration only still answers.
+        """
+        answered_ms = self._answered_ms.get(holder, -math.inf)
+        if self._clock.now_ms() - answered_ms < MAX_ANSWER_AGE_MS:
+            return True
         name, has_incarnation, _ = holder.partition("/")
         if not has_incarnation:
             return False
@@ -213,6 +234,13 @@
         # Without any member, it is the view that lacks them.
         return not members or not self._fleet.has_settled
 
+    def living(self) -> frozenset[str]:
+        """Return the ids of all members that are registered."""
+        return frozenset(
+            holder_id(member.name, member.incarnation)
+            for member in self._fleet.members()
+        )
+
     def _knows_enough_members(self) -> bool:
         """Return whether the members that may know a program are known.
 
@@ -249,23 +277,6 @@
         return [member for member in holders if member.name != self._name]
 
 
-def _is_vouched(
-    answers: Sequence[usage_messages.UsageAnswer], is_complete: bool
-) -> bool:
-    """Return whether members know all that was handed out unrecorded.
-
-    Holders ask each other before they hand out unrecorded tokens, and one of
-    them confirms each.
-    """
-    if any(answer.is_vouching for answer in answers):
-        return True
-    return (
-        is_complete
-        and bool(answers)
-        and all(answer.remembers for answer in answers)
-    )
-
-
 def _merge(reports: Sequence[usages.UsageReport]) -> usages.UsageReport:
     """Return the most that several members know of one program."""
     shares: dict[str, ledger_records.Share] = {}
--- a/packages/gateway/src/balsamloom_gateway/usages.py
+++ b/packages/gateway/src/balsamloom_gateway/usages.py
@@ -40,12 +40,13 @@
 
     ``report`` is ``None`` if none of them knows the program. That proves
     nothing unless ``is_complete``: all members that may know it have answered.
-    ``is_vouched`` says that no tokens were handed out beyond the record lately
-    without one of them knowing: it could have recorded them all the time.
+    ``is_remembered`` says that all of them also remember what lost holders
+    reported, ``is_vouched`` that one of them could record all the time.
     """
 
     report: UsageReport | None
     is_complete: bool
+    is_remembered: bool = False
     is_vouched: bool = False
 
 
--- a/packages/gateway/tests/test_ledger.py
+++ b/packages/gateway/tests/test_ledger.py
@@ -189,6 +189,14 @@
         self.account.apply_written(written, 4)
         self.assertEqual(self.account.used_tokens, 400)
 
+    def test_record_of_a_living_holder_tells_what_was_lost(self):
+        for living, lost in ((frozenset(), 350), ({"other/1"}, 20)):
+            account = ledger.Account("p", 900)
+            account.may_lack_unrecorded = True
+            account.living_holders = frozenset(living)
+            account.apply_record(record(others=100, lost=20), 1)
+            self.assertEqual(account.lost_tokens, lost)
+
     def test_largest_turn_is_known_to_later_holders(self):
         # The margin of a loss is the most that one turn may generate.
         self.account.max_turn_tokens = 280
--- a/packages/gateway/tests/test_review_budgets.py
+++ b/packages/gateway/tests/test_review_budgets.py
@@ -255,6 +255,9 @@
             self.store.put(f"ledger/{one}", ledger_records.encode(record))
         holder = self.start_holder(holder_id="m1/1", is_restart=False)
         self.store.transact = slow_transact
+        for one in programs:
+            self.assertEqual(self.reserve(holder, one), ledger.Reservation())
+            holder.settle(one, TURN, 1, "s1")
         threads = [
             threading.Thread(target=run, args=(one,)) for one in programs
         ]
