log audit: count answers 402 whose decision is not logged

Such an answer was passed over without a word: its budget and its turn's tokens are in budget_decided, and that line may be dropped or lost. The summary says how many were not judged. The decisions of a program are read in one place.

--- a/packages/gateway/src/balsamloom_gateway/budget_refusals.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_refusals.py
@@ -25,6 +25,13 @@
 _WHOLE_REASON = "answered"
 
 
+class TokenCount(NamedTuple):
+    """Tokens of turns: those used, and the most of turns in doubt."""
+
+    used_tokens: int
+    max_open_tokens: int
+
+
 class Turn(NamedTuple):
     """Turn of a program, as far as the logs tell.
 
@@ -53,13 +60,6 @@
         return TokenCount(0, self.max_tokens)
 
 
-class TokenCount(NamedTuple):
-    """Tokens of turns: those used, and the most of turns in doubt."""
-
-    used_tokens: int
-    max_open_tokens: int
-
-
 class BudgetRefusal(NamedTuple):
     """Answer 402 to a turn, and what the program's turns had used by then."""
 
@@ -89,10 +89,14 @@
 
 
 class BudgetAudit(NamedTuple):
-    """All answers 402, and the programs that got a wrong one."""
+    """All answers 402, and the programs that got a wrong one.
+
+    ``unjudged_count`` is the number of answers 402 without a logged decision.
+    """
 
     refusals: list[BudgetRefusal]
     histories: list[ProgramHistory]
+    unjudged_count: int
 
     @property
     def wrong_refusals(self) -> list[BudgetRefusal]:
@@ -136,7 +140,10 @@
         )
         for program_id in wrong_ids
     ]
-    return BudgetAudit(refusals, histories)
+    answer_count = sum(
+        len(_budget_answers(found)) for found in by_program.values()
+    )
+    return BudgetAudit(refusals, histories, answer_count - len(refusals))
 
 
 def _find_turns(
@@ -147,16 +154,22 @@
 
     Calls of tools name their program as well, but ask for no tokens.
     """
-    decisions = {
-        line.fields["request_id"]: line
-        for line in request_lines.select(program_lines, "budget_decided")
-    }
     return [
         _read_turn(decision, by_request[request_id])
-        for request_id, decision in decisions.items()
+        for request_id, decision in _decisions(program_lines).items()
     ]
 
 
+def _decisions(
+    program_lines: Iterable[explain.LogLine],
+) -> dict[str, explain.LogLine]:
+    """Return the decisions on the tokens of turns, by their request."""
+    return {
+        line.fields["request_id"]: line
+        for line in request_lines.select(program_lines, "budget_decided")
+    }
+
+
 def _read_turn(
     decision: explain.LogLine, lines: Sequence[explain.LogLine]
 ) -> Turn:
@@ -219,20 +232,23 @@
     turns: Sequence[Turn],
     settle_ms: float,
 ) -> list[BudgetRefusal]:
-    decisions = {
-        line.fields["request_id"]: line
-        for line in request_lines.select(program_lines, "budget_decided")
-    }
+    decisions = _decisions(program_lines)
     return [
         _judge(line, decisions[line.fields["request_id"]], turns, settle_ms)
-        for line in request_lines.select(program_lines, "request_ended")
-        if _is_refusal(line) and line.fields["request_id"] in decisions
+        for line in _budget_answers(program_lines)
+        if line.fields["request_id"] in decisions
     ]
 
 
-def _is_refusal(line: explain.LogLine) -> bool:
-    """Return whether a line is the end of a turn with a 402 of ours."""
-    return request_lines.own_status(line) == _BUDGET_EXHAUSTED_STATUS
+def _budget_answers(
+    program_lines: Iterable[explain.LogLine],
+) -> list[explain.LogLine]:
+    """Return the ends of turns with a 402 that no server gave."""
+    return [
+        line
+        for line in request_lines.select(program_lines, "request_ended")
+        if request_lines.own_status(line) == _BUDGET_EXHAUSTED_STATUS
+    ]
 
 
 def _judge(
--- a/packages/gateway/src/balsamloom_gateway/log_audit.py
+++ b/packages/gateway/src/balsamloom_gateway/log_audit.py
@@ -204,7 +204,8 @@
         f" {', '.join(one.versions)}"
         for one in found.mixed_streams
     ]
-    if found.refusals.budget.refusals:
+    budget = found.refusals.budget
+    if budget.refusals or budget.unjudged_count:
         texts.append(refusal_report.summarize(found.refusals))
     texts += refusal_report.describe(found.refusals)
     if found.dropped_lines:
--- a/packages/gateway/src/balsamloom_gateway/refusal_report.py
+++ b/packages/gateway/src/balsamloom_gateway/refusal_report.py
@@ -29,11 +29,14 @@
 
 def summarize(found: refusal_audit.RefusalAudit) -> str:
     """Return the counts of answers 402, of wrong ones and their programs."""
-    return (
+    text = (
         f"{len(found.budget.refusals)} answers 402,"
         f" {len(found.budget.wrong_refusals)} wrong,"
         f" of {len(found.budget.histories)} programs"
     )
+    if found.budget.unjudged_count:
+        text += f", and {found.budget.unjudged_count} not judged"
+    return text
 
 
 def _describe_program(
--- a/packages/gateway/tests/test_refusal_audit.py
+++ b/packages/gateway/tests/test_refusal_audit.py
@@ -179,6 +179,15 @@
         found = audit(*log_builders.turn(1, 2, "r1", 0, status=402))
         self.assertEqual(found.budget.refusals, [])
 
+    def test_402_whose_decision_is_not_logged_is_counted_apart(self):
+        decision, answer = log_builders.exhausted(REFUSED_S, "r1")
+        self.assertEqual(audit(decision, answer).budget.unjudged_count, 0)
+        found = audit(answer, *log_builders.exhausted(REFUSED_S, "r2"))
+        self.assertEqual(
+            refusal_report.summarize(found),
+            "1 answers 402, 1 wrong, of 1 programs, and 1 not judged",
+        )
+
     def test_lines_of_several_processes_may_come_in_any_order(self):
         lines = [
             *log_builders.turn(1, 2, "r1", 30),
