--- a/packages/gateway/src/balsamloom_gateway/budget_refusals.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_refusals.py
@@ -10,6 +10,9 @@
 
 # A turn that ended later than this before an answer 402 counts at its most.
 DEFAULT_SETTLE_MS = 1_000.0
+# A holder may grant a turn's tokens so much earlier than the caller's process
+# logs it: the timeout of its call.
+MAX_GRANT_LOG_DELAY_MS = 200.0
 EVENT_NAMES = frozenset(
     {
         "attempt_failed",
@@ -258,10 +261,11 @@
     settle_ms: float,
 ) -> BudgetRefusal:
     settled_s = answer.time_s - settle_ms / clocks.MS_PER_S
+    granted_s = answer.time_s + MAX_GRANT_LOG_DELAY_MS / clocks.MS_PER_S
     counts = [
         turn.count_at(settled_s)
         for turn in turns
-        if turn.begun_s <= answer.time_s
+        if turn.begun_s <= granted_s
         and turn.request_id != answer.fields["request_id"]
     ]
     return BudgetRefusal(
--- a/packages/gateway/tests/test_refusal_audit.py
+++ b/packages/gateway/tests/test_refusal_audit.py
@@ -110,6 +110,12 @@
         refusal = self.judge(*log_builders.turn(10.1, 10.2, "r1", 80))
         self.assertTrue(refusal.is_wrong)
 
+    def test_turn_whose_grant_is_logged_a_call_later_counts(self):
+        for begun_s, spent in ((10.1, (0, 30)), (10.3, (0, 0))):
+            with self.subTest(begun_s=begun_s):
+                turn = log_builders.turn(begun_s, 10.4, "r1", 80)
+                self.assertEqual(self.judge(*turn).spent, spent)
+
     def test_turn_that_arrived_before_the_refusal_counts(self):
         late = log_builders.turn(10.1, 10.4, "r1", 80, duration_ms=500.0)
         self.assertEqual(self.judge(*late).spent, (0, 30))
