--- a/packages/state/src/balsamloom_state/budgets.py
+++ b/packages/state/src/balsamloom_state/budgets.py
@@ -16,6 +16,9 @@
 # loses at most one block.
 BLOCKS_PER_BUDGET = 16
 
+# Time after which a call in progress may have returned what it did not use.
+HELD_RETRY_AFTER_MS = 500
+
 
 class Amount(NamedTuple):
     """Number of generated tokens and of calls."""
@@ -123,6 +126,10 @@
             self.limits.calls or UNLIMITED,
         )
 
+    def remaining(self) -> Amount:
+        """Return what is not used, reserved or not."""
+        return self.limit().subtract(self.used).maximum(ZERO)
+
     def unreserved(self) -> Amount:
         """Return what can still be reserved."""
         spent = self.used.add(self.reserved)
@@ -141,17 +148,15 @@
 
         :param max_use: maximum that the call may use.
         :return: whether the block grew and must be made durable.
-        :raises BalsamloomError: with ``BUDGET_EXHAUSTED``.
+        :raises BalsamloomError: with ``BUDGET_EXHAUSTED`` if the budget does
+            not cover the call, or with ``OVERLOADED`` if it may do so once
+            calls in progress have finished.
         """
         available = self.available()
         if available.covers(max_use):
             return False
         if not available.add(self.unreserved()).covers(max_use):
-            raise errors.BalsamloomError(
-                results.ResultCode.BUDGET_EXHAUSTED,
-                f"the call may use {max_use}; the budget has "
-                f"{available.add(self.unreserved())} left",
-            )
+            raise self._refusal(max_use)
         missing = max_use.subtract(available).maximum(ZERO)
         wanted = missing.maximum(self._block_size())
         self.reserved = self.reserved.add(wanted.minimum(self.unreserved()))
@@ -182,8 +187,7 @@
         self.reserved = self.reserved.subtract(spent).maximum(ZERO)
         # An engine may generate more tokens than requested, which leaves less
         # to reserve.
-        remaining = self.limit().subtract(self.used).maximum(ZERO)
-        self.reserved = self.reserved.minimum(remaining)
+        self.reserved = self.reserved.minimum(self.remaining())
         missing = self._block_size().subtract(self.available()).maximum(ZERO)
         self.reserved = self.reserved.add(missing.minimum(self.unreserved()))
 
@@ -216,6 +220,20 @@
         self._wall_used_ms = used.wall_ms
         self._wall_since_ms = now_ms
 
+    def _refusal(self, max_use: Amount) -> errors.BalsamloomError:
+        remaining = self.remaining()
+        if remaining.covers(max_use):
+            return errors.BalsamloomError(
+                results.ResultCode.OVERLOADED,
+                f"the call may use {max_use}; of the {remaining} left, calls "
+                f"in progress may use {self.held}",
+                HELD_RETRY_AFTER_MS,
+            )
+        return errors.BalsamloomError(
+            results.ResultCode.BUDGET_EXHAUSTED,
+            f"the call may use {max_use}; the budget has {remaining} left",
+        )
+
     def _block_size(self) -> Amount:
         limits = self.limits
         return Amount(
