--- a/packages/state/tests/test_call_budgets.py
+++ b/packages/state/tests/test_call_budgets.py
@@ -154,6 +154,40 @@
             budgets.MaxUse(600),
         )
 
+    def test_program_outlives_several_owner_changes(self):
+        """Guards against counting blocks that no call has used."""
+        program = builders.start(self.member, generated_tokens=1_600)
+        for number in range(20):
+            with self.subTest(number=number):
+                builders.model_call(
+                    self.member, program, f"c{number}", tokens=1
+                )
+            self.member = self.take_over()
+            program = self.member.program(program.program_id)
+
+    def test_block_of_a_paused_owner_counts_as_spent(self):
+        """Guards against a successor that trusts a former owner's silence."""
+        program = builders.start(self.member, generated_tokens=1_600)
+        builders.model_call(self.member, program, "c1", tokens=10)
+        successor = self.world.join()
+        successor.take_over(self.member.member.member_id)
+        found = successor.program(program.program_id)
+        self.assertIsInstance(self.begin(program, "late", 100), owner.NewCall)
+        former_use = 10 + 100
+        for tokens, is_covered in (
+            (1_600 - former_use + 1, False),
+            (1_600 - former_use, True),
+        ):
+            with self.subTest(tokens=tokens):
+                need = budgets.MaxUse(tokens)
+                arguments = (found, "c2", builders.DIGEST, need)
+                if is_covered:
+                    successor.begin_call(*arguments)
+                else:
+                    self.assert_code(
+                        Code.BUDGET_EXHAUSTED, successor.begin_call, *arguments
+                    )
+
     def test_block_is_unused_until_it_is_durable(self):
         """Guards against using a block that a crash would lose."""
         program = builders.start(self.member, generated_tokens=1_000)
