--- a/packages/gateway/tests/budget_model.py
+++ b/packages/gateway/tests/budget_model.py
@@ -339,9 +339,8 @@
         if mode is StoreMode.SLOW:
             world.clock.advance(SLOW_CALL_MS)
         result = None
-        if mode in (StoreMode.ANSWER_LOST, StoreMode.SLOW, StoreMode.UP):
-            if mode is not StoreMode.SLOW:
-                result = world.store.transact(conditions, writes, deletes)
+        if mode in (StoreMode.ANSWER_LOST, StoreMode.UP):
+            result = world.store.transact(conditions, writes, deletes)
         for step in during:
             world.apply(step)
         if not edge.is_alive:
@@ -780,9 +779,7 @@
     """Run background calls in their callers, and log nothing."""
     logger = logging.getLogger("balsamloom")
     with (
-        mock.patch.object(
-            background, "start", lambda target, clock: target()
-        ),
+        mock.patch.object(background, "start", lambda target, clock: target()),
         mock.patch.object(logger, "disabled", True),
     ):
         yield
--- a/packages/gateway/tests/test_budget_histories.py
+++ b/packages/gateway/tests/test_budget_histories.py
@@ -5,6 +5,7 @@
     BUDGET_HISTORIES=20000 python -m unittest test_budget_histories
 """
 
+import enum
 import os
 import unittest
 
@@ -22,6 +23,7 @@
     database=None,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
+BOOLEANS = strategies.booleans()
 NAMES = strategies.sampled_from(model.NAMES)
 # The first is the program's primary holder while it is registered.
 # The first is the program's primary holder while it is registered.
@@ -33,6 +35,8 @@
 PERCENTS = strategies.sampled_from([0, 10, 50, 100])
 MAX_STEPS = 25
 MAX_LOSSES = 5
+# Holders record what has ended.
+PAUSE = (model.Wait(), model.Wait(model.SETTLE_MS))
 
 SETTLES = strategies.builds(
     model.Settle,
@@ -51,24 +55,48 @@
 KILLS = strategies.builds(
     model.Kill, strategies.lists(NAMES, min_size=1).map(tuple)
 ) | strategies.just(model.Kill(model.NAMES))
-LOSSES = strategies.one_of(
-    KILLS,
-    strategies.just(model.Expire()),
-    strategies.builds(model.Start, NAMES),
-    strategies.builds(model.Stop, NAMES),
-    strategies.builds(model.Freeze, NAMES),
-    strategies.builds(model.Thaw, NAMES),
-    strategies.builds(model.LoseLease, NAMES),
-    strategies.builds(model.Register, NAMES),
+
+
+class Trouble(enum.Enum):
+    """Kind of trouble that a history may have."""
+
+    STORE = "store"
+    KILLS = "kills"
+    STOPS = "stops"
+    HALTS = "halts"
+    LOST_LEASES = "lost leases"
+    UNTOLD_ENDS = "untold ends"
+    FORMER_RELEASE = "former release"
+
+
+STARTS = strategies.builds(model.Start, NAMES)
+# The fourth holder lives and knows what the others reported.
+KILLS_BUT_ONE = strategies.builds(
+    model.Kill,
+    strategies.lists(
+        strategies.sampled_from(model.NAMES[:3]), min_size=1, unique=True
+    ).map(tuple),
 )
+LOSS_STEPS = {
+    Trouble.KILLS: KILLS | STARTS | strategies.just(model.Expire()),
+    Trouble.STOPS: strategies.builds(model.Stop, NAMES) | STARTS,
+    Trouble.HALTS: strategies.one_of(
+        strategies.builds(model.Freeze, NAMES),
+        strategies.builds(model.Thaw, NAMES),
+        strategies.just(model.Expire()),
+    ),
+    Trouble.LOST_LEASES: strategies.builds(model.LoseLease, NAMES)
+    | strategies.builds(model.Register, NAMES),
+    Trouble.UNTOLD_ENDS: UNTOLD,
+}
 
 
-def reserves(sizes, is_timely=strategies.booleans()):
+def reserves(sizes, is_timely=BOOLEANS):
     """Return calls of turns."""
     return strategies.builds(model.Reserve, CALLED, sizes, is_timely)
 
 
-def traffic(sizes, is_timely=strategies.booleans()):
+def traffic(sizes, is_timely=BOOLEANS):
     """Return steps of a program without trouble."""
     return strategies.one_of(reserves(sizes, is_timely), SETTLES, WAITS)
 
@@ -103,47 +131,63 @@
 
 
 def any_histories():
-    """Return programs that meet any trouble."""
-    rewrites = strategies.builds(model.RewriteAsFormer, MIXED)
-    steps = strategies.one_of(
-        traffic(MIXED),
-        store_trouble(traffic(MIXED) | LOSSES),
-        LOSSES,
-        UNTOLD | rewrites,
-    )
-    return programs(MIXED, strategies.lists(steps, max_size=MAX_STEPS))
+    """Return programs that meet any trouble, some kinds of it each."""
+    return strategies.tuples(
+        strategies.sampled_from([EQUAL, MIXED]),
+        strategies.lists(
+            strategies.sampled_from(Trouble), max_size=4, unique=True
+        ),
+    ).flatmap(lambda drawn: _any_history(*drawn))
+
+
+def _any_history(sizes, kinds):
+    steps = traffic(sizes)
+    losses = [LOSS_STEPS[kind] for kind in kinds if kind in LOSS_STEPS]
+    for kind in kinds:
+        match kind:
+            case Trouble.STORE:
+                steps |= store_trouble(
+                    strategies.one_of(traffic(sizes), *losses)
+                )
+            case Trouble.FORMER_RELEASE:
+                steps |= strategies.builds(model.RewriteAsFormer, sizes)
+            case _:
+                steps |= LOSS_STEPS[kind]
+    return programs(sizes, strategies.lists(steps, max_size=MAX_STEPS))
 
 
-def with_losses(sizes, running):
+def with_losses(sizes, running, kills):
     """Return programs whose holders are lost, while the store answers.
 
     All that has ended is recorded before each loss.
 
     :param running: turns that run at a loss, which breaks them off.
+    :param kills: losses.
     """
     phase = strategies.tuples(
         strategies.lists(traffic(sizes, strategies.just(True)), max_size=6),
         PERCENTS.map(lambda percent: [model.EndTurns(percent)]),
-        strategies.just([model.Wait(), model.Wait(model.SETTLE_MS)]),
+        strategies.just(PAUSE),
         running,
-        KILLS.map(lambda kill: [kill]),
+        kills.map(lambda kill: [kill]),
         strategies.just([model.EndTurns(50, model.End.BROKEN_OFF)]),
         strategies.sampled_from([[], [model.Expire()]]),
-        strategies.lists(NAMES.map(model.Start), max_size=6),
+        strategies.lists(STARTS, max_size=6),
     ).map(_concatenated)
     phases = strategies.lists(phase, max_size=MAX_LOSSES)
     return programs(sizes, phases.map(_concatenated))
 
 
-def between_turns(sizes):
+def between_turns(sizes, kills=KILLS):
     """Return programs whose holders are lost while no turn runs."""
-    return with_losses(sizes, strategies.just([]))
+    return with_losses(sizes, strategies.just([]), kills)
 
 
-def in_turns(sizes):
+def in_turns(sizes, kills=KILLS):
     """Return programs whose holders are lost while turns run."""
     turns = reserves(sizes, strategies.just(True))
-    return with_losses(sizes, strategies.lists(turns, min_size=1, max_size=2))
+    running = strategies.lists(turns, min_size=1, max_size=2)
+    return with_losses(sizes, running, kills)
 
 
 def _concatenated(lists):
@@ -167,9 +211,6 @@
             )
         return world
 
-    def check_refusals(self, world):
-        self.assertEqual(world.wrong_refusals, [])
-
 
 class OverspendingTest(HistoriesCase):
     """Guards against more tokens than the budget and one turn."""
@@ -180,6 +221,107 @@
         self.run_history(*program[:2])
 
 
+class FoundTest(HistoriesCase):
+    """Guards against the faults that generated histories have found."""
+
+    def assert_no_wrong_refusal(self, budget_tokens, *steps):
+        world = self.run_history(budget_tokens, steps)
+        self.assertEqual(world.wrong_refusals, [])
+        return world
+
+    def test_tokens_of_a_planned_stop_count_once(self):
+        world = self.run_history(
+            855,
+            [
+                model.Reserve("m1", TURN, is_timely=False),
+                model.Stop("m1"),
+                model.Reserve("m2", TURN),
+            ],
+        )
+        world.calm_down()
+        self.assertTrue(world.holds(TURN))
+        self.assertIsInstance(world.retry(TURN), budgets.Grant)
+
+    def test_margin_is_the_largest_turn_after_a_loss(self):
+        self.assert_no_wrong_refusal(
+            300,
+            model.Reserve("m1", TURN),
+            model.EndTurns(0),
+            *PAUSE,
+            model.Kill(("m1",)),
+            model.Start("m1"),
+            model.Reserve("m1", TURN // 2),
+            model.Reserve("m1", TURN // 2),
+        )
+
+    def test_turn_that_is_refused_for_now_runs_at_no_standby(self):
+        # 840 tokens were handed out of a budget of 300.
+        self.run_history(
+            300,
+            [
+                model.Reserve("m2", TURN, is_timely=False),
+                model.Reserve("m1", TURN),
+                model.Reserve("m1", TURN),
+            ],
+        )
+
+    def test_stale_reports_of_standbys_prove_no_exhaustion(self):
+        turn = model.Reserve("m1", TURN)
+        restart = [model.Kill(("m1",)), model.Start("m1")]
+        end = [model.EndTurns(0), *PAUSE]
+        for name, steps in (
+            ("returned", [*[turn] * 4, *end, *restart, turn, turn]),
+            ("broken off", [turn, *restart, turn, turn, *end, turn, turn]),
+        ):
+            with self.subTest(name):
+                self.assert_no_wrong_refusal(855, *steps)
+
+    def test_idle_holders_lose_no_more_than_the_margin(self):
+        turn = model.Reserve("m1", TURN)
+        self.assert_no_wrong_refusal(
+            855,
+            *[
+                turn,
+                model.EndTurns(50),
+                *PAUSE,
+                model.Kill(model.NAMES),
+                model.Start("m1"),
+            ]
+            * 2,
+            turn,
+            turn,
+        )
+
+    def test_outage_before_the_loss_of_all_holders_overspends_nothing(self):
+        turn = model.Reserve("m1", TURN)
+        self.run_history(
+            1_300,
+            [
+                model.SetStore(model.StoreMode.REFUSED),
+                *[turn, model.Wait()] * 4,
+                model.Kill(model.NAMES),
+                model.SetStore(model.StoreMode.UP),
+                model.Start("m1"),
+                *[turn, model.EndTurns(100), model.Wait()] * 8,
+            ],
+        )
+
+    def test_use_that_another_holder_recorded_counts_once(self):
+        world = self.assert_no_wrong_refusal(
+            500,
+            model.Reserve("m1", TURN, is_timely=False),
+            model.SetStore(model.StoreMode.REFUSED),
+            model.Settle(0, 50),
+            model.Wait(10.0),
+            model.SetStore(model.StoreMode.UP),
+            model.Reserve("m2", TURN),
+        )
+        world.calm_down()
+        world.apply(model.EndTurns())
+        world.apply(model.Wait(model.SETTLE_MS))
+        self.assertIsInstance(world.retry(TURN), budgets.Grant)
+
+
 class RefusalTest(HistoriesCase):
     """Guards against 402 for turns that the budget holds.
 
@@ -201,20 +343,35 @@
             self.assertIsInstance(answer, budgets.Grant)
 
     @SETTINGS
-    @hypothesis.given(without_losses(EQUAL), strategies.booleans())
+    @hypothesis.given(without_losses(EQUAL), BOOLEANS)
     def test_store_trouble_costs_no_turn(self, program, ends):
         self.check(program, ends)
 
     @SETTINGS
-    @hypothesis.given(between_turns(EQUAL), strategies.booleans())
+    @hypothesis.given(
+        between_turns(EQUAL, KILLS_BUT_ONE) | in_turns(EQUAL, KILLS_BUT_ONE),
+        BOOLEANS,
+    )
+    def test_losses_that_one_holder_survives_cost_no_other_turn(
+        self, program, ends
+    ):
+        self.check(program, ends)
+
+    @SETTINGS
+    @hypothesis.given(between_turns(EQUAL), BOOLEANS)
     def test_losses_between_turns_cost_no_turn(self, program, ends):
         self.check(program, ends)
 
     @SETTINGS
-    @hypothesis.given(in_turns(EQUAL), strategies.booleans())
+    @hypothesis.given(in_turns(EQUAL), BOOLEANS)
     def test_losses_in_turns_cost_no_other_turn(self, program, ends):
         self.check(program, ends)
 
+    @SETTINGS
+    @hypothesis.given(in_turns(MIXED), BOOLEANS)
+    def test_losses_cost_no_smaller_turn(self, program, ends):
+        self.check(program, ends)
+
 
 class LivenessTest(HistoriesCase):
     """Guards against turns that are never decided."""
