--- a/packages/gateway/tests/test_budget_histories.py
+++ b/packages/gateway/tests/test_budget_histories.py
@@ -35,6 +35,7 @@
 PERCENTS = strategies.sampled_from([0, 10, 50, 100])
 MAX_STEPS = 25
 MAX_LOSSES = 5
+MAX_PHASES = 8
 # Holders record what has ended.
 PAUSE = (model.Wait(), model.Wait(model.SETTLE_MS))
 
@@ -137,23 +138,28 @@
         strategies.lists(
             strategies.sampled_from(Trouble), max_size=4, unique=True
         ),
-    ).flatmap(lambda drawn: _any_history(*drawn))
+    ).flatmap(lambda drawn: with_trouble(*drawn))
 
 
-def _any_history(sizes, kinds):
-    steps = traffic(sizes)
+def with_trouble(sizes, kinds):
+    """Return programs that meet some kinds of trouble."""
     losses = [LOSS_STEPS[kind] for kind in kinds if kind in LOSS_STEPS]
-    for kind in kinds:
-        match kind:
-            case Trouble.STORE:
-                steps |= store_trouble(
-                    strategies.one_of(traffic(sizes), *losses)
-                )
-            case Trouble.FORMER_RELEASE:
-                steps |= strategies.builds(model.RewriteAsFormer, sizes)
-            case _:
-                steps |= LOSS_STEPS[kind]
-    return programs(sizes, strategies.lists(steps, max_size=MAX_STEPS))
+    troubles = list(losses)
+    if Trouble.STORE in kinds:
+        during = strategies.one_of(traffic(sizes), *losses)
+        troubles.append(store_trouble(during))
+    if Trouble.FORMER_RELEASE in kinds:
+        troubles.append(strategies.builds(model.RewriteAsFormer, sizes))
+    bursts = strategies.lists(traffic(sizes), min_size=1, max_size=4)
+    # Most processes that end start again soon.
+    restarts = strategies.lists(STARTS, max_size=3)
+    phases = strategies.tuples(
+        bursts,
+        strategies.one_of(*troubles, WAITS).map(lambda step: [step]),
+        restarts if losses else strategies.just([]),
+    ).map(_concatenated)
+    steps = strategies.lists(phases, max_size=MAX_PHASES).map(_concatenated)
+    return programs(sizes, steps)
 
 
 def with_losses(sizes, running, kills):
@@ -306,6 +312,30 @@
             ],
         )
 
+    def test_holder_that_lives_without_a_lease_is_not_lost(self):
+        self.assert_no_wrong_refusal(
+            855,
+            model.Reserve("m1", TURN, is_timely=False),
+            model.Reserve("m1", TURN),
+            model.Settle(0, 0),
+            model.Freeze("m1"),
+            model.Expire(),
+            model.Wait(10.0),
+            model.Thaw("m1"),
+            model.Reserve("m1", TURN),
+            model.Reserve("m1", TURN, is_timely=False),
+        )
+
+    def test_turn_that_is_lost_with_its_holder_costs_no_other_turn(self):
+        turn = model.Reserve("m1", TURN)
+        loss = [model.Kill(("m1",)), model.EndTurns(50, model.End.BROKEN_OFF)]
+        world = self.assert_no_wrong_refusal(
+            1_300, turn, *loss, model.Start("m1"), *PAUSE, turn, turn, *loss
+        )
+        world.calm_down()
+        self.assertTrue(world.holds(TURN))
+        self.assertIsInstance(world.retry(TURN), budgets.Grant)
+
     def test_use_that_another_holder_recorded_counts_once(self):
         world = self.assert_no_wrong_refusal(
             500,
@@ -347,6 +377,11 @@
     def test_store_trouble_costs_no_turn(self, program, ends):
         self.check(program, ends)
 
+    @SETTINGS
+    @hypothesis.given(with_trouble(EQUAL, [Trouble.LOST_LEASES]), BOOLEANS)
+    def test_lost_leases_cost_no_turn(self, program, ends):
+        self.check(program, ends)
+
     @SETTINGS
     @hypothesis.given(
         between_turns(EQUAL, KILLS_BUT_ONE) | in_turns(EQUAL, KILLS_BUT_ONE),
