--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -105,6 +105,8 @@
         self._lack_until_ms = -math.inf
         if is_restart:
             self._caution_until_ms = clock.now_ms() + CAUTION_MS
+            # The store may have been away when the earlier process ended.
+            self._lack_until_ms = self._caution_until_ms
         self._is_stopping = False
         self._last_sweep_ms = clock.now_ms()
 
@@ -127,13 +129,6 @@
         self._has_started_in_outage = True
         self._assume_lost_tokens("the store was unavailable at start")
 
-    def handle_lapsed_registration(self) -> None:
-        """Handle a start at which the earlier registration was gone.
-
-        The store may have been unavailable when the earlier process ended.
-        """
-        self._assume_lost_tokens("the earlier registration had lapsed")
-
     def _assume_lost_tokens(self, reason: str) -> None:
         """Assume for a while that nobody knows some unrecorded tokens."""
         if not self._is_restart:
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -55,8 +55,6 @@
 PEER_IDLE_TIMEOUT_MS = 60_000.0
 PEER_THREADS = 64
 AUXILIARY_THREADS = 8
-# Registration waits for the first read of the records, but no longer.
-FIRST_READ_TIMEOUT_MS = 1_000.0
 
 
 class EdgeSettings(NamedTuple):
@@ -114,7 +112,6 @@
         self._codec = codec
         self._is_leaving = False
         self._drain = draining.Drain(clock)
-        self._first_read = threading.Event()
         self.fleet = fleet.Fleet(records, clock)
         self.member = traffic.Member(
             settings.name,
@@ -331,7 +328,7 @@
             listener.start()
         for target in (
             self._follower.run,
-            self._run_registrar,
+            self._registrar.run,
             self._book.run,
             self._heartbeats.run,
             self._crash_reports.run,
@@ -394,21 +391,8 @@
         """Start a caution period, as others may have held the budgets."""
         self._book.start_caution_period("this member's lease was lost")
 
-    def _run_registrar(self) -> None:
-        """Register after the first read, which may show an earlier process."""
-        self._clock.wait(self._first_read, FIRST_READ_TIMEOUT_MS)
-        self._registrar.run()
-
-    def _handle_first_read(self) -> None:
-        names = {member.name for member in self.fleet.members()}
-        if self._settings.name not in names:
-            self._book.handle_lapsed_registration()
-        self._first_read.set()
-
     def _handle_read(self) -> None:
         """Run the tasks that depend on the latest read of the records."""
-        if self.fleet.has_read_records and not self._first_read.is_set():
-            self._handle_first_read()
         for task in (
             self._evacuations.answer_due,
             self._history.write_due,
--- a/packages/gateway/tests/test_budget_ledger.py
+++ b/packages/gateway/tests/test_budget_ledger.py
@@ -282,21 +282,20 @@
             results, [ledger.Reservation(), ledger.Exhaustion(780, 0)]
         )
 
-    def limit_after_a_lapsed_registration(self, remembers):
+    def limit_after_a_restart(self, remembers):
         """Return the tokens of a program whose holder had restarted."""
         self.store.put("ledger/p", b'{"tokens": 100, "block": "x.1"}')
         holder = self.start_holder(is_restart=True)
         holder.standbys = FakeStandbys()
         holder.standbys.remembers = remembers
-        holder.handle_lapsed_registration()
         return self.spend(holder, NONE, 8)
 
-    def test_lapsed_registration_may_hide_an_outage(self):
+    def test_restart_may_hide_an_outage(self):
         # Half of the budget may have been handed out: 100 more than recorded.
-        self.assertEqual(self.limit_after_a_lapsed_registration(False), 300)
+        self.assertEqual(self.limit_after_a_restart(False), 300)
 
-    def test_standbys_vouch_for_the_record_after_a_lapsed_registration(self):
-        self.assertEqual(self.limit_after_a_lapsed_registration(True), 400)
+    def test_standbys_that_remember_vouch_for_the_record_after_a_restart(self):
+        self.assertEqual(self.limit_after_a_restart(True), 400)
 
     def test_lost_tokens_are_known_to_later_holders(self):
         self.holder.standbys = FakeStandbys()
