--- a/packages/gateway/tests/test_budget_histories.py
+++ b/packages/gateway/tests/test_budget_histories.py
@@ -312,6 +312,21 @@
             ],
         )
 
+    def test_slow_record_before_the_loss_of_all_holders(self):
+        # The registrations were still there, but nobody knew of the tokens.
+        self.run_history(
+            300,
+            [
+                model.Reserve("m1", TURN, is_timely=False),
+                model.Kill(model.NAMES),
+                model.Start("m1"),
+                model.Reserve("m1", TURN),
+                model.Stop("m1"),
+                model.Start("m1"),
+                model.Reserve("m1", TURN),
+            ],
+        )
+
     def test_holder_that_lives_without_a_lease_is_not_lost(self):
         self.assert_no_wrong_refusal(
             855,
