--- a/packages/gateway/tests/test_review_budgets.py
+++ b/packages/gateway/tests/test_budget_sides.py
@@ -52,7 +52,7 @@
         return holder in self.living
 
 
-class ReviewCase(unittest.TestCase):
+class BudgetCase(unittest.TestCase):
     """Test case with holders that share one store."""
 
     def setUp(self):
@@ -101,7 +101,7 @@
         return {holder: share[:2] for holder, share in shares.items()}
 
 
-class CallersSideTest(ReviewCase):
+class CallersSideTest(BudgetCase):
     """Guards against 402 for turns that the budget holds."""
 
     def test_settlement_for_the_process_before_keeps_the_record_readable(self):
@@ -287,7 +287,7 @@
         )
 
 
-class HoldersReviewTest(holders_case.HoldersCase):
+class SettlementTest(holders_case.HoldersCase):
     """Guards against holders that count what no turn will use."""
 
     def start(self, name, is_restart=False, has_read=True):
@@ -433,7 +433,7 @@
         )
 
 
-class StrictSideTest(ReviewCase):
+class StrictSideTest(BudgetCase):
     """Guards against more tokens than the budget and one turn."""
 
     def test_account_made_again_does_not_hand_out_its_used_tokens(self):
