--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -107,6 +107,7 @@
     BUDGET_ALLOCATED = 7041
     USAGE_NOT_WRITTEN = 7042
     USAGE_READ_INCOMPLETE = 7043
+    RECORDS_READ = 7044
     SERVER_PATHS_CHANGED = 7050
     REQUEST_HANDED_OVER = 7051
     HANDOVER_FAILED = 7052
@@ -241,6 +242,7 @@
     Event.USAGE_READ_INCOMPLETE: (
         "Too few storage hosts said what was handed out of a budget."
     ),
+    Event.RECORDS_READ: "Records were read from the store or a member.",
     Event.SERVER_PATHS_CHANGED: (
         "A process lost its paths to all backend servers, or has one again."
     ),
--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -212,6 +212,8 @@
                 if isinstance(change, interfaces.Item)
             ]
             self._fleet.apply(self._feed.replace(items, revision, unchanged))
+        if changes:
+            self._log_read(source.name, revision, len(changes), sent_ms)
         self._fleet.apply(self._feed.apply(changes))
         self._cursors[source.name] = position
         self._feed.record_read(revision, sent_ms - age_ms)
@@ -301,9 +303,26 @@
             for change in found.changes
             if self._records.kind(change.key) != interfaces.IgnoredRecord()
         ]
+        self._log_read(
+            "store", found.store_revision, len(found.changes), started_ms
+        )
         self._fleet.apply(self._feed.apply(changes))
         self._feed.record_read(found.store_revision, started_ms)
 
+    def _log_read(
+        self, source: str, revision: int, changes: int, started_ms: float
+    ) -> None:
+        """Log what a read adds to the copy, before it is applied."""
+        events.log(
+            events.Event.RECORDS_READ,
+            source=source,
+            after_revision=self._feed.store_revision,
+            store_revision=revision,
+            changes=changes,
+            spent_ms=round(self._clock.now_ms() - started_ms),
+            age_ms=self._feed.age_ms(),
+        )
+
     def _log_source(self, source: str, state: str, reason: str) -> None:
         described = f"{source} {state}"
         if described == self._source:
