--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import json
 import threading
 from collections.abc import Sequence
@@ -234,6 +235,8 @@
         # Transactions take effect, but their answers are lost.
         self.loses_answers = False
         self.has_history = True
+        # A watch answers with this many changes at the most.
+        self.max_changes: int | None = None
         self.changes: list[interfaces.Change] = []
         self.calls: list[str] = []
         self.leases: dict[int, set[str]] = {}
@@ -268,12 +271,18 @@
         self._check("watch")
         if not self.has_history:
             raise interfaces.HistoryCompactedError("dropped")
+        newer = bisect.bisect_right(
+            self.changes, revision, key=lambda change: change.revision
+        )
         found = [
             change
-            for change in self.changes
-            if change.revision > revision and change.key.startswith(prefix)
+            for change in self.changes[newer:]
+            if change.key.startswith(prefix)
         ]
-        return interfaces.Changes(tuple(found), self.revision)
+        part = found[: self.max_changes]
+        is_whole = len(part) == len(found)
+        until = self.revision if is_whole else part[-1].revision
+        return interfaces.Changes(tuple(part), until)
 
     def transact(self, conditions, writes, deletes=()):
         """Apply all writes and deletes if all conditions hold, else none."""
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -261,6 +261,33 @@
         spent_ms = self.clock.now_ms() - 1_000_000.0
         self.assertLess(calls[-1], spent_ms / follower.MAX_RETRY_MS + 6)
 
+    def put_budget_records(self, count):
+        for number in range(count):
+            self.store.put(f"ledger/p{number}", b"{}")
+
+    def test_copy_that_lacks_changes_does_not_call_itself_fresh(self):
+        view, reader = self.start("m1")
+        reader.read_once()
+        self.store.max_changes = 500
+        self.put_budget_records(1_300)
+        self.store.put("config", b"2")
+        self.clock.advance(600.0)
+        now_ms = self.clock.now_ms()
+        reader.read_once()
+        is_known = reader.await_records(now_ms, now_ms)
+        version = view.active_configuration.configuration.version
+        self.assertTrue(version == 2 or not is_known)
+
+    def test_change_behind_more_than_one_answer_is_read_in_the_same_read(self):
+        view, reader = self.start("m1")
+        reader.read_once()
+        self.store.max_changes = 500
+        self.put_budget_records(1_300)
+        self.store.put("config", b"2")
+        reader.read_once()
+        version = view.active_configuration.configuration.version
+        self.assertEqual(version, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
