--- a/packages/gateway/src/balsamloom_gateway/feed.py
+++ b/packages/gateway/src/balsamloom_gateway/feed.py
@@ -88,6 +88,11 @@
             return None
         return self._clock.now_ms() - self._fresh_at_ms
 
+    def advance(self, store_revision: int) -> None:
+        """Record that the copy has all changes up to a revision."""
+        with self._lock:
+            self.store_revision = max(self.store_revision, store_revision)
+
     def record_read(self, store_revision: int, fresh_at_ms: float) -> None:
         """Record that the copy is complete up to a revision of the store.
 
--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -18,6 +18,9 @@
     interfaces,
     membership,
     peers,
+    read_log,
+    store_reader,
+    store_revisions,
     traffic,
 )
 
@@ -38,8 +41,9 @@
 # Read intervals as fractions of the bound on a view's age.
 STORE_FRACTION = 0.3
 PEER_FRACTION = 0.2
-# An empty prefix watches all keys, so one call covers all kinds of records.
-ALL_KEYS = ""
+# Greatest age of a revision seen in another answer of the store, in store
+# read intervals.
+OBSERVATION_AGE_INTERVALS = 0.3
 
 
 class Intervals(NamedTuple):
@@ -73,7 +77,7 @@
     def __init__(
         self,
         name: str,
-        store: interfaces.KeyValueStore,
+        store: store_revisions.ObservedStore,
         records: interfaces.Records,
         copy: feed.Feed,
         view: fleet.Fleet,
@@ -82,8 +86,14 @@
         intervals: Intervals,
     ) -> None:
         self._name = name
-        self._store = store
-        self._records = records
+        self._reader = store_reader.StoreReader(
+            store,
+            records,
+            copy,
+            view,
+            clock,
+            intervals.store_ms * OBSERVATION_AGE_INTERVALS,
+        )
         self._feed = copy
         self._fleet = view
         self._clients = clients
@@ -99,8 +109,7 @@
         self._reapply_pause_ms = MIN_REAPPLY_MS
         self._random = random.Random(name)
         self._failures = 0
-        self._must_list = True
-        self._may_read_stale = True
+        self._is_started = False
         self.after_read: Callable[[], None] = callbacks.ignore
         self.on_outage_at_start: Callable[[], None] = callbacks.ignore
 
@@ -213,11 +222,18 @@
             ]
             self._fleet.apply(self._feed.replace(items, revision, unchanged))
         if changes:
-            self._log_read(source.name, revision, len(changes), sent_ms)
+            read_log.log_read(
+                self._feed,
+                self._clock,
+                source.name,
+                revision,
+                len(changes),
+                sent_ms,
+            )
         self._fleet.apply(self._feed.apply(changes))
         self._cursors[source.name] = position
         self._feed.record_read(revision, sent_ms - age_ms)
-        self._must_list = False
+        self._reader.must_list = False
         stale_ms = MAX_SOURCE_AGE_INTERVALS * self._intervals.store_ms
         if age_ms > stale_ms:
             self._log_source(source.name, "stale", f"age {age_ms:.0f} ms")
@@ -228,15 +244,10 @@
     def _read_store(self) -> bool:
         """Read from the store; return whether it answered."""
         try:
-            if self._must_list:
-                self._list_all()
+            if self._reader.must_list and not self._is_started:
+                self._read_first()
             else:
-                self._watch()
-        except interfaces.HistoryCompactedError:
-            self._must_list = True
-            self._may_read_stale = False
-            self._log_source("store", "history gone", "listing all records")
-            return self._read_store()
+                self._reader.read(int(self._intervals.store_ms))
         except interfaces.StoreError as error:
             if not self._failures and not self._feed.store_revision:
                 self.on_outage_at_start()
@@ -250,40 +261,15 @@
         self._log_source("store", "in use", "")
         return True
 
-    def _list_all(self) -> None:
-        """List all records; later changes come with the next watch.
+    def _read_first(self) -> None:
+        """Read from the store for the first time.
 
-        The first listing may be stale, which is cheaper for the store. Its
-        missing changes are then read from the source or else the store.
+        What the listing lacks is read from the source or else the store.
         """
-        started_ms = self._clock.now_ms()
-        items: list[interfaces.Item] = []
-        revisions = []
-        for prefix in self._records.prefixes:
-            after = ""
-            while True:
-                page = self._store.list_page(
-                    prefix, after, self._may_read_stale
-                )
-                items.extend(page.items)
-                revisions.append(page.store_revision)
-                if not page.has_more or not page.items:
-                    break
-                after = page.items[-1].key
-        revision = min(revisions)
-        if revision < self._feed.store_revision and self._may_read_stale:
-            # A newer copy was already read from a member.
-            self._may_read_stale = False
-            self._list_all()
-            return
-        self._fleet.apply(self._feed.replace(items, revision))
-        if not self._may_read_stale:
-            self._feed.record_read(revision, started_ms)
-        else:
-            self._feed.store_revision = revision
-        self._must_list = False
-        if self._may_read_stale and not self._read_source():
-            self._watch()
+        self._reader.list_stale()
+        self._is_started = True
+        if not self._read_source():
+            self._reader.read(int(self._intervals.store_ms))
 
     def _read_source(self) -> bool:
         """Read from the source, if there is one; return whether it worked.
@@ -294,35 +280,6 @@
         source = membership.source_of(self._name, self._fleet.members())
         return source is not None and self._read_peer(source)
 
-    def _watch(self) -> None:
-        started_ms = self._clock.now_ms()
-        wait_ms = int(self._intervals.store_ms)
-        found = self._store.watch(ALL_KEYS, self._feed.store_revision, wait_ms)
-        changes = [
-            change
-            for change in found.changes
-            if self._records.kind(change.key) != interfaces.IgnoredRecord()
-        ]
-        self._log_read(
-            "store", found.store_revision, len(found.changes), started_ms
-        )
-        self._fleet.apply(self._feed.apply(changes))
-        self._feed.record_read(found.store_revision, started_ms)
-
-    def _log_read(
-        self, source: str, revision: int, changes: int, started_ms: float
-    ) -> None:
-        """Log what a read adds to the copy, before it is applied."""
-        events.log(
-            events.Event.RECORDS_READ,
-            source=source,
-            after_revision=self._feed.store_revision,
-            store_revision=revision,
-            changes=changes,
-            spent_ms=round(self._clock.now_ms() - started_ms),
-            age_ms=self._feed.age_ms(),
-        )
-
     def _log_source(self, source: str, state: str, reason: str) -> None:
         described = f"{source} {state}"
         if described == self._source:
--- a/packages/gateway/src/balsamloom_gateway/interfaces.py
+++ b/packages/gateway/src/balsamloom_gateway/interfaces.py
@@ -60,7 +60,7 @@
 
 
 class Changes(NamedTuple):
-    """Changes up to a revision of the store."""
+    """Changes up to a revision, which may be before the store's latest one."""
 
     changes: tuple[Change, ...]
     store_revision: int
@@ -112,8 +112,11 @@
         :param may_be_stale: accept a cheaper answer that may be seconds old.
         """
 
+    def current_revision(self) -> int:
+        """Return the store's latest revision."""
+
     def watch(self, prefix: str, revision: int, wait_ms: int) -> Changes:
-        """Return the changes since a revision.
+        """Return the changes since a revision, or the first part of them.
 
         :param wait_ms: time to wait for a change if there is none yet.
         :raises HistoryCompactedError: the store no longer has the changes.
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -49,6 +49,7 @@
     standbys,
     storage_calls,
     storage_journal,
+    store_revisions,
     stream_versions,
     traffic,
     version_history,
@@ -106,6 +107,7 @@
         clock: clocks.Clock,
     ) -> None:
         self._settings = settings
+        store = store_revisions.ObservedStore(store, clock)
         self._clock = clock
         self._codec = codec
         self._is_leaving = False
--- a/packages/gateway/src/balsamloom_gateway/storage_process.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_process.py
@@ -24,6 +24,7 @@
     storage_evacuation,
     storage_registration,
     storage_service,
+    store_revisions,
     stream_registry,
 )
 
@@ -69,6 +70,7 @@
         records: interfaces.Records,
         clock: clocks.Clock,
     ) -> None:
+        store = store_revisions.ObservedStore(store, clock)
         self._clock = clock
         self._stopped = threading.Event()
         self._database = database.TurnDatabase(
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -237,6 +237,10 @@
         self.has_history = True
         # A watch answers with this many changes at the most.
         self.max_changes: int | None = None
+        # A watch names this revision, whatever the store has.
+        self.reported_revision: int | None = None
+        # The call after which all others fail.
+        self._last_call: str | None = None
         self.changes: list[interfaces.Change] = []
         self.calls: list[str] = []
         self.leases: dict[int, set[str]] = {}
@@ -264,6 +268,11 @@
         ]
         return interfaces.Page(tuple(found), False, self.revision)
 
+    def current_revision(self) -> int:
+        """Return the latest revision."""
+        self._check("revision")
+        return self.revision
+
     def watch(
         self, prefix: str, revision: int, wait_ms: int
     ) -> interfaces.Changes:
@@ -282,6 +291,8 @@
         part = found[: self.max_changes]
         is_whole = len(part) == len(found)
         until = self.revision if is_whole else part[-1].revision
+        if self.reported_revision is not None:
+            until = self.reported_revision
         return interfaces.Changes(tuple(part), until)
 
     def transact(self, conditions, writes, deletes=()):
@@ -326,10 +337,16 @@
         for key in self.leases.pop(lease_id, set()):
             self.delete(key)
 
+    def fail_after(self, call: str) -> None:
+        """Fail all calls after the next one of a kind."""
+        self._last_call = call
+
     def _check(self, call: str) -> None:
         self.calls.append(call)
         if self.error is not None:
             raise self.error
+        if call == self._last_call:
+            self.error = interfaces.StoreUnavailableError("down")
 
     def _write(self, key: str, value: bytes) -> None:
         self.revision += 1
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -13,6 +13,7 @@
     interfaces,
     peers,
     registration_records,
+    store_revisions,
 )
 
 # Deeper than a parser's stack.
@@ -63,7 +64,7 @@
         self.peers.feeds[f"{name}:2"] = copy
         return view, follower.Follower(
             name,
-            self.store,
+            store_revisions.ObservedStore(self.store, self.clock),
             records,
             copy,
             view,
--- a/packages/gateway/tests/test_propagation.py
+++ b/packages/gateway/tests/test_propagation.py
@@ -7,7 +7,7 @@
 import builders
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import feed, follower, peers
+from balsamloom_gateway import feed, follower, peers, store_revisions
 
 # Users may rely on 4,000 ms; the read intervals are derived from half of it.
 BOUND_MS = 4_000.0
@@ -74,7 +74,7 @@
         self._feeds[name] = copy
         self._followers[name] = follower.Follower(
             name,
-            self.store,
+            store_revisions.ObservedStore(self.store, self.clock),
             builders.Records(),
             copy,
             self.views[name],
--- a/packages/gateway/tests/test_view_errors.py
+++ b/packages/gateway/tests/test_view_errors.py
@@ -11,6 +11,7 @@
     follower,
     interfaces,
     registration_records,
+    store_revisions,
 )
 
 INTERVALS = follower.Intervals(600.0, 400.0)
@@ -54,7 +55,7 @@
         copy = feed.Feed(self.clock, self.view.decode_or_raw)
         self.reader = follower.Follower(
             "m1",
-            self.store,
+            store_revisions.ObservedStore(self.store, self.clock),
             self.records,
             copy,
             self.view,
