--- a/packages/gateway/src/balsamloom_gateway/feed.py
+++ b/packages/gateway/src/balsamloom_gateway/feed.py
@@ -1,10 +1,13 @@
 """Copy of the store's records, replicated from process to process.
 
-The first member reads the store. Each other member polls one that precedes it
-in the order of names, so that the load on the store does not grow with the
-number of members. Changes that decode to the same record, such as server
-heartbeats, are not sent. Values that the reader already has are not sent
-either: a configuration can occupy a slow network path for seconds.
+The first member reads the store. Each other member reads from one that
+precedes it in the order of names, so that the load on the store does not grow
+with the number of members. A call waits at that member until there is news, so
+that a change takes no longer than the calls that pass it on.
+
+Changes that decode to the same record, such as server heartbeats, are not
+sent. Values that the reader already has are not sent either: a configuration
+can occupy a slow network path for seconds.
 """
 
 from __future__ import annotations
@@ -24,24 +27,45 @@
 MAX_VALUE_BYTES = 64_000_000
 # Smallest value whose encoded form is cached for further readers.
 MIN_CACHED_VALUE_BYTES = 4_096
+# Calls that wait for news at a time; each occupies a thread.
+MAX_WAITING_READERS = 16
+
+
+class Position(NamedTuple):
+    """What a reader has of a member's copy.
+
+    ``epoch`` and ``cursor`` identify the last change, ``reads`` counts the
+    reads with which the member renewed its copy.
+    """
+
+    epoch: str
+    cursor: int
+    reads: int
+
+
+NO_POSITION = Position("", 0, 0)
 
 
 class FeedQuery(NamedTuple):
     """State of a reader's copy.
 
     ``epoch`` and ``cursor`` come from the previous answer, ``""`` and 0 if
-    there was none. The copy is complete up to ``store_revision``.
+    there was none. The copy is complete up to ``store_revision``. The answer
+    may wait for ``wait_ms`` until there is more than ``reads`` reads brought.
     """
 
     epoch: str
     cursor: int
     store_revision: int
+    reads: int = 0
+    wait_ms: float = 0.0
 
 
 class FeedAnswer(TypedDict):
     """Changes that a reader lacks, as JSON.
 
     ``unchanged`` lists keys whose current value the reader already has.
+    ``held_ms`` is the time for which the answer waited for news.
     """
 
     epoch: str
@@ -50,6 +74,8 @@
     store_revision: int
     changes: list[tuple[str, str | None, int]]
     unchanged: list[str]
+    reads: int
+    held_ms: float
 
 
 class _Entry(NamedTuple):
@@ -80,6 +106,11 @@
         self._cursor = 0
         self._epoch = uuid.uuid4().hex
         self._fresh_at_ms: float | None = None
+        # Reads that renewed the copy, and the cursor after the last one.
+        self._reads = 0
+        self._announced_cursor = 0
+        self._waiting_readers = 0
+        self._may_wait = True
         self.store_revision = 0
 
     def age_ms(self) -> float | None:
@@ -100,10 +131,22 @@
         """
         with self._lock:
             self.store_revision = max(self.store_revision, store_revision)
-            if self._fresh_at_ms is None or fresh_at_ms > self._fresh_at_ms:
+            is_newer = (
+                self._fresh_at_ms is None or fresh_at_ms > self._fresh_at_ms
+            )
+            if is_newer:
                 self._fresh_at_ms = fresh_at_ms
+            if is_newer or self._cursor != self._announced_cursor:
+                self._reads += 1
+                self._announced_cursor = self._cursor
                 self._was_read.notify_all()
 
+    def stop_waiting(self) -> None:
+        """Answer all readers at once from now on."""
+        with self._lock:
+            self._may_wait = False
+            self._was_read.notify_all()
+
     def wait_until_known(self, since_ms: float, until_ms: float) -> bool:
         """Wait until the copy shows all that was in the store at a time.
 
@@ -169,12 +212,15 @@
     def answer(self, query: FeedQuery) -> FeedAnswer | None:
         """Return the changes a reader lacks, ``None`` before the first read.
 
+        Waits for news if the query allows it.
+
         :param query: state of its copy; with another epoch, the answer covers
             all keys.
         """
-        with self._lock:
+        with self._was_read:
             if self._fresh_at_ms is None:
                 return None
+            held_ms = self._wait_for_news(query)
             is_known = query.epoch == self._epoch
             after = query.cursor if is_known else 0
             newer = [
@@ -201,8 +247,33 @@
                 store_revision=self.store_revision,
                 changes=changes,
                 unchanged=unchanged,
+                reads=self._reads,
+                held_ms=held_ms,
             )
 
+    def has_news(self, query: FeedQuery) -> bool:
+        """Return whether the copy was renewed since a reader's last answer."""
+        return query.epoch != self._epoch or query.reads != self._reads
+
+    def _wait_for_news(self, query: FeedQuery) -> float:
+        """Wait until there is news for a reader; return the time spent."""
+        if self._waiting_readers >= MAX_WAITING_READERS:
+            return 0.0
+        started_ms = now_ms = self._clock.now_ms()
+        until_ms = started_ms + query.wait_ms
+        self._waiting_readers += 1
+        try:
+            while (
+                self._may_wait
+                and now_ms < until_ms
+                and not self.has_news(query)
+            ):
+                self._clock.wait_condition(self._was_read, until_ms - now_ms)
+                now_ms = self._clock.now_ms()
+        finally:
+            self._waiting_readers -= 1
+        return now_ms - started_ms
+
     def _encode(self, entry: _Entry) -> tuple[str, str | None, int]:
         match entry.change:
             case interfaces.Item(key, value, revision):
--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -7,7 +7,6 @@
 import random
 import threading
 from collections.abc import Callable
-from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
@@ -16,21 +15,19 @@
     feed,
     fleet,
     interfaces,
+    member_reader,
     membership,
     peers,
-    read_log,
+    read_schedule,
     store_reader,
     store_revisions,
     traffic,
 )
 
-PEER_TIMEOUT_MS = 300.0
 MIN_RETRY_MS = 200.0
 MAX_RETRY_MS = 1_000.0
 # Members tried per read while neither the source nor the store answers.
 MAX_FALLBACK_MEMBERS = 2
-# Oldest usable copy of a source, in store read intervals.
-MAX_SOURCE_AGE_INTERVALS = 2.5
 # Pause before an unusable source is tried again.
 SOURCE_RETRY_INTERVAL_MS = 3_000.0
 # Pauses before a change that failed is applied again.
@@ -38,27 +35,6 @@
 MAX_REAPPLY_MS = 60_000.0
 # Longest wait for the records of a time; a copy that is followed lags by less.
 MAX_RECORDS_WAIT_MS = 2_000.0
-# Read intervals as fractions of the bound on a view's age.
-STORE_FRACTION = 0.3
-PEER_FRACTION = 0.2
-# Greatest age of a revision seen in another answer of the store, in store
-# read intervals.
-OBSERVATION_AGE_INTERVALS = 0.3
-
-
-class Intervals(NamedTuple):
-    """Pause after a read from the store and after one from a member."""
-
-    store_ms: float
-    peer_ms: float
-
-
-def intervals(bound_ms: float) -> Intervals:
-    """Return the read intervals that keep a view within an age bound.
-
-    :param bound_ms: time within which every member must know a change.
-    """
-    return Intervals(bound_ms * STORE_FRACTION, bound_ms * PEER_FRACTION)
 
 
 class Follower:
@@ -83,7 +59,7 @@
         view: fleet.Fleet,
         clients: peers.PeerClients,
         clock: clocks.Clock,
-        intervals: Intervals,
+        intervals: read_schedule.Intervals,
     ) -> None:
         self._name = name
         self._reader = store_reader.StoreReader(
@@ -92,16 +68,14 @@
             copy,
             view,
             clock,
-            intervals.store_ms * OBSERVATION_AGE_INTERVALS,
+            intervals.observation_age_ms,
         )
         self._feed = copy
         self._fleet = view
-        self._clients = clients
+        self._members = member_reader.MemberReader(copy, view, clients, clock)
         self._clock = clock
         self._intervals = intervals
         self._stopped = threading.Event()
-        # Epoch and cursor of the last read from each member's feed.
-        self._cursors: dict[str, tuple[str, int]] = {}
         self._source = "none"
         self._source_retry_at_ms = -math.inf
         self._store_retry_at_ms = -math.inf
@@ -117,7 +91,9 @@
         """Read repeatedly until :meth:`stop` is called."""
         while not self._stopped.is_set():
             pause_ms = self.read_once()
-            self._fleet.update_age(self._feed.age_ms(), self._propagation_ms())
+            self._fleet.update_age(
+                self._feed.age_ms(), self._max_propagation_ms()
+            )
             self.reapply_due()
             callbacks.run_isolated(self.after_read)
             self._clock.wait(self._stopped, pause_ms)
@@ -161,18 +137,44 @@
         source = membership.source_of(self._name, members)
         now_ms = self._clock.now_ms()
         if source is not None and now_ms >= self._source_retry_at_ms:
-            if self._read_peer(source):
-                return self._intervals.peer_ms
+            pause_ms = self._follow(source, self._level())
+            if pause_ms is not None:
+                return pause_ms
+            now_ms = self._clock.now_ms()
             self._source_retry_at_ms = now_ms + SOURCE_RETRY_INTERVAL_MS
         if now_ms >= self._store_retry_at_ms and self._read_store():
             spent_ms = self._clock.now_ms() - now_ms
             return max(self._intervals.store_ms - spent_ms, 0.0)
         return self._read_fallback(members)
 
-    def _propagation_ms(self) -> float:
-        """Return how long a change may take from the store to this member."""
-        level = membership.level_of(self._name, self._fleet.members())
-        return level * self._intervals.peer_ms
+    def _level(self) -> int:
+        """Return how many members pass a change on to this one."""
+        return membership.level_of(self._name, self._fleet.members())
+
+    def _max_propagation_ms(self) -> float:
+        """Return how much older than one of the first reader a copy may be."""
+        max_age_ms = self._intervals.max_age_ms(self._level())
+        return max(max_age_ms - fleet.MAX_COPY_AGE_MS, 0.0)
+
+    def _follow(self, source: traffic.Member, level: int) -> float | None:
+        """Read from the source, which waits until it has news.
+
+        :return: the pause until the next read in ms, ``None`` if the source
+            is of no use.
+        """
+        wait_ms = self._intervals.wait_ms(level, self._feed.age_ms())
+        reading = self._read_member(source, wait_ms)
+        if reading is None:
+            return None
+        is_silent = not reading.has_news and reading.held_ms > 0.0
+        if is_silent or reading.age_ms > self._intervals.max_age_ms(level):
+            reason = f"age {reading.age_ms:.0f} ms"
+            self._log_source(source.name, "stale", reason)
+            return None
+        self._log_source(source.name, "in use", "")
+        if reading.has_news:
+            return 0.0
+        return self._intervals.pause_ms(level, reading.age_ms)
 
     def _read_fallback(self, members: list[traffic.Member]) -> float:
         """Read from random members; return the pause until the next read.
@@ -181,65 +183,27 @@
         """
         others = [member for member in members if member.name != self._name]
         count = min(MAX_FALLBACK_MEMBERS, len(others))
+        max_age_ms = self._intervals.max_age_ms(self._level())
         for member in self._random.sample(others, count):
-            if self._read_peer(member):
+            reading = self._read_member(member)
+            if reading is not None and reading.age_ms <= max_age_ms:
+                self._log_source(member.name, "in use", "")
                 return self._intervals.peer_ms
         return max(
             self._store_retry_at_ms - self._clock.now_ms(), MIN_RETRY_MS
         )
 
-    def _read_peer(self, source: traffic.Member) -> bool:
-        """Read from a member; return whether its copy is recent enough."""
-        epoch, cursor = self._cursors.get(source.name, ("", 0))
-        body = {
-            "epoch": epoch,
-            "cursor": cursor,
-            "revision": self._feed.store_revision,
-        }
-        sent_ms = self._clock.now_ms()
+    def _read_member(
+        self, source: traffic.Member, wait_ms: float = 0.0
+    ) -> member_reader.Reading | None:
+        """Read from a member; return ``None`` if it does not answer."""
         try:
-            answer = self._clients.call(
-                source.peer_address, peers.FEED_PATH, body, PEER_TIMEOUT_MS
-            )
-            changes = feed.decode_changes(answer)
-            unchanged = [str(key) for key in answer["unchanged"]]
-            age_ms = float(answer["age_ms"])
-            revision = int(answer["store_revision"])
-            position = str(answer["epoch"]), int(answer["cursor"])
-        except (
-            peers.PeerUnavailableError,
-            ValueError,
-            KeyError,
-            TypeError,
-        ) as error:
+            reading = self._members.read(source, wait_ms)
+        except peers.PeerUnavailableError as error:
             self._log_source(source.name, "unavailable", str(error))
-            return False
-        if position[0] != epoch and revision >= self._feed.store_revision:
-            items = [
-                change
-                for change in changes
-                if isinstance(change, interfaces.Item)
-            ]
-            self._fleet.apply(self._feed.replace(items, revision, unchanged))
-        if changes:
-            read_log.log_read(
-                self._feed,
-                self._clock,
-                source.name,
-                revision,
-                len(changes),
-                sent_ms,
-            )
-        self._fleet.apply(self._feed.apply(changes))
-        self._cursors[source.name] = position
-        self._feed.record_read(revision, sent_ms - age_ms)
+            return None
         self._reader.must_list = False
-        stale_ms = MAX_SOURCE_AGE_INTERVALS * self._intervals.store_ms
-        if age_ms > stale_ms:
-            self._log_source(source.name, "stale", f"age {age_ms:.0f} ms")
-            return False
-        self._log_source(source.name, "in use", "")
-        return True
+        return reading
 
     def _read_store(self) -> bool:
         """Read from the store; return whether it answered."""
@@ -278,7 +242,11 @@
         would overload the store if each read the missing changes there.
         """
         source = membership.source_of(self._name, self._fleet.members())
-        return source is not None and self._read_peer(source)
+        if source is None:
+            return False
+        reading = self._read_member(source)
+        max_age_ms = self._intervals.max_age_ms(self._level())
+        return reading is not None and reading.age_ms <= max_age_ms
 
     def _log_source(self, source: str, state: str, reason: str) -> None:
         described = f"{source} {state}"
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -23,6 +23,9 @@
     version_history,
 )
 
+# Limits how long a call occupies a thread, whatever it asks for.
+MAX_FEED_WAIT_MS = 10_000.0
+
 
 class PeerService:
     """Serves budgets, the store's records and heartbeats to other members.
@@ -121,8 +124,13 @@
         return {"versions": sorted(versions)}
 
     def _read_feed(self, body: dict[str, Any]) -> feed.FeedAnswer:
+        # Readers of former releases do not wait.
         query = feed.FeedQuery(
-            str(body["epoch"]), int(body["cursor"]), int(body["revision"])
+            str(body["epoch"]),
+            int(body["cursor"]),
+            int(body["revision"]),
+            int(body.get("reads", 0)),
+            min(float(body.get("wait_ms", 0.0)), MAX_FEED_WAIT_MS),
         )
         found = self._feed.answer(query)
         if found is None:
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -41,6 +41,7 @@
     planned_stop,
     planner,
     proxy,
+    read_schedule,
     registrar,
     responses,
     send_permits,
@@ -265,7 +266,7 @@
             self.fleet,
             clients,
             clock,
-            follower.intervals(settings.view_bound_ms),
+            read_schedule.intervals(settings.view_bound_ms),
         )
         self._registrar.on_lease_lost = self._handle_lease_loss
         self._book.held_lease_id = self._registrar.held_lease_id
@@ -393,6 +394,7 @@
         """Stop gracefully: drain requests in progress and release budgets."""
         times = self._drain.start(self._settings.grace_ms)
         self._is_leaving = True
+        self._feed.stop_waiting()
         stop = planned_stop.PlannedStop(
             self.member.name,
             self._ingress,
--- a/packages/gateway/src/balsamloom_gateway/storage_process.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_process.py
@@ -20,6 +20,7 @@
     listeners,
     metrics,
     peers,
+    read_schedule,
     replica_repair,
     storage_evacuation,
     storage_registration,
@@ -122,7 +123,7 @@
             self._fleet,
             clients,
             clock,
-            follower.intervals(settings.view_bound_ms),
+            read_schedule.intervals(settings.view_bound_ms),
         )
         self._metrics = metrics.StorageMetrics(self._database, self._repair)
         service = storage_service.StorageService(
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -12,10 +12,12 @@
     follower,
     interfaces,
     peers,
+    read_schedule,
     registration_records,
     store_revisions,
 )
 
+START_MS = builders.manual_clock().now_ms()
 # Deeper than a parser's stack.
 NESTED = b"[" * 100_000
 
@@ -26,15 +28,21 @@
     def __init__(self):
         self.feeds = {}
         self.answered_bytes = 0
+        # Wait that each call asked for.
+        self.waits_ms = []
         # Longer answers time out.
         self.max_bytes = 1_000_000
 
     def call(self, address, path, body, timeout_ms):
+        self.waits_ms.append(body["wait_ms"])
         found = self.feeds.get(address)
         answer = None
         if found is not None:
             query = feed.FeedQuery(
-                body["epoch"], body["cursor"], body["revision"]
+                body["epoch"],
+                body["cursor"],
+                body["revision"],
+                body["reads"],
             )
             answer = found.answer(query)
         self.answered_bytes = len(json.dumps(answer))
@@ -46,7 +54,7 @@
 class FollowerTest(unittest.TestCase):
     """Guards against a view that is stale while the store can be read."""
 
-    INTERVALS = follower.Intervals(600.0, 400.0)
+    INTERVALS = read_schedule.Intervals(600.0, 400.0)
 
     def setUp(self):
         self.clock = builders.manual_clock()
@@ -88,7 +96,10 @@
         self.store.put("server/s1", builders.server_record())
         first.read_once()
         calls = len(self.store.calls)
+        # The next call waits for news, so it is made at once.
+        self.assertEqual(second.read_once(), 0.0)
         self.assertEqual(second.read_once(), 400.0)
+        self.assertGreater(self.peers.waits_ms[-1], 400.0)
         self.assertEqual(len(self.store.calls), calls)
         self.assertEqual(len(view.servers()), 1)
 
@@ -172,6 +183,50 @@
         self.assertEqual(view.active_configuration.configuration.version, 2)
         self.assertEqual(len(view.members()), 2)
 
+    def test_source_that_waited_in_vain_is_not_waited_for_again(self):
+        _, first = self.start("m1")
+        view, second = self.start("m2")
+        first.read_once()
+        second.read_once()
+        self.store.put("config", b"2")
+        answer = self.peers.call
+
+        def wait_in_vain(address, path, body, timeout_ms):
+            self.clock.advance(body["wait_ms"])
+            return {
+                **answer(address, path, body, timeout_ms),
+                "held_ms": body["wait_ms"],
+            }
+
+        self.peers.call = wait_in_vain
+        second.read_once()
+        version = view.active_configuration.configuration.version
+        self.assertEqual(version, 2)
+        self.assertLess(self.clock.now_ms() - START_MS, 2 * 600.0)
+
+    def test_source_of_a_former_release_is_read_after_a_pause(self):
+        _, first = self.start("m1")
+        view, second = self.start("m2")
+        first.read_once()
+        answer = self.peers.call
+
+        def answer_at_once(address, path, body, timeout_ms):
+            found = answer(address, path, body, timeout_ms)
+            return {
+                name: value
+                for name, value in found.items()
+                if name not in ("reads", "held_ms")
+            }
+
+        self.peers.call = answer_at_once
+        second.read_once()
+        self.assertEqual(second.read_once(), 400.0)
+        self.store.put("config", b"2")
+        first.read_once()
+        second.read_once()
+        version = view.active_configuration.configuration.version
+        self.assertEqual(version, 2)
+
     def test_compacted_history_is_replaced_by_a_listing(self):
         view, reader = self.start("m1")
         self.store.put("server/s1", builders.server_record())
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -181,6 +181,57 @@
         thread.join(5)
         self.assertEqual(found, [True])
 
+    def held_answer(self, wait_ms):
+        """Ask, on another thread, for more than the copy has now."""
+        known = self.feed.answer(feed.FeedQuery("", 0, 0))
+        query = feed.FeedQuery(
+            known["epoch"], known["cursor"], 1, known["reads"], wait_ms
+        )
+        found = []
+        thread = threading.Thread(
+            target=lambda: found.append(self.feed.answer(query)), daemon=True
+        )
+        thread.start()
+        return thread, found
+
+    def test_answer_waits_until_the_copy_is_renewed(self):
+        self.feed.record_read(1, self.clock.now_ms())
+        thread, found = self.held_answer(5_000.0)
+        self.clock.advance(1_000.0)
+        self.feed.apply([self.item("config", b"2", 4)])
+        self.feed.record_read(4, self.clock.now_ms())
+        thread.join(5)
+        (answer,) = found
+        self.assertEqual(len(answer["changes"]), 1)
+        self.assertEqual(answer["age_ms"], 0.0)
+        self.assertLessEqual(answer["held_ms"], 1_000.0)
+
+    def test_answer_without_news_ends_with_the_wait(self):
+        self.feed.record_read(1, self.clock.now_ms())
+        thread, found = self.held_answer(500.0)
+        while thread.is_alive():
+            self.clock.advance(100.0)
+            thread.join(0.02)
+        self.assertEqual(found[0]["changes"], [])
+        self.assertGreaterEqual(found[0]["age_ms"], 500.0)
+
+    def test_process_that_leaves_holds_no_reader(self):
+        self.feed.record_read(1, self.clock.now_ms())
+        thread, found = self.held_answer(5_000.0)
+        self.feed.stop_waiting()
+        thread.join(5)
+        self.assertEqual(len(found), 1)
+
+    def test_change_is_news_also_if_the_copy_is_no_more_recent(self):
+        # A source that the store rejects may still learn of changes.
+        now_ms = self.clock.now_ms()
+        self.feed.record_read(1, now_ms)
+        thread, found = self.held_answer(5_000.0)
+        self.feed.apply([self.item("config", b"2", 4)])
+        self.feed.record_read(4, now_ms - 1.0)
+        thread.join(5)
+        self.assertEqual(len(found[0]["changes"]), 1)
+
     def test_older_change_is_ignored(self):
         self.feed.apply([interfaces.Deletion("server/s1", 5)])
         changed = self.feed.apply(
--- a/packages/gateway/tests/test_view_errors.py
+++ b/packages/gateway/tests/test_view_errors.py
@@ -10,11 +10,12 @@
     fleet,
     follower,
     interfaces,
+    read_schedule,
     registration_records,
     store_revisions,
 )
 
-INTERVALS = follower.Intervals(600.0, 400.0)
+INTERVALS = read_schedule.Intervals(600.0, 400.0)
 
 
 class Raising:
