--- a/packages/gateway/src/balsamloom_gateway/membership.py
+++ b/packages/gateway/src/balsamloom_gateway/membership.py
@@ -29,29 +29,40 @@
 ) -> traffic.Member | None:
     """Return the member from which a member reads the store's records.
 
-    The members form a tree, with the first member by name at its root.
+    The members form a tree, with the first member by name at its root. What
+    is not registered, such as a storage host, reads from any of them.
 
     :return: ``None`` if the member reads the store itself.
     """
-    before = rank_of(name, members)
-    if before == 0:
+    rank = _reading_rank(name, members)
+    if rank is None:
         return None
-    return members[_source_rank(before)]
+    return members[rank]
 
 
 def level_of(name: str, members: Sequence[traffic.Member]) -> int:
     """Return the depth of a member in the tree; 0 if it reads the store."""
     level = 0
-    rank = rank_of(name, members)
-    while rank:
+    rank = _reading_rank(name, members)
+    while rank is not None:
         rank = _source_rank(rank)
         level += 1
     return level
 
 
-def _source_rank(rank: int) -> int:
-    """Return the rank of the source of the member at a rank."""
-    return (rank - 1) // MAX_FOLLOWERS
+def _reading_rank(name: str, members: Sequence[traffic.Member]) -> int | None:
+    """Return the rank of a process's source, ``None`` if it has none."""
+    rank = rank_of(name, members)
+    is_registered = rank < len(members) and members[rank].name == name
+    if is_registered or not rank:
+        return _source_rank(rank)
+    # Otherwise all storage hosts, which sort alike, would read from one.
+    return zlib.crc32(name.encode()) % len(members)
+
+
+def _source_rank(rank: int) -> int | None:
+    """Return the rank of the source of the member at a rank, if any."""
+    return (rank - 1) // MAX_FOLLOWERS if rank else None
 
 
 def rank_of(name: str, members: Sequence[traffic.Member]) -> int:
--- a/packages/gateway/tests/test_decisions.py
+++ b/packages/gateway/tests/test_decisions.py
@@ -213,6 +213,20 @@
         source = membership.source_of("zzz", self.members)
         self.assertIn(source, self.members)
 
+    def test_storage_hosts_do_not_all_read_from_one_member(self):
+        hosts = [f"storage-{number}" for number in range(24)]
+        sources = [
+            membership.source_of(host, self.members).name for host in hosts
+        ]
+        most = max(sources.count(name) for name in set(sources))
+        self.assertLessEqual(most, membership.MAX_FOLLOWERS // 2)
+
+    def test_first_member_by_name_reads_the_store_before_it_is_registered(
+        self,
+    ):
+        self.assertIsNone(membership.source_of("a", self.members))
+        self.assertEqual(membership.level_of("a", self.members), 0)
+
     def test_few_members_are_holders_and_each_has_standbys(self):
         firsts = set()
         for number in range(500):
