--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -14,6 +14,7 @@
 from balsamloom_gateway import (
     callbacks,
     interfaces,
+    leaving_servers,
     registration_records,
     registrations,
     routes,
@@ -64,9 +65,7 @@
             registrations.Registrations()
         )
         self._storage_hosts: dict[str, replicas.StorageHost] = {}
-        # Incarnation of each server that announced its shutdown. Its record
-        # may still say that it is ready.
-        self._leaving: dict[str, int] = {}
+        self._leaving = leaving_servers.LeavingServers()
         # Lost members with the time at which the loss was detected.
         self._lost: list[tuple[float, traffic.Member]] = []
         # Time at which each member registered first.
@@ -199,18 +198,18 @@
     def mark_server_leaving(self, server_id: str) -> None:
         """Exclude a server that announced its shutdown.
 
-        It receives no more calls until it restarts.
+        It receives no more calls until it restarts, also if it is not
+        registered at this moment.
         """
         with self._lock:
-            server = self._servers.get(server_id)
-            if server is None or self._is_leaving(server):
+            incarnation = self._leaving.add(server_id)
+            if incarnation is None:
                 return
-            self._leaving[server_id] = server.incarnation
             usable = self._usable_servers()
         events.log(
             events.Event.SERVER_LEAVING,
             server_id=server_id,
-            incarnation=server.incarnation,
+            incarnation=incarnation,
         )
         self._call_all(self.on_servers_changed, usable)
 
@@ -301,12 +300,9 @@
         return [
             server
             for server in self._servers.values()
-            if not server.is_draining and not self._is_leaving(server)
+            if not server.is_draining and server not in self._leaving
         ]
 
-    def _is_leaving(self, server: traffic.BackendServer) -> bool:
-        return self._leaving.get(server.server_id) == server.incarnation
-
     def _decode_known(self, item: interfaces.Item) -> object:
         match self._records.kind(item.key):
             case interfaces.ConfigurationRecord():
@@ -341,8 +337,7 @@
                 self._apply_configuration(value, revision)
             case interfaces.ServerRecord(server_id), traffic.BackendServer():
                 self._servers.put(server_id, value)
-                if self._leaving.get(server_id) != value.incarnation:
-                    self._leaving.pop(server_id, None)
+                self._leaving.record(value)
                 events.log(
                     events.Event.SERVER_VIEW_CHANGED,
                     server_id=server_id,
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -51,6 +51,15 @@
         self.put("server/s1", builders.server_record(incarnation=2), 5)
         self.assertEqual(self.server_ids(), ["s1"])
 
+    def test_shutdown_notice_counts_while_the_registration_has_lapsed(self):
+        self.put("server/s1", builders.server_record(), 1)
+        self.fleet.apply([interfaces.Deletion("server/s1", 2)])
+        self.fleet.mark_server_leaving("s1")
+        self.put("server/s1", builders.server_record(), 3)
+        self.assertEqual(self.server_ids(), [])
+        self.put("server/s1", builders.server_record(incarnation=2), 4)
+        self.assertEqual(self.server_ids(), ["s1"])
+
     def test_shutdown_notice_of_an_unknown_server_is_ignored(self):
         self.fleet.mark_server_leaving("s1")
         self.put("server/s1", builders.server_record(), 1)
