--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -77,6 +77,8 @@
         self._intervals = intervals
         self._stopped = threading.Event()
         self._source = "none"
+        # Whether the source was of no use when it was read last.
+        self._is_source_doubtful = False
         self._source_retry_at_ms = -math.inf
         self._store_retry_at_ms = -math.inf
         self._reapply_at_ms = -math.inf
@@ -138,6 +140,7 @@
         now_ms = self._clock.now_ms()
         if source is not None and now_ms >= self._source_retry_at_ms:
             pause_ms = self._follow(source, self._level())
+            self._is_source_doubtful = pause_ms is None
             if pause_ms is not None:
                 return pause_ms
             now_ms = self._clock.now_ms()
@@ -159,10 +162,15 @@
     def _follow(self, source: traffic.Member, level: int) -> float | None:
         """Read from the source, which waits until it has news.
 
+        It is not waited for if it was of no use before: meanwhile this
+        process would not read the store.
+
         :return: the pause until the next read in ms, ``None`` if the source
             is of no use.
         """
-        wait_ms = self._intervals.wait_ms(level, self._feed.age_ms())
+        wait_ms = 0.0
+        if not self._is_source_doubtful:
+            wait_ms = self._intervals.wait_ms(level, self._feed.age_ms())
         reading = self._read_member(source, wait_ms)
         if reading is None:
             return None
@@ -183,12 +191,13 @@
         """
         others = [member for member in members if member.name != self._name]
         count = min(MAX_FALLBACK_MEMBERS, len(others))
-        max_age_ms = self._intervals.max_age_ms(self._level())
+        level = self._level()
+        max_age_ms = self._intervals.max_age_ms(level)
         for member in self._random.sample(others, count):
             reading = self._read_member(member)
             if reading is not None and reading.age_ms <= max_age_ms:
                 self._log_source(member.name, "in use", "")
-                return self._intervals.peer_ms
+                return self._intervals.pause_ms(level, reading.age_ms)
         return max(
             self._store_retry_at_ms - self._clock.now_ms(), MIN_RETRY_MS
         )
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -204,6 +204,34 @@
         self.assertEqual(version, 2)
         self.assertLess(self.clock.now_ms() - START_MS, 2 * 600.0)
 
+    def test_source_that_was_stale_is_asked_again_without_a_wait(self):
+        # While this process waited there, it did not read the store.
+        _, first = self.start("m1")
+        _, second = self.start("m2")
+        first.read_once()
+        second.read_once()
+        self.clock.advance(2_000.0)
+        second.read_once()
+        self.peers.waits_ms.clear()
+        for _ in range(6):
+            self.clock.advance(600.0)
+            second.read_once()
+        self.assertEqual(self.peers.waits_ms, [0.0])
+        self.assertEqual(self.store.calls[-1], "watch")
+
+    def test_source_that_recovered_is_waited_for_again(self):
+        _, first = self.start("m1")
+        _, second = self.start("m2")
+        first.read_once()
+        second.read_once()
+        self.clock.advance(2_000.0)
+        second.read_once()
+        self.clock.advance(follower.SOURCE_RETRY_INTERVAL_MS)
+        first.read_once()
+        for _ in range(2):
+            second.read_once()
+        self.assertGreater(self.peers.waits_ms[-1], 0.0)
+
     def test_source_of_a_former_release_is_read_after_a_pause(self):
         _, first = self.start("m1")
         view, second = self.start("m2")
