--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -145,9 +145,10 @@
                 return pause_ms
             now_ms = self._clock.now_ms()
             self._source_retry_at_ms = now_ms + SOURCE_RETRY_INTERVAL_MS
-        if now_ms >= self._store_retry_at_ms and self._read_store():
-            spent_ms = self._clock.now_ms() - now_ms
-            return max(self._intervals.store_ms - spent_ms, 0.0)
+        if now_ms >= self._store_retry_at_ms:
+            pause_ms = self._read_store()
+            if pause_ms is not None:
+                return pause_ms
         return self._read_fallback(members)
 
     def _level(self) -> int:
@@ -170,7 +171,9 @@
         """
         wait_ms = 0.0
         if not self._is_source_doubtful:
-            wait_ms = self._intervals.wait_ms(level, self._feed.age_ms())
+            wait_ms = self._intervals.source_wait_ms(
+                level, self._feed.age_ms()
+            )
         reading = self._read_member(source, wait_ms)
         if reading is None:
             return None
@@ -214,35 +217,43 @@
         self._reader.must_list = False
         return reading
 
-    def _read_store(self) -> bool:
-        """Read from the store; return whether it answered."""
+    def _read_store(self) -> float | None:
+        """Read from the store.
+
+        :return: the pause until the next read in ms, ``None`` if it failed.
+        """
+        started_ms = self._clock.now_ms()
         try:
-            if self._reader.must_list and not self._is_started:
-                self._read_first()
-            else:
-                self._reader.read(int(self._intervals.store_ms))
+            has_waited = self._read_available()
         except interfaces.StoreError as error:
-            if not self._failures and not self._feed.store_revision:
-                self.on_outage_at_start()
-            self._failures += 1
-            self._log_source("store", "unavailable", str(error))
-            pause_ms = MIN_RETRY_MS * (1 << min(self._failures, 6))
-            pause_ms = min(pause_ms, MAX_RETRY_MS)
-            self._store_retry_at_ms = self._clock.now_ms() + pause_ms
-            return False
+            self._record_store_failure(error)
+            return None
         self._failures = 0
         self._log_source("store", "in use", "")
-        return True
+        if has_waited:
+            return 0.0
+        spent_ms = self._clock.now_ms() - started_ms
+        return max(self._intervals.store_ms - spent_ms, 0.0)
 
-    def _read_first(self) -> None:
-        """Read from the store for the first time.
+    def _read_available(self) -> bool:
+        """Read what the store has; return whether it waited in vain."""
+        if self._reader.must_list and not self._is_started:
+            self._reader.list_stale()
+            self._is_started = True
+            # What the listing lacks is read from the source or the store.
+            if self._read_source():
+                return False
+        wait_ms = self._intervals.store_wait_ms(self._feed.age_ms())
+        return self._reader.read(wait_ms)
 
-        What the listing lacks is read from the source or else the store.
-        """
-        self._reader.list_stale()
-        self._is_started = True
-        if not self._read_source():
-            self._reader.read(int(self._intervals.store_ms))
+    def _record_store_failure(self, error: interfaces.StoreError) -> None:
+        if not self._failures and not self._feed.store_revision:
+            self.on_outage_at_start()
+        self._failures += 1
+        self._log_source("store", "unavailable", str(error))
+        pause_ms = MIN_RETRY_MS * (1 << min(self._failures, 6))
+        pause_ms = min(pause_ms, MAX_RETRY_MS)
+        self._store_retry_at_ms = self._clock.now_ms() + pause_ms
 
     def _read_source(self) -> bool:
         """Read from the source, if there is one; return whether it worked.
--- a/packages/gateway/src/balsamloom_gateway/read_schedule.py
+++ b/packages/gateway/src/balsamloom_gateway/read_schedule.py
@@ -45,7 +45,16 @@
         intervals = MAX_AGE_INTERVALS + level * LEVEL_AGE_INTERVALS
         return self.store_ms * intervals
 
-    def wait_ms(self, level: int, age_ms: float | None) -> float:
+    def store_wait_ms(self, age_ms: float | None) -> float:
+        """Return how long the store may wait for a change before it answers.
+
+        :param age_ms: age of the copy, ``None`` without one.
+        """
+        if age_ms is None:
+            return 0.0
+        return max(self.store_ms - age_ms, 0.0)
+
+    def source_wait_ms(self, level: int, age_ms: float | None) -> float:
         """Return how long a source may wait for news before it answers.
 
         :param age_ms: age of the reader's copy, ``None`` without one.
--- a/packages/gateway/src/balsamloom_gateway/store_reader.py
+++ b/packages/gateway/src/balsamloom_gateway/store_reader.py
@@ -76,17 +76,18 @@
         self._feed.advance(revision)
         self.must_list = False
 
-    def read(self, wait_ms: int) -> None:
+    def read(self, wait_ms: float) -> bool:
         """Read all that the store holds.
 
         :param wait_ms: time to wait for a change if there is none yet.
+        :return: whether the store waited to the end and there was none.
         :raises StoreError: a call failed.
         """
         if self.must_list:
             self._list_current()
-            return
+            return False
         try:
-            self._read_changes(wait_ms)
+            return self._read_changes(max(int(wait_ms), NO_WAIT_MS))
         except interfaces.HistoryCompactedError:
             self.must_list = True
             events.log(
@@ -99,8 +100,10 @@
                 store_revision=self._feed.store_revision,
             )
             self._list_current()
+            return False
 
-    def _read_changes(self, wait_ms: int) -> None:
+    def _read_changes(self, wait_ms: int) -> bool:
+        """Read until the copy is proven; see :meth:`read`."""
         started_ms = self._clock.now_ms()
         observed = self._store.latest
         is_empty = not self._watch(wait_ms)
@@ -109,7 +112,7 @@
             is_whole = self._clock.now_ms() - started_ms >= wait_ms
             fresh_at_ms = started_ms + wait_ms * is_whole
             self._feed.record_read(self._feed.store_revision, fresh_at_ms)
-            return
+            return is_whole
         oldest_ms = started_ms - self._max_observation_age_ms
         if observed is None or observed.as_of_ms < oldest_ms:
             observed = self._store.observe()
@@ -121,6 +124,7 @@
             self._feed.record_read(observed.revision, observed.as_of_ms)
         else:
             self._list_current()
+        return False
 
     def _is_complete(self, observed: store_revisions.Observation) -> bool:
         return self._feed.store_revision >= observed.revision
--- a/packages/gateway/tests/test_store_reader.py
+++ b/packages/gateway/tests/test_store_reader.py
@@ -7,7 +7,9 @@
 from balsamloom_gateway import (
     feed,
     fleet,
+    follower,
     interfaces,
+    read_schedule,
     store_reader,
     store_revisions,
 )
@@ -21,12 +23,15 @@
     def __init__(self, clock):
         super().__init__()
         self._clock = clock
+        # Called at the end of each wait, before the answer.
+        self.after_wait = lambda: None
 
     def watch(self, prefix, revision, wait_ms):
         """Wait in full if there is no change."""
         found = super().watch(prefix, revision, wait_ms)
         if not found.changes:
             self._clock.advance(wait_ms)
+            self.after_wait()
         return found
 
 
@@ -62,6 +67,29 @@
         self.reader.read(WAIT_MS)
         self.assertEqual(self.copy.age_ms(), 0.0)
 
+    def test_store_is_not_waited_for_while_the_copy_is_old(self):
+        # A calm store made whole levels of readers call their source stale.
+        intervals = read_schedule.intervals(2_000.0)
+        schedule = follower.Follower(
+            "m1",
+            self.observed,
+            builders.Records(),
+            self.copy,
+            self.view,
+            None,
+            self.clock,
+            intervals,
+        )
+        schedule.read_once()
+        ages_ms = []
+        self.store.after_wait = lambda: ages_ms.append(self.copy.age_ms())
+        for _ in range(5):
+            self.store.put("ledger/p", b"{}")
+            for _ in range(3):
+                self.clock.advance(schedule.read_once())
+        self.assertGreaterEqual(len(ages_ms), 5)
+        self.assertLess(max(ages_ms), 1.5 * intervals.store_ms)
+
     def test_change_alone_does_not_prove_that_it_is_the_last(self):
         self.store.put("config", b"2")
         self.reader.read(WAIT_MS)
