--- a/packages/gateway/src/balsamloom_gateway/member_reader.py
+++ b/packages/gateway/src/balsamloom_gateway/member_reader.py
@@ -83,13 +83,14 @@
             )
         self._apply(answer, known)
         self._positions[source.name] = answer.position
-        # The member began to wait after the call was sent.
-        fresh_at_ms = sent_ms + answer.held_ms - answer.age_ms
+        now_ms = self._clock.now_ms()
+        # The member began to wait after the call was sent. This host's clock
+        # may have stood still meanwhile.
+        answered_ms = min(sent_ms + answer.held_ms, now_ms)
+        fresh_at_ms = answered_ms - answer.age_ms
         self._feed.record_read(answer.store_revision, fresh_at_ms)
         return Reading(
-            self._clock.now_ms() - fresh_at_ms,
-            answer.held_ms,
-            answer.position != known,
+            now_ms - fresh_at_ms, answer.held_ms, answer.position != known
         )
 
     def _call(
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -204,6 +204,22 @@
         self.assertEqual(version, 2)
         self.assertLess(self.clock.now_ms() - START_MS, 2 * 600.0)
 
+    def test_copy_is_not_from_the_future_after_the_clock_stood_still(self):
+        # The steady clock of a suspended host does not count that time.
+        _, first = self.start("m1")
+        _, second = self.start("m2")
+        first.read_once()
+        second.read_once()
+        answer = self.peers.call
+        self.peers.call = lambda *arguments: {
+            **answer(*arguments),
+            "held_ms": 1_000.0,
+        }
+        first.read_once()
+        second.read_once()
+        now_ms = self.clock.now_ms()
+        self.assertFalse(second.await_records(now_ms + 1.0, now_ms))
+
     def test_source_that_was_stale_is_asked_again_without_a_wait(self):
         # While this process waited there, it did not read the store.
         _, first = self.start("m1")
