--- a/packages/gateway/tests/budget_model.py
+++ b/packages/gateway/tests/budget_model.py
@@ -16,6 +16,7 @@
 from unittest import mock
 
 import builders
+import stores
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
@@ -507,7 +508,7 @@
     def __init__(self, budget_tokens: int) -> None:
         self.budget_tokens = budget_tokens
         self.clock = _Clock()
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.mode = StoreMode.UP
         self.next_mode: StoreMode | None = None
         self.during: tuple[Step, ...] = ()
--- a/packages/gateway/tests/gateway_case.py
+++ b/packages/gateway/tests/gateway_case.py
@@ -8,6 +8,7 @@
 
 import builders
 import scripted
+import stores
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
@@ -67,7 +68,7 @@
         clock = clocks.Clock()
         self.clock = clock
         records = builders.Records()
-        self.store = store or builders.Store()
+        self.store = store or stores.Store()
         self.fleet = fleet.Fleet(records, clock)
         self.balancer = balancer.Balancer(clock, "a", random.Random(1))
         self.book = budget_ledger.BudgetLedger(self.store, records, clock)
--- a/packages/gateway/tests/holders_case.py
+++ b/packages/gateway/tests/holders_case.py
@@ -6,6 +6,7 @@
 import unittest
 
 import builders
+import stores
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
@@ -62,7 +63,7 @@
         self.records = builders.Records()
         self.network = Network()
         # Members share these records, but each can lose its own store.
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.journal = builders.Journal()
         self.members = {}
         self.planned = {}
@@ -70,7 +71,7 @@
             self.start(name)
 
     def start(self, name, is_restart=False, has_read=True):
-        store = builders.Store()
+        store = stores.Store()
         store.items = self.store.items
         store.transact = self.with_own_failures(store)
         local_ledger = budget_ledger.BudgetLedger(
--- a/packages/gateway/tests/hosts_case.py
+++ b/packages/gateway/tests/hosts_case.py
@@ -8,6 +8,7 @@
 import builders
 import gateway_case
 import scripted
+import stores
 
 TIMEOUT_S = 5.0
 # Long enough for a stream that outlasts most of a planned stop.
@@ -54,7 +55,7 @@
     work = None
 
     def setUp(self):
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.store.put("config", b"1")
         self.servers = [scripted.ScriptedServer(self.answer) for _ in range(3)]
         for number, server in enumerate(self.servers):
--- a/packages/gateway/tests/test_budget_ledger.py
+++ b/packages/gateway/tests/test_budget_ledger.py
@@ -6,6 +6,7 @@
 import unittest
 
 import builders
+import stores
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
@@ -54,7 +55,7 @@
     """Guards against tokens that are handed out without a record."""
 
     def setUp(self):
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.journal = builders.Journal()
         self.holder = self.start_holder()
 
--- a/packages/gateway/tests/test_budget_sides.py
+++ b/packages/gateway/tests/test_budget_sides.py
@@ -9,6 +9,7 @@
 
 import builders
 import holders_case
+import stores
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
@@ -57,7 +58,7 @@
     """Test case with holders that share one store."""
 
     def setUp(self):
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.journal = builders.Journal()
 
     def start_holder(self, is_restart=True, holder_id="", store=None):
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -9,6 +9,7 @@
 import builders
 import gateway_case
 import scripted
+import stores
 
 from balsamloom_gateway import (
     crash_ledger,
@@ -101,7 +102,7 @@
     """Guards against crashes that only one process knows of."""
 
     def setUp(self):
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.clock = builders.manual_clock()
 
     def process(self):
@@ -232,7 +233,7 @@
             encoded = registration_records.encode_member(builders.member(name))
             view.apply([interfaces.Item(f"member/{name}", encoded, 1)])
             network.reports[name] = crash_reports.CrashReports(
-                builders.Store(), builders.Records(), lambda: 0, clock
+                stores.Store(), builders.Records(), lambda: 0, clock
             )
         network.cut.add("b")
         reports = network.reports["a"]
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -5,6 +5,7 @@
 import unittest
 
 import builders
+import stores
 
 from balsamloom_gateway import (
     feed,
@@ -58,7 +59,7 @@
 
     def setUp(self):
         self.clock = builders.manual_clock()
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.peers = PeerStub()
         self.store.put("config", b"1")
         for name in ("m1", "m2"):
@@ -81,6 +82,14 @@
             self.INTERVALS,
         )
 
+    def start_two(self):
+        """Start the first member and one that has read from it."""
+        _, first = self.start("m1")
+        view, second = self.start("m2")
+        first.read_once()
+        second.read_once()
+        return first, view, second
+
     def test_first_member_reads_the_store(self):
         view, reader = self.start("m1")
         reader.read_once()
@@ -89,10 +98,7 @@
         self.assertEqual(len(view.servers()), 1)
 
     def test_second_member_reads_from_the_first_without_store_calls(self):
-        _, first = self.start("m1")
-        view, second = self.start("m2")
-        first.read_once()
-        second.read_once()
+        first, view, second = self.start_two()
         self.store.put("server/s1", builders.server_record())
         first.read_once()
         calls = len(self.store.calls)
@@ -119,10 +125,7 @@
         self.assertEqual(self.store.calls[-1], "watch")
 
     def test_member_whose_source_is_unreachable_reads_the_store(self):
-        _, first = self.start("m1")
-        view, second = self.start("m2")
-        first.read_once()
-        second.read_once()
+        _, view, second = self.start_two()
         del self.peers.feeds["m1:2"]
         self.store.put("server/s1", builders.server_record())
         second.read_once()
@@ -131,10 +134,7 @@
     def test_answer_too_long_for_the_timeout_is_not_requested_again(self):
         # After many routes were added, each read over a slow network path
         # timed out and the same bytes were sent again.
-        _, first = self.start("m1")
-        view, second = self.start("m2")
-        first.read_once()
-        second.read_once()
+        first, _, second = self.start_two()
         self.peers.max_bytes = 5_000
         self.store.put("config", random.Random(1).randbytes(9_000))
         first.read_once()
@@ -162,10 +162,7 @@
         self.assertEqual(known, ["s1"])
 
     def test_member_whose_source_is_stale_reads_the_store(self):
-        _, first = self.start("m1")
-        view, second = self.start("m2")
-        first.read_once()
-        second.read_once()
+        _, view, second = self.start_two()
         self.clock.advance(2_000.0)
         self.store.put("server/s1", builders.server_record())
         second.read_once()
@@ -184,10 +181,7 @@
         self.assertEqual(len(view.members()), 2)
 
     def test_source_that_waited_in_vain_is_not_waited_for_again(self):
-        _, first = self.start("m1")
-        view, second = self.start("m2")
-        first.read_once()
-        second.read_once()
+        _, view, second = self.start_two()
         self.store.put("config", b"2")
         answer = self.peers.call
 
@@ -206,10 +200,7 @@
 
     def test_copy_is_not_from_the_future_after_the_clock_stood_still(self):
         # The steady clock of a suspended host does not count that time.
-        _, first = self.start("m1")
-        _, second = self.start("m2")
-        first.read_once()
-        second.read_once()
+        first, _, second = self.start_two()
         answer = self.peers.call
         self.peers.call = lambda *arguments: {
             **answer(*arguments),
@@ -222,10 +213,7 @@
 
     def test_source_that_was_stale_is_asked_again_without_a_wait(self):
         # While this process waited there, it did not read the store.
-        _, first = self.start("m1")
-        _, second = self.start("m2")
-        first.read_once()
-        second.read_once()
+        _, _, second = self.start_two()
         self.clock.advance(2_000.0)
         second.read_once()
         self.peers.waits_ms.clear()
@@ -236,10 +224,7 @@
         self.assertEqual(self.store.calls[-1], "watch")
 
     def test_source_that_recovered_is_waited_for_again(self):
-        _, first = self.start("m1")
-        _, second = self.start("m2")
-        first.read_once()
-        second.read_once()
+        first, _, second = self.start_two()
         self.clock.advance(2_000.0)
         second.read_once()
         self.clock.advance(follower.SOURCE_RETRY_INTERVAL_MS)
@@ -283,10 +268,7 @@
 
     def test_restarted_source_does_not_restore_deleted_records(self):
         self.store.put("server/s1", builders.server_record())
-        _, first = self.start("m1")
-        view, second = self.start("m2")
-        first.read_once()
-        second.read_once()
+        _, view, second = self.start_two()
         self.store.delete("server/s1")
         _, first = self.start("m1")
         first.read_once()
--- a/packages/gateway/tests/test_json_parsing.py
+++ b/packages/gateway/tests/test_json_parsing.py
@@ -3,6 +3,7 @@
 import unittest
 
 import builders
+import stores
 
 from balsamloom_gateway import (
     crash_reports,
@@ -66,7 +67,7 @@
 
     def test_records_of_crashes_and_versions_are_passed_over(self):
         clock = builders.manual_clock()
-        records, store = builders.Records(), builders.Store()
+        records, store = builders.Records(), stores.Store()
         crashes = crash_reports.CrashReports(store, records, int, clock)
         view = fleet.Fleet(records, clock)
         history = version_history.VersionHistory(
--- a/packages/gateway/tests/test_lost_allocations.py
+++ b/packages/gateway/tests/test_lost_allocations.py
@@ -6,6 +6,7 @@
 import unittest
 
 import builders
+import stores
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
@@ -26,7 +27,7 @@
     """Guards against 402 for turns that the budget holds."""
 
     def setUp(self):
-        self.store = builders.Store()
+        self.store = stores.Store()
 
     def start_holder(self, is_restart=True):
         holder = budget_ledger.BudgetLedger(
--- a/packages/gateway/tests/test_members.py
+++ b/packages/gateway/tests/test_members.py
@@ -3,6 +3,7 @@
 import unittest
 
 import builders
+import stores
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import http_client, interfaces, peers, registrar
@@ -14,7 +15,7 @@
     """Guards against a member that overloads a failing store with retries."""
 
     def setUp(self):
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.registrar = registrar.Registrar(
             self.store,
             "member/m1",
--- a/packages/gateway/tests/test_propagation.py
+++ b/packages/gateway/tests/test_propagation.py
@@ -6,6 +6,7 @@
 import unittest
 
 import builders
+import stores
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
@@ -75,7 +76,7 @@
     def __init__(self, size):
         self.clock = SimulatedClock(0.0)
         self.random = random.Random(size)
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.store.put("member/m", b"{}")
         self.members = [builders.member(f"m{n:04}") for n in range(size)]
         self.down = set()
--- a/packages/gateway/tests/test_refusal_parts.py
+++ b/packages/gateway/tests/test_refusal_parts.py
@@ -6,6 +6,7 @@
 
 import builders
 import log_builders
+import stores
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
@@ -109,7 +110,7 @@
     """Guards against holders that do not log what a refusal rests on."""
 
     def setUp(self):
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.holder = budget_ledger.BudgetLedger(
             self.store, builders.Records(), clocks.Clock(), holder_id="h/2"
         )
--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -8,6 +8,7 @@
 import builders
 import cluster_case
 import storage_nodes
+import stores
 
 from balsamloom_conversations import messages, turns
 from balsamloom_core import clock as clocks
@@ -257,7 +258,7 @@
 
     def setUp(self):
         super().setUp()
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.records = builders.Records()
         self.is_registered = True
 
@@ -408,7 +409,7 @@
     """Guards against missing registrations and needless store calls."""
 
     def setUp(self):
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.is_leaving = False
         self.view = builders.fleet_view()
         self.host = builders.storage_host("a1")
--- a/packages/gateway/tests/test_store_reader.py
+++ b/packages/gateway/tests/test_store_reader.py
@@ -3,6 +3,7 @@
 import unittest
 
 import builders
+import stores
 
 from balsamloom_gateway import (
     feed,
@@ -17,7 +18,7 @@
 WAIT_MS = 600
 
 
-class WaitingStore(builders.Store):
+class WaitingStore(stores.Store):
     """Store that waits for a change, as the platform's does."""
 
     def __init__(self, clock):
--- a/packages/gateway/tests/test_version_history.py
+++ b/packages/gateway/tests/test_version_history.py
@@ -4,6 +4,7 @@
 import unittest
 
 import builders
+import stores
 
 from balsamloom_gateway import (
     fleet,
@@ -18,7 +19,7 @@
     """Guards against versions that a started process does not know of."""
 
     def setUp(self):
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.clock = builders.manual_clock()
         self.view, self.history = self.process()
 
--- a/packages/gateway/tests/test_view_errors.py
+++ b/packages/gateway/tests/test_view_errors.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 import builders
+import stores
 
 from balsamloom_gateway import (
     feed,
@@ -41,7 +42,7 @@
 
     def setUp(self):
         self.clock = builders.manual_clock()
-        self.store = builders.Store()
+        self.store = stores.Store()
         self.records = builders.Records()
         for name in ("configuration", "server"):
             setattr(self.records, name, Raising(getattr(self.records, name)))
