--- a/packages/gateway/src/balsamloom_gateway/feed.py
+++ b/packages/gateway/src/balsamloom_gateway/feed.py
@@ -50,8 +50,8 @@
     """State of a reader's copy.
 
     ``epoch`` and ``cursor`` come from the previous answer, ``""`` and 0 if
-    there was none. The copy is complete up to ``store_revision``. The answer
-    may wait for ``wait_ms`` until there is more than ``reads`` reads brought.
+    there was none. The copy is complete up to ``store_revision``. An answer
+    without news since the read number ``reads`` may wait for ``wait_ms``.
     """
 
     epoch: str
--- a/packages/gateway/src/balsamloom_gateway/store_reader.py
+++ b/packages/gateway/src/balsamloom_gateway/store_reader.py
@@ -29,9 +29,9 @@
 class StoreReader:
     """Keeps a copy of the store's records and knows how recent it is.
 
-    The store may answer a watch with a part of the changes. The copy then
-    shows the store as of a time only if it is complete up to a revision that
-    the store had reached at that time.
+    The store may answer a watch with a part of the changes. So the copy shows
+    the store as of a time only if it is complete up to a revision that the
+    store had not passed then.
 
     :param store: platform's store.
     :param records: keys of the records.
@@ -105,6 +105,7 @@
     def _read_changes(self, wait_ms: int) -> bool:
         """Read until the copy is proven; see :meth:`read`."""
         started_ms = self._clock.now_ms()
+        # Seen before the watch, which then covers it unless it is a part.
         observed = self._store.latest
         is_empty = not self._watch(wait_ms)
         if is_empty and (observed is None or self._is_complete(observed)):
