--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -58,6 +58,10 @@
         self._records = records
         self._clock = clock
         self._lock = threading.Lock()
+        # Held while on_servers_changed is called, so that no older list
+        # follows a newer one.
+        self._notification_lock = threading.Lock()
+        self._notified_servers: list[traffic.BackendServer] = []
         self._servers: registrations.Registrations[traffic.BackendServer] = (
             registrations.Registrations()
         )
@@ -203,15 +207,14 @@
         """
         with self._lock:
             incarnation = self._leaving.add(server_id)
-            if incarnation is None:
-                return
-            usable = self._usable_servers()
+        if incarnation is None:
+            return
         events.log(
             events.Event.SERVER_LEAVING,
             server_id=server_id,
             incarnation=incarnation,
         )
-        self._call_all(self.on_servers_changed, usable)
+        self._notify_of_servers()
 
     @property
     def must_reapply(self) -> bool:
@@ -227,16 +230,13 @@
         if not changes:
             return
         with self._lock:
-            previous = self._usable_servers()
             previous_configuration = self._active_configuration
             for change in changes:
                 self._call(self._apply, change)
-            usable = self._usable_servers()
             active = self._active_configuration
         self._report_member_changes()
         self._call_all(self.on_changes, changes)
-        if usable != previous:
-            self._call_all(self.on_servers_changed, usable)
+        self._notify_of_servers()
         if active is not None and active is not previous_configuration:
             self._call(self.on_configuration_changed, active)
 
@@ -247,7 +247,7 @@
         """
         self._must_reapply = False
         self.apply(changes)
-        self._call_all(self.on_servers_changed, self.servers())
+        self._notify_of_servers(is_forced=True)
         if self._active_configuration is not None:
             self._call(
                 self.on_configuration_changed, self._active_configuration
@@ -289,12 +289,20 @@
             elif self._is_stale:
                 self._is_stale = False
                 self._outage_end_ms = now_ms
-            previous = self._usable_servers()
             self._drop_expired(now_ms)
-            usable = self._usable_servers()
         self._report_member_changes()
-        if usable != previous:
-            self._call_all(self.on_servers_changed, usable)
+        self._notify_of_servers()
+
+    def _notify_of_servers(self, is_forced: bool = False) -> None:
+        """Call back with the usable servers if they have changed.
+
+        :param is_forced: call back also if they have not.
+        """
+        with self._notification_lock:
+            usable = self.servers()
+            if is_forced or usable != self._notified_servers:
+                self._notified_servers = usable
+                self._call_all(self.on_servers_changed, usable)
 
     def _usable_servers(self) -> list[traffic.BackendServer]:
         return [
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -65,6 +65,39 @@
         self.put("server/s1", builders.server_record(), 1)
         self.assertEqual(self.server_ids(), ["s1"])
 
+    def test_older_server_list_is_not_reported_after_a_newer_one(self):
+        self.put("server/s1", builders.server_record(), 1)
+        notified = []
+        self.fleet.on_servers_changed = (notified.append,)
+        # An answer of s1 arrives while a change is applied.
+        self.fleet.on_changes = (
+            lambda _: self.fleet.mark_server_leaving("s1"),
+        )
+        self.put("server/s2", builders.server_record(), 2)
+        self.assertEqual([one.server_id for one in notified[-1]], ["s2"])
+
+    def test_callbacks_get_server_lists_in_the_same_order(self):
+        self.put("server/s1", builders.server_record(), 1)
+        is_first, is_second = threading.Event(), threading.Event()
+        notified = []
+
+        def delay_first(_):
+            if not is_first.is_set():
+                is_first.set()
+                is_second.wait(0.1)
+
+        def mark():
+            is_first.wait(5)
+            self.fleet.mark_server_leaving("s1")
+            is_second.set()
+
+        self.fleet.on_servers_changed = (delay_first, notified.append)
+        thread = threading.Thread(target=mark, daemon=True)
+        thread.start()
+        self.put("server/s2", builders.server_record(), 2)
+        thread.join(5)
+        self.assertEqual([one.server_id for one in notified[-1]], ["s2"])
+
     def test_loss_callback_may_read_the_members(self):
         # Two locks were taken in opposite orders: a thread that recorded
         # budgets read the members while the view notified it of a loss.
