--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -485,6 +485,9 @@
         self, server_id: str, answer: traffic.AnswerMetadata
     ) -> None:
         """Record what a server said of itself to another member."""
+        if answer.is_leaving:
+            # This process may not know the server at this moment.
+            self.fleet.mark_server_leaving(server_id)
         for server in self.fleet.servers():
             if server.server_id == server_id:
                 self._dispatcher.record_answer(server, answer)
--- a/packages/gateway/tests/test_handovers.py
+++ b/packages/gateway/tests/test_handovers.py
@@ -12,6 +12,7 @@
     attempts,
     draining,
     handover_messages,
+    interfaces,
     server_connections,
 )
 
@@ -70,6 +71,31 @@
         ]
         self.assertEqual(found, [200, 200])
 
+    def test_shutdown_notice_counts_while_the_sender_lacks_the_server(self):
+        view = self.hosts["m1"].fleet
+        registered = {one.server_id for one in view.servers()}
+        self.cut("m1")
+        self.work = lambda connection: connection.sendall(
+            scripted.answer(b"ok", "r", fields="Leaving: 1\r\n")
+        )
+        revision = self.store.revision + 1
+        view.apply(
+            [
+                interfaces.Deletion(f"server/{name}", revision)
+                for name in registered
+            ]
+        )
+        self.assertEqual(self.request("m1", "r"), (200, b"ok"))
+        view.apply(
+            [
+                self.store.items[f"server/{name}"]._replace(
+                    revision=revision + 1
+                )
+                for name in registered
+            ]
+        )
+        self.assertEqual(len(view.servers()), len(registered) - 1)
+
     def test_request_that_may_have_run_is_not_handed_over_again(self):
         self.cut("m1")
         self.work = lambda connection: connection.close()
