--- a/packages/gateway/src/balsamloom_gateway/follower.py
+++ b/packages/gateway/src/balsamloom_gateway/follower.py
@@ -224,25 +224,29 @@
         """
         started_ms = self._clock.now_ms()
         try:
-            has_waited = self._read_available()
+            is_next_due = self._read_available()
         except interfaces.StoreError as error:
             self._record_store_failure(error)
             return None
         self._failures = 0
         self._log_source("store", "in use", "")
-        if has_waited:
+        if is_next_due:
             return 0.0
         spent_ms = self._clock.now_ms() - started_ms
         return max(self._intervals.store_ms - spent_ms, 0.0)
 
     def _read_available(self) -> bool:
-        """Read what the store has; return whether it waited in vain."""
+        """Read what the store has.
+
+        :return: whether the next read is due at once, as the store waited in
+            vain or the source was read, which can be waited for.
+        """
         if self._reader.must_list and not self._is_started:
             self._reader.list_stale()
             self._is_started = True
             # What the listing lacks is read from the source or the store.
             if self._read_source():
-                return False
+                return True
         wait_ms = self._intervals.store_wait_ms(self._feed.age_ms())
         return self._reader.read(wait_ms)
 
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -118,6 +118,14 @@
         self.assertEqual(set(self.store.calls[calls:]), {"list"})
         self.assertEqual(view.active_configuration.configuration.version, 1)
 
+    def test_member_waits_for_news_of_its_source_right_after_its_start(self):
+        _, first = self.start("m1")
+        first.read_once()
+        _, second = self.start("m2")
+        self.assertEqual(second.read_once(), 0.0)
+        second.read_once()
+        self.assertGreater(self.peers.waits_ms[-1], 400.0)
+
     def test_member_that_starts_without_a_current_source_watches(self):
         self.start("m1")
         _, second = self.start("m2")
