--- a/packages/gateway/tests/hosts_case.py
+++ b/packages/gateway/tests/hosts_case.py
@@ -38,7 +38,13 @@
         return found._replace(address=self.links[server_id].address)
 
     def cut(self):
-        """Cut the process off from all servers."""
+        """Cut the process off from all servers.
+
+        No connection breaks while another server can still be reached: that
+        would look like a crash.
+        """
+        for link in self.links.values():
+            link.refuse()
         for link in self.links.values():
             link.cut()
 
--- a/packages/gateway/tests/scripted.py
+++ b/packages/gateway/tests/scripted.py
@@ -97,9 +97,16 @@
             target=self._accept, args=(listening,), daemon=True
         ).start()
 
+    def refuse(self) -> None:
+        """Refuse new connections."""
+        self._close(self._sockets[:1])
+
     def cut(self) -> None:
         """Reset all connections and refuse new ones."""
-        for each in self._sockets:
+        self._close(self._sockets)
+
+    def _close(self, sockets: list[socket.socket]) -> None:
+        for each in sockets:
             with contextlib.suppress(OSError):
                 each.shutdown(socket.SHUT_RDWR)
             each.close()
