--- a/packages/gateway/src/balsamloom_gateway/refusal_audit.py
+++ b/packages/gateway/src/balsamloom_gateway/refusal_audit.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
@@ -16,6 +16,7 @@
 
 EVENT_NAMES = budget_refusals.EVENT_NAMES | {
     "chain_read",
+    "handover_failed",
     "process_started",
     "turn_kept",
 }
@@ -88,10 +89,19 @@
         budget,
         refusal_parts.find_all(budget, known),
         _find_denied_turns(known, by_request),
-        _find_contradicted_refusals(by_request),
+        _find_contradicted_refusals(by_request, _member_names(known)),
     )
 
 
+def _member_names(lines: Iterable[explain.LogLine]) -> Mapping[str, str]:
+    """Return the name of the member that wrote each log, where it says so."""
+    return {
+        line.source: line.fields["member"]
+        for line in request_lines.select(lines, "process_started")
+        if "member" in line.fields
+    }
+
+
 def _find_denied_turns(
     lines: Iterable[explain.LogLine], by_request: request_lines.LineGroups
 ) -> list[DeniedTurn]:
@@ -142,9 +152,12 @@
 
 
 def _find_contradicted_refusals(
-    by_request: request_lines.LineGroups,
+    by_request: request_lines.LineGroups, members: Mapping[str, str]
 ) -> list[ContradictedRefusal]:
-    """Return the refusals as not run of requests that may have run."""
+    """Return the refusals as not run of requests that may have run.
+
+    :param members: name of the member by log.
+    """
     return [
         ContradictedRefusal(
             request_id,
@@ -159,6 +172,27 @@
                 line for line in lines if request_lines.may_have_run(line)
             ]
         )
-        for line in lines
+        for line in _callers_answers(lines, members)
         if request_lines.own_status(line) in _NOT_RUN_STATUSES
     ]
+
+
+def _callers_answers(
+    lines: Sequence[explain.LogLine], members: Mapping[str, str]
+) -> list[explain.LogLine]:
+    """Return the lines of a request without those of passed-back answers.
+
+    A member that was handed the request answered the sender, which answered
+    the caller by itself.
+
+    :param members: name of the member by log.
+    """
+    passed_back_by = {
+        line.fields["member"]
+        for line in request_lines.select(lines, "handover_failed")
+    }
+    return [
+        line
+        for line in lines
+        if members.get(line.source, line.source) not in passed_back_by
+    ]
--- a/packages/gateway/tests/test_handovers.py
+++ b/packages/gateway/tests/test_handovers.py
@@ -102,6 +102,21 @@
         self.assertEqual(self.request("m1", "r", "/once/x")[0], 502)
         self.assertEqual(self.runs("r"), 1)
 
+    def test_refusals_of_members_promise_callers_nothing(self):
+        def cut_all(_):
+            for records in self.records.values():
+                records.cut()
+
+        self.work = cut_all
+        with self.assertLogs("balsamloom") as logs:
+            self.assertEqual(self.request("m1", "r")[0], 502)
+        passed_back = [
+            record
+            for record in logs.records
+            if record.name_of_event == "handover_failed"
+        ]
+        self.assertTrue(passed_back)
+
     def test_cut_that_breaks_a_request_is_no_crash_of_its_server(self):
         has_request, crashes = threading.Event(), []
 
--- a/packages/gateway/tests/test_refusal_audit.py
+++ b/packages/gateway/tests/test_refusal_audit.py
@@ -338,6 +338,42 @@
                 found = audit(*lines, refusal)
                 self.assertEqual(found.contradicted_refusals, [])
 
+    def test_refusal_that_a_member_passed_back_is_no_answer_to_the_caller(
+        self,
+    ):
+        lines = [
+            log_builders.line(0, "process_started", "b.log", member="edge-2"),
+            log_builders.failed(1, "r1", is_sent=True),
+            log_builders.refused(2, "r1", source="b.log"),
+            log_builders.line(
+                2.1, "handover_failed", request_id="r1", member="edge-2"
+            ),
+        ]
+        end = log_builders.ended(3, "r1", 502, "no answer")
+        self.assertFalse(audit(*lines, end).has_findings)
+        # The sender's own answer counts, whatever the member's was.
+        found = audit(*lines, log_builders.refused(3, "r1"))
+        self.assertEqual(
+            [one.source for one in found.contradicted_refusals], ["edge-1"]
+        )
+
+    def test_refusal_of_a_member_that_reached_the_caller_is_found(self):
+        lines = [
+            log_builders.failed(1, "r1", is_sent=True),
+            log_builders.refused(2, "r1", source="edge-2"),
+            log_builders.line(
+                2.1,
+                "request_handed_over",
+                request_id="r1",
+                member="edge-2",
+                status=503,
+            ),
+        ]
+        found = audit(*lines)
+        self.assertEqual(
+            [one.source for one in found.contradicted_refusals], ["edge-2"]
+        )
+
     def test_answers_that_promise_nothing_are_right(self):
         sent = log_builders.failed(1, "r1", is_sent=True)
         for status in (502, 504):
