--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -19,6 +19,7 @@
     outage_policy,
     peer_messages,
     peers,
+    pending_settlements,
     planner,
     traffic,
     withdrawals,
@@ -28,10 +29,6 @@
 # standby, which it awaits before it answers.
 PEER_TIMEOUT_MS = 350.0
 WITHDRAW_TIMEOUT_MS = 1_000.0
-# A holder may come back, or its lease may have lapsed in an outage only.
-SETTLE_RETRY_INTERVAL_MS = 500.0
-MAX_SETTLE_INTERVAL_MS = 8_000.0
-MAX_SETTLE_ATTEMPTS = 12
 # Backoff of calls to a holder that did not answer.
 BREAKER_BACKOFF = circuit_breaker.Backoff(
     2_000.0, 2_000.0, trial_ms=PEER_TIMEOUT_MS
@@ -86,6 +83,9 @@
         self._clients = clients
         self._fleet = view
         self._clock = clock
+        self.pending_settlements = pending_settlements.PendingSettlements(
+            self._settle_missed, clock
+        )
         self._withdrawals = withdrawals.ReservationWithdrawals(clock)
         self._breaker = circuit_breaker.CircuitBreaker(BREAKER_BACKOFF, clock)
         self._outage_until_ms = -math.inf
@@ -173,8 +173,8 @@
         if holder is None:
             self.settle_local(settlement)
         elif not self._settle_at(holder, settlement):
-            background.start(
-                lambda: self._settle_later(grant, settlement), self._clock
+            self.pending_settlements.add(
+                holder, grant.budget_tokens, settlement
             )
 
     def _settle_at(
@@ -191,44 +191,51 @@
             return False
         return True
 
-    def _settle_later(
-        self, grant: Grant, settlement: peer_messages.Settlement
-    ) -> None:
-        """Settle a turn once its holder, or its successor, answers."""
-        assert grant.holder is not None
-        interval_ms = SETTLE_RETRY_INTERVAL_MS
-        for _ in range(MAX_SETTLE_ATTEMPTS):
-            self._clock.sleep(interval_ms)
-            interval_ms = min(2 * interval_ms, MAX_SETTLE_INTERVAL_MS)
-            if grant.holder not in self._fleet.members():
-                is_settled = self._settle_at_successor(
-                    grant, settlement.used_tokens
-                )
-            else:
-                is_settled = self._settle_at(grant.holder, settlement)
-            if is_settled:
-                return
-
-    def _settle_at_successor(self, grant: Grant, used_tokens: int) -> bool:
+    def _settle_missed(
+        self, turn: pending_settlements.UnsettledTurn
+    ) -> pending_settlements.Outcome:
+        """Settle a turn that its holder has not heard of.
+
+        The successor of a holder that is not registered counts the turn. The
+        holder may live all the same: only its lease may have lapsed.
+        """
+        members = self._fleet.members()
+        if turn.holder in members:
+            if self._settle_at(turn.holder, turn.settlement):
+                return pending_settlements.Outcome.SETTLED
+            return pending_settlements.Outcome.UNANSWERED
+        if not turn.is_successor_told:
+            turn.is_successor_told = self._settle_at_successor(turn)
+        if not turn.is_successor_told:
+            return pending_settlements.Outcome.UNANSWERED
+        if any(member.name == turn.holder.name for member in members):
+            # Another run of the holder's host: the holder itself has ended.
+            return pending_settlements.Outcome.SETTLED
+        return pending_settlements.Outcome.AWAITED
+
+    def _settle_at_successor(
+        self, turn: pending_settlements.UnsettledTurn
+    ) -> bool:
         """Settle a turn of a lost holder; return whether that succeeded."""
+        settlement = turn.settlement
         holders = membership.budget_holders(
-            grant.program_id, self._fleet.members()
+            settlement.program_id, self._fleet.members()
         )
         if not holders:
             return False
         if holders[0].name == self._name:
             self._local_ledger.settle_lost(
-                grant.program_id,
-                grant.budget_tokens,
-                used_tokens,
-                grant.reservation_id,
+                settlement.program_id,
+                turn.budget_tokens,
+                settlement.used_tokens,
+                settlement.reservation_id,
             )
             return True
         body = {
-            "program_id": grant.program_id,
-            "budget_tokens": grant.budget_tokens,
-            "used_tokens": used_tokens,
-            "reservation_id": grant.reservation_id,
+            "program_id": settlement.program_id,
+            "budget_tokens": turn.budget_tokens,
+            "used_tokens": settlement.used_tokens,
+            "reservation_id": settlement.reservation_id,
         }
         try:
             self._clients.call(
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -159,6 +159,7 @@
             self.fleet,
             clock,
         )
+        self._pending_settlements = accounts.pending_settlements
         self._book.standbys = standbys.PeerStandbys(
             settings.name,
             settings.incarnation,
@@ -377,6 +378,7 @@
             self._follower.run,
             self._registrar.run,
             self._book.run,
+            self._pending_settlements.run,
             self._heartbeats.run,
             self._crash_reports.run,
             self._crash_notices.run,
@@ -410,6 +412,7 @@
         self._release_budgets(times.release_until_ms)
         stop.end()
         self._follower.stop()
+        self._pending_settlements.stop()
         self._heartbeats.stop()
         self._probes.stop()
 
--- a/packages/gateway/tests/budget_model.py
+++ b/packages/gateway/tests/budget_model.py
@@ -685,9 +685,10 @@
             self.apply(Wait(1_000.0))
 
     def run_recorders(self) -> None:
-        """Let all recorders do what is due."""
+        """Let all background loops do what is due."""
         for edge in self.live_edges():
             with _surviving(edge):
+                edge.accounts.pending_settlements.retry_due()
                 edge.book.run_once()
 
     def _settle(self, number: int, used_percent: int, end: End) -> None:
--- a/packages/gateway/tests/holders_case.py
+++ b/packages/gateway/tests/holders_case.py
@@ -99,10 +99,11 @@
         self.network.services[name] = peer_service.PeerService(
             accounts, local_ledger, None, None, permits, None, None
         )
-        thread = threading.Thread(target=local_ledger.run, daemon=True)
-        thread.start()
-        self.addCleanup(thread.join, 5)
-        self.addCleanup(local_ledger.stop)
+        for loop in (local_ledger, accounts.pending_settlements):
+            thread = threading.Thread(target=loop.run, daemon=True)
+            thread.start()
+            self.addCleanup(thread.join, 5)
+            self.addCleanup(loop.stop)
         self.members[name] = (store, local_ledger, view, accounts)
 
     def read_members(self, view):
