--- a/packages/gateway/src/balsamloom_gateway/crash_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_ledger.py
@@ -3,7 +3,8 @@
 A request that crashes its server comes again with another request
 identifier, through any process. It is recognised by its target and body. If
 several bodies of one target crash servers and no request for that target was
-ever served, the target as a whole counts as one request.
+ever served, the target as a whole counts as one request. Servers that one
+body has crashed, as many as it may, show nothing about the others.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import collections
 import hashlib
 import threading
+from collections.abc import Iterable
 from typing import NamedTuple, TypeVar
 
 T = TypeVar("T")
@@ -165,9 +167,11 @@
             key.target_id in self._shared_targets
             or key.target_id in self._served
         )
+        explained = _runs_of_blocked_bodies(crashes)
         runs: dict[str, float] = {}
         for (body_id, server_run), wall_ms in crashes.items():
-            if body_id == key.body_id or not is_shared:
+            is_of_target = not is_shared and server_run not in explained
+            if body_id == key.body_id or is_of_target:
                 runs[server_run] = max(wall_ms, runs.get(server_run, wall_ms))
         return runs
 
@@ -180,6 +184,20 @@
         ]
 
 
+def _runs_of_blocked_bodies(
+    crashes: Iterable[tuple[str, str]],
+) -> frozenset[str]:
+    """Return the runs that crashed under bodies which alone may not run.
+
+    :param crashes: body and run of each crash of a target.
+    """
+    runs: dict[str, set[str]] = collections.defaultdict(set)
+    for body_id, server_run in crashes:
+        runs[body_id].add(server_run)
+    blocked = (found for found in runs.values() if len(found) >= MAX_CRASHES)
+    return frozenset().union(*blocked)
+
+
 def _remember(served: collections.OrderedDict[T, None], entry: T) -> None:
     """Add an entry as the latest one, and drop the oldest beyond a limit."""
     served[entry] = None
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -70,6 +70,21 @@
             self.ledger.add(crash(key(body=body), f"s{number}.1"))
         self.assertIsNotNone(self.ledger.blocked_until_ms(key(body=b"4")))
 
+    def test_body_that_crashed_enough_servers_blocks_no_other_body(self):
+        self.crash(3)
+        # It waited at one of them.
+        self.ledger.add(crash(key(body=b"other"), "s0.1"))
+        self.assertIsNotNone(self.ledger.blocked_until_ms(key()))
+        other = self.ledger.blocked_until_ms(key(body=b"other"))
+        self.assertIsNone(other)
+        self.assertIsNone(self.ledger.blocked_until_ms(key(body=b"new")))
+
+    def test_several_deadly_bodies_block_a_target_that_was_never_served(self):
+        self.crash(3)
+        for number, body in enumerate((b"1", b"2", b"3"), 3):
+            self.ledger.add(crash(key(body=body), f"s{number}.1"))
+        self.assertIsNotNone(self.ledger.blocked_until_ms(key(body=b"4")))
+
     def test_target_that_others_use_is_blocked_only_with_the_body(self):
         for is_served_here in (True, False):
             with self.subTest(is_served_here):
