--- a/packages/gateway/src/balsamloom_gateway/pending_settlements.py
+++ b/packages/gateway/src/balsamloom_gateway/pending_settlements.py
@@ -100,12 +100,14 @@
             self._changed.notify()
 
     def run(self) -> None:
-        """Settle turns when they are due, until :meth:`stop`."""
+        """Settle turns when they are due; try all once more at the end."""
         while self._wait_until_due():
             self.retry_due()
+        for holder in list(self._queues):
+            self._retry(holder)
 
     def stop(self) -> None:
-        """Make :meth:`run` return."""
+        """Make :meth:`run` return after a last attempt."""
         with self._changed:
             self._is_stopped = True
             self._changed.notify()
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -409,10 +409,10 @@
         self._start_deregistering()
         stop.answer_callers()
         stop.answer_members()
+        self._pending_settlements.stop()
         self._release_budgets(times.release_until_ms)
         stop.end()
         self._follower.stop()
-        self._pending_settlements.stop()
         self._heartbeats.stop()
         self._probes.stop()
 
--- a/packages/gateway/tests/test_pending_settlements.py
+++ b/packages/gateway/tests/test_pending_settlements.py
@@ -80,6 +80,15 @@
         self.pass_time(pending_settlements.RETENTION_MS + 3_000)
         self.assertEqual(len(self.pending), 0)
 
+    def test_turns_are_tried_once_more_at_a_planned_stop(self):
+        self.outcomes["r1"] = UNANSWERED
+        self.add("r1")
+        self.add("r2", "m2")
+        self.pending.stop()
+        self.pending.run()
+        self.assertEqual(self.tried, ["r1", "r2"])
+        self.assertEqual(len(self.pending), 1)
+
     def test_memory_is_bounded(self):
         for number in range(pending_settlements.MAX_TURNS + 5):
             self.add(f"r{number}")
