--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -82,7 +82,7 @@
             self._queue, self._recorder, clock, self._changed
         )
         self._reports = standby_reports.StandbyReports(
-            self._accounts, self._changed
+            self._accounts, clock, self._changed
         )
         self._lost_holders: set[str] = set()
         self._has_new_members = False
@@ -317,6 +317,8 @@
     def _report_to_standbys(self) -> None:
         """Report changed usage to the other holders."""
         with self._changed:
+            if self._reports.is_sending:
+                return
             is_complete = self._knows_all_programs()
             reports = self._reports.collect(self.standbys)
         self._reports.send(self.standbys, reports, is_complete)
--- a/packages/gateway/src/balsamloom_gateway/standby_reports.py
+++ b/packages/gateway/src/balsamloom_gateway/standby_reports.py
@@ -5,7 +5,9 @@
 import threading
 from collections.abc import Iterable, Mapping, Sequence
 
-from balsamloom_gateway import ledger, standbys, usages
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+from balsamloom_gateway import background, failures, ledger, standbys, usages
 
 
 class StandbyReports:
@@ -14,17 +16,21 @@
     The lock is held during each call except :meth:`send`.
 
     :param accounts: accounts by program.
+    :param clock: time source.
     :param changed: lock of the accounts; notified when reports are due.
     """
 
     def __init__(
         self,
         accounts: Mapping[str, ledger.Account],
+        clock: clocks.Clock,
         changed: threading.Condition,
     ) -> None:
         self._accounts = accounts
+        self._clock = clock
         self._changed = changed
         self._unreported: set[str] = set()
+        self.is_sending = False
 
     @property
     def is_due(self) -> bool:
@@ -70,11 +76,32 @@
     ) -> None:
         """Send reports; those that are not confirmed remain due.
 
+        Does not wait for the answers, as turns wait for the caller's thread.
+
         :param is_complete: whether programs never reported are new.
         """
-        for standby, found in reports.items():
-            if receivers.report(standby, found, is_complete):
-                self._confirm(standby, found)
+        if not reports:
+            return
+        self.is_sending = True
+        background.start(
+            lambda: self._send(receivers, reports, is_complete), self._clock
+        )
+
+    def _send(
+        self,
+        receivers: standbys.Standbys,
+        reports: Mapping[str, Sequence[usages.UsageReport]],
+        is_complete: bool,
+    ) -> None:
+        try:
+            for standby, found in reports.items():
+                if receivers.report(standby, found, is_complete):
+                    self._confirm(standby, found)
+        except Exception as error:
+            # They are sent again with the next ones.
+            failures.log(events.Event.BACKGROUND_FAILED, self._send, error)
+        finally:
+            self.is_sending = False
 
     def _confirm(
         self, standby: str, reports: Sequence[usages.UsageReport]
--- a/packages/gateway/tests/test_budget_ledger.py
+++ b/packages/gateway/tests/test_budget_ledger.py
@@ -91,6 +91,38 @@
         self.assertEqual(result, ledger.Reservation())
         self.assertGreaterEqual(self.recorded_tokens(), 100)
 
+    def test_turn_does_not_wait_for_a_silent_standby(self):
+        is_called, is_over = threading.Event(), threading.Event()
+        self.addCleanup(is_over.set)
+
+        class SilentStandby(FakeStandbys):
+            def report(self, standby, reports, is_complete):
+                is_called.set()
+                is_over.wait(5)
+                return False
+
+        self.holder.standbys = SilentStandby()
+        self.reserve(self.holder, NONE)
+        self.assertTrue(is_called.wait(5))
+        result, _ = self.holder.reserve("other", 100, 400, NONE)
+        self.assertEqual(result, ledger.Reservation())
+
+    def test_standby_that_answers_again_gets_the_usage(self):
+        is_answering = threading.Event()
+
+        class LateStandby(FakeStandbys):
+            def report(self, standby, reports, is_complete):
+                if not is_answering.is_set():
+                    return False
+                return super().report(standby, reports, is_complete)
+
+        self.holder.standbys = LateStandby()
+        self.reserve(self.holder, NONE)
+        time.sleep(2 * record_queue.BATCH_DELAY_MS / 1_000)
+        is_answering.set()
+        time.sleep(3 * record_queue.BATCH_DELAY_MS / 1_000)
+        self.assertIn("p", self.holder.standbys.reports)
+
     def test_new_holder_counts_recorded_allocations_as_spent(self):
         # The lost holder may have left a part of its allocation unused, so
         # one turn beyond the budget is granted, as the contract allows.
