--- a/packages/gateway/src/balsamloom_gateway/pending_settlements.py
+++ b/packages/gateway/src/balsamloom_gateway/pending_settlements.py
@@ -140,16 +140,17 @@
 
     def _retry(self, holder: traffic.Member) -> None:
         queue = self._queues[holder]
-        ended = set()
-        for turn in list(queue.turns):
-            if self._has_expired(turn):
-                ended.add(turn)
+        ended = {turn for turn in list(queue.turns) if self._has_expired(turn)}
+        # Those that wait for the holder alone share its state.
+        for turn in sorted(queue.turns, key=lambda one: one.is_successor_told):
+            if turn in ended:
                 continue
+            was_told = turn.is_successor_told
             outcome = self._settle(turn)
-            if outcome is Outcome.UNANSWERED:
-                break
             if outcome is Outcome.SETTLED:
                 ended.add(turn)
+            elif outcome is Outcome.UNANSWERED or was_told:
+                break
         with self._changed:
             queue.turns = [one for one in queue.turns if one not in ended]
             if not queue.turns:
--- a/packages/gateway/tests/test_pending_settlements.py
+++ b/packages/gateway/tests/test_pending_settlements.py
@@ -25,7 +25,9 @@
     def settle(self, turn):
         name = turn.settlement.reservation_id
         self.tried.append(name)
-        return self.outcomes.get(name, SETTLED)
+        outcome = self.outcomes.get(name, SETTLED)
+        turn.is_successor_told |= outcome is AWAITED
+        return outcome
 
     def add(self, name, holder="m1"):
         settlement = peer_messages.Settlement(
@@ -68,6 +70,16 @@
         self.pass_time(1_000)
         self.assertEqual(len(self.pending), 1)
 
+    def test_turns_that_wait_for_an_absent_holder_cost_one_check(self):
+        for name in ("r1", "r2", "r3"):
+            self.outcomes[name] = AWAITED
+            self.add(name)
+        self.pass_time(1_000)
+        self.assertEqual(self.tried, ["r1", "r2", "r3"])
+        self.tried.clear()
+        self.pass_time(3_000)
+        self.assertLessEqual(len(self.tried), 2)
+
     def test_calls_to_a_silent_holder_become_rare(self):
         self.outcomes["r1"] = UNANSWERED
         self.add("r1")
