--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -82,7 +82,7 @@
             self._queue, self._recorder, clock, self._changed
         )
         self._reports = standby_reports.StandbyReports(
-            self._accounts, clock, self._changed
+            self._accounts, self._knows_all_programs, clock, self._changed
         )
         self._lost_holders: set[str] = set()
         self._has_new_members = False
@@ -283,7 +283,7 @@
                 self._proofs.write_used(batch, self.journal)
             self._take_over_lost_holders()
             self._return_allocations()
-            self._report_to_standbys()
+            self._reports.send(self.standbys)
             self._sweep()
 
     def _take_over_lost_holders(self) -> None:
@@ -314,15 +314,6 @@
                     account.is_standby = True
                     self._queue.add(account)
 
-    def _report_to_standbys(self) -> None:
-        """Report changed usage to the other holders."""
-        with self._changed:
-            if self._reports.is_sending:
-                return
-            is_complete = self._knows_all_programs()
-            reports = self._reports.collect(self.standbys)
-        self._reports.send(self.standbys, reports, is_complete)
-
     def stop(self) -> None:
         """Make :meth:`run` return."""
         with self._changed:
--- a/packages/gateway/src/balsamloom_gateway/standby_reports.py
+++ b/packages/gateway/src/balsamloom_gateway/standby_reports.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
@@ -16,6 +16,7 @@
     The lock is held during each call except :meth:`send`.
 
     :param accounts: accounts by program.
+    :param knows_all: returns whether programs never reported are new.
     :param clock: time source.
     :param changed: lock of the accounts; notified when reports are due.
     """
@@ -23,14 +24,18 @@
     def __init__(
         self,
         accounts: Mapping[str, ledger.Account],
+        knows_all: Callable[[], bool],
         clock: clocks.Clock,
         changed: threading.Condition,
     ) -> None:
         self._accounts = accounts
+        self._knows_all = knows_all
         self._clock = clock
         self._changed = changed
         self._unreported: set[str] = set()
-        self.is_sending = False
+        self._is_sending = False
+        # Whether reports are to be sent again once the present ones are.
+        self._must_repeat = False
 
     @property
     def is_due(self) -> bool:
@@ -51,7 +56,46 @@
             if account.has_reported_unrecorded
         )
 
-    def collect(
+    def send(self, receivers: standbys.Standbys) -> None:
+        """Send what is due; reports that are not confirmed remain due.
+
+        Does not wait for the answers, as turns wait for the caller's thread.
+        """
+        with self._changed:
+            if not self._unreported:
+                return
+            self._must_repeat = self._is_sending
+            if self._is_sending:
+                return
+            self._is_sending = True
+        background.start(lambda: self._send_all(receivers), self._clock)
+
+    def _send_all(self, receivers: standbys.Standbys) -> None:
+        try:
+            self._send_once(receivers)
+            while self._is_repeated():
+                self._send_once(receivers)
+        except Exception as error:
+            # They are sent again with the next ones.
+            failures.log(events.Event.BACKGROUND_FAILED, self.send, error)
+            self._is_sending = False
+
+    def _is_repeated(self) -> bool:
+        with self._changed:
+            must_repeat = self._must_repeat
+            self._must_repeat = False
+            self._is_sending = must_repeat
+            return must_repeat
+
+    def _send_once(self, receivers: standbys.Standbys) -> None:
+        with self._changed:
+            is_complete = self._knows_all()
+            reports = self._collect(receivers)
+        for standby, found in reports.items():
+            if receivers.report(standby, found, is_complete):
+                self._confirm(standby, found)
+
+    def _collect(
         self, receivers: standbys.Standbys
     ) -> dict[str, list[usages.UsageReport]]:
         """Return the reports to send, by standby."""
@@ -68,41 +112,6 @@
                 reports.setdefault(standby, []).append(report)
         return reports
 
-    def send(
-        self,
-        receivers: standbys.Standbys,
-        reports: Mapping[str, Sequence[usages.UsageReport]],
-        is_complete: bool,
-    ) -> None:
-        """Send reports; those that are not confirmed remain due.
-
-        Does not wait for the answers, as turns wait for the caller's thread.
-
-        :param is_complete: whether programs never reported are new.
-        """
-        if not reports:
-            return
-        self.is_sending = True
-        background.start(
-            lambda: self._send(receivers, reports, is_complete), self._clock
-        )
-
-    def _send(
-        self,
-        receivers: standbys.Standbys,
-        reports: Mapping[str, Sequence[usages.UsageReport]],
-        is_complete: bool,
-    ) -> None:
-        try:
-            for standby, found in reports.items():
-                if receivers.report(standby, found, is_complete):
-                    self._confirm(standby, found)
-        except Exception as error:
-            # They are sent again with the next ones.
-            failures.log(events.Event.BACKGROUND_FAILED, self._send, error)
-        finally:
-            self.is_sending = False
-
     def _confirm(
         self, standby: str, reports: Sequence[usages.UsageReport]
     ) -> None:
