--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -159,6 +159,10 @@
                 account = self._account(*report.usage[:2])
                 account.merge_report(report)
                 self._return_own_tokens(account)
+            if reports and not self.standbys.is_registered(holder):
+                # It was lost before, and what it reports late is not recorded.
+                self._lost_holders.add(holder)
+                self._changed.notify_all()
 
     def _return_own_tokens(self, account: ledger.Account) -> None:
         """Return what an own write allocated that took effect after all."""
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -67,6 +67,12 @@
         :raises UnknownMembersError: it is not known yet whom to ask.
         """
 
+    def is_registered(self, holder: str) -> bool:
+        """Return whether a holder's process is a registered member.
+
+        :param holder: id of the holder.
+        """
+
     def may_live(self, holder: str) -> bool:
         """Return whether a holder's process may still run.
 
@@ -102,6 +108,10 @@
         """Return no usage, which is certain as nobody else may know any."""
         return usages.StandbyAnswers(None, is_complete=True)
 
+    def is_registered(self, holder: str) -> bool:
+        """Return false, as no other holder is known."""
+        return False
+
     def may_live(self, holder: str) -> bool:
         """Return false, as no other holder is known."""
         return False
@@ -211,6 +221,13 @@
             )
             return None
 
+    def is_registered(self, holder: str) -> bool:
+        """Return whether a holder's process is a registered member."""
+        return any(
+            holder_id(member.name, member.incarnation) == holder
+            for member in self._fleet.members()
+        )
+
     def may_live(self, holder: str) -> bool:
         """Return whether a holder is registered, or may be again soon.
 
--- a/packages/gateway/tests/test_budget_ledger.py
+++ b/packages/gateway/tests/test_budget_ledger.py
@@ -28,6 +28,7 @@
 
     def __init__(self):
         self.reports = {}
+        self.lost = set()
         self.primary = "primary/1"
 
     def of(self, program_id):
@@ -47,6 +48,9 @@
     def known_usage(self, program_id):
         return usages.StandbyAnswers(self.reports.get(program_id), True)
 
+    def is_registered(self, holder):
+        return holder not in self.lost
+
     def may_live(self, holder):
         return False
 
@@ -337,6 +341,16 @@
         self.journal.is_up = True
         self.assertEqual(self.reserve(holder, NONE), ledger.Reservation())
 
+    def test_report_that_comes_after_its_holder_was_lost_is_recorded(self):
+        self.holder.standbys = FakeStandbys()
+        self.holder.standbys.lost.add("m9/1")
+        self.holder.handle_lost_holder("m9")
+        time.sleep(2 * record_queue.BATCH_DELAY_MS / 1_000)
+        report = builders.usage_report("m9/1", unrecorded=60)
+        self.holder.merge_usages("m9/1", [report], is_complete=False)
+        time.sleep(3 * record_queue.BATCH_DELAY_MS / 1_000)
+        self.assertGreaterEqual(self.recorded_tokens(), 60)
+
     def test_lost_tokens_are_known_to_later_holders(self):
         self.holder.standbys = FakeStandbys()
         spent = self.spend(self.holder, NONE, 2)
--- a/packages/gateway/tests/test_budget_sides.py
+++ b/packages/gateway/tests/test_budget_sides.py
@@ -50,6 +50,9 @@
         self.others[standby].merge_usages(self.own, reports, is_complete)
         return True
 
+    def is_registered(self, holder):
+        return True
+
     def may_live(self, holder):
         return holder in self.living
 
