--- a/packages/gateway/src/balsamloom_gateway/pending_settlements.py
+++ b/packages/gateway/src/balsamloom_gateway/pending_settlements.py
@@ -149,7 +149,10 @@
             outcome = self._settle(turn)
             if outcome is Outcome.SETTLED:
                 ended.add(turn)
-            elif outcome is Outcome.UNANSWERED or was_told:
+            elif outcome is Outcome.UNANSWERED:
+                self._put_last(queue, turn)
+                break
+            elif was_told:
                 break
         with self._changed:
             queue.turns = [one for one in queue.turns if one not in ended]
@@ -158,6 +161,12 @@
             queue.due_ms = self._clock.now_ms() + queue.interval_ms
             queue.interval_ms = min(2 * queue.interval_ms, MAX_RETRY_MS)
 
+    def _put_last(self, queue: _Queue, turn: UnsettledTurn) -> None:
+        """Let the others go first, which may have another successor."""
+        with self._changed:
+            queue.turns.remove(turn)
+            queue.turns.append(turn)
+
     def _has_expired(self, turn: UnsettledTurn) -> bool:
         has_expired = self._clock.now_ms() >= turn.added_ms + RETENTION_MS
         if has_expired and not turn.is_successor_told:
--- a/packages/gateway/tests/test_pending_settlements.py
+++ b/packages/gateway/tests/test_pending_settlements.py
@@ -56,6 +56,13 @@
         self.pass_time(1_000)
         self.assertEqual(self.tried, ["r1"])
 
+    def test_silent_successor_does_not_hold_up_other_programs(self):
+        self.outcomes["r1"] = UNANSWERED
+        for name in ("r1", "r2"):
+            self.add(name)
+        self.pass_time(3_000)
+        self.assertEqual(len(self.pending), 1)
+
     def test_silent_holder_does_not_delay_others(self):
         self.outcomes["r1"] = UNANSWERED
         self.add("r1")
