--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -18,6 +18,8 @@
 from typing import NamedTuple
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Tests with processes of earlier builds.
+UPGRADES = ROOT / "platform" / "tests" / "upgrades"
 SUITE_TIMEOUT_S = 270
 PARALLEL_SUITES = 4
 
@@ -52,6 +54,8 @@
     """
     if directory.parent == ROOT:
         return "repository"
+    if directory == UPGRADES:
+        return "upgrades"
     if directory.parent == ROOT / "platform":
         return "adapter"
     return directory.parent.name
@@ -125,7 +129,7 @@
 def _suites() -> dict[str, list[str]]:
     suites = {}
     directories = sorted(ROOT.glob("packages/*/tests"))
-    directories += [ROOT / "platform" / "tests", ROOT / "tests"]
+    directories += [ROOT / "platform" / "tests", UPGRADES, ROOT / "tests"]
     for directory in directories:
         if any(directory.glob("test_*.py")):
             suites[suite_name(directory)] = [
