--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -21,6 +21,7 @@
     peers,
     pending_settlements,
     planner,
+    recent_settlements,
     traffic,
     withdrawals,
 )
@@ -86,6 +87,7 @@
         self.pending_settlements = pending_settlements.PendingSettlements(
             self._settle_missed, clock
         )
+        self._recent_settlements = recent_settlements.RecentSettlements(clock)
         self._withdrawals = withdrawals.ReservationWithdrawals(clock)
         self._breaker = circuit_breaker.CircuitBreaker(BREAKER_BACKOFF, clock)
         self._outage_until_ms = -math.inf
@@ -172,7 +174,11 @@
         holder = grant.holder
         if holder is None:
             self.settle_local(settlement)
-        elif not self._settle_at(holder, settlement):
+        elif self._settle_at(holder, settlement):
+            self._recent_settlements.add(
+                holder, grant.budget_tokens, settlement
+            )
+        else:
             self.pending_settlements.add(
                 holder, grant.budget_tokens, settlement
             )
@@ -301,7 +307,14 @@
             self.settle_local(unused)
 
     def handle_member_loss(self, name: str) -> None:
-        """Prepare to take over the budgets of a lost member."""
+        """Prepare to take over the budgets of a lost member.
+
+        What it was told last is told its successors.
+        """
+        for turn in self._recent_settlements.take(name):
+            self.pending_settlements.add(
+                turn.holder, turn.budget_tokens, turn.settlement
+            )
         self._local_ledger.handle_lost_holder(name)
         members = self._fleet.members()
         self._primaries = membership.primaries(members)
--- a/packages/gateway/tests/test_budget_review.py
+++ b/packages/gateway/tests/test_budget_review.py
@@ -162,6 +162,30 @@
         world.retry(TURN)
         self.assertEqual(world.wrong_refusals, [])
 
+    def test_end_that_only_the_lost_holder_heard_of_is_told_its_successor(
+        self,
+    ):
+        for end, used_percent in (
+            (model.End.WHOLE, 10),
+            (model.End.NEVER_RAN, 0),
+        ):
+            with self.subTest(end):
+                turn = model.Reserve("m3", TURN)
+                whole = [turn, model.EndTurns(10), *histories.PAUSE]
+                self.check(
+                    500,
+                    [
+                        *whole,
+                        turn,
+                        model.Wait(),
+                        model.EndTurns(used_percent, end),
+                        model.Kill(("m1",)),
+                        model.Start("m1"),
+                        model.Wait(model.SETTLE_MS),
+                        *whole * 2,
+                    ],
+                )
+
     def check_end_before_loss(self, used_percent, end):
         turn = model.Reserve("m1", TURN)
         whole = [turn, model.EndTurns(10), *histories.PAUSE]
