--- a/packages/gateway/tests/stores.py
+++ b/packages/gateway/tests/stores.py
@@ -4,6 +4,7 @@
 
 import bisect
 import threading
+import time
 
 from balsamloom_gateway import interfaces
 
@@ -141,3 +142,21 @@
         if self.items.pop(key, None) is not None:
             self.revision += 1
             self.changes.append(interfaces.Deletion(key, self.revision))
+
+
+class SlowStore(Store):
+    """Store whose transactions all succeed, each after the same time.
+
+    :param write_ms: duration of a transaction.
+    """
+
+    def __init__(self, write_ms: float) -> None:
+        super().__init__()
+        self.write_ms = write_ms
+        self.is_writing = threading.Event()
+
+    def transact(self, conditions, writes, deletes=()):
+        """Apply a transaction after the time that it takes."""
+        self.is_writing.set()
+        time.sleep(self.write_ms / 1_000)
+        return super().transact(conditions, writes, deletes)
