--- a/packages/gateway/tests/holders_case.py
+++ b/packages/gateway/tests/holders_case.py
@@ -3,6 +3,7 @@
 import queue
 import random
 import threading
+import time
 import unittest
 
 import builders
@@ -34,20 +35,39 @@
         self.services = {}
         self.cut = set()
         self.timeout_ms = None
+        # Callers give up after the timeout of their call.
+        self.has_call_timeouts = False
+        # Answers of these members take so long; their calls are executed.
+        self.answer_ms = {}
+        # Members and paths of calls that do not arrive.
+        self.lost_calls = set()
+        # Delays of calls before they are executed, by member and path.
+        self.arrival_ms = {}
 
     def call(self, address, path, body, timeout_ms):
         name = address.partition(":")[0]
         if name in self.cut or name not in self.services:
             raise peers.PeerUnavailableError(address)
+        if (name, path) in self.lost_calls:
+            raise peers.PeerUnavailableError(address)
         call = self.services[name].calls[path]
-        if self.timeout_ms is None:
+        if self.has_call_timeouts:
+            limit_ms = timeout_ms
+        elif self.timeout_ms is not None:
+            limit_ms = self.timeout_ms
+        else:
             return dict(call(body) or {})
         answers = queue.Queue()
-        threading.Thread(
-            target=lambda: answers.put(dict(call(body) or {})), daemon=True
-        ).start()
+
+        def answer():
+            time.sleep(self.arrival_ms.get((name, path), 0.0) / 1_000)
+            result = dict(call(body) or {})
+            time.sleep(self.answer_ms.get(name, 0.0) / 1_000)
+            answers.put(result)
+
+        threading.Thread(target=answer, daemon=True).start()
         try:
-            return answers.get(timeout=self.timeout_ms / 1_000)
+            return answers.get(timeout=limit_ms / 1_000)
         except queue.Empty:
             raise peers.PeerUnavailableError(f"{address}: slow") from None
 
