--- a/packages/gateway/tests/test_overloaded_holders.py
+++ b/packages/gateway/tests/test_overloaded_holders.py
@@ -1,6 +1,7 @@
 """Tests of budgets while the store or a holder is slow and nothing is lost."""
 
 import threading
+import time
 
 import builders
 import holders_case
@@ -10,6 +11,8 @@
 from balsamloom_gateway import (
     budgets,
     ledger,
+    peers,
+    planner,
     standbys,
 )
 
@@ -21,6 +24,10 @@
 SHORT_WRITE_MS = 20.0
 # Longer than callers wait for a holder.
 LATE_ANSWER_MS = 400.0
+# From 1,000 ms after its end on a turn may count only what it used.
+SETTLED_S = 1.1
+LATE_ARRIVAL_MS = 1_500.0
+WATCH_S = 5.0
 
 
 class SlowStoreTest(test_budget_sides.BudgetCase):
@@ -119,3 +126,37 @@
             thread.join()
         self.assertEqual(len(results), count * turns)
         return [one for one in results if one is not None]
+
+    def test_tries_whose_withdrawal_does_not_arrive_count_nothing(self):
+        # They are answered late, and no turn reaches a server.
+        self.network.answer_ms["m1"] = LATE_ANSWER_MS
+        self.network.lost_calls.add(("m1", peers.WITHDRAW_PATH))
+        for name in ("m2", "m3", "m4"):
+            grant = self.reserve(name)
+            if isinstance(grant, budgets.Grant):
+                self.members[name][3].settle(grant, 0, planner.NOT_RUN)
+        self.network.answer_ms.clear()
+        self.network.lost_calls.clear()
+        self.assert_served_or_retried("m1")
+
+    def test_ends_that_arrive_late_at_the_primary_end_no_program(self):
+        grants = [self.reserve("m4") for _ in range(BUDGET // TURN)]
+        self.assertTrue(all(one.holder.name == "m1" for one in grants), grants)
+        self.network.arrival_ms["m1", peers.SETTLE_PATH] = LATE_ARRIVAL_MS
+        for grant in grants:
+            ending = threading.Thread(target=self.settle, args=("m4", grant))
+            ending.start()
+            self.addCleanup(ending.join)
+        time.sleep(SETTLED_S)
+        self.assertNotIsInstance(self.reserve("m1"), ledger.Exhaustion)
+
+    def assert_served_or_retried(self, name):
+        """Ask for a turn for a while; none may be refused for good."""
+        until_s = time.monotonic() + WATCH_S
+        while time.monotonic() < until_s:
+            time.sleep(SETTLED_S)
+            result = self.reserve(name)
+            self.assertNotIsInstance(result, ledger.Exhaustion)
+            if isinstance(result, budgets.Grant):
+                return
+        self.fail(result)
