--- a/packages/core/src/balsamloom_core/clock.py
+++ b/packages/core/src/balsamloom_core/clock.py
@@ -23,6 +23,10 @@
         """Return milliseconds since the Unix epoch, for logs only."""
         return int(time.time() * MS_PER_S)
 
+    def processor_ms(self) -> float:
+        """Return the processor time that this process has used."""
+        return time.process_time() * MS_PER_S
+
     def sleep(self, duration_ms: float) -> None:
         """Block the calling thread.
 
--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -108,6 +108,7 @@
     USAGE_NOT_WRITTEN = 7042
     USAGE_READ_INCOMPLETE = 7043
     RECORDS_READ = 7044
+    LEDGER_STATISTICS = 7045
     SERVER_PATHS_CHANGED = 7050
     REQUEST_HANDED_OVER = 7051
     HANDOVER_FAILED = 7052
@@ -243,6 +244,7 @@
         "Too few storage hosts said what was handed out of a budget."
     ),
     Event.RECORDS_READ: "Records were read from the store or a member.",
+    Event.LEDGER_STATISTICS: "What a budget holder did within an interval.",
     Event.SERVER_PATHS_CHANGED: (
         "A process lost its paths to all backend servers, or has one again."
     ),
--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -18,6 +18,7 @@
     interfaces,
     ledger,
     ledger_recorder,
+    ledger_statistics,
     outage_policy,
     recent_servers,
     record_queue,
@@ -75,8 +76,14 @@
             self._recorder, clock, self._changed
         )
         self._accounts: dict[str, ledger.Account] = {}
+        self._statistics = ledger_statistics.LedgerStatistics(clock)
         self._reservations = turn_reservations.TurnReservations(
-            self._queue, self._recorder, clock, self._changed, self._evidence
+            self._queue,
+            self._recorder,
+            clock,
+            self._changed,
+            self._evidence,
+            self._statistics,
         )
         self._proofs = usage_proofs.UsageProofs(
             self._queue, self._recorder, clock, self._changed
@@ -200,18 +207,45 @@
         :param reservation_id: name by which the turn is settled.
         :return: the result and the servers of the program's last turns.
         """
+        with self._statistics.turn() as turn:
+            result, servers = self._reserve(
+                turn,
+                program_id,
+                tokens,
+                budget_tokens,
+                policy,
+                is_standby,
+                reservation_id,
+            )
+            turn.is_granted = isinstance(result, ledger.Reservation)
+            return result, servers
+
+    def _reserve(
+        self,
+        turn: ledger_statistics.Turn,
+        program_id: str,
+        tokens: int,
+        budget_tokens: int,
+        policy: outage_policy.OutagePolicy,
+        is_standby: bool,
+        reservation_id: str,
+    ) -> tuple[ReservationResult, tuple[str, ...]]:
         try:
             self._query_earlier_holders(program_id, budget_tokens, is_standby)
         except standbys.UnknownUsageError as error:
             # Other holders would ask the same hosts.
             return RecordingFailure(str(error), is_decided=not is_standby), ()
+        finally:
+            turn.end_stage(ledger_statistics.Stage.EARLIER_HOLDERS)
         with self._changed:
+            turn.end_stage(ledger_statistics.Stage.LOCK)
             account = self._account(program_id, budget_tokens)
             account.max_turn_tokens = max(account.max_turn_tokens, tokens)
             account.is_standby = is_standby
             result = self._reservations.reserve(
                 account, tokens, policy, reservation_id
             )
+            turn.end_stage(ledger_statistics.Stage.RECORD)
             self._reports.mark_due(program_id)
             if not isinstance(result, ledger.Reservation):
                 turn_reservations.log_refusal(
@@ -219,9 +253,13 @@
                 )
                 return result, account.recent_servers
             needs_entry = account.needs_entry
-        if needs_entry and not self._proofs.prove(
+        if not needs_entry:
+            return result, account.recent_servers
+        is_proven = self._proofs.prove(
             account, tokens, self.journal, self.held_lease_id
-        ):
+        )
+        turn.end_stage(ledger_statistics.Stage.ENTRY)
+        if not is_proven:
             self.settle(program_id, tokens, 0, "", reservation_id)
             reason = "no storage host confirmed the tokens"
             return RecordingFailure(reason), account.recent_servers
@@ -458,7 +496,13 @@
 
     def _record(self, accounts: Sequence[ledger.Account]) -> None:
         """Record one allocation for each account, in one transaction."""
+        started_ms = self._clock.now_ms()
         found = self._recorder.record(accounts)
+        self._statistics.add_transaction(
+            len(accounts),
+            self._clock.now_ms() - started_ms,
+            self._recorder.failed_ms is not None,
+        )
         with self._changed:
             self._queue.merge(found)
             self._reports.add_corrections(accounts)
--- a/packages/gateway/src/balsamloom_gateway/turn_reservations.py
+++ b/packages/gateway/src/balsamloom_gateway/turn_reservations.py
@@ -11,6 +11,7 @@
 from balsamloom_gateway import (
     ledger,
     ledger_recorder,
+    ledger_statistics,
     other_shares,
     outage_policy,
     record_queue,
@@ -45,6 +46,7 @@
     :param clock: time source.
     :param changed: lock of the accounts; notified after each transaction.
     :param evidence: returns what is known of a program without an account.
+    :param statistics: counts how often turns are judged.
     """
 
     def __init__(
@@ -54,12 +56,14 @@
         clock: clocks.Clock,
         changed: threading.Condition,
         evidence: Callable[[str], outage_policy.Evidence],
+        statistics: ledger_statistics.LedgerStatistics,
     ) -> None:
         self._queue = queue
         self._recorder = recorder
         self._clock = clock
         self._changed = changed
         self._evidence = evidence
+        self._statistics = statistics
 
     def reserve(
         self,
@@ -89,6 +93,7 @@
                     policy,
                     self._evidence(account.program_id),
                 )
+            self._statistics.add_judgement()
             match account.reserve(tokens, limit, reservation_id):
                 case ledger.RequiredAllocation():
                     account.needed_since_ms = self._clock.now_ms()
