--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -502,6 +502,7 @@
             len(accounts),
             self._clock.now_ms() - started_ms,
             self._recorder.failed_ms is not None,
+            found.is_refused,
         )
         with self._changed:
             self._queue.merge(found)
--- a/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
@@ -27,11 +27,13 @@
 class PendingPrograms(NamedTuple):
     """Programs that must be recorded after a transaction.
 
-    Turns wait for the urgent ones.
+    Turns wait for the urgent ones. ``is_refused`` says that nothing was
+    written, as another holder had written one of the records.
     """
 
     urgent: frozenset[str] = frozenset()
     deferred: frozenset[str] = frozenset()
+    is_refused: bool = False
 
 
 class _Write(NamedTuple):
@@ -246,7 +248,7 @@
         one.account.program_id for one in writes if one.account.needs_record()
     )
     if isinstance(result, interfaces.Conflict):
-        return PendingPrograms(urgent=pending)
+        return PendingPrograms(urgent=pending, is_refused=True)
     return PendingPrograms(deferred=pending)
 
 
--- a/packages/gateway/src/balsamloom_gateway/ledger_statistics.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_statistics.py
@@ -37,9 +37,10 @@
         self._max_ms = max(self._max_ms, duration_ms)
 
     def fields(self, name: str) -> dict[str, float]:
-        """Return mean and maximum as fields of a log line."""
+        """Return number, mean and maximum as fields of a log line."""
         mean_ms = self._total_ms / max(self._count, 1)
         return {
+            f"{name}_count": self._count,
             f"mean_{name}_ms": round(mean_ms, 1),
             f"max_{name}_ms": round(self._max_ms, 1),
         }
@@ -57,8 +58,8 @@
         self.refused_turns = 0
         self.max_concurrent_turns = concurrent_turns
         self.judgements = 0
-        self.transactions = 0
         self.failed_transactions = 0
+        self.refused_transactions = 0
         self.written_records = 0
         self.transaction = _Durations()
         self.stages = {stage: _Durations() for stage in Stage}
@@ -72,8 +73,8 @@
             "refused_turns": self.refused_turns,
             "max_concurrent_turns": self.max_concurrent_turns,
             "judgements": self.judgements,
-            "transactions": self.transactions,
             "failed_transactions": self.failed_transactions,
+            "refused_transactions": self.refused_transactions,
             "written_records": self.written_records,
             **self.transaction.fields("transaction"),
         }
@@ -133,17 +134,23 @@
             self._interval.judgements += 1
 
     def add_transaction(
-        self, records: int, duration_ms: float, is_failed: bool
+        self,
+        records: int,
+        duration_ms: float,
+        is_failed: bool,
+        is_refused: bool = False,
     ) -> None:
         """Count a transaction.
 
         :param records: number of records that it was to write.
+        :param is_refused: whether another holder had written one of them.
         """
         with self._lock:
-            self._interval.transactions += 1
             self._interval.transaction.add(duration_ms)
             if is_failed:
                 self._interval.failed_transactions += 1
+            elif is_refused:
+                self._interval.refused_transactions += 1
             else:
                 self._interval.written_records += records
 
--- a/packages/gateway/tests/test_ledger_statistics.py
+++ b/packages/gateway/tests/test_ledger_statistics.py
@@ -70,6 +70,8 @@
         self.assertEqual(line["mean_lock_ms"], 1.5)
         self.assertEqual(line["mean_record_ms"], 40)
         self.assertEqual(line["max_record_ms"], 60)
+        self.assertEqual(line["record_count"], 2)
+        self.assertEqual(line["entry_count"], 0)
         self.assertEqual(line["max_entry_ms"], 0)
 
     def test_concurrent_turns_are_counted_into_the_next_interval(self):
@@ -83,9 +85,13 @@
         self.statistics.add_judgement()
         self.statistics.add_transaction(3, 20, is_failed=False)
         self.statistics.add_transaction(2, 40, is_failed=True)
+        self.statistics.add_transaction(
+            5, 30, is_failed=False, is_refused=True
+        )
         line = self.end_interval()
         self.assertEqual(line["judgements"], 2)
-        self.assertEqual(line["transactions"], 2)
+        self.assertEqual(line["transaction_count"], 3)
+        self.assertEqual(line["refused_transactions"], 1)
         self.assertEqual(line["failed_transactions"], 1)
         self.assertEqual(line["written_records"], 3)
         self.assertEqual(line["mean_transaction_ms"], 30)
