--- a/packages/core/src/balsamloom_core/clock.py
+++ b/packages/core/src/balsamloom_core/clock.py
@@ -62,6 +62,8 @@
     def __init__(self, start_ms: float = 0.0) -> None:
         self._now_ms = start_ms
         self._changed = threading.Condition()
+        # Conditions on which threads wait for a notification or for time.
+        self._waited: list[threading.Condition] = []
 
     def now_ms(self) -> float:
         """Return the time set by :meth:`advance`."""
@@ -80,6 +82,10 @@
         with self._changed:
             self._now_ms += duration_ms
             self._changed.notify_all()
+            waited = list(self._waited)
+        for condition in waited:
+            with condition:
+                condition.notify_all()
 
     def sleep(self, duration_ms: float) -> None:
         """Block until :meth:`advance` has added the duration."""
@@ -100,9 +106,15 @@
     def wait_condition(
         self, condition: threading.Condition, timeout_ms: float
     ) -> bool:
-        """Wait until notified or until time has passed the timeout."""
-        end_ms = self.now_ms() + timeout_ms
-        while self.now_ms() < end_ms:
-            if condition.wait(0.01):
-                return True
-        return False
+        """Wait until notified, as by each advance, or past the timeout."""
+        if timeout_ms <= 0:
+            return False
+        with self._changed:
+            end_ms = self._now_ms + timeout_ms
+            self._waited.append(condition)
+        try:
+            condition.wait()
+        finally:
+            with self._changed:
+                self._waited.remove(condition)
+        return self.now_ms() < end_ms
--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -25,6 +25,7 @@
     standby_reports,
     standbys,
     turn_reservations,
+    turn_waits,
     usage_journal,
     usage_messages,
     usage_proofs,
@@ -68,9 +69,12 @@
         # Returns the lease under which no successor can have taken over, 0
         # without one.
         self.held_lease_id: Callable[[], int] = lambda: 0
-        self._changed = threading.Condition()
+        lock = threading.RLock()
+        # Notified when the thread that records has work.
+        self._changed = threading.Condition(lock)
+        self._waits = turn_waits.TurnWaits(lock, clock)
         self._recorder = ledger_recorder.AllocationRecorder(
-            store, records, clock, self._changed
+            store, records, clock, self._changed, self._waits
         )
         self._queue = record_queue.RecordQueue(
             self._recorder, clock, self._changed
@@ -81,12 +85,12 @@
             self._queue,
             self._recorder,
             clock,
-            self._changed,
+            self._waits,
             self._evidence,
             self._statistics,
         )
         self._proofs = usage_proofs.UsageProofs(
-            self._queue, self._recorder, clock, self._changed
+            self._queue, self._recorder, clock, self._changed, self._waits
         )
         self._reports = standby_reports.StandbyReports(
             self._accounts, self._knows_all_programs, clock, self._changed
@@ -288,6 +292,7 @@
             ):
                 return False
             self._queue.add(account)
+            self._waits.wake([program_id])
             if account.has_reported_unrecorded:
                 self._reports.mark_due(program_id)
             if server_id:
--- a/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
@@ -11,7 +11,12 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import interfaces, ledger, ledger_records
+from balsamloom_gateway import (
+    interfaces,
+    ledger,
+    ledger_records,
+    turn_waits,
+)
 
 # The store accepts 32 entries in a transaction; an account needs a condition
 # and a write.
@@ -51,7 +56,8 @@
     :param store: platform's store.
     :param records: names of the records.
     :param clock: time source.
-    :param changed: lock of the accounts; notified after each transaction.
+    :param changed: lock of the accounts.
+    :param waits: turns that wait for a transaction or for its failure.
     """
 
     def __init__(
@@ -60,11 +66,13 @@
         records: interfaces.Records,
         clock: clocks.Clock,
         changed: threading.Condition,
+        waits: turn_waits.TurnWaits,
     ) -> None:
         self._store = store
         self._records = records
         self._clock = clock
         self._changed = changed
+        self._waits = waits
         self._writer = uuid.uuid4().hex[:12]
         self._write_number = 0
         self._call_started_ms: float | None = None
@@ -80,9 +88,16 @@
             return now_ms - self.failed_ms < OUTAGE_RETRY_INTERVAL_MS
         started_ms = self._call_started_ms
         return (
-            started_ms is not None and now_ms - started_ms > RECORD_TIMEOUT_MS
+            started_ms is not None and now_ms - started_ms >= RECORD_TIMEOUT_MS
         )
 
+    def outage_in_ms(self) -> float:
+        """Return after what time a call in progress is an outage."""
+        if self._call_started_ms is None:
+            return math.inf
+        due_ms = self._call_started_ms + RECORD_TIMEOUT_MS
+        return due_ms - self._clock.now_ms()
+
     def record(self, accounts: Sequence[ledger.Account]) -> PendingPrograms:
         """Record the shares of accounts, in one transaction."""
         with self._changed:
@@ -106,7 +121,7 @@
             return self._handle_failure(error, writes)
         with self._changed:
             self._handle_answer()
-            self._changed.notify_all()
+            self._waits.wake(account.program_id for account in accounts)
             match result:
                 case interfaces.Committed(revision):
                     for one in writes:
@@ -194,7 +209,7 @@
             self.last_failure_ms = self.failed_ms
             self.failure_reason = str(error)
             self._call_started_ms = None
-            self._changed.notify_all()
+            self._waits.wake_all()
         return PendingPrograms(
             deferred=frozenset(one.account.program_id for one in writes)
         )
--- a/packages/gateway/src/balsamloom_gateway/record_queue.py
+++ b/packages/gateway/src/balsamloom_gateway/record_queue.py
@@ -21,7 +21,7 @@
 
     :param recorder: recorder that writes the records.
     :param clock: time source.
-    :param changed: lock of the accounts; notified when a batch is due.
+    :param changed: lock of the accounts; notified when a batch becomes due.
     """
 
     def __init__(
@@ -47,8 +47,9 @@
 
     def add_urgent(self, account: ledger.Account) -> None:
         """Add a program for whose record a turn waits."""
+        if not self._urgent:
+            self._changed.notify_all()
         self._urgent.add(account.program_id)
-        self._changed.notify_all()
 
     def add(self, account: ledger.Account) -> None:
         """Add a program if its record should be written soon."""
--- a/packages/gateway/src/balsamloom_gateway/turn_reservations.py
+++ b/packages/gateway/src/balsamloom_gateway/turn_reservations.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import threading
 from collections.abc import Callable
 
 from balsamloom_core import clock as clocks
@@ -15,6 +14,7 @@
     other_shares,
     outage_policy,
     record_queue,
+    turn_waits,
 )
 
 # A refusal rests on a record that the store confirmed within this time.
@@ -44,7 +44,7 @@
     :param queue: queue of the records, for allocations that turns wait for.
     :param recorder: recorder that writes the records.
     :param clock: time source.
-    :param changed: lock of the accounts; notified after each transaction.
+    :param waits: turns that wait for their program's record.
     :param evidence: returns what is known of a program without an account.
     :param statistics: counts how often turns are judged.
     """
@@ -54,14 +54,14 @@
         queue: record_queue.RecordQueue,
         recorder: ledger_recorder.AllocationRecorder,
         clock: clocks.Clock,
-        changed: threading.Condition,
+        waits: turn_waits.TurnWaits,
         evidence: Callable[[str], outage_policy.Evidence],
         statistics: ledger_statistics.LedgerStatistics,
     ) -> None:
         self._queue = queue
         self._recorder = recorder
         self._clock = clock
-        self._changed = changed
+        self._waits = waits
         self._evidence = evidence
         self._statistics = statistics
 
@@ -114,7 +114,8 @@
             if is_outage:
                 return self._abandon_request(account)
             left_ms = until_ms - self._clock.now_ms()
-            self._clock.wait_condition(self._changed, left_ms)
+            wait_ms = min(left_ms, self._recorder.outage_in_ms())
+            self._waits.wait(account.program_id, wait_ms)
 
     def _judge(
         self, account: ledger.Account, doubt: ledger.Doubt, asked_ms: float
--- a/packages/gateway/src/balsamloom_gateway/usage_proofs.py
+++ b/packages/gateway/src/balsamloom_gateway/usage_proofs.py
@@ -10,6 +10,7 @@
     ledger,
     ledger_recorder,
     record_queue,
+    turn_waits,
     usage_journal,
 )
 
@@ -20,7 +21,8 @@
     :param queue: queue of the records, for turns without an entry.
     :param recorder: recorder that writes the records.
     :param clock: time source.
-    :param changed: lock of the accounts; notified after each transaction.
+    :param changed: lock of the accounts.
+    :param waits: turns that wait for their program's record.
     """
 
     def __init__(
@@ -29,11 +31,13 @@
         recorder: ledger_recorder.AllocationRecorder,
         clock: clocks.Clock,
         changed: threading.Condition,
+        waits: turn_waits.TurnWaits,
     ) -> None:
         self._queue = queue
         self._recorder = recorder
         self._clock = clock
         self._changed = changed
+        self._waits = waits
 
     def prove(
         self,
@@ -98,5 +102,6 @@
                     return False
                 account.needs_proof = True
                 self._queue.add_urgent(account)
-                self._clock.wait_condition(self._changed, left_ms)
+                wait_ms = min(left_ms, self._recorder.outage_in_ms())
+                self._waits.wait(account.program_id, wait_ms)
             return True
--- a/packages/gateway/tests/budget_model.py
+++ b/packages/gateway/tests/budget_model.py
@@ -269,7 +269,7 @@
         self.advance(max(duration_ms, 0.0))
 
     def wait_condition(self, condition: Any, timeout_ms: float) -> bool:
-        self.books[id(condition)].wait(timeout_ms)
+        self.books[id(condition._lock)].wait(timeout_ms)
         return True
 
 
@@ -286,7 +286,7 @@
             _Store(edge), builders.Records(), world.clock, is_restart, edge.id
         )
         self.world = world
-        world.clock.books[id(self._changed)] = self
+        world.clock.books[id(self._changed._lock)] = self
         self.frames: list[str] = []
         self.is_recording = False
         self.is_timely = True
