--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -4,6 +4,7 @@
 
 import math
 import uuid
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
@@ -318,9 +319,18 @@
         self._local_ledger.handle_lost_holder(name)
         members = self._fleet.members()
         self._primaries = membership.primaries(members)
-        if membership.may_inherit(self._name, name, members):
+        if self._may_inherit(name, members):
             self._local_ledger.start_caution_period(f"member {name} was lost")
 
+    def _may_inherit(
+        self, lost: str, members: Sequence[traffic.Member]
+    ) -> bool:
+        """Return whether a loss may move programs to this member."""
+        runs = [one for one in self._fleet.lost_runs() if one.name == lost]
+        return not runs or membership.may_inherit(
+            self._name, runs[-1], members
+        )
+
     def handle_member_arrival(self) -> None:
         """Prepare for programs that move here from another live member.
 
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -136,16 +136,18 @@
 
         Some may still run and only have lost their connection to the store.
         """
+        runs = self.lost_runs()
+        with self._lock:
+            return [one for one in runs if one.name not in self._members]
+
+    def lost_runs(self) -> list[traffic.Member]:
+        """Return recently lost runs of members, also if another one runs."""
         oldest_ms = self._clock.now_ms() - LOST_MEMBER_RETENTION_MS
         with self._lock:
             self._lost = [
                 entry for entry in self._lost if entry[0] > oldest_ms
             ]
-            return [
-                member
-                for _, member in self._lost
-                if member.name not in self._members
-            ]
+            return [member for _, member in self._lost]
 
     def earlier_members(self) -> list[traffic.Member]:
         """Return the members before recent arrivals and losses, sorted."""
--- a/packages/gateway/src/balsamloom_gateway/membership.py
+++ b/packages/gateway/src/balsamloom_gateway/membership.py
@@ -9,7 +9,7 @@
 import zlib
 from collections.abc import Sequence
 
-from balsamloom_gateway import traffic
+from balsamloom_gateway import holder_order, traffic
 
 # Members that read the store's records from the same member.
 MAX_FOLLOWERS = 8
@@ -75,19 +75,21 @@
 ) -> list[traffic.Member]:
     """Return a program's budget holders: the primary, then its standbys.
 
-    The primary is chosen by rendezvous hashing among the first members. The
-    standbys are the next members in the order, from different failure domains
-    where possible, so that one fault rarely affects all holders.
+    The primary is chosen by rendezvous hashing among the first members in the
+    order of holders. The standbys are the next members in it, from different
+    failure domains where possible, so that one fault rarely affects all
+    holders.
 
     :param members: registered members, sorted by name.
     """
     if not members:
         return []
+    ordered = holder_order.sort(members)
     first = max(
         range(holder_count(members)),
-        key=lambda rank: _weight(program_id, members[rank].name),
+        key=lambda rank: _weight(program_id, ordered[rank].name),
     )
-    ring = [*members[first:], *members[:first]]
+    ring = [*ordered[first:], *ordered[:first]]
     found = ring[:1]
     domains = {ring[0].failure_domain}
     for member in ring[1:]:
@@ -99,22 +101,21 @@
 
 
 def may_inherit(
-    name: str, lost: str, members: Sequence[traffic.Member]
+    name: str, lost: traffic.Member, members: Sequence[traffic.Member]
 ) -> bool:
     """Return whether a loss may make a member the primary of old programs.
 
     The programs of a lost primary may move to any other. The loss of another
-    member shifts the ranks after it and may reduce the number of primaries.
+    member may change the primaries, and shifts the ranks after it.
 
-    :param lost: name of the lost member.
-    :param members: registered members without it.
+    :param members: registered members without the lost one, sorted by name.
     """
-    primaries = _holder_count(len(members) + 1)
-    return (
-        rank_of(lost, members) < primaries
-        or _holder_count(len(members)) < primaries
-        or lost < name
-    )
+    before = sorted([*(one for one in members if one.name != lost.name), lost])
+    former = primaries(before)
+    if lost.name in former or former != primaries(members):
+        return True
+    names = [member.name for member in holder_order.sort(before)]
+    return name not in names or names.index(lost.name) < names.index(name)
 
 
 def preferred_servers(
@@ -130,10 +131,11 @@
     :return: ``None`` if the member is not a primary holder and chooses among
         all servers.
     """
-    rank = rank_of(name, members)
     holders = holder_count(members)
-    if rank >= holders or rank >= len(members) or members[rank].name != name:
+    names = [one.name for one in holder_order.sort(members)[:holders]]
+    if name not in names:
         return None
+    rank = names.index(name)
     found: set[str] = set()
     for service in {server.service for server in servers}:
         names = [one.server_id for one in servers if one.service == service]
@@ -177,8 +179,9 @@
 
     :param members: registered members, sorted by name.
     """
+    ordered = holder_order.sort(members)
     return frozenset(
-        member.name for member in members[: holder_count(members)]
+        member.name for member in ordered[: holder_count(members)]
     )
 
 
--- a/packages/gateway/src/balsamloom_gateway/planner.py
+++ b/packages/gateway/src/balsamloom_gateway/planner.py
@@ -170,7 +170,7 @@
         members = self._fleet.members()
         servers = self._fleet.servers()
         group_key = (
-            [member.name for member in members],
+            members,
             [server.server_id for server in servers],
         )
         with self._lock:
--- a/packages/gateway/tests/test_decisions.py
+++ b/packages/gateway/tests/test_decisions.py
@@ -246,7 +246,7 @@
                     after = membership.budget_holders(f"{number}", rest)[0]
                     if before == after:
                         continue
-                    found = membership.may_inherit(after.name, lost.name, rest)
+                    found = membership.may_inherit(after.name, lost, rest)
                     self.assertTrue(found, (size, lost.name, after.name))
 
     def test_standbys_follow_the_holder_in_the_order(self):
