--- a/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
@@ -21,8 +21,11 @@
 # The store accepts 32 entries in a transaction; an account needs a condition
 # and a write.
 MAX_TRANSACTION_ACCOUNTS = 16
-# Wait of a turn for its allocation before the store counts as unavailable.
+# Duration of a call after which the store counts as unavailable.
 RECORD_TIMEOUT_MS = 60.0
+# Wait of a turn for its allocation: for the transaction that is under way
+# when it comes, for one that is full, and for its own.
+TURN_TIMEOUT_MS = 3 * RECORD_TIMEOUT_MS
 # Minimum interval of calls while the store does not answer.
 OUTAGE_RETRY_INTERVAL_MS = 400.0
 # Transactions in which a stopping process returns an allocation, at most.
--- a/packages/gateway/src/balsamloom_gateway/record_queue.py
+++ b/packages/gateway/src/balsamloom_gateway/record_queue.py
@@ -103,14 +103,19 @@
 
         :param accounts: accounts by program.
         """
-        program_ids = [*self._urgent, *(self._deferred - self._urgent)]
-        program_ids = program_ids[: ledger_recorder.MAX_TRANSACTION_ACCOUNTS]
-        self._urgent.difference_update(program_ids)
-        self._deferred.difference_update(program_ids)
-        found = [accounts[one] for one in program_ids if one in accounts]
-        for account in found:
+        found: list[ledger.Account] = []
+        for program_id in [*self._urgent, *(self._deferred - self._urgent)]:
+            if len(found) == ledger_recorder.MAX_TRANSACTION_ACCOUNTS:
+                break
+            self._urgent.discard(program_id)
+            self._deferred.discard(program_id)
+            account = accounts.get(program_id)
+            if account is None:
+                continue
             self._expire_need(account)
-        return [account for account in found if account.needs_record()]
+            if account.needs_record():
+                found.append(account)
+        return found
 
     def _expire_need(self, account: ledger.Account) -> None:
         """Drop the need of a turn that has not come again."""
--- a/packages/gateway/src/balsamloom_gateway/turn_reservations.py
+++ b/packages/gateway/src/balsamloom_gateway/turn_reservations.py
@@ -80,7 +80,7 @@
         :param reservation_id: name by which the turn is settled.
         """
         asked_ms = self._clock.now_ms()
-        until_ms = asked_ms + ledger_recorder.RECORD_TIMEOUT_MS
+        until_ms = asked_ms + ledger_recorder.TURN_TIMEOUT_MS
         while True:
             is_outage = (
                 self._recorder.is_outage() or self._clock.now_ms() >= until_ms
@@ -113,9 +113,19 @@
                     return refusal
             if is_outage:
                 return self._abandon_request(account)
+            self._await_news(account, until_ms)
+
+    def _await_news(self, account: ledger.Account, until_ms: float) -> None:
+        """Wait until a program's turns must be judged again."""
+        while True:
             left_ms = until_ms - self._clock.now_ms()
             wait_ms = min(left_ms, self._recorder.outage_in_ms())
-            self._waits.wait(account.program_id, wait_ms)
+            if self._waits.wait(account.program_id, wait_ms):
+                return
+            # The call that was timed may have ended, without an outage.
+            is_late = self._clock.now_ms() >= until_ms
+            if is_late or self._recorder.is_outage():
+                return
 
     def _judge(
         self, account: ledger.Account, doubt: ledger.Doubt, asked_ms: float
--- a/packages/gateway/src/balsamloom_gateway/turn_waits.py
+++ b/packages/gateway/src/balsamloom_gateway/turn_waits.py
@@ -14,6 +14,8 @@
     def __init__(self, lock: threading.RLock) -> None:
         self.condition = threading.Condition(lock)
         self.count = 0
+        # Counted, as a wait may time out just when it is notified.
+        self.news = 0
 
 
 class TurnWaits:
@@ -30,12 +32,17 @@
         self._clock = clock
         self._waiters: dict[str, _Waiters] = {}
 
-    def wait(self, program_id: str, timeout_ms: float) -> None:
-        """Wait until there is news of a program, at most for a time."""
+    def wait(self, program_id: str, timeout_ms: float) -> bool:
+        """Wait for news of a program, at most for a time.
+
+        :return: whether there is news.
+        """
         waiters = self._waiters.setdefault(program_id, _Waiters(self._lock))
         waiters.count += 1
+        known = waiters.news
         try:
             self._clock.wait_condition(waiters.condition, timeout_ms)
+            return waiters.news != known
         finally:
             waiters.count -= 1
             if not waiters.count:
@@ -46,6 +53,7 @@
         for program_id in program_ids:
             waiters = self._waiters.get(program_id)
             if waiters is not None:
+                waiters.news += 1
                 waiters.condition.notify_all()
 
     def wake_all(self) -> None:
--- a/packages/gateway/tests/stores.py
+++ b/packages/gateway/tests/stores.py
@@ -153,10 +153,8 @@
     def __init__(self, write_ms: float) -> None:
         super().__init__()
         self.write_ms = write_ms
-        self.is_writing = threading.Event()
 
     def transact(self, conditions, writes, deletes=()):
         """Apply a transaction after the time that it takes."""
-        self.is_writing.set()
         time.sleep(self.write_ms / 1_000)
         return super().transact(conditions, writes, deletes)
--- a/packages/gateway/tests/test_overloaded_holders.py
+++ b/packages/gateway/tests/test_overloaded_holders.py
@@ -2,15 +2,19 @@
 
 import threading
 import time
+import unittest
+from unittest import mock
 
 import builders
 import holders_case
 import stores
-import test_budget_sides
 
+from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
+    budget_ledger,
     budgets,
     ledger,
+    outage_policy,
     peers,
     planner,
     standbys,
@@ -28,47 +32,95 @@
 SETTLED_S = 1.1
 LATE_ARRIVAL_MS = 1_500.0
 WATCH_S = 5.0
+TIMEOUT_S = 10.0
+SETTLING_S = 0.05
 
 
-class SlowStoreTest(test_budget_sides.BudgetCase):
-    """Guards against refusals beside a store whose writes all succeed."""
+class SteppedStore(stores.Store):
+    """Store whose transactions end when the test lets them."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_called = threading.Event()
+        self.steps = threading.Semaphore(0)
+
+    def transact(self, conditions, writes, deletes=()):
+        """Apply a transaction at the next step."""
+        self.is_called.set()
+        self.steps.acquire(timeout=TIMEOUT_S)
+        return super().transact(conditions, writes, deletes)
+
+
+class SlowStoreTest(unittest.TestCase):
+    """Guards against refusals beside a store whose writes all succeed.
+
+    Time passes only while a transaction is under way.
+    """
 
     def setUp(self):
-        super().setUp()
-        self.store = stores.SlowStore(WRITE_MS)
+        self.store = SteppedStore()
+        self.clock = clocks.ManualClock()
+        self.holder = budget_ledger.BudgetLedger(
+            self.store, builders.Records(), self.clock
+        )
+        thread = threading.Thread(target=self.holder.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, TIMEOUT_S)
+        self.addCleanup(self.store.steps.release, 100)
+        self.addCleanup(self.holder.stop)
+        self.results = []
+        self.has_asked = threading.Semaphore(0)
+        reserve = ledger.Account.reserve
+
+        def count(account, *args):
+            self.has_asked.release()
+            return reserve(account, *args)
+
+        patch = mock.patch.object(ledger.Account, "reserve", count)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def start_turn(self, program):
+        """Start a turn; return its thread once it has asked for tokens."""
+
+        def run():
+            result, _ = self.holder.reserve(
+                program, TURN, BUDGET, outage_policy.OutagePolicy.NONE
+            )
+            self.results.append(result)
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        self.assertTrue(self.has_asked.acquire(timeout=TIMEOUT_S))
+        return thread
+
+    def end_write(self):
+        """Let the transaction under way take its time and end."""
+        self.assertTrue(self.store.is_called.wait(TIMEOUT_S))
+        self.store.is_called.clear()
+        self.clock.advance(WRITE_MS)
+        self.store.steps.release()
+
+    def check_programs(self, count):
+        """Start turns of programs while the first is written; end all."""
+        threads = [self.start_turn("p0")]
+        self.assertTrue(self.store.is_called.wait(TIMEOUT_S))
+        threads += [self.start_turn(f"p{n}") for n in range(1, count)]
+        until_s = time.monotonic() + TIMEOUT_S
+        while any(one.is_alive() for one in threads):
+            self.assertLess(time.monotonic(), until_s)
+            if self.store.is_called.wait(SETTLING_S):
+                self.end_write()
+        self.assertEqual(self.results, [ledger.Reservation()] * count)
 
     def test_turn_that_comes_during_a_write_gets_its_tokens(self):
-        holder = self.start_holder(is_restart=False, holder_id="m1/1")
-        first = threading.Thread(target=self.reserve, args=(holder, "a"))
-        first.start()
-        self.addCleanup(first.join)
-        self.assertTrue(self.store.is_writing.wait(5))
-        self.assertEqual(self.reserve(holder, "b"), ledger.Reservation())
-
-    def test_programs_that_come_at_once_get_their_tokens(self):
-        for count in (2, 8, 32):
-            with self.subTest(programs=count):
-                refusals = self.run_programs(count)
-                self.assertEqual(len(refusals), 0, refusals[:1])
+        self.check_programs(2)
 
-    def run_programs(self, count):
-        """Run a turn of each program at once; return the refusals."""
-        holder = self.start_holder(is_restart=False, holder_id="m1/1")
-        results = []
+    def test_eight_programs_that_come_at_once_get_their_tokens(self):
+        self.check_programs(8)
 
-        def run(program):
-            results.append(self.reserve(holder, program))
-
-        threads = [
-            threading.Thread(target=run, args=(f"{count}.{number}",))
-            for number in range(count)
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        self.assertEqual(len(results), count)
-        return [one for one in results if one != ledger.Reservation()]
+    def test_programs_beyond_one_transaction_get_their_tokens(self):
+        self.check_programs(32)
 
 
 class LateHolderTest(holders_case.HoldersCase):
