gateway tests: all keys of a transaction get one revision, as in the users' store

The tests' store raised the revision once for each write of a transaction and answered with the last one. Whoever takes the answer's revision for all its keys, as the ledger does, then met a false conflict at the next write of every key but the last.

Listings, watches and the answer of a transaction are taken under the lock, so that none shows a part of a transaction beside its revision.

--- a/packages/gateway/tests/stores.py
+++ b/packages/gateway/tests/stores.py
@@ -19,7 +19,7 @@
         # Transactions take effect, but their answers are lost.
         self.loses_answers = False
         self.has_history = True
-        # A watch answers with this many changes at the most.
+        # A watch ends with the revision in which it has this many changes.
         self.max_changes: int | None = None
         # A watch names this revision, whatever the store has.
         self.reported_revision: int | None = None
@@ -33,24 +33,25 @@
     def put(self, key: str, value: bytes) -> None:
         """Write a key on behalf of another client."""
         with self.lock:
-            self._write(key, value)
+            self._write(key, value, self.revision + 1)
 
     def delete(self, key: str) -> None:
         """Delete a key on behalf of another client."""
         with self.lock:
-            self._delete(key)
+            self._delete(key, self.revision + 1)
 
     def list_page(
         self, prefix: str, after: str, may_be_stale: bool
     ) -> interfaces.Page:
         """Return the items under a prefix in a single page."""
         self._check("list")
-        found = [
-            item
-            for key, item in sorted(self.items.items())
-            if key.startswith(prefix) and key > after
-        ]
-        return interfaces.Page(tuple(found), False, self.revision)
+        with self.lock:
+            found = [
+                item
+                for key, item in sorted(self.items.items())
+                if key.startswith(prefix) and key > after
+            ]
+            return interfaces.Page(tuple(found), False, self.revision)
 
     def current_revision(self) -> int:
         """Return the latest revision."""
@@ -64,20 +65,21 @@
         self._check("watch")
         if not self.has_history:
             raise interfaces.HistoryCompactedError("dropped")
-        newer = bisect.bisect_right(
-            self.changes, revision, key=lambda change: change.revision
-        )
-        found = [
-            change
-            for change in self.changes[newer:]
-            if change.key.startswith(prefix)
-        ]
-        part = found[: self.max_changes]
-        is_whole = len(part) == len(found)
-        until = self.revision if is_whole else part[-1].revision
+        with self.lock:
+            newer = bisect.bisect_right(self.changes, revision, key=_revision)
+            found = [
+                change
+                for change in self.changes[newer:]
+                if change.key.startswith(prefix)
+            ]
+            until = self.revision
+        if self.max_changes is not None and len(found) > self.max_changes:
+            until = found[self.max_changes - 1].revision
+            # All changes of a transaction have the same revision.
+            del found[bisect.bisect_right(found, until, key=_revision) :]
         if self.reported_revision is not None:
             until = self.reported_revision
-        return interfaces.Changes(tuple(part), until)
+        return interfaces.Changes(tuple(found), until)
 
     def transact(self, conditions, writes, deletes=()):
         """Apply all writes and deletes if all conditions hold, else none."""
@@ -93,15 +95,17 @@
                 item = self.items.get(key)
                 if (item.revision if item else 0) != revision:
                     return interfaces.Conflict(named)
+            revision = self.revision + 1
             for write in writes:
-                self._write(write.key, write.value)
+                self._write(write.key, write.value, revision)
                 if write.lease_id:
                     self.leases[write.lease_id].add(write.key)
             for key in deletes:
-                self._delete(key)
+                self._delete(key, revision)
+            committed = interfaces.Committed(self.revision)
         if self.loses_answers:
             raise interfaces.StoreOutcomeUnknownError("lost")
-        return interfaces.Committed(self.revision)
+        return committed
 
     def grant_lease(self, ttl_ms: int) -> int:
         """Create a lease and return its identifier."""
@@ -132,16 +136,16 @@
         if call == self._last_call:
             self.error = interfaces.StoreUnavailableError("down")
 
-    def _write(self, key: str, value: bytes) -> None:
-        self.revision += 1
-        item = interfaces.Item(key, value, self.revision)
+    def _write(self, key: str, value: bytes, revision: int) -> None:
+        self.revision = revision
+        item = interfaces.Item(key, value, revision)
         self.items[key] = item
         self.changes.append(item)
 
-    def _delete(self, key: str) -> None:
+    def _delete(self, key: str, revision: int) -> None:
         if self.items.pop(key, None) is not None:
-            self.revision += 1
-            self.changes.append(interfaces.Deletion(key, self.revision))
+            self.revision = revision
+            self.changes.append(interfaces.Deletion(key, revision))
 
 
 class SlowStore(Store):
@@ -160,3 +164,7 @@
         self.is_writing.set()
         time.sleep(self.write_ms / 1_000)
         return super().transact(conditions, writes, deletes)
+
+
+def _revision(change: interfaces.Change) -> int:
+    return change.revision
