--- a/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
+++ b/packages/gateway/src/balsamloom_gateway/ledger_recorder.py
@@ -6,7 +6,7 @@
 import math
 import threading
 import uuid
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
@@ -36,11 +36,13 @@
     """Programs that must be recorded after a transaction.
 
     Turns wait for the urgent ones. ``is_refused`` says that nothing was
-    written, as another holder had written one of the records.
+    written, as another holder had written the records of the ``contested``
+    ones.
     """
 
     urgent: frozenset[str] = frozenset()
     deferred: frozenset[str] = frozenset()
+    contested: frozenset[str] = frozenset()
     is_refused: bool = False
 
 
@@ -135,9 +137,10 @@
                 case interfaces.Conflict(items):
                     for one in writes:
                         _apply_conflict(one, items.get(one.key), started_ms)
+                    return _refused_programs(writes, items)
                 case interfaces.LeaseExpired():
                     raise AssertionError("ledger records have no lease")
-            return _pending_programs(writes, result)
+            return PendingPrograms(deferred=_unrecorded(writes))
 
     def release(self, accounts: Sequence[ledger.Account]) -> None:
         """Return the unused allocations of a process that stops.
@@ -226,7 +229,7 @@
     A transaction is refused as a whole, so most of its records are the same.
     """
     account = write.account
-    revision = item.revision if item else 0
+    revision = _revision(item)
     if revision == write.revision:
         account.confirm_record(started_ms)
         return
@@ -255,19 +258,34 @@
     )
 
 
-def _pending_programs(
-    writes: Sequence[_Write], result: interfaces.TransactionResult
+def _refused_programs(
+    writes: Sequence[_Write], items: Mapping[str, interfaces.Item]
 ) -> PendingPrograms:
-    """Return the programs that must be recorded again.
+    """Return what to record after a transaction that was refused.
 
-    Those of a refused transaction are urgent, as turns may wait for them.
+    All are urgent, as turns may wait for them.
+
+    :param items: present records by key.
     """
-    pending = frozenset(
+    contested = frozenset(
+        one.account.program_id
+        for one in writes
+        if _revision(items.get(one.key)) != one.revision
+    )
+    return PendingPrograms(
+        urgent=_unrecorded(writes), contested=contested, is_refused=True
+    )
+
+
+def _unrecorded(writes: Sequence[_Write]) -> frozenset[str]:
+    """Return the programs that must be recorded again."""
+    return frozenset(
         one.account.program_id for one in writes if one.account.needs_record()
     )
-    if isinstance(result, interfaces.Conflict):
-        return PendingPrograms(urgent=pending, is_refused=True)
-    return PendingPrograms(deferred=pending)
+
+
+def _revision(item: interfaces.Item | None) -> int:
+    return item.revision if item else 0
 
 
 def _log_recorded(write: _Write, revision: int) -> None:
--- a/packages/gateway/src/balsamloom_gateway/record_queue.py
+++ b/packages/gateway/src/balsamloom_gateway/record_queue.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import ledger, ledger_recorder
 
 # Delay of allocations that no turn waits for, so that many share a batch.
 BATCH_DELAY_MS = 300.0
+# A program whose record another holder wrote is recorded by itself for this
+# time: a conflict refuses a whole transaction.
+CONTESTED_MS = 1_000.0
 # A turn that was not served comes again within this time.
 NEEDED_MS = 1_000.0
 
@@ -35,6 +38,9 @@
         self._changed = changed
         self._urgent: set[str] = set()
         self._deferred: set[str] = set()
+        # Times of the last conflicts, by program.
+        self._contested_ms: dict[str, float] = {}
+        self._was_contested = False
 
     @property
     def has_deferred(self) -> bool:
@@ -69,6 +75,9 @@
         """Add the programs that a transaction left to be recorded."""
         self._urgent |= pending.urgent
         self._deferred |= pending.deferred
+        now_ms = self._clock.now_ms()
+        for program_id in pending.contested:
+            self._contested_ms[program_id] = now_ms
 
     def withdraw(self, account: ledger.Account) -> None:
         """Drop an urgent program together with the need of its turn."""
@@ -101,10 +110,29 @@
     ) -> list[ledger.Account]:
         """Remove and return the accounts of the next transaction.
 
+        Of those that are to be written together and the contested ones, which
+        are written one by one, each come in turn.
+
         :param accounts: accounts by program.
         """
+        self._forget_conflicts()
+        waiting = [*self._urgent, *(self._deferred - self._urgent)]
+        contested = [one for one in waiting if one in self._contested_ms]
+        shared = [one for one in waiting if one not in self._contested_ms]
+        found = self._take(shared, accounts) if self._was_contested else []
+        if not found:
+            found = self._take(contested[:1], accounts)
+        self._was_contested = bool(found) and found[0].program_id in contested
+        return found or self._take(shared, accounts)
+
+    def _take(
+        self,
+        program_ids: Sequence[str],
+        accounts: Mapping[str, ledger.Account],
+    ) -> list[ledger.Account]:
+        """Remove programs until a transaction is full; return its accounts."""
         found: list[ledger.Account] = []
-        for program_id in [*self._urgent, *(self._deferred - self._urgent)]:
+        for program_id in program_ids:
             if len(found) == ledger_recorder.MAX_TRANSACTION_ACCOUNTS:
                 break
             self._urgent.discard(program_id)
@@ -117,6 +145,14 @@
                 found.append(account)
         return found
 
+    def _forget_conflicts(self) -> None:
+        oldest_ms = self._clock.now_ms() - CONTESTED_MS
+        self._contested_ms = {
+            program_id: at_ms
+            for program_id, at_ms in self._contested_ms.items()
+            if at_ms > oldest_ms
+        }
+
     def _expire_need(self, account: ledger.Account) -> None:
         """Drop the need of a turn that has not come again."""
         if not account.needed_tokens:
