--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -14,7 +14,9 @@
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
 from balsamloom_gateway import (
+    caution,
     complete_reports,
+    idle_accounts,
     interfaces,
     ledger,
     ledger_recorder,
@@ -32,13 +34,6 @@
     usages,
 )
 
-# After a loss, unknown programs may be those of the lost process for this
-# time.
-CAUTION_MS = 60_000.0
-# Accounts without turns for this time are removed.
-ACCOUNT_IDLE_TIMEOUT_MS = 90_000.0
-SWEEP_INTERVAL_MS = 30_000.0
-
 RecordingFailure = turn_reservations.RecordingFailure
 ReservationResult = turn_reservations.ReservationResult
 
@@ -92,20 +87,20 @@
         self._proofs = usage_proofs.UsageProofs(
             self._queue, self._recorder, clock, self._changed, self._waits
         )
+        self._caution = caution.Caution(clock, is_restart)
         self._reports = standby_reports.StandbyReports(
-            self._accounts, self._knows_all_programs, clock, self._changed
+            self._accounts,
+            self._caution.knows_all_programs,
+            clock,
+            self._changed,
         )
         self._lost_holders: set[str] = set()
         self._has_new_members = False
         self._complete_reports = complete_reports.CompleteReports(clock)
-        self._caution_until_ms = -math.inf
-        # Programs are looked up at other holders and in the journal until
-        # then, also those that must be new at this primary holder.
-        self._query_until_ms = -math.inf
-        if is_restart:
-            self._caution_until_ms = clock.now_ms() + CAUTION_MS
         self._is_stopping = False
-        self._last_sweep_ms = clock.now_ms()
+        self._idle_accounts = idle_accounts.IdleAccounts(
+            self._accounts, self._queue, clock
+        )
 
     def start_caution_period(self, reason: str) -> None:
         """Assume for a while that an earlier holder of programs is lost.
@@ -114,7 +109,7 @@
         no tokens before these were read.
         """
         with self._changed:
-            self._caution_until_ms = self._clock.now_ms() + CAUTION_MS
+            self._caution.start()
             self._forget_queries()
         events.log(events.Event.BUDGET_CAUTION, reason=reason)
 
@@ -140,7 +135,7 @@
             self._lost_holders.add(name)
             self._has_new_members = True
             self._complete_reports.forget()
-            self._query_until_ms = self._clock.now_ms() + CAUTION_MS
+            self._caution.handle_loss()
             self._forget_queries()
             self._changed.notify_all()
 
@@ -398,7 +393,7 @@
             is_primary = not is_standby and self.standbys.is_primary(
                 program_id
             )
-            if is_primary and self._must_be_new():
+            if is_primary and self._caution.knows_all_holders():
                 account.knows_earlier_usage = True
                 return
         entries = None
@@ -421,26 +416,10 @@
                 account.merge_journal(entries)
             if answers.report is not None:
                 account.merge_report(answers.report)
-            if is_primary and self._has_lost_holders(account):
+            if is_primary and account.others.have_lost_tokens:
                 self._record_lost_holders(account)
                 self._changed.notify_all()
 
-    def _must_be_new(self) -> bool:
-        """Return whether an unknown program has had no other holder.
-
-        A standby may have granted one in place of this primary holder and be
-        lost since.
-        """
-        is_after_loss = self._clock.now_ms() < self._query_until_ms
-        return self._knows_all_programs() and not is_after_loss
-
-    def _has_lost_holders(self, account: ledger.Account) -> bool:
-        """Return whether tokens of lost holders are not recorded."""
-        return any(
-            tokens and not self.standbys.may_live(holder)
-            for holder, tokens in account.others.unrecorded_tokens.items()
-        )
-
     def _account(self, program_id: str, budget_tokens: int) -> ledger.Account:
         account = self._accounts.get(program_id)
         if account is None:
@@ -465,14 +444,10 @@
         """
         primary = self.standbys.primary_of(program_id)
         return outage_policy.Evidence(
-            self._knows_all_programs(),
+            self._caution.knows_all_programs(),
             self._complete_reports.has_recent(primary),
         )
 
-    def _knows_all_programs(self) -> bool:
-        """Return whether a program without an account must be new."""
-        return self._clock.now_ms() >= self._caution_until_ms
-
     def _wait_for_work(self) -> bool:
         """Wait until work is due; return whether to continue."""
         waited_from_ms = self._clock.now_ms()
@@ -488,7 +463,7 @@
 
     def _due_ms(self, waited_from_ms: float) -> float:
         """Return when the next transaction or sweep is due."""
-        delay_ms = SWEEP_INTERVAL_MS
+        delay_ms = idle_accounts.SWEEP_INTERVAL_MS
         if self._has_peer_work():
             delay_ms = record_queue.BATCH_DELAY_MS
         return self._queue.due_ms(waited_from_ms, waited_from_ms + delay_ms)
@@ -515,20 +490,7 @@
 
     def _sweep(self) -> None:
         """Remove the accounts of idle programs and delete their records."""
-        now_ms = self._clock.now_ms()
-        if now_ms - self._last_sweep_ms < SWEEP_INTERVAL_MS:
-            return
-        self._last_sweep_ms = now_ms
         with self._changed:
-            idle = [
-                account
-                for account in self._accounts.values()
-                if now_ms - account.last_used_ms > ACCOUNT_IDLE_TIMEOUT_MS
-            ]
-            for account in idle:
-                account.end_reservations()
-                self._queue.add(account)
-            ended = [one for one in idle if not one.needs_record()]
-            for account in ended:
-                del self._accounts[account.program_id]
-        self._recorder.delete(ended)
+            ended = self._idle_accounts.sweep()
+        if ended:
+            self._recorder.delete(ended)
--- a/packages/gateway/src/balsamloom_gateway/other_shares.py
+++ b/packages/gateway/src/balsamloom_gateway/other_shares.py
@@ -42,6 +42,14 @@
             for holder, share in self.known().items()
         }
 
+    @property
+    def have_lost_tokens(self) -> bool:
+        """Return whether tokens of lost holders are not recorded."""
+        return any(
+            tokens and not self.may_live(holder)
+            for holder, tokens in self.unrecorded_tokens.items()
+        )
+
     @property
     def used_tokens(self) -> int:
         """Return the tokens that are known to be used."""
--- a/packages/gateway/tests/test_budget_sides.py
+++ b/packages/gateway/tests/test_budget_sides.py
@@ -15,6 +15,7 @@
 from balsamloom_gateway import (
     budget_ledger,
     budgets,
+    idle_accounts,
     interfaces,
     ledger,
     ledger_records,
@@ -474,7 +475,7 @@
         other.settle("p", TURN, 100, "s1")
         spent += 100
         time.sleep(BATCH_S)
-        with mock.patch.object(budget_ledger, "ACCOUNT_IDLE_TIMEOUT_MS", -1.0):
+        with mock.patch.object(idle_accounts, "ACCOUNT_IDLE_TIMEOUT_MS", -1.0):
             holder._last_sweep_ms = -1e9
             holder._sweep()
         self.assertIn("ledger/p", self.store.items)
