--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -9,31 +9,21 @@
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
 from balsamloom_gateway import (
-    background,
     budget_ledger,
-    circuit_breaker,
     fleet,
+    holder_calls,
     holder_failover,
     ledger,
     membership,
     outage_policy,
     peer_messages,
     peers,
-    pending_settlements,
     planner,
-    recent_settlements,
     traffic,
+    turn_settlements,
     withdrawals,
 )
 
-# Longer than a holder's timeouts for the store, for the journal and for a
-# standby, which it awaits before it answers.
-PEER_TIMEOUT_MS = 350.0
-WITHDRAW_TIMEOUT_MS = 1_000.0
-# Backoff of calls to a holder that did not answer.
-BREAKER_BACKOFF = circuit_breaker.Backoff(
-    2_000.0, 2_000.0, trial_ms=PEER_TIMEOUT_MS
-)
 # Holders that may record an allocation which no turn uses. A store that is
 # slow for two of them is slow for all.
 MAX_PENDING_HOLDERS = 2
@@ -81,15 +71,14 @@
         self._name = name
         self._local_ledger = local_ledger
         self._planner = plans
-        self._clients = clients
         self._fleet = view
         self._clock = clock
-        self.pending_settlements = pending_settlements.PendingSettlements(
-            self._settle_missed, clock
+        self._calls = holder_calls.HolderCalls(clients, clock)
+        self._settlements = turn_settlements.TurnSettlements(
+            name, local_ledger, self._calls, view, clock
         )
-        self._recent_settlements = recent_settlements.RecentSettlements(clock)
+        self.pending_settlements = self._settlements.pending
         self._withdrawals = withdrawals.ReservationWithdrawals(clock)
-        self._breaker = circuit_breaker.CircuitBreaker(BREAKER_BACKOFF, clock)
         self._outage_until_ms = -math.inf
         self._started_ms = clock.now_ms()
         self._primaries: frozenset[str] = frozenset()
@@ -107,7 +96,7 @@
         failover = holder_failover.HolderFailover(
             holders,
             _max_pending_holders(call),
-            lambda holder: self._breaker.allow_call(holder.name),
+            lambda holder: self._calls.breaker.allow_call(holder.name),
             self._clock.now_ms() < self._outage_until_ms,
         )
         failure: budget_ledger.RecordingFailure | None = None
@@ -119,7 +108,7 @@
                     return self._log_result(call, attempt.holder, result)
                 case budget_ledger.RecordingFailure():
                     failure = result
-                    has_answered = not self._breaker.is_open(
+                    has_answered = not self._calls.breaker.is_open(
                         attempt.holder.name
                     )
                     failover.record_failure(
@@ -171,89 +160,12 @@
             report,
             grant.reservation_id,
         )
-        holder = grant.holder
-        if holder is None:
+        if grant.holder is None:
             self.settle_local(settlement)
-        elif self._settle_at(holder, settlement):
-            self._recent_settlements.add(
-                holder, grant.budget_tokens, settlement
-            )
         else:
-            self.pending_settlements.add(
-                holder, grant.budget_tokens, settlement
-            )
-
-    def _settle_at(
-        self, holder: traffic.Member, settlement: peer_messages.Settlement
-    ) -> bool:
-        """Settle a turn at its holder; return whether it answered."""
-        body = peer_messages.encode_settlement(settlement)
-        try:
-            self._clients.call(
-                holder.peer_address, peers.SETTLE_PATH, body, PEER_TIMEOUT_MS
-            )
-        except peers.PeerUnavailableError as error:
-            self._handle_failure(holder, error)
-            return False
-        return True
-
-    def _settle_missed(
-        self, turn: pending_settlements.UnsettledTurn
-    ) -> pending_settlements.Outcome:
-        """Settle a turn that its holder has not heard of.
-
-        The successor of a holder that is not registered counts the turn. The
-        holder may live all the same: only its lease may have lapsed.
-        """
-        members = self._fleet.members()
-        if turn.holder in members:
-            if self._settle_at(turn.holder, turn.settlement):
-                return pending_settlements.Outcome.SETTLED
-            return pending_settlements.Outcome.UNANSWERED
-        if not turn.is_successor_told:
-            turn.is_successor_told = self._settle_at_successor(turn)
-        if not turn.is_successor_told:
-            return pending_settlements.Outcome.UNANSWERED
-        if any(member.name == turn.holder.name for member in members):
-            # Another run of the holder's host: the holder itself has ended.
-            return pending_settlements.Outcome.SETTLED
-        return pending_settlements.Outcome.AWAITED
-
-    def _settle_at_successor(
-        self, turn: pending_settlements.UnsettledTurn
-    ) -> bool:
-        """Settle a turn of a lost holder; return whether that succeeded."""
-        settlement = turn.settlement
-        holders = membership.budget_holders(
-            settlement.program_id, self._fleet.members()
-        )
-        if not holders:
-            return False
-        if holders[0].name == self._name:
-            self._local_ledger.settle_lost(
-                settlement.program_id,
-                turn.budget_tokens,
-                settlement.used_tokens,
-                settlement.reservation_id,
-            )
-            return True
-        body = {
-            "program_id": settlement.program_id,
-            "budget_tokens": turn.budget_tokens,
-            "used_tokens": settlement.used_tokens,
-            "reservation_id": settlement.reservation_id,
-        }
-        try:
-            self._clients.call(
-                holders[0].peer_address,
-                peers.SETTLE_LOST_PATH,
-                body,
-                PEER_TIMEOUT_MS,
+            self._settlements.settle(
+                grant.holder, grant.budget_tokens, settlement
             )
-        except peers.PeerUnavailableError as error:
-            self._handle_failure(holders[0], error)
-            return False
-        return True
 
     def settle_local(self, settlement: peer_messages.Settlement) -> None:
         """Settle a turn whose tokens were reserved at this member."""
@@ -295,26 +207,30 @@
             )
             identifier = request.reservation_id
             if not self._withdrawals.record_reservation(identifier, unused):
-                self.settle_local(unused)
+                self._cancel(unused)
                 withdrawn = budget_ledger.RecordingFailure("withdrawn")
                 return peer_messages.ReservationReply(withdrawn, (), None)
         return peer_messages.ReservationReply(result, servers, plan)
 
-    def withdraw_local(self, reservation_id: str) -> None:
+    def withdraw_local(self, withdrawal: peer_messages.Withdrawal) -> None:
         """Cancel a reservation whose caller timed out."""
-        unused = self._withdrawals.withdraw(reservation_id)
-        if unused is not None:
-            self.settle_local(unused)
+        unused = self._withdrawals.withdraw(withdrawal.reservation_id)
+        if unused is None:
+            unused = withdrawal.settlement()
+        self._cancel(unused)
+
+    def _cancel(self, unused: peer_messages.Settlement) -> None:
+        """Settle a turn that did not run, which may be settled already."""
+        self.settle_local(unused)
+        if unused.plan_id is not None:
+            self._planner.finish(unused.plan_id, unused.report)
 
     def handle_member_loss(self, name: str) -> None:
         """Prepare to take over the budgets of a lost member.
 
         What it was told last is told its successors.
         """
-        for turn in self._recent_settlements.take(name):
-            self.pending_settlements.add(
-                turn.holder, turn.budget_tokens, turn.settlement
-            )
+        self._settlements.handle_member_loss(name)
         self._local_ledger.handle_lost_holder(name)
         members = self._fleet.members()
         self._primaries = membership.primaries(members)
@@ -336,17 +252,6 @@
                 "other members are budget holders now"
             )
 
-    def _handle_failure(
-        self, member: traffic.Member, error: peers.PeerUnavailableError
-    ) -> None:
-        self._breaker.record_failure(member.name)
-        events.log(
-            events.Event.PEER_CALL_FAILED,
-            member=member.name,
-            call="budget",
-            reason=str(error),
-        )
-
     def _reserve_at(
         self,
         holder: traffic.Member,
@@ -356,49 +261,28 @@
         if holder.name == self._name:
             return _grant(call, request, None, self.reserve_local(request))
         try:
-            reply = self._clients.call(
-                holder.peer_address,
+            reply = self._calls.call(
+                holder,
                 peers.RESERVE_PATH,
                 peer_messages.encode_reservation(request),
-                PEER_TIMEOUT_MS,
             )
-            self._breaker.record_success(holder.name)
+            self._calls.breaker.record_success(holder.name)
             decoded = peer_messages.decode_reply(reply)
         except peers.PeerUnreachableError as error:
-            self._handle_failure(holder, error)
             return budget_ledger.RecordingFailure(str(error))
         except peers.PeerUnavailableError as error:
-            self._handle_failure(holder, error)
-            background.start(
-                lambda: self._withdraw(holder, request.reservation_id),
-                self._clock,
+            self._settlements.start_withdrawal(
+                holder,
+                request.budget_tokens,
+                peer_messages.Withdrawal(
+                    request.program_id, request.reservation_id
+                ),
             )
             return budget_ledger.RecordingFailure(str(error), is_pending=True)
         except peer_messages.InvalidMessageError as error:
             return budget_ledger.RecordingFailure(str(error), is_pending=True)
         return _grant(call, request, holder, decoded)
 
-    def _withdraw(self, holder: traffic.Member, reservation_id: str) -> None:
-        """Cancel a reservation at a holder whose answer came too late.
-
-        If the holder does not receive this, the tokens count as spent.
-        """
-        body = {"reservation_id": reservation_id}
-        try:
-            self._clients.call(
-                holder.peer_address,
-                peers.WITHDRAW_PATH,
-                body,
-                WITHDRAW_TIMEOUT_MS,
-            )
-        except peers.PeerUnavailableError as error:
-            events.log(
-                events.Event.PEER_CALL_FAILED,
-                member=holder.name,
-                call="withdraw",
-                reason=str(error),
-            )
-
     def _log_result(
         self,
         call: traffic.CallMetadata,
--- /dev/null
+++ b/packages/gateway/src/balsamloom_gateway/holder_calls.py
@@ -0,0 +1,75 @@
+"""Calls to the holders of budgets, which other members are."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+from balsamloom_gateway import circuit_breaker, peers, traffic
+
+# Longer than a holder's timeouts for the store, for the journal and for a
+# standby, which it awaits before it answers.
+TIMEOUT_MS = 350.0
+# Backoff of calls to a holder that did not answer.
+BREAKER_BACKOFF = circuit_breaker.Backoff(
+    2_000.0, 2_000.0, trial_ms=TIMEOUT_MS
+)
+
+
+class HolderCalls:
+    """Clients of budget holders, with the circuits of those that failed.
+
+    :param clients: other members.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self, clients: peers.PeerClients, clock: clocks.Clock
+    ) -> None:
+        self._clients = clients
+        self.breaker = circuit_breaker.CircuitBreaker(BREAKER_BACKOFF, clock)
+
+    def call(
+        self, holder: traffic.Member, path: str, body: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Call a holder and return its response.
+
+        :raises PeerUnavailableError: no usable response arrived in time; the
+            circuit of the holder is open then.
+        """
+        try:
+            return self._clients.call(
+                holder.peer_address, path, body, TIMEOUT_MS
+            )
+        except peers.PeerUnavailableError as error:
+            self.breaker.record_failure(holder.name)
+            _log_failure(holder, "budget", error)
+            raise
+
+    def withdraw(
+        self, holder: traffic.Member, body: dict[str, Any], timeout_ms: float
+    ) -> bool:
+        """Withdraw a reservation; return whether the holder answered.
+
+        The call whose answer came too late has opened the circuit.
+        """
+        try:
+            self._clients.call(
+                holder.peer_address, peers.WITHDRAW_PATH, body, timeout_ms
+            )
+        except peers.PeerUnavailableError as error:
+            _log_failure(holder, "withdraw", error)
+            return False
+        return True
+
+
+def _log_failure(
+    holder: traffic.Member, call: str, error: peers.PeerUnavailableError
+) -> None:
+    events.log(
+        events.Event.PEER_CALL_FAILED,
+        member=holder.name,
+        call=call,
+        reason=str(error),
+    )
--- a/packages/gateway/src/balsamloom_gateway/peer_messages.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_messages.py
@@ -57,6 +57,31 @@
     reservation_id: str = ""
 
 
+class Withdrawal(NamedTuple):
+    """Cancellation of a reservation whose answer came too late.
+
+    The holder may have granted it, refuse it or never get it. ``program_id``
+    is empty if a process of the release before sent the withdrawal.
+    """
+
+    program_id: str
+    reservation_id: str
+
+    @property
+    def used_tokens(self) -> int:
+        """Return what the turn used, which did not run."""
+        return 0
+
+    def settlement(self) -> Settlement:
+        """Return the end of the turn, if it was granted."""
+        return Settlement(
+            self.program_id, 0, 0, None, planner.NOT_RUN, self.reservation_id
+        )
+
+
+TurnEnd = Settlement | Withdrawal
+
+
 def encode_reservation(message: ReservationRequest) -> dict[str, Any]:
     """Encode a reservation request as a JSON object."""
     return {
@@ -210,6 +235,24 @@
         raise InvalidMessageError(repr(error)) from error
 
 
+def encode_withdrawal(message: Withdrawal) -> dict[str, Any]:
+    """Encode a withdrawal as a JSON object."""
+    return message._asdict()
+
+
+def decode_withdrawal(body: dict[str, Any]) -> Withdrawal:
+    """Decode a withdrawal.
+
+    :raises InvalidMessageError: if it is malformed.
+    """
+    try:
+        # Processes of the release before do not name the program.
+        program_id = str(body.get("program_id", ""))
+        return Withdrawal(program_id, str(body["reservation_id"]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise InvalidMessageError(repr(error)) from error
+
+
 def _decode_plan(body: dict[str, Any]) -> planner.Plan | None:
     if body["plan"] is None:
         return None
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -99,7 +99,7 @@
         return {}
 
     def _withdraw(self, body: dict[str, Any]) -> dict[str, Any]:
-        self._budgets.withdraw_local(str(body["reservation_id"]))
+        self._budgets.withdraw_local(peer_messages.decode_withdrawal(body))
         return {}
 
     def _merge_usages(self, body: dict[str, Any]) -> dict[str, Any]:
--- a/packages/gateway/src/balsamloom_gateway/pending_settlements.py
+++ b/packages/gateway/src/balsamloom_gateway/pending_settlements.py
@@ -43,7 +43,7 @@
 
     holder: traffic.Member
     budget_tokens: int
-    settlement: peer_messages.Settlement
+    settlement: peer_messages.TurnEnd
     added_ms: float
     is_successor_told: bool = False
 
@@ -81,7 +81,7 @@
         self,
         holder: traffic.Member,
         budget_tokens: int,
-        settlement: peer_messages.Settlement,
+        settlement: peer_messages.TurnEnd,
     ) -> None:
         """Add a turn, which its holder counts at its most until it hears.
 
--- a/packages/gateway/src/balsamloom_gateway/recent_settlements.py
+++ b/packages/gateway/src/balsamloom_gateway/recent_settlements.py
@@ -20,7 +20,7 @@
 
     holder: traffic.Member
     budget_tokens: int
-    settlement: peer_messages.Settlement
+    settlement: peer_messages.TurnEnd
     confirmed_ms: float
 
 
@@ -41,7 +41,7 @@
         self,
         holder: traffic.Member,
         budget_tokens: int,
-        settlement: peer_messages.Settlement,
+        settlement: peer_messages.TurnEnd,
     ) -> None:
         """Add a turn that its holder has just settled."""
         now_ms = self._clock.now_ms()
--- a/packages/gateway/tests/test_budget_review.py
+++ b/packages/gateway/tests/test_budget_review.py
@@ -153,9 +153,9 @@
 
     def test_end_of_a_turn_reaches_a_holder_after_a_partition(self):
         world = self.run_history(500, [model.Reserve("m3", TURN)])
-        accounts = world.edges["m3"].accounts
+        settlements = world.edges["m3"].accounts._settlements
         # The edge and the holder do not reach each other for a while.
-        with mock.patch.object(accounts, "_settle_at", return_value=False):
+        with mock.patch.object(settlements, "_settle_at", return_value=False):
             world.apply(model.EndTurns(10))
         world.calm_down()
         self.assertTrue(world.holds(TURN))
--- a/packages/gateway/tests/test_budget_sides.py
+++ b/packages/gateway/tests/test_budget_sides.py
@@ -322,7 +322,7 @@
             self.network.cut.add(holder)
             accounts.settle(grant, 1, builders.turn_report())
             self.network.cut.discard(holder)
-            accounts._breaker.record_success(holder)
+            accounts._calls.breaker.record_success(holder)
 
     def test_settlement_that_did_not_arrive_is_settled_later(self):
         self.lose_settlements("m1", 5)
--- a/packages/gateway/tests/test_slow_holders.py
+++ b/packages/gateway/tests/test_slow_holders.py
@@ -70,7 +70,7 @@
         slow = SlowNetwork(self.clock)
         slow.services = self.network.services
         for _, local_ledger, _, accounts in self.members.values():
-            accounts._clients = slow
+            accounts._calls._clients = slow
             local_ledger.standbys._calls._clients = slow
         self.network = slow
         members = [builders.member(name) for name in self.NAMES]
