--- a/packages/gateway/tests/test_budget_sides.py
+++ b/packages/gateway/tests/test_budget_sides.py
@@ -358,7 +358,7 @@
         self.network.cut.add("m1")
         self.lose_settlements("m2", 6)
         self.network.cut.discard("m1")
-        self.members["m4"][3]._breaker.record_success("m1")
+        self.members["m4"][3]._calls.breaker.record_success("m1")
         time.sleep(1.5)
         spent, refusal = self.spend("m4", 5)
         until_s = time.monotonic() + 5
