--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -266,23 +266,32 @@
                 peers.RESERVE_PATH,
                 peer_messages.encode_reservation(request),
             )
-            self._calls.breaker.record_success(holder.name)
             decoded = peer_messages.decode_reply(reply)
         except peers.PeerUnreachableError as error:
             return budget_ledger.RecordingFailure(str(error))
+        except holder_calls.HolderBusyError as error:
+            self._start_withdrawal(holder, request)
+            return budget_ledger.RecordingFailure(str(error), is_decided=True)
         except peers.PeerUnavailableError as error:
-            self._settlements.start_withdrawal(
-                holder,
-                request.budget_tokens,
-                peer_messages.Withdrawal(
-                    request.program_id, request.reservation_id
-                ),
-            )
+            self._start_withdrawal(holder, request)
             return budget_ledger.RecordingFailure(str(error), is_pending=True)
         except peer_messages.InvalidMessageError as error:
             return budget_ledger.RecordingFailure(str(error), is_pending=True)
         return _grant(call, request, holder, decoded)
 
+    def _start_withdrawal(
+        self,
+        holder: traffic.Member,
+        request: peer_messages.ReservationRequest,
+    ) -> None:
+        """Cancel a reservation whose answer came too late."""
+        withdrawal = peer_messages.Withdrawal(
+            request.program_id, request.reservation_id
+        )
+        self._settlements.start_withdrawal(
+            holder, request.budget_tokens, withdrawal
+        )
+
     def _log_result(
         self,
         call: traffic.CallMetadata,
--- a/packages/gateway/src/balsamloom_gateway/holder_calls.py
+++ b/packages/gateway/src/balsamloom_gateway/holder_calls.py
@@ -6,7 +6,12 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import circuit_breaker, peers, traffic
+from balsamloom_gateway import (
+    circuit_breaker,
+    holder_evidence,
+    peers,
+    traffic,
+)
 
 # Longer than a holder's timeouts for the store, for the journal and for a
 # standby, which it awaits before it answers.
@@ -17,9 +22,16 @@
 )
 
 
+class HolderBusyError(peers.PeerUnavailableError):
+    """A holder did not answer a call in time, and answered others."""
+
+
 class HolderCalls:
     """Clients of budget holders, with the circuits of those that failed.
 
+    The circuit of a holder that is only slow stays closed: with another
+    holder, two would write the records of its programs.
+
     :param clients: other members.
     :param clock: time source.
     """
@@ -29,30 +41,40 @@
     ) -> None:
         self._clients = clients
         self.breaker = circuit_breaker.CircuitBreaker(BREAKER_BACKOFF, clock)
+        self._evidence = holder_evidence.HolderEvidence(clock)
 
     def call(
         self, holder: traffic.Member, path: str, body: dict[str, Any]
     ) -> dict[str, Any]:
         """Call a holder and return its response.
 
+        :raises HolderBusyError: it did not arrive in time, but the holder
+            answers other calls.
         :raises PeerUnavailableError: no usable response arrived in time; the
             circuit of the holder is open then.
         """
+        sent = self._evidence.record_sent(holder)
         try:
-            return self._clients.call(
+            answer = self._clients.call(
                 holder.peer_address, path, body, TIMEOUT_MS
             )
         except peers.PeerUnavailableError as error:
-            self.breaker.record_failure(holder.name)
             _log_failure(holder, "budget", error)
+            is_timeout = isinstance(error, peers.PeerTimeoutError)
+            if is_timeout and self._evidence.is_slow(sent):
+                raise HolderBusyError(f"{holder.name} is busy") from error
+            self.breaker.record_failure(holder.name)
             raise
+        self._evidence.record_answered(sent)
+        self.breaker.record_success(holder.name)
+        return answer
 
     def withdraw(
         self, holder: traffic.Member, body: dict[str, Any], timeout_ms: float
     ) -> bool:
         """Withdraw a reservation; return whether the holder answered.
 
-        The call whose answer came too late has opened the circuit.
+        This tells nothing of the holder: it has more time for its answer.
         """
         try:
             self._clients.call(
--- a/packages/gateway/tests/holders_case.py
+++ b/packages/gateway/tests/holders_case.py
@@ -69,7 +69,7 @@
         try:
             return answers.get(timeout=limit_ms / 1_000)
         except queue.Empty:
-            raise peers.PeerUnavailableError(f"{address}: slow") from None
+            raise peers.PeerTimeoutError(f"{address}: slow") from None
 
 
 class HoldersCase(unittest.TestCase):
