--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -11,6 +11,7 @@
 from balsamloom_gateway import (
     budget_ledger,
     fleet,
+    granted_turns,
     holder_calls,
     holder_failover,
     ledger,
@@ -79,6 +80,7 @@
         )
         self.pending_settlements = self._settlements.pending
         self._withdrawals = withdrawals.ReservationWithdrawals(clock)
+        self._granted_turns = granted_turns.GrantedTurns(clients, view, clock)
         self._outage_until_ms = -math.inf
         self._started_ms = clock.now_ms()
         self._primaries: frozenset[str] = frozenset()
@@ -169,6 +171,9 @@
 
     def settle_local(self, settlement: peer_messages.Settlement) -> None:
         """Settle a turn whose tokens were reserved at this member."""
+        self._granted_turns.remove(
+            settlement.program_id, settlement.reservation_id
+        )
         is_known = self._local_ledger.settle(
             settlement.program_id,
             settlement.reserved_tokens,
@@ -185,16 +190,19 @@
         self, request: peer_messages.ReservationRequest
     ) -> peer_messages.ReservationReply:
         """Reserve tokens at this member and plan the turn's server."""
-        result, servers = self._local_ledger.reserve(
-            request.program_id,
-            request.turn_tokens,
-            request.budget_tokens,
-            request.policy,
-            request.is_standby,
-            request.reservation_id,
-        )
+        result, servers = self._reserve_tokens(request)
+        if isinstance(result, ledger.Exhaustion):
+            ended = self._granted_turns.find_ended(request.program_id)
+            for settlement in ended:
+                self.settle_local(settlement)
+            if ended:
+                result, servers = self._reserve_tokens(request)
         if not isinstance(result, ledger.Reservation):
             return peer_messages.ReservationReply(result, servers, None)
+        if request.caller:
+            self._granted_turns.add(
+                request.program_id, request.reservation_id, request.caller
+            )
         plan = self._planner.plan(request.turn, servers)
         if request.reservation_id:
             unused = peer_messages.Settlement(
@@ -212,6 +220,27 @@
                 return peer_messages.ReservationReply(withdrawn, (), None)
         return peer_messages.ReservationReply(result, servers, plan)
 
+    def _reserve_tokens(
+        self, request: peer_messages.ReservationRequest
+    ) -> tuple[budget_ledger.ReservationResult, tuple[str, ...]]:
+        return self._local_ledger.reserve(
+            request.program_id,
+            request.turn_tokens,
+            request.budget_tokens,
+            request.policy,
+            request.is_standby,
+            request.reservation_id,
+        )
+
+    def unsettled_turns(
+        self, program_id: str
+    ) -> list[peer_messages.Settlement]:
+        """Return the ends of turns here that no holder has confirmed."""
+        return [
+            peer_messages.as_settlement(end)
+            for end in self._settlements.unsettled(program_id)
+        ]
+
     def withdraw_local(self, withdrawal: peer_messages.Withdrawal) -> None:
         """Cancel a reservation whose caller timed out."""
         unused = self._withdrawals.withdraw(withdrawal.reservation_id)
@@ -264,7 +293,9 @@
             reply = self._calls.call(
                 holder,
                 peers.RESERVE_PATH,
-                peer_messages.encode_reservation(request),
+                peer_messages.encode_reservation(
+                    request._replace(caller=self._name)
+                ),
             )
             decoded = peer_messages.decode_reply(reply)
         except peers.PeerUnreachableError as error:
--- a/packages/gateway/src/balsamloom_gateway/peer_messages.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from balsamloom_gateway import (
@@ -24,6 +25,8 @@
     """Request for the tokens and the planned server of a turn.
 
     ``is_standby`` tells that the receiver is not the primary holder.
+    ``caller`` names the sending member; it is empty if a process of the
+    release before sent the request.
     """
 
     program_id: str
@@ -33,6 +36,7 @@
     turn: planner.TurnRequest
     is_standby: bool = False
     reservation_id: str = ""
+    caller: str = ""
 
 
 class ReservationReply(NamedTuple):
@@ -82,6 +86,15 @@
 TurnEnd = Settlement | Withdrawal
 
 
+def as_settlement(end: TurnEnd) -> Settlement:
+    """Return the end of a turn as one that was granted."""
+    match end:
+        case Withdrawal():
+            return end.settlement()
+        case Settlement():
+            return end
+
+
 def encode_reservation(message: ReservationRequest) -> dict[str, Any]:
     """Encode a reservation request as a JSON object."""
     return {
@@ -93,6 +106,7 @@
         "version": message.turn.version,
         "is_guest": message.is_standby,
         "reservation_id": message.reservation_id,
+        "caller": message.caller,
     }
 
 
@@ -122,6 +136,7 @@
             ),
             bool(body["is_guest"]),
             str(body["reservation_id"]),
+            str(body.get("caller", "")),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise InvalidMessageError(repr(error)) from error
@@ -235,6 +250,24 @@
         raise InvalidMessageError(repr(error)) from error
 
 
+def encode_settlements(
+    messages: Sequence[Settlement],
+) -> dict[str, Any]:
+    """Encode the ends of several turns as a JSON object."""
+    return {"settlements": [encode_settlement(one) for one in messages]}
+
+
+def decode_settlements(body: dict[str, Any]) -> list[Settlement]:
+    """Decode the ends of several turns.
+
+    :raises InvalidMessageError: if they are malformed.
+    """
+    try:
+        return [decode_settlement(one) for one in body["settlements"]]
+    except (KeyError, TypeError) as error:
+        raise InvalidMessageError(repr(error)) from error
+
+
 def encode_withdrawal(message: Withdrawal) -> dict[str, Any]:
     """Encode a withdrawal as a JSON object."""
     return message._asdict()
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -61,6 +61,7 @@
             peers.SETTLE_PATH: self._settle,
             peers.SETTLE_LOST_PATH: self._settle_lost,
             peers.WITHDRAW_PATH: self._withdraw,
+            peers.LIST_ENDED_PATH: self._list_ended,
             peers.MERGE_STATES_PATH: self._merge_usages,
             peers.READ_STATE_PATH: self._read_usage,
             peers.PERMIT_PATH: self._grant_permit,
@@ -102,6 +103,10 @@
         self._budgets.withdraw_local(peer_messages.decode_withdrawal(body))
         return {}
 
+    def _list_ended(self, body: dict[str, Any]) -> dict[str, Any]:
+        ended = self._budgets.unsettled_turns(str(body["program_id"]))
+        return peer_messages.encode_settlements(ended)
+
     def _merge_usages(self, body: dict[str, Any]) -> dict[str, Any]:
         message = usage_messages.decode(body)
         self._book.merge_usages(*message)
--- a/packages/gateway/src/balsamloom_gateway/pending_settlements.py
+++ b/packages/gateway/src/balsamloom_gateway/pending_settlements.py
@@ -99,6 +99,16 @@
             queue.turns.append(turn)
             self._changed.notify()
 
+    def find(self, program_id: str) -> list[peer_messages.TurnEnd]:
+        """Return how the turns of a program ended that are not settled."""
+        with self._changed:
+            return [
+                turn.settlement
+                for queue in self._queues.values()
+                for turn in queue.turns
+                if turn.settlement.program_id == program_id
+            ]
+
     def run(self) -> None:
         """Settle turns when they are due; try all once more at the end."""
         while self._wait_until_due():
--- a/packages/gateway/src/balsamloom_gateway/turn_settlements.py
+++ b/packages/gateway/src/balsamloom_gateway/turn_settlements.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
     background,
@@ -46,6 +48,9 @@
             self._settle_missed, clock
         )
         self._recent = recent_settlements.RecentSettlements(clock)
+        self._lock = threading.Lock()
+        # Ends that are told their holders for the first time, by reservation.
+        self._first_calls: dict[str, peer_messages.TurnEnd] = {}
 
     def settle(
         self,
@@ -54,10 +59,23 @@
         settlement: peer_messages.TurnEnd,
     ) -> None:
         """Settle a turn at its holder, now or once the holder answers."""
-        if self._settle_at(holder, settlement):
-            self._recent.add(holder, budget_tokens, settlement)
-        else:
-            self.pending.add(holder, budget_tokens, settlement)
+        with self._lock:
+            self._first_calls[settlement.reservation_id] = settlement
+        try:
+            if self._settle_at(holder, settlement):
+                self._recent.add(holder, budget_tokens, settlement)
+            else:
+                self.pending.add(holder, budget_tokens, settlement)
+        finally:
+            with self._lock:
+                del self._first_calls[settlement.reservation_id]
+
+    def unsettled(self, program_id: str) -> list[peer_messages.TurnEnd]:
+        """Return the ends of a program's turns that no holder confirmed."""
+        with self._lock:
+            first_calls = list(self._first_calls.values())
+        ends = [one for one in first_calls if one.program_id == program_id]
+        return ends + self.pending.find(program_id)
 
     def start_withdrawal(
         self,
