--- a/packages/gateway/tests/test_withdrawals.py
+++ b/packages/gateway/tests/test_withdrawals.py
@@ -6,6 +6,7 @@
 import holders_case
 
 from balsamloom_gateway import (
+    interfaces,
     outage_policy,
     peer_messages,
     peers,
@@ -88,6 +89,18 @@
         self.assertEqual(len(accounts.pending_settlements), 0)
         self.assertEqual(self.account.in_flight_tokens, 0)
 
+    def test_withdrawal_at_a_lost_holder_is_told_its_successor(self):
+        self.network.cut.add("m1")
+        for name in self.NAMES[1:]:
+            self.members[name][2].apply([interfaces.Deletion("member/m1", 9)])
+        accounts = self.members["m4"][3]
+        accounts._settlements.settle(
+            builders.member("m1"), holders_case.BUDGET, self.withdrawal
+        )
+        self.clock.sleep(1_500.0)
+        successor = self.members["m2"][1]._accounts["p"]
+        self.assertEqual(successor.others._settlements, {"r": 0})
+
 
 if __name__ == "__main__":
     unittest.main()
