--- a/packages/gateway/tests/test_budget_sides.py
+++ b/packages/gateway/tests/test_budget_sides.py
@@ -323,7 +323,7 @@
             self.network.cut.add(holder)
             accounts.settle(grant, 1, builders.turn_report())
             self.network.cut.discard(holder)
-            accounts._breaker.record_success(holder)
+            accounts._calls.breaker.record_success(holder)
 
     def test_settlement_that_did_not_arrive_is_settled_later(self):
         self.lose_settlements("m1", 5)
@@ -359,7 +359,7 @@
         self.network.cut.add("m1")
         self.lose_settlements("m2", 6)
         self.network.cut.discard("m1")
-        self.members["m4"][3]._breaker.record_success("m1")
+        self.members["m4"][3]._calls.breaker.record_success("m1")
         time.sleep(1.5)
         spent, refusal = self.spend("m4", 5)
         until_s = time.monotonic() + 5
