--- a/packages/gateway/src/balsamloom_gateway/server_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/server_connections.py
@@ -16,6 +16,7 @@
 import httptools
 
 from balsamloom_core import clock as clocks
+from balsamloom_core import http_status
 
 RECEIVE_CHUNK_BYTES = 65_536
 # Limit on consecutive bytes that yield no part of the expected response:
@@ -213,6 +214,8 @@
         # No request identifier, so it may answer an earlier request.
         self.is_unidentified = False
         self.is_keep_alive = False
+        # A status that no response can have.
+        self.invalid_status: int | None = None
         self._is_skipped = False
         self._fields: list[tuple[bytes, bytes]] = []
 
@@ -228,8 +231,11 @@
         if self.is_complete:
             return
         status = int(self.parser.get_status_code())
+        is_interim = http_status.is_interim(status)
+        if not is_interim and not http_status.is_final(status):
+            self.invalid_status = status
         headers = Headers(tuple(self._fields))
-        self._is_skipped = status < 200 or not self._is_expected(headers)
+        self._is_skipped = is_interim or not self._is_expected(headers)
         if self._is_skipped:
             return
         length = headers.get(b"content-length")
@@ -352,6 +358,10 @@
             # Bytes after a complete response belong to no request.
             if not self._response.is_complete:
                 raise InvalidResponseError(str(error)) from error
+        if self._response.invalid_status is not None:
+            self._connection.is_reusable = False
+            status = self._response.invalid_status
+            raise InvalidResponseError(f"HTTP has no status {status:03d}")
         if self._response.is_unidentified:
             self._connection.is_reusable = False
             raise InvalidResponseError("response without a request identifier")
--- a/packages/gateway/tests/test_handovers.py
+++ b/packages/gateway/tests/test_handovers.py
@@ -3,6 +3,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 import builders
 import hosts_case
@@ -102,6 +103,32 @@
         self.assertEqual(self.request("m1", "r", "/once/x")[0], 502)
         self.assertEqual(self.runs("r"), 1)
 
+    def test_member_of_a_former_release_relays_a_status_that_http_lacks(self):
+        fields = handover_messages.answer_fields(
+            b"r", handover_messages.Outcome.ANSWERED, "s1"
+        )
+        lines = b"".join(b"%s: %s\r\n" % field for field in fields).decode()
+
+        def relay(connection, _):
+            former.read_request(connection)
+            connection.sendall(
+                scripted.answer(b"ok", "r", "777 Odd", lines) * 2
+            )
+            connection.recv(1)
+
+        former = scripted.ScriptedServer(relay)
+        self.addCleanup(former.close)
+        view = self.hosts["m1"].fleet
+        members = [
+            one._replace(peer_address=former.address)
+            for one in view.members()
+            if one.name != "m1"
+        ]
+        self.cut("m1")
+        with mock.patch.object(view, "members", return_value=members):
+            self.assertEqual(self.request("m1", "r", "/once/x")[0], 502)
+        self.assertEqual(len(former.received), 1)
+
     def test_refusals_of_members_promise_callers_nothing(self):
         def cut_all(_):
             for records in self.records.values():
--- a/packages/gateway/tests/test_server_connections.py
+++ b/packages/gateway/tests/test_server_connections.py
@@ -166,6 +166,34 @@
         with self.assertRaises(server_connections.InvalidResponseError):
             self.run_once(b"NOT HTTP AT ALL\r\n\r\n")
 
+    def test_status_that_no_final_answer_has_ends_the_exchange(self):
+        for status in ("000", "099", "600", "777", "999"):
+            with self.subTest(status):
+                self.reject(scripted.answer(status=f"{status} Odd"))
+
+    def reject(self, sent):
+        """Check that an answer ends the exchange, whatever follows it."""
+
+        def script(sock, _):
+            server.read_request(sock)
+            sock.sendall(sent + scripted.answer())
+            sock.recv(1)
+
+        server = self.serve(script)
+        connection, exchange = self.exchange(server)
+        exchange.send(REQUEST, self.clock.now_ms() + 1_000)
+        with self.assertRaises(server_connections.InvalidResponseError):
+            self.read_all(exchange, timeout_ms=500.0)
+        self.assertFalse(connection.is_reusable)
+
+    def test_final_answer_follows_interim_ones(self):
+        for status in ("100", "102", "103", "199"):
+            interim = f"HTTP/1.1 {status} Wait\r\n\r\n".encode()
+            with self.subTest(status):
+                connection, body = self.run_once(interim, scripted.answer())
+                self.assertEqual(body, b"ok")
+                self.assertTrue(connection.is_reusable)
+
     def test_truncated_response_with_a_length_is_an_error(self):
         def script(sock, _):
             server.read_request(sock)
