--- a/packages/gateway/src/balsamloom_gateway/server_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/server_connections.py
@@ -27,6 +27,7 @@
 TCP_USER_TIMEOUT_MS = 2_000
 _CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _NO_BODY_STATUSES = frozenset({204, 304})
+_PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
 
 class ExchangeError(Exception):
@@ -353,7 +354,7 @@
             raise InvalidResponseError("too many bytes without a response")
         try:
             self._response.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except _PARSER_ERRORS as error:
             self._connection.is_reusable = False
             # Bytes after a complete response belong to no request.
             if not self._response.is_complete:
--- a/packages/gateway/tests/test_proxy.py
+++ b/packages/gateway/tests/test_proxy.py
@@ -195,6 +195,13 @@
                     self.assertEqual(self.ended_with(path), 502)
                     self.assertEqual(self.runs(), 1)
 
+    def test_caller_of_a_server_that_switches_protocols_gets_an_error(self):
+        for fields in ("", "Connection: Upgrade\r\nUpgrade: other\r\n"):
+            switch = scripted.answer(b"", "r1", "101 Other", fields)
+            with self.subTest(fields):
+                self.start(self.answering(switch))
+                self.assertEqual(self.ended_with("/once/"), 502)
+
     def test_repeatable_call_is_retried_after_a_status_that_http_lacks(self):
         for status in ("000", "999"):
             invalid = scripted.answer(status=f"{status} Odd")
--- a/packages/gateway/tests/test_server_connections.py
+++ b/packages/gateway/tests/test_server_connections.py
@@ -13,6 +13,7 @@
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 IDENTIFIER = (b"request-id", b"r1")
+UPGRADE_FIELDS = "Connection: Upgrade\r\nUpgrade: other\r\n"
 
 
 class ExchangeTest(unittest.TestCase):
@@ -171,6 +172,11 @@
             with self.subTest(status):
                 self.reject(scripted.answer(status=f"{status} Odd"))
 
+    def test_switch_of_protocols_ends_the_exchange(self):
+        for fields in ("", UPGRADE_FIELDS):
+            with self.subTest(fields):
+                self.reject(scripted.answer(b"", "r1", "101 Other", fields))
+
     def reject(self, sent):
         """Check that an answer ends the exchange, whatever follows it."""
 
