--- a/packages/platform/src/balsamloom_platform/etcd_gateway.py
+++ b/packages/platform/src/balsamloom_platform/etcd_gateway.py
@@ -10,7 +10,7 @@
 
 import urllib3
 
-from balsamloom_platform import http_errors
+from balsamloom_platform import http_errors, response_limits
 from balsamloom_platform import store as stores
 
 MAX_READ_ATTEMPTS = 3
@@ -26,9 +26,7 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._base = f"http://{address}"
-        self._pool = urllib3.PoolManager(
-            num_pools=2, maxsize=16, retries=False
-        )
+        self._pool = response_limits.checked_pool(2, 16, retries=False)
 
     def get(
         self, key: str, timeout_ms: int = stores.DEFAULT_TIMEOUT_MS
--- a/packages/platform/src/balsamloom_platform/response_limits.py
+++ b/packages/platform/src/balsamloom_platform/response_limits.py
@@ -1,4 +1,4 @@
-"""HTTP responses limited in total time and size.
+"""HTTP responses with a valid status, limited in total time and size.
 
 Without these limits, a server that sends slowly or endlessly could block a
 call forever, because a socket timeout restarts with each read.
@@ -14,7 +14,7 @@
 import urllib3
 
 from balsamloom_core import clock as clocks
-from balsamloom_core import timed_reads
+from balsamloom_core import http_status, timed_reads
 
 # Servers normally send a few hundred bytes of status line and headers.
 MAX_HEADER_BYTES = 256_000
@@ -79,7 +79,20 @@
         super().close()
 
 
-class _LimitedResponse(http.client.HTTPResponse):
+class CheckedResponse(http.client.HTTPResponse):
+    """Response whose status answers a request."""
+
+    def begin(self) -> None:
+        """Read the status line and headers.
+
+        :raises http.client.BadStatusLine: no response ends with this status.
+        """
+        super().begin()
+        if not http_status.is_final(self.status):
+            raise http.client.BadStatusLine(f"status {self.status:03d}")
+
+
+class _LimitedResponse(CheckedResponse):
     """Response that must be complete within the timeout of its socket."""
 
     max_bytes = MAX_RESPONSE_BYTES
@@ -111,6 +124,14 @@
             self.reader.remove_limits()
 
 
+class _CheckedConnection(urllib3.connection.HTTPConnection):
+    response_class = CheckedResponse
+
+
+class _CheckedPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _CheckedConnection
+
+
 class _LimitedConnection(urllib3.connection.HTTPConnection):
     response_class = _LimitedResponse
 
@@ -129,6 +150,16 @@
     return pool_manager(_LimitedPool, pools, size, **options)
 
 
+def checked_pool(pools: int, size: int, **options: Any) -> urllib3.PoolManager:
+    """Return a pool manager that rejects statuses that HTTP lacks.
+
+    :param pools: maximum number of servers with a connection pool.
+    :param size: connections kept for each server.
+    :param options: further options of the connections.
+    """
+    return pool_manager(_CheckedPool, pools, size, **options)
+
+
 def pool_manager(
     pool_class: type[urllib3.HTTPConnectionPool],
     pools: int,
--- a/packages/platform/tests/test_response_limits.py
+++ b/packages/platform/tests/test_response_limits.py
@@ -57,6 +57,12 @@
     def test_endless_body(self):
         self.check_ends(endless(b"HTTP/1.1 200 OK\r\n\r\n", BLOCK, 0.001))
 
+    def test_status_that_answers_no_request(self):
+        for status in ("000", "101", "103", "600", "777"):
+            with self.subTest(status):
+                raw = builders.response(status, b'{"error": "no"}')
+                self.check_ends(builders.reply_with(raw))
+
     def test_valid_response_of_one_megabyte(self):
         body = b'{"text": "' + b"y" * 1_000_000 + b'"}'
         script = builders.reply_with(builders.response(200, body))
@@ -141,6 +147,13 @@
                 script = endless(start, block, pause_s)
                 self.check_ends(script, results.ResultCode.BACKEND_ERROR)
 
+    def test_status_that_answers_no_request(self):
+        for status in ("000", "101", "103", "600", "777"):
+            with self.subTest(status):
+                raw = builders.response(status, b"")
+                script = builders.reply_with(raw)
+                self.check_ends(script, results.ResultCode.BACKEND_ERROR)
+
     def test_stream_that_sends_only_comments(self):
         start = b"HTTP/1.1 200 OK\r\n\r\n" + builders.event("a")
         script = endless(start, b": here\n\n", 0.05)
--- a/packages/platform/tests/test_store.py
+++ b/packages/platform/tests/test_store.py
@@ -41,6 +41,19 @@
         self.assertTrue(caught.exception.may_have_applied)
         self.assertEqual(server.accepted, 1)
 
+    def test_a_write_may_have_applied_after_a_status_that_http_lacks(self):
+        """Guards against a write reported as failed that was applied."""
+        for status in ("000", "103", "600", "777"):
+            with self.subTest(status):
+                raw = builders.response(status, b"{}")
+                server = builders.ScriptedServer(
+                    self, builders.reply_with(raw)
+                )
+                gateway = etcd_gateway.EtcdGateway(server.address)
+                with self.assertRaises(store.StoreUnavailable) as caught:
+                    gateway.commit([], [store.Put("/a", b"1")])
+                self.assertTrue(caught.exception.may_have_applied)
+
     def test_a_refused_connection_applied_nothing(self):
         """Guards against needless checks of writes during an outage."""
         gateway = etcd_gateway.EtcdGateway(builders.unused_address())
