--- a/packages/cli/src/balsamloom_cli/client.py
+++ b/packages/cli/src/balsamloom_cli/client.py
@@ -20,7 +20,7 @@
 from balsamloom_cli import responses
 from balsamloom_core import clock as clocks
 from balsamloom_core import results
-from balsamloom_platform import http_errors
+from balsamloom_platform import http_errors, response_limits
 
 CONNECT_TIMEOUT_MS = 1_000
 DEFAULT_TIMEOUT_MS = 60_000
@@ -103,7 +103,7 @@
         self._customer = customer
         self._clock = clock or clocks.Clock()
         self._timeout_ms = timeout_ms
-        self._pool = pool or urllib3.PoolManager(num_pools=32, maxsize=32)
+        self._pool = pool or response_limits.checked_pool(32, 32)
         self._lock = threading.Lock()
         self._cache: cachetools.LRUCache[
             str, tuple[float, responses.Address]
--- a/packages/cli/tests/test_client.py
+++ b/packages/cli/tests/test_client.py
@@ -53,6 +53,16 @@
         caller = self.caller(entry.address)
         self.assertEqual(caller.tool("p1", "s", "o", {}, "k1"), {"runs": 1})
 
+    def test_refusal_with_a_status_that_http_lacks_promises_nothing(self):
+        refusal = builders.refusal(results.ResultCode.OVERLOADED)
+        entry = self.entry(
+            refusal._replace(status=777), builders.ok({"program_id": "p2"})
+        )
+        with self.assertRaises(responses.CallError) as caught:
+            self.caller(entry.address).start({})
+        unknown = results.ResultCode.OUTCOME_UNKNOWN
+        self.assertEqual(caught.exception.code, unknown)
+
     def test_retry_after_is_respected_and_the_key_kept(self):
         busy = results.ResultCode.OVERLOADED
         entry = self.entry(
