--- a/packages/entry/src/balsamloom_entry/forwarding.py
+++ b/packages/entry/src/balsamloom_entry/forwarding.py
@@ -6,7 +6,7 @@
 import urllib.parse
 from collections.abc import Iterable, Iterator
 
-from balsamloom_core import errors, metric_names, results
+from balsamloom_core import errors, http_status, metric_names, results
 from balsamloom_entry import requests
 from balsamloom_peers import client as peer_clients
 from balsamloom_peers import messages
@@ -81,6 +81,12 @@
             requests.OWNER_HEADER: owner.http_address,
         }
         body = ForwardedBody(itertools.chain([first], chunks), chunks)
+        if not http_status.is_final(first.status):
+            body.close()
+            raise errors.BalsamloomError(
+                results.ResultCode.DAMAGED_MESSAGE,
+                f"the owner sent the status {first.status}",
+            )
         return requests.Response(first.status, headers, body)
 
 
