--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -198,7 +198,7 @@
         self.is_started = True
         raw.sent_headers = True
         lines = [
-            b"HTTP/1.1 %d %s" % (status, REASON_PHRASES.get(status, b"-"))
+            b"HTTP/1.1 %03d %s" % (status, REASON_PHRASES.get(status, b"-"))
         ]
         lines.extend(
             name + b": " + value
