--- a/packages/gateway/src/balsamloom_gateway/record_queue.py
+++ b/packages/gateway/src/balsamloom_gateway/record_queue.py
@@ -4,19 +4,29 @@
 
 import threading
 from collections.abc import Mapping, Sequence
+from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import ledger, ledger_recorder
 
 # Delay of allocations that no turn waits for, so that many share a batch.
 BATCH_DELAY_MS = 300.0
-# A program whose record another holder wrote is recorded by itself for this
-# time: a conflict refuses a whole transaction.
-CONTESTED_MS = 1_000.0
+# A program that another holder writes as well is recorded by itself, as a
+# conflict refuses a whole transaction. One may come from a change of holders.
+MIN_CONFLICTS = 2
+# Conflicts count for this time.
+CONFLICT_AGE_MS = 1_000.0
 # A turn that was not served comes again within this time.
 NEEDED_MS = 1_000.0
 
 
+class _Conflicts(NamedTuple):
+    """Number and last time of a program's conflicts."""
+
+    number: int = 0
+    last_ms: float = 0.0
+
+
 class RecordQueue:
     """Queue of programs; turns wait for the records of the urgent ones.
 
@@ -38,8 +48,8 @@
         self._changed = changed
         self._urgent: set[str] = set()
         self._deferred: set[str] = set()
-        # Times of the last conflicts, by program.
-        self._contested_ms: dict[str, float] = {}
+        # By program, the one whose last conflict is the oldest first.
+        self._conflicts: dict[str, _Conflicts] = {}
         self._was_contested = False
 
     @property
@@ -77,7 +87,8 @@
         self._deferred |= pending.deferred
         now_ms = self._clock.now_ms()
         for program_id in pending.contested:
-            self._contested_ms[program_id] = now_ms
+            known = self._conflicts.pop(program_id, _Conflicts())
+            self._conflicts[program_id] = _Conflicts(known.number + 1, now_ms)
 
     def withdraw(self, account: ledger.Account) -> None:
         """Drop an urgent program together with the need of its turn."""
@@ -117,8 +128,13 @@
         """
         self._forget_conflicts()
         waiting = [*self._urgent, *(self._deferred - self._urgent)]
-        contested = [one for one in waiting if one in self._contested_ms]
-        shared = [one for one in waiting if one not in self._contested_ms]
+        contested = [
+            program_id
+            for program_id, conflicts in self._conflicts.items()
+            if conflicts.number >= MIN_CONFLICTS
+        ]
+        shared = [one for one in waiting if one not in contested]
+        contested = [one for one in contested if one in waiting]
         found = self._take(shared, accounts) if self._was_contested else []
         if not found:
             found = self._take(contested[:1], accounts)
@@ -146,11 +162,11 @@
         return found
 
     def _forget_conflicts(self) -> None:
-        oldest_ms = self._clock.now_ms() - CONTESTED_MS
-        self._contested_ms = {
-            program_id: at_ms
-            for program_id, at_ms in self._contested_ms.items()
-            if at_ms > oldest_ms
+        oldest_ms = self._clock.now_ms() - CONFLICT_AGE_MS
+        self._conflicts = {
+            program_id: conflicts
+            for program_id, conflicts in self._conflicts.items()
+            if conflicts.last_ms > oldest_ms
         }
 
     def _expire_need(self, account: ledger.Account) -> None:
