--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -272,8 +272,8 @@
     ) -> bool:
         """Return whether a loss may move programs to this member."""
         runs = [one for one in self._fleet.lost_runs() if one.name == lost]
-        return not runs or membership.may_inherit(
-            self._name, runs[-1], members
+        return not runs or any(
+            membership.may_inherit(self._name, run, members) for run in runs
         )
 
     def handle_member_arrival(self) -> None:
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -150,16 +150,22 @@
             return [member for _, member in self._lost]
 
     def earlier_members(self) -> list[traffic.Member]:
-        """Return the members before recent arrivals and losses, sorted."""
-        lost = self.lost_members()
+        """Return the members before recent arrivals and losses, sorted.
+
+        Of a host that has restarted since, that is its former run.
+        """
+        former: dict[str, traffic.Member] = {}
+        for run in self.lost_runs():
+            former.setdefault(run.name, run)
         oldest_ms = self._clock.now_ms() - ARRIVAL_RETENTION_MS
         with self._lock:
             kept = [
                 member
                 for member in self._members.values()
-                if self._arrived_ms.get(member.name, oldest_ms) <= oldest_ms
+                if member.name not in former
+                and self._arrived_ms.get(member.name, oldest_ms) <= oldest_ms
             ]
-        return sorted(kept + lost)
+        return sorted([*kept, *former.values()])
 
     def has_storage_host(self, name: str) -> bool:
         """Return whether a storage host is registered."""
--- a/packages/gateway/src/balsamloom_gateway/standbys.py
+++ b/packages/gateway/src/balsamloom_gateway/standbys.py
@@ -270,9 +270,13 @@
         A lost member may still run and have lost only the store. Other lost
         members are not called: each one that does not answer delays a caller.
         """
-        former = membership.budget_holders(
-            program_id, self._fleet.earlier_members()
-        )
+        registered = {one.name: one for one in self._fleet.members()}
+        former = [
+            registered.get(one.name, one)
+            for one in membership.budget_holders(
+                program_id, self._fleet.earlier_members()
+            )
+        ]
         present = self._holders(program_id)
         found = former + [one for one in present if one not in former]
         return [member for member in found if member.name != self._name]
