--- a/packages/gateway/src/balsamloom_gateway/holder_calls.py
+++ b/packages/gateway/src/balsamloom_gateway/holder_calls.py
@@ -66,7 +66,9 @@
             self.breaker.record_failure(holder.name)
             raise
         self._evidence.record_answered(sent)
-        self.breaker.record_success(holder.name)
+        if path == peers.RESERVE_PATH:
+            # A process that has just started settles turns, and reserves none.
+            self.breaker.record_success(holder.name)
         return answer
 
     def withdraw(
