--- a/packages/gateway/tests/test_conflicting_records.py
+++ b/packages/gateway/tests/test_conflicting_records.py
@@ -4,18 +4,12 @@
 import unittest
 
 import builders
+import ledger_case
 import stores
 
-from balsamloom_core import clock as clocks
-from balsamloom_gateway import (
-    budget_ledger,
-    ledger,
-    ledger_records,
-    outage_policy,
-)
+from balsamloom_gateway import ledger, ledger_records
 
 TURN_TOKENS = 100
-BUDGET_TOKENS = 4_000
 # In one that is refused, and in one without the contested program.
 MAX_TRANSACTIONS = 2
 TIMEOUT_S = 5.0
@@ -46,49 +40,27 @@
         return super().transact(conditions, writes, deletes)
 
 
-class ConflictingRecordsTest(unittest.TestCase):
+class ConflictingRecordsTest(ledger_case.LedgerCase):
     """Guards against turns that wait because of another program."""
 
     def setUp(self):
+        super().setUp()
         self.store = ContestedStore()
-        # The clock stands still, so no turn ends because its time is over.
-        self.holder = budget_ledger.BudgetLedger(
-            self.store, builders.Records(), clocks.ManualClock()
-        )
-        thread = threading.Thread(target=self.holder.run, daemon=True)
-        thread.start()
-        self.addCleanup(thread.join, TIMEOUT_S)
-        self.addCleanup(self.holder.stop)
+        self.start_holder(self.store)
         self.addCleanup(setattr, self.store, "is_contested", False)
 
-    def start_turn(self, program_id):
-        results = []
-
-        def run():
-            result, _ = self.holder.reserve(
-                program_id,
-                TURN_TOKENS,
-                BUDGET_TOKENS,
-                outage_policy.OutagePolicy.NONE,
-            )
-            results.append(result)
-
-        thread = threading.Thread(target=run, daemon=True)
-        thread.start()
-        return thread, results
-
     def test_turn_is_recorded_beside_a_program_that_another_holder_writes(
         self,
     ):
         self.start_turn(CONTESTED)
         self.assertTrue(self.store.is_called.wait(TIMEOUT_S))
-        thread, results = self.start_turn(OTHER)
+        thread = self.start_turn(OTHER)
         self.store.may_answer.set()
         thread.join(TIMEOUT_S)
         key = builders.Records().ledger_key(OTHER)
         transactions = [one for one in self.store.conditions if key in one]
         self.assertLessEqual(len(transactions), MAX_TRANSACTIONS)
-        self.assertEqual(results, [ledger.Reservation()])
+        self.assertEqual(self.results.get(OTHER), ledger.Reservation())
 
 
 if __name__ == "__main__":
--- a/packages/gateway/tests/test_overloaded_holders.py
+++ b/packages/gateway/tests/test_overloaded_holders.py
@@ -2,19 +2,15 @@
 
 import threading
 import time
-import unittest
-from unittest import mock
 
 import builders
 import holders_case
+import ledger_case
 import stores
 
-from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
-    budget_ledger,
     budgets,
     ledger,
-    outage_policy,
     peers,
     planner,
     standbys,
@@ -51,48 +47,20 @@
         return super().transact(conditions, writes, deletes)
 
 
-class SlowStoreTest(unittest.TestCase):
+class SlowStoreTest(ledger_case.LedgerCase):
     """Guards against refusals beside a store whose writes all succeed.
 
     Time passes only while a transaction is under way.
     """
 
+    TURN_TOKENS = TURN
+    BUDGET_TOKENS = BUDGET
+
     def setUp(self):
+        super().setUp()
         self.store = SteppedStore()
-        self.clock = clocks.ManualClock()
-        self.holder = budget_ledger.BudgetLedger(
-            self.store, builders.Records(), self.clock
-        )
-        thread = threading.Thread(target=self.holder.run, daemon=True)
-        thread.start()
-        self.addCleanup(thread.join, TIMEOUT_S)
+        self.start_holder(self.store)
         self.addCleanup(self.store.steps.release, 100)
-        self.addCleanup(self.holder.stop)
-        self.results = []
-        self.has_asked = threading.Semaphore(0)
-        reserve = ledger.Account.reserve
-
-        def count(account, *args):
-            self.has_asked.release()
-            return reserve(account, *args)
-
-        patch = mock.patch.object(ledger.Account, "reserve", count)
-        patch.start()
-        self.addCleanup(patch.stop)
-
-    def start_turn(self, program):
-        """Start a turn; return its thread once it has asked for tokens."""
-
-        def run():
-            result, _ = self.holder.reserve(
-                program, TURN, BUDGET, outage_policy.OutagePolicy.NONE
-            )
-            self.results.append(result)
-
-        thread = threading.Thread(target=run, daemon=True)
-        thread.start()
-        self.assertTrue(self.has_asked.acquire(timeout=TIMEOUT_S))
-        return thread
 
     def end_write(self):
         """Let the transaction under way take its time and end."""
@@ -103,15 +71,16 @@
 
     def check_programs(self, count):
         """Start turns of programs while the first is written; end all."""
-        threads = [self.start_turn("p0")]
+        programs = [f"p{number}" for number in range(count)]
+        threads = [self.start_turn(programs[0])]
         self.assertTrue(self.store.is_called.wait(TIMEOUT_S))
-        threads += [self.start_turn(f"p{n}") for n in range(1, count)]
+        threads += [self.start_turn(program) for program in programs[1:]]
         until_s = time.monotonic() + TIMEOUT_S
         while any(one.is_alive() for one in threads):
             self.assertLess(time.monotonic(), until_s)
             if self.store.is_called.wait(SETTLING_S):
                 self.end_write()
-        self.assertEqual(self.results, [ledger.Reservation()] * count)
+        self.assert_granted(programs)
 
     def test_turn_that_comes_during_a_write_gets_its_tokens(self):
         self.check_programs(2)
--- a/packages/gateway/tests/test_takeover_records.py
+++ b/packages/gateway/tests/test_takeover_records.py
@@ -3,21 +3,14 @@
 import threading
 import time
 import unittest
-from unittest import mock
 
 import builders
+import ledger_case
 import stores
 
-from balsamloom_core import clock as clocks
-from balsamloom_gateway import (
-    budget_ledger,
-    ledger,
-    ledger_records,
-    outage_policy,
-)
+from balsamloom_gateway import ledger, ledger_records
 
 TURN_TOKENS = 100
-BUDGET_TOKENS = 4_000
 # As many as one transaction takes.
 PROGRAMS = 16
 # The one under way, one that is refused as the records are not known, one that
@@ -60,51 +53,21 @@
         return super().transact(conditions, writes, deletes)
 
 
-class TakeoverRecordsTest(unittest.TestCase):
+class TakeoverRecordsTest(ledger_case.LedgerCase):
     """Guards against programs that wait for one another after a takeover.
 
     The clock stands still, so no turn ends because its time is over.
     """
 
     def setUp(self):
+        super().setUp()
         self.store = TakeoverStore()
         self.programs = [f"p{number}" for number in range(PROGRAMS)]
         for program in self.programs:
             self.store.write_as_other(builders.Records().ledger_key(program))
-        self.judged = threading.Semaphore(0)
-        reserve = ledger.Account.reserve
-
-        def count(account, *args):
-            self.judged.release()
-            return reserve(account, *args)
-
-        patch = mock.patch.object(ledger.Account, "reserve", count)
-        patch.start()
-        self.addCleanup(patch.stop)
-        self.holder = budget_ledger.BudgetLedger(
-            self.store, builders.Records(), clocks.ManualClock()
-        )
-        thread = threading.Thread(target=self.holder.run, daemon=True)
-        thread.start()
-        self.addCleanup(thread.join, TIMEOUT_S)
-        self.addCleanup(self.holder.stop)
+        self.start_holder(self.store)
         self.addCleanup(setattr, self.store, "keeps_contesting", False)
         self.addCleanup(self.store.may_answer.set)
-        self.results = {}
-
-    def start_turn(self, program):
-        def run():
-            self.results[program], _ = self.holder.reserve(
-                program,
-                TURN_TOKENS,
-                BUDGET_TOKENS,
-                outage_policy.OutagePolicy.NONE,
-            )
-
-        thread = threading.Thread(target=run, daemon=True)
-        thread.start()
-        self.assertTrue(self.judged.acquire(timeout=TIMEOUT_S))
-        return thread
 
     def start_turns(self):
         """Start a turn of each program while another one is written."""
