--- a/packages/gateway/src/balsamloom_gateway/holder_calls.py
+++ b/packages/gateway/src/balsamloom_gateway/holder_calls.py
@@ -13,8 +13,8 @@
     traffic,
 )
 
-# Longer than a holder's timeouts for the store, for the journal and for a
-# standby, which it awaits before it answers.
+# Longer than a holder's waits for its record, for the journal and for one
+# standby. It can take longer if several of them are late.
 TIMEOUT_MS = 350.0
 # Backoff of calls to a holder that did not answer.
 BREAKER_BACKOFF = circuit_breaker.Backoff(
