--- a/packages/gateway/src/balsamloom_gateway/responses.py
+++ b/packages/gateway/src/balsamloom_gateway/responses.py
@@ -27,7 +27,8 @@
 
     ``body`` is the body to send to a server. ``recorder`` stores the turn if
     the call is part of a conversation. ``key`` identifies what the caller
-    sent over its retries.
+    sent over its retries. ``workspace`` is that of the caller's key, ``None``
+    if the configuration asks for no key.
     """
 
     request: listeners.Request
@@ -40,6 +41,7 @@
     configuration: traffic.Configuration
     key: crash_ledger.RequestKey
     recorder: conversations.TurnRecorder | None = None
+    workspace: traffic.Workspace | None = None
 
 
 class Responder:
--- a/packages/gateway/src/balsamloom_gateway/traffic.py
+++ b/packages/gateway/src/balsamloom_gateway/traffic.py
@@ -30,7 +30,8 @@
     """Rule that maps a host name and a path prefix to services.
 
     On a stateful route a turn carries its new input only; earlier turns of
-    the conversation are stored for ``retention_ms``.
+    the conversation are stored for ``retention_ms``. Calls on a public route
+    need no key and belong to no workspace.
     """
 
     name: str
@@ -45,6 +46,7 @@
     is_resumable: bool
     is_stateful: bool
     retention_ms: float
+    is_public: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -82,13 +84,42 @@
     idle_timeout_ms: float
 
 
+class RateLimit(NamedTuple):
+    """Requests that a workspace may send through all edge hosts together.
+
+    In any window it is ``rate_per_s`` times the window's length and
+    ``burst_requests`` more.
+    """
+
+    rate_per_s: float
+    burst_requests: float
+
+
+class Workspace(NamedTuple):
+    """Customer of the operators, whose callers carry its keys.
+
+    ``key_digests`` are SHA-256 digests; the keys themselves are not kept.
+    Lower values of ``priority`` are more urgent, ``None`` leaves it to the
+    route. ``rate_limit`` is ``None`` if there is none.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...]
+    priority: int | None = None
+    rate_limit: RateLimit | None = None
+
+
 class Configuration(NamedTuple):
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    ``workspaces`` is ``None`` if callers need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: IngressLimits
+    workspaces: tuple[Workspace, ...] | None = None
 
 
 class BackendServer(NamedTuple):
--- /dev/null
+++ b/packages/ingress/src/balsamloom_ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Memory and bodies of callers' requests, within the limits of a process."""
--- /dev/null
+++ b/packages/pacing/src/balsamloom_pacing/__init__.py
@@ -0,0 +1,1 @@
+"""Pace at which a backend server that has started or recovered gets calls."""
--- /dev/null
+++ b/packages/quotas/src/balsamloom_quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Rate quotas of workspaces, counted over all edge hosts together."""
--- /dev/null
+++ b/packages/workspaces/src/balsamloom_workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces of callers: who a key belongs to, and what belongs to it."""
