--- a/packages/gateway/src/balsamloom_gateway/caller_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/caller_connections.py
@@ -44,7 +44,12 @@
     They allow request smuggling: a second request hidden in the body.
     """
 
-    _SINGLE_VALUE_HEADERS = (b"Content-Length", b"Transfer-Encoding", b"Host")
+    _SINGLE_VALUE_HEADERS = (
+        b"Content-Length",
+        b"Transfer-Encoding",
+        b"Host",
+        b"Authorization",
+    )
 
     def __call__(
         self, rfile: Any, hdict: dict[bytes, bytes] | None = None
@@ -67,9 +72,7 @@
         key = key_name.title()
         if key in self._SINGLE_VALUE_HEADERS:
             if key in self._seen_headers:
-                raise ValueError(
-                    "duplicate Content-Length, Transfer-Encoding or Host"
-                )
+                raise ValueError(f"duplicate {key.decode('latin-1')}")
             self._seen_headers.add(key)
         return key
 
--- a/packages/gateway/src/balsamloom_gateway/conversations.py
+++ b/packages/gateway/src/balsamloom_gateway/conversations.py
@@ -211,6 +211,7 @@
         turn: turns.Turn,
         until_ms: float,
         settlement: usage_entries.Settlement | None = None,
+        names: CallerNames | None = None,
     ) -> bool:
         """Write a turn to enough hosts; return whether that succeeded.
 
@@ -220,13 +221,16 @@
         :param until_ms: time at which the write must have ended.
         :param settlement: tokens that the turn used, stored beside it; hosts
             of a former release store the turn only.
+        :param names: identifiers for the log, by default the turn's.
         """
         started_ms = self._clock.now_ms()
         until_ms = min(until_ms, started_ms + WRITE_TIMEOUT_MS)
         ranked = replicas.rank(turn.group_id, self._hosts())
         write = _build_write(turn, until_ms, settlement)
         plan = self._writer.write(write, ranked)
-        self._log_write(turn, plan, started_ms)
+        if names is None:
+            names = CallerNames(turn.turn_id, turn.previous_id)
+        self._log_write(turn, names, plan, started_ms)
         return plan.is_complete
 
     def _read_from(
@@ -245,7 +249,11 @@
             return turns.Unsure(str(error))
 
     def _log_write(
-        self, turn: turns.Turn, plan: replicas.WritePlan, started_ms: float
+        self,
+        turn: turns.Turn,
+        names: CallerNames,
+        plan: replicas.WritePlan,
+        started_ms: float,
     ) -> None:
         event, level = events.Event.TURN_KEPT, logging.INFO
         if not plan.is_complete:
@@ -253,8 +261,8 @@
         events.log(
             event,
             level,
-            request_id=turn.turn_id,
-            previous_turn_id=turn.previous_id,
+            request_id=names.request_id,
+            previous_turn_id=names.previous_turn_id,
             group_id=turn.group_id,
             hosts=plan.written_hosts,
             retention_ms=turn.retention_ms,
@@ -278,6 +286,16 @@
     return replica_writer.Write(keep_settled, until_ms, former=keep)
 
 
+class CallerNames(NamedTuple):
+    """Identifiers of a turn and of the one before it, as the caller sent them.
+
+    The log has these; turns are stored under the identifiers of a workspace.
+    """
+
+    request_id: str
+    previous_turn_id: str
+
+
 class Reservation(NamedTuple):
     """Tokens of a program's budget that a turn may use."""
 
@@ -294,6 +312,7 @@
     :param conversations: stores the turn when it is complete.
     :param turn: turn without its output.
     :param output: collects the events of the response.
+    :param names: identifiers for the log.
     """
 
     def __init__(
@@ -301,7 +320,9 @@
         conversations: ConversationStore,
         turn: turns.Turn,
         output: stream_output.StreamOutput,
+        names: CallerNames | None = None,
     ) -> None:
+        self._names = names
         self._conversations = conversations
         self._turn = turn
         self._output = output
@@ -322,4 +343,6 @@
             settlement = usage_entries.Settlement(
                 *self.reservation, used_tokens
             )
-        return self._conversations.write(turn, until_ms, settlement)
+        return self._conversations.write(
+            turn, until_ms, settlement, self._names
+        )
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -28,6 +28,7 @@
     traffic,
     version_history,
 )
+from balsamloom_workspaces import priorities
 
 # Connecting takes a few ms. A slower attempt lost its first packet or met a
 # network partition, and another server answers sooner.
@@ -344,7 +345,7 @@
         is_resumed = call.metadata.resumed_id is not None
         if is_resumed or not version_history.is_resumable(call.route):
             return True
-        return self._streams.begin(call.metadata.request_id, server)
+        return self._streams.begin(call.stored_id, server)
 
     def _take_answer(
         self,
@@ -462,11 +463,16 @@
     ) -> bytes:
         has_engine = spec is not None and spec.engine is not None
         left_ms = call.until_ms - self._clock.now_ms()
+        workspace = call.workspace
+        engine_priority = priorities.engine_priority(
+            workspace.priority if workspace else None, call.route.priority
+        )
         fields = self._codec.forwarded_fields(
             call.request.headers,
             server.server_id,
             left_ms,
-            call.route.priority if has_engine else None,
+            engine_priority if has_engine else None,
+            workspace.name if workspace else None,
         )
         lines = [
             call.request.method + b" " + call.request.target + b" HTTP/1.1"
--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -20,6 +20,7 @@
     routes,
     traffic,
 )
+from balsamloom_workspaces import key_tables
 
 T = TypeVar("T")
 
@@ -38,11 +39,17 @@
 
 
 class ActiveConfiguration:
-    """Configuration that is in use and its route table."""
+    """Configuration that is in use, its route table and its keys.
+
+    ``keys`` is ``None`` if callers need no key.
+    """
 
     def __init__(self, configuration: traffic.Configuration) -> None:
         self.configuration = configuration
         self.table = routes.RouteTable(configuration.routes)
+        self.keys: key_tables.KeyTable[traffic.Workspace] | None = None
+        if configuration.workspaces is not None:
+            self.keys = key_tables.KeyTable(configuration.workspaces)
 
 
 class Fleet:
@@ -190,6 +197,11 @@
         """
         return self._first_read_ms is not None
 
+    @property
+    def follows_records(self) -> bool:
+        """Return whether this process lacks no change for long."""
+        return self.has_read_records and not self._is_stale
+
     @property
     def has_settled(self) -> bool:
         """Return whether registrations that lapsed have had time to return.
@@ -407,6 +419,19 @@
             routes=len(configuration.routes),
             revision=revision,
         )
+        keyless = [
+            workspace.name
+            for workspace in configuration.workspaces or ()
+            if not workspace.key_digests
+        ]
+        if keyless:
+            events.log(
+                events.Event.WORKSPACE_WITHOUT_KEYS,
+                logging.WARNING,
+                version=configuration.version,
+                workspaces=keyless,
+                revision=revision,
+            )
 
     def _reject(
         self,
--- a/packages/gateway/src/balsamloom_gateway/handover.py
+++ b/packages/gateway/src/balsamloom_gateway/handover.py
@@ -23,6 +23,7 @@
     server_paths,
     traffic,
 )
+from balsamloom_workspaces import credentials
 
 # Members that are asked to serve one request.
 MAX_MEMBERS = 3
@@ -245,6 +246,7 @@
     def _encode(self, possible_runs: int) -> bytes:
         call = self._call
         left_ms = call.until_ms - self._clock.now_ms()
+        presented = call.request.credential or credentials.MissingKey()
         return handover_messages.encode_request(
             call.request.method,
             call.request.target,
@@ -253,4 +255,5 @@
             handover_messages.Origin(
                 call.configuration.version, possible_runs
             ),
+            None if call.configuration.workspaces is None else presented,
         )
--- a/packages/gateway/src/balsamloom_gateway/handover_messages.py
+++ b/packages/gateway/src/balsamloom_gateway/handover_messages.py
@@ -3,6 +3,9 @@
 A request keeps its method, body and header fields; its target gets a prefix,
 so that processes of the release before answer 404. Callers cannot send one,
 as only the members' own listener reads this format.
+
+Of a caller's key only the digest is passed on. Processes that cannot read it
+answer 404 to another prefix.
 """
 
 from __future__ import annotations
@@ -17,10 +20,14 @@
     server_connections,
     traffic,
 )
+from balsamloom_workspaces import credentials
 
 TARGET_PREFIX = b"/requests/serve"
+KEYED_TARGET_PREFIX = b"/requests/keyed"
+_KEYED_START = KEYED_TARGET_PREFIX + b"/"
 _FIELD_PREFIX = b"balsamloom-handover"
 _REQUEST_FIELD = b"Balsamloom-Handover"
+_KEY_FIELD = b"Balsamloom-Handover-Key"
 _ID_FIELD = b"Balsamloom-Handover-Id"
 _OUTCOME_FIELD = b"Balsamloom-Handover-Outcome"
 _SERVER_FIELD = b"Balsamloom-Handover-Server"
@@ -56,7 +63,7 @@
 
 def is_handover(target: bytes) -> bool:
     """Return whether a target is that of a handed-over request."""
-    return target.startswith(TARGET_PREFIX + b"/")
+    return target.startswith((TARGET_PREFIX + b"/", _KEYED_START))
 
 
 def may_hand_over(target: bytes) -> bool:
@@ -70,18 +77,25 @@
     fields: Sequence[tuple[bytes, bytes]],
     body: bytes,
     origin: Origin,
+    credential: credentials.Credential | None = None,
 ) -> bytes:
     """Encode a request, head and body.
 
     :param fields: header fields, as they would go to a server.
+    :param credential: what the caller presents, ``None`` if callers need no
+        key.
     """
-    lines = [method + b" " + TARGET_PREFIX + target + b" HTTP/1.1"]
+    prefix = TARGET_PREFIX if credential is None else KEYED_TARGET_PREFIX
+    lines = [method + b" " + prefix + target + b" HTTP/1.1"]
     lines.extend(
         name + b": " + value
         for name, value in fields
         if not _is_own_field(name)
     )
     lines.append(_REQUEST_FIELD + b": %d,%d" % origin)
+    if credential is not None:
+        proof = credentials.encode_proof(credential)
+        lines.append(_KEY_FIELD + b": " + proof)
     if body or method not in (b"GET", b"HEAD"):
         lines.append(b"Content-Length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
@@ -99,8 +113,26 @@
         raise InvalidHandoverError(repr(error)) from error
 
 
+def decode_credential(
+    target: bytes, headers: Mapping[bytes, bytes]
+) -> credentials.Credential | None:
+    """Return what the caller presented, ``None`` if its fields still have it.
+
+    :raises InvalidHandoverError: the field is missing or malformed.
+    """
+    if not target.startswith(_KEYED_START):
+        return None
+    try:
+        return credentials.decode_proof(headers[_KEY_FIELD])
+    except (KeyError, ValueError) as error:
+        # The error's text would show the digest.
+        raise InvalidHandoverError("no digest of a key") from error
+
+
 def decode_target(target: bytes) -> bytes:
     """Return the target that the caller sent."""
+    if target.startswith(_KEYED_START):
+        return target[len(KEYED_TARGET_PREFIX) :]
     return target[len(TARGET_PREFIX) :]
 
 
--- a/packages/gateway/src/balsamloom_gateway/handover_service.py
+++ b/packages/gateway/src/balsamloom_gateway/handover_service.py
@@ -79,6 +79,9 @@
         request_id = request.headers.get(field, b"")
         try:
             origin = handover_messages.decode_origin(request.headers)
+            request.credential = handover_messages.decode_credential(
+                request.target, request.headers
+            )
         except handover_messages.InvalidHandoverError:
             response.close_connection_after()
             response.send(400, ())
--- a/packages/gateway/src/balsamloom_gateway/interfaces.py
+++ b/packages/gateway/src/balsamloom_gateway/interfaces.py
@@ -306,11 +306,14 @@
         server_id: str,
         left_ms: float,
         engine_priority: int | None,
+        workspace_name: str | None,
     ) -> list[tuple[bytes, bytes]]:
         """Return the fields of the request that is sent to a server.
 
         :param left_ms: time until the call's deadline.
         :param engine_priority: scheduling priority, ``None`` to send none.
+        :param workspace_name: the call's workspace, ``None`` without one. What
+            the caller says of it is not sent.
         """
 
     def handed_over_fields(
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -25,6 +25,7 @@
     exchanges,
     waiting_connections,
 )
+from balsamloom_workspaces import credentials
 
 LISTEN_BACKLOG = 512
 MIN_THREADS = 2
@@ -33,6 +34,7 @@
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     402: b"Payment Required",
     404: b"Not Found",
     405: b"Method Not Allowed",
@@ -85,6 +87,9 @@
         self.is_handed_over = False
         # Attempts of that member that may have run.
         self.possible_runs = 0
+        # The caller's key, once it was read from the header fields or shown
+        # by that member.
+        self.credential: credentials.Credential | None = None
         self._is_read = False
 
     @property
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -55,13 +55,15 @@
     traffic,
     version_history,
 )
+from balsamloom_workspaces import revocation
 
 
 class EdgeSettings(NamedTuple):
     """Settings of an edge process.
 
     ``view_bound_ms`` limits the age of its view of the store's records,
-    ``grace_ms`` the duration of its stop.
+    ``grace_ms`` the duration of its stop. ``revocation`` tells when it stops
+    accepting keys.
     """
 
     name: str
@@ -78,6 +80,7 @@
     grace_ms: float
     lease_ms: int
     copies: int
+    revocation: revocation.RevocationPolicy = revocation.LENIENT
 
 
 class AuxiliaryHandlers(NamedTuple):
@@ -248,6 +251,9 @@
             self._drain,
             handovers,
         )
+        self._proxy.may_lack_revocations = lambda: (
+            settings.revocation.may_lack_revocations(self._feed.age_ms())
+        )
         self._evacuations = evacuation.Evacuations(
             store, records, self._rank, self.fleet.has_storage_host, clock
         )
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -14,6 +14,7 @@
     attempts,
     budget_ledger,
     budgets,
+    callbacks,
     conversations,
     crash_detection,
     crash_ledger,
@@ -33,6 +34,7 @@
     traffic,
     version_history,
 )
+from balsamloom_workspaces import credentials, identity
 
 # Sent as Retry-After when no better estimate is known.
 NOT_READY_RETRY_AFTER_MS = 500.0
@@ -46,10 +48,11 @@
 
 
 class _Routing(NamedTuple):
-    """Route of a request and the configuration that has it."""
+    """Route of a request, its caller and the configuration that has both."""
 
-    active: fleet.ActiveConfiguration
+    configuration: traffic.Configuration
     route: traffic.Route
+    caller: identity.Decision[traffic.Workspace]
 
 
 class Proxy:
@@ -85,6 +88,9 @@
         drain: draining.Drain,
         handovers: handover.Handovers,
     ) -> None:
+        # Returns whether this process may lack revocations of keys that it
+        # must know.
+        self.may_lack_revocations: Callable[[], bool] = callbacks.refuse
         self._handovers = handovers
         self._await_records = await_records
         self._drain = drain
@@ -161,7 +167,14 @@
         routing = self._find_route(request, response, metadata, arrived_ms)
         if routing is None:
             return None
-        configuration, route = routing.active.configuration, routing.route
+        configuration, route, caller = routing
+        workspace = None
+        if isinstance(caller, identity.Identified):
+            workspace = caller.workspace
+        scope = responses.scope_of(configuration, workspace)
+        metadata = metadata._replace(
+            program_id=scope.identifier(metadata.program_id)
+        )
         try:
             body = request.read_body()
         except listeners.BodyTooLargeError as error:
@@ -189,6 +202,7 @@
                 request.target,
                 body,
             ),
+            workspace=workspace,
         )
 
     def _find_route(
@@ -198,11 +212,14 @@
         metadata: traffic.CallMetadata,
         arrived_ms: float,
     ) -> _Routing | None:
-        """Find the route of a request.
+        """Find the route of a request and whose request it is.
 
         :return: ``None`` if an error response was sent.
         """
         request_id = metadata.request_id
+        request.credential = request.credential or credentials.from_field(
+            request.headers.get(credentials.FIELD)
+        )
         active = self._fleet.active_configuration
         if active is None:
             reason = "no configuration has been loaded yet"
@@ -210,10 +227,10 @@
                 response, request_id, reason, NOT_READY_RETRY_AFTER_MS
             )
             return None
-        route = _route_of(request, active)
-        if metadata.continues_another and not _may_continue(route, metadata):
-            # What it continues was served, so its route may be newer than
-            # the configuration that this process knows.
+        routing = self._route(request, active)
+        if metadata.continues_another and not _may_continue(routing, metadata):
+            # What it continues was served, so its route or key may be newer
+            # than the configuration that this process knows.
             left_ms = metadata.deadline_ms
             until_ms = math.inf if left_ms is None else arrived_ms + left_ms
             if not self._await_records(arrived_ms, until_ms):
@@ -223,12 +240,58 @@
                 )
                 return None
             active = self._fleet.active_configuration or active
-            route = _route_of(request, active)
-        if route is None:
+            routing = self._route(request, active)
+        if active.keys is not None:
+            # No server, member or log line can get the key any more.
+            request.headers.pop(credentials.FIELD, None)
+        if routing is None:
             reason = f"no route in version {active.configuration.version}"
             self._responder.send_rejection(request, response, 404, reason)
             return None
-        return _Routing(active, route)
+        if self._is_unauthorized(request, response, metadata, routing.caller):
+            return None
+        return routing
+
+    def _route(
+        self, request: listeners.Request, active: fleet.ActiveConfiguration
+    ) -> _Routing | None:
+        """Look a request up in a configuration; ``None`` without a route."""
+        host = request.headers.get(b"Host", b"").decode("latin-1")
+        route = active.table.find(host, request.path)
+        if route is None:
+            return None
+        caller = identity.decide(
+            request.credential or credentials.MissingKey(),
+            active.keys,
+            route.is_public,
+            self.may_lack_revocations(),
+        )
+        return _Routing(active.configuration, route, caller)
+
+    def _is_unauthorized(
+        self,
+        request: listeners.Request,
+        response: listeners.Response,
+        metadata: traffic.CallMetadata,
+        caller: identity.Decision[traffic.Workspace],
+    ) -> bool:
+        """Refuse a request whose caller is not known."""
+        match caller:
+            case identity.Unauthorized(reason, may_be_newer):
+                if not may_be_newer or self._fleet.follows_records:
+                    self._responder.send_rejection(
+                        request, response, 401, reason
+                    )
+                    return True
+                reason = "a newer configuration may have the key"
+            case identity.Unsure(reason):
+                pass
+            case _:
+                return False
+        self._responder.send_unavailable(
+            response, metadata.request_id, reason, NOT_READY_RETRY_AFTER_MS
+        )
+        return True
 
     def _prepend_history(self, call: responses.Call) -> responses.Call | None:
         """Prepend the previous turns of a conversation to the request body.
@@ -236,7 +299,8 @@
         :return: ``None`` if an error response was sent.
         """
         metadata = call.metadata
-        group_id = metadata.program_id or metadata.request_id
+        group_id = metadata.program_id or call.stored_id
+        previous_id = call.scope.identifier(metadata.previous_turn_id)
         history = b""
         if metadata.previous_turn_id:
             found = self._read_history(call, group_id)
@@ -275,8 +339,8 @@
             )
             return None
         turn = turns.Turn(
-            metadata.request_id,
-            metadata.previous_turn_id,
+            call.stored_id,
+            previous_id,
             group_id,
             call.body,
             b"",
@@ -284,7 +348,12 @@
         )
         output = stream_output.StreamOutput(limit_bytes)
         recorder = conversations.TurnRecorder(
-            self._conversations, turn, output
+            self._conversations,
+            turn,
+            output,
+            conversations.CallerNames(
+                metadata.request_id, metadata.previous_turn_id
+            ),
         )
         return call._replace(body=body, recorder=recorder)
 
@@ -292,7 +361,9 @@
         metadata = call.metadata
         started_ms = self._clock.now_ms()
         found = self._conversations.read(
-            metadata.previous_turn_id, hint, call.until_ms
+            call.scope.identifier(metadata.previous_turn_id),
+            hint,
+            call.until_ms,
         )
         is_found = isinstance(found, turns.Chain)
         events.log(
@@ -348,7 +419,7 @@
             return target._replace(profile=profile)
         until_ms = min(call.until_ms, call.arrived_ms + RESUME_TIMEOUT_MS)
         origin = self._streams.origin(
-            call.metadata.resumed_id,
+            call.scope.identifier(call.metadata.resumed_id),
             target.service,
             lambda: self._await_records(call.arrived_ms, until_ms),
         )
@@ -406,20 +477,16 @@
         )
 
 
-def _route_of(
-    request: listeners.Request, active: fleet.ActiveConfiguration
-) -> traffic.Route | None:
-    host = request.headers.get(b"Host", b"").decode("latin-1")
-    return active.table.find(host, request.path)
-
-
 def _may_continue(
-    route: traffic.Route | None, metadata: traffic.CallMetadata
+    routing: _Routing | None, metadata: traffic.CallMetadata
 ) -> bool:
-    """Return whether a route could have served what a call continues."""
-    if route is None:
-        return False
-    return not metadata.previous_turn_id or _is_conversation_route(route)
+    """Return whether what a call continues could have been served so."""
+    match routing:
+        case None | _Routing(caller=identity.Unauthorized(may_be_newer=True)):
+            return False
+        case _Routing(route=route):
+            is_turn = bool(metadata.previous_turn_id)
+            return not is_turn or _is_conversation_route(route)
 
 
 def _is_conversation_route(route: traffic.Route) -> bool:
--- a/packages/gateway/src/balsamloom_gateway/responses.py
+++ b/packages/gateway/src/balsamloom_gateway/responses.py
@@ -18,8 +18,10 @@
     metrics,
     traffic,
 )
+from balsamloom_workspaces import scopes
 
 _JSON_FIELD = (b"Content-Type", b"application/json")
+_AUTHENTICATION_FIELD = (b"WWW-Authenticate", b"Bearer")
 
 
 class Call(NamedTuple):
@@ -43,6 +45,28 @@
     recorder: conversations.TurnRecorder | None = None
     workspace: traffic.Workspace | None = None
 
+    @property
+    def scope(self) -> scopes.Scope:
+        """Return the owner of the identifiers that the caller sent."""
+        return scope_of(self.configuration, self.workspace)
+
+    @property
+    def stored_id(self) -> str:
+        """Return the identifier under which the call's turn is stored."""
+        return self.scope.identifier(self.metadata.request_id)
+
+
+def scope_of(
+    configuration: traffic.Configuration, workspace: traffic.Workspace | None
+) -> scopes.Scope:
+    """Return the owner of a caller's identifiers.
+
+    :param workspace: that of the caller's key, ``None`` without one.
+    """
+    if configuration.workspaces is None:
+        return scopes.UNSCOPED
+    return scopes.Scope(workspace.name if workspace else "")
+
 
 class Responder:
     """Sends the gateway's own responses and logs the outcome of calls.
@@ -90,14 +114,17 @@
         status: int,
         reason: str,
     ) -> None:
-        """Send an error for a malformed request or one without a route."""
+        """Send an error for a request that is malformed or not allowed."""
         identifier = request.headers.get(
             self._codec.request_id_field.title(), b""
         ).decode("latin-1")
-        if status != 404:
+        fields = self._codec.response_fields(identifier, None)
+        if status == 401:
+            fields.append(_AUTHENTICATION_FIELD)
+        elif status != 404:
             # Unread parts of the body would be parsed as a request.
             response.close_connection_after()
-        response.send(status, self._codec.response_fields(identifier, None))
+        response.send(status, fields)
         events.log(
             events.Event.REQUEST_REFUSED,
             logging.WARNING,
@@ -147,6 +174,7 @@
             request_id=call.metadata.request_id,
             program_id=call.metadata.program_id,
             route=call.route.name,
+            **_workspace_field(call),
             version=call.configuration.version,
             max_attempts=call.route.max_attempts,
             server_id=placement.server.server_id,
@@ -192,6 +220,7 @@
             status=status,
             reason=reason,
             duration_ms=round(total_ms, 1),
+            **_workspace_field(call),
         )
 
     def log_end(
@@ -214,10 +243,18 @@
             reason=reason,
             duration_ms=round(total_ms, 1),
             first_ms=first_ms,
+            **_workspace_field(call),
             **fields,
         )
 
 
+def _workspace_field(call: Call) -> dict[str, Any]:
+    """Return the log field that names a call's workspace, if it has one."""
+    if call.workspace is None:
+        return {}
+    return {"workspace": call.workspace.name}
+
+
 def history_too_long(
     history_bytes: int, body_bytes: int, limit_bytes: int
 ) -> errors.BalsamloomError:
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -403,9 +403,17 @@
             else None,
         )
 
-    def forwarded_fields(self, headers, server_id, left_ms, engine_priority):
+    def forwarded_fields(
+        self, headers, server_id, left_ms, engine_priority, workspace_name
+    ):
         """Return the fields of the request that is sent to a server."""
+        fields = []
+        if workspace_name is not None:
+            fields.append((b"Workspace", workspace_name.encode()))
+        if b"Authorization" in headers:
+            fields.append((b"Authorization", headers[b"Authorization"]))
         return [
+            *fields,
             (b"Request-Id", headers[b"Request-Id"]),
             (b"Expected", server_id.encode()),
             (b"Deadline", b"%d" % left_ms),
