--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -28,6 +28,7 @@
     usage_journal,
     usages,
 )
+from balsamloom_workspaces import credentials
 
 SERVICE = "engines"
 
@@ -93,6 +94,14 @@
     )
 
 
+def workspace(
+    name: str, *keys: str, priority: int | None = None
+) -> traffic.Workspace:
+    """Build a workspace with some keys."""
+    digests = tuple(credentials.digest_key(key.encode()) for key in keys)
+    return traffic.Workspace(name, digests, priority)
+
+
 def turn_call(
     budget_tokens: int = 600, turn_tokens: int = 60, program_id: str = "p"
 ) -> traffic.CallMetadata:
@@ -360,11 +369,13 @@
 
 
 def activate_configuration(
-    view: fleet.Fleet, routes: tuple[traffic.Route, ...]
+    view: fleet.Fleet,
+    routes: tuple[traffic.Route, ...],
+    workspaces: tuple[traffic.Workspace, ...] | None = None,
 ) -> None:
     """Make a configuration with some routes the active one."""
     view._active_configuration = fleet.ActiveConfiguration(
-        configuration(1, routes)
+        configuration(1, routes)._replace(workspaces=workspaces)
     )
 
 
@@ -410,6 +421,8 @@
         fields = []
         if workspace_name is not None:
             fields.append((b"Workspace", workspace_name.encode()))
+        if engine_priority is not None:
+            fields.append((b"Priority", b"%d" % engine_priority))
         if b"Authorization" in headers:
             fields.append((b"Authorization", headers[b"Authorization"]))
         return [
--- a/packages/gateway/tests/hosts_case.py
+++ b/packages/gateway/tests/hosts_case.py
@@ -19,16 +19,19 @@
 class LinkedRecords(builders.Records):
     """Records of one process, which reaches servers over links of its own."""
 
+    workspaces = None
+
     def __init__(self):
         self.links = {}
 
     def configuration(self, value):
         """Return a configuration with the routes of all kinds."""
         routes = gateway_case.routes_of_all_kinds()
-        return builders.configuration(
+        found = builders.configuration(
             int(value),
             tuple(one._replace(timeout_ms=TIMEOUT_MS) for one in routes),
         )
+        return found._replace(workspaces=self.workspaces)
 
     def server(self, server_id, value):
         """Decode a server's record; its address is that of a link."""
