--- a/packages/gateway/src/balsamloom_gateway/conversations.py
+++ b/packages/gateway/src/balsamloom_gateway/conversations.py
@@ -6,7 +6,7 @@
 import logging
 import sys
 from collections.abc import Callable, Sequence
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from balsamloom_conversations import (
     messages,
@@ -261,8 +261,7 @@
         events.log(
             event,
             level,
-            request_id=names.request_id,
-            previous_turn_id=names.previous_turn_id,
+            **names.log_fields(),
             group_id=turn.group_id,
             hosts=plan.written_hosts,
             retention_ms=turn.retention_ms,
@@ -289,11 +288,20 @@
 class CallerNames(NamedTuple):
     """Identifiers of a turn and of the one before it, as the caller sent them.
 
-    The log has these; turns are stored under the identifiers of a workspace.
+    The log has these; turns are stored under the identifiers of a workspace,
+    whose name is empty if there is none.
     """
 
     request_id: str
     previous_turn_id: str
+    workspace: str = ""
+
+    def log_fields(self) -> dict[str, Any]:
+        """Return the fields of a log line about the turn."""
+        fields = self._asdict()
+        if not self.workspace:
+            del fields["workspace"]
+        return fields
 
 
 class Reservation(NamedTuple):
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -351,9 +351,7 @@
             self._conversations,
             turn,
             output,
-            conversations.CallerNames(
-                metadata.request_id, metadata.previous_turn_id
-            ),
+            _caller_names(call),
         )
         return call._replace(body=body, recorder=recorder)
 
@@ -369,8 +367,7 @@
         events.log(
             events.Event.CHAIN_READ,
             logging.INFO if is_found else logging.WARNING,
-            request_id=metadata.request_id,
-            previous_turn_id=metadata.previous_turn_id,
+            **_caller_names(call).log_fields(),
             outcome=_describe_lookup(found),
             duration_ms=round(self._clock.now_ms() - started_ms, 1),
         )
@@ -489,6 +486,14 @@
             return not is_turn or _is_conversation_route(route)
 
 
+def _caller_names(call: responses.Call) -> conversations.CallerNames:
+    return conversations.CallerNames(
+        call.metadata.request_id,
+        call.metadata.previous_turn_id,
+        call.workspace.name if call.workspace else "",
+    )
+
+
 def _is_conversation_route(route: traffic.Route) -> bool:
     """Return whether calls of a route are turns that must be stored."""
     return route.is_stateful and route.kind is traffic.RouteKind.STREAMING
--- a/packages/gateway/src/balsamloom_gateway/refusal_audit.py
+++ b/packages/gateway/src/balsamloom_gateway/refusal_audit.py
@@ -124,7 +124,7 @@
         for line in request_lines.select(
             by_request.get(previous_turn_id, ()), "turn_kept"
         )
-        if _is_kept_at(line, read)
+        if _is_kept_at(line, read) and _is_same_workspace(line, read)
     ]
     return [
         DeniedTurn(
@@ -140,6 +140,12 @@
     ]
 
 
+def _is_same_workspace(kept: explain.LogLine, read: explain.LogLine) -> bool:
+    """Return whether the caller of a turn may continue a stored one."""
+    field = "workspace"
+    return bool(kept.fields.get(field) == read.fields.get(field))
+
+
 def _is_kept_at(kept: explain.LogLine, read: explain.LogLine) -> bool:
     """Return whether a turn was stored all the while that it was looked up.
 
--- a/packages/gateway/tests/log_builders.py
+++ b/packages/gateway/tests/log_builders.py
@@ -131,7 +131,7 @@
     )
 
 
-def denied(time_s, request_id, previous_turn_id, outcome="absent"):
+def denied(time_s, request_id, previous_turn_id, outcome="absent", **fields):
     """Build the lines of a turn that gets 404 for the one before."""
     read = line(
         time_s,
@@ -140,6 +140,7 @@
         previous_turn_id=previous_turn_id,
         outcome=outcome,
         duration_ms=10.0,
+        **fields,
     )
     reason = "the previous turn does not exist"
     return [read, ended(time_s, request_id, 404, reason)]
--- a/packages/gateway/tests/test_refusal_audit.py
+++ b/packages/gateway/tests/test_refusal_audit.py
@@ -277,6 +277,14 @@
         found = audit(cut, *log_builders.denied(2, "r2", "r1"))
         self.assertFalse(found.has_findings)
 
+    def test_404_for_a_turn_of_another_workspace_is_right(self):
+        denied = log_builders.denied(5, "r2", "r1", workspace="second")
+        for owner, count in (("first", 0), (None, 0), ("second", 1)):
+            fields = {} if owner is None else {"workspace": owner}
+            kept = log_builders.kept(1, "r1", **fields)
+            found = audit(kept, *denied)
+            self.assertEqual(len(found.denied_turns), count, owner)
+
     def test_404_for_another_reason_is_right(self):
         kept = log_builders.kept(1, "r1")
         found = log_builders.denied(2, "r2", "r1", outcome="30 bytes")
--- a/packages/gateway/tests/test_workspaces.py
+++ b/packages/gateway/tests/test_workspaces.py
@@ -2,6 +2,7 @@
 
 import http.client
 import socket
+import time
 import unittest
 from unittest import mock
 
@@ -55,6 +56,13 @@
     def status(self, headers=None, path="/once/x", body=b"x"):
         return self.request(path, headers, body)[0].status
 
+    def wait_for_line(self, logs, name):
+        """Wait for a line that is written after the caller has its answer."""
+        until_s = time.monotonic() + 2
+        while all(one.name_of_event != name for one in list(logs.records)):
+            self.assertLess(time.monotonic(), until_s)
+            time.sleep(0.005)
+
     def received(self):
         return [one for each in self.servers for one in each.received]
 
@@ -67,6 +75,7 @@
         fields = {**bearer(KEY), "Workspace": "second"}
         with self.assertLogs("balsamloom", "INFO") as logs:
             self.assertEqual(self.status(fields), 200)
+            self.wait_for_line(logs, "request_ended")
         (request,) = self.received()
         self.assertIn(b"Workspace: first\r\n", request)
         self.assertNotIn(KEY.encode(), request)
