--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -113,6 +113,9 @@
     REQUEST_HANDED_OVER = 7051
     HANDOVER_FAILED = 7052
     HANDOVER_REFUSED = 7053
+    QUOTA_USED_UP = 7070
+    QUOTA_ROLE_CHANGED = 7071
+    QUOTA_GRANTER_FAILED = 7072
 
 
 _MEANINGS: dict[Event, str] = {
@@ -251,6 +254,13 @@
     Event.REQUEST_HANDED_OVER: "Another member answered a request.",
     Event.HANDOVER_FAILED: "A request could not be handed over to a member.",
     Event.HANDOVER_REFUSED: "A handed-over request was not taken.",
+    Event.QUOTA_USED_UP: (
+        "Requests of a workspace are refused, as this host has no tokens."
+    ),
+    Event.QUOTA_ROLE_CHANGED: (
+        "A process begins or stops to grant tokens of rate quotas."
+    ),
+    Event.QUOTA_GRANTER_FAILED: "A granter of rate quotas did not answer.",
 }
 
 
--- /dev/null
+++ b/packages/quotas/src/balsamloom_quotas/granter.py
@@ -0,0 +1,133 @@
+"""A granter: leases tokens of all limited workspaces to the hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from balsamloom_quotas import evidence, limits, messages, pools
+
+# Runs of hosts whose last request is remembered after this time.
+FORGET_MS = 60_000.0
+
+
+class PoolState(NamedTuple):
+    """Tokens of one workspace at a granter, for operators."""
+
+    free_tokens: float
+    leases: dict[str, int]
+
+
+class _Seen(NamedTuple):
+    """Last request of a run of a host."""
+
+    number: int
+    seen_ms: float
+
+
+class Granter:
+    """Answers the requests of all hosts for tokens.
+
+    :param name: name of this host.
+    :param bounds: what the requests of a window may be.
+    """
+
+    def __init__(self, name: str, bounds: limits.Bounds) -> None:
+        self.role = evidence.Role(name)
+        self._bounds = bounds
+        self._limits: Mapping[str, limits.RateLimit] = {}
+        self._pools: dict[str, pools.Pool] = {}
+        self._part = 0.0
+        self._seen: dict[str, _Seen] = {}
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether this host granted when last asked."""
+        return self._part > 0
+
+    def set_limits(
+        self, rate_limits: Mapping[str, limits.RateLimit], now_ms: float
+    ) -> None:
+        """Apply the limits of a configuration."""
+        self._limits = dict(rate_limits)
+        for name in set(self._pools) - set(rate_limits):
+            del self._pools[name]
+        self._apply_shares(now_ms)
+
+    def refresh(self, now_ms: float) -> None:
+        """Find out whether this host grants now, and which part."""
+        part = self.role.part(now_ms)
+        if part == self._part:
+            return
+        if not self._part:
+            for pool in self._pools.values():
+                pool.empty(now_ms)
+        self._part = part
+        self._apply_shares(now_ms)
+
+    def answer(self, ask: messages.Ask, now_ms: float) -> messages.Answer:
+        """Answer a request of a host."""
+        if not self._is_next(ask, now_ms):
+            return messages.INACTIVE
+        self.role.hear(ask.host, ask.granters, now_ms)
+        self.refresh(now_ms)
+        if not self.is_active:
+            return messages.INACTIVE
+        granted: dict[str, int] = {}
+        waits_ms: dict[str, float] = {}
+        ended: list[str] = []
+        for entry in ask.entries:
+            name = entry.workspace
+            pool = self._pools.get(name)
+            if pool is None:
+                ended.append(name)
+                continue
+            pool.advance(now_ms)
+            if not pool.renew(ask.run, entry.held, entry.returned, now_ms):
+                ended.append(name)
+            tokens = pool.grant(ask.run, entry.wanted, entry.is_urgent, now_ms)
+            if tokens:
+                granted[name] = tokens
+            if entry.is_urgent and tokens < entry.wanted:
+                waits_ms[name] = pool.wait_ms(now_ms)
+        return messages.Answer(True, granted, waits_ms, tuple(ended))
+
+    def states(self, now_ms: float) -> dict[str, PoolState]:
+        """Return the tokens of all workspaces that have been asked for."""
+        found = {}
+        for name, pool in self._pools.items():
+            pool.advance(now_ms)
+            found[name] = PoolState(pool.free_tokens, pool.leases())
+        return found
+
+    def _is_next(self, ask: messages.Ask, now_ms: float) -> bool:
+        """Return whether no later request of the host was answered."""
+        seen = self._seen.get(ask.run)
+        if seen is not None and ask.number <= seen.number:
+            return False
+        if seen is None:
+            self._forget(now_ms)
+        self._seen[ask.run] = _Seen(ask.number, now_ms)
+        return True
+
+    def _forget(self, now_ms: float) -> None:
+        oldest_ms = now_ms - FORGET_MS
+        for run, seen in list(self._seen.items()):
+            if seen.seen_ms < oldest_ms:
+                del self._seen[run]
+
+    def _apply_shares(self, now_ms: float) -> None:
+        if not self._part:
+            return
+        for name, limit in self._limits.items():
+            share = self._share(limit)
+            pool = self._pools.get(name)
+            if pool is None:
+                self._pools[name] = pools.Pool(share, now_ms)
+            elif pool.share != share:
+                pool.set_share(share, now_ms)
+
+    def _share(self, limit: limits.RateLimit) -> pools.Share:
+        tokens = self._bounds.float_tokens(limit) * self._part
+        # With less than one token, nothing could ever be granted.
+        return pools.Share(limit.rate_per_s * self._part, max(tokens, 1.0))
--- /dev/null
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -0,0 +1,344 @@
+"""Admission of requests, and the exchange with granters."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import math
+import threading
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from balsamloom_core import clock as clocks
+from balsamloom_core import events
+from balsamloom_quotas import (
+    evidence,
+    granter,
+    limits,
+    messages,
+    stocks,
+    timing,
+)
+
+# Longest time in which a request waits for tokens from granters.
+MAX_WAIT_MS = 60.0
+ROUND_TIMEOUT_MS = 250.0
+# A granter that does not answer is left out for this time.
+FAILURE_PAUSE_MS = 1_000.0
+MIN_RETRY_AFTER_MS = 50.0
+TICKS_PER_INTERVAL = 2
+# Interval between log events about refusals of one workspace.
+REFUSAL_LOG_MS = 1_000.0
+
+
+class UnreachableError(Exception):
+    """A granter returned no usable answer."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """The request may run, for a token that this granter leased.
+
+    ``granter`` is empty if the workspace has no limit.
+    """
+
+    workspace: str = ""
+    granter: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """The quota is used up, as far as this host knows."""
+
+    retry_after_ms: float
+
+
+Decision = Admitted | Refused
+
+# Calls a granter: its name, the request, the longest time.
+Send = Callable[[str, dict[str, Any], float], Any]
+
+
+class _Link:
+    """Exchange with one granter; one request at a time."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.number = 0
+        self.sent_ms = -math.inf
+        self.failed_until_ms = -math.inf
+
+
+class Quotas:
+    """Rate quotas at one host: its tokens, and its part as a granter.
+
+    :param name: name of this host.
+    :param run: identifies the run of this process.
+    :param bounds: what the requests of a window may be.
+    :param clock: time source that counts the time of a suspension.
+    :param send: calls another host.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        run: str,
+        bounds: limits.Bounds,
+        clock: clocks.Clock,
+        send: Send,
+    ) -> None:
+        self._name = name
+        self._run = run
+        self._clock = clock
+        self._send = send
+        self._lock = threading.Lock()
+        self._stocks = stocks.Stocks(name)
+        self._granter_lock = threading.Lock()
+        self._granter = granter.Granter(name, bounds)
+        self._view = evidence.NO_VIEW
+        self._limits: Mapping[str, limits.RateLimit] = {}
+        self._links: dict[str, _Link] = {}
+        self._stopped = threading.Event()
+        self._logged_ms: dict[str, float] = {}
+        self._was_active = False
+        # Returns the members that this host knows now.
+        self.read_view: Callable[[], evidence.View] = lambda: evidence.NO_VIEW
+        # Returns the limits of the configuration in force.
+        self.read_limits: Callable[[], Mapping[str, limits.RateLimit]] = dict
+
+    def admit(self, workspace: str) -> Decision:
+        """Decide whether a request of a workspace may run.
+
+        :param workspace: name of a workspace; a limit is looked up.
+        """
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            self._stocks.record(workspace, now_ms)
+            leased_by = self._stocks.take(workspace, now_ms)
+        if leased_by is None:
+            leased_by = self._fetch(workspace, now_ms + MAX_WAIT_MS)
+        if leased_by is not None:
+            return Admitted(workspace, leased_by)
+        return self._refuse(workspace)
+
+    def give_back(self, admitted: Admitted) -> None:
+        """Return the token of a request that no server ran."""
+        if not admitted.granter:
+            return
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            self._stocks.give_back(
+                admitted.workspace, admitted.granter, now_ms
+            )
+
+    def charge(self, admitted: Admitted, runs: int) -> None:
+        """Count further runs of one request."""
+        if admitted.granter and runs > 0:
+            with self._lock:
+                self._stocks.charge(admitted.workspace, runs)
+
+    def answer(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Answer another host's request for tokens.
+
+        :raises InvalidMessageError: it is malformed.
+        """
+        ask = messages.decode_ask(body)
+        return messages.encode_answer(self._grant(ask))
+
+    def run(self) -> None:
+        """Exchange tokens with the granters until :meth:`stop`."""
+        while not self._stopped.is_set():
+            interval_ms = self.run_once()
+            self._clock.wait(self._stopped, interval_ms / TICKS_PER_INTERVAL)
+
+    def stop(self) -> None:
+        """Make :meth:`run` return."""
+        self._stopped.set()
+
+    def run_once(self) -> float:
+        """Apply the view and ask the granters that are due.
+
+        :return: the interval in which a granter is asked.
+        """
+        self._limits = self.read_limits()
+        view = self.read_view()
+        interval_ms = timing.interval_ms(len(view.members))
+        if not self._limits:
+            return interval_ms
+        self._apply_view(view, interval_ms)
+        for name in view.granters:
+            link = self._link(name)
+            now_ms = self._clock.now_ms()
+            is_due = now_ms - link.sent_ms >= interval_ms * 0.9
+            if is_due and now_ms >= link.failed_until_ms:
+                self._ask(name, link, "", now_ms + ROUND_TIMEOUT_MS)
+        return interval_ms
+
+    def states(self) -> dict[str, Any]:
+        """Return the tokens held and granted here, for operators."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            held = self._stocks.states(now_ms)
+        with self._granter_lock:
+            is_active = self._granter.is_active
+            granted = self._granter.states(now_ms)
+        return {
+            "granters": list(self._view.granters),
+            "is_granter": is_active,
+            "workspaces": {
+                name: state._asdict() for name, state in held.items()
+            },
+            "granted": {
+                name: state._asdict() for name, state in granted.items()
+            },
+        }
+
+    def _apply_view(self, view: evidence.View, interval_ms: float) -> None:
+        now_ms = self._clock.now_ms()
+        self._view = view
+        with self._granter_lock:
+            self._granter.role.set_view(view, now_ms)
+            self._granter.set_limits(self._limits, now_ms)
+            self._granter.refresh(now_ms)
+            is_active = self._granter.is_active
+        if is_active != self._was_active:
+            self._was_active = is_active
+            events.log(
+                events.Event.QUOTA_ROLE_CHANGED,
+                is_granter=is_active,
+                granters=list(view.granters),
+            )
+        usable = [
+            name
+            for name in view.granters
+            if self._link(name).failed_until_ms <= now_ms
+        ]
+        with self._lock:
+            self._stocks.set_granters(usable or view.granters, interval_ms)
+
+    def _fetch(self, workspace: str, until_ms: float) -> str | None:
+        """Ask granters for a token that a request waits for."""
+        for name in self._order(workspace):
+            link = self._link(name)
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                break
+            self._ask(name, link, workspace, until_ms)
+            with self._lock:
+                leased_by = self._stocks.take(workspace, self._clock.now_ms())
+            if leased_by is not None:
+                return leased_by
+        return None
+
+    def _order(self, workspace: str) -> list[str]:
+        """Return the granters that may have a token, the likeliest first."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            found = [
+                (self._stocks.empty_until_ms(workspace, name), name)
+                for name in self._view.granters
+                if self._link(name).failed_until_ms <= now_ms
+            ]
+        return [name for until_ms, name in sorted(found) if until_ms <= now_ms]
+
+    def _ask(
+        self, name: str, link: _Link, needed: str, until_ms: float
+    ) -> None:
+        """Ask one granter and apply its answer."""
+        wait_ms = max(until_ms - self._clock.now_ms(), 0.0)
+        if not link.lock.acquire(timeout=wait_ms / clocks.MS_PER_S):
+            return
+        try:
+            sent_ms = self._clock.now_ms()
+            if needed and self._has_token(needed, sent_ms):
+                return
+            ask = self._build(name, link, needed, sent_ms)
+            left_ms = max(until_ms - sent_ms, 1.0)
+            answer = self._call(name, ask, left_ms)
+            now_ms = self._clock.now_ms()
+            if answer.is_active:
+                link.failed_until_ms = -math.inf
+            else:
+                link.failed_until_ms = now_ms + ROUND_TIMEOUT_MS
+            with self._lock:
+                self._stocks.apply(name, ask, answer, sent_ms, now_ms)
+        except (UnreachableError, messages.InvalidMessageError) as error:
+            link.failed_until_ms = self._clock.now_ms() + FAILURE_PAUSE_MS
+            events.log(
+                events.Event.QUOTA_GRANTER_FAILED,
+                logging.WARNING,
+                member=name,
+                reason=str(error),
+            )
+        finally:
+            link.lock.release()
+
+    def _has_token(self, workspace: str, now_ms: float) -> bool:
+        with self._lock:
+            return self._stocks.has_token(workspace, now_ms)
+
+    def _build(
+        self, name: str, link: _Link, needed: str, now_ms: float
+    ) -> messages.Ask:
+        with self._lock:
+            entries = self._stocks.entries(name, now_ms, needed)
+        link.number += 1
+        link.sent_ms = now_ms
+        return messages.Ask(
+            self._name, self._run, link.number, self._view.granters, entries
+        )
+
+    def _call(
+        self, name: str, ask: messages.Ask, timeout_ms: float
+    ) -> messages.Answer:
+        if name == self._name:
+            return self._grant(ask)
+        body = self._send(name, messages.encode_ask(ask), timeout_ms)
+        return messages.decode_answer(body)
+
+    def _grant(self, ask: messages.Ask) -> messages.Answer:
+        with self._granter_lock:
+            return self._granter.answer(ask, self._clock.now_ms())
+
+    def _refuse(self, workspace: str) -> Refused:
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            self._stocks.refuse(workspace, now_ms)
+            empty_until_ms = [
+                self._stocks.empty_until_ms(workspace, name)
+                for name in self._view.granters
+            ]
+        ends_ms = [
+            max(until_ms, self._link(name).failed_until_ms)
+            for until_ms, name in zip(
+                empty_until_ms, self._view.granters, strict=True
+            )
+        ]
+        wait_ms = min(ends_ms, default=now_ms + FAILURE_PAUSE_MS) - now_ms
+        refused = Refused(max(wait_ms, MIN_RETRY_AFTER_MS))
+        self._log_refusal(workspace, refused, now_ms)
+        return refused
+
+    def _log_refusal(
+        self, workspace: str, refused: Refused, now_ms: float
+    ) -> None:
+        """Log the state behind the refusals of a workspace now and then."""
+        last_ms = self._logged_ms.get(workspace, -math.inf)
+        if now_ms - last_ms < REFUSAL_LOG_MS:
+            return
+        self._logged_ms[workspace] = now_ms
+        with self._lock:
+            state = self._stocks.states(now_ms).get(workspace)
+        limit = self._limits.get(workspace)
+        events.log(
+            events.Event.QUOTA_USED_UP,
+            logging.WARNING,
+            workspace=workspace,
+            limit=None if limit is None else limit._asdict(),
+            state=None if state is None else state._asdict(),
+            granters=list(self._view.granters),
+            retry_after_ms=round(refused.retry_after_ms),
+        )
+
+    def _link(self, name: str) -> _Link:
+        return self._links.setdefault(name, _Link())
