--- a/packages/core/src/balsamloom_core/clock.py
+++ b/packages/core/src/balsamloom_core/clock.py
@@ -56,6 +56,14 @@
         return condition.wait(max(timeout_ms, 0) / MS_PER_S)
 
 
+class SuspensionClock(Clock):
+    """Clock whose monotonic time also runs while the host is suspended."""
+
+    def now_ms(self) -> float:
+        """Return monotonic time; only differences are meaningful."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+
+
 class ManualClock(Clock):
     """Clock for tests; only :meth:`advance` moves its time."""
 
--- a/packages/gateway/src/balsamloom_gateway/attempts.py
+++ b/packages/gateway/src/balsamloom_gateway/attempts.py
@@ -54,6 +54,8 @@
         self._route = route
         self._refusals = 0
         self._possible_runs = possible_runs
+        # Whether the last decision was to give up.
+        self.is_failed = False
 
     @property
     def possible_runs(self) -> int:
@@ -67,6 +69,7 @@
 
     def fail_without_server(self, reason: str) -> FinalFailure:
         """Return the decision when no server is left to try."""
+        self.is_failed = True
         return FinalFailure(not self.may_have_run, reason)
 
     def first_byte_deadline_ms(
@@ -103,6 +106,7 @@
                     self._route.is_repeatable
                     and self._possible_runs < self._route.max_attempts
                 )
-        if is_allowed and left_ms > 0:
+        self.is_failed = not is_allowed or left_ms <= 0
+        if not self.is_failed:
             return Retry()
         return FinalFailure(not self.may_have_run, reason)
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -109,6 +109,11 @@
         """
         self._raw.conn.exchange.pass_on()
 
+    @property
+    def is_passed_on(self) -> bool:
+        """Return whether a server may have run the request."""
+        return bool(self._raw.conn.exchange.is_passed_on)
+
     def take_back(self) -> None:
         """Record that no server can have run the request."""
         self._raw.conn.exchange.take_back()
--- a/packages/gateway/src/balsamloom_gateway/peer_service.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_service.py
@@ -22,6 +22,7 @@
     usage_messages,
     version_history,
 )
+from balsamloom_quotas import service
 
 # Limits how long a call occupies a thread, whatever it asks for.
 MAX_FEED_WAIT_MS = 10_000.0
@@ -37,6 +38,7 @@
     :param permits: permits to send to servers that limit their rate.
     :param crashes: crashes of servers under requests.
     :param history: software versions of the services.
+    :param quotas: rate quotas, if the settings have any.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         permits: send_permits.SendPermits,
         crashes: crash_reports.CrashReports,
         history: version_history.VersionHistory,
+        quotas: service.Quotas | None = None,
     ) -> None:
         self._budgets = token_budgets
         self._book = book
@@ -70,6 +73,8 @@
             peers.FEED_PATH: self._read_feed,
             peers.HEARTBEAT_PATH: self._answer_heartbeat,
         }
+        if quotas is not None:
+            self.calls[peers.QUOTA_PATH] = quotas.answer
         self._handler = peer_calls.PeerCallHandler(
             {path: _json_call(call) for path, call in self.calls.items()},
             peers.JSON_TYPE,
--- a/packages/gateway/src/balsamloom_gateway/peers.py
+++ b/packages/gateway/src/balsamloom_gateway/peers.py
@@ -19,6 +19,7 @@
 READ_STATE_PATH = "/ledger/claim"
 PERMIT_PATH = "/servers/permit"
 CRASH_PATH = "/servers/crash"
+QUOTA_PATH = "/quotas/lease"
 VERSIONS_PATH = "/servers/versions"
 # The format has its own version. Processes of releases with different versions
 # read from the store instead of from each other.
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -41,6 +41,7 @@
     planned_stop,
     planner,
     proxy,
+    quota_link,
     read_schedule,
     registrar,
     responses,
@@ -55,6 +56,7 @@
     traffic,
     version_history,
 )
+from balsamloom_quotas import limits as quota_limits
 from balsamloom_workspaces import revocation
 
 
@@ -63,7 +65,8 @@
 
     ``view_bound_ms`` limits the age of its view of the store's records,
     ``grace_ms`` the duration of its stop. ``revocation`` tells when it stops
-    accepting keys.
+    accepting keys, ``quota_bounds`` how far requests may exceed rate limits;
+    without them there are no quotas.
     """
 
     name: str
@@ -81,6 +84,7 @@
     lease_ms: int
     copies: int
     revocation: revocation.RevocationPolicy = revocation.LENIENT
+    quota_bounds: quota_limits.Bounds | None = None
 
 
 class AuxiliaryHandlers(NamedTuple):
@@ -254,6 +258,17 @@
         self._proxy.may_lack_revocations = lambda: (
             settings.revocation.may_lack_revocations(self._feed.age_ms())
         )
+        quota_clock = clocks.SuspensionClock()
+        self._quotas = quota_link.build(
+            settings.name,
+            settings.incarnation,
+            settings.quota_bounds,
+            quota_link.QuotaMembers(
+                self.fleet, self._feed, clients, quota_clock
+            ),
+            quota_clock,
+        )
+        self._proxy.admissions = quota_link.Admissions(self._quotas, responder)
         self._evacuations = evacuation.Evacuations(
             store, records, self._rank, self.fleet.has_storage_host, clock
         )
@@ -318,6 +333,7 @@
             self._permits,
             self._crash_reports,
             self._history,
+            self._quotas,
         )
         self._ingress = listeners.Listener(
             settings.caller_address,
@@ -391,6 +407,8 @@
             self._probes.run,
         ):
             background.start(target, self._clock)
+        if self._quotas is not None:
+            background.start(self._quotas.run, self._clock)
         events.log(
             events.Event.PROCESS_STARTED,
             member=self.member.name,
@@ -421,6 +439,8 @@
         self._follower.stop()
         self._heartbeats.stop()
         self._probes.stop()
+        if self._quotas is not None:
+            self._quotas.stop()
 
     def _release_budgets(self, until_ms: float) -> None:
         """Release budgets; a store that hangs does not delay the end."""
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -28,6 +28,7 @@
     ledger,
     listeners,
     planner,
+    quota_link,
     responses,
     routes,
     stream_versions,
@@ -91,6 +92,7 @@
         # Returns whether this process may lack revocations of keys that it
         # must know.
         self.may_lack_revocations: Callable[[], bool] = callbacks.refuse
+        self.admissions = quota_link.Admissions(None, responder)
         self._handovers = handovers
         self._await_records = await_records
         self._drain = drain
@@ -111,9 +113,15 @@
         call = self._read_request(request, response)
         if call is None or self._is_too_late(call) or self._is_refused(call):
             return
+        admitted = self.admissions.admit(call)
+        if admitted is None:
+            return
         history = attempts.AttemptHistory(call.route, request.possible_runs)
-        if self._handovers.is_due(call) or self._run(call, history):
-            self._handovers.run(call, history)
+        try:
+            if self._handovers.is_due(call) or self._run(call, history):
+                self._handovers.run(call, history)
+        finally:
+            self.admissions.settle(admitted, call, history)
 
     def _run(
         self, call: responses.Call, history: attempts.AttemptHistory
--- a/packages/gateway/src/balsamloom_gateway/responses.py
+++ b/packages/gateway/src/balsamloom_gateway/responses.py
@@ -107,6 +107,18 @@
             retry_after_ms=retry_after_ms,
         )
 
+    def send_over_quota(self, call: Call, retry_after_ms: float) -> None:
+        """Send a 429 for a call whose workspace has used up its quota."""
+        identifier = call.metadata.request_id
+        fields = self._codec.response_fields(identifier, retry_after_ms)
+        call.response.send(429, fields)
+        self.log_end(
+            call,
+            429,
+            "the rate quota of the workspace is used up",
+            retry_after_ms=round(retry_after_ms),
+        )
+
     def send_rejection(
         self,
         request: listeners.Request,
--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -46,6 +46,10 @@
     granter: str = ""
 
 
+# A request of a workspace without a limit.
+UNLIMITED = Admitted()
+
+
 @dataclasses.dataclass(frozen=True)
 class Refused:
     """The quota is used up, as far as this host knows."""
