--- a/packages/quotas/src/balsamloom_quotas/granter.py
+++ b/packages/quotas/src/balsamloom_quotas/granter.py
@@ -130,4 +130,5 @@
     def _share(self, limit: limits.RateLimit) -> pools.Share:
         tokens = self._bounds.float_tokens(limit) * self._part
         # With less than one token, nothing could ever be granted.
-        return pools.Share(limit.rate_per_s * self._part, max(tokens, 1.0))
+        rate_per_s = self._bounds.refill_per_s(limit) * self._part
+        return pools.Share(rate_per_s, max(tokens, 1.0))
--- a/packages/quotas/src/balsamloom_quotas/limits.py
+++ b/packages/quotas/src/balsamloom_quotas/limits.py
@@ -5,9 +5,12 @@
 from typing import NamedTuple
 
 MS_PER_S = 1000.0
-# Part of what the bound allows beyond the limit that hosts may hold as tokens.
-# The rest answers for requests that run at two servers.
-FLOAT_SHARE = 0.8
+# Part of what the bound allows beyond the limit that may exist as tokens. The
+# rest answers for requests that run at two servers.
+FLOAT_SHARE = 0.7
+# Part of the overage by which tokens are added faster than the limit, since
+# some get lost with hosts.
+REFILL_SHARE = 0.2
 
 
 class RateLimit(NamedTuple):
@@ -41,7 +44,13 @@
         """
         allowed = allowed_requests(limit, self.window_ms)
         excess = self.max_requests(limit) - allowed
-        return limit.burst_requests + excess * FLOAT_SHARE
+        faster_per_s = self.refill_per_s(limit) - limit.rate_per_s
+        added = faster_per_s * self.window_ms / MS_PER_S
+        return limit.burst_requests + (excess - added) * FLOAT_SHARE
+
+    def refill_per_s(self, limit: RateLimit) -> float:
+        """Return the rate at which tokens are added over all granters."""
+        return limit.rate_per_s * (1 + self.overage * REFILL_SHARE)
 
 
 def allowed_requests(limit: RateLimit, window_ms: float) -> float:
--- a/packages/quotas/src/balsamloom_quotas/pools.py
+++ b/packages/quotas/src/balsamloom_quotas/pools.py
@@ -52,8 +52,10 @@
             collections.OrderedDict()
         )
         self._leased = 0
-        # Hosts that got less than they wanted, by the time.
-        self._short_ms: dict[str, float] = {}
+        # When hosts last got less than they wanted, the earliest first.
+        self._short_ms: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
 
     @property
     def share(self) -> Share:
@@ -81,7 +83,10 @@
         self._clip()
 
     def advance(self, now_ms: float) -> None:
-        """Add the tokens of the rate and take back those of ended leases."""
+        """Add the tokens of the rate, and forget leases that have ended.
+
+        Their tokens do not come back: the host may have used them.
+        """
         elapsed_ms = max(now_ms - self._updated_ms, 0.0)
         self._updated_ms = max(now_ms, self._updated_ms)
         self._tokens += self._share.rate_per_s * elapsed_ms / limits.MS_PER_S
@@ -91,7 +96,6 @@
                 break
             del self._leases[run]
             self._leased -= lease.tokens
-            self._tokens += lease.tokens
         self._clip()
 
     def empty(self, now_ms: float) -> None:
@@ -120,11 +124,10 @@
         """Lease more tokens to a run that has been renewed at this time."""
         reserved = 0.0 if is_urgent else self._reserved()
         free = max(self._tokens - reserved, 0.0)
-        granted = min(wanted, math.floor(free))
+        granted = min(wanted, math.floor(free), self._fair_tokens(now_ms))
+        self._short_ms.pop(run, None)
         if is_urgent and granted < wanted:
             self._short_ms[run] = now_ms
-        else:
-            self._short_ms.pop(run, None)
         if granted:
             self._tokens -= granted
             former = self._leases.pop(run, _Lease(0, 0.0))
@@ -134,16 +137,32 @@
 
     def wait_ms(self, now_ms: float) -> float:
         """Estimate when a host that asked in vain can have a token."""
-        oldest_ms = now_ms - CONTENTION_MS
-        for run, short_ms in list(self._short_ms.items()):
-            if short_ms < oldest_ms:
-                del self._short_ms[run]
-        missing = max(1.0, len(self._short_ms)) - self._tokens
+        missing = max(self._short_hosts(now_ms), 1) - self._tokens
         if self._share.rate_per_s <= 0:
             return timing.LEASE_MS
         wait_ms = missing / self._share.rate_per_s * limits.MS_PER_S
         return max(wait_ms, 0.0)
 
+    def _fair_tokens(self, now_ms: float) -> int:
+        """Return what one host may get at once.
+
+        Tokens that wait at a host for callers are of no use to the others.
+        """
+        added = self._share.rate_per_s * timing.MIN_INTERVAL_MS
+        tokens = self._tokens + added / limits.MS_PER_S
+        count = max(self._short_hosts(now_ms), 1)
+        return max(math.ceil(tokens / count), 1)
+
+    def _short_hosts(self, now_ms: float) -> int:
+        """Return how many hosts lately got less than they wanted."""
+        oldest_ms = now_ms - CONTENTION_MS
+        while self._short_ms:
+            run, short_ms = next(iter(self._short_ms.items()))
+            if short_ms >= oldest_ms:
+                break
+            del self._short_ms[run]
+        return len(self._short_ms)
+
     def _reserved(self) -> float:
         return self._share.float_tokens * RESERVED_SHARE
 
--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import threading
+import zlib
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -105,6 +106,8 @@
         self._stopped = threading.Event()
         self._logged_ms: dict[str, float] = {}
         self._was_active = False
+        # Hosts begin with different granters.
+        self._turn = zlib.crc32(name.encode())
         # Returns the members that this host knows now.
         self.read_view: Callable[[], evidence.View] = lambda: evidence.NO_VIEW
         # Returns the limits of the configuration in force.
@@ -235,15 +238,20 @@
         return None
 
     def _order(self, workspace: str) -> list[str]:
-        """Return the granters that may have a token, the likeliest first."""
+        """Return the granters that may have a token, in turn."""
         now_ms = self._clock.now_ms()
+        names = self._view.granters
         with self._lock:
             found = [
-                (self._stocks.empty_until_ms(workspace, name), name)
-                for name in self._view.granters
-                if self._link(name).failed_until_ms <= now_ms
+                name
+                for name in names
+                if self._stocks.empty_until_ms(workspace, name) <= now_ms
+                and self._link(name).failed_until_ms <= now_ms
             ]
-        return [name for until_ms, name in sorted(found) if until_ms <= now_ms]
+            # Tokens that nobody asks for are lost to the others.
+            self._turn += 1
+        first = self._turn % max(len(found), 1)
+        return [*found[first:], *found[:first]]
 
     def _ask(
         self, name: str, link: _Link, needed: str, until_ms: float
--- a/packages/quotas/src/balsamloom_quotas/stocks.py
+++ b/packages/quotas/src/balsamloom_quotas/stocks.py
@@ -19,8 +19,8 @@
 # Below this demand a host keeps no token. Many hosts that see a small
 # workspace now and then would hold more than there are.
 MIN_RATE_PER_S = 0.05
-# A lease is renewed when half of it is over.
-RENEW_BEFORE_MS = timing.LEASE_MS / 2
+# A lease is renewed while there is time for this many requests.
+RENEW_INTERVALS = 2.2
 # A granter that had too few tokens is not asked in between for this time.
 MIN_PAUSE_MS = 100.0
 
@@ -123,8 +123,14 @@
             self._change(account, granter, 1)
 
     def charge(self, workspace: str, runs: int) -> None:
-        """Use tokens for further runs of a request that had one."""
-        self._account(workspace).owed += runs
+        """Use tokens for further runs of a request that had one.
+
+        Those that are not there now are taken off the next leases.
+        """
+        account = self._account(workspace)
+        account.owed += runs
+        for granter in account.holdings:
+            self._pay(account, granter)
 
     def refuse(self, workspace: str, now_ms: float) -> None:
         """Count a refused request."""
@@ -221,7 +227,8 @@
             target = max(target, 1)
         kept = min(tokens, target) if holding.until_ms > now_ms else 0
         wanted = target - kept
-        is_due = holding.until_ms - now_ms < RENEW_BEFORE_MS
+        left_ms = holding.until_ms - now_ms
+        is_due = left_ms < RENEW_INTERVALS * self._interval_ms
         if not wanted and kept == holding.leased and not (kept and is_due):
             return None
         # From now on the granter may count the rest as free.
