--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -114,6 +114,9 @@
     HANDOVER_FAILED = 7052
     HANDOVER_REFUSED = 7053
     WORKSPACE_WITHOUT_KEYS = 7060
+    QUOTA_USED_UP = 7070
+    QUOTA_ROLE_CHANGED = 7071
+    QUOTA_GRANTER_FAILED = 7072
 
 
 _MEANINGS: dict[Event, str] = {
@@ -255,6 +258,13 @@
     Event.WORKSPACE_WITHOUT_KEYS: (
         "A workspace of the configuration has no key and lets nobody in."
     ),
+    Event.QUOTA_USED_UP: (
+        "Requests of a workspace are refused, as this host has no tokens."
+    ),
+    Event.QUOTA_ROLE_CHANGED: (
+        "A process begins or stops to grant tokens of rate quotas."
+    ),
+    Event.QUOTA_GRANTER_FAILED: "A granter of rate quotas did not answer.",
 }
 
 
