--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -20,6 +20,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # Tests with processes of earlier builds.
 UPGRADES = ROOT / "platform" / "tests" / "upgrades"
+# Tests with callers that ignore all limits; they run beside no other suite.
+CALLERS = ROOT / "platform" / "tests" / "callers"
 SUITE_TIMEOUT_S = 270
 PARALLEL_SUITES = 4
 
@@ -54,8 +56,8 @@
     """
     if directory.parent == ROOT:
         return "repository"
-    if directory == UPGRADES:
-        return "upgrades"
+    if directory in (UPGRADES, CALLERS):
+        return directory.name
     if directory.parent == ROOT / "platform":
         return "adapter"
     return directory.parent.name
@@ -126,18 +128,18 @@
     )
 
 
+def _package_command(directory: pathlib.Path) -> list[str]:
+    return [sys.executable, __file__, "--package", str(directory)]
+
+
 def _suites() -> dict[str, list[str]]:
+    """Return the command of each suite that may run beside others."""
     suites = {}
     directories = sorted(ROOT.glob("packages/*/tests"))
     directories += [ROOT / "platform" / "tests", UPGRADES, ROOT / "tests"]
     for directory in directories:
         if any(directory.glob("test_*.py")):
-            suites[suite_name(directory)] = [
-                sys.executable,
-                __file__,
-                "--package",
-                str(directory),
-            ]
+            suites[suite_name(directory)] = _package_command(directory)
     if any((ROOT / "scenarios").glob("*.feature")):
         suites["scenarios"] = [sys.executable, __file__, "--scenarios"]
     return suites
@@ -202,6 +204,7 @@
         results = list(
             executor.map(lambda suite: _run_suite(*suite), suites.items())
         )
+    results.append(_run_suite(suite_name(CALLERS), _package_command(CALLERS)))
     for result in results:
         if result.failed or "passed over" in result.output:
             print(f"--- {result.name}\n{result.output}")
