--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -113,6 +113,7 @@
     REQUEST_HANDED_OVER = 7051
     HANDOVER_FAILED = 7052
     HANDOVER_REFUSED = 7053
+    CALLERS_LIMITED = 7060
 
 
 _MEANINGS: dict[Event, str] = {
--- a/packages/gateway/src/balsamloom_gateway/caller_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/caller_connections.py
@@ -21,20 +21,41 @@
 from balsamloom_core import clock as clocks
 from balsamloom_core import events, timed_reads
 from balsamloom_gateway import exchanges
-
+from balsamloom_ingress import (
+    errors,
+    limits,
+    refusals,
+    transfers,
+    waiting_readers,
+)
+
+# Lines of a head for which memory is taken at once.
+LINES_PER_TAKE = 64
 _CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
 
 
 class _UnfoldedLineReader:
-    """Reader that rejects folded header lines (obsolete line folding)."""
+    """Reader that rejects folded header lines (obsolete line folding).
+
+    :param rfile: reader of the head.
+    :param take_memory: called with the size that some lines have in memory.
+    """
 
-    def __init__(self, rfile: Any) -> None:
+    def __init__(self, rfile: Any, take_memory: Callable[[int], None]) -> None:
         self._rfile = rfile
+        self._take_memory = take_memory
+        self._lines = 0
+        self._size_bytes = 0
 
     def readline(self) -> bytes:
         line: bytes = self._rfile.readline()
         if line[:1] in (b" ", b"\t"):
             raise ValueError("folded header line")
+        self._lines += 1
+        self._size_bytes += len(line) + limits.FIELD_BYTES
+        if self._lines % LINES_PER_TAKE == 0 or line == b"\r\n":
+            self._take_memory(self._size_bytes)
+            self._size_bytes = 0
         return line
 
 
@@ -46,12 +67,15 @@
 
     _SINGLE_VALUE_HEADERS = (b"Content-Length", b"Transfer-Encoding", b"Host")
 
+    def __init__(self, take_memory: Callable[[int], None]) -> None:
+        self._take_memory = take_memory
+
     def __call__(
         self, rfile: Any, hdict: dict[bytes, bytes] | None = None
     ) -> dict[bytes, bytes]:
         self._seen_headers: set[bytes] = set()
         headers: dict[bytes, bytes] = super().__call__(
-            _UnfoldedLineReader(rfile), hdict
+            _UnfoldedLineReader(rfile, self._take_memory), hdict
         )
         length = headers.get(b"Content-Length")
         if length is not None:
@@ -75,7 +99,13 @@
 
 
 class _DeadlineSocket(socket.SocketIO):
-    """Socket whose reads share a deadline, besides the timeout of each."""
+    """Socket whose reads share a deadline, besides the timeout of each.
+
+    A read that has to wait counts as a waiting reader, and may be shed.
+    """
+
+    readers: waiting_readers.WaitingReaders
+    transfer: transfers.Transfer
 
     def __init__(self, connected: socket.socket, mode: Any) -> None:
         super().__init__(connected, mode)
@@ -84,10 +114,30 @@
         self.until_ms = math.inf
 
     def readinto(self, buffer: Any) -> int | None:
+        count = self._read_arrived(buffer)
+        if count is None:
+            count = self._await_input(buffer)
+        self.transfer.add(count or 0)
+        return count
+
+    def _read_arrived(self, buffer: Any) -> int | None:
+        """Read what has arrived; return ``None`` if nothing has."""
+        timeout_s = self._connected.gettimeout()
+        self._connected.settimeout(0.0)
+        try:
+            return super().readinto(buffer)
+        finally:
+            self._connected.settimeout(timeout_s)
+
+    def _await_input(self, buffer: Any) -> int | None:
         left_ms = self.until_ms - self._clock.now_ms()
-        return timed_reads.read_into(
-            super().readinto, buffer, self._connected, left_ms
-        )
+        try:
+            with self.readers.waiting(self.transfer):
+                return timed_reads.read_into(
+                    super().readinto, buffer, self._connected, left_ms
+                )
+        except errors.ShedError as error:
+            raise TimeoutError(timed_reads.TIMEOUT_MESSAGE) from error
 
 
 def _make_file(connected: socket.socket, mode: str, buffer_bytes: int) -> Any:
@@ -104,7 +154,7 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         # The reader is stateful, so each request needs its own.
-        self.header_reader = _StrictHeaderReader()
+        self.header_reader = _StrictHeaderReader(self.conn.take_memory)
 
     def simple_response(self, status: str, msg: str = "") -> None:
         """Log and respond to a request that reaches no handler."""
@@ -140,6 +190,7 @@
         self.state = exchanges.ConnectionState.WAITING
         self.exchange = exchanges.Exchange()
         self.idle_since_ms = self._clock.now_ms()
+        self._begin_transfer()
         server.open_connections.add(self)
 
     def close(self) -> None:
@@ -196,7 +247,37 @@
         timeout_s = self.server.header_timeout_s
         self.socket.settimeout(timeout_s)
         self._set_read_timeout(timeout_s)
-        return bool(super().communicate())  # type: ignore[no-untyped-call]
+        self._begin_transfer()
+        self.transfer.expect(self.server.max_request_header_size)
+        try:
+            return bool(super().communicate())  # type: ignore[no-untyped-call]
+        finally:
+            self.server.guard.account.release(self.transfer)
+            if self.transfer.is_evicted:
+                self.server.guard.refusals.record(refusals.Reason.SLOW)
+
+    def take_memory(self, size_bytes: int) -> None:
+        """Take memory for the head of the request.
+
+        :raises TimeoutError: there is none; the answer is a 408.
+        """
+        try:
+            self.server.guard.account.take(self.transfer, size_bytes)
+        except errors.ShedError as error:
+            self.server.guard.refusals.record(refusals.Reason.MEMORY)
+            raise TimeoutError(timed_reads.TIMEOUT_MESSAGE) from error
+
+    def _begin_transfer(self) -> None:
+        self.transfer = transfers.Transfer(self._clock, self._end_input)
+        self.rfile.raw.readers = self.server.readers
+        self.rfile.raw.transfer = self.transfer
+
+    def _end_input(self) -> None:
+        """Wake the thread that waits for data of the caller."""
+        try:
+            self.socket.shutdown(socket.SHUT_RD)
+        except OSError:
+            pass  # the caller has gone
 
     def expect_request(self) -> None:
         """Record that a request has begun to arrive."""
@@ -206,6 +287,7 @@
     def begin_exchange(self, headers: Mapping[bytes, bytes]) -> None:
         """Begin the work on a request whose head has been read."""
         self.exchange.begin(headers, self._clock.now_ms())
+        self.transfer.is_arriving = False
         self.state = exchanges.ConnectionState.IN_PROGRESS
         self._start_body_timeout()
 
--- a/packages/gateway/src/balsamloom_gateway/listener_limits.py
+++ b/packages/gateway/src/balsamloom_gateway/listener_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from balsamloom_gateway import listeners, traffic
+from balsamloom_ingress import limits as ingress_limits
 
 # Limits of the caller listener until a configuration is known.
 INITIAL_HEADER_BYTES = 16_384
@@ -27,11 +28,14 @@
 
 
 def for_callers(
-    threads: int, found: traffic.IngressLimits | None = None
+    threads: int,
+    found: traffic.IngressLimits | None = None,
+    process_limits: ingress_limits.ProcessLimits = ingress_limits.UNLIMITED,
 ) -> listeners.Limits:
     """Return the limits of the callers' listener.
 
     :param found: limits of the configuration, if one is known.
+    :param process_limits: limits of the whole process.
     """
     if found is None:
         found = traffic.IngressLimits(
@@ -46,11 +50,14 @@
         found.body_bytes,
         found.header_timeout_ms,
         found.idle_timeout_ms,
+        process_limits.connections(ingress_limits.CALLERS_SHARE),
     )
 
 
 def for_members(
-    threads: int, found: traffic.IngressLimits | None = None
+    threads: int,
+    found: traffic.IngressLimits | None = None,
+    process_limits: ingress_limits.ProcessLimits = ingress_limits.UNLIMITED,
 ) -> listeners.Limits:
     """Return the limits of the members' listener.
 
@@ -64,9 +71,16 @@
         max(initial.body_bytes, current.body_bytes),
         INITIAL_HEADER_TIMEOUT_MS,
         PEER_IDLE_TIMEOUT_MS,
+        process_limits.connections(ingress_limits.MEMBERS_SHARE),
     )
 
 
-def for_others(threads: int) -> listeners.Limits:
+def for_others(
+    threads: int,
+    process_limits: ingress_limits.ProcessLimits = ingress_limits.UNLIMITED,
+) -> listeners.Limits:
     """Return the limits of the readiness, lookup and metrics listeners."""
-    return for_callers(threads)._replace(threads=AUXILIARY_THREADS)
+    return for_callers(threads)._replace(
+        threads=AUXILIARY_THREADS,
+        connections=process_limits.connections(ingress_limits.OTHERS_SHARE),
+    )
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -10,10 +10,9 @@
 import functools
 import logging
 import threading
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
-from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
 from cheroot.workers import threadpool
 
@@ -25,11 +24,19 @@
     exchanges,
     waiting_connections,
 )
+from balsamloom_ingress import (
+    bodies,
+    chunks,
+    errors,
+    guards,
+    refusals,
+    waiting_readers,
+)
+from balsamloom_ingress import limits as ingress_limits
 
 LISTEN_BACKLOG = 512
 MIN_THREADS = 2
 THREADS_PER_GROWTH = 4
-READ_CHUNK_BYTES = 65_536
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -52,22 +59,27 @@
 HeaderFields = Iterable[tuple[bytes, bytes]]
 
 
-class BodyTooLargeError(Exception):
-    """A request's body exceeds the size limit."""
+BodyTooLargeError = errors.BodyTooLargeError
+MalformedBodyError = errors.MalformedBodyError
+
 
+class BodyTimeoutError(errors.MalformedBodyError):
+    """A request's body did not arrive in time."""
 
-class MalformedBodyError(Exception):
-    """A request's body is truncated or wrongly encoded."""
+
+class BodyRefusedError(errors.MalformedBodyError):
+    """There is no room for a request's body."""
 
 
 class Limits(NamedTuple):
-    """Limits of a listener."""
+    """Limits of a listener; ``connections`` is ``None`` for no limit."""
 
     threads: int
     header_bytes: int
     body_bytes: int
     header_timeout_ms: float
     idle_timeout_ms: float
+    connections: int | None = None
 
 
 class Request:
@@ -112,19 +124,36 @@
         """Return the whole body.
 
         :raises BodyTooLargeError: it is longer than the limit.
+        :raises BodyTimeoutError: it did not arrive in time.
+        :raises BodyRefusedError: there is no room for it.
         :raises MalformedBodyError: it is truncated or wrongly encoded.
         """
         self._is_read = True
         try:
-            return b"".join(self._read_parts())
-        except cheroot_errors.MaxSizeExceeded as error:
-            self._raw.close_connection = True
-            raise BodyTooLargeError(str(error)) from error
-        except (ValueError, OSError) as error:
+            return self._body_reader().read()
+        except (errors.BodyError, errors.ShedError, OSError) as error:
             self._raw.close_connection = True
-            if "Too Large" in str(error):
-                raise BodyTooLargeError(str(error)) from error
-            raise MalformedBodyError(str(error)) from error
+            raise self._body_error(error) from error
+
+    def _body_error(self, error: Exception) -> errors.BodyError:
+        """Return the error of a body for the handler, and count it."""
+        refused = self._raw.server.guard.refusals
+        match error:
+            case errors.BodyTooLargeError():
+                refused.record(refusals.Reason.TOO_LARGE)
+                return error
+            case errors.ShedError():
+                refused.record(refusals.Reason.MEMORY)
+                return BodyRefusedError(error.reason)
+            case _ if self._raw.conn.transfer.is_evicted:
+                return BodyRefusedError("others need the thread or the memory")
+            case TimeoutError():
+                return BodyTimeoutError(str(error))
+            case errors.MalformedBodyError():
+                refused.record(refusals.Reason.MALFORMED)
+                return error
+            case _:
+                return errors.MalformedBodyError(str(error))
 
     def skip_body(self) -> None:
         """Read the body if the handler did not, or close the connection.
@@ -132,34 +161,28 @@
         Otherwise the body would be parsed as the next request, or a close
         with unread data would reset the connection and lose the response.
         """
-        raw = self._raw
         if self._is_read:
             return
         try:
-            for _ in self._read_parts():
-                pass
-        except (cheroot_errors.MaxSizeExceeded, ValueError, OSError) as error:
-            raw.close_connection = True
+            self._body_reader().skip()
+        except (errors.BodyError, OSError) as error:
+            self._raw.close_connection = True
             events.log(events.Event.BODY_NOT_READ, reason=repr(error))
 
-    def _read_parts(self) -> Iterator[bytes]:
-        """Yield the body in parts.
-
-        :raises ValueError: it is truncated or wrongly encoded.
-        """
+    def _body_reader(self) -> bodies.BodyReader:
         raw = self._raw
-        if raw.chunked_read:
-            yield from iter(lambda: raw.rfile.read(READ_CHUNK_BYTES), b"")
-            for _ in raw.rfile.read_trailer_lines():
-                pass
-            return
-        while raw.rfile.remaining:
-            part: bytes = raw.rfile.read(
-                min(READ_CHUNK_BYTES, raw.rfile.remaining)
-            )
-            if not part:
-                raise ValueError("truncated body")
-            yield part
+        server, connection = raw.server, raw.conn
+        limits = chunks.BodyLimits(
+            server.max_request_body_size, server.max_request_header_size
+        )
+        length = int(raw.inheaders.get(b"Content-Length", 0))
+        return bodies.BodyReader(
+            connection.rfile,
+            connection.transfer,
+            server.guard.account,
+            limits,
+            None if raw.chunked_read else length,
+        )
 
 
 class Response:
@@ -328,9 +351,17 @@
 
     :param address: ``host:port``; port 0 picks a free port.
     :param handler: called for each request on a worker thread.
+    :param guard: what the listeners of the process share; ``None`` for a
+        process without limits.
     """
 
-    def __init__(self, address: str, handler: Handler, limits: Limits) -> None:
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        limits: Limits,
+        guard: guards.Guard | None = None,
+    ) -> None:
         host, _, port = address.rpartition(":")
         self.handler = handler
         self.is_draining = False
@@ -344,6 +375,12 @@
         )
         server.error_log = _log_error
         server.open_connections = set()
+        server.guard = guard or guards.Guard(
+            ingress_limits.UNLIMITED, clocks.Clock()
+        )
+        server.readers = waiting_readers.WaitingReaders(
+            ingress_limits.max_waiting(limits.threads), clocks.Clock()
+        )
         self._server = server
         self.set_limits(limits)
         server.prepare()
@@ -362,6 +399,7 @@
         server = self._server
         server.max_request_header_size = limits.header_bytes
         server.max_request_body_size = limits.body_bytes
+        server.max_connections = limits.connections
         server.timeout = limits.idle_timeout_ms / clocks.MS_PER_S
         server.header_timeout_s = limits.header_timeout_ms / clocks.MS_PER_S
 
--- a/packages/gateway/src/balsamloom_gateway/metrics.py
+++ b/packages/gateway/src/balsamloom_gateway/metrics.py
@@ -7,6 +7,7 @@
 
 from balsamloom_conversations import database
 from balsamloom_gateway import listeners, replica_repair
+from balsamloom_ingress import refusals
 
 METRICS_PATH = "/metrics"
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
@@ -29,6 +30,7 @@
             ["kind", "may_have_run"],
             registry=self._registry,
         )
+        self._limited = _limited_callers(self._registry)
         self._first_event_s = prometheus_client.Histogram(
             "balsamloom_first_event_seconds",
             "Time from a request's arrival to the first part of its answer.",
@@ -61,6 +63,10 @@
         """Count an attempt without a response."""
         self._failures.labels(kind, str(may_have_run).lower()).inc()
 
+    def record_limited_caller(self, reason: refusals.Reason) -> None:
+        """Count a caller that was refused or cut off at a limit."""
+        self._limited.labels(reason.value).inc()
+
     def handle(
         self, request: listeners.Request, response: listeners.Response
     ) -> None:
@@ -87,6 +93,11 @@
             )
             for name, text in _STORAGE_GAUGES.items()
         }
+        self._limited = _limited_callers(self._registry)
+
+    def record_limited_caller(self, reason: refusals.Reason) -> None:
+        """Count a caller that was refused or cut off at a limit."""
+        self._limited.labels(reason.value).inc()
 
     def handle(
         self, request: listeners.Request, response: listeners.Response
@@ -107,6 +118,17 @@
         _send_metrics(self._registry, request, response)
 
 
+def _limited_callers(
+    collectors: registry.CollectorRegistry,
+) -> prometheus_client.Counter:
+    return prometheus_client.Counter(
+        "balsamloom_limited_callers",
+        "Callers refused or cut off at a limit of the process, by reason.",
+        ["reason"],
+        registry=collectors,
+    )
+
+
 _STORAGE_GAUGES = {
     "turns": "Turns on the disk.",
     "groups": "Conversations on the disk.",
--- a/packages/gateway/src/balsamloom_gateway/peer_calls.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_calls.py
@@ -47,6 +47,13 @@
                 reason=str(error),
             )
             response.send(503, ())
+        except listeners.BodyRefusedError as error:
+            events.log(
+                events.Event.PEER_CALL_REFUSED,
+                path=request.path,
+                reason=str(error),
+            )
+            response.send(503, ())
         except (
             ValueError,
             KeyError,
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -55,6 +55,8 @@
     traffic,
     version_history,
 )
+from balsamloom_ingress import guards
+from balsamloom_ingress import limits as ingress_limits
 
 
 class EdgeSettings(NamedTuple):
@@ -78,6 +80,7 @@
     grace_ms: float
     lease_ms: int
     copies: int
+    ingress_limits: ingress_limits.ProcessLimits = ingress_limits.UNLIMITED
 
 
 class AuxiliaryHandlers(NamedTuple):
@@ -313,10 +316,15 @@
             self._crash_reports,
             self._history,
         )
+        guard = guards.Guard(settings.ingress_limits, clock)
+        guard.refusals.on_refusal = edge_metrics.record_limited_caller
         self._ingress = listeners.Listener(
             settings.caller_address,
             self._proxy.handle,
-            listener_limits.for_callers(settings.threads),
+            listener_limits.for_callers(
+                settings.threads, None, settings.ingress_limits
+            ),
+            guard,
         )
         self._guests = handover_service.HandoverService(
             self._proxy.handle,
@@ -327,22 +335,27 @@
             codec,
             listener_limits.max_handovers(settings.threads),
         )
-        limits = listener_limits.for_others(settings.threads)
+        limits = listener_limits.for_others(
+            settings.threads, settings.ingress_limits
+        )
         self._member_listener = listeners.Listener(
             settings.peer_address,
             self._guests.handle,
-            listener_limits.for_members(settings.threads),
+            listener_limits.for_members(
+                settings.threads, None, settings.ingress_limits
+            ),
+            guard,
         )
         self._other_listeners = [
             self._member_listener,
             listeners.Listener(
-                settings.metrics_address, edge_metrics.handle, limits
+                settings.metrics_address, edge_metrics.handle, limits, guard
             ),
             listeners.Listener(
-                settings.ready_address, handlers.ready(self), limits
+                settings.ready_address, handlers.ready(self), limits, guard
             ),
             listeners.Listener(
-                settings.lookup_address, handlers.lookup(self), limits
+                settings.lookup_address, handlers.lookup(self), limits, guard
             ),
         ]
 
@@ -478,10 +491,16 @@
         services = active.configuration.services.values()
         self._call_balancer.set_services(services)
         self._turn_balancer.set_services(services)
-        threads, limits = self._settings.threads, active.configuration.limits
-        self._ingress.set_limits(listener_limits.for_callers(threads, limits))
+        settings, found = self._settings, active.configuration.limits
+        self._ingress.set_limits(
+            listener_limits.for_callers(
+                settings.threads, found, settings.ingress_limits
+            )
+        )
         self._member_listener.set_limits(
-            listener_limits.for_members(threads, limits)
+            listener_limits.for_members(
+                settings.threads, found, settings.ingress_limits
+            )
         )
 
     def _record_answer(
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -41,6 +41,8 @@
 RESUME_RETRY_AFTER_MS = 100.0
 # Other processes take the request at once.
 LEAVING_RETRY_AFTER_MS = 50.0
+# Callers that stall are cut off within this time.
+NO_ROOM_RETRY_AFTER_MS = 250.0
 # Callers abandon a stream after two seconds without an event.
 RESUME_TIMEOUT_MS = 1_000.0
 
@@ -167,6 +169,17 @@
         except listeners.BodyTooLargeError as error:
             self._responder.send_rejection(request, response, 413, str(error))
             return None
+        except listeners.BodyRefusedError as error:
+            self._responder.send_unavailable(
+                response,
+                metadata.request_id,
+                str(error),
+                NO_ROOM_RETRY_AFTER_MS,
+            )
+            return None
+        except listeners.BodyTimeoutError as error:
+            self._responder.send_rejection(request, response, 408, str(error))
+            return None
         except listeners.MalformedBodyError as error:
             self._responder.send_rejection(request, response, 400, str(error))
             return None
--- a/packages/gateway/src/balsamloom_gateway/storage_process.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_process.py
@@ -28,6 +28,8 @@
     store_revisions,
     stream_registry,
 )
+from balsamloom_ingress import guards
+from balsamloom_ingress import limits as ingress_limits
 
 # Intervals between repair rounds: after a complete round, and otherwise.
 REPAIR_INTERVAL_MS = 1_000.0
@@ -52,6 +54,7 @@
     copies: int
     is_first_start: bool
     view_bound_ms: float
+    ingress_limits: ingress_limits.ProcessLimits = ingress_limits.UNLIMITED
 
 
 class StorageProcess:
@@ -138,14 +141,23 @@
             MAX_CALL_BYTES,
             listener_limits.INITIAL_HEADER_TIMEOUT_MS,
             listener_limits.PEER_IDLE_TIMEOUT_MS,
+            settings.ingress_limits.connections(ingress_limits.CALLERS_SHARE),
         )
+        guard = guards.Guard(settings.ingress_limits, clock)
+        guard.refusals.on_refusal = self._metrics.record_limited_caller
         self._listener = listeners.Listener(
-            settings.address, service.handle, limits
+            settings.address, service.handle, limits, guard
         )
         self._metrics_listener = listeners.Listener(
             settings.metrics_address,
             self._metrics.handle,
-            limits._replace(threads=listener_limits.AUXILIARY_THREADS),
+            limits._replace(
+                threads=listener_limits.AUXILIARY_THREADS,
+                connections=settings.ingress_limits.connections(
+                    ingress_limits.OTHERS_SHARE
+                ),
+            ),
+            guard,
         )
 
     def start(self) -> None:
--- a/packages/gateway/src/balsamloom_gateway/waiting_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/waiting_connections.py
@@ -18,6 +18,7 @@
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
 from balsamloom_gateway import caller_connections, exchanges
+from balsamloom_ingress import refusals
 
 # How often idle connections are checked for their timeout.
 IDLE_CHECK_INTERVAL_MS = 1_000.0
@@ -148,11 +149,26 @@
                 self._close_longest_idle()
             self._clock.sleep(ACCEPT_RETRY_MS)
             return False
+        if not self._has_room():
+            accepted.close()
+            return True
         connection = self._server.ConnectionClass(self._server, accepted)
         connection.remote_addr, connection.remote_port = address[:2]
         self.put(connection)
         return True
 
+    def _has_room(self) -> bool:
+        """Make room for a new connection; return whether there is any."""
+        server = self._server
+        limit: int | None = server.max_connections
+        connections: set[caller_connections.Connection]
+        connections = server.open_connections
+        if limit is None or len(connections) < limit:
+            return True
+        server.guard.refusals.record(refusals.Reason.CONNECTIONS)
+        self._close_longest_idle()
+        return len(connections) < limit
+
     def _register(self, connection: caller_connections.Connection) -> bool:
         """Watch a connection; return whether connections are watched."""
         with self._entries:
--- /dev/null
+++ b/packages/ingress/src/balsamloom_ingress/accounts.py
@@ -0,0 +1,95 @@
+"""Account of the memory that a process holds for its callers.
+
+It answers loads of bodies that together exceed the memory of the process.
+"""
+
+from __future__ import annotations
+
+import threading
+
+from balsamloom_core import clock as clocks
+from balsamloom_ingress import errors, transfers
+
+# Time for transfers that were shed to give their memory back.
+RELEASE_TIMEOUT_MS = 1_000.0
+
+
+class MemoryAccount:
+    """Memory for requests of callers, taken before they are read.
+
+    :param capacity_bytes: memory for all requests together.
+    :param clock: time source.
+    """
+
+    def __init__(self, capacity_bytes: int, clock: clocks.Clock) -> None:
+        self._capacity_bytes = capacity_bytes
+        self._clock = clock
+        self._released = threading.Condition()
+        self._holders: set[transfers.Transfer] = set()
+        self._used_bytes = 0
+
+    @property
+    def used_bytes(self) -> int:
+        """Return the memory that is taken."""
+        return self._used_bytes
+
+    def take(self, transfer: transfers.Transfer, size_bytes: int) -> None:
+        """Take memory for a transfer, and shed others if none is left.
+
+        A transfer that is alone gets what it asks for.
+
+        :raises ShedError: there is none, or others need it more.
+        """
+        with self._released:
+            if not self._fits(transfer, size_bytes):
+                self._shed_for(transfer, size_bytes)
+                self._await_room(transfer, size_bytes)
+            self._used_bytes += size_bytes
+            transfer.held_bytes += size_bytes
+            self._holders.add(transfer)
+
+    def release(self, transfer: transfers.Transfer) -> None:
+        """Give back all memory of a transfer."""
+        if not transfer.held_bytes:
+            return
+        with self._released:
+            self._used_bytes -= transfer.held_bytes
+            transfer.held_bytes = 0
+            self._holders.discard(transfer)
+            self._released.notify_all()
+
+    def _fits(self, transfer: transfers.Transfer, size_bytes: int) -> bool:
+        return (
+            self._used_bytes + size_bytes <= self._capacity_bytes
+            or self._used_bytes == transfer.held_bytes
+        )
+
+    def _shed_for(self, transfer: transfers.Transfer, size_bytes: int) -> None:
+        """Evict the transfers that come before this one, as far as needed."""
+        leaving = [each for each in self._holders if each.is_evicted]
+        freed_bytes = sum(each.held_bytes for each in leaving)
+        needed_bytes = self._used_bytes + size_bytes - self._capacity_bytes
+        victims = []
+        order = transfers.in_shedding_order(
+            self._holders | {transfer}, self._clock.now_ms()
+        )
+        for each in order:
+            if freed_bytes >= needed_bytes or each is transfer:
+                break
+            victims.append(each)
+            freed_bytes += each.held_bytes
+        alone_bytes = self._used_bytes - transfer.held_bytes
+        if freed_bytes < min(needed_bytes, alone_bytes):
+            raise errors.ShedError("no memory is left for the request")
+        for each in victims:
+            each.evict()
+
+    def _await_room(
+        self, transfer: transfers.Transfer, size_bytes: int
+    ) -> None:
+        until_ms = self._clock.now_ms() + RELEASE_TIMEOUT_MS
+        while not self._fits(transfer, size_bytes):
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0.0 or transfer.is_evicted:
+                raise errors.ShedError("no memory is left for the request")
+            self._clock.wait_condition(self._released, left_ms)
