--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -252,6 +252,9 @@
     Event.REQUEST_HANDED_OVER: "Another member answered a request.",
     Event.HANDOVER_FAILED: "A request could not be handed over to a member.",
     Event.HANDOVER_REFUSED: "A handed-over request was not taken.",
+    Event.CALLERS_LIMITED: (
+        "Callers were refused or cut off at a limit of the process."
+    ),
 }
 
 
--- a/packages/gateway/src/balsamloom_gateway/caller_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/caller_connections.py
@@ -114,9 +114,12 @@
         self.until_ms = math.inf
 
     def readinto(self, buffer: Any) -> int | None:
+        left_ms = self.until_ms - self._clock.now_ms()
+        if left_ms <= 0.0 or self.transfer.is_evicted:
+            raise TimeoutError(timed_reads.TIMEOUT_MESSAGE)
         count = self._read_arrived(buffer)
         if count is None:
-            count = self._await_input(buffer)
+            count = self._await_input(buffer, left_ms)
         self.transfer.add(count or 0)
         return count
 
@@ -129,8 +132,7 @@
         finally:
             self._connected.settimeout(timeout_s)
 
-    def _await_input(self, buffer: Any) -> int | None:
-        left_ms = self.until_ms - self._clock.now_ms()
+    def _await_input(self, buffer: Any, left_ms: float) -> int | None:
         try:
             with self.readers.waiting(self.transfer):
                 return timed_reads.read_into(
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -180,6 +180,7 @@
             connection.rfile,
             connection.transfer,
             server.guard.account,
+            server.readers,
             limits,
             None if raw.chunked_read else length,
         )
--- a/packages/ingress/src/balsamloom_ingress/bodies.py
+++ b/packages/ingress/src/balsamloom_ingress/bodies.py
@@ -4,7 +4,13 @@
 
 from typing import Any, Protocol
 
-from balsamloom_ingress import accounts, chunks, errors, transfers
+from balsamloom_ingress import (
+    accounts,
+    chunks,
+    errors,
+    transfers,
+    waiting_readers,
+)
 
 READ_BYTES = 65_536
 # A body is kept for a retry while another copy of it is being sent.
@@ -35,6 +41,7 @@
     :param source: reader of its connection.
     :param transfer: the request; other threads may shed it.
     :param account: memory of the process.
+    :param readers: bounds the threads that wait for data.
     :param limits: limits of the body.
     :param length: announced size in bytes, ``None`` for chunks.
     """
@@ -44,12 +51,14 @@
         source: Source,
         transfer: transfers.Transfer,
         account: accounts.MemoryAccount,
+        readers: waiting_readers.WaitingReaders,
         limits: chunks.BodyLimits,
         length: int | None,
     ) -> None:
         self._source = source
         self._transfer = transfer
         self._account = account
+        self._readers = readers
         self._limits = limits
         self._length = length
         self._taken_bytes = 0
@@ -121,7 +130,8 @@
             raise errors.MalformedBodyError("truncated body")
         if is_kept:
             self._grow(len(data) + len(received))
-        consumed = decoder.feed(received, data)
+        with self._readers.decoding(self._transfer):
+            consumed = decoder.feed(received, data)
         if not is_kept:
             data.clear()
         return consumed
--- a/packages/ingress/src/balsamloom_ingress/chunks.py
+++ b/packages/ingress/src/balsamloom_ingress/chunks.py
@@ -83,15 +83,44 @@
             if self._state is _State.DATA:
                 position = self._take_data(received, position, data)
                 continue
+            if self._state is _State.SIZE:
+                position = self._take_whole_chunks(received, position, data)
             end = received.find(_CRLF, position) + len(_CRLF)
             if end < len(_CRLF):
                 self._keep_line_start(received[position:])
-                position = len(received)
-                break
+                return len(received) - early_bytes
             self._take_line(received, position, end)
             position = end
         return position - early_bytes
 
+    def _take_whole_chunks(
+        self, received: bytes, position: int, data: bytearray
+    ) -> int:
+        """Decode chunks up to the first that needs a closer look.
+
+        Chunks of a few bytes cost the most, so this takes few steps.
+        """
+        data_bytes, framing_bytes = self._data_bytes, self._framing_bytes
+        while found := _SIZE_LINE.match(received, position):
+            start = found.end()
+            size_bytes = int(found[1], 16)
+            end = start + size_bytes
+            allowed = MAX_FRAMING_RATIO * data_bytes + self._limits.line_bytes
+            if (
+                not size_bytes
+                or start - position > self._limits.line_bytes
+                or framing_bytes > allowed
+                or data_bytes + size_bytes > self._limits.data_bytes
+                or received[end : end + 2] != _CRLF
+            ):
+                break
+            data += received[start:end]
+            data_bytes += size_bytes
+            framing_bytes += start - position + len(_CRLF)
+            position = end + len(_CRLF)
+        self._data_bytes, self._framing_bytes = data_bytes, framing_bytes
+        return position
+
     def _take_data(
         self, received: bytes, position: int, data: bytearray
     ) -> int:
--- a/packages/ingress/src/balsamloom_ingress/limits.py
+++ b/packages/ingress/src/balsamloom_ingress/limits.py
@@ -17,6 +17,8 @@
 OTHERS_SHARE = 0.02
 # Threads that may wait for data of callers at a time.
 WAITING_SHARE = 0.5
+# Share of a thread's memory that the account doesn't get.
+THREAD_SHARE = 0.5
 # Memory of a field of a request head beside its characters.
 FIELD_BYTES = 256
 
@@ -50,9 +52,9 @@
     :param memory_mb: memory of the whole process.
     :param base_mb: memory of the process without requests.
     :param threads: threads that serve requests.
-    :param thread_mb: memory of one of them.
+    :param thread_mb: memory of one of them, with the request that it serves.
     """
-    left_mb = memory_mb - base_mb - threads * thread_mb
+    left_mb = memory_mb - base_mb - threads * thread_mb * THREAD_SHARE
     return max(MIN_ACCOUNT_BYTES, int(left_mb * BYTES_PER_MB))
 
 
--- a/packages/ingress/src/balsamloom_ingress/waiting_readers.py
+++ b/packages/ingress/src/balsamloom_ingress/waiting_readers.py
@@ -26,6 +26,23 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._waiting: set[transfers.Transfer] = set()
+        self._decoding = threading.Lock()
+
+    @contextlib.contextmanager
+    def decoding(self, transfer: transfers.Transfer) -> Iterator[None]:
+        """Decode a part of a transfer in a block, one thread at a time.
+
+        Many threads that decode small chunks would keep the processor from
+        all others.
+
+        :raises ShedError: too many threads wait for it.
+        """
+        if not self._decoding.acquire(blocking=False):
+            self._await_turn(transfer)
+        try:
+            yield
+        finally:
+            self._decoding.release()
 
     @contextlib.contextmanager
     def waiting(self, transfer: transfers.Transfer) -> Iterator[None]:
@@ -48,6 +65,16 @@
                 self._waiting.discard(transfer)
         _check(transfer)
 
+    def _await_turn(self, transfer: transfers.Transfer) -> None:
+        is_acquired = False
+        try:
+            with self.waiting(transfer):
+                is_acquired = self._decoding.acquire()
+        except errors.ShedError:
+            if is_acquired:
+                self._decoding.release()
+            raise
+
     def _find_victim(self) -> transfers.Transfer | None:
         active = [each for each in self._waiting if not each.is_evicted]
         if len(active) <= self.max_waiting:
