--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -117,6 +117,7 @@
     QUOTA_USED_UP = 7070
     QUOTA_ROLE_CHANGED = 7071
     QUOTA_GRANTER_FAILED = 7072
+    CALLERS_LIMITED = 7080
 
 
 _MEANINGS: dict[Event, str] = {
@@ -265,6 +266,9 @@
         "A process begins or stops to grant tokens of rate quotas."
     ),
     Event.QUOTA_GRANTER_FAILED: "A granter of rate quotas did not answer.",
+    Event.CALLERS_LIMITED: (
+        "Callers were refused or cut off at a limit of the process."
+    ),
 }
 
 
