--- a/packages/gateway/src/balsamloom_gateway/fleet.py
+++ b/packages/gateway/src/balsamloom_gateway/fleet.py
@@ -197,11 +197,6 @@
         """
         return self._first_read_ms is not None
 
-    @property
-    def follows_records(self) -> bool:
-        """Return whether this process lacks no change for long."""
-        return self.has_read_records and not self._is_stale
-
     @property
     def has_settled(self) -> bool:
         """Return whether registrations that lapsed have had time to return.
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -251,9 +251,8 @@
             self._drain,
             handovers,
         )
-        self._proxy.may_lack_revocations = lambda: (
-            settings.revocation.may_lack_revocations(self._feed.age_ms())
-        )
+        self._proxy.may_lack_revocations = self._may_lack_revocations
+        self._proxy.follows_records = self._follows_records
         self._evacuations = evacuation.Evacuations(
             store, records, self._rank, self.fleet.has_storage_host, clock
         )
@@ -474,6 +473,20 @@
         """Return whether the view is about as recent as the store."""
         return self._feed.age_ms() is not None and not self.fleet.is_stale
 
+    def _follows_records(self) -> bool:
+        """Return whether the view is as recent as the settings ask.
+
+        A process that was frozen may not have noticed yet that it is not.
+        """
+        age_ms = self._feed.age_ms()
+        if age_ms is None or age_ms > self._settings.view_bound_ms:
+            return False
+        return not self.fleet.is_stale
+
+    def _may_lack_revocations(self) -> bool:
+        policy = self._settings.revocation
+        return policy.may_lack_revocations(self._feed.age_ms())
+
     def _rank(self) -> int:
         return membership.rank_of(self.member.name, self.fleet.members())
 
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -91,6 +91,8 @@
         # Returns whether this process may lack revocations of keys that it
         # must know.
         self.may_lack_revocations: Callable[[], bool] = callbacks.refuse
+        # Returns whether it lacks no configuration for longer than allowed.
+        self.follows_records: Callable[[], bool] = callbacks.refuse
         self._handovers = handovers
         self._await_records = await_records
         self._drain = drain
@@ -278,7 +280,7 @@
         """Refuse a request whose caller is not known."""
         match caller:
             case identity.Unauthorized(reason, may_be_newer):
-                if not may_be_newer or self._fleet.follows_records:
+                if not may_be_newer or self.follows_records():
                     self._responder.send_rejection(
                         request, response, 401, reason
                     )
--- a/packages/gateway/tests/test_workspaces.py
+++ b/packages/gateway/tests/test_workspaces.py
@@ -13,6 +13,7 @@
 import storage_nodes
 
 from balsamloom_gateway import handover_messages, stream_versions
+from balsamloom_workspaces import credentials, key_tables, revocation
 
 KEY = "key-of-first"
 SPARE_KEY = "spare-key-of-first"
@@ -31,7 +32,8 @@
 
     def start(self, *scripts):
         gateway = super().start(*scripts or (self.engine,))
-        gateway.fleet.update_age(0.0)
+        self.follows_records = True
+        gateway.proxy.follows_records = lambda: self.follows_records
         self.configure(FIRST, SECOND)
         return gateway
 
@@ -149,11 +151,11 @@
 
     def test_host_that_cannot_know_a_key_does_not_deny_it(self):
         gateway = self.start()
-        gateway.fleet.update_age(1e6)
+        self.follows_records = False
         self.assertEqual(self.status(bearer("unknown")), 503)
         self.assertEqual(self.status(), 401)
         self.assertEqual(self.status(bearer(KEY)), 200)
-        gateway.fleet.update_age(0.0)
+        self.follows_records = True
         self.assertEqual(self.status(bearer("unknown")), 401)
         gateway.fleet._active_configuration = None
         self.assertEqual(self.status(bearer(KEY)), 503)
@@ -198,6 +200,56 @@
             self.assertNotIn(KEY.encode(), request)
 
 
+class ViewAgeTest(unittest.TestCase):
+    """Guards against keys judged by a view that is too old for it."""
+
+    def setUp(self):
+        self.host = builders.edge_process()
+        for listener in (self.host._ingress, *self.host._other_listeners):
+            self.addCleanup(listener.stop_accepting)
+        self.host._settings = self.host._settings._replace(
+            view_bound_ms=1_000.0,
+            revocation=revocation.RevocationPolicy(True, 5_000.0),
+        )
+
+    def judge(self, age_ms):
+        with mock.patch.object(self.host._feed, "age_ms", return_value=age_ms):
+            return (
+                self.host._proxy.follows_records(),
+                self.host._proxy.may_lack_revocations(),
+            )
+
+    def test_view_is_judged_by_its_age(self):
+        self.assertEqual(self.judge(None), (False, True))
+        self.assertEqual(self.judge(1_000.0), (True, False))
+        self.assertEqual(self.judge(1_001.0), (False, False))
+        self.assertEqual(self.judge(5_001.0), (False, True))
+
+    def test_lenient_host_goes_on_with_what_it_knows(self):
+        self.host._settings = self.host._settings._replace(
+            revocation=revocation.LENIENT
+        )
+        self.assertEqual(self.judge(1e9), (False, False))
+
+    def test_hundred_versions_build_no_table_that_nobody_needs(self):
+        view = builders.fleet_view()
+        versions = [
+            builders.configuration(number)._replace(
+                workspaces=(builders.workspace(f"w{number}", f"k{number}"),)
+            )
+            for number in range(1, 101)
+        ]
+        with mock.patch.object(
+            key_tables.KeyTable, "_build", autospec=True
+        ) as build:
+            for number, version in enumerate(versions):
+                view._apply_configuration(version, number)
+        self.assertEqual(build.call_count, 0)
+        digest = credentials.digest_key(b"k100")
+        found = view.active_configuration.keys.find(digest)
+        self.assertEqual(found.name, "w100")
+
+
 class IsolationTest(WorkspaceCase):
     """Guards against workspaces that reach what belongs to others."""
 
