--- a/packages/cli/src/balsamloom_cli/operator.py
+++ b/packages/cli/src/balsamloom_cli/operator.py
@@ -23,6 +23,7 @@
 from balsamloom_gateway import explain, log_audit
 from balsamloom_platform import etcd_gateway, http_errors
 from balsamloom_platform import store as stores
+from balsamloom_quotas import report as quota_report
 from balsamloom_state import partitions
 
 DEFAULT_STORE = "127.0.0.1:2379"
@@ -329,6 +330,7 @@
 
 
 main.add_command(explain.main, "explain")
+main.add_command(quota_report.main, "quotas")
 main.add_command(log_audit.main, "audit")
 
 
--- a/packages/gateway/src/balsamloom_gateway/explain.py
+++ b/packages/gateway/src/balsamloom_gateway/explain.py
@@ -32,6 +32,9 @@
         "lines_dropped",
         "storage_host_changed",
         "storage_call_failed",
+        "quota_used_up",
+        "quota_role_changed",
+        "quota_granter_failed",
     }
 )
 SERVER_EVENTS = frozenset(
--- a/packages/gateway/src/balsamloom_gateway/metrics.py
+++ b/packages/gateway/src/balsamloom_gateway/metrics.py
@@ -44,6 +44,10 @@
             registry=self._registry,
         )
 
+    def add_collector(self, collector: registry.Collector) -> None:
+        """Serve what a collector yields, too."""
+        self._registry.register(collector)
+
     def record_response(
         self, kind: str, status: int, total_ms: float, first_ms: float | None
     ) -> None:
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -42,6 +42,7 @@
     planner,
     proxy,
     quota_link,
+    quota_metrics,
     read_schedule,
     registrar,
     responses,
@@ -268,6 +269,10 @@
             ),
             quota_clock,
         )
+        if self._quotas is not None:
+            edge_metrics.add_collector(
+                quota_metrics.QuotaCollector(self._quotas)
+            )
         self._proxy.admissions = quota_link.Admissions(self._quotas, responder)
         self._evacuations = evacuation.Evacuations(
             store, records, self._rank, self.fleet.has_storage_host, clock
@@ -358,7 +363,9 @@
         self._other_listeners = [
             self._member_listener,
             listeners.Listener(
-                settings.metrics_address, edge_metrics.handle, limits
+                settings.metrics_address,
+                quota_metrics.with_page(edge_metrics.handle, self._quotas),
+                limits,
             ),
             listeners.Listener(
                 settings.ready_address, handlers.ready(self), limits
--- a/packages/quotas/src/balsamloom_quotas/pools.py
+++ b/packages/quotas/src/balsamloom_quotas/pools.py
@@ -10,7 +10,7 @@
 
 # Part of the tokens that is kept for hosts with callers that wait. The others
 # ask ahead of need.
-RESERVED_SHARE = 1 / 3
+RESERVED_SHARE = 0.2
 # Hosts that asked in vain within this time share what the rate adds.
 CONTENTION_MS = 2_000.0
 
--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -28,6 +28,8 @@
 FAILURE_PAUSE_MS = 1_000.0
 MIN_RETRY_AFTER_MS = 50.0
 TICKS_PER_INTERVAL = 2
+# Path at which a host shows the state of its quotas.
+PAGE_PATH = "/quotas"
 # Interval between log events about refusals of one workspace.
 REFUSAL_LOG_MS = 1_000.0
 
@@ -97,7 +99,7 @@
         self._clock = clock
         self._send = send
         self._lock = threading.Lock()
-        self._stocks = stocks.Stocks(name)
+        self._stocks = stocks.Stocks(name, bounds.window_ms)
         self._granter_lock = threading.Lock()
         self._granter = granter.Granter(name, bounds)
         self._view = evidence.NO_VIEW
@@ -181,19 +183,27 @@
                 self._ask(name, link, "", now_ms + ROUND_TIMEOUT_MS)
         return interval_ms
 
+    def account_states(self) -> dict[str, stocks.AccountState]:
+        """Return the workspaces with requests at this host."""
+        with self._lock:
+            return self._stocks.states(self._clock.now_ms())
+
     def states(self) -> dict[str, Any]:
         """Return the tokens held and granted here, for operators."""
         now_ms = self._clock.now_ms()
-        with self._lock:
-            held = self._stocks.states(now_ms)
+        held = self.account_states()
         with self._granter_lock:
             is_active = self._granter.is_active
             granted = self._granter.states(now_ms)
         return {
+            "host": self._name,
+            "limits": {
+                name: limit._asdict() for name, limit in self._limits.items()
+            },
             "granters": list(self._view.granters),
             "is_granter": is_active,
             "workspaces": {
-                name: state._asdict() for name, state in held.items()
+                name: _as_json(state) for name, state in held.items()
             },
             "granted": {
                 name: state._asdict() for name, state in granted.items()
@@ -347,10 +357,14 @@
             logging.WARNING,
             workspace=workspace,
             limit=None if limit is None else limit._asdict(),
-            state=None if state is None else state._asdict(),
+            state=None if state is None else _as_json(state),
             granters=list(self._view.granters),
             retry_after_ms=round(refused.retry_after_ms),
         )
 
     def _link(self, name: str) -> _Link:
         return self._links.setdefault(name, _Link())
+
+
+def _as_json(state: stocks.AccountState) -> dict[str, Any]:
+    return state._asdict() | {"recent": state.recent._asdict()}
--- a/packages/quotas/src/balsamloom_quotas/stocks.py
+++ b/packages/quotas/src/balsamloom_quotas/stocks.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from balsamloom_quotas import demand, limits, messages, timing
+from balsamloom_quotas import demand, limits, messages, recent, timing
 
 # A host asks ahead for what may arrive within this many intervals.
 HORIZON_INTERVALS = 2.0
@@ -39,8 +39,9 @@
 class _Account:
     """One workspace at this host."""
 
-    def __init__(self) -> None:
+    def __init__(self, window_ms: float) -> None:
         self.demand = demand.Demand()
+        self.recent = recent.RecentRequests(window_ms)
         self.holdings: dict[str, Holding] = {}
         # Requests that ran once more than they had tokens for.
         self.owed = 0
@@ -48,29 +49,36 @@
         self.empty_until_ms: dict[str, float] = {}
         self.admitted = 0
         self.refused = 0
+        self.returned = 0
         self.refused_ms = -math.inf
 
 
 class AccountState(NamedTuple):
     """Workspace at this host, for operators.
 
-    ``admitted`` and ``refused`` count requests since the process started.
+    ``admitted``, ``refused`` and ``returned`` count requests since the process
+    started, ``recent`` those of the last window. Returned requests were
+    admitted, but no server ran them.
     """
 
     tokens: int
     demand_per_s: float
     admitted: int
     refused: int
+    returned: int
+    recent: recent.RecentCounts
 
 
 class Stocks:
     """Tokens that this host holds and may use.
 
     :param host: name of this host.
+    :param window_ms: time for which requests are counted for operators.
     """
 
-    def __init__(self, host: str) -> None:
+    def __init__(self, host: str, window_ms: float) -> None:
         self._host = host
+        self._window_ms = window_ms
         self._accounts: dict[str, _Account] = {}
         self._granters: tuple[str, ...] = ()
         self._interval_ms = timing.MIN_INTERVAL_MS
@@ -102,6 +110,7 @@
             return None
         self._change(account, best, -1)
         account.admitted += 1
+        account.recent.admit(now_ms)
         return best
 
     def has_token(self, workspace: str, now_ms: float) -> bool:
@@ -115,7 +124,8 @@
     def give_back(self, workspace: str, granter: str, now_ms: float) -> None:
         """Return the token of a request that no server ran."""
         account = self._account(workspace)
-        account.admitted -= 1
+        account.returned += 1
+        account.recent.admit(now_ms, -1)
         holding = account.holdings.get(granter, Holding())
         # The granter has counted older ones as used and replaced them.
         is_known = holding.tokens < holding.leased
@@ -136,6 +146,7 @@
         """Count a refused request."""
         account = self._account(workspace)
         account.refused += 1
+        account.recent.refuse(now_ms)
         account.refused_ms = now_ms
 
     def empty_until_ms(self, workspace: str, granter: str) -> float:
@@ -208,6 +219,8 @@
                 account.demand.rate_per_s(now_ms),
                 account.admitted,
                 account.refused,
+                account.returned,
+                account.recent.counts(now_ms),
             )
             for name, account in self._accounts.items()
         }
@@ -272,5 +285,5 @@
     def _account(self, workspace: str) -> _Account:
         account = self._accounts.get(workspace)
         if account is None:
-            account = self._accounts[workspace] = _Account()
+            account = self._accounts[workspace] = _Account(self._window_ms)
         return account
