--- a/packages/gateway/src/balsamloom_gateway/quota_link.py
+++ b/packages/gateway/src/balsamloom_gateway/quota_link.py
@@ -95,14 +95,12 @@
         """Return the members and the granters among them."""
         now_ms = self._clock.now_ms()
         age_ms = self._feed.age_ms()
-        until_ms = -math.inf
-        if age_ms is not None and not self._fleet.is_stale:
-            until_ms = now_ms - age_ms + timing.CURRENT_MS
+        read_ms = -math.inf if age_ms is None else now_ms - age_ms
         members = self._fleet.members()
         return evidence.View(
             frozenset(member.name for member in members),
             tuple(member.name for member in granters(members)),
-            until_ms,
+            read_ms,
         )
 
     def read_limits(self) -> dict[str, limits.RateLimit]:
--- a/packages/quotas/src/balsamloom_quotas/evidence.py
+++ b/packages/quotas/src/balsamloom_quotas/evidence.py
@@ -1,9 +1,9 @@
 """Whether a host may grant tokens: what it knows of its role and since when.
 
 A host that is cut off must not grant beside its successor. It is a granter
-while it either knows the current members or hears from more than half of them
-that they go by it. It begins only after having heard so for long enough that
-no other one grants in its place.
+while it hears from more than half of the members that they go by it. It begins
+only after having heard so for long enough that no other one grants in its
+place.
 """
 
 from __future__ import annotations
@@ -18,13 +18,12 @@
 class View(NamedTuple):
     """Members that a host knows and the granters among them.
 
-    They are known to be the registered ones until ``current_until_ms``, at
-    most ``CURRENT_MS`` after they were.
+    They were the registered ones at ``read_ms``.
     """
 
     members: frozenset[str]
     granters: tuple[str, ...]
-    current_until_ms: float
+    read_ms: float
 
 
 NO_VIEW = View(frozenset(), (), -math.inf)
@@ -76,15 +75,35 @@
 
         It is 0 if it may grant nothing.
         """
-        if not self._has_evidence(now_ms):
+        if self._name not in self._view.granters:
+            return 0.0
+        if self._is_alone:
+            return self._part_alone(now_ms)
+        if not self._is_named_by_most(now_ms):
+            return 0.0
+        return self._part_since(now_ms)
+
+    @property
+    def _is_alone(self) -> bool:
+        return len(self._view.members) == 1
+
+    def _part_alone(self, now_ms: float) -> float:
+        """Return the part of a host that knows of no other member.
+
+        None can tell it that there are others.
+        """
+        age_ms = now_ms - self._view.read_ms
+        if age_ms > timing.MAX_VIEW_AGE_MS:
             return 0.0
+        part = self._part_since(now_ms)
+        return part if age_ms < timing.EVIDENCE_MS else 0.0
+
+    def _part_since(self, now_ms: float) -> float:
+        """Return the part of a host that has evidence, by since when."""
         if now_ms - self._last_ms > timing.MAX_LAPSE_MS:
             self._since_ms = now_ms
-        is_new = now_ms - self._since_ms < timing.HOLD_MS
-        if is_new and not self._may_begin(now_ms):
-            self._last_ms = -math.inf
-            return 0.0
         self._last_ms = now_ms
+        is_new = now_ms - self._since_ms < timing.HOLD_MS
         return 0.0 if is_new else self._part_at(now_ms)
 
     def _part_at(self, now_ms: float) -> float:
@@ -92,23 +111,11 @@
             return min(self._part, self._smaller_part)
         return self._part
 
-    def _has_evidence(self, now_ms: float) -> bool:
-        if self._name not in self._view.granters:
-            return False
-        is_current = now_ms < self._view.current_until_ms
-        return is_current or self._is_named_by_most(now_ms)
-
-    def _may_begin(self, now_ms: float) -> bool:
-        """Return whether no other host begins or goes on in its place."""
-        is_current = now_ms < self._view.current_until_ms
-        is_alone = len(self._view.members) == 1
-        return is_current and (is_alone or self._is_named_by_most(now_ms))
-
     def _is_named_by_most(self, now_ms: float) -> bool:
         oldest_ms = now_ms - timing.EVIDENCE_MS
         others = self._view.members - {self._name}
         count = sum(
             self._heard_ms.get(name, -math.inf) > oldest_ms for name in others
         )
-        # This host goes by its own view, which says nothing if it is alone.
-        return count > 0 and 2 * (count + 1) > len(self._view.members)
+        # This host goes by its own view.
+        return 2 * (count + 1) > len(self._view.members)
--- a/packages/quotas/src/balsamloom_quotas/granter.py
+++ b/packages/quotas/src/balsamloom_quotas/granter.py
@@ -19,10 +19,11 @@
 
 
 class _Seen(NamedTuple):
-    """Last request of a run of a host."""
+    """Last request of a run of a host, and what it was granted."""
 
     number: int
     seen_ms: float
+    granted: Mapping[str, int]
 
 
 class Granter:
@@ -69,6 +70,8 @@
         """Answer a request of a host."""
         if not self._is_next(ask, now_ms):
             return messages.INACTIVE
+        self._take_back_lost(ask, now_ms)
+        self._seen[ask.run] = _Seen(ask.number, now_ms, {})
         self.role.hear(ask.host, ask.granters, now_ms)
         self.refresh(now_ms)
         if not self.is_active:
@@ -90,6 +93,7 @@
                 granted[name] = tokens
             if entry.is_urgent and tokens < entry.wanted:
                 waits_ms[name] = pool.wait_ms(now_ms)
+        self._seen[ask.run] = _Seen(ask.number, now_ms, granted)
         return messages.Answer(True, granted, waits_ms, tuple(ended))
 
     def states(self, now_ms: float) -> dict[str, PoolState]:
@@ -107,9 +111,19 @@
             return False
         if seen is None:
             self._forget(now_ms)
-        self._seen[ask.run] = _Seen(ask.number, now_ms)
         return True
 
+    def _take_back_lost(self, ask: messages.Ask, now_ms: float) -> None:
+        """Take back what the last answer granted if it was lost."""
+        seen = self._seen.get(ask.run)
+        if seen is None or ask.applied >= seen.number:
+            return
+        for name, tokens in seen.granted.items():
+            pool = self._pools.get(name)
+            if pool is not None:
+                pool.advance(now_ms)
+                pool.take_back(ask.run, tokens)
+
     def _forget(self, now_ms: float) -> None:
         oldest_ms = now_ms - FORGET_MS
         for run, seen in list(self._seen.items()):
--- a/packages/quotas/src/balsamloom_quotas/messages.py
+++ b/packages/quotas/src/balsamloom_quotas/messages.py
@@ -12,6 +12,7 @@
 
 MAX_ENTRIES = 10_000
 MAX_TOKENS = 1_000_000
+MAX_NUMBER = 2**53
 
 
 class InvalidMessageError(ValueError):
@@ -37,13 +38,15 @@
     """Request of a host to a granter.
 
     ``run`` identifies the run of the host's process. ``number`` rises with
-    each request of a run to a granter. ``granters`` are those by the members
-    that the host knows.
+    each request of a run to a granter. ``applied`` is that of the last one
+    whose answer the host applied; answers to others are lost. ``granters`` are
+    those by the members that the host knows.
     """
 
     host: str
     run: str
     number: int
+    applied: int
     granters: tuple[str, ...]
     entries: tuple[Entry, ...]
 
@@ -72,6 +75,7 @@
         "host": ask.host,
         "run": ask.run,
         "number": ask.number,
+        "applied": ask.applied,
         "granters": list(ask.granters),
         "entries": [
             [*entry[:4], int(entry.is_urgent)] for entry in ask.entries
@@ -89,7 +93,8 @@
         return Ask(
             _name(body["host"]),
             _name(body["run"]),
-            _count(body["number"], 2**53),
+            _count(body["number"], MAX_NUMBER),
+            _count(body["applied"], MAX_NUMBER),
             tuple(_name(name) for name in _list(body["granters"])),
             tuple(_decode_entry(entry) for entry in entries),
         )
--- a/packages/quotas/src/balsamloom_quotas/pools.py
+++ b/packages/quotas/src/balsamloom_quotas/pools.py
@@ -118,6 +118,18 @@
         self._clip()
         return kept == held
 
+    def take_back(self, run: str, tokens: int) -> None:
+        """Take back tokens that a run never got."""
+        lease = self._leases.get(run)
+        if lease is None:
+            return
+        found = min(tokens, lease.tokens)
+        # The lease keeps its place in the order.
+        self._leases[run] = lease._replace(tokens=lease.tokens - found)
+        self._leased -= found
+        self._tokens += found
+        self._clip()
+
     def grant(
         self, run: str, wanted: int, is_urgent: bool, now_ms: float
     ) -> int:
--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -21,11 +21,15 @@
     timing,
 )
 
-# Longest time in which a request waits for tokens from granters.
+# Longest time in which a request waits for tokens, from one granter and from
+# all. A refusal that comes late is worth little to the caller.
+MAX_GRANTER_WAIT_MS = 30.0
 MAX_WAIT_MS = 60.0
 ROUND_TIMEOUT_MS = 250.0
-# A granter that does not answer is left out for this time.
+# A granter that does not answer is left out for this time, or the shorter one
+# if it was given little time.
 FAILURE_PAUSE_MS = 1_000.0
+LATE_PAUSE_MS = 250.0
 MIN_RETRY_AFTER_MS = 50.0
 TICKS_PER_INTERVAL = 2
 # Path at which a host shows the state of its quotas.
@@ -72,6 +76,7 @@
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.number = 0
+        self.applied = 0
         self.sent_ms = -math.inf
         self.failed_until_ms = -math.inf
 
@@ -237,10 +242,11 @@
         """Ask granters for a token that a request waits for."""
         for name in self._order(workspace):
             link = self._link(name)
-            left_ms = until_ms - self._clock.now_ms()
-            if left_ms <= 0:
+            now_ms = self._clock.now_ms()
+            if now_ms >= until_ms:
                 break
-            self._ask(name, link, workspace, until_ms)
+            ask_until_ms = min(now_ms + MAX_GRANTER_WAIT_MS, until_ms)
+            self._ask(name, link, workspace, ask_until_ms)
             with self._lock:
                 leased_by = self._stocks.take(workspace, self._clock.now_ms())
             if leased_by is not None:
@@ -281,11 +287,13 @@
             if answer.is_active:
                 link.failed_until_ms = -math.inf
             else:
-                link.failed_until_ms = now_ms + ROUND_TIMEOUT_MS
+                link.failed_until_ms = now_ms + LATE_PAUSE_MS
             with self._lock:
                 self._stocks.apply(name, ask, answer, sent_ms, now_ms)
+            link.applied = ask.number
         except (UnreachableError, messages.InvalidMessageError) as error:
-            link.failed_until_ms = self._clock.now_ms() + FAILURE_PAUSE_MS
+            pause_ms = LATE_PAUSE_MS if needed else FAILURE_PAUSE_MS
+            link.failed_until_ms = self._clock.now_ms() + pause_ms
             events.log(
                 events.Event.QUOTA_GRANTER_FAILED,
                 logging.WARNING,
@@ -307,7 +315,12 @@
         link.number += 1
         link.sent_ms = now_ms
         return messages.Ask(
-            self._name, self._run, link.number, self._view.granters, entries
+            self._name,
+            self._run,
+            link.number,
+            link.applied,
+            self._view.granters,
+            entries,
         )
 
     def _call(
--- a/packages/quotas/src/balsamloom_quotas/timing.py
+++ b/packages/quotas/src/balsamloom_quotas/timing.py
@@ -6,18 +6,18 @@
 MAX_GRANTERS = 3
 # A host may use a token for this time from when it asked for it.
 LEASE_MS = 2_000.0
-# A granter goes by what it heard from hosts, or read of the members, in this
-# time.
+# A granter goes by what it heard from hosts in this time.
 EVIDENCE_MS = 1_500.0
 # A granter that is new grants nothing for this time. By then its predecessor
 # has lost its evidence, and the last lease that it granted has ended.
-HOLD_MS = LEASE_MS + EVIDENCE_MS
-# A granter without evidence for longer counts as new. No other one can have
-# begun to grant before.
-MAX_LAPSE_MS = LEASE_MS - EVIDENCE_MS
-# Members that were read within this time are taken for the registered ones.
-# A suspension of less than a lapse may add to it unnoticed.
-CURRENT_MS = EVIDENCE_MS - MAX_LAPSE_MS
+HOLD_MS = LEASE_MS + EVIDENCE_MS + 500.0
+# A granter that had no evidence for longer counts as new. In a shorter time no
+# other one can have had it throughout the hold, also not with evidence of
+# hosts that went over to it late and came back early.
+MAX_LAPSE_MS = HOLD_MS - 2 * EVIDENCE_MS
+# A lone member whose view is older counts as new. Views are read at such
+# intervals.
+MAX_VIEW_AGE_MS = 3_000.0
 # Interval at which a host asks each granter.
 MIN_INTERVAL_MS = 500.0
 # Leases outlast two intervals, and evidence one.
--- a/tools/quota_cost.py
+++ b/tools/quota_cost.py
@@ -46,7 +46,7 @@
     rate_limit = limits.RateLimit(RATE_PER_S, RATE_PER_S)
     quotas.read_limits = lambda: dict.fromkeys(names, rate_limit)
     quotas.read_view = lambda: evidence.View(
-        frozenset(["h"]), ("h",), clock.now_ms() + timing.CURRENT_MS
+        frozenset(["h"]), ("h",), clock.now_ms()
     )
     until_ms = clock.now_ms() + timing.HOLD_MS + clocks.MS_PER_S
     while clock.now_ms() < until_ms:
