--- a/packages/core/src/balsamloom_core/clock.py
+++ b/packages/core/src/balsamloom_core/clock.py
@@ -57,11 +57,16 @@
 
 
 class SuspensionClock(Clock):
-    """Clock whose monotonic time also runs while the host is suspended."""
+    """Clock whose monotonic time also runs while the host is suspended.
+
+    Where the system has no such clock, it stands still meanwhile.
+    """
+
+    _CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
     def now_ms(self) -> float:
         """Return monotonic time; only differences are meaningful."""
-        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+        return time.clock_gettime(self._CLOCK_ID) * MS_PER_S
 
 
 class ManualClock(Clock):
--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -236,6 +236,7 @@
             if self._link(name).failed_until_ms <= now_ms
         ]
         with self._lock:
+            self._stocks.keep_only(self._limits)
             self._stocks.set_granters(usable or view.granters, interval_ms)
 
     def _fetch(self, workspace: str, until_ms: float) -> str | None:
--- a/packages/quotas/src/balsamloom_quotas/stocks.py
+++ b/packages/quotas/src/balsamloom_quotas/stocks.py
@@ -7,7 +7,7 @@
 
 import math
 import zlib
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
 from balsamloom_quotas import demand, limits, messages, recent, timing
@@ -95,6 +95,11 @@
         self._granters = tuple(granters)
         self._interval_ms = interval_ms
 
+    def keep_only(self, workspaces: Collection[str]) -> None:
+        """Forget workspaces that have no limit any more."""
+        for name in set(self._accounts).difference(workspaces):
+            del self._accounts[name]
+
     def record(self, workspace: str, now_ms: float) -> None:
         """Count a request towards the demand."""
         self._account(workspace).demand.record(now_ms)
--- a/packages/quotas/tests/test_histories.py
+++ b/packages/quotas/tests/test_histories.py
@@ -48,6 +48,7 @@
         "press",
         "press_one",
         "cut_off",
+        "cut_pair",
         "cut_store",
         "heal",
         "freeze",
@@ -81,6 +82,8 @@
             played.spread("large", 100.0 * step.amount, (step.host,))
         case "cut_off":
             host.is_cut_off = True
+        case "cut_pair":
+            host.lost_paths.add(played.random.choice(NAMES))
         case "cut_store":
             host.is_store_cut = True
         case "heal":
@@ -88,6 +91,7 @@
                 other.is_cut_off = False
                 other.is_store_cut = False
                 other.loses_answers = False
+                other.lost_paths.clear()
         case "freeze":
             end_ms = played.clock.now_ms() + 5_000.0 * step.amount
             host.frozen_until_ms = end_ms
--- /dev/null
+++ b/packages/quotas/tests/test_messages.py
@@ -0,0 +1,96 @@
+"""Tests of the checks on messages between hosts and granters."""
+
+import json
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from balsamloom_quotas import messages
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, max_examples=300, deadline=None, database=None
+)
+COUNTS = strategies.integers(0, messages.MAX_TOKENS)
+NAMES = strategies.text(min_size=1, max_size=8)
+ENTRIES = strategies.builds(
+    messages.Entry, NAMES, COUNTS, COUNTS, COUNTS, strategies.booleans()
+)
+ASKS = strategies.builds(
+    messages.Ask,
+    NAMES,
+    NAMES,
+    COUNTS,
+    COUNTS,
+    strategies.lists(NAMES).map(tuple),
+    strategies.lists(ENTRIES).map(tuple),
+)
+ANSWERS = strategies.builds(
+    messages.Answer,
+    strategies.booleans(),
+    strategies.dictionaries(NAMES, COUNTS),
+    strategies.dictionaries(NAMES, strategies.integers(0, 10_000)),
+    strategies.lists(NAMES).map(tuple),
+)
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=5)
+        | strategies.dictionaries(strategies.text(max_size=5), inner)
+    ),
+    max_leaves=8,
+)
+
+
+def passed_on(body):
+    """Return a message as it arrives."""
+    return json.loads(json.dumps(body))
+
+
+class MessageTest(unittest.TestCase):
+    @SETTINGS
+    @hypothesis.given(ASKS)
+    def test_a_request_arrives_as_it_was_sent(self, ask):
+        body = passed_on(messages.encode_ask(ask))
+        self.assertEqual(messages.decode_ask(body), ask)
+
+    @SETTINGS
+    @hypothesis.given(ANSWERS)
+    def test_an_answer_arrives_as_it_was_sent(self, answer):
+        body = passed_on(messages.encode_answer(answer))
+        self.assertEqual(messages.decode_answer(body), answer)
+
+    @SETTINGS
+    @hypothesis.given(ASKS, ANSWERS, VALUES, strategies.data())
+    def test_damage_is_a_typed_error(self, ask, answer, value, data):
+        for body, decode in (
+            (messages.encode_ask(ask), messages.decode_ask),
+            (messages.encode_answer(answer), messages.decode_answer),
+        ):
+            field = data.draw(strategies.sampled_from(sorted(body)))
+            for damaged in (value, body | {field: value}):
+                try:
+                    decode(damaged)
+                except messages.InvalidMessageError:
+                    pass
+
+    def test_negative_and_huge_counts_are_refused(self):
+        entry = messages.Entry("w", 1, 0, 0, False)
+        ask = messages.Ask("h", "r", 1, 0, (), (entry,))
+        for place in (1, 2, 3):
+            for count in (-1, messages.MAX_TOKENS + 1, 1.5, True, "1"):
+                body = messages.encode_ask(ask)
+                body["entries"][0][place] = count
+                with (
+                    self.subTest(place=place, count=count),
+                    self.assertRaises(messages.InvalidMessageError),
+                ):
+                    messages.decode_ask(body)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/quotas/tests/world.py
+++ b/packages/quotas/tests/world.py
@@ -23,6 +23,8 @@
         self.is_up = True
         self.is_store_cut = False
         self.is_cut_off = False
+        # Hosts that this one does not reach.
+        self.lost_paths = set()
         self.loses_answers = False
         self.frozen_until_ms = 0.0
         # A host that freezes while it waits for an answer gets it then.
@@ -61,7 +63,8 @@
 
     def send(self, name, body, _):
         other = self.world.hosts[name]
-        if not other.runs or self.is_cut_off or other.is_cut_off:
+        is_cut = self.is_cut_off or other.is_cut_off
+        if not other.runs or is_cut or name in self.lost_paths:
             raise service.UnreachableError("no path")
         self.world.messages += 1
         answer = other.quotas.answer(body)
