--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -28,6 +28,7 @@
     usage_journal,
     usages,
 )
+from balsamloom_quotas import limits
 
 SERVICE = "engines"
 
@@ -300,10 +301,12 @@
     store: stores.Store | None = None,
     records: Records | None = None,
     addresses: tuple[str, str] = ("127.0.0.1:0", "127.0.0.1:0"),
+    quota_bounds: limits.Bounds | None = None,
 ) -> process.EdgeProcess:
     """Build an edge process with a store in memory and free ports.
 
     :param addresses: for callers and for other members.
+    :param quota_bounds: bounds of rate quotas, ``None`` for no quotas.
     """
 
     def answer(
@@ -327,6 +330,7 @@
         grace_ms=4_000.0,
         lease_ms=3_000,
         copies=1,
+        quota_bounds=quota_bounds,
     )
     return process.EdgeProcess(
         settings,
--- a/packages/gateway/tests/hosts_case.py
+++ b/packages/gateway/tests/hosts_case.py
@@ -19,16 +19,18 @@
 class LinkedRecords(builders.Records):
     """Records of one process, which reaches servers over links of its own."""
 
-    def __init__(self):
+    def __init__(self, workspaces=None):
         self.links = {}
+        self.workspaces = workspaces
 
     def configuration(self, value):
         """Return a configuration with the routes of all kinds."""
         routes = gateway_case.routes_of_all_kinds()
-        return builders.configuration(
+        found = builders.configuration(
             int(value),
             tuple(one._replace(timeout_ms=TIMEOUT_MS) for one in routes),
         )
+        return found._replace(workspaces=self.workspaces)
 
     def server(self, server_id, value):
         """Decode a server's record; its address is that of a link."""
@@ -59,6 +61,9 @@
 
     # What servers do with a connection instead of answering a request.
     work = None
+    # Workspaces of the configuration, and bounds of their quotas.
+    WORKSPACES = None
+    QUOTA_BOUNDS = None
 
     def setUp(self):
         self.store = stores.Store()
@@ -68,14 +73,18 @@
             self.addCleanup(server.close)
             record = {"is_draining": False, "address": server.address}
             self.store.put(f"server/s{number}", json.dumps(record).encode())
-        self.records = {name: LinkedRecords() for name in NAMES}
+        self.records = {name: LinkedRecords(self.WORKSPACES) for name in NAMES}
         self.addresses = {
             name: (scripted.free_address(), scripted.free_address())
             for name in NAMES
         }
         self.hosts = {
             name: builders.edge_process(
-                name, self.store, self.records[name], self.addresses[name]
+                name,
+                self.store,
+                self.records[name],
+                self.addresses[name],
+                self.QUOTA_BOUNDS,
             )
             for name in NAMES
         }
@@ -145,9 +154,9 @@
             for request in server.received
         )
 
-    def wait_until(self, condition):
+    def wait_until(self, condition, timeout_s=TIMEOUT_S):
         """Wait until a condition holds."""
-        until_s = time.monotonic() + TIMEOUT_S
+        until_s = time.monotonic() + timeout_s
         while not condition():
             self.assertLess(time.monotonic(), until_s)
             time.sleep(0.01)
