--- a/packages/quotas/src/balsamloom_quotas/pools.py
+++ b/packages/quotas/src/balsamloom_quotas/pools.py
@@ -10,7 +10,7 @@
 
 # Part of the tokens that is kept for hosts with callers that wait. The others
 # ask ahead of need.
-RESERVED_SHARE = 1 / 3
+RESERVED_SHARE = 0.2
 # Hosts that asked in vain within this time share what the rate adds.
 CONTENTION_MS = 2_000.0
 
@@ -118,6 +118,18 @@
         self._clip()
         return kept == held
 
+    def take_back(self, run: str, tokens: int) -> None:
+        """Take back tokens that a run never got."""
+        lease = self._leases.get(run)
+        if lease is None:
+            return
+        found = min(tokens, lease.tokens)
+        # The lease keeps its place in the order.
+        self._leases[run] = lease._replace(tokens=lease.tokens - found)
+        self._leased -= found
+        self._tokens += found
+        self._clip()
+
     def grant(
         self, run: str, wanted: int, is_urgent: bool, now_ms: float
     ) -> int:
--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -21,13 +21,19 @@
     timing,
 )
 
-# Longest time in which a request waits for tokens from granters.
+# Longest time in which a request waits for tokens, from one granter and from
+# all. A refusal that comes late is worth little to the caller.
+MAX_GRANTER_WAIT_MS = 30.0
 MAX_WAIT_MS = 60.0
 ROUND_TIMEOUT_MS = 250.0
-# A granter that does not answer is left out for this time.
+# A granter that does not answer is left out for this time, or the shorter one
+# if it was given little time.
 FAILURE_PAUSE_MS = 1_000.0
+LATE_PAUSE_MS = 250.0
 MIN_RETRY_AFTER_MS = 50.0
 TICKS_PER_INTERVAL = 2
+# Path at which a host shows the state of its quotas.
+PAGE_PATH = "/quotas"
 # Interval between log events about refusals of one workspace.
 REFUSAL_LOG_MS = 1_000.0
 
@@ -70,6 +76,7 @@
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.number = 0
+        self.applied = 0
         self.sent_ms = -math.inf
         self.failed_until_ms = -math.inf
 
@@ -97,7 +104,7 @@
         self._clock = clock
         self._send = send
         self._lock = threading.Lock()
-        self._stocks = stocks.Stocks(name)
+        self._stocks = stocks.Stocks(name, bounds.window_ms)
         self._granter_lock = threading.Lock()
         self._granter = granter.Granter(name, bounds)
         self._view = evidence.NO_VIEW
@@ -181,19 +188,27 @@
                 self._ask(name, link, "", now_ms + ROUND_TIMEOUT_MS)
         return interval_ms
 
+    def account_states(self) -> dict[str, stocks.AccountState]:
+        """Return the workspaces with requests at this host."""
+        with self._lock:
+            return self._stocks.states(self._clock.now_ms())
+
     def states(self) -> dict[str, Any]:
         """Return the tokens held and granted here, for operators."""
         now_ms = self._clock.now_ms()
-        with self._lock:
-            held = self._stocks.states(now_ms)
+        held = self.account_states()
         with self._granter_lock:
             is_active = self._granter.is_active
             granted = self._granter.states(now_ms)
         return {
+            "host": self._name,
+            "limits": {
+                name: limit._asdict() for name, limit in self._limits.items()
+            },
             "granters": list(self._view.granters),
             "is_granter": is_active,
             "workspaces": {
-                name: state._asdict() for name, state in held.items()
+                name: _as_json(state) for name, state in held.items()
             },
             "granted": {
                 name: state._asdict() for name, state in granted.items()
@@ -221,16 +236,18 @@
             if self._link(name).failed_until_ms <= now_ms
         ]
         with self._lock:
+            self._stocks.keep_only(self._limits)
             self._stocks.set_granters(usable or view.granters, interval_ms)
 
     def _fetch(self, workspace: str, until_ms: float) -> str | None:
         """Ask granters for a token that a request waits for."""
         for name in self._order(workspace):
             link = self._link(name)
-            left_ms = until_ms - self._clock.now_ms()
-            if left_ms <= 0:
+            now_ms = self._clock.now_ms()
+            if now_ms >= until_ms:
                 break
-            self._ask(name, link, workspace, until_ms)
+            ask_until_ms = min(now_ms + MAX_GRANTER_WAIT_MS, until_ms)
+            self._ask(name, link, workspace, ask_until_ms)
             with self._lock:
                 leased_by = self._stocks.take(workspace, self._clock.now_ms())
             if leased_by is not None:
@@ -271,11 +288,13 @@
             if answer.is_active:
                 link.failed_until_ms = -math.inf
             else:
-                link.failed_until_ms = now_ms + ROUND_TIMEOUT_MS
+                link.failed_until_ms = now_ms + LATE_PAUSE_MS
             with self._lock:
                 self._stocks.apply(name, ask, answer, sent_ms, now_ms)
+            link.applied = ask.number
         except (UnreachableError, messages.InvalidMessageError) as error:
-            link.failed_until_ms = self._clock.now_ms() + FAILURE_PAUSE_MS
+            pause_ms = LATE_PAUSE_MS if needed else FAILURE_PAUSE_MS
+            link.failed_until_ms = self._clock.now_ms() + pause_ms
             events.log(
                 events.Event.QUOTA_GRANTER_FAILED,
                 logging.WARNING,
@@ -297,7 +316,12 @@
         link.number += 1
         link.sent_ms = now_ms
         return messages.Ask(
-            self._name, self._run, link.number, self._view.granters, entries
+            self._name,
+            self._run,
+            link.number,
+            link.applied,
+            self._view.granters,
+            entries,
         )
 
     def _call(
@@ -347,10 +371,14 @@
             logging.WARNING,
             workspace=workspace,
             limit=None if limit is None else limit._asdict(),
-            state=None if state is None else state._asdict(),
+            state=None if state is None else _as_json(state),
             granters=list(self._view.granters),
             retry_after_ms=round(refused.retry_after_ms),
         )
 
     def _link(self, name: str) -> _Link:
         return self._links.setdefault(name, _Link())
+
+
+def _as_json(state: stocks.AccountState) -> dict[str, Any]:
+    return state._asdict() | {"recent": state.recent._asdict()}
--- a/packages/quotas/tests/world.py
+++ b/packages/quotas/tests/world.py
@@ -23,6 +23,8 @@
         self.is_up = True
         self.is_store_cut = False
         self.is_cut_off = False
+        # Hosts that this one does not reach.
+        self.lost_paths = set()
         self.loses_answers = False
         self.frozen_until_ms = 0.0
         # A host that freezes while it waits for an answer gets it then.
@@ -37,7 +39,7 @@
         self.is_up = True
         self.members = ()
         self.limits = {}
-        self.current_ms = -float("inf")
+        self.read_ms = -float("inf")
         self.quotas = service.Quotas(
             self.name,
             f"{self.name}.{self.starts}",
@@ -57,12 +59,12 @@
 
     def view(self):
         granters = self.members[:MAX_GRANTERS]
-        until_ms = self.current_ms + timing.CURRENT_MS
-        return evidence.View(frozenset(self.members), granters, until_ms)
+        return evidence.View(frozenset(self.members), granters, self.read_ms)
 
     def send(self, name, body, _):
         other = self.world.hosts[name]
-        if not other.runs or self.is_cut_off or other.is_cut_off:
+        is_cut = self.is_cut_off or other.is_cut_off
+        if not other.runs or is_cut or name in self.lost_paths:
             raise service.UnreachableError("no path")
         self.world.messages += 1
         answer = other.quotas.answer(body)
@@ -137,7 +139,7 @@
             if host.runs and not host.is_store_cut and is_due:
                 host.members = members
                 host.limits = dict(self.limits)
-                host.current_ms = now_ms
+                host.read_ms = now_ms
 
     def send_requests(self, workspace, name, rate_per_s):
         host = self.hosts[name]
