--- a/packages/ingress/src/balsamloom_ingress/accounts.py
+++ b/packages/ingress/src/balsamloom_ingress/accounts.py
@@ -12,6 +12,10 @@
 
 # Time for transfers that were shed to give their memory back.
 RELEASE_TIMEOUT_MS = 1_000.0
+# Requests up to this size also get the part of the account that larger ones
+# leave, so that large bodies don't keep ordinary requests out.
+SMALL_BYTES = 65_536
+SMALL_SHARE = 0.125
 
 
 class MemoryAccount:
@@ -59,16 +63,23 @@
             self._released.notify_all()
 
     def _fits(self, transfer: transfers.Transfer, size_bytes: int) -> bool:
-        return (
-            self._used_bytes + size_bytes <= self._capacity_bytes
-            or self._used_bytes == transfer.held_bytes
-        )
+        excess_bytes = self._excess_bytes(transfer, size_bytes)
+        return excess_bytes <= 0 or self._used_bytes == transfer.held_bytes
+
+    def _excess_bytes(
+        self, transfer: transfers.Transfer, size_bytes: int
+    ) -> int:
+        """Return how much memory others would have to give back."""
+        available = self._capacity_bytes
+        if transfer.held_bytes + size_bytes > SMALL_BYTES:
+            available -= int(SMALL_SHARE * available)
+        return self._used_bytes + size_bytes - available
 
     def _shed_for(self, transfer: transfers.Transfer, size_bytes: int) -> None:
         """Evict the transfers that come before this one, as far as needed."""
         leaving = [each for each in self._holders if each.is_evicted]
         freed_bytes = sum(each.held_bytes for each in leaving)
-        needed_bytes = self._used_bytes + size_bytes - self._capacity_bytes
+        needed_bytes = self._excess_bytes(transfer, size_bytes)
         victims = []
         order = transfers.in_shedding_order(
             self._holders | {transfer}, self._clock.now_ms()
--- a/packages/ingress/src/balsamloom_ingress/bodies.py
+++ b/packages/ingress/src/balsamloom_ingress/bodies.py
@@ -13,6 +13,8 @@
 )
 
 READ_BYTES = 65_536
+# First step of memory for a body of unknown size.
+FIRST_STEP_BYTES = 8_192
 # A body is kept for a retry while another copy of it is being sent.
 COPIES = 2
 
@@ -147,9 +149,11 @@
         return part
 
     def _grow(self, size_bytes: int) -> None:
-        """Take memory in steps, so that small parts cost little."""
-        if size_bytes > self._taken_bytes:
-            self._take(max(READ_BYTES, size_bytes - self._taken_bytes))
+        """Take memory in growing steps, so that small parts cost little."""
+        missing_bytes = size_bytes - self._taken_bytes
+        if missing_bytes > 0:
+            step = min(max(self._taken_bytes, FIRST_STEP_BYTES), READ_BYTES)
+            self._take(max(step, missing_bytes))
 
     def _take(self, size_bytes: int) -> None:
         self._account.take(self._transfer, COPIES * size_bytes)
--- a/packages/ingress/src/balsamloom_ingress/chunks.py
+++ b/packages/ingress/src/balsamloom_ingress/chunks.py
@@ -76,8 +76,9 @@
         :raises MalformedBodyError: it is wrongly encoded.
         """
         early_bytes = len(self._line_start)
-        received = self._line_start + received
-        self._line_start = b""
+        if early_bytes:
+            received = self._line_start + received
+            self._line_start = b""
         position = 0
         while position < len(received) and not self.is_complete:
             if self._state is _State.DATA:
--- a/packages/ingress/tests/test_shedding.py
+++ b/packages/ingress/tests/test_shedding.py
@@ -9,6 +9,7 @@
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
 from balsamloom_ingress import (
+    accounts,
     errors,
     limits,
     refusals,
@@ -22,6 +23,7 @@
 
     def setUp(self):
         self.clock = clocks.ManualClock()
+        # Transfers of these tests are small, so they get all of it.
         self.account = builders.account(1_000, self.clock)
         self.evicted = []
 
@@ -82,6 +84,15 @@
         self.account.release(whole)
         self.account.take(self.transfer("newer", 1), 300)
 
+    def test_large_bodies_leave_room_for_small_requests(self):
+        self.account = builders.account(8_000_000, self.clock)
+        whole = self.transfer("whole", held_bytes=6_900_000)
+        whole.is_arriving = False
+        with self.assertRaises(errors.ShedError):
+            self.account.take(self.transfer("large"), 200_000)
+        self.account.take(self.transfer("small"), accounts.SMALL_BYTES)
+        self.assertEqual(self.evicted, [])
+
     def test_request_that_is_alone_gets_its_memory(self):
         large = self.transfer("large", held_bytes=900)
         self.account.take(large, 900)
