--- a/packages/gateway/src/balsamloom_gateway/caller_connections.py
+++ b/packages/gateway/src/balsamloom_gateway/caller_connections.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from cheroot import errors as cheroot_errors
 from cheroot import makefile
 from cheroot import server as cheroot_server
 
@@ -158,6 +159,14 @@
         # The reader is stateful, so each request needs its own.
         self.header_reader = _StrictHeaderReader(self.conn.take_memory)
 
+    def read_request_headers(self) -> bool:
+        """Read the header lines; a head that is too large gets a 431."""
+        try:
+            return bool(super().read_request_headers())  # type: ignore[no-untyped-call]
+        except cheroot_errors.MaxSizeExceeded:
+            self.simple_response("431 Request Header Fields Too Large")
+            return False
+
     def simple_response(self, status: str, msg: str = "") -> None:
         """Log and respond to a request that reaches no handler."""
         try:
--- a/packages/gateway/src/balsamloom_gateway/listeners.py
+++ b/packages/gateway/src/balsamloom_gateway/listeners.py
@@ -165,7 +165,7 @@
             return
         try:
             self._body_reader().skip()
-        except (errors.BodyError, OSError) as error:
+        except (errors.BodyError, errors.ShedError, OSError) as error:
             self._raw.close_connection = True
             events.log(events.Event.BODY_NOT_READ, reason=repr(error))
 
--- a/packages/ingress/src/balsamloom_ingress/accounts.py
+++ b/packages/ingress/src/balsamloom_ingress/accounts.py
@@ -45,9 +45,7 @@
         :raises ShedError: there is none, or others need it more.
         """
         with self._released:
-            if not self._fits(transfer, size_bytes):
-                self._shed_for(transfer, size_bytes)
-                self._await_room(transfer, size_bytes)
+            self._make_room(transfer, size_bytes)
             self._used_bytes += size_bytes
             transfer.held_bytes += size_bytes
             self._holders.add(transfer)
@@ -62,6 +60,18 @@
             self._holders.discard(transfer)
             self._released.notify_all()
 
+    def _make_room(
+        self, transfer: transfers.Transfer, size_bytes: int
+    ) -> None:
+        until_ms = self._clock.now_ms() + RELEASE_TIMEOUT_MS
+        while not self._fits(transfer, size_bytes):
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0.0 or transfer.is_evicted:
+                raise errors.ShedError("no memory is left for the request")
+            # Others may have taken what the last ones gave back.
+            self._shed_for(transfer, size_bytes)
+            self._clock.wait_condition(self._released, left_ms)
+
     def _fits(self, transfer: transfers.Transfer, size_bytes: int) -> bool:
         excess_bytes = self._excess_bytes(transfer, size_bytes)
         return excess_bytes <= 0 or self._used_bytes == transfer.held_bytes
@@ -94,13 +104,6 @@
             raise errors.ShedError("no memory is left for the request")
         for each in victims:
             each.evict()
-
-    def _await_room(
-        self, transfer: transfers.Transfer, size_bytes: int
-    ) -> None:
-        until_ms = self._clock.now_ms() + RELEASE_TIMEOUT_MS
-        while not self._fits(transfer, size_bytes):
-            left_ms = until_ms - self._clock.now_ms()
-            if left_ms <= 0.0 or transfer.is_evicted:
-                raise errors.ShedError("no memory is left for the request")
-            self._clock.wait_condition(self._released, left_ms)
+        if victims:
+            # One of them may be waiting for memory itself.
+            self._released.notify_all()
--- a/packages/ingress/src/balsamloom_ingress/bodies.py
+++ b/packages/ingress/src/balsamloom_ingress/bodies.py
@@ -78,6 +78,7 @@
         """Read the body without keeping it.
 
         :raises BodyError: it is malformed or exceeds a limit.
+        :raises ShedError: others need the thread.
         :raises OSError: the connection failed or a timeout passed.
         """
         self._read(is_kept=False)
