--- a/packages/gateway/tests/hosts_case.py
+++ b/packages/gateway/tests/hosts_case.py
@@ -19,9 +19,12 @@
 class LinkedRecords(builders.Records):
     """Records of one process, which reaches servers over links of its own."""
 
+    workspaces = None
+
     def __init__(self, workspaces=None):
         self.links = {}
-        self.workspaces = workspaces
+        if workspaces is not None:
+            self.workspaces = workspaces
 
     def configuration(self, value):
         """Return a configuration with the routes of all kinds."""
