--- a/packages/gateway/tests/hosts_case.py
+++ b/packages/gateway/tests/hosts_case.py
@@ -19,9 +19,10 @@
 class LinkedRecords(builders.Records):
     """Records of one process, which reaches servers over links of its own."""
 
-    def __init__(self, workspaces=None):
+    workspaces = None
+
+    def __init__(self):
         self.links = {}
-        self.workspaces = workspaces
 
     def configuration(self, value):
         """Return a configuration with the routes of all kinds."""
@@ -61,8 +62,6 @@
 
     # What servers do with a connection instead of answering a request.
     work = None
-    # Workspaces of the configuration, and bounds of their quotas.
-    WORKSPACES = None
     QUOTA_BOUNDS = None
 
     def setUp(self):
@@ -73,7 +72,7 @@
             self.addCleanup(server.close)
             record = {"is_draining": False, "address": server.address}
             self.store.put(f"server/s{number}", json.dumps(record).encode())
-        self.records = {name: LinkedRecords(self.WORKSPACES) for name in NAMES}
+        self.records = {name: LinkedRecords() for name in NAMES}
         self.addresses = {
             name: (scripted.free_address(), scripted.free_address())
             for name in NAMES
