--- a/packages/quotas/src/balsamloom_quotas/granter.py
+++ b/packages/quotas/src/balsamloom_quotas/granter.py
@@ -26,6 +26,11 @@
     granted: Mapping[str, int]
 
 
+def run_of(ask: messages.Ask) -> str:
+    """Return what identifies the run of a host's process among all."""
+    return f"{ask.host}/{ask.run}"
+
+
 class Granter:
     """Answers the requests of all hosts for tokens.
 
@@ -71,7 +76,7 @@
         if not self._is_next(ask, now_ms):
             return messages.INACTIVE
         self._take_back_lost(ask, now_ms)
-        self._seen[ask.run] = _Seen(ask.number, now_ms, {})
+        self._seen[run_of(ask)] = _Seen(ask.number, now_ms, {})
         self.role.hear(ask.host, ask.granters, now_ms)
         self.refresh(now_ms)
         if not self.is_active:
@@ -86,14 +91,16 @@
                 ended.append(name)
                 continue
             pool.advance(now_ms)
-            if not pool.renew(ask.run, entry.held, entry.returned, now_ms):
+            if not pool.renew(run_of(ask), entry.held, entry.returned, now_ms):
                 ended.append(name)
-            tokens = pool.grant(ask.run, entry.wanted, entry.is_urgent, now_ms)
+            tokens = pool.grant(
+                run_of(ask), entry.wanted, entry.is_urgent, now_ms
+            )
             if tokens:
                 granted[name] = tokens
             if entry.is_urgent and tokens < entry.wanted:
                 waits_ms[name] = pool.wait_ms(now_ms)
-        self._seen[ask.run] = _Seen(ask.number, now_ms, granted)
+        self._seen[run_of(ask)] = _Seen(ask.number, now_ms, granted)
         return messages.Answer(True, granted, waits_ms, tuple(ended))
 
     def states(self, now_ms: float) -> dict[str, PoolState]:
@@ -106,7 +113,7 @@
 
     def _is_next(self, ask: messages.Ask, now_ms: float) -> bool:
         """Return whether no later request of the host was answered."""
-        seen = self._seen.get(ask.run)
+        seen = self._seen.get(run_of(ask))
         if seen is not None and ask.number <= seen.number:
             return False
         if seen is None:
@@ -115,14 +122,14 @@
 
     def _take_back_lost(self, ask: messages.Ask, now_ms: float) -> None:
         """Take back what the last answer granted if it was lost."""
-        seen = self._seen.get(ask.run)
+        seen = self._seen.get(run_of(ask))
         if seen is None or ask.applied >= seen.number:
             return
         for name, tokens in seen.granted.items():
             pool = self._pools.get(name)
             if pool is not None:
                 pool.advance(now_ms)
-                pool.take_back(ask.run, tokens)
+                pool.take_back(run_of(ask), tokens)
 
     def _forget(self, now_ms: float) -> None:
         oldest_ms = now_ms - FORGET_MS
