--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -174,13 +174,8 @@
 
         :return: the interval in which a granter is asked.
         """
-        self._limits = self.read_limits()
-        view = self.read_view()
-        interval_ms = timing.interval_ms(len(view.members))
-        if not self._limits:
-            return interval_ms
-        self._apply_view(view, interval_ms)
-        for name in view.granters:
+        interval_ms = self._refresh()
+        for name in self._view.granters:
             link = self._link(name)
             now_ms = self._clock.now_ms()
             is_due = now_ms - link.sent_ms >= interval_ms * 0.9
@@ -215,6 +210,22 @@
             },
         }
 
+    def _refresh(self) -> float:
+        """Apply the members and limits that this host knows now.
+
+        :return: the interval in which a granter is asked.
+        """
+        self._limits = self.read_limits()
+        if not self._limits:
+            self._view = evidence.NO_VIEW
+            with self._granter_lock:
+                self._granter.set_limits({}, self._clock.now_ms())
+            return timing.MAX_INTERVAL_MS
+        view = self.read_view()
+        interval_ms = timing.interval_ms(len(view.members))
+        self._apply_view(view, interval_ms)
+        return interval_ms
+
     def _apply_view(self, view: evidence.View, interval_ms: float) -> None:
         now_ms = self._clock.now_ms()
         self._view = view
@@ -241,6 +252,9 @@
 
     def _fetch(self, workspace: str, until_ms: float) -> str | None:
         """Ask granters for a token that a request waits for."""
+        if not self._view.granters:
+            # The process has just started.
+            self._refresh()
         for name in self._order(workspace):
             link = self._link(name)
             now_ms = self._clock.now_ms()
--- a/packages/quotas/src/balsamloom_quotas/timing.py
+++ b/packages/quotas/src/balsamloom_quotas/timing.py
@@ -8,13 +8,14 @@
 LEASE_MS = 2_000.0
 # A granter goes by what it heard from hosts in this time.
 EVIDENCE_MS = 1_500.0
-# A granter that is new grants nothing for this time. By then its predecessor
-# has lost its evidence, and the last lease that it granted has ended.
-HOLD_MS = LEASE_MS + EVIDENCE_MS + 500.0
 # A granter that had no evidence for longer counts as new. In a shorter time no
 # other one can have had it throughout the hold, also not with evidence of
-# hosts that went over to it late and came back early.
-MAX_LAPSE_MS = HOLD_MS - 2 * EVIDENCE_MS
+# hosts that went over to it late and came back early. A granter that stands
+# still for less may take what hosts said before for news.
+MAX_LAPSE_MS = 1_000.0
+# A granter that is new grants nothing for this time. By then its predecessor
+# has lost its evidence, and the last lease that it granted has ended.
+HOLD_MS = LEASE_MS + EVIDENCE_MS + MAX_LAPSE_MS
 # A lone member whose view is older counts as new. Views are read at such
 # intervals.
 MAX_VIEW_AGE_MS = 3_000.0
