--- a/packages/gateway/tests/test_quota_hosts.py
+++ b/packages/gateway/tests/test_quota_hosts.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import unittest
+from unittest import mock
 
 import hosts_case
 
@@ -23,9 +24,16 @@
 
 
 class QuotaHostsTest(hosts_case.HostsCase):
-    WORKSPACES = (WORKSPACE,)
     QUOTA_BOUNDS = BOUNDS
 
+    def setUp(self):
+        patched = mock.patch.object(
+            hosts_case.LinkedRecords, "workspaces", (WORKSPACE,)
+        )
+        patched.start()
+        self.addCleanup(patched.stop)
+        super().setUp()
+
     def ask(self, host, number):
         """Return the response to a request of the workspace."""
         response = self.send(host, f"r{number}", Authorization=f"Bearer {KEY}")
