--- a/packages/quotas/src/balsamloom_quotas/evidence.py
+++ b/packages/quotas/src/balsamloom_quotas/evidence.py
@@ -38,6 +38,7 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._view = NO_VIEW
+        self._others: frozenset[str] = frozenset()
         # When each host last named this one as granter.
         self._heard_ms: dict[str, float] = {}
         self._since_ms = math.inf
@@ -50,6 +51,7 @@
     def set_view(self, view: View, now_ms: float) -> None:
         """Apply the members that this host knows."""
         self._view = view
+        self._others = view.members - {self._name}
         if not view.granters:
             return
         part = 1 / len(view.granters)
@@ -113,9 +115,10 @@
 
     def _is_named_by_most(self, now_ms: float) -> bool:
         oldest_ms = now_ms - timing.EVIDENCE_MS
-        others = self._view.members - {self._name}
+        heard_ms = self._heard_ms
         count = sum(
-            self._heard_ms.get(name, -math.inf) > oldest_ms for name in others
+            name in heard_ms and heard_ms[name] > oldest_ms
+            for name in self._others
         )
         # This host goes by its own view.
         return 2 * (count + 1) > len(self._view.members)
--- a/packages/quotas/src/balsamloom_quotas/granter.py
+++ b/packages/quotas/src/balsamloom_quotas/granter.py
@@ -76,11 +76,18 @@
         if not self._is_next(ask, now_ms):
             return messages.INACTIVE
         self._take_back_lost(ask, now_ms)
-        self._seen[run_of(ask)] = _Seen(ask.number, now_ms, {})
         self.role.hear(ask.host, ask.granters, now_ms)
         self.refresh(now_ms)
-        if not self.is_active:
-            return messages.INACTIVE
+        answer = messages.INACTIVE
+        if self.is_active:
+            answer = self._renew_leases(ask, now_ms)
+        self._seen[run_of(ask)] = _Seen(ask.number, now_ms, answer.granted)
+        return answer
+
+    def _renew_leases(
+        self, ask: messages.Ask, now_ms: float
+    ) -> messages.Answer:
+        run = run_of(ask)
         granted: dict[str, int] = {}
         waits_ms: dict[str, float] = {}
         ended: list[str] = []
@@ -91,16 +98,13 @@
                 ended.append(name)
                 continue
             pool.advance(now_ms)
-            if not pool.renew(run_of(ask), entry.held, entry.returned, now_ms):
+            if not pool.renew(run, entry.held, entry.returned, now_ms):
                 ended.append(name)
-            tokens = pool.grant(
-                run_of(ask), entry.wanted, entry.is_urgent, now_ms
-            )
+            tokens = pool.grant(run, entry.wanted, entry.is_urgent, now_ms)
             if tokens:
                 granted[name] = tokens
             if entry.is_urgent and tokens < entry.wanted:
                 waits_ms[name] = pool.wait_ms(now_ms)
-        self._seen[run_of(ask)] = _Seen(ask.number, now_ms, granted)
         return messages.Answer(True, granted, waits_ms, tuple(ended))
 
     def states(self, now_ms: float) -> dict[str, PoolState]:
