--- a/packages/ingress/src/balsamloom_ingress/accounts.py
+++ b/packages/ingress/src/balsamloom_ingress/accounts.py
@@ -12,8 +12,8 @@
 
 # Time for transfers that were shed to give their memory back.
 RELEASE_TIMEOUT_MS = 1_000.0
-# Requests up to this size also get the part of the account that larger ones
-# leave, so that large bodies don't keep ordinary requests out.
+# Requests up to this size have a part of the account to themselves, so that
+# large bodies don't keep ordinary requests out.
 SMALL_BYTES = 65_536
 SMALL_SHARE = 0.125
 
@@ -40,7 +40,8 @@
     def take(self, transfer: transfers.Transfer, size_bytes: int) -> None:
         """Take memory for a transfer, and shed others if none is left.
 
-        A transfer that is alone gets what it asks for.
+        A transfer beside which there are only small ones gets what it asks
+        for.
 
         :raises ShedError: there is none, or others need it more.
         """
@@ -73,17 +74,27 @@
             self._clock.wait_condition(self._released, left_ms)
 
     def _fits(self, transfer: transfers.Transfer, size_bytes: int) -> bool:
-        excess_bytes = self._excess_bytes(transfer, size_bytes)
-        return excess_bytes <= 0 or self._used_bytes == transfer.held_bytes
+        return self._excess_bytes(transfer, size_bytes) <= 0
 
     def _excess_bytes(
         self, transfer: transfers.Transfer, size_bytes: int
     ) -> int:
         """Return how much memory others would have to give back."""
-        available = self._capacity_bytes
-        if transfer.held_bytes + size_bytes > SMALL_BYTES:
-            available -= int(SMALL_SHARE * available)
-        return self._used_bytes + size_bytes - available
+        reserve = int(SMALL_SHARE * self._capacity_bytes)
+        excess_bytes = self._used_bytes + size_bytes - self._capacity_bytes
+        is_large = transfer.held_bytes + size_bytes > SMALL_BYTES
+        if is_large:
+            excess_bytes += reserve
+        if excess_bytes <= 0:
+            return excess_bytes
+        others = [each.held_bytes for each in self._holders - {transfer}]
+        large_bytes = sum(each for each in others if each > SMALL_BYTES)
+        if is_large:
+            # It gets what it asks for once no other large one is left.
+            return min(excess_bytes, large_bytes)
+        small_bytes = sum(others) - large_bytes
+        own_bytes = transfer.held_bytes + size_bytes
+        return min(excess_bytes, small_bytes + own_bytes - reserve)
 
     def _shed_for(self, transfer: transfers.Transfer, size_bytes: int) -> None:
         """Evict the transfers that come before this one, as far as needed."""
@@ -99,8 +110,7 @@
                 break
             victims.append(each)
             freed_bytes += each.held_bytes
-        alone_bytes = self._used_bytes - transfer.held_bytes
-        if freed_bytes < min(needed_bytes, alone_bytes):
+        if freed_bytes < needed_bytes:
             raise errors.ShedError("no memory is left for the request")
         for each in victims:
             each.evict()
--- a/packages/ingress/src/balsamloom_ingress/transfers.py
+++ b/packages/ingress/src/balsamloom_ingress/transfers.py
@@ -12,6 +12,9 @@
 # A sender counts as stalled without this much progress in this time.
 PROGRESS_BYTES = 1_024
 STALLED_MS = 250.0
+# Differences below this size don't matter for who is shed: a large body one
+# byte short of its end is no nearer to it than a small one.
+STEP_BYTES = 65_536
 
 
 class Transfer:
@@ -46,10 +49,15 @@
             self._new_bytes = 0
             self._progress_ms = self._clock.now_ms()
 
-    def stalled_ms(self, now_ms: float) -> float:
-        """Return for how long there was no progress, 0 if not for long."""
+    def shedding_rank(self, now_ms: float) -> tuple[float, int, int, float]:
+        """Return a rank; the transfer with the highest one is shed first."""
         silent_ms = now_ms - self._progress_ms
-        return silent_ms if silent_ms >= STALLED_MS else 0.0
+        return (
+            silent_ms if silent_ms >= STALLED_MS else 0.0,
+            self.remaining_bytes // STEP_BYTES,
+            self.held_bytes // STEP_BYTES,
+            silent_ms,
+        )
 
     def evict(self) -> None:
         """End the transfer, as its room is needed."""
@@ -63,13 +71,14 @@
     """Return the transfers that may be shed, those to shed first in front.
 
     Those without progress come first, the longest silent one in front; the
-    others follow, those furthest from their end in front.
+    others follow, those furthest from their end in front, and of equal ones
+    those that hold more.
     """
     candidates = [
         each for each in transfers if each.is_arriving and not each.is_evicted
     ]
     return sorted(
         candidates,
-        key=lambda each: (each.stalled_ms(now_ms), each.remaining_bytes),
+        key=lambda each: each.shedding_rank(now_ms),
         reverse=True,
     )
--- a/packages/ingress/tests/test_shedding.py
+++ b/packages/ingress/tests/test_shedding.py
@@ -64,16 +64,32 @@
 
     def test_transfer_that_is_furthest_from_its_end_goes_first(self):
         self.transfer("near", 10, held_bytes=500)
-        self.transfer("far", 800, held_bytes=400)
+        self.transfer("far", transfers.STEP_BYTES, held_bytes=400)
         self.account.take(self.transfer("new", 100), 300)
         self.assertEqual(self.evicted, ["far"])
 
     def test_newcomer_that_is_furthest_from_its_end_is_refused(self):
         self.transfer("near", 10, held_bytes=900)
         with self.assertRaises(errors.ShedError):
-            self.account.take(self.transfer("new", 100), 300)
+            self.account.take(self.transfer("new", transfers.STEP_BYTES), 300)
         self.assertEqual(self.evicted, [])
 
+    def test_large_body_one_byte_short_goes_before_a_small_request(self):
+        size = 4 * transfers.STEP_BYTES
+        self.account = builders.account(size, self.clock)
+        self.transfer("large", 1, held_bytes=size)
+        self.account.take(self.transfer("small", 2_000), size)
+        self.assertEqual(self.evicted, ["large"])
+
+    def test_body_that_exceeds_the_account_leaves_room_for_small_ones(self):
+        self.account = builders.account(1_000_000, self.clock)
+        whole = self.transfer("whole", held_bytes=2_000_000)
+        whole.is_arriving = False
+        for _ in range(10):
+            self.account.take(self.transfer("small"), 10_000)
+        with self.assertRaises(errors.ShedError):
+            self.account.take(self.transfer("last", 65_536), 60_000)
+
     def test_requests_that_have_arrived_are_never_shed(self):
         whole = self.transfer("whole", held_bytes=900)
         whole.is_arriving = False
@@ -93,11 +109,20 @@
         self.account.take(self.transfer("small"), accounts.SMALL_BYTES)
         self.assertEqual(self.evicted, [])
 
-    def test_request_that_is_alone_gets_its_memory(self):
-        large = self.transfer("large", held_bytes=900)
-        self.account.take(large, 900)
+    def test_large_request_beside_small_ones_gets_its_memory(self):
+        self.transfer("small", held_bytes=500)
+        size = 10 * transfers.STEP_BYTES
+        large = self.transfer("large", held_bytes=size)
+        self.account.take(large, size)
         self.account.release(large)
-        self.assertEqual(self.account.used_bytes, 0)
+        self.assertEqual(self.account.used_bytes, 500)
+        self.assertEqual(self.evicted, [])
+
+    def test_small_requests_alone_do_not_exceed_the_account(self):
+        for _ in range(10):
+            self.transfer("small", held_bytes=100)
+        with self.assertRaises(errors.ShedError):
+            self.account.take(self.transfer("new", transfers.STEP_BYTES), 100)
 
 
 class WaitingReadersTest(SheddingCase):
