--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -28,6 +28,7 @@
     traffic,
     version_history,
 )
+from balsamloom_policy import urgency
 
 # Connecting takes a few ms. A slower attempt lost its first packet or met a
 # network partition, and another server answers sooner.
@@ -105,6 +106,8 @@
         self._codec = codec
         self._clock = clock
         self.pools = connection_pool.ServerPools(clock)
+        # Whether engines are told to serve programs with little time first.
+        self.orders_by_program_time = False
         self.on_server_leaving: Callable[[str], None] = callbacks.ignore
         # Returns whether another member should serve a call, by the number of
         # its attempts that reached no server.
@@ -329,7 +332,7 @@
             lambda answer: self._take_answer(call, placement.server, answer),
             lambda: self._begin_stream(call, placement.server),
         )
-        head = self._request_head(call, placement.server, spec)
+        head = self._request_head(call, placement, spec)
         call.request.pass_on()
         result = attempt.run(
             head + call.body, call.until_ms, first_byte_until_ms
@@ -457,16 +460,16 @@
     def _request_head(
         self,
         call: responses.Call,
-        server: traffic.BackendServer,
+        placement: balancer.Placement,
         spec: traffic.Service | None,
     ) -> bytes:
         has_engine = spec is not None and spec.engine is not None
         left_ms = call.until_ms - self._clock.now_ms()
         fields = self._codec.forwarded_fields(
             call.request.headers,
-            server.server_id,
+            placement.server.server_id,
             left_ms,
-            call.route.priority if has_engine else None,
+            self._engine_priority(call, placement) if has_engine else None,
         )
         lines = [
             call.request.method + b" " + call.request.target + b" HTTP/1.1"
@@ -476,6 +479,19 @@
             lines.append(b"Content-Length: %d" % len(call.body))
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
+    def _engine_priority(
+        self, call: responses.Call, placement: balancer.Placement
+    ) -> int:
+        if not self.orders_by_program_time:
+            return call.route.priority
+        left_ms = call.program_left_ms(self._clock.now_ms())
+        if left_ms is None:
+            return urgency.engine_priority(call.route.priority, None)
+        time = urgency.ProgramTime(
+            call.metadata.program_id, left_ms, placement.estimate_ms
+        )
+        return urgency.engine_priority(call.route.priority, time)
+
 
 def _failure(reason: str, may_have_run: bool) -> attempts.Failure:
     if may_have_run:
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -61,7 +61,8 @@
     """Settings of an edge process.
 
     ``view_bound_ms`` limits the age of its view of the store's records,
-    ``grace_ms`` the duration of its stop.
+    ``grace_ms`` the duration of its stop. With ``orders_by_program_time``,
+    engines are told to serve programs with little time left first.
     """
 
     name: str
@@ -78,6 +79,7 @@
     grace_ms: float
     lease_ms: int
     copies: int
+    orders_by_program_time: bool = False
 
 
 class AuxiliaryHandlers(NamedTuple):
@@ -218,6 +220,9 @@
             clock,
         )
         self._dispatcher.should_hand_over = handovers.is_due
+        self._dispatcher.orders_by_program_time = (
+            settings.orders_by_program_time
+        )
         handovers.on_answer = self._record_answer
         turns = conversations.ConversationStore(
             self.fleet.storage_hosts,
--- a/packages/gateway/src/balsamloom_gateway/responses.py
+++ b/packages/gateway/src/balsamloom_gateway/responses.py
@@ -43,6 +43,13 @@
     recorder: conversations.TurnRecorder | None = None
     workspace: traffic.Workspace | None = None
 
+    def program_left_ms(self, now_ms: float) -> float | None:
+        """Return the time to the program's deadline, ``None`` if unknown."""
+        left_ms = self.metadata.program_deadline_ms
+        if left_ms is None:
+            return None
+        return left_ms - (now_ms - self.arrived_ms)
+
 
 class Responder:
     """Sends the gateway's own responses and logs the outcome of calls.
@@ -156,6 +163,7 @@
             missing_tokens=placement.missing_tokens,
             report_age_ms=placement.report_age_ms,
             left_ms=round(call.until_ms - placement.sent_ms),
+            program_left_ms=call.program_left_ms(placement.sent_ms),
         )
 
     def log_failure(
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -385,12 +385,13 @@
             raise interfaces.InvalidCallError("Request-Id is missing")
         budget = headers.get(b"Budget")
         deadline = headers.get(b"Deadline")
+        program_ms = headers.get(b"Program-Ms")
         return traffic.CallMetadata(
             request_id=request_id,
             deadline_ms=float(deadline) if deadline else None,
             program_id=headers.get(b"Program", b"").decode(),
             session_id="",
-            program_deadline_ms=None,
+            program_deadline_ms=float(program_ms) if program_ms else None,
             token_budget=int(budget) if budget else None,
             prompt_tokens=10,
             max_output_tokens=30,
@@ -405,10 +406,14 @@
 
     def forwarded_fields(self, headers, server_id, left_ms, engine_priority):
         """Return the fields of the request that is sent to a server."""
+        priority = (
+            b"none" if engine_priority is None else b"%d" % engine_priority
+        )
         return [
             (b"Request-Id", headers[b"Request-Id"]),
             (b"Expected", server_id.encode()),
             (b"Deadline", b"%d" % left_ms),
+            (b"Priority", priority),
         ]
 
     def handed_over_fields(self, headers, left_ms):
--- a/packages/gateway/tests/test_proxy.py
+++ b/packages/gateway/tests/test_proxy.py
@@ -51,6 +51,23 @@
         self.assertEqual(self.request("/stream/", body=b"x")[0].status, 200)
         self.assertEqual(seen, ["s0"])
 
+    def test_engine_is_told_the_time_that_the_program_has_left(self):
+        """Guards against a nearly late program behind one with time."""
+        gateway = self.start(self.answering(scripted.answer()))
+        for is_on, left_ms in ((False, 1), (True, 1), (True, 60_000)):
+            gateway.dispatcher.orders_by_program_time = is_on
+            headers = {"Program": "p3", "Program-Ms": str(left_ms)}
+            self.request("/stream/", headers, b"x")
+        found = [
+            line
+            for request in self.servers[0].received
+            for line in request.split(b"\r\n")
+            if line.startswith(b"Priority")
+        ]
+        self.assertEqual(
+            found, [b"Priority: 0", b"Priority: 9", b"Priority: 2"]
+        )
+
     def test_unknown_path_is_not_found(self):
         self.start(self.answering(scripted.answer()))
         self.assertEqual(self.request("/other/")[0].status, 404)
--- a/packages/policy/tests/builders.py
+++ b/packages/policy/tests/builders.py
@@ -7,11 +7,13 @@
 import math
 import random
 
-import balsamloom_policy as policy
 from balsamloom_core import clock
+from balsamloom_policy import calls
+from balsamloom_policy import scheduler as schedulers
+from balsamloom_policy import settings as policy_settings
 
 POOL = "rota-model"
-BASELINE = policy.PolicySettings(
+BASELINE = policy_settings.PolicySettings(
     routing="random",
     ordering="fifo",
     admission="none",
@@ -25,25 +27,27 @@
 
 def profile(**fields):
     values = {"program_id": "p000-1", "customer": "indus", "pool": POOL}
-    return policy.CallProfile(**{**values, **fields})
+    return calls.CallProfile(**{**values, **fields})
 
 
 def servers(count, concurrency=2):
     return [
-        policy.Server(f"s{i}", f"10.0.0.{i}:80", POOL, concurrency)
+        calls.Server(f"s{i}", f"10.0.0.{i}:80", POOL, concurrency)
         for i in range(count)
     ]
 
 
 def new_scheduler(count=2, concurrency=2, **settings):
     manual = clock.ManualClock()
-    scheduler = policy.Scheduler(manual, policy.PolicySettings(**settings), 1)
+    scheduler = schedulers.Scheduler(
+        manual, policy_settings.PolicySettings(**settings), 1
+    )
     scheduler.update_servers(POOL, servers(count, concurrency))
     return scheduler, manual
 
 
 def finish(ticket, is_success=True, is_server_fault=False):
-    ticket.finish(policy.Observation(is_success, is_server_fault, 10, 10))
+    ticket.finish(calls.Observation(is_success, is_server_fault, 10, 10))
 
 
 def run_call(scheduler, manual, duration_ms, **fields):
@@ -179,7 +183,7 @@
         for name in self.random.sample(names, min(2, len(names) // 2)):
             self.servers[name].slowdown = cluster.slowdown
         self.members = [
-            policy.Scheduler(self.clock, settings, seed * 100 + i)
+            schedulers.Scheduler(self.clock, settings, seed * 100 + i)
             for i in range(cluster.members)
         ]
         for member in self.members:
@@ -249,7 +253,7 @@
                 is_idempotent=True,
             )
         )
-        if isinstance(answer, policy.Refusal):
+        if isinstance(answer, calls.Refusal):
             self._handle_refusal(call, answer)
             return
         self.waiting.append((call, answer))
@@ -272,9 +276,9 @@
         left = []
         for call, ticket in self.waiting:
             match ticket.answer:
-                case policy.Assignment():
+                case calls.Assignment():
                     self._send(call, ticket)
-                case policy.Refusal() as answer:
+                case calls.Refusal() as answer:
                     self._handle_refusal(call, answer)
                 case _:
                     left.append((call, ticket))
@@ -297,7 +301,7 @@
                 if i != j:
                     member.update_peer_shares(f"m{j}", peer_shares)
         report = {
-            name: policy.LoadReport(
+            name: calls.LoadReport(
                 server.running,
                 len(server.queue),
                 0,
@@ -394,7 +398,7 @@
         call.is_over = request.is_over = True
         request.server.running -= 1
         tokens = int(self.load.tokens * program.length)
-        request.ticket.finish(policy.Observation(True, False, tokens, 0))
+        request.ticket.finish(calls.Observation(True, False, tokens, 0))
         self._start(request.server)
         program.turn += 1
         program.attained_ms += now_ms - call.sent_ms
@@ -428,7 +432,7 @@
 
 def compare(cluster, load, seed, settings=None, baseline=BASELINE):
     """Run the policy and the baseline; return both drivers."""
-    chosen = settings or policy.PolicySettings()
+    chosen = settings or policy_settings.PolicySettings()
     return (
         Driver(cluster, load, chosen, seed).run(),
         Driver(cluster, load, baseline, seed).run(),
--- a/packages/policy/tests/test_scheduler.py
+++ b/packages/policy/tests/test_scheduler.py
@@ -6,10 +6,10 @@
 
 import builders
 
-import balsamloom_policy as policy
 from balsamloom_core import clock, results
 from balsamloom_core import settings as core_settings
-from balsamloom_policy import settings
+from balsamloom_policy import calls, settings, tickets
+from balsamloom_policy import scheduler as schedulers
 
 logging.getLogger("balsamloom").addHandler(logging.NullHandler())
 Code = results.ResultCode
@@ -18,11 +18,13 @@
 class QueueTest(unittest.TestCase):
     def test_waiting_thread_wakes_when_a_slot_is_freed(self):
         """Guards against a freed slot that wakes no waiting thread."""
-        scheduler = policy.Scheduler(clock.Clock(), policy.PolicySettings(), 1)
+        scheduler = schedulers.Scheduler(
+            clock.Clock(), settings.PolicySettings(), 1
+        )
         scheduler.update_servers(builders.POOL, builders.servers(1, 1))
         first = scheduler.submit(builders.profile())
         second = scheduler.submit(builders.profile())
-        self.assertIsInstance(second.wait(0), policy.WaitStatus)
+        self.assertIsInstance(second.wait(0), calls.WaitStatus)
         answers = []
         waiter = threading.Thread(
             target=lambda: answers.append(second.wait(20000))
@@ -30,7 +32,7 @@
         waiter.start()
         builders.finish(first)
         waiter.join(10)
-        self.assertIsInstance(answers[0], policy.Assignment)
+        self.assertIsInstance(answers[0], calls.Assignment)
 
     def test_least_attained_service_goes_first(self):
         """Guards against short programs that wait behind long ones."""
@@ -40,8 +42,8 @@
         short = scheduler.submit(builders.profile(attained_ms=0))
         manual.advance(10)
         builders.finish(running)
-        self.assertIsInstance(long.wait(0), policy.WaitStatus)
-        self.assertIsInstance(short.wait(0), policy.Assignment)
+        self.assertIsInstance(long.wait(0), calls.WaitStatus)
+        self.assertIsInstance(short.wait(0), calls.Assignment)
 
     def test_ageing_serves_stragglers(self):
         """Guards against a straggler starved by newer short calls."""
@@ -52,7 +54,7 @@
             waiting = scheduler.submit(builders.profile())
             manual.advance(1000)
             builders.finish(running)
-            if isinstance(long.wait(0), policy.Assignment):
+            if isinstance(long.wait(0), calls.Assignment):
                 return
             running = waiting
         self.fail("the straggler got no slot in 40 s")
@@ -76,7 +78,7 @@
         plain = scheduler.submit(builders.profile())
         manual.advance(10)
         builders.finish(urgent[0])
-        self.assertIsInstance(plain.wait(0), policy.Assignment)
+        self.assertIsInstance(plain.wait(0), calls.Assignment)
 
     def test_cancelled_call_leaves_queue_and_slot(self):
         """Guards against slots held for callers that have cancelled."""
@@ -86,7 +88,7 @@
         last = scheduler.submit(builders.profile())
         cancelled.cancel()
         running.cancel()
-        self.assertIsInstance(last.wait(0), policy.Assignment)
+        self.assertIsInstance(last.wait(0), calls.Assignment)
         last.cancel()
         self.assertEqual(
             [share.in_flight for share in scheduler.shares()], [0]
@@ -98,11 +100,13 @@
         running = scheduler.submit(builders.profile())
         long = scheduler.submit(builders.profile(attained_ms=20000))
         urgent = scheduler.submit(builders.profile(is_urgent=True))
-        scheduler.update_settings(policy.PolicySettings(urgent_extra_slots=0))
+        scheduler.update_settings(
+            settings.PolicySettings(urgent_extra_slots=0)
+        )
         builders.finish(running)
-        self.assertIsInstance(urgent.wait(0), policy.Assignment)
+        self.assertIsInstance(urgent.wait(0), calls.Assignment)
         builders.finish(urgent)
-        self.assertIsInstance(long.wait(0), policy.Assignment)
+        self.assertIsInstance(long.wait(0), calls.Assignment)
 
 
 class AdmissionTest(unittest.TestCase):
@@ -127,7 +131,7 @@
         new = scheduler.submit(builders.profile(is_new_program=True))
         self.assertEqual(new.code, Code.OVERLOADED)
         under_way = scheduler.submit(builders.profile())
-        self.assertIsInstance(under_way, policy.Ticket)
+        self.assertIsInstance(under_way, tickets.Ticket)
 
     def test_retry_after_grows_with_the_queue(self):
         """Guards against a retry time that ignores the drain rate."""
@@ -152,8 +156,8 @@
         scheduler, manual, _ = self._busy()
         deadline_ms = manual.now_ms() + 2500
         ticket = scheduler.submit(builders.profile(deadline_ms=deadline_ms))
-        self.assertIsInstance(ticket.wait(0), policy.WaitStatus)
-        while isinstance(ticket.wait(0), policy.WaitStatus):
+        self.assertIsInstance(ticket.wait(0), calls.WaitStatus)
+        while isinstance(ticket.wait(0), calls.WaitStatus):
             manual.advance(100)
         self.assertEqual(ticket.wait(0).code, Code.DEADLINE_CANNOT_BE_MET)
         self.assertLess(manual.now_ms(), deadline_ms)
@@ -171,7 +175,7 @@
         accepted = scheduler.submit(
             builders.profile(customer="wasserreigen", is_new_program=True)
         )
-        self.assertIsInstance(accepted, policy.Ticket)
+        self.assertIsInstance(accepted, tickets.Ticket)
 
 
 class HealthTest(unittest.TestCase):
@@ -200,7 +204,7 @@
         self.assertEqual(self._ejected(scheduler), set())
 
     def _report_ejection(self, scheduler, members, server_id="s1"):
-        reported = [policy.ServerShare(server_id, 0, 4, is_ejected=True)]
+        reported = [calls.ServerShare(server_id, 0, 4, is_ejected=True)]
         for member in members:
             scheduler.update_peer_shares(member, reported)
 
@@ -278,7 +282,7 @@
                 builders.finish(ticket, not is_fault, is_fault)
             self.assertEqual(len(self._ejected(scheduler)), expected)
             self.assertIsInstance(
-                scheduler.submit(builders.profile()).wait(0), policy.Assignment
+                scheduler.submit(builders.profile()).wait(0), calls.Assignment
             )
 
     def test_leaving_server_gets_no_call(self):
@@ -314,7 +318,7 @@
         self.assertIsNone(scheduler.hedge(first))
         builders.finish(first, False, True)
         refused = scheduler.retry(first, "connection reset")
-        self.assertIsInstance(refused, policy.Refusal)
+        self.assertIsInstance(refused, calls.Refusal)
         self.assertFalse(results.info(refused.code).not_run)
 
     def test_budget_bounds_retries_to_a_tenth(self):
@@ -325,12 +329,12 @@
             ticket = scheduler.submit(builders.profile(is_idempotent=True))
             builders.finish(ticket, False)
             again = scheduler.retry(ticket, "status 500")
-            if isinstance(again, policy.Ticket):
+            if isinstance(again, tickets.Ticket):
                 retried += 1
                 manual.advance(100)
                 again.wait(0)
                 builders.finish(again)
-        burst = policy.PolicySettings().retry_burst
+        burst = settings.PolicySettings().retry_burst
         self.assertLessEqual(retried, 500 * 0.1 + burst)
         self.assertGreater(retried, 40)
 
@@ -358,7 +362,7 @@
             scheduler.submit(builders.profile())
         for in_flight, expected in ((14, 2), (6, 8)):
             scheduler.update_peer_shares(
-                "m1", [policy.ServerShare("s0", in_flight, 7)]
+                "m1", [calls.ServerShare("s0", in_flight, 7)]
             )
             self.assertEqual(scheduler.shares()[0].in_flight, expected)
 
@@ -414,5 +418,5 @@
         self.assertEqual(caught.exception.path, "ejected_share")
         self.assertEqual(
             settings.from_document({"retry_max": 1}),
-            policy.PolicySettings(retry_max=1),
+            settings.PolicySettings(retry_max=1),
         )
--- a/packages/policy/tests/test_targets.py
+++ b/packages/policy/tests/test_targets.py
@@ -6,7 +6,7 @@
 
 import builders
 
-import balsamloom_policy as policy
+from balsamloom_policy import settings
 
 logging.getLogger("balsamloom").addHandler(logging.NullHandler())
 SEED = 1
@@ -113,7 +113,7 @@
         good = []
         for share in (1, 3):
             load = _offered_load(cluster, share, deadline_ms=8000)
-            values = policy.PolicySettings()
+            values = settings.PolicySettings()
             driver = builders.Driver(cluster, load, values, SEED).run()
             good.append(_completed(driver))
         self.assertGreaterEqual(good[1], 0.9 * good[0])
