--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -34,6 +34,9 @@
     usages,
 )
 
+# Hosts that start together with this one answer within a few of these.
+USAGE_RETRY_MS = 75.0
+
 RecordingFailure = turn_reservations.RecordingFailure
 ReservationResult = turn_reservations.ReservationResult
 
@@ -233,7 +236,14 @@
             self._query_earlier_holders(program_id, budget_tokens, is_standby)
         except standbys.UnknownUsageError as error:
             # Other holders would ask the same hosts.
-            return RecordingFailure(str(error), is_decided=not is_standby), ()
+            return (
+                RecordingFailure(
+                    str(error),
+                    is_decided=not is_standby,
+                    retry_in_ms=USAGE_RETRY_MS,
+                ),
+                (),
+            )
         finally:
             turn.end_stage(ledger_statistics.Stage.EARLIER_HOLDERS)
         with self._changed:
--- a/packages/gateway/src/balsamloom_gateway/budgets.py
+++ b/packages/gateway/src/balsamloom_gateway/budgets.py
@@ -25,6 +25,7 @@
     turn_settlements,
     withdrawals,
 )
+from balsamloom_policy import restart_waits
 
 # Holders that may record an allocation which no turn uses. A store that is
 # slow for two of them is slow for all.
@@ -82,6 +83,7 @@
         self.pending_settlements = self._settlements.pending
         self._withdrawals = withdrawals.ReservationWithdrawals(clock)
         self._granted_turns = granted_turns.GrantedTurns(clients, view, clock)
+        self._waits = restart_waits.RestartWaits(clock)
         self._outage_until_ms = -math.inf
         self._started_ms = clock.now_ms()
         self._primaries: frozenset[str] = frozenset()
@@ -91,6 +93,27 @@
     ) -> Grant | ledger.Exhaustion | budget_ledger.RecordingFailure:
         """Reserve the maximum that a turn may generate and plan its server.
 
+        A turn waits while hosts that know of its program are starting.
+        """
+        started_ms = self._clock.now_ms()
+        waited_ms = 0.0
+        while True:
+            left_ms = turn.left_ms - waited_ms
+            result = self._reserve(call, turn._replace(left_ms=left_ms))
+            if not isinstance(result, budget_ledger.RecordingFailure):
+                return result
+            waited_ms = self._clock.now_ms() - started_ms
+            if not self._waits.wait(
+                result.retry_in_ms, waited_ms, turn.left_ms - waited_ms
+            ):
+                return result
+            waited_ms = self._clock.now_ms() - started_ms
+
+    def _reserve(
+        self, call: traffic.CallMetadata, turn: planner.TurnRequest
+    ) -> Grant | ledger.Exhaustion | budget_ledger.RecordingFailure:
+        """Try the holders in turn.
+
         A process that reaches no holder records an allocation itself.
         """
         holders = membership.budget_holders(
--- a/packages/gateway/src/balsamloom_gateway/peer_messages.py
+++ b/packages/gateway/src/balsamloom_gateway/peer_messages.py
@@ -158,12 +158,15 @@
                 "recorded_tokens": recorded,
                 "left_tokens": left,
             }
-        case budget_ledger.RecordingFailure(reason, is_pending, is_decided):
+        case budget_ledger.RecordingFailure(
+            reason, is_pending, is_decided, retry_in_ms
+        ):
             return {
                 "result": "unrecorded",
                 "reason": reason,
                 "is_pending": is_pending,
                 "is_decided": is_decided,
+                "retry_in_ms": retry_in_ms,
             }
 
 
@@ -190,6 +193,7 @@
                     bool(body["is_pending"]),
                     # Processes of the release before do not tell.
                     bool(body.get("is_decided", False)),
+                    _optional_float(body.get("retry_in_ms")),
                 )
                 return ReservationReply(failure, (), None)
             case result_name:
--- a/packages/gateway/src/balsamloom_gateway/turn_reservations.py
+++ b/packages/gateway/src/balsamloom_gateway/turn_reservations.py
@@ -27,12 +27,14 @@
 
     ``is_pending`` says that the allocation may still be recorded. Each
     further holder that is tried may record another one. ``is_decided`` says
-    that no other holder may serve the turn now: it would know less.
+    that no other holder may serve the turn now: it would know less. After
+    ``retry_in_ms`` the holder may know more, ``None`` if it does not say.
     """
 
     reason: str
     is_pending: bool = False
     is_decided: bool = False
+    retry_in_ms: float | None = None
 
 
 ReservationResult = ledger.Reservation | ledger.Exhaustion | RecordingFailure
--- a/packages/gateway/tests/test_restarted_holders.py
+++ b/packages/gateway/tests/test_restarted_holders.py
@@ -1,5 +1,6 @@
 """Tests of budget holders that start again in an outage or just after it."""
 
+import threading
 import unittest
 
 import builders
@@ -7,7 +8,9 @@
 
 from balsamloom_gateway import (
     budget_ledger,
+    budgets,
     interfaces,
+    peer_messages,
     registration_records,
     standbys,
 )
@@ -56,6 +59,38 @@
         self.read_members(view)
         self.check_spending(spent)
 
+    def test_turn_waits_for_storage_hosts_that_start_with_its_holder(self):
+        # After a loss of power the holders ran 0.2 s before the storage hosts
+        # and refused what came meanwhile.
+        self.start("m1", is_restart=True)
+        self.journal.is_up = False
+
+        def start_hosts():
+            self.clock.sleep(150.0)
+            self.journal.is_up = True
+
+        threading.Thread(target=start_hosts, daemon=True).start()
+        self.assertIsInstance(self.reserve("m1"), budgets.Grant)
+
+    def test_turn_is_refused_while_storage_hosts_stay_away(self):
+        self.start("m1", is_restart=True)
+        self.journal.is_up = False
+        started_ms = self.clock.now_ms()
+        found = self.reserve("m1")
+        self.assertIsInstance(found, budget_ledger.RecordingFailure)
+        self.assertGreater(
+            self.clock.now_ms() - started_ms, budget_ledger.USAGE_RETRY_MS
+        )
+
+    def test_former_holder_tells_no_time_to_wait(self):
+        failure = budget_ledger.RecordingFailure("x", retry_in_ms=75.0)
+        reply = peer_messages.ReservationReply(failure, (), None)
+        encoded = peer_messages.encode_reply(reply)
+        self.assertEqual(peer_messages.decode_reply(encoded), reply)
+        del encoded["retry_in_ms"]
+        decoded = peer_messages.decode_reply(encoded).result
+        self.assertIsNone(decoded.retry_in_ms)
+
     def test_standbys_that_do_not_answer_are_asked_again(self):
         self.cut_off_store(*holders_case.NAMES)
         spent = sum(self.turn("m3") for _ in range(4))
