--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -28,6 +28,7 @@
     traffic,
     version_history,
 )
+from balsamloom_policy import urgency
 from balsamloom_workspaces import priorities
 
 # Connecting takes a few ms. A slower attempt lost its first packet or met a
@@ -106,6 +107,8 @@
         self._codec = codec
         self._clock = clock
         self.pools = connection_pool.ServerPools(clock)
+        # Whether engines are told to serve programs with little time first.
+        self.orders_by_program_time = False
         self.on_server_leaving: Callable[[str], None] = callbacks.ignore
         # Returns whether another member should serve a call, by the number of
         # its attempts that reached no server.
@@ -330,7 +333,7 @@
             lambda answer: self._take_answer(call, placement.server, answer),
             lambda: self._begin_stream(call, placement.server),
         )
-        head = self._request_head(call, placement.server, spec)
+        head = self._request_head(call, placement, spec)
         call.request.pass_on()
         result = attempt.run(
             head + call.body, call.until_ms, first_byte_until_ms
@@ -458,20 +461,17 @@
     def _request_head(
         self,
         call: responses.Call,
-        server: traffic.BackendServer,
+        placement: balancer.Placement,
         spec: traffic.Service | None,
     ) -> bytes:
         has_engine = spec is not None and spec.engine is not None
         left_ms = call.until_ms - self._clock.now_ms()
         workspace = call.workspace
-        engine_priority = priorities.engine_priority(
-            workspace.priority if workspace else None, call.route.priority
-        )
         fields = self._codec.forwarded_fields(
             call.request.headers,
-            server.server_id,
+            placement.server.server_id,
             left_ms,
-            engine_priority if has_engine else None,
+            self._engine_priority(call, placement) if has_engine else None,
             workspace.name if workspace else None,
         )
         lines = [
@@ -482,6 +482,23 @@
             lines.append(b"Content-Length: %d" % len(call.body))
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
+    def _engine_priority(
+        self, call: responses.Call, placement: balancer.Placement
+    ) -> int:
+        workspace = call.workspace
+        rank = priorities.engine_priority(
+            workspace.priority if workspace else None, call.route.priority
+        )
+        if not self.orders_by_program_time:
+            return rank
+        left_ms = call.program_left_ms(self._clock.now_ms())
+        if left_ms is None:
+            return urgency.engine_priority(rank, None)
+        time = urgency.ProgramTime(
+            call.metadata.program_id, left_ms, placement.estimate_ms
+        )
+        return urgency.engine_priority(rank, time)
+
 
 def _failure(reason: str, may_have_run: bool) -> attempts.Failure:
     if may_have_run:
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -69,7 +69,8 @@
     ``view_bound_ms`` limits the age of its view of the store's records,
     ``grace_ms`` the duration of its stop. ``revocation`` tells when it stops
     accepting keys, ``quota_bounds`` how far requests may exceed rate limits;
-    without them there are no quotas.
+    without them there are no quotas. With ``orders_by_program_time``, engines
+    are told to serve programs with little time left first.
     """
 
     name: str
@@ -89,6 +90,7 @@
     revocation: revocation.RevocationPolicy = revocation.LENIENT
     quota_bounds: quota_limits.Bounds | None = None
     ingress_limits: ingress_limits.ProcessLimits = ingress_limits.UNLIMITED
+    orders_by_program_time: bool = False
 
 
 class AuxiliaryHandlers(NamedTuple):
@@ -229,6 +231,9 @@
             clock,
         )
         self._dispatcher.should_hand_over = handovers.is_due
+        self._dispatcher.orders_by_program_time = (
+            settings.orders_by_program_time
+        )
         handovers.on_answer = self._record_answer
         turns = conversations.ConversationStore(
             self.fleet.storage_hosts,
--- a/packages/gateway/src/balsamloom_gateway/responses.py
+++ b/packages/gateway/src/balsamloom_gateway/responses.py
@@ -55,6 +55,13 @@
         """Return the identifier under which the call's turn is stored."""
         return self.scope.identifier(self.metadata.request_id)
 
+    def program_left_ms(self, now_ms: float) -> float | None:
+        """Return the time to the program's deadline, ``None`` if unknown."""
+        left_ms = self.metadata.program_deadline_ms
+        if left_ms is None:
+            return None
+        return left_ms - (now_ms - self.arrived_ms)
+
 
 def scope_of(
     configuration: traffic.Configuration, workspace: traffic.Workspace | None
@@ -196,6 +203,7 @@
             missing_tokens=placement.missing_tokens,
             report_age_ms=placement.report_age_ms,
             left_ms=round(call.until_ms - placement.sent_ms),
+            program_left_ms=call.program_left_ms(placement.sent_ms),
         )
 
     def log_failure(
