--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -113,6 +113,7 @@
     REQUEST_HANDED_OVER = 7051
     HANDOVER_FAILED = 7052
     HANDOVER_REFUSED = 7053
+    SERVER_PACE_CHANGED = 7060
 
 
 _MEANINGS: dict[Event, str] = {
@@ -251,6 +252,9 @@
     Event.REQUEST_HANDED_OVER: "Another member answered a request.",
     Event.HANDOVER_FAILED: "A request could not be handed over to a member.",
     Event.HANDOVER_REFUSED: "A handed-over request was not taken.",
+    Event.SERVER_PACE_CHANGED: (
+        "The pace of a started or recovered server began, shrank or ended."
+    ),
 }
 
 
--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 import threading
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import estimates, health, traffic
+from balsamloom_gateway import estimates, health, paced_servers, traffic
+from balsamloom_pacing import pace
 
 COST_TIE_MS = 1.0
 # The load of servers that other holders place turns on is known only in part.
@@ -21,6 +23,7 @@
     """A call assigned to a server; ended with :meth:`Balancer.release`.
 
     ``missing_tokens`` must be prefilled. The call is overdue at ``due_ms``.
+    ``usual_ms`` is its duration at a usual server that is idle.
     """
 
     server: traffic.BackendServer
@@ -30,6 +33,7 @@
     report_age_ms: float | None
     sent_ms: float
     due_ms: float
+    usual_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +63,8 @@
     :param clock: time source.
     :param failure_domain: failure domain of this process.
     :param generator: breaks ties between servers of equal cost.
+    :param paced: limits calls to servers that have started or recovered;
+        ``None`` if nothing does.
     """
 
     def __init__(
@@ -66,7 +72,9 @@
         clock: clocks.Clock,
         failure_domain: str,
         generator: random.Random,
+        paced: paced_servers.PacedServers | None = None,
     ) -> None:
+        self._paced = paced
         self._clock = clock
         self._domain = failure_domain
         self._generator = generator
@@ -92,15 +100,31 @@
         """
         with self._lock:
             previous = self._servers
+            known_services = self._by_service.keys()
             self._servers = {}
             self._by_service = {}
             for server in servers:
                 state = previous.get(server.server_id)
                 if state is None or not _is_same_run(state.server, server):
                     state = self._new_state(server)
+                    if server.service in known_services:
+                        self._begin_pace(server, pace.Reason.STARTED)
                 state.server = server
                 self._servers[server.server_id] = state
                 self._by_service.setdefault(server.service, []).append(state)
+            if self._paced is not None:
+                self._paced.keep_only(
+                    [state.server for state in self._servers.values()]
+                )
+
+    def handle_limit_release(self, server_id: str) -> None:
+        """Begin the pace of a server that no longer limits its rate."""
+        with self._lock:
+            state = self._servers.get(server_id)
+            if state is None:
+                return
+            state.denied_until_ms = -math.inf
+            self._begin_pace(state.server, pace.Reason.LIMIT_RELEASED)
 
     def place(
         self,
@@ -159,16 +183,23 @@
                 [(state, state.health) for state in within_limits], now_ms
             )
             baseline = self._baseline(service)
+            found = self._open(healthy, now_ms)
+            probed = found.probed if profile.is_repeatable else frozenset()
             costs = [
                 (
                     self._scaled_cost(
-                        state, profile, baseline, tracked, now_ms
+                        state,
+                        profile,
+                        baseline,
+                        tracked,
+                        now_ms,
+                        state.server.server_id in probed,
                     ),
                     state,
                 )
-                for state in healthy
+                for state in found.states
             ]
-            least_ms = min(found.total_ms for found, _ in costs)
+            least_ms = min(cost.total_ms for cost, _ in costs)
             near = [
                 pair
                 for pair in costs
@@ -250,8 +281,10 @@
             if outcome is health.Outcome.ABANDONED and is_overdue:
                 # The caller disconnected because the server did not answer.
                 outcome = health.Outcome.FAILED
-            state.health.record(outcome, now_ms)
             self._update_estimates(state, placement, observation, now_ms)
+            self._record_outcome(
+                state, placement, outcome, observation, now_ms
+            )
 
     def describe(self) -> list[dict[str, object]]:
         """Return the state of each server, for a state dump."""
@@ -266,6 +299,7 @@
                     "step_ms_per_token": round(state.step_average.value, 2),
                     "call_ms": round(state.call_average.value, 1),
                     "is_ejected": state.health.is_ejected(now_ms),
+                    "pace": self._describe_pace(state.server, now_ms),
                 }
                 for state in self._servers.values()
             ]
@@ -276,7 +310,67 @@
         memory_tokens = self._memory_tokens.get(
             server.service, estimates.DEFAULT_MEMORY_TOKENS
         )
-        return estimates.ServerState(server, memory_tokens)
+        max_ejection_ms = health.MAX_EJECTION_MS
+        if self._paced is not None:
+            max_ejection_ms = paced_servers.MAX_EJECTION_MS
+        return estimates.ServerState(server, memory_tokens, max_ejection_ms)
+
+    def _begin_pace(
+        self,
+        server: traffic.BackendServer,
+        reason: pace.Reason,
+        from_ms: float | None = None,
+    ) -> None:
+        if self._paced is None:
+            return
+        now_ms = self._clock.now_ms()
+        from_ms = now_ms if from_ms is None else from_ms
+        self._paced.begin(server, reason, from_ms, now_ms)
+
+    def _describe_pace(
+        self, server: traffic.BackendServer, now_ms: float
+    ) -> dict[str, object] | None:
+        if self._paced is None:
+            return None
+        return self._paced.describe(server, now_ms)
+
+    def _open(
+        self, states: list[estimates.ServerState], now_ms: float
+    ) -> paced_servers.Open:
+        """Return the servers whose pace allows a call."""
+        if self._paced is None:
+            return paced_servers.Open(states, frozenset())
+        return self._paced.open(states, now_ms)
+
+    def _record_outcome(
+        self,
+        state: estimates.ServerState,
+        placement: Placement,
+        outcome: health.Outcome,
+        observation: estimates.Observation,
+        now_ms: float,
+    ) -> None:
+        """Record a call's end as evidence of its server's health."""
+        ejected_until_ms = state.health.ejected_until_ms
+        state.health.record(outcome, now_ms)
+        if self._paced is None:
+            return
+        if state.health.ejected_until_ms > ejected_until_ms:
+            self._begin_pace(
+                state.server,
+                pace.Reason.RETURNED,
+                state.health.ejected_until_ms,
+            )
+        timing = None
+        if outcome is health.Outcome.SUCCEEDED:
+            timing = paced_servers.timing(
+                now_ms - placement.sent_ms,
+                placement.usual_ms,
+                placement.profile,
+                observation,
+            )
+        peers = self._by_service[state.server.service]
+        self._paced.record(state, peers, outcome, timing, now_ms)
 
     def _baseline(self, service: str) -> estimates.Baseline:
         samples = self._samples.setdefault(service, estimates.PrefillSamples())
@@ -290,8 +384,11 @@
         profile: estimates.CallProfile,
         baseline: estimates.Baseline,
         now_ms: float,
+        is_probed: bool = False,
     ) -> estimates.Cost:
-        return estimates.cost(state, profile, baseline, self._domain, now_ms)
+        return estimates.cost(
+            state, profile, baseline, self._domain, now_ms, is_probed
+        )
 
     def _scaled_cost(
         self,
@@ -300,9 +397,10 @@
         baseline: estimates.Baseline,
         tracked: frozenset[str] | None,
         now_ms: float,
+        is_probed: bool = False,
     ) -> estimates.Cost:
         """Return a cost that is higher if the load is not fully known."""
-        found = self._cost(state, profile, baseline, now_ms)
+        found = self._cost(state, profile, baseline, now_ms, is_probed)
         if tracked is None or state.server.server_id in tracked:
             return found
         return found._replace(total_ms=found.total_ms * UNKNOWN_LOAD_FACTOR)
@@ -338,6 +436,7 @@
             state.report_age_ms(now_ms),
             now_ms,
             due_ms,
+            cost.usual_ms,
         )
 
     def _update_estimates(
--- a/packages/gateway/src/balsamloom_gateway/estimates.py
+++ b/packages/gateway/src/balsamloom_gateway/estimates.py
@@ -69,6 +69,11 @@
     failure_cost_ms: float = REPEATABLE_FAILURE_COST_MS
     version: str | None = None
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether a failed call costs its caller only time."""
+        return self.failure_cost_ms <= REPEATABLE_FAILURE_COST_MS
+
     def allows(self, server: traffic.BackendServer) -> bool:
         """Return whether a server may run the call."""
         return self.version is None or server.version == self.version
@@ -154,19 +159,21 @@
 
     :param server: the server's registration.
     :param memory_tokens: capacity of its prefix cache, if it is an engine.
+    :param max_ejection_ms: longest time without calls after failures.
     """
 
     def __init__(
         self,
         server: traffic.BackendServer,
         memory_tokens: int = DEFAULT_MEMORY_TOKENS,
+        max_ejection_ms: float = health.MAX_EJECTION_MS,
     ) -> None:
         self.server = server
         self.in_flight = 0
         self.sent_since_report = 0
         self.step_average = MovingAverage(STEP_DECAY_MS)
         self.call_average = MovingAverage(CALL_DECAY_MS)
-        self.health = health.ServerHealth()
+        self.health = health.ServerHealth(max_ejection_ms)
         self.cache = PrefixCache(memory_tokens)
         self._report: traffic.ServerLoad | None = None
         self._report_ms = -math.inf
@@ -212,10 +219,15 @@
         self.sent_since_report += 1
         self._due_times_ms.append(due_ms)
 
-    def failure_rate(self, now_ms: float) -> float:
-        """Return the expected share of calls that fail or hang, up to 1."""
+    def failure_rate(self, now_ms: float, is_probed: bool = False) -> float:
+        """Return the expected share of calls that fail or hang, up to 1.
+
+        :param is_probed: only calls in progress count, no earlier failures.
+        """
         late = sum(due_ms <= now_ms for due_ms in self._due_times_ms)
-        rate = self.health.failure_rate(now_ms) + OVERDUE_FAILURE_RATE * late
+        rate = OVERDUE_FAILURE_RATE * late
+        if not is_probed:
+            rate += self.health.failure_rate(now_ms)
         return min(rate, 1.0)
 
     def record_end(self, due_ms: float) -> None:
@@ -226,13 +238,18 @@
             # No prefill is pending.
             self._queue_end_ms = -math.inf
 
+    def forget_speed(self) -> None:
+        """Assume the usual speed until there are new observations."""
+        self.step_average = MovingAverage(STEP_DECAY_MS)
+        self.call_average = MovingAverage(CALL_DECAY_MS)
+
     def is_denied(self, now_ms: float) -> bool:
         """Return whether the server's rate limit allows no calls now."""
         return now_ms < self.denied_until_ms
 
     def load(self, now_ms: float) -> float:
         """Return the estimated number of requests at the server."""
-        report = self._fresh_report(now_ms)
+        report = self.fresh_report(now_ms)
         if report is None:
             return float(self.in_flight)
         reported = report.running + report.waiting
@@ -240,10 +257,11 @@
 
     def slowness(self, now_ms: float) -> float:
         """Return the reported duration of work relative to the usual one."""
-        report = self._fresh_report(now_ms)
+        report = self.fresh_report(now_ms)
         return 1.0 if report is None else report.slowness
 
-    def _fresh_report(self, now_ms: float) -> traffic.ServerLoad | None:
+    def fresh_report(self, now_ms: float) -> traffic.ServerLoad | None:
+        """Return the last report, ``None`` if it is too old."""
         if now_ms - self._report_ms > MAX_REPORT_AGE_MS:
             return None
         return self._report
@@ -296,11 +314,19 @@
 class Cost(NamedTuple):
     """Estimated cost of a call at a server.
 
-    Servers are compared by ``total_ms``; ``prefill_ms`` is a part of it.
+    Servers are compared by ``total_ms``, the sum of the time until the call
+    ends there, the delay of others by its prefill, the risk of a failure and
+    the penalty for another failure domain. ``prefill_ms`` is a part of the
+    time. ``usual_ms`` is the duration at a usual server that is idle.
     """
 
     total_ms: float
     prefill_ms: float = 0.0
+    usual_ms: float = 0.0
+    time_ms: float = 0.0
+    delay_to_others_ms: float = 0.0
+    risk_ms: float = 0.0
+    domain_penalty_ms: float = 0.0
 
 
 def cost(
@@ -309,27 +335,52 @@
     baseline: Baseline,
     domain: str,
     now_ms: float,
+    is_probed: bool = False,
 ) -> Cost:
     """Return the cost of a call at a server.
 
     :param domain: failure domain that the call is sent from.
+    :param is_probed: earlier answers of the server don't count.
     """
     penalty_ms = 0.0
     if state.server.failure_domain != domain:
         penalty_ms = CROSS_DOMAIN_PENALTY_MS
     if profile.prompt_tokens:
-        found = _engine_cost(state, profile, baseline, now_ms)
+        step_ms = baseline.step_ms
+        if not is_probed:
+            step_ms = state.step_average.get(step_ms, now_ms)
+        found = _engine_cost(state, profile, baseline, step_ms, now_ms)
     else:
-        found = _plain_cost(state, baseline, now_ms)
-    risk_ms = state.failure_rate(now_ms) * profile.failure_cost_ms
-    return found._replace(total_ms=found.total_ms + risk_ms + penalty_ms)
+        call_ms = baseline.call_ms
+        if not is_probed:
+            call_ms = state.call_average.get(call_ms, now_ms)
+        found = _plain_cost(state, call_ms, now_ms)
+    risk_ms = state.failure_rate(now_ms, is_probed) * profile.failure_cost_ms
+    return found._replace(
+        total_ms=found.total_ms + risk_ms + penalty_ms,
+        usual_ms=_usual_ms(state, profile, baseline),
+        risk_ms=risk_ms,
+        domain_penalty_ms=penalty_ms,
+    )
+
+
+def _usual_ms(
+    state: ServerState, profile: CallProfile, baseline: Baseline
+) -> float:
+    if not profile.prompt_tokens:
+        return baseline.call_ms
+    prefill_tokens = state.missing_tokens(profile) * baseline.prefill_ratio
+    return (prefill_tokens + profile.output_tokens) * baseline.step_ms
 
 
 def _engine_cost(
-    state: ServerState, profile: CallProfile, baseline: Baseline, now_ms: float
+    state: ServerState,
+    profile: CallProfile,
+    baseline: Baseline,
+    step_ms: float,
+    now_ms: float,
 ) -> Cost:
     load = state.load(now_ms)
-    step_ms = state.step_average.get(baseline.step_ms, now_ms)
     prefill_ms = (
         state.missing_tokens(profile) * step_ms * baseline.prefill_ratio
     )
@@ -338,13 +389,18 @@
     own_ms = state.prefill_queue_ms(now_ms) + prefill_ms + generate_ms
     delay_to_others_ms = load * prefill_ms
     own_ms *= _queueing_factor(state.server, load)
-    return Cost(own_ms + delay_to_others_ms, prefill_ms)
+    return Cost(
+        own_ms + delay_to_others_ms,
+        prefill_ms,
+        time_ms=own_ms,
+        delay_to_others_ms=delay_to_others_ms,
+    )
 
 
-def _plain_cost(state: ServerState, baseline: Baseline, now_ms: float) -> Cost:
+def _plain_cost(state: ServerState, call_ms: float, now_ms: float) -> Cost:
     queueing = _queueing_factor(state.server, state.load(now_ms))
-    call_ms = state.call_average.get(baseline.call_ms, now_ms)
-    return Cost(call_ms * state.slowness(now_ms) * queueing)
+    time_ms = call_ms * state.slowness(now_ms) * queueing
+    return Cost(time_ms, time_ms=time_ms)
 
 
 def _queueing_factor(server: traffic.BackendServer, load: float) -> float:
--- a/packages/gateway/src/balsamloom_gateway/health.py
+++ b/packages/gateway/src/balsamloom_gateway/health.py
@@ -29,9 +29,13 @@
 
 
 class ServerHealth:
-    """Failure rate and ejection state of one server."""
+    """Failure rate and ejection state of one server.
 
-    def __init__(self) -> None:
+    :param max_ejection_ms: longest ejection after repeated failures.
+    """
+
+    def __init__(self, max_ejection_ms: float = MAX_EJECTION_MS) -> None:
+        self._max_ejection_ms = max_ejection_ms
         self._failure_rate = 0.0
         self._updated_ms = 0.0
         self._ejected_until_ms = -math.inf
@@ -65,6 +69,11 @@
         age_ms = now_ms - self._updated_ms
         return self._failure_rate * math.exp(-age_ms / FAILURE_RATE_DECAY_MS)
 
+    @property
+    def ejected_until_ms(self) -> float:
+        """Return the end of the latest ejection."""
+        return self._ejected_until_ms
+
     def is_ejected(self, now_ms: float) -> bool:
         """Return whether the server is excluded from calls now."""
         return now_ms < self._ejected_until_ms
@@ -74,7 +83,7 @@
             self._ejected_until_ms, now_ms + self._ejection_ms
         )
         self._ejection_ms = min(
-            self._ejection_ms * EJECTION_GROWTH, MAX_EJECTION_MS
+            self._ejection_ms * EJECTION_GROWTH, self._max_ejection_ms
         )
 
 
--- a/packages/gateway/src/balsamloom_gateway/metrics.py
+++ b/packages/gateway/src/balsamloom_gateway/metrics.py
@@ -44,6 +44,17 @@
             registry=self._registry,
         )
 
+        self._paces = prometheus_client.Counter(
+            "balsamloom_server_pace_changes",
+            "Changes of the paces of started or recovered servers.",
+            ["change", "reason"],
+            registry=self._registry,
+        )
+
+    def record_pace(self, change: str, reason: str) -> None:
+        """Count a change of a server's pace."""
+        self._paces.labels(change, reason).inc()
+
     def record_response(
         self, kind: str, status: int, total_ms: float, first_ms: float | None
     ) -> None:
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -34,6 +34,7 @@
     listeners,
     membership,
     metrics,
+    paced_servers,
     path_probes,
     peer_liveness,
     peer_service,
@@ -61,7 +62,8 @@
     """Settings of an edge process.
 
     ``view_bound_ms`` limits the age of its view of the store's records,
-    ``grace_ms`` the duration of its stop.
+    ``grace_ms`` the duration of its stop. ``is_pacing_servers`` limits calls
+    to servers that have just started or recovered.
     """
 
     name: str
@@ -78,6 +80,7 @@
     grace_ms: float
     lease_ms: int
     copies: int
+    is_pacing_servers: bool = False
 
 
 class AuxiliaryHandlers(NamedTuple):
@@ -121,9 +124,8 @@
             settings.failure_domain,
             settings.incarnation,
         )
-        self._call_balancer = balancer.Balancer(
-            clock, settings.failure_domain, random.Random()
-        )
+        edge_metrics = metrics.Metrics()
+        self._call_balancer = self._new_balancer(edge_metrics)
         self._feed = feed.Feed(clock, self.fleet.decode_or_raw)
         clients = peers.PeerClients(clock)
         self._clients = clients
@@ -135,12 +137,12 @@
             standbys.holder_id(settings.name, settings.incarnation),
         )
         # Planned turns and this process's own calls are counted separately.
-        self._turn_balancer = balancer.Balancer(
-            clock, settings.failure_domain, random.Random()
-        )
+        self._turn_balancer = self._new_balancer(edge_metrics)
+        limits_of_servers = server_limits.ServerLimits()
+        limits_of_servers.on_released = self._handle_limit_release
         self._permits = send_permits.SendPermits(
             settings.name,
-            server_limits.ServerLimits(),
+            limits_of_servers,
             clients,
             self.fleet,
             clock,
@@ -167,7 +169,6 @@
             self.fleet,
             clock,
         )
-        edge_metrics = metrics.Metrics()
         responder = responses.Responder(codec, clock, edge_metrics)
         self._crash_reports = crash_reports.CrashReports(
             store, records, self._rank, clock
@@ -346,6 +347,27 @@
             ),
         ]
 
+    def _new_balancer(
+        self, edge_metrics: metrics.Metrics
+    ) -> balancer.Balancer:
+        paced = None
+        if self._settings.is_pacing_servers:
+            paced = paced_servers.PacedServers(
+                self._settings.name,
+                lambda: len(self.fleet.members()),
+                edge_metrics.record_pace,
+            )
+        return balancer.Balancer(
+            self._clock, self._settings.failure_domain, random.Random(), paced
+        )
+
+    def _handle_limit_release(self, server_id: str) -> None:
+        """Let the calls to a server grow that no longer limits its rate."""
+        if not self._settings.is_pacing_servers:
+            return
+        self._call_balancer.handle_limit_release(server_id)
+        self._turn_balancer.handle_limit_release(server_id)
+
     @property
     def is_ready(self) -> bool:
         """Return whether callers may send requests to this process."""
--- a/packages/gateway/src/balsamloom_gateway/server_limits.py
+++ b/packages/gateway/src/balsamloom_gateway/server_limits.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from balsamloom_core import events
-from balsamloom_gateway import rate_quota, traffic
+from balsamloom_gateway import callbacks, rate_quota, traffic
 
 _Run = tuple[str, int]
 
@@ -20,6 +20,8 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._sightings: dict[_Run, rate_quota.LimitSighting] = {}
+        # Called with a server that no longer has a limit.
+        self.on_released: Callable[[str], object] = callbacks.ignore
 
     def record(
         self, server_id: str, incarnation: int, seen: rate_quota.LimitSighting
@@ -40,6 +42,8 @@
                 incarnation=incarnation,
                 limit_per_s=seen.limit_per_s,
             )
+        if known is not None and known.limit_per_s and not seen.limit_per_s:
+            self.on_released(server_id)
 
     def latest(
         self, server_id: str, incarnation: int
--- a/packages/model/src/balsamloom_model/policies.py
+++ b/packages/model/src/balsamloom_model/policies.py
@@ -62,6 +62,7 @@
         profile: estimates.CallProfile,
         baseline: estimates.Baseline,
         now_ms: float,
+        is_probed: bool = False,
     ) -> estimates.Cost:
         return estimates.Cost(2 * balancer.COST_TIE_MS * state.load(now_ms))
 
@@ -83,10 +84,11 @@
         profile: estimates.CallProfile,
         baseline: estimates.Baseline,
         now_ms: float,
+        is_probed: bool = False,
     ) -> estimates.Cost:
         engine = self._engines.get(state.server.server_id)
         if engine is None:
-            return super()._cost(state, profile, baseline, now_ms)
+            return super()._cost(state, profile, baseline, now_ms, is_probed)
         return estimates.Cost(
             engine.cost_ms(profile.prompt, profile.output_tokens)
         )
