--- a/packages/pacing/src/balsamloom_pacing/answers.py
+++ b/packages/pacing/src/balsamloom_pacing/answers.py
@@ -26,6 +26,7 @@
     """How a server answered one call, compared with its peers."""
 
     GOOD = "good"
+    UNSURE = "unsure"
     SLOW = "slow"
     REFUSED = "refused"
     FAILED = "failed"
@@ -142,8 +143,9 @@
         case Result.REFUSED:
             return Answer.REFUSED
         case Result.ANSWERED:
-            is_slow = own.is_slow(peers) or evidence.is_queue_unusual()
-            return Answer.SLOW if is_slow else Answer.GOOD
+            if own.is_slow(peers) or evidence.is_queue_unusual():
+                return Answer.SLOW
+            return Answer.GOOD if own.is_like(peers) else Answer.UNSURE
 
 
 def _median(values: Sequence[int]) -> float:
--- a/packages/pacing/src/balsamloom_pacing/pace.py
+++ b/packages/pacing/src/balsamloom_pacing/pace.py
@@ -48,18 +48,6 @@
     earlier_setbacks: int = 0
 
 
-class Comparison(NamedTuple):
-    """Answer of a server, and what it has in common with its peers.
-
-    ``is_load_usual`` says that it has as many requests, and
-    ``is_speed_usual`` that its calls take about as long.
-    """
-
-    answer: answers.Answer
-    is_load_usual: bool = False
-    is_speed_usual: bool = True
-
-
 class Pace:
     """Allowance of this host at one run of a server.
 
@@ -93,8 +81,8 @@
         # More doublings than these exceed any allowance.
         doublings = min(elapsed_ms / self.widening_ms(), 64.0)
         doubled = self._allowance * 2.0**doublings
-        # No more hosts begin than the slots could take one after the other.
-        begun = self._allowance + doublings * self._even_share
+        # The first calls of hosts take half of the slots at most.
+        begun = self._allowance + doublings * self._even_share / 2
         return float(min(doubled, begun, 1.0))
 
     def widening_ms(self) -> float:
@@ -111,6 +99,10 @@
             return in_flight == 0 and self._start.position < allowance
         return in_flight < int(allowance)
 
+    def allows_relief(self, in_flight: int) -> bool:
+        """Return whether one more call may go there while others are full."""
+        return in_flight < max(int(self._even_share), 1)
+
     def is_over(self, now_ms: float) -> bool:
         """Return whether the server is chosen by its cost alone."""
         if self._is_over:
@@ -124,35 +116,51 @@
         self._updated_ms = max(self._updated_ms, until_ms)
         self._quiet_since_ms = max(self._quiet_since_ms, until_ms)
 
-    def record(self, found: Comparison, now_ms: float) -> None:
-        """Adapt the allowance to an answer."""
-        match found.answer:
+    def record(
+        self, answer: answers.Answer, is_load_usual: bool, now_ms: float
+    ) -> None:
+        """Adapt the allowance to an answer.
+
+        :param is_load_usual: the server has as many requests as its peers.
+        """
+        match answer:
             case answers.Answer.GOOD:
                 self._slow_in_row = 0
-                self._record_good(found, now_ms)
+                self._record_good(is_load_usual, now_ms)
+            case answers.Answer.UNSURE:
+                self._slow_in_row = 0
+                self._hold(now_ms)
             case answers.Answer.SLOW:
                 self._slow_in_row += 1
-                self._shrink(found.answer, now_ms)
+                self._shrink(answer, now_ms)
             case answers.Answer.REFUSED | answers.Answer.FAILED:
                 self._slow_in_row = 0
-                self._shrink(found.answer, now_ms)
+                self._shrink(answer, now_ms)
         if self._slow_in_row >= SLOW_ANSWERS_TO_END:
             self._is_over = True
 
-    def _record_good(self, found: Comparison, now_ms: float) -> None:
+    def _record_good(self, is_load_usual: bool, now_ms: float) -> None:
         self._good_in_row += 1
         self.setbacks = self._start.earlier_setbacks
         allowance = self.allowance(now_ms)
         if allowance < 1:
             self._set(1.0, now_ms)
-        elif not found.is_load_usual:
+        elif not is_load_usual:
             self._set(allowance + 1, now_ms)
-        has_share = found.is_load_usual or self._allowance >= self._even_share
-        is_known = self._good_in_row >= GOOD_ANSWERS_TO_END
-        if is_known and has_share and found.is_speed_usual:
+        has_share = is_load_usual or self._allowance >= self._even_share
+        if self._good_in_row >= GOOD_ANSWERS_TO_END and has_share:
             self._is_over = True
             self.is_proven = True
 
+    def _hold(self, now_ms: float) -> None:
+        """Keep half of the slots busy until more answers tell."""
+        self._good_in_row = 0
+        self.setbacks += 1
+        held = max(self._even_share / 2, self._initial)
+        if held < 1:
+            held = min(self.allowance(now_ms), held)
+        self._set(held, now_ms)
+
     def _shrink(self, answer: answers.Answer, now_ms: float) -> None:
         factor = _SHRINKAGE[answer]
         allowance = min(self.allowance(now_ms), 1.0) * factor
--- a/packages/pacing/src/balsamloom_pacing/paces.py
+++ b/packages/pacing/src/balsamloom_pacing/paces.py
@@ -145,9 +145,16 @@
             if one.run in paced
             and paced[one.run].allows(one.in_flight, now_ms)
         )
-        if all(one.is_full for one in free):
+        if not free:
             return Selection(everything, admitted)
         excused = _excused(paced, len(candidates))
+        if all(one.is_full for one in free):
+            excused |= frozenset(
+                one.run
+                for one in candidates
+                if one.run in paced
+                and paced[one.run].allows_relief(one.in_flight)
+            )
         return Selection(
             frozenset(one.run for one in free) | admitted | excused, admitted
         )
@@ -177,12 +184,7 @@
         if evidence.timing is not None:
             entry.pace.durations.add(evidence.timing)
         answer = answers.judge(evidence, entry.pace.durations, peers)
-        found = pace.Comparison(
-            answer,
-            evidence.is_load_usual(),
-            entry.pace.durations.is_like(peers),
-        )
-        entry.pace.record(found, now_ms)
+        entry.pace.record(answer, evidence.is_load_usual(), now_ms)
         if answer is not answers.Answer.GOOD:
             self._log(answer.value, run, entry, now_ms)
         return self._is_over(run, entry, now_ms) and entry.pace.is_proven
