--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -183,7 +183,7 @@
                 [(state, state.health) for state in within_limits], now_ms
             )
             baseline = self._baseline(service)
-            found = self._open(healthy, now_ms)
+            found = self._open(healthy, now_ms, bool(avoid))
             probed = found.probed if profile.is_repeatable else frozenset()
             costs = [
                 (
@@ -335,12 +335,15 @@
         return self._paced.describe(server, now_ms)
 
     def _open(
-        self, states: list[estimates.ServerState], now_ms: float
+        self,
+        states: list[estimates.ServerState],
+        now_ms: float,
+        is_retry: bool,
     ) -> paced_servers.Open:
         """Return the servers whose pace allows a call."""
         if self._paced is None:
             return paced_servers.Open(states, frozenset())
-        return self._paced.open(states, now_ms)
+        return self._paced.open(states, now_ms, is_retry)
 
     def _record_outcome(
         self,
--- a/packages/gateway/src/balsamloom_gateway/estimates.py
+++ b/packages/gateway/src/balsamloom_gateway/estimates.py
@@ -270,6 +270,8 @@
 class Baseline:
     """Median timings of a service, for servers without recent observations.
 
+    Those of its faster servers are for servers that should be tried.
+
     :param states: servers of the service.
     :param prefill_ratio: time to prefill a token / time to generate one.
     """
@@ -278,12 +280,12 @@
         self, states: Sequence[ServerState], prefill_ratio: float
     ) -> None:
         self.prefill_ratio = prefill_ratio
-        self.step_ms = _median(
-            [state.step_average for state in states], DEFAULT_STEP_MS_PER_TOKEN
-        )
-        self.call_ms = _median(
-            [state.call_average for state in states], DEFAULT_CALL_MS
-        )
+        steps_ms = _values([state.step_average for state in states])
+        calls_ms = _values([state.call_average for state in states])
+        self.step_ms = _median(steps_ms, DEFAULT_STEP_MS_PER_TOKEN)
+        self.call_ms = _median(calls_ms, DEFAULT_CALL_MS)
+        self.fast_step_ms = _fast(steps_ms, self.step_ms)
+        self.fast_call_ms = _fast(calls_ms, self.call_ms)
 
 
 class PrefillSamples:
@@ -340,20 +342,21 @@
     """Return the cost of a call at a server.
 
     :param domain: failure domain that the call is sent from.
-    :param is_probed: earlier answers of the server don't count.
+    :param is_probed: earlier answers of the server don't count, and it may
+        be as fast as the faster ones of its service.
     """
     penalty_ms = 0.0
     if state.server.failure_domain != domain:
         penalty_ms = CROSS_DOMAIN_PENALTY_MS
     if profile.prompt_tokens:
-        step_ms = baseline.step_ms
+        step_ms = baseline.fast_step_ms
         if not is_probed:
-            step_ms = state.step_average.get(step_ms, now_ms)
+            step_ms = state.step_average.get(baseline.step_ms, now_ms)
         found = _engine_cost(state, profile, baseline, step_ms, now_ms)
     else:
-        call_ms = baseline.call_ms
+        call_ms = baseline.fast_call_ms
         if not is_probed:
-            call_ms = state.call_average.get(call_ms, now_ms)
+            call_ms = state.call_average.get(baseline.call_ms, now_ms)
         found = _plain_cost(state, call_ms, now_ms)
     risk_ms = state.failure_rate(now_ms, is_probed) * profile.failure_cost_ms
     return found._replace(
@@ -412,6 +415,14 @@
     return 1 + waiting / max(server.slots, 1)
 
 
-def _median(averages: list[MovingAverage], default: float) -> float:
-    values = [average.value for average in averages if average.count]
-    return statistics.median(values) if values else default
+def _values(averages: list[MovingAverage]) -> list[float]:
+    return sorted(average.value for average in averages if average.count)
+
+
+def _median(ordered: list[float], default: float) -> float:
+    return statistics.median(ordered) if ordered else default
+
+
+def _fast(ordered: list[float], default: float) -> float:
+    """Return the lower quartile."""
+    return ordered[len(ordered) // 4] if ordered else default
--- a/packages/gateway/src/balsamloom_gateway/paced_servers.py
+++ b/packages/gateway/src/balsamloom_gateway/paced_servers.py
@@ -69,22 +69,27 @@
         self._paces.keep_only(_run(server) for server in servers)
 
     def open(
-        self, states: Sequence[estimates.ServerState], now_ms: float
+        self,
+        states: Sequence[estimates.ServerState],
+        now_ms: float,
+        is_retry: bool,
     ) -> Open:
         """Return the servers that may take a call, at least one.
 
         :param states: servers of a service that could take it.
+        :param is_retry: another server has turned the call away.
         """
         selection = self._paces.select(
             [
                 paces.Candidate(
                     _run(state.server),
                     state.in_flight,
-                    state.load(now_ms) >= state.server.slots,
+                    state.load(now_ms) / max(state.server.slots, 1),
                 )
                 for state in states
             ],
             now_ms,
+            is_retry,
         )
         return Open(
             [
--- a/packages/pacing/src/balsamloom_pacing/pace.py
+++ b/packages/pacing/src/balsamloom_pacing/pace.py
@@ -99,8 +99,13 @@
             return in_flight == 0 and self._start.position < allowance
         return in_flight < int(allowance)
 
-    def allows_relief(self, in_flight: int) -> bool:
-        """Return whether one more call may go there while others are full."""
+    def allows_relief(self, in_flight: int, is_retry: bool) -> bool:
+        """Return whether one more call may go there while others are full.
+
+        :param is_retry: another server has turned the call away.
+        """
+        if self._even_share < 1 and not is_retry:
+            return in_flight == 0 and self._start.position < self._even_share
         return in_flight < max(int(self._even_share), 1)
 
     def is_over(self, now_ms: float) -> bool:
--- a/packages/pacing/src/balsamloom_pacing/paces.py
+++ b/packages/pacing/src/balsamloom_pacing/paces.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import statistics
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
@@ -16,9 +17,11 @@
 MAX_RETURNED_SHARE = 0.5
 # The first calls end before the share of hosts has doubled, also at a server
 # that is slower than usual.
-CALLS_PER_WIDENING = 2.0
+CALLS_PER_WIDENING = 2.5
 # A pace that begins this soon after another one goes on from its setbacks.
 REPEAT_MS = 10_000.0
+# Mean utilization of the others at which paced servers take more calls.
+RELIEF_UTILIZATION = 0.8
 # Bounds the log lines about one server.
 MIN_LOG_INTERVAL_MS = 1_000.0
 _HASH_BYTES = 8
@@ -35,13 +38,13 @@
 class Candidate(NamedTuple):
     """Server that could take a call.
 
-    ``in_flight`` counts this host's calls there. A full server would let the
-    call wait.
+    ``in_flight`` counts this host's calls there. ``utilization`` is the number
+    of all requests there, as far as it is known, divided by the slots.
     """
 
     run: Run
     in_flight: int
-    is_full: bool
+    utilization: float
 
 
 class Selection(NamedTuple):
@@ -124,11 +127,15 @@
         }
 
     def select(
-        self, candidates: Sequence[Candidate], now_ms: float
+        self,
+        candidates: Sequence[Candidate],
+        now_ms: float,
+        is_retry: bool = False,
     ) -> Selection:
         """Return the candidates that may take a call, at least one.
 
         :param candidates: servers of a service that could take it.
+        :param is_retry: another server has turned the call away.
         """
         everything = frozenset(one.run for one in candidates)
         paced = {
@@ -148,12 +155,13 @@
         if not free:
             return Selection(everything, admitted)
         excused = _excused(paced, len(candidates))
-        if all(one.is_full for one in free):
+        used = statistics.fmean(one.utilization for one in free)
+        if is_retry or used >= RELIEF_UTILIZATION:
             excused |= frozenset(
                 one.run
                 for one in candidates
                 if one.run in paced
-                and paced[one.run].allows_relief(one.in_flight)
+                and paced[one.run].allows_relief(one.in_flight, is_retry)
             )
         return Selection(
             frozenset(one.run for one in free) | admitted | excused, admitted
