--- a/packages/gateway/src/balsamloom_gateway/paced_servers.py
+++ b/packages/gateway/src/balsamloom_gateway/paced_servers.py
@@ -79,6 +79,8 @@
         :param states: servers of a service that could take it.
         :param is_retry: another server has turned the call away.
         """
+        if not self._paces.are_any:
+            return Open(list(states), frozenset())
         selection = self._paces.select(
             [
                 paces.Candidate(
--- a/packages/pacing/src/balsamloom_pacing/paces.py
+++ b/packages/pacing/src/balsamloom_pacing/paces.py
@@ -87,6 +87,7 @@
         self._count_members = count_members
         self._on_change = on_change
         self._entries: dict[Run, _Entry] = {}
+        self._active: set[Run] = set()
         self._peers: dict[str, answers.Durations] = {}
 
     def begin(
@@ -117,6 +118,7 @@
         )
         entry = _Entry(service, pace.Pace(reason, start, from_ms))
         self._entries[run] = entry
+        self._active.add(run)
         self._log("begun", run, entry, now_ms)
 
     def keep_only(self, runs: Iterable[Run]) -> None:
@@ -125,6 +127,12 @@
         self._entries = {
             run: entry for run, entry in self._entries.items() if run in kept
         }
+        self._active &= kept
+
+    @property
+    def are_any(self) -> bool:
+        """Return whether the calls of any server may be limited."""
+        return bool(self._active)
 
     def select(
         self,
@@ -218,6 +226,7 @@
             return False
         if entry.ended_ms is None:
             entry.ended_ms = now_ms
+            self._active.discard(run)
             self._log("ended", run, entry, now_ms)
         return True
 
