--- a/packages/cli/src/balsamloom_cli/operator.py
+++ b/packages/cli/src/balsamloom_cli/operator.py
@@ -14,6 +14,7 @@
     entry_settings,
     operator_output,
     status,
+    where,
 )
 from balsamloom_configuration import document as documents
 from balsamloom_configuration import editing
@@ -330,6 +331,7 @@
 
 main.add_command(explain.main, "explain")
 main.add_command(log_audit.main, "audit")
+main.add_command(where.main, "where")
 
 
 @main.group("data")
--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import math
 import random
 import threading
@@ -16,6 +17,7 @@
 COST_TIE_MS = 1.0
 # The load of servers that other holders place turns on is known only in part.
 UNKNOWN_LOAD_FACTOR = 2.0
+_NO_SAMPLES = estimates.PrefillSamples()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,6 +59,49 @@
         return self.state.server
 
 
+class Obstacle(enum.Enum):
+    """Why a server may not take a call now."""
+
+    OTHER_VERSION = "other_version"
+    TRIED = "tried"
+    RATE_LIMIT = "rate_limit"
+    EJECTED = "ejected"
+    PACED = "paced"
+
+
+class Assessment(NamedTuple):
+    """What speaks for and against a server for a call.
+
+    ``is_chosen`` is true for several servers of equal cost. ``pace`` is as in
+    a state dump. ``report_age_ms`` is ``None`` if the server has reported no
+    load here.
+    """
+
+    server: traffic.BackendServer
+    cost: estimates.Cost
+    is_chosen: bool
+    obstacle: Obstacle | None
+    in_flight: int
+    load: float
+    report_age_ms: float | None
+    is_probed: bool
+    denied_for_ms: float
+    ejected_for_ms: float
+    pace: dict[str, object] | None
+
+
+class _Sifted(NamedTuple):
+    """Servers that may take a call, and what keeps it from the others."""
+
+    states: list[estimates.ServerState]
+    probed: frozenset[str]
+    obstacles: dict[str, Obstacle]
+    refusal: NoServer | None = None
+
+
+_CostOfState = tuple[estimates.Cost, estimates.ServerState]
+
+
 class Balancer:
     """Chooses servers and updates its estimates from finished calls.
 
@@ -157,56 +202,39 @@
         """
         with self._lock:
             now_ms = self._clock.now_ms()
-            states = [
-                state
-                for state in self._by_service.get(service, [])
-                if profile.allows(state.server)
-            ]
-            usable = [
-                state
-                for state in states
-                if state.server.server_id not in avoid
-            ]
-            if not usable:
-                return NoServer(
-                    _describe_absence(states, profile), health.RETRY_AFTER_MS
-                )
-            within_limits = [
-                state for state in usable if not state.is_denied(now_ms)
-            ]
-            if not within_limits:
-                return NoServer(
-                    "the servers have reached their rate limits",
-                    min(state.denied_until_ms for state in usable) - now_ms,
-                )
-            healthy = health.usable(
-                [(state, state.health) for state in within_limits], now_ms
-            )
-            baseline = self._baseline(service)
-            found = self._open(healthy, now_ms, bool(avoid))
-            probed = found.probed if profile.is_repeatable else frozenset()
-            costs = [
-                (
-                    self._scaled_cost(
-                        state,
-                        profile,
-                        baseline,
-                        tracked,
-                        now_ms,
-                        state.server.server_id in probed,
-                    ),
-                    state,
+            sifted = self._sift(service, profile, avoid, now_ms)
+            if sifted.refusal is not None:
+                return sifted.refusal
+            costs = self._costs(service, sifted, profile, tracked, now_ms)
+            cost, state = self._generator.choice(_cheapest(costs))
+            return Choice(state, profile, cost)
+
+    def assess(
+        self,
+        service: str,
+        profile: estimates.CallProfile,
+        tracked: frozenset[str] | None = None,
+    ) -> list[Assessment]:
+        """Return what speaks for each server, by cost, and change nothing.
+
+        See :meth:`choose` for the parameters; it decides by the same figures.
+        """
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            if not self._by_service.get(service):
+                return []
+            sifted = self._sift(service, profile, frozenset(), now_ms)
+            costs = self._costs(service, sifted, profile, tracked, now_ms)
+            chosen = {state for _, state in _cheapest(costs)}
+            everything = sifted._replace(states=self._by_service[service])
+            found = [
+                self._assessment(state, cost, sifted, state in chosen, now_ms)
+                for cost, state in self._costs(
+                    service, everything, profile, tracked, now_ms
                 )
-                for state in found.states
-            ]
-            least_ms = min(cost.total_ms for cost, _ in costs)
-            near = [
-                pair
-                for pair in costs
-                if pair[0].total_ms <= least_ms + COST_TIE_MS
             ]
-            cost, state = self._generator.choice(near)
-            return Choice(state, profile, cost)
+        found.sort(key=lambda one: (not one.is_chosen, one.cost.total_ms))
+        return found
 
     def start(self, choice: Choice) -> Placement:
         """Record the start of a call at its server."""
@@ -304,6 +332,87 @@
                 for state in self._servers.values()
             ]
 
+    def _sift(
+        self,
+        service: str,
+        profile: estimates.CallProfile,
+        avoid: frozenset[str],
+        now_ms: float,
+    ) -> _Sifted:
+        """Return the servers that may take a call now."""
+        everything = self._by_service.get(service, [])
+        states = [one for one in everything if profile.allows(one.server)]
+        obstacles = _obstacles(everything, states, Obstacle.OTHER_VERSION)
+        usable = [one for one in states if one.server.server_id not in avoid]
+        obstacles |= _obstacles(states, usable, Obstacle.TRIED)
+        if not usable:
+            reason = _describe_absence(states, profile)
+            refusal = NoServer(reason, health.RETRY_AFTER_MS)
+            return _Sifted([], frozenset(), obstacles, refusal)
+        within_limits = [one for one in usable if not one.is_denied(now_ms)]
+        obstacles |= _obstacles(usable, within_limits, Obstacle.RATE_LIMIT)
+        if not within_limits:
+            refusal = NoServer(
+                "the servers have reached their rate limits",
+                min(one.denied_until_ms for one in usable) - now_ms,
+            )
+            return _Sifted([], frozenset(), obstacles, refusal)
+        healthy = health.usable(
+            [(one, one.health) for one in within_limits], now_ms
+        )
+        obstacles |= _obstacles(within_limits, healthy, Obstacle.EJECTED)
+        found = self._open(healthy, now_ms, bool(avoid))
+        obstacles |= _obstacles(healthy, found.states, Obstacle.PACED)
+        probed = found.probed if profile.is_repeatable else frozenset()
+        return _Sifted(found.states, probed, obstacles)
+
+    def _costs(
+        self,
+        service: str,
+        sifted: _Sifted,
+        profile: estimates.CallProfile,
+        tracked: frozenset[str] | None,
+        now_ms: float,
+    ) -> list[_CostOfState]:
+        baseline = self._baseline(service)
+        return [
+            (
+                self._scaled_cost(
+                    state,
+                    profile,
+                    baseline,
+                    tracked,
+                    now_ms,
+                    state.server.server_id in sifted.probed,
+                ),
+                state,
+            )
+            for state in sifted.states
+        ]
+
+    def _assessment(
+        self,
+        state: estimates.ServerState,
+        cost: estimates.Cost,
+        sifted: _Sifted,
+        is_chosen: bool,
+        now_ms: float,
+    ) -> Assessment:
+        server_id = state.server.server_id
+        return Assessment(
+            state.server,
+            cost,
+            is_chosen,
+            sifted.obstacles.get(server_id),
+            state.in_flight,
+            state.load(now_ms),
+            state.report_age_ms(now_ms),
+            server_id in sifted.probed,
+            max(state.denied_until_ms - now_ms, 0.0),
+            max(state.health.ejected_until_ms - now_ms, 0.0),
+            self._describe_pace(state.server, now_ms),
+        )
+
     def _new_state(
         self, server: traffic.BackendServer
     ) -> estimates.ServerState:
@@ -376,7 +485,7 @@
         self._paced.record(state, peers, outcome, timing, now_ms)
 
     def _baseline(self, service: str) -> estimates.Baseline:
-        samples = self._samples.setdefault(service, estimates.PrefillSamples())
+        samples = self._samples.get(service, _NO_SAMPLES)
         return estimates.Baseline(
             self._by_service[service], samples.prefill_ratio()
         )
@@ -465,6 +574,30 @@
             )
 
 
+def _cheapest(costs: list[_CostOfState]) -> list[_CostOfState]:
+    """Return the servers whose cost is the least or nearly so."""
+    least_ms = min((cost.total_ms for cost, _ in costs), default=0.0)
+    return [
+        pair for pair in costs if pair[0].total_ms <= least_ms + COST_TIE_MS
+    ]
+
+
+def _obstacles(
+    before: list[estimates.ServerState],
+    after: list[estimates.ServerState],
+    obstacle: Obstacle,
+) -> dict[str, Obstacle]:
+    """Return the servers that one step has removed."""
+    if len(before) == len(after):
+        return {}
+    kept = {state.server.server_id for state in after}
+    return {
+        state.server.server_id: obstacle
+        for state in before
+        if state.server.server_id not in kept
+    }
+
+
 def _describe_absence(
     states: list[estimates.ServerState], profile: estimates.CallProfile
 ) -> str:
--- a/packages/gateway/src/balsamloom_gateway/estimates.py
+++ b/packages/gateway/src/balsamloom_gateway/estimates.py
@@ -79,6 +79,27 @@
         return self.version is None or server.version == self.version
 
 
+def profile_of(
+    route: traffic.Route,
+    spec: traffic.Service | None,
+    prompt: tuple[traffic.PromptPart, ...],
+    prompt_tokens: int,
+    output_tokens: int,
+) -> CallProfile:
+    """Return the profile of a call on a route.
+
+    :param spec: service that runs it; only engines have prompts.
+    """
+    failure_cost_ms = REPEATABLE_FAILURE_COST_MS
+    if not route.is_repeatable:
+        failure_cost_ms = FINAL_FAILURE_COST_MS
+    if spec is None or spec.engine is None:
+        return CallProfile(failure_cost_ms=failure_cost_ms)
+    return CallProfile(
+        prompt, prompt_tokens, output_tokens, failure_cost_ms=failure_cost_ms
+    )
+
+
 class Observation(NamedTuple):
     """Timings of one call at a server; ``None`` if not observed.
 
--- a/packages/gateway/src/balsamloom_gateway/planner.py
+++ b/packages/gateway/src/balsamloom_gateway/planner.py
@@ -123,7 +123,7 @@
             recent_servers,
             version=request.version,
         )
-        group = self._find_group()
+        group = self.preferred_servers()
         found = limited_placement.choose_permitted(
             self._balancer,
             self._permits,
@@ -165,8 +165,11 @@
             placement, health.Outcome.REFUSED, estimates.Observation()
         )
 
-    def _find_group(self) -> frozenset[str] | None:
-        """Return the servers that this member prefers for its turns."""
+    def preferred_servers(self) -> frozenset[str] | None:
+        """Return the servers that this member prefers for its turns.
+
+        :return: ``None`` if it prefers none.
+        """
         members = self._fleet.members()
         servers = self._fleet.servers()
         group_key = (
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -39,6 +39,7 @@
     peer_liveness,
     peer_service,
     peers,
+    placement_query,
     planned_stop,
     planner,
     proxy,
@@ -147,16 +148,26 @@
             self.fleet,
             clock,
         )
+        turn_planner = planner.TurnPlanner(
+            settings.name,
+            self._turn_balancer,
+            self.fleet,
+            self._permits,
+            clock,
+        )
+        self._queries = placement_query.PlacementQueries(
+            settings.name,
+            self.fleet,
+            self._call_balancer,
+            self._turn_balancer,
+            turn_planner,
+            limits_of_servers,
+        )
+        self._metrics = edge_metrics
         accounts = budgets.Budgets(
             settings.name,
             self._book,
-            planner.TurnPlanner(
-                settings.name,
-                self._turn_balancer,
-                self.fleet,
-                self._permits,
-                clock,
-            ),
+            turn_planner,
             clients,
             self.fleet,
             clock,
@@ -337,7 +348,7 @@
         self._other_listeners = [
             self._member_listener,
             listeners.Listener(
-                settings.metrics_address, edge_metrics.handle, limits
+                settings.metrics_address, self._answer_operators, limits
             ),
             listeners.Listener(
                 settings.ready_address, handlers.ready(self), limits
@@ -361,6 +372,15 @@
             self._clock, self._settings.failure_domain, random.Random(), paced
         )
 
+    def _answer_operators(
+        self, request: listeners.Request, response: listeners.Response
+    ) -> None:
+        """Answer a request for the metrics or about placement."""
+        if request.path == placement_query.PATH:
+            self._queries.handle(request, response)
+        else:
+            self._metrics.handle(request, response)
+
     def _handle_limit_release(self, server_id: str) -> None:
         """Let the calls to a server grow that no longer limits its rate."""
         if not self._settings.is_pacing_servers:
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -445,15 +445,11 @@
         metadata.program_id or metadata.resumed_id or metadata.request_id,
     )
     spec = call.configuration.services.get(service)
-    failure_cost_ms = estimates.REPEATABLE_FAILURE_COST_MS
-    if not call.route.is_repeatable:
-        failure_cost_ms = estimates.FINAL_FAILURE_COST_MS
-    profile = estimates.CallProfile(failure_cost_ms=failure_cost_ms)
-    if spec is not None and spec.engine is not None:
-        profile = profile._replace(
-            prompt=metadata.prompt,
-            prompt_tokens=metadata.prompt_tokens,
-            output_tokens=metadata.expected_output_tokens
-            or metadata.max_output_tokens,
-        )
+    profile = estimates.profile_of(
+        call.route,
+        spec,
+        metadata.prompt,
+        metadata.prompt_tokens,
+        metadata.expected_output_tokens or metadata.max_output_tokens,
+    )
     return dispatch.Target(service, spec, profile)
--- a/packages/pacing/src/balsamloom_pacing/pace.py
+++ b/packages/pacing/src/balsamloom_pacing/pace.py
@@ -110,11 +110,8 @@
 
     def is_over(self, now_ms: float) -> bool:
         """Return whether the server is chosen by its cost alone."""
-        if self._is_over:
-            return True
         is_quiet = now_ms - self._quiet_since_ms >= QUIET_MS
-        self._is_over = is_quiet and self.allowance(now_ms) >= 1
-        return self._is_over
+        return self._is_over or (is_quiet and self.allowance(now_ms) >= 1)
 
     def postpone(self, until_ms: float) -> None:
         """Allow no calls until a time at which an ejection ends."""
--- a/packages/pacing/src/balsamloom_pacing/paces.py
+++ b/packages/pacing/src/balsamloom_pacing/paces.py
@@ -103,8 +103,9 @@
 
         :param from_ms: when the server may get its first call.
         """
+        self._note_ends(now_ms)
         known = self._entries.get(run)
-        if known is not None and not self._is_over(run, known, now_ms):
+        if known is not None and self.is_paced(run, now_ms):
             known.pace.postpone(from_ms)
             if reason is pace.Reason.RETURNED:
                 known.pace.reason = reason
@@ -177,8 +178,9 @@
 
     def is_paced(self, run: Run, now_ms: float) -> bool:
         """Return whether a server's calls are limited."""
-        entry = self._entries.get(run)
-        return entry is not None and not self._is_over(run, entry, now_ms)
+        if run not in self._active:
+            return False
+        return not self._entries[run].pace.is_over(now_ms)
 
     def record(
         self,
@@ -191,6 +193,7 @@
 
         :return: whether a pace ended as the server serves like its peers.
         """
+        self._note_ends(now_ms)
         peers = self._durations(service)
         if not self.is_paced(run, now_ms):
             if evidence.timing is not None:
@@ -203,7 +206,8 @@
         entry.pace.record(answer, evidence.is_load_usual(), now_ms)
         if answer is not answers.Answer.GOOD:
             self._log(answer.value, run, entry, now_ms)
-        return self._is_over(run, entry, now_ms) and entry.pace.is_proven
+        self._note_ends(now_ms)
+        return entry.pace.is_proven
 
     def describe(self, run: Run, now_ms: float) -> dict[str, object] | None:
         """Return the pace of a server for a state dump, if it has one."""
@@ -221,14 +225,18 @@
     def _durations(self, service: str) -> answers.Durations:
         return self._peers.setdefault(service, answers.Durations())
 
-    def _is_over(self, run: Run, entry: _Entry, now_ms: float) -> bool:
-        if not entry.pace.is_over(now_ms):
-            return False
-        if entry.ended_ms is None:
-            entry.ended_ms = now_ms
+    def _note_ends(self, now_ms: float) -> None:
+        """Log the paces that are over."""
+        over = [
+            run
+            for run in self._active
+            if self._entries[run].pace.is_over(now_ms)
+        ]
+        for run in over:
             self._active.discard(run)
+            entry = self._entries[run]
+            entry.ended_ms = now_ms
             self._log("ended", run, entry, now_ms)
-        return True
 
     def _log(
         self, change: str, run: Run, entry: _Entry, now_ms: float
