--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -47,11 +47,15 @@
 
 
 class Choice(NamedTuple):
-    """Best server for a call, which is not recorded there yet."""
+    """Best server for a call, which is not recorded there yet.
+
+    ``usual_ms`` is its duration at a usual server that is idle.
+    """
 
     state: estimates.ServerState
     profile: estimates.CallProfile
     cost: estimates.Cost
+    usual_ms: float = 0.0
 
     @property
     def server(self) -> traffic.BackendServer:
@@ -205,9 +209,11 @@
             sifted = self._sift(service, profile, avoid, now_ms)
             if sifted.refusal is not None:
                 return sifted.refusal
-            costs = self._costs(service, sifted, profile, tracked, now_ms)
+            baseline = self._baseline(service)
+            costs = self._costs(baseline, sifted, profile, tracked, now_ms)
             cost, state = self._generator.choice(_cheapest(costs))
-            return Choice(state, profile, cost)
+            usual_ms = estimates.usual_ms(state, profile, baseline)
+            return Choice(state, profile, cost, usual_ms)
 
     def assess(
         self,
@@ -224,13 +230,14 @@
             if not self._by_service.get(service):
                 return []
             sifted = self._sift(service, profile, frozenset(), now_ms)
-            costs = self._costs(service, sifted, profile, tracked, now_ms)
+            baseline = self._baseline(service)
+            costs = self._costs(baseline, sifted, profile, tracked, now_ms)
             chosen = {state for _, state in _cheapest(costs)}
             everything = sifted._replace(states=self._by_service[service])
             found = [
                 self._assessment(state, cost, sifted, state in chosen, now_ms)
                 for cost, state in self._costs(
-                    service, everything, profile, tracked, now_ms
+                    baseline, everything, profile, tracked, now_ms
                 )
             ]
         found.sort(key=lambda one: (not one.is_chosen, one.cost.total_ms))
@@ -239,7 +246,7 @@
     def start(self, choice: Choice) -> Placement:
         """Record the start of a call at its server."""
         with self._lock:
-            return self._record_start(*choice, self._clock.now_ms())
+            return self._record_start(choice, self._clock.now_ms())
 
     def has_alternative(
         self, service: str, placement: Placement, avoid: frozenset[str]
@@ -273,7 +280,8 @@
                 return None
             baseline = self._baseline(state.server.service)
             cost = self._cost(state, profile, baseline, now_ms)
-            return Choice(state, profile, cost)
+            usual_ms = estimates.usual_ms(state, profile, baseline)
+            return Choice(state, profile, cost, usual_ms)
 
     def deny(self, choice: Choice, retry_after_ms: float) -> None:
         """Exclude a server for a time in which its rate limit is reached."""
@@ -368,13 +376,12 @@
 
     def _costs(
         self,
-        service: str,
+        baseline: estimates.Baseline,
         sifted: _Sifted,
         profile: estimates.CallProfile,
         tracked: frozenset[str] | None,
         now_ms: float,
     ) -> list[_CostOfState]:
-        baseline = self._baseline(service)
         return [
             (
                 self._scaled_cost(
@@ -523,13 +530,8 @@
             return None
         return state
 
-    def _record_start(
-        self,
-        state: estimates.ServerState,
-        profile: estimates.CallProfile,
-        cost: estimates.Cost,
-        now_ms: float,
-    ) -> Placement:
+    def _record_start(self, choice: Choice, now_ms: float) -> Placement:
+        state, profile, cost, _ = choice
         missing = state.missing_tokens(profile)
         due_ms = (
             now_ms
@@ -548,7 +550,7 @@
             state.report_age_ms(now_ms),
             now_ms,
             due_ms,
-            cost.usual_ms,
+            choice.usual_ms,
         )
 
     def _update_estimates(
--- a/packages/gateway/src/balsamloom_gateway/estimates.py
+++ b/packages/gateway/src/balsamloom_gateway/estimates.py
@@ -340,18 +340,25 @@
     Servers are compared by ``total_ms``, the sum of the time until the call
     ends there, the delay of others by its prefill, the risk of a failure and
     the penalty for another failure domain. ``prefill_ms`` is a part of the
-    time. ``usual_ms`` is the duration at a usual server that is idle.
+    time.
     """
 
     total_ms: float
-    prefill_ms: float = 0.0
-    usual_ms: float = 0.0
     time_ms: float = 0.0
+    prefill_ms: float = 0.0
     delay_to_others_ms: float = 0.0
     risk_ms: float = 0.0
     domain_penalty_ms: float = 0.0
 
 
+class _Times(NamedTuple):
+    """Parts of a cost that depend on the server's speed and load."""
+
+    time_ms: float
+    prefill_ms: float = 0.0
+    delay_to_others_ms: float = 0.0
+
+
 def cost(
     state: ServerState,
     profile: CallProfile,
@@ -380,17 +387,23 @@
             call_ms = state.call_average.get(baseline.call_ms, now_ms)
         found = _plain_cost(state, call_ms, now_ms)
     risk_ms = state.failure_rate(now_ms, is_probed) * profile.failure_cost_ms
-    return found._replace(
-        total_ms=found.total_ms + risk_ms + penalty_ms,
-        usual_ms=_usual_ms(state, profile, baseline),
-        risk_ms=risk_ms,
-        domain_penalty_ms=penalty_ms,
+    return Cost(
+        found.time_ms + found.delay_to_others_ms + risk_ms + penalty_ms,
+        found.time_ms,
+        found.prefill_ms,
+        found.delay_to_others_ms,
+        risk_ms,
+        penalty_ms,
     )
 
 
-def _usual_ms(
+def usual_ms(
     state: ServerState, profile: CallProfile, baseline: Baseline
 ) -> float:
+    """Return the duration of a call at a usual server that is idle.
+
+    :param state: server whose prefix cache is taken into account.
+    """
     if not profile.prompt_tokens:
         return baseline.call_ms
     prefill_tokens = state.missing_tokens(profile) * baseline.prefill_ratio
@@ -403,7 +416,7 @@
     baseline: Baseline,
     step_ms: float,
     now_ms: float,
-) -> Cost:
+) -> _Times:
     load = state.load(now_ms)
     prefill_ms = (
         state.missing_tokens(profile) * step_ms * baseline.prefill_ratio
@@ -413,18 +426,13 @@
     own_ms = state.prefill_queue_ms(now_ms) + prefill_ms + generate_ms
     delay_to_others_ms = load * prefill_ms
     own_ms *= _queueing_factor(state.server, load)
-    return Cost(
-        own_ms + delay_to_others_ms,
-        prefill_ms,
-        time_ms=own_ms,
-        delay_to_others_ms=delay_to_others_ms,
-    )
+    return _Times(own_ms, prefill_ms, delay_to_others_ms)
 
 
-def _plain_cost(state: ServerState, call_ms: float, now_ms: float) -> Cost:
+def _plain_cost(state: ServerState, call_ms: float, now_ms: float) -> _Times:
     queueing = _queueing_factor(state.server, state.load(now_ms))
     time_ms = call_ms * state.slowness(now_ms) * queueing
-    return Cost(time_ms, time_ms=time_ms)
+    return _Times(time_ms)
 
 
 def _queueing_factor(server: traffic.BackendServer, load: float) -> float:
--- a/packages/gateway/src/balsamloom_gateway/placement_query.py
+++ b/packages/gateway/src/balsamloom_gateway/placement_query.py
@@ -201,9 +201,7 @@
             is_chosen=found.is_chosen,
             obstacle=found.obstacle.value if found.obstacle else None,
             cost={
-                name: round(value, 1)
-                for name, value in cost._asdict().items()
-                if name != "usual_ms"
+                name: round(value, 1) for name, value in cost._asdict().items()
             },
             load=round(found.load, 1),
             slots=server.slots,
