--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -118,6 +118,7 @@
     QUOTA_ROLE_CHANGED = 7071
     QUOTA_GRANTER_FAILED = 7072
     CALLERS_LIMITED = 7080
+    SERVER_PACE_CHANGED = 7090
 
 
 _MEANINGS: dict[Event, str] = {
@@ -269,6 +270,9 @@
     Event.CALLERS_LIMITED: (
         "Callers were refused or cut off at a limit of the process."
     ),
+    Event.SERVER_PACE_CHANGED: (
+        "The pace of a started or recovered server began, shrank or ended."
+    ),
 }
 
 
--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
+import math
 import random
 import threading
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import estimates, health, traffic
+from balsamloom_gateway import estimates, health, paced_servers, traffic
+from balsamloom_pacing import pace
 
 COST_TIE_MS = 1.0
 # The load of servers that other holders place turns on is known only in part.
 UNKNOWN_LOAD_FACTOR = 2.0
+_NO_SAMPLES = estimates.PrefillSamples()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -21,6 +25,7 @@
     """A call assigned to a server; ended with :meth:`Balancer.release`.
 
     ``missing_tokens`` must be prefilled. The call is overdue at ``due_ms``.
+    ``usual_ms`` is its duration at a usual server that is idle.
     """
 
     server: traffic.BackendServer
@@ -30,6 +35,7 @@
     report_age_ms: float | None
     sent_ms: float
     due_ms: float
+    usual_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,11 +47,15 @@
 
 
 class Choice(NamedTuple):
-    """Best server for a call, which is not recorded there yet."""
+    """Best server for a call, which is not recorded there yet.
+
+    ``usual_ms`` is its duration at a usual server that is idle.
+    """
 
     state: estimates.ServerState
     profile: estimates.CallProfile
     cost: estimates.Cost
+    usual_ms: float = 0.0
 
     @property
     def server(self) -> traffic.BackendServer:
@@ -53,12 +63,57 @@
         return self.state.server
 
 
+class Obstacle(enum.Enum):
+    """Why a server may not take a call now."""
+
+    OTHER_VERSION = "other_version"
+    TRIED = "tried"
+    RATE_LIMIT = "rate_limit"
+    EJECTED = "ejected"
+    PACED = "paced"
+
+
+class Assessment(NamedTuple):
+    """What speaks for and against a server for a call.
+
+    ``is_chosen`` is true for several servers of equal cost. ``pace`` is as in
+    a state dump. ``report_age_ms`` is ``None`` if the server has reported no
+    load here.
+    """
+
+    server: traffic.BackendServer
+    cost: estimates.Cost
+    is_chosen: bool
+    obstacle: Obstacle | None
+    in_flight: int
+    load: float
+    report_age_ms: float | None
+    is_probed: bool
+    denied_for_ms: float
+    ejected_for_ms: float
+    pace: dict[str, object] | None
+
+
+class _Sifted(NamedTuple):
+    """Servers that may take a call, and what keeps it from the others."""
+
+    states: list[estimates.ServerState]
+    probed: frozenset[str]
+    obstacles: dict[str, Obstacle]
+    refusal: NoServer | None = None
+
+
+_CostOfState = tuple[estimates.Cost, estimates.ServerState]
+
+
 class Balancer:
     """Chooses servers and updates its estimates from finished calls.
 
     :param clock: time source.
     :param failure_domain: failure domain of this process.
     :param generator: breaks ties between servers of equal cost.
+    :param paced: limits calls to servers that have started or recovered;
+        ``None`` if nothing does.
     """
 
     def __init__(
@@ -66,7 +121,9 @@
         clock: clocks.Clock,
         failure_domain: str,
         generator: random.Random,
+        paced: paced_servers.PacedServers | None = None,
     ) -> None:
+        self._paced = paced
         self._clock = clock
         self._domain = failure_domain
         self._generator = generator
@@ -92,15 +149,31 @@
         """
         with self._lock:
             previous = self._servers
+            known_services = self._by_service.keys()
             self._servers = {}
             self._by_service = {}
             for server in servers:
                 state = previous.get(server.server_id)
                 if state is None or not _is_same_run(state.server, server):
                     state = self._new_state(server)
+                    if server.service in known_services:
+                        self._begin_pace(server, pace.Reason.STARTED)
                 state.server = server
                 self._servers[server.server_id] = state
                 self._by_service.setdefault(server.service, []).append(state)
+            if self._paced is not None:
+                self._paced.keep_only(
+                    [state.server for state in self._servers.values()]
+                )
+
+    def handle_limit_release(self, server_id: str) -> None:
+        """Begin the pace of a server that no longer limits its rate."""
+        with self._lock:
+            state = self._servers.get(server_id)
+            if state is None:
+                return
+            state.denied_until_ms = -math.inf
+            self._begin_pace(state.server, pace.Reason.LIMIT_RELEASED)
 
     def place(
         self,
@@ -133,54 +206,47 @@
         """
         with self._lock:
             now_ms = self._clock.now_ms()
-            states = [
-                state
-                for state in self._by_service.get(service, [])
-                if profile.allows(state.server)
-            ]
-            usable = [
-                state
-                for state in states
-                if state.server.server_id not in avoid
-            ]
-            if not usable:
-                return NoServer(
-                    _describe_absence(states, profile), health.RETRY_AFTER_MS
-                )
-            within_limits = [
-                state for state in usable if not state.is_denied(now_ms)
-            ]
-            if not within_limits:
-                return NoServer(
-                    "the servers have reached their rate limits",
-                    min(state.denied_until_ms for state in usable) - now_ms,
-                )
-            healthy = health.usable(
-                [(state, state.health) for state in within_limits], now_ms
-            )
+            sifted = self._sift(service, profile, avoid, now_ms)
+            if sifted.refusal is not None:
+                return sifted.refusal
             baseline = self._baseline(service)
-            costs = [
-                (
-                    self._scaled_cost(
-                        state, profile, baseline, tracked, now_ms
-                    ),
-                    state,
+            costs = self._costs(baseline, sifted, profile, tracked, now_ms)
+            cost, state = self._generator.choice(_cheapest(costs))
+            usual_ms = estimates.usual_ms(state, profile, baseline)
+            return Choice(state, profile, cost, usual_ms)
+
+    def assess(
+        self,
+        service: str,
+        profile: estimates.CallProfile,
+        tracked: frozenset[str] | None = None,
+    ) -> list[Assessment]:
+        """Return what speaks for each server, by cost, and change nothing.
+
+        See :meth:`choose` for the parameters; it decides by the same figures.
+        """
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            if not self._by_service.get(service):
+                return []
+            sifted = self._sift(service, profile, frozenset(), now_ms)
+            baseline = self._baseline(service)
+            costs = self._costs(baseline, sifted, profile, tracked, now_ms)
+            chosen = {state for _, state in _cheapest(costs)}
+            everything = sifted._replace(states=self._by_service[service])
+            found = [
+                self._assessment(state, cost, sifted, state in chosen, now_ms)
+                for cost, state in self._costs(
+                    baseline, everything, profile, tracked, now_ms
                 )
-                for state in healthy
             ]
-            least_ms = min(found.total_ms for found, _ in costs)
-            near = [
-                pair
-                for pair in costs
-                if pair[0].total_ms <= least_ms + COST_TIE_MS
-            ]
-            cost, state = self._generator.choice(near)
-            return Choice(state, profile, cost)
+        found.sort(key=lambda one: (not one.is_chosen, one.cost.total_ms))
+        return found
 
     def start(self, choice: Choice) -> Placement:
         """Record the start of a call at its server."""
         with self._lock:
-            return self._record_start(*choice, self._clock.now_ms())
+            return self._record_start(choice, self._clock.now_ms())
 
     def has_alternative(
         self, service: str, placement: Placement, avoid: frozenset[str]
@@ -214,7 +280,8 @@
                 return None
             baseline = self._baseline(state.server.service)
             cost = self._cost(state, profile, baseline, now_ms)
-            return Choice(state, profile, cost)
+            usual_ms = estimates.usual_ms(state, profile, baseline)
+            return Choice(state, profile, cost, usual_ms)
 
     def deny(self, choice: Choice, retry_after_ms: float) -> None:
         """Exclude a server for a time in which its rate limit is reached."""
@@ -250,8 +317,10 @@
             if outcome is health.Outcome.ABANDONED and is_overdue:
                 # The caller disconnected because the server did not answer.
                 outcome = health.Outcome.FAILED
-            state.health.record(outcome, now_ms)
             self._update_estimates(state, placement, observation, now_ms)
+            self._record_outcome(
+                state, placement, outcome, observation, now_ms
+            )
 
     def describe(self) -> list[dict[str, object]]:
         """Return the state of each server, for a state dump."""
@@ -266,20 +335,164 @@
                     "step_ms_per_token": round(state.step_average.value, 2),
                     "call_ms": round(state.call_average.value, 1),
                     "is_ejected": state.health.is_ejected(now_ms),
+                    "pace": self._describe_pace(state.server, now_ms),
                 }
                 for state in self._servers.values()
             ]
 
+    def _sift(
+        self,
+        service: str,
+        profile: estimates.CallProfile,
+        avoid: frozenset[str],
+        now_ms: float,
+    ) -> _Sifted:
+        """Return the servers that may take a call now."""
+        everything = self._by_service.get(service, [])
+        states = [one for one in everything if profile.allows(one.server)]
+        obstacles = _obstacles(everything, states, Obstacle.OTHER_VERSION)
+        usable = [one for one in states if one.server.server_id not in avoid]
+        obstacles |= _obstacles(states, usable, Obstacle.TRIED)
+        if not usable:
+            reason = _describe_absence(states, profile)
+            refusal = NoServer(reason, health.RETRY_AFTER_MS)
+            return _Sifted([], frozenset(), obstacles, refusal)
+        within_limits = [one for one in usable if not one.is_denied(now_ms)]
+        obstacles |= _obstacles(usable, within_limits, Obstacle.RATE_LIMIT)
+        if not within_limits:
+            refusal = NoServer(
+                "the servers have reached their rate limits",
+                min(one.denied_until_ms for one in usable) - now_ms,
+            )
+            return _Sifted([], frozenset(), obstacles, refusal)
+        healthy = health.usable(
+            [(one, one.health) for one in within_limits], now_ms
+        )
+        obstacles |= _obstacles(within_limits, healthy, Obstacle.EJECTED)
+        found = self._open(healthy, now_ms, bool(avoid))
+        obstacles |= _obstacles(healthy, found.states, Obstacle.PACED)
+        probed = found.probed if profile.is_repeatable else frozenset()
+        return _Sifted(found.states, probed, obstacles)
+
+    def _costs(
+        self,
+        baseline: estimates.Baseline,
+        sifted: _Sifted,
+        profile: estimates.CallProfile,
+        tracked: frozenset[str] | None,
+        now_ms: float,
+    ) -> list[_CostOfState]:
+        return [
+            (
+                self._scaled_cost(
+                    state,
+                    profile,
+                    baseline,
+                    tracked,
+                    now_ms,
+                    state.server.server_id in sifted.probed,
+                ),
+                state,
+            )
+            for state in sifted.states
+        ]
+
+    def _assessment(
+        self,
+        state: estimates.ServerState,
+        cost: estimates.Cost,
+        sifted: _Sifted,
+        is_chosen: bool,
+        now_ms: float,
+    ) -> Assessment:
+        server_id = state.server.server_id
+        return Assessment(
+            state.server,
+            cost,
+            is_chosen,
+            sifted.obstacles.get(server_id),
+            state.in_flight,
+            state.load(now_ms),
+            state.report_age_ms(now_ms),
+            server_id in sifted.probed,
+            max(state.denied_until_ms - now_ms, 0.0),
+            max(state.health.ejected_until_ms - now_ms, 0.0),
+            self._describe_pace(state.server, now_ms),
+        )
+
     def _new_state(
         self, server: traffic.BackendServer
     ) -> estimates.ServerState:
         memory_tokens = self._memory_tokens.get(
             server.service, estimates.DEFAULT_MEMORY_TOKENS
         )
-        return estimates.ServerState(server, memory_tokens)
+        max_ejection_ms = health.MAX_EJECTION_MS
+        if self._paced is not None:
+            max_ejection_ms = paced_servers.MAX_EJECTION_MS
+        return estimates.ServerState(server, memory_tokens, max_ejection_ms)
+
+    def _begin_pace(
+        self,
+        server: traffic.BackendServer,
+        reason: pace.Reason,
+        from_ms: float | None = None,
+    ) -> None:
+        if self._paced is None:
+            return
+        now_ms = self._clock.now_ms()
+        from_ms = now_ms if from_ms is None else from_ms
+        self._paced.begin(server, reason, from_ms, now_ms)
+
+    def _describe_pace(
+        self, server: traffic.BackendServer, now_ms: float
+    ) -> dict[str, object] | None:
+        if self._paced is None:
+            return None
+        return self._paced.describe(server, now_ms)
+
+    def _open(
+        self,
+        states: list[estimates.ServerState],
+        now_ms: float,
+        is_retry: bool,
+    ) -> paced_servers.Open:
+        """Return the servers whose pace allows a call."""
+        if self._paced is None:
+            return paced_servers.Open(states, frozenset())
+        return self._paced.open(states, now_ms, is_retry)
+
+    def _record_outcome(
+        self,
+        state: estimates.ServerState,
+        placement: Placement,
+        outcome: health.Outcome,
+        observation: estimates.Observation,
+        now_ms: float,
+    ) -> None:
+        """Record a call's end as evidence of its server's health."""
+        ejected_until_ms = state.health.ejected_until_ms
+        state.health.record(outcome, now_ms)
+        if self._paced is None:
+            return
+        if state.health.ejected_until_ms > ejected_until_ms:
+            self._begin_pace(
+                state.server,
+                pace.Reason.RETURNED,
+                state.health.ejected_until_ms,
+            )
+        timing = None
+        if outcome is health.Outcome.SUCCEEDED:
+            timing = paced_servers.timing(
+                now_ms - placement.sent_ms,
+                placement.usual_ms,
+                placement.profile,
+                observation,
+            )
+        peers = self._by_service[state.server.service]
+        self._paced.record(state, peers, outcome, timing, now_ms)
 
     def _baseline(self, service: str) -> estimates.Baseline:
-        samples = self._samples.setdefault(service, estimates.PrefillSamples())
+        samples = self._samples.get(service, _NO_SAMPLES)
         return estimates.Baseline(
             self._by_service[service], samples.prefill_ratio()
         )
@@ -290,8 +503,11 @@
         profile: estimates.CallProfile,
         baseline: estimates.Baseline,
         now_ms: float,
+        is_probed: bool = False,
     ) -> estimates.Cost:
-        return estimates.cost(state, profile, baseline, self._domain, now_ms)
+        return estimates.cost(
+            state, profile, baseline, self._domain, now_ms, is_probed
+        )
 
     def _scaled_cost(
         self,
@@ -300,9 +516,10 @@
         baseline: estimates.Baseline,
         tracked: frozenset[str] | None,
         now_ms: float,
+        is_probed: bool = False,
     ) -> estimates.Cost:
         """Return a cost that is higher if the load is not fully known."""
-        found = self._cost(state, profile, baseline, now_ms)
+        found = self._cost(state, profile, baseline, now_ms, is_probed)
         if tracked is None or state.server.server_id in tracked:
             return found
         return found._replace(total_ms=found.total_ms * UNKNOWN_LOAD_FACTOR)
@@ -313,13 +530,8 @@
             return None
         return state
 
-    def _record_start(
-        self,
-        state: estimates.ServerState,
-        profile: estimates.CallProfile,
-        cost: estimates.Cost,
-        now_ms: float,
-    ) -> Placement:
+    def _record_start(self, choice: Choice, now_ms: float) -> Placement:
+        state, profile, cost, _ = choice
         missing = state.missing_tokens(profile)
         due_ms = (
             now_ms
@@ -338,6 +550,7 @@
             state.report_age_ms(now_ms),
             now_ms,
             due_ms,
+            choice.usual_ms,
         )
 
     def _update_estimates(
@@ -363,6 +576,30 @@
             )
 
 
+def _cheapest(costs: list[_CostOfState]) -> list[_CostOfState]:
+    """Return the servers whose cost is the least or nearly so."""
+    least_ms = min((cost.total_ms for cost, _ in costs), default=0.0)
+    return [
+        pair for pair in costs if pair[0].total_ms <= least_ms + COST_TIE_MS
+    ]
+
+
+def _obstacles(
+    before: list[estimates.ServerState],
+    after: list[estimates.ServerState],
+    obstacle: Obstacle,
+) -> dict[str, Obstacle]:
+    """Return the servers that one step has removed."""
+    if len(before) == len(after):
+        return {}
+    kept = {state.server.server_id for state in after}
+    return {
+        state.server.server_id: obstacle
+        for state in before
+        if state.server.server_id not in kept
+    }
+
+
 def _describe_absence(
     states: list[estimates.ServerState], profile: estimates.CallProfile
 ) -> str:
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -34,10 +34,12 @@
     listeners,
     membership,
     metrics,
+    paced_servers,
     path_probes,
     peer_liveness,
     peer_service,
     peers,
+    placement_query,
     planned_stop,
     planner,
     proxy,
@@ -70,7 +72,9 @@
     ``grace_ms`` the duration of its stop. ``revocation`` tells when it stops
     accepting keys, ``quota_bounds`` how far requests may exceed rate limits;
     without them there are no quotas. With ``orders_by_program_time``, engines
-    are told to serve programs with little time left first.
+    are told to serve programs with little time left first;
+    ``is_pacing_servers`` limits calls to servers that have just started or
+    recovered.
     """
 
     name: str
@@ -91,6 +95,7 @@
     quota_bounds: quota_limits.Bounds | None = None
     ingress_limits: ingress_limits.ProcessLimits = ingress_limits.UNLIMITED
     orders_by_program_time: bool = False
+    is_pacing_servers: bool = False
 
 
 class AuxiliaryHandlers(NamedTuple):
@@ -134,9 +139,8 @@
             settings.failure_domain,
             settings.incarnation,
         )
-        self._call_balancer = balancer.Balancer(
-            clock, settings.failure_domain, random.Random()
-        )
+        edge_metrics = metrics.Metrics()
+        self._call_balancer = self._new_balancer(edge_metrics)
         self._feed = feed.Feed(clock, self.fleet.decode_or_raw)
         clients = peers.PeerClients(clock)
         self._clients = clients
@@ -148,26 +152,36 @@
             standbys.holder_id(settings.name, settings.incarnation),
         )
         # Planned turns and this process's own calls are counted separately.
-        self._turn_balancer = balancer.Balancer(
-            clock, settings.failure_domain, random.Random()
-        )
+        self._turn_balancer = self._new_balancer(edge_metrics)
+        limits_of_servers = server_limits.ServerLimits()
+        limits_of_servers.on_released = self._handle_limit_release
         self._permits = send_permits.SendPermits(
             settings.name,
-            server_limits.ServerLimits(),
+            limits_of_servers,
             clients,
             self.fleet,
             clock,
         )
+        turn_planner = planner.TurnPlanner(
+            settings.name,
+            self._turn_balancer,
+            self.fleet,
+            self._permits,
+            clock,
+        )
+        self._queries = placement_query.PlacementQueries(
+            settings.name,
+            self.fleet,
+            self._call_balancer,
+            self._turn_balancer,
+            turn_planner,
+            limits_of_servers,
+        )
+        self._metrics = edge_metrics
         accounts = budgets.Budgets(
             settings.name,
             self._book,
-            planner.TurnPlanner(
-                settings.name,
-                self._turn_balancer,
-                self.fleet,
-                self._permits,
-                clock,
-            ),
+            turn_planner,
             clients,
             self.fleet,
             clock,
@@ -180,7 +194,6 @@
             self.fleet,
             clock,
         )
-        edge_metrics = metrics.Metrics()
         responder = responses.Responder(codec, clock, edge_metrics)
         self._crash_reports = crash_reports.CrashReports(
             store, records, self._rank, clock
@@ -381,7 +394,7 @@
             self._member_listener,
             listeners.Listener(
                 settings.metrics_address,
-                quota_metrics.with_page(edge_metrics.handle, self._quotas),
+                quota_metrics.with_page(self._answer_operators, self._quotas),
                 limits,
                 guard,
             ),
@@ -393,6 +406,36 @@
             ),
         ]
 
+    def _new_balancer(
+        self, edge_metrics: metrics.Metrics
+    ) -> balancer.Balancer:
+        paced = None
+        if self._settings.is_pacing_servers:
+            paced = paced_servers.PacedServers(
+                self._settings.name,
+                lambda: len(self.fleet.members()),
+                edge_metrics.record_pace,
+            )
+        return balancer.Balancer(
+            self._clock, self._settings.failure_domain, random.Random(), paced
+        )
+
+    def _answer_operators(
+        self, request: listeners.Request, response: listeners.Response
+    ) -> None:
+        """Answer a request for the metrics or about placement."""
+        if request.path == placement_query.PATH:
+            self._queries.handle(request, response)
+        else:
+            self._metrics.handle(request, response)
+
+    def _handle_limit_release(self, server_id: str) -> None:
+        """Let the calls to a server grow that no longer limits its rate."""
+        if not self._settings.is_pacing_servers:
+            return
+        self._call_balancer.handle_limit_release(server_id)
+        self._turn_balancer.handle_limit_release(server_id)
+
     @property
     def is_ready(self) -> bool:
         """Return whether callers may send requests to this process."""
