--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -34,6 +34,8 @@
     version_history,
 )
 
+# A process that has just started has read the configuration by then.
+START_WAIT_MS = 200.0
 # Sent as Retry-After when no better estimate is known.
 NOT_READY_RETRY_AFTER_MS = 500.0
 BUDGET_RETRY_AFTER_MS = 500.0
@@ -204,6 +206,9 @@
         """
         request_id = metadata.request_id
         active = self._fleet.active_configuration
+        if active is None:
+            self._await_records(arrived_ms, arrived_ms + START_WAIT_MS)
+            active = self._fleet.active_configuration
         if active is None:
             reason = "no configuration has been loaded yet"
             self._responder.send_unavailable(
--- a/packages/gateway/tests/test_proxy.py
+++ b/packages/gateway/tests/test_proxy.py
@@ -72,6 +72,18 @@
         self.start(self.answering(scripted.answer()))
         self.assertEqual(self.request("/other/")[0].status, 404)
 
+    def test_request_waits_for_a_configuration_that_is_being_read(self):
+        """Guards against refusals in the first 60 ms of a process."""
+        gateway = self.start(self.answering(scripted.answer()))
+        gateway.fleet._active_configuration = None
+
+        def read():
+            gateway.configure()
+            return True
+
+        gateway.await_records = read
+        self.assertEqual(self.request()[0].status, 200)
+
     def test_unknown_configuration_is_503_not_404(self):
         gateway = self.start(self.answering(scripted.answer()))
         gateway.fleet._active_configuration = None
