--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -71,14 +71,28 @@
 
 
 class _Link:
-    """Exchange with one granter; one request at a time."""
+    """Exchange with one granter; one request at a time.
+
+    Callers' requests leave little time for an answer. One that is late for
+    them may be in time for a round, so it does not put off the next one.
+    """
 
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.number = 0
         self.applied = 0
-        self.sent_ms = -math.inf
+        # When the last round was sent, or a request that was answered.
+        self.round_ms = -math.inf
+        # Until when the granter is left out, and by callers' requests only.
         self.failed_until_ms = -math.inf
+        self.late_until_ms = -math.inf
+        # Whether it granted when it last answered.
+        self.is_active = True
+
+    @property
+    def paused_until_ms(self) -> float:
+        """Return the time until which callers' requests leave it out."""
+        return max(self.failed_until_ms, self.late_until_ms)
 
 
 class Quotas:
@@ -178,7 +192,7 @@
         for name in self._view.granters:
             link = self._link(name)
             now_ms = self._clock.now_ms()
-            is_due = now_ms - link.sent_ms >= interval_ms * 0.9
+            is_due = now_ms - link.round_ms >= interval_ms * 0.9
             if is_due and now_ms >= link.failed_until_ms:
                 self._ask(name, link, "", now_ms + ROUND_TIMEOUT_MS)
         return interval_ms
@@ -245,6 +259,7 @@
             name
             for name in view.granters
             if self._link(name).failed_until_ms <= now_ms
+            and self._link(name).is_active
         ]
         with self._lock:
             self._stocks.keep_only(self._limits)
@@ -276,8 +291,7 @@
             found = [
                 name
                 for name in names
-                if self._stocks.empty_until_ms(workspace, name) <= now_ms
-                and self._link(name).failed_until_ms <= now_ms
+                if self._may_have_token(workspace, name, now_ms)
             ]
             # Tokens that nobody asks for are lost to the others.
             self._turn += 1
@@ -293,22 +307,28 @@
             return
         try:
             sent_ms = self._clock.now_ms()
-            if needed and self._has_token(needed, sent_ms):
+            if needed and self._is_answered(name, needed, sent_ms):
                 return
+            if not needed:
+                link.round_ms = sent_ms
             ask = self._build(name, link, needed, sent_ms)
             left_ms = max(until_ms - sent_ms, 1.0)
             answer = self._call(name, ask, left_ms)
             now_ms = self._clock.now_ms()
-            if answer.is_active:
-                link.failed_until_ms = -math.inf
-            else:
-                link.failed_until_ms = now_ms + LATE_PAUSE_MS
+            link.round_ms = sent_ms
+            link.is_active = answer.is_active
+            link.failed_until_ms = link.late_until_ms = -math.inf
+            if not answer.is_active:
+                link.late_until_ms = now_ms + LATE_PAUSE_MS
             with self._lock:
                 self._stocks.apply(name, ask, answer, sent_ms, now_ms)
             link.applied = ask.number
         except (UnreachableError, messages.InvalidMessageError) as error:
-            pause_ms = LATE_PAUSE_MS if needed else FAILURE_PAUSE_MS
-            link.failed_until_ms = self._clock.now_ms() + pause_ms
+            now_ms = self._clock.now_ms()
+            if needed:
+                link.late_until_ms = now_ms + LATE_PAUSE_MS
+            else:
+                link.failed_until_ms = now_ms + FAILURE_PAUSE_MS
             events.log(
                 events.Event.QUOTA_GRANTER_FAILED,
                 logging.WARNING,
@@ -318,9 +338,19 @@
         finally:
             link.lock.release()
 
-    def _has_token(self, workspace: str, now_ms: float) -> bool:
+    def _may_have_token(
+        self, workspace: str, name: str, now_ms: float
+    ) -> bool:
+        """Return whether a request may ask a granter; needs the lock."""
+        empty_until_ms = self._stocks.empty_until_ms(workspace, name)
+        return max(empty_until_ms, self._link(name).paused_until_ms) <= now_ms
+
+    def _is_answered(self, name: str, workspace: str, now_ms: float) -> bool:
+        """Return whether what a request waited for answers it as well."""
         with self._lock:
-            return self._stocks.has_token(workspace, now_ms)
+            return self._stocks.has_token(
+                workspace, now_ms
+            ) or not self._may_have_token(workspace, name, now_ms)
 
     def _build(
         self, name: str, link: _Link, needed: str, now_ms: float
@@ -328,7 +358,6 @@
         with self._lock:
             entries = self._stocks.entries(name, now_ms, needed)
         link.number += 1
-        link.sent_ms = now_ms
         return messages.Ask(
             self._name,
             self._run,
@@ -354,16 +383,13 @@
         now_ms = self._clock.now_ms()
         with self._lock:
             self._stocks.refuse(workspace, now_ms)
-            empty_until_ms = [
-                self._stocks.empty_until_ms(workspace, name)
+            ends_ms = [
+                max(
+                    self._stocks.empty_until_ms(workspace, name),
+                    self._link(name).paused_until_ms,
+                )
                 for name in self._view.granters
             ]
-        ends_ms = [
-            max(until_ms, self._link(name).failed_until_ms)
-            for until_ms, name in zip(
-                empty_until_ms, self._view.granters, strict=True
-            )
-        ]
         wait_ms = min(ends_ms, default=now_ms + FAILURE_PAUSE_MS) - now_ms
         refused = Refused(max(wait_ms, MIN_RETRY_AFTER_MS))
         self._log_refusal(workspace, refused, now_ms)
--- a/packages/quotas/src/balsamloom_quotas/stocks.py
+++ b/packages/quotas/src/balsamloom_quotas/stocks.py
@@ -136,6 +136,7 @@
         is_known = holding.tokens < holding.leased
         if is_known and holding.until_ms > now_ms:
             self._change(account, granter, 1)
+            self._pay(account, granter)
 
     def charge(self, workspace: str, runs: int) -> None:
         """Use tokens for further runs of a request that had one.
@@ -243,6 +244,8 @@
         target = self._target(workspace, account, granter, now_ms)
         if workspace == needed:
             target = max(target, 1)
+        # The first ones granted pay for runs that had no token.
+        target += account.owed
         kept = min(tokens, target) if holding.until_ms > now_ms else 0
         wanted = target - kept
         left_ms = holding.until_ms - now_ms
--- a/packages/quotas/tests/world.py
+++ b/packages/quotas/tests/world.py
@@ -26,6 +26,8 @@
         # Hosts that this one does not reach.
         self.lost_paths = set()
         self.loses_answers = False
+        # Answers to this host arrive after this time.
+        self.answer_delay_ms = 0.0
         self.frozen_until_ms = 0.0
         # A host that freezes while it waits for an answer gets it then.
         self.freeze_in_call_ms = 0.0
@@ -61,7 +63,7 @@
         granters = self.members[:MAX_GRANTERS]
         return evidence.View(frozenset(self.members), granters, self.read_ms)
 
-    def send(self, name, body, _):
+    def send(self, name, body, timeout_ms):
         other = self.world.hosts[name]
         is_cut = self.is_cut_off or other.is_cut_off
         if not other.runs or is_cut or name in self.lost_paths:
@@ -72,7 +74,7 @@
             duration_ms, self.freeze_in_call_ms = self.freeze_in_call_ms, 0.0
             self.frozen_until_ms = self.world.clock.now_ms() + duration_ms
             self.world.run(duration_ms)
-        if self.loses_answers:
+        if self.loses_answers or self.answer_delay_ms > timeout_ms:
             raise service.UnreachableError("no answer")
         return answer
 
