--- a/packages/quotas/src/balsamloom_quotas/pools.py
+++ b/packages/quotas/src/balsamloom_quotas/pools.py
@@ -52,6 +52,8 @@
             collections.OrderedDict()
         )
         self._leased = 0
+        # When leases of a larger share will have ended.
+        self._debt_until_ms = now_ms
         # When hosts last got less than they wanted, the earliest first.
         self._short_ms: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
@@ -79,6 +81,8 @@
     def set_share(self, share: Share, now_ms: float) -> None:
         """Apply another part or another limit from now on."""
         self.advance(now_ms)
+        if share.float_tokens < self._share.float_tokens:
+            self._debt_until_ms = now_ms + timing.LEASE_MS
         self._share = share
         self._clip()
 
@@ -186,3 +190,6 @@
     def _clip(self) -> None:
         limit = self._share.float_tokens - self._leased
         self._tokens = min(self._tokens, limit)
+        # A small rate would take long to make up for a far larger share.
+        if self._updated_ms >= self._debt_until_ms:
+            self._tokens = max(self._tokens, 0.0)
--- a/packages/quotas/tests/test_busy_hosts.py
+++ b/packages/quotas/tests/test_busy_hosts.py
@@ -12,6 +12,7 @@
     evidence,
     limits,
     messages,
+    pools,
     service,
     stocks,
     timing,
@@ -84,6 +85,19 @@
         (entry,) = held.entries("g", 1_000.0)
         self.assertEqual(entry.wanted, 2)
 
+    def test_a_lowered_limit_grants_again_once_old_leases_have_ended(self):
+        pool = pools.Pool(pools.Share(100.0, 100.0), 0.0)
+        pool.advance(2_000.0)
+        self.assertEqual(pool.grant("h", 80, True, 2_000.0), 80)
+        pool.set_share(pools.Share(1.0, 8.0), 2_000.0)
+        pool.advance(2_500.0)
+        pool.renew("h", 0, 0, 2_500.0)
+        self.assertEqual(pool.grant("h", 1, True, 2_500.0), 0)
+        pool.advance(2_000.0 + timing.LEASE_MS)
+        now_ms = 2_000.0 + timing.LEASE_MS + 2_000.0
+        pool.advance(now_ms)
+        self.assertEqual(pool.grant("h", 8, True, now_ms), 2)
+
     def test_requests_that_wait_together_ask_a_granter_without_tokens_once(
         self,
     ):
