--- a/packages/quotas/src/balsamloom_quotas/pools.py
+++ b/packages/quotas/src/balsamloom_quotas/pools.py
@@ -157,7 +157,8 @@
         if self._share.rate_per_s <= 0:
             return timing.LEASE_MS
         wait_ms = missing / self._share.rate_per_s * limits.MS_PER_S
-        return max(wait_ms, 0.0)
+        # Who else asks is known for this time only.
+        return min(max(wait_ms, 0.0), CONTENTION_MS)
 
     def _fair_tokens(self, now_ms: float) -> int:
         """Return what one host may get at once.
--- a/packages/quotas/tests/test_busy_hosts.py
+++ b/packages/quotas/tests/test_busy_hosts.py
@@ -26,6 +26,8 @@
 LATE_MS = service.MAX_GRANTER_WAIT_MS + 10.0
 # The hold, the first tokens, and half a second to read the members.
 ALL_STARTED_MS = timing.HOLD_MS + 2_500.0
+# A burst is over, and the float has been filled again.
+SOON_MS = 5_000.0
 
 
 class BusyHostsTest(unittest.TestCase):
@@ -71,6 +73,19 @@
                 self.assertGreaterEqual(served, 0.95)
                 self.assertLessEqual(played.excess("large"), 0)
 
+    def test_a_small_workspace_is_served_soon_after_a_burst(self):
+        played = self.calm()
+        played.spread("small", 7.0 * SMALL.rate_per_s / 1.6, HOSTS)
+        played.run(6_000.0)
+        for host in played.hosts.values():
+            decision = host.quotas.admit("small")
+            if isinstance(decision, service.Refused):
+                self.assertLessEqual(decision.retry_after_ms, SOON_MS)
+        played.spread("small", SMALL.rate_per_s / 1.6, HOSTS)
+        played.run(SOON_MS)
+        self.assertGreaterEqual(self.served(played, "small", 10_000.0), 0.95)
+        self.assertLessEqual(played.excess("small"), 0)
+
     def test_second_runs_are_paid_without_refusing_the_next_request(self):
         played = self.calm()
         quotas = played.hosts["h20"].quotas
