--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -404,14 +404,14 @@
             return
         self._logged_ms[workspace] = now_ms
         with self._lock:
-            state = self._stocks.states(now_ms).get(workspace)
+            state = self._stocks.state(workspace, now_ms)
         limit = self._limits.get(workspace)
         events.log(
             events.Event.QUOTA_USED_UP,
             logging.WARNING,
             workspace=workspace,
             limit=None if limit is None else limit._asdict(),
-            state=None if state is None else _as_json(state),
+            state=_as_json(state),
             granters=list(self._view.granters),
             retry_after_ms=round(refused.retry_after_ms),
         )
--- a/packages/quotas/src/balsamloom_quotas/stocks.py
+++ b/packages/quotas/src/balsamloom_quotas/stocks.py
@@ -215,21 +215,23 @@
 
     def states(self, now_ms: float) -> dict[str, AccountState]:
         """Return all workspaces with requests at this host."""
-        return {
-            name: AccountState(
-                sum(
-                    holding.tokens
-                    for holding in account.holdings.values()
-                    if holding.until_ms > now_ms
-                ),
-                account.demand.rate_per_s(now_ms),
-                account.admitted,
-                account.refused,
-                account.returned,
-                account.recent.counts(now_ms),
-            )
-            for name, account in self._accounts.items()
-        }
+        return {name: self.state(name, now_ms) for name in self._accounts}
+
+    def state(self, workspace: str, now_ms: float) -> AccountState:
+        """Return what this host knows of one workspace."""
+        account = self._account(workspace)
+        return AccountState(
+            sum(
+                holding.tokens
+                for holding in account.holdings.values()
+                if holding.until_ms > now_ms
+            ),
+            account.demand.rate_per_s(now_ms),
+            account.admitted,
+            account.refused,
+            account.returned,
+            account.recent.counts(now_ms),
+        )
 
     def _entry(
         self,
