--- a/packages/quotas/src/balsamloom_quotas/stocks.py
+++ b/packages/quotas/src/balsamloom_quotas/stocks.py
@@ -136,6 +136,7 @@
         is_known = holding.tokens < holding.leased
         if is_known and holding.until_ms > now_ms:
             self._change(account, granter, 1)
+            self._pay(account, granter)
 
     def charge(self, workspace: str, runs: int) -> None:
         """Use tokens for further runs of a request that had one.
@@ -214,21 +215,23 @@
 
     def states(self, now_ms: float) -> dict[str, AccountState]:
         """Return all workspaces with requests at this host."""
-        return {
-            name: AccountState(
-                sum(
-                    holding.tokens
-                    for holding in account.holdings.values()
-                    if holding.until_ms > now_ms
-                ),
-                account.demand.rate_per_s(now_ms),
-                account.admitted,
-                account.refused,
-                account.returned,
-                account.recent.counts(now_ms),
-            )
-            for name, account in self._accounts.items()
-        }
+        return {name: self.state(name, now_ms) for name in self._accounts}
+
+    def state(self, workspace: str, now_ms: float) -> AccountState:
+        """Return what this host knows of one workspace."""
+        account = self._account(workspace)
+        return AccountState(
+            sum(
+                holding.tokens
+                for holding in account.holdings.values()
+                if holding.until_ms > now_ms
+            ),
+            account.demand.rate_per_s(now_ms),
+            account.admitted,
+            account.refused,
+            account.returned,
+            account.recent.counts(now_ms),
+        )
 
     def _entry(
         self,
@@ -243,6 +246,8 @@
         target = self._target(workspace, account, granter, now_ms)
         if workspace == needed:
             target = max(target, 1)
+        # The first ones granted pay for runs that had no token.
+        target += account.owed
         kept = min(tokens, target) if holding.until_ms > now_ms else 0
         wanted = target - kept
         left_ms = holding.until_ms - now_ms
