--- a/packages/quotas/src/balsamloom_quotas/evidence.py
+++ b/packages/quotas/src/balsamloom_quotas/evidence.py
@@ -3,7 +3,7 @@
 A host that is cut off must not grant beside its successor. It is a granter
 while it hears from more than half of the members that they go by it. It begins
 only after having heard so for long enough that no other one grants in its
-place.
+place, or early after its start if no run of a member ever went by another.
 """
 
 from __future__ import annotations
@@ -29,6 +29,17 @@
 NO_VIEW = View(frozenset(), (), -math.inf)
 
 
+class _Word(NamedTuple):
+    """What a host last said of the granters that it goes by.
+
+    ``is_first`` tells that its run has gone by no others.
+    """
+
+    heard_ms: float
+    granters: tuple[str, ...]
+    is_first: bool
+
+
 class Role:
     """Decides whether this host grants.
 
@@ -39,8 +50,10 @@
         self._name = name
         self._view = NO_VIEW
         self._others: frozenset[str] = frozenset()
-        # When each host last named this one as granter.
-        self._heard_ms: dict[str, float] = {}
+        # What each host that names this one as granter last said.
+        self._words: dict[str, _Word] = {}
+        self._started_ms = math.inf
+        self._had_others = False
         self._since_ms = math.inf
         self._last_ms = -math.inf
         # Parts of a limit that this host may have, by when they may be used.
@@ -50,6 +63,10 @@
 
     def set_view(self, view: View, now_ms: float) -> None:
         """Apply the members that this host knows."""
+        self._started_ms = min(self._started_ms, now_ms)
+        former = self._view.granters
+        if former and view.granters != former:
+            self._had_others = True
         self._view = view
         self._others = view.members - {self._name}
         if not view.granters:
@@ -62,15 +79,22 @@
         self._part = part
 
     def hear(
-        self, host: str, granters: Collection[str], now_ms: float
+        self,
+        host: str,
+        granters: Collection[str],
+        now_ms: float,
+        had_others: bool = True,
     ) -> None:
-        """Record which granters a host goes by."""
+        """Record which granters a host goes by.
+
+        :param had_others: whether its run has gone by others before.
+        """
         # With another number of them, it leaves this host another part.
         is_agreed = len(granters) == len(self._view.granters)
         if is_agreed and self._name in granters:
-            self._heard_ms[host] = now_ms
+            self._words[host] = _Word(now_ms, tuple(granters), not had_others)
         else:
-            self._heard_ms.pop(host, None)
+            self._words.pop(host, None)
 
     def part(self, now_ms: float) -> float:
         """Return the part of each limit that this host may grant now.
@@ -105,9 +129,32 @@
         if now_ms - self._last_ms > timing.MAX_LAPSE_MS:
             self._since_ms = now_ms
         self._last_ms = now_ms
+        if self._may_begin_early(now_ms):
+            self._since_ms = -math.inf
         is_new = now_ms - self._since_ms < timing.HOLD_MS
         return 0.0 if is_new else self._part_at(now_ms)
 
+    def _may_begin_early(self, now_ms: float) -> bool:
+        """Return whether only a former run of this host can have granted.
+
+        No run of a member has gone by other granters, so none has tokens of
+        another one, and the last lease of the former run has ended. Later
+        than a hold after the start, what was said may be out of date.
+        """
+        age_ms = now_ms - self._started_ms
+        is_early = timing.LEASE_MS <= age_ms <= timing.HOLD_MS
+        if not is_early or self._had_others or not self._others:
+            return False
+        oldest_ms = now_ms - timing.EVIDENCE_MS
+        words = [self._words.get(name) for name in self._others]
+        return all(
+            word is not None
+            and word.is_first
+            and word.granters == self._view.granters
+            and word.heard_ms > oldest_ms
+            for word in words
+        )
+
     def _part_at(self, now_ms: float) -> float:
         if now_ms < self._raised_ms:
             return min(self._part, self._smaller_part)
@@ -115,9 +162,9 @@
 
     def _is_named_by_most(self, now_ms: float) -> bool:
         oldest_ms = now_ms - timing.EVIDENCE_MS
-        heard_ms = self._heard_ms
+        words = self._words
         count = sum(
-            name in heard_ms and heard_ms[name] > oldest_ms
+            name in words and words[name].heard_ms > oldest_ms
             for name in self._others
         )
         # This host goes by its own view.
--- a/packages/quotas/src/balsamloom_quotas/granter.py
+++ b/packages/quotas/src/balsamloom_quotas/granter.py
@@ -76,7 +76,7 @@
         if not self._is_next(ask, now_ms):
             return messages.INACTIVE
         self._take_back_lost(ask, now_ms)
-        self.role.hear(ask.host, ask.granters, now_ms)
+        self.role.hear(ask.host, ask.granters, now_ms, ask.had_others)
         self.refresh(now_ms)
         answer = messages.INACTIVE
         if self.is_active:
--- a/packages/quotas/src/balsamloom_quotas/messages.py
+++ b/packages/quotas/src/balsamloom_quotas/messages.py
@@ -40,7 +40,8 @@
     ``run`` identifies the run of the host's process. ``number`` rises with
     each request of a run to a granter. ``applied`` is that of the last one
     whose answer the host applied; answers to others are lost. ``granters`` are
-    those by the members that the host knows.
+    those by the members that the host knows; ``had_others`` tells whether this
+    run has gone by others before.
     """
 
     host: str
@@ -49,6 +50,7 @@
     applied: int
     granters: tuple[str, ...]
     entries: tuple[Entry, ...]
+    had_others: bool = True
 
 
 class Answer(NamedTuple):
@@ -80,6 +82,7 @@
         "entries": [
             [*entry[:4], int(entry.is_urgent)] for entry in ask.entries
         ],
+        "had_others": ask.had_others,
     }
 
 
@@ -97,6 +100,7 @@
             _count(body["applied"], MAX_NUMBER),
             tuple(_name(name) for name in _list(body["granters"])),
             tuple(_decode_entry(entry) for entry in entries),
+            body.get("had_others") is not False,
         )
     except (KeyError, TypeError, ValueError) as error:
         raise InvalidMessageError(f"quota request: {error!r}") from error
--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -122,6 +122,7 @@
         self._granter_lock = threading.Lock()
         self._granter = granter.Granter(name, bounds)
         self._view = evidence.NO_VIEW
+        self._had_others = False
         self._limits: Mapping[str, limits.RateLimit] = {}
         self._links: dict[str, _Link] = {}
         self._stopped = threading.Event()
@@ -242,6 +243,9 @@
 
     def _apply_view(self, view: evidence.View, interval_ms: float) -> None:
         now_ms = self._clock.now_ms()
+        former = self._view.granters
+        if former and view.granters != former:
+            self._had_others = True
         self._view = view
         with self._granter_lock:
             self._granter.role.set_view(view, now_ms)
@@ -365,6 +369,7 @@
             link.applied,
             self._view.granters,
             entries,
+            self._had_others,
         )
 
     def _call(
--- a/packages/quotas/tests/test_histories.py
+++ b/packages/quotas/tests/test_histories.py
@@ -55,6 +55,7 @@
         "freeze_in_call",
         "kill",
         "restart",
+        "restart_all",
         "lose_answers",
         "limit",
         "not_run",
@@ -101,6 +102,9 @@
             host.is_up = False
         case "restart":
             host.start()
+        case "restart_all":
+            for other in played.hosts.values():
+                other.start()
         case "lose_answers":
             host.loses_answers = True
         case "limit":
--- a/packages/quotas/tests/test_quotas.py
+++ b/packages/quotas/tests/test_quotas.py
@@ -164,6 +164,21 @@
         ran, asked = self.measure(played, "large")
         self.assertGreaterEqual(ran, 0.95 * asked)
 
+    def test_granters_begin_soon_after_all_hosts_restarted(self):
+        played = world.World(self.NAMES, {"w": LARGE})
+        played.run(8_000.0)
+        played.spread("w", LARGE.rate_per_s / 1.6, self.NAMES)
+        played.run(3_000.0)
+        for host in played.hosts.values():
+            host.start()
+        restarted_ms = played.clock.now_ms()
+        played.run(4_000.0)
+        first_ms = min(
+            at_ms for at_ms in played.admitted_ms["w"] if at_ms > restarted_ms
+        )
+        self.assertLess(first_ms - restarted_ms, timing.LEASE_MS + 1_000.0)
+        self.assertLessEqual(played.excess("w"), 0)
+
     def test_nothing_is_sent_without_limits(self):
         played = world.World(self.NAMES, {})
         played.run(2_000.0)
@@ -200,6 +215,42 @@
             role.part(step * 100.0)
         self.assertEqual(role.part(9_000.0), 0.0)
 
+    def begin(self, granters, had_others):
+        """Return when a member begins that hears from two others."""
+        role = self.role("a", "b", "c")
+        for step in range(60):
+            now_ms = step * 100.0
+            role.hear("b", ("a", "b", "c"), now_ms, False)
+            role.hear("c", granters, now_ms, had_others)
+            if role.part(now_ms):
+                return now_ms
+        return None
+
+    def test_a_member_begins_early_if_nobody_went_by_others(self):
+        begun_ms = self.begin(("a", "b", "c"), False)
+        self.assertEqual(begun_ms, timing.LEASE_MS)
+
+    def test_a_member_waits_if_a_host_went_by_others_before(self):
+        begun_ms = self.begin(("a", "b", "c"), True)
+        self.assertEqual(begun_ms, timing.HOLD_MS)
+
+    def test_a_member_waits_if_a_host_goes_by_others(self):
+        self.assertEqual(self.begin(("a", "c", "b"), False), timing.HOLD_MS)
+
+    def test_a_member_waits_if_a_host_is_not_heard(self):
+        role = self.role("a", "b", "c")
+        for step in range(45):
+            role.hear("b", ("a", "b", "c"), step * 100.0, False)
+            self.assertEqual(role.part(step * 100.0), 0.0)
+
+    def test_a_member_that_had_other_granters_waits(self):
+        role = self.role("b", "c", "d")
+        role.set_view(self.view("a", "b", "c"), 100.0)
+        for step in range(1, 45):
+            for host in ("b", "c"):
+                role.hear(host, ("a", "b", "c"), step * 100.0, False)
+            self.assertEqual(role.part(step * 100.0), 0.0)
+
     def test_a_lone_member_with_an_old_view_does_not_grant(self):
         role = self.role("a")
         for step in range(60):
