--- a/packages/gateway/src/balsamloom_gateway/membership.py
+++ b/packages/gateway/src/balsamloom_gateway/membership.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import functools
-import random
 import zlib
 from collections.abc import Sequence
 
@@ -24,10 +22,6 @@
 # too few servers to choose from.
 MIN_SERVERS_PER_GROUP = 4
 MAX_CALLER_ADDRESSES = 64
-# Names of programs by which the shares of holders are estimated.
-SAMPLED_PROGRAMS = 2_000
-# Sets of holders between which a process changes back and forth.
-MAX_CACHED_HOLDERS = 8
 
 
 def source_of(
@@ -91,8 +85,10 @@
     if not members:
         return []
     ordered = holder_order.sort(members)
-    names = [member.name for member in ordered[: holder_count(members)]]
-    first = _primary_rank(program_id, names)
+    first = max(
+        range(holder_count(members)),
+        key=lambda rank: _weight(program_id, ordered[rank].name),
+    )
     ring = [*ordered[first:], *ordered[:first]]
     found = ring[:1]
     domains = {ring[0].failure_domain}
@@ -129,9 +125,8 @@
 ) -> frozenset[str] | None:
     """Return the servers on which a budget holder places turns first.
 
-    The servers of each service are divided into groups, sized by the share of
-    the programs that their holders have. Servers of other groups run turns of
-    other holders, which this one does not see.
+    The servers of each service are divided into groups of equal size. Servers
+    of other groups run turns of other holders, which this one does not see.
 
     :return: ``None`` if the member is not a primary holder and chooses among
         all servers.
@@ -141,13 +136,11 @@
     if name not in names:
         return None
     rank = names.index(name)
-    shares = _program_shares(tuple(names))
     found: set[str] = set()
     for service in {server.service for server in servers}:
         names = [one.server_id for one in servers if one.service == service]
         groups = min(holders, max(len(names) // MIN_SERVERS_PER_GROUP, 1))
-        sizes = _group_sizes(len(names), shares, groups)
-        assigned = _assign_groups(names, sizes)
+        assigned = _assign_groups(names, groups)
         found.update(
             server_id
             for server_id, group in assigned.items()
@@ -156,59 +149,19 @@
     return frozenset(found)
 
 
-@functools.lru_cache(MAX_CACHED_HOLDERS)
-def _program_shares(names: tuple[str, ...]) -> tuple[float, ...]:
-    """Return the share of the programs that each holder is the primary of.
-
-    The weights of two names differ by the same bits for all programs, so that
-    one holder may have half of the programs of four.
-    """
-    generator = random.Random(0)
-    counts = [0] * len(names)
-    for _ in range(SAMPLED_PROGRAMS):
-        program_id = f"{generator.getrandbits(56):014x}"
-        counts[_primary_rank(program_id, names)] += 1
-    return tuple(count / SAMPLED_PROGRAMS for count in counts)
-
-
-def _group_sizes(
-    server_count: int, shares: Sequence[float], groups: int
-) -> list[int]:
-    """Return how many servers each group has, in all ``server_count``.
-
-    Each has one at least, and the others by the shares of its holders.
-
-    :param shares: shares of the holders, by rank.
-    """
-    weights = [sum(shares[group::groups]) for group in range(groups)]
-    sizes = [1] * groups
-    for _ in range(server_count - groups):
-        neediest = max(
-            range(groups), key=lambda group: weights[group] / sizes[group]
-        )
-        sizes[neediest] += 1
-    return sizes
-
-
-def _assign_groups(
-    names: Sequence[str], capacities: Sequence[int]
-) -> dict[str, int]:
-    """Distribute names over numbered groups.
+def _assign_groups(names: Sequence[str], groups: int) -> dict[str, int]:
+    """Distribute names evenly over numbered groups.
 
     Rendezvous hashing with a capacity per group: each name goes to the group
     with its greatest weight that is not full, so that few names move when
     one is added or removed.
     """
-    groups = len(capacities)
+    capacity = -(-len(names) // groups)
     sizes = [0] * groups
     assigned: dict[str, int] = {}
     for name in sorted(names, key=lambda found: _weight(found, "order")):
         group = max(
-            (
-                group
-                for group in range(groups)
-                if sizes[group] < capacities[group]
-            ),
+            (group for group in range(groups) if sizes[group] < capacity),
             key=lambda group: _weight(name, str(group)),
         )
         sizes[group] += 1
@@ -236,13 +189,6 @@
     return -(-size // MEMBERS_PER_HOLDER)
 
 
-def _primary_rank(program_id: str, names: Sequence[str]) -> int:
-    """Return the rank of a program's primary holder."""
-    return max(
-        range(len(names)), key=lambda rank: _weight(program_id, names[rank])
-    )
-
-
 def _weight(program_id: str, name: str) -> int:
     return zlib.crc32(f"{program_id}/{name}".encode())
 
