--- a/packages/pacing/src/balsamloom_pacing/pace.py
+++ b/packages/pacing/src/balsamloom_pacing/pace.py
@@ -12,6 +12,8 @@
 # Bounds of the time in which the share of hosts that may send doubles.
 MIN_WIDENING_MS = 50.0
 MAX_WIDENING_MS = 8_000.0
+# A server that failed may still be down: its probes are as rare as ejections.
+RETURN_WIDENING_MS = 800.0
 # A pace ends this long after its beginning and the last bad answer.
 QUIET_MS = 10_000.0
 GOOD_ANSWERS_TO_END = 3
@@ -88,6 +90,8 @@
     def widening_ms(self) -> float:
         """Return the time in which the share of hosts doubles."""
         base_ms = max(self._start.widening_ms, MIN_WIDENING_MS)
+        if self.reason is Reason.RETURNED:
+            base_ms = max(base_ms, RETURN_WIDENING_MS)
         return min(base_ms * 2.0 ** min(self.setbacks, 16), MAX_WIDENING_MS)
 
     def allows(self, in_flight: int, now_ms: float) -> bool:
