--- a/packages/quotas/src/balsamloom_quotas/evidence.py
+++ b/packages/quotas/src/balsamloom_quotas/evidence.py
@@ -1,9 +1,9 @@
 """Whether a host may grant tokens: what it knows of its role and since when.
 
 A host that is cut off must not grant beside its successor. It is a granter
-while it hears from more than half of the members that they go by it. It begins
-only after having heard so for long enough that no other one grants in its
-place, or early after its start if no run of a member ever went by another.
+while more than half of the members name it as one in their requests. It begins
+only after they have done so for long enough that no other one grants in its
+place, or early after its start if no run of a member ever named another.
 """
 
 from __future__ import annotations
@@ -29,10 +29,10 @@
 NO_VIEW = View(frozenset(), (), -math.inf)
 
 
-class _Word(NamedTuple):
-    """What a host last said of the granters that it goes by.
+class _Statement(NamedTuple):
+    """Granters that a host named in its last request for tokens.
 
-    ``is_first`` tells that its run has gone by no others.
+    ``is_first`` tells that its run has named no others.
     """
 
     heard_ms: float
@@ -50,12 +50,12 @@
         self._name = name
         self._view = NO_VIEW
         self._others: frozenset[str] = frozenset()
-        # What each host that names this one as granter last said.
-        self._words: dict[str, _Word] = {}
+        # Last statement of each host that names this one as granter.
+        self._statements: dict[str, _Statement] = {}
         self._started_ms = math.inf
         self._had_others = False
-        self._since_ms = math.inf
-        self._last_ms = -math.inf
+        self._evidence_since_ms = math.inf
+        self._last_evidence_ms = -math.inf
         # Parts of a limit that this host may have, by when they may be used.
         self._part = 0.0
         self._smaller_part = 0.0
@@ -78,23 +78,25 @@
             self._raised_ms = now_ms + timing.HOLD_MS
         self._part = part
 
-    def hear(
+    def record_granters(
         self,
         host: str,
         granters: Collection[str],
         now_ms: float,
         had_others: bool = True,
     ) -> None:
-        """Record which granters a host goes by.
+        """Record which granters a host names.
 
-        :param had_others: whether its run has gone by others before.
+        :param had_others: whether its run has named others before.
         """
         # With another number of them, it leaves this host another part.
         is_agreed = len(granters) == len(self._view.granters)
         if is_agreed and self._name in granters:
-            self._words[host] = _Word(now_ms, tuple(granters), not had_others)
+            self._statements[host] = _Statement(
+                now_ms, tuple(granters), not had_others
+            )
         else:
-            self._words.pop(host, None)
+            self._statements.pop(host, None)
 
     def part(self, now_ms: float) -> float:
         """Return the part of each limit that this host may grant now.
@@ -126,18 +128,18 @@
 
     def _part_since(self, now_ms: float) -> float:
         """Return the part of a host that has evidence, by since when."""
-        if now_ms - self._last_ms > timing.MAX_LAPSE_MS:
-            self._since_ms = now_ms
-        self._last_ms = now_ms
+        if now_ms - self._last_evidence_ms > timing.MAX_LAPSE_MS:
+            self._evidence_since_ms = now_ms
+        self._last_evidence_ms = now_ms
         if self._may_begin_early(now_ms):
-            self._since_ms = -math.inf
-        is_new = now_ms - self._since_ms < timing.HOLD_MS
+            self._evidence_since_ms = -math.inf
+        is_new = now_ms - self._evidence_since_ms < timing.HOLD_MS
         return 0.0 if is_new else self._part_at(now_ms)
 
     def _may_begin_early(self, now_ms: float) -> bool:
         """Return whether only a former run of this host can have granted.
 
-        No run of a member has gone by other granters, so none has tokens of
+        No run of a member has named other granters, so none has tokens of
         another one, and the last lease of the former run has ended. Later
         than a hold after the start, what was said may be out of date.
         """
@@ -146,13 +148,13 @@
         if not is_early or self._had_others or not self._others:
             return False
         oldest_ms = now_ms - timing.EVIDENCE_MS
-        words = [self._words.get(name) for name in self._others]
+        statements = [self._statements.get(name) for name in self._others]
         return all(
-            word is not None
-            and word.is_first
-            and word.granters == self._view.granters
-            and word.heard_ms > oldest_ms
-            for word in words
+            statement is not None
+            and statement.is_first
+            and statement.granters == self._view.granters
+            and statement.heard_ms > oldest_ms
+            for statement in statements
         )
 
     def _part_at(self, now_ms: float) -> float:
@@ -162,10 +164,10 @@
 
     def _is_named_by_most(self, now_ms: float) -> bool:
         oldest_ms = now_ms - timing.EVIDENCE_MS
-        words = self._words
+        statements = self._statements
         count = sum(
-            name in words and words[name].heard_ms > oldest_ms
+            name in statements and statements[name].heard_ms > oldest_ms
             for name in self._others
         )
-        # This host goes by its own view.
+        # This host names itself.
         return 2 * (count + 1) > len(self._view.members)
--- a/packages/quotas/src/balsamloom_quotas/granter.py
+++ b/packages/quotas/src/balsamloom_quotas/granter.py
@@ -76,7 +76,9 @@
         if not self._is_next(ask, now_ms):
             return messages.INACTIVE
         self._take_back_lost(ask, now_ms)
-        self.role.hear(ask.host, ask.granters, now_ms, ask.had_others)
+        self.role.record_granters(
+            ask.host, ask.granters, now_ms, ask.had_others
+        )
         self.refresh(now_ms)
         answer = messages.INACTIVE
         if self.is_active:
@@ -153,7 +155,7 @@
                 pool.set_share(share, now_ms)
 
     def _share(self, limit: limits.RateLimit) -> pools.Share:
-        tokens = self._bounds.float_tokens(limit) * self._part
+        tokens = self._bounds.capacity_tokens(limit) * self._part
         # With less than one token, nothing could ever be granted.
         rate_per_s = self._bounds.refill_per_s(limit) * self._part
         return pools.Share(rate_per_s, max(tokens, 1.0))
--- a/packages/quotas/src/balsamloom_quotas/limits.py
+++ b/packages/quotas/src/balsamloom_quotas/limits.py
@@ -6,8 +6,8 @@
 
 MS_PER_S = 1000.0
 # Part of what the bound allows beyond the limit that may exist as tokens. The
-# rest answers for requests that run at two servers.
-FLOAT_SHARE = 0.7
+# rest is for requests that run at two servers.
+EXCESS_CAPACITY_SHARE = 0.7
 # Part of the overage by which tokens are added faster than the limit, since
 # some get lost with hosts.
 REFILL_SHARE = 0.2
@@ -36,7 +36,7 @@
         allowed = allowed_requests(limit, self.window_ms)
         return allowed * (1 + self.overage) + self.slack_requests
 
-    def float_tokens(self, limit: RateLimit) -> float:
+    def capacity_tokens(self, limit: RateLimit) -> float:
         """Return the most tokens that exist at one time over all hosts.
 
         In a window, hosts use at most the tokens that exist at its start and
@@ -46,7 +46,7 @@
         excess = self.max_requests(limit) - allowed
         faster_per_s = self.refill_per_s(limit) - limit.rate_per_s
         added = faster_per_s * self.window_ms / MS_PER_S
-        return limit.burst_requests + (excess - added) * FLOAT_SHARE
+        return limit.burst_requests + (excess - added) * EXCESS_CAPACITY_SHARE
 
     def refill_per_s(self, limit: RateLimit) -> float:
         """Return the rate at which tokens are added over all granters."""
--- a/packages/quotas/src/balsamloom_quotas/messages.py
+++ b/packages/quotas/src/balsamloom_quotas/messages.py
@@ -41,7 +41,7 @@
     each request of a run to a granter. ``applied`` is that of the last one
     whose answer the host applied; answers to others are lost. ``granters`` are
     those by the members that the host knows; ``had_others`` tells whether this
-    run has gone by others before.
+    run has named others before.
     """
 
     host: str
--- a/packages/quotas/src/balsamloom_quotas/pools.py
+++ b/packages/quotas/src/balsamloom_quotas/pools.py
@@ -18,12 +18,12 @@
 class Share(NamedTuple):
     """A granter's part of a rate limit.
 
-    ``float_tokens`` limits the tokens that it has and that hosts hold of it,
-    together.
+    ``capacity_tokens`` limits the tokens that it has free and those that hosts
+    hold of it, together.
     """
 
     rate_per_s: float
-    float_tokens: float
+    capacity_tokens: float
 
 
 class _Lease(NamedTuple):
@@ -81,7 +81,7 @@
     def set_share(self, share: Share, now_ms: float) -> None:
         """Apply another part or another limit from now on."""
         self.advance(now_ms)
-        if share.float_tokens < self._share.float_tokens:
+        if share.capacity_tokens < self._share.capacity_tokens:
             self._debt_until_ms = now_ms + timing.LEASE_MS
         self._share = share
         self._clip()
@@ -181,7 +181,7 @@
         return len(self._short_ms)
 
     def _reserved(self) -> float:
-        return self._share.float_tokens * RESERVED_SHARE
+        return self._share.capacity_tokens * RESERVED_SHARE
 
     def _lease(self, run: str, tokens: int, now_ms: float) -> None:
         if tokens:
@@ -189,7 +189,7 @@
             self._leased += tokens
 
     def _clip(self) -> None:
-        limit = self._share.float_tokens - self._leased
+        limit = self._share.capacity_tokens - self._leased
         self._tokens = min(self._tokens, limit)
         # A small rate would take long to make up for a far larger share.
         if self._updated_ms >= self._debt_until_ms:
--- a/packages/quotas/src/balsamloom_quotas/timing.py
+++ b/packages/quotas/src/balsamloom_quotas/timing.py
@@ -6,7 +6,7 @@
 MAX_GRANTERS = 3
 # A host may use a token for this time from when it asked for it.
 LEASE_MS = 2_000.0
-# A granter goes by what it heard from hosts in this time.
+# What hosts told a granter counts as evidence for this time.
 EVIDENCE_MS = 1_500.0
 # A granter that had no evidence for longer counts as new. In a shorter time no
 # other one can have had it throughout the hold, also not with evidence of
--- a/packages/quotas/tests/test_busy_hosts.py
+++ b/packages/quotas/tests/test_busy_hosts.py
@@ -26,7 +26,7 @@
 LATE_MS = service.MAX_GRANTER_WAIT_MS + 10.0
 # The hold, the first tokens, and half a second to read the members.
 ALL_STARTED_MS = timing.HOLD_MS + 2_500.0
-# A burst is over, and the float has been filled again.
+# A burst is over, and the granters have all their tokens again.
 SOON_MS = 5_000.0
 
 
--- a/packages/quotas/tests/test_quotas.py
+++ b/packages/quotas/tests/test_quotas.py
@@ -206,7 +206,7 @@
     def test_a_member_that_others_do_not_name_does_not_begin(self):
         role = self.role("a", "b", "c", "d")
         for step in range(100):
-            role.hear("b", ("b", "c", "d"), step * 100.0)
+            role.record_granters("b", ("b", "c", "d"), step * 100.0)
             self.assertEqual(role.part(step * 100.0), 0.0)
 
     def test_a_pause_of_the_host_begins_the_hold_again(self):
@@ -220,8 +220,8 @@
         role = self.role("a", "b", "c")
         for step in range(60):
             now_ms = step * 100.0
-            role.hear("b", ("a", "b", "c"), now_ms, False)
-            role.hear("c", granters, now_ms, had_others)
+            role.record_granters("b", ("a", "b", "c"), now_ms, False)
+            role.record_granters("c", granters, now_ms, had_others)
             if role.part(now_ms):
                 return now_ms
         return None
@@ -240,7 +240,7 @@
     def test_a_member_waits_if_a_host_is_not_heard(self):
         role = self.role("a", "b", "c")
         for step in range(45):
-            role.hear("b", ("a", "b", "c"), step * 100.0, False)
+            role.record_granters("b", ("a", "b", "c"), step * 100.0, False)
             self.assertEqual(role.part(step * 100.0), 0.0)
 
     def test_a_member_that_had_other_granters_waits(self):
@@ -248,7 +248,9 @@
         role.set_view(self.view("a", "b", "c"), 100.0)
         for step in range(1, 45):
             for host in ("b", "c"):
-                role.hear(host, ("a", "b", "c"), step * 100.0, False)
+                role.record_granters(
+                    host, ("a", "b", "c"), step * 100.0, False
+                )
             self.assertEqual(role.part(step * 100.0), 0.0)
 
     def test_a_lone_member_with_an_old_view_does_not_grant(self):
@@ -264,7 +266,7 @@
     def test_a_larger_part_waits_for_the_former_granters(self):
         role = self.role("a", "b")
         for step in range(60):
-            role.hear("b", ("a", "b"), step * 100.0)
+            role.record_granters("b", ("a", "b"), step * 100.0)
             part = role.part(step * 100.0)
         self.assertEqual(part, 0.5)
         role.set_view(self.view("a"), 6_000.0)
