--- a/packages/gateway/tests/test_admissions.py
+++ b/packages/gateway/tests/test_admissions.py
@@ -119,8 +119,10 @@
         self.view.members = lambda: [member]
 
     def test_a_member_that_does_not_grant_says_so(self):
-        ask = messages.Ask("m2", "r2", 1, 0, ("m1",), ())
-        body = self.members.send("m1", messages.encode_ask(ask), 5_000.0)
+        request = messages.LeaseRequest("m2", "r2", 1, 0, ("m1",), ())
+        body = self.members.send(
+            "m1", messages.encode_request(request), 5_000.0
+        )
         self.assertEqual(messages.decode_answer(body), messages.INACTIVE)
 
     def test_damaged_messages_and_lost_members_are_typed_errors(self):
--- a/packages/quotas/src/balsamloom_quotas/granter.py
+++ b/packages/quotas/src/balsamloom_quotas/granter.py
@@ -26,9 +26,9 @@
     granted: Mapping[str, int]
 
 
-def run_of(ask: messages.Ask) -> str:
+def run_of(request: messages.LeaseRequest) -> str:
     """Return what identifies the run of a host's process among all."""
-    return f"{ask.host}/{ask.run}"
+    return f"{request.host}/{request.run}"
 
 
 class Granter:
@@ -71,29 +71,33 @@
         self._part = part
         self._apply_shares(now_ms)
 
-    def answer(self, ask: messages.Ask, now_ms: float) -> messages.Answer:
+    def answer(
+        self, request: messages.LeaseRequest, now_ms: float
+    ) -> messages.Answer:
         """Answer a request of a host."""
-        if not self._is_next(ask, now_ms):
+        if not self._is_next(request, now_ms):
             return messages.INACTIVE
-        self._take_back_lost(ask, now_ms)
+        self._take_back_lost(request, now_ms)
         self.role.record_granters(
-            ask.host, ask.granters, now_ms, ask.had_others
+            request.host, request.granters, now_ms, request.had_others
         )
         self.refresh(now_ms)
         answer = messages.INACTIVE
         if self.is_active:
-            answer = self._renew_leases(ask, now_ms)
-        self._seen[run_of(ask)] = _Seen(ask.number, now_ms, answer.granted)
+            answer = self._renew_leases(request, now_ms)
+        self._seen[run_of(request)] = _Seen(
+            request.number, now_ms, answer.granted
+        )
         return answer
 
     def _renew_leases(
-        self, ask: messages.Ask, now_ms: float
+        self, request: messages.LeaseRequest, now_ms: float
     ) -> messages.Answer:
-        run = run_of(ask)
+        run = run_of(request)
         granted: dict[str, int] = {}
         waits_ms: dict[str, float] = {}
         ended: list[str] = []
-        for entry in ask.entries:
+        for entry in request.entries:
             name = entry.workspace
             pool = self._pools.get(name)
             if pool is None:
@@ -117,25 +121,27 @@
             found[name] = PoolState(pool.free_tokens, pool.leases())
         return found
 
-    def _is_next(self, ask: messages.Ask, now_ms: float) -> bool:
+    def _is_next(self, request: messages.LeaseRequest, now_ms: float) -> bool:
         """Return whether no later request of the host was answered."""
-        seen = self._seen.get(run_of(ask))
-        if seen is not None and ask.number <= seen.number:
+        seen = self._seen.get(run_of(request))
+        if seen is not None and request.number <= seen.number:
             return False
         if seen is None:
             self._forget(now_ms)
         return True
 
-    def _take_back_lost(self, ask: messages.Ask, now_ms: float) -> None:
+    def _take_back_lost(
+        self, request: messages.LeaseRequest, now_ms: float
+    ) -> None:
         """Take back what the last answer granted if it was lost."""
-        seen = self._seen.get(run_of(ask))
-        if seen is None or ask.applied >= seen.number:
+        seen = self._seen.get(run_of(request))
+        if seen is None or request.applied >= seen.number:
             return
         for name, tokens in seen.granted.items():
             pool = self._pools.get(name)
             if pool is not None:
                 pool.advance(now_ms)
-                pool.take_back(run_of(ask), tokens)
+                pool.take_back(run_of(request), tokens)
 
     def _forget(self, now_ms: float) -> None:
         oldest_ms = now_ms - FORGET_MS
--- a/packages/quotas/src/balsamloom_quotas/messages.py
+++ b/packages/quotas/src/balsamloom_quotas/messages.py
@@ -34,7 +34,7 @@
     is_urgent: bool
 
 
-class Ask(NamedTuple):
+class LeaseRequest(NamedTuple):
     """Request of a host to a granter.
 
     ``run`` identifies the run of the host's process. ``number`` rises with
@@ -71,29 +71,29 @@
 INACTIVE = Answer(False, {}, {})
 
 
-def encode_ask(ask: Ask) -> dict[str, Any]:
+def encode_request(request: LeaseRequest) -> dict[str, Any]:
     """Encode a request as a JSON object."""
     return {
-        "host": ask.host,
-        "run": ask.run,
-        "number": ask.number,
-        "applied": ask.applied,
-        "granters": list(ask.granters),
+        "host": request.host,
+        "run": request.run,
+        "number": request.number,
+        "applied": request.applied,
+        "granters": list(request.granters),
         "entries": [
-            [*entry[:4], int(entry.is_urgent)] for entry in ask.entries
+            [*entry[:4], int(entry.is_urgent)] for entry in request.entries
         ],
-        "had_others": ask.had_others,
+        "had_others": request.had_others,
     }
 
 
-def decode_ask(body: Any) -> Ask:
+def decode_request(body: Any) -> LeaseRequest:
     """Decode a request.
 
     :raises InvalidMessageError: it is malformed.
     """
     try:
         entries = _list(body["entries"])
-        return Ask(
+        return LeaseRequest(
             _name(body["host"]),
             _name(body["run"]),
             _count(body["number"], MAX_NUMBER),
--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -32,6 +32,10 @@
 LATE_PAUSE_MS = 250.0
 MIN_RETRY_AFTER_MS = 50.0
 TICKS_PER_INTERVAL = 2
+# A granter is due after this part of the interval. A tick that comes a little
+# early would put it off to the next one.
+DUE_SHARE = 0.9
+MIN_CALL_TIMEOUT_MS = 1.0
 # Path at which a host shows the state of its quotas.
 PAGE_PATH = "/quotas"
 # Interval between log events about refusals of one workspace.
@@ -71,7 +75,7 @@
 
 
 class _Link:
-    """Exchange with one granter; one request at a time.
+    """State of the exchange with one granter; one request at a time.
 
     Callers' requests leave little time for an answer. One that is late for
     them may be in time for a round, so it does not put off the next one.
@@ -171,8 +175,8 @@
 
         :raises InvalidMessageError: it is malformed.
         """
-        ask = messages.decode_ask(body)
-        return messages.encode_answer(self._grant(ask))
+        request = messages.decode_request(body)
+        return messages.encode_answer(self._grant(request))
 
     def run(self) -> None:
         """Exchange tokens with the granters until :meth:`stop`."""
@@ -193,7 +197,7 @@
         for name in self._view.granters:
             link = self._link(name)
             now_ms = self._clock.now_ms()
-            is_due = now_ms - link.round_ms >= interval_ms * 0.9
+            is_due = now_ms - link.round_ms >= interval_ms * DUE_SHARE
             if is_due and now_ms >= link.failed_until_ms:
                 self._ask(name, link, "", now_ms + ROUND_TIMEOUT_MS)
         return interval_ms
@@ -305,7 +309,10 @@
     def _ask(
         self, name: str, link: _Link, needed: str, until_ms: float
     ) -> None:
-        """Ask one granter and apply its answer."""
+        """Ask one granter and apply its answer.
+
+        :param needed: workspace with a request that waits, empty in a round.
+        """
         wait_ms = max(until_ms - self._clock.now_ms(), 0.0)
         if not link.lock.acquire(timeout=wait_ms / clocks.MS_PER_S):
             return
@@ -315,33 +322,54 @@
                 return
             if not needed:
                 link.round_ms = sent_ms
-            ask = self._build(name, link, needed, sent_ms)
-            left_ms = max(until_ms - sent_ms, 1.0)
-            answer = self._call(name, ask, left_ms)
-            now_ms = self._clock.now_ms()
-            link.round_ms = sent_ms
-            link.is_active = answer.is_active
-            link.failed_until_ms = link.late_until_ms = -math.inf
-            if not answer.is_active:
-                link.late_until_ms = now_ms + LATE_PAUSE_MS
-            with self._lock:
-                self._stocks.apply(name, ask, answer, sent_ms, now_ms)
-            link.applied = ask.number
+            self._exchange(name, link, needed, sent_ms, until_ms)
         except (UnreachableError, messages.InvalidMessageError) as error:
-            now_ms = self._clock.now_ms()
-            if needed:
-                link.late_until_ms = now_ms + LATE_PAUSE_MS
-            else:
-                link.failed_until_ms = now_ms + FAILURE_PAUSE_MS
-            events.log(
-                events.Event.QUOTA_GRANTER_FAILED,
-                logging.WARNING,
-                member=name,
-                reason=str(error),
-            )
+            self._record_failure(name, link, needed, error)
         finally:
             link.lock.release()
 
+    def _exchange(
+        self,
+        name: str,
+        link: _Link,
+        needed: str,
+        sent_ms: float,
+        until_ms: float,
+    ) -> None:
+        """Send a request and apply its answer; needs the link's lock.
+
+        :raises UnreachableError: the granter returned no usable answer.
+        :raises InvalidMessageError: its answer is malformed.
+        """
+        request = self._build(name, link, needed, sent_ms)
+        left_ms = max(until_ms - sent_ms, MIN_CALL_TIMEOUT_MS)
+        answer = self._call(name, request, left_ms)
+        now_ms = self._clock.now_ms()
+        link.round_ms = sent_ms
+        link.is_active = answer.is_active
+        link.failed_until_ms = link.late_until_ms = -math.inf
+        if not answer.is_active:
+            link.late_until_ms = now_ms + LATE_PAUSE_MS
+        with self._lock:
+            self._stocks.apply(name, request, answer, sent_ms, now_ms)
+        link.applied = request.number
+
+    def _record_failure(
+        self, name: str, link: _Link, needed: str, error: Exception
+    ) -> None:
+        """Leave a granter out for a time, and log why."""
+        now_ms = self._clock.now_ms()
+        if needed:
+            link.late_until_ms = now_ms + LATE_PAUSE_MS
+        else:
+            link.failed_until_ms = now_ms + FAILURE_PAUSE_MS
+        events.log(
+            events.Event.QUOTA_GRANTER_FAILED,
+            logging.WARNING,
+            member=name,
+            reason=str(error),
+        )
+
     def _may_have_token(
         self, workspace: str, name: str, now_ms: float
     ) -> bool:
@@ -358,11 +386,11 @@
 
     def _build(
         self, name: str, link: _Link, needed: str, now_ms: float
-    ) -> messages.Ask:
+    ) -> messages.LeaseRequest:
         with self._lock:
             entries = self._stocks.entries(name, now_ms, needed)
         link.number += 1
-        return messages.Ask(
+        return messages.LeaseRequest(
             self._name,
             self._run,
             link.number,
@@ -373,16 +401,16 @@
         )
 
     def _call(
-        self, name: str, ask: messages.Ask, timeout_ms: float
+        self, name: str, request: messages.LeaseRequest, timeout_ms: float
     ) -> messages.Answer:
         if name == self._name:
-            return self._grant(ask)
-        body = self._send(name, messages.encode_ask(ask), timeout_ms)
+            return self._grant(request)
+        body = self._send(name, messages.encode_request(request), timeout_ms)
         return messages.decode_answer(body)
 
-    def _grant(self, ask: messages.Ask) -> messages.Answer:
+    def _grant(self, request: messages.LeaseRequest) -> messages.Answer:
         with self._granter_lock:
-            return self._granter.answer(ask, self._clock.now_ms())
+            return self._granter.answer(request, self._clock.now_ms())
 
     def _refuse(self, workspace: str) -> Refused:
         now_ms = self._clock.now_ms()
--- a/packages/quotas/src/balsamloom_quotas/stocks.py
+++ b/packages/quotas/src/balsamloom_quotas/stocks.py
@@ -180,7 +180,7 @@
     def apply(
         self,
         granter: str,
-        ask: messages.Ask,
+        request: messages.LeaseRequest,
         answer: messages.Answer,
         sent_ms: float,
         now_ms: float,
@@ -191,7 +191,7 @@
         """
         if not answer.is_active:
             return
-        for entry in ask.entries:
+        for entry in request.entries:
             account = self._account(entry.workspace)
             granted = answer.granted.get(entry.workspace, 0)
             holding = account.holdings.get(granter, Holding())
--- a/packages/quotas/tests/test_messages.py
+++ b/packages/quotas/tests/test_messages.py
@@ -17,7 +17,7 @@
     messages.Entry, NAMES, COUNTS, COUNTS, COUNTS, strategies.booleans()
 )
 ASKS = strategies.builds(
-    messages.Ask,
+    messages.LeaseRequest,
     NAMES,
     NAMES,
     COUNTS,
@@ -54,9 +54,9 @@
 class MessageTest(unittest.TestCase):
     @SETTINGS
     @hypothesis.given(ASKS)
-    def test_a_request_arrives_as_it_was_sent(self, ask):
-        body = passed_on(messages.encode_ask(ask))
-        self.assertEqual(messages.decode_ask(body), ask)
+    def test_a_request_arrives_as_it_was_sent(self, request):
+        body = passed_on(messages.encode_request(request))
+        self.assertEqual(messages.decode_request(body), request)
 
     @SETTINGS
     @hypothesis.given(ANSWERS)
@@ -66,9 +66,9 @@
 
     @SETTINGS
     @hypothesis.given(ASKS, ANSWERS, VALUES, strategies.data())
-    def test_damage_is_a_typed_error(self, ask, answer, value, data):
+    def test_damage_is_a_typed_error(self, request, answer, value, data):
         for body, decode in (
-            (messages.encode_ask(ask), messages.decode_ask),
+            (messages.encode_request(request), messages.decode_request),
             (messages.encode_answer(answer), messages.decode_answer),
         ):
             field = data.draw(strategies.sampled_from(sorted(body)))
@@ -80,16 +80,16 @@
 
     def test_negative_and_huge_counts_are_refused(self):
         entry = messages.Entry("w", 1, 0, 0, False)
-        ask = messages.Ask("h", "r", 1, 0, (), (entry,))
+        request = messages.LeaseRequest("h", "r", 1, 0, (), (entry,))
         for place in (1, 2, 3):
             for count in (-1, messages.MAX_TOKENS + 1, 1.5, True, "1"):
-                body = messages.encode_ask(ask)
+                body = messages.encode_request(request)
                 body["entries"][0][place] = count
                 with (
                     self.subTest(place=place, count=count),
                     self.assertRaises(messages.InvalidMessageError),
                 ):
-                    messages.decode_ask(body)
+                    messages.decode_request(body)
 
 
 if __name__ == "__main__":
