--- a/packages/gateway/src/balsamloom_gateway/balancer.py
+++ b/packages/gateway/src/balsamloom_gateway/balancer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 import math
 import random
 import threading
@@ -11,7 +10,13 @@
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
-from balsamloom_gateway import estimates, health, paced_servers, traffic
+from balsamloom_gateway import (
+    candidates,
+    estimates,
+    health,
+    paced_servers,
+    traffic,
+)
 from balsamloom_pacing import pace
 
 COST_TIE_MS = 1.0
@@ -38,14 +43,6 @@
     usual_ms: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True)
-class NoServer:
-    """Result if no server of the service can accept a call now."""
-
-    reason: str
-    retry_after_ms: float
-
-
 class Choice(NamedTuple):
     """Best server for a call, which is not recorded there yet.
 
@@ -63,46 +60,6 @@
         return self.state.server
 
 
-class Obstacle(enum.Enum):
-    """Why a server may not take a call now."""
-
-    OTHER_VERSION = "other_version"
-    TRIED = "tried"
-    RATE_LIMIT = "rate_limit"
-    EJECTED = "ejected"
-    PACED = "paced"
-
-
-class Assessment(NamedTuple):
-    """What speaks for and against a server for a call.
-
-    ``is_chosen`` is true for several servers of equal cost. ``pace`` is as in
-    a state dump. ``report_age_ms`` is ``None`` if the server has reported no
-    load here.
-    """
-
-    server: traffic.BackendServer
-    cost: estimates.Cost
-    is_chosen: bool
-    obstacle: Obstacle | None
-    in_flight: int
-    load: float
-    report_age_ms: float | None
-    is_probed: bool
-    denied_for_ms: float
-    ejected_for_ms: float
-    pace: dict[str, object] | None
-
-
-class _Sifted(NamedTuple):
-    """Servers that may take a call, and what keeps it from the others."""
-
-    states: list[estimates.ServerState]
-    probed: frozenset[str]
-    obstacles: dict[str, Obstacle]
-    refusal: NoServer | None = None
-
-
 _CostOfState = tuple[estimates.Cost, estimates.ServerState]
 
 
@@ -181,13 +138,13 @@
         profile: estimates.CallProfile,
         avoid: frozenset[str] = frozenset(),
         tracked: frozenset[str] | None = None,
-    ) -> Placement | NoServer:
+    ) -> Placement | candidates.NoServer:
         """Choose a server and record the start of a call there.
 
         See :meth:`choose` for the parameters.
         """
         choice = self.choose(service, profile, avoid, tracked)
-        if isinstance(choice, NoServer):
+        if isinstance(choice, candidates.NoServer):
             return choice
         return self.start(choice)
 
@@ -197,7 +154,7 @@
         profile: estimates.CallProfile,
         avoid: frozenset[str] = frozenset(),
         tracked: frozenset[str] | None = None,
-    ) -> Choice | NoServer:
+    ) -> Choice | candidates.NoServer:
         """Return the server with the least cost.
 
         :param avoid: servers that refused or failed this call before.
@@ -206,11 +163,11 @@
         """
         with self._lock:
             now_ms = self._clock.now_ms()
-            sifted = self._sift(service, profile, avoid, now_ms)
-            if sifted.refusal is not None:
-                return sifted.refusal
+            usable = self._find_candidates(service, profile, avoid, now_ms)
+            if usable.refusal is not None:
+                return usable.refusal
             baseline = self._baseline(service)
-            costs = self._costs(baseline, sifted, profile, tracked, now_ms)
+            costs = self._costs(baseline, usable, profile, tracked, now_ms)
             cost, state = self._generator.choice(_cheapest(costs))
             usual_ms = estimates.usual_ms(state, profile, baseline)
             return Choice(state, profile, cost, usual_ms)
@@ -220,7 +177,7 @@
         service: str,
         profile: estimates.CallProfile,
         tracked: frozenset[str] | None = None,
-    ) -> list[Assessment]:
+    ) -> list[candidates.Assessment]:
         """Return what speaks for each server, by cost, and change nothing.
 
         See :meth:`choose` for the parameters; it decides by the same figures.
@@ -229,13 +186,22 @@
             now_ms = self._clock.now_ms()
             if not self._by_service.get(service):
                 return []
-            sifted = self._sift(service, profile, frozenset(), now_ms)
+            usable = self._find_candidates(
+                service, profile, frozenset(), now_ms
+            )
             baseline = self._baseline(service)
-            costs = self._costs(baseline, sifted, profile, tracked, now_ms)
+            costs = self._costs(baseline, usable, profile, tracked, now_ms)
             chosen = {state for _, state in _cheapest(costs)}
-            everything = sifted._replace(states=self._by_service[service])
+            everything = usable._replace(states=self._by_service[service])
             found = [
-                self._assessment(state, cost, sifted, state in chosen, now_ms)
+                candidates.assess(
+                    state,
+                    cost,
+                    usable,
+                    state in chosen,
+                    self._describe_pace(state.server, now_ms),
+                    now_ms,
+                )
                 for cost, state in self._costs(
                     baseline, everything, profile, tracked, now_ms
                 )
@@ -340,44 +306,20 @@
                 for state in self._servers.values()
             ]
 
-    def _sift(
+    def _find_candidates(
         self,
         service: str,
         profile: estimates.CallProfile,
         avoid: frozenset[str],
         now_ms: float,
-    ) -> _Sifted:
-        """Return the servers that may take a call now."""
-        everything = self._by_service.get(service, [])
-        states = [one for one in everything if profile.allows(one.server)]
-        obstacles = _obstacles(everything, states, Obstacle.OTHER_VERSION)
-        usable = [one for one in states if one.server.server_id not in avoid]
-        obstacles |= _obstacles(states, usable, Obstacle.TRIED)
-        if not usable:
-            reason = _describe_absence(states, profile)
-            refusal = NoServer(reason, health.RETRY_AFTER_MS)
-            return _Sifted([], frozenset(), obstacles, refusal)
-        within_limits = [one for one in usable if not one.is_denied(now_ms)]
-        obstacles |= _obstacles(usable, within_limits, Obstacle.RATE_LIMIT)
-        if not within_limits:
-            refusal = NoServer(
-                "the servers have reached their rate limits",
-                min(one.denied_until_ms for one in usable) - now_ms,
-            )
-            return _Sifted([], frozenset(), obstacles, refusal)
-        healthy = health.usable(
-            [(one, one.health) for one in within_limits], now_ms
-        )
-        obstacles |= _obstacles(within_limits, healthy, Obstacle.EJECTED)
-        found = self._open(healthy, now_ms, bool(avoid))
-        obstacles |= _obstacles(healthy, found.states, Obstacle.PACED)
-        probed = found.probed if profile.is_repeatable else frozenset()
-        return _Sifted(found.states, probed, obstacles)
+    ) -> candidates.Candidates:
+        servers = self._by_service.get(service, [])
+        return candidates.find(servers, profile, avoid, self._paced, now_ms)
 
     def _costs(
         self,
         baseline: estimates.Baseline,
-        sifted: _Sifted,
+        found: candidates.Candidates,
         profile: estimates.CallProfile,
         tracked: frozenset[str] | None,
         now_ms: float,
@@ -390,36 +332,13 @@
                     baseline,
                     tracked,
                     now_ms,
-                    state.server.server_id in sifted.probed,
+                    state.server.server_id in found.probed,
                 ),
                 state,
             )
-            for state in sifted.states
+            for state in found.states
         ]
 
-    def _assessment(
-        self,
-        state: estimates.ServerState,
-        cost: estimates.Cost,
-        sifted: _Sifted,
-        is_chosen: bool,
-        now_ms: float,
-    ) -> Assessment:
-        server_id = state.server.server_id
-        return Assessment(
-            state.server,
-            cost,
-            is_chosen,
-            sifted.obstacles.get(server_id),
-            state.in_flight,
-            state.load(now_ms),
-            state.report_age_ms(now_ms),
-            server_id in sifted.probed,
-            max(state.denied_until_ms - now_ms, 0.0),
-            max(state.health.ejected_until_ms - now_ms, 0.0),
-            self._describe_pace(state.server, now_ms),
-        )
-
     def _new_state(
         self, server: traffic.BackendServer
     ) -> estimates.ServerState:
@@ -450,17 +369,6 @@
             return None
         return self._paced.describe(server, now_ms)
 
-    def _open(
-        self,
-        states: list[estimates.ServerState],
-        now_ms: float,
-        is_retry: bool,
-    ) -> paced_servers.Open:
-        """Return the servers whose pace allows a call."""
-        if self._paced is None:
-            return paced_servers.Open(states, frozenset())
-        return self._paced.open(states, now_ms, is_retry)
-
     def _record_outcome(
         self,
         state: estimates.ServerState,
@@ -584,32 +492,6 @@
     ]
 
 
-def _obstacles(
-    before: list[estimates.ServerState],
-    after: list[estimates.ServerState],
-    obstacle: Obstacle,
-) -> dict[str, Obstacle]:
-    """Return the servers that one step has removed."""
-    if len(before) == len(after):
-        return {}
-    kept = {state.server.server_id for state in after}
-    return {
-        state.server.server_id: obstacle
-        for state in before
-        if state.server.server_id not in kept
-    }
-
-
-def _describe_absence(
-    states: list[estimates.ServerState], profile: estimates.CallProfile
-) -> str:
-    if states:
-        return "all servers of the service were tried"
-    if profile.version is not None:
-        return f"the service has no server of version {profile.version}"
-    return "the service has no available server"
-
-
 def _is_same_run(
     one: traffic.BackendServer, other: traffic.BackendServer
 ) -> bool:
--- a/packages/gateway/src/balsamloom_gateway/crash_detection.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_detection.py
@@ -8,8 +8,8 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
-    balancer,
     callbacks,
+    candidates,
     connection_pool,
     crash_ledger,
     crash_reports,
@@ -121,12 +121,12 @@
             ]
         self._reports.record_served(call.key)
 
-    def refusal(self, call: responses.Call) -> balancer.NoServer | None:
+    def refusal(self, call: responses.Call) -> candidates.NoServer | None:
         """Return why a call may not run now, ``None`` if it may."""
         blocked_ms = self._reports.blocked_ms(call.key)
         if blocked_ms is None:
             return None
-        return balancer.NoServer(
+        return candidates.NoServer(
             f"the request crashed servers, target {call.key.target_id}",
             blocked_ms,
         )
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -10,6 +10,7 @@
     attempts,
     balancer,
     callbacks,
+    candidates,
     connection_pool,
     crash_detection,
     estimates,
@@ -137,7 +138,7 @@
             placement = self._crashes.refusal(call) or self._place(
                 target, tried, call.until_ms - self._clock.now_ms()
             )
-            if isinstance(placement, balancer.NoServer):
+            if isinstance(placement, candidates.NoServer):
                 if unreached and self.should_hand_over(call, unreached):
                     return HANDED_OVER
                 self._responder.send_failure(
@@ -181,7 +182,7 @@
 
     def _place(
         self, target: Target, tried: frozenset[str], left_ms: float
-    ) -> balancer.Placement | balancer.NoServer:
+    ) -> balancer.Placement | candidates.NoServer:
         """Use the planned server first, then one that the balancer chooses.
 
         Waits if the server's rate limit allows the call only then.
@@ -197,7 +198,7 @@
 
         def choose(
             avoid: frozenset[str],
-        ) -> balancer.Choice | balancer.NoServer:
+        ) -> balancer.Choice | candidates.NoServer:
             planned = None
             if plan is not None and plan.server_id not in avoid:
                 planned = self._balancer.choose_planned(
@@ -210,7 +211,7 @@
         found = limited_placement.choose_permitted(
             self._balancer, self._permits, choose, left_ms
         )
-        if isinstance(found, balancer.NoServer):
+        if isinstance(found, candidates.NoServer):
             return found
         self._clock.sleep(found.wait_ms)
         return self._balancer.start(found.choice)
--- a/packages/gateway/src/balsamloom_gateway/limited_placement.py
+++ b/packages/gateway/src/balsamloom_gateway/limited_placement.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from balsamloom_gateway import balancer, rate_quota, send_permits
+from balsamloom_gateway import balancer, candidates, rate_quota, send_permits
 
 # Each denial takes a call to another member. After these, a call only goes to
 # servers without a limit.
@@ -21,7 +21,7 @@
     retry_after_ms: float
 
 
-Choose = Callable[[frozenset[str]], balancer.Choice | balancer.NoServer]
+Choose = Callable[[frozenset[str]], balancer.Choice | candidates.NoServer]
 
 
 class PermittedChoice(NamedTuple):
@@ -40,7 +40,7 @@
     permits: send_permits.SendPermits,
     choose: Choose,
     left_ms: float,
-) -> PermittedChoice | balancer.NoServer:
+) -> PermittedChoice | candidates.NoServer:
     """Return the best server that takes a call within its limit.
 
     The call waits for a server only if all of them have limits.
@@ -52,7 +52,7 @@
     denied: list[_DeniedChoice] = []
     while True:
         choice = choose(avoid)
-        if isinstance(choice, balancer.NoServer):
+        if isinstance(choice, candidates.NoServer):
             max_wait_ms = min(MAX_WAIT_MS, left_ms * MAX_WAIT_SHARE)
             return _wait_for_one(permits, denied, max_wait_ms) or choice
         is_limited = permits.limits.is_limited(choice.server)
@@ -71,7 +71,7 @@
     permits: send_permits.SendPermits,
     denied: list[_DeniedChoice],
     max_wait_ms: float,
-) -> PermittedChoice | balancer.NoServer | None:
+) -> PermittedChoice | candidates.NoServer | None:
     """Return the server that takes the call soonest, if that is in time.
 
     :return: ``None`` if no server was denied.
@@ -83,6 +83,6 @@
         case rate_quota.Granted(wait_ms):
             return PermittedChoice(soonest.choice, True, wait_ms)
         case rate_quota.Denied(retry_after_ms):
-            return balancer.NoServer(
+            return candidates.NoServer(
                 "the servers have reached their rate limits", retry_after_ms
             )
--- a/packages/gateway/src/balsamloom_gateway/paced_servers.py
+++ b/packages/gateway/src/balsamloom_gateway/paced_servers.py
@@ -19,10 +19,11 @@
 }
 
 
-class Open(NamedTuple):
+class Selection(NamedTuple):
     """Servers that may take a call.
 
-    ``probed`` may be tried whatever their record of failures.
+    ``probed`` are the identifiers of those that may be tried whatever their
+    record of failures.
     """
 
     states: list[estimates.ServerState]
@@ -68,19 +69,19 @@
         """Forget all servers but those given."""
         self._paces.keep_only(_run(server) for server in servers)
 
-    def open(
+    def select(
         self,
         states: Sequence[estimates.ServerState],
         now_ms: float,
         is_retry: bool,
-    ) -> Open:
+    ) -> Selection:
         """Return the servers that may take a call, at least one.
 
         :param states: servers of a service that could take it.
         :param is_retry: another server has turned the call away.
         """
         if not self._paces.are_any:
-            return Open(list(states), frozenset())
+            return Selection(list(states), frozenset())
         selection = self._paces.select(
             [
                 paces.Candidate(
@@ -93,7 +94,7 @@
             now_ms,
             is_retry,
         )
-        return Open(
+        return Selection(
             [
                 state
                 for state in states
--- a/packages/gateway/src/balsamloom_gateway/placement_query.py
+++ b/packages/gateway/src/balsamloom_gateway/placement_query.py
@@ -7,6 +7,7 @@
 
 from balsamloom_gateway import (
     balancer,
+    candidates,
     estimates,
     fleet,
     json_parsing,
@@ -60,7 +61,7 @@
 
 
 class ServerAnswer(TypedDict):
-    """A server as a candidate; see :class:`balancer.Assessment`."""
+    """A server as a candidate; see :class:`candidates.Assessment`."""
 
     server_id: str
     failure_domain: str
@@ -191,7 +192,7 @@
         )
         return holders[0].name if holders else self._name
 
-    def _describe(self, found: balancer.Assessment) -> ServerAnswer:
+    def _describe(self, found: candidates.Assessment) -> ServerAnswer:
         server = found.server
         limit = self._limits.latest(server.server_id, server.incarnation)
         cost = found.cost
@@ -277,7 +278,7 @@
     )
 
 
-def _refusal(servers: list[balancer.Assessment]) -> str | None:
+def _refusal(servers: list[candidates.Assessment]) -> str | None:
     if any(one.is_chosen for one in servers):
         return None
     if not servers:
--- a/packages/gateway/src/balsamloom_gateway/planner.py
+++ b/packages/gateway/src/balsamloom_gateway/planner.py
@@ -14,6 +14,7 @@
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
     balancer,
+    candidates,
     estimates,
     fleet,
     health,
@@ -132,7 +133,7 @@
             ),
             request.left_ms,
         )
-        if isinstance(found, balancer.NoServer):
+        if isinstance(found, candidates.NoServer):
             return None
         placement = self._balancer.start(found.choice)
         expires_ms = now_ms + request.left_ms + REPORT_GRACE_MS
--- a/packages/gateway/tests/paced_hosts.py
+++ b/packages/gateway/tests/paced_hosts.py
@@ -14,6 +14,7 @@
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
     balancer,
+    candidates,
     estimates,
     health,
     paced_servers,
@@ -156,7 +157,7 @@
     def _place(self) -> None:
         chooser = self._random.choice(self.balancers)
         placed = chooser.place(builders.SERVICE, estimates.CallProfile())
-        if isinstance(placed, balancer.NoServer):
+        if isinstance(placed, candidates.NoServer):
             raise AssertionError(placed.reason)
         server = self.servers[placed.server.server_id]
         duration_ms, outcome = server.run(self.clock.now_ms())
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -6,7 +6,13 @@
 
 import builders
 
-from balsamloom_gateway import balancer, estimates, health, traffic
+from balsamloom_gateway import (
+    balancer,
+    candidates,
+    estimates,
+    health,
+    traffic,
+)
 
 PROMPT = (
     traffic.PromptPart("shared", 2_560),
@@ -178,12 +184,12 @@
         placement = self.place(avoid={"s0"})
         self.assertEqual(placement.server.server_id, "s1")
         self.assertIsInstance(
-            self.place(avoid={"s0", "s1"}), balancer.NoServer
+            self.place(avoid={"s0", "s1"}), candidates.NoServer
         )
 
     def test_unknown_service_has_no_server(self):
         found = self.balancer.place("other", estimates.CallProfile())
-        self.assertIsInstance(found, balancer.NoServer)
+        self.assertIsInstance(found, candidates.NoServer)
 
     def test_server_in_the_own_failure_domain_wins_among_equals(self):
         self.balancer.set_servers(
--- a/packages/gateway/tests/test_send_permits.py
+++ b/packages/gateway/tests/test_send_permits.py
@@ -9,6 +9,7 @@
 
 from balsamloom_gateway import balancer as balancers
 from balsamloom_gateway import (
+    candidates,
     estimates,
     fleet,
     interfaces,
@@ -227,7 +228,7 @@
         found = [self.place() for _ in range(6)]
         self.assertIsInstance(found[3], limited_placement.PermittedChoice)
         for refused in found[4:]:
-            self.assertIsInstance(refused, balancers.NoServer)
+            self.assertIsInstance(refused, candidates.NoServer)
             self.assertAlmostEqual(refused.retry_after_ms, 1_000.0, delta=1)
 
     def test_short_call_is_refused_rather_than_kept_waiting(self):
@@ -235,7 +236,7 @@
         for _ in self.servers:
             self.place()
         self.clock.advance(700.0)
-        self.assertIsInstance(self.place(400.0), balancers.NoServer)
+        self.assertIsInstance(self.place(400.0), candidates.NoServer)
 
     def test_long_call_waits_if_all_servers_have_limits(self):
         self.limit(*self.servers)
--- a/packages/model/src/balsamloom_model/calls.py
+++ b/packages/model/src/balsamloom_model/calls.py
@@ -8,7 +8,13 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from balsamloom_gateway import balancer, estimates, health, recent_servers
+from balsamloom_gateway import (
+    balancer,
+    candidates,
+    estimates,
+    health,
+    recent_servers,
+)
 from balsamloom_model import (
     deployments,
     engines,
@@ -78,7 +84,7 @@
         """Send a call to a server outside ``avoid``; retry refusals."""
         profile = estimates.CallProfile()
         placement = edge.placer.place(TOOL_SERVICE, profile, avoid)
-        if isinstance(placement, balancer.NoServer):
+        if isinstance(placement, candidates.NoServer):
             callbacks.on_refused()
             return
         server = self._servers[placement.server.server_id]
@@ -160,7 +166,7 @@
         placement = self.holder.placer.place(
             ENGINE_SERVICE, profile, avoid, self.holder.group
         )
-        if isinstance(placement, balancer.NoServer):
+        if isinstance(placement, candidates.NoServer):
             self.callbacks.on_refused()
             return
         latency_ms = network_latency_ms(
