--- a/packages/gateway/src/balsamloom_gateway/paced_servers.py
+++ b/packages/gateway/src/balsamloom_gateway/paced_servers.py
@@ -80,7 +80,7 @@
         :param states: servers of a service that could take it.
         :param is_retry: another server has turned the call away.
         """
-        if not self._paces.are_any:
+        if not self._paces.has_paced_servers:
             return Selection(list(states), frozenset())
         selection = self._paces.select(
             [
--- a/packages/pacing/src/balsamloom_pacing/pace.py
+++ b/packages/pacing/src/balsamloom_pacing/pace.py
@@ -19,7 +19,10 @@
 GOOD_ANSWERS_TO_END = 3
 # After as many slow answers in a row the server's speed is known.
 SLOW_ANSWERS_TO_END = 8
-# Factor and highest value of the allowance after a bad answer.
+# More doublings, or setbacks, exceed any allowance or time.
+_MAX_DOUBLINGS = 64.0
+_MAX_SETBACKS = 16
+# Factor of the allowance after a bad answer, and its highest value then.
 _SHRINKAGE = {
     answers.Answer.SLOW: 0.5,
     answers.Answer.REFUSED: 0.5,
@@ -56,6 +59,8 @@
     From 1 on it is the number of calls in flight. Below, it is the share of
     hosts that may have one.
 
+    :param reason: why it begins.
+    :param start: conditions under which it begins.
     :param from_ms: when the server may get its first call.
     """
 
@@ -80,8 +85,7 @@
         if self._allowance >= 1:
             return self._allowance
         elapsed_ms = max(now_ms - self._updated_ms, 0.0)
-        # More doublings than these exceed any allowance.
-        doublings = min(elapsed_ms / self.widening_ms(), 64.0)
+        doublings = min(elapsed_ms / self.widening_ms(), _MAX_DOUBLINGS)
         doubled = self._allowance * 2.0**doublings
         # The first calls of hosts take half of the slots at most.
         begun = self._allowance + doublings * self._even_share / 2
@@ -92,7 +96,9 @@
         base_ms = max(self._start.widening_ms, MIN_WIDENING_MS)
         if self.reason is Reason.RETURNED:
             base_ms = max(base_ms, RETURN_WIDENING_MS)
-        return min(base_ms * 2.0 ** min(self.setbacks, 16), MAX_WIDENING_MS)
+        return min(
+            base_ms * 2.0 ** min(self.setbacks, _MAX_SETBACKS), MAX_WIDENING_MS
+        )
 
     def allows(self, in_flight: int, now_ms: float) -> bool:
         """Return whether this host may send one more call."""
--- a/packages/pacing/src/balsamloom_pacing/paces.py
+++ b/packages/pacing/src/balsamloom_pacing/paces.py
@@ -10,13 +10,13 @@
 from balsamloom_core import events
 from balsamloom_pacing import answers, pace
 
-# If more of a service's servers have started or had their limit released, the
-# others can't carry the load of all, and these are treated like them.
+# If a larger share of a service's servers have started or had their limit
+# released, the others can't carry the load of all, and no pace limits these.
 MAX_STARTED_SHARE = 0.34
-# If more have failed, the failures have a common cause.
+# If a larger share of them have failed, the failures have a common cause.
 MAX_RETURNED_SHARE = 0.5
-# The first calls end before the share of hosts has doubled, also at a server
-# that is slower than usual.
+# Durations of a usual call in which the share of hosts doubles. The first
+# calls end before, also at a server that is slower than usual.
 CALLS_PER_WIDENING = 2.5
 # A pace that begins this soon after another one goes on from its setbacks.
 REPEAT_MS = 10_000.0
@@ -131,7 +131,7 @@
         self._active &= kept
 
     @property
-    def are_any(self) -> bool:
+    def has_paced_servers(self) -> bool:
         """Return whether the calls of any server may be limited."""
         return bool(self._active)
 
@@ -163,17 +163,17 @@
         )
         if not free:
             return Selection(everything, admitted)
-        excused = _excused(paced, len(candidates))
+        exempt = _exempt(paced, len(candidates))
         used = statistics.fmean(one.utilization for one in free)
         if is_retry or used >= RELIEF_UTILIZATION:
-            excused |= frozenset(
+            exempt |= frozenset(
                 one.run
                 for one in candidates
                 if one.run in paced
                 and paced[one.run].allows_relief(one.in_flight, is_retry)
             )
         return Selection(
-            frozenset(one.run for one in free) | admitted | excused, admitted
+            frozenset(one.run for one in free) | admitted | exempt, admitted
         )
 
     def is_paced(self, run: Run, now_ms: float) -> bool:
@@ -267,7 +267,7 @@
     return int.from_bytes(digest, "big") / 2.0 ** (8 * _HASH_BYTES)
 
 
-def _excused(paced: Mapping[Run, pace.Pace], count: int) -> frozenset[Run]:
+def _exempt(paced: Mapping[Run, pace.Pace], count: int) -> frozenset[Run]:
     """Return the servers that are not limited as too many are.
 
     :param count: number of candidates with and without a pace.
@@ -276,12 +276,12 @@
         run for run, one in paced.items() if one.reason is pace.Reason.RETURNED
     )
     started = frozenset(paced) - returned
-    excused: frozenset[Run] = frozenset()
+    exempt: frozenset[Run] = frozenset()
     if len(started) > MAX_STARTED_SHARE * count:
-        excused |= started
+        exempt |= started
     if len(returned) > MAX_RETURNED_SHARE * count:
-        excused |= returned
-    return excused
+        exempt |= returned
+    return exempt
 
 
 def _earlier_setbacks(known: _Entry | None, now_ms: float) -> int:
