--- a/packages/gateway/src/balsamloom_gateway/budget_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/budget_ledger.py
@@ -34,7 +34,8 @@
     usages,
 )
 
-# Hosts that start together with this one answer within a few of these.
+# Time after which a refused turn may try again. Hosts that start together with
+# this one answer within a few tries.
 USAGE_RETRY_MS = 75.0
 
 RecordingFailure = turn_reservations.RecordingFailure
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -487,7 +487,7 @@
         self, call: responses.Call, placement: balancer.Placement
     ) -> int:
         workspace = call.workspace
-        rank = priorities.engine_priority(
+        rank = priorities.call_priority(
             workspace.priority if workspace else None, call.route.priority
         )
         if not self.orders_by_program_time:
--- a/packages/gateway/src/balsamloom_gateway/placement_query.py
+++ b/packages/gateway/src/balsamloom_gateway/placement_query.py
@@ -18,6 +18,7 @@
     server_limits,
     traffic,
 )
+from balsamloom_workspaces import priorities
 
 PATH = "/placement"
 JSON_FIELD = (b"Content-Type", b"application/json")
@@ -166,9 +167,9 @@
                 service, profile, self._planner.preferred_servers()
             )
         )
-        priority = route.priority
-        if workspace is not None and workspace.priority is not None:
-            priority = workspace.priority
+        priority = priorities.call_priority(
+            workspace.priority if workspace else None, route.priority
+        )
         limit = workspace.rate_limit if workspace else None
         return Answer(
             member=self._name,
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -37,7 +37,8 @@
 )
 from balsamloom_workspaces import credentials, identity
 
-# A process that has just started has read the configuration by then.
+# Longest wait of a request for the first configuration of a process that has
+# just started.
 START_WAIT_MS = 200.0
 # Sent as Retry-After when no better estimate is known.
 NOT_READY_RETRY_AFTER_MS = 500.0
@@ -46,7 +47,7 @@
 RESUME_RETRY_AFTER_MS = 100.0
 # Other processes take the request at once.
 LEAVING_RETRY_AFTER_MS = 50.0
-# Callers that stall are cut off within this time.
+# Callers that stall are cut off within this time, so there is room again.
 NO_ROOM_RETRY_AFTER_MS = 250.0
 # Callers abandon a stream after two seconds without an event.
 RESUME_TIMEOUT_MS = 1_000.0
--- a/packages/workspaces/src/balsamloom_workspaces/priorities.py
+++ b/packages/workspaces/src/balsamloom_workspaces/priorities.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 
-def engine_priority(
-    workspace_priority: int | None, route_priority: int
-) -> int:
-    """Return the priority that a model engine is told.
+def call_priority(workspace_priority: int | None, route_priority: int) -> int:
+    """Return the priority of a call, which model engines are told.
 
     :param workspace_priority: ``None`` if the workspace leaves it to the
         route, or there is none.
--- a/packages/workspaces/tests/test_identity.py
+++ b/packages/workspaces/tests/test_identity.py
@@ -188,9 +188,9 @@
             self.assertFalse(revocation.LENIENT.may_lack_revocations(age_ms))
 
     def test_priority_of_the_workspace_goes_first(self):
-        self.assertEqual(priorities.engine_priority(None, 4), 4)
-        self.assertEqual(priorities.engine_priority(0, 4), 0)
-        self.assertEqual(priorities.engine_priority(7, 4), 7)
+        self.assertEqual(priorities.call_priority(None, 4), 4)
+        self.assertEqual(priorities.call_priority(0, 4), 0)
+        self.assertEqual(priorities.call_priority(7, 4), 7)
 
 
 if __name__ == "__main__":
