--- a/packages/gateway/src/balsamloom_gateway/placement_query.py
+++ b/packages/gateway/src/balsamloom_gateway/placement_query.py
@@ -7,6 +7,7 @@
 
 from balsamloom_gateway import (
     balancer,
+    candidates,
     estimates,
     fleet,
     json_parsing,
@@ -17,6 +18,7 @@
     server_limits,
     traffic,
 )
+from balsamloom_workspaces import priorities
 
 PATH = "/placement"
 JSON_FIELD = (b"Content-Type", b"application/json")
@@ -60,7 +62,7 @@
 
 
 class ServerAnswer(TypedDict):
-    """A server as a candidate; see :class:`balancer.Assessment`."""
+    """A server as a candidate; see :class:`candidates.Assessment`."""
 
     server_id: str
     failure_domain: str
@@ -165,9 +167,9 @@
                 service, profile, self._planner.preferred_servers()
             )
         )
-        priority = route.priority
-        if workspace is not None and workspace.priority is not None:
-            priority = workspace.priority
+        priority = priorities.call_priority(
+            workspace.priority if workspace else None, route.priority
+        )
         limit = workspace.rate_limit if workspace else None
         return Answer(
             member=self._name,
@@ -191,7 +193,7 @@
         )
         return holders[0].name if holders else self._name
 
-    def _describe(self, found: balancer.Assessment) -> ServerAnswer:
+    def _describe(self, found: candidates.Assessment) -> ServerAnswer:
         server = found.server
         limit = self._limits.latest(server.server_id, server.incarnation)
         cost = found.cost
@@ -277,7 +279,7 @@
     )
 
 
-def _refusal(servers: list[balancer.Assessment]) -> str | None:
+def _refusal(servers: list[candidates.Assessment]) -> str | None:
     if any(one.is_chosen for one in servers):
         return None
     if not servers:
