--- a/packages/cli/src/balsamloom_cli/where.py
+++ b/packages/cli/src/balsamloom_cli/where.py
@@ -53,13 +53,24 @@
 @click.argument("address", type=commands.ADDRESS)
 @click.argument("host")
 @click.argument("path")
-@click.option("--program", default="", help="Program of the request.")
-@click.option("--workspace", default="", help="Workspace of the caller.")
+@click.option(
+    "--program",
+    default="",
+    show_default="none",
+    help="Program of the request.",
+)
+@click.option(
+    "--workspace",
+    default="",
+    show_default="none",
+    help="Workspace of the caller.",
+)
 @click.option(
     "--part",
     "prompt",
     type=_Part(),
     multiple=True,
+    show_default="none",
     help="Part of the prompt, in order; may be repeated.",
 )
 @click.option(
@@ -72,16 +83,29 @@
 @click.option(
     "--has-budget",
     is_flag=True,
+    show_default=True,
     help="The program has a token budget, so its holder places the turn.",
 )
 @click.option(
     "--recent-server",
     "recent_servers",
     multiple=True,
+    show_default="none",
     help="Server of one of the program's last turns; may be repeated.",
 )
-@click.option("--version", default="", help="Version that must run it.")
-@click.option("--json", "is_json", is_flag=True, help="Print JSON.")
+@click.option(
+    "--version",
+    default="",
+    show_default="any",
+    help="Version that must run it.",
+)
+@click.option(
+    "--json",
+    "is_json",
+    is_flag=True,
+    show_default=True,
+    help="Print JSON.",
+)
 @click.pass_obj
 def main(session: Any, /, address: str, is_json: bool, **query: Any) -> None:
     """Tell where a request to HOST and PATH would go now, and why.
