--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -24,6 +24,18 @@
 CALLERS = ROOT / "platform" / "tests" / "callers"
 SUITE_TIMEOUT_S = 270
 PARALLEL_SUITES = 4
+# Processes among which the modules of a large suite are divided.
+SHARDS = {"gateway": 2}
+
+
+class Shard(NamedTuple):
+    """Part of a suite: every ``count``-th module, from ``number`` on."""
+
+    number: int
+    count: int
+
+
+WHOLE = Shard(0, 1)
 
 
 class SuiteResult(NamedTuple):
@@ -63,17 +75,18 @@
     return directory.parent.name
 
 
-def run_package(directory: pathlib.Path) -> int:
+def run_package(directory: pathlib.Path, shard: Shard = WHOLE) -> int:
     """Run one suite in this process and print JSON counts last.
 
     :param directory: ``tests`` directory of the suite.
+    :param shard: part of the suite to run.
     :return: exit status, 1 if a test failed.
     """
     sys.path.insert(0, str(directory))
     known_failures = load_known_failures()
     package = suite_name(directory)
     suite = unittest.TestSuite()
-    for test in _flatten(unittest.defaultTestLoader.discover(str(directory))):
+    for test in _select(directory, shard):
         if f"{package}:{test.id()}" in known_failures:
             print(f"passed over (KNOWN-RED.txt): {package}:{test.id()}")
         else:
@@ -93,6 +106,15 @@
     return 1 if failed else 0
 
 
+def _select(directory: pathlib.Path, shard: Shard) -> list[unittest.TestCase]:
+    """Return the tests of the modules in a part of a suite."""
+    tests = _flatten(unittest.defaultTestLoader.discover(str(directory)))
+    # A module that cannot be imported is a test of the loader's.
+    modules = sorted({test.id().partition(".")[0] for test in tests})
+    chosen = set(modules[shard.number :: shard.count])
+    return [test for test in tests if test.id().partition(".")[0] in chosen]
+
+
 def _flatten(suite: unittest.TestSuite) -> list[unittest.TestCase]:
     tests: list[unittest.TestCase] = []
     for item in suite:
@@ -128,8 +150,25 @@
     )
 
 
-def _package_command(directory: pathlib.Path) -> list[str]:
-    return [sys.executable, __file__, "--package", str(directory)]
+def _package_command(
+    directory: pathlib.Path, shard: Shard = WHOLE
+) -> list[str]:
+    command = [sys.executable, __file__, "--package", str(directory)]
+    return [*command, str(shard.number), str(shard.count)]
+
+
+def _package_commands(directory: pathlib.Path) -> dict[str, list[str]]:
+    """Return the command of each part of a suite."""
+    name = suite_name(directory)
+    count = SHARDS.get(name, 1)
+    if count == 1:
+        return {name: _package_command(directory)}
+    return {
+        f"{name} {number + 1} of {count}": _package_command(
+            directory, Shard(number, count)
+        )
+        for number in range(count)
+    }
 
 
 def _suites() -> dict[str, list[str]]:
@@ -139,7 +178,7 @@
     directories += [ROOT / "platform" / "tests", UPGRADES, ROOT / "tests"]
     for directory in directories:
         if any(directory.glob("test_*.py")):
-            suites[suite_name(directory)] = _package_command(directory)
+            suites.update(_package_commands(directory))
     if any((ROOT / "scenarios").glob("*.feature")):
         suites["scenarios"] = [sys.executable, __file__, "--scenarios"]
     return suites
@@ -221,7 +260,8 @@
 
 if __name__ == "__main__":
     if sys.argv[1:2] == ["--package"]:
-        sys.exit(run_package(pathlib.Path(sys.argv[2]).resolve()))
+        part = Shard(*map(int, sys.argv[3:5])) if sys.argv[4:] else WHOLE
+        sys.exit(run_package(pathlib.Path(sys.argv[2]).resolve(), part))
     if sys.argv[1:2] == ["--scenarios"]:
         sys.exit(run_scenarios())
     sys.exit(main())
