--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -29,10 +29,10 @@
 
 
 class Shard(NamedTuple):
-    """Part of a suite: every ``count``-th module, from ``number`` on."""
+    """Part of a suite: every ``total``-th module, from ``number`` on."""
 
     number: int
-    count: int
+    total: int
 
 
 WHOLE = Shard(0, 1)
@@ -111,7 +111,7 @@
     tests = _flatten(unittest.defaultTestLoader.discover(str(directory)))
     # A module that cannot be imported is a test of the loader's.
     modules = sorted({test.id().partition(".")[0] for test in tests})
-    chosen = set(modules[shard.number :: shard.count])
+    chosen = set(modules[shard.number :: shard.total])
     return [test for test in tests if test.id().partition(".")[0] in chosen]
 
 
@@ -154,7 +154,7 @@
     directory: pathlib.Path, shard: Shard = WHOLE
 ) -> list[str]:
     command = [sys.executable, __file__, "--package", str(directory)]
-    return [*command, str(shard.number), str(shard.count)]
+    return [*command, str(shard.number), str(shard.total)]
 
 
 def _package_commands(directory: pathlib.Path) -> dict[str, list[str]]:
