--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -21,6 +21,8 @@
     crash_reports,
     dispatch,
     draining,
+    edge_listeners,
+    edge_settings,
     evacuation,
     failures,
     feed,
@@ -60,42 +62,6 @@
     version_history,
 )
 from balsamloom_ingress import guards
-from balsamloom_ingress import limits as ingress_limits
-from balsamloom_quotas import limits as quota_limits
-from balsamloom_workspaces import revocation
-
-
-class EdgeSettings(NamedTuple):
-    """Settings of an edge process.
-
-    ``view_bound_ms`` limits the age of its view of the store's records,
-    ``grace_ms`` the duration of its stop. ``revocation`` tells when it stops
-    accepting keys, ``quota_bounds`` how far requests may exceed rate limits;
-    without them there are no quotas. With ``orders_by_program_time``, engines
-    are told to serve programs with little time left first;
-    ``is_pacing_servers`` limits calls to servers that have just started or
-    recovered.
-    """
-
-    name: str
-    incarnation: str
-    failure_domain: str
-    caller_address: str
-    ready_address: str
-    lookup_address: str
-    peer_address: str
-    metrics_address: str
-    threads: int
-    is_first_start: bool
-    view_bound_ms: float
-    grace_ms: float
-    lease_ms: int
-    copies: int
-    revocation: revocation.RevocationPolicy = revocation.LENIENT
-    quota_bounds: quota_limits.Bounds | None = None
-    ingress_limits: ingress_limits.ProcessLimits = ingress_limits.UNLIMITED
-    orders_by_program_time: bool = False
-    is_pacing_servers: bool = False
 
 
 class AuxiliaryHandlers(NamedTuple):
@@ -118,7 +84,7 @@
 
     def __init__(
         self,
-        settings: EdgeSettings,
+        settings: edge_settings.EdgeSettings,
         store: interfaces.KeyValueStore,
         records: interfaces.Records,
         codec: interfaces.HeaderCodec,
@@ -362,14 +328,6 @@
         )
         guard = guards.Guard(settings.ingress_limits, clock)
         guard.refusals.on_refusal = edge_metrics.record_limited_caller
-        self._ingress = listeners.Listener(
-            settings.caller_address,
-            self._proxy.handle,
-            listener_limits.for_callers(
-                settings.threads, None, settings.ingress_limits
-            ),
-            guard,
-        )
         self._guests = handover_service.HandoverService(
             self._proxy.handle,
             service.handle,
@@ -379,32 +337,20 @@
             codec,
             listener_limits.max_handovers(settings.threads),
         )
-        limits = listener_limits.for_others(
-            settings.threads, settings.ingress_limits
-        )
-        self._member_listener = listeners.Listener(
-            settings.peer_address,
-            self._guests.handle,
-            listener_limits.for_members(
-                settings.threads, None, settings.ingress_limits
+        found = edge_listeners.build(
+            settings,
+            edge_listeners.Handlers(
+                self._proxy.handle,
+                self._guests.handle,
+                quota_metrics.with_page(self._answer_operators, self._quotas),
+                handlers.ready(self),
+                handlers.lookup(self),
             ),
             guard,
         )
-        self._other_listeners = [
-            self._member_listener,
-            listeners.Listener(
-                settings.metrics_address,
-                quota_metrics.with_page(self._answer_operators, self._quotas),
-                limits,
-                guard,
-            ),
-            listeners.Listener(
-                settings.ready_address, handlers.ready(self), limits, guard
-            ),
-            listeners.Listener(
-                settings.lookup_address, handlers.lookup(self), limits, guard
-            ),
-        ]
+        self._ingress = found.callers
+        self._member_listener = found.members
+        self._other_listeners = [found.members, *found.auxiliary]
 
     def _new_balancer(
         self, edge_metrics: metrics.Metrics
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -11,6 +11,7 @@
 from balsamloom_conversations import replicas
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
+    edge_settings,
     estimates,
     fleet,
     health,
@@ -324,7 +325,7 @@
         response.send(200, ())
 
     address = "127.0.0.1:0"
-    settings = process.EdgeSettings(
+    settings = edge_settings.EdgeSettings(
         name=name,
         incarnation="1",
         failure_domain="a",
