--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -9,6 +9,7 @@
 from balsamloom_gateway import (
     attempts,
     balancer,
+    call_priorities,
     callbacks,
     candidates,
     connection_pool,
@@ -29,8 +30,6 @@
     traffic,
     version_history,
 )
-from balsamloom_policy import urgency
-from balsamloom_workspaces import priorities
 
 # Connecting takes a few ms. A slower attempt lost its first packet or met a
 # network partition, and another server answers sooner.
@@ -468,11 +467,19 @@
         has_engine = spec is not None and spec.engine is not None
         left_ms = call.until_ms - self._clock.now_ms()
         workspace = call.workspace
+        priority = None
+        if has_engine:
+            priority = call_priorities.engine_priority(
+                call,
+                placement.estimate_ms,
+                self._clock.now_ms(),
+                self.orders_by_program_time,
+            )
         fields = self._codec.forwarded_fields(
             call.request.headers,
             placement.server.server_id,
             left_ms,
-            self._engine_priority(call, placement) if has_engine else None,
+            priority,
             workspace.name if workspace else None,
         )
         lines = [
@@ -483,23 +490,6 @@
             lines.append(b"Content-Length: %d" % len(call.body))
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
-    def _engine_priority(
-        self, call: responses.Call, placement: balancer.Placement
-    ) -> int:
-        workspace = call.workspace
-        rank = priorities.call_priority(
-            workspace.priority if workspace else None, call.route.priority
-        )
-        if not self.orders_by_program_time:
-            return rank
-        left_ms = call.program_left_ms(self._clock.now_ms())
-        if left_ms is None:
-            return urgency.engine_priority(rank, None)
-        time = urgency.ProgramTime(
-            call.metadata.program_id, left_ms, placement.estimate_ms
-        )
-        return urgency.engine_priority(rank, time)
-
 
 def _failure(reason: str, may_have_run: bool) -> attempts.Failure:
     if may_have_run:
