--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/gateway/src/balsamloom_gateway/process.py
@@ -243,8 +243,8 @@
             self._drain,
             handovers,
         )
-        self._proxy.may_lack_revocations = self._may_lack_revocations
-        self._proxy.follows_records = self._follows_records
+        self._proxy.router.may_lack_revocations = self._may_lack_revocations
+        self._proxy.router.follows_records = self._follows_records
         quota_clock = clocks.SuspensionClock()
         self._quotas = quota_link.build(
             settings.name,
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import logging
-import math
 from collections.abc import Callable
-from typing import NamedTuple
 
 from balsamloom_conversations import stream_output, turns
 from balsamloom_core import clock as clocks
@@ -14,7 +12,6 @@
     attempts,
     budget_ledger,
     budgets,
-    callbacks,
     conversations,
     crash_detection,
     crash_ledger,
@@ -29,19 +26,14 @@
     listeners,
     planner,
     quota_link,
+    request_routing,
     responses,
     routes,
     stream_versions,
-    traffic,
     version_history,
 )
-from balsamloom_workspaces import credentials, identity
+from balsamloom_workspaces import identity
 
-# Longest wait of a request for the first configuration of a process that has
-# just started.
-START_WAIT_MS = 200.0
-# Sent as Retry-After when no better estimate is known.
-NOT_READY_RETRY_AFTER_MS = 500.0
 BUDGET_RETRY_AFTER_MS = 500.0
 HISTORY_RETRY_AFTER_MS = 300.0
 RESUME_RETRY_AFTER_MS = 100.0
@@ -53,18 +45,10 @@
 RESUME_TIMEOUT_MS = 1_000.0
 
 
-class _Routing(NamedTuple):
-    """Route of a request, its caller and the configuration that has both."""
-
-    configuration: traffic.Configuration
-    route: traffic.Route
-    caller: identity.Decision[traffic.Workspace]
-
-
 class Proxy:
     """Handler of callers' requests.
 
-    :param cluster_view: configuration and servers.
+    :param cluster_view: knows the configuration.
     :param dispatcher: sends calls to servers.
     :param token_budgets: token budgets of programs.
     :param stored_turns: stored turns of conversations.
@@ -94,16 +78,13 @@
         drain: draining.Drain,
         handovers: handover.Handovers,
     ) -> None:
-        # Returns whether this process may lack revocations of keys that it
-        # must know.
-        self.may_lack_revocations: Callable[[], bool] = callbacks.refuse
+        self.router = request_routing.Router(
+            cluster_view, responder, await_records
+        )
         self.admissions = quota_link.Admissions(None, responder)
-        # Returns whether it lacks no configuration for longer than allowed.
-        self.follows_records: Callable[[], bool] = callbacks.refuse
         self._handovers = handovers
         self._await_records = await_records
         self._drain = drain
-        self._fleet = cluster_view
         self._dispatcher = dispatcher
         self._budgets = token_budgets
         self._conversations = stored_turns
@@ -135,7 +116,7 @@
     ) -> bool:
         """Run a call; return whether another member must serve it."""
         prepared: responses.Call | None = call
-        if _is_conversation_route(call.route):
+        if routes.is_conversation_route(call.route):
             prepared = self._prepend_history(call)
         if prepared is None:
             return False
@@ -179,7 +160,7 @@
         except interfaces.InvalidCallError as error:
             self._responder.send_rejection(request, response, 400, str(error))
             return None
-        routing = self._find_route(request, response, metadata, arrived_ms)
+        routing = self.router.find(request, response, metadata, arrived_ms)
         if routing is None:
             return None
         configuration, route, caller = routing
@@ -231,97 +212,6 @@
             workspace=workspace,
         )
 
-    def _find_route(
-        self,
-        request: listeners.Request,
-        response: listeners.Response,
-        metadata: traffic.CallMetadata,
-        arrived_ms: float,
-    ) -> _Routing | None:
-        """Find the route of a request and whose request it is.
-
-        :return: ``None`` if an error response was sent.
-        """
-        request_id = metadata.request_id
-        request.credential = request.credential or credentials.from_field(
-            request.headers.get(credentials.FIELD)
-        )
-        active = self._fleet.active_configuration
-        if active is None:
-            self._await_records(arrived_ms, arrived_ms + START_WAIT_MS)
-            active = self._fleet.active_configuration
-        if active is None:
-            reason = "no configuration has been loaded yet"
-            self._responder.send_unavailable(
-                response, request_id, reason, NOT_READY_RETRY_AFTER_MS
-            )
-            return None
-        routing = self._route(request, active)
-        if metadata.continues_another and not _may_continue(routing, metadata):
-            # What it continues was served, so its route or key may be newer
-            # than the configuration that this process knows.
-            left_ms = metadata.deadline_ms
-            until_ms = math.inf if left_ms is None else arrived_ms + left_ms
-            if not self._await_records(arrived_ms, until_ms):
-                reason = "a newer configuration may be in force"
-                self._responder.send_unavailable(
-                    response, request_id, reason, NOT_READY_RETRY_AFTER_MS
-                )
-                return None
-            active = self._fleet.active_configuration or active
-            routing = self._route(request, active)
-        if active.keys is not None:
-            # No server, member or log line can get the key any more.
-            request.headers.pop(credentials.FIELD, None)
-        if routing is None:
-            reason = f"no route in version {active.configuration.version}"
-            self._responder.send_rejection(request, response, 404, reason)
-            return None
-        if self._is_unauthorized(request, response, metadata, routing.caller):
-            return None
-        return routing
-
-    def _route(
-        self, request: listeners.Request, active: fleet.ActiveConfiguration
-    ) -> _Routing | None:
-        """Look a request up in a configuration; ``None`` without a route."""
-        host = request.headers.get(b"Host", b"").decode("latin-1")
-        route = active.table.find(host, request.path)
-        if route is None:
-            return None
-        caller = identity.decide(
-            request.credential or credentials.MissingKey(),
-            active.keys,
-            route.is_public,
-            self.may_lack_revocations(),
-        )
-        return _Routing(active.configuration, route, caller)
-
-    def _is_unauthorized(
-        self,
-        request: listeners.Request,
-        response: listeners.Response,
-        metadata: traffic.CallMetadata,
-        caller: identity.Decision[traffic.Workspace],
-    ) -> bool:
-        """Refuse a request whose caller is not known."""
-        match caller:
-            case identity.Unauthorized(reason, may_be_newer):
-                if not may_be_newer or self.follows_records():
-                    self._responder.send_rejection(
-                        request, response, 401, reason
-                    )
-                    return True
-                reason = "a newer configuration may have the key"
-            case identity.Unsure(reason):
-                pass
-            case _:
-                return False
-        self._responder.send_unavailable(
-            response, metadata.request_id, reason, NOT_READY_RETRY_AFTER_MS
-        )
-        return True
-
     def _prepend_history(self, call: responses.Call) -> responses.Call | None:
         """Prepend the previous turns of a conversation to the request body.
 
@@ -503,18 +393,6 @@
         )
 
 
-def _may_continue(
-    routing: _Routing | None, metadata: traffic.CallMetadata
-) -> bool:
-    """Return whether what a call continues could have been served so."""
-    match routing:
-        case None | _Routing(caller=identity.Unauthorized(may_be_newer=True)):
-            return False
-        case _Routing(route=route):
-            is_turn = bool(metadata.previous_turn_id)
-            return not is_turn or _is_conversation_route(route)
-
-
 def _caller_names(call: responses.Call) -> conversations.CallerNames:
     return conversations.CallerNames(
         call.metadata.request_id,
@@ -523,11 +401,6 @@
     )
 
 
-def _is_conversation_route(route: traffic.Route) -> bool:
-    """Return whether calls of a route are turns that must be stored."""
-    return route.is_stateful and route.kind is traffic.RouteKind.STREAMING
-
-
 def _describe_lookup(found: turns.Lookup) -> str:
     match found:
         case turns.Chain(group_id, data):
--- a/packages/gateway/src/balsamloom_gateway/routes.py
+++ b/packages/gateway/src/balsamloom_gateway/routes.py
@@ -57,3 +57,8 @@
         if position < 0:
             return share.service
     return max(shares, key=lambda share: share.weight).service
+
+
+def is_conversation_route(route: traffic.Route) -> bool:
+    """Return whether calls of a route are turns that must be stored."""
+    return route.is_stateful and route.kind is traffic.RouteKind.STREAMING
--- a/packages/gateway/tests/test_workspaces.py
+++ b/packages/gateway/tests/test_workspaces.py
@@ -33,7 +33,7 @@
     def start(self, *scripts):
         gateway = super().start(*scripts or (self.engine,))
         self.follows_records = True
-        gateway.proxy.follows_records = lambda: self.follows_records
+        gateway.proxy.router.follows_records = lambda: self.follows_records
         self.configure(FIRST, SECOND)
         return gateway
 
@@ -162,7 +162,7 @@
 
     def test_strict_host_accepts_no_key_while_it_may_lack_revocations(self):
         gateway = self.start()
-        gateway.proxy.may_lack_revocations = lambda: True
+        gateway.proxy.router.may_lack_revocations = lambda: True
         self.assertEqual(self.status(bearer(KEY)), 503)
         self.assertEqual(self.status(bearer("unknown")), 503)
         self.configure(FIRST, public=("/once/",))
@@ -215,8 +215,8 @@
     def judge(self, age_ms):
         with mock.patch.object(self.host._feed, "age_ms", return_value=age_ms):
             return (
-                self.host._proxy.follows_records(),
-                self.host._proxy.may_lack_revocations(),
+                self.host._proxy.router.follows_records(),
+                self.host._proxy.router.may_lack_revocations(),
             )
 
     def test_view_is_judged_by_its_age(self):
