--- a/packages/quotas/src/balsamloom_quotas/report.py
+++ b/packages/quotas/src/balsamloom_quotas/report.py
@@ -34,6 +34,9 @@
     """A host returned no usable page."""
 
 
+_PAGE_FIELDS = frozenset({"host", "limits", "workspaces", "granted"})
+
+
 def read_page(address: str) -> dict[str, Any]:
     """Read the page of one host.
 
@@ -46,7 +49,7 @@
             page = json.load(response)
     except (urllib.error.URLError, OSError, ValueError) as error:
         raise UnreadablePageError(f"{address}: {error}") from error
-    if not isinstance(page, dict) or "workspaces" not in page:
+    if not isinstance(page, dict) or not _PAGE_FIELDS <= set(page):
         raise UnreadablePageError(f"{address}: not a page of quotas")
     return page
 
