--- a/packages/quotas/src/balsamloom_quotas/report.py
+++ b/packages/quotas/src/balsamloom_quotas/report.py
@@ -49,7 +49,7 @@
             page = json.load(response)
     except (urllib.error.URLError, OSError, ValueError) as error:
         raise UnreadablePageError(f"{address}: {error}") from error
-    if not isinstance(page, dict) or not _PAGE_FIELDS <= set(page):
+    if not isinstance(page, dict) or not set(page) >= _PAGE_FIELDS:
         raise UnreadablePageError(f"{address}: not a page of quotas")
     return page
 
