--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import pathlib
-import signal
 import sys
 import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib2"))
+import links  # noqa: E402
 import rig  # noqa: E402
 
 EVENTS = 40
@@ -19,7 +19,9 @@
 # The streams of both edges begin within this time.
 SPREAD_S = 0.3
 TIME_BUDGET_S = 5.0
-FREEZE_S = 1.2
+CUT_S = 1.2
+# Streams before the cut, so that the machine has open channels.
+EARLIER_STREAMS = 12
 # The rule allows two.
 MOST_JOINED = 2
 
@@ -121,7 +123,7 @@
     return server
 
 
-def play(deployment):
+def play(deployment, ways):
     """Replace servers of version v1 by v2; return how many are joined."""
     engine = {"slots": 24, "kv-capacity": 100000, "chunk-tokens": 1}
     deployment.configure(
@@ -148,31 +150,36 @@
     new_server(deployment, "v2")
     time.sleep(4.0)
     record.say("servers of v1 and v2 serve side by side")
-    others = deployment.edges[2]
+    edge, *others = deployment.edges
+    earlier = [
+        Stream(edge, others[number % len(others)], 0.01 * number)
+        for number in range(EARLIER_STREAMS)
+    ]
+    for stream in earlier:
+        stream.start()
+    for stream in earlier:
+        stream.join(10)
+    time.sleep(1.5)
     streams = [
-        Stream(
-            deployment.edges[number % 2], others, SPREAD_S * number / STREAMS
-        )
+        Stream(edge, others[number % len(others)], SPREAD_S * number / STREAMS)
         for number in range(STREAMS)
     ]
     if rig.has_trouble():
-        for host in deployment.storage:
-            host.send(signal.SIGSTOP)
-        record.say("the store machines freeze")
+        for link in ways.values():
+            link.cut(edge.process.pid)
+        record.say(f"{edge.name} is cut off from the store machines")
     begun_s = time.monotonic()
     for stream in streams:
         stream.start()
-    time.sleep(FREEZE_S)
+    time.sleep(CUT_S)
     if rig.has_trouble():
-        for host in deployment.storage:
-            host.send(signal.SIGCONT)
-        record.say("the store machines wake")
+        for link in ways.values():
+            link.heal()
+        record.say("the cut heals")
     # One server of v1 drains, and exits a little after drain-ms.
     leaving.state = "draining"
     leaving.register()
-    time.sleep(
-        max(begun_s + FREEZE_S + rig.DRAIN_S + 0.3 - time.monotonic(), 0)
-    )
+    time.sleep(max(begun_s + CUT_S + rig.DRAIN_S + 0.3 - time.monotonic(), 0))
     record.say(f"the drained server {leaving.server_id} of v1 exits")
     leaving.leave()
     for stream in streams:
@@ -195,14 +202,17 @@
 
 def main():
     """Run the case."""
-    deployment = rig.Deployment(3, 3, ("agent", "engine"))
+    deployment = rig.Deployment(7, 3, ("agent", "engine"))
+    ways = links.put_before(deployment)
     try:
-        joined = play(deployment)
+        joined = play(deployment, ways)
     except rig.CannotRunError as error:
         record.say(f"could not run: {error}")
         return rig.NOT_RUN
     finally:
         deployment.close()
+        for link in ways.values():
+            link.close()
     is_held = joined <= MOST_JOINED
     record.say("held" if is_held else "ORDER broken")
     return rig.HELD if is_held else rig.BROKEN
