--- a/packages/gateway/src/balsamloom_gateway/attempts.py
+++ b/packages/gateway/src/balsamloom_gateway/attempts.py
@@ -19,9 +19,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class MayHaveRun:
-    """Attempt that was sent and whose outcome is unknown."""
+    """Attempt that was sent and whose outcome is unknown.
+
+    ``is_final`` means that another run could contradict what this one has
+    left behind, whatever the route allows.
+    """
 
     reason: str
+    is_final: bool = False
 
 
 Failure = NotRun | MayHaveRun
@@ -100,10 +105,11 @@
             case NotRun(reason):
                 self._refusals += 1
                 is_allowed = self._refusals < MAX_REFUSALS
-            case MayHaveRun(reason):
+            case MayHaveRun(reason, is_final):
                 self._possible_runs += 1
                 is_allowed = (
-                    self._route.is_repeatable
+                    not is_final
+                    and self._route.is_repeatable
                     and self._possible_runs < self._route.max_attempts
                 )
         self.is_failed = not is_allowed or left_ms <= 0
--- a/packages/gateway/src/balsamloom_gateway/dispatch.py
+++ b/packages/gateway/src/balsamloom_gateway/dispatch.py
@@ -348,7 +348,8 @@
         is_resumed = call.metadata.resumed_id is not None
         if is_resumed or not version_history.is_resumable(call.route):
             return True
-        return self._streams.begin(call.stored_id, server)
+        is_first = not call.request.possible_runs
+        return self._streams.begin(call.stored_id, server, is_first)
 
     def _take_answer(
         self,
--- a/packages/gateway/src/balsamloom_gateway/relay.py
+++ b/packages/gateway/src/balsamloom_gateway/relay.py
@@ -354,9 +354,15 @@
                 return Delivery(self._relayed_tokens())
 
     def _abandon_stream(self) -> Result:
-        """End a stream of which the caller has got nothing."""
+        """End a stream of which the caller has got nothing.
+
+        Its record may still arrive, so the stream must not begin again at a
+        server of another version.
+        """
         self._connection.close()
-        return attempts.MayHaveRun("no storage host recorded the stream")
+        return attempts.MayHaveRun(
+            "no storage host recorded the stream", is_final=True
+        )
 
     def _is_cut_off(self, part: server_connections.ResponsePart) -> bool:
         """Return whether a stream ended by a close that is no end of it.
--- a/packages/gateway/src/balsamloom_gateway/stream_registry.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_registry.py
@@ -11,7 +11,7 @@
 import json
 import math
 import threading
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from balsamloom_core import clock as clocks
@@ -19,6 +19,7 @@
 
 RETENTION_MS = 60_000.0
 MAX_STREAMS = 100_000
+_AMBIGUOUS = b'{"is_ambiguous":true}'
 
 
 class StreamStart(NamedTuple):
@@ -48,11 +49,17 @@
     """The host may have forgotten the stream."""
 
 
-Lookup = Recorded | NotRecorded | Unsure
+@dataclasses.dataclass(frozen=True)
+class Ambiguous:
+    """Several versions were recorded; messages may have changed places."""
+
+
+Lookup = Recorded | NotRecorded | Unsure | Ambiguous
 
 
 class _Entry(NamedTuple):
-    version: str
+    # None if several versions were recorded.
+    version: str | None
     expires_ms: float
 
 
@@ -74,11 +81,19 @@
         )
 
     def record(self, starts: Iterable[StreamStart]) -> None:
-        """Record where streams began; a later record replaces an earlier."""
+        """Record where streams began.
+
+        A call that its sender has given up may arrive after a later one, so
+        the order of arrival decides nothing.
+        """
         now_ms = self._clock.now_ms()
         with self._lock:
             for stream_id, version in starts:
-                entry = _Entry(version, now_ms + RETENTION_MS)
+                known = self._entries.get(stream_id)
+                is_same = known is None or known.version == version
+                entry = _Entry(
+                    version if is_same else None, now_ms + RETENTION_MS
+                )
                 self._entries[stream_id] = entry
                 self._entries.move_to_end(stream_id)
             self._drop_old(now_ms)
@@ -90,6 +105,8 @@
             entry = self._entries.get(stream_id)
             whole_since_ms = self._whole_since_ms
         if entry is not None and entry.expires_ms > now_ms:
+            if entry.version is None:
+                return Ambiguous()
             return Recorded(entry.version)
         if now_ms - whole_since_ms < RETENTION_MS:
             return Unsure()
@@ -106,6 +123,19 @@
             self._entries.popitem(last=False)
 
 
+def combine(found: Sequence[Lookup]) -> Lookup:
+    """Return what several hosts know of a stream together.
+
+    One record suffices, unless another host has one of another version.
+    """
+    recorded = {one for one in found if isinstance(one, Recorded)}
+    if len(recorded) > 1 or Ambiguous() in found:
+        return Ambiguous()
+    if recorded:
+        return recorded.pop()
+    return Unsure() if Unsure() in found else NotRecorded()
+
+
 def encode_starts(starts: Iterable[StreamStart]) -> bytes:
     """Encode stream starts as JSON."""
     return json.dumps(list(starts), separators=(",", ":")).encode()
@@ -128,7 +158,8 @@
 def encode_lookup(found: Lookup) -> bytes:
     """Encode what a host knows of a stream as JSON.
 
-    Hosts of the release before answer ``null`` for all unknown streams.
+    Hosts of an earlier release answer ``null`` for all unknown streams, and
+    members of one take an ambiguous answer for a malformed one.
     """
     match found:
         case Recorded(version):
@@ -137,6 +168,8 @@
             return b"false"
         case Unsure():
             return b"null"
+        case Ambiguous():
+            return _AMBIGUOUS
 
 
 def decode_lookup(body: bytes) -> Lookup:
@@ -151,5 +184,7 @@
             return NotRecorded()
         case None:
             return Unsure()
+        case {"is_ambiguous": True}:
+            return Ambiguous()
         case _:
             raise ValueError("neither a version, false nor null")
--- a/packages/gateway/src/balsamloom_gateway/stream_versions.py
+++ b/packages/gateway/src/balsamloom_gateway/stream_versions.py
@@ -109,9 +109,18 @@
         self._mixed: frozenset[str] = frozenset()
         self._unreliable_until_ms = -math.inf
 
-    def begin(self, stream_id: str, server: traffic.BackendServer) -> bool:
+    def begin(
+        self,
+        stream_id: str,
+        server: traffic.BackendServer,
+        is_first: bool = True,
+    ) -> bool:
         """Record that a server has begun a stream, so that others find it.
 
+        A record that was given up here may still arrive, so a stream that may
+        not be sent must not begin again.
+
+        :param is_first: whether no other member can have begun the stream.
         :return: whether the stream may be sent.
         """
         stream = _Stream(server.service, server.version, self._clock.now_ms())
@@ -122,7 +131,7 @@
         if len(self._history.possible(server.service)) < 2:
             return True
         start = stream_registry.StreamStart(stream_id, server.version)
-        return self._record_in_time(start, server.service)
+        return self._record_in_time(start, server.service, is_first)
 
     def required_version(self, service: str) -> str | None:
         """Return the version at which a new stream must begin.
@@ -150,16 +159,21 @@
         return bool(self._fleet.storage_hosts())
 
     def _record_in_time(
-        self, start: stream_registry.StreamStart, service: str
+        self,
+        start: stream_registry.StreamStart,
+        service: str,
+        is_first: bool,
     ) -> bool:
         """Wait until a host knows a stream; return whether it may be sent.
 
-        Without a record, others take it for one of the oldest version.
+        Without a record, others take it for one of the oldest version, unless
+        a record of another member arrives later.
         """
         if _wait(self._record([start]), RECORD_TIMEOUT_MS):
             return True
         self._unreliable_until_ms = self._clock.now_ms() + UNRELIABLE_PERIOD_MS
-        if self.required_version(service) in (None, start.version):
+        required = self.required_version(service)
+        if is_first and required in (None, start.version):
             return True
         return _wait(self._record_again(start), REPEAT_TIMEOUT_MS)
 
@@ -269,6 +283,8 @@
         match found:
             case stream_registry.Recorded(version):
                 return version
+            case stream_registry.Ambiguous():
+                return None
             case _ if len(possible) == 1:
                 return next(iter(possible))
             case stream_registry.NotRecorded() if self._is_current():
@@ -357,17 +373,12 @@
         ranked = replicas.rank(stream_id, hosts)
         if not stream_id or not ranked:
             return stream_registry.Unsure()
-        result: stream_registry.Lookup = stream_registry.NotRecorded()
+        found: list[stream_registry.Lookup] = []
         for host in ranked[:MAX_LOOKUPS]:
-            found = self._find_at(host, stream_id)
-            match found:
-                case stream_registry.Recorded():
-                    return found
-                case stream_registry.Unsure():
-                    result = found
-                case stream_registry.NotRecorded():
-                    pass
-        return result
+            found.append(self._find_at(host, stream_id))
+            if _is_confirmed(found):
+                break
+        return stream_registry.combine(found)
 
     def _find_at(
         self, host: replicas.StorageHost, stream_id: str
@@ -395,6 +406,14 @@
             self._streams.popitem(last=False)
 
 
+def _is_confirmed(found: list[stream_registry.Lookup]) -> bool:
+    """Return whether as many hosts have a record as keep one."""
+    records = [
+        one for one in found if isinstance(one, stream_registry.Recorded)
+    ]
+    return len(records) >= COPIES
+
+
 def _wait(calls: _Calls, timeout_ms: float) -> bool:
     """Wait for some time until a call succeeds; return whether one did."""
     timeout_s = timeout_ms / clocks.MS_PER_S
