--- a/packages/gateway/src/balsamloom_gateway/crash_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_ledger.py
@@ -1,10 +1,11 @@
 """Crashes of backend servers under requests, counted by request.
 
 A request that crashes its server comes again with another request
-identifier, through any process. It is recognised by its target and body. If
-several bodies of one target crash servers and no request for that target was
-ever served, the target as a whole counts as one request. Servers that one
-body has crashed, as many as it may, show nothing about the others.
+identifier, through any process. It is recognised by its workspace, target and
+body. If several bodies of one target crash servers and no request of the
+workspace for that target was ever served, the target as a whole counts as one
+request. Servers that one body has crashed, as many as it may, show nothing
+about the others.
 """
 
 from __future__ import annotations
@@ -15,6 +16,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple, TypeVar
 
+from balsamloom_workspaces import scopes
+
 T = TypeVar("T")
 
 # Crashes after which a request is not sent to any other server.
@@ -30,7 +33,10 @@
 
 
 class RequestKey(NamedTuple):
-    """Digests of a request's method, host and target and of its body."""
+    """Digests of a request's owner, method, host and target, and of its body.
+
+    ``target_id`` stands for all but the body.
+    """
 
     target_id: str
     body_id: str
@@ -48,14 +54,23 @@
 
 
 def request_key(
-    method: bytes, host: bytes, target: bytes, body: bytes
+    method: bytes,
+    host: bytes,
+    target: bytes,
+    body: bytes,
+    scope: scopes.Scope = scopes.UNSCOPED,
 ) -> RequestKey:
     """Return the key under which crashes of a request are counted.
 
+    What is served to one workspace says nothing about the requests of others,
+    as servers are told whose request it is.
+
     :param body: the caller's body, without earlier turns.
+    :param scope: workspace of the caller.
     """
     line = b"%s %s %s" % (method, host.lower(), target)
-    return RequestKey(_digest(line), _digest(body))
+    owned = scope.identifier(line.decode("latin-1"))
+    return RequestKey(_digest(owned.encode("latin-1")), _digest(body))
 
 
 def _digest(data: bytes) -> str:
--- a/packages/gateway/src/balsamloom_gateway/proxy.py
+++ b/packages/gateway/src/balsamloom_gateway/proxy.py
@@ -208,6 +208,7 @@
                 request.headers.get(b"Host", b""),
                 request.target,
                 body,
+                scope,
             ),
             workspace=workspace,
         )
--- a/packages/gateway/tests/test_workspaces.py
+++ b/packages/gateway/tests/test_workspaces.py
@@ -315,6 +315,37 @@
             [200, 402, 200],
         )
 
+    def crashing(self, connection, _):
+        """Answer requests; crash when one belongs to the first workspace."""
+        owner = self.owner(connection)
+        while request := owner.read_request(connection):
+            if b"Workspace: first" in request:
+                owner.close()
+                return
+            connection.sendall(scripted.answer())
+
+    def test_crashes_of_a_request_belong_to_its_workspace(self):
+        # What was served to another one with the same path and body cleared
+        # them, so the request was never refused (review/8).
+        gateway = self.start(*[self.crashing] * 8)
+        path = "/once/t"
+        found = []
+        for count in range(1, 6):
+            found.append(self.status(bearer(KEY), path))
+            self.wait_until(
+                lambda count=count: len(gateway.store.items) >= min(count, 3)
+            )
+            self.wait_until(
+                lambda: self.status(bearer(OTHER_KEY), path) == 200
+            )
+        self.assertEqual(found, [502, 502, 502, 503, 503])
+
+    def wait_until(self, is_done):
+        until_s = time.monotonic() + 5
+        while not is_done():
+            self.assertLess(time.monotonic(), until_s)
+            time.sleep(0.005)
+
     def test_stream_belongs_to_its_workspace(self):
         gateway = self.start()
         streams = gateway.streams
