edge: the edge process is a package of its own

Its settings, assembly, listeners and planned stop leave packages/gateway, which has too many modules (four fewer). Only names and imports change.

--- a/packages/gateway/src/balsamloom_gateway/edge_listeners.py
+++ b/packages/edge/src/balsamloom_edge/edge_listeners.py
@@ -4,7 +4,8 @@
 
 from typing import NamedTuple
 
-from balsamloom_gateway import edge_settings, listener_limits, listeners
+from balsamloom_edge import settings as edge_settings
+from balsamloom_gateway import listener_limits, listeners
 from balsamloom_ingress import guards
 
 
--- a/packages/gateway/src/balsamloom_gateway/process.py
+++ b/packages/edge/src/balsamloom_edge/process.py
@@ -9,6 +9,8 @@
 
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
+from balsamloom_edge import edge_listeners, planned_stop
+from balsamloom_edge import settings as edge_settings
 from balsamloom_gateway import (
     background,
     balancer,
@@ -21,8 +23,6 @@
     crash_reports,
     dispatch,
     draining,
-    edge_listeners,
-    edge_settings,
     evacuation,
     failures,
     feed,
@@ -42,7 +42,6 @@
     peer_service,
     peers,
     placement_query,
-    planned_stop,
     planner,
     proxy,
     quota_link,
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -10,8 +10,9 @@
 
 from balsamloom_conversations import replicas
 from balsamloom_core import clock as clocks
+from balsamloom_edge import process
+from balsamloom_edge import settings as edge_settings
 from balsamloom_gateway import (
-    edge_settings,
     estimates,
     fleet,
     health,
@@ -22,7 +23,6 @@
     listeners,
     peers,
     planner,
-    process,
     send_permits,
     server_limits,
     traffic,
