--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -261,7 +261,7 @@
         "A workspace of the configuration has no key and lets nobody in."
     ),
     Event.QUOTA_USED_UP: (
-        "Requests of a workspace are refused, as this host has no tokens."
+        "Requests of a workspace are refused, as its rate quota is short."
     ),
     Event.QUOTA_ROLE_CHANGED: (
         "A process begins or stops to grant tokens of rate quotas."
--- a/packages/gateway/src/balsamloom_gateway/quota_link.py
+++ b/packages/gateway/src/balsamloom_gateway/quota_link.py
@@ -47,7 +47,7 @@
             or call.request.is_handed_over
         ):
             return service.UNLIMITED
-        match self._quotas.admit(workspace.name):
+        match self._quotas.admit(workspace.name, call.metadata.program_id):
             case service.Refused(retry_after_ms):
                 self._responder.send_over_quota(call, retry_after_ms)
                 return None
--- a/packages/gateway/tests/test_admissions.py
+++ b/packages/gateway/tests/test_admissions.py
@@ -34,8 +34,10 @@
         self.settled = threading.Event()
         self.returned = 0
         self.charged = 0
+        self.programs = set()
 
-    def admit(self, workspace):
+    def admit(self, workspace, program_id):
+        self.programs.add(program_id)
         if not self.tokens:
             return service.Refused(250.0)
         self.tokens -= 1
@@ -79,6 +81,12 @@
         self.assertEqual(self.runs(), 1)
         self.assertEqual((quotas.returned, quotas.charged), (0, 0))
 
+    def test_a_call_is_admitted_as_a_part_of_its_program(self):
+        quotas = self.serve(1, self.answering(scripted.answer()))
+        fields = {"Authorization": f"Bearer {KEY}", "Program": "p"}
+        self.request("/idempotent/x", fields)
+        self.assertEqual(quotas.programs, {"w/p"})
+
     def test_a_call_that_did_not_run_gives_its_token_back(self):
         quotas = self.serve(1, self.answering(FULL))
         self.assertEqual(self.ask().status, 503)
--- a/packages/quotas/src/balsamloom_quotas/granter.py
+++ b/packages/quotas/src/balsamloom_quotas/granter.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from balsamloom_quotas import evidence, limits, messages, pools
+from balsamloom_quotas import evidence, limits, messages, pools, shares
 
 # Runs of hosts whose last request is remembered after this time.
 FORGET_MS = 60_000.0
+# Shares are decided once for all hosts that ask within this time.
+DECISION_INTERVAL_MS = 100.0
 
 
 class PoolState(NamedTuple):
@@ -43,8 +46,13 @@
         self._bounds = bounds
         self._limits: Mapping[str, limits.RateLimit] = {}
         self._pools: dict[str, pools.Pool] = {}
+        self._shares: dict[str, shares.Share] = {}
         self._part = 0.0
         self._seen: dict[str, _Seen] = {}
+        # Workspaces of which callers asked for more than there was.
+        self._short: set[str] = set()
+        self._decided: dict[str, float] = {}
+        self._decided_ms = -math.inf
 
     @property
     def is_active(self) -> bool:
@@ -58,6 +66,7 @@
         self._limits = dict(rate_limits)
         for name in set(self._pools) - set(rate_limits):
             del self._pools[name]
+            self._shares.pop(name, None)
         self._apply_shares(now_ms)
 
     def refresh(self, now_ms: float) -> None:
@@ -111,7 +120,47 @@
                 granted[name] = tokens
             if entry.is_urgent and tokens < entry.wanted:
                 waits_ms[name] = pool.wait_ms(now_ms)
-        return messages.Answer(True, granted, waits_ms, tuple(ended))
+                self._short.add(name)
+        return messages.Answer(
+            True,
+            granted,
+            waits_ms,
+            tuple(ended),
+            self._decide_shares(request, now_ms),
+        )
+
+    def _decide_shares(
+        self, request: messages.LeaseRequest, now_ms: float
+    ) -> dict[str, float]:
+        """Return the share of the programs where tokens are short."""
+        run = run_of(request)
+        for name, rates in request.rates.items():
+            if name in self._pools:
+                self._shares[name].record(run, rates, now_ms)
+        if now_ms - self._decided_ms >= DECISION_INTERVAL_MS:
+            self._decided_ms = now_ms
+            self._decided = {
+                name: share
+                for name, pool in self._pools.items()
+                if (share := self._decide(name, pool, now_ms)) is not None
+            }
+        return self._decided
+
+    def _decide(
+        self, name: str, pool: pools.Pool, now_ms: float
+    ) -> float | None:
+        pool.advance(now_ms)
+        share = self._shares[name].decide(self._stock(name, pool), now_ms)
+        self._short.discard(name)
+        return share
+
+    def _stock(self, name: str, pool: pools.Pool) -> shares.Stock:
+        limit = self._limits[name]
+        return shares.Stock(
+            self._bounds.refill_per_s(limit),
+            pool.free_tokens / pool.share.capacity_tokens,
+            name in self._short,
+        )
 
     def states(self, now_ms: float) -> dict[str, PoolState]:
         """Return the tokens of all workspaces that have been asked for."""
@@ -157,6 +206,7 @@
             pool = self._pools.get(name)
             if pool is None:
                 self._pools[name] = pools.Pool(share, now_ms)
+                self._shares[name] = shares.Share()
             elif pool.share != share:
                 pool.set_share(share, now_ms)
 
--- a/packages/quotas/src/balsamloom_quotas/messages.py
+++ b/packages/quotas/src/balsamloom_quotas/messages.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import math
+import types
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+from balsamloom_quotas import programs
+
 MAX_ENTRIES = 10_000
 MAX_TOKENS = 1_000_000
 MAX_NUMBER = 2**53
@@ -41,7 +44,8 @@
     each request of a run to a granter. ``applied`` is that of the last one
     whose answer the host applied; answers to others are lost. ``granters`` are
     those by the members that the host knows; ``had_others`` tells whether this
-    run has named others before.
+    run has named others before. ``rates`` are the demand of the workspaces for
+    which a granter last told a share; earlier builds send none.
     """
 
     host: str
@@ -51,6 +55,7 @@
     granters: tuple[str, ...]
     entries: tuple[Entry, ...]
     had_others: bool = True
+    rates: Mapping[str, programs.Rates] = types.MappingProxyType({})
 
 
 class Answer(NamedTuple):
@@ -60,12 +65,15 @@
     ``granted`` are additional tokens by workspace, ``wait_ms`` estimates when
     more can be had of those of which less than wanted was granted. Tokens of
     ``ended`` workspaces that the host held are no longer leased to it.
+    ``shares`` are parts of the programs that may make requests, of the
+    workspaces whose tokens are short; earlier builds send none.
     """
 
     is_active: bool
     granted: Mapping[str, int]
     wait_ms: Mapping[str, float]
     ended: tuple[str, ...] = ()
+    shares: Mapping[str, float] = types.MappingProxyType({})
 
 
 INACTIVE = Answer(False, {}, {})
@@ -83,6 +91,7 @@
             [*entry[:4], int(entry.is_urgent)] for entry in request.entries
         ],
         "had_others": request.had_others,
+        "rates": {name: list(rates) for name, rates in request.rates.items()},
     }
 
 
@@ -101,8 +110,12 @@
             tuple(_name(name) for name in _list(body["granters"])),
             tuple(_decode_entry(entry) for entry in entries),
             body.get("had_others") is not False,
+            {
+                _name(name): _decode_rates(rates)
+                for name, rates in body.get("rates", {}).items()
+            },
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise InvalidMessageError(f"quota request: {error!r}") from error
 
 
@@ -114,6 +127,7 @@
         "granted": dict(answer.granted),
         "wait_ms": waits,
         "ended": list(answer.ended),
+        "shares": dict(answer.shares),
     }
 
 
@@ -130,13 +144,17 @@
             for name, tokens in body["granted"].items()
         }
         waits = {
-            _name(name): _duration_ms(wait)
+            _name(name): _amount(wait)
             for name, wait in body["wait_ms"].items()
         }
         ended = tuple(_name(name) for name in _list(body["ended"]))
-    except (KeyError, TypeError, AttributeError) as error:
+        shares = {
+            _name(name): _amount(share)
+            for name, share in body.get("shares", {}).items()
+        }
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise InvalidMessageError(f"quota answer: {error!r}") from error
-    return Answer(body["is_active"], granted, waits, ended)
+    return Answer(body["is_active"], granted, waits, ended, shares)
 
 
 def _decode_entry(entry: Any) -> Entry:
@@ -150,6 +168,11 @@
     )
 
 
+def _decode_rates(value: Any) -> programs.Rates:
+    admitted_per_s, unnamed_per_s = _list(value)[:2]
+    return programs.Rates(_amount(admitted_per_s), _amount(unnamed_per_s))
+
+
 def _list(value: Any) -> list[Any]:
     if not isinstance(value, list) or len(value) > MAX_ENTRIES:
         raise InvalidMessageError(f"not a list of {MAX_ENTRIES} at most")
@@ -170,9 +193,9 @@
     return value
 
 
-def _duration_ms(value: Any) -> float:
+def _amount(value: Any) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise InvalidMessageError("not a duration")
+        raise InvalidMessageError("not a number")
     if not math.isfinite(value) or value < 0:
-        raise InvalidMessageError(f"{value} is not a duration")
+        raise InvalidMessageError(f"{value} is not from 0 on")
     return float(value)
--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -139,20 +139,27 @@
         # Returns the limits of the configuration in force.
         self.read_limits: Callable[[], Mapping[str, limits.RateLimit]] = dict
 
-    def admit(self, workspace: str) -> Decision:
+    def admit(self, workspace: str, program_id: str = "") -> Decision:
         """Decide whether a request of a workspace may run.
 
         :param workspace: name of a workspace; a limit is looked up.
+        :param program_id: empty if the request belongs to no program.
         """
         now_ms = self._clock.now_ms()
         with self._lock:
-            self._stocks.record(workspace, now_ms)
-            leased_by = self._stocks.take(workspace, now_ms)
+            wait_ms = self._stocks.admission(workspace).wait_ms(
+                program_id, now_ms, self._clock.wall_ms()
+            )
+            if wait_ms is None:
+                self._stocks.record(workspace, now_ms)
+                leased_by = self._stocks.take(workspace, now_ms)
+        if wait_ms is not None:
+            return self._refuse(workspace, wait_ms)
         if leased_by is None:
             leased_by = self._fetch(workspace, now_ms + MAX_WAIT_MS)
         if leased_by is not None:
             return Admitted(workspace, leased_by)
-        return self._refuse(workspace)
+        return self._refuse(workspace, None)
 
     def give_back(self, admitted: Admitted) -> None:
         """Return the token of a request that no server ran."""
@@ -352,6 +359,7 @@
             link.late_until_ms = now_ms + LATE_PAUSE_MS
         with self._lock:
             self._stocks.apply(name, request, answer, sent_ms, now_ms)
+            self._stocks.apply_shares(name, answer.shares, now_ms)
         link.applied = request.number
 
     def _record_failure(
@@ -389,6 +397,7 @@
     ) -> messages.LeaseRequest:
         with self._lock:
             entries = self._stocks.entries(name, now_ms, needed)
+            rates = self._stocks.rates(now_ms)
         link.number += 1
         return messages.LeaseRequest(
             self._name,
@@ -398,6 +407,7 @@
             self._view.granters,
             entries,
             self._had_others,
+            rates,
         )
 
     def _call(
@@ -412,10 +422,16 @@
         with self._granter_lock:
             return self._granter.answer(request, self._clock.now_ms())
 
-    def _refuse(self, workspace: str) -> Refused:
+    def _refuse(self, workspace: str, lot_wait_ms: float | None) -> Refused:
+        """Refuse a request.
+
+        :param lot_wait_ms: time until its program should come back, ``None``
+            if it was refused for want of a token.
+        """
         now_ms = self._clock.now_ms()
         with self._lock:
-            self._stocks.refuse(workspace, now_ms)
+            is_short = lot_wait_ms is None
+            self._stocks.refuse(workspace, now_ms, is_short)
             ends_ms = [
                 max(
                     self._stocks.empty_until_ms(workspace, name),
@@ -424,6 +440,8 @@
                 for name in self._view.granters
             ]
         wait_ms = min(ends_ms, default=now_ms + FAILURE_PAUSE_MS) - now_ms
+        if lot_wait_ms is not None:
+            wait_ms = lot_wait_ms
         refused = Refused(max(wait_ms, MIN_RETRY_AFTER_MS))
         self._log_refusal(workspace, refused, now_ms)
         return refused
--- a/packages/quotas/src/balsamloom_quotas/stocks.py
+++ b/packages/quotas/src/balsamloom_quotas/stocks.py
@@ -7,10 +7,17 @@
 
 import math
 import zlib
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
-from balsamloom_quotas import demand, limits, messages, recent, timing
+from balsamloom_quotas import (
+    demand,
+    limits,
+    messages,
+    programs,
+    recent,
+    timing,
+)
 
 # A host asks ahead for what may arrive within this many intervals.
 HORIZON_INTERVALS = 2.0
@@ -51,6 +58,7 @@
         self.refused = 0
         self.returned = 0
         self.refused_ms = -math.inf
+        self.programs = programs.Programs()
 
 
 class AccountState(NamedTuple):
@@ -58,7 +66,8 @@
 
     ``admitted``, ``refused`` and ``returned`` count requests since the process
     started, ``recent`` those of the last window. Returned requests were
-    admitted, but no server ran them.
+    admitted, but no server ran them. ``refused_by_lot`` counts those refused
+    since their program's lot was not below the share, ``share`` is that share.
     """
 
     tokens: int
@@ -67,6 +76,8 @@
     refused: int
     returned: int
     recent: recent.RecentCounts
+    refused_by_lot: int = 0
+    share: float = 1.0
 
 
 class Stocks:
@@ -148,12 +159,18 @@
         for granter in account.holdings:
             self._pay(account, granter)
 
-    def refuse(self, workspace: str, now_ms: float) -> None:
-        """Count a refused request."""
+    def refuse(
+        self, workspace: str, now_ms: float, is_short: bool = True
+    ) -> None:
+        """Count a refused request.
+
+        :param is_short: whether it was refused for want of a token.
+        """
         account = self._account(workspace)
         account.refused += 1
         account.recent.refuse(now_ms)
-        account.refused_ms = now_ms
+        if is_short:
+            account.refused_ms = now_ms
 
     def empty_until_ms(self, workspace: str, granter: str) -> float:
         """Return the time until which a granter has no token."""
@@ -215,7 +232,11 @@
 
     def states(self, now_ms: float) -> dict[str, AccountState]:
         """Return all workspaces with requests at this host."""
-        return {name: self.state(name, now_ms) for name in self._accounts}
+        return {
+            name: self.state(name, now_ms)
+            for name, account in self._accounts.items()
+            if account.admitted or account.refused
+        }
 
     def state(self, workspace: str, now_ms: float) -> AccountState:
         """Return what this host knows of one workspace."""
@@ -231,8 +252,31 @@
             account.refused,
             account.returned,
             account.recent.counts(now_ms),
+            account.programs.refused_by_lot,
+            round(account.programs.share(now_ms), 3),
         )
 
+    def admission(self, workspace: str) -> programs.Programs:
+        """Return what decides which programs of a workspace are admitted."""
+        return self._account(workspace).programs
+
+    def rates(self, now_ms: float) -> dict[str, programs.Rates]:
+        """Return the demand where a granter has few tokens left."""
+        found = {
+            workspace: account.programs.rates(now_ms)
+            for workspace, account in self._accounts.items()
+        }
+        return {name: rates for name, rates in found.items() if rates}
+
+    def apply_shares(
+        self, granter: str, shares: Mapping[str, float], now_ms: float
+    ) -> None:
+        """Apply the shares that a granter told; the others are whole."""
+        for workspace in shares:
+            self._account(workspace)
+        for workspace, account in self._accounts.items():
+            account.programs.apply(granter, shares.get(workspace), now_ms)
+
     def _entry(
         self,
         workspace: str,
@@ -271,6 +315,9 @@
             return 0
         horizon_ms = HORIZON_INTERVALS * self._interval_ms
         expected = rate_per_s * horizon_ms / limits.MS_PER_S
+        if expected < 1 and account.programs.is_pressed(now_ms):
+            # A single token ahead would mostly lie idle.
+            return 0
         total = math.ceil(expected + MARGIN_DEVIATIONS * math.sqrt(expected))
         count = len(self._granters)
         base, rest = divmod(total, count)
--- a/packages/quotas/tests/test_messages.py
+++ b/packages/quotas/tests/test_messages.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from balsamloom_quotas import messages
+from balsamloom_quotas import messages, programs
 
 SETTINGS = hypothesis.settings(
     derandomize=True, max_examples=300, deadline=None, database=None
@@ -16,6 +16,8 @@
 ENTRIES = strategies.builds(
     messages.Entry, NAMES, COUNTS, COUNTS, COUNTS, strategies.booleans()
 )
+AMOUNTS = strategies.floats(0, 1e6)
+RATES = strategies.builds(programs.Rates, AMOUNTS, AMOUNTS)
 ASKS = strategies.builds(
     messages.LeaseRequest,
     NAMES,
@@ -24,6 +26,7 @@
     COUNTS,
     strategies.lists(NAMES).map(tuple),
     strategies.lists(ENTRIES).map(tuple),
+    rates=strategies.dictionaries(NAMES, RATES),
 )
 ANSWERS = strategies.builds(
     messages.Answer,
@@ -31,6 +34,7 @@
     strategies.dictionaries(NAMES, COUNTS),
     strategies.dictionaries(NAMES, strategies.integers(0, 10_000)),
     strategies.lists(NAMES).map(tuple),
+    shares=strategies.dictionaries(NAMES, AMOUNTS),
 )
 VALUES = strategies.recursive(
     strategies.none()
--- a/packages/quotas/tests/world.py
+++ b/packages/quotas/tests/world.py
@@ -95,6 +95,8 @@
         self.demand = {}
         # Part of the requests that no server runs.
         self.not_run_share = 0.0
+        # Callers that send programs; each has a method ``step``.
+        self.loads = []
         self.ticks = 0
         self.hosts = {}
         for name in names:
@@ -122,6 +124,8 @@
                     host.quotas.run_once()
             for key, rate_per_s in list(self.demand.items()):
                 self.send_requests(*key, rate_per_s)
+            for load in self.loads:
+                load.step()
             self.record_known()
 
     def exchange_records(self):
@@ -150,14 +154,19 @@
         mean = rate_per_s * TICK_MS / 1000.0
         count = int(mean) + (self.random.random() < mean % 1)
         for _ in range(count):
-            self.asked[workspace] += 1
-            decision = host.quotas.admit(workspace)
-            if not isinstance(decision, service.Admitted):
-                continue
-            if self.random.random() < self.not_run_share:
-                host.quotas.give_back(decision)
-            else:
-                self.admitted_ms[workspace].append(self.clock.now_ms())
+            self.send_request(workspace, host)
+
+    def send_request(self, workspace, host, program_id=""):
+        """Send a request; return whether it was admitted."""
+        self.asked[workspace] += 1
+        decision = host.quotas.admit(workspace, program_id)
+        if not isinstance(decision, service.Admitted):
+            return False
+        if self.random.random() < self.not_run_share:
+            host.quotas.give_back(decision)
+        else:
+            self.admitted_ms[workspace].append(self.clock.now_ms())
+        return True
 
     def record_known(self):
         known = {}
