--- a/packages/quotas/src/balsamloom_quotas/evidence.py
+++ b/packages/quotas/src/balsamloom_quotas/evidence.py
@@ -3,7 +3,8 @@
 A host that is cut off must not grant beside its successor. It is a granter
 while more than half of the members name it as one in their requests. It begins
 only after they have done so for long enough that no other one grants in its
-place, or early after its start if no run of a member ever named another.
+place, or early after its start if no run of a member ever named another; at
+once if, besides, no run of a member ever got tokens of its former run.
 """
 
 from __future__ import annotations
@@ -32,12 +33,14 @@
 class _Statement(NamedTuple):
     """Granters that a host named in its last request for tokens.
 
-    ``is_first`` tells that its run has named no others.
+    ``is_first`` tells that its run has named no others, ``was_leased`` that it
+    has got tokens from a run of this one.
     """
 
     heard_ms: float
     granters: tuple[str, ...]
     is_first: bool
+    was_leased: bool
 
 
 class Role:
@@ -84,16 +87,18 @@
         granters: Collection[str],
         now_ms: float,
         had_others: bool = True,
+        was_leased: bool = True,
     ) -> None:
         """Record which granters a host names.
 
         :param had_others: whether its run has named others before.
+        :param was_leased: whether its run has got tokens from this host.
         """
         # With another number of them, it leaves this host another part.
         is_agreed = len(granters) == len(self._view.granters)
         if is_agreed and self._name in granters:
             self._statements[host] = _Statement(
-                now_ms, tuple(granters), not had_others
+                now_ms, tuple(granters), not had_others, was_leased
             )
         else:
             self._statements.pop(host, None)
@@ -140,12 +145,12 @@
         """Return whether only a former run of this host can have granted.
 
         No run of a member has named other granters, so none has tokens of
-        another one, and the last lease of the former run has ended. Later
-        than a hold after the start, what was said may be out of date.
+        another one, and the last lease of the former run has ended, or ended
+        with all hosts that had one. Later than a hold after the start, what
+        was said may be out of date.
         """
         age_ms = now_ms - self._started_ms
-        is_early = timing.LEASE_MS <= age_ms <= timing.HOLD_MS
-        if not is_early or self._had_others or not self._others:
+        if age_ms > timing.HOLD_MS or self._had_others or not self._others:
             return False
         oldest_ms = now_ms - timing.EVIDENCE_MS
         statements = [self._statements.get(name) for name in self._others]
@@ -154,6 +159,7 @@
             and statement.is_first
             and statement.granters == self._view.granters
             and statement.heard_ms > oldest_ms
+            and (age_ms >= timing.LEASE_MS or not statement.was_leased)
             for statement in statements
         )
 
--- a/packages/quotas/src/balsamloom_quotas/granter.py
+++ b/packages/quotas/src/balsamloom_quotas/granter.py
@@ -88,7 +88,11 @@
             return messages.INACTIVE
         self._take_back_lost(request, now_ms)
         self.role.record_granters(
-            request.host, request.granters, now_ms, request.had_others
+            request.host,
+            request.granters,
+            now_ms,
+            request.had_others,
+            request.was_leased,
         )
         self.refresh(now_ms)
         answer = messages.INACTIVE
--- a/packages/quotas/src/balsamloom_quotas/messages.py
+++ b/packages/quotas/src/balsamloom_quotas/messages.py
@@ -44,8 +44,10 @@
     each request of a run to a granter. ``applied`` is that of the last one
     whose answer the host applied; answers to others are lost. ``granters`` are
     those by the members that the host knows; ``had_others`` tells whether this
-    run has named others before. ``rates`` are the demand of the workspaces for
-    which a granter last told a share; earlier builds send none.
+    run has named others before, ``was_leased`` whether it has got tokens from
+    this granter; what earlier builds do not tell counts as true. ``rates`` are
+    the demand of the workspaces for which a granter last told a share; earlier
+    builds send none.
     """
 
     host: str
@@ -56,6 +58,7 @@
     entries: tuple[Entry, ...]
     had_others: bool = True
     rates: Mapping[str, programs.Rates] = types.MappingProxyType({})
+    was_leased: bool = True
 
 
 class Answer(NamedTuple):
@@ -91,6 +94,7 @@
             [*entry[:4], int(entry.is_urgent)] for entry in request.entries
         ],
         "had_others": request.had_others,
+        "was_leased": request.was_leased,
         "rates": {name: list(rates) for name, rates in request.rates.items()},
     }
 
@@ -114,6 +118,7 @@
                 _name(name): _decode_rates(rates)
                 for name, rates in body.get("rates", {}).items()
             },
+            body.get("was_leased") is not False,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise InvalidMessageError(f"quota request: {error!r}") from error
--- a/packages/quotas/src/balsamloom_quotas/service.py
+++ b/packages/quotas/src/balsamloom_quotas/service.py
@@ -90,8 +90,9 @@
         # Until when the granter is left out, and by callers' requests only.
         self.failed_until_ms = -math.inf
         self.late_until_ms = -math.inf
-        # Whether it granted when it last answered.
+        # Whether it granted when it last answered, and whether it ever did.
         self.is_active = True
+        self.was_leased = False
 
     @property
     def paused_until_ms(self) -> float:
@@ -354,6 +355,7 @@
         now_ms = self._clock.now_ms()
         link.round_ms = sent_ms
         link.is_active = answer.is_active
+        link.was_leased |= bool(answer.granted)
         link.failed_until_ms = link.late_until_ms = -math.inf
         if not answer.is_active:
             link.late_until_ms = now_ms + LATE_PAUSE_MS
@@ -408,6 +410,7 @@
             entries,
             self._had_others,
             rates,
+            link.was_leased,
         )
 
     def _call(
--- a/packages/quotas/tests/test_busy_hosts.py
+++ b/packages/quotas/tests/test_busy_hosts.py
@@ -73,6 +73,37 @@
                 self.assertGreaterEqual(served, 0.95)
                 self.assertLessEqual(played.excess("large"), 0)
 
+    def restart(self, played, names, pause_ms=0.0):
+        for name in names:
+            played.hosts[name].is_up = False
+        played.run(pause_ms)
+        for name in names:
+            played.hosts[name].start()
+
+    def test_hosts_that_all_lost_power_serve_as_soon_as_all_have_asked(self):
+        # All limited workspaces got 429 for 2.3 s after the hosts were back:
+        # granters waited for leases of which no holder lived (issue 73).
+        for pause_ms in (0.0, 1_000.0):
+            played = self.calm()
+            played.spread("large", LARGE.rate_per_s / 1.6, HOSTS)
+            played.run(2_000.0)
+            self.restart(played, HOSTS, pause_ms)
+            played.run(1_250.0)
+            served = self.served(played, "large", 1_000.0)
+            self.assertGreaterEqual(served, 0.9)
+            self.assertLessEqual(played.excess("large"), 0)
+
+    def test_granters_wait_for_leases_of_a_host_that_lives(self):
+        played = self.calm()
+        played.spread("large", LARGE.rate_per_s / 1.6, HOSTS)
+        played.run(2_000.0)
+        self.restart(played, HOSTS[:-1])
+        played.run(timing.LEASE_MS - 250.0)
+        granters = [played.hosts[name].quotas for name in HOSTS[:3]]
+        self.assertFalse(any(one.states()["is_granter"] for one in granters))
+        played.run(1_500.0)
+        self.assertTrue(all(one.states()["is_granter"] for one in granters))
+
     def test_a_small_workspace_is_served_soon_after_a_burst(self):
         played = self.calm()
         played.spread("small", 7.0 * SMALL.rate_per_s / 1.6, HOSTS)
--- a/packages/quotas/tests/test_messages.py
+++ b/packages/quotas/tests/test_messages.py
@@ -27,6 +27,7 @@
     strategies.lists(NAMES).map(tuple),
     strategies.lists(ENTRIES).map(tuple),
     rates=strategies.dictionaries(NAMES, RATES),
+    was_leased=strategies.booleans(),
 )
 ANSWERS = strategies.builds(
     messages.Answer,
