gateway: a crash that was cleared stays so if its record is written late

The record of a crash then came back after the deletion that an answer to the request had brought, and a sound request counted crashes again for ten minutes. A process that has cleared a crash deletes its record once more. A run of a server crashes once, so the record can be no other crash; a report of this process or a member counts.

The new test of test_crashes fails before.

--- a/packages/gateway/src/balsamloom_gateway/crash_ledger.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_ledger.py
@@ -90,6 +90,9 @@
         self._served_requests: collections.OrderedDict[RequestKey, None] = (
             collections.OrderedDict()
         )
+        # Crashes that an answer has cleared, by request and run of a server.
+        self._cleared: collections.OrderedDict[tuple[RequestKey, str], None]
+        self._cleared = collections.OrderedDict()
 
     def add(self, crash: Crash) -> bool:
         """Add a crash; return whether it was unknown."""
@@ -98,6 +101,7 @@
             crashes = self._crashes.setdefault(crash.key.target_id, {})
             is_new = entry not in crashes
             crashes[entry] = crash.wall_ms
+            self._cleared.pop((crash.key, crash.server_run), None)
             return is_new
 
     def remove(self, key: RequestKey, server_run: str) -> None:
@@ -126,7 +130,18 @@
         with self._lock:
             _remember(self._served, key.target_id)
             _remember(self._served_requests, key)
-            return self._of_body(key)
+            cleared = self._of_body(key)
+            for crash in cleared:
+                _remember(self._cleared, (key, crash.server_run))
+            return cleared
+
+    def is_cleared(self, crash: Crash) -> bool:
+        """Return whether an answer has cleared a crash before.
+
+        A run of a server crashes once, so its record is an old one.
+        """
+        with self._lock:
+            return (crash.key, crash.server_run) in self._cleared
 
     def must_share(self, target_id: str) -> bool:
         """Return whether only this process knows that a target is served."""
--- a/packages/gateway/src/balsamloom_gateway/crash_reports.py
+++ b/packages/gateway/src/balsamloom_gateway/crash_reports.py
@@ -207,7 +207,12 @@
                 reason=repr(error),
             )
             return
-        self.add([crash_ledger.Crash(key, kind.server_run, wall_ms)])
+        crash = crash_ledger.Crash(key, kind.server_run, wall_ms)
+        if self._ledger.is_cleared(crash):
+            # The store executed a write after the deletion that followed it.
+            self._remove([crash])
+        else:
+            self.add([crash])
 
     def _share_target(self, target_id: str) -> None:
         """Tell the others that a target's requests are served here."""
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -172,6 +172,23 @@
         self.assertIsNone(first.blocked_ms(key()))
         self.assertIsNone(self.started_process().blocked_ms(key()))
 
+    def test_write_that_arrives_after_the_answer_does_not_count(self):
+        # The store may execute a call that got no answer seconds later.
+        reports = self.process()
+        self.report(reports)
+        late = list(self.store.items.values())
+        reports.record_served(key())
+        reports.write_pending()
+        for item in late:
+            self.store.items[item.key] = item
+        reports.apply(late)
+        reports.write_pending()
+        self.assertEqual(self.crashes_in_store(), [])
+        self.assertIsNone(self.started_process().blocked_ms(key()))
+
+    def crashes_in_store(self):
+        return [one for one in self.crash_keys() if one in self.store.items]
+
     def test_request_that_was_served_before_may_prove_itself(self):
         # Three servers crashed within a second under another request. Those
         # that waited there with the same body as all others of their target
