--- a/review/lib3/rig.py
+++ b/review/lib3/rig.py
@@ -145,7 +145,7 @@
             )
 
     def kill(self) -> None:
-        """End the process as a crash does."""
+        """End the process as a crash does, unless it has ended."""
         assert self.process is not None
         self.process.kill()
         self.process.wait()
