--- a/review/lib3/rig.py
+++ b/review/lib3/rig.py
@@ -212,13 +212,14 @@
         storages: int = 3,
         edge_mb: int = 150,
         storage_mb: int = 170,
+        store_class: type[store.StoreStandin] = store.StoreStandin,
     ) -> None:
         self._started_s = time.monotonic()
         self._record = (folder / "record.txt").open("w")
         self._lock = threading.Lock()
         self._directory = tempfile.TemporaryDirectory(prefix="review-")
         self.path = pathlib.Path(self._directory.name)
-        self.store = store.StoreStandin()
+        self.store = store_class()
         self.server_log = servers.ServerLog()
         self.servers: list[servers.ServerStandin] = []
         self._sequence = 0
