--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "$0")/../lib3/run.sh" "$(dirname "$0")"
--- a/review/lib3/links.py
+++ b/review/lib3/links.py
@@ -34,6 +34,8 @@
     def __init__(self, pids: Callable[[], dict[str, int]]) -> None:
         self.pids = pids
         self.cut: set[str] = set()
+        # Machines that nobody reaches.
+        self.isolated: set[str] = set()
         self._lock = threading.Lock()
         self._links: dict[str, tuple[socket.socket, str]] = {}
         self._open: list[tuple[str, str, socket.socket, socket.socket]] = []
@@ -50,10 +52,16 @@
             host, port = self._links[name][0].getsockname()
             return f"{host}:{port}"
 
-    def set_cut(self, names: set[str]) -> None:
-        """Cut machines off from the other storage machines, with resets."""
+    def set_cut(
+        self, names: set[str], isolated: frozenset[str] = frozenset()
+    ) -> None:
+        """Cut machines off from the other storage machines, with resets.
+
+        :param isolated: those that are cut off from all machines.
+        """
         with self._lock:
             self.cut = names
+            self.isolated = set(isolated)
             broken = [one for one in self._open if self._is_cut(*one[:2])]
         for _, _, client, server in broken:
             for sock in (client, server):
@@ -68,6 +76,8 @@
             listener.close()
 
     def _is_cut(self, source: str, target: str) -> bool:
+        if target in self.isolated or source in self.isolated:
+            return True
         if not source or source == target:
             return False
         return source in self.cut or target in self.cut
