--- a/review/lib3/rig.py
+++ b/review/lib3/rig.py
@@ -213,9 +213,11 @@
         edge_mb: int = 150,
         storage_mb: int = 170,
         store_class: type[store.StoreStandin] = store.StoreStandin,
+        appends: bool = False,
     ) -> None:
         self._started_s = time.monotonic()
-        self._record = (folder / "record.txt").open("w")
+        mode = "a" if appends else "w"
+        self._record = (folder / "record.txt").open(mode)
         self._lock = threading.Lock()
         self._directory = tempfile.TemporaryDirectory(prefix="review-")
         self.path = pathlib.Path(self._directory.name)
