--- a/packages/conversations/src/balsamloom_conversations/database.py
+++ b/packages/conversations/src/balsamloom_conversations/database.py
@@ -11,11 +11,16 @@
 import pathlib
 import sqlite3
 import threading
-import uuid
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any, NamedTuple
 
-from balsamloom_conversations import turns, usage_entries, usage_table
+from balsamloom_conversations import (
+    completeness,
+    facts_table,
+    turns,
+    usage_entries,
+    usage_table,
+)
 from balsamloom_core import clock as clocks
 
 FILE_NAME = "turns.db"
@@ -55,7 +60,7 @@
     "CREATE TABLE IF NOT EXISTS groups ("
     "group_id TEXT PRIMARY KEY, expires_ms REAL NOT NULL)",
     "CREATE INDEX IF NOT EXISTS groups_by_expiry ON groups (expires_ms)",
-    "CREATE TABLE IF NOT EXISTS facts (name TEXT PRIMARY KEY, value TEXT)",
+    *facts_table.SCHEMA,
     *usage_table.SCHEMA,
 )
 _SELECT_TURNS = (
@@ -81,6 +86,8 @@
     :param directory: directory on the host's disk.
     :param clock: time source.
     :param disk_bytes: size of the disk; ``None`` if unknown.
+    :param is_first_start: whether the host has never acknowledged a record;
+        a new disk of another host lacks what it acknowledged before.
     :raises DatabaseError: the database cannot be opened.
     """
 
@@ -89,6 +96,7 @@
         directory: pathlib.Path,
         clock: clocks.Clock,
         disk_bytes: int | None = None,
+        is_first_start: bool = False,
     ) -> None:
         self._clock = clock
         self._lock = threading.Lock()
@@ -103,8 +111,12 @@
             if disk_bytes is not None:
                 pages = int(disk_bytes * MAX_DISK_SHARE) // PAGE_BYTES
                 self._connection.execute(f"PRAGMA max_page_count = {pages}")
-            self.disk_id, self.is_new = self._load_disk_id()
-            self._started_ms = clock.now_ms() - float(self._fact("age_ms"))
+            self.disk_id = facts_table.load_disk_id(
+                self._connection, is_first_start
+            )
+            self._claim = facts_table.read_claim(self._connection)
+            age_ms = facts_table.read_age(self._connection)
+            self._started_ms = clock.now_ms() - age_ms
         except sqlite3.Error as error:
             raise DatabaseError(str(error)) from error
 
@@ -154,32 +166,32 @@
             except sqlite3.Error as error:
                 raise DatabaseError(str(error)) from error
 
-    def replaced_hosts(self) -> frozenset[str]:
-        """Return the hosts that are gone and whose entries are here.
+    @property
+    def claim(self) -> completeness.Claim:
+        """Return what this host says of its disk, as stored on it."""
+        return self._claim
 
-        :raises DatabaseError: the database cannot be read.
-        """
-        rows = self._query(
-            "SELECT value FROM facts WHERE name = 'replaced_hosts'", ()
-        )
-        return frozenset(json.loads(rows[0][0]) if rows else ())
+    def set_claim(self, claim: completeness.Claim) -> bool:
+        """Store what this host says of its disk from now on.
 
-    def set_replaced_hosts(self, names: Iterable[str]) -> None:
-        """Store the hosts that :meth:`replaced_hosts` returns.
+        What it says no more is taken back at once, and what it says in
+        addition counts once it is on the disk.
 
+        :return: whether the claim is stored; not if records of this disk were
+            lost since the ``losses`` of the claim.
         :raises DatabaseError: nothing was stored.
         """
-        value = json.dumps(sorted(names))
         with self._lock:
+            if claim.losses != self._claim.losses:
+                return False
+            self._claim = self._claim.common(claim)
             self._commit(
-                lambda: self._connection.execute(
-                    "INSERT OR REPLACE INTO facts VALUES"
-                    " ('replaced_hosts', ?)",
-                    (value,),
-                ),
-                "set replaced hosts",
+                lambda: facts_table.write_claim(self._connection, claim),
+                "set claim",
                 self.age_ms(),
             )
+            self._claim = claim
+        return True
 
     def chain(self, turn_id: str) -> turns.HostLookup:
         """Return a turn and all previous turns that are stored here.
@@ -328,20 +340,25 @@
     def delete_damaged(self) -> list[str]:
         """Delete turns found damaged by reads; return their identifiers.
 
+        The same commit takes back what the host says of its disk.
+
         :raises DatabaseError: nothing was deleted.
         """
         with self._lock:
             found = sorted(self._damaged)
             if not found:
                 return []
-            self._commit(
-                lambda: self._connection.executemany(
+            claim = self._claim.after_loss()
+
+            def delete() -> None:
+                self._connection.executemany(
                     "DELETE FROM turns WHERE turn_id = ?",
                     [(turn_id,) for turn_id in found],
-                ),
-                "delete damaged turns",
-                self.age_ms(),
-            )
+                )
+                facts_table.write_claim(self._connection, claim)
+
+            self._claim = claim
+            self._commit(delete, "delete damaged turns", self.age_ms())
             self._damaged.clear()
         return found
 
@@ -350,26 +367,6 @@
         with self._lock:
             self._connection.close()
 
-    def _load_disk_id(self) -> tuple[str, bool]:
-        """Return the disk's identifier and whether it was created now."""
-        execute = self._connection.execute
-        found = execute("SELECT value FROM facts WHERE name = 'disk_id'")
-        row = found.fetchone()
-        if row is not None:
-            return str(row[0]), False
-        disk_id = uuid.uuid4().hex
-        with self._connection:
-            execute("BEGIN")
-            execute("INSERT INTO facts VALUES ('disk_id', ?)", (disk_id,))
-            execute("INSERT INTO facts VALUES ('age_ms', '0')")
-        return disk_id, True
-
-    def _fact(self, name: str) -> str:
-        found = self._connection.execute(
-            "SELECT value FROM facts WHERE name = ?", (name,)
-        )
-        return str(found.fetchone()[0])
-
     def _insert(self, new_records: list[Record], age_ms: float) -> None:
         for record in new_records:
             match record:
@@ -404,10 +401,7 @@
         try:
             execute("BEGIN")
             change()
-            execute(
-                "UPDATE facts SET value = ? WHERE name = 'age_ms'",
-                (str(age_ms),),
-            )
+            facts_table.write_age(self._connection, age_ms)
             execute("COMMIT")
         except sqlite3.Error as error:
             self._roll_back()
--- a/packages/conversations/tests/test_database.py
+++ b/packages/conversations/tests/test_database.py
@@ -12,7 +12,13 @@
 import builders
 from click import testing
 
-from balsamloom_conversations import check, database, group_commit, turns
+from balsamloom_conversations import (
+    check,
+    completeness,
+    database,
+    group_commit,
+    turns,
+)
 
 WAL_FILE = database.FILE_NAME + "-wal"
 
@@ -26,9 +32,9 @@
         self.path = pathlib.Path(directory.name)
         self.clock = builders.manual_clock()
 
-    def open(self, path=None, disk_bytes=None):
+    def open(self, path=None, disk_bytes=None, is_first_start=False):
         store = database.TurnDatabase(
-            path or self.path, self.clock, disk_bytes
+            path or self.path, self.clock, disk_bytes, is_first_start
         )
         self.addCleanup(store.close)
         return store
@@ -163,15 +169,47 @@
 
     def test_empty_disk_gets_a_new_identifier(self):
         first = self.open()
-        self.assertTrue(first.is_new)
         copied = self.copy("same")
         again = self.open(copied)
-        self.assertFalse(again.is_new)
         self.assertEqual(again.disk_id, first.disk_id)
         empty = self.path / "empty"
         empty.mkdir()
         self.assertNotEqual(self.open(empty).disk_id, first.disk_id)
 
+    def test_claim_is_that_of_the_disk_at_each_start(self):
+        # An emptied disk said at its second start that it lacks nothing.
+        for is_first_start in (True, False):
+            with self.subTest(is_first_start):
+                directory = self.path / str(is_first_start)
+                directory.mkdir()
+                for later in (False, True):
+                    store = self.open(
+                        directory, is_first_start=is_first_start and not later
+                    )
+                    self.assertEqual(store.claim.has_turns, is_first_start)
+                    self.assertEqual(store.claim.has_usage, is_first_start)
+                    store.close()
+
+    def test_claim_is_taken_back_with_the_deletion_of_damaged_turns(self):
+        # A restart before the next round brought the claim back.
+        store = self.open(is_first_start=True)
+        claim = store.claim._replace(replaced_hosts=frozenset("d"))
+        self.assertTrue(store.set_claim(claim))
+        store.add([builders.turn()])
+        store._connection.execute("UPDATE turns SET output = x'00'")
+        store.chain("t1")
+        store.delete_damaged()
+        for found in (store, self.open(self.copy("after"))):
+            self.assertEqual(found.claim, completeness.NOTHING.after_loss())
+        # A round that began before the loss has no say.
+        self.assertFalse(store.set_claim(claim))
+
+    def test_disk_of_an_earlier_release_claims_nothing(self):
+        store = self.open(is_first_start=True)
+        store._connection.execute("DELETE FROM facts WHERE name = 'claim'")
+        again = self.open(self.copy("later"))
+        self.assertEqual(again.claim, completeness.NOTHING)
+
 
 class ExpiryTest(DatabaseCase):
     """Guards against turns that expire early or never."""
--- a/packages/core/src/balsamloom_core/events.py
+++ b/packages/core/src/balsamloom_core/events.py
@@ -109,6 +109,7 @@
     USAGE_READ_INCOMPLETE = 7043
     RECORDS_READ = 7044
     LEDGER_STATISTICS = 7045
+    CLAIM_CHANGED = 7046
     SERVER_PATHS_CHANGED = 7050
     REQUEST_HANDED_OVER = 7051
     HANDOVER_FAILED = 7052
@@ -250,6 +251,9 @@
         "Too few storage hosts said what was handed out of a budget."
     ),
     Event.RECORDS_READ: "Records were read from the store or a member.",
+    Event.CLAIM_CHANGED: (
+        "A storage host says something else of what its disk has."
+    ),
     Event.LEDGER_STATISTICS: "What a budget holder did within an interval.",
     Event.SERVER_PATHS_CHANGED: (
         "A process lost its paths to all backend servers, or has one again."
--- a/packages/gateway/src/balsamloom_gateway/metrics.py
+++ b/packages/gateway/src/balsamloom_gateway/metrics.py
@@ -123,7 +123,7 @@
             "turns": counts.turns,
             "groups": counts.groups,
             "bytes": counts.size_bytes,
-            "is_whole": int(self._copies.is_whole),
+            "is_whole": int(self._store.claim.has_turns),
             "other_hosts_up": len(self._copies.other_active_hosts()),
             "fetched_turns": self._copies.fetched_turns,
             "missing_bytes": self._copies.missing_bytes(),
--- a/packages/gateway/src/balsamloom_gateway/replica_repair.py
+++ b/packages/gateway/src/balsamloom_gateway/replica_repair.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Sequence
 
 from balsamloom_conversations import (
+    completeness,
     database,
     group_commit,
     messages,
@@ -75,8 +76,9 @@
     :param clients: calls to other processes.
     :param clock: time source.
     :param copies: number of hosts that must store a turn.
-    :param is_whole: whether this host has all turns that it should have;
-        named after the metric.
+    :param knows_hosts: returns whether ``hosts`` shows all that were
+        registered at a time.
+    :param longest_retention_ms: returns how long a record is kept at most.
     """
 
     def __init__(
@@ -88,7 +90,8 @@
         clients: peers.PeerClients,
         clock: clocks.Clock,
         copies: int,
-        is_whole: bool,
+        knows_hosts: Callable[[float], bool],
+        longest_retention_ms: Callable[[], float],
     ) -> None:
         self._own = own
         self._hosts = hosts
@@ -100,15 +103,15 @@
         self._copies = copies
         self._lock = threading.Lock()
         self._sources: dict[str, _Source] = {}
+        self._knows_hosts = knows_hosts
+        self._longest_retention_ms = longest_retention_ms
         self._active_hosts: list[str] = []
-        self._damage_lock = threading.Lock()
-        # How often turns were found damaged, and at the latest round.
-        self._damage_count = 0
-        self._compared_damage_count = 0
-        self.is_whole = is_whole
-        self._stored_replacements = store.replaced_hosts()
+        # Losses of records on this disk that the latest round knew of, and
+        # the time at which it learnt of the last of them.
+        self._known_losses = store.claim.losses
+        self._lost_ms = clock.now_ms()
         self.replacements = usage_replacements.UsageReplacements(
-            is_whole, self._stored_replacements
+            store.claim.replaced_hosts
         )
         self.is_leaving = False
         # Whether this host, which is leaving, stores no new turns.
@@ -158,22 +161,15 @@
             host for host in self._other_hosts() if self._is_active(host.name)
         ]
 
-    def handle_damage(self) -> None:
-        """Have the next round compare all turns after damage here.
-
-        A round in progress may have passed the turns that were damaged.
-        """
-        with self._damage_lock:
-            self._damage_count += 1
-            self.is_whole = False
-            self.replacements.handle_damage()
-
     def _run_round(self) -> bool:
-        damage_count = self._damage_count
-        if damage_count != self._compared_damage_count:
-            self._compared_damage_count = damage_count
+        claim = self._store.claim
+        if claim.losses != self._known_losses:
+            self._known_losses = claim.losses
+            self._lost_ms = self._clock.now_ms()
             for source in self._sources.values():
                 source.restart()
+        # Asked before the hosts are, as records may lie on the others.
+        has_all_hosts = self._knows_hosts(self._lost_ms)
         others = self._other_hosts()
         known = {host.name for host in others}
         for name in set(self._sources) - known:
@@ -188,18 +184,21 @@
             # The placement of turns changed, so all are examined again.
             for host in others:
                 is_complete &= self._try_fetch_from(host)
-        with self._damage_lock:
-            is_undamaged = damage_count == self._damage_count
-            if is_complete and others and is_undamaged:
-                self.is_whole = True
-            if is_undamaged:
-                self._update_replacements(others)
+        found = self._judge(claim, others, bool(is_complete and others))
+        self._store_claim(found if has_all_hosts else claim.common(found))
         return is_complete
 
-    def _update_replacements(
-        self, others: Sequence[replicas.StorageHost]
-    ) -> None:
-        """Tell of which hosts all usage entries are here."""
+    def _judge(
+        self,
+        claim: completeness.Claim,
+        others: Sequence[replicas.StorageHost],
+        has_turns: bool,
+    ) -> completeness.Claim:
+        """Return what the round has shown of this host's disk.
+
+        :param claim: what this host said when the round began.
+        """
+        is_old = self._store.age_ms() > self._longest_retention_ms()
         sources = {host.name: self._source(host) for host in others}
         failed = [
             name
@@ -210,22 +209,33 @@
         down = [name for name in failed if not sources[name].is_up]
         if len(down) == len(failed):
             self.replacements.update(read, down)
-        if read:
-            self.replacements.record_round(failed)
-        self._store_replacements()
-
-    def _store_replacements(self) -> None:
-        """Store the replaced hosts, which a restart would not find again."""
-        replaced = frozenset(self.replacements.hosts())
-        if replaced == self._stored_replacements:
+        has_usage = bool(read) and self.replacements.includes(failed)
+        return claim._replace(
+            has_turns=claim.has_turns or has_turns or is_old,
+            has_usage=claim.has_usage or has_usage or is_old,
+            replaced_hosts=frozenset(self.replacements.hosts()),
+        )
+
+    def _store_claim(self, claim: completeness.Claim) -> None:
+        before = self._store.claim
+        if claim == before:
             return
         try:
-            self._store.set_replaced_hosts(replaced)
-            self._stored_replacements = replaced
+            is_stored = self._store.set_claim(claim)
         except database.DatabaseError as error:
             events.log(
                 events.Event.DISK_FAILED, logging.WARNING, reason=str(error)
             )
+            return
+        if is_stored:
+            events.log(
+                events.Event.CLAIM_CHANGED,
+                host=self._own.name,
+                disk_id=self._own.disk_id,
+                has_turns=claim.has_turns,
+                has_usage=claim.has_usage,
+                replaced_hosts=sorted(claim.replaced_hosts),
+            )
 
     def _try_fetch_from(self, host: replicas.StorageHost) -> bool:
         source = self._source(host)
--- a/packages/gateway/src/balsamloom_gateway/storage_process.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_process.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import logging
+import math
 import pathlib
 import threading
 from typing import NamedTuple
 
-from balsamloom_conversations import database, group_commit, replicas
+from balsamloom_conversations import (
+    database,
+    group_commit,
+    replicas,
+    usage_entries,
+)
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
 from balsamloom_gateway import (
@@ -78,7 +84,10 @@
         self._clock = clock
         self._stopped = threading.Event()
         self._database = database.TurnDatabase(
-            settings.directory, clock, settings.disk_bytes
+            settings.directory,
+            clock,
+            settings.disk_bytes,
+            settings.is_first_start,
         )
         self.host = replicas.StorageHost(
             settings.name,
@@ -97,7 +106,8 @@
             clients,
             clock,
             settings.copies,
-            is_whole=settings.is_first_start or not self._database.is_new,
+            self._knows_hosts,
+            self._longest_retention_ms,
         )
         self._registration = storage_registration.StorageRegistration(
             self.host,
@@ -178,7 +188,8 @@
             member=self.host.name,
             disk_id=self.host.disk_id,
             turns=self._database.counts().turns,
-            is_whole=self._repair.is_whole,
+            is_whole=self._database.claim.has_turns,
+            has_usage=self._database.claim.has_usage,
         )
 
     def leave(self) -> None:
@@ -196,6 +207,21 @@
         self._database.close()
         events.log(events.Event.PROCESS_STOPPED, member=self.host.name)
 
+    def _knows_hosts(self, since_ms: float) -> bool:
+        """Return whether all hosts that were registered then are known."""
+        return self._follower.await_records(since_ms, until_ms=since_ms)
+
+    def _longest_retention_ms(self) -> float:
+        """Return how long turns and usage entries are kept at most."""
+        in_force = self._fleet.active_configuration
+        if in_force is None:
+            return math.inf
+        routes = in_force.configuration.routes
+        return database.RETENTION_MARGIN_MS + max(
+            usage_entries.RETENTION_MS,
+            *(route.retention_ms for route in routes),
+        )
+
     def _run_repair(self) -> None:
         while not self._stopped.is_set():
             pause_ms = REPAIR_RETRY_INTERVAL_MS
@@ -221,7 +247,6 @@
         if expired:
             events.log(events.Event.TURNS_EXPIRED, turns=expired)
         if damaged:
-            self._repair.handle_damage()
             events.log(
                 events.Event.TURNS_DAMAGED,
                 logging.ERROR,
--- a/packages/gateway/src/balsamloom_gateway/storage_service.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_service.py
@@ -98,13 +98,12 @@
 
     def _read_usage(self, body: bytes) -> bytes:
         # Entries that are fetched meanwhile may miss in what is read.
-        replaced = self._repair.replacements.hosts()
-        has_all = self._repair.replacements.is_complete
+        claim = self._database.claim
         usage = self._database.usage(_one_name(body))
         return messages.encode_usage(
             usage._replace(
-                is_complete=usage.is_complete and has_all,
-                replaced_hosts=replaced,
+                is_complete=usage.is_complete and claim.has_usage,
+                replaced_hosts=tuple(sorted(claim.replaced_hosts)),
             )
         )
 
@@ -120,7 +119,10 @@
 
     def _read_chain(self, body: bytes) -> bytes:
         found = self._database.chain(_one_name(body))
-        if isinstance(found, turns.Absent) and not self._repair.is_whole:
+        # Damaged turns and the claim vanish in one step, so a claim that is
+        # read after the chain covers it.
+        has_turns = self._database.claim.has_turns
+        if isinstance(found, turns.Absent) and not has_turns:
             found = turns.Unsure("missing replicas are being fetched")
         return messages.encode_lookup(found)
 
--- a/packages/gateway/src/balsamloom_gateway/usage_replacements.py
+++ b/packages/gateway/src/balsamloom_gateway/usage_replacements.py
@@ -10,36 +10,23 @@
 
 
 class UsageReplacements:
-    """Knows whether this host has the usage entries of all other hosts.
+    """Knows of which hosts that are gone this host has all usage entries.
 
     An entry lies on several hosts. What a host stored is here once all the
     others have been read after it went. Of two hosts that went at the same
     time, nobody may have a copy.
 
-    :param is_complete: whether this host stored all entries that it should.
     :param replaced: hosts that an earlier process of this host replaced.
     """
 
-    def __init__(
-        self, is_complete: bool, replaced: frozenset[str] = frozenset()
-    ) -> None:
+    def __init__(self, replaced: frozenset[str] = frozenset()) -> None:
         self._lock = threading.Lock()
         self._replaced = replaced
-        self._is_complete = is_complete
-
-    @property
-    def is_complete(self) -> bool:
-        """Return whether this host lacks no entry that it should have."""
-        return self._is_complete
 
     def hosts(self) -> tuple[str, ...]:
         """Return the names of the hosts that are gone and replaced."""
         return tuple(sorted(self._replaced))
 
-    def handle_damage(self) -> None:
-        """Handle entries that may be missing after damage here."""
-        self._is_complete = False
-
     def merge(self, replaced: Collection[str]) -> None:
         """Add what a host, all entries of which were fetched, replaces."""
         with self._lock:
@@ -57,7 +44,6 @@
             if len(unknown) == 1:
                 self._replaced |= unknown
 
-    def record_round(self, failed: Collection[str]) -> None:
-        """Record a round; it is complete if only replaced hosts failed."""
-        if frozenset(failed) <= self._replaced:
-            self._is_complete = True
+    def includes(self, names: Collection[str]) -> bool:
+        """Return whether all of some hosts are replaced."""
+        return frozenset(names) <= self._replaced
--- a/packages/gateway/tests/storage_nodes.py
+++ b/packages/gateway/tests/storage_nodes.py
@@ -27,6 +27,7 @@
 
 LIMITS = listeners.Limits(16, 16_384, 4_000_000, 2_000.0, 10_000.0)
 COPIES = 2
+LONGEST_RETENTION_MS = 600_000.0
 # Longest time for which a test holds an answer back.
 HOLD_TIMEOUT_S = 5.0
 
@@ -49,12 +50,14 @@
         """Start the host's process without changing its disk."""
         clock = clocks.Clock()
         path = pathlib.Path(self._directory.name)
-        self.database = database.TurnDatabase(path, clock)
+        self.database = database.TurnDatabase(
+            path, clock, is_first_start=is_first_start
+        )
         self.host = replicas.StorageHost(
             self.name, "", self.name[0], self.database.disk_id
         )
         self.commits = group_commit.GroupCommit(self.database.add, clock)
-        self.clients = self._cluster.clients()
+        self.clients = self._cluster.clients(self.name)
         self.copies = replica_repair.ReplicaRepair(
             self.host,
             self._cluster.hosts,
@@ -63,7 +66,8 @@
             self.clients,
             clock,
             COPIES,
-            is_whole=is_first_start or not self.database.is_new,
+            lambda since_ms: self._cluster.are_hosts_known,
+            lambda: LONGEST_RETENTION_MS,
         )
         self.service = storage_service.StorageService(
             self.database,
@@ -115,10 +119,12 @@
     """Clients that call storage hosts directly, without a network.
 
     :param cluster: hosts, whose addresses are their names.
+    :param caller: name of the calling host; empty for an edge process.
     """
 
-    def __init__(self, cluster: StorageCluster) -> None:
+    def __init__(self, cluster: StorageCluster, caller: str = "") -> None:
         self._cluster = cluster
+        self._caller = caller
 
     def post(
         self, address: str, path: str, body: bytes, timeout_ms: float
@@ -128,7 +134,8 @@
         :raises PeerUnavailableError: the host is down or refused the call.
         """
         node = self._cluster.node(address)
-        if not node.is_up:
+        is_cut = frozenset((self._caller, address)) in self._cluster.cuts
+        if is_cut or not node.is_up:
             raise peers.PeerUnavailableError(f"{address} is down")
         handler = node.service.handlers.get(path)
         if handler is None:
@@ -285,15 +292,19 @@
 
     def __init__(self, names: str, is_networked: bool = False) -> None:
         self.is_networked = is_networked
+        # Whether the hosts know all others that are registered.
+        self.are_hosts_known = True
+        # Pairs of hosts that do not reach each other.
+        self.cuts: set[frozenset[str]] = set()
         self.nodes: list[StorageNode] = []
         for name in names.split():
             self.nodes.append(StorageNode(name, self))
 
-    def clients(self) -> peers.PeerClients | DirectClients:
-        """Return clients of the hosts."""
+    def clients(self, caller: str = "") -> peers.PeerClients | DirectClients:
+        """Return clients of the hosts for one of them or an edge process."""
         if self.is_networked:
             return peers.PeerClients(clocks.Clock())
-        return DirectClients(self)
+        return DirectClients(self, caller)
 
     def hosts(self) -> list[replicas.StorageHost]:
         """Return all registrations, including those of hosts that are down."""
@@ -303,12 +314,32 @@
         """Return a host by its name."""
         return next(node for node in self.nodes if node.name == name)
 
-    def add(self, name: str) -> None:
+    def add(self, name: str) -> StorageNode:
         """Add a host with an empty disk that begins late."""
         node = StorageNode(name, self)
-        node.wipe()
-        node.start()
         self.nodes.append(node)
+        self.wipe(name)
+        return node
+
+    def kill(self, *names: str) -> None:
+        """Stop hosts; their disks stay."""
+        for name in names:
+            self.node(name).stop()
+
+    def start(self, *names: str) -> None:
+        """Start hosts that are stopped."""
+        for name in names:
+            self.node(name).start()
+
+    def wipe(self, *names: str) -> None:
+        """Have hosts return with empty disks."""
+        for name in names:
+            self.node(name).wipe()
+            self.node(name).start()
+
+    def cut(self, name: str, other: str) -> None:
+        """Cut two hosts off from each other."""
+        self.cuts.add(frozenset((name, other)))
 
     def run_rounds(self, count: int = 1) -> None:
         """Run repair rounds on each host that is up."""
--- a/packages/gateway/tests/test_conversations.py
+++ b/packages/gateway/tests/test_conversations.py
@@ -292,9 +292,7 @@
         # Until its registration is removed, it may hold the last replica.
         gone = self.cluster.node("a1")
         gone.stop()
-        node = storage_nodes.StorageNode("d1", self.cluster)
-        node.copies.is_whole = False
-        self.cluster.nodes.append(node)
+        self.cluster.add("d1")
         self.cluster.run_rounds(3)
         found = self.read("t", reader=self.new_reader())
         self.assertIsInstance(found, turns.Unsure)
--- /dev/null
+++ b/packages/gateway/tests/test_host_claims.py
@@ -0,0 +1,105 @@
+"""Tests of what storage hosts say of their disks after losses."""
+
+import unittest
+
+import builders
+import cluster_case
+import storage_nodes
+
+from balsamloom_conversations import completeness, turns
+from balsamloom_gateway import storage_calls
+
+
+class ClaimCase(cluster_case.ClusterCase):
+    """Test case with storage hosts that lose disks, power and paths."""
+
+    def claim(self, name):
+        """Return what a host says of its disk."""
+        return self.cluster.node(name).database.claim
+
+    def read_after_loss(self, turn_id):
+        """Read a turn when hosts that did not answer count as lost."""
+        clock = builders.manual_clock()
+        reader = self.new_reader(clock)
+        for _ in range(2):
+            until_ms = cluster_case.deadline(clock=clock)
+            found = reader.read(turn_id, "g", until_ms)
+            clock.advance(storage_calls.LOST_HOST_TIMEOUT_MS)
+        return found
+
+
+class TurnClaimTest(ClaimCase):
+    """Guards against a 404 for a turn that a host out of reach has."""
+
+    def setUp(self):
+        super().setUp()
+        self.keep(storage_nodes.turn("t"))
+        self.wiped, self.away = self.cluster.holders(storage_nodes.turn("t"))
+
+    def test_host_that_lost_its_disk_lacks_turns_after_another_start(self):
+        # review/15: with its second start it said that it has all of them.
+        self.cluster.kill(self.away)
+        self.cluster.wipe(self.wiped)
+        for _ in range(3):
+            self.cluster.run_rounds(3)
+            self.assertIsInstance(self.read_after_loss("t"), turns.Unsure)
+            self.cluster.kill(self.wiped)
+            self.cluster.start(self.wiped)
+        self.cluster.start(self.away)
+        self.cluster.run_rounds(2)
+        self.assertIsInstance(self.read_after_loss("t"), turns.Chain)
+        self.assertEqual(self.read_after_loss("u"), turns.Absent())
+
+    def test_host_that_lost_turns_to_damage_lacks_them_after_a_start(self):
+        # The restart brought the claim back, without the turn.
+        self.cluster.kill(self.away)
+        store = self.cluster.node(self.wiped).database
+        store._connection.execute("UPDATE turns SET output = x'00'")
+        store.chain("t")
+        store.delete_damaged()
+        self.cluster.kill(self.wiped)
+        self.cluster.start(self.wiped)
+        self.cluster.run_rounds(3)
+        self.assertIsInstance(self.read_after_loss("t"), turns.Unsure)
+
+    def test_host_that_knows_no_others_yet_lacks_turns(self):
+        # Of the hosts that it did not know, one had the last copy.
+        self.cluster.are_hosts_known = False
+        away = self.cluster.node(self.away)
+        self.cluster.nodes.remove(away)
+        self.cluster.wipe(self.wiped)
+        self.cluster.run_rounds(3)
+        self.assertFalse(self.claim(self.wiped).has_turns)
+        self.cluster.nodes.append(away)
+        self.cluster.are_hosts_known = True
+        self.cluster.run_rounds()
+        self.assertTrue(self.claim(self.wiped).has_turns)
+
+    def test_disk_of_an_earlier_release_is_believed_after_one_round(self):
+        for name in (self.wiped, self.away):
+            store = self.cluster.node(name).database
+            store._connection.execute("DELETE FROM facts WHERE name = 'claim'")
+            self.cluster.kill(name)
+            self.cluster.start(name)
+        self.assertIsInstance(self.read_after_loss("u"), turns.Unsure)
+        self.assertIsInstance(self.read_after_loss("t"), turns.Chain)
+        self.cluster.run_rounds()
+        self.assertEqual(self.read_after_loss("u"), turns.Absent())
+
+    def test_disk_that_is_older_than_all_records_lacks_none(self):
+        # Otherwise a host beside one that left for good stayed incomplete.
+        self.cluster.kill(self.away)
+        self.cluster.wipe(self.wiped)
+        node = self.cluster.node(self.wiped)
+        self.cluster.run_rounds(3)
+        self.assertFalse(self.claim(self.wiped).has_turns)
+        node.database._started_ms -= storage_nodes.LONGEST_RETENTION_MS + 1.0
+        self.cluster.run_rounds()
+        expected = completeness.EVERYTHING._replace(
+            replaced_hosts=self.claim(self.wiped).replaced_hosts
+        )
+        self.assertEqual(self.claim(self.wiped), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -10,7 +10,7 @@
 import storage_nodes
 import stores
 
-from balsamloom_conversations import messages, turns
+from balsamloom_conversations import completeness, messages, turns
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import (
     evacuation,
@@ -36,9 +36,7 @@
         self.keep(*stored)
         for old, new in (("a1", "a2"), ("b1", "b2"), ("c1", "c2")):
             self.cluster.node(old).stop()
-            node = storage_nodes.StorageNode(new, self.cluster)
-            node.copies.is_whole = False
-            self.cluster.nodes.append(node)
+            self.cluster.add(new)
             self.cluster.run_rounds(3)
             for turn in stored:
                 self.assertGreaterEqual(len(self.cluster.holders(turn)), 2)
@@ -60,7 +58,7 @@
         self.assertTrue(placed)
         for turn in placed:
             self.assertTrue(node.has(turn))
-        self.assertTrue(node.copies.is_whole)
+        self.assertTrue(node.database.claim.has_turns)
 
     def test_host_that_missed_writes_fetches_them(self):
         node = self.cluster.node("c1")
@@ -83,7 +81,6 @@
         node.database._connection.execute("UPDATE turns SET output = x'00'")
         self.assertIsInstance(node.database.chain("t"), turns.Unsure)
         self.assertEqual(node.database.delete_damaged(), ["t"])
-        node.copies.handle_damage()
         node.copies.run_round()
         self.assertEqual(node.database.chain("t"), turns.Chain("g", b"<tt>\n"))
 
@@ -112,7 +109,7 @@
         self.node.wipe()
 
     def repair(self, clients):
-        self.cluster.clients = lambda: clients
+        self.cluster.clients = lambda caller: clients
         self.node.start()
         self.node.copies.run_round()
 
@@ -158,7 +155,7 @@
         self.node = self.cluster.node("b1")
         self.node.wipe()
         self.clients = storage_nodes.HeldClients(self.cluster)
-        self.cluster.clients = lambda: self.clients
+        self.cluster.clients = lambda caller: self.clients
         self.node.start()
         self.round = threading.Thread(target=self.node.copies.run_round)
         self.round.start()
@@ -182,16 +179,22 @@
 
     def test_damage_that_is_found_meanwhile_is_known_at_once(self):
         # Until then the host said that a damaged turn did not exist.
-        copies = self.node.copies
-        copies.is_whole = True
-        self.run_beside_round(lambda: copies.handle_damage() or "done")
-        self.assertFalse(copies.is_whole)
+        store = self.node.database
+        turn = storage_nodes.turn("damaged")
+        store.add([turn])
+        store.set_claim(completeness.EVERYTHING)
+        store._connection.execute("UPDATE turns SET output = x'00'")
+        self.assertIsInstance(store.chain("damaged"), turns.Unsure)
+        self.assertEqual(
+            self.run_beside_round(store.delete_damaged), ["damaged"]
+        )
+        self.assertFalse(store.claim.has_turns)
         self.clients.may_answer.set()
         self.round.join()
         # The round may have passed the turns that were damaged.
-        self.assertFalse(copies.is_whole)
-        copies.run_round()
-        self.assertTrue(copies.is_whole)
+        self.assertFalse(store.claim.has_turns)
+        self.node.copies.run_round()
+        self.assertTrue(store.claim.has_turns)
 
 
 class RandomLossTest(cluster_case.ClusterCase):
--- a/packages/gateway/tests/test_usage_journal.py
+++ b/packages/gateway/tests/test_usage_journal.py
@@ -197,9 +197,9 @@
             node = self.cluster.node(name)
             node.wipe()
             node.start()
-            self.assertFalse(node.copies.is_whole)
+            self.assertFalse(node.database.claim.has_usage)
             node.copies.run_round()
-            self.assertTrue(node.copies.is_whole)
+            self.assertTrue(node.database.claim.has_usage)
         self.assert_found(1)
 
     def test_entry_survives_a_lost_host_and_then_a_silent_one(self):
@@ -239,9 +239,7 @@
             self.cluster.node(name).start()
         self.assert_found(1)
         self.cluster.run_rounds(3)
-        self.assertTrue(
-            self.cluster.node("c1").copies.replacements.is_complete
-        )
+        self.assertTrue(self.cluster.node("c1").database.claim.has_usage)
 
     def test_incomplete_if_hosts_went_at_the_same_time(self):
         self.write(1)
