--- a/packages/conversations/src/balsamloom_conversations/messages.py
+++ b/packages/conversations/src/balsamloom_conversations/messages.py
@@ -7,7 +7,7 @@
 
 import msgpack
 
-from balsamloom_conversations import turns, usage_entries
+from balsamloom_conversations import completeness, turns, usage_entries
 
 # Larger numbers fit into no column of the database.
 MAX_INTEGER = 2**63 - 1
@@ -36,6 +36,13 @@
     entries: tuple[turns.ListingEntry, ...]
 
 
+class DiskClaim(NamedTuple):
+    """What a host says of the disk that it has now."""
+
+    disk_id: str
+    claim: completeness.Claim
+
+
 class SettledTurn(NamedTuple):
     """Turn and the tokens that it used of its program's budget."""
 
@@ -216,6 +223,44 @@
             raise InvalidMessageError("not a listing")
 
 
+def encode_claim(said: DiskClaim) -> bytes:
+    """Encode what a host says of its disk."""
+    claim = said.claim
+    return _pack(
+        [
+            said.disk_id,
+            claim.has_turns,
+            claim.has_usage,
+            sorted(claim.replaced_hosts),
+            claim.losses,
+        ]
+    )
+
+
+def decode_claim(body: bytes) -> DiskClaim:
+    """Decode what a host says of its disk.
+
+    :raises InvalidMessageError: it is malformed.
+    """
+    match _unpack(body):
+        case [
+            str(disk_id),
+            bool(has_turns),
+            bool(has_usage),
+            list(replaced),
+            losses,
+        ]:
+            claim = completeness.Claim(
+                has_turns,
+                has_usage,
+                frozenset(_parse_text(name) for name in replaced),
+                _parse_count(losses),
+            )
+            return DiskClaim(disk_id, claim)
+        case _:
+            raise InvalidMessageError("not a claim")
+
+
 def encode_usage_entries(
     entries: Sequence[usage_entries.UsageEntry],
 ) -> bytes:
--- a/packages/gateway/src/balsamloom_gateway/replica_repair.py
+++ b/packages/gateway/src/balsamloom_gateway/replica_repair.py
@@ -9,6 +9,7 @@
 
 import functools
 import logging
+import math
 import threading
 from collections.abc import Callable, Sequence
 
@@ -25,7 +26,6 @@
     peers,
     turn_fetcher,
     usage_fetcher,
-    usage_replacements,
 )
 
 MAX_LIST_ENTRIES = 2_000
@@ -49,11 +49,34 @@
         self.missing_bytes = 0
         # Whether its usage entries were fetched.
         self.has_usage_fetched = False
+        # Whether the last round examined all that it has.
+        self.is_read = False
+        # What it said of its disk before and after that.
+        self.claim: completeness.Claim | None = None
+        # Time of the first of the missed rounds.
+        self.missed_since_ms = -math.inf
 
     def restart(self) -> None:
         """Have everything examined again."""
         self.cursor = 0
         self.has_usage_fetched = False
+        self.claim = None
+
+    def record_answer(self, is_read: bool) -> None:
+        """Record that the host answered in this round."""
+        self.missed_rounds = 0
+        self.is_read = is_read
+
+    def record_miss(self, now_ms: float) -> None:
+        """Record that the host did not answer in this round."""
+        if not self.missed_rounds:
+            self.missed_since_ms = now_ms
+        self.missed_rounds += 1
+
+    @property
+    def has_all_usage(self) -> bool:
+        """Return whether it said that it lacks no usage entry."""
+        return self.claim is not None and self.claim.has_usage
 
     @property
     def is_up(self) -> bool:
@@ -110,9 +133,6 @@
         # the time at which it learnt of the last of them.
         self._known_losses = store.claim.losses
         self._lost_ms = clock.now_ms()
-        self.replacements = usage_replacements.UsageReplacements(
-            store.claim.replaced_hosts
-        )
         self.is_leaving = False
         # Whether this host, which is leaving, stores no new turns.
         self.refuses_turns = False
@@ -169,7 +189,7 @@
             for source in self._sources.values():
                 source.restart()
         # Asked before the hosts are, as records may lie on the others.
-        has_all_hosts = self._knows_hosts(self._lost_ms)
+        has_all_hosts = self._knows_hosts(self._last_change_ms())
         others = self._other_hosts()
         known = {host.name for host in others}
         for name in set(self._sources) - known:
@@ -184,36 +204,49 @@
             # The placement of turns changed, so all are examined again.
             for host in others:
                 is_complete &= self._try_fetch_from(host)
-        found = self._judge(claim, others, bool(is_complete and others))
+        found = self._judge(claim, others)
         self._store_claim(found if has_all_hosts else claim.common(found))
         return is_complete
 
+    def _last_change_ms(self) -> float:
+        """Return when this disk or another host was found to have failed.
+
+        A host that was registered before may have records that are missing.
+        """
+        missed_ms = [
+            source.missed_since_ms for source in self._sources.values()
+        ]
+        return max(self._lost_ms, *missed_ms, -math.inf)
+
     def _judge(
         self,
         claim: completeness.Claim,
         others: Sequence[replicas.StorageHost],
-        has_turns: bool,
     ) -> completeness.Claim:
         """Return what the round has shown of this host's disk.
 
         :param claim: what this host said when the round began.
         """
+        found: list[completeness.Source] = []
+        for host in others:
+            source = self._source(host)
+            found.append(
+                completeness.Source(
+                    host.name, source.is_read, source.is_up, source.claim
+                )
+            )
         is_old = self._store.age_ms() > self._longest_retention_ms()
-        sources = {host.name: self._source(host) for host in others}
-        failed = [
-            name
-            for name, source in sources.items()
-            if source.missed_rounds or not source.has_usage_fetched
-        ]
-        read = [name for name in sources if name not in failed]
-        down = [name for name in failed if not sources[name].is_up]
-        if len(down) == len(failed):
-            self.replacements.update(read, down)
-        has_usage = bool(read) and self.replacements.includes(failed)
-        return claim._replace(
-            has_turns=claim.has_turns or has_turns or is_old,
-            has_usage=claim.has_usage or has_usage or is_old,
-            replaced_hosts=frozenset(self.replacements.hosts()),
+        return completeness.judge(claim, found, self._copies, is_old)
+
+    def _wants_claims(self) -> bool:
+        """Return whether what other hosts say may add to what this one says.
+
+        Without a loss it does not, and the hosts are not asked.
+        """
+        claim = self._store.claim
+        return not (claim.has_turns and claim.has_usage) or any(
+            not source.is_up and name not in claim.replaced_hosts
+            for name, source in self._sources.items()
         )
 
     def _store_claim(self, claim: completeness.Claim) -> None:
@@ -239,8 +272,9 @@
 
     def _try_fetch_from(self, host: replicas.StorageHost) -> bool:
         source = self._source(host)
+        source.is_read = False
         try:
-            self._fetch_from(host, source)
+            is_read = self._fetch_from(host, source)
         except (
             peers.PeerUnavailableError,
             messages.InvalidMessageError,
@@ -255,9 +289,9 @@
                     reason=str(error),
                 )
             if isinstance(error, peers.PeerUnavailableError):
-                source.missed_rounds += 1
+                source.record_miss(self._clock.now_ms())
             return False
-        source.missed_rounds = 0
+        source.record_answer(is_read)
         return True
 
     def _update_active_hosts(self) -> bool:
@@ -274,8 +308,29 @@
             source.restart()
         return True
 
-    def _fetch_from(self, host: replicas.StorageHost, source: _Source) -> None:
+    def _fetch_from(self, host: replicas.StorageHost, source: _Source) -> bool:
+        """Fetch from a host what is missing here; return whether all is here.
+
+        What the host says of its disk covers what is read between two equal
+        answers.
+        """
+        wants_claim = self._wants_claims() or not source.has_usage_fetched
+        said = self._request_claim(host) if wants_claim else None
+        has_all = self._fetch_turns(host, source)
+        must_repeat = said is not None and not source.has_all_usage
+        if must_repeat or not source.has_usage_fetched:
+            self._usage_fetcher.fetch(host)
+            source.has_usage_fetched = True
+        if said is not None:
+            is_same = said == self._request_claim(host)
+            source.claim = said.claim if is_same else None
+        return has_all
+
+    def _fetch_turns(
+        self, host: replicas.StorageHost, source: _Source
+    ) -> bool:
         fetched = 0
+        listed = 0
         active_hosts = self._placement_hosts()
         while True:
             listing = self._request_listing(host, source)
@@ -288,22 +343,35 @@
             ]
             missing = self._store.find_missing(wanted)
             source.missing_bytes = 0
-            self._fetcher.fetch(
+            listed += len(missing)
+            fetched += self._fetcher.fetch(
                 host, missing, functools.partial(self._record_progress, source)
             )
-            fetched += len(missing)
             if listing.entries:
                 source.cursor = listing.entries[-1].sequence
             if not listing.has_more:
                 break
-        if not source.has_usage_fetched:
-            self.replacements.merge(self._usage_fetcher.fetch(host))
-            source.has_usage_fetched = True
         self.fetched_turns += fetched
         if fetched:
             events.log(
                 events.Event.COPIES_FETCHED, host=host.name, turns=fetched
             )
+        if fetched < listed and not self._store.claim.has_turns:
+            # Turns that were listed have expired, or are damaged there.
+            source.restart()
+        return fetched == listed
+
+    def _request_claim(
+        self, host: replicas.StorageHost
+    ) -> messages.DiskClaim | None:
+        """Return what a host says; ``None`` if it is of a former release."""
+        try:
+            answer = self._clients.post(
+                host.address, peers.CLAIM_PATH, b"", CALL_TIMEOUT_MS
+            )
+        except peers.PeerPathUnknownError:
+            return None
+        return messages.decode_claim(answer)
 
     def _record_progress(self, source: _Source, missing_bytes: int) -> None:
         source.missing_bytes = missing_bytes
--- a/packages/gateway/src/balsamloom_gateway/storage_service.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_service.py
@@ -58,6 +58,7 @@
             peers.WRITE_USAGE_PATH: self._write_usage,
             peers.READ_USAGE_PATH: self._read_usage,
             peers.LIST_USAGE_PATH: self._list_usage,
+            peers.CLAIM_PATH: self._read_claim,
             peers.RECORD_STREAMS_PATH: self._record_streams,
             peers.FIND_STREAM_PATH: self._find_stream,
         }
@@ -113,6 +114,10 @@
         page = self._database.list_usage(query._replace(limit=limit))
         return messages.encode_usage_page(page)
 
+    def _read_claim(self, body: bytes) -> bytes:
+        said = messages.DiskClaim(self._database.disk_id, self._database.claim)
+        return messages.encode_claim(said)
+
     def _check_accepts_records(self) -> None:
         if self._repair.refuses_turns:
             raise peer_calls.UnavailableError("this host is being evacuated")
--- a/packages/gateway/src/balsamloom_gateway/turn_fetcher.py
+++ b/packages/gateway/src/balsamloom_gateway/turn_fetcher.py
@@ -47,9 +47,10 @@
         host: replicas.StorageHost,
         turn_ids: Sequence[str],
         on_progress: Callable[[int], None],
-    ) -> None:
-        """Copy turns; each part is on the disk before the next is requested.
+    ) -> int:
+        """Copy turns and return their number.
 
+        Each part is on the disk before the next is requested.
         Turns that the host does not store are passed over.
 
         :param host: host that lists the turns.
@@ -61,11 +62,14 @@
         :raises RecordWriteError: a part could not be written.
         """
         rest = turn_ids
+        copied = 0
         while rest:
             part = self._request_part(host, rest)
             self._commits.write(part.turns, WRITE_TIMEOUT_MS)
+            copied += len(part.turns)
             rest = part.rest
             on_progress(part.left_bytes)
+        return copied
 
     def _request_part(
         self, host: replicas.StorageHost, turn_ids: Sequence[str]
--- a/packages/gateway/src/balsamloom_gateway/usage_fetcher.py
+++ b/packages/gateway/src/balsamloom_gateway/usage_fetcher.py
@@ -32,10 +32,9 @@
         self._clients = clients
         self._commits = commits
 
-    def fetch(self, host: replicas.StorageHost) -> tuple[str, ...]:
+    def fetch(self, host: replicas.StorageHost) -> None:
         """Copy the entries of a host, in pages.
 
-        :return: names of the hosts that are gone and whose entries it has.
         :raises PeerUnavailableError: the host did not answer.
         :raises InvalidMessageError: its answer is malformed.
         :raises RecordWriteError: a page could not be written.
@@ -44,24 +43,13 @@
         while True:
             page = self._request_page(host, query)
             if not page:
-                return self._request_replaced(host)
+                return
             self._commits.write(page, WRITE_TIMEOUT_MS)
             last = page[-1].entry
             query = query._replace(
                 program_id=last.program_id, holder_id=last.holder_id
             )
 
-    def _request_replaced(self, host: replicas.StorageHost) -> tuple[str, ...]:
-        body = messages.encode_names([""])
-        try:
-            answer = self._clients.post(
-                host.address, peers.READ_USAGE_PATH, body, CALL_TIMEOUT_MS
-            )
-        except peers.PeerPathUnknownError:
-            return ()
-        usage = messages.decode_usage(answer)
-        return usage.replaced_hosts if usage.is_complete else ()
-
     def _request_page(
         self, host: replicas.StorageHost, query: usage_entries.ListQuery
     ) -> list[usage_entries.StoredEntry]:
--- a/packages/gateway/tests/test_host_claims.py
+++ b/packages/gateway/tests/test_host_claims.py
@@ -5,8 +5,9 @@
 import builders
 import cluster_case
 import storage_nodes
+import test_usage_journal
 
-from balsamloom_conversations import completeness, turns
+from balsamloom_conversations import completeness, turns, usage_entries
 from balsamloom_gateway import storage_calls
 
 
@@ -101,5 +102,64 @@
         self.assertEqual(self.claim(self.wiped), expected)
 
 
+class UsageClaimTest(test_usage_journal.JournalCase):
+    """Guards against tokens that are handed out again after a loss."""
+
+    def setUp(self):
+        super().setUp()
+        self.assertTrue(self.journal.write([storage_nodes.usage_entry()]))
+        self.first, self.second = self.stored_at()
+        (self.third,) = {"a1", "b1", "c1"} - {self.first, self.second}
+
+    def is_known(self):
+        """Return whether a read is complete; then it has the entry."""
+        found = self.new_journal().read("p")
+        if found.is_complete:
+            self.assertTrue(found.entries)
+        return found.is_complete
+
+    def test_host_that_came_back_empty_replaces_none(self):
+        # review/14: its reader said that it has all entries of both.
+        self.cluster.kill(self.second)
+        self.cluster.wipe(self.first)
+        for _ in range(3):
+            self.cluster.run_rounds(3)
+            self.assertFalse(self.is_known())
+            self.cluster.kill(self.first, self.third)
+            self.cluster.start(self.first, self.third)
+        self.cluster.start(self.second)
+        self.cluster.run_rounds(2)
+        self.assertTrue(self.is_known())
+
+    def test_host_that_is_cut_off_from_an_emptied_one_replaces_none(self):
+        self.cluster.wipe(self.first)
+        self.cluster.kill(self.second)
+        self.cluster.cut(self.second, self.first)
+        self.cluster.run_rounds(3)
+        self.assertFalse(self.is_known())
+
+    def test_read_before_a_source_had_its_copies_replaces_none(self):
+        # What it fetched later was not read again before the claim.
+        self.cluster.wipe(self.third)
+        self.cluster.node(self.third).database.add(
+            [usage_entries.StoredEntry(storage_nodes.usage_entry("i"), 1e6)]
+        )
+        self.cluster.wipe(self.first)
+        self.cluster.cut(self.first, self.second)
+        self.cluster.run_rounds(3)
+        self.assertFalse(
+            self.cluster.node(self.first).database.claim.has_usage
+        )
+
+    def test_single_losses_are_answered_at_once(self):
+        for lose in (self.cluster.kill, self.cluster.wipe):
+            for name in (self.first, self.second, self.third):
+                lose(name)
+                self.assertTrue(self.is_known())
+                if lose == self.cluster.kill:
+                    self.cluster.start(name)
+                self.cluster.run_rounds()
+
+
 if __name__ == "__main__":
     unittest.main()
