--- a/packages/conversations/src/balsamloom_conversations/database.py
+++ b/packages/conversations/src/balsamloom_conversations/database.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import json
 import pathlib
 import sqlite3
 import threading
@@ -18,6 +17,7 @@
     completeness,
     facts_table,
     turns,
+    turns_table,
     usage_entries,
     usage_table,
 )
@@ -29,9 +29,6 @@
 MAX_DISK_SHARE = 0.6
 # Size of the WAL at which SQLite moves its pages to the database.
 WAL_CHECKPOINT_PAGES = 500
-# Extends the retention because other hosts measure it from the time at which
-# they received their replica.
-RETENTION_MARGIN_MS = 5_000.0
 # A longer chain is treated as a loop.
 MAX_CHAIN_TURNS = 100_000
 MB = 1_000_000
@@ -51,21 +48,10 @@
     "PRAGMA cache_size = -4000",
 )
 _SCHEMA = (
-    "CREATE TABLE IF NOT EXISTS turns ("
-    "number INTEGER PRIMARY KEY AUTOINCREMENT, turn_id TEXT UNIQUE NOT NULL,"
-    " previous_id TEXT NOT NULL, group_id TEXT NOT NULL,"
-    " input BLOB NOT NULL, output BLOB NOT NULL, checksum BLOB NOT NULL)",
-    "CREATE INDEX IF NOT EXISTS turns_by_group ON turns (group_id)",
-    # Groups expire as a whole, so that no chain loses its start.
-    "CREATE TABLE IF NOT EXISTS groups ("
-    "group_id TEXT PRIMARY KEY, expires_ms REAL NOT NULL)",
-    "CREATE INDEX IF NOT EXISTS groups_by_expiry ON groups (expires_ms)",
+    *turns_table.SCHEMA,
     *facts_table.SCHEMA,
     *usage_table.SCHEMA,
 )
-_SELECT_TURNS = (
-    "SELECT turn_id, previous_id, group_id, input, output, checksum FROM turns"
-)
 
 
 class DatabaseError(Exception):
@@ -250,7 +236,9 @@
         with self._lock:
             try:
                 return [
-                    turn_id for turn_id in turn_ids if not self._has(turn_id)
+                    turn_id
+                    for turn_id in turn_ids
+                    if not turns_table.has(self._connection, turn_id)
                 ]
             except sqlite3.Error as error:
                 raise DatabaseError(str(error)) from error
@@ -300,16 +288,10 @@
         """
         age_ms = self.age_ms()
         deleted = 0
-        expired_groups = "SELECT group_id FROM groups WHERE expires_ms < ?"
 
         def delete() -> None:
             nonlocal deleted
-            execute = self._connection.execute
-            deleted = execute(
-                f"DELETE FROM turns WHERE group_id IN ({expired_groups})",
-                (age_ms,),
-            ).rowcount
-            execute("DELETE FROM groups WHERE expires_ms < ?", (age_ms,))
+            deleted = turns_table.delete_expired(self._connection, age_ms)
             usage_table.delete_expired(self._connection, age_ms)
 
         with self._lock:
@@ -334,8 +316,8 @@
 
         :raises DatabaseError: the database cannot be read.
         """
-        rows = self._query(_SELECT_TURNS, ())
-        return [row[0] for row in rows if _decode(row) is None]
+        rows = self._query(turns_table.SELECT_TURNS, ())
+        return [row[0] for row in rows if turns_table.decode(row) is None]
 
     def delete_damaged(self) -> list[str]:
         """Delete turns found damaged by reads; return their identifiers.
@@ -351,10 +333,7 @@
             claim = self._claim.after_loss()
 
             def delete() -> None:
-                self._connection.executemany(
-                    "DELETE FROM turns WHERE turn_id = ?",
-                    [(turn_id,) for turn_id in found],
-                )
+                turns_table.delete(self._connection, found)
                 facts_table.write_claim(self._connection, claim)
 
             self._claim = claim
@@ -371,7 +350,7 @@
         for record in new_records:
             match record:
                 case turns.Turn():
-                    self._insert_turn(record, age_ms)
+                    turns_table.insert(self._connection, record, age_ms)
                 case usage_entries.StoredEntry():
                     usage_table.write(self._connection, record, age_ms)
                 case usage_entries.Settlement():
@@ -379,20 +358,6 @@
                         self._connection, record, age_ms
                     )
 
-    def _insert_turn(self, turn: turns.Turn, age_ms: float) -> None:
-        execute = self._connection.execute
-        execute(
-            "INSERT OR IGNORE INTO turns (turn_id, previous_id, group_id,"
-            " input, output, checksum) VALUES (?, ?, ?, ?, ?, ?)",
-            (*turn[:5], turn.checksum()),
-        )
-        expires_ms = age_ms + turn.retention_ms + RETENTION_MARGIN_MS
-        execute(
-            "INSERT INTO groups VALUES (?, ?) ON CONFLICT (group_id)"
-            " DO UPDATE SET expires_ms = max(expires_ms, ?)",
-            (turn.group_id, expires_ms, expires_ms),
-        )
-
     def _commit(
         self, change: Callable[[], object], name: str, age_ms: float
     ) -> None:
@@ -420,12 +385,10 @@
         A damaged turn is recorded for :meth:`delete_damaged`.
         """
         try:
-            row = self._connection.execute(
-                f"{_SELECT_TURNS} WHERE turn_id = ?", (turn_id,)
-            ).fetchone()
+            row = turns_table.read_row(self._connection, turn_id)
         except sqlite3.Error as error:
             raise DatabaseError(str(error)) from error
-        turn = _decode(row) if row else None
+        turn = turns_table.decode(row) if row else None
         if row and turn is None:
             self._damaged.add(turn_id)
         return turn
@@ -435,34 +398,14 @@
         turn = self._read(turn_id)
         if turn is None:
             return None
-        left_ms = self._expiry_ms(turn.group_id) - age_ms
-        return turn._replace(
-            retention_ms=max(left_ms - RETENTION_MARGIN_MS, 0.0)
-        )
+        left_ms = turns_table.left_ms(self._connection, turn.group_id, age_ms)
+        return turn._replace(retention_ms=left_ms)
 
     def _total_bytes(self, turn_ids: Sequence[str]) -> int:
-        """Return the size of the turns that are stored, damaged ones too."""
         try:
-            (total,) = self._connection.execute(
-                "SELECT total(length(input) + length(output)) FROM turns"
-                " WHERE turn_id IN (SELECT value FROM json_each(?))",
-                (json.dumps(list(turn_ids)),),
-            ).fetchone()
+            return turns_table.total_bytes(self._connection, turn_ids)
         except sqlite3.Error as error:
             raise DatabaseError(str(error)) from error
-        return int(total)
-
-    def _has(self, turn_id: str) -> bool:
-        found = self._connection.execute(
-            "SELECT 1 FROM turns WHERE turn_id = ?", (turn_id,)
-        )
-        return found.fetchone() is not None
-
-    def _expiry_ms(self, group_id: str) -> float:
-        row = self._connection.execute(
-            "SELECT expires_ms FROM groups WHERE group_id = ?", (group_id,)
-        ).fetchone()
-        return float(row[0]) if row else 0.0
 
     def _query(self, statement: str, values: tuple[object, ...]) -> list[Any]:
         with self._lock:
@@ -470,16 +413,3 @@
                 return self._connection.execute(statement, values).fetchall()
             except sqlite3.Error as error:
                 raise DatabaseError(str(error)) from error
-
-
-def _decode(
-    row: tuple[str, str, str, bytes, bytes, bytes],
-) -> turns.Turn | None:
-    """Decode a turn; return ``None`` if it is damaged."""
-    turn = turns.Turn(*row[:5], retention_ms=0.0)
-    try:
-        is_intact = turn.checksum() == row[5]
-    except (TypeError, AttributeError):
-        # The type of a damaged column may have changed.
-        is_intact = False
-    return turn if is_intact else None
--- a/packages/conversations/tests/test_database.py
+++ b/packages/conversations/tests/test_database.py
@@ -18,6 +18,7 @@
     database,
     group_commit,
     turns,
+    turns_table,
 )
 
 WAL_FILE = database.FILE_NAME + "-wal"
@@ -223,7 +224,7 @@
         self.clock.advance(59_000.0)
         self.assertEqual(store.expire(), 0)
         self.assertIsInstance(store.chain("g1-1"), turns.Chain)
-        self.clock.advance(1_000.0 + database.RETENTION_MARGIN_MS + 1)
+        self.clock.advance(1_000.0 + turns_table.RETENTION_MARGIN_MS + 1)
         self.assertEqual(store.expire(), 2)
         self.assertEqual(store.chain("g1-1"), turns.Absent())
         self.assertEqual(store.counts().turns, 0)
--- a/packages/gateway/src/balsamloom_gateway/storage_process.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_process.py
@@ -12,6 +12,7 @@
     database,
     group_commit,
     replicas,
+    turns_table,
     usage_entries,
 )
 from balsamloom_core import clock as clocks
@@ -217,7 +218,7 @@
         if in_force is None:
             return math.inf
         routes = in_force.configuration.routes
-        return database.RETENTION_MARGIN_MS + max(
+        return turns_table.RETENTION_MARGIN_MS + max(
             usage_entries.RETENTION_MS,
             *(route.retention_ms for route in routes),
         )
