conversations: a host is replaced once the others have fenced it

Cause: a host says that it has all entries of another one that it does not reach, while edge processes go on writing there.

Change: before that, the remaining hosts store that the other one does not count beside them, and name it in their answers to writes, so that an edge process writes to one more host. A host fences only what it doesn't reach itself. A new disk takes entries again when it has the others' fences. docs/design/storage-claims.md says who may say what.

--- a/packages/conversations/src/balsamloom_conversations/completeness.py
+++ b/packages/conversations/src/balsamloom_conversations/completeness.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence, Set
 from typing import NamedTuple
 
 
@@ -40,6 +40,39 @@
         )
 
 
+class Fences(NamedTuple):
+    """Hosts that do not count for a write of usage entries beside this one.
+
+    A host that replaces another one has the remaining hosts fence it first,
+    so that no entry that is written later lies on the replaced host and on
+    such a host alone. ``by_host`` maps the replacing hosts to the replaced
+    ones. A new disk knows none of the fences of the disk before, so they are
+    not ``is_complete`` there.
+    """
+
+    is_complete: bool
+    by_host: Mapping[str, frozenset[str]] = {}
+
+    def of(self, name: str) -> frozenset[str]:
+        """Return the hosts that are fenced for another one."""
+        return self.by_host.get(name, frozenset())
+
+    def hosts(self, own: str) -> frozenset[str]:
+        """Return the hosts that are fenced for others than this host.
+
+        Its own replacements need no fence here, since it has what it stores.
+        """
+        others = [hosts for name, hosts in self.by_host.items() if name != own]
+        return frozenset().union(*others)
+
+    def with_host(self, name: str, fenced: frozenset[str]) -> Fences:
+        """Return the fences once a host fences others, instead of before."""
+        by_host = {**self.by_host, name: fenced}
+        return self._replace(
+            by_host={one: hosts for one, hosts in by_host.items() if hosts}
+        )
+
+
 NOTHING = Claim(has_turns=False, has_usage=False)
 EVERYTHING = Claim(has_turns=True, has_usage=True)
 
@@ -50,13 +83,17 @@
     ``is_read`` says that all of its records were examined and those that
     were missing here fetched. ``claim`` is what it says of its own disk,
     both before and after that; ``None`` if it did not say or the statement
-    changed meanwhile. Without ``is_up`` it is expected to store nothing.
+    changed meanwhile. ``fenced`` are the hosts that it had fenced for this
+    host before it was read. Without ``is_up`` it is expected to store
+    nothing, and with ``is_long_gone`` whatever it had has expired.
     """
 
     name: str
     is_read: bool
     is_up: bool
     claim: Claim | None = None
+    fenced: frozenset[str] = frozenset()
+    is_long_gone: bool = False
 
 
 def judge(
@@ -75,37 +112,82 @@
     """
     if not sources and not is_disk_old:
         return own
-    replaced = _still_replaced(own, sources)
+    replaced = own.replaced_hosts & _not_read(sources)
+    # This host read whatever the hosts have that replaced these.
+    covered = replaced | (_replaced_by(sources) & _not_read(sources))
     without_turns = [one.name for one in sources if not _has_turns(one)]
     without_usage = [
         one.name
         for one in sources
-        if not _has_usage(one) and one.name not in replaced
+        if not _has_usage(one) and one.name not in covered
     ]
     # Whatever another host has was examined, or nothing can be missing.
     has_all = is_disk_old or all(source.is_read for source in sources)
     has_turns = own.has_turns or has_all or len(without_turns) + 1 < copies
     has_usage = own.has_usage or has_all or len(without_usage) + 1 < copies
-    if has_usage and len(without_usage) < copies:
-        # No record lies on these hosts alone, so this one has all of them.
+    if has_usage:
         replaced |= {
-            one.name
-            for one in sources
-            if not one.is_up and one.name in without_usage
+            source.name
+            for source in sources
+            if not source.is_up
+            and _can_replace(source.name, sources, replaced, copies)
         }
     return own._replace(
         has_turns=has_turns, has_usage=has_usage, replaced_hosts=replaced
     )
 
 
-def _still_replaced(own: Claim, sources: Sequence[Source]) -> frozenset[str]:
-    """Return the replaced hosts, also those that other hosts replaced."""
-    replaced = own.replaced_hosts
+def replaceable(
+    own: Claim, sources: Sequence[Source], copies: int
+) -> frozenset[str]:
+    """Return the hosts that this one replaces once the others fence them."""
+    if not own.has_usage:
+        return frozenset()
+    down = {
+        source.name
+        for source in sources
+        if not (source.is_up or source.is_long_gone)
+    }
+    return frozenset(
+        source.name
+        for source in sources
+        if not source.is_up
+        and len(down - own.replaced_hosts | {source.name}) < copies
+    )
+
+
+def _can_replace(
+    name: str, sources: Sequence[Source], replaced: Set[str], copies: int
+) -> bool:
+    """Return whether a host that lacks none itself has all of another one.
+
+    Each entry of the other host lies on one more host that had it when it was
+    read, and has fenced the other one since before.
+
+    :param replaced: hosts that fenced the other one before they went, or of
+        which all entries were here before it went.
+    """
+    unsure = {
+        source.name
+        for source in sources
+        if source.name not in replaced
+        and not source.is_long_gone
+        and not (_has_usage(source) and name in source.fenced)
+    }
+    return len(unsure | {name}) < copies
+
+
+def _not_read(sources: Sequence[Source]) -> frozenset[str]:
+    return frozenset(one.name for one in sources if not one.is_read)
+
+
+def _replaced_by(sources: Sequence[Source]) -> frozenset[str]:
+    """Return the hosts that those replaced which lack no entry."""
+    found: frozenset[str] = frozenset()
     for source in sources:
         if source.claim is not None and _has_usage(source):
-            replaced |= source.claim.replaced_hosts
-    gone = {source.name for source in sources if not source.is_read}
-    return replaced & gone
+            found |= source.claim.replaced_hosts
+    return found
 
 
 def _has_turns(source: Source) -> bool:
--- a/packages/conversations/src/balsamloom_conversations/database.py
+++ b/packages/conversations/src/balsamloom_conversations/database.py
@@ -101,6 +101,7 @@
                 self._connection, is_first_start
             )
             self._claim = facts_table.read_claim(self._connection)
+            self._fences = facts_table.read_fences(self._connection)
             age_ms = facts_table.read_age(self._connection)
             self._started_ms = clock.now_ms() - age_ms
         except sqlite3.Error as error:
@@ -179,6 +180,42 @@
             self._claim = claim
         return True
 
+    @property
+    def fences(self) -> completeness.Fences:
+        """Return the hosts that are fenced here, as stored."""
+        return self._fences
+
+    def set_fence(self, name: str, fenced: frozenset[str]) -> None:
+        """Store which hosts another one fences from now on.
+
+        :raises DatabaseError: nothing was stored.
+        """
+        with self._lock:
+            self._set_fences(self._fences.with_host(name, fenced))
+
+    def complete_fences(self, found: Iterable[completeness.Fences]) -> None:
+        """Store the fences of all other hosts on a new disk.
+
+        :raises DatabaseError: nothing was stored.
+        """
+        with self._lock:
+            fences = self._fences._replace(is_complete=True)
+            for other in found:
+                for name, fenced in other.by_host.items():
+                    known = fences.by_host.get(name, frozenset())
+                    fences = fences.with_host(name, known | fenced)
+            self._set_fences(fences)
+
+    def _set_fences(self, fences: completeness.Fences) -> None:
+        if fences == self._fences:
+            return
+        self._commit(
+            lambda: facts_table.write_fences(self._connection, fences),
+            "set fences",
+            self.age_ms(),
+        )
+        self._fences = fences
+
     def chain(self, turn_id: str) -> turns.HostLookup:
         """Return a turn and all previous turns that are stored here.
 
--- a/packages/conversations/src/balsamloom_conversations/facts_table.py
+++ b/packages/conversations/src/balsamloom_conversations/facts_table.py
@@ -31,6 +31,7 @@
         _write(connection, "disk_id", disk_id)
         write_age(connection, 0.0)
         write_claim(connection, claim)
+        write_fences(connection, completeness.Fences(is_first_start))
     return disk_id
 
 
@@ -72,6 +73,29 @@
     _write(connection, "claim", json.dumps(fields))
 
 
+def read_fences(connection: sqlite3.Connection) -> completeness.Fences:
+    """Return the hosts that are fenced here.
+
+    Hosts of earlier releases fenced none.
+    """
+    text = _read(connection, "fences")
+    if text is None:
+        return completeness.Fences(is_complete=True)
+    is_complete, by_host = json.loads(text)
+    return completeness.Fences(
+        bool(is_complete),
+        {name: frozenset(hosts) for name, hosts in by_host.items()},
+    )
+
+
+def write_fences(
+    connection: sqlite3.Connection, fences: completeness.Fences
+) -> None:
+    """Write the hosts that are fenced here."""
+    by_host = {name: sorted(hosts) for name, hosts in fences.by_host.items()}
+    _write(connection, "fences", json.dumps((fences.is_complete, by_host)))
+
+
 def _read(connection: sqlite3.Connection, name: str) -> str | None:
     found = connection.execute(
         "SELECT value FROM facts WHERE name = ?", (name,)
--- a/packages/conversations/src/balsamloom_conversations/messages.py
+++ b/packages/conversations/src/balsamloom_conversations/messages.py
@@ -36,11 +36,19 @@
     entries: tuple[turns.ListingEntry, ...]
 
 
+class ClaimQuery(NamedTuple):
+    """Request for a host's claim, and the hosts to fence for the sender."""
+
+    sender: str
+    fenced: frozenset[str]
+
+
 class DiskClaim(NamedTuple):
     """What a host says of the disk that it has now."""
 
     disk_id: str
     claim: completeness.Claim
+    fences: completeness.Fences
 
 
 class SettledTurn(NamedTuple):
@@ -223,9 +231,27 @@
             raise InvalidMessageError("not a listing")
 
 
+def encode_claim_query(query: ClaimQuery) -> bytes:
+    """Encode a request for a claim."""
+    return _pack([query.sender, sorted(query.fenced)])
+
+
+def decode_claim_query(body: bytes) -> ClaimQuery:
+    """Decode a request for a claim.
+
+    :raises InvalidMessageError: it is malformed.
+    """
+    match _unpack(body):
+        case [str(sender), list(fenced)]:
+            return ClaimQuery(sender, _parse_names(fenced))
+        case _:
+            raise InvalidMessageError("not a request for a claim")
+
+
 def encode_claim(said: DiskClaim) -> bytes:
     """Encode what a host says of its disk."""
     claim = said.claim
+    by_host = said.fences.by_host
     return _pack(
         [
             said.disk_id,
@@ -233,6 +259,8 @@
             claim.has_usage,
             sorted(claim.replaced_hosts),
             claim.losses,
+            said.fences.is_complete,
+            {name: sorted(by_host[name]) for name in sorted(by_host)},
         ]
     )
 
@@ -249,14 +277,21 @@
             bool(has_usage),
             list(replaced),
             losses,
+            bool(has_fences),
+            dict(by_host),
         ]:
             claim = completeness.Claim(
                 has_turns,
                 has_usage,
-                frozenset(_parse_text(name) for name in replaced),
+                _parse_names(replaced),
                 _parse_count(losses),
             )
-            return DiskClaim(disk_id, claim)
+            fenced = {
+                _parse_text(name): _parse_names(hosts)
+                for name, hosts in by_host.items()
+            }
+            fences = completeness.Fences(has_fences, fenced)
+            return DiskClaim(disk_id, claim, fences)
         case _:
             raise InvalidMessageError("not a claim")
 
@@ -419,6 +454,10 @@
     return value
 
 
+def _parse_names(value: Any) -> frozenset[str]:
+    return frozenset(_parse_text(name) for name in _parse_list(value))
+
+
 def _parse_list(value: Any) -> list[Any]:
     if not isinstance(value, list):
         raise InvalidMessageError("not a list")
--- a/packages/conversations/src/balsamloom_conversations/replicas.py
+++ b/packages/conversations/src/balsamloom_conversations/replicas.py
@@ -94,32 +94,46 @@
         self._failed: list[StorageHost] = []
         self._copies = copies
         self._written: set[str] = set()
+        self._fenced: set[str] = set()
         self._in_progress = 0
 
     @property
     def is_complete(self) -> bool:
         """Return whether the data has enough replicas."""
-        return len(self._written) >= self._copies
+        return len(self._counted) >= self._copies
 
     @property
     def written_hosts(self) -> list[str]:
         """Return the names of the hosts that stored the data."""
         return sorted(self._written)
 
+    @property
+    def _counted(self) -> set[str]:
+        return self._written - self._fenced
+
     @property
     def is_possible(self) -> bool:
         """Return whether there are enough hosts to complete the write."""
         others = self._in_progress + len(self._untried) + len(self._failed)
-        return len(self._written) + others >= self._copies
+        return len(self._counted) + others >= self._copies
 
     def start(self) -> list[StorageHost]:
         """Return the hosts to write to first."""
         return self._start_next(self._copies)
 
-    def record_written(self, name: str) -> None:
-        """Record that a host stored the data."""
+    def record_written(
+        self, name: str, fenced: Iterable[str] = ()
+    ) -> list[StorageHost]:
+        """Record that a host stored the data.
+
+        :param fenced: hosts that do not count beside it.
+        :return: hosts to use instead of those that do not count.
+        """
         self._in_progress -= 1
         self._written.add(name)
+        self._fenced.update(fenced)
+        missing = self._copies - len(self._counted) - self._in_progress
+        return self._start_next(max(missing, 0))
 
     def handle_failure(self, host: StorageHost) -> list[StorageHost]:
         """Record a failed write; return the untried host to use instead."""
--- a/packages/conversations/tests/test_completeness.py
+++ b/packages/conversations/tests/test_completeness.py
@@ -8,9 +8,10 @@
 NOTHING = completeness.NOTHING
 
 
-def source(name, claim=ALL, is_read=True, is_up=True):
+def source(name, claim=ALL, is_read=True, is_up=True, fenced="abcd"):
     """Build another host as it was found in a round."""
-    return completeness.Source(name, is_read, is_up, claim)
+    hosts = frozenset(fenced)
+    return completeness.Source(name, is_read, is_up, claim, hosts)
 
 
 def gone(name):
@@ -88,6 +89,52 @@
         found = judge(NOTHING, gone("b"), gone("c"), is_disk_old=True)
         self.assertEqual(found, ALL)
 
+    def test_none_is_replaced_beside_a_host_that_has_not_fenced_it(self):
+        found = judge(ALL, source("b", fenced=""), gone("c"))
+        self.assertEqual(found, ALL)
+
+    def test_hosts_that_went_one_after_the_other_are_replaced(self):
+        sources = [source("b"), gone("c"), gone("d")]
+        self.assertEqual(judge(ALL, *sources), ALL)
+        self.assertEqual(judge(replacing("c"), *sources), replacing("c", "d"))
+        # Nothing is left of what one that is long gone had.
+        sources[1] = sources[1]._replace(is_long_gone=True)
+        self.assertEqual(judge(ALL, *sources), replacing("d"))
+        self.assertEqual(judge(replacing("d"), *sources), replacing("c", "d"))
+
+
+class ReplaceableTest(unittest.TestCase):
+    """Guards against fences that no replacement can follow."""
+
+    def replaceable(self, own, *sources):
+        return completeness.replaceable(own, sources, 2)
+
+    def test_one_host_is_down(self):
+        hosts = source("b"), gone("c")
+        self.assertEqual(self.replaceable(ALL, *hosts), frozenset("c"))
+        self.assertEqual(self.replaceable(NOTHING, *hosts), frozenset())
+
+    def test_half_of_the_hosts_is_out_of_reach(self):
+        # Both halves would fence each other, and no write would count.
+        hosts = source("b"), gone("c"), gone("d")
+        self.assertEqual(self.replaceable(ALL, *hosts), frozenset())
+        self.assertEqual(
+            self.replaceable(replacing("c"), *hosts), frozenset("d")
+        )
+
+
+class FencesTest(unittest.TestCase):
+    """Guards against fences that are lost or stay for ever."""
+
+    def test_fences_for_others_count(self):
+        fences = completeness.Fences(True)
+        for name, fenced in (("a", "d"), ("b", "cd"), ("c", "a")):
+            fences = fences.with_host(name, frozenset(fenced))
+        self.assertEqual(fences.of("b"), frozenset("cd"))
+        self.assertEqual(fences.hosts("c"), frozenset("cd"))
+        fences = fences.with_host("b", frozenset())
+        self.assertEqual(fences.hosts("c"), frozenset("d"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/conversations/tests/test_database.py
+++ b/packages/conversations/tests/test_database.py
@@ -205,6 +205,18 @@
         # A round that began before the loss has no say.
         self.assertFalse(store.set_claim(claim))
 
+    def test_fences_are_those_of_the_disk_at_each_start(self):
+        store = self.open()
+        store.set_fence("a", frozenset("d"))
+        again = self.open(self.copy("later"))
+        self.assertEqual(again.fences.of("a"), frozenset("d"))
+        # A new disk lacks those of the disk before.
+        self.assertFalse(again.fences.is_complete)
+        known = completeness.Fences(True, {"b": frozenset("c")})
+        again.complete_fences([known])
+        self.assertTrue(again.fences.is_complete)
+        self.assertEqual(again.fences.hosts("x"), frozenset("cd"))
+
     def test_disk_of_an_earlier_release_claims_nothing(self):
         store = self.open(is_first_start=True)
         store._connection.execute("DELETE FROM facts WHERE name = 'claim'")
--- a/packages/conversations/tests/test_replicas.py
+++ b/packages/conversations/tests/test_replicas.py
@@ -96,6 +96,17 @@
         plan.record_written(HOSTS[2].name)
         self.assertTrue(plan.is_complete)
 
+    def test_fenced_host_is_replaced_by_another(self):
+        plan = replicas.WritePlan(HOSTS[:3], 2)
+        first, second = plan.start()
+        self.assertEqual(plan.record_written(first.name), [])
+        (third,) = plan.record_written(second.name, [first.name])
+        self.assertFalse(plan.is_complete)
+        self.assertTrue(plan.is_possible)
+        plan.record_written(third.name)
+        self.assertTrue(plan.is_complete)
+        self.assertIn(first.name, plan.written_hosts)
+
     def test_impossible_with_too_few_hosts(self):
         plan = replicas.WritePlan(HOSTS[:1], 2)
         plan.start()
--- a/packages/gateway/src/balsamloom_gateway/replica_repair.py
+++ b/packages/gateway/src/balsamloom_gateway/replica_repair.py
@@ -11,7 +11,7 @@
 import logging
 import math
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from balsamloom_conversations import (
     completeness,
@@ -53,6 +53,9 @@
         self.is_read = False
         # What it said of its disk before and after that.
         self.claim: completeness.Claim | None = None
+        # Hosts that it has fenced for this one, and its own fences.
+        self.fenced: frozenset[str] = frozenset()
+        self.fences = completeness.Fences(is_complete=False)
         # Time of the first of the missed rounds.
         self.missed_since_ms = -math.inf
 
@@ -171,6 +174,22 @@
                     self._fetch_from(host, source)
             return self._active_hosts
 
+    def fence(self, sender: str, wanted: frozenset[str]) -> None:
+        """Fence hosts for another one that is to replace them.
+
+        Hosts that answer this one are not fenced, as they are in use. Those
+        that were fenced stay so until the other host no longer asks for it.
+
+        :raises DatabaseError: nothing was stored.
+        """
+        down = {
+            name
+            for name, source in list(self._sources.items())
+            if not source.is_up
+        }
+        known = self._store.fences.of(sender)
+        self._store.set_fence(sender, wanted & (known | down))
+
     def other_active_hosts(self) -> list[replicas.StorageHost]:
         """Return the other hosts that are up and not leaving.
 
@@ -197,16 +216,26 @@
         for host in others:
             self._source(host)
         self._update_active_hosts()
-        is_complete = True
+        is_complete = self._try_update_fence(has_all_hosts)
         for host in others:
             is_complete &= self._try_fetch_from(host)
         if self._update_active_hosts():
             # The placement of turns changed, so all are examined again.
+            is_complete &= self._try_update_fence(has_all_hosts)
             for host in others:
                 is_complete &= self._try_fetch_from(host)
-        found = self._judge(claim, others)
+        found = self._judge(claim)
         self._store_claim(found if has_all_hosts else claim.common(found))
-        return is_complete
+        return is_complete and self._are_fences_settled()
+
+    def _are_fences_settled(self) -> bool:
+        """Return whether all others fence what this host replaces."""
+        wanted = self._store.claim.replaced_hosts
+        return all(
+            source.fenced == wanted
+            for source in self._sources.values()
+            if source.is_up
+        )
 
     def _last_change_ms(self) -> float:
         """Return when this disk or another host was found to have failed.
@@ -218,25 +247,15 @@
         ]
         return max(self._lost_ms, *missed_ms, -math.inf)
 
-    def _judge(
-        self,
-        claim: completeness.Claim,
-        others: Sequence[replicas.StorageHost],
-    ) -> completeness.Claim:
+    def _judge(self, claim: completeness.Claim) -> completeness.Claim:
         """Return what the round has shown of this host's disk.
 
         :param claim: what this host said when the round began.
         """
-        found: list[completeness.Source] = []
-        for host in others:
-            source = self._source(host)
-            found.append(
-                completeness.Source(
-                    host.name, source.is_read, source.is_up, source.claim
-                )
-            )
         is_old = self._store.age_ms() > self._longest_retention_ms()
-        return completeness.judge(claim, found, self._copies, is_old)
+        return completeness.judge(
+            claim, self._described_sources(), self._copies, is_old
+        )
 
     def _wants_claims(self) -> bool:
         """Return whether what other hosts say may add to what this one says.
@@ -254,6 +273,10 @@
         if claim == before:
             return
         try:
+            if claim.has_usage and not self._store.fences.is_complete:
+                self._store.complete_fences(
+                    source.fences for source in self._sources.values()
+                )
             is_stored = self._store.set_claim(claim)
         except database.DatabaseError as error:
             events.log(
@@ -270,6 +293,16 @@
                 replaced_hosts=sorted(claim.replaced_hosts),
             )
 
+    def _try_update_fence(self, has_all_hosts: bool) -> bool:
+        try:
+            self._update_fence(has_all_hosts)
+        except database.DatabaseError as error:
+            events.log(
+                events.Event.DISK_FAILED, logging.WARNING, reason=str(error)
+            )
+            return False
+        return True
+
     def _try_fetch_from(self, host: replicas.StorageHost) -> bool:
         source = self._source(host)
         source.is_read = False
@@ -314,16 +347,25 @@
         What the host says of its disk covers what is read between two equal
         answers.
         """
-        wants_claim = self._wants_claims() or not source.has_usage_fetched
-        said = self._request_claim(host) if wants_claim else None
+        wanted = self._store.fences.of(self._own.name)
+        must_ask = self._wants_claims() or wanted != source.fenced
+        if not must_ask and source.has_usage_fetched:
+            return self._fetch_turns(host, source)
+        said = self._request_claim(host, wanted)
+        fenced = said.fences.of(self._own.name) if said else frozenset()
+        if not fenced <= source.fenced:
+            # Entries that were written before the fence are read after it.
+            source.has_usage_fetched = False
+        source.fenced = fenced
         has_all = self._fetch_turns(host, source)
         must_repeat = said is not None and not source.has_all_usage
         if must_repeat or not source.has_usage_fetched:
             self._usage_fetcher.fetch(host)
             source.has_usage_fetched = True
         if said is not None:
-            is_same = said == self._request_claim(host)
+            is_same = said == self._request_claim(host, wanted)
             source.claim = said.claim if is_same else None
+            source.fences = said.fences
         return has_all
 
     def _fetch_turns(
@@ -362,17 +404,59 @@
         return fetched == listed
 
     def _request_claim(
-        self, host: replicas.StorageHost
+        self, host: replicas.StorageHost, fenced: frozenset[str]
     ) -> messages.DiskClaim | None:
-        """Return what a host says; ``None`` if it is of a former release."""
+        """Have a host fence others and return what it says of its disk.
+
+        :return: ``None`` if it is of a former release.
+        """
+        query = messages.ClaimQuery(self._own.name, fenced)
         try:
             answer = self._clients.post(
-                host.address, peers.CLAIM_PATH, b"", CALL_TIMEOUT_MS
+                host.address,
+                peers.CLAIM_PATH,
+                messages.encode_claim_query(query),
+                CALL_TIMEOUT_MS,
             )
         except peers.PeerPathUnknownError:
             return None
         return messages.decode_claim(answer)
 
+    def _update_fence(self, has_all_hosts: bool) -> None:
+        """Fence the hosts that are replaced, or will be.
+
+        Others learn of it from this host, or with the next call to them. What
+        hosts fenced that are gone for long is forgotten.
+
+        :param has_all_hosts: whether all registered hosts are known.
+        :raises DatabaseError: the disk failed.
+        """
+        sources = self._described_sources()
+        fenced = self._store.claim.replaced_hosts | completeness.replaceable(
+            self._store.claim, sources, self._copies
+        )
+        self._store.set_fence(self._own.name, fenced)
+        if not has_all_hosts:
+            return
+        present = {one.name for one in sources if not one.is_long_gone}
+        for name in self._store.fences.by_host:
+            if name not in present and name != self._own.name:
+                self._store.set_fence(name, frozenset())
+
+    def _described_sources(self) -> list[completeness.Source]:
+        long_ago_ms = self._clock.now_ms() - self._longest_retention_ms()
+        return [
+            completeness.Source(
+                name,
+                source.is_read,
+                source.is_up,
+                source.claim,
+                source.fenced,
+                not source.is_up and source.missed_since_ms < long_ago_ms,
+            )
+            for name, source in self._sources.items()
+        ]
+
     def _record_progress(self, source: _Source, missing_bytes: int) -> None:
         source.missing_bytes = missing_bytes
         now_ms = self._clock.now_ms()
@@ -405,6 +489,8 @@
         listing = messages.decode_listing(answer)
         if listing.disk_id != source.disk_id:
             source.disk_id = listing.disk_id
+            # Its fences are lost with the disk.
+            source.fenced = frozenset()
             if source.cursor:
                 # Sequence numbers of the previous disk are not valid here.
                 source.cursor = 0
--- a/packages/gateway/src/balsamloom_gateway/replica_writer.py
+++ b/packages/gateway/src/balsamloom_gateway/replica_writer.py
@@ -6,7 +6,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
-from balsamloom_conversations import replicas
+from balsamloom_conversations import messages, replicas
 from balsamloom_core import clock as clocks
 from balsamloom_gateway import peers, storage_calls
 
@@ -65,7 +65,7 @@
         hosts = self._calls.move_failed_last(ranked)
         plan = replicas.WritePlan(hosts, self._copies)
         running: dict[
-            concurrent.futures.Future[bool], replicas.StorageHost
+            concurrent.futures.Future[bytes | None], replicas.StorageHost
         ] = {}
 
         def start(hosts: Iterable[replicas.StorageHost]) -> None:
@@ -83,17 +83,18 @@
                 start(plan.hedge())
             for future in done:
                 host = running.pop(future)
-                if future.result():
-                    plan.record_written(host.name)
-                else:
+                answer = future.result()
+                if answer is None:
                     start(plan.handle_failure(host))
+                else:
+                    start(plan.record_written(host.name, _fenced(answer)))
         return plan
 
     def _wait(
         self,
-        running: Collection[concurrent.futures.Future[bool]],
+        running: Collection[concurrent.futures.Future[bytes | None]],
         timeout_ms: float,
-    ) -> set[concurrent.futures.Future[bool]]:
+    ) -> set[concurrent.futures.Future[bytes | None]]:
         """Wait until a call ends; return those that have ended."""
         if not running:
             # The hosts that are still needed failed. A pause precedes the
@@ -107,26 +108,40 @@
         )
         return done
 
-    def _write_to(self, host: replicas.StorageHost, write: Write) -> bool:
-        """Write to one host; return whether the host stored the data."""
+    def _write_to(
+        self, host: replicas.StorageHost, write: Write
+    ) -> bytes | None:
+        """Write to one host; return its answer if it stored the data."""
         try:
-            self._send(host, write)
+            return self._send(host, write)
         except peers.PeerPathUnknownError:
             # A host of a former release can do what it knows.
-            return False
+            return None
         except peers.PeerUnavailableError as error:
             self._calls.record_failure(host, error)
-            return False
-        return True
+            return None
 
-    def _send(self, host: replicas.StorageHost, write: Write) -> None:
-        def send(call: Call) -> None:
+    def _send(self, host: replicas.StorageHost, write: Write) -> bytes:
+        def send(call: Call) -> bytes:
             left_ms = max(write.until_ms - self._clock.now_ms(), 1.0)
-            self._calls.call(host, call.path, call.body, left_ms)
+            return self._calls.call(host, call.path, call.body, left_ms)
 
         try:
-            send(write.call)
+            return send(write.call)
         except peers.PeerPathUnknownError:
             if write.former is None:
                 raise
-            send(write.former)
+            return send(write.former)
+
+
+def _fenced(answer: bytes) -> list[str]:
+    """Return the hosts that do not count beside one that stored data.
+
+    Hosts of a former release and most others name none.
+    """
+    if not answer:
+        return []
+    try:
+        return messages.decode_names(answer)
+    except messages.InvalidMessageError:
+        return []
--- a/packages/gateway/src/balsamloom_gateway/storage_process.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_process.py
@@ -145,6 +145,7 @@
             self._commits,
             self._repair,
             stream_registry.StreamRegistry(clock, settings.is_first_start),
+            settings.name,
         )
         limits = listeners.Limits(
             THREADS,
--- a/packages/gateway/src/balsamloom_gateway/storage_service.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_service.py
@@ -34,6 +34,7 @@
     :param commits: writes turns.
     :param repair: replica repair of this host.
     :param streams: versions at which streams began.
+    :param name: name of this host.
     """
 
     def __init__(
@@ -42,7 +43,9 @@
         commits: group_commit.GroupCommit,
         repair: replica_repair.ReplicaRepair,
         streams: stream_registry.StreamRegistry,
+        name: str,
     ) -> None:
+        self._name = name
         self._streams = streams
         self._database = store
         self._commits = commits
@@ -83,12 +86,19 @@
         return self._store(messages.decode_settled_turn(body))
 
     def _write_usage(self, body: bytes) -> bytes:
-        return self._store(
+        """Store entries; return the hosts that do not count beside this."""
+        if not self._database.fences.is_complete:
+            raise peer_calls.UnavailableError("the fences are being fetched")
+        self._store(
             [
                 usage_entries.StoredEntry(entry, usage_entries.RETENTION_MS)
                 for entry in messages.decode_usage_entries(body)
             ]
         )
+        # Read after the entries are stored: a host that fences another one
+        # later reads them.
+        fenced = sorted(self._database.fences.hosts(self._name))
+        return messages.encode_names(fenced) if fenced else b""
 
     def _store(self, records: Sequence[database.Record]) -> bytes:
         self._check_accepts_records()
@@ -115,7 +125,10 @@
         return messages.encode_usage_page(page)
 
     def _read_claim(self, body: bytes) -> bytes:
-        said = messages.DiskClaim(self._database.disk_id, self._database.claim)
+        query = messages.decode_claim_query(body)
+        store = self._database
+        self._repair.fence(query.sender, query.fenced)
+        said = messages.DiskClaim(store.disk_id, store.claim, store.fences)
         return messages.encode_claim(said)
 
     def _check_accepts_records(self) -> None:
--- a/packages/gateway/tests/storage_nodes.py
+++ b/packages/gateway/tests/storage_nodes.py
@@ -74,6 +74,7 @@
             self.commits,
             self.copies,
             stream_registry.StreamRegistry(clock, is_first_start),
+            self.name,
         )
         address = self.name
         if self._cluster.is_networked:
--- a/packages/gateway/tests/test_host_claims.py
+++ b/packages/gateway/tests/test_host_claims.py
@@ -151,6 +151,74 @@
             self.cluster.node(self.first).database.claim.has_usage
         )
 
+    def write_beside(self, name):
+        """Write a newer entry while a host is not reached; return whether."""
+        self.cluster.kill(name)
+        entry = storage_nodes.usage_entry(sequence=2)
+        is_written = self.new_journal().write([entry])
+        self.cluster.start(name)
+        return is_written
+
+    def isolate(self, name):
+        """Cut a host off from the other hosts, but not from edges."""
+        for other in {"a1", "b1", "c1"} - {name}:
+            self.cluster.cut(name, other)
+        self.cluster.run_rounds(3)
+
+    def test_entry_beside_a_replaced_host_in_use_is_not_acknowledged(self):
+        # review/13: edges wrote to a host that the others did not reach, and
+        # a read from one of these was complete without the entry.
+        self.isolate(self.first)
+        self.assertFalse(self.write_beside(self.third))
+        self.assertTrue(self.write_beside(self.first))
+        self.cluster.kill(self.first, self.second)
+        self.assertEqual(
+            [entry.sequence for entry in self.new_journal().read("p").entries],
+            [2],
+        )
+
+    def test_replaced_host_counts_again_once_it_is_reached(self):
+        self.isolate(self.first)
+        self.cluster.cuts.clear()
+        self.cluster.run_rounds(3)
+        for name in (self.second, self.third):
+            self.assertEqual(self.claim(name), completeness.EVERYTHING)
+        self.assertTrue(self.write_beside(self.third))
+
+    def test_hosts_that_one_alone_does_not_reach_stay_in_use(self):
+        # Its word would have kept all others from counting.
+        self.cluster.cut(self.first, self.second)
+        self.cluster.run_rounds(3)
+        for name in ("a1", "b1", "c1"):
+            self.assertEqual(self.claim(name), completeness.EVERYTHING)
+            self.assertTrue(self.write_beside(name))
+
+    def test_fence_outlives_a_restart(self):
+        self.isolate(self.first)
+        self.cluster.kill(self.second, self.third)
+        self.cluster.start(self.second, self.third)
+        self.assertFalse(self.write_beside(self.third))
+
+    def test_emptied_host_takes_no_entries_before_it_knows_the_fences(self):
+        self.isolate(self.first)
+        self.cluster.wipe(self.second)
+        self.assertFalse(self.write_beside(self.third))
+        self.cluster.run_rounds(2)
+        # It has the fences of the third host then.
+        self.assertFalse(self.write_beside(self.third))
+        self.assertTrue(self.write_beside(self.first))
+
+    def test_fences_of_hosts_that_left_are_forgotten(self):
+        self.isolate(self.first)
+        for name in (self.second, self.third):
+            store = self.cluster.node(name).database
+            store.set_fence("left", frozenset({self.first}))
+            self.cluster.node(name).copies.run_round()
+            self.assertNotIn("left", store.fences.by_host)
+
+    def claim(self, name):
+        return self.cluster.node(name).database.claim
+
     def test_single_losses_are_answered_at_once(self):
         for lose in (self.cluster.kill, self.cluster.wipe):
             for name in (self.first, self.second, self.third):
