--- a/packages/gateway/src/balsamloom_gateway/replica_repair.py
+++ b/packages/gateway/src/balsamloom_gateway/replica_repair.py
@@ -161,18 +161,23 @@
 
         :param leaving: name of the leaving host.
         :return: names of the hosts that store turns from then on.
-        :raises PeerUnavailableError: a host did not answer.
+        :raises PeerUnavailableError: a host did not answer, or this one does
+            not take over what the leaving one has.
         """
         with self._lock:
-            hosts = self._other_hosts()
-            for host in hosts:
+            for host in self._other_hosts():
                 if host.name == leaving:
-                    source = self._source(host)
-                    source.is_leaving = True
-                    source.restart()
-                    self._update_active_hosts()
-                    self._fetch_from(host, source)
-            return self._active_hosts
+                    self._take_over(host)
+                    return self._active_hosts
+        raise peers.PeerUnavailableError(f"{leaving} is not known here")
+
+    def _take_over(self, host: replicas.StorageHost) -> None:
+        source = self._source(host)
+        source.is_leaving = True
+        source.restart()
+        self._update_active_hosts()
+        if not self._fetch_from(host, source):
+            raise peers.PeerUnavailableError(f"{host.name} lacks turns")
 
     def fence(self, sender: str, wanted: frozenset[str]) -> None:
         """Fence hosts for another one that is to replace them.
--- a/packages/gateway/tests/storage_nodes.py
+++ b/packages/gateway/tests/storage_nodes.py
@@ -361,13 +361,18 @@
             list(pool.map(StorageNode.close, self.nodes))
 
 
-def large_turns(count: int, size_bytes: int) -> list[turns.Turn]:
+def numbered_turns(count: int) -> list[turns.Turn]:
     """Build first turns of as many conversations."""
     return [
-        turn(f"t{number}", group_id=f"g{number}")._replace(
-            input=b"x" * size_bytes
-        )
-        for number in range(count)
+        turn(f"t{number}", group_id=f"g{number}") for number in range(count)
+    ]
+
+
+def large_turns(count: int, size_bytes: int) -> list[turns.Turn]:
+    """Build first turns of as many conversations, with large inputs."""
+    return [
+        turn._replace(input=b"x" * size_bytes)
+        for turn in numbered_turns(count)
     ]
 
 
--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -29,10 +29,7 @@
     """Guards against a second loss that destroys the last replica."""
 
     def test_turns_survive_replacing_all_hosts_one_by_one(self):
-        stored = [
-            storage_nodes.turn(f"t{number}", group_id=f"g{number}")
-            for number in range(30)
-        ]
+        stored = storage_nodes.numbered_turns(30)
         self.keep(*stored)
         for old, new in (("a1", "a2"), ("b1", "b2"), ("c1", "c2")):
             self.cluster.node(old).stop()
@@ -45,10 +42,7 @@
             self.assertIsInstance(found, turns.Chain)
 
     def test_wiped_host_recovers_its_replicas(self):
-        stored = [
-            storage_nodes.turn(f"t{number}", group_id=f"g{number}")
-            for number in range(20)
-        ]
+        stored = storage_nodes.numbered_turns(20)
         self.keep(*stored)
         node = self.cluster.node("b1")
         placed = self.placed_at(node, stored)
@@ -63,10 +57,7 @@
     def test_host_that_missed_writes_fetches_them(self):
         node = self.cluster.node("c1")
         node.stop()
-        stored = [
-            storage_nodes.turn(f"t{number}", group_id=f"g{number}")
-            for number in range(10)
-        ]
+        stored = storage_nodes.numbered_turns(10)
         self.keep(*stored)
         node.start()
         self.cluster.run_rounds(2)
@@ -149,9 +140,7 @@
 
     def setUp(self):
         super().setUp()
-        self.keep(
-            *[storage_nodes.turn(f"t{n}", "", f"g{n}") for n in range(9)]
-        )
+        self.keep(*storage_nodes.numbered_turns(9))
         self.node = self.cluster.node("b1")
         self.node.wipe()
         self.clients = storage_nodes.HeldClients(self.cluster)
@@ -285,10 +274,7 @@
         return item.value if item else None
 
     def test_all_turns_have_replicas_on_other_hosts(self):
-        stored = [
-            storage_nodes.turn(f"t{number}", group_id=f"g{number}")
-            for number in range(30)
-        ]
+        stored = storage_nodes.numbered_turns(30)
         self.keep(*stored)
         self.store.put("storage/b1", b"")
         self.cluster.run_rounds()
@@ -317,10 +303,7 @@
         order = self.order()
         self.assertFalse(order.try_once())
         reader = self.new_reader()
-        turns_kept = [
-            storage_nodes.turn(f"t{number}", group_id=f"g{number}")
-            for number in range(6)
-        ]
+        turns_kept = storage_nodes.numbered_turns(6)
         for turn in turns_kept:
             self.assertTrue(
                 reader.can_write(turn.group_id, cluster_case.deadline())
@@ -374,6 +357,29 @@
         self.cluster.node("c1").start()
         self.assertTrue(order.try_once())
 
+    def test_not_complete_while_a_successor_knows_no_hosts(self):
+        # review/11: it had copied nothing, and its answer counted.
+        self.cluster.run_rounds()
+        self.cluster.kill("c1")
+        self.cluster.start("c1")
+        successor = self.cluster.node("c1").copies
+        known = successor._hosts
+        successor._hosts = list
+        order = self.order()
+        self.assertFalse(order.try_once())
+        successor._hosts = known
+        self.assertTrue(order.try_once())
+
+    def test_not_complete_while_a_turn_cannot_be_copied(self):
+        turn = storage_nodes.turn("t")
+        self.keep(turn)
+        node = self.cluster.node(self.cluster.holders(turn)[0])
+        node.database._connection.execute("UPDATE turns SET output = x'00'")
+        order = self.order(node.name)
+        self.assertFalse(order.try_once())
+        node.database.delete_damaged()
+        self.assertTrue(order.try_once())
+
     def test_not_complete_with_too_few_other_hosts(self):
         self.cluster.run_rounds()
         self.assertFalse(self.order(copies=3).try_once())
