--- a/packages/gateway/src/balsamloom_gateway/replica_repair.py
+++ b/packages/gateway/src/balsamloom_gateway/replica_repair.py
@@ -164,6 +164,8 @@
         :raises PeerUnavailableError: a host did not answer, or this one does
             not take over what the leaving one has.
         """
+        if self.is_leaving:
+            raise peers.PeerUnavailableError("this host leaves as well")
         with self._lock:
             for host in self._other_hosts():
                 if host.name == leaving:
--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -370,6 +370,20 @@
         successor._hosts = known
         self.assertTrue(order.try_once())
 
+    def test_not_complete_by_a_successor_that_leaves_as_well(self):
+        # review/12: both counted each other as a place for their turns.
+        self.cluster.add("a2")
+        self.cluster.run_rounds()
+        stored = storage_nodes.numbered_turns(30)
+        self.keep(*stored)
+        orders = [self.order("a1"), self.order("b1")]
+        self.assertFalse(any(order.try_once() for order in orders))
+        self.cluster.run_rounds()
+        for order in orders:
+            self.assertTrue(order.try_once())
+        for turn in stored:
+            self.assertLessEqual({"c1", "a2"}, set(self.cluster.holders(turn)))
+
     def test_not_complete_while_a_turn_cannot_be_copied(self):
         turn = storage_nodes.turn("t")
         self.keep(turn)
