--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SOURCES := packages platform tools tests scenarios
 STAMP := $(VENV)/.installed
-PACKAGES := $(addprefix packages/,core conversations workspaces quotas ingress pacing platform peers state policy membership configuration entry cli standins gateway edge model) platform
+PACKAGES := $(addprefix packages/,core conversations workspaces quotas ingress pacing platform peers state policy membership configuration entry cli standins gateway storage edge model) platform
 
 .PHONY: setup run serve test check unit measure capacity format soak
 
--- a/packages/gateway/tests/storage_nodes.py
+++ b/packages/gateway/tests/storage_nodes.py
@@ -20,10 +20,12 @@
     listeners,
     peer_calls,
     peers,
-    replica_repair,
-    storage_service,
     stream_registry,
 )
+from balsamloom_storage import (
+    replica_repair,
+    service,
+)
 
 LIMITS = listeners.Limits(16, 16_384, 4_000_000, 2_000.0, 10_000.0)
 COPIES = 2
@@ -69,7 +71,7 @@
             lambda since_ms: self._cluster.are_hosts_known,
             lambda: LONGEST_RETENTION_MS,
         )
-        self.service = storage_service.StorageService(
+        self.service = service.StorageService(
             self.database,
             self.commits,
             self.copies,
--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -18,11 +18,9 @@
     peer_calls,
     peers,
     registration_records,
-    storage_evacuation,
-    storage_registration,
     traffic,
-    turn_fetcher,
 )
+from balsamloom_storage import host_evacuation, registration, turn_fetcher
 
 
 class RepairTest(cluster_case.ClusterCase):
@@ -256,7 +254,7 @@
 
     def order(self, name="b1", copies=storage_nodes.COPIES):
         node = self.cluster.node(name)
-        found = storage_evacuation.StorageEvacuation(
+        found = host_evacuation.StorageEvacuation(
             node.host,
             node.copies,
             node.clients,
@@ -436,7 +434,7 @@
         self.is_leaving = False
         self.view = builders.fleet_view()
         self.host = builders.storage_host("a1")
-        self.registration = storage_registration.StorageRegistration(
+        self.registration = registration.StorageRegistration(
             self.host,
             self.store,
             builders.Records(),
--- a/packages/gateway/src/balsamloom_gateway/storage_evacuation.py
+++ b/packages/storage/src/balsamloom_storage/host_evacuation.py
@@ -9,7 +9,10 @@
 from balsamloom_conversations import messages, replicas
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import interfaces, peers, replica_repair
+from balsamloom_gateway import interfaces, peers
+from balsamloom_storage import (
+    replica_repair,
+)
 
 RETRY_INTERVAL_MS = 300.0
 COPY_TIMEOUT_MS = 5_000.0
--- a/packages/gateway/src/balsamloom_gateway/storage_process.py
+++ b/packages/storage/src/balsamloom_storage/process.py
@@ -25,18 +25,20 @@
     interfaces,
     listener_limits,
     listeners,
-    metrics,
     peers,
     read_schedule,
-    replica_repair,
-    storage_evacuation,
-    storage_registration,
-    storage_service,
     store_revisions,
     stream_registry,
 )
 from balsamloom_ingress import guards
 from balsamloom_ingress import limits as ingress_limits
+from balsamloom_storage import (
+    host_evacuation,
+    registration,
+    replica_repair,
+    service,
+    storage_metrics,
+)
 
 # Intervals between repair rounds: after a complete round, and otherwise.
 REPAIR_INTERVAL_MS = 1_000.0
@@ -110,7 +112,7 @@
             self._knows_hosts,
             self._longest_retention_ms,
         )
-        self._registration = storage_registration.StorageRegistration(
+        self._registration = registration.StorageRegistration(
             self.host,
             store,
             records,
@@ -118,7 +120,7 @@
             lambda: self._repair.is_leaving,
             clock,
         )
-        self._evacuation = storage_evacuation.StorageEvacuation(
+        self._evacuation = host_evacuation.StorageEvacuation(
             self.host,
             self._repair,
             clients,
@@ -139,8 +141,10 @@
             clock,
             read_schedule.intervals(settings.view_bound_ms),
         )
-        self._metrics = metrics.StorageMetrics(self._database, self._repair)
-        service = storage_service.StorageService(
+        self._metrics = storage_metrics.StorageMetrics(
+            self._database, self._repair
+        )
+        handler = service.StorageService(
             self._database,
             self._commits,
             self._repair,
@@ -158,7 +162,7 @@
         guard = guards.Guard(settings.ingress_limits, clock)
         guard.refusals.on_refusal = self._metrics.record_limited_caller
         self._listener = listeners.Listener(
-            settings.address, service.handle, limits, guard
+            settings.address, handler.handle, limits, guard
         )
         self._metrics_listener = listeners.Listener(
             settings.metrics_address,
--- a/packages/gateway/src/balsamloom_gateway/replica_repair.py
+++ b/packages/storage/src/balsamloom_storage/replica_repair.py
@@ -14,7 +14,6 @@
 from collections.abc import Callable
 
 from balsamloom_conversations import (
-    completeness,
     database,
     group_commit,
     messages,
@@ -22,8 +21,10 @@
 )
 from balsamloom_core import clock as clocks
 from balsamloom_core import events
-from balsamloom_gateway import (
-    peers,
+from balsamloom_gateway import peers
+from balsamloom_storage import (
+    disk_claims,
+    sources,
     turn_fetcher,
     usage_fetcher,
 )
@@ -31,65 +32,6 @@
 MAX_LIST_ENTRIES = 2_000
 CALL_TIMEOUT_MS = 400.0
 PROGRESS_INTERVAL_MS = 1_000.0
-# A host counts as down after this many rounds without an answer; the others
-# then take over its turns.
-DOWN_AFTER_MISSED_ROUNDS = 2
-
-
-class _Source:
-    """Progress of fetching turns from another host."""
-
-    def __init__(self, disk_id: str) -> None:
-        self.disk_id = disk_id
-        # Sequence number of the last turn that was examined.
-        self.cursor = 0
-        self.is_leaving = False
-        self.missed_rounds = 0
-        # Size of the turns listed and not yet fetched.
-        self.missing_bytes = 0
-        # Whether its usage entries were fetched.
-        self.has_usage_fetched = False
-        # Whether the last round examined all that it has.
-        self.is_read = False
-        # What it said of its disk before and after that.
-        self.claim: completeness.Claim | None = None
-        # Hosts that it has fenced for this one, and its own fences.
-        self.fenced: frozenset[str] = frozenset()
-        self.fences = completeness.Fences(is_complete=False)
-        # Time of the first of the missed rounds.
-        self.missed_since_ms = -math.inf
-
-    def restart(self) -> None:
-        """Have everything examined again."""
-        self.cursor = 0
-        self.has_usage_fetched = False
-        self.claim = None
-
-    def record_answer(self, is_read: bool) -> None:
-        """Record that the host answered in this round."""
-        self.missed_rounds = 0
-        self.is_read = is_read
-
-    def record_miss(self, now_ms: float) -> None:
-        """Record that the host did not answer in this round."""
-        if not self.missed_rounds:
-            self.missed_since_ms = now_ms
-        self.missed_rounds += 1
-
-    @property
-    def has_all_usage(self) -> bool:
-        """Return whether it said that it lacks no usage entry."""
-        return self.claim is not None and self.claim.has_usage
-
-    @property
-    def is_up(self) -> bool:
-        """Return whether the host is expected to store turns."""
-        return self.missed_rounds < DOWN_AFTER_MISSED_ROUNDS
-
-    @property
-    def is_active(self) -> bool:
-        """Return whether the host is up and not leaving."""
-        return self.is_up and not self.is_leaving
 
 
 class ReplicaRepair:
@@ -128,9 +70,16 @@
         self._clock = clock
         self._copies = copies
         self._lock = threading.Lock()
-        self._sources: dict[str, _Source] = {}
+        self._sources: dict[str, sources.Source] = {}
+        self.claims = disk_claims.DiskClaims(
+            own,
+            store,
+            self._sources,
+            clock,
+            copies,
+            longest_retention_ms,
+        )
         self._knows_hosts = knows_hosts
-        self._longest_retention_ms = longest_retention_ms
         self._active_hosts: list[str] = []
         # Losses of records on this disk that the latest round knew of, and
         # the time at which it learnt of the last of them.
@@ -181,22 +130,6 @@
         if not self._fetch_from(host, source):
             raise peers.PeerUnavailableError(f"{host.name} lacks turns")
 
-    def fence(self, sender: str, wanted: frozenset[str]) -> None:
-        """Fence hosts for another one that is to replace them.
-
-        Hosts that answer this one are not fenced, as they are in use. Those
-        that were fenced stay so until the other host no longer asks for it.
-
-        :raises DatabaseError: nothing was stored.
-        """
-        down = {
-            name
-            for name, source in list(self._sources.items())
-            if not source.is_up
-        }
-        known = self._store.fences.of(sender)
-        self._store.set_fence(sender, wanted & (known | down))
-
     def other_active_hosts(self) -> list[replicas.StorageHost]:
         """Return the other hosts that are up and not leaving.
 
@@ -223,26 +156,16 @@
         for host in others:
             self._source(host)
         self._update_active_hosts()
-        is_complete = self._try_update_fence(has_all_hosts)
+        is_complete = self.claims.try_update_fence(has_all_hosts)
         for host in others:
             is_complete &= self._try_fetch_from(host)
         if self._update_active_hosts():
             # The placement of turns changed, so all are examined again.
-            is_complete &= self._try_update_fence(has_all_hosts)
+            is_complete &= self.claims.try_update_fence(has_all_hosts)
             for host in others:
                 is_complete &= self._try_fetch_from(host)
-        found = self._judge(claim)
-        self._store_claim(found if has_all_hosts else claim.common(found))
-        return is_complete and self._are_fences_settled()
-
-    def _are_fences_settled(self) -> bool:
-        """Return whether all others fence what this host replaces."""
-        wanted = self._store.claim.replaced_hosts
-        return all(
-            source.fenced == wanted
-            for source in self._sources.values()
-            if source.is_up
-        )
+        self.claims.update(claim, has_all_hosts)
+        return is_complete and self.claims.are_fences_settled()
 
     def _last_change_ms(self) -> float:
         """Return when this disk or another host was found to have failed.
@@ -254,62 +177,6 @@
         ]
         return max(self._lost_ms, *missed_ms, -math.inf)
 
-    def _judge(self, claim: completeness.Claim) -> completeness.Claim:
-        """Return what the round has shown of this host's disk.
-
-        :param claim: what this host said when the round began.
-        """
-        is_old = self._store.age_ms() > self._longest_retention_ms()
-        return completeness.judge(
-            claim, self._described_sources(), self._copies, is_old
-        )
-
-    def _wants_claims(self) -> bool:
-        """Return whether what other hosts say may add to what this one says.
-
-        Without a loss it does not, and the hosts are not asked.
-        """
-        claim = self._store.claim
-        return not (claim.has_turns and claim.has_usage) or any(
-            not source.is_up and name not in claim.replaced_hosts
-            for name, source in self._sources.items()
-        )
-
-    def _store_claim(self, claim: completeness.Claim) -> None:
-        before = self._store.claim
-        if claim == before:
-            return
-        try:
-            if claim.has_usage and not self._store.fences.is_complete:
-                self._store.complete_fences(
-                    source.fences for source in self._sources.values()
-                )
-            is_stored = self._store.set_claim(claim)
-        except database.DatabaseError as error:
-            events.log(
-                events.Event.DISK_FAILED, logging.WARNING, reason=str(error)
-            )
-            return
-        if is_stored:
-            events.log(
-                events.Event.CLAIM_CHANGED,
-                host=self._own.name,
-                disk_id=self._own.disk_id,
-                has_turns=claim.has_turns,
-                has_usage=claim.has_usage,
-                replaced_hosts=sorted(claim.replaced_hosts),
-            )
-
-    def _try_update_fence(self, has_all_hosts: bool) -> bool:
-        try:
-            self._update_fence(has_all_hosts)
-        except database.DatabaseError as error:
-            events.log(
-                events.Event.DISK_FAILED, logging.WARNING, reason=str(error)
-            )
-            return False
-        return True
-
     def _try_fetch_from(self, host: replicas.StorageHost) -> bool:
         source = self._source(host)
         source.is_read = False
@@ -348,14 +215,16 @@
             source.restart()
         return True
 
-    def _fetch_from(self, host: replicas.StorageHost, source: _Source) -> bool:
+    def _fetch_from(
+        self, host: replicas.StorageHost, source: sources.Source
+    ) -> bool:
         """Fetch from a host what is missing here; return whether all is here.
 
         What the host says of its disk covers what is read between two equal
         answers.
         """
-        wanted = self._store.fences.of(self._own.name)
-        must_ask = self._wants_claims() or wanted != source.fenced
+        wanted = self.claims.wanted_fence
+        must_ask = self.claims.wants_answers() or wanted != source.fenced
         if not must_ask and source.has_usage_fetched:
             return self._fetch_turns(host, source)
         said = self._request_claim(host, wanted)
@@ -376,7 +245,7 @@
         return has_all
 
     def _fetch_turns(
-        self, host: replicas.StorageHost, source: _Source
+        self, host: replicas.StorageHost, source: sources.Source
     ) -> bool:
         fetched = 0
         listed = 0
@@ -429,42 +298,9 @@
             return None
         return messages.decode_claim(answer)
 
-    def _update_fence(self, has_all_hosts: bool) -> None:
-        """Fence the hosts that are replaced, or will be.
-
-        Others learn of it from this host, or with the next call to them. What
-        hosts fenced that are gone for long is forgotten.
-
-        :param has_all_hosts: whether all registered hosts are known.
-        :raises DatabaseError: the disk failed.
-        """
-        sources = self._described_sources()
-        fenced = self._store.claim.replaced_hosts | completeness.replaceable(
-            self._store.claim, sources, self._copies
-        )
-        self._store.set_fence(self._own.name, fenced)
-        if not has_all_hosts:
-            return
-        present = {one.name for one in sources if not one.is_long_gone}
-        for name in self._store.fences.by_host:
-            if name not in present and name != self._own.name:
-                self._store.set_fence(name, frozenset())
-
-    def _described_sources(self) -> list[completeness.Source]:
-        long_ago_ms = self._clock.now_ms() - self._longest_retention_ms()
-        return [
-            completeness.Source(
-                name,
-                source.is_read,
-                source.is_up,
-                source.claim,
-                source.fenced,
-                not source.is_up and source.missed_since_ms < long_ago_ms,
-            )
-            for name, source in self._sources.items()
-        ]
-
-    def _record_progress(self, source: _Source, missing_bytes: int) -> None:
+    def _record_progress(
+        self, source: sources.Source, missing_bytes: int
+    ) -> None:
         source.missing_bytes = missing_bytes
         now_ms = self._clock.now_ms()
         if missing_bytes and now_ms >= self._next_progress_ms:
@@ -484,7 +320,7 @@
         )
 
     def _request_listing(
-        self, host: replicas.StorageHost, source: _Source
+        self, host: replicas.StorageHost, source: sources.Source
     ) -> messages.Listing:
         query = messages.ListQuery(source.cursor, MAX_LIST_ENTRIES)
         answer = self._clients.post(
@@ -521,9 +357,9 @@
         source = self._sources.get(name)
         return source is None or source.is_active
 
-    def _source(self, host: replicas.StorageHost) -> _Source:
+    def _source(self, host: replicas.StorageHost) -> sources.Source:
         source = self._sources.get(host.name)
         if source is None:
-            source = _Source(host.disk_id)
+            source = sources.Source(host.disk_id)
             self._sources[host.name] = source
         return source
--- a/packages/gateway/src/balsamloom_gateway/storage_service.py
+++ b/packages/storage/src/balsamloom_storage/service.py
@@ -17,8 +17,10 @@
     listeners,
     peer_calls,
     peers,
-    replica_repair,
     stream_registry,
+)
+from balsamloom_storage import (
+    replica_repair,
     turn_fetcher,
     usage_fetcher,
 )
@@ -127,7 +129,7 @@
     def _read_claim(self, body: bytes) -> bytes:
         query = messages.decode_claim_query(body)
         store = self._database
-        self._repair.fence(query.sender, query.fenced)
+        self._repair.claims.fence(query.sender, query.fenced)
         said = messages.DiskClaim(store.disk_id, store.claim, store.fences)
         return messages.encode_claim(said)
 
--- a/tests/test_documentation.py
+++ b/tests/test_documentation.py
@@ -164,7 +164,11 @@
 class PlatformPageTest(unittest.TestCase):
     """Guards against answers that name code which is no longer there."""
 
-    PACKAGES = ("balsamloom_gateway", "balsamloom_conversations")
+    PACKAGES = (
+        "balsamloom_gateway",
+        "balsamloom_conversations",
+        "balsamloom_storage",
+    )
 
     def package_of(self, module):
         """Return the full name of a module that exactly one package has."""
