tools: files of tests that are not about a disk lie in memory

The suites of conversations and state, which are about power losses, torn writes and full disks, stay on the disk; TMPDIR, if it is set, is left as it is; bounds and timeouts stay.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,7 +1,9 @@
 """Run all test suites and scenarios, and print one total.
 
 Each suite runs in its own process, since their ``builders`` modules have the
-same name. Tests listed in ``KNOWN-RED.txt`` are skipped and printed.
+same name. Files of suites that are not about a disk lie in memory, since a
+disk that stalls delays each deletion and sync. Tests listed in
+``KNOWN-RED.txt`` are skipped and printed.
 """
 
 from __future__ import annotations
@@ -11,8 +13,10 @@
 import json
 import os
 import pathlib
+import shutil
 import subprocess
 import sys
+import tempfile
 import time
 import unittest
 from typing import NamedTuple
@@ -26,6 +30,11 @@
 PARALLEL_SUITES = 4
 # Processes among which the modules of a large suite are divided.
 SHARDS = {"gateway": 2}
+# Suites about losses of power, torn writes and full disks.
+DISK_SUITES = ("conversations", "state")
+MEMORY_DIRECTORY = pathlib.Path("/dev/shm")
+# Files of all suites that run at a time, with some room.
+MEMORY_FILES_BYTES = 2_000_000_000
 
 
 class Shard(NamedTuple):
@@ -125,7 +134,31 @@
     return tests
 
 
-def _run_suite(name: str, command: list[str]) -> SuiteResult:
+def find_memory_directory() -> pathlib.Path | None:
+    """Return a directory in memory for files of tests; ``None`` if none fits.
+
+    A directory that the caller chose for temporary files is left as it is.
+    """
+    if "TMPDIR" in os.environ or not os.access(MEMORY_DIRECTORY, os.W_OK):
+        return None
+    if shutil.disk_usage(MEMORY_DIRECTORY).free < MEMORY_FILES_BYTES:
+        return None
+    return MEMORY_DIRECTORY
+
+
+def _environment(name: str, directory: pathlib.Path | None) -> dict[str, str]:
+    """Return the environment of a suite.
+
+    :param directory: where files of suites lie that are not about a disk.
+    """
+    if directory is None or name.partition(" ")[0] in DISK_SUITES:
+        return dict(os.environ)
+    return {**os.environ, "TMPDIR": str(directory)}
+
+
+def _run_suite(
+    name: str, command: list[str], directory: pathlib.Path | None
+) -> SuiteResult:
     start_s = time.monotonic()
     try:
         completed = subprocess.run(
@@ -134,6 +167,7 @@
             capture_output=True,
             text=True,
             timeout=SUITE_TIMEOUT_S,
+            env=_environment(name, directory),
         )
     except subprocess.TimeoutExpired:
         return SuiteResult(
@@ -236,14 +270,23 @@
     return 1 if failed else 0
 
 
-def main() -> int:
-    """Run all suites, a few at a time, and print the total last."""
-    suites = _suites()
+def _run_suites(directory: pathlib.Path | None) -> list[SuiteResult]:
     with concurrent.futures.ThreadPoolExecutor(PARALLEL_SUITES) as executor:
         results = list(
-            executor.map(lambda suite: _run_suite(*suite), suites.items())
+            executor.map(
+                lambda suite: _run_suite(*suite, directory), _suites().items()
+            )
         )
-    results.append(_run_suite(suite_name(CALLERS), _package_command(CALLERS)))
+    callers = suite_name(CALLERS)
+    results.append(_run_suite(callers, _package_command(CALLERS), directory))
+    return results
+
+
+def main() -> int:
+    """Run all suites, a few at a time, and print the total last."""
+    memory = find_memory_directory()
+    with tempfile.TemporaryDirectory(dir=memory) as name:
+        results = _run_suites(pathlib.Path(name) if memory else None)
     for result in results:
         if result.failed or "passed over" in result.output:
             print(f"--- {result.name}\n{result.output}")
