--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -274,7 +274,8 @@
     with concurrent.futures.ThreadPoolExecutor(PARALLEL_SUITES) as executor:
         results = list(
             executor.map(
-                lambda suite: _run_suite(*suite, directory), _suites().items()
+                lambda suite: _run_suite(suite[0], suite[1], directory),
+                _suites().items(),
             )
         )
     callers = suite_name(CALLERS)
