conversations: damaged usage entries take the host's claim back

A host whose usage entry was damaged listed the others as all that it has, so another host replaced a third one that was down and had the only intact copy: a program's use was read as complete without the entry.

Cause: list_after left damaged entries out without a word, and nothing deleted them, so no repair could bring them back. Change: they are deleted when a listing finds them, and the claim goes in the same commit, as for turns; the next round fetches them again. claim_changed tells it, with the count of losses.

test_source_with_damaged_entries_vouches_for_none failed before ("'c1' unexpectedly found in frozenset({'c1'})").

--- a/packages/conversations/src/balsamloom_conversations/database.py
+++ b/packages/conversations/src/balsamloom_conversations/database.py
@@ -144,14 +144,22 @@
     ) -> list[usage_entries.StoredEntry]:
         """Return a page of the usage entries.
 
+        Damaged ones are deleted, as no reader would learn that they are
+        missing; the same commit takes back what the host says of its disk.
+
         :raises DatabaseError: the database cannot be read.
         """
         age_ms = self.age_ms()
         with self._lock:
             try:
-                return usage_table.list_after(self._connection, query, age_ms)
+                page = usage_table.list_after(self._connection, query, age_ms)
             except sqlite3.Error as error:
                 raise DatabaseError(str(error)) from error
+            if page.damaged:
+                self._lose(
+                    lambda: usage_table.delete(self._connection, page.damaged)
+                )
+        return page.entries
 
     @property
     def claim(self) -> completeness.Claim:
@@ -367,17 +375,21 @@
             found = sorted(self._damaged)
             if not found:
                 return []
-            claim = self._claim.after_loss()
-
-            def delete() -> None:
-                turns_table.delete(self._connection, found)
-                facts_table.write_claim(self._connection, claim)
-
-            self._claim = claim
-            self._commit(delete, "delete damaged turns", self.age_ms())
+            self._lose(lambda: turns_table.delete(self._connection, found))
             self._damaged.clear()
         return found
 
+    def _lose(self, delete: Callable[[], object]) -> None:
+        """Delete damaged records and take back the claim in one commit."""
+        claim = self._claim.after_loss()
+
+        def change() -> None:
+            delete()
+            facts_table.write_claim(self._connection, claim)
+
+        self._claim = claim
+        self._commit(change, "delete damaged records", self.age_ms())
+
     def close(self) -> None:
         """Close the database."""
         with self._lock:
--- a/packages/conversations/src/balsamloom_conversations/usage_table.py
+++ b/packages/conversations/src/balsamloom_conversations/usage_table.py
@@ -4,7 +4,8 @@
 
 import json
 import sqlite3
-from typing import Any
+from collections.abc import Iterable
+from typing import Any, NamedTuple
 
 from balsamloom_conversations import usage_entries
 
@@ -72,6 +73,16 @@
     )
 
 
+class Page(NamedTuple):
+    """Intact entries of a page, and the keys of damaged ones.
+
+    A key is the program and the holder.
+    """
+
+    entries: list[usage_entries.StoredEntry]
+    damaged: list[tuple[str, str]]
+
+
 def read(
     connection: sqlite3.Connection, program_id: str
 ) -> usage_entries.StoredUsage:
@@ -114,8 +125,8 @@
     connection: sqlite3.Connection,
     query: usage_entries.ListQuery,
     age_ms: float,
-) -> list[usage_entries.StoredEntry]:
-    """Return the intact entries of a page, by program and holder."""
+) -> Page:
+    """Return the entries of a page, by program and holder."""
     rows = connection.execute(
         "SELECT program_id, holder_id, running, used_tokens,"
         " sequence, checksum, expires_ms FROM usage_entries"
@@ -123,13 +134,25 @@
         " ORDER BY program_id, holder_id LIMIT ?",
         query,
     )
-    found: list[usage_entries.StoredEntry] = []
+    page = Page([], [])
     for *row, expires_ms in rows:
         entry = _decode(tuple(row))
-        if entry is not None:
+        if entry is None:
+            page.damaged.append((row[0], row[1]))
+        else:
             left_ms = max(expires_ms - age_ms, 0.0)
-            found.append(usage_entries.StoredEntry(entry, left_ms))
-    return found
+            page.entries.append(usage_entries.StoredEntry(entry, left_ms))
+    return page
+
+
+def delete(
+    connection: sqlite3.Connection, keys: Iterable[tuple[str, str]]
+) -> None:
+    """Delete entries by program and holder."""
+    connection.executemany(
+        "DELETE FROM usage_entries WHERE program_id = ? AND holder_id = ?",
+        keys,
+    )
 
 
 def delete_expired(connection: sqlite3.Connection, age_ms: float) -> None:
--- a/packages/gateway/tests/test_host_claims.py
+++ b/packages/gateway/tests/test_host_claims.py
@@ -151,6 +151,21 @@
             self.cluster.node(self.first).database.claim.has_usage
         )
 
+    def test_source_with_damaged_entries_vouches_for_none(self):
+        # The damaged entry was left out of the listing, and the listing
+        # counted as all that the host has.
+        store = self.cluster.node(self.first).database
+        store._connection.execute("UPDATE usage_entries SET used_tokens = 1")
+        self.cluster.kill(self.second)
+        self.cluster.run_rounds(3)
+        for name in (self.first, self.third):
+            self.assertNotIn(self.second, self.claim(name).replaced_hosts)
+        self.assertFalse(self.is_known())
+        self.cluster.start(self.second)
+        self.cluster.run_rounds(2)
+        self.assertTrue(self.is_known())
+        self.assertEqual(self.stored_at(), ["a1", "b1", "c1"])
+
     def write_beside(self, name):
         """Write a newer entry while a host is not reached; return whether."""
         self.cluster.kill(name)
--- a/packages/storage/src/balsamloom_storage/disk_claims.py
+++ b/packages/storage/src/balsamloom_storage/disk_claims.py
@@ -149,14 +149,20 @@
             )
             return
         if is_stored:
-            events.log(
-                events.Event.CLAIM_CHANGED,
-                host=self._own.name,
-                disk_id=self._own.disk_id,
-                has_turns=claim.has_turns,
-                has_usage=claim.has_usage,
-                replaced_hosts=sorted(claim.replaced_hosts),
-            )
+            self.log()
+
+    def log(self) -> None:
+        """Log what this host says now."""
+        claim = self._store.claim
+        events.log(
+            events.Event.CLAIM_CHANGED,
+            host=self._own.name,
+            disk_id=self._own.disk_id,
+            has_turns=claim.has_turns,
+            has_usage=claim.has_usage,
+            replaced_hosts=sorted(claim.replaced_hosts),
+            losses=claim.losses,
+        )
 
     def _described_sources(self) -> list[completeness.Source]:
         long_ago_ms = self._clock.now_ms() - self._longest_retention_ms()
--- a/packages/storage/src/balsamloom_storage/replica_repair.py
+++ b/packages/storage/src/balsamloom_storage/replica_repair.py
@@ -144,6 +144,7 @@
         claim = self._store.claim
         if claim.losses != self._known_losses:
             self._known_losses = claim.losses
+            self.claims.log()
             self._lost_ms = self._clock.now_ms()
             for source in self._sources.values():
                 source.restart()
