storage: a host that lost turns also stores those that too few others list

A kept turn was answered 404 while the host that had it was down: one lost disk and one kill, with four storage hosts.

Cause: a host that isn't among the first for a turn stores it in place of a slow one. When its disk was lost, it fetched only turns that it should store, and then said that it lacks none, though the turn lay on one disk alone.

Change: until it says so, it counts which hosts list a turn that it need not store, and stores it if they are fewer than the copies. Without a loss nothing is counted.

test_turn_of_a_slow_write_survives_its_host failed before ("Absent() is not an instance of Chain").

--- a/packages/gateway/tests/test_host_claims.py
+++ b/packages/gateway/tests/test_host_claims.py
@@ -7,7 +7,12 @@
 import storage_nodes
 import test_usage_journal
 
-from balsamloom_conversations import completeness, turns, usage_entries
+from balsamloom_conversations import (
+    completeness,
+    replicas,
+    turns,
+    usage_entries,
+)
 from balsamloom_gateway import storage_calls
 
 
@@ -63,6 +68,22 @@
         self.cluster.run_rounds(3)
         self.assertIsInstance(self.read_after_loss("t"), turns.Unsure)
 
+    def test_turn_of_a_slow_write_survives_its_host(self):
+        # A host that need not store the turn had acknowledged it in place of
+        # a slow one. It lost its disk and said that it lacks nothing.
+        self.cluster.add("a2")
+        self.cluster.run_rounds(2)
+        turn = storage_nodes.turn("slow")
+        ranked = replicas.rank("g", self.cluster.hosts())
+        first, _, spare, _ = [host.name for host in ranked]
+        for name in (first, spare):
+            self.cluster.node(name).database.add([turn])
+        self.cluster.wipe(spare)
+        self.cluster.node(spare).copies.run_round()
+        self.cluster.kill(first)
+        found = self.read_after_loss("slow")
+        self.assertIsInstance(found, turns.Chain)
+
     def test_host_that_knows_no_others_yet_lacks_turns(self):
         # Of the hosts that it did not know, one had the last copy.
         self.cluster.are_hosts_known = False
--- a/packages/storage/src/balsamloom_storage/replica_repair.py
+++ b/packages/storage/src/balsamloom_storage/replica_repair.py
@@ -11,7 +11,7 @@
 import logging
 import math
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from balsamloom_conversations import (
     database,
@@ -81,6 +81,7 @@
         )
         self._knows_hosts = knows_hosts
         self._active_hosts: list[str] = []
+        self._listed = sources.ListedTurns(copies)
         # Losses of records on this disk that the latest round knew of, and
         # the time at which it learnt of the last of them.
         self._known_losses = store.claim.losses
@@ -165,6 +166,8 @@
             is_complete &= self.claims.try_update_fence(has_all_hosts)
             for host in others:
                 is_complete &= self._try_fetch_from(host)
+        if not claim.has_turns:
+            is_complete &= self._fetch_short(others)
         self.claims.update(claim, has_all_hosts)
         return is_complete and self.claims.are_fences_settled()
 
@@ -178,11 +181,38 @@
         ]
         return max(self._lost_ms, *missed_ms, -math.inf)
 
+    def _fetch_short(self, others: Sequence[replicas.StorageHost]) -> bool:
+        """Fetch the turns that too few hosts list; return whether all came."""
+        is_complete = True
+        for host in others:
+            turn_ids = self._listed.pop_short(host.name)
+            source = self._source(host)
+            if not turn_ids or not source.is_read:
+                continue
+            is_complete &= self._try(
+                host,
+                functools.partial(self._fetch_listed, host, source, turn_ids),
+            )
+            if not source.is_read:
+                source.restart()
+        self._listed.clear()
+        return is_complete
+
     def _try_fetch_from(self, host: replicas.StorageHost) -> bool:
+        source = self._source(host)
+        return self._try(host, lambda: self._fetch_from(host, source))
+
+    def _try(
+        self, host: replicas.StorageHost, fetch: Callable[[], bool]
+    ) -> bool:
+        """Fetch from a host; return whether it answered.
+
+        :param fetch: returns whether all that it listed is here.
+        """
         source = self._source(host)
         source.is_read = False
         try:
-            is_read = self._fetch_from(host, source)
+            is_read = fetch()
         except (
             peers.PeerUnavailableError,
             messages.InvalidMessageError,
@@ -248,8 +278,7 @@
     def _fetch_turns(
         self, host: replicas.StorageHost, source: sources.Source
     ) -> bool:
-        fetched = 0
-        listed = 0
+        has_all = True
         active_hosts = self._placement_hosts()
         while True:
             listing = self._request_listing(host, source)
@@ -260,25 +289,42 @@
                     self._own.name, entry.group_id, active_hosts, self._copies
                 )
             ]
-            missing = self._store.find_missing(wanted)
-            source.missing_bytes = 0
-            listed += len(missing)
-            fetched += self._fetcher.fetch(
-                host, missing, functools.partial(self._record_progress, source)
-            )
+            if not self._store.claim.has_turns:
+                chosen = set(wanted)
+                others = [
+                    entry.turn_id
+                    for entry in listing.entries
+                    if entry.turn_id not in chosen
+                ]
+                wanted += self._listed.add(host.name, others)
+            has_all &= self._fetch_listed(host, source, wanted)
             if listing.entries:
                 source.cursor = listing.entries[-1].sequence
             if not listing.has_more:
                 break
+        if not has_all and not self._store.claim.has_turns:
+            # Turns that were listed have expired, or are damaged there.
+            source.restart()
+        return has_all
+
+    def _fetch_listed(
+        self,
+        host: replicas.StorageHost,
+        source: sources.Source,
+        turn_ids: Sequence[str],
+    ) -> bool:
+        """Fetch turns that a host lists; return whether all of them came."""
+        missing = self._store.find_missing(turn_ids)
+        source.missing_bytes = 0
+        fetched = self._fetcher.fetch(
+            host, missing, functools.partial(self._record_progress, source)
+        )
         self.fetched_turns += fetched
         if fetched:
             events.log(
                 events.Event.COPIES_FETCHED, host=host.name, turns=fetched
             )
-        if fetched < listed and not self._store.claim.has_turns:
-            # Turns that were listed have expired, or are damaged there.
-            source.restart()
-        return fetched == listed
+        return fetched == len(missing)
 
     def _request_claim(
         self, host: replicas.StorageHost, fenced: frozenset[str]
--- a/packages/storage/src/balsamloom_storage/sources.py
+++ b/packages/storage/src/balsamloom_storage/sources.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 from balsamloom_conversations import completeness
 
 # A host counts as down after this many rounds without an answer; the others
 # then take over its turns.
 DOWN_AFTER_MISSED_ROUNDS = 2
+# Bounds the memory of a host that examines many turns.
+MAX_LISTED_TURNS = 50_000
 
 
 class Source:
@@ -79,3 +82,48 @@
             self.fenced,
             not self.is_up and self.missed_since_ms < long_ago_ms,
         )
+
+
+class ListedTurns:
+    """Turns that other hosts list and this one need not store.
+
+    A host that lost turns may have had one of the copies of such a turn, so
+    it stores the turn unless enough others do.
+
+    :param copies: number of hosts that must store a turn.
+    """
+
+    def __init__(self, copies: int) -> None:
+        self._copies = copies
+        self._hosts: dict[str, set[str]] = {}
+
+    def add(self, host: str, turn_ids: Iterable[str]) -> list[str]:
+        """Add turns that a host lists; return those for which no room is left.
+
+        These are stored here.
+        """
+        rest: list[str] = []
+        for turn_id in turn_ids:
+            if turn_id in self._hosts or len(self._hosts) < MAX_LISTED_TURNS:
+                self._hosts.setdefault(turn_id, set()).add(host)
+            else:
+                rest.append(turn_id)
+        return rest
+
+    def pop_short(self, host: str) -> list[str]:
+        """Return the turns of a host that too few hosts list, and forget them.
+
+        To be called when all hosts were asked.
+        """
+        found = [
+            turn_id
+            for turn_id, hosts in self._hosts.items()
+            if host in hosts and len(hosts) < self._copies
+        ]
+        for turn_id in found:
+            del self._hosts[turn_id]
+        return found
+
+    def clear(self) -> None:
+        """Forget all turns."""
+        self._hosts.clear()
