storage: turns that were listed in a round that failed are listed again

A source that failed halfway through its listing had its turns counted and forgotten, and its cursor stayed behind them.

--- a/packages/storage/src/balsamloom_storage/replica_repair.py
+++ b/packages/storage/src/balsamloom_storage/replica_repair.py
@@ -187,13 +187,17 @@
         for host in others:
             turn_ids = self._listed.pop_short(host.name)
             source = self._source(host)
-            if not turn_ids or not source.is_read:
+            if not turn_ids:
                 continue
-            is_complete &= self._try(
-                host,
-                functools.partial(self._fetch_listed, host, source, turn_ids),
-            )
-            if not source.is_read:
+            if source.is_read:
+                is_complete &= self._try(
+                    host,
+                    functools.partial(
+                        self._fetch_listed, host, source, turn_ids
+                    ),
+                )
+            if not self._source(host).is_read:
+                # They are listed again in the next round.
                 source.restart()
         self._listed.clear()
         return is_complete
