storage: routes may be none, and a source's word goes with its disk

max() of one number raises where no route is configured, which would have ended the repair thread. Found by reading, before it ran anywhere.

--- a/packages/conversations/src/balsamloom_conversations/replicas.py
+++ b/packages/conversations/src/balsamloom_conversations/replicas.py
@@ -181,8 +181,8 @@
     def record_lost(self, name: str) -> None:
         """Record that a host has been unreachable for a long time.
 
-        Since then, the other hosts have made new replicas of its turns from
-        the replicas that they had.
+        Fewer lost hosts than copies cannot have the last replica, if none of
+        the other hosts lacks a turn that it stored.
         """
         self._lost.append(name)
 
--- a/packages/gateway/src/balsamloom_gateway/storage_calls.py
+++ b/packages/gateway/src/balsamloom_gateway/storage_calls.py
@@ -17,8 +17,8 @@
 
 # While its circuit is open, a host is tried last and with a short timeout.
 BREAKER_BACKOFF = circuit_breaker.Backoff(1_000.0, 16_000.0, trial_ms=0.0)
-# A host that is unreachable for this long counts as lost. By then the other
-# hosts have copied what they and the lost host had replicas of.
+# A host that is unreachable for this long counts as lost, and what it may have
+# no longer delays answers that the other hosts can give.
 LOST_HOST_TIMEOUT_MS = 10_000.0
 
 
--- a/packages/storage/src/balsamloom_storage/process.py
+++ b/packages/storage/src/balsamloom_storage/process.py
@@ -222,11 +222,11 @@
         in_force = self._fleet.active_configuration
         if in_force is None:
             return math.inf
-        routes = in_force.configuration.routes
-        return turns_table.RETENTION_MARGIN_MS + max(
-            usage_entries.RETENTION_MS,
-            *(route.retention_ms for route in routes),
-        )
+        retentions_ms = [
+            route.retention_ms for route in in_force.configuration.routes
+        ]
+        longest_ms = max([usage_entries.RETENTION_MS, *retentions_ms])
+        return longest_ms + turns_table.RETENTION_MARGIN_MS
 
     def _run_repair(self) -> None:
         while not self._stopped.is_set():
--- a/packages/storage/src/balsamloom_storage/replica_repair.py
+++ b/packages/storage/src/balsamloom_storage/replica_repair.py
@@ -383,8 +383,10 @@
         listing = messages.decode_listing(answer)
         if listing.disk_id != source.disk_id:
             source.disk_id = listing.disk_id
-            # Its fences are lost with the disk.
+            # Its fences and its statement are lost with the disk.
             source.fenced = frozenset()
+            source.claim = None
+            source.has_usage_fetched = False
             if source.cursor:
                 # Sequence numbers of the previous disk are not valid here.
                 source.cursor = 0
