storage: a registration that the store has lost is written again

A storage host wrote its registration once in its life. If the store lost it with the end of its history, no process asked the host for turns any more, and a 404 needed no word of it.

Change: a view of the store that is newer than the registration and lacks the disk has it written again. test_registration_that_the_store_has_lost_is_written_again failed before: nothing looked.

--- a/packages/gateway/tests/test_storage_hosts.py
+++ b/packages/gateway/tests/test_storage_hosts.py
@@ -432,6 +432,9 @@
     def setUp(self):
         self.store = stores.Store()
         self.is_leaving = False
+        self.clock = builders.manual_clock()
+        # Time of which the view shows the store.
+        self.fresh_at_ms = 0.0
         self.view = builders.fleet_view()
         self.host = builders.storage_host("a1")
         self.registration = registration.StorageRegistration(
@@ -440,7 +443,8 @@
             builders.Records(),
             self.view,
             lambda: self.is_leaving,
-            builders.manual_clock(),
+            lambda since_ms: self.fresh_at_ms >= since_ms,
+            self.clock,
         )
 
     def configure(self, is_stateful, is_resumable=False):
@@ -466,6 +470,17 @@
         self.assertEqual(self.store.calls, ["transact"])
         self.assertIn("storage/a1", self.store.items)
 
+    def test_registration_that_the_store_has_lost_is_written_again(self):
+        # Its host was not asked for turns any more.
+        self.configure(is_stateful=True)
+        self.registration.check_once()
+        self.store.items.clear()
+        self.registration.check_once()
+        self.assertNotIn("storage/a1", self.store.items)
+        self.fresh_at_ms = self.clock.now_ms()
+        self.registration.check_once()
+        self.assertIn("storage/a1", self.store.items)
+
     def test_no_call_without_stateful_routes(self):
         self.configure(is_stateful=False)
         self.registration.check_once()
--- a/packages/storage/src/balsamloom_storage/process.py
+++ b/packages/storage/src/balsamloom_storage/process.py
@@ -118,6 +118,7 @@
             records,
             self._fleet,
             lambda: self._repair.is_leaving,
+            self._knows_hosts,
             clock,
         )
         self._evacuation = host_evacuation.StorageEvacuation(
--- a/packages/storage/src/balsamloom_storage/registration.py
+++ b/packages/storage/src/balsamloom_storage/registration.py
@@ -35,6 +35,8 @@
     :param records: keys and formats of the records.
     :param view: registrations and configuration known to this process.
     :param is_leaving: returns whether the host is being evacuated.
+    :param knows_hosts: returns whether ``view`` shows all that was registered
+        at a time.
     :param clock: time source.
     """
 
@@ -45,6 +47,7 @@
         records: interfaces.Records,
         view: fleet.Fleet,
         is_leaving: Callable[[], bool],
+        knows_hosts: Callable[[float], bool],
         clock: clocks.Clock,
     ) -> None:
         self._own = own
@@ -55,8 +58,11 @@
         )
         self._fleet = view
         self._is_leaving = is_leaving
+        self._knows_hosts = knows_hosts
         self._clock = clock
         self._is_written = False
+        # Time at which the registration was in the store for certain.
+        self._registered_ms = 0.0
         self._stopped = threading.Event()
 
     def run(self) -> None:
@@ -67,7 +73,10 @@
     def check_once(self) -> float:
         """Register if needed and return the pause until the next check."""
         if self._own in self._fleet.storage_hosts():
-            self._is_written = True
+            self._record_written()
+        elif self._is_written and self._is_lost():
+            # Other processes would not ask this host.
+            self._is_written = False
         if self._is_written or not self._is_needed():
             return CHECK_INTERVAL_MS
         try:
@@ -80,9 +89,20 @@
                 reason=str(error),
             )
             return RETRY_INTERVAL_MS
-        self._is_written = True
+        self._record_written()
         return CHECK_INTERVAL_MS
 
+    def _is_lost(self) -> bool:
+        """Return whether the store has lost the registration."""
+        if not self._knows_hosts(self._registered_ms):
+            return False
+        known = self._fleet.storage_hosts()
+        return all(host.disk_id != self._own.disk_id for host in known)
+
+    def _record_written(self) -> None:
+        self._is_written = True
+        self._registered_ms = self._clock.now_ms()
+
     def stop(self) -> None:
         """Let :meth:`run` end."""
         self._stopped.set()
