--- a/tests/test_run_tests.py
+++ b/tests/test_suite_files.py
@@ -1,15 +1,13 @@
-"""Tests of where the runner of tests has the files of suites."""
+"""Tests of where the files of test suites lie."""
 
 import os
 import pathlib
 import shutil
-import sys
 import types
 import unittest
 from unittest import mock
 
-sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "tools"))
-import run_tests  # noqa: E402
+import suite_files
 
 MEMORY = pathlib.Path("/memory")
 
@@ -28,10 +26,10 @@
             mock.patch.object(os, "access", lambda path, mode: may_write),
             mock.patch.object(shutil, "disk_usage", lambda path: usage),
         ):
-            return run_tests.find_memory_directory()
+            return suite_files.find_memory_directory()
 
     def test_files_lie_in_memory_if_there_is_room(self):
-        self.assertEqual(self.find(), run_tests.MEMORY_DIRECTORY)
+        self.assertEqual(self.find(), suite_files.MEMORY_DIRECTORY)
         self.assertIsNone(self.find(free_bytes=1 << 20))
         self.assertIsNone(self.find(may_write=False))
         self.assertIsNone(self.find({"TMPDIR": "/chosen"}))
@@ -43,7 +41,7 @@
             ("state", None),
         ):
             with mock.patch.dict(os.environ, clear=True):
-                found = run_tests._environment(name, MEMORY).get("TMPDIR")
+                found = suite_files.environment(name, MEMORY).get("TMPDIR")
                 self.assertEqual(found, expected, name)
 
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -13,7 +13,6 @@
 import json
 import os
 import pathlib
-import shutil
 import subprocess
 import sys
 import tempfile
@@ -22,6 +21,9 @@
 from typing import NamedTuple
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.append(str(ROOT / "tests"))
+import suite_files  # noqa: E402
+
 # Tests with processes of earlier builds.
 UPGRADES = ROOT / "platform" / "tests" / "upgrades"
 # Tests with callers that ignore all limits; they run beside no other suite.
@@ -30,11 +32,6 @@
 PARALLEL_SUITES = 4
 # Processes among which the modules of a large suite are divided.
 SHARDS = {"gateway": 2}
-# Suites about losses of power, torn writes and full disks.
-DISK_SUITES = ("conversations", "state")
-MEMORY_DIRECTORY = pathlib.Path("/dev/shm")
-# Files of all suites that run at a time, with some room.
-MEMORY_FILES_BYTES = 2_000_000_000
 
 
 class Shard(NamedTuple):
@@ -134,28 +131,6 @@
     return tests
 
 
-def find_memory_directory() -> pathlib.Path | None:
-    """Return a directory in memory for files of tests; ``None`` if none fits.
-
-    A directory that the caller chose for temporary files is left as it is.
-    """
-    if "TMPDIR" in os.environ or not os.access(MEMORY_DIRECTORY, os.W_OK):
-        return None
-    if shutil.disk_usage(MEMORY_DIRECTORY).free < MEMORY_FILES_BYTES:
-        return None
-    return MEMORY_DIRECTORY
-
-
-def _environment(name: str, directory: pathlib.Path | None) -> dict[str, str]:
-    """Return the environment of a suite.
-
-    :param directory: where files of suites lie that are not about a disk.
-    """
-    if directory is None or name.partition(" ")[0] in DISK_SUITES:
-        return dict(os.environ)
-    return {**os.environ, "TMPDIR": str(directory)}
-
-
 def _run_suite(
     name: str, command: list[str], directory: pathlib.Path | None
 ) -> SuiteResult:
@@ -167,7 +142,7 @@
             capture_output=True,
             text=True,
             timeout=SUITE_TIMEOUT_S,
-            env=_environment(name, directory),
+            env=suite_files.environment(name, directory),
         )
     except subprocess.TimeoutExpired:
         return SuiteResult(
@@ -285,7 +260,7 @@
 
 def main() -> int:
     """Run all suites, a few at a time, and print the total last."""
-    memory = find_memory_directory()
+    memory = suite_files.find_memory_directory()
     with tempfile.TemporaryDirectory(dir=memory) as name:
         results = _run_suites(pathlib.Path(name) if memory else None)
     for result in results:
